--- /dev/null
+++ b/lib/common/log.c
@@ -0,0 +1,163 @@
+#include "common/log.h"
+
+#include <errno.h>
+#include <log4c.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/time.h"
+
+/* ===== log4c types of our own ===== */
+
+static FILE *log_file;
+static char log_box[96];
+static log4c_category_t *log_category;
+
+static const char *layout_format(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+    (void)layout;
+    return event->evt_msg;
+}
+
+static int appender_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    FILE *const out = log_file;
+    if (!out)
+        return 0;
+    /* One fwrite a line: stdio locks the stream, so lines of several threads do not mix. */
+    return (int)fwrite(event->evt_rendered_msg, 1, strlen(event->evt_rendered_msg), out);
+}
+
+static const log4c_layout_type_t json_layout = {.name = "trackcove_json", .format = layout_format};
+static const log4c_appender_type_t file_appender = {.name = "trackcove_file", .append = appender_append};
+
+/* ===== Public functions ===== */
+
+int log_open(const char *box, const char *path, tc_err_t *err)
+{
+    snprintf(log_box, sizeof(log_box), "%s", box);
+    FILE *const out = path[0] ? fopen(path, "a") : stderr;
+    if (!out)
+        return tc_err_set(err, TC_E_IO, "open log", path, "%s", strerror(errno));
+    setvbuf(out, NULL, _IOLBF, LOG_LINE_MAX * 2);
+    log4c_init();
+    log4c_layout_type_set(&json_layout);
+    log4c_appender_type_set(&file_appender);
+    log4c_layout_t *const layout = log4c_layout_get("trackcove_json");
+    log4c_layout_set_type(layout, &json_layout);
+    log4c_appender_t *const appender = log4c_appender_get("trackcove_file");
+    log4c_appender_set_type(appender, &file_appender);
+    log4c_appender_set_layout(appender, layout);
+    log_category = log4c_category_get("trackcove");
+    log4c_category_set_appender(log_category, appender);
+    log4c_category_set_additivity(log_category, 0);
+    log4c_category_set_priority(log_category, LOG4C_PRIORITY_INFO);
+    log_file = out;
+    return TC_OK;
+}
+
+void log_close(void)
+{
+    FILE *const out = log_file;
+    if (!out)
+        return;
+    fflush(out);
+    log_file = NULL;
+    if (out != stderr)
+        fclose(out);
+}
+
+static void put(log_line_t *line, const char *text, size_t size)
+{
+    enum { TAIL = 32 }; /* room for the closing brace and the cut mark */
+    if (line->used + size + TAIL > sizeof(line->text)) {
+        line->cut = 1;
+        return;
+    }
+    memcpy(line->text + line->used, text, size);
+    line->used += size;
+}
+
+static void put_escaped(log_line_t *line, const char *text)
+{
+    put(line, "\"", 1);
+    for (const unsigned char *c = (const unsigned char *)text; *c; c++) {
+        char buffer[8];
+        if (*c == '"' || *c == '\\')
+            put(line, (const char[]){'\\', (char)*c}, 2);
+        else if (*c < 0x20)
+            put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "\\u%04x", *c));
+        else
+            put(line, (const char *)c, 1);
+    }
+    put(line, "\"", 1);
+}
+
+static void put_key(log_line_t *line, const char *key)
+{
+    put(line, ",", 1);
+    put_escaped(line, key);
+    put(line, ":", 1);
+}
+
+void log_begin(log_line_t *line, log_level_t level, const char *event)
+{
+    static const char *const names[] = {"error", "warn", "info", "debug"};
+    line->level = level;
+    line->cut = 0;
+    line->used = (size_t)snprintf(line->text, sizeof(line->text), "{\"time\":%lld,\"level\":\"%s\",\"box\":\"%s\"",
+                                  (long long)tc_time_wall(), names[level], log_box);
+    log_str(line, "event", event);
+}
+
+void log_str(log_line_t *line, const char *key, const char *value)
+{
+    const size_t start = line->used;
+    put_key(line, key);
+    put_escaped(line, value);
+    if (line->cut)
+        line->used = start; /* never half a field */
+}
+
+void log_int(log_line_t *line, const char *key, int64_t value)
+{
+    char buffer[24];
+    put_key(line, key);
+    put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "%lld", (long long)value));
+}
+
+void log_num(log_line_t *line, const char *key, double value)
+{
+    char buffer[32];
+    put_key(line, key);
+    put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "%.3f", value));
+}
+
+void log_err(log_line_t *line, const tc_err_t *err)
+{
+    log_int(line, "code", err->code);
+    log_str(line, "error", tc_err_name(err->code));
+    log_str(line, "step", err->step ? err->step : "");
+    log_str(line, "peer", err->peer);
+    log_str(line, "detail", err->detail);
+}
+
+void log_end(log_line_t *line)
+{
+    static const int priorities[] = {LOG4C_PRIORITY_ERROR, LOG4C_PRIORITY_WARN, LOG4C_PRIORITY_INFO,
+                                     LOG4C_PRIORITY_DEBUG};
+    const char *const end = line->cut ? ",\"cut\":true}\n" : "}\n";
+    const size_t size = strlen(end);
+    memcpy(line->text + line->used, end, size + 1);
+    if (log_category)
+        log4c_category_log(log_category, priorities[line->level], "%s", line->text);
+}
+
+void log_failure(log_level_t level, const char *event, const tc_err_t *err)
+{
+    log_line_t line;
+    log_begin(&line, level, event);
+    log_err(&line, err);
+    log_end(&line);
+}
--- /dev/null
+++ b/lib/control/members.c
@@ -0,0 +1,199 @@
+#include "control/members.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+/* ===== Types ===== */
+
+/** Room is told to all again when it changed by this part, at most every ROOM_NEWS_MS. */
+enum { ROOM_NEWS_PART = 4, ROOM_NEWS_MS = 1000 };
+
+typedef struct {
+    member_t self;
+    uint64_t version;
+    bool released;
+    bool live;
+    tc_time_t heard;
+    uint32_t room_told;
+} box_t;
+
+struct members {
+    GHashTable *boxes; /* name -> box_t */
+    uint64_t version;
+    tc_time_t lead_since;
+    tc_time_t room_news_at;
+};
+
+/* ===== Life ===== */
+
+members_t *members_create(void)
+{
+    members_t *const m = g_new0(members_t, 1);
+    m->boxes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    m->version = 1;
+    return m;
+}
+
+void members_destroy(members_t *m)
+{
+    g_hash_table_destroy(m->boxes);
+    g_free(m);
+}
+
+void members_lead(members_t *m, tc_time_t now)
+{
+    g_hash_table_remove_all(m->boxes);
+    m->lead_since = now;
+    /* Versions of different leaders must differ, or a box would keep the list of the one before. */
+    m->version = (m->version / 1000000 + 1) * 1000000 + (uint64_t)(now % 1000000);
+}
+
+/* ===== Beats ===== */
+
+static bool same_place(const member_t *a, const member_t *b)
+{
+    return a->incarnation == b->incarnation && a->draining == b->draining && strcmp(a->http_addr, b->http_addr) == 0 &&
+           strcmp(a->peer_addr, b->peer_addr) == 0 && strcmp(a->dc, b->dc) == 0;
+}
+
+int members_beat(members_t *m, const msg_beat_t *beat, tc_time_t now)
+{
+    box_t *b = g_hash_table_lookup(m->boxes, beat->self.box);
+    if (b && beat->self.incarnation < b->self.incarnation)
+        return TC_E_FENCED; /* a message of the box's former self */
+    if (!b) {
+        b = g_new0(box_t, 1);
+        codec_copy_string(b->self.box, sizeof(b->self.box), beat->self.box);
+        g_hash_table_insert(m->boxes, b->self.box, b);
+    }
+    if (!b->live || !same_place(&b->self, &beat->self))
+        m->version++;
+    b->self = beat->self;
+    b->version = beat->version;
+    b->released = beat->released;
+    b->heard = now;
+    b->live = true;
+    const uint32_t change = b->self.room > b->room_told ? b->self.room - b->room_told : b->room_told - b->self.room;
+    if (change * ROOM_NEWS_PART > b->room_told && now - m->room_news_at >= ROOM_NEWS_MS) {
+        m->room_news_at = now;
+        m->version++;
+    }
+    return TC_OK;
+}
+
+void members_tick(members_t *m, tc_time_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->boxes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        box_t *const b = value;
+        if (b->live && now - b->heard >= MEMBERS_DEAD_MS) {
+            b->live = false;
+            m->version++;
+        }
+        if (now - b->heard >= MEMBERS_FORGET_MS)
+            g_hash_table_iter_remove(&iter);
+    }
+}
+
+/* ===== Questions ===== */
+
+uint64_t members_version(const members_t *m)
+{
+    return m->version;
+}
+
+uint32_t members_live(const members_t *m, member_t **list, tc_time_t now)
+{
+    (void)now;
+    *list = calloc(g_hash_table_size(m->boxes) + 1, sizeof(**list));
+    if (!*list)
+        abort();
+    uint32_t n = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->boxes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        box_t *const b = value;
+        b->room_told = b->self.room;
+        if (b->live)
+            (*list)[n++] = b->self;
+    }
+    return n;
+}
+
+bool members_in_force(const members_t *m, uint64_t version, tc_time_t lease_ms, char laggard[CODEC_STR_SIZE],
+                      tc_time_t now)
+{
+    laggard[0] = '\0';
+    if (now < m->lead_since + lease_ms) {
+        codec_copy_string(laggard, CODEC_STR_SIZE, "(leases given by the former leader)");
+        return false;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->boxes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const box_t *const b = value;
+        if (b->version >= version || now >= b->heard + lease_ms)
+            continue;
+        codec_copy_string(laggard, CODEC_STR_SIZE, b->self.box);
+        return false;
+    }
+    return true;
+}
+
+bool members_holder_gone(const members_t *m, const char *box, tc_time_t now)
+{
+    const tc_time_t lease = MEMBERS_CELL_LEASE_MS + MEMBERS_MARGIN_MS;
+    const box_t *const b = g_hash_table_lookup(m->boxes, box);
+    if (!b)
+        return now >= m->lead_since + lease;
+    return b->released || now >= b->heard + lease;
+}
+
+const member_t *members_pick(const members_t *m, const char *cell, uint32_t (*held)(void *arg, const char *box),
+                             void *arg, tc_time_t now)
+{
+    (void)now;
+    const member_t *best = NULL;
+    uint32_t best_held = 0;
+    uint64_t best_rank = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->boxes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const box_t *const b = value;
+        if (!b->live || b->released || b->self.draining)
+            continue;
+        const uint32_t count = held(arg, b->self.box);
+        const uint64_t rank = XXH3_64bits_withSeed(b->self.box, strlen(b->self.box), XXH3_64bits(cell, strlen(cell)));
+        if (best && (count > best_held || (count == best_held && rank <= best_rank)))
+            continue;
+        best = &b->self;
+        best_held = count;
+        best_rank = rank;
+    }
+    return best;
+}
+
+uint32_t members_views(const members_t *m, members_view_t *views, uint32_t room, tc_time_t now)
+{
+    uint32_t n = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->boxes);
+    while (n < room && g_hash_table_iter_next(&iter, NULL, &value)) {
+        const box_t *const b = value;
+        views[n++] =
+            (members_view_t){.self = b->self, .version = b->version, .silent_ms = now - b->heard, .live = b->live};
+    }
+    return n;
+}
--- /dev/null
+++ b/lib/control/raft_internal.h
@@ -0,0 +1,95 @@
+/** @file raft_internal.h
+ * Shared by raft.c, raft_log.c and raft_leader.c; nobody else includes it.
+ */
+#ifndef TRACKCOVE_CONTROL_RAFT_INTERNAL_H
+#define TRACKCOVE_CONTROL_RAFT_INTERNAL_H
+
+/* ===== Dependencies ===== */
+
+#include <assert.h>
+#include <glib.h>
+#include <urcu/list.h>
+
+#include "control/raft.h"
+
+/* ===== Types ===== */
+
+/** Send times remembered, at most one a millisecond: longer than any answer that could still matter. */
+enum { ROUNDS_KEPT = 2048 };
+
+/** What the leader knows of one other member. */
+typedef struct {
+    uint64_t id;
+    uint64_t next, match;
+    uint64_t acked_seq;   /* newest round it answered */
+    tc_time_t acked_sent; /* when that round was sent */
+    tc_time_t sent_at;    /* when something was last sent, for pacing */
+    bool waiting;         /* entries are under way */
+    uint64_t snapshot_offset;
+    bool snapshotting;
+} progress_t;
+
+typedef struct {
+    struct cds_list_head node;
+    raft_action_t action;
+} queued_t;
+
+struct raft {
+    uint64_t id, term, vote, leader;
+    raft_role_t role;
+    GPtrArray *log; /* log_entry_t*, behind the snapshot */
+    raft_image_t snapshot;
+    raft_members_t members; /* newest in the log, committed or not, as Raft wants it */
+    uint64_t members_index;
+    uint64_t commit, applied;
+    tc_time_t heard; /* last message of a leader, or our start */
+    tc_time_t election_at;
+    tc_time_t heartbeat_at;
+    tc_time_t leader_since, quorum_lost_since;
+    uint64_t noop_index; /* the leader's first entry of its term */
+    GHashTable *votes;   /* ids that granted in this round */
+    GArray *peers;       /* progress_t, leader only */
+    uint64_t seq;
+    tc_time_t sent[ROUNDS_KEPT]; /* send time of round seq, at seq % ROUNDS_KEPT */
+    GRand *random;
+    struct cds_list_head actions;
+    GByteArray *incoming; /* snapshot pieces */
+    uint64_t incoming_index, incoming_term;
+    GByteArray *outgoing; /* our snapshot, packed, made when first needed */
+};
+
+/* ===== raft_log.c ===== */
+
+uint64_t log_last_index(const raft_t *r);
+uint64_t log_last_term(const raft_t *r);
+/** NULL when it is not behind the snapshot. */
+log_entry_t *log_at(const raft_t *r, uint64_t index);
+void log_append(raft_t *r, uint64_t term, uint64_t index, uint32_t kind, const char *data, size_t size);
+void log_truncate(raft_t *r, uint64_t from);
+void entry_copy(log_entry_t *to, const log_entry_t *from);
+void members_copy(raft_members_t *to, const raft_members_t *from);
+/** Take the newest members entry of the log, or the snapshot's. */
+void members_refresh(raft_t *r);
+void image_copy(raft_image_t *to, const raft_image_t *from);
+GByteArray *pack_object(const codec_desc_t *desc, const void *object);
+int unpack_object(const codec_desc_t *desc, void *object, const char *data, size_t size);
+
+/* ===== raft_leader.c ===== */
+
+void leader_begin(raft_t *r, tc_time_t now);
+void leader_send_all(raft_t *r, bool heartbeat, tc_time_t now);
+void leader_on_append_ack(raft_t *r, const msg_append_ack_t *ack, tc_time_t now);
+void leader_on_snapshot_ack(raft_t *r, const msg_snapshot_ack_t *ack, tc_time_t now);
+void leader_advance_commit(raft_t *r, tc_time_t now);
+tc_time_t leader_quorum_time(const raft_t *r, tc_time_t now);
+
+/* ===== raft.c ===== */
+
+raft_action_t *raft_add_action(raft_t *r, raft_action_kind_t kind);
+/** @param message a struct of the type, copied shallowly; its heap parts pass to the action */
+void raft_send(raft_t *r, uint64_t to, uint32_t type, const void *message, size_t size);
+void raft_apply_committed(raft_t *r);
+void raft_step_down(raft_t *r, uint64_t term, tc_time_t now);
+uint32_t raft_majority(const raft_t *r);
+
+#endif
--- /dev/null
+++ b/lib/control/raft_leader.c
@@ -0,0 +1,323 @@
+/* The leader's part: entries and snapshots out, answers in, commit, members. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/raft_internal.h"
+
+/* ===== Peers ===== */
+
+/** How long an append may stay unanswered before it is sent again. */
+enum { RESEND_MS = 400 };
+/** A non-voter this close to the end of the log becomes a voter. */
+enum { CATCH_UP_ENTRIES = 16 };
+
+static progress_t *peer_find(const raft_t *r, uint64_t id)
+{
+    for (guint i = 0; i < r->peers->len; i++) {
+        progress_t *const p = &g_array_index(r->peers, progress_t, i);
+        if (p->id == id)
+            return p;
+    }
+    return NULL;
+}
+
+/** Make the list of peers follow the members. */
+static void peers_refresh(raft_t *r)
+{
+    GArray *const peers = g_array_new(FALSE, TRUE, sizeof(progress_t));
+    for (uint32_t i = 0; i < r->members.list_n; i++) {
+        const uint64_t id = r->members.list[i].id;
+        if (id == r->id)
+            continue;
+        const progress_t *const old = peer_find(r, id);
+        const progress_t fresh = {.id = id, .next = log_last_index(r) + 1, .acked_sent = -1};
+        g_array_append_vals(peers, old ? old : &fresh, 1);
+    }
+    g_array_free(r->peers, TRUE);
+    r->peers = peers;
+}
+
+/* ===== Sending ===== */
+
+static void send_snapshot_piece(raft_t *r, progress_t *p, tc_time_t now)
+{
+    if (!r->outgoing)
+        r->outgoing = pack_object(&raft_image_desc, &r->snapshot);
+    if (p->snapshot_offset > r->outgoing->len)
+        p->snapshot_offset = 0;
+    const uint64_t left = r->outgoing->len - p->snapshot_offset;
+    const size_t size = left < RAFT_SNAPSHOT_PIECE ? (size_t)left : RAFT_SNAPSHOT_PIECE;
+    msg_snapshot_t message = {.term = r->term,
+                              .last_index = r->snapshot.last_index,
+                              .last_term = r->snapshot.last_term,
+                              .offset = p->snapshot_offset,
+                              .total = r->outgoing->len,
+                              .seq = r->seq,
+                              .to = p->id,
+                              .from = r->id};
+    codec_set_text(&message.data, &message.data_n, (const char *)r->outgoing->data + p->snapshot_offset, size);
+    p->snapshotting = true;
+    p->waiting = true;
+    p->sent_at = now;
+    raft_send(r, p->id, MSG_SNAPSHOT, &message, sizeof(message));
+}
+
+static void send_entries(raft_t *r, progress_t *p, tc_time_t now)
+{
+    const uint64_t last = log_last_index(r);
+    uint32_t n = 0;
+    size_t bytes = 0;
+    for (uint64_t i = p->next; i <= last && n < RAFT_APPEND_ENTRIES && bytes < RAFT_APPEND_BYTES; i++, n++)
+        bytes += log_at(r, i)->data_n;
+    msg_append_t message = {.term = r->term,
+                            .prev_index = p->next - 1,
+                            .prev_term = raft_term_at(r, p->next - 1),
+                            .commit = r->commit,
+                            .seq = r->seq,
+                            .to = p->id,
+                            .from = r->id,
+                            .entries_n = n};
+    message.entries = calloc(n + 1, sizeof(*message.entries));
+    if (!message.entries)
+        abort();
+    for (uint32_t k = 0; k < n; k++)
+        entry_copy(&message.entries[k], log_at(r, p->next + k));
+    p->waiting = n > 0;
+    p->sent_at = now;
+    raft_send(r, p->id, MSG_APPEND, &message, sizeof(message));
+}
+
+static void send_to(raft_t *r, progress_t *p, bool heartbeat, tc_time_t now)
+{
+    const bool behind = p->next <= log_last_index(r);
+    const bool lost = p->waiting && now - p->sent_at >= RESEND_MS;
+    if (p->next <= r->snapshot.last_index) {
+        if (!p->waiting || lost)
+            send_snapshot_piece(r, p, now);
+    } else if (behind && (!p->waiting || lost)) {
+        send_entries(r, p, now);
+    } else if (heartbeat) {
+        /* A heartbeat carries no entries: those under way are not sent twice. */
+        msg_append_t message = {.term = r->term,
+                                .prev_index = p->match,
+                                .prev_term = raft_term_at(r, p->match),
+                                .commit = r->commit,
+                                .seq = r->seq,
+                                .to = p->id,
+                                .from = r->id};
+        if (message.prev_index < r->snapshot.last_index) {
+            message.prev_index = 0; /* before our log: says nothing about theirs */
+            message.prev_term = 0;
+        }
+        raft_send(r, p->id, MSG_APPEND, &message, sizeof(message));
+    }
+}
+
+void leader_send_all(raft_t *r, bool heartbeat, tc_time_t now)
+{
+    if (r->sent[r->seq % ROUNDS_KEPT] != now)
+        r->seq++;
+    r->sent[r->seq % ROUNDS_KEPT] = now;
+    for (guint i = 0; i < r->peers->len; i++)
+        send_to(r, &g_array_index(r->peers, progress_t, i), heartbeat, now);
+    if (heartbeat)
+        r->heartbeat_at = now + RAFT_HEARTBEAT_MS;
+}
+
+/* ===== Members ===== */
+
+static void propose_members(raft_t *r, const raft_members_t *members, tc_time_t now)
+{
+    GByteArray *const data = pack_object(&raft_members_desc, members);
+    log_append(r, r->term, log_last_index(r) + 1, RAFT_MEMBERS, (const char *)data->data, data->len);
+    g_byte_array_free(data, TRUE);
+    peers_refresh(r);
+    leader_send_all(r, false, now);
+    leader_advance_commit(r, now);
+}
+
+/** One change at a time: the last one is committed, and so is an entry of our own term. */
+static bool members_settled(const raft_t *r)
+{
+    return r->members_index <= r->commit && r->commit >= r->noop_index;
+}
+
+static void change_member(raft_t *r, const raft_member_t *member, bool remove, tc_time_t now)
+{
+    raft_members_t next = {0};
+    members_copy(&next, &r->members);
+    uint32_t at = 0;
+    while (at < next.list_n && next.list[at].id != member->id)
+        at++;
+    if (remove) {
+        assert(at < next.list_n); /* only members are removed */
+        next.list[at] = next.list[--next.list_n];
+    } else if (at < next.list_n) {
+        next.list[at] = *member;
+    } else {
+        next.list = realloc(next.list, (next.list_n + 1) * sizeof(*next.list));
+        if (!next.list)
+            abort();
+        next.list[next.list_n++] = *member;
+    }
+    propose_members(r, &next, now);
+    codec_free(&raft_members_desc, &next);
+}
+
+/** The member that a joining box replaces: same name, other data folder. */
+static const raft_member_t *replaced_by(const raft_t *r, const raft_member_t *member)
+{
+    for (uint32_t i = 0; i < r->members.list_n; i++)
+        if (strcmp(r->members.list[i].name, member->name) == 0 && r->members.list[i].id != member->id)
+            return &r->members.list[i];
+    return NULL;
+}
+
+void raft_join(raft_t *r, const raft_member_t *member, tc_time_t now)
+{
+    if (r->role != RAFT_LEADER || member->id == r->id || !members_settled(r))
+        return;
+    const raft_member_t *const known = raft_find_member(r, member->id);
+    raft_member_t next = *member;
+    if (!known) {
+        next.voter = false;
+        change_member(r, &next, false, now);
+        return;
+    }
+    const progress_t *const p = peer_find(r, member->id);
+    const bool caught_up = p && p->match + CATCH_UP_ENTRIES >= log_last_index(r) && p->match >= r->noop_index;
+    if (known->voter || !caught_up)
+        return;
+    const raft_member_t *const old = replaced_by(r, member);
+    if (old) {
+        const raft_member_t gone = *old;
+        change_member(r, &gone, true, now);
+        return;
+    }
+    next.voter = true;
+    change_member(r, &next, false, now);
+}
+
+/* ===== Commit ===== */
+
+static int compare_down(const void *a, const void *b)
+{
+    const uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+    return x < y ? 1 : (x > y ? -1 : 0);
+}
+
+void leader_advance_commit(raft_t *r, tc_time_t now)
+{
+    uint64_t match[64];
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < r->members.list_n && n < 64; i++) {
+        if (!r->members.list[i].voter)
+            continue;
+        const uint64_t id = r->members.list[i].id;
+        const progress_t *const p = peer_find(r, id);
+        match[n++] = id == r->id ? log_last_index(r) : (p ? p->match : 0);
+    }
+    if (n == 0)
+        return;
+    qsort(match, n, sizeof(match[0]), compare_down);
+    const uint64_t agreed = match[raft_majority(r) - 1];
+    if (agreed <= r->commit || raft_term_at(r, agreed) != r->term)
+        return;
+    r->commit = agreed;
+    raft_apply_committed(r);
+    /* A leader that the committed members no longer name as a voter has done its work. */
+    if (r->members_index <= r->commit && !raft_is_voter(r, r->id))
+        raft_step_down(r, r->term, now);
+    else
+        leader_send_all(r, true, now);
+}
+
+static void note_round(raft_t *r, progress_t *p, uint64_t seq)
+{
+    if (seq <= p->acked_seq || seq > r->seq || r->seq - seq >= ROUNDS_KEPT)
+        return;
+    p->acked_seq = seq;
+    p->acked_sent = r->sent[seq % ROUNDS_KEPT];
+}
+
+void leader_on_append_ack(raft_t *r, const msg_append_ack_t *ack, tc_time_t now)
+{
+    progress_t *const p = peer_find(r, ack->from);
+    if (!p)
+        return;
+    note_round(r, p, ack->seq);
+    if (!ack->ok) {
+        p->waiting = false;
+        p->next = ack->match + 1 < p->next ? ack->match + 1 : (p->next > 1 ? p->next - 1 : 1);
+        if (p->next <= p->match)
+            p->next = p->match + 1;
+        send_to(r, p, false, now);
+        return;
+    }
+    if (ack->match > p->match) {
+        assert(ack->match <= log_last_index(r)); /* nobody can hold more of our term than we do */
+        p->match = ack->match;
+        p->waiting = false;
+    }
+    if (p->next <= p->match)
+        p->next = p->match + 1;
+    leader_advance_commit(r, now);
+    if (r->role == RAFT_LEADER && p->next <= log_last_index(r) && !p->waiting)
+        send_to(r, peer_find(r, ack->from), false, now);
+}
+
+void leader_on_snapshot_ack(raft_t *r, const msg_snapshot_ack_t *ack, tc_time_t now)
+{
+    progress_t *const p = peer_find(r, ack->from);
+    if (!p)
+        return;
+    note_round(r, p, ack->seq);
+    if (ack->last_index != r->snapshot.last_index) {
+        p->snapshot_offset = 0;
+        p->waiting = false;
+        return;
+    }
+    p->waiting = false;
+    p->snapshot_offset = ack->next_offset;
+    if (ack->done) {
+        p->snapshotting = false;
+        p->snapshot_offset = 0;
+        if (p->match < r->snapshot.last_index)
+            p->match = r->snapshot.last_index;
+        p->next = p->match + 1;
+    }
+    send_to(r, p, false, now);
+}
+
+tc_time_t leader_quorum_time(const raft_t *r, tc_time_t now)
+{
+    uint64_t times[64];
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < r->members.list_n && n < 64; i++) {
+        if (!r->members.list[i].voter)
+            continue;
+        const uint64_t id = r->members.list[i].id;
+        const progress_t *const p = peer_find(r, id);
+        const tc_time_t sent = id == r->id ? now : (p && p->acked_sent > 0 ? p->acked_sent : 0);
+        times[n++] = (uint64_t)sent;
+    }
+    if (n == 0)
+        return 0;
+    qsort(times, n, sizeof(times[0]), compare_down);
+    return (tc_time_t)times[raft_majority(r) - 1];
+}
+
+void leader_begin(raft_t *r, tc_time_t now)
+{
+    r->role = RAFT_LEADER;
+    r->leader = r->id;
+    r->leader_since = now;
+    r->quorum_lost_since = now;
+    g_array_set_size(r->peers, 0);
+    peers_refresh(r);
+    r->noop_index = log_last_index(r) + 1;
+    log_append(r, r->term, r->noop_index, RAFT_NOOP, "", 0);
+    leader_send_all(r, true, now);
+    leader_advance_commit(r, now);
+}
--- /dev/null
+++ b/lib/peer/frame.c
@@ -0,0 +1,89 @@
+#include "peer/frame.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gen/schema.h"
+
+enum { FRAME_PARTS = 4 };
+
+char *frame_pack(uint32_t type, uint64_t call, bool reply, const void *message, size_t *size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    const char zeros[FRAME_HEAD] = {0};
+    msgpack_sbuffer_write(&buffer, zeros, sizeof(zeros));
+    msgpack_pack_array(&packer, FRAME_PARTS);
+    msgpack_pack_uint32(&packer, type);
+    msgpack_pack_uint64(&packer, call);
+    reply ? msgpack_pack_true(&packer) : msgpack_pack_false(&packer);
+    codec_pack(msg_desc(type), message, &packer);
+    const uint32_t length = htonl((uint32_t)(buffer.size - FRAME_HEAD));
+    memcpy(buffer.data, &length, sizeof(length));
+    *size = buffer.size;
+    return msgpack_sbuffer_release(&buffer);
+}
+
+static int unpack_parts(const msgpack_object *root, frame_t *frame, tc_err_t *err)
+{
+    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < FRAME_PARTS)
+        return tc_err_set(err, TC_E_INVALID, "unpack frame", NULL, "not an array of %d", FRAME_PARTS);
+    const msgpack_object *const part = root->via.array.ptr;
+    if (part[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER || part[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        part[2].type != MSGPACK_OBJECT_BOOLEAN || part[0].via.u64 >= MSG_COUNT)
+        return tc_err_set(err, TC_E_INVALID, "unpack frame", NULL, "bad head or unknown type");
+    frame->type = (uint32_t)part[0].via.u64;
+    frame->call = part[1].via.u64;
+    frame->reply = part[2].via.boolean;
+    const codec_desc_t *const desc = msg_desc(frame->type);
+    if (!desc)
+        return tc_err_set(err, TC_E_INVALID, "unpack frame", NULL, "unknown type %u", frame->type);
+    void *const message = calloc(1, desc->size);
+    if (!message)
+        return tc_err_set(err, TC_E_NOMEM, "unpack frame", NULL, "type %u", frame->type);
+    const int rc = codec_unpack(desc, message, &part[3], err);
+    if (rc < 0)
+        free(message);
+    else
+        frame->message = message;
+    return rc;
+}
+
+int frame_unpack(const char *data, size_t size, frame_t *frame, tc_err_t *err)
+{
+    memset(frame, 0, sizeof(*frame));
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    size_t used = 0;
+    int rc = TC_OK;
+    if (msgpack_unpack_next(&unpacked, data, size, &used) != MSGPACK_UNPACK_SUCCESS || used != size)
+        rc = tc_err_set(err, TC_E_INVALID, "unpack frame", NULL, "not one whole msgpack value");
+    else
+        rc = unpack_parts(&unpacked.data, frame, err);
+    msgpack_unpacked_destroy(&unpacked);
+    return rc;
+}
+
+void frame_free_message(uint32_t type, void *message)
+{
+    if (!message)
+        return;
+    codec_free(msg_desc(type), message);
+    free(message);
+}
+
+void frame_free(frame_t *frame)
+{
+    frame_free_message(frame->type, frame->message);
+    frame->message = NULL;
+}
+
+uint32_t frame_length(const char *data)
+{
+    uint32_t length;
+    memcpy(&length, data, sizeof(length));
+    return ntohl(length);
+}
--- /dev/null
+++ b/lib/peer/loop.c
@@ -0,0 +1,215 @@
+#include "peer/loop.h"
+
+#include <assert.h>
+#include <pthread.h>
+#include <semaphore.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <urcu/list.h>
+
+/* ===== Types ===== */
+
+enum { LOOP_TICKS_MAX = 8, LOOP_EVENTS_MAX = 64, LOOP_IDLE_MS = 1000 };
+
+typedef struct {
+    struct cds_list_head node;
+    loop_fn_t fn;
+    void *arg;
+} posted_t;
+
+typedef struct {
+    tc_time_t period;
+    tc_time_t next;
+    loop_fn_t fn;
+    void *arg;
+} tick_t;
+
+struct loop {
+    int epoll_fd;
+    int wake_fd;
+    atomic_bool stopping;
+    pthread_mutex_t lock; /* guards posted */
+    struct cds_list_head posted;
+    tick_t ticks[LOOP_TICKS_MAX];
+    int n_ticks;
+    struct epoll_event events[LOOP_EVENTS_MAX];
+    int n_events; /* of the round being handled, so that loop_unwatch can drop them */
+};
+
+/* ===== Posting ===== */
+
+static void wake(loop_t *loop)
+{
+    const uint64_t one = 1;
+    const ssize_t n = write(loop->wake_fd, &one, sizeof(one));
+    (void)n; /* a full eventfd is awake already */
+}
+
+void loop_post(loop_t *loop, loop_fn_t fn, void *arg)
+{
+    posted_t *const item = malloc(sizeof(*item));
+    if (!item)
+        abort();
+    item->fn = fn;
+    item->arg = arg;
+    pthread_mutex_lock(&loop->lock);
+    cds_list_add_tail(&item->node, &loop->posted);
+    pthread_mutex_unlock(&loop->lock);
+    wake(loop);
+}
+
+typedef struct {
+    loop_fn_t fn;
+    void *arg;
+    sem_t done;
+} waited_t;
+
+static void run_waited(void *arg)
+{
+    waited_t *const waited = arg;
+    waited->fn(waited->arg);
+    sem_post(&waited->done);
+}
+
+void loop_post_wait(loop_t *loop, loop_fn_t fn, void *arg)
+{
+    waited_t waited = {.fn = fn, .arg = arg};
+    sem_init(&waited.done, 0, 0);
+    loop_post(loop, run_waited, &waited);
+    while (sem_wait(&waited.done) != 0) {
+    }
+    sem_destroy(&waited.done);
+}
+
+static void run_posted(loop_t *loop)
+{
+    CDS_LIST_HEAD(batch);
+    pthread_mutex_lock(&loop->lock);
+    cds_list_splice(&loop->posted, &batch);
+    CDS_INIT_LIST_HEAD(&loop->posted);
+    pthread_mutex_unlock(&loop->lock);
+    posted_t *item, *next;
+    cds_list_for_each_entry_safe (item, next, &batch, node) {
+        item->fn(item->arg);
+        free(item);
+    }
+}
+
+/* ===== Ticks ===== */
+
+void loop_add_tick(loop_t *loop, tc_time_t period, loop_fn_t fn, void *arg)
+{
+    assert(loop->n_ticks < LOOP_TICKS_MAX); /* a fixed set, known when the program is written */
+    loop->ticks[loop->n_ticks++] = (tick_t){.period = period, .next = tc_time_now(), .fn = fn, .arg = arg};
+}
+
+static tc_time_t run_ticks(loop_t *loop)
+{
+    tc_time_t soonest = LOOP_IDLE_MS;
+    for (int i = 0; i < loop->n_ticks; i++) {
+        tick_t *const tick = &loop->ticks[i];
+        const tc_time_t now = tc_time_now();
+        if (now >= tick->next) {
+            tick->next = now + tick->period;
+            tick->fn(tick->arg);
+        }
+        const tc_time_t left = tick->next - now;
+        soonest = left < soonest ? left : soonest;
+    }
+    return soonest;
+}
+
+/* ===== Watching ===== */
+
+static int control(loop_t *loop, int op, loop_watch_t *watch, uint32_t events)
+{
+    struct epoll_event event = {.events = events, .data.ptr = watch};
+    return epoll_ctl(loop->epoll_fd, op, watch->fd, &event) == 0 ? TC_OK : TC_E_IO;
+}
+
+int loop_watch(loop_t *loop, loop_watch_t *watch, uint32_t events)
+{
+    return control(loop, EPOLL_CTL_ADD, watch, events);
+}
+
+void loop_rewatch(loop_t *loop, loop_watch_t *watch, uint32_t events)
+{
+    (void)control(loop, EPOLL_CTL_MOD, watch, events);
+}
+
+void loop_unwatch(loop_t *loop, loop_watch_t *watch)
+{
+    (void)control(loop, EPOLL_CTL_DEL, watch, 0);
+    for (int i = 0; i < loop->n_events; i++)
+        if (loop->events[i].data.ptr == watch)
+            loop->events[i].data.ptr = NULL;
+}
+
+/* ===== Life ===== */
+
+loop_t *loop_create(void)
+{
+    loop_t *const loop = calloc(1, sizeof(*loop));
+    if (!loop)
+        return NULL;
+    loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    pthread_mutex_init(&loop->lock, NULL);
+    CDS_INIT_LIST_HEAD(&loop->posted);
+    struct epoll_event event = {.events = EPOLLIN, .data.ptr = loop};
+    if (loop->epoll_fd < 0 || loop->wake_fd < 0 ||
+        epoll_ctl(loop->epoll_fd, EPOLL_CTL_ADD, loop->wake_fd, &event) != 0) {
+        loop_destroy(loop);
+        return NULL;
+    }
+    return loop;
+}
+
+static void handle_events(loop_t *loop)
+{
+    for (int i = 0; i < loop->n_events; i++) {
+        if (loop->events[i].data.ptr == loop) {
+            uint64_t count;
+            const ssize_t n = read(loop->wake_fd, &count, sizeof(count));
+            (void)n;
+            continue;
+        }
+        loop_watch_t *const watch = loop->events[i].data.ptr;
+        if (watch)
+            watch->on_io(watch->arg, loop->events[i].events);
+    }
+    loop->n_events = 0;
+}
+
+void loop_run(loop_t *loop)
+{
+    while (!atomic_load(&loop->stopping)) {
+        const tc_time_t wait = run_ticks(loop);
+        const int n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, (int)(wait > 0 ? wait : 0));
+        loop->n_events = n > 0 ? n : 0;
+        handle_events(loop);
+        run_posted(loop);
+    }
+}
+
+void loop_stop(loop_t *loop)
+{
+    atomic_store(&loop->stopping, true);
+    wake(loop);
+}
+
+void loop_destroy(loop_t *loop)
+{
+    posted_t *item, *next;
+    cds_list_for_each_entry_safe (item, next, &loop->posted, node)
+        free(item);
+    if (loop->epoll_fd >= 0)
+        close(loop->epoll_fd);
+    if (loop->wake_fd >= 0)
+        close(loop->wake_fd);
+    pthread_mutex_destroy(&loop->lock);
+    free(loop);
+}
--- /dev/null
+++ b/lib/peer/loop.h
@@ -0,0 +1,61 @@
+/** @file loop.h
+ * One epoll thread that owns the process's peer connections and its cores.
+ *
+ * Everything registered here runs in the loop's thread, one thing at a time, so
+ * cores need no locks. Other threads hand over work with loop_post.
+ */
+#ifndef TRACKCOVE_PEER_LOOP_H
+#define TRACKCOVE_PEER_LOOP_H
+
+/* ===== Dependencies ===== */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/err.h"
+#include "common/time.h"
+
+/* ===== Types ===== */
+
+typedef struct loop loop_t;
+typedef void (*loop_fn_t)(void *arg);
+/** @param events EPOLLIN, EPOLLOUT, ... */
+typedef void (*loop_io_fn_t)(void *arg, uint32_t events);
+
+/** A file descriptor watched by the loop. Owned by its user, who keeps it alive until loop_unwatch. */
+typedef struct {
+    int fd;
+    loop_io_fn_t on_io;
+    void *arg;
+} loop_watch_t;
+
+/* ===== Public functions ===== */
+
+/** @return NULL when the system refuses */
+loop_t *loop_create(void);
+
+/** Run until loop_stop; to be called by the loop's own thread. */
+void loop_run(loop_t *loop);
+
+/** Make loop_run return. Any thread. */
+void loop_stop(loop_t *loop);
+
+/** After loop_run returned. Work posted and not yet run is dropped. */
+void loop_destroy(loop_t *loop);
+
+/** Run @p fn in the loop's thread as soon as possible. Any thread. */
+void loop_post(loop_t *loop, loop_fn_t fn, void *arg);
+
+/** Run @p fn in the loop's thread and wait until it has run. Not from the loop's thread. */
+void loop_post_wait(loop_t *loop, loop_fn_t fn, void *arg);
+
+/** Call @p fn every @p period ms, in the loop's thread; before loop_run or from the loop's thread. */
+void loop_add_tick(loop_t *loop, tc_time_t period, loop_fn_t fn, void *arg);
+
+/** Watch @p watch->fd; from the loop's thread or before loop_run. */
+int loop_watch(loop_t *loop, loop_watch_t *watch, uint32_t events);
+void loop_rewatch(loop_t *loop, loop_watch_t *watch, uint32_t events);
+/** Events of this round that are still waiting for @p watch are dropped, so it may be freed at once. */
+void loop_unwatch(loop_t *loop, loop_watch_t *watch);
+
+#endif
--- /dev/null
+++ b/lib/request/caller.c
@@ -0,0 +1,333 @@
+#include "request/caller.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "sched/sched.h"
+
+/* ===== Constants ===== */
+
+enum {
+    BYTES_PER_TOKEN = 4, /* estimate for placement; engines count exactly */
+    DEFAULT_MAX_TOKENS = 128,
+    MAX_TOKENS_LIMIT = 131072,
+    MAX_PRIORITY = 9,
+    DEFAULT_PRIORITY = 5,
+    PROBE_MS = 100, /* how often a silent caller is asked whether it is there */
+    NETWORK_MS = 10 /* kept back from the time to the first token for the way to the caller */
+};
+
+const char *caller_end_name(end_t end)
+{
+    static const char *const names[] = {"ok", "invalid", "not_run", "outcome_unknown", "unauthorized", "cancelled"};
+    return names[end];
+}
+
+/* ===== Reading ===== */
+
+static int bad(tc_err_t *err, const char *field, const char *reason)
+{
+    return tc_err_set(err, TC_E_INVALID, "read request", field, "%s %s", field, reason);
+}
+
+static char *chat_prompt(const json_t *messages, size_t *size)
+{
+    GString *const text = g_string_new(NULL);
+    size_t i;
+    const json_t *message;
+    json_array_foreach (messages, i, message) {
+        const char *const role = json_string_value(json_object_get(message, "role"));
+        const char *const content = json_string_value(json_object_get(message, "content"));
+        if (!role || !content) {
+            g_string_free(text, TRUE);
+            return NULL;
+        }
+        g_string_append_printf(text, "%s: %s\n", role, content);
+    }
+    *size = text->len;
+    return g_string_free(text, FALSE);
+}
+
+static void hash_chain(caller_request_t *r, const char *prompt, size_t size, const char *version)
+{
+    const size_t piece = (size_t)SCHED_PIECE_TOKENS * BYTES_PER_TOKEN;
+    char seed_text[CODEC_STR_SIZE * 3];
+    const int n = snprintf(seed_text, sizeof(seed_text), "%s|%s|%s", r->salt, r->model, version);
+    uint64_t hash = XXH3_64bits(seed_text, (size_t)n);
+    r->chain = calloc(size / piece + 1, sizeof(*r->chain));
+    if (!r->chain)
+        abort();
+    for (size_t at = 0; at + piece <= size; at += piece) {
+        hash = XXH3_64bits_withSeed(prompt + at, piece, hash);
+        r->chain[r->n_chain++] = hash;
+    }
+}
+
+static int read_prompt(caller_request_t *r, const json_t *body, const char *version, tc_err_t *err)
+{
+    const json_t *const prompt = json_object_get(body, "prompt");
+    const json_t *const messages = json_object_get(body, "messages");
+    size_t size = 0;
+    char *chat = NULL;
+    if (r->chat &&
+        (!json_is_array(messages) || json_array_size(messages) == 0 || !(chat = chat_prompt(messages, &size))))
+        return bad(err, "messages", "must be a list of {role, content}");
+    if (!r->chat && (!json_is_string(prompt) || json_string_length(prompt) == 0))
+        return bad(err, "prompt", "must be a string that is not empty");
+    const char *const text = r->chat ? chat : json_string_value(prompt);
+    if (!r->chat)
+        size = json_string_length(prompt);
+    r->prompt_tokens = (uint32_t)(size / BYTES_PER_TOKEN) + 1;
+    hash_chain(r, text, size, version);
+    json_t *const string = json_stringn(text, size);
+    r->prompt_json = json_dumps(string, JSON_ENCODE_ANY);
+    r->prompt_json_size = strlen(r->prompt_json);
+    json_decref(string);
+    g_free(chat);
+    return TC_OK;
+}
+
+static int read_number(const json_t *body, const char *key, uint32_t low, uint32_t high, uint32_t *to, tc_err_t *err)
+{
+    const json_t *const value = json_object_get(body, key);
+    if (!value || json_is_null(value))
+        return TC_OK;
+    const json_int_t number = json_integer_value(value);
+    char reason[64];
+    snprintf(reason, sizeof(reason), "must be a whole number from %u to %u", low, high);
+    if (!json_is_integer(value) || number < low || number > high)
+        return bad(err, key, reason);
+    *to = (uint32_t)number;
+    return TC_OK;
+}
+
+/** Ids name requests in logs, in engines' URLs and in the replicated log: plain characters only. */
+static bool plain_id(const char *id)
+{
+    for (const char *c = id; *c; c++)
+        if (!g_ascii_isalnum(*c) && *c != '-' && *c != '_' && *c != ':')
+            return false;
+    return strlen(id) > 0 && strlen(id) <= 64;
+}
+
+static int read_headers(struct mg_connection *conn, caller_request_t *r, tc_err_t *err)
+{
+    const char *const id = http_header(conn, "Idempotency-Key");
+    if (id[0] && !plain_id(id))
+        return bad(err, "Idempotency-Key", "must be 1 to 64 letters, digits, '-', '_' or ':'");
+    if (id[0]) {
+        codec_copy_string(r->id, sizeof(r->id), id);
+    } else {
+        unsigned char random[12];
+        randombytes_buf(random, sizeof(random));
+        sodium_bin2hex(r->id, sizeof(r->id), random, sizeof(random));
+    }
+    const char *const workspace = http_header(conn, "X-Trackcove-Workspace");
+    if (strlen(workspace) >= sizeof(r->workspace))
+        return bad(err, "X-Trackcove-Workspace", "is too long");
+    codec_copy_string(r->workspace, sizeof(r->workspace), workspace[0] ? workspace : "default");
+    r->repeatable = strcmp(http_header(conn, "X-Trackcove-Repeatable"), "no") != 0;
+    r->last_event = (uint32_t)strtoul(http_header(conn, "Last-Event-ID"), NULL, 10);
+    return TC_OK;
+}
+
+static int read_body(entry_t *entry, caller_request_t *r, const json_t *body, tc_err_t *err)
+{
+    const char *const model = json_string_value(json_object_get(body, "model"));
+    if (!model || strlen(model) >= sizeof(r->model))
+        return bad(err, "model", "must be a string");
+    codec_copy_string(r->model, sizeof(r->model), model);
+    TC_CHECK(read_number(body, "max_tokens", 1, MAX_TOKENS_LIMIT, &r->max_tokens, err));
+    TC_CHECK(read_number(body, "priority", 0, MAX_PRIORITY, &r->priority, err));
+    r->stream = json_is_true(json_object_get(body, "stream"));
+    view_t *const view = view_acquire(&entry->view);
+    const char *version = NULL;
+    for (uint32_t i = 0; i < view->config.engines_n && !version; i++)
+        if (strcmp(view->config.engines[i].model, r->model) == 0)
+            version = view->config.engines[i].version;
+    codec_copy_string(r->salt, sizeof(r->salt), view_salt(view, r->workspace));
+    r->due = r->arrived + view->config.targets.ttft_ms - NETWORK_MS;
+    const int rc = version ? read_prompt(r, body, version, err) : bad(err, "model", "is not served here");
+    view_release(view);
+    return rc;
+}
+
+int caller_read(entry_t *entry, struct mg_connection *conn, bool chat, caller_request_t *r, tc_err_t *err)
+{
+    memset(r, 0, sizeof(*r));
+    r->arrived = tc_time_now();
+    r->chat = chat;
+    r->max_tokens = DEFAULT_MAX_TOKENS;
+    r->priority = DEFAULT_PRIORITY;
+    TC_CHECK(read_headers(conn, r, err));
+    size_t size;
+    char *const text = http_read_body(conn, entry->settings->max_body_bytes, &size, err);
+    if (!text)
+        return err->code;
+    json_error_t where;
+    json_t *const body = json_loadb(text, size, JSON_REJECT_DUPLICATES, &where);
+    free(text);
+    int rc;
+    if (!json_is_object(body))
+        rc = tc_err_set(err, TC_E_INVALID, "read request", "body", "line %d column %d: %s", where.line, where.column,
+                        body ? "must be a JSON object" : where.text);
+    else
+        rc = read_body(entry, r, body, err);
+    json_decref(body);
+    if (rc < 0)
+        caller_request_free(r);
+    return rc;
+}
+
+void caller_request_free(caller_request_t *r)
+{
+    free(r->prompt_json);
+    free(r->chain);
+    r->prompt_json = NULL;
+    r->chain = NULL;
+}
+
+/* ===== Answering ===== */
+
+void caller_begin(caller_t *c, struct mg_connection *conn, const caller_request_t *request)
+{
+    memset(c, 0, sizeof(*c));
+    c->http = (http_stream_t){.conn = conn, .sse = request->stream};
+    c->request = request;
+    c->text = g_string_new(NULL);
+    c->ends = g_array_new(FALSE, FALSE, sizeof(size_t));
+    c->probed = tc_time_now();
+}
+
+void caller_free(caller_t *c)
+{
+    g_string_free(c->text, TRUE);
+    g_array_free(c->ends, TRUE);
+}
+
+bool caller_there(caller_t *c)
+{
+    const tc_time_t now = tc_time_now();
+    if (now - c->probed >= PROBE_MS) {
+        c->probed = now;
+        http_stream_probe(&c->http);
+    }
+    return !c->http.broken;
+}
+
+static void send_event(caller_t *c, uint32_t place, const char *text, const char *finish)
+{
+    json_t *const end = finish ? json_string(finish) : json_null();
+    json_t *choice;
+    if (c->request->chat)
+        choice = json_pack("{s:i,s:{s:s},s:o}", "index", 0, "delta", "content", text, "finish_reason", end);
+    else
+        choice = json_pack("{s:i,s:s,s:o}", "index", 0, "text", text, "finish_reason", end);
+    json_t *const event = json_pack("{s:s,s:s,s:[o]}", "id", c->request->id, "object",
+                                    c->request->chat ? "chat.completion.chunk" : "text_completion", "choices", choice);
+    char *const data = json_dumps(event, JSON_COMPACT);
+    json_decref(event);
+    char head[32];
+    snprintf(head, sizeof(head), "id: %u\ndata: ", place);
+    GString *const out = g_string_new(head);
+    g_string_append(out, data);
+    g_string_append(out, "\n\n");
+    http_stream_send(&c->http, out->str, out->len);
+    g_string_free(out, TRUE);
+    free(data);
+}
+
+/** Whether the token is what was given at that place before. */
+static bool same_as_before(const caller_t *c, uint32_t place, const char *text)
+{
+    if (place <= c->request->last_event && place > c->ends->len)
+        return true; /* given by another entry: nothing to compare with */
+    const size_t end = g_array_index(c->ends, size_t, place - 1);
+    const size_t start = place > 1 ? g_array_index(c->ends, size_t, place - 2) : 0;
+    return strlen(text) == end - start && memcmp(c->text->str + start, text, end - start) == 0;
+}
+
+int caller_token(caller_t *c, uint32_t place, const char *text, const char *finish)
+{
+    if (place <= c->places)
+        return same_as_before(c, place, text) ? TC_OK : TC_E_CONFLICT;
+    /* Promise: the whole answer, each token once and in order. */
+    if (place != c->places + 1)
+        return TC_E_CONFLICT;
+    c->places = place;
+    g_string_append(c->text, text);
+    g_array_append_val(c->ends, c->text->len);
+    if (c->request->stream && place > c->request->last_event)
+        send_event(c, place, text, finish);
+    c->probed = tc_time_now();
+    return c->http.broken ? TC_E_CANCELLED : TC_OK;
+}
+
+void caller_finish(caller_t *c, uint32_t prompt_tokens)
+{
+    if (c->request->stream) {
+        http_stream_send(&c->http, "data: [DONE]\n\n", 14);
+        http_stream_close(&c->http);
+        return;
+    }
+    json_t *choice;
+    if (c->request->chat)
+        choice = json_pack("{s:i,s:{s:s,s:s},s:s}", "index", 0, "message", "role", "assistant", "content", c->text->str,
+                           "finish_reason", "stop");
+    else
+        choice = json_pack("{s:i,s:s,s:s}", "index", 0, "text", c->text->str, "finish_reason", "stop");
+    json_t *const body = json_pack("{s:s,s:s,s:[o],s:{s:i,s:i}}", "id", c->request->id, "object",
+                                   c->request->chat ? "chat.completion" : "text_completion", "choices", choice, "usage",
+                                   "prompt_tokens", (int)prompt_tokens, "completion_tokens", (int)c->places);
+    if (!c->http.open) {
+        http_send_json(c->http.conn, 200, body, 0);
+        return;
+    }
+    char *const text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    http_stream_send(&c->http, text, strlen(text));
+    http_stream_close(&c->http);
+    free(text);
+}
+
+static json_t *error_body(end_t end, const tc_err_t *err, uint32_t retry_after_ms)
+{
+    return json_pack("{s:{s:s,s:i,s:s,s:s,s:s,s:i}}", "error", "type", caller_end_name(end), "code", err->code, "step",
+                     err->step ? err->step : "", "peer", err->peer, "message", err->detail, "retry_after_ms",
+                     (int)retry_after_ms);
+}
+
+int caller_refuse(struct mg_connection *conn, end_t end, const tc_err_t *err, uint32_t retry_after_ms)
+{
+    static const int statuses[] = {200, 400, 503, 502, 401, 499};
+    const int status = end == END_INVALID && err->code == TC_E_FULL ? 413 : statuses[end];
+    return http_send_json(conn, status, error_body(end, err, retry_after_ms), retry_after_ms);
+}
+
+void caller_fail(caller_t *c, end_t end, const tc_err_t *err, uint32_t retry_after_ms)
+{
+    if (c->http.broken)
+        return;
+    if (!c->http.open) {
+        caller_refuse(c->http.conn, end, err, retry_after_ms);
+        return;
+    }
+    json_t *const body = error_body(end, err, retry_after_ms);
+    char *const text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    if (c->request->stream) {
+        http_stream_send(&c->http, "event: error\ndata: ", 19);
+        http_stream_send(&c->http, text, strlen(text));
+        http_stream_send(&c->http, "\n\n", 2);
+    } else {
+        http_stream_send(&c->http, text, strlen(text));
+    }
+    http_stream_close(&c->http);
+    free(text);
+}
--- /dev/null
+++ b/lib/request/caller.h
@@ -0,0 +1,72 @@
+/** @file caller.h
+ * The caller's side of a completion: what was asked, and how the answer goes back.
+ */
+#ifndef TRACKCOVE_REQUEST_CALLER_H
+#define TRACKCOVE_REQUEST_CALLER_H
+
+/* ===== Dependencies ===== */
+
+#include <glib.h>
+
+#include "http/http.h"
+#include "request/entry.h"
+
+/* ===== Types ===== */
+
+/** A parsed completion request. */
+typedef struct {
+    char id[CODEC_STR_SIZE];
+    char model[CODEC_STR_SIZE];
+    char workspace[CODEC_STR_SIZE];
+    char salt[CODEC_STR_SIZE];
+    bool chat, stream, repeatable;
+    uint32_t prompt_tokens, max_tokens, priority;
+    uint32_t last_event;    /**< the caller has the answer up to this place */
+    tc_time_t arrived, due; /**< due: when the first token is to be out */
+    char *prompt_json;      /**< the prompt as a JSON string, heap */
+    size_t prompt_json_size;
+    uint64_t *chain;
+    uint32_t n_chain;
+} caller_request_t;
+
+/** How an answer ended; what callers see as error.type. */
+typedef enum { END_OK, END_INVALID, END_NOT_RUN, END_OUTCOME_UNKNOWN, END_UNAUTHORIZED, END_CANCELLED } end_t;
+
+/** The answer on its way. */
+typedef struct {
+    http_stream_t http;
+    const caller_request_t *request;
+    GString *text;   /**< tokens sent or collected, to compare a second run with */
+    GArray *ends;    /**< length of text after each place */
+    uint32_t places; /**< tokens out */
+    tc_time_t probed;
+} caller_t;
+
+/* ===== Public functions ===== */
+
+/** Read and check a request. On error the answer was not sent. @return 0 or a negative number with @p err */
+int caller_read(entry_t *entry, struct mg_connection *conn, bool chat, caller_request_t *request, tc_err_t *err);
+void caller_request_free(caller_request_t *request);
+
+void caller_begin(caller_t *caller, struct mg_connection *conn, const caller_request_t *request);
+void caller_free(caller_t *caller);
+
+/** Whether the caller is still there; sends something harmless now and then. */
+bool caller_there(caller_t *caller);
+
+/** Give the token at @p place (from 1). One that was given before is compared, not sent again.
+ * @return 0; TC_E_CANCELLED: the caller is gone; TC_E_CONFLICT: it differs from what was sent, or a place is missing */
+int caller_token(caller_t *caller, uint32_t place, const char *text, const char *finish);
+
+/** End the answer well. */
+void caller_finish(caller_t *caller, uint32_t prompt_tokens);
+
+/** End the answer with an error. */
+void caller_fail(caller_t *caller, end_t end, const tc_err_t *err, uint32_t retry_after_ms);
+
+/** Send an error to a caller whose answer never began. @return status */
+int caller_refuse(struct mg_connection *conn, end_t end, const tc_err_t *err, uint32_t retry_after_ms);
+
+const char *caller_end_name(end_t end);
+
+#endif
--- /dev/null
+++ b/lib/request/control_client.c
@@ -0,0 +1,284 @@
+#include "request/control_client.h"
+
+#include <assert.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counter.h"
+#include "common/log.h"
+#include "control/members.h"
+#include "control/merge.h"
+#include "request/scheduler.h"
+
+/* ===== Constants ===== */
+
+enum { BEAT_LIMIT_MS = 700, FETCH_LIMIT_MS = 2000, CLAIM_END_LIMIT_MS = 500 };
+
+COUNTER_DEFINE(c_version, "gauge", "trackcove_entry_config_version", "Version of the configuration this box acts on")
+COUNTER_DEFINE(c_beats_lost, "counter", "trackcove_entry_beats_lost_total", "Beats no control leader answered")
+
+/* ===== Types ===== */
+
+struct control_client {
+    entry_t *entry;
+    uint32_t at;                 /* which control box is asked */
+    char leader[CODEC_STR_SIZE]; /* address of the one that answered last; guarded by lock */
+    pthread_mutex_t lock;
+    bool beating, fetching, released;
+    tc_time_t sent_at, next_beat;
+    uint64_t members_version;
+    json_t *config; /* the accepted configuration, to which patches are applied */
+    uint64_t version;
+};
+
+/* ===== Finding the leader ===== */
+
+static void set_leader(control_client_t *c, const char *addr)
+{
+    pthread_mutex_lock(&c->lock);
+    codec_copy_string(c->leader, sizeof(c->leader), addr);
+    pthread_mutex_unlock(&c->lock);
+}
+
+static void get_leader(control_client_t *c, char addr[CODEC_STR_SIZE])
+{
+    pthread_mutex_lock(&c->lock);
+    codec_copy_string(addr, CODEC_STR_SIZE, c->leader);
+    pthread_mutex_unlock(&c->lock);
+}
+
+static void try_next(control_client_t *c)
+{
+    const entry_settings_t *const s = c->entry->settings;
+    c->at = (c->at + 1) % s->control_n;
+    set_leader(c, s->control[c->at].peer);
+}
+
+/* ===== Configuration ===== */
+
+static void publish_config(control_client_t *c, uint64_t version)
+{
+    /* Promise: an accepted configuration never reverts. */
+    assert(version > c->version || c->version == 0);
+    char *const text = json_dumps(c->config, JSON_COMPACT);
+    view_t *const view = view_copy(&c->entry->view);
+    tc_err_t err;
+    if (view_set_config(view, version, text, strlen(text), &err) < 0) {
+        log_failure(LOG_ERROR, "config_refused", &err); /* a newer schema than ours: keep the old, and lag */
+        view_release(view);
+    } else {
+        c->version = version;
+        counter_set(&c_version, (int64_t)version);
+        view_publish(&c->entry->view, view);
+        scheduler_configure(c->entry->scheduler);
+        log_line_t line;
+        log_begin(&line, LOG_INFO, "config");
+        log_int(&line, "version", (int64_t)version);
+        log_end(&line);
+    }
+    free(text);
+}
+
+static void take_whole(control_client_t *c, const msg_fetch_ack_t *ack)
+{
+    if (ack->whole_version <= c->version)
+        return;
+    json_t *const config = json_loadb(ack->whole, ack->whole_n, 0, NULL);
+    if (!config)
+        return;
+    json_decref(c->config);
+    c->config = config;
+    publish_config(c, ack->whole_version);
+}
+
+static void take_patches(control_client_t *c, const msg_fetch_ack_t *ack)
+{
+    uint64_t version = c->version;
+    for (uint32_t i = 0; i < ack->patches_n; i++) {
+        if (ack->patches[i].version != version + 1)
+            continue; /* known already */
+        json_t *const patch = json_loadb(ack->patches[i].text, ack->patches[i].text_n, 0, NULL);
+        json_t *const next = merge_apply(c->config, patch);
+        json_decref(patch);
+        json_decref(c->config);
+        c->config = next;
+        version++;
+    }
+    if (version > c->version)
+        publish_config(c, version);
+}
+
+static void on_fetch(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    control_client_t *const c = arg;
+    (void)err;
+    c->fetching = false;
+    if (rc != TC_OK || type != MSG_FETCH_ACK)
+        return;
+    const msg_fetch_ack_t *const ack = message;
+    if (ack->whole_version > 0)
+        take_whole(c, ack);
+    else
+        take_patches(c, ack);
+    c->next_beat = 0; /* say at once that we act on it */
+}
+
+static void fetch(control_client_t *c, uint64_t newest)
+{
+    if (c->fetching || newest <= c->version)
+        return;
+    c->fetching = true;
+    char addr[CODEC_STR_SIZE];
+    get_leader(c, addr);
+    const msg_fetch_t message = {.from = c->version};
+    peer_call(c->entry->net, addr, MSG_FETCH, &message, FETCH_LIMIT_MS, on_fetch, c);
+}
+
+/* ===== Beats ===== */
+
+static bool same_cells(const view_t *view, const msg_beat_ack_t *ack)
+{
+    return view->n_cells == ack->cells_n &&
+           (ack->cells_n == 0 || memcmp(view->cells, ack->cells, ack->cells_n * sizeof(*ack->cells)) == 0);
+}
+
+static void take_ack(control_client_t *c, const msg_beat_ack_t *ack)
+{
+    entry_t *const e = c->entry;
+    const view_t *const now = e->view.current;
+    const bool members = ack->members_version != c->members_version && ack->members_n > 0;
+    if (members || !same_cells(now, ack)) {
+        view_t *const view = view_copy(&e->view);
+        if (members)
+            view_set_members(view, ack->members, ack->members_n);
+        view_set_cells(view, ack->cells, ack->cells_n);
+        view_publish(&e->view, view);
+    }
+    if (members)
+        c->members_version = ack->members_version;
+    if (ack->version == c->version)
+        atomic_store(&e->lease_until, c->sent_at + ack->lease_ms);
+    scheduler_leases(e->scheduler, ack->cells, ack->cells_n, c->sent_at + MEMBERS_CELL_LEASE_MS);
+    fetch(c, ack->version);
+    if (ack->drain)
+        entry_drain(e);
+}
+
+static void on_beat(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    control_client_t *const c = arg;
+    c->beating = false;
+    if (rc == TC_OK && type == MSG_BEAT_ACK) {
+        take_ack(c, message);
+        return;
+    }
+    counter_add(&c_beats_lost, 1);
+    if (rc == TC_E_NOT_LEADER && err->peer[0] && strchr(err->peer, ':')) {
+        set_leader(c, err->peer);
+        c->next_beat = 0;
+        return;
+    }
+    if (rc == TC_E_FENCED)
+        log_failure(LOG_ERROR, "beat_fenced", err);
+    try_next(c);
+    c->next_beat = 0;
+}
+
+static uint32_t free_room(const entry_t *e)
+{
+    const uint32_t active = atomic_load(&e->active);
+    return e->settings->threads > active ? e->settings->threads - active : 0;
+}
+
+static void on_tick(void *arg)
+{
+    control_client_t *const c = arg;
+    entry_t *const e = c->entry;
+    const tc_time_t now = tc_time_now();
+    if (c->beating || now < c->next_beat)
+        return;
+    c->next_beat = now + MEMBERS_BEAT_MS;
+    c->beating = true;
+    c->sent_at = now;
+    const entry_settings_t *const s = e->settings;
+    msg_beat_t beat = {.version = c->version, .members_version = c->members_version, .released = c->released};
+    codec_copy_string(beat.self.box, CODEC_STR_SIZE, s->box);
+    codec_copy_string(beat.self.dc, CODEC_STR_SIZE, s->dc);
+    codec_copy_string(beat.self.http_addr, CODEC_STR_SIZE, s->http_listen);
+    codec_copy_string(beat.self.peer_addr, CODEC_STR_SIZE, s->peer_listen);
+    beat.self.incarnation = e->incarnation;
+    beat.self.draining = atomic_load(&e->draining);
+    beat.self.room = free_room(e);
+    char addr[CODEC_STR_SIZE];
+    get_leader(c, addr);
+    peer_call(e->net, addr, MSG_BEAT, &beat, BEAT_LIMIT_MS, on_beat, c);
+}
+
+void control_client_release(control_client_t *c)
+{
+    c->released = true;
+    c->next_beat = 0;
+}
+
+/* ===== Claims ===== */
+
+static int claim_once(control_client_t *c, const msg_claim_t *claim, tc_time_t limit, msg_claim_ack_t *ack,
+                      tc_err_t *err)
+{
+    char addr[CODEC_STR_SIZE];
+    get_leader(c, addr);
+    return peer_call_wait(c->entry->net, addr, MSG_CLAIM, claim, limit, MSG_CLAIM_ACK, ack, err);
+}
+
+int control_client_claim(control_client_t *c, const char *id, tc_time_t limit, msg_claim_ack_t *ack, tc_err_t *err)
+{
+    msg_claim_t claim = {.incarnation = c->entry->incarnation};
+    codec_copy_string(claim.id, sizeof(claim.id), id);
+    codec_copy_string(claim.box, sizeof(claim.box), c->entry->settings->box);
+    const tc_time_t until = tc_time_now() + limit;
+    enum { PAUSE_MS = 50 };
+    for (;;) {
+        const tc_time_t left = until - tc_time_now();
+        if (left <= 0)
+            return tc_err_set(err, TC_E_TIMEOUT, "claim", c->leader, "no control leader answered in time");
+        const int rc = claim_once(c, &claim, left, ack, err);
+        if (rc == TC_OK)
+            return ack->won ? TC_OK : tc_err_set(err, TC_E_CONFLICT, "claim", ack->owner, "the id is taken");
+        /* Not ours for sure only if nobody took it in: otherwise a second claim would meet our own first. */
+        if (rc != TC_E_NOT_LEADER && rc != TC_E_UNREACHABLE)
+            return rc;
+        tc_time_sleep(PAUSE_MS);
+    }
+}
+
+void control_client_claim_end(control_client_t *c, const char *id, claim_state_t state)
+{
+    msg_claim_end_t end = {.incarnation = c->entry->incarnation, .state = state};
+    codec_copy_string(end.id, sizeof(end.id), id);
+    codec_copy_string(end.box, sizeof(end.box), c->entry->settings->box);
+    char addr[CODEC_STR_SIZE];
+    get_leader(c, addr);
+    msg_claim_ack_t ack;
+    tc_err_t err;
+    if (peer_call_wait(c->entry->net, addr, MSG_CLAIM_END, &end, CLAIM_END_LIMIT_MS, MSG_CLAIM_ACK, &ack, &err) < 0)
+        log_failure(LOG_WARN, "claim_end_lost", &err); /* it stays "running": a resend is told outcome_unknown */
+}
+
+/* ===== Life ===== */
+
+control_client_t *control_client_create(entry_t *entry)
+{
+    control_client_t *const c = calloc(1, sizeof(*c));
+    if (!c)
+        abort();
+    enum { TICK_MS = 20 };
+    c->entry = entry;
+    c->config = json_object();
+    pthread_mutex_init(&c->lock, NULL);
+    /* Boxes begin at different control boxes, so that a start of all does not fall on one. */
+    c->at = (uint32_t)(entry->incarnation % entry->settings->control_n);
+    set_leader(c, entry->settings->control[c->at].peer);
+    loop_add_tick(entry->loop, TICK_MS, on_tick, c);
+    return c;
+}
--- /dev/null
+++ b/lib/request/entry.c
@@ -0,0 +1,186 @@
+#include "request/entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend/http_client.h"
+#include "common/counter.h"
+#include "common/log.h"
+#include "control/members.h"
+#include "request/control_client.h"
+#include "request/reports.h"
+#include "request/scheduler.h"
+#include "sched/sched.h"
+
+/* ===== Constants ===== */
+
+enum { WORKERS = 16, DRAIN_TICK_MS = 50, RENEW_LIMIT_MS = 400, CLOSE_MS = 300 };
+
+COUNTER_DEFINE(c_renew_lost, "counter", "trackcove_entry_requests_lost_total",
+               "Requests the scheduler no longer counts as ours")
+
+/* ===== Workers ===== */
+
+static void run_job(gpointer data, gpointer user)
+{
+    (void)user;
+    job_t *const job = data;
+    job->run(job->arg);
+    free(job);
+}
+
+void entry_run_job(entry_t *e, void (*run)(void *arg), void *arg)
+{
+    job_t *const job = malloc(sizeof(*job));
+    if (!job)
+        abort();
+    *job = (job_t){.run = run, .arg = arg};
+    g_thread_pool_push(e->workers, job, NULL);
+}
+
+/* ===== Renewing ===== */
+
+static void on_renewed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    entry_t *const e = arg;
+    (void)err;
+    if (rc != TC_OK || type != MSG_RENEW_ACK)
+        return;
+    const msg_renew_ack_t *const ack = message;
+    for (uint32_t i = 0; i < ack->lost_n; i++) {
+        counter_add(&c_renew_lost, 1);
+        inflight_mark_lost(&e->inflight, ack->lost[i].id, ack->lost[i].attempt);
+    }
+}
+
+static void renew_with(entry_t *e, const char *cell, const char *addr, uint64_t epoch)
+{
+    msg_renew_t renew = {.incarnation = e->incarnation, .epoch = epoch};
+    codec_copy_string(renew.cell, sizeof(renew.cell), cell);
+    codec_copy_string(renew.box, sizeof(renew.box), e->settings->box);
+    renew.held_n = inflight_collect(&e->inflight, cell, &renew.held);
+    if (renew.held_n > 0)
+        peer_call(e->net, addr, MSG_RENEW, &renew, RENEW_LIMIT_MS, on_renewed, e);
+    free(renew.held);
+}
+
+static void on_renew_tick(void *arg)
+{
+    entry_t *const e = arg;
+    const view_t *const view = e->view.current;
+    if (view->config.policy == POLICY_SHARE)
+        for (uint32_t i = 0; i < view->config.engines_n; i++) {
+            const char *const cell = view->config.engines[i].cell;
+            if (i == 0 || strcmp(cell, view->config.engines[i - 1].cell) != 0)
+                renew_with(e, cell, e->settings->peer_listen, SCHEDULER_SHARE_EPOCH);
+        }
+    else if (view->config.policy == POLICY_CELL)
+        for (uint32_t i = 0; i < view->n_cells; i++)
+            renew_with(e, view->cells[i].cell, view->cells[i].peer_addr, view->cells[i].epoch);
+}
+
+/* ===== Messages ===== */
+
+static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    entry_t *const e = arg;
+    if (scheduler_message(e->scheduler, call, type, message))
+        return;
+    tc_err_t err;
+    tc_err_set(&err, TC_E_INVALID, "message", from, "an entry box does not take messages of type %u", type);
+    peer_reply_error(e->net, call, &err);
+}
+
+/* ===== Planned stop ===== */
+
+typedef struct {
+    entry_t *entry;
+    tc_time_t begin;
+    bool closing, released;
+    tc_time_t released_at;
+} drain_t;
+
+static drain_t drain; /* one a process */
+
+static void on_drain_tick(void *arg)
+{
+    entry_t *const e = arg;
+    if (!atomic_load(&e->draining))
+        return;
+    const tc_time_t now = tc_time_now();
+    if (!drain.begin) {
+        drain.begin = now;
+        log_line_t line;
+        log_begin(&line, LOG_INFO, "drain_begin");
+        log_int(&line, "active", atomic_load(&e->active));
+        log_end(&line);
+    }
+    /* Callers may still come with an answer of /v1/entries they keep: serve as long as that, and a beat. */
+    const tc_time_t kept = drain.begin + e->settings->answer_keep_ms + 2 * MEMBERS_BEAT_MS;
+    if (now < kept)
+        return;
+    if (!drain.closing) {
+        drain.closing = true;
+        drain.released_at = now;
+        http_set_closing(true); /* the polite end of kept-alive connections: one answer at a time */
+    }
+    const bool idle = atomic_load(&e->active) == 0 && now >= drain.released_at + CLOSE_MS;
+    const bool out_of_time = now >= drain.begin + e->settings->drain_limit_ms;
+    if (!drain.released && (idle || out_of_time)) {
+        drain.released = true;
+        drain.released_at = now;
+        scheduler_release(e->scheduler);
+        control_client_release(e->control); /* the next beat lets another box take our cells at once */
+        return;
+    }
+    if (drain.released && now >= drain.released_at + 2 * MEMBERS_BEAT_MS)
+        loop_stop(e->loop);
+}
+
+void entry_drain(entry_t *e)
+{
+    atomic_store(&e->draining, true);
+}
+
+bool entry_may_serve(const entry_t *e)
+{
+    return tc_time_now() < atomic_load(&e->lease_until);
+}
+
+/* ===== Life ===== */
+
+entry_t *entry_create(loop_t *loop, const entry_settings_t *settings, tc_err_t *err)
+{
+    if (settings->control_n == 0) {
+        tc_err_set(err, TC_E_INVALID, "read settings", "control", "at least one control box is needed");
+        return NULL;
+    }
+    entry_t *const e = calloc(1, sizeof(*e));
+    if (!e)
+        abort();
+    e->settings = settings;
+    e->incarnation = (uint64_t)tc_time_wall();
+    e->loop = loop;
+    view_init(&e->view);
+    inflight_init(&e->inflight);
+    budget_init(&e->budget);
+    http_client_init(settings->dc);
+    const peer_options_t options = {.box = settings->box,
+                                    .incarnation = e->incarnation,
+                                    .listen = settings->peer_listen,
+                                    .key_file = settings->cluster_key_file,
+                                    .handler = on_message,
+                                    .arg = e};
+    e->net = peer_create(loop, &options, err);
+    if (!e->net) {
+        free(e);
+        return NULL;
+    }
+    e->workers = g_thread_pool_new(run_job, NULL, WORKERS, FALSE, NULL);
+    e->scheduler = scheduler_create(e);
+    e->control = control_client_create(e);
+    e->reports = reports_create(e);
+    loop_add_tick(loop, SCHED_RENEW_MS, on_renew_tick, e);
+    loop_add_tick(loop, DRAIN_TICK_MS, on_drain_tick, e);
+    return e;
+}
--- /dev/null
+++ b/lib/request/placer.c
@@ -0,0 +1,365 @@
+#include "request/placer.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/log.h"
+#include "request/reports.h"
+#include "request/scheduler.h"
+#include "sched/sched.h"
+
+/* ===== Constants ===== */
+
+enum {
+    IDLE_MS = 50,
+    REPLAN_LIMIT_MS = 300, /* well under the time a prefill result is kept */
+    CALL_SLACK_MS = 250,   /* the scheduler answers by the due time; the way back takes a moment more */
+    RETRY_MS = 40          /* pause before the next scheduler is looked for */
+};
+
+/* ===== Waiting for the scheduler ===== */
+
+/** Shared by the waiting thread and the loop; freed by whoever is last. */
+typedef struct {
+    entry_t *entry;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool done, abandoned;
+    int rc;
+    msg_placed_t placed;
+    tc_err_t err;
+    placement_t to; /* whom a grant that comes too late is given back to */
+    char id[CODEC_STR_SIZE];
+} wait_t;
+
+static void free_wait(wait_t *w)
+{
+    pthread_mutex_destroy(&w->lock);
+    pthread_cond_destroy(&w->changed);
+    free(w);
+}
+
+static void send_progress(entry_t *entry, const placement_t *p, const msg_progress_t *progress)
+{
+    if (p->scheduler[0])
+        peer_send(entry->net, p->scheduler, MSG_PROGRESS, progress);
+}
+
+/** The request's thread gave up: the scheduler must not keep a place for it. */
+static void give_back(entry_t *entry, const char *id, const placement_t *to, uint32_t attempt)
+{
+    msg_progress_t progress = {.attempt = attempt, .phase = PHASE_FAILED, .epoch = to->epoch};
+    codec_copy_string(progress.cell, sizeof(progress.cell), to->cell);
+    codec_copy_string(progress.id, sizeof(progress.id), id);
+    send_progress(entry, to, &progress);
+}
+
+static void on_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    wait_t *const w = arg;
+    pthread_mutex_lock(&w->lock);
+    w->done = true;
+    w->rc = rc;
+    if (rc < 0)
+        w->err = *err;
+    else if (type == MSG_PLACED)
+        w->placed = *(const msg_placed_t *)message;
+    else
+        w->rc = tc_err_set(&w->err, TC_E_INVALID, "place", w->to.scheduler, "unexpected reply");
+    const bool abandoned = w->abandoned;
+    pthread_cond_signal(&w->changed);
+    pthread_mutex_unlock(&w->lock);
+    if (!abandoned)
+        return;
+    if (w->rc == TC_OK && w->placed.granted)
+        give_back(w->entry, w->id, &w->to, w->placed.attempt);
+    free_wait(w);
+}
+
+static wait_t *start_wait(entry_t *entry, const char *id, const placement_t *to)
+{
+    wait_t *const w = calloc(1, sizeof(*w));
+    if (!w)
+        abort();
+    w->entry = entry;
+    w->to = *to;
+    codec_copy_string(w->id, sizeof(w->id), id);
+    pthread_mutex_init(&w->lock, NULL);
+    pthread_cond_init(&w->changed, NULL);
+    return w;
+}
+
+static void nap_on(wait_t *w)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_nsec += IDLE_MS * 1000000L;
+    until.tv_sec += until.tv_nsec / 1000000000L;
+    until.tv_nsec %= 1000000000L;
+    pthread_cond_timedwait(&w->changed, &w->lock, &until);
+}
+
+/** Whether the scheduler asked still holds its lease, as far as we know: a box that was cut off does not answer. */
+static bool still_leads(entry_t *entry, const placement_t *to)
+{
+    if (to->policy != POLICY_CELL)
+        return true;
+    view_t *const view = view_acquire(&entry->view);
+    const cell_lease_t *const cell = view_cell(view, to->cell);
+    const bool same = !cell || cell->epoch == to->epoch;
+    view_release(view);
+    return same;
+}
+
+/** Wait for the answer. Frees @p w, now or when the answer comes. */
+static int finish_wait(wait_t *w, placer_idle_fn_t on_idle, void *arg, msg_placed_t *placed, tc_err_t *err)
+{
+    pthread_mutex_lock(&w->lock);
+    while (!w->done) {
+        nap_on(w);
+        if (w->done)
+            break;
+        pthread_mutex_unlock(&w->lock);
+        const bool caller_there = !on_idle || on_idle(arg);
+        const bool leads = still_leads(w->entry, &w->to);
+        pthread_mutex_lock(&w->lock);
+        if ((caller_there && leads) || w->done)
+            continue;
+        w->abandoned = true;
+        entry_t *const entry = w->entry;
+        const placement_t to = w->to;
+        char id[CODEC_STR_SIZE];
+        codec_copy_string(id, sizeof(id), w->id);
+        pthread_mutex_unlock(&w->lock);
+        give_back(entry, id, &to, 0); /* it may still be queued */
+        if (!caller_there)
+            return tc_err_set(err, TC_E_CANCELLED, "place", to.scheduler, "the caller is gone");
+        return tc_err_set(err, TC_E_FENCED, "place", to.scheduler, "another box has the cell now");
+    }
+    const int rc = w->rc;
+    *placed = w->placed;
+    *err = w->err;
+    pthread_mutex_unlock(&w->lock);
+    free_wait(w);
+    return rc;
+}
+
+/* ===== Scheduled policies ===== */
+
+/** Take over what the scheduler chose. */
+static int adopt(entry_t *entry, const char *id, const msg_placed_t *placed, placement_t *p, tc_err_t *err)
+{
+    view_t *const view = view_acquire(&entry->view);
+    const engine_cfg_t *const prefill = view_engine(view, placed->prefill);
+    const engine_cfg_t *const decode = view_engine(view, placed->decode);
+    const bool known = decode && (prefill || placed->resume);
+    if (known) {
+        p->decode = *decode;
+        if (prefill)
+            p->prefill = *prefill;
+    }
+    view_release(view);
+    p->attempt = placed->attempt;
+    p->pieces = placed->pieces;
+    p->est_ttft_ms = placed->est_ttft_ms;
+    p->resume = placed->resume;
+    sched_engine_id(p->engine_id, sizeof(p->engine_id), id, p->attempt);
+    if (known)
+        return TC_OK;
+    give_back(entry, id, p, p->attempt); /* our configuration is behind the scheduler's */
+    return tc_err_set(err, TC_E_NOT_FOUND, "place", placed->decode, "engine is not in our configuration yet");
+}
+
+static int ask_scheduler(entry_t *entry, const placer_request_t *r, const char *avoid, tc_time_t left,
+                         placer_idle_fn_t on_idle, void *arg, placement_t *p, tc_err_t *err)
+{
+    msg_place_t place = {.epoch = p->epoch,
+                         .prompt_tokens = r->prompt_tokens,
+                         .max_tokens = r->max_tokens,
+                         .priority = r->priority,
+                         .wait_ms = (uint32_t)left,
+                         .repeatable = r->repeatable,
+                         .chain = (uint64_t *)(uintptr_t)r->chain,
+                         .chain_n = r->n_chain};
+    codec_copy_string(place.cell, sizeof(place.cell), p->cell);
+    codec_copy_string(place.id, sizeof(place.id), r->id);
+    codec_copy_string(place.box, sizeof(place.box), entry->settings->box);
+    codec_copy_string(place.model, sizeof(place.model), r->model);
+    codec_copy_string(place.workspace, sizeof(place.workspace), r->workspace);
+    codec_copy_string(place.avoid, sizeof(place.avoid), avoid);
+    wait_t *const w = start_wait(entry, r->id, p);
+    peer_call(entry->net, p->scheduler, MSG_PLACE, &place, left + CALL_SLACK_MS, on_placed, w);
+    msg_placed_t placed;
+    TC_CHECK(finish_wait(w, on_idle, arg, &placed, err));
+    if (placed.granted)
+        return adopt(entry, r->id, &placed, p, err);
+    p->retry_after_ms = placed.retry_after_ms;
+    codec_copy_string(p->reason, sizeof(p->reason), placed.reason);
+    return tc_err_set(err, TC_E_REFUSED, "place", p->scheduler, "%s", placed.reason);
+}
+
+/** Fill in whom to ask. @return false while nobody is known to hold the lease */
+static bool find_scheduler(entry_t *entry, placement_t *p)
+{
+    if (p->policy == POLICY_SHARE) {
+        codec_copy_string(p->scheduler, sizeof(p->scheduler), entry->settings->peer_listen);
+        p->epoch = SCHEDULER_SHARE_EPOCH;
+        return true;
+    }
+    view_t *const view = view_acquire(&entry->view);
+    const cell_lease_t *const cell = view_cell(view, p->cell);
+    if (cell) {
+        codec_copy_string(p->scheduler, sizeof(p->scheduler), cell->peer_addr);
+        p->epoch = cell->epoch;
+    }
+    view_release(view);
+    return cell != NULL;
+}
+
+static int place_scheduled(entry_t *entry, const placer_request_t *r, const char *avoid, tc_time_t due,
+                           placer_idle_fn_t on_idle, void *arg, placement_t *p, tc_err_t *err)
+{
+    for (;;) {
+        const tc_time_t left = due - tc_time_now();
+        if (left <= 0) {
+            p->retry_after_ms = 1000;
+            codec_copy_string(p->reason, sizeof(p->reason), "no scheduler answered in time");
+            return tc_err_set(err, TC_E_REFUSED, "place", p->cell, "%s", p->reason);
+        }
+        int rc = TC_E_NOT_FOUND;
+        if (find_scheduler(entry, p))
+            rc = ask_scheduler(entry, r, avoid, left, on_idle, arg, p, err);
+        /* Only what the scheduler itself said counts; whatever happened on the way, nothing was sent to an
+         * engine, so the next scheduler may be asked. */
+        if (rc == TC_OK || rc == TC_E_REFUSED || rc == TC_E_CANCELLED)
+            return rc;
+        if (on_idle && !on_idle(arg))
+            return tc_err_set(err, TC_E_CANCELLED, "place", p->cell, "the caller is gone");
+        tc_time_sleep(RETRY_MS);
+    }
+}
+
+/* ===== Baselines ===== */
+
+/** How full an engine looks in its last report; smaller is better. */
+static double looks(entry_t *entry, const engine_cfg_t *e)
+{
+    engine_load_t load;
+    if (!reports_load(entry->reports, e->name, &load))
+        return 0;
+    return e->role == ROLE_PREFILL ? load.queue : (double)load.queue * 1000 - load.pieces_free;
+}
+
+static const engine_cfg_t *pick(entry_t *entry, const view_t *view, const char *model, role_t role, const char *avoid,
+                                bool by_load)
+{
+    const engine_cfg_t *best = NULL;
+    double best_value = 0;
+    for (uint32_t i = 0; i < view->config.engines_n; i++) {
+        const engine_cfg_t *const e = &view->config.engines[i];
+        if (e->role != role || strcmp(e->model, model) != 0 || strcmp(e->name, avoid) == 0 ||
+            view_is_leaving(view, e->name))
+            continue;
+        const double value = (by_load ? looks(entry, e) : 0) + g_random_double() * 0.5; /* ties fall by chance */
+        if (best && value >= best_value)
+            continue;
+        best = e;
+        best_value = value;
+    }
+    return best;
+}
+
+static int place_alone(entry_t *entry, const placer_request_t *r, const char *avoid, placement_t *p, tc_err_t *err)
+{
+    static atomic_uint attempts;
+    const bool by_load = p->policy == POLICY_LEAST_LOADED;
+    view_t *const view = view_acquire(&entry->view);
+    const engine_cfg_t *const prefill = pick(entry, view, r->model, ROLE_PREFILL, avoid, by_load);
+    const engine_cfg_t *const decode = pick(entry, view, r->model, ROLE_DECODE, avoid, by_load);
+    if (prefill && decode) {
+        p->prefill = *prefill;
+        p->decode = *decode;
+    }
+    view_release(view);
+    if (!prefill || !decode)
+        return tc_err_set(err, TC_E_REFUSED, "place", r->model, "no engine is left to choose");
+    p->attempt = atomic_fetch_add(&attempts, 1) + 1;
+    p->pieces = sched_pieces(r->prompt_tokens, r->max_tokens);
+    sched_engine_id(p->engine_id, sizeof(p->engine_id), r->id, p->attempt);
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "placement");
+    log_str(&line, "request", r->id);
+    log_str(&line, "reason", policy_names[p->policy]);
+    log_str(&line, "prefill", p->prefill.name);
+    log_str(&line, "decode", p->decode.name);
+    log_end(&line);
+    return TC_OK;
+}
+
+/* ===== Public functions ===== */
+
+int placer_place(entry_t *entry, const placer_request_t *request, const char *avoid, tc_time_t due,
+                 placer_idle_fn_t on_idle, void *arg, placement_t *placement, tc_err_t *err)
+{
+    memset(placement, 0, sizeof(*placement));
+    view_t *const view = view_acquire(&entry->view);
+    const char *const cell = view_cell_for(view, request->model);
+    placement->policy = view->config.policy;
+    codec_copy_string(placement->cell, sizeof(placement->cell), cell ? cell : "");
+    view_release(view);
+    if (!cell)
+        return tc_err_set(err, TC_E_NOT_FOUND, "place", request->model, "no engine serves this model");
+    switch (placement->policy) {
+    case POLICY_RANDOM:
+    case POLICY_LEAST_LOADED: return place_alone(entry, request, avoid, placement, err);
+    case POLICY_SHARE:
+    case POLICY_CELL: return place_scheduled(entry, request, avoid, due, on_idle, arg, placement, err);
+    case POLICY_COUNT: break;
+    }
+    return tc_err_set(err, TC_E_INVALID, "place", NULL, "unknown policy");
+}
+
+static int replan_alone(entry_t *entry, const placer_request_t *r, placement_t *p, tc_err_t *err)
+{
+    placement_t other = *p;
+    TC_CHECK(place_alone(entry, r, p->decode.name, &other, err));
+    other.prefill = p->prefill;
+    *p = other;
+    return TC_OK;
+}
+
+int placer_replan(entry_t *entry, const placer_request_t *request, placement_t *placement, tc_err_t *err)
+{
+    if (placement->policy <= POLICY_LEAST_LOADED)
+        return replan_alone(entry, request, placement, err);
+    msg_replan_t replan = {.attempt = placement->attempt, .epoch = placement->epoch};
+    codec_copy_string(replan.cell, sizeof(replan.cell), placement->cell);
+    codec_copy_string(replan.id, sizeof(replan.id), request->id);
+    codec_copy_string(replan.bad, sizeof(replan.bad), placement->decode.name);
+    wait_t *const w = start_wait(entry, request->id, placement);
+    peer_call(entry->net, placement->scheduler, MSG_REPLAN, &replan, REPLAN_LIMIT_MS, on_placed, w);
+    msg_placed_t placed;
+    TC_CHECK(finish_wait(w, NULL, NULL, &placed, err));
+    if (!placed.granted)
+        return tc_err_set(err, TC_E_REFUSED, "replan", placement->scheduler, "%s", placed.reason);
+    return adopt(entry, request->id, &placed, placement, err);
+}
+
+void placer_progress(entry_t *entry, const char *id, const placement_t *placement, phase_t phase, uint32_t took_ms,
+                     const engine_prefill_t *prefill, const char *bad, bool held)
+{
+    if (placement->policy <= POLICY_LEAST_LOADED)
+        return;
+    msg_progress_t progress = {
+        .attempt = placement->attempt, .phase = phase, .took_ms = took_ms, .held = held, .epoch = placement->epoch};
+    if (prefill) {
+        progress.computed_tokens = prefill->computed_tokens;
+        progress.cached_tokens = prefill->cached_tokens;
+    }
+    codec_copy_string(progress.cell, sizeof(progress.cell), placement->cell);
+    codec_copy_string(progress.id, sizeof(progress.id), id);
+    codec_copy_string(progress.bad, sizeof(progress.bad), bad);
+    send_progress(entry, placement, &progress);
+}
--- /dev/null
+++ b/lib/request/scheduler.c
@@ -0,0 +1,464 @@
+#include "request/scheduler.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/list.h>
+
+#include "backend/engine.h"
+#include "common/counter.h"
+#include "common/log.h"
+
+/* ===== Constants ===== */
+
+enum {
+    TICK_MS = 20,
+    POLL_EVERY_MS = 1000, /* engines' state pages */
+    POLL_LIMIT_MS = 900,
+    CANCEL_LIMIT_MS = 800
+};
+
+COUNTER_DEFINE(c_granted, "counter", "trackcove_sched_granted_total", "Placements granted")
+COUNTER_DEFINE(c_refused, "counter", "trackcove_sched_refused_total", "Placements refused")
+COUNTER_DEFINE(c_cancels, "counter", "trackcove_sched_cancels_total", "Cancels sent to engines")
+COUNTER_DEFINE(c_hosted, "gauge", "trackcove_sched_cells_hosted", "Cells scheduled by this box")
+COUNTER_DEFINE(c_cpu_us, "counter", "trackcove_sched_core_us_total", "Time spent in scheduler cores, us")
+
+/* ===== Types ===== */
+
+/** One engine's polling. */
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    bool busy;
+    tc_time_t next;
+} poll_t;
+
+typedef struct {
+    struct cds_list_head node;
+    char cell[CODEC_STR_SIZE];
+    uint64_t epoch;
+    bool share; /* our own part of the cell, not the leased whole */
+    tc_time_t until;
+    sched_t *core;
+    GArray *polls; /* poll_t */
+} hosted_t;
+
+struct scheduler {
+    entry_t *entry;
+    struct cds_list_head hosted;
+    bool released;
+};
+
+/* ===== Hosting ===== */
+
+static hosted_t *find_hosted(const scheduler_t *s, const char *cell, uint64_t epoch)
+{
+    hosted_t *h;
+    cds_list_for_each_entry (h, &s->hosted, node)
+        if (strcmp(h->cell, cell) == 0 && h->epoch == epoch)
+            return h;
+    return NULL;
+}
+
+static void log_hosting(const hosted_t *h, const char *event)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, event);
+    log_str(&line, "cell", h->cell);
+    log_int(&line, "epoch", (int64_t)h->epoch);
+    log_end(&line);
+}
+
+static void reply_fenced(scheduler_t *s, peer_call_t call)
+{
+    tc_err_t err;
+    tc_err_set(&err, TC_E_FENCED, "schedule", s->entry->settings->box, "this box does not hold that lease");
+    peer_reply_error(s->entry->net, call, &err);
+}
+
+/** Stop hosting. Those who wait are told to ask the next holder of the lease. */
+static void drop_hosted(scheduler_t *s, hosted_t *h)
+{
+    sched_token_t token;
+    while (sched_pop_waiting(h->core, &token))
+        reply_fenced(s, (peer_call_t){.connection = token.a, .call = token.b});
+    log_hosting(h, "cell_dropped");
+    counter_add(&c_hosted, -1);
+    cds_list_del(&h->node);
+    sched_destroy(h->core);
+    g_array_free(h->polls, TRUE);
+    free(h);
+}
+
+static void configure(const scheduler_t *s, hosted_t *h, tc_time_t now)
+{
+    const view_t *const view = s->entry->view.current;
+    if (h->share)
+        sched_set_share(h->core, view->n_members);
+    sched_configure(h->core, &view->config, now);
+    GArray *const polls = g_array_new(FALSE, TRUE, sizeof(poll_t));
+    for (uint32_t i = 0; i < view->config.engines_n; i++) {
+        const engine_cfg_t *const e = &view->config.engines[i];
+        if (strcmp(e->cell, h->cell) != 0)
+            continue;
+        poll_t fresh = {.next = now + (tc_time_t)(i * 37 % POLL_EVERY_MS)}; /* spread over the period */
+        codec_copy_string(fresh.name, sizeof(fresh.name), e->name);
+        for (guint k = 0; k < h->polls->len; k++) {
+            const poll_t *const old = &g_array_index(h->polls, poll_t, k);
+            if (strcmp(old->name, e->name) == 0)
+                fresh = *old;
+        }
+        g_array_append_val(polls, fresh);
+        sched_engine_leaving(h->core, e->name, view_is_leaving(view, e->name), now);
+    }
+    g_array_free(h->polls, TRUE);
+    h->polls = polls;
+}
+
+static hosted_t *host(scheduler_t *s, const char *cell, uint64_t epoch, bool share)
+{
+    const tc_time_t now = tc_time_now();
+    hosted_t *const h = calloc(1, sizeof(*h));
+    if (!h)
+        abort();
+    codec_copy_string(h->cell, sizeof(h->cell), cell);
+    h->epoch = epoch;
+    h->share = share;
+    h->polls = g_array_new(FALSE, TRUE, sizeof(poll_t));
+    const sched_options_t options = {.cell = cell, .epoch = epoch, .share_of = 1, .rebuild = !share && epoch > 1};
+    h->core = sched_create(&options, now);
+    cds_list_add(&h->node, &s->hosted);
+    counter_add(&c_hosted, 1);
+    configure(s, h, now);
+    log_hosting(h, "cell_hosted");
+    return h;
+}
+
+static void host_shares(scheduler_t *s)
+{
+    const view_t *const view = s->entry->view.current;
+    for (uint32_t i = 0; i < view->config.engines_n; i++) {
+        const char *const cell = view->config.engines[i].cell;
+        if (view->config.policy == POLICY_SHARE && !find_hosted(s, cell, SCHEDULER_SHARE_EPOCH))
+            host(s, cell, SCHEDULER_SHARE_EPOCH, true)->until = TC_TIME_NEVER;
+    }
+}
+
+void scheduler_configure(scheduler_t *s)
+{
+    hosted_t *h;
+    cds_list_for_each_entry (h, &s->hosted, node)
+        configure(s, h, tc_time_now());
+    host_shares(s);
+}
+
+void scheduler_leases(scheduler_t *s, const cell_lease_t *cells, uint32_t n, tc_time_t until)
+{
+    if (s->released || s->entry->view.current->config.policy != POLICY_CELL)
+        return;
+    for (uint32_t i = 0; i < n; i++) {
+        hosted_t *h = find_hosted(s, cells[i].cell, cells[i].epoch);
+        if (strcmp(cells[i].box, s->entry->settings->box) != 0)
+            continue;
+        if (!h)
+            h = host(s, cells[i].cell, cells[i].epoch, false);
+        h->until = until;
+    }
+}
+
+void scheduler_release(scheduler_t *s)
+{
+    s->released = true;
+    hosted_t *h, *next;
+    cds_list_for_each_entry_safe (h, next, &s->hosted, node)
+        if (!h->share)
+            drop_hosted(s, h);
+}
+
+/* ===== Calls to engines ===== */
+
+typedef struct {
+    scheduler_t *scheduler;
+    char cell[CODEC_STR_SIZE];
+    uint64_t epoch;
+    char engine[CODEC_STR_SIZE];
+    char url[CODEC_PATH_SIZE];
+    char engine_id[ENGINE_ID_SIZE]; /* cancel */
+    engine_state_t state;           /* poll */
+    int rc;
+    tc_time_t asked;
+} engine_job_t;
+
+static engine_job_t *make_job(scheduler_t *s, const hosted_t *h, const char *engine)
+{
+    const engine_cfg_t *const cfg = view_engine(s->entry->view.current, engine);
+    if (!cfg)
+        return NULL;
+    engine_job_t *const job = calloc(1, sizeof(*job));
+    if (!job)
+        abort();
+    job->scheduler = s;
+    job->epoch = h->epoch;
+    job->asked = tc_time_now();
+    codec_copy_string(job->cell, sizeof(job->cell), h->cell);
+    codec_copy_string(job->engine, sizeof(job->engine), engine);
+    codec_copy_string(job->url, sizeof(job->url), cfg->url);
+    return job;
+}
+
+static void drain_actions(scheduler_t *s, hosted_t *h);
+
+static void cancelled(void *arg)
+{
+    engine_job_t *const job = arg;
+    hosted_t *const h = find_hosted(job->scheduler, job->cell, job->epoch);
+    if (h) {
+        sched_cancelled(h->core, job->engine, job->engine_id, job->rc == TC_OK, tc_time_now());
+        drain_actions(job->scheduler, h);
+    }
+    free(job);
+}
+
+static void run_cancel(void *arg)
+{
+    engine_job_t *const job = arg;
+    tc_err_t err;
+    job->rc = engine_cancel(job->engine, job->url, job->engine_id, CANCEL_LIMIT_MS, &err);
+    if (job->rc < 0)
+        log_failure(LOG_WARN, "cancel_failed", &err);
+    loop_post(job->scheduler->entry->loop, cancelled, job);
+}
+
+static poll_t *find_poll(const hosted_t *h, const char *engine)
+{
+    for (guint i = 0; i < h->polls->len; i++)
+        if (strcmp(g_array_index(h->polls, poll_t, i).name, engine) == 0)
+            return &g_array_index(h->polls, poll_t, i);
+    return NULL;
+}
+
+/** Whether the engine is what the configuration wants it to be. */
+static bool serves(const scheduler_t *s, const engine_job_t *job)
+{
+    const engine_cfg_t *const cfg = view_engine(s->entry->view.current, job->engine);
+    return cfg && !job->state.loading && strcmp(job->state.role, role_names[cfg->role]) == 0 &&
+           strcmp(job->state.model, cfg->model) == 0 && strcmp(job->state.version, cfg->version) == 0;
+}
+
+static void polled(void *arg)
+{
+    engine_job_t *const job = arg;
+    scheduler_t *const s = job->scheduler;
+    hosted_t *const h = find_hosted(s, job->cell, job->epoch);
+    poll_t *const poll = h ? find_poll(h, job->engine) : NULL;
+    const tc_time_t now = tc_time_now();
+    if (poll) {
+        poll->busy = false;
+        poll->next = now + POLL_EVERY_MS;
+    }
+    if (h && job->rc == TC_OK) {
+        sched_holding_t *const held = calloc(job->state.n_held + 1, sizeof(*held));
+        if (!held)
+            abort();
+        for (uint32_t i = 0; i < job->state.n_held; i++) {
+            codec_copy_string(held[i].engine_id, sizeof(held[i].engine_id), job->state.held[i].id);
+            held[i].pieces = job->state.held[i].pieces;
+        }
+        sched_engine_seen(h->core, job->engine, job->state.incarnation, job->state.leaving || !serves(s, job), held,
+                          job->state.n_held, job->asked, now);
+        free(held);
+    } else if (h) {
+        sched_engine_missed(h->core, job->engine, now);
+    }
+    if (h)
+        drain_actions(s, h);
+    engine_state_free(&job->state);
+    free(job);
+}
+
+static void run_poll(void *arg)
+{
+    engine_job_t *const job = arg;
+    tc_err_t err;
+    job->rc = engine_state(job->engine, job->url, POLL_LIMIT_MS, &job->state, &err);
+    loop_post(job->scheduler->entry->loop, polled, job);
+}
+
+static void poll_engines(scheduler_t *s, const hosted_t *h, tc_time_t now)
+{
+    for (guint i = 0; i < h->polls->len; i++) {
+        poll_t *const poll = &g_array_index(h->polls, poll_t, i);
+        engine_job_t *const job = !poll->busy && now >= poll->next ? make_job(s, h, poll->name) : NULL;
+        if (!job)
+            continue;
+        poll->busy = true;
+        entry_run_job(s->entry, run_poll, job);
+    }
+}
+
+/* ===== Actions ===== */
+
+static void log_decision(const hosted_t *h, const char *id, const msg_placed_t *p)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, p->granted ? "placement" : "refusal");
+    log_str(&line, "request", id);
+    log_str(&line, "cell", h->cell);
+    log_int(&line, "epoch", (int64_t)h->epoch);
+    log_str(&line, "reason", p->reason);
+    log_int(&line, "attempt", p->attempt);
+    log_int(&line, "candidates", p->candidates);
+    if (p->granted) {
+        log_str(&line, "prefill", p->prefill);
+        log_str(&line, "decode", p->decode);
+        log_int(&line, "pieces", p->pieces);
+        log_int(&line, "est_ttft_ms", p->est_ttft_ms);
+        log_int(&line, "resume", p->resume);
+    } else {
+        log_int(&line, "retry_after_ms", p->retry_after_ms);
+    }
+    log_end(&line);
+}
+
+static void drain_actions(scheduler_t *s, hosted_t *h)
+{
+    sched_action_t action;
+    while (sched_next_action(h->core, &action)) {
+        if (action.kind == SCHED_ACT_ANSWER) {
+            const peer_call_t call = {.connection = action.u.answer.token.a, .call = action.u.answer.token.b};
+            counter_add(action.u.answer.placed.granted ? &c_granted : &c_refused, 1);
+            log_decision(h, action.u.answer.id, &action.u.answer.placed);
+            peer_reply(s->entry->net, call, MSG_PLACED, &action.u.answer.placed);
+            continue;
+        }
+        engine_job_t *const job = make_job(s, h, action.u.cancel.engine);
+        if (!job) { /* gone from the configuration: whatever it holds is no longer ours to free */
+            sched_cancelled(h->core, action.u.cancel.engine, action.u.cancel.engine_id, true, tc_time_now());
+            continue;
+        }
+        counter_add(&c_cancels, 1);
+        codec_copy_string(job->engine_id, sizeof(job->engine_id), action.u.cancel.engine_id);
+        entry_run_job(s->entry, run_cancel, job);
+    }
+}
+
+/* ===== Messages ===== */
+
+/** The core to ask, or NULL when this box may not act for the cell (any more). */
+static hosted_t *acting(scheduler_t *s, const char *cell, uint64_t epoch, tc_time_t now)
+{
+    hosted_t *const h = find_hosted(s, cell, epoch);
+    return h && now < h->until ? h : NULL;
+}
+
+static void on_renew(scheduler_t *s, hosted_t *h, peer_call_t call, const msg_renew_t *renew, tc_time_t now)
+{
+    msg_renew_ack_t ack = {.epoch = h->epoch};
+    ack.lost = calloc(renew->held_n + 1, sizeof(*ack.lost));
+    if (!ack.lost)
+        abort();
+    ack.lost_n = sched_renew(h->core, renew, ack.lost, renew->held_n, now);
+    peer_reply(s->entry->net, call, MSG_RENEW_ACK, &ack);
+    codec_free(&msg_renew_ack_desc, &ack);
+}
+
+static void dispatch(scheduler_t *s, hosted_t *h, peer_call_t call, uint32_t type, const void *message, tc_time_t now)
+{
+    const sched_token_t token = {.a = call.connection, .b = call.call};
+    switch (type) {
+    case MSG_PLACE: sched_place(h->core, message, token, now); break;
+    case MSG_REPLAN: sched_replan(h->core, message, token, now); break;
+    case MSG_PROGRESS: sched_progress(h->core, message, now); break;
+    default: on_renew(s, h, call, message, now); break;
+    }
+}
+
+bool scheduler_message(scheduler_t *s, peer_call_t call, uint32_t type, const void *message)
+{
+    const char *cell;
+    uint64_t epoch;
+    switch (type) {
+    case MSG_PLACE:
+        cell = ((const msg_place_t *)message)->cell;
+        epoch = ((const msg_place_t *)message)->epoch;
+        break;
+    case MSG_REPLAN:
+        cell = ((const msg_replan_t *)message)->cell;
+        epoch = ((const msg_replan_t *)message)->epoch;
+        break;
+    case MSG_PROGRESS:
+        cell = ((const msg_progress_t *)message)->cell;
+        epoch = ((const msg_progress_t *)message)->epoch;
+        break;
+    case MSG_RENEW:
+        cell = ((const msg_renew_t *)message)->cell;
+        epoch = ((const msg_renew_t *)message)->epoch;
+        break;
+    default: return false;
+    }
+    const tc_time_t now = tc_time_now();
+    const gint64 begin = g_get_monotonic_time();
+    hosted_t *const h = acting(s, cell, epoch, now);
+    if (h) {
+        dispatch(s, h, call, type, message, now);
+        counter_add(&c_cpu_us, g_get_monotonic_time() - begin);
+        drain_actions(s, h);
+    } else {
+        reply_fenced(s, call);
+    }
+    return true;
+}
+
+static void on_tick(void *arg)
+{
+    scheduler_t *const s = arg;
+    const tc_time_t now = tc_time_now();
+    hosted_t *h, *next;
+    cds_list_for_each_entry_safe (h, next, &s->hosted, node) {
+        if (now >= h->until) {
+            drop_hosted(s, h); /* the lease ran out: another box may act from here on */
+            continue;
+        }
+        sched_tick(h->core, now);
+        drain_actions(s, h);
+        poll_engines(s, h, now);
+    }
+}
+
+/* ===== Views and life ===== */
+
+void scheduler_describe(scheduler_t *s, json_t *out)
+{
+    enum { VIEWS = 512 };
+    sched_engine_view_t *const views = calloc(VIEWS, sizeof(*views));
+    const hosted_t *h;
+    cds_list_for_each_entry (h, &s->hosted, node) {
+        const sched_stats_t st = sched_stats(h->core);
+        json_t *const engines = json_array();
+        const uint32_t n = views ? sched_engines(h->core, views, VIEWS, tc_time_now()) : 0;
+        for (uint32_t i = 0; i < n && i < VIEWS; i++)
+            json_array_append_new(engines, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:f,s:b,s:b}", "name", views[i].name,
+                                                     "role", role_names[views[i].role], "pieces", (int)views[i].pieces,
+                                                     "reserved", (int)views[i].reserved, "batch", (int)views[i].batch,
+                                                     "backlog_ms", (int)views[i].backlog_ms, "rate", views[i].rate,
+                                                     "up", views[i].up, "leaving", views[i].leaving));
+        json_array_append_new(out,
+                              json_pack("{s:s,s:I,s:b,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "cell", h->cell,
+                                        "epoch", (json_int_t)h->epoch, "share", h->share, "queued", (int)st.queued,
+                                        "placed", (int)st.placed, "cancelling", (int)st.cancelling, "granted",
+                                        (json_int_t)st.granted, "refused", (json_int_t)st.refused, "resumed",
+                                        (json_int_t)st.resumed, "replanned", (json_int_t)st.replanned, "lapsed",
+                                        (json_int_t)st.lapsed, "orphans", (json_int_t)st.orphans, "engines", engines));
+    }
+    free(views);
+}
+
+scheduler_t *scheduler_create(entry_t *entry)
+{
+    scheduler_t *const s = calloc(1, sizeof(*s));
+    if (!s)
+        abort();
+    s->entry = entry;
+    CDS_INIT_LIST_HEAD(&s->hosted);
+    loop_add_tick(entry->loop, TICK_MS, on_tick, s);
+    return s;
+}
--- /dev/null
+++ b/lib/sched/sched.h
@@ -0,0 +1,165 @@
+/** @file sched.h
+ * The scheduler of one cell: a pure state machine.
+ *
+ * It is the single writer of the reservations on a cell's engines. Events go in
+ * as function calls with the time; actions come out of sched_next_action. There
+ * is no I/O, no thread and no clock in here. The same core runs inside the entry
+ * box that holds the cell's lease, in the randomised test with its oracle, and
+ * under libFuzzer.
+ *
+ * What it keeps true (asserted by sched_check in every build):
+ *  - the pieces reserved on an engine are exactly those of the requests placed
+ *    there plus those of requests being cancelled there;
+ *  - a grant never reserves more pieces than the engine has;
+ *  - a request is queued, or placed on one pair of engines, never both;
+ *  - an attempt number is never used twice for a request;
+ *  - every waiting call is answered exactly once.
+ *
+ * A refusal ("not run") is given only to a request for which no engine has been
+ * named in this attempt, so it has truly not run.
+ */
+#ifndef TRACKCOVE_SCHED_SCHED_H
+#define TRACKCOVE_SCHED_SCHED_H
+
+/* ===== Dependencies ===== */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/time.h"
+#include "gen/schema.h"
+
+/* ===== Constants ===== */
+
+/** Tokens in one piece of engine memory (users' brief). */
+#define SCHED_PIECE_TOKENS 2000u
+/** A reservation lapses when its entry box has not renewed it for this long. Entry boxes renew every
+ *  SCHED_RENEW_MS, so four renewals in a row must be lost. */
+#define SCHED_LEASE_MS 1200
+#define SCHED_RENEW_MS 300
+/** A new scheduler grants nothing for this long, so that every entry box can report what it holds. */
+#define SCHED_REBUILD_MS 700
+/** How long a finished request is remembered, so that a caller who lost the answer can fetch it. */
+#define SCHED_FINISHED_MS 30000
+
+/* ===== Types ===== */
+
+typedef struct sched sched_t;
+
+/** Names a waiting call; the shell knows what it means. */
+typedef struct {
+    uint64_t a, b;
+} sched_token_t;
+
+typedef struct {
+    const char *cell;  /**< engines with this cell belong to the scheduler */
+    uint64_t epoch;    /**< of the lease */
+    uint32_t share_of; /**< 1: the whole cell. N: one Nth of each engine (policy "share") */
+    bool rebuild;      /**< start with SCHED_REBUILD_MS of learning */
+} sched_options_t;
+
+typedef enum { SCHED_ACT_ANSWER, SCHED_ACT_CANCEL } sched_action_kind_t;
+
+/** Something the shell must do. */
+typedef struct {
+    sched_action_kind_t kind;
+    union {
+        struct {
+            sched_token_t token;
+            char id[CODEC_STR_SIZE];
+            msg_placed_t placed;
+        } answer; /**< send placed to the waiting call */
+        struct {
+            char engine[CODEC_STR_SIZE];
+            char engine_id[CODEC_STR_SIZE + 16]; /**< id the engine knows: "ID.ATTEMPT" */
+        } cancel;                                /**< cancel it at the engine, then report with sched_cancelled */
+    } u;
+} sched_action_t;
+
+/** What an engine says it holds, from its state page. */
+typedef struct {
+    char engine_id[CODEC_STR_SIZE + 16];
+    uint32_t pieces;
+} sched_holding_t;
+
+typedef struct {
+    uint32_t queued, placed, cancelling, engines;
+    uint64_t granted, refused, resumed, replanned, lapsed, orphans;
+} sched_stats_t;
+
+/** One engine as the scheduler sees it, for status pages. */
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    role_t role;
+    uint32_t pieces, reserved, batch;
+    uint32_t backlog_ms;
+    double rate; /**< measured prefill rate, tokens/s */
+    bool up, leaving;
+} sched_engine_view_t;
+
+/* ===== Public functions ===== */
+
+sched_t *sched_create(const sched_options_t *options, tc_time_t now);
+
+/** Calls still waiting are dropped without an answer. */
+void sched_destroy(sched_t *sched);
+
+/** Take over a configuration. Engines that are gone from it finish what they have and get nothing new. */
+void sched_configure(sched_t *sched, const config_t *config, tc_time_t now);
+
+/** Policy "share": from now on this is one of @p share_of equal parts. Call before sched_configure. */
+void sched_set_share(sched_t *sched, uint32_t share_of);
+
+/** A request asks for engines; answered later through SCHED_ACT_ANSWER, by its deadline at the latest. */
+void sched_place(sched_t *sched, const msg_place_t *place, sched_token_t token, tc_time_t now);
+
+/** The transfer to the decode engine failed: name another. Answered through SCHED_ACT_ANSWER. */
+void sched_replan(sched_t *sched, const msg_replan_t *replan, sched_token_t token, tc_time_t now);
+
+/** A request moved on, ended or failed. */
+void sched_progress(sched_t *sched, const msg_progress_t *progress, tc_time_t now);
+
+/** An entry box renews all it holds. @param lost filled with at most @p room requests it must let go
+ * @return how many */
+uint32_t sched_renew(sched_t *sched, const msg_renew_t *renew, held_t *lost, uint32_t room, tc_time_t now);
+
+/** The engine answered its state page. @param incarnation changes when it restarted and forgot everything
+ * @param leaving it says that it leaves, or it does not (yet) serve what the configuration says
+ * @param asked when the page was asked for */
+void sched_engine_seen(sched_t *sched, const char *engine, uint64_t incarnation, bool leaving,
+                       const sched_holding_t *held, uint32_t n_held, tc_time_t asked, tc_time_t now);
+
+/** The engine did not answer its state page. */
+void sched_engine_missed(sched_t *sched, const char *engine, tc_time_t now);
+
+/** The platform's list says that the engine is leaving, or is not. */
+void sched_engine_leaving(sched_t *sched, const char *engine, bool leaving, tc_time_t now);
+
+/** The engine confirmed a cancel (it holds nothing for that id), or did not. */
+void sched_cancelled(sched_t *sched, const char *engine, const char *engine_id, bool confirmed, tc_time_t now);
+
+/** The lease is over: take out one waiting call, so that the shell can send it to the next scheduler.
+ * @return false when none waits */
+bool sched_pop_waiting(sched_t *sched, sched_token_t *token);
+
+/** Let time pass: leases lapse, deadlines refuse, cancels are tried again. Call at least every 50 ms. */
+void sched_tick(sched_t *sched, tc_time_t now);
+
+/** Take the next action. @return false when there is none */
+bool sched_next_action(sched_t *sched, sched_action_t *action);
+
+/** Assert every invariant; costs a walk over all requests and engines. */
+void sched_check(const sched_t *sched);
+
+sched_stats_t sched_stats(const sched_t *sched);
+
+/** Fill up to @p room views. @return how many engines there are */
+uint32_t sched_engines(const sched_t *sched, sched_engine_view_t *views, uint32_t room, tc_time_t now);
+
+/** The id by which an engine knows an attempt of a request. */
+void sched_engine_id(char *to, size_t size, const char *id, uint32_t attempt);
+
+/** Pieces of engine memory a request needs. */
+uint32_t sched_pieces(uint32_t prompt_tokens, uint32_t max_tokens);
+
+#endif
--- /dev/null
+++ b/lib/sched/sched_choose.c
@@ -0,0 +1,129 @@
+/* Which pair of engines, and whether a request can still make it. */
+
+#include <math.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+/* ===== Constants ===== */
+
+/** A decode engine's batch slows every request in it: what one more is taken to cost, in ms of first token. */
+static const double BATCH_COST_MS = 3.0;
+/** Part of the time to the first token that estimates may fill; the rest covers their error. */
+static const double DUE_MARGIN = 0.85;
+
+/* ===== Choice ===== */
+
+static bool decode_fits(const sched_t *s, const engine_t *e, const request_t *r)
+{
+    const uint32_t batch_limit = e->max_batch / s->share_of > 0 ? e->max_batch / s->share_of : 1;
+    return e->reserved + r->pieces <= e->pieces && e->batch < batch_limit;
+}
+
+static bool decode_candidate(const sched_t *s, const engine_t *e, const request_t *r, tc_time_t now)
+{
+    return e->role == ROLE_DECODE && strcmp(e->model, r->model) == 0 && engine_usable(e, now) &&
+           strcmp(e->name, r->avoid) != 0 && decode_fits(s, e, r);
+}
+
+static bool prefill_candidate(const engine_t *e, const request_t *r, tc_time_t now)
+{
+    return e->role == ROLE_PREFILL && strcmp(e->model, r->model) == 0 && engine_usable(e, now) &&
+           strcmp(e->name, r->avoid) != 0;
+}
+
+static bool link_takes(const link_t *link, const request_t *r)
+{
+    return !link || r->prompt_tokens < LONG_TRANSFER_TOKENS || link->long_transfers < LONG_TRANSFERS_A_LINK;
+}
+
+/** Best decode engine behind one prefill engine. */
+static void choose_decode(const sched_t *s, const request_t *r, engine_t *prefill, double before_ms, choice_t *best,
+                          double *best_cost, tc_time_t now)
+{
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        engine_t *const decode = g_ptr_array_index(s->engine_list, i);
+        if (!decode_candidate(s, decode, r, now))
+            continue;
+        link_t *const link = link_between(s, prefill->dc, decode->dc);
+        if (!link_takes(link, r))
+            continue;
+        const double total = before_ms + link_ms(s, link, r->prompt_tokens) + s->tpot_ms;
+        const double cost = total + BATCH_COST_MS * decode->batch;
+        best->candidates++;
+        if (cost >= *best_cost)
+            continue;
+        *best_cost = cost;
+        best->prefill = prefill;
+        best->decode = decode;
+        best->link = link;
+        best->total_ms = total;
+    }
+}
+
+choice_t choose_pair(const sched_t *s, const request_t *r, bool keep_prefill, tc_time_t now)
+{
+    choice_t best = {.reason = "no prefill engine is free"};
+    double best_cost = INFINITY;
+    if (keep_prefill) {
+        best.reason = "no other decode engine has room";
+        choose_decode(s, r, r->prefill, 0, &best, &best_cost, now);
+        return best;
+    }
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        engine_t *const prefill = g_ptr_array_index(s->engine_list, i);
+        if (!prefill_candidate(prefill, r, now))
+            continue;
+        const double backlog = engine_backlog(prefill, now);
+        if (backlog > DISPATCH_WINDOW_MS)
+            continue;
+        best.reason = "no decode engine has room";
+        const double alone = engine_prefill_ms(prefill, r);
+        engine_t *const before = best.prefill;
+        choose_decode(s, r, prefill, backlog + alone, &best, &best_cost, now);
+        if (best.prefill != before)
+            best.prefill_ms = alone;
+    }
+    return best;
+}
+
+/* ===== Estimates ===== */
+
+/** Whether @p a is served before @p b. */
+static bool ahead_of(const request_t *a, const request_t *b)
+{
+    return a->priority != b->priority ? a->priority < b->priority : a->due <= b->due;
+}
+
+double estimate_wait(const sched_t *s, const request_t *r, tc_time_t now)
+{
+    double work_ms = 0, need = r->pieces, free = 0, rate = 0;
+    uint32_t engines = 0;
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        const engine_t *const e = g_ptr_array_index(s->engine_list, i);
+        if (strcmp(e->model, r->model) != 0 || !engine_usable(e, now))
+            continue;
+        if (e->role == ROLE_DECODE) {
+            free += e->reserved < e->pieces ? e->pieces - e->reserved : 0;
+            continue;
+        }
+        engines++;
+        rate += e->rate;
+        work_ms += engine_backlog(e, now);
+    }
+    if (!engines)
+        return INFINITY;
+    const double mean_rate = rate / engines;
+    const request_t *q;
+    cds_list_for_each_entry (q, &s->queue, node) {
+        if (q == r || !ahead_of(q, r))
+            continue;
+        work_ms += PREFILL_BASE_MS + q->prompt_tokens / mean_rate;
+        need += q->pieces;
+    }
+    const double own = PREFILL_BASE_MS + r->prompt_tokens / mean_rate;
+    const double prefill_wait = work_ms / engines;
+    const double memory_wait = need > free && s->free_rate > 0 ? (need - free) / s->free_rate : 0;
+    const double wait = prefill_wait > memory_wait ? prefill_wait : memory_wait;
+    return (wait + own + s->tpot_ms) / DUE_MARGIN;
+}
--- /dev/null
+++ b/lib/sched/sched_internal.h
@@ -0,0 +1,202 @@
+/** @file sched_internal.h
+ * Shared by the files of the scheduler core; nobody else includes it.
+ */
+#ifndef TRACKCOVE_SCHED_INTERNAL_H
+#define TRACKCOVE_SCHED_INTERNAL_H
+
+/* ===== Dependencies ===== */
+
+#include <assert.h>
+#include <glib.h>
+#include <urcu/list.h>
+
+#include "sched/sched.h"
+
+#ifdef NDEBUG
+#error "the invariants are asserted in every build: do not define NDEBUG"
+#endif
+
+/* ===== Constants ===== */
+
+enum {
+    CACHE_SLOTS = 128,           /* prompt pieces remembered an engine: what it may still have cached */
+    PREFILL_BASE_MS = 20,        /* fixed part of a prefill, first guess */
+    DISPATCH_WINDOW_MS = 40,     /* a prefill engine with less work than this is given more: covers the round
+                                    trip of the entry's report, so that the engine does not stand idle */
+    LONG_TRANSFER_TOKENS = 8000, /* from here on a transfer counts as long */
+    LONG_TRANSFERS_A_LINK = 2,   /* long transfers under way on one link */
+    SUSPECT_MS = 1000,           /* an engine that failed a request gets none for this long, or until it answers */
+    MISSES_DOWN = 3,             /* state pages missed in a row before an engine counts as down */
+    CANCEL_RETRY_MS = 300,       /* pause between cancels that were not confirmed */
+    ORPHAN_GRACE_MS = SCHED_LEASE_MS + SCHED_RENEW_MS, /* an id nobody renews is cancelled after this */
+    FALLBACK_LINK_RATE = 50000,                        /* tokens/s on a path no link is declared for */
+    DEFAULT_TPOT_MS = 40                               /* first guess of the time between tokens */
+};
+
+/* ===== Types ===== */
+
+/** A prompt piece an engine probably has in its prefix cache. */
+typedef struct {
+    uint64_t hash;
+    tc_time_t used;
+} cache_slot_t;
+
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    char dc[CODEC_STR_SIZE];
+    char model[CODEC_STR_SIZE];
+    char version[CODEC_STR_SIZE];
+    role_t role;
+    bool configured; /* still in the configuration */
+    bool leaving_config, leaving_platform;
+    bool leaving_self; /* does not serve its configured role, model and version, or says that it leaves */
+    bool down;
+    uint32_t misses;
+    tc_time_t suspect_until;
+    uint64_t incarnation;
+    tc_time_t seen; /* last answer of its state page */
+    uint32_t pieces, max_batch;
+    uint32_t reserved; /* pieces of placed and cancelling requests */
+    uint32_t batch;    /* requests placed for decode */
+    /* prefill: work given and not reported done */
+    double backlog_ms;
+    tc_time_t backlog_at;
+    uint32_t prefills;
+    double rate; /* tokens per ms, measured */
+    cache_slot_t cache[CACHE_SLOTS];
+} engine_t;
+
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    char a[CODEC_STR_SIZE], b[CODEC_STR_SIZE];
+    double rate;        /* tokens per ms */
+    double outstanding; /* tokens of transfers granted and not done */
+    uint32_t long_transfers;
+} link_t;
+
+typedef enum { REQ_QUEUED, REQ_PLACED, REQ_REPLANNING, REQ_FINISHED } req_state_t;
+
+typedef struct {
+    struct cds_list_head node; /* in queue, placed, or finished */
+    char id[CODEC_STR_SIZE];
+    char box[CODEC_STR_SIZE];
+    char workspace[CODEC_STR_SIZE];
+    char model[CODEC_STR_SIZE];
+    req_state_t state;
+    phase_t phase;
+    uint32_t attempt;
+    uint32_t prompt_tokens, max_tokens, pieces, priority;
+    uint64_t *chain;
+    uint32_t n_chain;
+    tc_time_t arrived, due, lease_until, phase_at;
+    sched_token_t token;
+    bool waiting; /* token has not been answered */
+    bool adopted; /* learned from a report, not granted here: may overfill an engine */
+    bool repeatable;
+    char avoid[CODEC_STR_SIZE];
+    engine_t *prefill, *decode;
+    bool prefilling; /* counted in prefill->prefills */
+    double est_prefill_ms;
+    link_t *link;
+    double link_tokens; /* counted in link->outstanding */
+} request_t;
+
+/** An attempt that must go from an engine: its pieces stay reserved until the engine says so. */
+typedef struct {
+    struct cds_list_head node;
+    engine_t *engine;
+    char engine_id[CODEC_STR_SIZE + 16];
+    uint32_t pieces; /* 0 on a prefill engine */
+    bool asked;      /* a cancel is under way */
+    bool foreign;    /* found on the engine, not granted here */
+    tc_time_t next_try;
+} cancelling_t;
+
+/** An id seen on an engine that no request accounts for. */
+typedef struct {
+    struct cds_list_head node;
+    engine_t *engine;
+    char engine_id[CODEC_STR_SIZE + 16];
+    tc_time_t first_seen;
+    bool seen_now;
+} stranger_t;
+
+typedef struct {
+    struct cds_list_head node;
+    sched_action_t action;
+} queued_action_t;
+
+struct sched {
+    char cell[CODEC_STR_SIZE];
+    uint64_t epoch;
+    uint32_t share_of;
+    tc_time_t admit_from;
+    bool rebuilding; /* began with the requests of a scheduler before it */
+    targets_cfg_t targets;
+    GHashTable *requests; /* id -> request_t, owned by the lists */
+    GHashTable *engines;  /* name -> engine_t, owned */
+    GPtrArray *engine_list;
+    GPtrArray *links;    /* link_t, owned */
+    GHashTable *weights; /* workspace -> weight */
+    struct cds_list_head queue, placed, finished, cancelling, strangers, actions;
+    uint32_t n_queue, n_placed, n_cancelling;
+    uint32_t next_attempt; /* attempts are numbered across all requests of this epoch */
+    double free_rate;      /* decode pieces freed per ms, moving average */
+    double freed_pieces;   /* since freed_at */
+    tc_time_t freed_at;
+    double tpot_ms;      /* learned */
+    double output_share; /* learned: tokens generated / max_tokens */
+    sched_stats_t stats;
+};
+
+/* ===== Engines (sched_engine.c) ===== */
+
+engine_t *engine_find(const sched_t *s, const char *name);
+bool engine_usable(const engine_t *e, tc_time_t now);
+/** Prefill work given to the engine and not done yet, in ms. */
+double engine_backlog(const engine_t *e, tc_time_t now);
+/** Time the engine would need for the prompt, in ms. */
+double engine_prefill_ms(const engine_t *e, const request_t *r);
+/** Whole pieces at the start of the prompt that the engine probably has cached. */
+uint32_t engine_cached_pieces(const engine_t *e, const uint64_t *chain, uint32_t n);
+void engine_remember(engine_t *e, const uint64_t *chain, uint32_t n, tc_time_t now);
+void engine_learn_rate(engine_t *e, double est_ms, const msg_progress_t *progress);
+link_t *link_between(const sched_t *s, const char *a, const char *b);
+/** Time a transfer of @p tokens granted now would take, in ms. */
+double link_ms(const sched_t *s, const link_t *link, double tokens);
+
+/* ===== Choice (sched_choose.c) ===== */
+
+typedef struct {
+    engine_t *prefill, *decode;
+    link_t *link;
+    double prefill_ms; /* alone, without the backlog */
+    double total_ms;   /* until the first token */
+    uint32_t candidates;
+    const char *reason; /* why there is none */
+} choice_t;
+
+/** Best pair for a queued request, or for a replan the best decode engine (r->prefill is kept). */
+choice_t choose_pair(const sched_t *s, const request_t *r, bool keep_prefill, tc_time_t now);
+/** Estimated ms until a request with this due time could start, judged by the queue ahead of it. */
+double estimate_wait(const sched_t *s, const request_t *r, tc_time_t now);
+
+/* ===== Reservations (sched_reserve.c) ===== */
+
+void reserve(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now);
+void end_prefill_work(request_t *r);
+void end_transfer(request_t *r);
+/** Give the pieces back; the engine has let go of them by itself. */
+void release_decode(sched_t *s, request_t *r, tc_time_t now);
+/** Give the pieces back only once the engine confirms a cancel. */
+void cancel_decode(sched_t *s, request_t *r, tc_time_t now);
+void cancel_prefill(sched_t *s, request_t *r, tc_time_t now);
+void add_cancelling(sched_t *s, engine_t *e, const char *engine_id, uint32_t pieces, bool foreign, tc_time_t now);
+void drop_cancelling(sched_t *s, cancelling_t *c);
+void ask_cancels(sched_t *s, tc_time_t now);
+
+/* ===== Actions ===== */
+
+sched_action_t *add_action(sched_t *s, sched_action_kind_t kind);
+
+#endif
--- /dev/null
+++ b/lib/sched/sched_reserve.c
@@ -0,0 +1,145 @@
+/* Reservations: the only code that changes engine_t.reserved, .batch, .backlog and link_t.outstanding. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+/* ===== Taking ===== */
+
+static void take_link(request_t *r, link_t *link)
+{
+    r->link = link;
+    r->link_tokens = r->prompt_tokens;
+    if (!link)
+        return;
+    link->outstanding += r->link_tokens;
+    if (r->prompt_tokens >= LONG_TRANSFER_TOKENS)
+        link->long_transfers++;
+}
+
+void reserve(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now)
+{
+    engine_t *const d = choice->decode;
+    /* Promise: two requests never hold the same piece. */
+    assert(d->reserved + r->pieces <= d->pieces);
+    d->reserved += r->pieces;
+    d->batch++;
+    r->decode = d;
+    take_link(r, choice->link);
+    if (r->prefill == choice->prefill && r->prefill)
+        return; /* replan: the prefill is done */
+    engine_t *const p = choice->prefill;
+    const double backlog = engine_backlog(p, now);
+    p->backlog_ms = backlog + choice->prefill_ms;
+    p->backlog_at = now;
+    p->prefills++;
+    r->prefill = p;
+    r->prefilling = true;
+    r->est_prefill_ms = backlog; /* what stood before it: engine_learn_rate wants to know */
+    engine_remember(p, r->chain, r->n_chain, now);
+}
+
+/* ===== Giving back ===== */
+
+void end_prefill_work(request_t *r)
+{
+    if (!r->prefilling)
+        return;
+    assert(r->prefill && r->prefill->prefills > 0); /* prefilling is set only together with the count */
+    r->prefilling = false;
+    r->prefill->prefills--;
+    if (r->prefill->prefills == 0)
+        r->prefill->backlog_ms = 0;
+}
+
+void end_transfer(request_t *r)
+{
+    link_t *const link = r->link;
+    r->link = NULL;
+    if (!link)
+        return;
+    link->outstanding -= r->link_tokens;
+    if (link->outstanding < 0.5)
+        link->outstanding = 0;
+    if (r->prompt_tokens < LONG_TRANSFER_TOKENS)
+        return;
+    assert(link->long_transfers > 0); /* counted when the link was taken */
+    link->long_transfers--;
+}
+
+static void free_pieces(engine_t *e, uint32_t pieces)
+{
+    assert(e->reserved >= pieces); /* every piece given back was reserved */
+    e->reserved -= pieces;
+}
+
+void release_decode(sched_t *s, request_t *r, tc_time_t now)
+{
+    end_transfer(r);
+    if (!r->decode)
+        return;
+    free_pieces(r->decode, r->pieces);
+    assert(r->decode->batch > 0); /* one for every request placed on it */
+    r->decode->batch--;
+    r->decode = NULL;
+    s->freed_pieces += r->pieces;
+}
+
+void add_cancelling(sched_t *s, engine_t *e, const char *engine_id, uint32_t pieces, bool foreign, tc_time_t now)
+{
+    cancelling_t *const c = g_new0(cancelling_t, 1);
+    c->engine = e;
+    codec_copy_string(c->engine_id, sizeof(c->engine_id), engine_id);
+    c->pieces = pieces;
+    c->foreign = foreign;
+    c->next_try = now;
+    e->reserved += pieces;
+    cds_list_add_tail(&c->node, &s->cancelling);
+    s->n_cancelling++;
+}
+
+void cancel_decode(sched_t *s, request_t *r, tc_time_t now)
+{
+    engine_t *const e = r->decode;
+    if (!e)
+        return;
+    char engine_id[CODEC_STR_SIZE + 16];
+    sched_engine_id(engine_id, sizeof(engine_id), r->id, r->attempt);
+    release_decode(s, r, now);
+    s->freed_pieces -= r->pieces;
+    add_cancelling(s, e, engine_id, r->pieces, false, now);
+}
+
+void cancel_prefill(sched_t *s, request_t *r, tc_time_t now)
+{
+    if (!r->prefill)
+        return;
+    char engine_id[CODEC_STR_SIZE + 16];
+    sched_engine_id(engine_id, sizeof(engine_id), r->id, r->attempt);
+    end_prefill_work(r);
+    add_cancelling(s, r->prefill, engine_id, 0, false, now);
+    r->prefill = NULL;
+}
+
+void drop_cancelling(sched_t *s, cancelling_t *c)
+{
+    free_pieces(c->engine, c->pieces);
+    s->freed_pieces += c->pieces;
+    cds_list_del(&c->node);
+    g_free(c);
+    s->n_cancelling--;
+}
+
+void ask_cancels(sched_t *s, tc_time_t now)
+{
+    cancelling_t *c;
+    cds_list_for_each_entry (c, &s->cancelling, node) {
+        if (c->asked || now < c->next_try)
+            continue;
+        c->asked = true;
+        sched_action_t *const action = add_action(s, SCHED_ACT_CANCEL);
+        codec_copy_string(action->u.cancel.engine, sizeof(action->u.cancel.engine), c->engine->name);
+        codec_copy_string(action->u.cancel.engine_id, sizeof(action->u.cancel.engine_id), c->engine_id);
+    }
+}
--- /dev/null
+++ b/programs/load/tally.h
@@ -0,0 +1,42 @@
+/** @file tally.h
+ * What happened to the callers, counted.
+ */
+#ifndef TRACKCOVE_LOAD_TALLY_H
+#define TRACKCOVE_LOAD_TALLY_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** How one request ended, as its caller saw it. */
+typedef enum { SAW_WHOLE, SAW_NOT_RUN, SAW_UNKNOWN, SAW_CANCELLED, SAW_LOST, SAW_INVALID } saw_t;
+
+typedef struct {
+    char id[64];
+    saw_t saw;
+    bool service, once, doubled;
+    double ttft_ms, tpot_ms; /**< -1: none */
+} outcome_t;
+
+typedef struct {
+    pthread_mutex_t lock;
+    GArray *outcomes;
+} tally_t;
+
+/** Counts over a run. */
+typedef struct {
+    uint32_t offered, good, whole, refused, unknown, cancelled, lost, doubled, invalid;
+    uint32_t calls, calls_whole, calls_refused, calls_unknown;
+    uint32_t false_not_run, ran_twice;
+    double ttft_p50, ttft_p95, tpot_p50, tpot_p95;
+} summary_t;
+
+void tally_init(tally_t *tally);
+void tally_add(tally_t *tally, const outcome_t *outcome);
+
+/** Count. @param runs_url stand-in's page that tells how often an id ran, or NULL */
+void tally_summarize(tally_t *tally, const char *runs_url, double ttft_target, double tpot_target, summary_t *summary);
+
+#endif
--- /dev/null
+++ b/programs/standin.h
@@ -0,0 +1,41 @@
+/** @file standin.h
+ * What the stand-in engines and the load tool must agree on: the answer to a prompt.
+ *
+ * Each token depends on the whole prompt and on its place, so that a wrong,
+ * mixed, short or doubled answer is seen by whoever knows the prompt.
+ */
+#ifndef TRACKCOVE_PROGRAMS_STANDIN_H
+#define TRACKCOVE_PROGRAMS_STANDIN_H
+
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+/** Bytes of text counted as one token. */
+#define STANDIN_BYTES_PER_TOKEN 4u
+/** Size of one token's text with its end mark: a space and seven hex digits. */
+#define STANDIN_TOKEN_SIZE 9
+
+static inline uint64_t standin_prompt_hash(const char *prompt, size_t size)
+{
+    return XXH3_64bits(prompt, size);
+}
+
+static inline void standin_token(char *to, uint64_t prompt_hash, uint32_t place)
+{
+    const uint64_t mixed = XXH3_64bits_withSeed(&prompt_hash, sizeof(prompt_hash), place);
+    snprintf(to, STANDIN_TOKEN_SIZE, " %07llx", (unsigned long long)(mixed & 0xfffffff));
+}
+
+/** How long the answer is: 40 to 100 per cent of what the caller allows, fixed by the prompt. */
+static inline uint32_t standin_length(uint64_t prompt_hash, uint32_t max_tokens)
+{
+    const uint32_t share = 40 + (uint32_t)(prompt_hash >> 20) % 61;
+    const uint32_t length = (uint32_t)((uint64_t)max_tokens * share / 100);
+    return length > 0 ? length : 1;
+}
+
+#endif
--- /dev/null
+++ b/programs/stub/sim.c
@@ -0,0 +1,448 @@
+#include "stub/sim.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+/* ===== Requests ===== */
+
+void sim_unref(sim_request_t *r)
+{
+    if (--r->refs > 0)
+        return;
+    pthread_cond_destroy(&r->changed);
+    free(r);
+}
+
+static void set_state(sim_request_t *r, sim_state_t state)
+{
+    r->state = state;
+    pthread_cond_broadcast(&r->changed);
+}
+
+static void free_memory(sim_request_t *r)
+{
+    if (!r->in_memory)
+        return;
+    r->in_memory = false;
+    r->engine->pieces_used -= r->pieces;
+}
+
+static bool take_memory(sim_request_t *r)
+{
+    if (r->engine->pieces_used + r->pieces > r->engine->cfg.pieces)
+        return false;
+    r->in_memory = true;
+    r->engine->pieces_used += r->pieces;
+    return true;
+}
+
+/** A prefill result is gone before any decode engine had it. */
+static void waste(sim_t *sim, const sim_request_t *r, uint64_t *reason)
+{
+    if (r->decode || r->used || r->state != SIM_HELD)
+        return;
+    sim->counts.wasted += r->computed;
+    *reason += r->computed;
+}
+
+static void drop_source(sim_request_t *r)
+{
+    if (!r->source)
+        return;
+    sim_unref(r->source);
+    r->source = NULL;
+}
+
+static void end_request(sim_request_t *r, sim_state_t state, double now)
+{
+    free_memory(r);
+    drop_source(r);
+    if (r->engine->running == r)
+        r->engine->running = NULL;
+    r->finished_at = now;
+    set_state(r, state);
+}
+
+void sim_cancel(sim_t *sim, sim_request_t *r, double now)
+{
+    if (r->state >= SIM_DONE)
+        return;
+    waste(sim, r, &sim->counts.wasted_cancel);
+    if (r->state == SIM_PREFILL) { /* half computed: what was done is lost */
+        const double left = r->done_at > now ? r->done_at - now : 0;
+        const double whole = SIM_PREFILL_BASE_MS + r->computed * 1000.0 / r->engine->cfg.prefill_rate;
+        const uint64_t done = (uint64_t)(r->computed * (1 - left / whole));
+        sim->counts.prefilled += done;
+        sim->counts.wasted += done;
+        sim->counts.wasted_cancel += done;
+    }
+    end_request(r, SIM_CANCELLED, now);
+}
+
+sim_engine_t *sim_find_engine(const sim_t *sim, const char *name)
+{
+    for (uint32_t i = 0; i < sim->n_engines; i++)
+        if (strcmp(sim->engines[i].cfg.name, name) == 0)
+            return &sim->engines[i];
+    return NULL;
+}
+
+sim_request_t *sim_lookup(sim_engine_t *engine, const char *id)
+{
+    sim_request_t *r;
+    cds_list_for_each_entry (r, &engine->requests, node) {
+        if (strcmp(r->id, id) == 0) {
+            r->refs++;
+            return r;
+        }
+    }
+    return NULL;
+}
+
+static void hash_pieces(sim_request_t *r, const char *prompt, size_t size, const char *salt)
+{
+    const size_t piece = (size_t)SIM_PIECE_TOKENS * STANDIN_BYTES_PER_TOKEN;
+    uint64_t hash = XXH3_64bits(salt, strlen(salt));
+    for (size_t at = 0; at + piece <= size && r->n_chain < 64; at += piece) {
+        hash = XXH3_64bits_withSeed(prompt + at, piece, hash);
+        r->chain[r->n_chain++] = hash;
+    }
+}
+
+void sim_count_run(GHashTable *table, const char *id)
+{
+    const char *const dot = strrchr(id, '.');
+    char *const base = dot ? g_strndup(id, (gsize)(dot - id)) : g_strdup(id);
+    const guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(table, base));
+    g_hash_table_replace(table, base, GUINT_TO_POINTER(runs + 1));
+}
+
+sim_request_t *sim_submit(sim_t *sim, sim_engine_t *engine, const char *id, bool decode, const char *prompt,
+                          size_t prompt_size, const char *salt, uint32_t max_tokens, uint32_t priority)
+{
+    uint32_t waiting = 0;
+    sim_request_t *q;
+    cds_list_for_each_entry (q, &engine->requests, node)
+        waiting += q->state == SIM_QUEUED;
+    if (waiting >= SIM_QUEUE_MAX)
+        return NULL;
+    sim_request_t *const r = calloc(1, sizeof(*r));
+    codec_copy_string(r->id, sizeof(r->id), id);
+    r->engine = engine;
+    r->decode = decode;
+    r->priority = priority;
+    r->arrival = ++sim->arrivals;
+    r->hash = standin_prompt_hash(prompt, prompt_size);
+    r->prompt_tokens = (uint32_t)(prompt_size / STANDIN_BYTES_PER_TOKEN) + 1;
+    r->max_tokens = max_tokens;
+    r->length = standin_length(r->hash, max_tokens);
+    const uint32_t tokens = r->prompt_tokens + (decode ? max_tokens : 0);
+    r->pieces = (tokens + SIM_PIECE_TOKENS - 1) / SIM_PIECE_TOKENS;
+    hash_pieces(r, prompt, prompt_size, salt);
+    r->refs = 2; /* the list's and the caller's */
+    pthread_cond_init(&r->changed, NULL);
+    cds_list_add_tail(&r->node, &engine->requests);
+    return r;
+}
+
+void sim_attach(sim_request_t *r, sim_request_t *source)
+{
+    r->source = source;
+    source->refs++;
+}
+
+/** The waiting request served next: by priority, then by arrival. */
+static sim_request_t *next_waiting(const sim_engine_t *e, bool decode)
+{
+    sim_request_t *r, *best = NULL;
+    cds_list_for_each_entry (r, &e->requests, node) {
+        if (r->state != SIM_QUEUED || r->decode != decode)
+            continue;
+        if (!best || r->priority < best->priority || (r->priority == best->priority && r->arrival < best->arrival))
+            best = r;
+    }
+    return best;
+}
+
+/* ===== Prefill ===== */
+
+static uint32_t cached_pieces(sim_engine_t *e, const sim_request_t *r, double now)
+{
+    uint32_t n = 0;
+    for (; n < r->n_chain; n++) {
+        int at = -1;
+        for (int i = 0; i < SIM_CACHE_PIECES; i++)
+            if (e->cache[i] == r->chain[n] && e->cache_used[i] > 0)
+                at = i;
+        if (at < 0)
+            break;
+        e->cache_used[at] = now;
+    }
+    return n;
+}
+
+static void fill_cache(sim_engine_t *e, const sim_request_t *r, double now)
+{
+    for (uint32_t n = 0; n < r->n_chain; n++) {
+        int slot = 0;
+        for (int i = 0; i < SIM_CACHE_PIECES; i++) {
+            if (e->cache[i] == r->chain[n]) {
+                slot = i;
+                break;
+            }
+            if (e->cache_used[i] < e->cache_used[slot])
+                slot = i;
+        }
+        e->cache[slot] = r->chain[n];
+        e->cache_used[slot] = now;
+    }
+}
+
+static void start_prefill(sim_t *sim, sim_engine_t *e, double now)
+{
+    sim_request_t *const r = next_waiting(e, false);
+    if (!r || !take_memory(r))
+        return;
+    const uint32_t cached = cached_pieces(e, r, now) * SIM_PIECE_TOKENS;
+    r->cached = cached < r->prompt_tokens ? cached : r->prompt_tokens - 1;
+    r->computed = r->prompt_tokens - r->cached;
+    r->done_at = now + SIM_PREFILL_BASE_MS + r->computed * 1000.0 / e->cfg.prefill_rate;
+    e->running = r;
+    sim_count_run(sim->runs, r->id);
+    set_state(r, SIM_PREFILL);
+}
+
+static void advance_prefill(sim_t *sim, sim_engine_t *e, double now)
+{
+    sim_request_t *r = e->running;
+    if (r && now >= r->done_at) {
+        sim->counts.prefilled += r->computed;
+        fill_cache(e, r, now);
+        r->hold_until = now + SIM_HOLD_MS;
+        e->running = NULL;
+        set_state(r, SIM_HELD);
+    }
+    if (!e->running && now >= e->loading_until)
+        start_prefill(sim, e, now);
+    sim_request_t *next;
+    cds_list_for_each_entry_safe (r, next, &e->requests, node) {
+        if (r->state != SIM_HELD || now < r->hold_until)
+            continue;
+        waste(sim, r, &sim->counts.wasted_hold);
+        end_request(r, SIM_LOST, now);
+    }
+}
+
+/* ===== Transfers ===== */
+
+static const link_cfg_t *link_of(const sim_t *sim, const sim_request_t *r)
+{
+    const char *const a = r->source->engine->cfg.dc, *const b = r->engine->cfg.dc;
+    for (uint32_t i = 0; i < sim->config.links_n; i++) {
+        const link_cfg_t *const l = &sim->config.links[i];
+        if ((strcmp(l->a, a) == 0 && strcmp(l->b, b) == 0) || (strcmp(l->a, b) == 0 && strcmp(l->b, a) == 0))
+            return l;
+    }
+    return NULL;
+}
+
+static bool transfer_runs(const sim_request_t *r, double now)
+{
+    return r->state == SIM_TRANSFER && now >= r->transfer_from && now >= r->engine->stall_until;
+}
+
+static uint32_t transfers_on(const sim_t *sim, const link_cfg_t *link, double now)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < sim->n_engines; i++) {
+        const sim_request_t *r;
+        cds_list_for_each_entry (r, &sim->engines[i].requests, node)
+            if (transfer_runs(r, now))
+                n += link_of(sim, r) == link;
+    }
+    return n;
+}
+
+static void advance_transfer(sim_t *sim, sim_request_t *r, double now, double span)
+{
+    sim_request_t *const source = r->source;
+    if (source->state != SIM_HELD) {
+        end_request(r, SIM_LOST, now);
+        return;
+    }
+    if (!transfer_runs(r, now))
+        return;
+    const link_cfg_t *const link = link_of(sim, r);
+    const double rate = link ? link->rate / 1000.0 : 50;
+    r->transfer_left -= rate * span / transfers_on(sim, link, now);
+    source->hold_until = now + SIM_HOLD_MS; /* it moves: it is kept */
+    if (r->transfer_left > 0)
+        return;
+    source->used = true;
+    end_request(source, SIM_DONE, now);
+    drop_source(r);
+    set_state(r, SIM_DECODE);
+}
+
+static void start_transfers(sim_t *sim, sim_engine_t *e, double now)
+{
+    for (sim_request_t *r = next_waiting(e, true); r; r = next_waiting(e, true)) {
+        if (r->source->state != SIM_HELD) {
+            end_request(r, SIM_LOST, now);
+            continue;
+        }
+        if (!take_memory(r))
+            return;
+        const link_cfg_t *const link = link_of(sim, r);
+        r->transfer_left = r->prompt_tokens;
+        r->transfer_from = now + (link ? link->delay_us / 1000.0 : 0);
+        r->source->moving = true;
+        set_state(r, SIM_TRANSFER);
+    }
+}
+
+/* ===== Decode ===== */
+
+static uint32_t step_batch(sim_t *sim, sim_engine_t *e, double now)
+{
+    uint32_t batch = 0;
+    sim_request_t *r;
+    cds_list_for_each_entry (r, &e->requests, node) {
+        if (r->state != SIM_DECODE)
+            continue;
+        if (r->generated == 0)
+            sim_count_run(sim->answers, r->id);
+        r->generated++;
+        sim->counts.decoded++;
+        if (r->generated >= r->length)
+            end_request(r, SIM_DONE, now);
+        else
+            pthread_cond_broadcast(&r->changed);
+        batch += r->state == SIM_DECODE;
+    }
+    return batch;
+}
+
+static uint32_t count_state(const sim_engine_t *e, sim_state_t state)
+{
+    uint32_t n = 0;
+    const sim_request_t *r;
+    cds_list_for_each_entry (r, &e->requests, node)
+        n += r->state == state;
+    return n;
+}
+
+static void advance_decode(sim_t *sim, sim_engine_t *e, double now, double span)
+{
+    start_transfers(sim, e, now);
+    sim_request_t *r;
+    cds_list_for_each_entry (r, &e->requests, node)
+        if (r->state == SIM_TRANSFER)
+            advance_transfer(sim, r, now, span);
+    if (e->step_end > 0 && now < e->step_end)
+        return;
+    if (e->step_end > 0)
+        step_batch(sim, e, now);
+    const uint32_t batch = count_state(e, SIM_DECODE);
+    /* The next step begins where the last one ended, not where this tick happened to see it. */
+    const double begin = e->step_end > 0 && now - e->step_end < 5 ? e->step_end : now;
+    e->step_end = batch ? begin + (SIM_STEP_BASE_US + SIM_STEP_EACH_US * (double)batch) / 1000 : 0;
+}
+
+/* ===== Time ===== */
+
+static void forget_old(sim_engine_t *e, double now)
+{
+    sim_request_t *r, *next;
+    cds_list_for_each_entry_safe (r, next, &e->requests, node) {
+        const double keep = r->decode ? SIM_KEEP_MS : 2000;
+        if (r->state < SIM_DONE || now - r->finished_at < keep)
+            continue;
+        cds_list_del(&r->node);
+        sim_unref(r);
+    }
+}
+
+static void record_load(sim_engine_t *e, double now)
+{
+    sim_load_t *const slot = &e->loads[e->n_loads++ % SIM_LOAD_SLOTS];
+    *slot = (sim_load_t){.at = (tc_time_t)now,
+                         .queue = count_state(e, SIM_QUEUED) + (e->running ? 1 : 0),
+                         .batch = count_state(e, SIM_DECODE) + count_state(e, SIM_TRANSFER),
+                         .pieces_free = e->cfg.pieces - e->pieces_used};
+}
+
+sim_load_t sim_load_report(const sim_t *sim, const sim_engine_t *e, double now)
+{
+    const uint32_t kept = e->n_loads < SIM_LOAD_SLOTS ? e->n_loads : SIM_LOAD_SLOTS;
+    for (uint32_t back = 1; back <= kept; back++) {
+        const sim_load_t *const slot = &e->loads[(e->n_loads - back) % SIM_LOAD_SLOTS];
+        if ((double)slot->at <= now - sim->load_lag_ms)
+            return *slot;
+    }
+    return (sim_load_t){.at = (tc_time_t)now, .pieces_free = e->cfg.pieces};
+}
+
+void sim_advance(sim_t *sim, double now)
+{
+    static double last;
+    pthread_mutex_lock(&sim->lock);
+    const double span = last > 0 ? now - last : 0;
+    last = now;
+    const bool load_due = now >= sim->next_load_at;
+    if (load_due)
+        sim->next_load_at = now + SIM_LOAD_EVERY_MS;
+    for (uint32_t i = 0; i < sim->n_engines; i++) {
+        sim_engine_t *const e = &sim->engines[i];
+        if (e->dead)
+            continue;
+        advance_prefill(sim, e, now);
+        advance_decode(sim, e, now, span);
+        if (load_due) {
+            record_load(e, now);
+            forget_old(e, now);
+        }
+        if (e->leaving != e->leaving_listed && now >= e->list_at)
+            e->leaving_listed = e->leaving;
+    }
+    pthread_mutex_unlock(&sim->lock);
+}
+
+void sim_kill(sim_t *sim, sim_engine_t *e, double now)
+{
+    sim_request_t *r, *next;
+    cds_list_for_each_entry_safe (r, next, &e->requests, node) {
+        if (r->state < SIM_DONE) {
+            waste(sim, r, &sim->counts.wasted_dead);
+            end_request(r, SIM_LOST, now);
+        }
+        cds_list_del(&r->node);
+        sim_unref(r);
+    }
+    memset(e->cache, 0, sizeof(e->cache));
+    memset(e->cache_used, 0, sizeof(e->cache_used));
+    e->step_end = 0;
+    e->running = NULL;
+}
+
+sim_t *sim_create(const config_t *config, uint32_t load_lag_ms, uint32_t list_lag_ms)
+{
+    sim_t *const sim = calloc(1, sizeof(*sim));
+    pthread_mutex_init(&sim->lock, NULL);
+    sim->config = *config;
+    sim->n_engines = config->engines_n;
+    sim->engines = calloc(sim->n_engines + 1, sizeof(*sim->engines));
+    sim->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sim->answers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sim->load_lag_ms = load_lag_ms;
+    sim->list_lag_ms = list_lag_ms;
+    for (uint32_t i = 0; i < sim->n_engines; i++) {
+        sim->engines[i].cfg = config->engines[i];
+        sim->engines[i].incarnation = (uint64_t)tc_time_wall() * 1000 + i;
+        CDS_INIT_LIST_HEAD(&sim->engines[i].requests);
+    }
+    return sim;
+}
--- /dev/null
+++ b/programs/stub/sim.h
@@ -0,0 +1,154 @@
+/** @file sim.h
+ * Stand-in model engines: time passes, memory fills, batches step, caches move.
+ *
+ * The parameters follow the users' brief and are fixed here, before any policy
+ * is compared. sim_advance does all the work under one lock; handlers wait on a
+ * request's condition.
+ */
+#ifndef TRACKCOVE_STUB_SIM_H
+#define TRACKCOVE_STUB_SIM_H
+
+/* ===== Dependencies ===== */
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+#include "common/time.h"
+#include "gen/schema.h"
+
+/* ===== Constants: the engines' nature ===== */
+
+enum {
+    SIM_PIECE_TOKENS = 2000,
+    SIM_PREFILL_BASE_MS = 20, /* fixed cost of a prefill */
+    SIM_HOLD_MS = 900,        /* a prefill result that does not move is lost after this: "under a second" */
+    SIM_STEP_BASE_US = 18000, /* decode step of an empty batch */
+    SIM_STEP_EACH_US = 1200,  /* and for each request in it: 42 ms at twenty */
+    SIM_CACHE_PIECES = 64,    /* prompt prefix cache of an engine, in pieces */
+    SIM_QUEUE_MAX = 64,       /* waiting requests before an engine answers 429 */
+    SIM_KEEP_MS = 30000,      /* a finished stream can be fetched again for this long */
+    SIM_LOAD_SLOTS = 64,      /* snapshots of load kept, one every SIM_LOAD_EVERY_MS */
+    SIM_LOAD_EVERY_MS = 50,
+    SIM_MODEL_MB = 16000,        /* weights of a model */
+    SIM_STORE_MB_A_SECOND = 8000 /* the weight store's rate, shared by all loads */
+};
+
+/* ===== Types ===== */
+
+typedef enum {
+    SIM_QUEUED,   /* waits for its turn (prefill) or for memory (decode) */
+    SIM_PREFILL,  /* being computed */
+    SIM_HELD,     /* prefill result waits to be fetched */
+    SIM_TRANSFER, /* decode: KV cache on its way here */
+    SIM_DECODE,   /* in the batch */
+    SIM_DONE,
+    SIM_CANCELLED,
+    SIM_LOST /* its KV cache is gone, or the engine died */
+} sim_state_t;
+
+typedef struct sim_engine sim_engine_t;
+
+typedef struct sim_request {
+    struct cds_list_head node; /* in its engine's list */
+    char id[128];
+    sim_engine_t *engine;
+    sim_state_t state;
+    bool decode;
+    uint32_t priority;
+    uint64_t arrival;
+    uint64_t hash;
+    uint32_t prompt_tokens, max_tokens, length, generated;
+    uint32_t cached, computed, pieces;
+    bool in_memory;
+    uint64_t chain[64];
+    uint32_t n_chain;
+    double done_at; /* prefill: when it is computed, ms */
+    double hold_until;
+    struct sim_request *source; /* decode: the prefill result, referenced */
+    bool moving;                /* prefill result: a transfer has begun */
+    bool used;                  /* prefill result: arrived at a decode engine */
+    double transfer_left;       /* tokens */
+    double transfer_from;       /* not before, ms */
+    double finished_at;
+    int refs;
+    pthread_cond_t changed;
+} sim_request_t;
+
+typedef struct {
+    tc_time_t at;
+    uint32_t queue, batch, pieces_free;
+} sim_load_t;
+
+struct sim_engine {
+    engine_cfg_t cfg;
+    uint64_t incarnation;
+    bool dead, leaving, leaving_listed;
+    double refuse_until, stall_until, delay_ms, loading_until;
+    double list_at; /* when the platform's list learns of leaving */
+    struct cds_list_head requests;
+    uint32_t pieces_used;
+    sim_request_t *running; /* prefill */
+    double step_end;        /* decode */
+    uint64_t cache[SIM_CACHE_PIECES];
+    double cache_used[SIM_CACHE_PIECES];
+    sim_load_t loads[SIM_LOAD_SLOTS];
+    uint32_t n_loads;
+    uint64_t order_term, order_index;
+    uint32_t orders_obeyed, orders_refused, orders_backward;
+};
+
+/** Counts over the whole run. */
+typedef struct {
+    uint64_t prefilled, wasted, wasted_hold, wasted_cancel, wasted_dead, decoded, held_pieces;
+} sim_counts_t;
+
+typedef struct {
+    pthread_mutex_t lock;
+    config_t config;
+    sim_engine_t *engines;
+    uint32_t n_engines;
+    uint64_t arrivals;
+    sim_counts_t counts;
+    GHashTable *runs;    /* base id -> number of times work began */
+    GHashTable *answers; /* base id -> number of times tokens or a service's work began */
+    uint32_t load_lag_ms, list_lag_ms;
+    double next_load_at, store_free_at;
+} sim_t;
+
+/* ===== Public functions ===== */
+
+sim_t *sim_create(const config_t *config, uint32_t load_lag_ms, uint32_t list_lag_ms);
+
+/** Let time pass up to @p now (ms). Takes the lock. */
+void sim_advance(sim_t *sim, double now);
+
+sim_engine_t *sim_find_engine(const sim_t *sim, const char *name);
+
+/** With the lock held: a new request on an engine; returned with one reference. NULL: the queue is full. */
+sim_request_t *sim_submit(sim_t *sim, sim_engine_t *engine, const char *id, bool decode, const char *prompt,
+                          size_t prompt_size, const char *salt, uint32_t max_tokens, uint32_t priority);
+
+/** With the lock held: a request by id on an engine, referenced, or NULL. */
+sim_request_t *sim_lookup(sim_engine_t *engine, const char *id);
+
+/** With the lock held: begin to fetch @p source to decode request @p r when memory allows. */
+void sim_attach(sim_request_t *r, sim_request_t *source);
+
+void sim_unref(sim_request_t *r);
+
+/** With the lock held: stop a request and free what it holds. */
+void sim_cancel(sim_t *sim, sim_request_t *r, double now);
+
+/** With the lock held: the engine forgets everything. */
+void sim_kill(sim_t *sim, sim_engine_t *engine, double now);
+
+/** With the lock held: count work begun for an id ("ID.ATTEMPT"). */
+void sim_count_run(GHashTable *table, const char *id);
+
+/** With the lock held: what the engine reports, late. */
+sim_load_t sim_load_report(const sim_t *sim, const sim_engine_t *engine, double now);
+
+#endif
--- /dev/null
+++ b/programs/stub/stub.c
@@ -0,0 +1,602 @@
+/** @file stub.c
+ * trackcove-stub: stand-in engines, plain services and platform list, many in one process.
+ *
+ *   /e/ENGINE/v1/completions   prefill (do_remote_decode) or decode (do_remote_prefill), as published for
+ *                              disaggregated serving: kv_transfer_params go from one to the other
+ *   /e/ENGINE/v1/streams/ID?from=N   resume a stream
+ *   /e/ENGINE/v1/cancel        {"request_id"}
+ *   /e/ENGINE/v1/state         what it holds now; /e/ENGINE/v1/load: its load, late
+ *   /e/ENGINE/v1/orders        fenced orders
+ *   /s/WORKER/...              a plain service's worker
+ *   /platform/list             live and leaving boxes, late
+ *   /admin/fault, /admin/stats, /admin/runs   for tests
+ */
+
+#include <errno.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/codec.h"
+#include "http/http.h"
+#include "standin.h"
+#include "stub/sim.h"
+
+/* ===== State ===== */
+
+enum { BODY_MAX = 64 * 1024 * 1024, STUB_THREADS = 2000 };
+
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    bool dead, leaving, leaving_listed;
+    double slow_ms, list_at;
+    double die_before, die_after; /* until when calls die before, or after, the work is done */
+} worker_t;
+
+static sim_t *sim;
+static worker_t workers[64];
+static uint32_t n_workers;
+static double service_ms = 10;
+
+static double now_ms(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (double)ts.tv_sec * 1000 + (double)ts.tv_nsec / 1e6;
+}
+
+static int fail(struct mg_connection *conn, int status, const char *type, const char *text)
+{
+    return http_send_json(conn, status, json_pack("{s:{s:s,s:s}}", "error", "type", type, "message", text), 0);
+}
+
+/** End the connection without an answer, as a process does that dies. @return a status for CivetWeb's log */
+static int hang_up(struct mg_connection *conn)
+{
+    enum { NO_ANSWER = 499 };
+    mg_close_connection(conn);
+    return NO_ANSWER;
+}
+
+/** Wait on a request's condition, for a short while at most so that a lost connection is noticed. */
+static void wait_change(sim_request_t *r)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_nsec += 100 * 1000000L;
+    until.tv_sec += until.tv_nsec / 1000000000L;
+    until.tv_nsec %= 1000000000L;
+    pthread_cond_timedwait(&r->changed, &sim->lock, &until);
+}
+
+/** One-way delay between the caller's data centre and the engine's, both ways, as the links declare it. */
+static void network_delay(const struct mg_connection *conn, const char *dc)
+{
+    const char *const from = http_header(conn, "X-Trackcove-Dc");
+    for (uint32_t i = 0; i < sim->config.links_n && from[0]; i++) {
+        const link_cfg_t *const l = &sim->config.links[i];
+        const bool match =
+            (strcmp(l->a, from) == 0 && strcmp(l->b, dc) == 0) || (strcmp(l->b, from) == 0 && strcmp(l->a, dc) == 0);
+        if (match && l->delay_us > 0)
+            g_usleep(2 * l->delay_us);
+    }
+}
+
+/* ===== Streams ===== */
+
+static void append_token(GString *out, const sim_request_t *r, uint32_t place)
+{
+    char token[STANDIN_TOKEN_SIZE];
+    standin_token(token, r->hash, place);
+    g_string_append_printf(out, "id: %u\ndata: {\"choices\":[{\"index\":0,\"text\":\"%s\",\"finish_reason\":%s}]}\n\n",
+                           place + 1, token, place + 1 == r->length ? "\"stop\"" : "null");
+}
+
+/** Send tokens as they come, from place @p from on. The stream outlives its reader: only a cancel ends it. */
+static int stream_tokens(struct mg_connection *conn, sim_request_t *r, uint32_t from)
+{
+    http_stream_t stream = {.conn = conn, .sse = true};
+    uint32_t sent = from;
+    GString *const out = g_string_new(NULL);
+    pthread_mutex_lock(&sim->lock);
+    while (!stream.broken) {
+        while (r->generated <= sent && r->state < SIM_DONE)
+            wait_change(r);
+        if (r->generated <= sent && r->state != SIM_DONE)
+            break;
+        g_string_truncate(out, 0);
+        while (sent < r->generated)
+            append_token(out, r, sent++);
+        const bool done = r->state == SIM_DONE && sent >= r->length;
+        if (done)
+            g_string_append(out, "data: [DONE]\n\n");
+        const bool dead = r->engine->dead;
+        pthread_mutex_unlock(&sim->lock);
+        if (!dead)
+            http_stream_send(&stream, out->str, out->len);
+        pthread_mutex_lock(&sim->lock);
+        if (done || dead)
+            break;
+    }
+    const sim_state_t state = r->state;
+    const bool none_sent = !stream.open;
+    sim_unref(r);
+    pthread_mutex_unlock(&sim->lock);
+    g_string_free(out, TRUE);
+    if (state == SIM_DONE) {
+        http_stream_close(&stream);
+        return 200;
+    }
+    if (none_sent && state == SIM_LOST)
+        return fail(conn, 409, "kv_lost", "the prefill result is gone");
+    if (none_sent)
+        return fail(conn, 410, "cancelled", "cancelled");
+    return hang_up(conn); /* cut without the last chunk: the reader sees a broken stream */
+}
+
+/* ===== Completions ===== */
+
+static int answer_prefill(struct mg_connection *conn, sim_request_t *r)
+{
+    pthread_mutex_lock(&sim->lock);
+    while (r->state == SIM_QUEUED || r->state == SIM_PREFILL)
+        wait_change(r);
+    const bool held = r->state == SIM_HELD || r->state == SIM_DONE;
+    json_t *const body =
+        json_pack("{s:s,s:s,s:{s:i,s:i,s:i},s:{s:b,s:b,s:s,s:s}}", "id", r->id, "object", "text_completion", "usage",
+                  "prompt_tokens", (int)r->prompt_tokens, "cached_tokens", (int)r->cached, "computed_tokens",
+                  (int)r->computed, "kv_transfer_params", "do_remote_prefill", 1, "do_remote_decode", 0,
+                  "remote_engine_id", r->engine->cfg.name, "remote_request_id", r->id);
+    const bool dead = r->engine->dead;
+    sim_unref(r);
+    pthread_mutex_unlock(&sim->lock);
+    if (held && !dead)
+        return http_send_json(conn, 200, body, 0);
+    json_decref(body);
+    return dead ? hang_up(conn) : fail(conn, 410, "cancelled", "cancelled");
+}
+
+static const char *text_of(const json_t *body, const char *key)
+{
+    const char *const text = json_string_value(json_object_get(body, key));
+    return text ? text : "";
+}
+
+static sim_request_t *find_source(const json_t *kv)
+{
+    sim_engine_t *const from = sim_find_engine(sim, text_of(kv, "remote_engine_id"));
+    return from ? sim_lookup(from, text_of(kv, "remote_request_id")) : NULL;
+}
+
+static int submit(struct mg_connection *conn, sim_engine_t *e, const json_t *body)
+{
+    const json_t *const kv = json_object_get(body, "kv_transfer_params");
+    const bool decode = json_is_true(json_object_get(kv, "do_remote_prefill"));
+    const json_t *const prompt = json_object_get(body, "prompt");
+    const uint32_t max_tokens = (uint32_t)json_integer_value(json_object_get(body, "max_tokens"));
+    pthread_mutex_lock(&sim->lock);
+    sim_request_t *source = decode ? find_source(kv) : NULL;
+    const bool wrong_role = e->cfg.role != (decode ? ROLE_DECODE : ROLE_PREFILL) || now_ms() < e->loading_until ||
+                            strcmp(text_of(body, "model"), e->cfg.model) != 0;
+    sim_request_t *r = NULL;
+    if (!wrong_role && (!decode || source))
+        r = sim_submit(sim, e, text_of(body, "request_id"), decode, json_string_value(prompt),
+                       json_string_length(prompt), text_of(body, "cache_salt"), max_tokens,
+                       (uint32_t)json_integer_value(json_object_get(body, "priority")));
+    if (r && decode)
+        sim_attach(r, source);
+    if (source)
+        sim_unref(source);
+    pthread_mutex_unlock(&sim->lock);
+    if (wrong_role)
+        return fail(conn, 421, "wrong_role", "this engine does not serve that");
+    if (decode && !source)
+        return fail(conn, 409, "kv_lost", "no such prefill result");
+    if (!r)
+        return fail(conn, 429, "busy", "queue is full");
+    return decode ? stream_tokens(conn, r, 0) : answer_prefill(conn, r);
+}
+
+static json_t *read_json(struct mg_connection *conn)
+{
+    size_t size;
+    tc_err_t err;
+    char *const text = http_read_body(conn, BODY_MAX, &size, &err);
+    json_t *const body = text ? json_loadb(text, size, 0, NULL) : NULL;
+    free(text);
+    return body;
+}
+
+static int completions(struct mg_connection *conn, sim_engine_t *e)
+{
+    json_t *const body = read_json(conn);
+    if (!json_is_string(json_object_get(body, "prompt"))) {
+        json_decref(body);
+        return fail(conn, 400, "invalid", "prompt must be a string");
+    }
+    const int status = submit(conn, e, body);
+    json_decref(body);
+    return status;
+}
+
+static int resume(struct mg_connection *conn, sim_engine_t *e, const char *id)
+{
+    const char *const query = mg_get_request_info(conn)->query_string;
+    const uint32_t from = query && strncmp(query, "from=", 5) == 0 ? (uint32_t)strtoul(query + 5, NULL, 10) : 0;
+    pthread_mutex_lock(&sim->lock);
+    sim_request_t *const r = sim_lookup(e, id);
+    pthread_mutex_unlock(&sim->lock);
+    return r ? stream_tokens(conn, r, from) : fail(conn, 404, "not_found", "no such stream");
+}
+
+static int cancel(struct mg_connection *conn, sim_engine_t *e)
+{
+    json_t *const body = read_json(conn);
+    pthread_mutex_lock(&sim->lock);
+    sim_request_t *const r = sim_lookup(e, text_of(body, "request_id"));
+    if (r) {
+        sim_cancel(sim, r, now_ms());
+        sim_unref(r);
+    }
+    pthread_mutex_unlock(&sim->lock);
+    json_decref(body);
+    return http_send_json(conn, 200, json_pack("{s:b}", "found", r != NULL), 0);
+}
+
+/* ===== Reports and orders ===== */
+
+static int state(struct mg_connection *conn, const sim_engine_t *e)
+{
+    json_t *const held = json_array();
+    pthread_mutex_lock(&sim->lock);
+    const sim_request_t *r;
+    cds_list_for_each_entry (r, &e->requests, node)
+        if (r->state < SIM_DONE)
+            json_array_append_new(held,
+                                  json_pack("{s:s,s:i}", "id", r->id, "pieces", r->in_memory ? (int)r->pieces : 0));
+    json_t *const body = json_pack("{s:I,s:s,s:s,s:s,s:b,s:o}", "incarnation", (json_int_t)e->incarnation, "role",
+                                   role_names[e->cfg.role], "model", e->cfg.model, "version", e->cfg.version, "loading",
+                                   now_ms() < e->loading_until, "held", held);
+    pthread_mutex_unlock(&sim->lock);
+    return http_send_json(conn, 200, body, 0);
+}
+
+static int load(struct mg_connection *conn, const sim_engine_t *e)
+{
+    pthread_mutex_lock(&sim->lock);
+    const sim_load_t l = sim_load_report(sim, e, now_ms());
+    pthread_mutex_unlock(&sim->lock);
+    return http_send_json(
+        conn, 200,
+        json_pack("{s:i,s:i,s:i}", "queue", (int)l.queue, "batch", (int)l.batch, "pieces_free", (int)l.pieces_free), 0);
+}
+
+static bool order_is_newer(const sim_engine_t *e, uint64_t term, uint64_t index)
+{
+    return term > e->order_term || (term == e->order_term && index > e->order_index);
+}
+
+static void obey(sim_engine_t *e, const json_t *body, uint64_t term, uint64_t index, double now)
+{
+    if (!order_is_newer(e, term, index))
+        e->orders_backward++;
+    e->orders_obeyed++;
+    e->order_term = term;
+    e->order_index = index;
+    sim_kill(sim, e, now);
+    e->cfg.role = strcmp(text_of(body, "role"), "decode") == 0 ? ROLE_DECODE : ROLE_PREFILL;
+    const bool loads =
+        strcmp(e->cfg.model, text_of(body, "model")) != 0 || strcmp(e->cfg.version, text_of(body, "version")) != 0;
+    codec_copy_string(e->cfg.model, sizeof(e->cfg.model), text_of(body, "model"));
+    codec_copy_string(e->cfg.version, sizeof(e->cfg.version), text_of(body, "version"));
+    enum { ROLE_CHANGE_MS = 500 };
+    const double start = sim->store_free_at > now ? sim->store_free_at : now;
+    if (loads)
+        sim->store_free_at = start + SIM_MODEL_MB * 1000.0 / SIM_STORE_MB_A_SECOND;
+    e->loading_until = loads ? sim->store_free_at : now + ROLE_CHANGE_MS;
+}
+
+static int order(struct mg_connection *conn, sim_engine_t *e)
+{
+    json_t *const body = read_json(conn);
+    const uint64_t term = (uint64_t)json_integer_value(json_object_get(body, "term"));
+    const uint64_t index = (uint64_t)json_integer_value(json_object_get(body, "index"));
+    pthread_mutex_lock(&sim->lock);
+    const bool repeat = term == e->order_term && index == e->order_index;
+    const bool stale = !repeat && e->cfg.checks_fence && !order_is_newer(e, term, index);
+    if (stale)
+        e->orders_refused++;
+    else if (!repeat)
+        obey(e, body, term, index, now_ms());
+    pthread_mutex_unlock(&sim->lock);
+    json_decref(body);
+    return stale ? fail(conn, 409, "fenced", "a newer order was obeyed before")
+                 : http_send_json(conn, 200, json_pack("{s:b}", "done", 1), 0);
+}
+
+static int engine_handler(struct mg_connection *conn, void *arg)
+{
+    (void)arg;
+    char name[CODEC_STR_SIZE];
+    const char *const uri = mg_get_request_info(conn)->local_uri + strlen("/e/");
+    const char *const slash = strchr(uri, '/');
+    if (!slash || (size_t)(slash - uri) >= sizeof(name))
+        return fail(conn, 404, "not_found", "no such engine");
+    codec_copy_string(name, (size_t)(slash - uri) + 1, uri);
+    sim_engine_t *const e = sim_find_engine(sim, name);
+    if (!e)
+        return fail(conn, 404, "not_found", "no such engine");
+    pthread_mutex_lock(&sim->lock);
+    const bool dead = e->dead;
+    const bool refuse = now_ms() < e->refuse_until;
+    const double delay = e->delay_ms;
+    pthread_mutex_unlock(&sim->lock);
+    if (dead) {
+        return hang_up(conn);
+    }
+    network_delay(conn, e->cfg.dc);
+    if (delay > 0)
+        g_usleep((gulong)(delay * 1000));
+    if (refuse)
+        return fail(conn, 503, "refused", "refusing by order of the test");
+    if (strcmp(slash, "/v1/completions") == 0)
+        return completions(conn, e);
+    if (strncmp(slash, "/v1/streams/", 12) == 0)
+        return resume(conn, e, slash + 12);
+    if (strcmp(slash, "/v1/cancel") == 0)
+        return cancel(conn, e);
+    if (strcmp(slash, "/v1/state") == 0)
+        return state(conn, e);
+    if (strcmp(slash, "/v1/load") == 0)
+        return load(conn, e);
+    if (strcmp(slash, "/v1/orders") == 0)
+        return order(conn, e);
+    return fail(conn, 404, "not_found", "no such page");
+}
+
+/* ===== Plain services ===== */
+
+static worker_t *find_worker(const char *name)
+{
+    for (uint32_t i = 0; i < n_workers; i++)
+        if (strcmp(workers[i].name, name) == 0)
+            return &workers[i];
+    return NULL;
+}
+
+static int service_handler(struct mg_connection *conn, void *arg)
+{
+    (void)arg;
+    char name[CODEC_STR_SIZE];
+    codec_copy_string(name, sizeof(name), mg_get_request_info(conn)->local_uri + strlen("/s/"));
+    char *const slash = strchr(name, '/');
+    if (slash)
+        *slash = '\0';
+    worker_t *const w = find_worker(name);
+    if (!w)
+        return fail(conn, 404, "not_found", "no such worker");
+    json_t *const body = read_json(conn);
+    json_decref(body);
+    const double now = now_ms();
+    if (w->dead || now < w->die_before) {
+        return hang_up(conn);
+    }
+    const char *const id = http_header(conn, "Idempotency-Key");
+    char counted[160];
+    snprintf(counted, sizeof(counted), "%s.0", id);
+    pthread_mutex_lock(&sim->lock);
+    sim_count_run(sim->runs, counted);
+    sim_count_run(sim->answers, counted);
+    pthread_mutex_unlock(&sim->lock);
+    g_usleep((gulong)((service_ms + w->slow_ms) * 1000));
+    if (now < w->die_after || w->dead) {
+        return hang_up(conn);
+    }
+    return http_send_json(conn, 200, json_pack("{s:s,s:s}", "worker", w->name, "id", id), 0);
+}
+
+/* ===== Platform list ===== */
+
+static int platform_handler(struct mg_connection *conn, void *arg)
+{
+    (void)arg;
+    json_t *const live = json_array(), *const leaving = json_array();
+    pthread_mutex_lock(&sim->lock);
+    for (uint32_t i = 0; i < sim->n_engines; i++) {
+        const sim_engine_t *const e = &sim->engines[i];
+        json_array_append_new(e->leaving_listed ? leaving : live, json_string(e->cfg.name));
+    }
+    for (uint32_t i = 0; i < n_workers; i++) {
+        if (workers[i].leaving != workers[i].leaving_listed && now_ms() >= workers[i].list_at)
+            workers[i].leaving_listed = workers[i].leaving;
+        json_array_append_new(workers[i].leaving_listed ? leaving : live, json_string(workers[i].name));
+    }
+    pthread_mutex_unlock(&sim->lock);
+    return http_send_json(conn, 200, json_pack("{s:o,s:o}", "live", live, "leaving", leaving), 0);
+}
+
+/* ===== Faults and counts, for tests ===== */
+
+static bool engine_fault(sim_engine_t *e, const char *kind, double ms, double now)
+{
+    if (strcmp(kind, "die") == 0) {
+        sim_kill(sim, e, now);
+        e->dead = true;
+    } else if (strcmp(kind, "revive") == 0) {
+        e->dead = false;
+        e->incarnation++;
+    } else if (strcmp(kind, "stall") == 0) {
+        e->stall_until = now + ms;
+    } else if (strcmp(kind, "refuse") == 0) {
+        e->refuse_until = now + ms;
+    } else if (strcmp(kind, "delay") == 0) {
+        e->delay_ms = ms;
+    } else if (strcmp(kind, "leave") == 0 || strcmp(kind, "stay") == 0) {
+        e->leaving = kind[0] == 'l';
+        e->list_at = now + sim->list_lag_ms;
+    } else {
+        return false;
+    }
+    return true;
+}
+
+static bool worker_fault(worker_t *w, const char *kind, double ms, double now)
+{
+    if (strcmp(kind, "die") == 0)
+        w->dead = true;
+    else if (strcmp(kind, "revive") == 0)
+        w->dead = false;
+    else if (strcmp(kind, "slow") == 0)
+        w->slow_ms = ms;
+    else if (strcmp(kind, "die_before") == 0)
+        w->die_before = now + ms;
+    else if (strcmp(kind, "die_after") == 0)
+        w->die_after = now + ms;
+    else if (strcmp(kind, "leave") == 0) {
+        w->leaving = true;
+        w->list_at = now + sim->list_lag_ms;
+    } else
+        return false;
+    return true;
+}
+
+static int fault_handler(struct mg_connection *conn, void *arg)
+{
+    (void)arg;
+    json_t *const body = read_json(conn);
+    const char *const kind = text_of(body, "kind");
+    const double ms = json_number_value(json_object_get(body, "ms"));
+    bool done = false;
+    pthread_mutex_lock(&sim->lock);
+    sim_engine_t *const e = sim_find_engine(sim, text_of(body, "name"));
+    worker_t *const w = find_worker(text_of(body, "name"));
+    if (e)
+        done = engine_fault(e, kind, ms, now_ms());
+    else if (w)
+        done = worker_fault(w, kind, ms, now_ms());
+    pthread_mutex_unlock(&sim->lock);
+    json_decref(body);
+    return done ? http_send_json(conn, 200, json_pack("{s:b}", "done", 1), 0)
+                : fail(conn, 400, "invalid", "no such engine, worker or kind of fault");
+}
+
+static json_t *engine_stats(const sim_engine_t *e)
+{
+    uint32_t live = 0;
+    const sim_request_t *r;
+    cds_list_for_each_entry (r, &e->requests, node)
+        live += r->state < SIM_DONE;
+    return json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}", "name", e->cfg.name, "role", role_names[e->cfg.role],
+                     "model", e->cfg.model, "live", (int)live, "pieces", (int)e->pieces_used, "batch",
+                     (int)(e->n_loads ? e->loads[(e->n_loads - 1) % SIM_LOAD_SLOTS].batch : 0), "obeyed",
+                     (int)e->orders_obeyed, "refused", (int)e->orders_refused, "backward", (int)e->orders_backward);
+}
+
+static int stats_handler(struct mg_connection *conn, void *arg)
+{
+    (void)arg;
+    json_t *const engines = json_array();
+    uint32_t held = 0;
+    pthread_mutex_lock(&sim->lock);
+    for (uint32_t i = 0; i < sim->n_engines; i++) {
+        json_array_append_new(engines, engine_stats(&sim->engines[i]));
+        held += sim->engines[i].pieces_used;
+    }
+    const sim_counts_t c = sim->counts;
+    pthread_mutex_unlock(&sim->lock);
+    return http_send_json(conn, 200,
+                          json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:o}", "prefilled", (json_int_t)c.prefilled, "wasted",
+                                    (json_int_t)c.wasted, "wasted_hold", (json_int_t)c.wasted_hold, "wasted_cancel",
+                                    (json_int_t)c.wasted_cancel, "wasted_dead", (json_int_t)c.wasted_dead, "decoded",
+                                    (json_int_t)c.decoded, "held_pieces", (int)held, "engines", engines),
+                          0);
+}
+
+/** How often work began, and how often an answer began, for each id asked about. */
+static int runs_handler(struct mg_connection *conn, void *arg)
+{
+    (void)arg;
+    json_t *const body = read_json(conn);
+    json_t *const runs = json_array(), *const answers = json_array();
+    size_t i;
+    json_t *id;
+    pthread_mutex_lock(&sim->lock);
+    json_array_foreach (json_object_get(body, "ids"), i, id) {
+        const char *const text = json_string_value(id);
+        json_array_append_new(runs, json_integer(GPOINTER_TO_UINT(g_hash_table_lookup(sim->runs, text ? text : ""))));
+        json_array_append_new(answers,
+                              json_integer(GPOINTER_TO_UINT(g_hash_table_lookup(sim->answers, text ? text : ""))));
+    }
+    pthread_mutex_unlock(&sim->lock);
+    json_decref(body);
+    return http_send_json(conn, 200, json_pack("{s:o,s:o}", "runs", runs, "answers", answers), 0);
+}
+
+/* ===== Main ===== */
+
+static atomic_bool stopping;
+
+static void on_signal(int number)
+{
+    (void)number;
+    atomic_store(&stopping, true);
+}
+
+static void add_workers(const config_t *config)
+{
+    for (uint32_t i = 0; i < config->services_n; i++)
+        for (uint32_t k = 0; k < config->services[i].workers_n && n_workers < G_N_ELEMENTS(workers); k++)
+            codec_copy_string(workers[n_workers++].name, CODEC_STR_SIZE, config->services[i].workers[k].name);
+}
+
+int main(int argc, char **argv)
+{
+    gchar *listen = NULL, *config_path = NULL;
+    gint load_lag = 500, list_lag = 1500;
+    const GOptionEntry entries[] = {
+        {"listen", 'l', 0, G_OPTION_ARG_STRING, &listen, "where to listen", "IP:PORT"},
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config_path, "configuration with engines, services and links",
+         "FILE"},
+        {"load-lag-ms", 0, 0, G_OPTION_ARG_INT, &load_lag, "age of load reports, ms (500)", "MS"},
+        {"list-lag-ms", 0, 0, G_OPTION_ARG_INT, &list_lag, "age of the platform's list, ms (1500)", "MS"},
+        {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
+    GOptionContext *const context = g_option_context_new("- stand-in engines, services and platform list");
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *error = NULL;
+    if (!g_option_context_parse(context, &argc, &argv, &error) || !listen || !config_path) {
+        fprintf(stderr, "trackcove-stub: %s\n", error ? error->message : "--listen and --config are required");
+        return 2;
+    }
+    g_option_context_free(context);
+    config_t config;
+    tc_err_t err;
+    if (codec_from_json_file(&config_desc, &config, config_path, &err) < 0) {
+        fprintf(stderr, "trackcove-stub: %s: %s: %s\n", config_path, err.peer, err.detail);
+        return 2;
+    }
+    signal(SIGTERM, on_signal);
+    signal(SIGINT, on_signal);
+    signal(SIGPIPE, SIG_IGN);
+    sim = sim_create(&config, (uint32_t)load_lag, (uint32_t)list_lag);
+    add_workers(&config);
+    http_server_t *const server = http_start(listen, STUB_THREADS, &err);
+    if (!server) {
+        fprintf(stderr, "trackcove-stub: %s: %s\n", err.peer, err.detail);
+        return 1;
+    }
+    http_route(server, "/e", engine_handler, NULL);
+    http_route(server, "/s", service_handler, NULL);
+    http_route(server, "/platform/list", platform_handler, NULL);
+    http_route(server, "/admin/fault", fault_handler, NULL);
+    http_route(server, "/admin/stats", stats_handler, NULL);
+    http_route(server, "/admin/runs", runs_handler, NULL);
+    while (!atomic_load(&stopping)) {
+        sim_advance(sim, now_ms());
+        g_usleep(1000);
+    }
+    _exit(0); /* handlers may be waiting inside; there is nothing to save */
+}
--- /dev/null
+++ b/programs/trackcove/main.c
@@ -0,0 +1,4 @@
+int main(void)
+{
+    return 0;
+}
