Fault tests with real processes; a call that must run once is never resent by the HTTP library

Cause, each shown by its test before it was mended: - a service call that must not be repeated ran twice: libcurl resends by itself what it sent over a kept connection that turns out closed. Such calls, and every prefill and decode, now get a connection of their own. - a control box just added could not answer the leader, since it knew no members: the shell now remembers where a message came from. - a box with a replaced disk never caught up while nothing was proposed: heartbeats named the entry known to match, not the one before the next. The randomised run now checks healing without proposals, too.

--- a/lib/backend/engine.c
+++ b/lib/backend/engine.c
@@ -91,6 +91,7 @@
                               .limit = limit,
                               .peer = request->name,
                               .step = "prefill",
+                              .once = true,
                               .on_idle = on_idle,
                               .arg = arg};
     http_result_t http;
@@ -183,7 +184,8 @@
     make_url(url, sizeof(url), request->url, "/v1/completions");
     size_t size;
     char *const body = make_body(request, kv, true, request->max_tokens, &size);
-    const http_call_t call = {.url = url, .method = "POST", .body = body, .body_size = size, .step = "decode"};
+    const http_call_t call = {
+        .url = url, .method = "POST", .body = body, .body_size = size, .step = "decode", .once = true};
     const int rc = read_stream(request, &call, reader, err);
     free(body);
     return rc;
--- a/lib/backend/http_client.c
+++ b/lib/backend/http_client.c
@@ -131,6 +131,7 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call->once ? 1L : 0L);
     return headers;
 }
 
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -53,7 +53,8 @@
     members_t *members;
     raft_member_t self;
     struct cds_list_head proposals;
-    bool led; /* whether we led at the last look */
+    GHashTable *senders; /* identity -> peer address, borrowed from the settings */
+    bool led;            /* whether we led at the last look */
     bool cell_pending;
     uint64_t in_force;
     char laggard[CODEC_STR_SIZE];
@@ -158,8 +159,8 @@
 {
     if (action->addr[0])
         return action->addr;
-    const raft_member_t *const member = raft_find_member(c->raft, action->to);
-    return member ? member->peer : "";
+    const char *const sender = g_hash_table_lookup(c->senders, GSIZE_TO_POINTER(action->to));
+    return sender ? sender : "";
 }
 
 static void load_snapshot(control_t *c, const raft_image_t *image)
@@ -516,18 +517,28 @@
         raft_join(c->raft, &join->member, now);
 }
 
+/** Whoever sent a message of the log is answered where the settings say that its box listens. */
+static void remember_sender(control_t *c, const char *box, uint64_t id)
+{
+    for (uint32_t i = 0; i < c->settings->voters_n && id != 0; i++)
+        if (strcmp(c->settings->voters[i].name, box) == 0)
+            g_hash_table_insert(c->senders, GSIZE_TO_POINTER(id), c->settings->voters[i].peer);
+}
+
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
 {
     control_t *const c = arg;
     const tc_time_t now = tc_time_now();
-    (void)from;
     switch (type) {
     case MSG_BEAT: on_beat(c, call, message, now); break;
     case MSG_FETCH: on_fetch(c, call, message); break;
     case MSG_CLAIM: on_claim(c, call, message); break;
     case MSG_CLAIM_END: on_claim_end(c, call, message); break;
     case MSG_JOIN: on_join(c, call, message, now); break;
-    default: raft_receive(c->raft, type, message, now); break;
+    default:
+        remember_sender(c, from, raft_sender(type, message));
+        raft_receive(c->raft, type, message, now);
+        break;
     }
     pump(c);
 }
@@ -649,6 +660,7 @@
     c->loop = loop;
     c->settings = settings;
     CDS_INIT_LIST_HEAD(&c->proposals);
+    c->senders = g_hash_table_new(g_direct_hash, g_direct_equal);
     c->store = store_open(settings->data_dir, &start, err);
     if (!c->store || fill_self(c, start.id, err) < 0) {
         free(c);
--- a/lib/control/operators.c
+++ b/lib/control/operators.c
@@ -113,6 +113,14 @@
     return names[role];
 }
 
+static json_t *describe_member(const raft_member_t *m, const control_view_t *view)
+{
+    char id[24];
+    snprintf(id, sizeof(id), "%016llx", (unsigned long long)m->id);
+    return json_pack("{s:s,s:s,s:b,s:b,s:s}", "box", m->name, "id", id, "voter", m->voter, "leader",
+                     m->id == view->raft.leader, "http", m->http);
+}
+
 static void read_status(void *arg, const control_view_t *view)
 {
     page_t *const page = arg;
@@ -123,8 +131,7 @@
         json_array_append_new(cells, codec_to_json(&cell_lease_desc, list[i]));
     for (uint32_t i = 0; i < view->voters->list_n; i++) {
         const raft_member_t *const m = &view->voters->list[i];
-        json_array_append_new(control, json_pack("{s:s,s:b,s:b,s:s}", "box", m->name, "voter", m->voter, "leader",
-                                                 m->id == view->raft.leader, "http", m->http));
+        json_array_append_new(control, describe_member(m, view));
     }
     page->out = json_pack("{s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:s,s:s,s:i,s:o,s:o}", "role", raft_role_name(view->raft.role),
                           "leads", view->has_lease, "term", (json_int_t)view->raft.term, "log_index",
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -379,6 +379,19 @@
     }
 }
 
+uint64_t raft_sender(uint32_t type, const void *message)
+{
+    switch (type) {
+    case MSG_VOTE: return ((const msg_vote_t *)message)->from;
+    case MSG_VOTE_ACK: return ((const msg_vote_ack_t *)message)->from;
+    case MSG_APPEND: return ((const msg_append_t *)message)->from;
+    case MSG_APPEND_ACK: return ((const msg_append_ack_t *)message)->from;
+    case MSG_SNAPSHOT: return ((const msg_snapshot_t *)message)->from;
+    case MSG_SNAPSHOT_ACK: return ((const msg_snapshot_ack_t *)message)->from;
+    default: return 0;
+    }
+}
+
 void raft_receive(raft_t *r, uint32_t type, const void *message, tc_time_t now)
 {
     if (addressed_to(type, message) != r->id)
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -100,6 +100,10 @@
 /** A message came in. @param type MSG_VOTE ... MSG_SNAPSHOT_ACK */
 void raft_receive(raft_t *raft, uint32_t type, const void *message, tc_time_t now);
 
+/** Identity of the sender of a message of those types, 0 for others. A box that has just been added knows no
+ *  members yet, so its shell must remember where a message came from to answer it. */
+uint64_t raft_sender(uint32_t type, const void *message);
+
 /** Propose a command. @return its index, or TC_E_NOT_LEADER */
 int64_t raft_propose(raft_t *raft, const char *data, size_t size, tc_time_t now);
 
--- a/lib/control/raft_leader.c
+++ b/lib/control/raft_leader.c
@@ -98,10 +98,12 @@
     } else if (behind && (!p->waiting || lost)) {
         send_entries(r, p, now);
     } else if (heartbeat) {
-        /* A heartbeat carries no entries: those under way are not sent twice. */
+        /* A heartbeat carries no entries: those under way are not sent twice. It names the entry before the next
+         * one, so that a member that lacks it says so even while nothing is proposed. */
+        const uint64_t prev = p->waiting ? p->match : p->next - 1;
         msg_append_t message = {.term = r->term,
-                                .prev_index = p->match,
-                                .prev_term = raft_term_at(r, p->match),
+                                .prev_index = prev,
+                                .prev_term = raft_term_at(r, prev),
                                 .commit = r->commit,
                                 .seq = r->seq,
                                 .to = p->id,
--- a/lib/request/service.c
+++ b/lib/request/service.c
@@ -147,7 +147,8 @@
                               .headers = headers,
                               .limit = call->service->timeout_ms,
                               .peer = worker->name,
-                              .step = "service call"};
+                              .step = "service call",
+                              .once = true};
     log_choice(call, worker->name);
     const tc_time_t begin = tc_time_now();
     const int rc = http_call(&http, &call->result, &call->err);
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -175,6 +175,7 @@
                               .limit = REQUEST_LIMIT_MS,
                               .peer = addr,
                               .step = "complete",
+                              .once = true,
                               .on_data = on_data,
                               .on_idle = on_idle,
                               .arg = r};
@@ -239,7 +240,8 @@
                               .headers = headers,
                               .limit = REQUEST_LIMIT_MS,
                               .peer = addr,
-                              .step = "call"};
+                              .step = "call",
+                              .once = q->once};
     http_result_t result;
     tc_err_t err = {0};
     const int rc = http_call(&call, &result, &err);
--- a/programs/stub/sim.c
+++ b/programs/stub/sim.c
@@ -135,6 +135,7 @@
     r->decode = decode;
     r->priority = priority;
     r->arrival = ++sim->arrivals;
+    engine->started++;
     r->hash = standin_prompt_hash(prompt, prompt_size);
     r->prompt_tokens = (uint32_t)(prompt_size / STANDIN_BYTES_PER_TOKEN) + 1;
     r->max_tokens = max_tokens;
--- a/programs/stub/sim.h
+++ b/programs/stub/sim.h
@@ -97,6 +97,7 @@
     sim_load_t loads[SIM_LOAD_SLOTS];
     uint32_t n_loads;
     uint64_t order_term, order_index;
+    uint32_t started; /* requests taken */
     uint32_t orders_obeyed, orders_refused, orders_backward;
 };
 
--- a/programs/trackcove/remote.c
+++ b/programs/trackcove/remote.c
@@ -166,7 +166,7 @@
     size_t i;
     json_t *item;
     json_array_foreach(json_object_get(s, "control"), i, item)
-        printf("control    %-14s %s%s\n", text_of(item, "box"),
+        printf("control    %-14s %s  %s%s\n", text_of(item, "box"), text_of(item, "id"),
                json_is_true(json_object_get(item, "voter")) ? "voter" : "catching up",
                json_is_true(json_object_get(item, "leader")) ? ", leader" : "");
     json_array_foreach(json_object_get(s, "cells"), i, item)
--- /dev/null
+++ b/tests/fault/test_leaving.c
@@ -0,0 +1,157 @@
+/* Planned stops: an entry cuts off nothing, a leaving backend server gets no new work. */
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "harness/client.h"
+
+enum { OFFSET = 1000 };
+
+static cluster_t *cluster;
+
+static GPid begin_load(const char *seconds, const char *output)
+{
+    char *const entries = cluster_entries(cluster);
+    const char *const load[] = {"trackcove-load",
+                                "--entries",
+                                entries,
+                                "--admin",
+                                cluster_addr(cluster, "stub"),
+                                "--mix",
+                                "sahel",
+                                "--load",
+                                "0.5",
+                                "--warm",
+                                "0",
+                                "--seconds",
+                                seconds,
+                                "--cancel",
+                                "0",
+                                "--strict",
+                                NULL};
+    const GPid pid = cluster_begin(cluster, load, output);
+    g_free(entries);
+    return pid;
+}
+
+/** Everyone was answered whole: the load's own check, and nothing refused, lost or unknown. */
+static void assert_clean(GPid pid, const char *output)
+{
+    const int status = cluster_join(pid);
+    char *const path = g_build_filename(cluster_dir(cluster), output, NULL);
+    char *text = NULL;
+    g_file_get_contents(path, &text, NULL, NULL);
+    const char *const line = text ? strstr(text, "{\"scenario\"") : NULL;
+    json_t *const result = line ? json_loads(line, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+    if (status != 0 || !result || json_real_value(json_object_get(result, "refused")) > 0 ||
+        json_integer_value(json_object_get(result, "unknown")) > 0)
+        g_error("load ended with %d: %s", status, text);
+    json_decref(result);
+    g_free(text);
+    g_free(path);
+}
+
+typedef struct {
+    const char *entry;
+    long long requests;
+} served_t;
+
+static bool has_served(void *arg)
+{
+    const served_t *const s = arg;
+    return client_metric(cluster, s->entry, "trackcove_requests_total") > s->requests;
+}
+
+static void test_sigterm(void)
+{
+    const GPid load = begin_load("8", "sigterm.out");
+    served_t served = {.entry = "entry-2"};
+    g_assert_true(cluster_until(has_served, &served, 15000));
+    cluster_signal(cluster, "entry-2", SIGTERM);
+    g_assert_cmpint(cluster_wait_exit(cluster, "entry-2", 60000), ==, 0);
+    assert_clean(load, "sigterm.out");
+    cluster_spawn(cluster, "entry-2");
+    g_assert_true(cluster_wait_ready(cluster, "entry-2", 20000));
+}
+
+/** The box that schedules is asked to leave by an operator: its cell is handed over on the way. */
+static void test_drain_scheduler(void)
+{
+    char *const scheduler = cluster_scheduler(cluster, 10000);
+    const GPid load = begin_load("8", "drain.out");
+    served_t served = {.entry = scheduler};
+    g_assert_true(cluster_until(has_served, &served, 15000));
+    const char *const argv[] = {"trackcove",
+                                "drain",
+                                scheduler,
+                                "--control",
+                                cluster_addr(cluster, "control-1"),
+                                "--token",
+                                "demo-operator-token-0123456789abcdef",
+                                NULL};
+    /* Any control box may be named: the command finds the leader among those given. */
+    char *control = g_strdup_printf("%s,%s,%s", cluster_addr(cluster, "control-1"), cluster_addr(cluster, "control-2"),
+                                    cluster_addr(cluster, "control-3"));
+    const char *const drain[] = {argv[0], argv[1], argv[2], argv[3], control, argv[5], argv[6], NULL};
+    g_assert_cmpint(cluster_run(cluster, drain, NULL), ==, 0);
+    g_free(control);
+    g_assert_cmpint(cluster_wait_exit(cluster, scheduler, 60000), ==, 0);
+    assert_clean(load, "drain.out");
+    char *const next = cluster_scheduler(cluster, 10000);
+    g_assert_cmpstr(next, !=, scheduler);
+    int status = 0;
+    json_decref(cluster_operate(cluster, "/v1/drain",
+                                json_pack("{s:s,s:s,s:b}", "request_id", "undrain", "box", scheduler, "on", 0), &status,
+                                10000));
+    g_assert_cmpint(status, ==, 200);
+    cluster_spawn(cluster, scheduler);
+    g_assert_true(cluster_wait_ready(cluster, scheduler, 20000));
+    g_free(next);
+    g_free(scheduler);
+}
+
+static long long started(const char *engine)
+{
+    json_t *const stats = cluster_call(cluster, "stub", "/admin/stats", NULL, NULL);
+    long long n = -1;
+    size_t i;
+    json_t *e;
+    json_array_foreach(json_object_get(stats, "engines"), i, e)
+        if (strcmp(json_string_value(json_object_get(e, "name")), engine) == 0)
+            n = json_integer_value(json_object_get(e, "started"));
+    json_decref(stats);
+    return n;
+}
+
+static void test_engine_leaves(void)
+{
+    enum { FEW_SECONDS_US = 3000000 };
+    const GPid load = begin_load("8", "engine.out");
+    const long long before = started("d0");
+    while (started("d0") == before)
+        g_usleep(20000);
+    cluster_fault(cluster, "d0", "leave", 0);
+    cluster_fault(cluster, "p0", "leave", 0);
+    g_usleep(FEW_SECONDS_US); /* the promise's own span, not a guess: after it there is no new work */
+    const long long d0 = started("d0"), p0 = started("p0");
+    assert_clean(load, "engine.out");
+    g_assert_cmpint(started("d0"), ==, d0);
+    g_assert_cmpint(started("p0"), ==, p0);
+    cluster_fault(cluster, "d0", "stay", 0);
+    cluster_fault(cluster, "p0", "stay", 0);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    const cluster_options_t options = {.deployment = "sahel", .entries = 4, .port_offset = OFFSET};
+    cluster = cluster_start(&options);
+    g_assert_nonnull(cluster);
+    g_test_add_func("/leaving/sigterm", test_sigterm);
+    g_test_add_func("/leaving/drain-scheduler", test_drain_scheduler);
+    g_test_add_func("/leaving/engine", test_engine_leaves);
+    const int rc = g_test_run();
+    cluster_stop(cluster, rc != 0);
+    return rc;
+}
--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -177,6 +178,7 @@
         g_error("fork: %s", strerror(errno));
     if (pid > 0)
         return pid;
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* a test that aborts leaves nothing running */
     enter_dir(c->dir);
     if (output && (!freopen(output, "a", stdout) || !freopen(output, "a", stderr)))
         _exit(127);
@@ -405,8 +407,25 @@
     return c->dir;
 }
 
+static bool all_voters(void *arg)
+{
+    cluster_t *const c = arg;
+    json_t *const status = cluster_operate(c, "/v1/status", NULL, NULL, 1000);
+    unsigned voters = 0;
+    size_t i;
+    json_t *m;
+    json_array_foreach(json_object_get(status, "control"), i, m)
+        voters += json_is_true(json_object_get(m, "voter"));
+    json_decref(status);
+    return voters == c->controls;
+}
+
 static bool all_ready(cluster_t *c)
 {
+    if (!cluster_until(all_voters, c, READY_MS)) {
+        fprintf(stderr, "not all control boxes are voters; see %s/log\n", c->dir);
+        return false;
+    }
     for (unsigned i = 0; i < c->n; i++) {
         if (!g_str_has_prefix(c->processes[i].name, "entry"))
             continue;
--- a/tests/harness/raft_world.c
+++ b/tests/harness/raft_world.c
@@ -599,6 +599,8 @@
     }
     for (unsigned i = 0; i < HEAL_STEPS; i++)
         step(w);
+    if (!all_settled(w)) /* also while nothing is proposed */
+        broken(w, "the cluster did not heal");
     /* Whoever lost an answer asks once more. */
     for (unsigned r = 0; r < w->next_request; r += 7)
         propose(w, r);
