--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,12 @@
 	@$(MAKE) --no-print-directory all $(BUILD)/bench/demo
 	@$(BUILD)/bench/demo sahel
 
+.PHONY: bench
+bench: setup ## policies compared, with and without faults; lines go to bench/results/policies.jsonl
+	@$(MAKE) --no-print-directory all $(BUILD)/bench/bench
+	@mkdir -p bench/results
+	@$(BUILD)/bench/bench $(BENCH_ARGS)
+
 # ===== Tests =====
 
 UNIT   = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/*.c)))
--- /dev/null
+++ b/bench/scale_cores.c
@@ -0,0 +1,307 @@
+/** @file scale_cores.c
+ * Slopes of the cores alone: `make bench-scale` runs it first. Processor time of the thread, heap by mallinfo2.
+ */
+
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "control/members.h"
+#include "control/state.h"
+#include "peer/frame.h"
+#include "request/view.h"
+#include "sched/sched.h"
+
+/* ===== Clocks and output ===== */
+
+static double cpu_us(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
+}
+
+static double heap_bytes(void)
+{
+    const struct mallinfo2 info = mallinfo2();
+    return (double)(info.uordblks + info.hblkhd);
+}
+
+static void put(const char *measure, double x, double y)
+{
+    printf("{\"measure\":\"%s\",\"x\":%g,\"y\":%.6g}\n", measure, x, y);
+    fflush(stdout);
+}
+
+static double frame_bytes(uint32_t type, const void *message)
+{
+    size_t size;
+    free(frame_pack(type, 1, false, message, &size));
+    return (double)size;
+}
+
+/* ===== Scheduler: a request's life against engines in the cell ===== */
+
+static config_t make_cell(unsigned engines)
+{
+    GString *const text = g_string_new("{\"engines\":{");
+    for (unsigned i = 0; i < engines; i++)
+        g_string_append_printf(
+            text,
+            "%s\"e%u\":{\"url\":\"u\",\"dc\":\"dc%u\",\"role\":\"%s\",\"model\":\"m\",\"pieces\":60,\"max_batch\":24}",
+            i ? "," : "", i, i % 3, i % 2 ? "decode" : "prefill");
+    g_string_append(text, "},\"targets\":{\"ttft_ms\":60000}}");
+    config_t config;
+    if (codec_from_json_text(&config_desc, &config, text->str, text->len, "bench", NULL) < 0)
+        abort();
+    g_string_free(text, TRUE);
+    return config;
+}
+
+static void tell(sched_t *s, const char *id, uint32_t attempt, phase_t phase, tc_time_t now)
+{
+    msg_progress_t p = {.attempt = attempt, .phase = phase, .took_ms = 200, .computed_tokens = 3000};
+    codec_copy_string(p.id, sizeof(p.id), id);
+    sched_progress(s, &p, now);
+}
+
+typedef struct {
+    char id[32];
+    uint32_t attempt;
+} placed_t;
+
+static uint32_t place(sched_t *s, const char *id, tc_time_t now)
+{
+    uint64_t chain[2] = {g_str_hash(id), g_str_hash(id) + 1};
+    msg_place_t message = {
+        .prompt_tokens = 4000, .max_tokens = 200, .wait_ms = 60000, .chain = chain, .chain_n = 2, .repeatable = true};
+    codec_copy_string(message.id, sizeof(message.id), id);
+    codec_copy_string(message.model, sizeof(message.model), "m");
+    codec_copy_string(message.box, sizeof(message.box), "entry-1");
+    sched_place(s, &message, (sched_token_t){0}, now);
+    sched_action_t action;
+    uint32_t attempt = 0;
+    while (sched_next_action(s, &action))
+        if (action.kind == SCHED_ACT_ANSWER && action.u.answer.placed.granted)
+            attempt = action.u.answer.placed.attempt;
+    return attempt;
+}
+
+static void measure_scheduler(unsigned engines)
+{
+    enum { REQUESTS = 4000 };
+    config_t config = make_cell(engines);
+    const sched_options_t options = {.cell = "main", .epoch = 1, .share_of = 1};
+    sched_t *const s = sched_create(&options, 1000);
+    sched_configure(s, &config, 1000);
+    const unsigned held = engines / 2 * 15; /* three quarters of what the decode engines hold */
+    placed_t *const ring = calloc(held, sizeof(*ring));
+    tc_time_t now = 1000;
+    unsigned granted = 0;
+    double in_flight_heap = 0;
+    for (unsigned i = 0; i < held; i++) {
+        now += 20;
+        if (i == 0)
+            in_flight_heap = heap_bytes();
+        snprintf(ring[i].id, sizeof(ring[i].id), "warm-%u", i);
+        ring[i].attempt = place(s, ring[i].id, now);
+        tell(s, ring[i].id, ring[i].attempt, PHASE_TRANSFER, now);
+        tell(s, ring[i].id, ring[i].attempt, PHASE_DECODE, now);
+    }
+    put("sched_bytes_a_request", engines, (heap_bytes() - in_flight_heap) / held);
+    const double begin = cpu_us();
+    for (unsigned i = 0; i < REQUESTS; i++) {
+        placed_t *const old = &ring[i % held];
+        now += 20;
+        tell(s, old->id, old->attempt, PHASE_FINISHED, now);
+        snprintf(old->id, sizeof(old->id), "run-%u", i);
+        old->attempt = place(s, old->id, now);
+        granted += old->attempt != 0;
+        tell(s, old->id, old->attempt, PHASE_TRANSFER, now);
+        tell(s, old->id, old->attempt, PHASE_DECODE, now);
+    }
+    put("sched_us_a_request", engines, (cpu_us() - begin) / REQUESTS);
+    const double tick = cpu_us();
+    for (int i = 0; i < 200; i++)
+        sched_tick(s, now);
+    put("sched_us_a_tick", engines, (cpu_us() - tick) / 200);
+    if (granted < REQUESTS * 9 / 10)
+        fprintf(stderr, "scale: only %u of %u granted\n", granted, REQUESTS);
+    sched_destroy(s);
+    free(ring);
+    codec_free(&config_desc, &config);
+}
+
+/* ===== Membership: a beat against boxes ===== */
+
+static msg_beat_t make_beat(unsigned box)
+{
+    msg_beat_t beat = {.version = 7, .members_version = 1, .cells_version = 1};
+    snprintf(beat.self.box, sizeof(beat.self.box), "entry-%u", box);
+    snprintf(beat.self.dc, sizeof(beat.self.dc), "region-1-dc-%u", box % 17);
+    snprintf(beat.self.http_addr, sizeof(beat.self.http_addr), "10.1.%u.%u:8080", box / 200, box % 200);
+    snprintf(beat.self.peer_addr, sizeof(beat.self.peer_addr), "10.1.%u.%u:7000", box / 200, box % 200);
+    beat.self.incarnation = 1;
+    beat.self.room = 100;
+    return beat;
+}
+
+static void measure_members(unsigned boxes)
+{
+    enum { ROUNDS = 200 };
+    members_t *const m = members_create();
+    members_lead(m, 0);
+    const double heap = heap_bytes();
+    for (unsigned i = 0; i < boxes; i++) {
+        const msg_beat_t beat = make_beat(i);
+        members_beat(m, &beat, 10);
+    }
+    put("members_bytes_a_box", boxes, (heap_bytes() - heap) / boxes);
+    const double begin = cpu_us();
+    for (int r = 0; r < ROUNDS; r++)
+        for (unsigned i = 0; i < boxes; i++) {
+            const msg_beat_t beat = make_beat(i);
+            members_beat(m, &beat, 20 + r);
+        }
+    put("members_us_a_beat", boxes, (cpu_us() - begin) / ROUNDS / boxes);
+    member_t *list;
+    bool all;
+    msg_beat_ack_t ack = {0};
+    ack.members_n = members_news(m, 0, &list, &all);
+    ack.members = list;
+    put("members_bytes_whole_list", boxes, frame_bytes(MSG_BEAT_ACK, &ack));
+    ack.members_n = 1;
+    const double one = frame_bytes(MSG_BEAT_ACK, &ack);
+    ack.members_n = 0;
+    put("members_bytes_one_news", boxes, one - frame_bytes(MSG_BEAT_ACK, &ack));
+    put("members_bytes_quiet_ack", boxes, frame_bytes(MSG_BEAT_ACK, &ack));
+    const msg_beat_t beat = make_beat(boxes - 1);
+    put("members_bytes_beat", boxes, frame_bytes(MSG_BEAT, &beat));
+    free(list);
+    members_destroy(m);
+}
+
+/* ===== Configuration: a change against workspaces ===== */
+
+static void run(state_t *s, command_t *command)
+{
+    size_t size;
+    char *const data = state_pack_command(command, &size);
+    result_t result;
+    state_apply(s, data, size, &result);
+    if (result.code < 0)
+        fprintf(stderr, "scale: %s\n", result.detail);
+    codec_free(&result_desc, &result);
+    free(data);
+}
+
+static char *make_workspaces(unsigned workspaces)
+{
+    GString *const text = g_string_new("{\"workspaces\":{");
+    for (unsigned i = 0; i < workspaces; i++)
+        g_string_append_printf(text, "%s\"workspace-%u\":{\"weight\":%u}", i ? "," : "", i, 1 + i % 5);
+    g_string_append(text, "}}");
+    return g_string_free(text, FALSE);
+}
+
+static void measure_config(unsigned workspaces)
+{
+    enum { CHANGES = 5 };
+    char *const all = make_workspaces(workspaces);
+    state_t *const s = state_create();
+    command_t found = {.kind = COMMAND_KIND_FOUND, .patch = all, .patch_n = (uint32_t)strlen(all)};
+    run(s, &found);
+    const double begin = cpu_us();
+    for (unsigned i = 0; i < CHANGES; i++) {
+        char patch[96];
+        snprintf(patch, sizeof(patch), "{\"workspaces\":{\"workspace-%u\":{\"weight\":%u}}}", i, 10 + i);
+        command_t plan = {
+            .kind = COMMAND_KIND_PLAN, .base = state_version(s), .patch = patch, .patch_n = (uint32_t)strlen(patch)};
+        codec_copy_string(plan.plan, sizeof(plan.plan), "p");
+        run(s, &plan);
+        command_t confirm = {.kind = COMMAND_KIND_CONFIRM};
+        codec_copy_string(confirm.plan, sizeof(confirm.plan), "p");
+        run(s, &confirm);
+    }
+    put("config_us_a_change", workspaces, (cpu_us() - begin) / CHANGES);
+    size_t size;
+    free(state_save(s, &size));
+    put("config_bytes_snapshot", workspaces, (double)size);
+    msg_fetch_ack_t ack = {0};
+    state_changes(s, state_version(s) - 1, &ack);
+    put("config_bytes_a_delta", workspaces, frame_bytes(MSG_FETCH_ACK, &ack));
+    codec_free(&msg_fetch_ack_desc, &ack);
+    view_slot_t slot;
+    view_init(&slot);
+    const char *const text = state_config_text(s);
+    const double heap = heap_bytes(), apply = cpu_us();
+    view_t *const view = view_copy(&slot);
+    if (view_set_config(view, 2, text, strlen(text), NULL) < 0)
+        abort();
+    view_publish(&slot, view);
+    put("entry_us_a_change", workspaces, cpu_us() - apply);
+    put("entry_bytes_config", workspaces, heap_bytes() - heap);
+    state_destroy(s);
+    g_free(all);
+}
+
+/* ===== Claims and renewals ===== */
+
+static void measure_claims(unsigned claims)
+{
+    state_t *const s = state_create();
+    const double heap = heap_bytes(), begin = cpu_us();
+    size_t bytes = 0;
+    for (unsigned i = 0; i < claims; i++) {
+        command_t claim = {.kind = COMMAND_KIND_CLAIM, .incarnation = 1, .wall_ms = 1};
+        snprintf(claim.id, sizeof(claim.id), "request-%u", i);
+        codec_copy_string(claim.box, sizeof(claim.box), "entry-17");
+        size_t size;
+        char *const data = state_pack_command(&claim, &size);
+        bytes += size;
+        result_t result;
+        state_apply(s, data, size, &result);
+        codec_free(&result_desc, &result);
+        free(data);
+    }
+    put("claim_us", claims, (cpu_us() - begin) / claims);
+    put("claim_heap_bytes", claims, (heap_bytes() - heap) / claims);
+    put("claim_log_bytes", claims, (double)bytes / claims);
+    state_destroy(s);
+}
+
+static void measure_renew(unsigned requests)
+{
+    held_t *const held = calloc(requests, sizeof(*held));
+    for (unsigned i = 0; i < requests; i++) {
+        held[i] = (held_t){
+            .attempt = 1000000 + i, .phase = PHASE_DECODE, .pieces = 3, .prompt_tokens = 4000, .max_tokens = 500};
+        snprintf(held[i].id, sizeof(held[i].id), "request-%024u", i);
+        snprintf(held[i].prefill, sizeof(held[i].prefill), "engine-%04u", i);
+        snprintf(held[i].decode, sizeof(held[i].decode), "engine-%04u", i);
+    }
+    const msg_renew_t renew = {.held = held, .held_n = requests};
+    put("renew_bytes", requests, frame_bytes(MSG_RENEW, &renew));
+    free(held);
+}
+
+int main(void)
+{
+    static const unsigned engines[] = {10, 20, 40, 80, 160}, boxes[] = {10, 50, 100, 200, 410};
+    static const unsigned workspaces[] = {10, 1000, 5000, 21000}, claims[] = {1000, 5000, 20000},
+                          held[] = {10, 50, 200};
+    for (size_t i = 0; i < G_N_ELEMENTS(engines); i++)
+        measure_scheduler(engines[i]);
+    for (size_t i = 0; i < G_N_ELEMENTS(boxes); i++)
+        measure_members(boxes[i]);
+    for (size_t i = 0; i < G_N_ELEMENTS(workspaces); i++)
+        measure_config(workspaces[i]);
+    for (size_t i = 0; i < G_N_ELEMENTS(claims); i++)
+        measure_claims(claims[i]);
+    for (size_t i = 0; i < G_N_ELEMENTS(held); i++)
+        measure_renew(held[i]);
+    return 0;
+}
--- a/lib/backend/http_client.h
+++ b/lib/backend/http_client.h
@@ -35,10 +35,10 @@
     tc_time_t limit;            /**< for the whole call, ms */
     const char *peer;           /**< name of the backend server, for errors */
     const char *step;           /**< for errors; a static string */
-    bool once;                  /**< never sent twice: libcurl resends by itself what it sent over a kept connection that
-                                     turns out to be closed, so such a call gets a connection of its own */
-    http_data_fn_t on_data;     /**< may be NULL: the body is collected */
-    http_idle_fn_t on_idle;     /**< may be NULL */
+    bool once;              /**< never sent twice: libcurl resends by itself what it sent over a kept connection that
+                                 turns out to be closed, so such a call gets a connection of its own */
+    http_data_fn_t on_data; /**< may be NULL: the body is collected */
+    http_idle_fn_t on_idle; /**< may be NULL */
     void *arg;
 } http_call_t;
 
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -3,13 +3,17 @@
 #include <assert.h>
 #include <glib.h>
 #include <semaphore.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 #include <urcu/list.h>
 
+#include "backend/http_client.h"
 #include "common/counter.h"
 #include "common/log.h"
+#include "control/orders.h"
+#include "control/planner.h"
 #include "control/store.h"
 
 /* ===== Constants ===== */
@@ -30,6 +34,9 @@
 COUNTER_DEFINE(c_in_force, "gauge", "trackcove_control_config_in_force", "Newest version in force everywhere")
 COUNTER_DEFINE(c_beats, "counter", "trackcove_control_beats_total", "Heartbeats of entry boxes answered")
 
+/** Name of the planner's own plan; there is never more than one. */
+#define PLANNER_PLAN "plan-of-the-planner"
+
 /* ===== Types ===== */
 
 /** Called once when a proposal was applied, or its outcome will not be known. @param result NULL on error */
@@ -51,11 +58,12 @@
     store_t *store;
     state_t *state;
     members_t *members;
+    planner_t *planner;
     raft_member_t self;
     struct cds_list_head proposals;
     GHashTable *senders; /* identity -> peer address, borrowed from the settings */
     bool led;            /* whether we led at the last look */
-    bool cell_pending;
+    bool cell_pending, move_pending;
     uint64_t in_force;
     char laggard[CODEC_STR_SIZE];
     tc_time_t join_at, cells_at;
@@ -282,6 +290,100 @@
     }
 }
 
+/* ===== Leading: the planner's moves ===== */
+
+static void move_confirmed(void *arg, const result_t *result, const tc_err_t *err)
+{
+    control_t *const c = arg;
+    c->move_pending = false;
+    if (err)
+        log_failure(LOG_WARN, "planner_move_lost", err);
+    else if (result->code < 0)
+        c->move_pending = false; /* an operator was first: the planner looks again */
+}
+
+static void move_planned(void *arg, const result_t *result, const tc_err_t *err)
+{
+    control_t *const c = arg;
+    if (err || result->code < 0) {
+        c->move_pending = false;
+        return;
+    }
+    command_t confirm = {.kind = COMMAND_KIND_CONFIRM, .wall_ms = tc_time_wall()};
+    codec_copy_string(confirm.operator, sizeof(confirm.operator), "planner");
+    codec_copy_string(confirm.plan, sizeof(confirm.plan), PLANNER_PLAN);
+    propose(c, &confirm, move_confirmed, c);
+}
+
+static void log_move(const planner_move_t *move)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "planner_move");
+    log_str(&line, "cell", move->cell);
+    log_str(&line, "engine", move->engine);
+    log_str(&line, "to", role_names[move->to]);
+    log_num(&line, "prefill_busy", move->prefill_busy);
+    log_num(&line, "decode_busy", move->decode_busy);
+    log_int(&line, "prefills", move->prefills);
+    log_int(&line, "decodes", move->decodes);
+    log_end(&line);
+}
+
+/** Planner's moves go the way of every change: planned, confirmed, in the history under its name. */
+static void run_planner(control_t *c, tc_time_t now)
+{
+    planner_move_t move;
+    if (c->move_pending || !planner_decide(c->planner, state_config(c->state), &move, now))
+        return;
+    log_move(&move);
+    char patch[CODEC_STR_SIZE + 64];
+    const int n =
+        snprintf(patch, sizeof(patch), "{\"engines\":{\"%s\":{\"role\":\"%s\"}}}", move.engine, role_names[move.to]);
+    command_t plan = {.kind = COMMAND_KIND_PLAN,
+                      .base = state_version(c->state),
+                      .patch = patch,
+                      .patch_n = (uint32_t)n,
+                      .wall_ms = tc_time_wall()};
+    codec_copy_string(plan.operator, sizeof(plan.operator), "planner");
+    codec_copy_string(plan.plan, sizeof(plan.plan), PLANNER_PLAN);
+    c->move_pending = true;
+    propose(c, &plan, move_planned, c);
+}
+
+/* ===== Leading: engines' orders ===== */
+
+typedef struct {
+    control_t *control;
+    orders_view_t *view;
+} looking_t;
+
+static void run_look(void *arg)
+{
+    const looking_t *const looking = arg;
+    control_t *const c = looking->control;
+    orders_view_t *const view = looking->view;
+    const config_t *const config = state_config(c->state);
+    view->leads = c->led && raft_has_lease(c->raft, tc_time_now());
+    view->term = raft_view(c->raft).term;
+    view->version = state_version(c->state);
+    view->leader_since = raft_view(c->raft).leader_since;
+    if (!view->leads)
+        return;
+    view->n = config->engines_n;
+    view->engines = calloc(view->n + 1, sizeof(*view->engines));
+    if (!view->engines)
+        abort();
+    memcpy(view->engines, config->engines, view->n * sizeof(*view->engines));
+}
+
+static void look_for_orders(void *arg, orders_view_t *view)
+{
+    looking_t looking = {.control = arg, .view = view};
+    loop_post_wait(looking.control->loop, run_look, &looking);
+}
+
+/* ===== Leading: the beginning ===== */
+
 static void founded(void *arg, const result_t *result, const tc_err_t *err)
 {
     (void)arg;
@@ -313,6 +415,8 @@
     const bool leads = raft_has_lease(c->raft, now);
     if (leads && !c->led) {
         members_lead(c->members, now);
+        planner_reset(c->planner, now);
+        c->move_pending = false;
         c->in_force = 0;
         c->cell_pending = false;
         log_line_t line;
@@ -338,6 +442,7 @@
         return;
     c->cells_at = now + CELLS_EVERY_MS;
     assign_cells(c, now);
+    run_planner(c, now);
 }
 
 /* ===== Joining and founding ===== */
@@ -408,6 +513,21 @@
     peer_reply_error(c->net, call, &err);
 }
 
+static void fill_cells(const control_t *c, msg_beat_ack_t *ack)
+{
+    enum { CELLS_MAX = 1024 };
+    const cell_lease_t **const cells = calloc(CELLS_MAX, sizeof(const cell_lease_t *));
+    if (!cells)
+        abort();
+    ack->cells_n = state_cells(c->state, cells, CELLS_MAX);
+    ack->cells = calloc(ack->cells_n + 1, sizeof(*ack->cells));
+    if (!ack->cells)
+        abort();
+    for (uint32_t i = 0; i < ack->cells_n; i++)
+        ack->cells[i] = *cells[i];
+    free(cells);
+}
+
 static void on_beat(control_t *c, peer_call_t call, const msg_beat_t *beat, tc_time_t now)
 {
     if (!raft_has_lease(c->raft, now)) {
@@ -421,20 +541,18 @@
         return;
     }
     counter_add(&c_beats, 1);
+    for (uint32_t i = 0; i < beat->loads_n; i++)
+        planner_hear(c->planner, &beat->loads[i], &state_config(c->state)->planner, now);
     msg_beat_ack_t ack = {.term = raft_view(c->raft).term,
                           .version = state_version(c->state),
                           .lease_ms = state_config(c->state)->targets.config_lease_ms,
                           .members_version = members_version(c->members),
                           .drain = state_is_draining(c->state, beat->self.box)};
-    const cell_lease_t *cells[256];
-    ack.cells_n = state_cells(c->state, cells, 256);
-    ack.cells = calloc(ack.cells_n + 1, sizeof(*ack.cells));
-    if (!ack.cells)
-        abort();
-    for (uint32_t i = 0; i < ack.cells_n; i++)
-        ack.cells[i] = *cells[i];
+    ack.cells_version = state_cells_version(c->state);
+    if (beat->cells_version != ack.cells_version)
+        fill_cells(c, &ack);
     if (beat->members_version != ack.members_version)
-        ack.members_n = members_live(c->members, &ack.members, now);
+        ack.members_n = members_news(c->members, beat->members_version, &ack.members, &ack.members_all);
     peer_reply(c->net, call, MSG_BEAT_ACK, &ack);
     codec_free(&msg_beat_ack_desc, &ack);
 }
@@ -669,6 +787,8 @@
     start.seed = incarnation ^ start.id;
     c->state = state_create();
     c->members = members_create();
+    c->planner = planner_create();
+    http_client_init(settings->dc);
     if (start.snapshot.last_index > 0)
         load_snapshot(c, &start.snapshot);
     c->raft = raft_create(&start, tc_time_now());
@@ -685,6 +805,7 @@
         return NULL;
     }
     loop_add_tick(loop, TICK_MS, on_tick, c);
+    (void)orders_create(look_for_orders, c);
     return c;
 }
 
--- a/lib/control/members.c
+++ b/lib/control/members.c
@@ -11,8 +11,9 @@
 
 /* ===== Types ===== */
 
-/** Room is told to all again when it changed by this part, at most every ROOM_NEWS_MS. */
-enum { ROOM_NEWS_PART = 4, ROOM_NEWS_MS = 1000 };
+/** A box's room is told to all again when it changed by half, at most every ROOM_NEWS_MS: with hundreds of boxes
+ *  this is the larger part of what they hear. */
+enum { ROOM_NEWS_PART = 2, ROOM_NEWS_MS = 5000 };
 
 typedef struct {
     member_t self;
@@ -21,13 +22,15 @@
     bool live;
     tc_time_t heard;
     uint32_t room_told;
+    tc_time_t room_told_at;
+    uint64_t changed; /* version of the list when this box changed last */
 } box_t;
 
 struct members {
     GHashTable *boxes; /* name -> box_t */
     uint64_t version;
+    uint64_t first_version; /* of this leadership: older ones are another leader's */
     tc_time_t lead_since;
-    tc_time_t room_news_at;
 };
 
 /* ===== Life ===== */
@@ -52,6 +55,7 @@
     m->lead_since = now;
     /* Versions of different leaders must differ, or a box would keep the list of the one before. */
     m->version = (m->version / 1000000 + 1) * 1000000 + (uint64_t)(now % 1000000);
+    m->first_version = m->version;
 }
 
 /* ===== Beats ===== */
@@ -62,6 +66,12 @@
            strcmp(a->peer_addr, b->peer_addr) == 0 && strcmp(a->dc, b->dc) == 0;
 }
 
+static bool room_is_news(const box_t *b, uint32_t room, tc_time_t now)
+{
+    const uint32_t change = room > b->room_told ? room - b->room_told : b->room_told - room;
+    return now - b->room_told_at >= ROOM_NEWS_MS && change * ROOM_NEWS_PART > b->room_told;
+}
+
 int members_beat(members_t *m, const msg_beat_t *beat, tc_time_t now)
 {
     box_t *b = g_hash_table_lookup(m->boxes, beat->self.box);
@@ -72,17 +82,16 @@
         codec_copy_string(b->self.box, sizeof(b->self.box), beat->self.box);
         g_hash_table_insert(m->boxes, b->self.box, b);
     }
-    if (!b->live || !same_place(&b->self, &beat->self))
-        m->version++;
+    const bool news = !b->live || !same_place(&b->self, &beat->self) || room_is_news(b, beat->self.room, now);
     b->self = beat->self;
     b->version = beat->version;
     b->released = beat->released;
     b->heard = now;
     b->live = true;
-    const uint32_t change = b->self.room > b->room_told ? b->self.room - b->room_told : b->room_told - b->self.room;
-    if (change * ROOM_NEWS_PART > b->room_told && now - m->room_news_at >= ROOM_NEWS_MS) {
-        m->room_news_at = now;
-        m->version++;
+    if (news) {
+        b->changed = ++m->version;
+        b->room_told = b->self.room;
+        b->room_told_at = now;
     }
     return TC_OK;
 }
@@ -96,7 +105,7 @@
         box_t *const b = value;
         if (b->live && now - b->heard >= MEMBERS_DEAD_MS) {
             b->live = false;
-            m->version++;
+            b->changed = ++m->version;
         }
         if (now - b->heard >= MEMBERS_FORGET_MS)
             g_hash_table_iter_remove(&iter);
@@ -110,9 +119,9 @@
     return m->version;
 }
 
-uint32_t members_live(const members_t *m, member_t **list, tc_time_t now)
+uint32_t members_news(const members_t *m, uint64_t since, member_t **list, bool *all)
 {
-    (void)now;
+    *all = since < m->first_version || since > m->version;
     *list = calloc(g_hash_table_size(m->boxes) + 1, sizeof(**list));
     if (!*list)
         abort();
@@ -121,10 +130,11 @@
     gpointer value;
     g_hash_table_iter_init(&iter, m->boxes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        box_t *const b = value;
-        b->room_told = b->self.room;
-        if (b->live)
-            (*list)[n++] = b->self;
+        const box_t *const b = value;
+        if (*all ? !b->live : b->changed <= since)
+            continue;
+        (*list)[n] = b->self;
+        (*list)[n++].gone = !b->live;
     }
     return n;
 }
--- /dev/null
+++ b/lib/control/orders.c
@@ -0,0 +1,179 @@
+#include "control/orders.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend/engine.h"
+#include "common/counter.h"
+#include "common/log.h"
+
+/* ===== Constants ===== */
+
+enum {
+    LOOK_EVERY_MS = 250,
+    STATE_LIMIT_MS = 500,
+    RECHECK_MS = 30000,     /* an engine found right is looked at again after this */
+    DRAIN_LIMIT_MS = 120000 /* an engine that does not drain is ordered all the same after this */
+};
+
+COUNTER_DEFINE(c_orders, "counter", "trackcove_orders_total", "Orders sent to engines")
+COUNTER_DEFINE(c_fenced, "counter", "trackcove_orders_fenced_total", "Orders refused by engines as outdated")
+COUNTER_DEFINE(c_pending, "gauge", "trackcove_orders_pending", "Engines that are not yet what the configuration says")
+
+/* ===== Types ===== */
+
+/** What is known of one engine since this box leads. */
+typedef struct {
+    uint64_t right_version; /* configuration for which it was found right */
+    tc_time_t look_at;      /* not before */
+    tc_time_t wrong_since;  /* 0: not known to be wrong */
+} known_t;
+
+struct orders {
+    pthread_t thread;
+    orders_look_fn_t look;
+    void *arg;
+    GHashTable *known; /* engine -> known_t */
+    uint64_t term;
+    bool loading; /* an engine was seen loading weights: the store is busy */
+};
+
+/* ===== One engine ===== */
+
+static known_t *known_get(orders_t *o, const char *engine)
+{
+    known_t *known = g_hash_table_lookup(o->known, engine);
+    if (!known) {
+        known = g_new0(known_t, 1);
+        g_hash_table_insert(o->known, g_strdup(engine), known);
+    }
+    return known;
+}
+
+static bool is_right(const engine_cfg_t *cfg, const engine_state_t *state)
+{
+    return strcmp(state->role, role_names[cfg->role]) == 0 && strcmp(state->model, cfg->model) == 0 &&
+           strcmp(state->version, cfg->version) == 0;
+}
+
+static bool needs_weights(const engine_cfg_t *cfg, const engine_state_t *state)
+{
+    return strcmp(state->model, cfg->model) != 0 || strcmp(state->version, cfg->version) != 0;
+}
+
+static void log_order(const engine_cfg_t *cfg, const engine_state_t *state, const engine_order_t *order,
+                      const tc_err_t *err)
+{
+    log_line_t line;
+    log_begin(&line, err ? LOG_WARN : LOG_INFO, "engine_order");
+    log_str(&line, "engine", cfg->name);
+    log_str(&line, "from_role", state->role);
+    log_str(&line, "from_model", state->model);
+    log_str(&line, "to_role", role_names[order->role]);
+    log_str(&line, "to_model", order->model);
+    log_str(&line, "to_version", order->version);
+    log_int(&line, "term", (int64_t)order->term);
+    log_int(&line, "index", (int64_t)order->index);
+    log_int(&line, "held", state->n_held);
+    if (err)
+        log_err(&line, err);
+    log_end(&line);
+}
+
+/** Whether the order may go out now. */
+static bool may_order(orders_t *o, const orders_view_t *view, const engine_cfg_t *cfg, const engine_state_t *state,
+                      const known_t *known, tc_time_t now)
+{
+    if (state->loading)
+        return false;
+    if (!cfg->checks_fence && now < view->leader_since + ORDERS_WAIT_MS)
+        return false; /* an order of the leader before may still be on its way */
+    if (state->n_held > 0 && now - known->wrong_since < DRAIN_LIMIT_MS)
+        return false;                                  /* schedulers give it nothing new; what it has ends first */
+    return !(needs_weights(cfg, state) && o->loading); /* loads queue on the weight store's rate */
+}
+
+static void order_engine(orders_t *o, const engine_cfg_t *cfg, const engine_state_t *state)
+{
+    /* Looked up again at the last moment: an order must not leave after the lease is over. */
+    orders_view_t view = {0};
+    o->look(o->arg, &view);
+    free(view.engines);
+    if (!view.leads || view.term != o->term)
+        return;
+    const engine_order_t order = {
+        .term = view.term, .index = view.version, .role = cfg->role, .model = cfg->model, .version = cfg->version};
+    tc_err_t err = {0};
+    counter_add(&c_orders, 1);
+    const int rc = engine_order(cfg->name, cfg->url, &order, ORDERS_LIMIT_MS, &err);
+    if (rc == TC_E_FENCED)
+        counter_add(&c_fenced, 1);
+    log_order(cfg, state, &order, rc < 0 ? &err : NULL);
+    o->loading = o->loading || (rc == TC_OK && needs_weights(cfg, state));
+}
+
+/** @return whether the engine is (still) not what it is to be */
+static bool look_at(orders_t *o, const orders_view_t *view, const engine_cfg_t *cfg, tc_time_t now)
+{
+    known_t *const known = known_get(o, cfg->name);
+    if (known->right_version == view->version && now < known->look_at)
+        return false;
+    engine_state_t state;
+    tc_err_t err = {0};
+    if (engine_state(cfg->name, cfg->url, STATE_LIMIT_MS, &state, &err) < 0)
+        return true;
+    const bool right = is_right(cfg, &state);
+    o->loading = o->loading || state.loading;
+    if (right) {
+        known->right_version = view->version;
+        known->look_at = now + RECHECK_MS;
+        known->wrong_since = 0;
+    } else {
+        known->wrong_since = known->wrong_since ? known->wrong_since : now;
+        if (may_order(o, view, cfg, &state, known, now))
+            order_engine(o, cfg, &state);
+    }
+    engine_state_free(&state);
+    return !right;
+}
+
+/* ===== The thread ===== */
+
+static void look_once(orders_t *o)
+{
+    orders_view_t view = {0};
+    o->look(o->arg, &view);
+    if (view.term != o->term) {
+        g_hash_table_remove_all(o->known);
+        o->term = view.term;
+    }
+    int64_t pending = 0;
+    o->loading = false;
+    for (uint32_t i = 0; i < view.n && view.leads; i++)
+        pending += look_at(o, &view, &view.engines[i], tc_time_now());
+    counter_set(&c_pending, pending);
+    free(view.engines);
+}
+
+static void *run(void *arg)
+{
+    orders_t *const o = arg;
+    for (;;) {
+        look_once(o);
+        tc_time_sleep(LOOK_EVERY_MS);
+    }
+    return NULL;
+}
+
+orders_t *orders_create(orders_look_fn_t look, void *arg)
+{
+    orders_t *const o = g_new0(orders_t, 1);
+    o->look = look;
+    o->arg = arg;
+    o->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    if (pthread_create(&o->thread, NULL, run, o) != 0)
+        abort();
+    return o;
+}
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -592,6 +592,18 @@
     return g_hash_table_lookup(s->cells, cell);
 }
 
+uint64_t state_cells_version(const state_t *s)
+{
+    /* Epochs only grow, so their sum changes with every change; 1 keeps it apart from "never heard". */
+    uint64_t sum = 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->cells);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        sum += ((const cell_lease_t *)value)->epoch;
+    return sum;
+}
+
 uint32_t state_cells(const state_t *s, const cell_lease_t **cells, uint32_t room)
 {
     return list_table(s->cells, (const void **)cells, room);
--- a/lib/control/state.h
+++ b/lib/control/state.h
@@ -73,6 +73,8 @@
 uint32_t state_claims(const state_t *state);
 
 const cell_lease_t *state_find_cell(const state_t *state, const char *cell);
+/** Changes with every change of the leases of cells, and is the same on all control boxes. */
+uint64_t state_cells_version(const state_t *state);
 uint32_t state_cells(const state_t *state, const cell_lease_t **cells, uint32_t room);
 
 bool state_is_draining(const state_t *state, const char *box);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -26,9 +26,19 @@
     {.name = "incarnation", .offset = offsetof(member_t, incarnation), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "draining", .offset = offsetof(member_t, draining), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "room", .offset = offsetof(member_t, room), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "gone", .offset = offsetof(member_t, gone), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t member_desc = {.name = "member", .size = sizeof(member_t), .fields = member_fields, .n_fields = sizeof(member_fields) / sizeof(member_fields[0])};
 
+static const codec_field_t cell_load_fields[] = {
+    {.name = "cell", .offset = offsetof(cell_load_t, cell), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "epoch", .offset = offsetof(cell_load_t, epoch), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "prefill_busy", .offset = offsetof(cell_load_t, prefill_busy), .kind = CODEC_F64, .min = -1e+18, .max = 1e+18, .def = 0},
+    {.name = "decode_busy", .offset = offsetof(cell_load_t, decode_busy), .kind = CODEC_F64, .min = -1e+18, .max = 1e+18, .def = 0},
+    {.name = "refused", .offset = offsetof(cell_load_t, refused), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t cell_load_desc = {.name = "cell_load", .size = sizeof(cell_load_t), .fields = cell_load_fields, .n_fields = sizeof(cell_load_fields) / sizeof(cell_load_fields[0])};
+
 static const codec_field_t patch_fields[] = {
     {.name = "version", .offset = offsetof(patch_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "text", .offset = offsetof(patch_t, text), .kind = CODEC_TEXT, .size = 0, .count_offset = offsetof(patch_t, text_n), .min = 0, .max = 0, .def = 0},
@@ -271,6 +281,15 @@
 };
 const codec_desc_t model_cfg_desc = {.name = "model_cfg", .size = sizeof(model_cfg_t), .fields = model_cfg_fields, .n_fields = sizeof(model_cfg_fields) / sizeof(model_cfg_fields[0])};
 
+static const codec_field_t planner_cfg_fields[] = {
+    {.name = "enabled", .offset = offsetof(planner_cfg_t, enabled), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "hot", .offset = offsetof(planner_cfg_t, hot), .kind = CODEC_F64, .min = 0, .max = 1, .def = 0.85},
+    {.name = "cold", .offset = offsetof(planner_cfg_t, cold), .kind = CODEC_F64, .min = 0, .max = 1, .def = 0.7},
+    {.name = "sustain_ms", .offset = offsetof(planner_cfg_t, sustain_ms), .kind = CODEC_U32, .min = 100, .max = 3600000, .def = 5000, .unit = "ms"},
+    {.name = "min_stay_ms", .offset = offsetof(planner_cfg_t, min_stay_ms), .kind = CODEC_U32, .min = 100, .max = 86400000, .def = 30000, .unit = "ms"},
+};
+const codec_desc_t planner_cfg_desc = {.name = "planner_cfg", .size = sizeof(planner_cfg_t), .fields = planner_cfg_fields, .n_fields = sizeof(planner_cfg_fields) / sizeof(planner_cfg_fields[0])};
+
 static const codec_field_t leaving_cfg_fields[] = {
     {.name = "name", .offset = offsetof(leaving_cfg_t, name), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0, .required = true},
     {.name = "reason", .offset = offsetof(leaving_cfg_t, reason), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
@@ -282,6 +301,7 @@
     {.name = "platform_url", .offset = offsetof(config_t, platform_url), .kind = CODEC_STR, .size = CODEC_PATH_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "targets", .offset = offsetof(config_t, targets), .kind = CODEC_STRUCT, .sub = &targets_cfg_desc, .min = 0, .max = 0, .def = 0},
     {.name = "engines", .offset = offsetof(config_t, engines), .kind = CODEC_MAP, .sub = &engine_cfg_desc, .count_offset = offsetof(config_t, engines_n), .min = 0, .max = 0, .def = 0},
+    {.name = "planner", .offset = offsetof(config_t, planner), .kind = CODEC_STRUCT, .sub = &planner_cfg_desc, .min = 0, .max = 0, .def = 0},
     {.name = "models", .offset = offsetof(config_t, models), .kind = CODEC_MAP, .sub = &model_cfg_desc, .count_offset = offsetof(config_t, models_n), .min = 0, .max = 0, .def = 0},
     {.name = "weight_store_mb_s", .offset = offsetof(config_t, weight_store_mb_s), .kind = CODEC_U32, .min = 1, .max = 100000000, .def = 8000, .unit = "MB/s"},
     {.name = "services", .offset = offsetof(config_t, services), .kind = CODEC_MAP, .sub = &service_cfg_desc, .count_offset = offsetof(config_t, services_n), .min = 0, .max = 0, .def = 0},
@@ -313,6 +333,8 @@
     {.name = "version", .offset = offsetof(msg_beat_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "members_version", .offset = offsetof(msg_beat_t, members_version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "released", .offset = offsetof(msg_beat_t, released), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "cells_version", .offset = offsetof(msg_beat_t, cells_version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "loads", .offset = offsetof(msg_beat_t, loads), .kind = CODEC_LIST, .sub = &cell_load_desc, .count_offset = offsetof(msg_beat_t, loads_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_beat_desc = {.name = "beat", .size = sizeof(msg_beat_t), .fields = msg_beat_fields, .n_fields = sizeof(msg_beat_fields) / sizeof(msg_beat_fields[0])};
 
@@ -323,6 +345,8 @@
     {.name = "cells", .offset = offsetof(msg_beat_ack_t, cells), .kind = CODEC_LIST, .sub = &cell_lease_desc, .count_offset = offsetof(msg_beat_ack_t, cells_n), .min = 0, .max = 0, .def = 0},
     {.name = "members_version", .offset = offsetof(msg_beat_ack_t, members_version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "members", .offset = offsetof(msg_beat_ack_t, members), .kind = CODEC_LIST, .sub = &member_desc, .count_offset = offsetof(msg_beat_ack_t, members_n), .min = 0, .max = 0, .def = 0},
+    {.name = "members_all", .offset = offsetof(msg_beat_ack_t, members_all), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "cells_version", .offset = offsetof(msg_beat_ack_t, cells_version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "drain", .offset = offsetof(msg_beat_ack_t, drain), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_beat_ack_desc = {.name = "beat_ack", .size = sizeof(msg_beat_ack_t), .fields = msg_beat_ack_fields, .n_fields = sizeof(msg_beat_ack_fields) / sizeof(msg_beat_ack_fields[0])};
@@ -421,12 +445,16 @@
     {.name = "incarnation", .offset = offsetof(msg_renew_t, incarnation), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "epoch", .offset = offsetof(msg_renew_t, epoch), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "held", .offset = offsetof(msg_renew_t, held), .kind = CODEC_LIST, .sub = &held_desc, .count_offset = offsetof(msg_renew_t, held_n), .min = 0, .max = 0, .def = 0},
+    {.name = "listed", .offset = offsetof(msg_renew_t, listed), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "count", .offset = offsetof(msg_renew_t, count), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "digest", .offset = offsetof(msg_renew_t, digest), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t msg_renew_desc = {.name = "renew", .size = sizeof(msg_renew_t), .fields = msg_renew_fields, .n_fields = sizeof(msg_renew_fields) / sizeof(msg_renew_fields[0])};
 
 static const codec_field_t msg_renew_ack_fields[] = {
     {.name = "epoch", .offset = offsetof(msg_renew_ack_t, epoch), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "lost", .offset = offsetof(msg_renew_ack_t, lost), .kind = CODEC_LIST, .sub = &held_desc, .count_offset = offsetof(msg_renew_ack_t, lost_n), .min = 0, .max = 0, .def = 0},
+    {.name = "want_list", .offset = offsetof(msg_renew_ack_t, want_list), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_renew_ack_desc = {.name = "renew_ack", .size = sizeof(msg_renew_ack_t), .fields = msg_renew_ack_fields, .n_fields = sizeof(msg_renew_ack_fields) / sizeof(msg_renew_ack_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -76,9 +76,20 @@
     uint64_t incarnation;
     bool draining;
     uint32_t room; /**< requests the box could still take */
+    bool gone; /**< in news: the box fell silent */
 } member_t;
 extern const codec_desc_t member_desc;
 
+/** How busy a cell is, as its scheduler measures it. */
+typedef struct {
+    char cell[CODEC_STR_SIZE];
+    uint64_t epoch;
+    double prefill_busy; /**< moving average of the share of prefill engines with work, 0 to 1 */
+    double decode_busy; /**< moving average of the share of decode memory or batch places taken, 0 to 1 */
+    uint64_t refused; /**< requests refused since the lease began */
+} cell_load_t;
+extern const codec_desc_t cell_load_desc;
+
 /** One accepted change of the configuration, a JSON merge patch. */
 typedef struct {
     uint64_t version;
@@ -367,6 +378,16 @@
 } model_cfg_t;
 extern const codec_desc_t model_cfg_desc;
 
+/** The planner that moves engines between roles by itself. */
+typedef struct {
+    bool enabled; /**< whether it may change the configuration */
+    double hot; /**< a role busier than this wants an engine */
+    double cold; /**< a role less busy than this can give one; the gap to hot is the hysteresis */
+    uint32_t sustain_ms; /**< how long both must hold (ms) */
+    uint32_t min_stay_ms; /**< least time between two moves in a cell, and before an engine moves again (ms) */
+} planner_cfg_t;
+extern const codec_desc_t planner_cfg_desc;
+
 /** A backend server or box that is leaving. */
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< its name */
@@ -381,6 +402,7 @@
     targets_cfg_t targets; /**< targets and limits */
     engine_cfg_t *engines; /**< model engines, by name */
     uint32_t engines_n;
+    planner_cfg_t planner; /**< moves engines between roles */
     model_cfg_t *models; /**< models, by name; for the cost of loading them */
     uint32_t models_n;
     uint32_t weight_store_mb_s; /**< rate of the weight store, shared by all loads (MB/s) */
@@ -421,6 +443,9 @@
     uint64_t version;
     uint64_t members_version;
     bool released; /**< the box schedules no cell and will take none */
+    uint64_t cells_version;
+    cell_load_t *loads; /**< of the cells this box schedules */
+    uint32_t loads_n;
 } msg_beat_t;
 extern const codec_desc_t msg_beat_desc;
 
@@ -432,8 +457,10 @@
     cell_lease_t *cells;
     uint32_t cells_n;
     uint64_t members_version;
-    member_t *members;
+    member_t *members; /**< boxes that changed since the version in the beat, or all */
     uint32_t members_n;
+    bool members_all;
+    uint64_t cells_version; /**< cells are sent only when the beat names another version */
     bool drain; /**< an operator asks this box to leave */
 } msg_beat_ack_t;
 extern const codec_desc_t msg_beat_ack_desc;
@@ -538,14 +565,17 @@
 } msg_progress_t;
 extern const codec_desc_t msg_progress_desc;
 
-/** Every request whose caller this box still holds, in one batch. */
+/** Renews every request whose caller this box still holds: by count and digest, or by a list. */
 typedef struct {
     char cell[CODEC_STR_SIZE];
     char box[CODEC_STR_SIZE];
     uint64_t incarnation;
     uint64_t epoch;
-    held_t *held;
+    held_t *held; /**< only when listed */
     uint32_t held_n;
+    bool listed;
+    uint32_t count; /**< placed requests this box holds */
+    uint64_t digest; /**< XOR over them, so that both sides see at once whether they count the same */
 } msg_renew_t;
 extern const codec_desc_t msg_renew_desc;
 
@@ -554,6 +584,7 @@
     uint64_t epoch;
     held_t *lost;
     uint32_t lost_n;
+    bool want_list; /**< the counts differ: send the list */
 } msg_renew_ack_t;
 extern const codec_desc_t msg_renew_ack_desc;
 
--- a/lib/request/api.c
+++ b/lib/request/api.c
@@ -168,7 +168,8 @@
 {
     entry_t *const e = arg;
     view_t *const view = view_acquire(&e->view);
-    const bool placed = view->config.policy != POLICY_CELL || view->config.engines_n == 0 || view->n_cells > 0;
+    const bool placed =
+        view_config(view)->policy != POLICY_CELL || view_config(view)->engines_n == 0 || view->n_cells > 0;
     view_release(view);
     const bool ready = entry_may_serve(e) && placed && !atomic_load(&e->draining);
     return http_send_text(conn, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -148,11 +148,11 @@
     r->stream = json_is_true(json_object_get(body, "stream"));
     view_t *const view = view_acquire(&entry->view);
     const char *version = NULL;
-    for (uint32_t i = 0; i < view->config.engines_n && !version; i++)
-        if (strcmp(view->config.engines[i].model, r->model) == 0)
-            version = view->config.engines[i].version;
+    for (uint32_t i = 0; i < view_config(view)->engines_n && !version; i++)
+        if (strcmp(view_config(view)->engines[i].model, r->model) == 0)
+            version = view_config(view)->engines[i].version;
     codec_copy_string(r->salt, sizeof(r->salt), view_salt(view, r->workspace));
-    r->due = r->arrived + view->config.targets.ttft_ms - NETWORK_MS;
+    r->due = r->arrived + view_config(view)->targets.ttft_ms - NETWORK_MS;
     const int rc = version ? read_prompt(r, body, version, err) : bad(err, "model", "is not served here");
     view_release(view);
     return rc;
--- a/lib/request/control_client.c
+++ b/lib/request/control_client.c
@@ -27,7 +27,7 @@
     pthread_mutex_t lock;
     bool beating, fetching, released;
     tc_time_t sent_at, next_beat;
-    uint64_t members_version;
+    uint64_t members_version, cells_version;
     json_t *config; /* the accepted configuration, to which patches are applied */
     uint64_t version;
 };
@@ -137,29 +137,55 @@
 
 /* ===== Beats ===== */
 
-static bool same_cells(const view_t *view, const msg_beat_ack_t *ack)
+/** Put news of boxes into a snapshot's list. */
+static void merge_members(view_t *view, const msg_beat_ack_t *ack)
 {
-    return view->n_cells == ack->cells_n &&
-           (ack->cells_n == 0 || memcmp(view->cells, ack->cells, ack->cells_n * sizeof(*ack->cells)) == 0);
+    if (ack->members_all) {
+        view_set_members(view, ack->members, ack->members_n);
+        return;
+    }
+    member_t *const list = calloc(view->n_members + ack->members_n + 1, sizeof(*list));
+    if (!list)
+        abort();
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < view->n_members; i++) {
+        bool news = false;
+        for (uint32_t k = 0; k < ack->members_n && !news; k++)
+            news = strcmp(view->members[i].box, ack->members[k].box) == 0;
+        if (!news)
+            list[n++] = view->members[i];
+    }
+    for (uint32_t k = 0; k < ack->members_n; k++)
+        if (!ack->members[k].gone)
+            list[n++] = ack->members[k];
+    view_set_members(view, list, n);
+    free(list);
+}
+
+static void take_news(control_client_t *c, const msg_beat_ack_t *ack)
+{
+    const bool members = ack->members_version != c->members_version;
+    const bool cells = ack->cells_version != c->cells_version;
+    if (!members && !cells)
+        return;
+    view_t *const view = view_copy(&c->entry->view);
+    if (members)
+        merge_members(view, ack);
+    if (cells)
+        view_set_cells(view, ack->cells, ack->cells_n);
+    view_publish(&c->entry->view, view);
+    c->members_version = ack->members_version;
+    c->cells_version = ack->cells_version;
 }
 
 static void take_ack(control_client_t *c, const msg_beat_ack_t *ack)
 {
     entry_t *const e = c->entry;
-    const view_t *const now = e->view.current;
-    const bool members = ack->members_version != c->members_version && ack->members_n > 0;
-    if (members || !same_cells(now, ack)) {
-        view_t *const view = view_copy(&e->view);
-        if (members)
-            view_set_members(view, ack->members, ack->members_n);
-        view_set_cells(view, ack->cells, ack->cells_n);
-        view_publish(&e->view, view);
-    }
-    if (members)
-        c->members_version = ack->members_version;
+    take_news(c, ack);
     if (ack->version == c->version)
         atomic_store(&e->lease_until, c->sent_at + ack->lease_ms);
-    scheduler_leases(e->scheduler, ack->cells, ack->cells_n, c->sent_at + MEMBERS_CELL_LEASE_MS);
+    scheduler_leases(e->scheduler, e->view.current->cells, e->view.current->n_cells,
+                     c->sent_at + MEMBERS_CELL_LEASE_MS);
     fetch(c, ack->version);
     if (ack->drain)
         entry_drain(e);
@@ -202,7 +228,10 @@
     c->beating = true;
     c->sent_at = now;
     const entry_settings_t *const s = e->settings;
-    msg_beat_t beat = {.version = c->version, .members_version = c->members_version, .released = c->released};
+    msg_beat_t beat = {.version = c->version,
+                       .members_version = c->members_version,
+                       .cells_version = c->cells_version,
+                       .released = c->released};
     codec_copy_string(beat.self.box, CODEC_STR_SIZE, s->box);
     codec_copy_string(beat.self.dc, CODEC_STR_SIZE, s->dc);
     codec_copy_string(beat.self.http_addr, CODEC_STR_SIZE, s->http_listen);
@@ -212,7 +241,9 @@
     beat.self.room = free_room(e);
     char addr[CODEC_STR_SIZE];
     get_leader(c, addr);
+    beat.loads_n = scheduler_loads(e->scheduler, &beat.loads);
     peer_call(e->net, addr, MSG_BEAT, &beat, BEAT_LIMIT_MS, on_beat, c);
+    free(beat.loads);
 }
 
 void control_client_release(control_client_t *c)
--- a/lib/request/entry.c
+++ b/lib/request/entry.c
@@ -16,6 +16,9 @@
 
 enum { WORKERS = 16, DRAIN_TICK_MS = 50, RENEW_LIMIT_MS = 400, CLOSE_MS = 300 };
 
+COUNTER_DEFINE(c_renews, "counter", "trackcove_entry_renewals_total", "Renewals by count and digest")
+COUNTER_DEFINE(c_renew_lists, "counter", "trackcove_entry_renewal_lists_total",
+               "Renewals by list, when counts differed")
 COUNTER_DEFINE(c_renew_lost, "counter", "trackcove_entry_requests_lost_total",
                "Requests the scheduler no longer counts as ours")
 
@@ -40,27 +43,53 @@
 
 /* ===== Renewing ===== */
 
+/** A renewal on its way. */
+typedef struct {
+    entry_t *entry;
+    char cell[CODEC_STR_SIZE];
+    char addr[CODEC_STR_SIZE];
+    uint64_t epoch;
+} renewing_t;
+
+static void renew_with(entry_t *e, const char *cell, const char *addr, uint64_t epoch, bool listed);
+
 static void on_renewed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
-    entry_t *const e = arg;
+    renewing_t *const renewing = arg;
     (void)err;
-    if (rc != TC_OK || type != MSG_RENEW_ACK)
-        return;
-    const msg_renew_ack_t *const ack = message;
-    for (uint32_t i = 0; i < ack->lost_n; i++) {
-        counter_add(&c_renew_lost, 1);
-        inflight_mark_lost(&e->inflight, ack->lost[i].id, ack->lost[i].attempt);
+    if (rc == TC_OK && type == MSG_RENEW_ACK) {
+        const msg_renew_ack_t *const ack = message;
+        for (uint32_t i = 0; i < ack->lost_n; i++) {
+            counter_add(&c_renew_lost, 1);
+            inflight_mark_lost(&renewing->entry->inflight, ack->lost[i].id, ack->lost[i].attempt);
+        }
+        if (ack->want_list)
+            renew_with(renewing->entry, renewing->cell, renewing->addr, renewing->epoch, true);
     }
+    free(renewing);
 }
 
-static void renew_with(entry_t *e, const char *cell, const char *addr, uint64_t epoch)
+static void renew_with(entry_t *e, const char *cell, const char *addr, uint64_t epoch, bool listed)
 {
-    msg_renew_t renew = {.incarnation = e->incarnation, .epoch = epoch};
+    msg_renew_t renew = {.incarnation = e->incarnation, .epoch = epoch, .listed = listed};
     codec_copy_string(renew.cell, sizeof(renew.cell), cell);
     codec_copy_string(renew.box, sizeof(renew.box), e->settings->box);
-    renew.held_n = inflight_collect(&e->inflight, cell, &renew.held);
-    if (renew.held_n > 0)
-        peer_call(e->net, addr, MSG_RENEW, &renew, RENEW_LIMIT_MS, on_renewed, e);
+    inflight_digest(&e->inflight, cell, &renew.count, &renew.digest);
+    if (listed)
+        renew.held_n = inflight_collect(&e->inflight, cell, &renew.held);
+    renewing_t *const renewing = calloc(1, sizeof(*renewing));
+    if (!renewing)
+        abort();
+    renewing->entry = e;
+    renewing->epoch = epoch;
+    codec_copy_string(renewing->cell, sizeof(renewing->cell), cell);
+    codec_copy_string(renewing->addr, sizeof(renewing->addr), addr);
+    if (listed || atomic_load(&e->inflight.count) > 0) {
+        counter_add(listed ? &c_renew_lists : &c_renews, 1);
+        peer_call(e->net, addr, MSG_RENEW, &renew, RENEW_LIMIT_MS, on_renewed, renewing);
+    } else {
+        free(renewing);
+    }
     free(renew.held);
 }
 
@@ -68,15 +97,15 @@
 {
     entry_t *const e = arg;
     const view_t *const view = e->view.current;
-    if (view->config.policy == POLICY_SHARE)
-        for (uint32_t i = 0; i < view->config.engines_n; i++) {
-            const char *const cell = view->config.engines[i].cell;
-            if (i == 0 || strcmp(cell, view->config.engines[i - 1].cell) != 0)
-                renew_with(e, cell, e->settings->peer_listen, SCHEDULER_SHARE_EPOCH);
+    if (view_config(view)->policy == POLICY_SHARE)
+        for (uint32_t i = 0; i < view_config(view)->engines_n; i++) {
+            const char *const cell = view_config(view)->engines[i].cell;
+            if (i == 0 || strcmp(cell, view_config(view)->engines[i - 1].cell) != 0)
+                renew_with(e, cell, e->settings->peer_listen, SCHEDULER_SHARE_EPOCH, false);
         }
-    else if (view->config.policy == POLICY_CELL)
+    else if (view_config(view)->policy == POLICY_CELL)
         for (uint32_t i = 0; i < view->n_cells; i++)
-            renew_with(e, view->cells[i].cell, view->cells[i].peer_addr, view->cells[i].epoch);
+            renew_with(e, view->cells[i].cell, view->cells[i].peer_addr, view->cells[i].epoch, false);
 }
 
 /* ===== Messages ===== */
--- a/lib/request/inflight.c
+++ b/lib/request/inflight.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sched/sched.h"
+
 void inflight_init(inflight_table_t *table)
 {
     pthread_mutex_init(&table->lock, NULL);
@@ -40,6 +42,21 @@
     pthread_mutex_unlock(&table->lock);
 }
 
+void inflight_digest(inflight_table_t *table, const char *cell, uint32_t *count, uint64_t *digest)
+{
+    *count = 0;
+    *digest = 0;
+    pthread_mutex_lock(&table->lock);
+    const inflight_t *item;
+    cds_list_for_each_entry(item, &table->list, node) {
+        if (item->held.attempt == 0 || atomic_load(&item->lost) || strcmp(item->cell, cell) != 0)
+            continue;
+        (*count)++;
+        *digest ^= sched_digest(item->id, item->held.attempt);
+    }
+    pthread_mutex_unlock(&table->lock);
+}
+
 uint32_t inflight_collect(inflight_table_t *table, const char *cell, held_t **held)
 {
     uint32_t n = 0;
--- a/lib/request/inflight.h
+++ b/lib/request/inflight.h
@@ -41,6 +41,9 @@
 /** Say where the request stands now. */
 void inflight_update(inflight_table_t *table, inflight_t *item, const held_t *held);
 
+/** Count and digest of a cell's placed requests, as sched_digest has it. */
+void inflight_digest(inflight_table_t *table, const char *cell, uint32_t *count, uint64_t *digest);
+
 /** Copies of all requests of a cell, in a heap array for free(). @return how many */
 uint32_t inflight_collect(inflight_table_t *table, const char *cell, held_t **held);
 
--- a/lib/request/placer.c
+++ b/lib/request/placer.c
@@ -257,8 +257,8 @@
 {
     const engine_cfg_t *best = NULL;
     double best_value = 0;
-    for (uint32_t i = 0; i < view->config.engines_n; i++) {
-        const engine_cfg_t *const e = &view->config.engines[i];
+    for (uint32_t i = 0; i < view_config(view)->engines_n; i++) {
+        const engine_cfg_t *const e = &view_config(view)->engines[i];
         if (e->role != role || strcmp(e->model, model) != 0 || strcmp(e->name, avoid) == 0 ||
             view_is_leaving(view, e->name))
             continue;
@@ -306,7 +306,7 @@
     memset(placement, 0, sizeof(*placement));
     view_t *const view = view_acquire(&entry->view);
     const char *const cell = view_cell_for(view, request->model);
-    placement->policy = view->config.policy;
+    placement->policy = view_config(view)->policy;
     codec_copy_string(placement->cell, sizeof(placement->cell), cell ? cell : "");
     view_release(view);
     if (!cell)
--- a/lib/request/reports.c
+++ b/lib/request/reports.c
@@ -104,13 +104,13 @@
 
 static void ask_loads(reports_t *r, const view_t *view)
 {
-    for (uint32_t i = 0; i < view->config.engines_n; i++) {
+    for (uint32_t i = 0; i < view_config(view)->engines_n; i++) {
         ask_load_t *const ask = calloc(1, sizeof(*ask));
         if (!ask)
             abort();
         ask->reports = r;
-        codec_copy_string(ask->engine, sizeof(ask->engine), view->config.engines[i].name);
-        codec_copy_string(ask->url, sizeof(ask->url), view->config.engines[i].url);
+        codec_copy_string(ask->engine, sizeof(ask->engine), view_config(view)->engines[i].name);
+        codec_copy_string(ask->url, sizeof(ask->url), view_config(view)->engines[i].url);
         entry_run_job(r->entry, run_ask_load, ask);
     }
 }
@@ -134,11 +134,11 @@
     for (;;) {
         view_t *const view = view_acquire(&r->entry->view);
         const tc_time_t now = tc_time_now();
-        if (now >= list_at && view->config.platform_url[0]) {
+        if (now >= list_at && view_config(view)->platform_url[0]) {
             list_at = now + LIST_EVERY_MS;
-            ask_platform(r, view->config.platform_url);
+            ask_platform(r, view_config(view)->platform_url);
         }
-        if (now >= load_at && view->config.policy <= POLICY_LEAST_LOADED) {
+        if (now >= load_at && view_config(view)->policy <= POLICY_LEAST_LOADED) {
             load_at = now + LOAD_EVERY_MS;
             ask_loads(r, view);
         }
--- a/lib/request/scheduler.c
+++ b/lib/request/scheduler.c
@@ -95,10 +95,10 @@
     const view_t *const view = s->entry->view.current;
     if (h->share)
         sched_set_share(h->core, view->n_members);
-    sched_configure(h->core, &view->config, now);
+    sched_configure(h->core, view_config(view), now);
     GArray *const polls = g_array_new(FALSE, TRUE, sizeof(poll_t));
-    for (uint32_t i = 0; i < view->config.engines_n; i++) {
-        const engine_cfg_t *const e = &view->config.engines[i];
+    for (uint32_t i = 0; i < view_config(view)->engines_n; i++) {
+        const engine_cfg_t *const e = &view_config(view)->engines[i];
         if (strcmp(e->cell, h->cell) != 0)
             continue;
         /* The first look at once: what engines hold for others must be known before anything is granted. */
@@ -138,9 +138,9 @@
 static void host_shares(scheduler_t *s)
 {
     const view_t *const view = s->entry->view.current;
-    for (uint32_t i = 0; i < view->config.engines_n; i++) {
-        const char *const cell = view->config.engines[i].cell;
-        if (view->config.policy == POLICY_SHARE && !find_hosted(s, cell, SCHEDULER_SHARE_EPOCH))
+    for (uint32_t i = 0; i < view_config(view)->engines_n; i++) {
+        const char *const cell = view_config(view)->engines[i].cell;
+        if (view_config(view)->policy == POLICY_SHARE && !find_hosted(s, cell, SCHEDULER_SHARE_EPOCH))
             host(s, cell, SCHEDULER_SHARE_EPOCH, true)->until = TC_TIME_NEVER;
     }
 }
@@ -155,7 +155,7 @@
 
 void scheduler_leases(scheduler_t *s, const cell_lease_t *cells, uint32_t n, tc_time_t until)
 {
-    if (s->released || s->entry->view.current->config.policy != POLICY_CELL)
+    if (s->released || view_config(s->entry->view.current)->policy != POLICY_CELL)
         return;
     for (uint32_t i = 0; i < n; i++) {
         hosted_t *h = find_hosted(s, cells[i].cell, cells[i].epoch);
@@ -358,7 +358,7 @@
     ack.lost = calloc(renew->held_n + 1, sizeof(*ack.lost));
     if (!ack.lost)
         abort();
-    ack.lost_n = sched_renew(h->core, renew, ack.lost, renew->held_n, now);
+    ack.lost_n = sched_renew(h->core, renew, ack.lost, renew->held_n, &ack.want_list, now);
     peer_reply(s->entry->net, call, MSG_RENEW_ACK, &ack);
     codec_free(&msg_renew_ack_desc, &ack);
 }
@@ -428,6 +428,29 @@
 
 /* ===== Views and life ===== */
 
+uint32_t scheduler_loads(scheduler_t *s, cell_load_t **loads)
+{
+    uint32_t room = 0, n = 0;
+    const hosted_t *h;
+    cds_list_for_each_entry(h, &s->hosted, node)
+        room++;
+    *loads = calloc(room + 1, sizeof(**loads));
+    if (!*loads)
+        abort();
+    cds_list_for_each_entry(h, &s->hosted, node) {
+        if (h->share)
+            continue;
+        const sched_stats_t stats = sched_stats(h->core);
+        cell_load_t *const load = &(*loads)[n++];
+        codec_copy_string(load->cell, sizeof(load->cell), h->cell);
+        load->epoch = h->epoch;
+        load->prefill_busy = stats.prefill_busy;
+        load->decode_busy = stats.decode_busy;
+        load->refused = stats.refused;
+    }
+    return n;
+}
+
 void scheduler_describe(scheduler_t *s, json_t *out)
 {
     enum { VIEWS = 512 };
--- a/lib/request/scheduler.h
+++ b/lib/request/scheduler.h
@@ -26,6 +26,9 @@
 /** Epoch under which every entry hosts its own share, policy "share"; leases count from 1. */
 #define SCHEDULER_SHARE_EPOCH 0
 
+/** How busy the leased cells are, for the beat; a heap array for free(). Loop's thread. @return how many */
+uint32_t scheduler_loads(scheduler_t *scheduler, cell_load_t **loads);
+
 /** Append what the hosted cells look like. */
 void scheduler_describe(scheduler_t *scheduler, json_t *out);
 
--- a/lib/request/view.c
+++ b/lib/request/view.c
@@ -17,19 +17,56 @@
     return copy;
 }
 
-/** Configurations hold only items without texts of their own, so copying goes through JSON. */
-static void copy_config(config_t *to, const config_t *from)
+/* ===== Shared configuration ===== */
+
+static void index_config(view_config_t *c)
+{
+    config_t *const config = &c->config;
+    c->engines = g_hash_table_new(g_str_hash, g_str_equal);
+    c->workspaces = g_hash_table_new(g_str_hash, g_str_equal);
+    c->leaving = g_hash_table_new(g_str_hash, g_str_equal);
+    c->cells = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < config->engines_n; i++) {
+        engine_cfg_t *const e = &config->engines[i];
+        g_hash_table_insert(c->engines, e->name, e);
+        if (!g_hash_table_contains(c->cells, e->model))
+            g_hash_table_insert(c->cells, e->model, e->cell);
+    }
+    for (uint32_t i = 0; i < config->workspaces_n; i++)
+        g_hash_table_insert(c->workspaces, config->workspaces[i].name, &config->workspaces[i]);
+    for (uint32_t i = 0; i < config->leaving_n; i++)
+        g_hash_table_insert(c->leaving, config->leaving[i].name, &config->leaving[i]);
+}
+
+static view_config_t *make_config(const char *text, size_t size, tc_err_t *err)
+{
+    view_config_t *const c = calloc(1, sizeof(*c));
+    if (!c)
+        abort();
+    if (codec_from_json_text(&config_desc, &c->config, text, size, "configuration", err) < 0) {
+        free(c);
+        return NULL;
+    }
+    atomic_init(&c->refs, 1);
+    index_config(c);
+    return c;
+}
+
+static void release_config(view_config_t *c)
 {
-    json_t *const json = codec_to_json(&config_desc, from);
-    const int rc = codec_from_json(&config_desc, to, json, NULL);
-    assert(rc == TC_OK); /* what was read can be written and read again */
-    (void)rc;
-    json_decref(json);
+    if (!c || atomic_fetch_sub(&c->refs, 1) != 1)
+        return;
+    g_hash_table_destroy(c->engines);
+    g_hash_table_destroy(c->workspaces);
+    g_hash_table_destroy(c->leaving);
+    g_hash_table_destroy(c->cells);
+    codec_free(&config_desc, &c->config);
+    free(c);
 }
 
 static void view_free(view_t *view)
 {
-    codec_free(&config_desc, &view->config);
+    release_config(view->shared);
     free(view->members);
     free(view->cells);
     free(view->leaving);
@@ -44,9 +81,8 @@
     if (!view)
         abort();
     atomic_init(&view->refs, 1);
-    const int rc = codec_from_json_text(&config_desc, &view->config, "{}", 2, "empty", NULL);
-    assert(rc == TC_OK); /* every field of a configuration has a default */
-    (void)rc;
+    view->shared = make_config("{}", 2, NULL);
+    assert(view->shared); /* every field of a configuration has a default */
     slot->current = view;
 }
 
@@ -73,7 +109,8 @@
         abort();
     atomic_init(&view->refs, 1);
     view->version = old->version;
-    copy_config(&view->config, &old->config);
+    view->shared = old->shared;
+    atomic_fetch_add(&view->shared->refs, 1);
     view_set_members(view, old->members, old->n_members);
     view_set_cells(view, old->cells, old->n_cells);
     view_set_leaving(view, (const char(*)[CODEC_STR_SIZE])old->leaving, old->n_leaving);
@@ -90,10 +127,11 @@
 
 int view_set_config(view_t *view, uint64_t version, const char *text, size_t size, tc_err_t *err)
 {
-    config_t config;
-    TC_CHECK(codec_from_json_text(&config_desc, &config, text, size, "configuration", err));
-    codec_free(&config_desc, &view->config);
-    view->config = config;
+    view_config_t *const next = make_config(text, size, err);
+    if (!next)
+        return TC_E_INVALID;
+    release_config(view->shared);
+    view->shared = next;
     view->version = version;
     return TC_OK;
 }
@@ -126,17 +164,15 @@
 
 const engine_cfg_t *view_engine(const view_t *view, const char *name)
 {
-    for (uint32_t i = 0; i < view->config.engines_n; i++)
-        if (strcmp(view->config.engines[i].name, name) == 0)
-            return &view->config.engines[i];
-    return NULL;
+    return g_hash_table_lookup(view->shared->engines, name);
 }
 
 const service_cfg_t *view_service(const view_t *view, const char *name)
 {
-    for (uint32_t i = 0; i < view->config.services_n; i++)
-        if (strcmp(view->config.services[i].name, name) == 0)
-            return &view->config.services[i];
+    const config_t *const config = view_config(view);
+    for (uint32_t i = 0; i < config->services_n; i++)
+        if (strcmp(config->services[i].name, name) == 0)
+            return &config->services[i];
     return NULL;
 }
 
@@ -150,9 +186,8 @@
 
 bool view_is_leaving(const view_t *view, const char *name)
 {
-    for (uint32_t i = 0; i < view->config.leaving_n; i++)
-        if (strcmp(view->config.leaving[i].name, name) == 0)
-            return true;
+    if (g_hash_table_contains(view->shared->leaving, name))
+        return true;
     for (uint32_t i = 0; i < view->n_leaving; i++)
         if (strcmp(view->leaving[i], name) == 0)
             return true;
@@ -161,18 +196,11 @@
 
 const char *view_cell_for(const view_t *view, const char *model)
 {
-    for (uint32_t i = 0; i < view->config.engines_n; i++)
-        if (strcmp(view->config.engines[i].model, model) == 0)
-            return view->config.engines[i].cell;
-    return NULL;
+    return g_hash_table_lookup(view->shared->cells, model);
 }
 
 const char *view_salt(const view_t *view, const char *workspace)
 {
-    for (uint32_t i = 0; i < view->config.workspaces_n; i++) {
-        const workspace_cfg_t *const w = &view->config.workspaces[i];
-        if (strcmp(w->name, workspace) == 0 && w->prefix_group[0])
-            return w->prefix_group;
-    }
-    return workspace;
+    const workspace_cfg_t *const w = g_hash_table_lookup(view->shared->workspaces, workspace);
+    return w && w->prefix_group[0] ? w->prefix_group : workspace;
 }
--- a/lib/request/view.h
+++ b/lib/request/view.h
@@ -10,6 +10,7 @@
 
 /* ===== Dependencies ===== */
 
+#include <glib.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 
@@ -18,11 +19,21 @@
 
 /* ===== Types ===== */
 
+/** A configuration with its indexes, shared by all snapshots that hold it. Read-only. */
+typedef struct {
+    atomic_int refs;
+    config_t config;
+    GHashTable *engines;    /**< name -> engine_cfg_t */
+    GHashTable *workspaces; /**< name -> workspace_cfg_t: there are thousands */
+    GHashTable *leaving;    /**< name -> leaving_cfg_t */
+    GHashTable *cells;      /**< model -> cell name */
+} view_config_t;
+
 /** A snapshot. Read-only once published. */
 typedef struct {
     atomic_int refs;
     uint64_t version; /**< of the configuration; 0: none yet */
-    config_t config;
+    view_config_t *shared;
     member_t *members; /**< live entry boxes */
     uint32_t n_members;
     cell_lease_t *cells; /**< who schedules which cell */
@@ -48,6 +59,12 @@
 view_t *view_copy(const view_slot_t *slot);
 void view_publish(view_slot_t *slot, view_t *view);
 
+/** The configuration of a snapshot. */
+static inline const config_t *view_config(const view_t *view)
+{
+    return &view->shared->config;
+}
+
 /** Set the configuration of a copy from JSON text. */
 int view_set_config(view_t *view, uint64_t version, const char *text, size_t size, tc_err_t *err);
 void view_set_members(view_t *view, const member_t *members, uint32_t n);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -84,6 +84,7 @@
 
 typedef struct {
     uint32_t queued, placed, cancelling, engines;
+    double prefill_busy, decode_busy; /**< moving averages, 0 to 1, for the planner */
     uint64_t granted, refused, resumed, replanned, lapsed, orphans;
 } sched_stats_t;
 
@@ -119,9 +120,15 @@
 /** A request moved on, ended or failed. */
 void sched_progress(sched_t *sched, const msg_progress_t *progress, tc_time_t now);
 
-/** An entry box renews all it holds. @param lost filled with at most @p room requests it must let go
- * @return how many */
-uint32_t sched_renew(sched_t *sched, const msg_renew_t *renew, held_t *lost, uint32_t room, tc_time_t now);
+/** An entry box renews all it holds: by count and digest (XOR of sched_digest over its placed requests), or, when
+ *  renew->listed, by a list.
+ * @param lost filled with at most @p room requests it must let go @param want_list the counts differ: send the list
+ * @return how many are lost */
+uint32_t sched_renew(sched_t *sched, const msg_renew_t *renew, held_t *lost, uint32_t room, bool *want_list,
+                     tc_time_t now);
+
+/** What one attempt adds to a box's digest. */
+uint64_t sched_digest(const char *id, uint32_t attempt);
 
 /** The engine answered its state page. @param incarnation changes when it restarted and forgot everything
  * @param leaving it says that it leaves, or it does not (yet) serve what the configuration says
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -95,35 +95,61 @@
     return a->priority != b->priority ? a->priority < b->priority : a->due <= b->due;
 }
 
-double estimate_wait(const sched_t *s, const request_t *r, tc_time_t now)
+/** Least time in which any engine could prefill the request, with what it has cached. */
+static double least_prefill_ms(const sched_t *s, const request_t *r, tc_time_t now)
 {
-    double work_ms = 0, need = r->pieces, free = 0, rate = 0;
-    uint32_t engines = 0;
+    double least = INFINITY;
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        const engine_t *const e = g_ptr_array_index(s->engine_list, i);
+        if (!prefill_candidate(e, r, now))
+            continue;
+        const double alone = engine_prefill_ms(e, r);
+        least = alone < least ? alone : least;
+    }
+    return least;
+}
+
+/** Room and work of the engines that serve a model. */
+typedef struct {
+    double free_pieces, backlog_ms;
+    uint32_t prefills;
+} supply_t;
+
+static supply_t supply_for(const sched_t *s, const request_t *r, tc_time_t now)
+{
+    supply_t supply = {0};
     for (guint i = 0; i < s->engine_list->len; i++) {
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
         if (strcmp(e->model, r->model) != 0 || !engine_usable(e, now))
             continue;
         if (e->role == ROLE_DECODE) {
-            free += e->reserved < e->pieces ? e->pieces - e->reserved : 0;
-            continue;
+            const uint32_t taken = e->reserved + e->foreign;
+            supply.free_pieces += taken < e->pieces ? e->pieces - taken : 0;
+        } else {
+            supply.prefills++;
+            supply.backlog_ms += engine_backlog(e, now);
         }
-        engines++;
-        rate += e->rate;
-        work_ms += engine_backlog(e, now);
     }
-    if (!engines)
+    return supply;
+}
+
+double estimate_wait(const sched_t *s, request_t *r, tc_time_t now)
+{
+    const supply_t supply = supply_for(s, r, now);
+    r->work_ms = least_prefill_ms(s, r, now);
+    if (supply.prefills == 0)
         return INFINITY;
-    const double mean_rate = rate / engines;
+    double work_ms = supply.backlog_ms, need = r->pieces;
     const request_t *q;
     cds_list_for_each_entry(q, &s->queue, node) {
         if (q == r || !ahead_of(q, r))
             continue;
-        work_ms += PREFILL_BASE_MS + q->prompt_tokens / mean_rate;
+        work_ms += q->work_ms;
         need += q->pieces;
     }
-    const double own = PREFILL_BASE_MS + r->prompt_tokens / mean_rate;
-    const double prefill_wait = work_ms / engines;
-    const double memory_wait = need > free && s->free_rate > 0 ? (need - free) / s->free_rate : 0;
+    const double prefill_wait = work_ms / supply.prefills;
+    const double missing = need - supply.free_pieces;
+    const double memory_wait = missing > 0 && s->free_rate > 0 ? missing / s->free_rate : 0;
     const double wait = prefill_wait > memory_wait ? prefill_wait : memory_wait;
-    return (wait + own + s->tpot_ms) / DUE_MARGIN;
+    return (wait + r->work_ms + s->tpot_ms) / DUE_MARGIN;
 }
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -77,10 +77,19 @@
 
 typedef enum { REQ_QUEUED, REQ_PLACED, REQ_REPLANNING, REQ_FINISHED } req_state_t;
 
+/** An entry box, as the owner of placed requests. */
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    uint32_t count;        /* placed requests */
+    uint64_t digest;       /* XOR of sched_digest over them */
+    tc_time_t lease_until; /* all of them are renewed until then */
+    tc_time_t heard;       /* last renewal of any kind */
+} owner_t;
+
 typedef struct {
     struct cds_list_head node; /* in queue, placed, or finished */
     char id[CODEC_STR_SIZE];
-    char box[CODEC_STR_SIZE];
+    owner_t *owner;
     char workspace[CODEC_STR_SIZE];
     char model[CODEC_STR_SIZE];
     req_state_t state;
@@ -97,6 +106,7 @@
     char avoid[CODEC_STR_SIZE];
     engine_t *prefill, *decode;
     bool prefilling; /* counted in prefill->prefills */
+    double work_ms;  /* prefill work it brings, by the engine that has most of it cached */
     double est_prefill_ms;
     link_t *link;
     double link_tokens; /* counted in link->outstanding */
@@ -139,6 +149,7 @@
     GHashTable *engines;  /* name -> engine_t, owned */
     GPtrArray *engine_list;
     GPtrArray *links;    /* link_t, owned */
+    GHashTable *owners;  /* box -> owner_t, owned */
     GHashTable *weights; /* workspace -> weight */
     struct cds_list_head queue, placed, finished, cancelling, strangers, actions;
     uint32_t n_queue, n_placed, n_cancelling;
@@ -147,7 +158,7 @@
     double freed_pieces;   /* since freed_at */
     tc_time_t freed_at;
     double tpot_ms;      /* learned */
-    double output_share; /* learned: tokens generated / max_tokens */
+    tc_time_t busy_at;   /* when the busy averages were updated last */
     sched_stats_t stats;
 };
 
@@ -181,7 +192,7 @@
 /** Best pair for a queued request, or for a replan the best decode engine (r->prefill is kept). */
 choice_t choose_pair(const sched_t *s, const request_t *r, bool keep_prefill, tc_time_t now);
 /** Estimated ms until a request with this due time could start, judged by the queue ahead of it. */
-double estimate_wait(const sched_t *s, const request_t *r, tc_time_t now);
+double estimate_wait(const sched_t *s, request_t *r, tc_time_t now);
 
 /* ===== Reservations (sched_reserve.c) ===== */
 
@@ -197,6 +208,31 @@
 void drop_cancelling(sched_t *s, cancelling_t *c);
 void ask_cancels(sched_t *s, tc_time_t now);
 
+/* ===== Requests (sched_request.c) ===== */
+
+/** Answer the request's waiting call; the caller fills in the result. */
+msg_placed_t *answer(sched_t *s, request_t *r);
+void refuse_token(sched_t *s, const char *id, sched_token_t token, const char *reason, double retry_ms);
+request_t *request_create(sched_t *s, const char *id);
+void request_forget(sched_t *s, request_t *r);
+void queue_insert(sched_t *s, request_t *r);
+void queue_remove(sched_t *s, request_t *r);
+void to_placed(sched_t *s, request_t *r);
+/** Hand the request to another entry box, or to the same under another attempt. */
+void set_owner(sched_t *s, request_t *r, const char *box, uint32_t attempt);
+void refuse_queued(sched_t *s, request_t *r, const char *reason, double retry_ms);
+/** The request ended by itself: its engines hold nothing more. */
+void finish(sched_t *s, request_t *r, tc_time_t now);
+/** Take a placed request off its engines; they are told to cancel if they may hold something. */
+void withdraw(sched_t *s, request_t *r, bool engines_may_hold, tc_time_t now);
+
+/* ===== Placing and leases (sched_place.c, sched_lease.c) ===== */
+
+/** Grant what can be granted, in order of priority and due time. */
+void dispatch(sched_t *s, tc_time_t now);
+/** Withdraw what nobody renewed in time. */
+void lapse(sched_t *s, tc_time_t now);
+
 /* ===== Actions ===== */
 
 sched_action_t *add_action(sched_t *s, sched_action_kind_t kind);
--- /dev/null
+++ b/lib/sched/sched_lease.c
@@ -0,0 +1,110 @@
+/* Leases: whose memory it is. Entry boxes renew what they hold; what lapses is withdrawn. */
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+/* ===== Leases ===== */
+
+/** A request this scheduler did not grant: its entry box holds it since before. */
+static void adopt(sched_t *s, const msg_renew_t *renew, const held_t *held, tc_time_t now)
+{
+    engine_t *const decode = engine_find(s, held->decode);
+    if (!decode || held->phase == PHASE_QUEUED || held->phase >= PHASE_FINISHED)
+        return;
+    request_t *const r = request_create(s, held->id);
+    codec_copy_string(r->model, sizeof(r->model), decode->model);
+    set_owner(s, r, renew->box, held->attempt);
+    if (held->attempt > s->next_attempt)
+        s->next_attempt = held->attempt;
+    r->prompt_tokens = held->prompt_tokens;
+    r->max_tokens = held->max_tokens;
+    r->pieces = held->pieces;
+    r->adopted = true;
+    r->phase = held->phase;
+    r->lease_until = now + SCHED_LEASE_MS;
+    r->decode = decode;
+    r->prefill = engine_find(s, held->prefill);
+    decode->reserved += r->pieces;
+    decode->batch++;
+    to_placed(s, r);
+}
+
+/** A list of everything the box holds: the exact, longer way. */
+static uint32_t renew_listed(sched_t *s, const msg_renew_t *renew, const owner_t *owner, held_t *lost, uint32_t room,
+                             tc_time_t now)
+{
+    uint32_t n_lost = 0;
+    for (uint32_t i = 0; i < renew->held_n; i++) {
+        const held_t *const held = &renew->held[i];
+        request_t *const r = g_hash_table_lookup(s->requests, held->id);
+        /* Only while rebuilding is an unknown request news; later it is one whose lease lapsed. */
+        if (!r && now < s->admit_from + SCHED_LEASE_MS && held->attempt > 0 && s->rebuilding) {
+            adopt(s, renew, held, now);
+            continue;
+        }
+        const bool mine = r && r->owner == owner;
+        if (mine && (r->state == REQ_QUEUED || r->attempt == held->attempt || r->waiting))
+            r->lease_until = now + SCHED_LEASE_MS;
+        else if (held->attempt > 0 && n_lost < room && !(r && r->state == REQ_FINISHED && mine))
+            lost[n_lost++] = *held;
+    }
+    return n_lost;
+}
+
+uint32_t sched_renew(sched_t *s, const msg_renew_t *renew, held_t *lost, uint32_t room, bool *want_list, tc_time_t now)
+{
+    owner_t *const owner = g_hash_table_lookup(s->owners, renew->box);
+    *want_list = false;
+    if (owner)
+        owner->heard = now;
+    if (renew->listed)
+        return renew_listed(s, renew, owner, lost, room, now);
+    /* The box and we count the same requests: all of them are renewed at once. */
+    const bool same = owner ? owner->count == renew->count && owner->digest == renew->digest : renew->count == 0;
+    if (same && owner)
+        owner->lease_until = now + SCHED_LEASE_MS;
+    *want_list = !same;
+    return 0;
+}
+
+bool sched_pop_waiting(sched_t *s, sched_token_t *token)
+{
+    if (cds_list_empty(&s->queue))
+        return false;
+    request_t *const r = cds_list_first_entry(&s->queue, request_t, node);
+    *token = r->token;
+    r->waiting = false;
+    queue_remove(s, r);
+    CDS_INIT_LIST_HEAD(&r->node);
+    request_forget(s, r);
+    return true;
+}
+
+void lapse(sched_t *s, tc_time_t now)
+{
+    request_t *r, *next;
+    cds_list_for_each_entry_safe(r, next, &s->placed, node) {
+        if (now < r->lease_until || now < r->owner->lease_until)
+            continue;
+        if (r->waiting) {
+            refuse_token(s, r->id, r->token, "lease lapsed", 0);
+            r->waiting = false;
+        }
+        withdraw(s, r, true, now);
+        request_forget(s, r);
+        s->stats.lapsed++;
+    }
+    cds_list_for_each_entry_safe(r, next, &s->queue, node) {
+        if (now >= r->lease_until && now >= r->owner->heard + SCHED_LEASE_MS)
+            refuse_queued(s, r, "its entry box is gone", 0);
+    }
+    cds_list_for_each_entry_safe(r, next, &s->finished, node) {
+        if (now - r->phase_at < SCHED_FINISHED_MS)
+            break; /* the list is in order of time */
+        request_forget(s, r);
+    }
+}
--- /dev/null
+++ b/lib/sched/sched_place.c
@@ -0,0 +1,258 @@
+/* Placing: admission, granting in order, coming again, handing over, and what requests report. */
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+/* ===== Granting ===== */
+
+static void grant(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now)
+{
+    const bool replan = r->state == REQ_REPLANNING;
+    reserve(s, r, choice, now);
+    if (replan)
+        r->state = REQ_PLACED;
+    else
+        to_placed(s, r);
+    r->phase = replan ? PHASE_TRANSFER : PHASE_PREFILL;
+    r->phase_at = now;
+    r->lease_until = now + SCHED_LEASE_MS;
+    r->avoid[0] = '\0';
+    msg_placed_t *const placed = answer(s, r);
+    placed->granted = true;
+    codec_copy_string(placed->prefill, sizeof(placed->prefill), r->prefill->name);
+    codec_copy_string(placed->decode, sizeof(placed->decode), r->decode->name);
+    placed->pieces = r->pieces;
+    placed->est_ttft_ms = choice->total_ms < 1e9 ? (uint32_t)choice->total_ms : 0;
+    placed->candidates = choice->candidates;
+    codec_copy_string(placed->reason, sizeof(placed->reason), replan ? "replanned" : "lowest estimate");
+    s->stats.granted++;
+}
+
+/** Grant what can be granted, in order of priority and due time. */
+void dispatch(sched_t *s, tc_time_t now)
+{
+    if (now < s->admit_from)
+        return;
+    request_t *r, *next;
+    cds_list_for_each_entry_safe(r, next, &s->queue, node) {
+        const choice_t choice = choose_pair(s, r, false, now);
+        if (!choice.decode)
+            continue;
+        if (now + (tc_time_t)choice.total_ms > r->due) {
+            refuse_queued(s, r, "cannot meet the time to first token", estimate_wait(s, r, now));
+            continue;
+        }
+        queue_remove(s, r);
+        r->attempt = ++s->next_attempt;
+        grant(s, r, &choice, now);
+    }
+}
+
+/* ===== Admission ===== */
+
+static uint32_t weight_of(const sched_t *s, const char *workspace)
+{
+    const gpointer weight = g_hash_table_lookup(s->weights, workspace);
+    return weight ? GPOINTER_TO_UINT(weight) : 1;
+}
+
+/** Prompt tokens a workspace has waiting, by its weight. */
+static double waiting_share(const sched_t *s, const char *workspace)
+{
+    double tokens = 0;
+    const request_t *q;
+    cds_list_for_each_entry(q, &s->queue, node)
+        if (strcmp(q->workspace, workspace) == 0)
+            tokens += q->prompt_tokens;
+    return tokens / weight_of(s, workspace);
+}
+
+/** The last waiting request of the workspace that waits with most for its weight, if that is more than
+ *  @p mine and the request is no more urgent than @p r. */
+static request_t *shed_victim(const sched_t *s, const request_t *r, double mine)
+{
+    request_t *q, *victim = NULL;
+    double most = mine;
+    cds_list_for_each_entry_reverse(q, &s->queue, node) {
+        if (q == r || q->priority < r->priority || strcmp(q->workspace, r->workspace) == 0)
+            continue;
+        const double share = waiting_share(s, q->workspace);
+        if (share <= most)
+            continue;
+        most = share;
+        victim = q;
+    }
+    return victim;
+}
+
+/** Keep the queue to what can still meet its target: refuse early, and first whom there is most of. */
+static void admit(sched_t *s, request_t *r, tc_time_t now)
+{
+    for (;;) {
+        const double wait = estimate_wait(s, r, now);
+        const bool late = now >= s->admit_from && (double)now + wait > (double)r->due;
+        if (!late && s->n_queue <= s->targets.max_queue)
+            return;
+        request_t *const victim = shed_victim(s, r, waiting_share(s, r->workspace));
+        if (victim && !isinf(wait)) {
+            refuse_queued(s, victim, "shed: its workspace waits with most", wait);
+            continue;
+        }
+        refuse_queued(s, r, late ? "cannot meet the time to first token" : "queue is full", wait);
+        return;
+    }
+}
+
+/** The same id again: hand over a running answer, or begin anew with what has not begun to answer. */
+static bool take_over(sched_t *s, request_t *old, const msg_place_t *place, sched_token_t token, tc_time_t now)
+{
+    if (old->state == REQ_FINISHED) {
+        const engine_t *const engine = engine_find(s, old->avoid);
+        const bool known = engine && engine->configured && strcmp(place->avoid, old->avoid) != 0;
+        if (!known) {
+            request_forget(s, old);
+            return false;
+        }
+        sched_action_t *const action = add_action(s, SCHED_ACT_ANSWER);
+        action->u.answer.token = token;
+        codec_copy_string(action->u.answer.id, sizeof(action->u.answer.id), old->id);
+        action->u.answer.placed =
+            (msg_placed_t){.granted = true, .resume = true, .attempt = old->attempt, .pieces = old->pieces};
+        codec_copy_string(action->u.answer.placed.decode, CODEC_STR_SIZE, old->avoid);
+        set_owner(s, old, place->box, old->attempt);
+        s->stats.resumed++;
+        return true;
+    }
+    if (old->waiting) {
+        refuse_token(s, old->id, old->token, "superseded by the same request elsewhere", 0);
+        old->waiting = false;
+    }
+    if (old->state == REQ_PLACED && old->phase == PHASE_DECODE && strcmp(place->avoid, old->decode->name) != 0) {
+        set_owner(s, old, place->box, old->attempt);
+        old->lease_until = now + SCHED_LEASE_MS;
+        old->token = token;
+        old->waiting = true;
+        msg_placed_t *const placed = answer(s, old);
+        placed->granted = true;
+        placed->resume = true;
+        codec_copy_string(placed->decode, sizeof(placed->decode), old->decode->name);
+        codec_copy_string(placed->reason, sizeof(placed->reason), "taken over");
+        placed->pieces = old->pieces;
+        s->stats.resumed++;
+        return true;
+    }
+    if (old->state == REQ_QUEUED) {
+        queue_remove(s, old);
+        CDS_INIT_LIST_HEAD(&old->node);
+    } else {
+        withdraw(s, old, true, now);
+    }
+    request_forget(s, old);
+    return false;
+}
+
+void sched_place(sched_t *s, const msg_place_t *place, sched_token_t token, tc_time_t now)
+{
+    request_t *const old = g_hash_table_lookup(s->requests, place->id);
+    if (old && take_over(s, old, place, token, now))
+        return;
+    request_t *const r = request_create(s, place->id);
+    set_owner(s, r, place->box, 0);
+    codec_copy_string(r->workspace, sizeof(r->workspace), place->workspace);
+    codec_copy_string(r->model, sizeof(r->model), place->model);
+    codec_copy_string(r->avoid, sizeof(r->avoid), place->avoid);
+    r->prompt_tokens = place->prompt_tokens;
+    r->max_tokens = place->max_tokens;
+    r->pieces = sched_pieces(place->prompt_tokens, place->max_tokens);
+    r->priority = place->priority;
+    r->repeatable = place->repeatable;
+    r->chain = g_memdup2(place->chain, place->chain_n * sizeof(*place->chain));
+    r->n_chain = place->chain_n;
+    r->arrived = now;
+    r->lease_until = now + SCHED_LEASE_MS;
+    r->due = now + place->wait_ms;
+    r->token = token;
+    r->waiting = true;
+    queue_insert(s, r);
+    admit(s, r, now);
+    dispatch(s, now);
+    ask_cancels(s, now);
+}
+
+void sched_replan(sched_t *s, const msg_replan_t *replan, sched_token_t token, tc_time_t now)
+{
+    request_t *const r = g_hash_table_lookup(s->requests, replan->id);
+    const bool current = r && r->state == REQ_PLACED && r->attempt == replan->attempt && r->prefill && !r->waiting;
+    if (!current) {
+        refuse_token(s, replan->id, token, "no such attempt", 0);
+        return;
+    }
+    cancel_decode(s, r, now);
+    codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
+    r->token = token;
+    r->waiting = true;
+    const choice_t choice = choose_pair(s, r, true, now);
+    if (choice.decode) {
+        r->state = REQ_REPLANNING;
+        /* A new number, so that tokens of the stalled engine, should it wake, are not taken for the new one's. */
+        set_owner(s, r, r->owner->name, ++s->next_attempt);
+        grant(s, r, &choice, now);
+        s->stats.replanned++;
+    } else {
+        /* Nowhere to go: the attempt ends here, and what the prefill engine keeps for it may go too. */
+        r->waiting = false;
+        refuse_token(s, r->id, token, choice.reason, 0);
+        withdraw(s, r, true, now);
+        request_forget(s, r);
+    }
+    ask_cancels(s, now);
+}
+
+/* ===== Progress ===== */
+
+static void engine_failed(sched_t *s, const char *name, tc_time_t now)
+{
+    engine_t *const e = engine_find(s, name);
+    if (e)
+        e->suspect_until = now + SUSPECT_MS;
+}
+
+void sched_progress(sched_t *s, const msg_progress_t *p, tc_time_t now)
+{
+    if (p->bad[0])
+        engine_failed(s, p->bad, now);
+    request_t *const r = g_hash_table_lookup(s->requests, p->id);
+    if (r && r->state == REQ_QUEUED && p->phase == PHASE_FAILED && p->attempt == 0) {
+        refuse_queued(s, r, "the caller is gone", 0);
+        return;
+    }
+    if (!r || r->state != REQ_PLACED || r->attempt != p->attempt)
+        return; /* late news of an attempt that is over */
+    r->lease_until = now + SCHED_LEASE_MS;
+    switch (p->phase) {
+    case PHASE_TRANSFER:
+        if (r->prefilling) {
+            engine_learn_rate(r->prefill, r->est_prefill_ms, p);
+            end_prefill_work(r);
+        }
+        r->phase = PHASE_TRANSFER;
+        break;
+    case PHASE_DECODE:
+        end_prefill_work(r);
+        end_transfer(r);
+        r->phase = PHASE_DECODE;
+        break;
+    case PHASE_FINISHED: finish(s, r, now); break;
+    case PHASE_FAILED:
+        withdraw(s, r, p->held, now);
+        request_forget(s, r);
+        break;
+    default: break;
+    }
+    dispatch(s, now);
+    ask_cancels(s, now);
+}
--- /dev/null
+++ b/lib/sched/sched_reconcile.c
@@ -0,0 +1,136 @@
+/* What engines say they hold, against what is reserved: restarts, strangers, confirmed cancels. */
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+/* ===== Engines' own word ===== */
+
+/** The engine restarted: whatever it held is gone. */
+static void engine_restarted(sched_t *s, engine_t *e, tc_time_t now)
+{
+    cancelling_t *c, *next;
+    cds_list_for_each_entry_safe(c, next, &s->cancelling, node)
+        if (c->engine == e)
+            drop_cancelling(s, c);
+    memset(e->cache, 0, sizeof(e->cache));
+    e->suspect_until = 0;
+}
+
+static stranger_t *stranger_find(const sched_t *s, const engine_t *e, const char *engine_id)
+{
+    stranger_t *x;
+    cds_list_for_each_entry(x, &s->strangers, node)
+        if (x->engine == e && strcmp(x->engine_id, engine_id) == 0)
+            return x;
+    return NULL;
+}
+
+static bool accounted_for(const sched_t *s, const engine_t *e, const char *engine_id)
+{
+    const cancelling_t *c;
+    cds_list_for_each_entry(c, &s->cancelling, node)
+        if (c->engine == e && strcmp(c->engine_id, engine_id) == 0)
+            return true;
+    char id[CODEC_STR_SIZE + 16];
+    codec_copy_string(id, sizeof(id), engine_id);
+    char *const dot = strrchr(id, '.');
+    if (!dot)
+        return false;
+    *dot = '\0';
+    const request_t *const r = g_hash_table_lookup(s->requests, id);
+    return r && r->attempt == strtoul(dot + 1, NULL, 10) && (r->state == REQ_PLACED);
+}
+
+/** Look for ids on the engine that no live caller stands behind, and have them cancelled after a grace. */
+static void reconcile(sched_t *s, engine_t *e, const sched_holding_t *held, uint32_t n, tc_time_t now)
+{
+    stranger_t *x, *next;
+    cds_list_for_each_entry(x, &s->strangers, node)
+        x->seen_now = false;
+    for (uint32_t i = 0; i < n; i++) {
+        if (accounted_for(s, e, held[i].engine_id))
+            continue;
+        x = stranger_find(s, e, held[i].engine_id);
+        if (!x) {
+            x = g_new0(stranger_t, 1);
+            x->engine = e;
+            codec_copy_string(x->engine_id, sizeof(x->engine_id), held[i].engine_id);
+            x->first_seen = now;
+            cds_list_add_tail(&x->node, &s->strangers);
+        }
+        x->seen_now = true;
+        x->pieces = e->role == ROLE_DECODE ? held[i].pieces : 0;
+        if (now - x->first_seen < ORPHAN_GRACE_MS || now < s->admit_from + ORPHAN_GRACE_MS)
+            continue;
+        x->seen_now = false; /* drops it below: from here on it is counted as cancelling */
+        add_cancelling(s, e, held[i].engine_id, e->role == ROLE_DECODE ? held[i].pieces : 0, true, now);
+        s->stats.orphans++;
+    }
+    e->foreign = 0;
+    cds_list_for_each_entry_safe(x, next, &s->strangers, node) {
+        if (x->engine != e)
+            continue;
+        if (x->seen_now) {
+            e->foreign += x->pieces;
+            continue;
+        }
+        cds_list_del(&x->node);
+        g_free(x);
+    }
+}
+
+void sched_engine_seen(sched_t *s, const char *name, uint64_t incarnation, bool leaving, const sched_holding_t *held,
+                       uint32_t n_held, tc_time_t asked, tc_time_t now)
+{
+    engine_t *const e = engine_find(s, name);
+    if (!e)
+        return;
+    if (e->incarnation != 0 && e->incarnation != incarnation)
+        engine_restarted(s, e, now);
+    e->incarnation = incarnation;
+    e->misses = 0;
+    e->down = false;
+    e->leaving_self = leaving;
+    e->seen = now;
+    if (asked >= e->suspect_until - SUSPECT_MS && now >= e->suspect_until - SUSPECT_MS / 2)
+        e->suspect_until = 0;
+    reconcile(s, e, held, n_held, now);
+    dispatch(s, now);
+    ask_cancels(s, now);
+}
+
+void sched_engine_missed(sched_t *s, const char *name, tc_time_t now)
+{
+    engine_t *const e = engine_find(s, name);
+    if (e && ++e->misses >= MISSES_DOWN)
+        e->down = true;
+}
+
+void sched_engine_leaving(sched_t *s, const char *name, bool leaving, tc_time_t now)
+{
+    engine_t *const e = engine_find(s, name);
+    if (e)
+        e->leaving_platform = leaving;
+}
+
+void sched_cancelled(sched_t *s, const char *engine, const char *engine_id, bool confirmed, tc_time_t now)
+{
+    cancelling_t *c, *next;
+    cds_list_for_each_entry_safe(c, next, &s->cancelling, node) {
+        if (strcmp(c->engine->name, engine) != 0 || strcmp(c->engine_id, engine_id) != 0)
+            continue;
+        if (confirmed) {
+            drop_cancelling(s, c);
+        } else {
+            c->asked = false;
+            c->next_try = now + CANCEL_RETRY_MS;
+        }
+        break;
+    }
+    dispatch(s, now);
+    ask_cancels(s, now);
+}
--- /dev/null
+++ b/lib/sched/sched_request.c
@@ -0,0 +1,160 @@
+/* A request's life inside the scheduler: queued, placed, finished or withdrawn; and its answers. */
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+msg_placed_t *answer(sched_t *s, request_t *r)
+{
+    assert(r->waiting); /* every waiting call is answered exactly once */
+    r->waiting = false;
+    sched_action_t *const action = add_action(s, SCHED_ACT_ANSWER);
+    action->u.answer.token = r->token;
+    codec_copy_string(action->u.answer.id, sizeof(action->u.answer.id), r->id);
+    action->u.answer.placed.attempt = r->attempt;
+    return &action->u.answer.placed;
+}
+
+void refuse_token(sched_t *s, const char *id, sched_token_t token, const char *reason, double retry_ms)
+{
+    sched_action_t *const action = add_action(s, SCHED_ACT_ANSWER);
+    action->u.answer.token = token;
+    codec_copy_string(action->u.answer.id, sizeof(action->u.answer.id), id);
+    msg_placed_t *const placed = &action->u.answer.placed;
+    codec_copy_string(placed->reason, sizeof(placed->reason), reason);
+    placed->retry_after_ms = retry_ms > 60000 || !(retry_ms >= 0) ? 60000 : (uint32_t)retry_ms;
+    s->stats.refused++;
+}
+
+/* ===== Requests: life ===== */
+
+request_t *request_create(sched_t *s, const char *id)
+{
+    request_t *const r = g_new0(request_t, 1);
+    codec_copy_string(r->id, sizeof(r->id), id);
+    g_hash_table_insert(s->requests, r->id, r);
+    return r;
+}
+
+void request_forget(sched_t *s, request_t *r)
+{
+    assert(!r->decode && !r->link && !r->prefilling && !r->waiting); /* nothing may be left behind */
+    g_hash_table_remove(s->requests, r->id);
+    cds_list_del(&r->node);
+    g_free(r->chain);
+    g_free(r);
+}
+
+void queue_insert(sched_t *s, request_t *r)
+{
+    struct cds_list_head *at = &s->queue;
+    request_t *q;
+    cds_list_for_each_entry_reverse(q, &s->queue, node) {
+        if (q->priority < r->priority || (q->priority == r->priority && q->due <= r->due)) {
+            at = &q->node;
+            break;
+        }
+    }
+    cds_list_add(&r->node, at);
+    r->state = REQ_QUEUED;
+    r->phase = PHASE_QUEUED;
+    s->n_queue++;
+}
+
+void queue_remove(sched_t *s, request_t *r)
+{
+    cds_list_del(&r->node);
+    assert(s->n_queue > 0); /* it was counted when it was queued */
+    s->n_queue--;
+}
+
+/* ===== Owners ===== */
+
+static owner_t *owner_get(sched_t *s, const char *box)
+{
+    owner_t *owner = g_hash_table_lookup(s->owners, box);
+    if (owner)
+        return owner;
+    owner = g_new0(owner_t, 1);
+    codec_copy_string(owner->name, sizeof(owner->name), box);
+    g_hash_table_insert(s->owners, owner->name, owner);
+    return owner;
+}
+
+static void count_owned(const request_t *r, bool add)
+{
+    r->owner->count += add ? 1u : -1u;
+    r->owner->digest ^= sched_digest(r->id, r->attempt);
+}
+
+void set_owner(sched_t *s, request_t *r, const char *box, uint32_t attempt)
+{
+    const bool counted = r->state == REQ_PLACED || r->state == REQ_REPLANNING;
+    if (counted)
+        count_owned(r, false);
+    r->owner = owner_get(s, box);
+    r->attempt = attempt;
+    if (counted)
+        count_owned(r, true);
+}
+
+/* ===== Lists ===== */
+
+void to_placed(sched_t *s, request_t *r)
+{
+    cds_list_add_tail(&r->node, &s->placed);
+    r->state = REQ_PLACED;
+    count_owned(r, true);
+    s->n_placed++;
+}
+
+static void leave_placed(sched_t *s, request_t *r)
+{
+    cds_list_del(&r->node);
+    assert(s->n_placed > 0); /* it was counted when it was placed */
+    count_owned(r, false);
+    s->n_placed--;
+}
+
+void refuse_queued(sched_t *s, request_t *r, const char *reason, double retry_ms)
+{
+    queue_remove(s, r);
+    refuse_token(s, r->id, r->token, reason, retry_ms);
+    r->waiting = false;
+    CDS_INIT_LIST_HEAD(&r->node);
+    request_forget(s, r);
+}
+
+/** The request ended by itself: its engines hold nothing more. */
+void finish(sched_t *s, request_t *r, tc_time_t now)
+{
+    leave_placed(s, r);
+    /* Its engine keeps a finished stream for a while: remember where. */
+    engine_t *const decode = r->decode;
+    end_prefill_work(r);
+    release_decode(s, r, now);
+    r->state = REQ_FINISHED;
+    r->phase = PHASE_FINISHED;
+    r->phase_at = now;
+    r->prefill = NULL;
+    codec_copy_string(r->avoid, sizeof(r->avoid), decode ? decode->name : "");
+    cds_list_add_tail(&r->node, &s->finished);
+}
+
+/** Take a placed request off its engines; they are told to cancel. */
+void withdraw(sched_t *s, request_t *r, bool engines_may_hold, tc_time_t now)
+{
+    leave_placed(s, r);
+    if (engines_may_hold) {
+        cancel_decode(s, r, now);
+        cancel_prefill(s, r, now);
+    }
+    end_prefill_work(r);
+    release_decode(s, r, now);
+    r->prefill = NULL;
+    CDS_INIT_LIST_HEAD(&r->node);
+    r->state = REQ_FINISHED; /* nothing of it is counted any more */
+}
--- a/programs/stub/stub.c
+++ b/programs/stub/stub.c
@@ -490,8 +490,9 @@
     const sim_request_t *r;
     cds_list_for_each_entry(r, &e->requests, node)
         live += r->state < SIM_DONE;
-    return json_pack("{s:s,s:i,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}", "name", e->cfg.name, "started", (int)e->started, "role", role_names[e->cfg.role],
-                     "model", e->cfg.model, "live", (int)live, "pieces", (int)e->pieces_used, "batch",
+    return json_pack("{s:s,s:i,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}", "name", e->cfg.name, "started", (int)e->started,
+                     "role", role_names[e->cfg.role], "model", e->cfg.model, "live", (int)live, "pieces",
+                     (int)e->pieces_used, "batch",
                      (int)(e->n_loads ? e->loads[(e->n_loads - 1) % SIM_LOAD_SLOTS].batch : 0), "obeyed",
                      (int)e->orders_obeyed, "refused", (int)e->orders_refused, "backward", (int)e->orders_backward);
 }
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -29,6 +29,9 @@
 
 /* ===== Public functions ===== */
 
+/** Before threads use this module; cluster_start does it too. */
+void cluster_init(void);
+
 /** Start everything and wait until every entry is ready. @return NULL with a message on standard error */
 cluster_t *cluster_start(const cluster_options_t *options);
 
@@ -47,6 +50,9 @@
 /** Wait until the process has ended. @return its exit status, -1 when it is still running after @p limit_ms */
 int cluster_wait_exit(cluster_t *cluster, const char *name, int limit_ms);
 
+/** Process id, 0 when it is not running. */
+GPid cluster_pid(const cluster_t *cluster, const char *name);
+
 /** HTTP address of a process. */
 const char *cluster_addr(const cluster_t *cluster, const char *name);
 
--- a/tests/harness/sched_world.c
+++ b/tests/harness/sched_world.c
@@ -309,6 +309,7 @@
 {
     held_t held[256], lost[256];
     msg_renew_t message = {.epoch = w->epoch, .held = held};
+    bool want_list = false;
     snprintf(message.box, sizeof(message.box), "entry-%u", entry);
     for (guint i = 0; i < w->callers->len && message.held_n < 256; i++) {
         const caller_t *const c = g_ptr_array_index(w->callers, i);
@@ -324,8 +325,16 @@
         codec_copy_string(h->id, sizeof(h->id), c->place.id);
         codec_copy_string(h->prefill, sizeof(h->prefill), c->placed.prefill);
         codec_copy_string(h->decode, sizeof(h->decode), c->placed.decode);
+        if (h->attempt > 0) {
+            message.count++;
+            message.digest ^= sched_digest(h->id, h->attempt);
+        }
     }
-    const uint32_t n = sched_renew(w->sched, &message, lost, 256, w->now);
+    (void)sched_renew(w->sched, &message, lost, 256, &want_list, w->now);
+    if (!want_list)
+        return;
+    message.listed = true;
+    const uint32_t n = sched_renew(w->sched, &message, lost, 256, &want_list, w->now);
     for (uint32_t i = 0; i < n; i++) {
         caller_t *const c = caller_by_id(w, lost[i].id);
         if (c && c->placed.attempt == lost[i].attempt && c->state != CALLER_WAITING) {
