A cell's lease belongs to one start of its holder and survives a pause; orders proved under a frozen leader

Cause: the orders test froze the control leader: the scheduler's lease ran out, it threw its state away, and was then given the same epoch again, with no state: live answers were told that somebody else had them. A box restarted within its lease would have done the same. Change: the lease names the incarnation it was given to; a holder whose lease runs out suspends, turns waiting calls away, and goes on with what it knows if the same epoch is extended (nobody else can have had the cell), with leases begun anew; any later epoch drops it. The randomised run suspends too. Conclusion: a pause of control longer than the lease costs waiting, no answers.

--- a/Makefile
+++ b/Makefile
@@ -86,7 +86,7 @@
 check: setup ## everything that must pass: lint, generated code, unit, random, sanitizers, faults
 	@$(MAKE) --no-print-directory check-all
 
-check-all: check-gen lint
+check-all: check-gen check-docs lint
 	@$(MAKE) --no-print-directory -j4 all $(UNIT) $(RANDOM) $(FAULT)
 	@$(MAKE) --no-print-directory -j4 BUILD=build-asan SAN="$(ASAN)" CFLAGS="-O1 -g" test-bins
 	@TRACKCOVE_BIN=build/bin RANDOM_SEEDS=$(or $(RANDOM_SEEDS),150) prove --timer -e '' $(UNIT) $(RANDOM) \
@@ -142,3 +142,19 @@
 	    $(BUILD)/fuzz/fuzz_$$f -max_total_time=$(FUZZ_SECONDS) -max_len=4096 -print_final_stats=1 \
 	    -artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/corpus/$$f > $(BUILD)/fuzz/$$f.log 2>&1 || { tail -30 $(BUILD)/fuzz/$$f.log; exit 1; }; \
 	    grep -E 'number_of_executed_units|operations tried' $(BUILD)/fuzz/$$f.log | sed "s/^/$$f: /"; done
+
+# ===== Slopes and the capacity page =====
+
+.PHONY: bench-scale
+bench-scale: setup ## measure the slopes and write docs/CAPACITY.md and its plots
+	@$(MAKE) --no-print-directory all $(BUILD)/bench/scale $(BUILD)/bench/scale_cores
+	@mkdir -p bench/results docs/plots
+	@$(BUILD)/bench/scale_cores > bench/results/scale.new
+	@$(BUILD)/bench/scale >> bench/results/scale.new
+	@mv bench/results/scale.new bench/results/scale.jsonl
+	@date +%F > bench/results/scale.date
+	@python3 scripts/capacity.py
+	@python3 scripts/plots.py
+
+check-docs: ## the capacity page is what its data gives
+	@python3 scripts/capacity.py --check
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -264,13 +264,13 @@
 static void assign_cell(control_t *c, const char *name, tc_time_t now)
 {
     const cell_lease_t *const cell = state_find_cell(c->state, name);
-    if (cell && !members_holder_gone(c->members, cell->box, now))
+    if (cell && !members_holder_gone(c->members, cell->box, cell->incarnation, now))
         return;
     const member_t *const member = members_pick(c->members, name, cells_held, c, now);
-    if (!member ||
-        (cell && strcmp(member->box, cell->box) == 0 && now < raft_view(c->raft).leader_since + MEMBERS_CELL_LEASE_MS))
+    if (!member)
         return;
     command_t command = {.kind = COMMAND_KIND_CELL, .base = cell ? cell->epoch : 0, .wall_ms = tc_time_wall()};
+    command.incarnation = member->incarnation;
     codec_copy_string(command.cell, sizeof(command.cell), name);
     codec_copy_string(command.box, sizeof(command.box), member->box);
     codec_copy_string(command.peer_addr, sizeof(command.peer_addr), member->peer_addr);
--- a/lib/control/members.c
+++ b/lib/control/members.c
@@ -160,13 +160,13 @@
     return true;
 }
 
-bool members_holder_gone(const members_t *m, const char *box, tc_time_t now)
+bool members_holder_gone(const members_t *m, const char *box, uint64_t incarnation, tc_time_t now)
 {
     const tc_time_t lease = MEMBERS_CELL_LEASE_MS + MEMBERS_MARGIN_MS;
     const box_t *const b = g_hash_table_lookup(m->boxes, box);
     if (!b)
         return now >= m->lead_since + lease;
-    return b->released || now >= b->heard + lease;
+    return b->released || b->self.incarnation != incarnation || now >= b->heard + lease;
 }
 
 const member_t *members_pick(const members_t *m, const char *cell, uint32_t (*held)(void *arg, const char *box),
--- a/lib/control/members.h
+++ b/lib/control/members.h
@@ -69,8 +69,8 @@
 bool members_in_force(const members_t *members, uint64_t version, tc_time_t lease_ms, char laggard[CODEC_STR_SIZE],
                       tc_time_t now);
 
-/** Whether the holder of a cell can no longer act: its lease ran out, or it gave it up. */
-bool members_holder_gone(const members_t *members, const char *box, tc_time_t now);
+/** Whether the holder of a cell can no longer act: its lease ran out, it gave it up, or it restarted since. */
+bool members_holder_gone(const members_t *members, const char *box, uint64_t incarnation, tc_time_t now);
 
 /** Choose a live box for a cell, or NULL. @param held how many cells each box holds is asked through this */
 const member_t *members_pick(const members_t *members, const char *cell, uint32_t (*held)(void *arg, const char *box),
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -328,6 +328,7 @@
     }
     codec_copy_string(cell->box, sizeof(cell->box), command->box);
     codec_copy_string(cell->peer_addr, sizeof(cell->peer_addr), command->peer_addr);
+    cell->incarnation = command->incarnation;
     cell->epoch++;
     set_result(result, TC_OK, cell->epoch, cell->box);
 }
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -15,6 +15,7 @@
     {.name = "box", .offset = offsetof(cell_lease_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "peer_addr", .offset = offsetof(cell_lease_t, peer_addr), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "epoch", .offset = offsetof(cell_lease_t, epoch), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "incarnation", .offset = offsetof(cell_lease_t, incarnation), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t cell_lease_desc = {.name = "cell_lease", .size = sizeof(cell_lease_t), .fields = cell_lease_fields, .n_fields = sizeof(cell_lease_fields) / sizeof(cell_lease_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -64,6 +64,7 @@
     char box[CODEC_STR_SIZE];
     char peer_addr[CODEC_STR_SIZE];
     uint64_t epoch; /**< grows with every change of holder */
+    uint64_t incarnation; /**< start of the holder that the lease is for: a restarted box has to get a new one */
 } cell_lease_t;
 extern const codec_desc_t cell_lease_desc;
 
--- a/lib/request/completion.c
+++ b/lib/request/completion.c
@@ -50,6 +50,7 @@
     bool first_seen; /* the first token of this attempt came */
     uint32_t attempts;
     uint32_t prompt_tokens;
+    int64_t place_us; /* waited for the first placement */
     uint32_t dropped; /* tokens of the prefill result under way */
     int token_rc;     /* why reading tokens was given up */
     tc_err_t err;
@@ -289,10 +290,14 @@
 {
     const placer_request_t request = placer_request(run);
     const tc_time_t now = tc_time_now();
+    const gint64 begin = g_get_monotonic_time();
     /* A second attempt gets as much time as the first had. */
     const tc_time_t due = run->attempts == 0 ? run->request->due : now + (run->request->due - run->request->arrived);
     const int rc = placer_place(run->entry, &request, run->avoid, due, on_idle, run, &run->placement, &run->err);
-    counter_add(&c_place_us, (tc_time_now() - now) * 1000);
+    const int64_t waited = g_get_monotonic_time() - begin;
+    counter_add(&c_place_us, waited);
+    if (run->attempts == 0)
+        run->place_us = waited;
     return rc;
 }
 
@@ -379,6 +384,7 @@
     log_str(&line, "end", caller_end_name(end));
     log_int(&line, "tokens", run->caller.places);
     log_int(&line, "attempts", run->attempts);
+    log_int(&line, "place_us", run->place_us);
     log_int(&line, "took_ms", tc_time_now() - run->request->arrived);
     if (end != END_OK)
         log_err(&line, &run->err);
--- a/lib/request/scheduler.c
+++ b/lib/request/scheduler.c
@@ -39,6 +39,7 @@
     uint64_t epoch;
     bool share; /* our own part of the cell, not the leased whole */
     tc_time_t until;
+    bool suspended; /* the lease ran out: nothing is done until it is extended or somebody else's */
     sched_t *core;
     GArray *polls; /* poll_t */
 } hosted_t;
@@ -76,12 +77,17 @@
     peer_reply_error(s->entry->net, call, &err);
 }
 
-/** Stop hosting. Those who wait are told to ask the next holder of the lease. */
-static void drop_hosted(scheduler_t *s, hosted_t *h)
+/** Those who wait are told to ask the next holder of the lease. */
+static void turn_away(scheduler_t *s, hosted_t *h)
 {
     sched_token_t token;
     while (sched_pop_waiting(h->core, &token))
         reply_fenced(s, (peer_call_t){.connection = token.a, .call = token.b});
+}
+
+static void drop_hosted(scheduler_t *s, hosted_t *h)
+{
+    turn_away(s, h);
     log_hosting(h, "cell_dropped");
     counter_add(&c_hosted, -1);
     cds_list_del(&h->node);
@@ -126,7 +132,7 @@
     h->epoch = epoch;
     h->share = share;
     h->polls = g_array_new(FALSE, TRUE, sizeof(poll_t));
-    const sched_options_t options = {.cell = cell, .epoch = epoch, .share_of = 1, .rebuild = !share && epoch > 1};
+    const sched_options_t options = {.cell = cell, .epoch = epoch, .share_of = 1, .rebuild = !share};
     h->core = sched_create(&options, now);
     cds_list_add(&h->node, &s->hosted);
     counter_add(&c_hosted, 1);
@@ -153,17 +159,43 @@
     host_shares(s);
 }
 
+/** Another box has the cell, or we under a later epoch: ours is over for good. */
+static void drop_outdated(scheduler_t *s, const cell_lease_t *cell)
+{
+    hosted_t *h, *next;
+    cds_list_for_each_entry_safe(h, next, &s->hosted, node) {
+        if (!h->share && strcmp(h->cell, cell->cell) == 0 && h->epoch != cell->epoch)
+            drop_hosted(s, h);
+    }
+}
+
+static void extend(const scheduler_t *s, hosted_t *h, tc_time_t until)
+{
+    const tc_time_t now = tc_time_now();
+    if (h->suspended && now < until) {
+        /* Nobody else had the cell, or the epoch would have grown: go on with what we know. */
+        h->suspended = false;
+        sched_resume(h->core, now);
+        configure(s, h, now);
+        log_hosting(h, "cell_resumed");
+    }
+    h->until = until;
+}
+
 void scheduler_leases(scheduler_t *s, const cell_lease_t *cells, uint32_t n, tc_time_t until)
 {
     if (s->released || view_config(s->entry->view.current)->policy != POLICY_CELL)
         return;
     for (uint32_t i = 0; i < n; i++) {
-        hosted_t *h = find_hosted(s, cells[i].cell, cells[i].epoch);
-        if (strcmp(cells[i].box, s->entry->settings->box) != 0)
+        drop_outdated(s, &cells[i]);
+        const bool ours =
+            strcmp(cells[i].box, s->entry->settings->box) == 0 && cells[i].incarnation == s->entry->incarnation;
+        if (!ours)
             continue;
+        hosted_t *h = find_hosted(s, cells[i].cell, cells[i].epoch);
         if (!h)
             h = host(s, cells[i].cell, cells[i].epoch, false);
-        h->until = until;
+        extend(s, h, until);
     }
 }
 
@@ -324,6 +356,8 @@
 static void drain_actions(scheduler_t *s, hosted_t *h)
 {
     sched_action_t action;
+    if (h->suspended)
+        return; /* they are done when the lease is extended, or never */
     while (sched_next_action(h->core, &action)) {
         if (action.kind == SCHED_ACT_ANSWER) {
             const peer_call_t call = {.connection = action.u.answer.token.a, .call = action.u.answer.token.b};
@@ -414,12 +448,15 @@
 {
     scheduler_t *const s = arg;
     const tc_time_t now = tc_time_now();
-    hosted_t *h, *next;
-    cds_list_for_each_entry_safe(h, next, &s->hosted, node) {
-        if (now >= h->until) {
-            drop_hosted(s, h); /* the lease ran out: another box may act from here on */
-            continue;
+    hosted_t *h;
+    cds_list_for_each_entry(h, &s->hosted, node) {
+        if (now >= h->until && !h->suspended) {
+            h->suspended = true; /* another box may act from here on */
+            turn_away(s, h);
+            log_hosting(h, "cell_suspended");
         }
+        if (h->suspended)
+            continue;
         sched_tick(h->core, now);
         drain_actions(s, h);
         poll_engines(s, h, now);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -145,6 +145,10 @@
 /** The engine confirmed a cancel (it holds nothing for that id), or did not. */
 void sched_cancelled(sched_t *sched, const char *engine, const char *engine_id, bool confirmed, tc_time_t now);
 
+/** The lease ran out and was extended without anybody else having had it: nothing was heard meanwhile, so leases of
+ *  requests begin anew and nothing is granted for SCHED_REBUILD_MS. */
+void sched_resume(sched_t *sched, tc_time_t now);
+
 /** The lease is over: take out one waiting call, so that the shell can send it to the next scheduler.
  * @return false when none waits */
 bool sched_pop_waiting(sched_t *sched, sched_token_t *token);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -157,8 +157,8 @@
     double free_rate;      /* decode pieces freed per ms, moving average */
     double freed_pieces;   /* since freed_at */
     tc_time_t freed_at;
-    double tpot_ms;      /* learned */
-    tc_time_t busy_at;   /* when the busy averages were updated last */
+    double tpot_ms;    /* learned */
+    tc_time_t busy_at; /* when the busy averages were updated last */
     sched_stats_t stats;
 };
 
--- a/lib/sched/sched_lease.c
+++ b/lib/sched/sched_lease.c
@@ -71,6 +71,15 @@
     return 0;
 }
 
+void sched_resume(sched_t *s, tc_time_t now)
+{
+    s->admit_from = now + SCHED_REBUILD_MS;
+    s->rebuilding = true;
+    request_t *r;
+    cds_list_for_each_entry(r, &s->placed, node)
+        r->lease_until = s->admit_from + SCHED_LEASE_MS;
+}
+
 bool sched_pop_waiting(sched_t *s, sched_token_t *token)
 {
     if (cds_list_empty(&s->queue))
--- a/tests/harness/sched_world.c
+++ b/tests/harness/sched_world.c
@@ -48,6 +48,7 @@
     fake_engine_t engines[ENGINES];
     bool entry_dead[ENTRIES];
     tc_time_t frozen_until[ENTRIES];
+    tc_time_t suspended_until; /* the scheduler's lease ran out: it hears and does nothing */
     GPtrArray *callers;
     sched_world_result_t result;
 } world_t;
@@ -123,7 +124,7 @@
     msg_progress_t p = {
         .attempt = c->placed.attempt, .phase = phase, .took_ms = 100, .computed_tokens = 1500, .held = held};
     codec_copy_string(p.id, sizeof(p.id), c->place.id);
-    if (!once_in(w->chooser, 20)) /* some news is lost */
+    if (!once_in(w->chooser, 20) && w->now >= w->suspended_until) /* some news is lost */
         sched_progress(w->sched, &p, w->now);
 }
 
@@ -370,6 +371,25 @@
     }
 }
 
+/** Callers who wait are turned away and ask again once the scheduler acts. */
+static void suspend(world_t *w)
+{
+    sched_token_t token;
+    while (sched_pop_waiting(w->sched, &token))
+        ((caller_t *)g_ptr_array_index(w->callers, token.a))->answered++;
+    w->suspended_until = w->now + 500 + (tc_time_t)choose(w->chooser, 4000);
+}
+
+static void resume(world_t *w)
+{
+    sched_resume(w->sched, w->now);
+    for (guint i = 0; i < w->callers->len; i++) {
+        caller_t *const c = g_ptr_array_index(w->callers, i);
+        if (c->state == CALLER_WAITING && c->answered == c->asked && entry_acts(w, c->entry))
+            ask(w, c);
+    }
+}
+
 static void restart_engine(world_t *w, fake_engine_t *e)
 {
     g_hash_table_remove_all(e->held);
@@ -392,7 +412,8 @@
 static void disturb(world_t *w)
 {
     w->result.operations++;
-    switch (choose(w->chooser, 7)) {
+    switch (choose(w->chooser, 8)) {
+    case 7: suspend(w); break;
     case 0: kill_entry(w, choose(w->chooser, ENTRIES)); break;
     case 1: memset(w->entry_dead, 0, sizeof(w->entry_dead)); break;
     case 2: restart_scheduler(w); break;
@@ -409,7 +430,12 @@
 
 static void step(world_t *w, unsigned number)
 {
+    const bool suspended = w->now < w->suspended_until;
     w->now += STEP_MS;
+    if (w->now < w->suspended_until)
+        return;
+    if (suspended)
+        resume(w);
     for (unsigned i = 0; i < ENTRIES; i++)
         if (number % RENEW_STEPS == i && entry_acts(w, i) && !w->options.no_renewals)
             renew(w, i);
@@ -446,7 +472,8 @@
 {
     for (unsigned i = 0; i < w->options.steps && !w->result.broken && !chooser_empty(w->chooser); i++) {
         step(w, i);
-        if (once_in(w->chooser, 3)) {
+        const bool suspended = w->now < w->suspended_until;
+        if (!suspended && once_in(w->chooser, 3)) {
             new_caller(w);
             w->result.operations++;
         }
@@ -454,16 +481,17 @@
             const guint recent = w->callers->len < 60 ? w->callers->len : 60;
             caller_t *const c = g_ptr_array_index(w->callers, w->callers->len - 1 - choose(w->chooser, recent));
             w->result.operations++;
-            if (once_in(w->chooser, 30))
+            if (!suspended && once_in(w->chooser, 30))
                 reconnect(w, c);
-            else if (once_in(w->chooser, 20))
+            else if (!suspended && once_in(w->chooser, 20))
                 replan(w, c);
             else
                 advance(w, c);
         }
-        if (once_in(w->chooser, 60))
+        if (!suspended && once_in(w->chooser, 60))
             disturb(w);
-        drain(w);
+        if (w->now >= w->suspended_until)
+            drain(w);
     }
 }
 
@@ -471,6 +499,8 @@
 {
     for (unsigned i = 0; i < ENTRIES; i++)
         kill_entry(w, i);
+    w->now = w->suspended_until > w->now ? w->suspended_until : w->now;
+    sched_resume(w->sched, w->now);
     for (unsigned i = 0; i < SETTLE_STEPS; i++)
         step(w, i);
     const sched_stats_t stats = sched_stats(w->sched);
