Health and metrics pages stand once; generated code as the generator writes it

Cause: both daemons had their own copy of the two pages; a formatting run had touched lib/gen, so that it was not what the schema gives. Measured: make check-gen passes. Conclusion: none beyond order.

--- a/lib/control/operators.c
+++ b/lib/control/operators.c
@@ -6,13 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/counter.h"
 #include "common/log.h"
 #include "control/merge.h"
+#include "http/pages.h"
 
 /* ===== Types ===== */
 
-enum { BODY_MAX = 4 * 1024 * 1024, HISTORY_MAX = 200, METRICS_SIZE = 65536 };
+enum { BODY_MAX = 4 * 1024 * 1024, HISTORY_MAX = 200 };
 
 typedef enum { MAY_NOTHING, MAY_READ, MAY_PLAN, MAY_CONFIRM } operator_role_t;
 
@@ -494,26 +494,6 @@
     return post(conn, arg, COMMAND_KIND_DRAIN, MAY_CONFIRM);
 }
 
-/* ===== Without a token ===== */
-
-static int get_health(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    return http_send_text(conn, 200, "text/plain", "ok\n");
-}
-
-static int get_metrics(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    char *const text = malloc(METRICS_SIZE);
-    if (!text)
-        abort();
-    text[counter_print(text, METRICS_SIZE - 1)] = '\0';
-    const int status = http_send_text(conn, 200, "text/plain; version=0.0.4", text);
-    free(text);
-    return status;
-}
-
 /* ===== Life ===== */
 
 operators_t *operators_create(http_server_t *server, control_t *control, const control_settings_t *settings)
@@ -533,8 +513,7 @@
     http_route(server, "/v1/confirm", post_confirm, o);
     http_route(server, "/v1/reject", post_reject, o);
     http_route(server, "/v1/drain", post_drain, o);
-    http_route(server, "/healthz", get_health, o);
-    http_route(server, "/metrics", get_metrics, o);
+    pages_route(server);
     return o;
 }
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -6,12 +6,21 @@
 #include "common/codec.h"
 
 /** What an engine computes. */
-typedef enum { ROLE_PREFILL, ROLE_DECODE, ROLE_COUNT } role_t;
+typedef enum {
+    ROLE_PREFILL,
+    ROLE_DECODE,
+    ROLE_COUNT
+} role_t;
 extern const char *const role_names[];
 
-/** How an entry box chooses engines: random and least_loaded are the baselines on lagged reports; share runs the
- * scheduler alone on its own part of every engine; cell asks the leased scheduler of the cell. */
-typedef enum { POLICY_RANDOM, POLICY_LEAST_LOADED, POLICY_SHARE, POLICY_CELL, POLICY_COUNT } policy_t;
+/** How an entry box chooses engines: random and least_loaded are the baselines on lagged reports; share runs the scheduler alone on its own part of every engine; cell asks the leased scheduler of the cell. */
+typedef enum {
+    POLICY_RANDOM,
+    POLICY_LEAST_LOADED,
+    POLICY_SHARE,
+    POLICY_CELL,
+    POLICY_COUNT
+} policy_t;
 extern const char *const policy_names[];
 
 /** Where a placed request stands. */
@@ -41,7 +50,12 @@
 extern const char *const command_kind_names[];
 
 /** State of a claim on the id of a not repeatable request. */
-typedef enum { CLAIM_STATE_RUNNING, CLAIM_STATE_DONE, CLAIM_STATE_NOT_RUN, CLAIM_STATE_COUNT } claim_state_t;
+typedef enum {
+    CLAIM_STATE_RUNNING,
+    CLAIM_STATE_DONE,
+    CLAIM_STATE_NOT_RUN,
+    CLAIM_STATE_COUNT
+} claim_state_t;
 extern const char *const claim_state_names[];
 
 /** Which entry box schedules a cell. */
@@ -49,7 +63,7 @@
     char cell[CODEC_STR_SIZE];
     char box[CODEC_STR_SIZE];
     char peer_addr[CODEC_STR_SIZE];
-    uint64_t epoch;       /**< grows with every change of holder */
+    uint64_t epoch; /**< grows with every change of holder */
     uint64_t incarnation; /**< start of the holder that the lease is for: a restarted box has to get a new one */
 } cell_lease_t;
 extern const codec_desc_t cell_lease_desc;
@@ -63,7 +77,7 @@
     uint64_t incarnation;
     bool draining;
     uint32_t room; /**< requests the box could still take */
-    bool gone;     /**< in news: the box fell silent */
+    bool gone; /**< in news: the box fell silent */
 } member_t;
 extern const codec_desc_t member_desc;
 
@@ -72,8 +86,8 @@
     char cell[CODEC_STR_SIZE];
     uint64_t epoch;
     double prefill_busy; /**< moving average of the share of prefill engines with work, 0 to 1 */
-    double decode_busy;  /**< moving average of the share of decode memory or batch places taken, 0 to 1 */
-    uint64_t refused;    /**< requests refused since the lease began */
+    double decode_busy; /**< moving average of the share of decode memory or batch places taken, 0 to 1 */
+    uint64_t refused; /**< requests refused since the lease began */
 } cell_load_t;
 extern const codec_desc_t cell_load_desc;
 
@@ -101,7 +115,7 @@
 /** One member of the replicated log. */
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< box name */
-    uint64_t id;               /**< identity of its data folder */
+    uint64_t id; /**< identity of its data folder */
     char peer[CODEC_STR_SIZE];
     char http[CODEC_STR_SIZE];
     bool voter;
@@ -252,44 +266,42 @@
 
 /** Settings of trackcove-entryd, one file a box. */
 typedef struct {
-    char box[CODEC_STR_SIZE];               /**< name of this box, unique in the system */
-    char dc[CODEC_STR_SIZE];                /**< data centre this box stands in */
-    char http_listen[CODEC_STR_SIZE];       /**< IP:port for callers */
-    char peer_listen[CODEC_STR_SIZE];       /**< IP:port for the other boxes */
+    char box[CODEC_STR_SIZE]; /**< name of this box, unique in the system */
+    char dc[CODEC_STR_SIZE]; /**< data centre this box stands in */
+    char http_listen[CODEC_STR_SIZE]; /**< IP:port for callers */
+    char peer_listen[CODEC_STR_SIZE]; /**< IP:port for the other boxes */
     char cluster_key_file[CODEC_PATH_SIZE]; /**< file with the cluster key, at least 16 bytes */
-    char log_file[CODEC_PATH_SIZE];         /**< JSON lines go here; empty is standard error */
-    uint32_t threads;                       /**< callers served at once (threads) */
-    uint32_t max_body_bytes;                /**< largest request body accepted (bytes) */
-    uint32_t answer_keep_ms; /**< how long a caller may keep the answer of /v1/entries; a planned stop serves for as
-                                long (ms) */
+    char log_file[CODEC_PATH_SIZE]; /**< JSON lines go here; empty is standard error */
+    uint32_t threads; /**< callers served at once (threads) */
+    uint32_t max_body_bytes; /**< largest request body accepted (bytes) */
+    uint32_t answer_keep_ms; /**< how long a caller may keep the answer of /v1/entries; a planned stop serves for as long (ms) */
     uint32_t drain_limit_ms; /**< longest wait for requests in progress at a planned stop (ms) */
-    voter_cfg_t *control;    /**< the control boxes, by name */
+    voter_cfg_t *control; /**< the control boxes, by name */
     uint32_t control_n;
 } entry_settings_t;
 extern const codec_desc_t entry_settings_desc;
 
 /** One operator. */
 typedef struct {
-    char name[CODEC_STR_SIZE];        /**< operator's name, kept with every change */
+    char name[CODEC_STR_SIZE]; /**< operator's name, kept with every change */
     char token_hash[CODEC_PATH_SIZE]; /**< hash printed by 'trackcove token' */
-    char role[CODEC_STR_SIZE];        /**< read, plan or confirm; each includes the ones before */
+    char role[CODEC_STR_SIZE]; /**< read, plan or confirm; each includes the ones before */
 } operator_cfg_t;
 extern const codec_desc_t operator_cfg_desc;
 
 /** Settings of trackcove-controld, one file a control box. */
 typedef struct {
-    char box[CODEC_STR_SIZE];               /**< name of this box, unique in the system */
-    char dc[CODEC_STR_SIZE];                /**< data centre this box stands in */
-    char http_listen[CODEC_STR_SIZE];       /**< IP:port for operators */
-    char peer_listen[CODEC_STR_SIZE];       /**< IP:port for the other boxes */
+    char box[CODEC_STR_SIZE]; /**< name of this box, unique in the system */
+    char dc[CODEC_STR_SIZE]; /**< data centre this box stands in */
+    char http_listen[CODEC_STR_SIZE]; /**< IP:port for operators */
+    char peer_listen[CODEC_STR_SIZE]; /**< IP:port for the other boxes */
     char cluster_key_file[CODEC_PATH_SIZE]; /**< file with the cluster key, at least 16 bytes */
-    char data_dir[CODEC_PATH_SIZE];         /**< the data folder; it must exist */
-    char log_file[CODEC_PATH_SIZE];         /**< JSON lines go here; empty is standard error */
-    char initial_config[CODEC_PATH_SIZE];   /**< configuration accepted as version 1 when the cluster is founded */
-    bool found_cluster; /**< true on exactly one box: with an empty data folder it founds the cluster, but only after
-                           every other listed box said that it has no state; all others join */
+    char data_dir[CODEC_PATH_SIZE]; /**< the data folder; it must exist */
+    char log_file[CODEC_PATH_SIZE]; /**< JSON lines go here; empty is standard error */
+    char initial_config[CODEC_PATH_SIZE]; /**< configuration accepted as version 1 when the cluster is founded */
+    bool found_cluster; /**< true on exactly one box: with an empty data folder it founds the cluster, but only after every other listed box said that it has no state; all others join */
     uint32_t snapshot_every; /**< log entries between snapshots (entries) */
-    voter_cfg_t *voters;     /**< the control boxes, by name, this one included */
+    voter_cfg_t *voters; /**< the control boxes, by name, this one included */
     uint32_t voters_n;
     operator_cfg_t *operators; /**< who may use the operators' interface */
     uint32_t operators_n;
@@ -298,17 +310,17 @@
 
 /** One engine (worker of a model service). */
 typedef struct {
-    char name[CODEC_STR_SIZE];    /**< engine name, unique */
-    char url[CODEC_PATH_SIZE];    /**< base URL of the engine's HTTP interface */
-    char dc[CODEC_STR_SIZE];      /**< data centre it stands in */
-    char cell[CODEC_STR_SIZE];    /**< cell whose scheduler places on it */
-    role_t role;                  /**< what it computes */
-    char model[CODEC_STR_SIZE];   /**< model it serves */
+    char name[CODEC_STR_SIZE]; /**< engine name, unique */
+    char url[CODEC_PATH_SIZE]; /**< base URL of the engine's HTTP interface */
+    char dc[CODEC_STR_SIZE]; /**< data centre it stands in */
+    char cell[CODEC_STR_SIZE]; /**< cell whose scheduler places on it */
+    role_t role; /**< what it computes */
+    char model[CODEC_STR_SIZE]; /**< model it serves */
     char version[CODEC_STR_SIZE]; /**< version of the model */
-    uint32_t pieces;              /**< memory for requests (pieces of 2,000 tokens) */
-    uint32_t max_batch;           /**< most requests decoded at once that keep the time between tokens (requests) */
-    uint32_t prefill_rate;        /**< first guess of its prefill rate; the measured rate replaces it (tokens/s) */
-    bool checks_fence;            /**< whether it refuses orders older than the newest it has seen */
+    uint32_t pieces; /**< memory for requests (pieces of 2,000 tokens) */
+    uint32_t max_batch; /**< most requests decoded at once that keep the time between tokens (requests) */
+    uint32_t prefill_rate; /**< first guess of its prefill rate; the measured rate replaces it (tokens/s) */
+    bool checks_fence; /**< whether it refuses orders older than the newest it has seen */
     char roles_allowed[CODEC_STR_SIZE]; /**< both, prefill or decode: what the hardware may serve */
 } engine_cfg_t;
 extern const codec_desc_t engine_cfg_desc;
@@ -317,16 +329,16 @@
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< worker name */
     char url[CODEC_PATH_SIZE]; /**< base URL */
-    char dc[CODEC_STR_SIZE];   /**< data centre it stands in */
+    char dc[CODEC_STR_SIZE]; /**< data centre it stands in */
 } worker_cfg_t;
 extern const codec_desc_t worker_cfg_desc;
 
 /** One plain service. */
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< service name, as in /v1/services/NAME */
-    bool repeatable;           /**< whether its calls may be sent a second time */
-    uint32_t timeout_ms;       /**< longest wait for an answer (ms) */
-    worker_cfg_t *workers;     /**< its workers, by name */
+    bool repeatable; /**< whether its calls may be sent a second time */
+    uint32_t timeout_ms; /**< longest wait for an answer (ms) */
+    worker_cfg_t *workers; /**< its workers, by name */
     uint32_t workers_n;
 } service_cfg_t;
 extern const codec_desc_t service_cfg_desc;
@@ -334,72 +346,68 @@
 /** A path that KV caches take between two data centres, or inside one. */
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< link name */
-    char a[CODEC_STR_SIZE];    /**< data centre at one end */
-    char b[CODEC_STR_SIZE];    /**< data centre at the other end */
-    uint32_t rate;             /**< KV cache it carries (tokens/s) */
-    uint32_t delay_us;         /**< one-way delay (us) */
+    char a[CODEC_STR_SIZE]; /**< data centre at one end */
+    char b[CODEC_STR_SIZE]; /**< data centre at the other end */
+    uint32_t rate; /**< KV cache it carries (tokens/s) */
+    uint32_t delay_us; /**< one-way delay (us) */
 } link_cfg_t;
 extern const codec_desc_t link_cfg_desc;
 
 /** One workspace. */
 typedef struct {
-    char name[CODEC_STR_SIZE];         /**< workspace name */
-    uint32_t weight;                   /**< its part when there is not enough for all */
-    char prefix_group[CODEC_STR_SIZE]; /**< workspaces naming the same group may reuse each other's prompt prefixes;
-                                          empty is the workspace alone */
+    char name[CODEC_STR_SIZE]; /**< workspace name */
+    uint32_t weight; /**< its part when there is not enough for all */
+    char prefix_group[CODEC_STR_SIZE]; /**< workspaces naming the same group may reuse each other's prompt prefixes; empty is the workspace alone */
 } workspace_cfg_t;
 extern const codec_desc_t workspace_cfg_desc;
 
 /** Latency targets and limits. */
 typedef struct {
-    uint32_t ttft_ms;         /**< time to the first token (ms) */
-    uint32_t tpot_ms;         /**< time between tokens (ms) */
-    uint32_t max_queue;       /**< most requests waiting in one scheduler (requests) */
+    uint32_t ttft_ms; /**< time to the first token (ms) */
+    uint32_t tpot_ms; /**< time between tokens (ms) */
+    uint32_t max_queue; /**< most requests waiting in one scheduler (requests) */
     uint32_t prefill_hold_ms; /**< how long an engine keeps a prefill result that is not moving (ms) */
-    double waste_weight;      /**< 0 favours goodput, 1 favours not wasting a prefill: how sure of its decode memory a
-                                 prefill must be before it starts */
-    uint32_t config_lease_ms; /**< an entry box that has not heard from the control leader for this long takes no new
-                                 requests (ms) */
+    double waste_weight; /**< 0 favours goodput, 1 favours not wasting a prefill: how sure of its decode memory a prefill must be before it starts */
+    uint32_t config_lease_ms; /**< an entry box that has not heard from the control leader for this long takes no new requests (ms) */
 } targets_cfg_t;
 extern const codec_desc_t targets_cfg_desc;
 
 /** One model. */
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< model name, as callers give it */
-    uint32_t weights_mb;       /**< size of its weights (MB) */
+    uint32_t weights_mb; /**< size of its weights (MB) */
 } model_cfg_t;
 extern const codec_desc_t model_cfg_desc;
 
 /** The planner that moves engines between roles by itself. */
 typedef struct {
-    bool enabled;         /**< whether it may change the configuration */
-    double hot;           /**< a role busier than this wants an engine */
-    double cold;          /**< a role less busy than this can give one; the gap to hot is the hysteresis */
-    uint32_t sustain_ms;  /**< how long both must hold (ms) */
+    bool enabled; /**< whether it may change the configuration */
+    double hot; /**< a role busier than this wants an engine */
+    double cold; /**< a role less busy than this can give one; the gap to hot is the hysteresis */
+    uint32_t sustain_ms; /**< how long both must hold (ms) */
     uint32_t min_stay_ms; /**< least time between two moves in a cell, and before an engine moves again (ms) */
 } planner_cfg_t;
 extern const codec_desc_t planner_cfg_desc;
 
 /** A backend server or box that is leaving. */
 typedef struct {
-    char name[CODEC_STR_SIZE];   /**< its name */
+    char name[CODEC_STR_SIZE]; /**< its name */
     char reason[CODEC_STR_SIZE]; /**< why, for people */
 } leaving_cfg_t;
 extern const codec_desc_t leaving_cfg_desc;
 
 /** The accepted configuration, changed by 'trackcove plan' and 'trackcove confirm'. */
 typedef struct {
-    policy_t policy;                    /**< how engines are chosen */
-    char platform_url[CODEC_PATH_SIZE]; /**< where the platform publishes its list of live and leaving boxes; empty for
-                                           none */
-    targets_cfg_t targets;              /**< targets and limits */
-    engine_cfg_t *engines;              /**< model engines, by name */
+    policy_t policy; /**< how engines are chosen */
+    char platform_url[CODEC_PATH_SIZE]; /**< where the platform publishes its list of live and leaving boxes; empty for none */
+    targets_cfg_t targets; /**< targets and limits */
+    engine_cfg_t *engines; /**< model engines, by name */
     uint32_t engines_n;
     planner_cfg_t planner; /**< moves engines between roles */
-    model_cfg_t *models;   /**< models, by name; for the cost of loading them */
+    model_cfg_t *models; /**< models, by name; for the cost of loading them */
     uint32_t models_n;
     uint32_t weight_store_mb_s; /**< rate of the weight store, shared by all loads (MB/s) */
-    service_cfg_t *services;    /**< plain services, by name */
+    service_cfg_t *services; /**< plain services, by name */
     uint32_t services_n;
     link_cfg_t *links; /**< links, by name */
     uint32_t links_n;
@@ -454,7 +462,7 @@
     uint32_t members_n;
     bool members_all;
     uint64_t cells_version; /**< cells are sent only when the beat names another version */
-    bool drain;             /**< an operator asks this box to leave */
+    bool drain; /**< an operator asks this box to leave */
 } msg_beat_ack_t;
 extern const codec_desc_t msg_beat_ack_desc;
 
@@ -510,8 +518,8 @@
     uint32_t prompt_tokens;
     uint32_t max_tokens;
     uint32_t priority; /**< 0 is the most urgent */
-    uint32_t wait_ms;  /**< time left until the first token is due */
-    uint64_t *chain;   /**< hash chain over the prompt's whole pieces */
+    uint32_t wait_ms; /**< time left until the first token is due */
+    uint64_t *chain; /**< hash chain over the prompt's whole pieces */
     uint32_t chain_n;
     char avoid[CODEC_STR_SIZE]; /**< an engine that just failed this request */
     bool repeatable;
@@ -554,7 +562,7 @@
     uint32_t computed_tokens;
     uint32_t cached_tokens;
     char bad[CODEC_STR_SIZE]; /**< engine that failed, if one did */
-    bool held;                /**< the failed engine may still hold memory for it */
+    bool held; /**< the failed engine may still hold memory for it */
 } msg_progress_t;
 extern const codec_desc_t msg_progress_desc;
 
@@ -567,7 +575,7 @@
     held_t *held; /**< only when listed */
     uint32_t held_n;
     bool listed;
-    uint32_t count;  /**< placed requests this box holds */
+    uint32_t count; /**< placed requests this box holds */
     uint64_t digest; /**< XOR over them, so that both sides see at once whether they count the same */
 } msg_renew_t;
 extern const codec_desc_t msg_renew_desc;
--- a/lib/request/api.c
+++ b/lib/request/api.c
@@ -7,13 +7,13 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#include "common/counter.h"
+#include "http/pages.h"
 #include "request/caller.h"
 #include "request/completion.h"
 #include "request/scheduler.h"
 #include "request/service.h"
 
-enum { METRICS_SIZE = 65536, RETRY_AFTER_MS = 500, ENTRIES_MAX = 512 };
+enum { RETRY_AFTER_MS = 500, ENTRIES_MAX = 512 };
 
 /* ===== Work ===== */
 
@@ -158,12 +158,6 @@
                           0);
 }
 
-static int on_health(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    return http_send_text(conn, 200, "text/plain", "ok\n");
-}
-
 static int on_ready(struct mg_connection *conn, void *arg)
 {
     entry_t *const e = arg;
@@ -175,18 +169,6 @@
     return http_send_text(conn, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
 }
 
-static int on_metrics(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    char *const text = malloc(METRICS_SIZE);
-    if (!text)
-        abort();
-    text[counter_print(text, METRICS_SIZE - 1)] = '\0';
-    const int status = http_send_text(conn, 200, "text/plain; version=0.0.4", text);
-    free(text);
-    return status;
-}
-
 void api_route(entry_t *e, http_server_t *server)
 {
     http_route(server, "/v1/completions", on_completion, e);
@@ -194,7 +176,6 @@
     http_route(server, "/v1/services", on_service, e);
     http_route(server, "/v1/entries", on_entries, e);
     http_route(server, "/v1/engines", on_engines, e);
-    http_route(server, "/healthz", on_health, e);
     http_route(server, "/readyz", on_ready, e);
-    http_route(server, "/metrics", on_metrics, e);
+    pages_route(server);
 }
