--- a/bench/bench.c
+++ b/bench/bench.c
@@ -78,6 +78,11 @@
             }
         }
     plan_shift();
+    for (size_t d = 0; d < G_N_ELEMENTS(deployments); d++)
+        for (int seed = 1; seed <= opt_seeds; seed++) {
+            add_run(deployments[d], "cell", "nobody_leaves", NULL, 1.0, seed, NO_FAULT);
+            add_run(deployments[d], "least_loaded", "nobody_leaves", NULL, 1.0, seed, NO_FAULT);
+        }
 }
 
 /* ===== Faults ===== */
@@ -159,6 +164,8 @@
                                 "--policy",
                                 run->policy,
                                 "--quiet",
+                                "--cancel",
+                                strcmp(run->scenario, "nobody_leaves") == 0 ? "0" : "0.02",
                                 shift ? "--then" : NULL,
                                 "sahel-long",
                                 "--shift-at",
--- a/bench/scale_cores.c
+++ b/bench/scale_cores.c
@@ -236,14 +236,15 @@
     codec_free(&msg_fetch_ack_desc, &ack);
     view_slot_t slot;
     view_init(&slot);
-    const char *const text = state_config_text(s);
+    json_t *const json = json_loads(state_config_text(s), 0, NULL);
     const double heap = heap_bytes(), apply = cpu_us();
     view_t *const view = view_copy(&slot);
-    if (view_set_config(view, 2, text, strlen(text), NULL) < 0)
+    if (view_set_config(view, 2, json, NULL) < 0)
         abort();
     view_publish(&slot, view);
     put("entry_us_a_change", workspaces, cpu_us() - apply);
     put("entry_bytes_config", workspaces, heap_bytes() - heap);
+    json_decref(json);
     state_destroy(s);
     g_free(all);
 }
--- a/lib/control/merge.c
+++ b/lib/control/merge.c
@@ -6,7 +6,8 @@
 {
     if (!json_is_object(patch))
         return json_deep_copy(patch);
-    json_t *const out = json_is_object(target) ? json_deep_copy(target) : json_object();
+    /* A shallow copy: what the patch does not touch is shared, so a small patch on a large object is cheap. */
+    json_t *const out = json_is_object(target) ? json_copy((json_t *)(uintptr_t)target) : json_object();
     const char *key;
     json_t *value;
     json_object_foreach((json_t *)(uintptr_t)patch, key, value) {
@@ -27,7 +28,7 @@
     json_t *value;
     json_object_foreach((json_t *)(uintptr_t)to, key, value) {
         const json_t *const old = json_object_get(from, key);
-        if (!old || !json_equal(old, value))
+        if (old != value && (!old || !json_equal(old, value)))
             json_object_set_new(out, key, merge_diff(old, value));
     }
     json_object_foreach((json_t *)(uintptr_t)from, key, value) {
--- a/lib/control/merge.h
+++ b/lib/control/merge.h
@@ -6,7 +6,8 @@
 
 #include <jansson.h>
 
-/** Apply @p patch to @p target. @return a new reference; the arguments stay as they are */
+/** Apply @p patch to @p target. @return a new reference; it shares with both what the patch does not touch, so none of
+ *  them may be changed in place afterwards */
 json_t *merge_apply(const json_t *target, const json_t *patch);
 
 /** The patch that makes @p to out of @p from. @return a new reference, an empty object when they are equal */
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -46,7 +46,6 @@
 {
     state_t *const s = g_new0(state_t, 1);
     s->config_json = json_object();
-    s->config_text = strdup("{}");
     const int rc = codec_from_json(&config_desc, &s->config, s->config_json, NULL);
     assert(rc == TC_OK); /* every field of a configuration has a default */
     (void)rc;
@@ -113,44 +112,57 @@
 
 /* ===== Configuration ===== */
 
-int state_adopt_config(state_t *s, json_t *next, tc_err_t *err)
+/** Take over a checked configuration, parsed and as JSON. */
+static void take_config(state_t *s, json_t *next, config_t *parsed)
 {
-    config_t parsed;
-    const int rc = codec_from_json(&config_desc, &parsed, next, err);
-    if (rc < 0)
-        return rc;
     codec_free(&config_desc, &s->config);
-    s->config = parsed;
+    s->config = *parsed;
     json_decref(s->config_json);
     s->config_json = json_incref(next);
     free(s->config_text);
-    s->config_text = json_dumps(next, JSON_COMPACT | JSON_SORT_KEYS);
+    s->config_text = NULL;
+}
+
+int state_adopt_config(state_t *s, json_t *next, tc_err_t *err)
+{
+    config_t parsed;
+    TC_CHECK(codec_from_json(&config_desc, &parsed, next, err));
+    take_config(s, next, &parsed);
     return TC_OK;
 }
 
-int state_check_patch(const state_t *s, const char *patch, json_t **next, tc_err_t *err)
+/** Apply a patch and parse the result. On success both are the caller's. */
+static int parse_patched(const state_t *s, const char *patch, json_t **next, config_t *parsed, tc_err_t *err)
 {
     json_error_t where;
-    json_t *const parsed = json_loads(patch, JSON_REJECT_DUPLICATES, &where);
-    if (!json_is_object(parsed)) {
-        json_decref(parsed);
+    json_t *const change = json_loads(patch, JSON_REJECT_DUPLICATES, &where);
+    if (!json_is_object(change)) {
+        json_decref(change);
         return tc_err_set(err, TC_E_INVALID, "read patch", NULL, "must be a JSON object: line %d column %d: %s",
-                          where.line, where.column, parsed ? "not an object" : where.text);
+                          where.line, where.column, change ? "not an object" : where.text);
     }
-    json_t *const merged = merge_apply(s->config_json, parsed);
-    json_decref(parsed);
-    config_t config;
-    const int rc = codec_from_json(&config_desc, &config, merged, err);
-    if (rc == TC_OK)
-        codec_free(&config_desc, &config);
-    if (rc == TC_OK && next)
+    *next = merge_apply(s->config_json, change);
+    json_decref(change);
+    const int rc = codec_from_json(&config_desc, parsed, *next, err);
+    if (rc < 0)
+        json_decref(*next);
+    return rc;
+}
+
+int state_check_patch(const state_t *s, const char *patch, json_t **next, tc_err_t *err)
+{
+    json_t *merged;
+    config_t parsed;
+    TC_CHECK(parse_patched(s, patch, &merged, &parsed, err));
+    codec_free(&config_desc, &parsed);
+    if (next)
         *next = json_incref(merged);
     json_decref(merged);
-    return rc;
+    return TC_OK;
 }
 
 /** Make a checked patch the next version. */
-static void accept_change(state_t *s, const command_t *command, const char *patch, json_t *next)
+static void accept_change(state_t *s, const command_t *command, const char *patch, json_t *next, config_t *parsed)
 {
     json_t *const back = merge_diff(next, s->config_json);
     char *const reverse = json_dumps(back, JSON_COMPACT | JSON_SORT_KEYS);
@@ -163,9 +175,7 @@
     codec_set_text(&change->patch, &change->patch_n, patch, strlen(patch));
     codec_set_text(&change->reverse, &change->reverse_n, reverse, strlen(reverse));
     free(reverse);
-    const int rc = state_adopt_config(s, next, NULL);
-    assert(rc == TC_OK); /* checked by the caller */
-    (void)rc;
+    take_config(s, next, parsed);
     s->version = change->version;
     g_queue_push_tail(&s->changes, change);
     if (g_queue_get_length(&s->changes) > STATE_CHANGES_KEPT)
@@ -186,16 +196,17 @@
 {
     tc_err_t err = {0};
     json_t *next = NULL;
+    config_t parsed;
     const char *const patch = command->patch_n ? command->patch : "{}";
     if (s->version > 0) {
         set_result(result, TC_E_CONFLICT, s->version, "the cluster has a configuration");
         return;
     }
-    if (state_check_patch(s, patch, &next, &err) < 0) {
+    if (parse_patched(s, patch, &next, &parsed, &err) < 0) {
         set_result(result, TC_E_INVALID, s->version, err.detail);
         return;
     }
-    accept_change(s, command, patch, next);
+    accept_change(s, command, patch, next, &parsed);
     json_decref(next);
     set_result(result, TC_OK, s->version, "founded");
 }
@@ -248,10 +259,11 @@
         return;
     }
     json_t *next = NULL;
-    const int rc = state_check_patch(s, plan->patch, &next, NULL);
+    config_t parsed;
+    const int rc = parse_patched(s, plan->patch, &next, &parsed, NULL);
     assert(rc == TC_OK); /* checked against the same version when it was planned */
     (void)rc;
-    accept_change(s, command, plan->patch, next);
+    accept_change(s, command, plan->patch, next, &parsed);
     json_decref(next);
     g_hash_table_remove(s->plans, command->plan);
     set_result(result, TC_OK, s->version, "accepted");
@@ -383,6 +395,8 @@
 
 const char *state_config_text(const state_t *s)
 {
+    if (!s->config_text) /* a cache: the state itself does not change */
+        ((state_t *)(uintptr_t)s)->config_text = json_dumps(s->config_json, JSON_COMPACT | JSON_SORT_KEYS);
     return s->config_text;
 }
 
--- a/lib/control/state_image.c
+++ b/lib/control/state_image.c
@@ -36,8 +36,9 @@
 char *state_save(const state_t *s, size_t *size)
 {
     /* Shallow copies: the image borrows every text and is freed without its parts. */
-    state_image_t image = {
-        .version = s->version, .config = s->config_text, .config_n = (uint32_t)strlen(s->config_text)};
+    state_image_t image = {.version = s->version,
+                           .config = (char *)(uintptr_t)state_config_text(s),
+                           .config_n = (uint32_t)strlen(state_config_text(s))};
     image.changes = copy_queue(&s->changes, sizeof(change_t), &image.changes_n);
     image.answers = copy_queue(&s->answers, sizeof(answered_t), &image.answers_n);
     image.plans = copy_table(s->plans, sizeof(plan_record_t), &image.plans_n);
--- a/lib/control/state_internal.h
+++ b/lib/control/state_internal.h
@@ -15,7 +15,7 @@
 struct state {
     uint64_t version;
     json_t *config_json;
-    char *config_text;
+    char *config_text; /* made when first asked for, NULL before */
     config_t config;
     GQueue changes;        /* change_t*, oldest first */
     GQueue answers;        /* answered_t*, oldest first */
@@ -32,7 +32,7 @@
 /** Forget everything but the configuration. */
 void state_clear(state_t *s);
 
-/** Make a parsed configuration the current one. */
+/** Make a configuration the current one. */
 int state_adopt_config(state_t *s, json_t *next, tc_err_t *err);
 
 #endif
--- a/lib/control/store.c
+++ b/lib/control/store.c
@@ -40,7 +40,7 @@
 
 static int io_err(tc_err_t *err, const char *step, const char *path)
 {
-    const int code = errno == ENOSPC || errno == EDQUOT ? TC_E_FULL : TC_E_IO;
+    const int code = errno == ENOSPC || errno == EDQUOT || errno == EFBIG ? TC_E_FULL : TC_E_IO;
     return tc_err_set(err, code, step, path, "%s", strerror(errno));
 }
 
@@ -426,7 +426,10 @@
                                   {.iov_base = payload, .iov_len = size}};
     const size_t whole = sizeof(head) + size;
     const off_t start = *end_offset(s);
-    const bool written = writev(s->log_fd, parts, 2) == (ssize_t)whole;
+    const ssize_t n = writev(s->log_fd, parts, 2);
+    const bool written = n == (ssize_t)whole;
+    if (!written && n >= 0)
+        errno = ENOSPC; /* a short write: there was no room for the rest */
     const off_t end = start + (off_t)whole;
     free(payload);
     if (!written) {
--- a/lib/request/control_client.c
+++ b/lib/request/control_client.c
@@ -61,10 +61,9 @@
 {
     /* Promise: an accepted configuration never reverts. */
     assert(version > c->version || c->version == 0);
-    char *const text = json_dumps(c->config, JSON_COMPACT);
     view_t *const view = view_copy(&c->entry->view);
     tc_err_t err = {0};
-    if (view_set_config(view, version, text, strlen(text), &err) < 0) {
+    if (view_set_config(view, version, c->config, &err) < 0) {
         log_failure(LOG_ERROR, "config_refused", &err); /* a newer schema than ours: keep the old, and lag */
         view_release(view);
     } else {
@@ -77,7 +76,6 @@
         log_int(&line, "version", (int64_t)version);
         log_end(&line);
     }
-    free(text);
 }
 
 static void take_whole(control_client_t *c, const msg_fetch_ack_t *ack)
--- a/lib/request/view.c
+++ b/lib/request/view.c
@@ -38,12 +38,12 @@
         g_hash_table_insert(c->leaving, config->leaving[i].name, &config->leaving[i]);
 }
 
-static view_config_t *make_config(const char *text, size_t size, tc_err_t *err)
+static view_config_t *make_config(const json_t *json, tc_err_t *err)
 {
     view_config_t *const c = calloc(1, sizeof(*c));
     if (!c)
         abort();
-    if (codec_from_json_text(&config_desc, &c->config, text, size, "configuration", err) < 0) {
+    if (codec_from_json(&config_desc, &c->config, json, err) < 0) {
         free(c);
         return NULL;
     }
@@ -81,8 +81,10 @@
     if (!view)
         abort();
     atomic_init(&view->refs, 1);
-    view->shared = make_config("{}", 2, NULL);
+    json_t *const empty = json_object();
+    view->shared = make_config(empty, NULL);
     assert(view->shared); /* every field of a configuration has a default */
+    json_decref(empty);
     slot->current = view;
 }
 
@@ -125,9 +127,9 @@
     view_release(old);
 }
 
-int view_set_config(view_t *view, uint64_t version, const char *text, size_t size, tc_err_t *err)
+int view_set_config(view_t *view, uint64_t version, const json_t *json, tc_err_t *err)
 {
-    view_config_t *const next = make_config(text, size, err);
+    view_config_t *const next = make_config(json, err);
     if (!next)
         return TC_E_INVALID;
     release_config(view->shared);
--- a/lib/request/view.h
+++ b/lib/request/view.h
@@ -65,8 +65,8 @@
     return &view->shared->config;
 }
 
-/** Set the configuration of a copy from JSON text. */
-int view_set_config(view_t *view, uint64_t version, const char *text, size_t size, tc_err_t *err);
+/** Set the configuration of a copy. */
+int view_set_config(view_t *view, uint64_t version, const json_t *json, tc_err_t *err);
 void view_set_members(view_t *view, const member_t *members, uint32_t n);
 void view_set_cells(view_t *view, const cell_lease_t *cells, uint32_t n);
 void view_set_leaving(view_t *view, const char (*names)[CODEC_STR_SIZE], uint32_t n);
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -2,8 +2,10 @@
 
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "control/store.h"
@@ -179,12 +181,37 @@
     remove_dir();
 }
 
+/** The disk takes no more in the middle of a record: it is refused whole, and what was there stays. */
+static void test_full(void)
+{
+    fresh_dir();
+    raft_start_t start;
+    store_t *const store = store_open(dir, &start, NULL);
+    store_start_free(&start);
+    struct rlimit old;
+    g_assert_cmpint(getrlimit(RLIMIT_FSIZE, &old), ==, 0);
+    const struct rlimit small = {.rlim_cur = (rlim_t)log_size() + 30, .rlim_max = old.rlim_max};
+    signal(SIGXFSZ, SIG_IGN);
+    g_assert_cmpint(setrlimit(RLIMIT_FSIZE, &small), ==, 0);
+    char text[200] = "more than fits";
+    const log_entry_t entry = {
+        .term = 1, .index = ENTRIES + 1, .kind = RAFT_COMMAND, .data = text, .data_n = sizeof(text)};
+    tc_err_t err;
+    g_assert_cmpint(store_append(store, &entry, &err), ==, TC_E_FULL);
+    g_assert_cmpint(setrlimit(RLIMIT_FSIZE, &old), ==, 0);
+    add_entries(store, ENTRIES + 1, ENTRIES + 2); /* space was made: it goes on */
+    store_close(store);
+    g_assert_cmpuint(count_after_open(), ==, ENTRIES + 2);
+    remove_dir();
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store/reopen", test_reopen);
     g_test_add_func("/store/torn-tail", test_torn_tail);
     g_test_add_func("/store/flipped-bytes", test_flipped_bytes);
+    g_test_add_func("/store/full", test_full);
     g_test_add_func("/store/snapshot", test_snapshot);
     return g_test_run();
 }
