--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -55,6 +55,7 @@
     {.name = "pieces", .offset = offsetof(held_t, pieces), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "prompt_tokens", .offset = offsetof(held_t, prompt_tokens), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "max_tokens", .offset = offsetof(held_t, max_tokens), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "content", .offset = offsetof(held_t, content), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t held_desc = {.name = "held", .size = sizeof(held_t), .fields = held_fields, .n_fields = sizeof(held_fields) / sizeof(held_fields[0])};
 
@@ -271,7 +272,7 @@
     {.name = "tpot_ms", .offset = offsetof(targets_cfg_t, tpot_ms), .kind = CODEC_U32, .min = 1, .max = 60000, .def = 51, .unit = "ms"},
     {.name = "max_queue", .offset = offsetof(targets_cfg_t, max_queue), .kind = CODEC_U32, .min = 1, .max = 100000, .def = 512, .unit = "requests"},
     {.name = "prefill_hold_ms", .offset = offsetof(targets_cfg_t, prefill_hold_ms), .kind = CODEC_U32, .min = 1, .max = 60000, .def = 900, .unit = "ms"},
-    {.name = "waste_weight", .offset = offsetof(targets_cfg_t, waste_weight), .kind = CODEC_F64, .min = 0, .max = 1, .def = 0.5},
+    {.name = "waste_weight", .offset = offsetof(targets_cfg_t, waste_weight), .kind = CODEC_F64, .min = 0, .max = 1, .def = 1},
     {.name = "config_lease_ms", .offset = offsetof(targets_cfg_t, config_lease_ms), .kind = CODEC_U32, .min = 500, .max = 600000, .def = 4000, .unit = "ms"},
 };
 const codec_desc_t targets_cfg_desc = {.name = "targets_cfg", .size = sizeof(targets_cfg_t), .fields = targets_cfg_fields, .n_fields = sizeof(targets_cfg_fields) / sizeof(targets_cfg_fields[0])};
@@ -400,6 +401,7 @@
     {.name = "chain", .offset = offsetof(msg_place_t, chain), .kind = CODEC_U64LIST, .count_offset = offsetof(msg_place_t, chain_n), .min = 0, .max = 0, .def = 0},
     {.name = "avoid", .offset = offsetof(msg_place_t, avoid), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "repeatable", .offset = offsetof(msg_place_t, repeatable), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "content", .offset = offsetof(msg_place_t, content), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t msg_place_desc = {.name = "place", .size = sizeof(msg_place_t), .fields = msg_place_fields, .n_fields = sizeof(msg_place_fields) / sizeof(msg_place_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -109,6 +109,7 @@
     uint32_t pieces;
     uint32_t prompt_tokens;
     uint32_t max_tokens;
+    uint64_t content;
 } held_t;
 extern const codec_desc_t held_desc;
 
@@ -367,7 +368,7 @@
     uint32_t tpot_ms; /**< time between tokens (ms) */
     uint32_t max_queue; /**< most requests waiting in one scheduler (requests) */
     uint32_t prefill_hold_ms; /**< how long an engine keeps a prefill result that is not moving (ms) */
-    double waste_weight; /**< 0 favours goodput, 1 favours not wasting a prefill: how sure of its decode memory a prefill must be before it starts */
+    double waste_weight; /**< what a wasted prefill weighs against goodput. 1: a prefill starts only when its decode memory is free; 0: also when answers that should end meanwhile will free it */
     uint32_t config_lease_ms; /**< an entry box that has not heard from the control leader for this long takes no new requests (ms) */
 } targets_cfg_t;
 extern const codec_desc_t targets_cfg_desc;
@@ -523,6 +524,7 @@
     uint32_t chain_n;
     char avoid[CODEC_STR_SIZE]; /**< an engine that just failed this request */
     bool repeatable;
+    uint64_t content; /**< hash over workspace, model, length and prompt: an id belongs to one request */
 } msg_place_t;
 extern const codec_desc_t msg_place_desc;
 
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -85,6 +85,8 @@
         size = json_string_length(prompt);
     r->prompt_tokens = (uint32_t)(size / BYTES_PER_TOKEN) + 1;
     hash_chain(r, text, size, version);
+    const uint64_t seed = XXH3_64bits(r->workspace, strlen(r->workspace)) ^ XXH3_64bits(r->model, strlen(r->model));
+    r->content = XXH3_64bits_withSeed(text, size, seed + r->max_tokens);
     json_t *const string = json_stringn(text, size);
     r->prompt_json = json_dumps(string, JSON_ENCODE_ANY);
     r->prompt_json_size = strlen(r->prompt_json);
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -26,6 +26,7 @@
     tc_time_t arrived, due; /**< due: when the first token is to be out */
     char *prompt_json;      /**< the prompt as a JSON string, heap */
     size_t prompt_json_size;
+    uint64_t content; /**< hash over what is asked, workspace included */
     uint64_t *chain;
     uint32_t n_chain;
 } caller_request_t;
--- a/lib/request/completion.c
+++ b/lib/request/completion.c
@@ -90,7 +90,8 @@
                               .priority = r->priority,
                               .chain = r->chain,
                               .n_chain = r->n_chain,
-                              .repeatable = r->repeatable};
+                              .repeatable = r->repeatable,
+                              .content = r->content};
 }
 
 static engine_request_t engine_request(const run_t *run, const engine_cfg_t *engine)
@@ -406,10 +407,16 @@
     const char *const cell = view_cell_for(view, request->model);
     codec_copy_string(run->inflight.cell, sizeof(run->inflight.cell), cell ? cell : "");
     view_release(view);
-    inflight_add(&entry->inflight, &run->inflight);
-    const end_t end = run_attempts(run);
-    finish(run, end);
-    inflight_remove(&entry->inflight, &run->inflight);
+    run->inflight.content = request->content;
+    end_t end = END_INVALID;
+    if (inflight_add(&entry->inflight, &run->inflight)) {
+        end = run_attempts(run);
+        finish(run, end);
+        inflight_remove(&entry->inflight, &run->inflight);
+    } else {
+        tc_err_set(&run->err, TC_E_CONFLICT, "read request", "Idempotency-Key", "the id belongs to another request");
+        caller_fail(&run->caller, end, &run->err, 0);
+    }
     caller_free(&run->caller);
     free(run);
     return end == END_OK ? 200 : 503;
--- a/lib/request/inflight.c
+++ b/lib/request/inflight.c
@@ -12,18 +12,33 @@
     atomic_init(&table->count, 0);
 }
 
-void inflight_add(inflight_table_t *table, inflight_t *item)
+/** With the lock held. */
+static bool id_is_free(const inflight_table_t *table, const inflight_t *item)
+{
+    const inflight_t *other;
+    cds_list_for_each_entry(other, &table->list, node) {
+        if (strcmp(other->id, item->id) == 0 && other->content != item->content)
+            return false;
+    }
+    return true;
+}
+
+bool inflight_add(inflight_table_t *table, inflight_t *item)
 {
     codec_copy_string(item->held.id, sizeof(item->held.id), item->id);
     pthread_mutex_lock(&table->lock);
+    const bool added = id_is_free(table, item);
     inflight_t *other;
     cds_list_for_each_entry(other, &table->list, node) {
-        if (strcmp(other->id, item->id) == 0)
+        if (added && strcmp(other->id, item->id) == 0)
             atomic_store(&other->lost, true);
     }
-    cds_list_add(&item->node, &table->list);
+    if (added) {
+        cds_list_add(&item->node, &table->list);
+        atomic_fetch_add(&table->count, 1);
+    }
     pthread_mutex_unlock(&table->lock);
-    atomic_fetch_add(&table->count, 1);
+    return added;
 }
 
 void inflight_remove(inflight_table_t *table, inflight_t *item)
@@ -39,6 +54,7 @@
     pthread_mutex_lock(&table->lock);
     item->held = *held;
     codec_copy_string(item->held.id, sizeof(item->held.id), item->id);
+    item->held.content = item->content;
     pthread_mutex_unlock(&table->lock);
 }
 
--- a/lib/request/inflight.h
+++ b/lib/request/inflight.h
@@ -20,6 +20,7 @@
     struct cds_list_head node;
     char id[CODEC_STR_SIZE];
     char cell[CODEC_STR_SIZE];
+    uint64_t content; /* what is asked */
     held_t held;      /* guarded by the table's lock */
     atomic_bool lost; /* somebody else has it now, or its lease lapsed: stop */
 } inflight_t;
@@ -34,8 +35,9 @@
 
 void inflight_init(inflight_table_t *table);
 
-/** Add @p item; an earlier one with the same id is marked lost, since the caller has come again. */
-void inflight_add(inflight_table_t *table, inflight_t *item);
+/** Add @p item; an earlier one with the same id is marked lost, since the caller has come again.
+ * @return false, and nothing is added, when the id is under way for another request */
+bool inflight_add(inflight_table_t *table, inflight_t *item);
 void inflight_remove(inflight_table_t *table, inflight_t *item);
 
 /** Say where the request stands now. */
--- a/lib/request/placer.c
+++ b/lib/request/placer.c
@@ -181,6 +181,7 @@
                          .priority = r->priority,
                          .wait_ms = (uint32_t)left,
                          .repeatable = r->repeatable,
+                         .content = r->content,
                          .chain = (uint64_t *)(uintptr_t)r->chain,
                          .chain_n = r->n_chain};
     codec_copy_string(place.cell, sizeof(place.cell), p->cell);
--- a/lib/request/placer.h
+++ b/lib/request/placer.h
@@ -20,6 +20,7 @@
     const uint64_t *chain;
     uint32_t n_chain;
     bool repeatable;
+    uint64_t content;
 } placer_request_t;
 
 /** A pair of engines for one attempt. */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -158,6 +158,10 @@
 void sched_place(sched_t *s, const msg_place_t *place, sched_token_t token, tc_time_t now)
 {
     request_t *const old = g_hash_table_lookup(s->requests, place->id);
+    if (old && old->content != place->content) { /* promise: nobody gets the answer to somebody else's request */
+        refuse_token(s, place->id, token, "the id belongs to another request", 0);
+        return;
+    }
     if (old && take_over(s, old, place, token, now))
         return;
     request_t *const r = request_create(s, place->id);
@@ -170,6 +174,7 @@
     r->pieces = sched_pieces(place->prompt_tokens, place->max_tokens);
     r->priority = place->priority;
     r->repeatable = place->repeatable;
+    r->content = place->content;
     r->chain = g_memdup2(place->chain, place->chain_n * sizeof(*place->chain));
     r->n_chain = place->chain_n;
     r->arrived = now;
@@ -248,6 +253,7 @@
         end_prefill_work(r);
         end_transfer(r);
         r->phase = PHASE_DECODE;
+        r->phase_at = now;
         break;
     case PHASE_FINISHED: finish(s, r, now); break;
     case PHASE_FAILED:
--- a/tests/fault/test_callers.c
+++ b/tests/fault/test_callers.c
@@ -188,6 +188,28 @@
     g_hash_table_destroy(first);
 }
 
+/** Two workspaces use one id: nobody gets, or ends, the other's answer; through the same entry and another. */
+static void test_id_of_somebody_else(void)
+{
+    client_t c;
+    client_init(&c, "shared-id", 500, 200);
+    client_start(&c, cluster, "entry-1");
+    g_assert_true(client_wait_tokens(&c, 3, 10000));
+    int status = 0;
+    json_t *answer = post("/v1/completions", "{\"model\":\"sahel-lm\",\"prompt\":\"other\",\"max_tokens\":30}",
+                          "Idempotency-Key: shared-id", &status);
+    g_assert_cmpint(status, ==, 400);
+    json_decref(answer);
+    client_t other;
+    client_init(&other, "shared-id", 600, 200); /* another prompt */
+    client_start(&other, cluster, "entry-2");
+    client_join(&other);
+    g_assert_false(other.whole);
+    g_assert_cmpuint(atomic_load(&other.got), ==, 0);
+    client_join(&c);
+    g_assert_true(c.whole && !c.wrong && !c.doubled);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -198,6 +220,7 @@
     g_test_add_func("/callers/wrong-requests", test_wrong_requests);
     g_test_add_func("/callers/too-large", test_too_large);
     g_test_add_func("/callers/half-sent", test_half_sent);
+    g_test_add_func("/callers/id-of-somebody-else", test_id_of_somebody_else);
     g_test_add_func("/callers/entries", test_entries);
     const int rc = g_test_run();
     cluster_stop(cluster, rc != 0);
