Stand-in publishes cache events late and with gaps; large test files split by job

Change: /v1/events of stand-in engines (lag as load reports, a share lost); the scheduler counts prompt tokens it took for cached against those that engines say were; the fake disk and the stand-in's test pages are files of their own.

--- a/lib/request/scheduler.c
+++ b/lib/request/scheduler.c
@@ -503,13 +503,14 @@
                                                      "reserved", (int)views[i].reserved, "batch", (int)views[i].batch,
                                                      "backlog_ms", (int)views[i].backlog_ms, "rate", views[i].rate,
                                                      "up", views[i].up, "leaving", views[i].leaving));
-        json_array_append_new(out,
-                              json_pack("{s:s,s:I,s:b,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "cell", h->cell,
-                                        "epoch", (json_int_t)h->epoch, "share", h->share, "queued", (int)st.queued,
-                                        "placed", (int)st.placed, "cancelling", (int)st.cancelling, "granted",
-                                        (json_int_t)st.granted, "refused", (json_int_t)st.refused, "resumed",
-                                        (json_int_t)st.resumed, "replanned", (json_int_t)st.replanned, "lapsed",
-                                        (json_int_t)st.lapsed, "orphans", (json_int_t)st.orphans, "engines", engines));
+        json_array_append_new(out, json_pack("{s:s,s:I,s:b,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "cell",
+                                             h->cell, "epoch", (json_int_t)h->epoch, "share", h->share, "queued",
+                                             (int)st.queued, "placed", (int)st.placed, "cancelling", (int)st.cancelling,
+                                             "granted", (json_int_t)st.granted, "refused", (json_int_t)st.refused,
+                                             "resumed", (json_int_t)st.resumed, "replanned", (json_int_t)st.replanned,
+                                             "lapsed", (json_int_t)st.lapsed, "orphans", (json_int_t)st.orphans,
+                                             "cache_predicted", (json_int_t)st.cache_predicted, "cache_actual",
+                                             (json_int_t)st.cache_actual, "engines", engines));
     }
     free(views);
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -88,6 +88,8 @@
 typedef struct {
     uint32_t queued, placed, cancelling, engines;
     double prefill_busy, decode_busy; /**< moving averages, 0 to 1, for the planner */
+    uint64_t cache_predicted,
+        cache_actual; /**< prompt tokens taken for cached at the grant, and cached as engines said */
     uint64_t granted, refused, resumed, replanned, lapsed, orphans;
 } sched_stats_t;
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -110,8 +110,9 @@
     uint64_t content; /* what is asked: an id that comes again must ask the same */
     char avoid[CODEC_STR_SIZE];
     engine_t *prefill, *decode;
-    bool prefilling; /* counted in prefill->prefills */
-    double work_ms;  /* prefill work it brings, by the engine that has most of it cached */
+    bool prefilling;           /* counted in prefill->prefills */
+    double work_ms;            /* prefill work it brings, by the engine that has most of it cached */
+    uint32_t predicted_cached; /* prompt tokens taken for cached on the prefill engine */
     double est_prefill_ms;
     link_t *link;
     double link_tokens; /* counted in link->outstanding */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -245,6 +245,8 @@
     case PHASE_TRANSFER:
         if (r->prefilling) {
             engine_learn_rate(r->prefill, r->est_prefill_ms, p);
+            s->stats.cache_predicted += r->predicted_cached;
+            s->stats.cache_actual += p->cached_tokens;
             end_prefill_work(r);
         }
         r->phase = PHASE_TRANSFER;
--- a/lib/sched/sched_reserve.c
+++ b/lib/sched/sched_reserve.c
@@ -37,6 +37,7 @@
     p->prefills++;
     r->prefill = p;
     r->prefilling = true;
+    r->predicted_cached = engine_cached_pieces(p, r->chain, r->n_chain) * SCHED_PIECE_TOKENS;
     r->est_prefill_ms = backlog; /* what stood before it: engine_learn_rate wants to know */
     engine_remember(p, r->chain, r->n_chain, now);
 }
--- a/programs/stub/sim.c
+++ b/programs/stub/sim.c
@@ -185,6 +185,28 @@
     return n;
 }
 
+static void note_event(sim_engine_t *e, uint64_t hash, bool stored, double now)
+{
+    e->n_events++;
+    e->events[e->n_events % SIM_EVENTS] =
+        (sim_event_t){.seq = e->n_events, .hash = hash, .stored = stored, .at = (tc_time_t)now};
+}
+
+uint32_t sim_cache_events(const sim_t *sim, const sim_engine_t *e, uint64_t since, uint32_t loss, sim_event_t *events,
+                          uint32_t room, double now)
+{
+    const uint64_t oldest = e->n_events > SIM_EVENTS ? e->n_events - SIM_EVENTS + 1 : 1;
+    uint32_t n = 0;
+    for (uint64_t seq = since + 1 > oldest ? since + 1 : oldest; seq <= e->n_events && n < room; seq++) {
+        const sim_event_t *const event = &e->events[seq % SIM_EVENTS];
+        if ((double)event->at > now - sim->load_lag_ms)
+            break;
+        if (XXH3_64bits(&seq, sizeof(seq)) % 100 >= loss)
+            events[n++] = *event;
+    }
+    return n;
+}
+
 static void fill_cache(sim_engine_t *e, const sim_request_t *r, double now)
 {
     for (uint32_t n = 0; n < r->n_chain; n++) {
@@ -197,6 +219,11 @@
             if (e->cache_used[i] < e->cache_used[slot])
                 slot = i;
         }
+        if (e->cache[slot] != r->chain[n]) {
+            if (e->cache_used[slot] > 0)
+                note_event(e, e->cache[slot], false, now);
+            note_event(e, r->chain[n], true, now);
+        }
         e->cache[slot] = r->chain[n];
         e->cache_used[slot] = now;
     }
--- a/programs/stub/sim.h
+++ b/programs/stub/sim.h
@@ -30,6 +30,7 @@
     SIM_CACHE_PIECES = 64,    /* prompt prefix cache of an engine, in pieces */
     SIM_QUEUE_MAX = 64,       /* waiting requests before an engine answers 429 */
     SIM_KEEP_MS = 30000,      /* a finished stream can be fetched again for this long */
+    SIM_EVENTS = 512,         /* cache events kept */
     SIM_LOAD_SLOTS = 64,      /* snapshots of load kept, one every SIM_LOAD_EVERY_MS */
     SIM_LOAD_EVERY_MS = 50,
     SIM_MODEL_MB = 16000,        /* weights of a model */
@@ -51,6 +52,13 @@
 
 typedef struct sim_engine sim_engine_t;
 
+/** Something that happened in a prefix cache. */
+typedef struct {
+    uint64_t seq, hash;
+    bool stored; /* else removed */
+    tc_time_t at;
+} sim_event_t;
+
 typedef struct sim_request {
     struct cds_list_head node; /* in its engine's list */
     char id[128];
@@ -94,6 +102,8 @@
     double step_end;        /* decode */
     uint64_t cache[SIM_CACHE_PIECES];
     double cache_used[SIM_CACHE_PIECES];
+    sim_event_t events[SIM_EVENTS];
+    uint64_t n_events;
     sim_load_t loads[SIM_LOAD_SLOTS];
     uint32_t n_loads;
     uint64_t order_term, order_index;
@@ -149,6 +159,11 @@
 /** With the lock held: count work begun for an id ("ID.ATTEMPT"). */
 void sim_count_run(GHashTable *table, const char *id);
 
+/** With the lock held: cache events after @p since as the engine publishes them, late and with gaps: events younger
+ * than the load reports' lag are not out yet, and @p loss in a hundred never come. @return how many were filled in */
+uint32_t sim_cache_events(const sim_t *sim, const sim_engine_t *engine, uint64_t since, uint32_t loss,
+                          sim_event_t *events, uint32_t room, double now);
+
 /** With the lock held: what the engine reports, late. */
 sim_load_t sim_load_report(const sim_t *sim, const sim_engine_t *engine, double now);
 
--- a/programs/stub/stub.c
+++ b/programs/stub/stub.c
@@ -6,6 +6,7 @@
  *   /e/ENGINE/v1/streams/ID?from=N   resume a stream
  *   /e/ENGINE/v1/cancel        {"request_id"}
  *   /e/ENGINE/v1/state         what it holds now; /e/ENGINE/v1/load: its load, late
+ *   /e/ENGINE/v1/events?since=N  what happened in its prefix cache, late and with gaps
  *   /e/ENGINE/v1/orders        fenced orders
  *   /s/WORKER/...              a plain service's worker
  *   /platform/list             live and leaving boxes, late
@@ -24,32 +25,26 @@
 #include "common/codec.h"
 #include "http/http.h"
 #include "standin.h"
-#include "stub/sim.h"
+#include "stub/stub.h"
 
 /* ===== State ===== */
 
 enum { BODY_MAX = 64 * 1024 * 1024, STUB_THREADS = 2000 };
 
-typedef struct {
-    char name[CODEC_STR_SIZE];
-    bool dead, leaving, leaving_listed;
-    double slow_ms, list_at;
-    double die_before, die_after; /* until when calls die before, or after, the work is done */
-} worker_t;
-
-static sim_t *sim;
-static worker_t workers[64];
-static uint32_t n_workers;
+sim_t *sim;
+worker_t workers[STUB_WORKERS];
+uint32_t n_workers;
 static double service_ms = 10;
+static gint event_loss = 5;
 
-static double now_ms(void)
+double stub_now(void)
 {
     struct timespec ts;
     clock_gettime(CLOCK_MONOTONIC, &ts);
     return (double)ts.tv_sec * 1000 + (double)ts.tv_nsec / 1e6;
 }
 
-static int fail(struct mg_connection *conn, int status, const char *type, const char *text)
+int stub_fail(struct mg_connection *conn, int status, const char *type, const char *text)
 {
     return http_send_json(conn, status, json_pack("{s:{s:s,s:s}}", "error", "type", type, "message", text), 0);
 }
@@ -132,9 +127,9 @@
         return 200;
     }
     if (none_sent && state == SIM_LOST)
-        return fail(conn, 409, "kv_lost", "the prefill result is gone");
+        return stub_fail(conn, 409, "kv_lost", "the prefill result is gone");
     if (none_sent)
-        return fail(conn, 410, "cancelled", "cancelled");
+        return stub_fail(conn, 410, "cancelled", "cancelled");
     return hang_up(conn); /* cut without the last chunk: the reader sees a broken stream */
 }
 
@@ -157,10 +152,10 @@
     if (held && !dead)
         return http_send_json(conn, 200, body, 0);
     json_decref(body);
-    return dead ? hang_up(conn) : fail(conn, 410, "cancelled", "cancelled");
+    return dead ? hang_up(conn) : stub_fail(conn, 410, "cancelled", "cancelled");
 }
 
-static const char *text_of(const json_t *body, const char *key)
+const char *stub_text(const json_t *body, const char *key)
 {
     const char *const text = json_string_value(json_object_get(body, key));
     return text ? text : "";
@@ -168,8 +163,8 @@
 
 static sim_request_t *find_source(const json_t *kv)
 {
-    sim_engine_t *const from = sim_find_engine(sim, text_of(kv, "remote_engine_id"));
-    return from ? sim_lookup(from, text_of(kv, "remote_request_id")) : NULL;
+    sim_engine_t *const from = sim_find_engine(sim, stub_text(kv, "remote_engine_id"));
+    return from ? sim_lookup(from, stub_text(kv, "remote_request_id")) : NULL;
 }
 
 static int submit(struct mg_connection *conn, sim_engine_t *e, const json_t *body)
@@ -180,12 +175,12 @@
     const uint32_t max_tokens = (uint32_t)json_integer_value(json_object_get(body, "max_tokens"));
     pthread_mutex_lock(&sim->lock);
     sim_request_t *source = decode ? find_source(kv) : NULL;
-    const bool wrong_role = e->cfg.role != (decode ? ROLE_DECODE : ROLE_PREFILL) || now_ms() < e->loading_until ||
-                            strcmp(text_of(body, "model"), e->cfg.model) != 0;
+    const bool wrong_role = e->cfg.role != (decode ? ROLE_DECODE : ROLE_PREFILL) || stub_now() < e->loading_until ||
+                            strcmp(stub_text(body, "model"), e->cfg.model) != 0;
     sim_request_t *r = NULL;
     if (!wrong_role && (!decode || source))
-        r = sim_submit(sim, e, text_of(body, "request_id"), decode, json_string_value(prompt),
-                       json_string_length(prompt), text_of(body, "cache_salt"), max_tokens,
+        r = sim_submit(sim, e, stub_text(body, "request_id"), decode, json_string_value(prompt),
+                       json_string_length(prompt), stub_text(body, "cache_salt"), max_tokens,
                        (uint32_t)json_integer_value(json_object_get(body, "priority")));
     if (r && decode)
         sim_attach(r, source);
@@ -193,15 +188,15 @@
         sim_unref(source);
     pthread_mutex_unlock(&sim->lock);
     if (wrong_role)
-        return fail(conn, 421, "wrong_role", "this engine does not serve that");
+        return stub_fail(conn, 421, "wrong_role", "this engine does not serve that");
     if (decode && !source)
-        return fail(conn, 409, "kv_lost", "no such prefill result");
+        return stub_fail(conn, 409, "kv_lost", "no such prefill result");
     if (!r)
-        return fail(conn, 429, "busy", "queue is full");
+        return stub_fail(conn, 429, "busy", "queue is full");
     return decode ? stream_tokens(conn, r, 0) : answer_prefill(conn, r);
 }
 
-static json_t *read_json(struct mg_connection *conn)
+json_t *stub_read_json(struct mg_connection *conn)
 {
     size_t size;
     tc_err_t err = {0};
@@ -213,10 +208,10 @@
 
 static int completions(struct mg_connection *conn, sim_engine_t *e)
 {
-    json_t *const body = read_json(conn);
+    json_t *const body = stub_read_json(conn);
     if (!json_is_string(json_object_get(body, "prompt"))) {
         json_decref(body);
-        return fail(conn, 400, "invalid", "prompt must be a string");
+        return stub_fail(conn, 400, "invalid", "prompt must be a string");
     }
     const int status = submit(conn, e, body);
     json_decref(body);
@@ -230,16 +225,16 @@
     pthread_mutex_lock(&sim->lock);
     sim_request_t *const r = sim_lookup(e, id);
     pthread_mutex_unlock(&sim->lock);
-    return r ? stream_tokens(conn, r, from) : fail(conn, 404, "not_found", "no such stream");
+    return r ? stream_tokens(conn, r, from) : stub_fail(conn, 404, "not_found", "no such stream");
 }
 
 static int cancel(struct mg_connection *conn, sim_engine_t *e)
 {
-    json_t *const body = read_json(conn);
+    json_t *const body = stub_read_json(conn);
     pthread_mutex_lock(&sim->lock);
-    sim_request_t *const r = sim_lookup(e, text_of(body, "request_id"));
+    sim_request_t *const r = sim_lookup(e, stub_text(body, "request_id"));
     if (r) {
-        sim_cancel(sim, r, now_ms());
+        sim_cancel(sim, r, stub_now());
         sim_unref(r);
     }
     pthread_mutex_unlock(&sim->lock);
@@ -260,7 +255,7 @@
                                   json_pack("{s:s,s:i}", "id", r->id, "pieces", r->in_memory ? (int)r->pieces : 0));
     json_t *const body = json_pack("{s:I,s:s,s:s,s:s,s:b,s:o}", "incarnation", (json_int_t)e->incarnation, "role",
                                    role_names[e->cfg.role], "model", e->cfg.model, "version", e->cfg.version, "loading",
-                                   now_ms() < e->loading_until, "held", held);
+                                   stub_now() < e->loading_until, "held", held);
     pthread_mutex_unlock(&sim->lock);
     return http_send_json(conn, 200, body, 0);
 }
@@ -268,13 +263,31 @@
 static int load(struct mg_connection *conn, const sim_engine_t *e)
 {
     pthread_mutex_lock(&sim->lock);
-    const sim_load_t l = sim_load_report(sim, e, now_ms());
+    const sim_load_t l = sim_load_report(sim, e, stub_now());
     pthread_mutex_unlock(&sim->lock);
     return http_send_json(
         conn, 200,
         json_pack("{s:i,s:i,s:i}", "queue", (int)l.queue, "batch", (int)l.batch, "pieces_free", (int)l.pieces_free), 0);
 }
 
+static int cache_events(struct mg_connection *conn, const sim_engine_t *e)
+{
+    const char *const query = mg_get_request_info(conn)->query_string;
+    const uint64_t since = query && strncmp(query, "since=", 6) == 0 ? strtoull(query + 6, NULL, 10) : 0;
+    sim_event_t events[SIM_EVENTS];
+    pthread_mutex_lock(&sim->lock);
+    const uint32_t n = sim_cache_events(sim, e, since, (uint32_t)event_loss, events, SIM_EVENTS, stub_now());
+    pthread_mutex_unlock(&sim->lock);
+    json_t *const list = json_array();
+    for (uint32_t i = 0; i < n; i++) {
+        char hash[24];
+        snprintf(hash, sizeof(hash), "%016llx", (unsigned long long)events[i].hash);
+        json_array_append_new(list, json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)events[i].seq, "event",
+                                              events[i].stored ? "stored" : "removed", "hash", hash));
+    }
+    return http_send_json(conn, 200, json_pack("{s:o}", "events", list), 0);
+}
+
 static bool order_is_newer(const sim_engine_t *e, uint64_t term, uint64_t index)
 {
     return term > e->order_term || (term == e->order_term && index > e->order_index);
@@ -288,11 +301,11 @@
     e->order_term = term;
     e->order_index = index;
     sim_kill(sim, e, now);
-    e->cfg.role = strcmp(text_of(body, "role"), "decode") == 0 ? ROLE_DECODE : ROLE_PREFILL;
+    e->cfg.role = strcmp(stub_text(body, "role"), "decode") == 0 ? ROLE_DECODE : ROLE_PREFILL;
     const bool loads =
-        strcmp(e->cfg.model, text_of(body, "model")) != 0 || strcmp(e->cfg.version, text_of(body, "version")) != 0;
-    codec_copy_string(e->cfg.model, sizeof(e->cfg.model), text_of(body, "model"));
-    codec_copy_string(e->cfg.version, sizeof(e->cfg.version), text_of(body, "version"));
+        strcmp(e->cfg.model, stub_text(body, "model")) != 0 || strcmp(e->cfg.version, stub_text(body, "version")) != 0;
+    codec_copy_string(e->cfg.model, sizeof(e->cfg.model), stub_text(body, "model"));
+    codec_copy_string(e->cfg.version, sizeof(e->cfg.version), stub_text(body, "version"));
     enum { ROLE_CHANGE_MS = 500 };
     const double start = sim->store_free_at > now ? sim->store_free_at : now;
     if (loads)
@@ -302,7 +315,7 @@
 
 static int order(struct mg_connection *conn, sim_engine_t *e)
 {
-    json_t *const body = read_json(conn);
+    json_t *const body = stub_read_json(conn);
     const uint64_t term = (uint64_t)json_integer_value(json_object_get(body, "term"));
     const uint64_t index = (uint64_t)json_integer_value(json_object_get(body, "index"));
     pthread_mutex_lock(&sim->lock);
@@ -311,10 +324,10 @@
     if (stale)
         e->orders_refused++;
     else if (!repeat)
-        obey(e, body, term, index, now_ms());
+        obey(e, body, term, index, stub_now());
     pthread_mutex_unlock(&sim->lock);
     json_decref(body);
-    return stale ? fail(conn, 409, "fenced", "a newer order was obeyed before")
+    return stale ? stub_fail(conn, 409, "fenced", "a newer order was obeyed before")
                  : http_send_json(conn, 200, json_pack("{s:b}", "done", 1), 0);
 }
 
@@ -325,14 +338,14 @@
     const char *const uri = mg_get_request_info(conn)->local_uri + strlen("/e/");
     const char *const slash = strchr(uri, '/');
     if (!slash || (size_t)(slash - uri) >= sizeof(name))
-        return fail(conn, 404, "not_found", "no such engine");
+        return stub_fail(conn, 404, "not_found", "no such engine");
     codec_copy_string(name, (size_t)(slash - uri) + 1, uri);
     sim_engine_t *const e = sim_find_engine(sim, name);
     if (!e)
-        return fail(conn, 404, "not_found", "no such engine");
+        return stub_fail(conn, 404, "not_found", "no such engine");
     pthread_mutex_lock(&sim->lock);
     const bool dead = e->dead;
-    const bool refuse = now_ms() < e->refuse_until;
+    const bool refuse = stub_now() < e->refuse_until;
     const double delay = e->delay_ms;
     pthread_mutex_unlock(&sim->lock);
     if (dead) {
@@ -342,7 +355,7 @@
     if (delay > 0)
         g_usleep((gulong)(delay * 1000));
     if (refuse)
-        return fail(conn, 503, "refused", "refusing by order of the test");
+        return stub_fail(conn, 503, "refused", "refusing by order of the test");
     if (strcmp(slash, "/v1/completions") == 0)
         return completions(conn, e);
     if (strncmp(slash, "/v1/streams/", 12) == 0)
@@ -353,14 +366,16 @@
         return state(conn, e);
     if (strcmp(slash, "/v1/load") == 0)
         return load(conn, e);
+    if (strcmp(slash, "/v1/events") == 0)
+        return cache_events(conn, e);
     if (strcmp(slash, "/v1/orders") == 0)
         return order(conn, e);
-    return fail(conn, 404, "not_found", "no such page");
+    return stub_fail(conn, 404, "not_found", "no such page");
 }
 
 /* ===== Plain services ===== */
 
-static worker_t *find_worker(const char *name)
+worker_t *stub_find_worker(const char *name)
 {
     for (uint32_t i = 0; i < n_workers; i++)
         if (strcmp(workers[i].name, name) == 0)
@@ -376,12 +391,12 @@
     char *const slash = strchr(name, '/');
     if (slash)
         *slash = '\0';
-    worker_t *const w = find_worker(name);
+    worker_t *const w = stub_find_worker(name);
     if (!w)
-        return fail(conn, 404, "not_found", "no such worker");
-    json_t *const body = read_json(conn);
+        return stub_fail(conn, 404, "not_found", "no such worker");
+    json_t *const body = stub_read_json(conn);
     json_decref(body);
-    const double now = now_ms();
+    const double now = stub_now();
     if (w->dead || now < w->die_before) {
         return hang_up(conn);
     }
@@ -411,7 +426,7 @@
         json_array_append_new(e->leaving_listed ? leaving : live, json_string(e->cfg.name));
     }
     for (uint32_t i = 0; i < n_workers; i++) {
-        if (workers[i].leaving != workers[i].leaving_listed && now_ms() >= workers[i].list_at)
+        if (workers[i].leaving != workers[i].leaving_listed && stub_now() >= workers[i].list_at)
             workers[i].leaving_listed = workers[i].leaving;
         json_array_append_new(workers[i].leaving_listed ? leaving : live, json_string(workers[i].name));
     }
@@ -419,124 +434,6 @@
     return http_send_json(conn, 200, json_pack("{s:o,s:o}", "live", live, "leaving", leaving), 0);
 }
 
-/* ===== Faults and counts, for tests ===== */
-
-static bool engine_fault(sim_engine_t *e, const char *kind, double ms, double now)
-{
-    if (strcmp(kind, "die") == 0) {
-        sim_kill(sim, e, now);
-        e->dead = true;
-    } else if (strcmp(kind, "revive") == 0) {
-        e->dead = false;
-        e->incarnation++;
-    } else if (strcmp(kind, "stall") == 0) {
-        e->stall_until = now + ms;
-    } else if (strcmp(kind, "refuse") == 0) {
-        e->refuse_until = now + ms;
-    } else if (strcmp(kind, "delay") == 0) {
-        e->delay_ms = ms;
-    } else if (strcmp(kind, "leave") == 0 || strcmp(kind, "stay") == 0) {
-        e->leaving = kind[0] == 'l';
-        e->list_at = now + sim->list_lag_ms;
-    } else {
-        return false;
-    }
-    return true;
-}
-
-static bool worker_fault(worker_t *w, const char *kind, double ms, double now)
-{
-    if (strcmp(kind, "die") == 0)
-        w->dead = true;
-    else if (strcmp(kind, "revive") == 0)
-        w->dead = false;
-    else if (strcmp(kind, "slow") == 0)
-        w->slow_ms = ms;
-    else if (strcmp(kind, "die_before") == 0)
-        w->die_before = now + ms;
-    else if (strcmp(kind, "die_after") == 0)
-        w->die_after = now + ms;
-    else if (strcmp(kind, "leave") == 0) {
-        w->leaving = true;
-        w->list_at = now + sim->list_lag_ms;
-    } else
-        return false;
-    return true;
-}
-
-static int fault_handler(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    json_t *const body = read_json(conn);
-    const char *const kind = text_of(body, "kind");
-    const double ms = json_number_value(json_object_get(body, "ms"));
-    bool done = false;
-    pthread_mutex_lock(&sim->lock);
-    sim_engine_t *const e = sim_find_engine(sim, text_of(body, "name"));
-    worker_t *const w = find_worker(text_of(body, "name"));
-    if (e)
-        done = engine_fault(e, kind, ms, now_ms());
-    else if (w)
-        done = worker_fault(w, kind, ms, now_ms());
-    pthread_mutex_unlock(&sim->lock);
-    json_decref(body);
-    return done ? http_send_json(conn, 200, json_pack("{s:b}", "done", 1), 0)
-                : fail(conn, 400, "invalid", "no such engine, worker or kind of fault");
-}
-
-static json_t *engine_stats(const sim_engine_t *e)
-{
-    uint32_t live = 0;
-    const sim_request_t *r;
-    cds_list_for_each_entry(r, &e->requests, node)
-        live += r->state < SIM_DONE;
-    return json_pack("{s:s,s:i,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}", "name", e->cfg.name, "started", (int)e->started,
-                     "role", role_names[e->cfg.role], "model", e->cfg.model, "live", (int)live, "pieces",
-                     (int)e->pieces_used, "batch",
-                     (int)(e->n_loads ? e->loads[(e->n_loads - 1) % SIM_LOAD_SLOTS].batch : 0), "obeyed",
-                     (int)e->orders_obeyed, "refused", (int)e->orders_refused, "backward", (int)e->orders_backward);
-}
-
-static int stats_handler(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    json_t *const engines = json_array();
-    uint32_t held = 0;
-    pthread_mutex_lock(&sim->lock);
-    for (uint32_t i = 0; i < sim->n_engines; i++) {
-        json_array_append_new(engines, engine_stats(&sim->engines[i]));
-        held += sim->engines[i].pieces_used;
-    }
-    const sim_counts_t c = sim->counts;
-    pthread_mutex_unlock(&sim->lock);
-    return http_send_json(conn, 200,
-                          json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:o}", "prefilled", (json_int_t)c.prefilled, "wasted",
-                                    (json_int_t)c.wasted, "wasted_hold", (json_int_t)c.wasted_hold, "wasted_cancel",
-                                    (json_int_t)c.wasted_cancel, "wasted_dead", (json_int_t)c.wasted_dead, "decoded",
-                                    (json_int_t)c.decoded, "held_pieces", (int)held, "engines", engines),
-                          0);
-}
-
-/** How often work began, and how often an answer began, for each id asked about. */
-static int runs_handler(struct mg_connection *conn, void *arg)
-{
-    (void)arg;
-    json_t *const body = read_json(conn);
-    json_t *const runs = json_array(), *const answers = json_array();
-    size_t i;
-    json_t *id;
-    pthread_mutex_lock(&sim->lock);
-    json_array_foreach(json_object_get(body, "ids"), i, id) {
-        const char *const text = json_string_value(id);
-        json_array_append_new(runs, json_integer(GPOINTER_TO_UINT(g_hash_table_lookup(sim->runs, text ? text : ""))));
-        json_array_append_new(answers,
-                              json_integer(GPOINTER_TO_UINT(g_hash_table_lookup(sim->answers, text ? text : ""))));
-    }
-    pthread_mutex_unlock(&sim->lock);
-    json_decref(body);
-    return http_send_json(conn, 200, json_pack("{s:o,s:o}", "runs", runs, "answers", answers), 0);
-}
-
 /* ===== Main ===== */
 
 static atomic_bool stopping;
@@ -563,6 +460,7 @@
         {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config_path, "configuration with engines, services and links",
          "FILE"},
         {"load-lag-ms", 0, 0, G_OPTION_ARG_INT, &load_lag, "age of load reports, ms (500)", "MS"},
+        {"event-loss", 0, 0, G_OPTION_ARG_INT, &event_loss, "cache events that never come, in a hundred (5)", "N"},
         {"list-lag-ms", 0, 0, G_OPTION_ARG_INT, &list_lag, "age of the platform's list, ms (1500)", "MS"},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
     GOptionContext *const context = g_option_context_new("- stand-in engines, services and platform list");
@@ -592,11 +490,11 @@
     http_route(server, "/e", engine_handler, NULL);
     http_route(server, "/s", service_handler, NULL);
     http_route(server, "/platform/list", platform_handler, NULL);
-    http_route(server, "/admin/fault", fault_handler, NULL);
-    http_route(server, "/admin/stats", stats_handler, NULL);
-    http_route(server, "/admin/runs", runs_handler, NULL);
+    http_route(server, "/admin/fault", stub_fault_handler, NULL);
+    http_route(server, "/admin/stats", stub_stats_handler, NULL);
+    http_route(server, "/admin/runs", stub_runs_handler, NULL);
     while (!atomic_load(&stopping)) {
-        sim_advance(sim, now_ms());
+        sim_advance(sim, stub_now());
         g_usleep(1000);
     }
     _exit(0); /* handlers may be waiting inside; there is nothing to save */
--- /dev/null
+++ b/programs/stub/stub.h
@@ -0,0 +1,45 @@
+/** @file stub.h
+ * Shared by the pages of the stand-in: engines and services (stub.c), faults and counts (admin.c).
+ */
+#ifndef TRACKCOVE_STUB_STUB_H
+#define TRACKCOVE_STUB_STUB_H
+
+#include <jansson.h>
+
+#include "http/http.h"
+#include "stub/sim.h"
+
+enum { STUB_WORKERS = 64 };
+
+/** A worker of a plain service. */
+typedef struct {
+    char name[CODEC_STR_SIZE];
+    bool dead, leaving, leaving_listed;
+    double slow_ms, list_at;
+    double die_before, die_after; /* until when calls die before, or after, the work is done */
+} worker_t;
+
+extern sim_t *sim;
+extern worker_t workers[STUB_WORKERS];
+extern uint32_t n_workers;
+
+/** Milliseconds on the monotonic clock, with their fractions. */
+double stub_now(void);
+
+/** Answer with an error. @return @p status */
+int stub_fail(struct mg_connection *conn, int status, const char *type, const char *text);
+
+/** A string of a JSON object, "" when it is missing. */
+const char *stub_text(const json_t *body, const char *key);
+
+/** The request's body, NULL when it is no JSON. */
+json_t *stub_read_json(struct mg_connection *conn);
+
+worker_t *stub_find_worker(const char *name);
+
+/** Pages for tests. */
+int stub_fault_handler(struct mg_connection *conn, void *arg);
+int stub_stats_handler(struct mg_connection *conn, void *arg);
+int stub_runs_handler(struct mg_connection *conn, void *arg);
+
+#endif
--- a/tests/harness/raft_world.c
+++ b/tests/harness/raft_world.c
@@ -6,18 +6,12 @@
 
 #include "control/raft.h"
 #include "control/state.h"
+#include "harness/fake_disk.h"
 
 /* ===== Types ===== */
 
 enum { NODES_MAX = 5, STEP_MS = 10, LINK_MAX = 4000, HEAL_STEPS = 1500, COMPACT_EVERY = 25, REQUESTS = 400 };
 
-typedef struct {
-    log_entry_t *entries; /* index i + 1 lies at i, behind the snapshot */
-    uint32_t n, room;
-    uint64_t term, vote;
-    raft_image_t snapshot;
-} disk_t;
-
 typedef struct {
     unsigned number;
     uint64_t id;
@@ -26,7 +20,7 @@
     state_t *state;
     uint64_t state_index;
     uint32_t since_snapshot;
-    disk_t synced, written;
+    fake_disk_t synced, written;
     bool dirty;
     tc_time_t frozen_until, up_at, join_at;
     bool crash_now;
@@ -76,69 +70,7 @@
         w->result.broken = promise;
 }
 
-/* ===== Fake disks ===== */
-
-static void copy_entry(log_entry_t *to, const log_entry_t *from)
-{
-    *to = *from;
-    to->data = NULL;
-    codec_set_text(&to->data, &to->data_n, from->data, from->data_n);
-}
-
-static void disk_cut(disk_t *d, uint32_t n)
-{
-    while (d->n > n)
-        codec_free(&log_entry_desc, &d->entries[--d->n]);
-}
-
-static void disk_add(disk_t *d, const log_entry_t *entry)
-{
-    if (d->n == d->room) {
-        d->room = d->room ? d->room * 2 : 64;
-        d->entries = realloc(d->entries, d->room * sizeof(*d->entries));
-        if (!d->entries)
-            abort();
-    }
-    copy_entry(&d->entries[d->n++], entry);
-}
-
-static void copy_image(raft_image_t *to, const raft_image_t *from)
-{
-    codec_free(&raft_image_desc, to);
-    to->last_index = from->last_index;
-    to->last_term = from->last_term;
-    to->members.list_n = from->members.list_n;
-    to->members.list = calloc(from->members.list_n + 1, sizeof(*to->members.list));
-    if (!to->members.list)
-        abort();
-    if (from->members.list_n)
-        memcpy(to->members.list, from->members.list, from->members.list_n * sizeof(*to->members.list));
-    codec_set_text(&to->state, &to->state_n, from->state ? from->state : "", from->state_n);
-}
-
-static void disk_copy(disk_t *to, const disk_t *from)
-{
-    /* Keep what is equal: entries are never changed in place. */
-    uint32_t same = 0;
-    while (to->snapshot.last_index == from->snapshot.last_index && same < to->n && same < from->n &&
-           to->entries[same].index == from->entries[same].index && to->entries[same].term == from->entries[same].term)
-        same++;
-    disk_cut(to, same);
-    for (uint32_t i = same; i < from->n; i++)
-        disk_add(to, &from->entries[i]);
-    to->term = from->term;
-    to->vote = from->vote;
-    if (to->snapshot.last_index != from->snapshot.last_index)
-        copy_image(&to->snapshot, &from->snapshot);
-}
-
-static void disk_free(disk_t *d)
-{
-    disk_cut(d, 0);
-    free(d->entries);
-    codec_free(&raft_image_desc, &d->snapshot);
-    memset(d, 0, sizeof(*d));
-}
+/* ===== Syncing ===== */
 
 static void sync_node(world_t *w, node_t *n)
 {
@@ -147,23 +79,11 @@
     n->dirty = false;
 }
 
-static void write_snapshot(node_t *n, const raft_image_t *image)
-{
-    disk_t *const d = &n->written;
-    const uint64_t drop = image->last_index - d->snapshot.last_index;
-    const uint32_t gone = drop < d->n ? (uint32_t)drop : d->n;
-    for (uint32_t i = 0; i < gone; i++)
-        codec_free(&log_entry_desc, &d->entries[i]);
-    memmove(d->entries, d->entries + gone, (d->n - gone) * sizeof(*d->entries));
-    d->n -= gone;
-    copy_image(&d->snapshot, image);
-}
-
 /* ===== Life of a node ===== */
 
 static void start_node(world_t *w, node_t *n)
 {
-    const disk_t *const d = &n->synced;
+    const fake_disk_t *const d = &n->synced;
     raft_start_t start = {.id = n->id,
                           .term = d->term,
                           .vote = d->vote,
@@ -319,7 +239,7 @@
         n->dirty = true;
         break;
     case RAFT_ACT_SNAPSHOT:
-        write_snapshot(n, &action->snapshot);
+        disk_snapshot(&n->written, &action->snapshot);
         n->dirty = true;
         sync_node(w, n);
         n->since_snapshot = 0;
