An entry that stood still passes nothing on until it knows what is still its own

Cause: an entry stopped for longer than a lease woke with tokens in its buffers that its caller had been given by another entry meanwhile. Change: a gap of 0.8 s between two turns of the loop means that the process stood still; request threads then wait until a scheduler has answered a listed renewal, and let go what it calls lost; without an answer within 3 s, all.

--- a/lib/request/completion.c
+++ b/lib/request/completion.c
@@ -159,6 +159,10 @@
         say_phase(run, PHASE_DECODE);
         placer_progress(run->entry, run->request->id, &run->placement, PHASE_DECODE, 0, NULL, "", false);
     }
+    if (run->placement.policy >= POLICY_SHARE)
+        entry_await_verified(run->entry);
+    if (atomic_load(&run->inflight.lost))
+        return false;
     counter_add(&c_tokens, 1);
     run->token_rc = caller_token(&run->caller, place, text, finish);
     return run->token_rc == TC_OK && !atomic_load(&run->inflight.lost);
--- a/lib/request/entry.c
+++ b/lib/request/entry.c
@@ -14,8 +14,12 @@
 
 /* ===== Constants ===== */
 
+/** A loop that did not run for this long has stood still: less than the lease of a request, more than any load makes.
+ */
+enum { STOOD_STILL_MS = 800, AWAKE_TICK_MS = 50, VERIFY_LIMIT_MS = 3000, VERIFY_NAP_MS = 5 };
 enum { WORKERS = 16, DRAIN_TICK_MS = 50, RENEW_LIMIT_MS = 400, CLOSE_MS = 300 };
 
+COUNTER_DEFINE(c_stood_still, "counter", "trackcove_entry_stood_still_total", "Times this process stood still for long")
 COUNTER_DEFINE(c_renews, "counter", "trackcove_entry_renewals_total", "Renewals by count and digest")
 COUNTER_DEFINE(c_renew_lists, "counter", "trackcove_entry_renewal_lists_total",
                "Renewals by list, when counts differed")
@@ -49,6 +53,7 @@
     char cell[CODEC_STR_SIZE];
     char addr[CODEC_STR_SIZE];
     uint64_t epoch;
+    bool listed;
 } renewing_t;
 
 static void renew_with(entry_t *e, const char *cell, const char *addr, uint64_t epoch, bool listed);
@@ -63,6 +68,8 @@
             counter_add(&c_renew_lost, 1);
             inflight_mark_lost(&renewing->entry->inflight, ack->lost[i].id, ack->lost[i].attempt);
         }
+        if (renewing->listed)
+            atomic_store(&renewing->entry->verifying, false); /* those lost are marked */
         if (ack->want_list)
             renew_with(renewing->entry, renewing->cell, renewing->addr, renewing->epoch, true);
     }
@@ -82,6 +89,7 @@
         abort();
     renewing->entry = e;
     renewing->epoch = epoch;
+    renewing->listed = listed;
     codec_copy_string(renewing->cell, sizeof(renewing->cell), cell);
     codec_copy_string(renewing->addr, sizeof(renewing->addr), addr);
     if (listed || atomic_load(&e->inflight.count) > 0) {
@@ -98,18 +106,55 @@
     entry_renew(arg);
 }
 
+static void renew_all(entry_t *e, bool listed);
+
 void entry_renew(entry_t *e)
+{
+    renew_all(e, atomic_load(&e->verifying));
+}
+
+static void renew_all(entry_t *e, bool listed)
 {
     const view_t *const view = e->view.current;
     if (view_config(view)->policy == POLICY_SHARE)
         for (uint32_t i = 0; i < view_config(view)->engines_n; i++) {
             const char *const cell = view_config(view)->engines[i].cell;
             if (i == 0 || strcmp(cell, view_config(view)->engines[i - 1].cell) != 0)
-                renew_with(e, cell, e->settings->peer_listen, SCHEDULER_SHARE_EPOCH, false);
+                renew_with(e, cell, e->settings->peer_listen, SCHEDULER_SHARE_EPOCH, listed);
         }
     else if (view_config(view)->policy == POLICY_CELL)
         for (uint32_t i = 0; i < view->n_cells; i++)
-            renew_with(e, view->cells[i].cell, view->cells[i].peer_addr, view->cells[i].epoch, false);
+            renew_with(e, view->cells[i].cell, view->cells[i].peer_addr, view->cells[i].epoch, listed);
+}
+
+/* ===== Standing still =====
+ * A process that was stopped for longer than a lease wakes with answers in its buffers that another entry may have
+ * given meanwhile. Promise: no request is answered twice. So nothing is passed on until the schedulers were asked.
+ */
+
+static void on_awake_tick(void *arg)
+{
+    entry_t *const e = arg;
+    const tc_time_t now = tc_time_now();
+    if (now - atomic_load(&e->awake_at) > STOOD_STILL_MS) {
+        atomic_store(&e->verifying, atomic_load(&e->inflight.count) > 0);
+        counter_add(&c_stood_still, 1);
+        entry_renew(e);
+    }
+    atomic_store(&e->awake_at, now);
+}
+
+void entry_await_verified(entry_t *e)
+{
+    const tc_time_t begin = tc_time_now();
+    while (tc_time_now() - atomic_load(&e->awake_at) > STOOD_STILL_MS || atomic_load(&e->verifying)) {
+        if (tc_time_now() - begin > VERIFY_LIMIT_MS) {
+            inflight_mark_all_lost(&e->inflight); /* nobody could tell: they may be somebody else's */
+            atomic_store(&e->verifying, false);
+            return;
+        }
+        tc_time_sleep(VERIFY_NAP_MS);
+    }
 }
 
 /* ===== Messages ===== */
@@ -213,6 +258,8 @@
     e->scheduler = scheduler_create(e);
     e->control = control_client_create(e);
     e->reports = reports_create(e);
+    atomic_store(&e->awake_at, tc_time_now());
+    loop_add_tick(loop, AWAKE_TICK_MS, on_awake_tick, e);
     loop_add_tick(loop, SCHED_RENEW_MS, on_renew_tick, e);
     loop_add_tick(loop, DRAIN_TICK_MS, on_drain_tick, e);
     return e;
--- a/lib/request/entry.h
+++ b/lib/request/entry.h
@@ -31,6 +31,8 @@
     view_slot_t view; /**< written by the loop */
     inflight_table_t inflight;
     _Atomic tc_time_t lease_until; /**< the configuration may be acted on until then; written by the loop */
+    _Atomic tc_time_t awake_at;    /**< when the loop ran last: a gap means that this process stood still */
+    atomic_bool verifying;         /**< it stood still: what it holds may be somebody else's by now */
     atomic_bool draining;          /**< a planned stop began */
     atomic_uint active;            /**< callers being served */
     budget_t budget;               /**< for second attempts */
@@ -61,6 +63,10 @@
 /** Run a small blocking job in a worker thread. */
 void entry_run_job(entry_t *entry, void (*run)(void *arg), void *arg);
 
+/** Before a token is passed on: if this process stood still (stopped, or its machine paused), wait until the schedulers
+ *  said which requests are still ours. Any thread but the loop's. */
+void entry_await_verified(entry_t *entry);
+
 /** Whether new work may be taken: a configuration whose lease runs. */
 bool entry_may_serve(const entry_t *entry);
 
--- a/lib/request/inflight.c
+++ b/lib/request/inflight.c
@@ -91,6 +91,17 @@
     return n;
 }
 
+void inflight_mark_all_lost(inflight_table_t *table)
+{
+    pthread_mutex_lock(&table->lock);
+    inflight_t *item;
+    cds_list_for_each_entry(item, &table->list, node) {
+        if (item->held.attempt > 0)
+            atomic_store(&item->lost, true);
+    }
+    pthread_mutex_unlock(&table->lock);
+}
+
 void inflight_mark_lost(inflight_table_t *table, const char *id, uint32_t attempt)
 {
     pthread_mutex_lock(&table->lock);
--- a/lib/request/inflight.h
+++ b/lib/request/inflight.h
@@ -49,6 +49,9 @@
 /** Copies of all requests of a cell, in a heap array for free(). @return how many */
 uint32_t inflight_collect(inflight_table_t *table, const char *cell, held_t **held);
 
+/** Mark everything lost that was placed. */
+void inflight_mark_all_lost(inflight_table_t *table);
+
 /** Mark one attempt lost. */
 void inflight_mark_lost(inflight_table_t *table, const char *id, uint32_t attempt);
 
--- a/tests/fault/test_requests.c
+++ b/tests/fault/test_requests.c
@@ -242,6 +242,34 @@
     g_free(scheduler);
 }
 
+/** The entry stands still with an answer in its hands; its caller comes again elsewhere and gets the whole of it; then
+ *  the entry goes on. What it still has in its buffers must not go out a second time. */
+static void test_entry_freezes_and_caller_comes_again(void)
+{
+    char *const scheduler = cluster_scheduler(cluster, 10000);
+    const char *const entry = other_entry(scheduler);
+    client_t c, rest;
+    client_init(&c, "frozen-entry", 1000, 300);
+    client_start(&c, cluster, entry);
+    g_assert_true(client_wait_tokens(&c, 20, 10000));
+    cluster_signal(cluster, entry, SIGSTOP);
+    client_init(&rest, c.id, 1000, 300);
+    rest.resend = true;
+    rest.last_event = atomic_load(&c.got);
+    client_start(&rest, cluster, scheduler);
+    client_join(&rest);
+    assert_whole(&rest);
+    const unsigned got = atomic_load(&c.got);
+    cluster_signal(cluster, entry, SIGCONT);
+    client_join(&c);
+    g_assert_false(c.whole);
+    g_assert_cmpuint(atomic_load(&c.got), ==, got); /* not one token more */
+    g_assert_cmpint(client_count(cluster, c.id, "answers"), ==, 1);
+    g_assert_true(cluster_wait_ready(cluster, entry, 20000));
+    g_free(scheduler);
+    g_assert_true(client_wait_free(cluster, 8000));
+}
+
 static void test_scheduler_freezes(void)
 {
     char *const scheduler = cluster_scheduler(cluster, 10000);
@@ -335,6 +363,7 @@
     g_test_add_func("/requests/entry-dies-and-nobody-comes", test_entry_dies_and_nobody_comes);
     g_test_add_func("/requests/scheduler-dies", test_scheduler_dies);
     g_test_add_func("/requests/entry-and-scheduler-die", test_entry_and_scheduler_die);
+    g_test_add_func("/requests/entry-freezes-and-caller-comes-again", test_entry_freezes_and_caller_comes_again);
     g_test_add_func("/requests/scheduler-freezes", test_scheduler_freezes);
     g_test_add_func("/requests/resend-is-not-called-not-run", test_resend_is_not_called_not_run);
     g_test_add_func("/requests/overload", test_overload);
--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -49,6 +49,13 @@
     return FALSE;
 }
 
+/** TRACKCOVE_TEST_PORTS moves all ports of tests and bench further, where those are taken. */
+static unsigned extra_offset(void)
+{
+    const char *const extra = g_getenv("TRACKCOVE_TEST_PORTS");
+    return extra ? (unsigned)strtoul(extra, NULL, 10) : 0;
+}
+
 /** Read a JSON file of the example with its ports moved. */
 static json_t *read_example(const cluster_options_t *o, const char *file)
 {
@@ -58,7 +65,7 @@
     if (!g_file_get_contents(path, &text, NULL, &error))
         g_error("%s", error->message);
     GRegex *const ports = g_regex_new("127\\.0\\.0\\.1:(\\d+)", 0, 0, NULL);
-    shift_t shift = {.offset = o->port_offset};
+    shift_t shift = {.offset = o->port_offset + extra_offset()};
     char *const moved = g_regex_replace_eval(ports, text, -1, 0, 0, shift_port, &shift, NULL);
     json_t *const json = json_loads(moved, 0, NULL);
     g_regex_unref(ports);
