Counting on memory about to come free: measured, worse, taken out again

Cause: waste_weight was to trade goodput against wasted prefill. Change: the code and the setting are gone. The stand-in starts fewer threads and bench fewer a box, since seven deployments side by side ran into the kernel's number of processes.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -198,6 +198,7 @@
              planner ? "cell" : run->policy, planner ? "true" : "false");
     const cluster_options_t options = {.deployment = run->deployment,
                                        .config_patch = patch,
+                                       .entry_patch = "{\"threads\":160}", /* many deployments side by side */
                                        .stub_args = run->stub_args,
                                        .port_offset = (unsigned)opt_ports + worker * PORTS_A_WORKER};
     cluster_t *const c = cluster_start(&options);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -272,7 +272,6 @@
     {.name = "tpot_ms", .offset = offsetof(targets_cfg_t, tpot_ms), .kind = CODEC_U32, .min = 1, .max = 60000, .def = 51, .unit = "ms"},
     {.name = "max_queue", .offset = offsetof(targets_cfg_t, max_queue), .kind = CODEC_U32, .min = 1, .max = 100000, .def = 512, .unit = "requests"},
     {.name = "prefill_hold_ms", .offset = offsetof(targets_cfg_t, prefill_hold_ms), .kind = CODEC_U32, .min = 1, .max = 60000, .def = 900, .unit = "ms"},
-    {.name = "waste_weight", .offset = offsetof(targets_cfg_t, waste_weight), .kind = CODEC_F64, .min = 0, .max = 1, .def = 1},
     {.name = "config_lease_ms", .offset = offsetof(targets_cfg_t, config_lease_ms), .kind = CODEC_U32, .min = 500, .max = 600000, .def = 4000, .unit = "ms"},
 };
 const codec_desc_t targets_cfg_desc = {.name = "targets_cfg", .size = sizeof(targets_cfg_t), .fields = targets_cfg_fields, .n_fields = sizeof(targets_cfg_fields) / sizeof(targets_cfg_fields[0])};
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -368,7 +368,6 @@
     uint32_t tpot_ms; /**< time between tokens (ms) */
     uint32_t max_queue; /**< most requests waiting in one scheduler (requests) */
     uint32_t prefill_hold_ms; /**< how long an engine keeps a prefill result that is not moving (ms) */
-    double waste_weight; /**< what a wasted prefill weighs against goodput. 1: a prefill starts only when its decode memory is free; 0: also when answers that should end meanwhile will free it */
     uint32_t config_lease_ms; /**< an entry box that has not heard from the control leader for this long takes no new requests (ms) */
 } targets_cfg_t;
 extern const codec_desc_t targets_cfg_desc;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -10,8 +10,7 @@
  * What it keeps true (asserted by sched_check in every build):
  *  - the pieces reserved on an engine are exactly those of the requests placed
  *    there plus those of requests being cancelled there;
- *  - a grant never reserves more pieces than the engine has, and, as far as targets.waste_weight lets it, those of
- *    answers that are about to end;
+ *  - a grant never reserves more pieces than the engine has;
  *  - a request is queued, or placed on one pair of engines, never both;
  *  - an attempt number is never used twice for a request;
  *  - every waiting call is answered exactly once.
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -17,7 +17,7 @@
 static bool decode_fits(const sched_t *s, const engine_t *e, const request_t *r)
 {
     const uint32_t batch_limit = e->max_batch / s->share_of > 0 ? e->max_batch / s->share_of : 1;
-    return e->reserved + e->foreign + r->pieces <= engine_room(s, e) && e->batch < batch_limit;
+    return e->reserved + e->foreign + r->pieces <= e->pieces && e->batch < batch_limit;
 }
 
 static bool decode_candidate(const sched_t *s, const engine_t *e, const request_t *r, tc_time_t now)
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -18,11 +18,6 @@
     return e->configured && !leaving && !e->down && now >= e->suspect_until;
 }
 
-uint32_t engine_room(const sched_t *s, const engine_t *e)
-{
-    return e->pieces + (uint32_t)(e->expected_free * (1 - s->targets.waste_weight));
-}
-
 double engine_backlog(const engine_t *e, tc_time_t now)
 {
     const double left = e->backlog_ms - (double)(now - e->backlog_at);
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -255,7 +255,6 @@
         end_prefill_work(r);
         end_transfer(r);
         r->phase = PHASE_DECODE;
-        r->phase_at = now;
         break;
     case PHASE_FINISHED: finish(s, r, now); break;
     case PHASE_FAILED:
--- a/lib/sched/sched_request.c
+++ b/lib/sched/sched_request.c
@@ -29,9 +29,6 @@
     s->stats.refused++;
 }
 
-/** Weight of one more answer in the average length. */
-static const double LEARN_LENGTH = 0.05;
-
 /* ===== Requests: life ===== */
 
 request_t *request_create(sched_t *s, const char *id)
@@ -135,8 +132,6 @@
 void finish(sched_t *s, request_t *r, tc_time_t now)
 {
     leave_placed(s, r);
-    if (r->phase == PHASE_DECODE)
-        s->ms_a_token += LEARN_LENGTH * ((double)(now - r->phase_at) / r->max_tokens - s->ms_a_token);
     /* Its engine keeps a finished stream for a while: remember where. */
     engine_t *const decode = r->decode;
     end_prefill_work(r);
--- a/programs/stub/stub.c
+++ b/programs/stub/stub.c
@@ -29,7 +29,7 @@
 
 /* ===== State ===== */
 
-enum { BODY_MAX = 64 * 1024 * 1024, STUB_THREADS = 2000 };
+enum { BODY_MAX = 64 * 1024 * 1024, STUB_THREADS = 1200 };
 
 sim_t *sim;
 worker_t workers[STUB_WORKERS];
--- a/scripts/examples.py
+++ b/scripts/examples.py
@@ -41,7 +41,7 @@
     workers = {f"{d['service']}-{i}": {"url": f"{stub}/s/{d['service']}-{i}", "dc": d["dcs"][i]} for i in range(3)}
     return {
         "policy": "cell", "platform_url": f"{stub}/platform/list",
-        "targets": {"ttft_ms": 1600, "tpot_ms": 51, "waste_weight": 1},
+        "targets": {"ttft_ms": 1600, "tpot_ms": 51},
         "models": {d["model"]: {"weights_mb": 16000}}, "engines": engines, "links": links,
         "services": {d["service"]: {"repeatable": d["repeatable"], "timeout_ms": 5000, "workers": workers}},
         "workspaces": {f"ws-{i}": {"weight": 1} for i in range(4)}}
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -22,6 +22,7 @@
     unsigned entries;          /**< 0: all of the example */
     unsigned controls;         /**< 0: all of the example */
     const char *config_patch;  /**< JSON merge patch on the initial configuration, or NULL */
+    const char *entry_patch;   /**< JSON merge patch on entry settings, or NULL */
     const char *control_patch; /**< JSON merge patch on control settings, or NULL */
     const char *stub_args;     /**< further arguments of the stand-in, or NULL */
     unsigned port_offset;      /**< added to every port */
