Lint findings: an index checked first, no value read uninitialised

Change: order of cases in codec_scan, a result set on every path, a chunk's end written as two characters.

--- a/bench/scale_cores.c
+++ b/bench/scale_cores.c
@@ -129,7 +129,7 @@
         sched_tick(s, now);
     put("sched_us_a_tick", engines, (cpu_us() - tick) / 200);
     if (granted < REQUESTS * 9 / 10)
-        fprintf(stderr, "scale: only %u of %u granted\n", granted, REQUESTS);
+        fprintf(stderr, "scale: only %u of %d granted\n", granted, REQUESTS);
     sched_destroy(s);
     free(ring);
     codec_free(&config_desc, &config);
--- a/lib/common/codec_bytes.c
+++ b/lib/common/codec_bytes.c
@@ -57,14 +57,14 @@
         return sized(scan, 1u << (b - 0xc4), 0, 1, false, token);
     else if (b >= 0xc7 && b <= 0xc9)
         return sized(scan, 1u << (b - 0xc7), 1, 1, false, token);
-    else if (b >= 0xd9 && b <= 0xdb)
+    else if (b <= 0xd8)
+        token->bytes = fixed[b - 0xc0];
+    else if (b <= 0xdb)
         return sized(scan, 1u << (b - 0xd9), 0, 1, false, token);
-    else if (b >= 0xdc && b <= 0xdd)
+    else if (b <= 0xdd)
         return sized(scan, b == 0xdc ? 2 : 4, 0, 1, true, token);
-    else if (b >= 0xde)
-        return sized(scan, b == 0xde ? 2 : 4, 0, 2, true, token);
     else
-        token->bytes = fixed[b - 0xc0];
+        return sized(scan, b == 0xde ? 2 : 4, 0, 2, true, token);
     return token->bytes > 0;
 }
 
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -144,14 +144,16 @@
     *next = merge_apply(s->config_json, change);
     json_decref(change);
     const int rc = codec_from_json(&config_desc, parsed, *next, err);
-    if (rc < 0)
-        json_decref(*next);
+    if (rc == TC_OK)
+        return rc;
+    json_decref(*next);
+    *next = NULL;
     return rc;
 }
 
 int state_check_patch(const state_t *s, const char *patch, json_t **next, tc_err_t *err)
 {
-    json_t *merged;
+    json_t *merged = NULL;
     config_t parsed;
     TC_CHECK(parse_patched(s, patch, &merged, &parsed, err));
     codec_free(&config_desc, &parsed);
--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -187,8 +187,8 @@
     size_t used = (size_t)snprintf(buffer, FRAMING, "%zx\r\n", size);
     memcpy(buffer + used, data, size);
     used += size;
-    memcpy(buffer + used, "\r\n", 2);
-    used += 2;
+    buffer[used++] = '\r';
+    buffer[used++] = '\n';
     const bool sent = mg_write(conn, buffer, used) == (int)used;
     if (buffer != small)
         free(buffer);
