--- a/bench/bench.c
+++ b/bench/bench.c
@@ -29,7 +29,7 @@
     fault_t fault;
 } run_t;
 
-static gchar *opt_out = "bench/results/policies.jsonl", *opt_only;
+static gchar *opt_out = "bench/results/policies.jsonl", *opt_only, *opt_policy;
 static gdouble opt_seconds = 8;
 static gint opt_seeds = 3, opt_parallel = 3, opt_ports;
 
@@ -45,7 +45,7 @@
 static void add_run(const char *deployment, const char *policy, const char *scenario, const char *stub_args,
                     double load, int seed, fault_t fault)
 {
-    if (opt_only && strcmp(opt_only, scenario) != 0)
+    if ((opt_only && strcmp(opt_only, scenario) != 0) || (opt_policy && strcmp(opt_policy, policy) != 0))
         return;
     const run_t run = {deployment, policy, scenario, stub_args, load, seed, fault};
     g_array_append_val(runs, run);
@@ -238,6 +238,7 @@
         {"seconds", 't', 0, G_OPTION_ARG_DOUBLE, &opt_seconds, "measured time of a run, s (8)", "S"},
         {"seeds", 's', 0, G_OPTION_ARG_INT, &opt_seeds, "seeds (3)", "N"},
         {"parallel", 'p', 0, G_OPTION_ARG_INT, &opt_parallel, "deployments side by side (3)", "N"},
+        {"policy", 0, 0, G_OPTION_ARG_STRING, &opt_policy, "one policy only", "NAME"},
         {"ports", 0, 0, G_OPTION_ARG_INT, &opt_ports, "added to every port (0)", "N"},
         {"only", 0, 0, G_OPTION_ARG_STRING, &opt_only, "one scenario only", "NAME"},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
--- a/lib/request/control_client.c
+++ b/lib/request/control_client.c
@@ -174,6 +174,9 @@
     view_publish(&c->entry->view, view);
     c->members_version = ack->members_version;
     c->cells_version = ack->cells_version;
+    if (members)
+        scheduler_configure(
+            c->entry->scheduler); /* shares, and whom a new scheduler waits for, follow the live boxes */
     if (cells)
         entry_renew(c->entry);
 }
--- a/scripts/plots.py
+++ b/scripts/plots.py
@@ -67,6 +67,7 @@
 set output '{OUT}/scale-{name}.png'
 set title '{label}'
 set grid
+set fit quiet
 f(x) = a * x + b
 fit f(x) $d using 1:2 via a, b
 plot $d using 1:2 with points pt 7 title 'measured', f(x) title 'fit'
