Plots leave out mixes without plain runs

Cause: the mix of the load shift has no lines at several loads; gnuplot stopped. Measured: scripts/plots.py runs to its end. Conclusion: none beyond order.

--- a/scripts/plots.py
+++ b/scripts/plots.py
@@ -30,7 +30,7 @@
 
 def plot_policies(lines, field, title, scale):
     loads = sorted({r["load"] for r in lines if r["scenario"] == "plain"})
-    for mix in sorted({r["mix"] for r in lines}):
+    for mix in sorted({r["mix"] for r in lines if r["scenario"] == "plain"}):
         blocks, plots = [], []
         for policy in POLICIES:
             points = [(load, spread(lines, mix, policy, load, field)) for load in loads]
