Empty strings and an empty fake disk pass no null pointer

Cause: the undefined-behaviour sanitizer, in a fresh clone's check: memcpy and memmove of nothing from nowhere (codec.c, and the tests' fake disk). Change: both are left out when there is nothing to copy.

--- a/lib/common/codec.c
+++ b/lib/common/codec.c
@@ -219,7 +219,8 @@
     case CODEC_STR:
         if (from->type != MSGPACK_OBJECT_STR || from->via.str.size >= field->size)
             return bad_field(desc, field, err);
-        memcpy(field_at(object, field), from->via.str.ptr, from->via.str.size);
+        if (from->via.str.size > 0) /* an empty string comes without a place */
+            memcpy(field_at(object, field), from->via.str.ptr, from->via.str.size);
         ((char *)field_at(object, field))[from->via.str.size] = '\0';
         return TC_OK;
     case CODEC_TEXT:
--- a/tests/harness/fake_disk.c
+++ b/tests/harness/fake_disk.c
@@ -71,7 +71,8 @@
     const uint32_t gone = drop < d->n ? (uint32_t)drop : d->n;
     for (uint32_t i = 0; i < gone; i++)
         codec_free(&log_entry_desc, &d->entries[i]);
-    memmove(d->entries, d->entries + gone, (d->n - gone) * sizeof(*d->entries));
+    if (d->n > gone)
+        memmove(d->entries, d->entries + gone, (d->n - gone) * sizeof(*d->entries));
     d->n -= gone;
     copy_image(&d->snapshot, image);
 }
