Scheduler core: fields that were written and never read are gone

Cause: reading the whole change again: adopted, foreign, over, arrived and repeatable were kept and used by nothing; tpot_ms was called learned and was a constant. Change: removed; the constant is a named one. Conclusion: behaviour as before.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -199,7 +199,6 @@
     CDS_INIT_LIST_HEAD(&s->actions);
     s->freed_at = now;
     s->busy_at = now;
-    s->tpot_ms = DEFAULT_TPOT_MS;
     /* Attempts of different epochs differ, whatever a box that held the lease before may still send. */
     s->next_attempt = (uint32_t)((options->epoch % 4000) * 1000000);
     s->targets.max_queue = 512;
--- a/lib/sched/sched_check.c
+++ b/lib/sched/sched_check.c
@@ -41,7 +41,6 @@
 
 typedef struct {
     uint32_t pieces, batch, prefills;
-    bool over; /* something adopted or foreign stands on it */
 } tally_t;
 
 static void tally_placed(const sched_t *s, GHashTable *tallies)
@@ -56,7 +55,6 @@
             tally_t *const t = g_hash_table_lookup(tallies, r->decode);
             t->pieces += r->pieces;
             t->batch++;
-            t->over = t->over || r->adopted;
         }
         if (r->prefilling)
             ((tally_t *)g_hash_table_lookup(tallies, r->prefill))->prefills++;
@@ -75,7 +73,6 @@
     cds_list_for_each_entry(c, &s->cancelling, node) {
         tally_t *const t = g_hash_table_lookup(tallies, c->engine);
         t->pieces += c->pieces;
-        t->over = t->over || c->foreign;
     }
     uint32_t queued = 0;
     const request_t *q;
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -48,7 +48,7 @@
         link_t *const link = link_between(s, prefill->dc, decode->dc);
         if (!link_takes(link, r))
             continue;
-        const double total = before_ms + link_ms(s, link, r->prompt_tokens) + s->tpot_ms;
+        const double total = before_ms + link_ms(s, link, r->prompt_tokens) + TPOT_MS;
         const double cost = total + BATCH_COST_MS * decode->batch;
         best->candidates++;
         if (cost >= *best_cost)
@@ -151,5 +151,5 @@
     const double missing = need - supply.free_pieces;
     const double memory_wait = missing > 0 && s->free_rate > 0 ? missing / s->free_rate : 0;
     const double wait = prefill_wait > memory_wait ? prefill_wait : memory_wait;
-    return (wait + r->work_ms + s->tpot_ms) / DUE_MARGIN;
+    return (wait + r->work_ms + TPOT_MS) / DUE_MARGIN;
 }
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -31,7 +31,7 @@
     CANCEL_RETRY_MS = 300,       /* pause between cancels that were not confirmed */
     ORPHAN_GRACE_MS = SCHED_LEASE_MS + SCHED_RENEW_MS, /* an id nobody renews is cancelled after this */
     FALLBACK_LINK_RATE = 50000,                        /* tokens/s on a path no link is declared for */
-    DEFAULT_TPOT_MS = 40                               /* first guess of the time between tokens */
+    TPOT_MS = 40 /* time between tokens that estimates count with: a batch of some twenty */
 };
 
 /* ===== Types ===== */
@@ -101,11 +101,9 @@
     uint32_t prompt_tokens, max_tokens, pieces, priority;
     uint64_t *chain;
     uint32_t n_chain;
-    tc_time_t arrived, due, lease_until, phase_at;
+    tc_time_t due, lease_until, phase_at;
     sched_token_t token;
-    bool waiting; /* token has not been answered */
-    bool adopted; /* learned from a report, not granted here: may overfill an engine */
-    bool repeatable;
+    bool waiting;     /* token has not been answered */
     uint64_t content; /* what is asked: an id that comes again must ask the same */
     char avoid[CODEC_STR_SIZE];
     engine_t *prefill, *decode;
@@ -124,7 +122,6 @@
     char engine_id[CODEC_STR_SIZE + 16];
     uint32_t pieces; /* 0 on a prefill engine */
     bool asked;      /* a cancel is under way */
-    bool foreign;    /* found on the engine, not granted here */
     tc_time_t next_try;
 } cancelling_t;
 
@@ -164,7 +161,6 @@
     double free_rate;      /* decode pieces freed per ms, moving average */
     double freed_pieces;   /* since freed_at */
     tc_time_t freed_at;
-    double tpot_ms;    /* learned */
     tc_time_t busy_at; /* when the busy averages were updated last */
     sched_stats_t stats;
 };
@@ -211,7 +207,7 @@
 /** Give the pieces back only once the engine confirms a cancel. */
 void cancel_decode(sched_t *s, request_t *r, tc_time_t now);
 void cancel_prefill(sched_t *s, request_t *r, tc_time_t now);
-void add_cancelling(sched_t *s, engine_t *e, const char *engine_id, uint32_t pieces, bool foreign, tc_time_t now);
+void add_cancelling(sched_t *s, engine_t *e, const char *engine_id, uint32_t pieces, tc_time_t now);
 void drop_cancelling(sched_t *s, cancelling_t *c);
 void ask_cancels(sched_t *s, tc_time_t now);
 
--- a/lib/sched/sched_lease.c
+++ b/lib/sched/sched_lease.c
@@ -24,7 +24,6 @@
     r->max_tokens = held->max_tokens;
     r->pieces = held->pieces;
     r->content = held->content;
-    r->adopted = true;
     r->phase = held->phase;
     r->lease_until = now + SCHED_LEASE_MS;
     r->decode = decode;
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -173,11 +173,9 @@
     r->max_tokens = place->max_tokens;
     r->pieces = sched_pieces(place->prompt_tokens, place->max_tokens);
     r->priority = place->priority;
-    r->repeatable = place->repeatable;
     r->content = place->content;
     r->chain = g_memdup2(place->chain, place->chain_n * sizeof(*place->chain));
     r->n_chain = place->chain_n;
-    r->arrived = now;
     r->lease_until = now + SCHED_LEASE_MS;
     r->due = now + place->wait_ms;
     r->token = token;
--- a/lib/sched/sched_reconcile.c
+++ b/lib/sched/sched_reconcile.c
@@ -67,7 +67,7 @@
         if (now - x->first_seen < ORPHAN_GRACE_MS || now < s->admit_from + ORPHAN_GRACE_MS)
             continue;
         x->seen_now = false; /* drops it below: from here on it is counted as cancelling */
-        add_cancelling(s, e, held[i].engine_id, e->role == ROLE_DECODE ? held[i].pieces : 0, true, now);
+        add_cancelling(s, e, held[i].engine_id, e->role == ROLE_DECODE ? held[i].pieces : 0, now);
         s->stats.orphans++;
     }
     e->foreign = 0;
--- a/lib/sched/sched_reserve.c
+++ b/lib/sched/sched_reserve.c
@@ -88,13 +88,12 @@
     s->freed_pieces += r->pieces;
 }
 
-void add_cancelling(sched_t *s, engine_t *e, const char *engine_id, uint32_t pieces, bool foreign, tc_time_t now)
+void add_cancelling(sched_t *s, engine_t *e, const char *engine_id, uint32_t pieces, tc_time_t now)
 {
     cancelling_t *const c = g_new0(cancelling_t, 1);
     c->engine = e;
     codec_copy_string(c->engine_id, sizeof(c->engine_id), engine_id);
     c->pieces = pieces;
-    c->foreign = foreign;
     c->next_try = now;
     e->reserved += pieces;
     cds_list_add_tail(&c->node, &s->cancelling);
@@ -110,7 +109,7 @@
     sched_engine_id(engine_id, sizeof(engine_id), r->id, r->attempt);
     release_decode(s, r, now);
     s->freed_pieces -= r->pieces;
-    add_cancelling(s, e, engine_id, r->pieces, false, now);
+    add_cancelling(s, e, engine_id, r->pieces, now);
 }
 
 void cancel_prefill(sched_t *s, request_t *r, tc_time_t now)
@@ -120,7 +119,7 @@
     char engine_id[CODEC_STR_SIZE + 16];
     sched_engine_id(engine_id, sizeof(engine_id), r->id, r->attempt);
     end_prefill_work(r);
-    add_cancelling(s, r->prefill, engine_id, 0, false, now);
+    add_cancelling(s, r->prefill, engine_id, 0, now);
     r->prefill = NULL;
 }
 
