--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 CFLAGS   ?= -O2 -g
 PKGS      = glib-2.0 msgpack jansson liburcu-bp liburcu-cds libsodium libcurl
 WARN      = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wundef -Wno-unused-parameter
-CPPFLAGS += -Ilib -Iprograms -Itests -D_GNU_SOURCE $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LDLIBS   += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -llog4c -lpthread -lm
+CPPFLAGS += -Ilib -Iprograms -Itests -I. -D_GNU_SOURCE $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LDLIBS   += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lhttp_parser -llog4c -lpthread -lm
 ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(WARN) $(SAN) -MMD -MP
 
 LIB_SRC   = $(sort $(wildcard lib/*/*.c))
@@ -55,6 +55,23 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
+# ===== The users' platform =====
+
+PLATFORM_SRC  = $(sort $(wildcard platform/*.c))
+PLATFORM_OBJ  = $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
+PLATFORM_BINS = $(BUILD)/bin/trackcove-forwardd $(BUILD)/bin/trackcove-registryd
+# No TLS, no client libraries: memory is counted on every box.
+PLATFORM_LIBS = -Wl,--as-needed $(shell pkg-config --libs glib-2.0 msgpack jansson liburcu-bp libsodium 2>/dev/null) \
+                -lhttp_parser -llog4c -lpthread
+
+.PHONY: platform
+platform: $(PLATFORM_BINS) ## build the two programs that run on the users' platform
+
+$(PLATFORM_BINS): $(BUILD)/bin/trackcove-%: $(BUILD)/platform/%/main.o $(PLATFORM_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	@echo "  ld  $@"
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(PLATFORM_LIBS)
+
 # ===== Harness, demo, bench =====
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(HARNESS_OBJ) $(LIB)
--- /dev/null
+++ b/lib/cluster/replica.c
@@ -0,0 +1,433 @@
+#include "cluster/replica.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "cluster/replica_internal.h"
+#include "common/counter.h"
+#include "common/log.h"
+
+COUNTER_DEFINE(c_accepted, "counter", "trackcove_cluster_documents_accepted_total", "Documents accepted by the log")
+COUNTER_DEFINE(c_version, "gauge", "trackcove_cluster_document_version", "Newest accepted version this box knows")
+COUNTER_DEFINE(c_leads, "gauge", "trackcove_cluster_leads", "Whether this box leads the control boxes")
+
+/* ===== Constants ===== */
+
+enum {
+    TICK_MS = 25,
+    JOIN_EVERY_MS = 300,            /* a box that is no voter, or hears no leader, asks this often */
+    JOIN_LIMIT_MS = 1000,
+    OFFER_LIMIT_MS = 3000,          /* an offer not applied by then has an unknown outcome: below the time in which an
+                                       operator wants an answer */
+    SNAPSHOT_BYTES = 512 * 1024,    /* documents travel whole: the log must not outgrow memory and disk */
+    SNAPSHOT_ENTRIES = 128,
+    FOUNDING_INDEX = 1,             /* of the image that all founders start from */
+    FOUNDING_TERM = 1,
+    FOUNDERS_MAX = 16
+};
+
+/* ===== Log lines ===== */
+
+static void log_cluster(const replica_t *r, const char *event)
+{
+    const raft_view_t view = raft_view(r->raft);
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "cluster");
+    log_str(&line, "what", event);
+    log_int(&line, "term", (int64_t)view.term);
+    log_int(&line, "commit", (int64_t)view.commit);
+    log_int(&line, "version", (int64_t)r->document.version);
+    log_int(&line, "members", raft_members(r->raft)->list_n);
+    log_end(&line);
+}
+
+/* ===== Offers ===== */
+
+static void offer_end(offer_t *o, int rc)
+{
+    cds_list_del(&o->node);
+    o->done(o->arg, rc);
+    g_free(o);
+}
+
+static void offers_fail(replica_t *r, int rc)
+{
+    offer_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->offers, node)
+        offer_end(o, rc);
+}
+
+static void pump(replica_t *r);
+
+void replica_offer(replica_t *r, const document_t *document, replica_done_t done, void *arg)
+{
+    const tc_time_t now = tc_time_now();
+    if (!raft_has_lease(r->raft, now)) {
+        done(arg, TC_E_NOT_LEADER);
+        return;
+    }
+    switch (document_compare(&r->document, document->version, document->body, document->body_n)) {
+    case DOCUMENT_SAME:
+    case DOCUMENT_OLDER: done(arg, TC_OK); return;
+    case DOCUMENT_CLASHES: done(arg, TC_E_CONFLICT); return;
+    case DOCUMENT_NEWER: break;
+    }
+    if (!store_has_room(r->store)) {
+        done(arg, TC_E_FULL);
+        return;
+    }
+    size_t size;
+    char *const data = codec_pack_bytes(&document_desc, document, &size);
+    offer_t *const o = g_new0(offer_t, 1);
+    /* Entered before it is proposed: a cluster of one applies it at once. */
+    *o = (offer_t){.index = raft_view(r->raft).last_index + 1,
+                   .term = raft_view(r->raft).term,
+                   .deadline = now + OFFER_LIMIT_MS,
+                   .done = done,
+                   .arg = arg};
+    cds_list_add_tail(&o->node, &r->offers);
+    const int64_t index = raft_propose(r->raft, data, size, now);
+    assert(index == (int64_t)o->index); /* the log gives the next index */
+    (void)index;
+    free(data);
+    pump(r);
+}
+
+static void note_version(replica_t *r)
+{
+    counter_set(&c_version, (int64_t)r->document.version);
+    if (r->options.on_document)
+        r->options.on_document(r->options.arg, &r->document);
+}
+
+static void apply(replica_t *r, const log_entry_t *entry)
+{
+    document_t offered;
+    const int rc = codec_unpack_bytes(&document_desc, &offered, entry->data, entry->data_n, NULL);
+    assert(rc == TC_OK); /* checked by its checksum, written by this code */
+    (void)rc;
+    const document_relation_t relation = document_apply(&r->document, &offered);
+    codec_free(&document_desc, &offered);
+    r->applied = entry->index;
+    r->since_snapshot += entry->data_n;
+    r->entries_since++;
+    if (relation == DOCUMENT_NEWER) {
+        counter_add(&c_accepted, 1);
+        log_cluster(r, "document accepted");
+        note_version(r);
+        if (replica_leads(r))
+            reports_publish(r);
+    }
+    offer_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->offers, node) {
+        if (o->index != entry->index)
+            continue;
+        /* Promise: the answer comes after the log has it on disk at a majority. */
+        offer_end(o, o->term != entry->term ? TC_E_BROKEN : (relation == DOCUMENT_CLASHES ? TC_E_CONFLICT : TC_OK));
+    }
+}
+
+/* ===== Actions of the log ===== */
+
+/** A box whose disk fails must not go on: what it would answer could be lost. */
+static void must(int rc, const tc_err_t *err)
+{
+    if (rc >= 0)
+        return;
+    log_failure(LOG_ERROR, "data_folder_failed", err);
+    log_close();
+    _exit(3);
+}
+
+static void load_image(replica_t *r, const raft_image_t *image)
+{
+    r->applied = image->last_index;
+    if (image->state_n == 0)
+        return;
+    document_t held;
+    const int rc = codec_unpack_bytes(&document_desc, &held, image->state, image->state_n, NULL);
+    assert(rc == TC_OK); /* checked by its checksum, written by this code */
+    (void)rc;
+    (void)document_apply(&r->document, &held);
+    codec_free(&document_desc, &held);
+    note_version(r);
+}
+
+static void send_message(replica_t *r, const raft_action_t *action)
+{
+    const char *addr = action->addr;
+    for (uint32_t i = 0; !addr[0] && i < r->known.list_n; i++)
+        if (r->known.list[i].id == action->to)
+            addr = r->known.list[i].peer;
+    if (addr[0])
+        peer_send(r->net, addr, action->type, action->message);
+}
+
+static void act(replica_t *r, raft_action_t *action)
+{
+    tc_err_t err = {0};
+    switch (action->kind) {
+    case RAFT_ACT_META: must(store_meta(r->store, action->term, action->vote, &err), &err); break;
+    case RAFT_ACT_APPEND: must(store_append(r->store, &action->entry, &err), &err); break;
+    case RAFT_ACT_TRUNCATE: must(store_truncate(r->store, action->index, &err), &err); break;
+    case RAFT_ACT_SNAPSHOT:
+        must(store_snapshot(r->store, &action->snapshot, &err), &err);
+        r->since_snapshot = r->entries_since = 0;
+        if (action->snapshot.last_index > r->applied)
+            load_image(r, &action->snapshot);
+        break;
+    case RAFT_ACT_SEND:
+        /* Promise: nothing is answered before it is synced. */
+        must(store_sync(r->store, &err), &err);
+        send_message(r, action);
+        break;
+    case RAFT_ACT_APPLY:
+        must(store_sync(r->store, &err), &err);
+        apply(r, &action->entry);
+        break;
+    case RAFT_ACT_LOST: offers_fail(r, TC_E_BROKEN); break;
+    }
+}
+
+static void compact(replica_t *r)
+{
+    if (r->since_snapshot < SNAPSHOT_BYTES && r->entries_since < SNAPSHOT_ENTRIES)
+        return;
+    size_t size;
+    char *const image = codec_pack_bytes(&document_desc, &r->document, &size);
+    raft_compact(r->raft, r->applied, image, size);
+    free(image);
+}
+
+static void pump(replica_t *r)
+{
+    if (r->pumping)
+        return; /* an offer's end may offer again */
+    r->pumping = true;
+    raft_action_t action;
+    while (raft_next_action(r->raft, &action)) {
+        act(r, &action);
+        raft_action_free(&action);
+        compact(r);
+    }
+    r->pumping = false;
+    tc_err_t err = {0};
+    must(store_sync(r->store, &err), &err);
+}
+
+/* ===== Members ===== */
+
+static void on_join_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    replica_t *const r = arg;
+    (void)err; /* an unreachable seed is asked again */
+    if (rc != TC_OK || type != MSG_JOIN_ACK)
+        return;
+    const msg_join_ack_t *const ack = message;
+    if (ack->members_n == 0)
+        return;
+    codec_free(&raft_members_desc, &r->known);
+    r->known.list = calloc(ack->members_n, sizeof(*r->known.list));
+    if (!r->known.list)
+        abort();
+    memcpy(r->known.list, ack->members, ack->members_n * sizeof(*ack->members));
+    r->known.list_n = ack->members_n;
+}
+
+static void ask(replica_t *r, const char *addr)
+{
+    const msg_join_t join = {.member = r->self};
+    if (addr[0] && strcmp(addr, r->self.peer) != 0)
+        peer_call(r->net, addr, MSG_JOIN, &join, JOIN_LIMIT_MS, on_join_answer, r);
+}
+
+static bool is_seed(const replica_t *r, const char *addr)
+{
+    return g_strv_contains((const char *const *)r->seeds, addr);
+}
+
+/** Ask whoever may know the leader to take this box in: it is no member, or was dropped while it was away. */
+static void join(replica_t *r, tc_time_t now)
+{
+    const raft_view_t view = raft_view(r->raft);
+    if (now < r->join_at || (raft_is_voter(r->raft, r->self.id) && view.leader != 0))
+        return;
+    r->join_at = now + JOIN_EVERY_MS;
+    for (char **seed = r->seeds; *seed; seed++)
+        ask(r, *seed);
+    for (uint32_t i = 0; i < r->known.list_n; i++)
+        if (!is_seed(r, r->known.list[i].peer))
+            ask(r, r->known.list[i].peer);
+}
+
+static void on_join(replica_t *r, peer_call_t call, const msg_join_t *message, tc_time_t now)
+{
+    const raft_members_t *const members = raft_members(r->raft);
+    const msg_join_ack_t ack = {.has_state = raft_view(r->raft).last_index > 0,
+                                .is_member = raft_is_voter(r->raft, message->member.id),
+                                .members = members->list,
+                                .members_n = members->list_n};
+    peer_reply(r->net, call, MSG_JOIN_ACK, &ack);
+    if (raft_has_lease(r->raft, now))
+        raft_join(r->raft, &message->member, now);
+}
+
+/* ===== Messages and time ===== */
+
+static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    replica_t *const r = arg;
+    const tc_time_t now = tc_time_now();
+    (void)from;
+    switch (type) {
+    case MSG_REPORT: reports_answer(r, call, message, now); break;
+    case MSG_JOIN: on_join(r, call, message, now); break;
+    default: raft_receive(r->raft, type, message, now); break;
+    }
+    pump(r);
+}
+
+static void on_tick(void *arg)
+{
+    replica_t *const r = arg;
+    const tc_time_t now = tc_time_now();
+    raft_tick(r->raft, now);
+    join(r, now);
+    pump(r);
+    roster_expire(r->roster, now);
+    const bool leads = replica_leads(r);
+    if (leads != r->led)
+        log_cluster(r, leads ? "this box leads" : "this box leads no more");
+    r->led = leads;
+    counter_set(&c_leads, leads);
+    offer_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->offers, node)
+        if (now >= o->deadline)
+            offer_end(o, TC_E_TIMEOUT);
+}
+
+/* ===== Looking ===== */
+
+bool replica_leads(const replica_t *r)
+{
+    return raft_has_lease(r->raft, tc_time_now());
+}
+
+const document_t *replica_read(const replica_t *r)
+{
+    /* Promise: a read is certain. With the lease no other box can have accepted anything newer, and everything
+     * committed before this box led has been applied. */
+    if (!replica_leads(r) || raft_view(r->raft).applied < raft_view(r->raft).commit)
+        return NULL;
+    return &r->document;
+}
+
+const char *replica_leader_http(const replica_t *r)
+{
+    const raft_member_t *const leader = raft_find_member(r->raft, raft_view(r->raft).leader);
+    return leader ? leader->http : "";
+}
+
+/* ===== Life ===== */
+
+/** Founders are named after their addresses, so that all know them all without asking. */
+static uint64_t founder_id(const char *peer)
+{
+    return XXH64(peer, strlen(peer), 0) | 1;
+}
+
+/** Where operators reach the member at @p peer: on the port of ours, since ports are alike everywhere. */
+static void http_beside(char *to, size_t size, const char *peer, const char *own_http)
+{
+    const char *const port = strrchr(own_http, ':');
+    g_snprintf(to, (gulong)size, "%.*s%s", (int)strcspn(peer, ":"), peer, port ? port : "");
+}
+
+static int found(const replica_options_t *options, tc_err_t *err)
+{
+    raft_member_t founders[FOUNDERS_MAX];
+    memset(founders, 0, sizeof(founders));
+    uint32_t n = 0;
+    bool among = false;
+    for (const char *const *seed = options->seeds; *seed && n < FOUNDERS_MAX; seed++, n++) {
+        codec_copy_string(founders[n].name, sizeof(founders[n].name), *seed);
+        codec_copy_string(founders[n].peer, sizeof(founders[n].peer), *seed);
+        http_beside(founders[n].http, sizeof(founders[n].http), *seed, options->http_addr);
+        founders[n].id = founder_id(*seed);
+        founders[n].voter = true;
+        among = among || strcmp(*seed, options->peer_listen) == 0;
+    }
+    if (!among)
+        return TC_OK; /* it joins */
+    const raft_image_t image = {.last_index = FOUNDING_INDEX,
+                                .last_term = FOUNDING_TERM,
+                                .members = {.list = founders, .list_n = n}};
+    return store_found(options->data_dir, founder_id(options->peer_listen), &image, err);
+}
+
+void replica_reseed(replica_t *r, const char *const *seeds)
+{
+    g_strfreev(r->seeds);
+    r->seeds = g_strdupv((char **)(uintptr_t)seeds);
+}
+
+replica_t *replica_create(loop_t *loop, const replica_options_t *options, tc_err_t *err)
+{
+    raft_start_t start;
+    if (options->found && found(options, err) < 0)
+        return NULL;
+    store_t *const store = store_open(options->data_dir, &start, err);
+    if (!store)
+        return NULL;
+    replica_t *const r = g_new0(replica_t, 1);
+    r->loop = loop;
+    r->options = *options;
+    r->store = store;
+    r->roster = roster_create();
+    CDS_INIT_LIST_HEAD(&r->offers);
+    replica_reseed(r, options->seeds);
+    r->self.id = start.id;
+    codec_copy_string(r->self.name, sizeof(r->self.name), options->peer_listen);
+    codec_copy_string(r->self.peer, sizeof(r->self.peer), options->peer_listen);
+    codec_copy_string(r->self.http, sizeof(r->self.http), options->http_addr);
+    const uint64_t incarnation = (uint64_t)tc_time_wall();
+    start.seed = incarnation ^ start.id;
+    if (start.snapshot.last_index > 0)
+        load_image(r, &start.snapshot);
+    r->raft = raft_create(&start, tc_time_now());
+    store_start_free(&start);
+    const peer_options_t peer_options = {.box = options->peer_listen,
+                                         .incarnation = incarnation,
+                                         .listen = options->peer_listen,
+                                         .key_file = "",
+                                         .handler = on_message,
+                                         .arg = r};
+    r->net = peer_create(loop, &peer_options, err);
+    if (!r->net) {
+        replica_destroy(r);
+        return NULL;
+    }
+    log_cluster(r, "started");
+    loop_add_tick(loop, TICK_MS, on_tick, r);
+    return r;
+}
+
+void replica_destroy(replica_t *r)
+{
+    offers_fail(r, TC_E_BROKEN);
+    if (r->net)
+        peer_destroy(r->net);
+    store_close(r->store);
+    raft_destroy(r->raft);
+    roster_destroy(r->roster);
+    codec_free(&document_desc, &r->document);
+    codec_free(&raft_members_desc, &r->known);
+    g_strfreev(r->seeds);
+    free(r->backends);
+    g_free(r);
+}
--- /dev/null
+++ b/lib/cluster/replica.h
@@ -0,0 +1,64 @@
+/** @file replica.h
+ * A control box of a cluster that finds itself: the replicated log over peers that are learnt, not configured.
+ *
+ * Founding: every box that is told to found, and stands among the seeds, starts
+ * from the same first image, whose members are the seeds; it needs no agreement
+ * and leaves one cluster whichever of them dies meanwhile. Everyone else joins
+ * through whoever answers. A box whose disk was lost comes back as a new member.
+ *
+ * Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_CLUSTER_REPLICA_H
+#define TRACKCOVE_CLUSTER_REPLICA_H
+
+/* ===== Dependencies ===== */
+
+#include "cluster/document.h"
+#include "control/raft.h"
+#include "peer/peer.h"
+
+/* ===== Types ===== */
+
+typedef struct replica replica_t;
+
+typedef struct {
+    const char *box;         /**< name, for logs */
+    const char *peer_listen; /**< IP:port, by which this member is known to the others */
+    const char *http_addr;   /**< where operators reach it */
+    const char *data_dir;
+    bool found;              /**< first start of the whole system */
+    const char *const *seeds; /**< peer addresses, NULL at the end; may change between calls of replica_reseed */
+    void (*on_document)(void *arg, const document_t *document); /**< a newer one was accepted; may be NULL */
+    void *arg;
+} replica_options_t;
+
+/** How an offered document fared. @param rc 0 when it is accepted or was before; TC_E_CONFLICT: other content has this
+ *  version; TC_E_NOT_LEADER, TC_E_FULL: nothing was changed; TC_E_BROKEN, TC_E_TIMEOUT: unknown */
+typedef void (*replica_done_t)(void *arg, int rc);
+
+/* ===== Public functions ===== */
+
+/** @return NULL with @p err */
+replica_t *replica_create(loop_t *loop, const replica_options_t *options, tc_err_t *err);
+/** After loop_run returned. */
+void replica_destroy(replica_t *replica);
+
+/** New seeds, copied. */
+void replica_reseed(replica_t *replica, const char *const *seeds);
+
+/** Offer a document. @p done runs once, perhaps at once. */
+void replica_offer(replica_t *replica, const document_t *document, replica_done_t done, void *arg);
+
+/** The document, when this box leads and no other can have accepted a newer one; else NULL. Borrowed until the next
+ *  call. */
+const document_t *replica_read(const replica_t *replica);
+
+/** Whether this box leads, with its lease. */
+bool replica_leads(const replica_t *replica);
+/** Where operators reach the leader, "" when unknown. */
+const char *replica_leader_http(const replica_t *replica);
+
+/** The list of back ends, as this box's discovery has it: told to the boxes that report here. Copied. */
+void replica_set_backends(replica_t *replica, const backend_t *list, uint32_t n, tc_time_t fetched);
+
+#endif
--- /dev/null
+++ b/lib/cluster/replica_internal.h
@@ -0,0 +1,56 @@
+/** @file replica_internal.h
+ * Shared by replica.c (the log and its members) and replica_reports.c (what boxes are told); nobody else includes it.
+ */
+#ifndef TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
+#define TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
+
+/* ===== Dependencies ===== */
+
+#include <urcu/list.h>
+
+#include "cluster/replica.h"
+#include "cluster/roster.h"
+#include "control/store.h"
+
+/* ===== Types ===== */
+
+/** An offer on its way through the log. */
+typedef struct {
+    struct cds_list_head node;
+    uint64_t index, term;
+    tc_time_t deadline;
+    replica_done_t done;
+    void *arg;
+} offer_t;
+
+struct replica {
+    loop_t *loop;
+    peer_net_t *net;
+    replica_options_t options;
+    char **seeds;
+    raft_t *raft;
+    store_t *store;
+    raft_member_t self;
+    raft_members_t known; /* members as a box told that we asked to join */
+    document_t document;
+    uint64_t applied;        /* index that the document stands at */
+    size_t since_snapshot;   /* bytes of commands applied since */
+    unsigned entries_since;  /* their number */
+    struct cds_list_head offers;
+    tc_time_t join_at;
+    bool led; /* at the last look */
+    bool pumping;
+    roster_t *roster;
+    backend_t *backends;
+    uint32_t backends_n;
+    uint64_t backends_hash;
+    tc_time_t backends_fetched; /* 0: never */
+};
+
+/* ===== replica_reports.c ===== */
+
+void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now);
+/** Tell all boxes at once that a document was accepted. */
+void reports_publish(replica_t *r);
+
+#endif
--- /dev/null
+++ b/lib/cluster/replica_reports.c
@@ -0,0 +1,85 @@
+/* What the boxes that report here are told. */
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "cluster/replica_internal.h"
+#include "common/counter.h"
+
+COUNTER_DEFINE(c_reports, "counter", "trackcove_cluster_reports_total", "Reports of boxes answered")
+
+/** A new leader tells no list of boxes before all had the time to report to it. */
+enum { ROSTER_SETTLE_MS = 1000 };
+
+void replica_set_backends(replica_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
+{
+    free(r->backends);
+    r->backends = calloc(n + 1, sizeof(*list));
+    if (!r->backends)
+        abort();
+    memcpy(r->backends, list, n * sizeof(*list));
+    r->backends_n = n;
+    r->backends_hash = XXH64(list, n * sizeof(*list), 0) | 1;
+    r->backends_fetched = fetched;
+}
+
+static void add_backends(const replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
+{
+    if (r->backends_fetched == 0)
+        return;
+    ack->has_backends = true;
+    ack->backends_age_ms = (uint64_t)(now - r->backends_fetched);
+    ack->backends_hash = r->backends_hash;
+    if (report->backends_hash == r->backends_hash)
+        return;
+    ack->backends = r->backends;
+    ack->backends_n = r->backends_n;
+}
+
+void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now)
+{
+    counter_add(&c_reports, 1);
+    const raft_view_t view = raft_view(r->raft);
+    const raft_member_t *const leader = raft_find_member(r->raft, view.leader);
+    const raft_members_t *const members = raft_members(r->raft);
+    msg_report_ack_t ack = {
+        .leads = raft_has_lease(r->raft, now), .members = members->list, .members_n = members->list_n};
+    codec_copy_string(ack.leader, sizeof(ack.leader), leader ? leader->peer : "");
+    if (r->document.version > report->version)
+        ack.document = r->document;
+    backend_load_t *loads = NULL;
+    entry_box_t *entries = NULL;
+    if (ack.leads) {
+        if (report->self.http_addr[0]) /* others only listen */
+            roster_hear(r->roster, report, now);
+        add_backends(r, report, &ack, now);
+        loads = roster_loads(r->roster, report->self.box, &ack.loads_n);
+        ack.loads = loads;
+    }
+    if (ack.leads && now - view.leader_since > ROSTER_SETTLE_MS) {
+        entries = roster_list(r->roster, &ack.entries_n, &ack.entries_hash);
+        ack.has_entries = true;
+        ack.entries = entries;
+        if (report->entries_hash == ack.entries_hash)
+            ack.entries_n = 0;
+    }
+    peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
+    free(loads);
+    free(entries);
+}
+
+static void publish_to(void *arg, const char *peer_addr)
+{
+    const replica_t *const r = arg;
+    const msg_publish_t message = {.document = r->document};
+    if (peer_addr[0])
+        peer_send(r->net, peer_addr, MSG_PUBLISH, &message);
+}
+
+void reports_publish(replica_t *r)
+{
+    roster_each(r->roster, publish_to, r);
+}
--- /dev/null
+++ b/lib/cluster/reporter.c
@@ -0,0 +1,361 @@
+#include "cluster/reporter.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "cluster/document.h"
+#include "common/counter.h"
+#include "common/log.h"
+
+COUNTER_DEFINE(c_reports, "counter", "trackcove_report_calls_total", "Reports sent")
+COUNTER_DEFINE(c_failed, "counter", "trackcove_report_failed_total", "Reports without an answer")
+COUNTER_DEFINE(c_version, "gauge", "trackcove_report_document_version", "Version of the document this box acts on")
+COUNTER_DEFINE(c_leader, "gauge", "trackcove_report_leader_heard", "Whether a leader answered the last report")
+
+enum {
+    TICK_MS = 50,
+    EVERY_MS = 300,  /* between reports: a fifth of the time after which a box that says nothing is left out */
+    AGAIN_MS = 100,  /* to the next control box, when one did not lead */
+    LIMIT_MS = 450,  /* for one report: an answer in reach takes a few ms */
+    ALONE_MS = 1000, /* without any control box for so long, other boxes are asked too */
+    FAILED_MAX = 2   /* reports that a leader may leave unanswered before another box is asked */
+};
+
+/* ===== Types ===== */
+
+struct reporter {
+    loop_t *loop;
+    peer_net_t *net;
+    const entry_box_t *self;
+    reporter_events_t events;
+    char **controls;   /* seeds */
+    char **neighbours;
+    raft_member_t *members; /* control boxes, as last told */
+    uint32_t members_n;
+    char leader[CODEC_STR_SIZE];
+    char target[CODEC_STR_SIZE]; /* of the report under way, or the next */
+    unsigned turn;               /* through everyone who may know */
+    unsigned failed;             /* in a row, at this target */
+    bool waiting;
+    tc_time_t next_at;
+    tc_time_t heard;   /* last answer of a control box */
+    bool connected;    /* a leader answered last */
+    document_t document;
+    backend_t *backends;
+    uint32_t backends_n;
+    uint64_t backends_hash;
+    tc_time_t backends_time;
+    entry_box_t *entries;
+    uint32_t entries_n;
+    uint64_t entries_hash;
+};
+
+/* ===== What is heard ===== */
+
+static void take_document(reporter_t *r, const document_t *offered, const char *from)
+{
+    /* Promise: a box never goes back to an older configuration. */
+    if (offered->body_n == 0 || document_apply(&r->document, offered) != DOCUMENT_NEWER)
+        return;
+    counter_set(&c_version, (int64_t)r->document.version);
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "config");
+    log_int(&line, "version", (int64_t)r->document.version);
+    log_str(&line, "from", from);
+    log_end(&line);
+    if (r->events.on_document)
+        r->events.on_document(r->events.arg, &r->document);
+}
+
+static void *copy_of(const void *list, size_t size)
+{
+    void *const copy = malloc(size ? size : 1);
+    if (!copy)
+        abort();
+    if (size)
+        memcpy(copy, list, size);
+    return copy;
+}
+
+static void set_backends(reporter_t *r, const backend_t *list, uint32_t n, uint64_t hash)
+{
+    if (hash == r->backends_hash)
+        return;
+    backend_t *const copy = copy_of(list, n * sizeof(*list));
+    free(r->backends);
+    r->backends = copy;
+    r->backends_n = n;
+    r->backends_hash = hash;
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "backends");
+    log_int(&line, "count", n);
+    log_int(&line, "age_ms", tc_time_now() - r->backends_time);
+    log_end(&line);
+    if (r->events.on_backends)
+        r->events.on_backends(r->events.arg, r->backends, n);
+}
+
+void reporter_set_backends(reporter_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
+{
+    if (fetched <= r->backends_time)
+        return;
+    r->backends_time = fetched;
+    set_backends(r, list, n, XXH64(list, n * sizeof(*list), 0) | 1);
+}
+
+static void take_backends(reporter_t *r, const msg_report_ack_t *ack)
+{
+    const tc_time_t fetched = tc_time_now() - (tc_time_t)ack->backends_age_ms;
+    if (!ack->has_backends || fetched <= r->backends_time)
+        return;
+    if (ack->backends_hash != r->backends_hash && ack->backends_n == 0)
+        return; /* it took us for one who has the list; the next report tells what we have */
+    r->backends_time = fetched;
+    set_backends(r, ack->backends, ack->backends_n, ack->backends_hash);
+}
+
+static void take_entries(reporter_t *r, const msg_report_ack_t *ack)
+{
+    if (!ack->has_entries || ack->entries_hash == r->entries_hash || ack->entries_n == 0)
+        return;
+    free(r->entries);
+    r->entries = copy_of(ack->entries, ack->entries_n * sizeof(*ack->entries));
+    r->entries_n = ack->entries_n;
+    r->entries_hash = ack->entries_hash;
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "boxes");
+    log_int(&line, "count", ack->entries_n);
+    log_end(&line);
+}
+
+static void take_members(reporter_t *r, const msg_report_ack_t *ack)
+{
+    if (ack->members_n == 0)
+        return;
+    free(r->members);
+    r->members = copy_of(ack->members, ack->members_n * sizeof(*ack->members));
+    r->members_n = ack->members_n;
+}
+
+/* ===== Whom to ask ===== */
+
+static uint32_t strings(char **list)
+{
+    return list ? g_strv_length(list) : 0;
+}
+
+/** The next one who may know, in turn: members and seeds, and other boxes when control is out of reach. */
+static void next_target(reporter_t *r, tc_time_t now)
+{
+    const uint32_t controls = r->members_n + strings(r->controls);
+    const uint32_t all = controls + (now - r->heard > ALONE_MS ? strings(r->neighbours) : 0);
+    r->failed = 0;
+    for (uint32_t tries = 0; tries < all; tries++) {
+        const uint32_t at = r->turn++ % all;
+        const char *const addr = at < r->members_n ? r->members[at].peer
+                                 : at < controls   ? r->controls[at - r->members_n]
+                                                   : r->neighbours[at - controls];
+        if (strcmp(addr, r->self->peer_addr) == 0)
+            continue;
+        codec_copy_string(r->target, sizeof(r->target), addr);
+        return;
+    }
+}
+
+static void set_connected(reporter_t *r, bool connected)
+{
+    if (connected == r->connected)
+        return;
+    r->connected = connected;
+    counter_set(&c_leader, connected);
+    log_line_t line;
+    log_begin(&line, connected ? LOG_INFO : LOG_WARN, connected ? "control_regained" : "control_lost");
+    log_str(&line, "peer", r->target);
+    log_int(&line, "version", (int64_t)r->document.version);
+    log_end(&line);
+}
+
+static void failed(reporter_t *r, tc_time_t now)
+{
+    counter_add(&c_failed, 1);
+    if (r->connected && ++r->failed < FAILED_MAX)
+        return; /* one answer may be lost */
+    set_connected(r, false);
+    r->leader[0] = '\0';
+    next_target(r, now);
+}
+
+static void on_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    reporter_t *const r = arg;
+    const tc_time_t now = tc_time_now();
+    (void)err; /* counted; a lasting loss is logged once */
+    r->waiting = false;
+    r->next_at = now + AGAIN_MS;
+    if (rc != TC_OK || type != MSG_REPORT_ACK) {
+        failed(r, now);
+        return;
+    }
+    const msg_report_ack_t *const ack = message;
+    r->failed = 0;
+    take_document(r, &ack->document, r->target);
+    take_members(r, ack);
+    take_backends(r, ack);
+    take_entries(r, ack);
+    if (ack->leads && r->events.on_loads)
+        r->events.on_loads(r->events.arg, ack->loads, ack->loads_n);
+    codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
+    if (ack->leads || ack->members_n > 0)
+        r->heard = now;
+    set_connected(r, ack->leads);
+    if (ack->leads) {
+        r->next_at = now + EVERY_MS;
+    } else if (ack->leader[0] && strcmp(ack->leader, r->target) != 0) {
+        codec_copy_string(r->target, sizeof(r->target), ack->leader);
+        r->next_at = now;
+    } else {
+        next_target(r, now);
+    }
+}
+
+static void send_report(reporter_t *r)
+{
+    msg_report_t report = {.self = *r->self,
+                           .version = r->document.version,
+                           .backends_hash = r->backends_hash,
+                           .entries_hash = r->entries_hash};
+    if (r->events.loads)
+        report.loads = r->events.loads(r->events.arg, &report.loads_n);
+    r->waiting = true;
+    counter_add(&c_reports, 1);
+    peer_call(r->net, r->target, MSG_REPORT, &report, LIMIT_MS, on_answer, r);
+    free(report.loads);
+}
+
+static void on_tick(void *arg)
+{
+    reporter_t *const r = arg;
+    const tc_time_t now = tc_time_now();
+    if (r->waiting || now < r->next_at)
+        return;
+    if (!r->target[0])
+        next_target(r, now);
+    if (r->target[0])
+        send_report(r);
+}
+
+/* ===== Answering other boxes ===== */
+
+static void answer(reporter_t *r, peer_call_t call, const msg_report_t *report)
+{
+    msg_report_ack_t ack = {.members = NULL};
+    codec_copy_string(ack.leader, sizeof(ack.leader), r->leader);
+    if (r->document.version > report->version)
+        ack.document = r->document;
+    if (r->backends_time > 0) {
+        ack.has_backends = true;
+        ack.backends_age_ms = (uint64_t)(tc_time_now() - r->backends_time);
+        ack.backends_hash = r->backends_hash;
+        ack.backends = r->backends;
+        ack.backends_n = r->backends_hash == report->backends_hash ? 0 : r->backends_n;
+    }
+    if (r->entries_hash) {
+        ack.has_entries = true;
+        ack.entries_hash = r->entries_hash;
+        ack.entries = r->entries;
+        ack.entries_n = r->entries_hash == report->entries_hash ? 0 : r->entries_n;
+    }
+    peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
+}
+
+static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    reporter_t *const r = arg;
+    switch (type) {
+    case MSG_PUBLISH: take_document(r, &((const msg_publish_t *)message)->document, from); break;
+    case MSG_REPORT: answer(r, call, message); break;
+    default: break; /* of a newer version of this program */
+    }
+}
+
+/* ===== Looking ===== */
+
+void reporter_hurry(reporter_t *r)
+{
+    r->next_at = 0;
+}
+
+const document_t *reporter_document(const reporter_t *r)
+{
+    return &r->document;
+}
+
+const entry_box_t *reporter_entries(const reporter_t *r, uint32_t *n)
+{
+    *n = r->entries_n;
+    return r->entries;
+}
+
+tc_time_t reporter_backends_time(const reporter_t *r)
+{
+    return r->backends_time;
+}
+
+const char *reporter_leader_http(const reporter_t *r)
+{
+    for (uint32_t i = 0; i < r->members_n; i++)
+        if (strcmp(r->members[i].peer, r->leader) == 0)
+            return r->members[i].http;
+    return "";
+}
+
+/* ===== Life ===== */
+
+void reporter_reseed(reporter_t *r, const char *const *controls, const char *const *neighbours)
+{
+    g_strfreev(r->controls);
+    g_strfreev(r->neighbours);
+    r->controls = g_strdupv((char **)(uintptr_t)controls);
+    r->neighbours = g_strdupv((char **)(uintptr_t)neighbours);
+}
+
+reporter_t *reporter_create(loop_t *loop, const entry_box_t *self, const reporter_options_t *options,
+                            const reporter_events_t *events, tc_err_t *err)
+{
+    reporter_t *const r = g_new0(reporter_t, 1);
+    r->loop = loop;
+    r->self = self;
+    r->events = *events;
+    r->turn = g_random_int();
+    r->heard = tc_time_now();
+    reporter_reseed(r, options->controls, options->neighbours);
+    const peer_options_t peer_options = {.box = self->box,
+                                         .incarnation = self->incarnation,
+                                         .listen = options->peer_listen,
+                                         .key_file = "",
+                                         .handler = on_message,
+                                         .arg = r};
+    r->net = peer_create(loop, &peer_options, err);
+    if (!r->net) {
+        reporter_destroy(r);
+        return NULL;
+    }
+    loop_add_tick(loop, TICK_MS, on_tick, r);
+    return r;
+}
+
+void reporter_destroy(reporter_t *r)
+{
+    if (r->net)
+        peer_destroy(r->net);
+    g_strfreev(r->controls);
+    g_strfreev(r->neighbours);
+    free(r->members);
+    free(r->backends);
+    free(r->entries);
+    codec_free(&document_desc, &r->document);
+    g_free(r);
+}
--- /dev/null
+++ b/lib/cluster/reporter.h
@@ -0,0 +1,62 @@
+/** @file reporter.h
+ * A box's side of the control boxes: finds them from seeds, reports to their leader, and hears what is newer: the
+ * document, the back ends, the other boxes, their loads.
+ *
+ * Control boxes are asked one after another until one answers as the leader; a
+ * leader that is heard keeps being asked. What was heard is kept while nobody
+ * answers: a box serves on with the newest it knows. A box that knows nothing yet
+ * asks other boxes as well. Never goes back to an older document.
+ *
+ * Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_CLUSTER_REPORTER_H
+#define TRACKCOVE_CLUSTER_REPORTER_H
+
+/* ===== Dependencies ===== */
+
+#include "gen/schema.h"
+#include "peer/peer.h"
+
+/* ===== Types ===== */
+
+typedef struct reporter reporter_t;
+
+/** What changed; each is called with what the reporter now holds. Any may be NULL. */
+typedef struct {
+    void (*on_document)(void *arg, const document_t *document);
+    void (*on_backends)(void *arg, const backend_t *list, uint32_t n);
+    void (*on_loads)(void *arg, const backend_load_t *loads, uint32_t n);
+    /** @return what this box has in flight, for free() */
+    backend_load_t *(*loads)(void *arg, uint32_t *n);
+    void *arg;
+} reporter_events_t;
+
+typedef struct {
+    const char *peer_listen;        /**< IP:port of this box for the others */
+    const char *const *controls;    /**< peer addresses of control boxes to begin with, NULL at the end */
+    const char *const *neighbours;  /**< peer addresses of other boxes that may be asked, NULL at the end */
+} reporter_options_t;
+
+/* ===== Public functions ===== */
+
+/** @param self what is reported; borrowed and may change. @return NULL with @p err */
+reporter_t *reporter_create(loop_t *loop, const entry_box_t *self, const reporter_options_t *options,
+                            const reporter_events_t *events, tc_err_t *err);
+void reporter_destroy(reporter_t *reporter);
+
+/** New seeds, copied. */
+void reporter_reseed(reporter_t *reporter, const char *const *controls, const char *const *neighbours);
+/** Report at once: something changed that others should know. */
+void reporter_hurry(reporter_t *reporter);
+
+/** What is held; borrowed until the loop's next turn. */
+const document_t *reporter_document(const reporter_t *reporter);
+const entry_box_t *reporter_entries(const reporter_t *reporter, uint32_t *n);
+/** When the list of back ends was read from the platform, 0 for never. */
+tc_time_t reporter_backends_time(const reporter_t *reporter);
+/** Take a list that this box has read by itself. */
+void reporter_set_backends(reporter_t *reporter, const backend_t *list, uint32_t n, tc_time_t fetched);
+/** Where operators reach the leader, "" when unknown. */
+const char *reporter_leader_http(const reporter_t *reporter);
+
+#endif
--- /dev/null
+++ b/lib/cluster/roster.h
@@ -0,0 +1,37 @@
+/** @file roster.h
+ * What the leader of the control boxes hears from the entry boxes: who is there, ready or leaving, and what each has
+ * in flight. Soft state: a new leader has it again after one round of reports. No I/O, no clock.
+ */
+#ifndef TRACKCOVE_CLUSTER_ROSTER_H
+#define TRACKCOVE_CLUSTER_ROSTER_H
+
+/* ===== Dependencies ===== */
+
+#include "common/time.h"
+#include "gen/schema.h"
+
+/* ===== Types ===== */
+
+typedef struct roster roster_t;
+
+/** A box that has not reported for so long is left out: five reports in a row. */
+#define ROSTER_SILENT_MS 1500
+
+/* ===== Public functions ===== */
+
+roster_t *roster_create(void);
+void roster_destroy(roster_t *roster);
+
+void roster_hear(roster_t *roster, const msg_report_t *report, tc_time_t now);
+/** Forget boxes that fell silent. */
+void roster_expire(roster_t *roster, tc_time_t now);
+
+/** Boxes that are there. @return heap array for free(), in a stable order; @p hash names this state of the list */
+entry_box_t *roster_list(const roster_t *roster, uint32_t *n, uint64_t *hash);
+/** What all boxes but @p except have in flight, by back end. @return heap array for free() */
+backend_load_t *roster_loads(const roster_t *roster, const char *except, uint32_t *n);
+
+/** Call @p fn with the peer address of every box. */
+void roster_each(const roster_t *roster, void (*fn)(void *arg, const char *peer_addr), void *arg);
+
+#endif
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -1,15 +1,22 @@
 #include "common/log.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <log4c.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "common/counter.h"
 #include "common/time.h"
 
 /* ===== log4c types of our own ===== */
 
+COUNTER_DEFINE(c_dropped, "counter", "trackcove_log_lines_dropped_total", "Log lines that standard output did not take")
+
 static FILE *log_file;
+static bool log_to_stdout;
 static char log_box[96];
 static log4c_category_t *log_category;
 
@@ -25,6 +32,12 @@
     FILE *const out = log_file;
     if (!out)
         return 0;
+    if (log_to_stdout) {
+        const size_t size = strlen(event->evt_rendered_msg);
+        if (write(STDOUT_FILENO, event->evt_rendered_msg, size) < 0)
+            counter_add(&c_dropped, 1);
+        return (int)size;
+    }
     /* One fwrite a line: stdio locks the stream, so lines of several threads do not mix. */
     return (int)fwrite(event->evt_rendered_msg, 1, strlen(event->evt_rendered_msg), out);
 }
@@ -37,7 +50,10 @@
 int log_open(const char *box, const char *path, tc_err_t *err)
 {
     snprintf(log_box, sizeof(log_box), "%s", box);
-    FILE *const out = path[0] ? fopen(path, "a") : stderr;
+    log_to_stdout = strcmp(path, LOG_STDOUT) == 0;
+    if (log_to_stdout)
+        (void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    FILE *const out = log_to_stdout ? stdout : (path[0] ? fopen(path, "a") : stderr);
     if (!out)
         return tc_err_set(err, TC_E_IO, "open log", path, "%s", strerror(errno));
     setvbuf(out, NULL, _IOLBF, LOG_LINE_MAX * 2);
@@ -64,7 +80,7 @@
         return;
     fflush(out);
     log_file = NULL;
-    if (out != stderr)
+    if (out != stderr && out != stdout)
         fclose(out);
 }
 
--- a/lib/control/raft_leader.c
+++ b/lib/control/raft_leader.c
@@ -11,6 +11,9 @@
 enum { RESEND_MS = 400 };
 /** A non-voter this close to the end of the log becomes a voter. */
 enum { CATCH_UP_ENTRIES = 16 };
+/** A voter that has answered nothing for so long gives its place to a box that is here and has caught up: longer than
+ *  an election with its first rounds, shorter than the time in which a second box may fail. */
+enum { SILENT_MS = 2000 };
 
 static progress_t *peer_find(const raft_t *r, uint64_t id)
 {
@@ -175,13 +178,27 @@
     codec_free(&raft_members_desc, &next);
 }
 
-/** The member that a joining box replaces: same name, other data folder. */
-static const raft_member_t *replaced_by(const raft_t *r, const raft_member_t *member)
+/** Whether a voter has answered nothing for so long that a box that is here may take its place. */
+static bool is_silent(const raft_t *r, const raft_member_t *member, tc_time_t now)
 {
-    for (uint32_t i = 0; i < r->members.list_n; i++)
-        if (strcmp(r->members.list[i].name, member->name) == 0 && r->members.list[i].id != member->id)
-            return &r->members.list[i];
-    return NULL;
+    if (!member->voter || member->id == r->id || now - r->leader_since < SILENT_MS)
+        return false;
+    const progress_t *const p = peer_find(r, member->id);
+    return !p || now - p->acked_sent > SILENT_MS;
+}
+
+/** The member that a joining box replaces: same name, other data folder; or a voter that has fallen silent. */
+static const raft_member_t *replaced_by(const raft_t *r, const raft_member_t *member, tc_time_t now)
+{
+    const raft_member_t *silent = NULL;
+    for (uint32_t i = 0; i < r->members.list_n; i++) {
+        const raft_member_t *const other = &r->members.list[i];
+        if (strcmp(other->name, member->name) == 0 && other->id != member->id)
+            return other;
+        if (is_silent(r, other, now))
+            silent = other;
+    }
+    return silent;
 }
 
 void raft_join(raft_t *r, const raft_member_t *member, tc_time_t now)
@@ -199,7 +216,7 @@
     const bool caught_up = p && p->match + CATCH_UP_ENTRIES >= log_last_index(r) && p->match >= r->noop_index;
     if (known->voter || !caught_up)
         return;
-    const raft_member_t *const old = replaced_by(r, member);
+    const raft_member_t *const old = replaced_by(r, member, now);
     if (old) {
         const raft_member_t gone = *old;
         change_member(r, &gone, true, now);
--- a/lib/control/store.c
+++ b/lib/control/store.c
@@ -358,6 +358,29 @@
     return load_segment(s, start, first, err);
 }
 
+int store_found(const char *dir, uint64_t id, const raft_image_t *image, tc_err_t *err)
+{
+    store_t s = {.lock_fd = -1, .log_fd = -1};
+    codec_copy_string(s.dir, sizeof(s.dir), dir);
+    uint64_t index;
+    if (newest_file(dir, "snapshot-", &index) || newest_file(dir, "log-", &index))
+        return TC_OK;
+    s.dir_fd = open(dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (s.dir_fd < 0)
+        return io_err(err, "open data folder", dir);
+    char name[64];
+    snprintf(name, sizeof(name), "snapshot-%020llu", (unsigned long long)image->last_index);
+    size_t size;
+    char *const data = codec_pack_bytes(&raft_image_desc, image, &size);
+    /* The identity first: without it a folder is a new member's, whatever else it holds. */
+    int rc = replace_file(&s, "identity", &id, sizeof(id), err);
+    if (rc == TC_OK)
+        rc = replace_file(&s, name, data, (uint32_t)size, err);
+    free(data);
+    close(s.dir_fd);
+    return rc;
+}
+
 store_t *store_open(const char *dir, raft_start_t *start, tc_err_t *err)
 {
     tc_err_t local;
--- /dev/null
+++ b/lib/forward/dialect.h
@@ -0,0 +1,94 @@
+/** @file dialect.h
+ * How requests, answers and engine calls are written on the wire: what the forwarding core needs of an adapter.
+ *
+ * The functions are declared here and defined by the one adapter that is linked
+ * in (platform/dialect.c for the users' platform). The core knows what a header
+ * means, never what it is called. Every function is pure.
+ */
+#ifndef TRACKCOVE_FORWARD_DIALECT_H
+#define TRACKCOVE_FORWARD_DIALECT_H
+
+/* ===== Dependencies ===== */
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "common/err.h"
+#include "common/time.h"
+#include "gen/schema.h"
+#include "web/web_client.h"
+#include "web/web_server.h"
+
+/* ===== Types ===== */
+
+enum { DIALECT_ID_SIZE = 96 };
+
+/** What placement and timing need to know of a request. */
+typedef struct {
+    char id[DIALECT_ID_SIZE]; /**< of this one try of the caller; "" when it sent none */
+    tc_time_t patience;       /**< how long the caller waits from when the request came in, ms; 0 when it said nothing */
+    unsigned prompt_tokens;   /**< 0 when unknown */
+    unsigned output_tokens;   /**< most that may be generated, 0 when unknown */
+    char resume_after[32];    /**< last event that the caller has of a stream it takes up again, or "" */
+} dialect_request_t;
+
+/** What one back end is asked to do with a request. */
+typedef enum {
+    DIALECT_SERVE,   /**< answer it, prompt and all */
+    DIALECT_PREFILL, /**< compute the prompt only and keep the result for a decode engine */
+    DIALECT_DECODE   /**< answer it from a prefill result held elsewhere */
+} dialect_ask_t;
+
+typedef struct {
+    dialect_ask_t ask;
+    const char *instance;     /**< only this start of the back end may take it */
+    tc_time_t time_left;      /**< until the answer is of no use any more, ms */
+    unsigned priority;        /**< 0 is the most urgent */
+    const char *handle_at;    /**< DECODE: address of the engine that holds the prefill result */
+    const char *handle;       /**< DECODE: names the result */
+    const char *resume_after; /**< last event that the caller has, or "" */
+} dialect_step_t;
+
+/** What the head of an answer says. */
+typedef struct {
+    bool ours;    /**< it belongs to this request, as far as it says; otherwise an earlier one's late answer */
+    bool not_run; /**< the back end says that it did not run the request and will not */
+    bool genuine; /**< it carries the back end's proof of origin, and its body is as the back end made it */
+    bool success; /**< 2xx */
+} dialect_reply_t;
+
+/* ===== Requests and answers ===== */
+
+/** Read what is needed of a caller's request. */
+void dialect_read_request(const web_request_t *request, dialect_request_t *facts);
+
+/** Write the request as a back end is to get it: method, target and body unchanged, headers that are ours to set
+ *  taken from @p step whatever the caller sent. @return bytes for web_call */
+GByteArray *dialect_write_request(const web_request_t *request, const char *addr, const dialect_step_t *step);
+
+void dialect_read_reply(const web_head_t *head, const char *id, dialect_reply_t *reply);
+
+/** Header lines of an answer that are passed on to the caller. */
+GString *dialect_pass_head(const web_head_t *head);
+
+/** Header line that tells a caller when to come back. @param after in ms; @return text for g_free */
+char *dialect_retry_after(tc_time_t after);
+
+/* ===== Prefill results ===== */
+
+/** Name of the result, from a prefill's answer. @return text for g_free, or NULL when there is none */
+char *dialect_read_handle(const char *body, size_t size);
+
+/** The call by which an engine drops a result nobody will take. @return bytes for web_call */
+GByteArray *dialect_write_release(const char *addr, const char *handle);
+
+/* ===== Discovery ===== */
+
+/** The call for one page of the platform's list of back ends. @param page "" for the first @return bytes for web_call */
+GByteArray *dialect_write_list(const char *addr, const char *page);
+
+/** Read a page. @param list backend_t, appended to @param next for g_free, NULL on the last page
+ * @return 0 or TC_E_INVALID with @p err */
+int dialect_read_list(const char *body, size_t size, GArray *list, char **next, tc_err_t *err);
+
+#endif
--- /dev/null
+++ b/lib/forward/discover.h
@@ -0,0 +1,34 @@
+/** @file discover.h
+ * Reads the platform's list of back ends: paged, some hundred ms behind, with a bounded rate of calls.
+ *
+ * One reader tells everyone (the leader of the control boxes); an entry box reads
+ * by itself only while it hears nothing. Runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_FORWARD_DISCOVER_H
+#define TRACKCOVE_FORWARD_DISCOVER_H
+
+/* ===== Dependencies ===== */
+
+#include "gen/schema.h"
+#include "peer/loop.h"
+#include "web/web_client.h"
+
+/* ===== Types ===== */
+
+typedef struct discover discover_t;
+
+/** A whole list was read. @param started when its first page was asked for: nothing in it is older than that less
+ *  the platform's own lag */
+typedef void (*discover_fn_t)(void *arg, const backend_t *list, uint32_t n, tc_time_t started);
+
+/* ===== Public functions ===== */
+
+discover_t *discover_create(loop_t *loop, web_client_t *client, const char *addr, discover_fn_t fn, void *arg);
+void discover_destroy(discover_t *discover);
+
+/** Read the list now, unless a reading is under way. */
+void discover_read(discover_t *discover);
+/** When the last reading was begun, 0 for never. */
+tc_time_t discover_asked(const discover_t *discover);
+
+#endif
--- /dev/null
+++ b/lib/forward/fleet.c
@@ -0,0 +1,220 @@
+#include "forward/fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ===== Constants ===== */
+
+enum {
+    AVOID_FIRST_MS = 300, /* a restarted back end is back within a few hundred ms */
+    AVOID_MAX_MS = 3000,  /* a crashed one leaves the platform's list after some seconds */
+    REFUSED_MS = 60,      /* about one request's work: a place may be free again */
+    SLOTS_DEFAULT = 8     /* of back ends whose list entry names none */
+};
+
+/** Cost of another data centre, as a share of a back end's places: distance decides between equals, not against
+ *  load. Measured on the calm days, see docs/design/results-platform.md. */
+static const double FAR_COST = 0.12;
+/** A prompt of this many tokens counts as one request when prefill engines are compared. */
+static const double PROMPT_TOKENS = 5000.0;
+
+struct fleet {
+    GPtrArray *instances; /* listed ones */
+};
+
+/* ===== Instances ===== */
+
+instance_t *instance_ref(instance_t *instance)
+{
+    instance->refs++;
+    return instance;
+}
+
+void instance_unref(instance_t *instance)
+{
+    if (--instance->refs == 0)
+        g_free(instance);
+}
+
+static void drop(void *instance)
+{
+    instance_unref(instance);
+}
+
+void instance_begin(instance_t *instance, uint64_t tokens)
+{
+    instance->running++;
+    instance->tokens += tokens;
+}
+
+void instance_end(instance_t *instance, uint64_t tokens)
+{
+    g_assert(instance->running > 0 && instance->tokens >= tokens); /* ends what it began */
+    instance->running--;
+    instance->tokens -= tokens;
+}
+
+void instance_succeeded(instance_t *instance)
+{
+    instance->failures = 0;
+    instance->avoid_until = 0;
+}
+
+void instance_failed(instance_t *instance, tc_time_t now)
+{
+    const unsigned doublings = instance->failures < 4 ? instance->failures : 4;
+    const tc_time_t pause = (tc_time_t)AVOID_FIRST_MS << doublings;
+    instance->failures++;
+    instance->avoid_until = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
+}
+
+void instance_refused(instance_t *instance, tc_time_t now)
+{
+    if (instance->avoid_until < now + REFUSED_MS)
+        instance->avoid_until = now + REFUSED_MS;
+}
+
+/* ===== The list ===== */
+
+fleet_t *fleet_create(void)
+{
+    fleet_t *const f = g_new0(fleet_t, 1);
+    f->instances = g_ptr_array_new_with_free_func(drop);
+    return f;
+}
+
+void fleet_destroy(fleet_t *f)
+{
+    g_ptr_array_free(f->instances, TRUE);
+    g_free(f);
+}
+
+static stage_t stage_of(const char *name)
+{
+    if (strcmp(name, "prefill") == 0)
+        return STAGE_PREFILL;
+    return strcmp(name, "decode") == 0 ? STAGE_DECODE : STAGE_NONE;
+}
+
+static instance_t *find(const fleet_t *f, const char *id)
+{
+    for (guint i = 0; i < f->instances->len; i++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (strcmp(instance->listed.id, id) == 0)
+            return instance;
+    }
+    return NULL;
+}
+
+void fleet_list(fleet_t *f, const backend_t *list, uint32_t n)
+{
+    GPtrArray *const fresh = g_ptr_array_new_with_free_func(drop);
+    for (uint32_t i = 0; i < n; i++) {
+        instance_t *const known = find(f, list[i].id);
+        instance_t *const instance = known ? instance_ref(known) : g_new0(instance_t, 1);
+        if (!known)
+            instance->refs = 1;
+        instance->listed = list[i];
+        instance->stage = stage_of(list[i].stage);
+        g_ptr_array_add(fresh, instance);
+    }
+    for (guint i = 0; i < f->instances->len; i++)
+        ((instance_t *)g_ptr_array_index(f->instances, i))->present = false;
+    for (guint i = 0; i < fresh->len; i++)
+        ((instance_t *)g_ptr_array_index(fresh, i))->present = true;
+    g_ptr_array_free(f->instances, TRUE);
+    f->instances = fresh;
+}
+
+unsigned fleet_size(const fleet_t *f)
+{
+    return f->instances->len;
+}
+
+/* ===== Loads ===== */
+
+void fleet_hear_loads(fleet_t *f, const backend_load_t *loads, uint32_t n)
+{
+    for (guint i = 0; i < f->instances->len; i++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, i);
+        instance->others = 0;
+        instance->other_tokens = 0;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        instance_t *const instance = find(f, loads[i].id);
+        if (!instance)
+            continue;
+        instance->others = loads[i].running;
+        instance->other_tokens = loads[i].tokens;
+    }
+}
+
+backend_load_t *fleet_own_loads(const fleet_t *f, uint32_t *n)
+{
+    backend_load_t *const loads = calloc(f->instances->len + 1, sizeof(*loads));
+    if (!loads)
+        abort();
+    *n = 0;
+    for (guint i = 0; i < f->instances->len; i++) {
+        const instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (instance->running == 0)
+            continue;
+        backend_load_t *const load = &loads[(*n)++];
+        codec_copy_string(load->id, sizeof(load->id), instance->listed.id);
+        load->running = instance->running;
+        load->tokens = instance->tokens;
+    }
+    return loads;
+}
+
+/* ===== Choosing ===== */
+
+static bool fits(const instance_t *instance, const fleet_wish_t *wish)
+{
+    if (strcmp(instance->listed.service, wish->service) != 0 || instance->stage != wish->stage ||
+        instance->listed.draining)
+        return false;
+    for (guint i = 0; wish->tried && i < wish->tried->len; i++)
+        if (g_ptr_array_index(wish->tried, i) == instance)
+            return false;
+    return true;
+}
+
+/** Share of a back end's capacity that is in use, 0 for idle; more than 1 means that requests queue there. */
+static double load_of(const instance_t *instance)
+{
+    if (instance->stage == STAGE_PREFILL)
+        return (double)(instance->tokens + instance->other_tokens) / PROMPT_TOKENS;
+    const unsigned slots = instance->listed.slots ? instance->listed.slots : SLOTS_DEFAULT;
+    return (double)(instance->running + instance->others) / slots;
+}
+
+instance_t *fleet_choose(fleet_t *f, const fleet_wish_t *wish)
+{
+    instance_t *best = NULL;
+    double best_cost = 0;
+    const guint n = f->instances->len;
+    for (guint k = 0; k < n; k++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, (wish->draw + k) % n);
+        if (!fits(instance, wish))
+            continue;
+        double cost = load_of(instance);
+        cost += strcmp(instance->listed.dc, wish->dc) != 0 ? FAR_COST : 0;
+        cost += instance->avoid_until > wish->now ? 100.0 + (double)(instance->avoid_until - wish->now) : 0;
+        if (!best || cost < best_cost) {
+            best = instance;
+            best_cost = cost;
+        }
+    }
+    return best ? instance_ref(best) : NULL;
+}
+
+bool fleet_has(const fleet_t *f, const char *service, stage_t stage)
+{
+    for (guint i = 0; i < f->instances->len; i++) {
+        const instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (instance->stage == stage && !instance->listed.draining && strcmp(instance->listed.service, service) == 0)
+            return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/lib/forward/fleet.h
@@ -0,0 +1,86 @@
+/** @file fleet.h
+ * The back ends this box knows, how busy they are, and which one takes the next request.
+ *
+ * What is listed comes from discovery (see discover.h) and is replaced whole.
+ * What is busy comes from three places: this box's own requests in flight, exact;
+ * those of the other boxes, some hundred ms old; and what answers tell. No I/O, no
+ * clock: the time goes in.
+ */
+#ifndef TRACKCOVE_FORWARD_FLEET_H
+#define TRACKCOVE_FORWARD_FLEET_H
+
+/* ===== Dependencies ===== */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/time.h"
+#include "gen/schema.h"
+
+/* ===== Types ===== */
+
+/** What an engine computes; back ends of plain services have none. */
+typedef enum { STAGE_NONE, STAGE_PREFILL, STAGE_DECODE } stage_t;
+
+/** One start of one back end. Counted references: a request keeps the ones it uses. */
+typedef struct {
+    backend_t listed;     /**< as discovery told */
+    stage_t stage;        /**< of listed.stage */
+    bool present;         /**< still listed */
+    unsigned running;     /**< requests of this box that it works on */
+    uint64_t tokens;      /**< prompt tokens of this box that it is asked to read */
+    unsigned others;      /**< requests of the other boxes, as last told */
+    uint64_t other_tokens;
+    unsigned failures;    /**< in a row */
+    tc_time_t avoid_until; /**< not chosen before, unless there is no other */
+    unsigned refs;
+} instance_t;
+
+typedef struct fleet fleet_t;
+
+/** What is asked of a back end. */
+typedef struct {
+    const char *service;
+    stage_t stage;
+    const char *dc;         /**< preferred data centre */
+    const GPtrArray *tried; /**< instance_t that are left out */
+    tc_time_t now;
+    uint32_t draw; /**< a random number, to break ties */
+} fleet_wish_t;
+
+/* ===== Public functions ===== */
+
+fleet_t *fleet_create(void);
+void fleet_destroy(fleet_t *fleet);
+
+/** Replace what is listed. Instances that stay keep what is known of them. */
+void fleet_list(fleet_t *fleet, const backend_t *list, uint32_t n);
+/** Drop what discovery did not say anything about for too long? No: see discover.h. Number of listed instances. */
+unsigned fleet_size(const fleet_t *fleet);
+
+/** What other boxes have in flight; instances not named have nothing. */
+void fleet_hear_loads(fleet_t *fleet, const backend_load_t *loads, uint32_t n);
+/** What this box has in flight, for the others. @return heap array for free(), its length in @p n */
+backend_load_t *fleet_own_loads(const fleet_t *fleet, uint32_t *n);
+
+/** Choose. @return a counted reference, or NULL when no back end is left */
+instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
+/** Whether any listed back end of the service has that stage. */
+bool fleet_has(const fleet_t *fleet, const char *service, stage_t stage);
+
+instance_t *instance_ref(instance_t *instance);
+void instance_unref(instance_t *instance);
+
+/** Work was handed to the back end, or is done. @param tokens prompt tokens to read, 0 for none */
+void instance_begin(instance_t *instance, uint64_t tokens);
+void instance_end(instance_t *instance, uint64_t tokens);
+
+/** It answered well. */
+void instance_succeeded(instance_t *instance);
+/** It failed or is silent: avoid it for a while, longer each time in a row. */
+void instance_failed(instance_t *instance, tc_time_t now);
+/** It is full: leave it alone for a moment. */
+void instance_refused(instance_t *instance, tc_time_t now);
+
+#endif
--- /dev/null
+++ b/lib/forward/forward.c
@@ -0,0 +1,259 @@
+#include "forward/forward.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "common/counter.h"
+#include "common/log.h"
+#include "forward/forward_internal.h"
+
+COUNTER_DEFINE(c_answered, "counter", "trackcove_forward_answered_total", "Requests answered by a back end")
+COUNTER_DEFINE(c_not_run, "counter", "trackcove_forward_not_run_total", "Requests refused as not run")
+COUNTER_DEFINE(c_unknown, "counter", "trackcove_forward_unknown_total", "Requests that failed after they may have run")
+COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Requests whose caller left")
+COUNTER_DEFINE(c_no_route, "counter", "trackcove_forward_no_route_total", "Requests without a route")
+
+/* ===== Log ===== */
+
+void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, event);
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "why", why);
+    if (status)
+        log_int(&line, "status", status);
+    if (instance) {
+        log_str(&line, "backend", instance->listed.id);
+        log_str(&line, "addr", instance->listed.addr);
+        log_int(&line, "running", instance->running);
+        log_int(&line, "others", instance->others);
+    }
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "arrivals", f->arrivals);
+    log_int(&line, "left_ms", f->deadline - tc_time_now());
+    log_end(&line);
+}
+
+/* ===== Ending ===== */
+
+static void forward_free(forward_t *f)
+{
+    assert(!f->step); /* a call under way would report to freed memory */
+    loop_disarm(&f->limit);
+    loop_disarm(&f->patience);
+    handle_release(f);
+    f->owner->busy--;
+    cds_list_del(&f->node);
+    g_ptr_array_free(f->tried, TRUE);
+    g_ptr_array_free(f->tried_prefill, TRUE);
+    g_byte_array_free(f->partial, TRUE);
+    route_table_unref(f->table);
+    g_free(f);
+}
+
+void forward_done(forward_t *f, int status, const char *why)
+{
+    counter_add(&c_answered, 1);
+    forward_log(f, "done", why, status, NULL);
+    forward_free(f);
+}
+
+void forward_fail(forward_t *f, const char *why)
+{
+    step_cancel(f);
+    if (f->begun) {
+        counter_add(&c_unknown, 1);
+        forward_log(f, "aborted", why, 0, NULL);
+        web_abort(f->exchange);
+        forward_free(f);
+        return;
+    }
+    const bool late = tc_time_now() >= f->deadline;
+    const int status = f->runs == 0 ? 503 : (late ? 504 : 502);
+    counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
+    forward_log(f, "failed", why, status, NULL);
+    /* Promise: 503 says that the request did not run, so it is given only while no back end can have begun it. */
+    char *const head = f->runs == 0 ? dialect_retry_after(RETRY_AFTER_MS) : g_strdup("");
+    web_answer(f->exchange, status, head, "", 0);
+    g_free(head);
+    forward_free(f);
+}
+
+static void on_limit(void *arg)
+{
+    forward_t *const f = arg;
+    if (f->step && f->step->ask != DIALECT_PREFILL && web_call_sent(f->step->call))
+        f->runs++; /* it is with a back end that has not answered */
+    forward_fail(f, "time is over");
+}
+
+static void on_caller_gone(void *arg)
+{
+    forward_t *const f = arg;
+    counter_add(&c_left, 1);
+    forward_log(f, "caller_gone", "connection closed", 0, f->step ? f->step->instance : NULL);
+    step_cancel(f);
+    forward_free(f);
+}
+
+/* ===== Deciding ===== */
+
+static retry_budget_t *budget_of(forwarder_t *fw, const char *service)
+{
+    retry_budget_t *budget = g_hash_table_lookup(fw->budgets, service);
+    if (!budget) {
+        budget = g_new0(retry_budget_t, 1);
+        retry_budget_init(budget, tc_time_now());
+        g_hash_table_insert(fw->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
+
+bool forward_may_retry(forward_t *f)
+{
+    forwarder_t *const fw = f->owner;
+    return retry_budget_spend(budget_of(fw, f->service), &fw->options.retries, fw->boxes, tc_time_now());
+}
+
+static instance_t *choose(forward_t *f, stage_t stage)
+{
+    const fleet_wish_t wish = {.service = f->service,
+                               .stage = stage,
+                               .dc = f->owner->options.dc,
+                               .tried = stage == STAGE_PREFILL ? f->tried_prefill : f->tried,
+                               .now = tc_time_now(),
+                               .draw = g_rand_int(f->owner->random)};
+    return fleet_choose(f->owner->fleet, &wish);
+}
+
+static void send_to(forward_t *f, dialect_ask_t ask, instance_t *instance)
+{
+    if (!instance) {
+        forward_fail(f, "no back end is left");
+        return;
+    }
+    if (ask == DIALECT_PREFILL)
+        f->prefills++;
+    else
+        f->arrivals++;
+    step_begin(f, ask, instance);
+}
+
+void forward_go_on(forward_t *f)
+{
+    if (tc_time_now() >= f->deadline) {
+        on_limit(f);
+        return;
+    }
+    if (!f->split) {
+        send_to(f, DIALECT_SERVE, choose(f, STAGE_NONE));
+        return;
+    }
+    instance_t *const prefill = f->handle.instance ? NULL : choose(f, STAGE_PREFILL);
+    if (prefill) {
+        send_to(f, DIALECT_PREFILL, prefill);
+        return;
+    }
+    /* Without a prefill engine the decode engine reads the prompt itself, slowly. */
+    send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose(f, STAGE_DECODE));
+}
+
+/* ===== Beginning ===== */
+
+static void refuse(web_exchange_t *exchange, const dialect_request_t *facts, int status, const char *why)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "refused");
+    log_str(&line, "request", facts->id);
+    log_str(&line, "why", why);
+    log_int(&line, "status", status);
+    log_end(&line);
+    char *const head = status == 503 ? dialect_retry_after(RETRY_AFTER_MS) : g_strdup("");
+    web_answer(exchange, status, head, "", 0);
+    g_free(head);
+}
+
+static void drop_instance(void *instance)
+{
+    instance_unref(instance);
+}
+
+static forward_t *forward_create(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request,
+                                 const dialect_request_t *facts, const route_t *route)
+{
+    forward_t *const f = g_new0(forward_t, 1);
+    f->owner = fw;
+    f->exchange = exchange;
+    f->request = *request;
+    f->facts = *facts;
+    f->table = route_table_ref(fw->table);
+    f->route = route;
+    f->service = route_pick_service(route, g_rand_int(fw->random));
+    f->settings = route_table_service(f->table, f->service);
+    f->split = f->settings->engines;
+    f->tried = g_ptr_array_new_with_free_func(drop_instance);
+    f->tried_prefill = g_ptr_array_new_with_free_func(drop_instance);
+    f->partial = g_byte_array_new();
+    g_strlcpy(f->last_event, facts->resume_after, sizeof(f->last_event));
+    const bool hurried = facts->patience > 0 && facts->patience < route->timeout;
+    f->deadline = request->arrived + (hurried ? facts->patience : route->timeout) - ANSWER_MARGIN_MS;
+    cds_list_add(&f->node, &fw->requests);
+    fw->busy++;
+    return f;
+}
+
+void forwarder_handle(void *arg, web_exchange_t *exchange, const web_request_t *request)
+{
+    forwarder_t *const fw = arg;
+    dialect_request_t facts;
+    dialect_read_request(request, &facts);
+    if (!fw->table) {
+        refuse(exchange, &facts, 503, "no configuration is known yet");
+        return;
+    }
+    const char *const host = web_headers_get(request->headers, "Host");
+    const route_t *const route = host ? route_table_find(fw->table, host, request->target) : NULL;
+    if (!route) {
+        counter_add(&c_no_route, 1);
+        refuse(exchange, &facts, host ? 404 : 400, host ? "no route" : "no host");
+        return;
+    }
+    forward_t *const f = forward_create(fw, exchange, request, &facts, route);
+    retry_budget_earn(budget_of(fw, f->service), &fw->options.retries, tc_time_now());
+    web_on_gone(exchange, on_caller_gone, f);
+    loop_arm(fw->loop, &f->limit, f->deadline, on_limit, f);
+    forward_go_on(f);
+}
+
+/* ===== Life ===== */
+
+forwarder_t *forwarder_create(loop_t *loop, fleet_t *fleet, web_client_t *client, const forwarder_options_t *options)
+{
+    forwarder_t *const fw = g_new0(forwarder_t, 1);
+    fw->loop = loop;
+    fw->fleet = fleet;
+    fw->client = client;
+    fw->options = *options;
+    fw->boxes = 1;
+    fw->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fw->random = g_rand_new();
+    CDS_INIT_LIST_HEAD(&fw->requests);
+    return fw;
+}
+
+void forwarder_set_routes(forwarder_t *fw, route_table_t *table)
+{
+    route_table_unref(fw->table);
+    fw->table = table ? route_table_ref(table) : NULL;
+}
+
+void forwarder_set_boxes(forwarder_t *fw, unsigned boxes)
+{
+    fw->boxes = boxes ? boxes : 1;
+}
+
+unsigned forwarder_busy(const forwarder_t *fw)
+{
+    return fw->busy;
+}
--- /dev/null
+++ b/lib/forward/forward.h
@@ -0,0 +1,47 @@
+/** @file forward.h
+ * Forwarded requests: from a caller to the back ends that serve it, and the answer back, whole or not at all.
+ *
+ * A request is routed, placed (a prefill and a decode engine where the service
+ * has them, else one back end), sent, and answered. What must run at most once is
+ * sent on only until a back end may have begun it. A refusal with 429 or 503 is
+ * given only while no back end can have run the request.
+ *
+ * Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_FORWARD_FORWARD_H
+#define TRACKCOVE_FORWARD_FORWARD_H
+
+/* ===== Dependencies ===== */
+
+#include "forward/fleet.h"
+#include "forward/retry_budget.h"
+#include "forward/route.h"
+#include "web/web_client.h"
+#include "web/web_server.h"
+
+/* ===== Types ===== */
+
+typedef struct forwarder forwarder_t;
+
+typedef struct {
+    const char *dc;         /**< data centre of this box */
+    retry_rules_t retries;
+    tc_time_t pause_limit;  /**< a stream that may be taken up elsewhere is, after a silence of this long; ms */
+} forwarder_options_t;
+
+/* ===== Public functions ===== */
+
+/** @p fleet and @p client are borrowed; strings of @p options too. */
+forwarder_t *forwarder_create(loop_t *loop, fleet_t *fleet, web_client_t *client, const forwarder_options_t *options);
+
+/** Requests from now on are routed by @p table; a reference is taken. NULL: none is known. */
+void forwarder_set_routes(forwarder_t *forwarder, route_table_t *table);
+/** How many boxes share the retry allowance. */
+void forwarder_set_boxes(forwarder_t *forwarder, unsigned boxes);
+/** Requests under way. */
+unsigned forwarder_busy(const forwarder_t *forwarder);
+
+/** A web_handler_t; @p arg is the forwarder. */
+void forwarder_handle(void *arg, web_exchange_t *exchange, const web_request_t *request);
+
+#endif
--- /dev/null
+++ b/lib/forward/forward_internal.h
@@ -0,0 +1,120 @@
+/** @file forward_internal.h
+ * Shared by forward.c (a request's life and decisions), forward_step.c (calls to back ends) and forward_stream.c
+ * (events on their way to the caller); nobody else includes it.
+ */
+#ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
+#define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
+
+/* ===== Dependencies ===== */
+
+#include <urcu/list.h>
+
+#include "forward/dialect.h"
+#include "forward/forward.h"
+
+/* ===== Constants ===== */
+
+enum {
+    CONNECT_MS = 250,       /* a back end in reach takes a few ms; a dark one never answers */
+    ANSWER_MARGIN_MS = 30,  /* the final answer leaves this long before the request's time is over */
+    RETRY_AFTER_MS = 250,   /* when a refused caller may come back: places free up within one request's work */
+    PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
+};
+
+/* ===== Types ===== */
+
+typedef struct forward forward_t;
+
+/** One call to one back end. */
+typedef struct {
+    forward_t *request;
+    dialect_ask_t ask;
+    instance_t *instance;
+    uint64_t tokens; /* counted at the instance */
+    web_call_t *call;
+    bool head_seen;
+    bool reusable_tried; /* sent over a kept connection */
+    int status;
+    dialect_reply_t reply;
+    GString *head;
+    GByteArray *body;
+    tc_time_t began;
+} step_t;
+
+/** A prefill result that waits for a decode engine. */
+typedef struct {
+    instance_t *instance; /* NULL: there is none */
+    char *name;
+    tc_time_t until;
+} handle_t;
+
+/** One request of a caller. */
+struct forward {
+    struct cds_list_head node;
+    forwarder_t *owner;
+    web_exchange_t *exchange;
+    web_request_t request;
+    dialect_request_t facts;
+    route_table_t *table;
+    const route_t *route;
+    const char *service;
+    const route_service_t *settings;
+    bool split;            /* prefill and decode on different engines */
+    tc_time_t deadline;    /* the final answer has left by then */
+    loop_timer_t limit;    /* of the request */
+    loop_timer_t patience; /* of the step under way */
+    step_t *step;          /* the call under way, or NULL */
+    handle_t handle;
+    GPtrArray *tried;         /* instance_t that failed this request */
+    GPtrArray *tried_prefill; /* the same for prefill */
+    unsigned arrivals;        /* sent to a back end, prefills beside */
+    unsigned prefills;
+    unsigned runs;       /* back ends that may have run it */
+    bool begun;          /* the answer's head has left */
+    GByteArray *partial; /* bytes of an event that is not whole yet */
+    char last_event[32]; /* newest event passed on, or the one that the caller has */
+    unsigned events;     /* passed on */
+};
+
+struct forwarder {
+    loop_t *loop;
+    fleet_t *fleet;
+    web_client_t *client;
+    forwarder_options_t options;
+    route_table_t *table;
+    GHashTable *budgets; /* service name to retry_budget_t */
+    unsigned boxes;
+    unsigned busy;
+    GRand *random;
+    struct cds_list_head requests;
+};
+
+/* ===== forward.c ===== */
+
+/** Choose what comes next: a prefill, an engine, a back end, or the refusal. */
+void forward_go_on(forward_t *f);
+/** The final answer in place of a back end's; ends the request. @param why for the log */
+void forward_fail(forward_t *f, const char *why);
+/** The answer is complete: ends the request. */
+void forward_done(forward_t *f, int status, const char *why);
+/** Whether one more arrival at a back end is allowed; takes it from the budget. */
+bool forward_may_retry(forward_t *f);
+void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
+
+/* ===== forward_step.c ===== */
+
+/** Send the request to @p instance, whose reference is taken over. */
+void step_begin(forward_t *f, dialect_ask_t ask, instance_t *instance);
+/** Drop the call under way, if there is one. */
+void step_cancel(forward_t *f);
+/** Tell the engine that holds a prefill result that nobody will take it. */
+void handle_release(forward_t *f);
+
+/* ===== forward_stream.c ===== */
+
+/** Take bytes of a stream and pass on the events that are whole. */
+void stream_take(forward_t *f, const char *data, size_t size);
+/** Whether nothing of an event is left over. */
+bool stream_is_whole(const forward_t *f);
+
+#endif
--- /dev/null
+++ b/lib/forward/forward_step.c
@@ -0,0 +1,317 @@
+/* One call to one back end: sending, reading its answer, and what the outcome means for the request. */
+
+#include <assert.h>
+#include <string.h>
+
+#include "common/counter.h"
+#include "forward/forward_internal.h"
+
+COUNTER_DEFINE(c_calls, "counter", "trackcove_forward_calls_total", "Calls to back ends, prefills included")
+COUNTER_DEFINE(c_refused, "counter", "trackcove_forward_refused_total", "Calls that back ends did not run")
+COUNTER_DEFINE(c_broken, "counter", "trackcove_forward_broken_total", "Calls without a whole answer")
+COUNTER_DEFINE(c_spoiled, "counter", "trackcove_forward_spoiled_total", "Answers without proof of their origin")
+COUNTER_DEFINE(c_wasted, "counter", "trackcove_forward_prefill_wasted_tokens_total",
+               "Prompt tokens computed and not used by a decode engine")
+
+/* ===== Ending a step ===== */
+
+/** Take the step off its request. */
+static void step_free(step_t *s)
+{
+    forward_t *const f = s->request;
+    loop_disarm(&f->patience);
+    instance_end(s->instance, s->tokens);
+    instance_unref(s->instance);
+    if (s->head)
+        g_string_free(s->head, TRUE);
+    g_byte_array_free(s->body, TRUE);
+    f->step = NULL;
+    g_free(s);
+}
+
+void step_cancel(forward_t *f)
+{
+    if (!f->step)
+        return;
+    web_call_cancel(f->step->call);
+    step_free(f->step);
+}
+
+/* ===== Prefill results ===== */
+
+static web_verdict_t ignore_head(void *arg, const web_head_t *head)
+{
+    (void)arg, (void)head;
+    return WEB_TAKE;
+}
+
+static void ignore_data(void *arg, const char *data, size_t size)
+{
+    (void)arg, (void)data, (void)size;
+}
+
+static void ignore_end(void *arg, web_end_t how)
+{
+    (void)arg, (void)how; /* the engine drops the result by itself soon after */
+}
+
+static void handle_forget(forward_t *f)
+{
+    instance_unref(f->handle.instance);
+    g_free(f->handle.name);
+    f->handle = (handle_t){0};
+}
+
+void handle_release(forward_t *f)
+{
+    if (!f->handle.instance)
+        return;
+    counter_add(&c_wasted, f->facts.prompt_tokens);
+    if (tc_time_now() < f->handle.until) {
+        const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
+        const char *const addr = f->handle.instance->listed.addr;
+        (void)web_call(f->owner->client, addr, dialect_write_release(addr, f->handle.name), true, CONNECT_MS, &sink);
+    }
+    handle_forget(f);
+}
+
+/* ===== Outcomes ===== */
+
+/** The request did not arrive, or was turned away: another back end may take it. */
+static void not_run(step_t *s, const char *why, bool refused)
+{
+    forward_t *const f = s->request;
+    const dialect_ask_t ask = s->ask;
+    const tc_time_t now = tc_time_now();
+    forward_log(f, "not_run", why, s->status, s->instance);
+    if (refused)
+        instance_refused(s->instance, now);
+    else
+        instance_failed(s->instance, now);
+    g_ptr_array_add(ask == DIALECT_PREFILL ? f->tried_prefill : f->tried, instance_ref(s->instance));
+    if (ask == DIALECT_DECODE && refused && f->handle.instance && now >= f->handle.until)
+        handle_forget(f);
+    step_free(s);
+    if (refused && !forward_may_retry(f))
+        forward_fail(f, "retry budget is used up");
+    else
+        forward_go_on(f);
+}
+
+/** The back end may have run the request and its answer is lost. */
+static void maybe_run(step_t *s, const char *why)
+{
+    forward_t *const f = s->request;
+    const dialect_ask_t ask = s->ask;
+    counter_add(&c_broken, 1);
+    forward_log(f, "answer_lost", why, s->status, s->instance);
+    instance_failed(s->instance, tc_time_now());
+    g_ptr_array_add(ask == DIALECT_PREFILL ? f->tried_prefill : f->tried, instance_ref(s->instance));
+    if (ask == DIALECT_DECODE && f->handle.instance)
+        handle_forget(f); /* taken, or about to lapse */
+    step_free(s);
+    if (ask == DIALECT_PREFILL) {
+        if (forward_may_retry(f))
+            forward_go_on(f);
+        else
+            forward_fail(f, "retry budget is used up");
+        return;
+    }
+    f->runs++;
+    const bool again = route_is_repeatable(f->route) && f->runs < f->route->max_attempts && forward_may_retry(f);
+    if (again)
+        forward_go_on(f);
+    else
+        forward_fail(f, why);
+}
+
+/** A whole answer that the back end stands for, success or failure. */
+static void deliver(step_t *s)
+{
+    forward_t *const f = s->request;
+    const int status = s->status;
+    web_answer(f->exchange, status, s->head->str, s->body->data, s->body->len);
+    step_free(s);
+    forward_done(f, status, "answered");
+}
+
+static void prefilled(step_t *s)
+{
+    forward_t *const f = s->request;
+    char *const name = s->reply.success ? dialect_read_handle((const char *)s->body->data, s->body->len) : NULL;
+    if (!name) {
+        maybe_run(s, "prefill without a result");
+        return;
+    }
+    instance_succeeded(s->instance);
+    forward_log(f, "prefilled", "prompt computed", s->status, s->instance);
+    f->handle = (handle_t){.instance = instance_ref(s->instance),
+                           .name = name,
+                           .until = tc_time_now() + f->settings->handle_ttl};
+    step_free(s);
+    forward_go_on(f);
+}
+
+static void stream_ended(step_t *s, web_end_t how)
+{
+    forward_t *const f = s->request;
+    if (how == WEB_END_WHOLE && stream_is_whole(f)) {
+        instance_succeeded(s->instance);
+        web_end(f->exchange);
+        step_free(s);
+        forward_done(f, 200, "streamed");
+        return;
+    }
+    g_byte_array_set_size(f->partial, 0);
+    maybe_run(s, "stream broke off");
+}
+
+static void answered(step_t *s)
+{
+    forward_t *const f = s->request;
+    if (s->reply.not_run) {
+        counter_add(&c_refused, 1);
+        not_run(s, "turned away", true);
+        return;
+    }
+    if (s->ask == DIALECT_PREFILL) {
+        prefilled(s);
+        return;
+    }
+    if (!s->reply.genuine) {
+        counter_add(&c_spoiled, 1);
+        maybe_run(s, "answer without proof of origin");
+        return;
+    }
+    instance_succeeded(s->instance);
+    const bool failed = s->status >= 500;
+    if (failed && route_is_repeatable(f->route) && f->runs + 1 < f->route->max_attempts && !f->begun &&
+        fleet_size(f->owner->fleet) > 1 && forward_may_retry(f)) {
+        forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
+        f->runs++;
+        g_ptr_array_add(f->tried, instance_ref(s->instance));
+        if (f->handle.instance)
+            handle_forget(f);
+        step_free(s);
+        forward_go_on(f);
+        return;
+    }
+    if (f->begun) {
+        maybe_run(s, "stream could not be taken up");
+        return;
+    }
+    deliver(s);
+}
+
+/* ===== Reports of the call ===== */
+
+static void on_step_late(void *arg)
+{
+    forward_t *const f = arg;
+    step_t *const s = f->step;
+    assert(s); /* disarmed with the step */
+    web_call_cancel(s->call);
+    maybe_run(s, s->ask == DIALECT_PREFILL ? "prefill engine is silent" : "stream is silent");
+}
+
+/** A stream that may be taken up elsewhere is not waited for longer than its pauses allow. */
+static void watch_silence(forward_t *f)
+{
+    const tc_time_t limit = f->owner->options.pause_limit;
+    if (route_is_repeatable(f->route) && f->runs + 1 < f->route->max_attempts)
+        loop_arm(f->owner->loop, &f->patience, tc_time_now() + limit, on_step_late, f);
+}
+
+static web_verdict_t on_head(void *arg, const web_head_t *head)
+{
+    step_t *const s = arg;
+    forward_t *const f = s->request;
+    dialect_read_reply(head, f->facts.id, &s->reply);
+    if (!s->reply.ours)
+        return WEB_SKIP;
+    s->head_seen = true;
+    s->status = head->status;
+    if (s->ask == DIALECT_PREFILL || s->reply.not_run)
+        return WEB_TAKE;
+    s->head = dialect_pass_head(head);
+    const bool streams = f->route->kind == ROUTE_STREAM && s->reply.success && s->reply.genuine;
+    if (streams && f->handle.instance)
+        handle_forget(f); /* the decode engine has it */
+    if (streams && !f->begun) {
+        f->begun = true;
+        web_begin(f->exchange, head->status, s->head->str);
+    }
+    if (streams)
+        watch_silence(f);
+    return WEB_TAKE;
+}
+
+static void on_data(void *arg, const char *data, size_t size)
+{
+    step_t *const s = arg;
+    forward_t *const f = s->request;
+    if (f->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL && s->reply.success && s->reply.genuine) {
+        stream_take(f, data, size);
+        watch_silence(f);
+        return;
+    }
+    g_byte_array_append(s->body, (const guint8 *)data, (guint)size);
+}
+
+static void on_end(void *arg, web_end_t how)
+{
+    step_t *const s = arg;
+    forward_t *const f = s->request;
+    s->call = NULL;
+    const bool streams = s->head_seen && f->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL &&
+                         s->reply.success && s->reply.genuine && !s->reply.not_run;
+    if (how == WEB_END_UNSENT)
+        not_run(s, "no connection", false);
+    else if (streams)
+        stream_ended(s, how);
+    else if (how == WEB_END_WHOLE)
+        answered(s);
+    else if (how == WEB_END_CUT && s->reply.not_run)
+        not_run(s, "turned away", true);
+    else
+        maybe_run(s, how == WEB_END_CUT ? "answer broke off" : "connection broke");
+}
+
+/* ===== Sending ===== */
+
+/** Kept connections may close at any moment, so only what may be sent again goes over them. */
+static bool may_reuse(const forward_t *f, dialect_ask_t ask)
+{
+    return ask == DIALECT_PREFILL || route_is_repeatable(f->route);
+}
+
+void step_begin(forward_t *f, dialect_ask_t ask, instance_t *instance)
+{
+    assert(!f->step); /* one call at a time: a request never runs on two back ends by our will */
+    const tc_time_t now = tc_time_now();
+    counter_add(&c_calls, 1);
+    step_t *const s = g_new0(step_t, 1);
+    s->request = f;
+    s->ask = ask;
+    s->instance = instance;
+    s->tokens = ask == DIALECT_DECODE ? 0 : f->facts.prompt_tokens;
+    s->body = g_byte_array_new();
+    s->began = now;
+    const dialect_step_t step = {.ask = ask,
+                                 .instance = instance->listed.id,
+                                 .time_left = f->deadline - now,
+                                 .priority = f->route->priority,
+                                 .handle_at = f->handle.instance ? f->handle.instance->listed.addr : NULL,
+                                 .handle = f->handle.name,
+                                 .resume_after = f->last_event};
+    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = s};
+    f->step = s;
+    instance_begin(instance, s->tokens);
+    forward_log(f, "send", ask == DIALECT_PREFILL ? "prefill" : (ask == DIALECT_DECODE ? "decode" : "serve"), 0,
+                instance);
+    s->call = web_call(f->owner->client, instance->listed.addr,
+                       dialect_write_request(&f->request, instance->listed.addr, &step), may_reuse(f, ask), CONNECT_MS,
+                       &sink);
+    if (ask == DIALECT_PREFILL)
+        loop_arm(f->owner->loop, &f->patience, now + PREFILL_LIMIT_MS, on_step_late, f);
+}
--- /dev/null
+++ b/lib/forward/retry_budget.c
@@ -0,0 +1,52 @@
+#include "forward/retry_budget.h"
+
+#include <string.h>
+
+/** Kept back from what the rules allow: boxes count their windows from different moments, and the number of boxes
+ *  is known some hundred ms late. */
+static const double SAFE_PART = 0.8;
+
+void retry_budget_init(retry_budget_t *b, tc_time_t now)
+{
+    memset(b, 0, sizeof(*b));
+    b->begun = now;
+}
+
+/** Move on to the slice of @p now, emptying those in between. */
+static int slice_at(retry_budget_t *b, const retry_rules_t *rules, tc_time_t now)
+{
+    const tc_time_t length = rules->window / RETRY_SLICES > 0 ? rules->window / RETRY_SLICES : 1;
+    const tc_time_t number = now / length;
+    tc_time_t passed = number - b->slice;
+    if (passed > RETRY_SLICES)
+        passed = RETRY_SLICES;
+    for (tc_time_t i = 0; i < passed; i++) {
+        const int at = (int)((number - i) % RETRY_SLICES);
+        b->requests[at] = 0;
+        b->extras[at] = 0;
+    }
+    if (number > b->slice)
+        b->slice = number;
+    return (int)(b->slice % RETRY_SLICES);
+}
+
+void retry_budget_earn(retry_budget_t *b, const retry_rules_t *rules, tc_time_t now)
+{
+    b->requests[slice_at(b, rules, now)]++;
+}
+
+bool retry_budget_spend(retry_budget_t *b, const retry_rules_t *rules, unsigned boxes, tc_time_t now)
+{
+    const int at = slice_at(b, rules, now);
+    unsigned requests = 0, extras = 0;
+    for (int i = 0; i < RETRY_SLICES; i++) {
+        requests += b->requests[i];
+        extras += b->extras[i];
+    }
+    const double lived = (double)(now - b->begun) / (double)rules->window;
+    const double part = rules->allowance / (boxes ? boxes : 1) * (lived < 1 ? lived : 1);
+    if (extras + 1 > SAFE_PART * (rules->ratio * requests + part))
+        return false;
+    b->extras[at]++;
+    return true;
+}
--- /dev/null
+++ b/lib/forward/route.c
@@ -0,0 +1,142 @@
+#include "forward/route.h"
+
+#include <string.h>
+
+/* ===== Making and ending ===== */
+
+static void target_clear(void *target)
+{
+    g_free(((route_target_t *)target)->service);
+}
+
+void route_free(route_t *route)
+{
+    g_free(route->host);
+    g_free(route->prefix);
+    if (route->targets) {
+        g_array_set_clear_func(route->targets, target_clear);
+        g_array_free(route->targets, TRUE);
+    }
+    g_free(route);
+}
+
+static void service_free(void *service)
+{
+    g_free(((route_service_t *)service)->name);
+    g_free(service);
+}
+
+static void free_route(void *route)
+{
+    route_free(route);
+}
+
+route_table_t *route_table_create(uint64_t version)
+{
+    route_table_t *const t = g_new0(route_table_t, 1);
+    t->version = version;
+    t->routes = g_ptr_array_new_with_free_func(free_route);
+    t->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+    t->places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    t->refs = 1;
+    return t;
+}
+
+route_table_t *route_table_ref(route_table_t *t)
+{
+    t->refs++;
+    return t;
+}
+
+void route_table_unref(route_table_t *t)
+{
+    if (!t || --t->refs > 0)
+        return;
+    g_hash_table_destroy(t->places);
+    g_hash_table_destroy(t->services);
+    g_ptr_array_free(t->routes, TRUE);
+    g_free(t);
+}
+
+/* ===== Building ===== */
+
+static char *place_of(const char *host, const char *prefix)
+{
+    return g_strconcat(host, " ", prefix, NULL); /* a host holds no blank */
+}
+
+bool route_table_add(route_table_t *t, route_t *route)
+{
+    char *const place = place_of(route->host, route->prefix);
+    if (g_hash_table_contains(t->places, place)) {
+        g_free(place);
+        route_free(route);
+        return false;
+    }
+    route->weight_sum = 0;
+    for (guint i = 0; i < route->targets->len; i++)
+        route->weight_sum += g_array_index(route->targets, route_target_t, i).weight;
+    g_ptr_array_add(t->routes, route);
+    g_hash_table_insert(t->places, place, route);
+    return true;
+}
+
+bool route_table_add_service(route_table_t *t, route_service_t *service)
+{
+    if (g_hash_table_contains(t->services, service->name)) {
+        service_free(service);
+        return false;
+    }
+    g_hash_table_insert(t->services, service->name, service);
+    return true;
+}
+
+const route_service_t *route_table_service(const route_table_t *t, const char *name)
+{
+    return g_hash_table_lookup(t->services, name);
+}
+
+/* ===== Looking up ===== */
+
+const route_t *route_table_find(const route_table_t *t, const char *host, const char *target)
+{
+    char name[256], path[1024], place[sizeof(name) + sizeof(path) + 2];
+    g_strlcpy(name, host, sizeof(name));
+    name[strcspn(name, ":")] = '\0';
+    for (char *c = name; *c; c++)
+        *c = g_ascii_tolower(*c);
+    g_strlcpy(path, target, sizeof(path));
+    path[strcspn(path, "?#")] = '\0';
+    /* Every prefix ends with a slash: try each slash of the path, the last one first. */
+    for (char *slash = strrchr(path, '/'); slash; slash = strrchr(path, '/')) {
+        slash[1] = '\0';
+        g_snprintf(place, sizeof(place), "%s %s", name, path);
+        const route_t *const route = g_hash_table_lookup(t->places, place);
+        if (route)
+            return route;
+        slash[0] = '\0';
+    }
+    return NULL;
+}
+
+const char *route_pick_service(const route_t *route, uint32_t draw)
+{
+    uint32_t left = route->weight_sum ? draw % route->weight_sum : 0;
+    for (guint i = 0; i < route->targets->len; i++) {
+        const route_target_t *const target = &g_array_index(route->targets, route_target_t, i);
+        if (left < target->weight)
+            return target->service;
+        left -= target->weight;
+    }
+    return NULL;
+}
+
+bool route_is_repeatable(const route_t *route)
+{
+    switch (route->kind) {
+    case ROUTE_SAFE: return true;
+    case ROUTE_ONCE: return false;
+    case ROUTE_STREAM: return route->resumable;
+    }
+    return false;
+}
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -167,6 +167,41 @@
 };
 const codec_desc_t raft_image_desc = {.name = "raft_image", .size = sizeof(raft_image_t), .fields = raft_image_fields, .n_fields = sizeof(raft_image_fields) / sizeof(raft_image_fields[0])};
 
+static const codec_field_t document_fields[] = {
+    {.name = "version", .offset = offsetof(document_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "body", .offset = offsetof(document_t, body), .kind = CODEC_TEXT, .size = 0, .count_offset = offsetof(document_t, body_n), .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t document_desc = {.name = "document", .size = sizeof(document_t), .fields = document_fields, .n_fields = sizeof(document_fields) / sizeof(document_fields[0])};
+
+static const codec_field_t backend_fields[] = {
+    {.name = "id", .offset = offsetof(backend_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "service", .offset = offsetof(backend_t, service), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "addr", .offset = offsetof(backend_t, addr), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "dc", .offset = offsetof(backend_t, dc), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "stage", .offset = offsetof(backend_t, stage), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "slots", .offset = offsetof(backend_t, slots), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "draining", .offset = offsetof(backend_t, draining), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+};
+const codec_desc_t backend_desc = {.name = "backend", .size = sizeof(backend_t), .fields = backend_fields, .n_fields = sizeof(backend_fields) / sizeof(backend_fields[0])};
+
+static const codec_field_t backend_load_fields[] = {
+    {.name = "id", .offset = offsetof(backend_load_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "running", .offset = offsetof(backend_load_t, running), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "tokens", .offset = offsetof(backend_load_t, tokens), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t backend_load_desc = {.name = "backend_load", .size = sizeof(backend_load_t), .fields = backend_load_fields, .n_fields = sizeof(backend_load_fields) / sizeof(backend_load_fields[0])};
+
+static const codec_field_t entry_box_fields[] = {
+    {.name = "box", .offset = offsetof(entry_box_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "dc", .offset = offsetof(entry_box_t, dc), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "http_addr", .offset = offsetof(entry_box_t, http_addr), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "peer_addr", .offset = offsetof(entry_box_t, peer_addr), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "incarnation", .offset = offsetof(entry_box_t, incarnation), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "ready", .offset = offsetof(entry_box_t, ready), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "leaving", .offset = offsetof(entry_box_t, leaving), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+};
+const codec_desc_t entry_box_desc = {.name = "entry_box", .size = sizeof(entry_box_t), .fields = entry_box_fields, .n_fields = sizeof(entry_box_fields) / sizeof(entry_box_fields[0])};
+
 static const codec_field_t log_entry_fields[] = {
     {.name = "term", .offset = offsetof(log_entry_t, term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "index", .offset = offsetof(log_entry_t, index), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
@@ -468,9 +503,40 @@
 static const codec_field_t msg_join_ack_fields[] = {
     {.name = "has_state", .offset = offsetof(msg_join_ack_t, has_state), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "is_member", .offset = offsetof(msg_join_ack_t, is_member), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "members", .offset = offsetof(msg_join_ack_t, members), .kind = CODEC_LIST, .sub = &raft_member_desc, .count_offset = offsetof(msg_join_ack_t, members_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_join_ack_desc = {.name = "join_ack", .size = sizeof(msg_join_ack_t), .fields = msg_join_ack_fields, .n_fields = sizeof(msg_join_ack_fields) / sizeof(msg_join_ack_fields[0])};
 
+static const codec_field_t msg_report_fields[] = {
+    {.name = "self", .offset = offsetof(msg_report_t, self), .kind = CODEC_STRUCT, .sub = &entry_box_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "version", .offset = offsetof(msg_report_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "backends_hash", .offset = offsetof(msg_report_t, backends_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "entries_hash", .offset = offsetof(msg_report_t, entries_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "loads", .offset = offsetof(msg_report_t, loads), .kind = CODEC_LIST, .sub = &backend_load_desc, .count_offset = offsetof(msg_report_t, loads_n), .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t msg_report_desc = {.name = "report", .size = sizeof(msg_report_t), .fields = msg_report_fields, .n_fields = sizeof(msg_report_fields) / sizeof(msg_report_fields[0])};
+
+static const codec_field_t msg_report_ack_fields[] = {
+    {.name = "leads", .offset = offsetof(msg_report_ack_t, leads), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "leader", .offset = offsetof(msg_report_ack_t, leader), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "document", .offset = offsetof(msg_report_ack_t, document), .kind = CODEC_STRUCT, .sub = &document_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "members", .offset = offsetof(msg_report_ack_t, members), .kind = CODEC_LIST, .sub = &raft_member_desc, .count_offset = offsetof(msg_report_ack_t, members_n), .min = 0, .max = 0, .def = 0},
+    {.name = "has_backends", .offset = offsetof(msg_report_ack_t, has_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "backends_age_ms", .offset = offsetof(msg_report_ack_t, backends_age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "backends", .offset = offsetof(msg_report_ack_t, backends), .kind = CODEC_LIST, .sub = &backend_desc, .count_offset = offsetof(msg_report_ack_t, backends_n), .min = 0, .max = 0, .def = 0},
+    {.name = "backends_hash", .offset = offsetof(msg_report_ack_t, backends_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "has_entries", .offset = offsetof(msg_report_ack_t, has_entries), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "entries", .offset = offsetof(msg_report_ack_t, entries), .kind = CODEC_LIST, .sub = &entry_box_desc, .count_offset = offsetof(msg_report_ack_t, entries_n), .min = 0, .max = 0, .def = 0},
+    {.name = "entries_hash", .offset = offsetof(msg_report_ack_t, entries_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "loads", .offset = offsetof(msg_report_ack_t, loads), .kind = CODEC_LIST, .sub = &backend_load_desc, .count_offset = offsetof(msg_report_ack_t, loads_n), .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
+
+static const codec_field_t msg_publish_fields[] = {
+    {.name = "document", .offset = offsetof(msg_publish_t, document), .kind = CODEC_STRUCT, .sub = &document_desc, .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t msg_publish_desc = {.name = "publish", .size = sizeof(msg_publish_t), .fields = msg_publish_fields, .n_fields = sizeof(msg_publish_fields) / sizeof(msg_publish_fields[0])};
+
 static const codec_field_t msg_vote_fields[] = {
     {.name = "term", .offset = offsetof(msg_vote_t, term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "pre", .offset = offsetof(msg_vote_t, pre), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
@@ -556,6 +622,9 @@
         [MSG_RENEW_ACK] = &msg_renew_ack_desc,
         [MSG_JOIN] = &msg_join_desc,
         [MSG_JOIN_ACK] = &msg_join_ack_desc,
+        [MSG_REPORT] = &msg_report_desc,
+        [MSG_REPORT_ACK] = &msg_report_ack_desc,
+        [MSG_PUBLISH] = &msg_publish_desc,
         [MSG_VOTE] = &msg_vote_desc,
         [MSG_VOTE_ACK] = &msg_vote_ack_desc,
         [MSG_APPEND] = &msg_append_desc,
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -247,6 +247,46 @@
 } raft_image_t;
 extern const codec_desc_t raft_image_desc;
 
+/** The operators' configuration as they sent it, with its version: the highest version wins. */
+typedef struct {
+    uint64_t version;
+    char *body;
+    uint32_t body_n;
+} document_t;
+extern const codec_desc_t document_desc;
+
+/** One back end as discovery lists it. */
+typedef struct {
+    char id[CODEC_STR_SIZE]; /**< names one start of it */
+    char service[CODEC_STR_SIZE];
+    char addr[CODEC_STR_SIZE];
+    char dc[CODEC_STR_SIZE];
+    char stage[CODEC_STR_SIZE]; /**< prefill or decode for engines, else empty */
+    uint32_t slots; /**< requests it works on at once */
+    bool draining; /**< leaving: no new work */
+} backend_t;
+extern const codec_desc_t backend_desc;
+
+/** What a box, or several, have in flight at one back end. */
+typedef struct {
+    char id[CODEC_STR_SIZE];
+    uint32_t running;
+    uint64_t tokens; /**< prompt tokens it is asked to read */
+} backend_load_t;
+extern const codec_desc_t backend_load_desc;
+
+/** One entry box as it reports itself. */
+typedef struct {
+    char box[CODEC_STR_SIZE];
+    char dc[CODEC_STR_SIZE];
+    char http_addr[CODEC_STR_SIZE]; /**< where callers reach it */
+    char peer_addr[CODEC_STR_SIZE];
+    uint64_t incarnation;
+    bool ready;
+    bool leaving;
+} entry_box_t;
+extern const codec_desc_t entry_box_desc;
+
 /** One entry of the replicated log. */
 typedef struct {
     uint64_t term;
@@ -600,9 +640,49 @@
 typedef struct {
     bool has_state;
     bool is_member;
+    raft_member_t *members; /**< whom the answering box knows */
+    uint32_t members_n;
 } msg_join_ack_t;
 extern const codec_desc_t msg_join_ack_desc;
 
+/** A box to a control box, or to another box while none answers: what it is, has and knows. */
+typedef struct {
+    entry_box_t self;
+    uint64_t version; /**< of the document it acts on */
+    uint64_t backends_hash; /**< of the list of back ends it has */
+    uint64_t entries_hash;
+    backend_load_t *loads;
+    uint32_t loads_n;
+} msg_report_t;
+extern const codec_desc_t msg_report_desc;
+
+/** Answer to a report: what is newer than what the reporter knows. */
+typedef struct {
+    bool leads; /**< the answering box leads the control boxes */
+    char leader[CODEC_STR_SIZE]; /**< peer address of the leader, empty when unknown */
+    document_t document; /**< empty body when the reporter has it */
+    raft_member_t *members;
+    uint32_t members_n;
+    bool has_backends;
+    uint64_t backends_age_ms;
+    backend_t *backends; /**< left out when the reporter has the same */
+    uint32_t backends_n;
+    uint64_t backends_hash;
+    bool has_entries;
+    entry_box_t *entries;
+    uint32_t entries_n;
+    uint64_t entries_hash;
+    backend_load_t *loads; /**< of all other boxes together */
+    uint32_t loads_n;
+} msg_report_ack_t;
+extern const codec_desc_t msg_report_ack_desc;
+
+/** Leader to the boxes: a document was accepted; no answer. */
+typedef struct {
+    document_t document;
+} msg_publish_t;
+extern const codec_desc_t msg_publish_desc;
+
 /** Ask for a vote, or, as pre-vote, whether one would be given. */
 typedef struct {
     uint64_t term;
@@ -696,6 +776,9 @@
     MSG_RENEW_ACK,
     MSG_JOIN,
     MSG_JOIN_ACK,
+    MSG_REPORT,
+    MSG_REPORT_ACK,
+    MSG_PUBLISH,
     MSG_VOTE,
     MSG_VOTE_ACK,
     MSG_APPEND,
--- a/lib/peer/key.c
+++ b/lib/peer/key.c
@@ -28,6 +28,15 @@
     return TC_OK;
 }
 
+int key_open(cluster_key_t *key, tc_err_t *err)
+{
+    static const char known[] = "trackcove, closed network";
+    if (sodium_init() < 0)
+        return tc_err_set(err, TC_E_IO, "open cluster key", NULL, "libsodium could not start");
+    crypto_generichash(key->bytes, sizeof(key->bytes), (const unsigned char *)known, sizeof(known) - 1, NULL, 0);
+    return TC_OK;
+}
+
 void key_make_nonce(msg_hello_t *hello)
 {
     unsigned char random[NONCE_BYTES];
--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -35,6 +35,7 @@
     struct cds_list_head posted;
     tick_t ticks[LOOP_TICKS_MAX];
     int n_ticks;
+    struct cds_list_head timers; /* soonest first */
     struct epoll_event events[LOOP_EVENTS_MAX];
     int n_events; /* of the round being handled, so that loop_unwatch can drop them */
 };
@@ -122,6 +123,46 @@
     return soonest;
 }
 
+/* ===== Timers ===== */
+
+void loop_arm(loop_t *loop, loop_timer_t *timer, tc_time_t due, loop_fn_t fn, void *arg)
+{
+    loop_disarm(timer);
+    timer->armed = true;
+    timer->due = due;
+    timer->fn = fn;
+    timer->arg = arg;
+    /* Most timers are armed for later than those that stand: look from the end. */
+    loop_timer_t *other;
+    cds_list_for_each_entry_reverse(other, &loop->timers, node) {
+        if (other->due <= due)
+            break;
+    }
+    cds_list_add(&timer->node, &other->node);
+}
+
+void loop_disarm(loop_timer_t *timer)
+{
+    if (!timer->armed)
+        return;
+    timer->armed = false;
+    cds_list_del(&timer->node);
+}
+
+/** Run what is due. @return ms until the next timer, at most @p soonest */
+static tc_time_t run_timers(loop_t *loop, tc_time_t soonest)
+{
+    const tc_time_t now = tc_time_now();
+    while (!cds_list_empty(&loop->timers)) {
+        loop_timer_t *const timer = cds_list_first_entry(&loop->timers, loop_timer_t, node);
+        if (timer->due > now)
+            return timer->due - now < soonest ? timer->due - now : soonest;
+        loop_disarm(timer);
+        timer->fn(timer->arg);
+    }
+    return soonest;
+}
+
 /* ===== Watching ===== */
 
 static int control(loop_t *loop, int op, loop_watch_t *watch, uint32_t events)
@@ -159,6 +200,7 @@
     loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     pthread_mutex_init(&loop->lock, NULL);
     CDS_INIT_LIST_HEAD(&loop->posted);
+    CDS_INIT_LIST_HEAD(&loop->timers);
     struct epoll_event event = {.events = EPOLLIN, .data.ptr = loop};
     if (loop->epoll_fd < 0 || loop->wake_fd < 0 ||
         epoll_ctl(loop->epoll_fd, EPOLL_CTL_ADD, loop->wake_fd, &event) != 0) {
@@ -187,7 +229,7 @@
 void loop_run(loop_t *loop)
 {
     while (!atomic_load(&loop->stopping)) {
-        const tc_time_t wait = run_ticks(loop);
+        const tc_time_t wait = run_timers(loop, run_ticks(loop));
         const int n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, (int)(wait > 0 ? wait : 0));
         loop->n_events = n > 0 ? n : 0;
         handle_events(loop);
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -12,6 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <urcu/list.h>
+
 #include "common/err.h"
 #include "common/time.h"
 
@@ -29,6 +31,15 @@
     void *arg;
 } loop_watch_t;
 
+/** A one-shot timer. Owned by its user; zero it before first use and cancel it before its memory goes. */
+typedef struct {
+    struct cds_list_head node; /**< among the armed ones, soonest first */
+    bool armed;
+    tc_time_t due; /**< monotonic */
+    loop_fn_t fn;
+    void *arg;
+} loop_timer_t;
+
 /* ===== Public functions ===== */
 
 /** @return NULL when the system refuses */
@@ -52,6 +63,11 @@
 /** Call @p fn every @p period ms, in the loop's thread; before loop_run or from the loop's thread. */
 void loop_add_tick(loop_t *loop, tc_time_t period, loop_fn_t fn, void *arg);
 
+/** Call @p fn once at @p due, in the loop's thread. Arming an armed timer moves it. From the loop's thread. */
+void loop_arm(loop_t *loop, loop_timer_t *timer, tc_time_t due, loop_fn_t fn, void *arg);
+/** Disarm; harmless when it is not armed. */
+void loop_disarm(loop_timer_t *timer);
+
 /** Watch @p watch->fd; from the loop's thread or before loop_run. */
 int loop_watch(loop_t *loop, loop_watch_t *watch, uint32_t events);
 void loop_rewatch(loop_t *loop, loop_watch_t *watch, uint32_t events);
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -45,7 +45,8 @@
     const char *box;      /**< own name */
     uint64_t incarnation; /**< larger after every start */
     const char *listen;   /**< IP:port, or "" to take no connections */
-    const char *key_file; /**< the cluster key; required */
+    const char *key_file; /**< the cluster key; "" where the network between the boxes is closed to others: then
+                               any process that speaks the protocol is let in */
     peer_handler_t handler;
     void *arg;
 } peer_options_t;
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -122,6 +122,8 @@
     cds_list_add(&conn->node, &net->conns);
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const unsigned unacked = UNACKED_LIMIT_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
     return conn;
 }
 
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -16,10 +16,11 @@
 enum {
     OUT_MAX = 16 * 1024 * 1024, /* bytes waiting for a slow peer before calls are refused: back-pressure */
     HELLO_FRAME_MAX = 1024,     /* nobody unproved makes us keep more than this */
-    HELLO_LIMIT_MS = 2000,      /* time for the handshake */
+    HELLO_LIMIT_MS = 1000,      /* time for the handshake: a box that has no power answers nothing at all */
+    UNACKED_LIMIT_MS = 1500,    /* a connection whose bytes nobody takes up for so long is given up */
     BACKOFF_MIN_MS = 50,        /* first pause after a failed connect */
-    BACKOFF_MAX_MS = 2000,      /* longest pause */
-    TICK_MS = 10,               /* how often deadlines are looked at */
+    BACKOFF_MAX_MS = 500,       /* longest pause: a box that is back must be found within the election time */
+    TICK_MS = 25,               /* how often deadlines are looked at: each look is a wake-up that costs */
     READ_SIZE = 65536,
     SEND_WAIT_MS = 2000 /* how long a one-way message waits for a connection */
 };
--- /dev/null
+++ b/lib/web/web_client.c
@@ -0,0 +1,413 @@
+#include "web/web_client.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu/list.h>
+
+#include "common/counter.h"
+#include "peer/peer.h"
+
+COUNTER_DEFINE(c_opened, "counter", "trackcove_backend_connections_opened_total", "Connections opened to back ends")
+COUNTER_DEFINE(c_reused, "counter", "trackcove_backend_connections_reused_total", "Calls over a kept connection")
+COUNTER_DEFINE(c_strays, "counter", "trackcove_backend_stray_answers_total", "Answers that belonged to no request")
+
+enum {
+    READ_SIZE = 16 * 1024,
+    IDLE_DEFAULT_MS = 2000, /* a back end that names no time may close at any moment: short, and only for what may
+                               run twice */
+    IDLE_MARGIN_MS = 1000,  /* given up this long before the back end would */
+    SWEEP_MS = 500
+};
+
+/* ===== Types ===== */
+
+struct web_call {
+    struct cds_list_head node; /* among the calls under way, or among the idle connections */
+    web_client_t *client;
+    char addr[CODEC_STR_SIZE];
+    loop_watch_t watch;
+    bool writing, connecting, idle;
+    bool sent;      /* a byte of the request may have left */
+    bool head_seen; /* an answer's head was taken */
+    bool skipping;  /* the answer being read is not ours */
+    bool whole;     /* the parser has our whole answer */
+    bool cancelled; /* cancelled from within one of its own reports */
+    bool reporting;
+    GByteArray *request;
+    size_t written;
+    http_parser parser;
+    web_headers_t headers;
+    web_sink_t sink;
+    loop_timer_t connect_limit;
+    tc_time_t idle_until;
+    tc_time_t keep_ms;
+};
+
+struct web_client {
+    loop_t *loop;
+    struct cds_list_head calls;
+    struct cds_list_head idle;
+    loop_timer_t sweep;
+    unsigned idle_max;
+    web_client_stats_t stats;
+};
+
+static void call_on_io(void *arg, uint32_t events);
+
+/* ===== Connections ===== */
+
+static void call_free(web_call_t *call)
+{
+    loop_disarm(&call->connect_limit);
+    loop_unwatch(call->client->loop, &call->watch);
+    close(call->watch.fd);
+    call->client->stats.open--;
+    cds_list_del(&call->node);
+    if (call->request)
+        g_byte_array_free(call->request, TRUE);
+    web_headers_free(&call->headers);
+    g_free(call);
+}
+
+static unsigned idle_count(const web_client_t *client, const char *addr)
+{
+    unsigned n = 0;
+    web_call_t *call;
+    cds_list_for_each_entry(call, &client->idle, node)
+        n += strcmp(call->addr, addr) == 0;
+    return n;
+}
+
+/** Put the connection of a finished call aside, or close it. */
+static void call_retire(web_call_t *call, bool keep)
+{
+    web_client_t *const client = call->client;
+    if (!keep || idle_count(client, call->addr) >= client->idle_max) {
+        call_free(call);
+        return;
+    }
+    g_byte_array_free(call->request, TRUE);
+    call->request = NULL;
+    call->idle = true;
+    call->idle_until = tc_time_now() + call->keep_ms;
+    cds_list_del(&call->node);
+    cds_list_add(&call->node, &client->idle);
+}
+
+static void report_end(web_call_t *call, web_end_t how, bool keep)
+{
+    const web_sink_t sink = call->sink;
+    call_retire(call, keep);
+    sink.on_end(sink.arg, how);
+}
+
+/** The connection ended. */
+static void call_broken(web_call_t *call)
+{
+    if (call->idle) {
+        call_free(call);
+        return;
+    }
+    report_end(call, call->head_seen ? WEB_END_CUT : (call->sent ? WEB_END_BROKEN : WEB_END_UNSENT), false);
+}
+
+/* ===== Answers ===== */
+
+static int on_begin(http_parser *parser)
+{
+    web_call_t *const call = parser->data;
+    web_headers_clear(&call->headers);
+    return 0;
+}
+
+static int on_name(http_parser *parser, const char *data, size_t size)
+{
+    web_call_t *const call = parser->data;
+    web_headers_on_name(&call->headers, data, size);
+    return 0;
+}
+
+static int on_value(http_parser *parser, const char *data, size_t size)
+{
+    web_call_t *const call = parser->data;
+    web_headers_on_value(&call->headers, data, size);
+    return 0;
+}
+
+static tc_time_t keep_time(const web_call_t *call)
+{
+    const char *const text = web_headers_get(&call->headers, "Keep-Alive");
+    const char *const at = text ? strstr(text, "timeout=") : NULL;
+    if (!at)
+        return IDLE_DEFAULT_MS;
+    const tc_time_t ms = (tc_time_t)strtol(at + strlen("timeout="), NULL, 10) * 1000;
+    return ms > 2 * IDLE_MARGIN_MS ? ms - IDLE_MARGIN_MS : ms / 2;
+}
+
+static int on_headers(http_parser *parser)
+{
+    web_call_t *const call = parser->data;
+    if (parser->status_code < 200)
+        return 0; /* an interim answer: the real one follows */
+    const web_head_t head = {.status = (int)parser->status_code, .headers = &call->headers};
+    call->reporting = true;
+    call->skipping = call->sink.on_head(call->sink.arg, &head) == WEB_SKIP;
+    call->reporting = false;
+    if (call->skipping)
+        counter_add(&c_strays, 1);
+    else
+        call->head_seen = true;
+    call->keep_ms = keep_time(call);
+    return call->cancelled ? -1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t size)
+{
+    web_call_t *const call = parser->data;
+    if (call->skipping || !call->head_seen)
+        return 0;
+    call->reporting = true;
+    call->sink.on_data(call->sink.arg, data, size);
+    call->reporting = false;
+    return call->cancelled ? -1 : 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+    web_call_t *const call = parser->data;
+    if (parser->status_code < 200 || call->skipping)
+        return 0;
+    call->whole = true;
+    http_parser_pause(parser, 1); /* bytes behind our answer belong to no request */
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {.on_message_begin = on_begin,
+                                                     .on_header_field = on_name,
+                                                     .on_header_value = on_value,
+                                                     .on_headers_complete = on_headers,
+                                                     .on_body = on_body,
+                                                     .on_message_complete = on_complete};
+
+/** Hand bytes to the parser; size 0 is the orderly end of the connection. May free the call. */
+static void call_parse(web_call_t *call, const char *data, size_t size)
+{
+    const size_t used = http_parser_execute(&call->parser, &parser_settings, data, size);
+    if (call->cancelled) {
+        call_free(call);
+        return;
+    }
+    if (call->whole) {
+        http_parser_pause(&call->parser, 0);
+        const bool keep = size > 0 && used == size && http_should_keep_alive(&call->parser);
+        report_end(call, WEB_END_WHOLE, keep);
+        return;
+    }
+    if (size == 0 || HTTP_PARSER_ERRNO(&call->parser) != HPE_OK)
+        call_broken(call);
+}
+
+static void call_read(web_call_t *call)
+{
+    char data[READ_SIZE];
+    const ssize_t n = recv(call->watch.fd, data, sizeof(data), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+        return;
+    if (n < 0 || call->idle)
+        call_broken(call); /* an idle connection that says something is of no more use */
+    else
+        call_parse(call, data, (size_t)n);
+}
+
+/* ===== Requests ===== */
+
+static void call_want_write(web_call_t *call, bool want)
+{
+    if (call->writing == want)
+        return;
+    call->writing = want;
+    loop_rewatch(call->client->loop, &call->watch, EPOLLIN | (want ? EPOLLOUT : 0u));
+}
+
+/** @return false when the connection broke */
+static bool call_write(web_call_t *call)
+{
+    while (call->written < call->request->len) {
+        const ssize_t n =
+            send(call->watch.fd, call->request->data + call->written, call->request->len - call->written, MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            call_want_write(call, true);
+            return true;
+        }
+        if (n < 0)
+            return false;
+        call->sent = true;
+        call->written += (size_t)n;
+    }
+    call_want_write(call, false);
+    return true;
+}
+
+static void call_on_io(void *arg, uint32_t events)
+{
+    web_call_t *const call = arg;
+    if (call->connecting && (events & (EPOLLERR | EPOLLHUP))) {
+        call_broken(call);
+        return;
+    }
+    if (events & EPOLLOUT) {
+        call->connecting = false;
+        loop_disarm(&call->connect_limit);
+        if (!call_write(call) && !(events & EPOLLIN)) {
+            call_broken(call);
+            return;
+        }
+    }
+    if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+        call_read(call); /* an early answer is read even when the rest of the request can't be sent */
+}
+
+static void on_connect_limit(void *arg)
+{
+    call_broken(arg);
+}
+
+/** A kept connection that is still silent and open, or NULL. */
+static web_call_t *take_idle(web_client_t *client, const char *addr)
+{
+    const tc_time_t now = tc_time_now();
+    web_call_t *call, *next;
+    cds_list_for_each_entry_safe(call, next, &client->idle, node) {
+        if (strcmp(call->addr, addr) != 0)
+            continue;
+        char byte;
+        const ssize_t n = recv(call->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool silent = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (silent && now < call->idle_until)
+            return call;
+        call_free(call);
+    }
+    return NULL;
+}
+
+/** Report a connection that could not even be begun, from the loop. */
+static void on_never_began(void *arg)
+{
+    call_broken(arg);
+}
+
+static web_call_t *dial(web_client_t *client, const char *addr, tc_time_t connect_ms)
+{
+    struct sockaddr_storage to = {0};
+    unsigned size = 0;
+    const int parsed = peer_parse_addr(addr, &to, &size, NULL);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    web_call_t *const call = g_new0(web_call_t, 1);
+    call->client = client;
+    codec_copy_string(call->addr, sizeof(call->addr), addr);
+    call->watch = (loop_watch_t){.fd = fd, .on_io = call_on_io, .arg = call};
+    web_headers_init(&call->headers);
+    call->connecting = true;
+    call->writing = true;
+    client->stats.open++;
+    client->stats.opened++;
+    counter_add(&c_opened, 1);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const int rc = parsed == TC_OK && fd >= 0 ? connect(fd, (const struct sockaddr *)&to, size) : -1;
+    if (rc != 0 && (parsed != TC_OK || fd < 0 || errno != EINPROGRESS)) {
+        loop_arm(client->loop, &call->connect_limit, tc_time_now(), on_never_began, call);
+        return call;
+    }
+    loop_watch(client->loop, &call->watch, EPOLLIN | EPOLLOUT);
+    loop_arm(client->loop, &call->connect_limit, tc_time_now() + connect_ms, on_connect_limit, call);
+    return call;
+}
+
+web_call_t *web_call(web_client_t *client, const char *addr, GByteArray *request, bool reuse, tc_time_t connect_ms,
+                     const web_sink_t *sink)
+{
+    web_call_t *call = reuse ? take_idle(client, addr) : NULL;
+    if (call) {
+        counter_add(&c_reused, 1);
+        cds_list_del(&call->node);
+        call->idle = false;
+        call->head_seen = call->skipping = call->whole = call->sent = false;
+        call->written = 0;
+        loop_rewatch(client->loop, &call->watch, EPOLLIN | EPOLLOUT);
+        call->writing = true;
+    } else {
+        call = dial(client, addr, connect_ms);
+    }
+    http_parser_init(&call->parser, HTTP_RESPONSE);
+    call->parser.data = call;
+    call->request = request;
+    call->sink = *sink;
+    cds_list_add(&call->node, &client->calls);
+    return call;
+}
+
+void web_call_cancel(web_call_t *call)
+{
+    if (call->reporting)
+        call->cancelled = true; /* freed when the report returns */
+    else
+        call_free(call);
+}
+
+bool web_call_sent(const web_call_t *call)
+{
+    return call->sent;
+}
+
+/* ===== Life ===== */
+
+static void sweep(void *arg)
+{
+    web_client_t *const client = arg;
+    const tc_time_t now = tc_time_now();
+    web_call_t *call, *next;
+    cds_list_for_each_entry_safe(call, next, &client->idle, node)
+        if (now >= call->idle_until)
+            call_free(call);
+    loop_arm(client->loop, &client->sweep, now + SWEEP_MS, sweep, client);
+}
+
+web_client_t *web_client_create(loop_t *loop)
+{
+    web_client_t *const client = g_new0(web_client_t, 1);
+    client->loop = loop;
+    CDS_INIT_LIST_HEAD(&client->calls);
+    CDS_INIT_LIST_HEAD(&client->idle);
+    loop_arm(loop, &client->sweep, tc_time_now() + SWEEP_MS, sweep, client);
+    return client;
+}
+
+void web_client_keep(web_client_t *client, unsigned idle_max)
+{
+    client->idle_max = idle_max;
+}
+
+void web_client_destroy(web_client_t *client)
+{
+    loop_disarm(&client->sweep);
+    web_call_t *call, *next;
+    cds_list_for_each_entry_safe(call, next, &client->calls, node)
+        call_free(call);
+    cds_list_for_each_entry_safe(call, next, &client->idle, node)
+        call_free(call);
+    g_free(client);
+}
+
+web_client_stats_t web_client_stats(const web_client_t *client)
+{
+    return client->stats;
+}
--- /dev/null
+++ b/lib/web/web_server.h
@@ -0,0 +1,77 @@
+/** @file web_server.h
+ * HTTP/1.1 server on the loop: many connections, one thread, whole requests in, answers out whole or piece by piece.
+ *
+ * A request is read whole before its handler runs, so that it can be sent to more
+ * than one back end. One request a connection is handled at a time. While it is,
+ * the connection is watched: a caller who closes is reported at once.
+ *
+ * Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_WEB_WEB_SERVER_H
+#define TRACKCOVE_WEB_WEB_SERVER_H
+
+/* ===== Dependencies ===== */
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "common/err.h"
+#include "common/time.h"
+#include "peer/loop.h"
+#include "web/web.h"
+
+/* ===== Types ===== */
+
+typedef struct web_server web_server_t;
+/** One request and its answer. Valid from the handler's start until the answer is complete, aborted or on_gone ran. */
+typedef struct web_exchange web_exchange_t;
+
+/** What a caller may send and how long it may take. */
+typedef struct {
+    size_t header_bytes;
+    size_t body_bytes;
+    tc_time_t header_ms; /**< from the first byte of a request to the end of its headers */
+    tc_time_t idle_ms;   /**< a kept connection without a request */
+} web_limits_t;
+
+/** A request as it came in. Borrowed, valid as long as its exchange. */
+typedef struct {
+    const char *method;
+    const char *target; /**< path and query, as sent */
+    const web_headers_t *headers;
+    const GByteArray *body;
+    tc_time_t arrived; /**< when its first byte was read */
+} web_request_t;
+
+/** Takes one request; answers now or later. */
+typedef void (*web_handler_t)(void *arg, web_exchange_t *exchange, const web_request_t *request);
+
+/* ===== Public functions ===== */
+
+/** Listen on "IP:port". @p limits is borrowed and may change. @return NULL with @p err */
+web_server_t *web_server_start(loop_t *loop, const char *listen, const web_limits_t *limits, web_handler_t handler,
+                               void *arg, tc_err_t *err);
+
+/** From now on answers tell callers to close, and the connection is closed behind them. */
+void web_server_retire(web_server_t *server);
+/** Requests being handled. */
+unsigned web_server_busy(const web_server_t *server);
+/** Close everything. */
+void web_server_stop(web_server_t *server);
+
+/** Report when the caller leaves before the answer is complete; the exchange is invalid once @p fn has run. */
+void web_on_gone(web_exchange_t *exchange, loop_fn_t fn, void *arg);
+
+/** Answer whole and end the exchange. @param head header lines, each with its line end, or ""; length and connection
+ *  are added here. */
+void web_answer(web_exchange_t *exchange, int status, const char *head, const void *body, size_t size);
+
+/** Begin an answer of unknown length, add to it, end it. */
+void web_begin(web_exchange_t *exchange, int status, const char *head);
+void web_add(web_exchange_t *exchange, const void *data, size_t size);
+void web_end(web_exchange_t *exchange);
+
+/** Break the answer off so that it can't be taken for complete: the connection is closed. Ends the exchange. */
+void web_abort(web_exchange_t *exchange);
+
+#endif
