--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -22,6 +22,7 @@
     TICK_MS = 25,
     JOIN_EVERY_MS = 300,            /* a box that is no voter, or hears no leader, asks this often */
     JOIN_LIMIT_MS = 1000,
+    ANNOUNCE_EVERY_MS = 500,        /* to seeds that are no members */
     OFFER_LIMIT_MS = 3000,          /* an offer not applied by then has an unknown outcome: below the time in which an
                                        operator wants an answer */
     SNAPSHOT_BYTES = 512 * 1024,    /* documents travel whole: the log must not outgrow memory and disk */
@@ -265,6 +266,23 @@
             ask(r, r->known.list[i].peer);
 }
 
+/** Seeds may be boxes that are no members and know none, after a restart of everything: tell them. */
+static void announce(replica_t *r, tc_time_t now)
+{
+    if (now < r->announce_at)
+        return;
+    r->announce_at = now + ANNOUNCE_EVERY_MS;
+    const raft_members_t *const members = raft_members(r->raft);
+    const msg_join_ack_t message = {.has_state = true, .members = members->list, .members_n = members->list_n};
+    for (char **seed = r->seeds; *seed && members->list_n > 0; seed++) {
+        bool member = false;
+        for (uint32_t i = 0; i < members->list_n; i++)
+            member = member || strcmp(members->list[i].peer, *seed) == 0;
+        if (!member)
+            peer_send(r->net, *seed, MSG_JOIN_ACK, &message);
+    }
+}
+
 static void on_join(replica_t *r, peer_call_t call, const msg_join_t *message, tc_time_t now)
 {
     const raft_members_t *const members = raft_members(r->raft);
@@ -287,6 +305,7 @@
     switch (type) {
     case MSG_REPORT: reports_answer(r, call, message, now); break;
     case MSG_JOIN: on_join(r, call, message, now); break;
+    case MSG_JOIN_ACK: break; /* an announcement for those who are no members */
     default: raft_receive(r->raft, type, message, now); break;
     }
     pump(r);
@@ -298,6 +317,7 @@
     const tc_time_t now = tc_time_now();
     raft_tick(r->raft, now);
     join(r, now);
+    announce(r, now);
     pump(r);
     roster_expire(r->roster, now);
     const bool leads = replica_leads(r);
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -37,7 +37,7 @@
     size_t since_snapshot;   /* bytes of commands applied since */
     unsigned entries_since;  /* their number */
     struct cds_list_head offers;
-    tc_time_t join_at;
+    tc_time_t join_at, announce_at;
     bool led; /* at the last look */
     bool pumping;
     roster_t *roster;
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -131,13 +131,13 @@
     log_end(&line);
 }
 
-static void take_members(reporter_t *r, const msg_report_ack_t *ack)
+static void take_members(reporter_t *r, const raft_member_t *members, uint32_t n)
 {
-    if (ack->members_n == 0)
+    if (n == 0)
         return;
     free(r->members);
-    r->members = copy_of(ack->members, ack->members_n * sizeof(*ack->members));
-    r->members_n = ack->members_n;
+    r->members = copy_of(members, n * sizeof(*members));
+    r->members_n = n;
 }
 
 /* ===== Whom to ask ===== */
@@ -202,7 +202,7 @@
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
     take_document(r, &ack->document, r->target);
-    take_members(r, ack);
+    take_members(r, ack->members, ack->members_n);
     take_backends(r, ack);
     take_entries(r, ack);
     if (ack->leads && r->events.on_loads)
@@ -251,7 +251,7 @@
 
 static void answer(reporter_t *r, peer_call_t call, const msg_report_t *report)
 {
-    msg_report_ack_t ack = {.members = NULL};
+    msg_report_ack_t ack = {.members = r->members, .members_n = r->members_n};
     codec_copy_string(ack.leader, sizeof(ack.leader), r->leader);
     if (r->document.version > report->version)
         ack.document = r->document;
@@ -271,12 +271,23 @@
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
 }
 
+/** A control box that knows nobody asks: this box can't take it in, but knows who can. */
+static void answer_join(reporter_t *r, peer_call_t call)
+{
+    const msg_join_ack_t ack = {.members = r->members, .members_n = r->members_n};
+    peer_reply(r->net, call, MSG_JOIN_ACK, &ack);
+}
+
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
 {
     reporter_t *const r = arg;
     switch (type) {
     case MSG_PUBLISH: take_document(r, &((const msg_publish_t *)message)->document, from); break;
     case MSG_REPORT: answer(r, call, message); break;
+    case MSG_JOIN: answer_join(r, call); break;
+    case MSG_JOIN_ACK: /* unasked: a control box tells who the members are */
+        take_members(r, ((const msg_join_ack_t *)message)->members, ((const msg_join_ack_t *)message)->members_n);
+        break;
     default: break; /* of a newer version of this program */
     }
 }
