A leader drops silent voters beyond the number wanted

Cause: after a core box was replaced (its successor joined while the leader was younger than 2 s) the dead box stayed a voter beside its successor: four voters, one dead. Ruled out: the log itself; every entry and vote in the logs was right, the membership was not. Change: raft_trim, called by the leader's host: a voter silent for 2 s goes as long as more than 2 x losses + 1 are left; it joins again when it is back. Conclusion: the number of voters must shrink with the dead, not only grow with the living.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -318,6 +318,7 @@
     raft_tick(r->raft, now);
     join(r, now);
     announce(r, now);
+    raft_trim(r->raft, r->options.voters_wanted, now);
     pump(r);
     roster_expire(r->roster, now);
     const bool leads = replica_leads(r);
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -26,6 +26,7 @@
     const char *peer_listen; /**< IP:port, by which this member is known to the others */
     const char *http_addr;   /**< where operators reach it */
     const char *data_dir;
+    uint32_t voters_wanted;  /**< enough to bear the losses that the deployment is to bear */
     bool found;              /**< first start of the whole system */
     const char *const *seeds; /**< peer addresses, NULL at the end; may change between calls of replica_reseed */
     void (*on_document)(void *arg, const document_t *document); /**< a newer one was accepted; may be NULL */
--- a/lib/control/raft_leader.c
+++ b/lib/control/raft_leader.c
@@ -226,6 +226,23 @@
     change_member(r, &next, false, now);
 }
 
+void raft_trim(raft_t *r, uint32_t wanted, tc_time_t now)
+{
+    if (r->role != RAFT_LEADER || !members_settled(r))
+        return;
+    uint32_t voters = 0;
+    const raft_member_t *silent = NULL;
+    for (uint32_t i = 0; i < r->members.list_n; i++) {
+        voters += r->members.list[i].voter;
+        if (is_silent(r, &r->members.list[i], now))
+            silent = &r->members.list[i];
+    }
+    if (!silent || voters <= wanted)
+        return;
+    const raft_member_t gone = *silent;
+    change_member(r, &gone, true, now);
+}
+
 /* ===== Commit ===== */
 
 static int compare_down(const void *a, const void *b)
