The scheduler core runs beside the leader and places the platform's requests

The product's leased scheduler was not used. Change: lib/cluster/placing hosts lib/sched at the leader of the control boxes (its lease is the leader's); entries ask it once a request, renew what they hold, ask again when a decode engine turns one away, and place alone when there is no answer within 210 ms. The core counts memory in pieces of a given size (256 tokens here; 2,000 stays the default) and calls a transfer long only where the link needs 20 ms for it. Ruled out: only sharing loads through reports: 300 ms old at best, and queueing for room has no place there.

--- /dev/null
+++ b/lib/cluster/placing.c
@@ -0,0 +1,248 @@
+#include "cluster/placing.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counter.h"
+#include "common/log.h"
+#include "sched/sched.h"
+
+COUNTER_DEFINE(c_granted, "counter", "trackcove_placing_granted_total", "Placements granted by the scheduler")
+COUNTER_DEFINE(c_refused, "counter", "trackcove_placing_refused_total", "Placements refused by the scheduler")
+
+/* ===== Constants ===== */
+
+enum {
+    /* First guess of what an engine reads; learnt from then on. Measured on the calm days. */
+    PREFILL_TOKENS_S = 50000,
+    LOST_MAX = 256
+};
+/** Moves of memory into another data centre take twice as long there and are priced double: they are counted dearer
+ *  than they take, so that of two engines alike the near one is taken. */
+static const double FAR_FACTOR = 0.1;
+/** All engines are one cell: hundreds of placements a second cost a few hundredths of a core. */
+static const char CELL[] = "main";
+
+struct placing {
+    peer_net_t *net;
+    sched_t *sched; /* NULL while this box does not lead */
+    uint64_t term;
+    placing_service_t *services;
+    uint32_t services_n;
+    backend_t *backends;
+    uint32_t backends_n;
+};
+
+/* ===== Configuration ===== */
+
+static const placing_service_t *service_of(const placing_t *p, const char *name)
+{
+    for (uint32_t i = 0; i < p->services_n; i++)
+        if (strcmp(p->services[i].service, name) == 0)
+            return &p->services[i];
+    return NULL;
+}
+
+static bool is_engine(const placing_t *p, const backend_t *b)
+{
+    return b->stage[0] && service_of(p, b->service);
+}
+
+static void fill_engine(const placing_t *p, const backend_t *b, engine_cfg_t *e)
+{
+    const placing_service_t *const s = service_of(p, b->service);
+    codec_copy_string(e->name, sizeof(e->name), b->id);
+    codec_copy_string(e->dc, sizeof(e->dc), b->dc);
+    codec_copy_string(e->cell, sizeof(e->cell), CELL);
+    codec_copy_string(e->model, sizeof(e->model), b->service);
+    e->role = strcmp(b->stage, "prefill") == 0 ? ROLE_PREFILL : ROLE_DECODE;
+    e->pieces = s->memory_tokens / SCHED_SMALL_PIECE_TOKENS;
+    e->max_batch = b->slots ? b->slots : s->slots;
+    e->prefill_rate = PREFILL_TOKENS_S;
+}
+
+/** Links between every two data centres, and inside each. */
+static void fill_links(const placing_t *p, config_t *config)
+{
+    GHashTable *const dcs = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < p->backends_n; i++)
+        g_hash_table_add(dcs, (char *)(uintptr_t)p->backends[i].dc);
+    guint n;
+    const char **const names = (const char **)g_hash_table_get_keys_as_array(dcs, &n);
+    config->links = calloc((size_t)n * n + 1, sizeof(*config->links));
+    if (!config->links)
+        abort();
+    const double rate = p->services_n > 0 ? p->services[0].link_tokens_s : 0;
+    for (guint i = 0; i < n && rate > 0; i++) {
+        for (guint k = i; k < n; k++) {
+            link_cfg_t *const link = &config->links[config->links_n++];
+            codec_copy_string(link->a, sizeof(link->a), names[i]);
+            codec_copy_string(link->b, sizeof(link->b), names[k]);
+            link->rate = (uint32_t)(rate * (i == k ? 1 : FAR_FACTOR));
+        }
+    }
+    g_free(names);
+    g_hash_table_destroy(dcs);
+}
+
+static void configure(placing_t *p, tc_time_t now)
+{
+    if (!p->sched)
+        return;
+    config_t config = {.targets = {.max_queue = 512}};
+    config.engines = calloc(p->backends_n + 1, sizeof(*config.engines));
+    config.leaving = calloc(p->backends_n + 1, sizeof(*config.leaving));
+    if (!config.engines || !config.leaving)
+        abort();
+    for (uint32_t i = 0; i < p->backends_n; i++) {
+        const backend_t *const b = &p->backends[i];
+        if (!is_engine(p, b))
+            continue;
+        fill_engine(p, b, &config.engines[config.engines_n++]);
+        if (b->draining)
+            codec_copy_string(config.leaving[config.leaving_n++].name, CODEC_STR_SIZE, b->id);
+    }
+    fill_links(p, &config);
+    sched_configure(p->sched, &config, now);
+    /* The list is all that is heard of an engine beside what requests report. */
+    for (uint32_t i = 0; i < config.engines_n; i++)
+        sched_engine_seen(p->sched, config.engines[i].name, 1, false, NULL, 0, now, now);
+    free(config.engines);
+    free(config.leaving);
+    free(config.links);
+}
+
+static void *copy_of(const void *list, size_t size)
+{
+    void *const copy = malloc(size ? size : 1);
+    if (!copy)
+        abort();
+    if (size)
+        memcpy(copy, list, size);
+    return copy;
+}
+
+void placing_set_services(placing_t *p, const placing_service_t *list, uint32_t n)
+{
+    free(p->services);
+    p->services = copy_of(list, n * sizeof(*list));
+    p->services_n = n;
+    configure(p, tc_time_now());
+}
+
+void placing_set_backends(placing_t *p, const backend_t *list, uint32_t n)
+{
+    const bool same = p->backends_n == n && p->backends && memcmp(p->backends, list, n * sizeof(*list)) == 0;
+    if (same)
+        return;
+    free(p->backends);
+    p->backends = copy_of(list, n * sizeof(*list));
+    p->backends_n = n;
+    configure(p, tc_time_now());
+}
+
+/* ===== Actions ===== */
+
+static void log_placed(const sched_action_t *action)
+{
+    const msg_placed_t *const placed = &action->u.answer.placed;
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "placement");
+    log_str(&line, "request", action->u.answer.id);
+    log_int(&line, "granted", placed->granted);
+    log_str(&line, "reason", placed->reason);
+    log_str(&line, "prefill", placed->prefill);
+    log_str(&line, "decode", placed->decode);
+    log_int(&line, "attempt", placed->attempt);
+    log_int(&line, "candidates", placed->candidates);
+    log_int(&line, "est_ttft_ms", placed->est_ttft_ms);
+    log_end(&line);
+}
+
+static void pump(placing_t *p, tc_time_t now)
+{
+    sched_action_t action;
+    while (p->sched && sched_next_action(p->sched, &action)) {
+        switch (action.kind) {
+        case SCHED_ACT_ANSWER:
+            counter_add(action.u.answer.placed.granted ? &c_granted : &c_refused, 1);
+            log_placed(&action);
+            peer_reply(p->net, (peer_call_t){.connection = action.u.answer.token.a, .call = action.u.answer.token.b},
+                       MSG_PLACED, &action.u.answer.placed);
+            break;
+        case SCHED_ACT_CANCEL:
+            /* Entry boxes end requests by closing their connections: nothing is left to cancel. */
+            sched_cancelled(p->sched, action.u.cancel.engine, action.u.cancel.engine_id, true, now);
+            break;
+        }
+    }
+}
+
+/* ===== Messages ===== */
+
+static void on_renew(placing_t *p, peer_call_t call, const msg_renew_t *renew, tc_time_t now)
+{
+    held_t lost[LOST_MAX];
+    msg_renew_ack_t ack = {.epoch = p->term, .lost = lost};
+    ack.lost_n = sched_renew(p->sched, renew, lost, LOST_MAX, &ack.want_list, now);
+    peer_reply(p->net, call, MSG_RENEW_ACK, &ack);
+}
+
+bool placing_receive(placing_t *p, peer_call_t call, uint32_t type, const void *message, tc_time_t now)
+{
+    const sched_token_t token = {.a = call.connection, .b = call.call};
+    if (type != MSG_PLACE && type != MSG_REPLAN && type != MSG_PROGRESS && type != MSG_RENEW)
+        return false;
+    if (!p->sched) {
+        tc_err_t err = {0};
+        tc_err_set(&err, TC_E_NOT_LEADER, "place", "", "this box does not lead");
+        peer_reply_error(p->net, call, &err);
+        return true;
+    }
+    switch (type) {
+    case MSG_PLACE: sched_place(p->sched, message, token, now); break;
+    case MSG_REPLAN: sched_replan(p->sched, message, token, now); break;
+    case MSG_PROGRESS: sched_progress(p->sched, message, now); break;
+    default: on_renew(p, call, message, now); break;
+    }
+    pump(p, now);
+    return true;
+}
+
+/* ===== Life ===== */
+
+void placing_tick(placing_t *p, uint64_t term, uint32_t boxes, tc_time_t now)
+{
+    if (p->sched && term != p->term) {
+        sched_destroy(p->sched); /* whoever waits asks the next leader, or places by itself */
+        p->sched = NULL;
+    }
+    if (!p->sched && term != 0) {
+        const sched_options_t options = {.cell = CELL, .epoch = term, .piece_tokens = SCHED_SMALL_PIECE_TOKENS, .rebuild = true};
+        p->sched = sched_create(&options, now);
+        p->term = term;
+        configure(p, now);
+    }
+    if (!p->sched)
+        return;
+    sched_expect_reports(p->sched, boxes);
+    sched_tick(p->sched, now);
+    pump(p, now);
+}
+
+placing_t *placing_create(peer_net_t *net)
+{
+    placing_t *const p = g_new0(placing_t, 1);
+    p->net = net;
+    return p;
+}
+
+void placing_destroy(placing_t *p)
+{
+    if (p->sched)
+        sched_destroy(p->sched);
+    free(p->services);
+    free(p->backends);
+    g_free(p);
+}
--- /dev/null
+++ b/lib/cluster/placing.h
@@ -0,0 +1,47 @@
+/** @file placing.h
+ * The scheduler core (sched/sched.h) beside the leader of the control boxes: the leader's lease is the scheduler's.
+ *
+ * A box that begins to lead begins with an empty scheduler, which learns from the
+ * entry boxes' renewals what is under way before it grants. Whoever leads no more
+ * drops it. Entry boxes that get no answer place by themselves meanwhile.
+ *
+ * Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_CLUSTER_PLACING_H
+#define TRACKCOVE_CLUSTER_PLACING_H
+
+/* ===== Dependencies ===== */
+
+#include "gen/schema.h"
+#include "peer/peer.h"
+
+/* ===== Types ===== */
+
+typedef struct placing placing_t;
+
+/** What the scheduler needs to know of a service whose back ends are engines. */
+typedef struct {
+    char service[CODEC_STR_SIZE];
+    uint32_t slots;         /**< requests that an engine runs at once */
+    uint32_t memory_tokens; /**< KV cache of an engine */
+    double link_tokens_s;   /**< KV cache that an engine's link carries, tokens a second */
+} placing_service_t;
+
+/* ===== Public functions ===== */
+
+placing_t *placing_create(peer_net_t *net);
+void placing_destroy(placing_t *placing);
+
+/** The services with engines, from the configuration; copied. */
+void placing_set_services(placing_t *placing, const placing_service_t *list, uint32_t n);
+/** The back ends, from discovery; copied. */
+void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
+
+/** Call every tick. @param term of the leadership, 0 when this box does not lead @param boxes entry boxes that are
+ *  there */
+void placing_tick(placing_t *placing, uint64_t term, uint32_t boxes, tc_time_t now);
+
+/** Take a message. @return false when it is none of the scheduler's */
+bool placing_receive(placing_t *placing, peer_call_t call, uint32_t type, const void *message, tc_time_t now);
+
+#endif
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -102,8 +102,8 @@
 static void note_version(replica_t *r)
 {
     counter_set(&c_version, (int64_t)r->document.version);
-    if (r->options.on_document)
-        r->options.on_document(r->options.arg, &r->document);
+    if (r->options.on_document && r->placing) /* not before all of this box stands */
+        r->options.on_document(r->options.arg, r, &r->document);
 }
 
 static void apply(replica_t *r, const log_entry_t *entry)
@@ -302,6 +302,8 @@
     replica_t *const r = arg;
     const tc_time_t now = tc_time_now();
     (void)from;
+    if (placing_receive(r->placing, call, type, message, now))
+        return;
     switch (type) {
     case MSG_REPORT: reports_answer(r, call, message, now); break;
     case MSG_JOIN: on_join(r, call, message, now); break;
@@ -326,6 +328,7 @@
         log_cluster(r, leads ? "this box leads" : "this box leads no more");
     r->led = leads;
     counter_set(&c_leads, leads);
+    placing_tick(r->placing, leads ? raft_view(r->raft).term : 0, roster_count(r->roster), now);
     offer_t *o, *next;
     cds_list_for_each_entry_safe(o, next, &r->offers, node)
         if (now >= o->deadline)
@@ -391,6 +394,11 @@
     return store_found(options->data_dir, founder_id(options->peer_listen), &image, err);
 }
 
+void replica_set_services(replica_t *r, const placing_service_t *list, uint32_t n)
+{
+    placing_set_services(r->placing, list, n);
+}
+
 void replica_reseed(replica_t *r, const char *const *seeds)
 {
     g_strfreev(r->seeds);
@@ -418,9 +426,9 @@
     codec_copy_string(r->self.http, sizeof(r->self.http), options->http_addr);
     const uint64_t incarnation = (uint64_t)tc_time_wall();
     start.seed = incarnation ^ start.id;
+    r->raft = raft_create(&start, tc_time_now());
     if (start.snapshot.last_index > 0)
         load_image(r, &start.snapshot);
-    r->raft = raft_create(&start, tc_time_now());
     store_start_free(&start);
     const peer_options_t peer_options = {.box = options->peer_listen,
                                          .incarnation = incarnation,
@@ -433,7 +441,10 @@
         replica_destroy(r);
         return NULL;
     }
+    r->placing = placing_create(r->net);
     log_cluster(r, "started");
+    if (r->document.version > 0)
+        note_version(r);
     loop_add_tick(loop, TICK_MS, on_tick, r);
     return r;
 }
@@ -443,6 +454,8 @@
     offers_fail(r, TC_E_BROKEN);
     if (r->net)
         peer_destroy(r->net);
+    if (r->placing)
+        placing_destroy(r->placing);
     store_close(r->store);
     raft_destroy(r->raft);
     roster_destroy(r->roster);
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -14,6 +14,7 @@
 /* ===== Dependencies ===== */
 
 #include "cluster/document.h"
+#include "cluster/placing.h"
 #include "control/raft.h"
 #include "peer/peer.h"
 
@@ -29,7 +30,8 @@
     uint32_t voters_wanted;  /**< enough to bear the losses that the deployment is to bear */
     bool found;              /**< first start of the whole system */
     const char *const *seeds; /**< peer addresses, NULL at the end; may change between calls of replica_reseed */
-    void (*on_document)(void *arg, const document_t *document); /**< a newer one was accepted; may be NULL */
+    /** A newer document was accepted, or one was there at the start; may be NULL. */
+    void (*on_document)(void *arg, replica_t *replica, const document_t *document);
     void *arg;
 } replica_options_t;
 
@@ -62,4 +64,7 @@
 /** The list of back ends, as this box's discovery has it: told to the boxes that report here. Copied. */
 void replica_set_backends(replica_t *replica, const backend_t *list, uint32_t n, tc_time_t fetched);
 
+/** The services with engines that the document names: for the scheduler beside the leader. */
+void replica_set_services(replica_t *replica, const placing_service_t *list, uint32_t n);
+
 #endif
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -41,6 +41,7 @@
     bool led; /* at the last look */
     bool pumping;
     roster_t *roster;
+    placing_t *placing;
     backend_t *backends;
     uint32_t backends_n;
     uint64_t backends_hash;
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -24,6 +24,7 @@
     r->backends_n = n;
     r->backends_hash = XXH64(list, n * sizeof(*list), 0) | 1;
     r->backends_fetched = fetched;
+    placing_set_backends(r->placing, list, n);
 }
 
 static void add_backends(const replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -292,6 +292,23 @@
     }
 }
 
+/* ===== To the leader ===== */
+
+bool reporter_call_leader(reporter_t *r, uint32_t type, const void *message, tc_time_t limit, peer_reply_t callback,
+                          void *arg)
+{
+    if (!r->connected)
+        return false;
+    peer_call(r->net, r->leader, type, message, limit, callback, arg);
+    return true;
+}
+
+void reporter_tell_leader(reporter_t *r, uint32_t type, const void *message)
+{
+    if (r->connected)
+        peer_send(r->net, r->leader, type, message);
+}
+
 /* ===== Looking ===== */
 
 void reporter_hurry(reporter_t *r)
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -56,6 +56,13 @@
 tc_time_t reporter_backends_time(const reporter_t *reporter);
 /** Take a list that this box has read by itself. */
 void reporter_set_backends(reporter_t *reporter, const backend_t *list, uint32_t n, tc_time_t fetched);
+/** Call the leader of the control boxes.
+ * @return false, with nothing done, when none is known; else @p callback runs as with peer_call */
+bool reporter_call_leader(reporter_t *reporter, uint32_t type, const void *message, tc_time_t limit,
+                          peer_reply_t callback, void *arg);
+/** Tell the leader, without an answer; dropped when none is known. */
+void reporter_tell_leader(reporter_t *reporter, uint32_t type, const void *message);
+
 /** Where operators reach the leader, "" when unknown. */
 const char *reporter_leader_http(const reporter_t *reporter);
 
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -87,6 +87,11 @@
 
 /* ===== Telling ===== */
 
+uint32_t roster_count(const roster_t *r)
+{
+    return r->n;
+}
+
 entry_box_t *roster_list(const roster_t *r, uint32_t *n, uint64_t *hash)
 {
     entry_box_t *const list = calloc(r->n + 1, sizeof(*list));
--- a/lib/cluster/roster.h
+++ b/lib/cluster/roster.h
@@ -26,6 +26,8 @@
 /** Forget boxes that fell silent. */
 void roster_expire(roster_t *roster, tc_time_t now);
 
+/** How many boxes are there. */
+uint32_t roster_count(const roster_t *roster);
 /** Boxes that are there. @return heap array for free(), in a stable order; @p hash names this state of the list */
 entry_box_t *roster_list(const roster_t *roster, uint32_t *n, uint64_t *hash);
 /** What all boxes but @p except have in flight, by back end. @return heap array for free() */
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -96,7 +96,7 @@
     return strcmp(name, "decode") == 0 ? STAGE_DECODE : STAGE_NONE;
 }
 
-static instance_t *find(const fleet_t *f, const char *id)
+instance_t *fleet_find(const fleet_t *f, const char *id)
 {
     for (guint i = 0; i < f->instances->len; i++) {
         instance_t *const instance = g_ptr_array_index(f->instances, i);
@@ -110,7 +110,7 @@
 {
     GPtrArray *const fresh = g_ptr_array_new_with_free_func(drop);
     for (uint32_t i = 0; i < n; i++) {
-        instance_t *const known = find(f, list[i].id);
+        instance_t *const known = fleet_find(f, list[i].id);
         instance_t *const instance = known ? instance_ref(known) : g_new0(instance_t, 1);
         if (!known)
             instance->refs = 1;
@@ -141,7 +141,7 @@
         instance->other_tokens = 0;
     }
     for (uint32_t i = 0; i < n; i++) {
-        instance_t *const instance = find(f, loads[i].id);
+        instance_t *const instance = fleet_find(f, loads[i].id);
         if (!instance)
             continue;
         instance->others = loads[i].running;
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -56,7 +56,7 @@
 
 /** Replace what is listed. Instances that stay keep what is known of them. */
 void fleet_list(fleet_t *fleet, const backend_t *list, uint32_t n);
-/** Drop what discovery did not say anything about for too long? No: see discover.h. Number of listed instances. */
+/** Number of listed instances. */
 unsigned fleet_size(const fleet_t *fleet);
 
 /** What other boxes have in flight; instances not named have nothing. */
@@ -64,6 +64,8 @@
 /** What this box has in flight, for the others. @return heap array for free(), its length in @p n */
 backend_load_t *fleet_own_loads(const fleet_t *fleet, uint32_t *n);
 
+/** The listed instance of that id, borrowed, or NULL. */
+instance_t *fleet_find(const fleet_t *fleet, const char *id);
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
 /** Whether any listed back end of the service has that stage. */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -42,6 +42,7 @@
     assert(!f->step); /* a call under way would report to freed memory */
     loop_disarm(&f->limit);
     loop_disarm(&f->patience);
+    place_end(f);
     handle_release(f);
     f->owner->busy--;
     cds_list_del(&f->node);
@@ -127,6 +128,13 @@
     return fleet_choose(f->owner->fleet, &wish);
 }
 
+/** The scheduler's choice, else our own. */
+static instance_t *choose_engine(forward_t *f, stage_t stage)
+{
+    instance_t *const chosen = place_chosen(f, stage);
+    return chosen ? chosen : choose(f, stage);
+}
+
 static void send_to(forward_t *f, dialect_ask_t ask, instance_t *instance)
 {
     if (!instance) {
@@ -150,13 +158,16 @@
         send_to(f, DIALECT_SERVE, choose(f, STAGE_NONE));
         return;
     }
-    instance_t *const prefill = f->handle.instance ? NULL : choose(f, STAGE_PREFILL);
+    if (place_ask(f))
+        return; /* goes on when the scheduler has answered */
+    instance_t *const prefill = f->handle.instance ? NULL : choose_engine(f, STAGE_PREFILL);
     if (prefill) {
+        f->placement.prefill_began = tc_time_now();
         send_to(f, DIALECT_PREFILL, prefill);
         return;
     }
     /* Without a prefill engine the decode engine reads the prompt itself, slowly. */
-    send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose(f, STAGE_DECODE));
+    send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose_engine(f, STAGE_DECODE));
 }
 
 /* ===== Beginning ===== */
@@ -248,6 +259,12 @@
     fw->table = table ? route_table_ref(table) : NULL;
 }
 
+void forwarder_set_scheduler(forwarder_t *fw, reporter_t *reporter)
+{
+    fw->scheduler = reporter;
+    place_start(fw);
+}
+
 void forwarder_set_boxes(forwarder_t *fw, unsigned boxes)
 {
     fw->boxes = boxes ? boxes : 1;
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -13,6 +13,7 @@
 
 /* ===== Dependencies ===== */
 
+#include "cluster/reporter.h"
 #include "forward/fleet.h"
 #include "forward/retry_budget.h"
 #include "forward/route.h"
@@ -24,6 +25,8 @@
 typedef struct forwarder forwarder_t;
 
 typedef struct {
+    const char *box;        /**< name of this box */
+    uint64_t incarnation;   /**< of this start of it */
     const char *dc;         /**< data centre of this box */
     retry_rules_t retries;
     tc_time_t pause_limit;  /**< a stream that may be taken up elsewhere is, after a silence of this long; ms */
@@ -36,6 +39,9 @@
 
 /** Requests from now on are routed by @p table; a reference is taken. NULL: none is known. */
 void forwarder_set_routes(forwarder_t *forwarder, route_table_t *table);
+/** Ask the scheduler beside the leader of the control boxes for placements; without it, or while it does not answer,
+ *  the box places by itself. */
+void forwarder_set_scheduler(forwarder_t *forwarder, reporter_t *reporter);
 /** How many boxes share the retry allowance. */
 void forwarder_set_boxes(forwarder_t *forwarder, unsigned boxes);
 /** Requests under way. */
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -18,6 +18,9 @@
     CONNECT_MS = 250,       /* a back end in reach takes a few ms; a dark one never answers */
     ANSWER_MARGIN_MS = 30,  /* the final answer leaves this long before the request's time is over */
     RETRY_AFTER_MS = 250,   /* when a refused caller may come back: places free up within one request's work */
+    PLACE_LIMIT_MS = 210,   /* for the scheduler's answer, queueing there included: under a quarter of the time to the
+                               first token that callers want, since a refusal that comes later is of no use to them */
+    RENEW_MS = 300,         /* as SCHED_RENEW_MS */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
 
@@ -41,6 +44,16 @@
     tc_time_t began;
 } step_t;
 
+/** A request's placement by the scheduler. */
+typedef struct {
+    struct placing_call *asking; /* the question under way, or NULL */
+    bool asked;                  /* the scheduler was asked, or there was none to ask */
+    uint32_t attempt;            /* what the scheduler counts it as, 0 for nothing */
+    char prefill[CODEC_STR_SIZE];
+    char decode[CODEC_STR_SIZE];
+    tc_time_t prefill_began;
+} placement_t;
+
 /** A prefill result that waits for a decode engine. */
 typedef struct {
     instance_t *instance; /* NULL: there is none */
@@ -65,6 +78,7 @@
     loop_timer_t patience; /* of the step under way */
     step_t *step;          /* the call under way, or NULL */
     handle_t handle;
+    placement_t placement;
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
     unsigned arrivals;        /* sent to a back end, prefills beside */
@@ -82,6 +96,9 @@
     web_client_t *client;
     forwarder_options_t options;
     route_table_t *table;
+    reporter_t *scheduler; /* NULL: place alone */
+    loop_timer_t renewal;
+    bool renewed_any; /* the scheduler counts something as ours */
     GHashTable *budgets; /* service name to retry_budget_t */
     unsigned boxes;
     unsigned busy;
@@ -101,6 +118,21 @@
 bool forward_may_retry(forward_t *f);
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
 
+/* ===== forward_place.c ===== */
+
+/** Ask the scheduler. @return false when the box has to place by itself; else forward_go_on or forward_fail follows */
+bool place_ask(forward_t *f);
+/** The decode engine turned the request away: ask for another. @return as place_ask */
+bool place_ask_again(forward_t *f, const char *bad);
+/** The instance that the scheduler chose, as a reference, or NULL when it chose none that is known here. */
+instance_t *place_chosen(const forward_t *f, stage_t stage);
+/** Tell the scheduler how far the request is. @param bad instance that failed, or NULL */
+void place_tell(forward_t *f, phase_t phase, const instance_t *bad);
+/** The request ends: whatever is reserved for it is free. */
+void place_end(forward_t *f);
+/** Begin renewing. */
+void place_start(forwarder_t *fw);
+
 /* ===== forward_step.c ===== */
 
 /** Send the request to @p instance, whose reference is taken over. */
--- /dev/null
+++ b/lib/forward/forward_place.c
@@ -0,0 +1,239 @@
+/* Placements: asking the scheduler beside the leader, renewing what it granted, and telling it how requests fare. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counter.h"
+#include "forward/forward_internal.h"
+#include "sched/sched.h"
+
+COUNTER_DEFINE(c_granted, "counter", "trackcove_place_granted_total", "Placements that the scheduler granted")
+COUNTER_DEFINE(c_refused, "counter", "trackcove_place_refused_total", "Placements that the scheduler refused")
+COUNTER_DEFINE(c_alone, "counter", "trackcove_place_alone_total", "Placements that this box made without an answer")
+
+/** Attempts that this box numbers by itself are below those of any scheduler. */
+enum { OWN_ATTEMPTS = 1000000 };
+/** All engines are one cell. */
+static const char CELL[] = "main";
+
+/** A question under way. Outlives its request when the caller leaves. */
+typedef struct placing_call {
+    forward_t *request; /* NULL once it has ended */
+} placing_call_t;
+
+/* ===== Questions ===== */
+
+/** Place alone, and have it counted with the next renewal. */
+static void place_alone(forward_t *f)
+{
+    counter_add(&c_alone, 1);
+    f->placement.attempt = g_rand_int_range(f->owner->random, 1, OWN_ATTEMPTS);
+    f->placement.prefill[0] = f->placement.decode[0] = '\0';
+}
+
+static void take_placed(forward_t *f, const msg_placed_t *placed)
+{
+    if (!placed->granted) {
+        counter_add(&c_refused, 1);
+        forward_fail(f, "refused by the scheduler");
+        return;
+    }
+    counter_add(&c_granted, 1);
+    f->placement.attempt = placed->attempt;
+    if (placed->prefill[0])
+        codec_copy_string(f->placement.prefill, sizeof(f->placement.prefill), placed->prefill);
+    codec_copy_string(f->placement.decode, sizeof(f->placement.decode), placed->decode);
+    forward_go_on(f);
+}
+
+static void on_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    placing_call_t *const call = arg;
+    forward_t *const f = call->request;
+    g_free(call);
+    (void)err; /* what counts is that there is no answer */
+    if (!f)
+        return;
+    f->placement.asking = NULL;
+    if (rc == TC_OK && type == MSG_PLACED) {
+        take_placed(f, message);
+        return;
+    }
+    if (rc == TC_E_TIMEOUT)
+        place_tell(f, PHASE_FAILED, NULL); /* it may still wait there */
+    forward_log(f, "place_alone", "no answer of the scheduler", 0, NULL);
+    place_alone(f);
+    forward_go_on(f);
+}
+
+static bool ask(forward_t *f, uint32_t type, const void *message)
+{
+    placing_call_t *const call = g_new0(placing_call_t, 1);
+    call->request = f;
+    f->placement.asking = call;
+    if (reporter_call_leader(f->owner->scheduler, type, message, PLACE_LIMIT_MS, on_placed, call))
+        return true;
+    f->placement.asking = NULL;
+    g_free(call);
+    return false;
+}
+
+bool place_ask(forward_t *f)
+{
+    forwarder_t *const fw = f->owner;
+    const tc_time_t now = tc_time_now();
+    if (f->placement.asked)
+        return false;
+    f->placement.asked = true;
+    if (!fw->scheduler || !f->facts.id[0])
+        return false;
+    const tc_time_t wait = f->request.arrived + f->route->aim - now;
+    msg_place_t place = {.prompt_tokens = f->facts.prompt_tokens,
+                         .max_tokens = f->facts.output_tokens,
+                         .priority = f->route->priority,
+                         .wait_ms = wait > 1 ? (uint32_t)wait : 1,
+                         .repeatable = route_is_repeatable(f->route)};
+    codec_copy_string(place.cell, sizeof(place.cell), CELL);
+    codec_copy_string(place.id, sizeof(place.id), f->facts.id);
+    codec_copy_string(place.box, sizeof(place.box), fw->options.box);
+    codec_copy_string(place.model, sizeof(place.model), f->service);
+    if (ask(f, MSG_PLACE, &place))
+        return true;
+    place_alone(f);
+    return false;
+}
+
+bool place_ask_again(forward_t *f, const char *bad)
+{
+    if (!f->placement.decode[0])
+        return false; /* the scheduler did not choose: it can't choose anew */
+    msg_replan_t replan = {.attempt = f->placement.attempt};
+    codec_copy_string(replan.cell, sizeof(replan.cell), CELL);
+    codec_copy_string(replan.id, sizeof(replan.id), f->facts.id);
+    codec_copy_string(replan.bad, sizeof(replan.bad), bad);
+    f->placement.decode[0] = '\0';
+    if (ask(f, MSG_REPLAN, &replan))
+        return true;
+    place_alone(f);
+    return false;
+}
+
+instance_t *place_chosen(const forward_t *f, stage_t stage)
+{
+    const char *const id = stage == STAGE_PREFILL ? f->placement.prefill : f->placement.decode;
+    const GPtrArray *const tried = stage == STAGE_PREFILL ? f->tried_prefill : f->tried;
+    instance_t *const instance = id[0] ? fleet_find(f->owner->fleet, id) : NULL;
+    if (!instance || instance->listed.draining || g_ptr_array_find((GPtrArray *)(uintptr_t)tried, instance, NULL))
+        return NULL;
+    return instance_ref(instance);
+}
+
+/* ===== Telling ===== */
+
+void place_tell(forward_t *f, phase_t phase, const instance_t *bad)
+{
+    forwarder_t *const fw = f->owner;
+    if (!fw->scheduler || !f->placement.asked)
+        return;
+    msg_progress_t progress = {.attempt = f->placement.attempt, .phase = phase};
+    codec_copy_string(progress.cell, sizeof(progress.cell), CELL);
+    codec_copy_string(progress.id, sizeof(progress.id), f->facts.id);
+    codec_copy_string(progress.bad, sizeof(progress.bad), bad ? bad->listed.id : "");
+    if (phase == PHASE_TRANSFER) {
+        progress.took_ms = (uint32_t)(tc_time_now() - f->placement.prefill_began);
+        progress.computed_tokens = f->facts.prompt_tokens;
+    }
+    reporter_tell_leader(fw->scheduler, MSG_PROGRESS, &progress);
+}
+
+void place_end(forward_t *f)
+{
+    if (f->placement.asking) {
+        f->placement.asking->request = NULL;
+        f->placement.asking = NULL;
+    }
+    if (f->split)
+        place_tell(f, f->events > 0 ? PHASE_FINISHED : PHASE_FAILED, NULL);
+}
+
+/* ===== Renewing ===== */
+
+static bool is_counted(const forward_t *f)
+{
+    return f->split && f->placement.attempt > 0 && !f->placement.asking;
+}
+
+static phase_t phase_of(const forward_t *f)
+{
+    if (f->begun)
+        return PHASE_DECODE;
+    return f->handle.instance ? PHASE_TRANSFER : PHASE_PREFILL;
+}
+
+static void fill_held(const forward_t *f, held_t *held)
+{
+    codec_copy_string(held->id, sizeof(held->id), f->facts.id);
+    held->attempt = f->placement.attempt;
+    held->phase = phase_of(f);
+    held->prompt_tokens = f->facts.prompt_tokens;
+    held->max_tokens = f->facts.output_tokens;
+    held->pieces = sched_pieces_of(SCHED_SMALL_PIECE_TOKENS, f->facts.prompt_tokens, f->facts.output_tokens);
+    codec_copy_string(held->prefill, sizeof(held->prefill), f->placement.prefill);
+    const bool decoding = f->step && f->step->ask != DIALECT_PREFILL;
+    codec_copy_string(held->decode, sizeof(held->decode),
+                      decoding ? f->step->instance->listed.id : f->placement.decode);
+}
+
+static void send_renewal(forwarder_t *fw, bool listed);
+
+static void on_renewed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    forwarder_t *const fw = arg;
+    (void)err; /* the next renewal follows anyway */
+    if (rc != TC_OK || type != MSG_RENEW_ACK)
+        return;
+    const msg_renew_ack_t *const ack = message;
+    if (ack->want_list)
+        send_renewal(fw, true);
+    for (uint32_t i = 0; i < ack->lost_n; i++) {
+        forward_t *f;
+        cds_list_for_each_entry(f, &fw->requests, node)
+            if (strcmp(f->facts.id, ack->lost[i].id) == 0 && f->placement.attempt == ack->lost[i].attempt)
+                f->placement.attempt = 0; /* it runs on; the scheduler counts it no more */
+    }
+}
+
+static void send_renewal(forwarder_t *fw, bool listed)
+{
+    msg_renew_t renew = {.incarnation = fw->options.incarnation, .listed = listed};
+    codec_copy_string(renew.cell, sizeof(renew.cell), CELL);
+    codec_copy_string(renew.box, sizeof(renew.box), fw->options.box);
+    renew.held = calloc(fw->busy + 1, sizeof(*renew.held));
+    if (!renew.held)
+        abort();
+    const forward_t *f;
+    cds_list_for_each_entry(f, &fw->requests, node) {
+        if (!is_counted(f))
+            continue;
+        renew.count++;
+        renew.digest ^= sched_digest(f->facts.id, f->placement.attempt);
+        if (listed)
+            fill_held(f, &renew.held[renew.held_n++]);
+    }
+    if (renew.count > 0 || fw->renewed_any || listed)
+        (void)reporter_call_leader(fw->scheduler, MSG_RENEW, &renew, RENEW_MS, on_renewed, fw);
+    fw->renewed_any = renew.count > 0;
+    free(renew.held);
+}
+
+static void on_renewal(void *arg)
+{
+    forwarder_t *const fw = arg;
+    send_renewal(fw, false);
+    loop_arm(fw->loop, &fw->renewal, tc_time_now() + RENEW_MS, on_renewal, fw);
+}
+
+void place_start(forwarder_t *fw)
+{
+    on_renewal(fw);
+}
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -91,11 +91,16 @@
     g_ptr_array_add(ask == DIALECT_PREFILL ? f->tried_prefill : f->tried, instance_ref(s->instance));
     if (ask == DIALECT_DECODE && refused && f->handle.instance && now >= f->handle.until)
         handle_forget(f);
+    char bad[CODEC_STR_SIZE];
+    codec_copy_string(bad, sizeof(bad), s->instance->listed.id);
     step_free(s);
-    if (refused && !forward_may_retry(f))
+    if (refused && !forward_may_retry(f)) {
         forward_fail(f, "retry budget is used up");
-    else
-        forward_go_on(f);
+        return;
+    }
+    if (ask == DIALECT_DECODE && place_ask_again(f, bad))
+        return;
+    forward_go_on(f);
 }
 
 /** The back end may have run the request and its answer is lost. */
@@ -148,6 +153,7 @@
     f->handle = (handle_t){.instance = instance_ref(s->instance),
                            .name = name,
                            .until = tc_time_now() + f->settings->handle_ttl};
+    place_tell(f, PHASE_TRANSFER, NULL);
     step_free(s);
     forward_go_on(f);
 }
@@ -239,6 +245,7 @@
         handle_forget(f); /* the decode engine has it */
     if (streams && !f->begun) {
         f->begun = true;
+        place_tell(f, PHASE_DECODE, NULL);
         web_begin(f->exchange, head->status, s->head->str);
     }
     if (streams)
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -22,13 +22,18 @@
     return XXH3_64bits_withSeed(id, strlen(id), attempt);
 }
 
-uint32_t sched_pieces(uint32_t prompt_tokens, uint32_t max_tokens)
+uint32_t sched_pieces_of(uint32_t piece_tokens, uint32_t prompt_tokens, uint32_t max_tokens)
 {
     const uint64_t tokens = (uint64_t)prompt_tokens + max_tokens;
-    const uint64_t pieces = (tokens + SCHED_PIECE_TOKENS - 1) / SCHED_PIECE_TOKENS;
+    const uint64_t pieces = (tokens + piece_tokens - 1) / piece_tokens;
     return pieces > 0 ? (uint32_t)pieces : 1;
 }
 
+uint32_t sched_pieces(uint32_t prompt_tokens, uint32_t max_tokens)
+{
+    return sched_pieces_of(SCHED_PIECE_TOKENS, prompt_tokens, max_tokens);
+}
+
 sched_action_t *add_action(sched_t *s, sched_action_kind_t kind)
 {
     queued_action_t *const item = g_new0(queued_action_t, 1);
@@ -182,6 +187,7 @@
     codec_copy_string(s->cell, sizeof(s->cell), options->cell);
     s->epoch = options->epoch;
     s->share_of = options->share_of > 0 ? options->share_of : 1;
+    s->piece_tokens = options->piece_tokens > 0 ? options->piece_tokens : SCHED_PIECE_TOKENS;
     s->rebuilding = options->rebuild;
     s->rebuild_from = now;
     s->admit_from = options->rebuild ? now + SCHED_REBUILD_MS : now;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -33,6 +33,9 @@
 
 /** Tokens in one piece of engine memory (users' brief). */
 #define SCHED_PIECE_TOKENS 2000u
+/** The same where memory is handed out by small blocks and prompts are some thousand tokens: pieces of this size waste
+ *  a few in a hundred. */
+#define SCHED_SMALL_PIECE_TOKENS 256u
 /** A reservation lapses when its entry box has not renewed it for this long. Entry boxes renew every
  *  SCHED_RENEW_MS, so four renewals in a row must be lost. */
 #define SCHED_LEASE_MS 1200
@@ -57,6 +60,7 @@
     const char *cell;  /**< engines with this cell belong to the scheduler */
     uint64_t epoch;    /**< of the lease */
     uint32_t share_of; /**< 1: the whole cell. N: one Nth of each engine (policy "share") */
+    uint32_t piece_tokens; /**< size of the pieces that memory is counted in; 0 for SCHED_PIECE_TOKENS */
     bool rebuild;      /**< start with SCHED_REBUILD_MS of learning */
 } sched_options_t;
 
@@ -177,7 +181,9 @@
 /** The id by which an engine knows an attempt of a request. */
 void sched_engine_id(char *to, size_t size, const char *id, uint32_t attempt);
 
-/** Pieces of engine memory a request needs. */
+/** Pieces of engine memory a request needs, in pieces of SCHED_PIECE_TOKENS. */
 uint32_t sched_pieces(uint32_t prompt_tokens, uint32_t max_tokens);
+/** The same in pieces of another size. */
+uint32_t sched_pieces_of(uint32_t piece_tokens, uint32_t prompt_tokens, uint32_t max_tokens);
 
 #endif
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -34,7 +34,7 @@
 
 static bool link_takes(const link_t *link, const request_t *r)
 {
-    return !link || r->prompt_tokens < LONG_TRANSFER_TOKENS || link->long_transfers < LONG_TRANSFERS_A_LINK;
+    return !link || !link_is_long(link, r->prompt_tokens) || link->long_transfers < LONG_TRANSFERS_A_LINK;
 }
 
 /** Best decode engine behind one prefill engine. */
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -88,6 +88,11 @@
     return NULL;
 }
 
+bool link_is_long(const link_t *link, double tokens)
+{
+    return tokens >= LONG_TRANSFER_TOKENS && tokens / link->rate >= LONG_TRANSFER_MS;
+}
+
 double link_ms(const sched_t *s, const link_t *link, double tokens)
 {
     if (!link)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -24,6 +24,7 @@
     DISPATCH_WINDOW_MS = 40,     /* a prefill engine with less work than this is given more: covers the round
                                     trip of the entry's report, so that the engine does not stand idle */
     LONG_TRANSFER_TOKENS = 8000, /* from here on a transfer counts as long */
+    LONG_TRANSFER_MS = 20,       /* but not where the link carries it in less than this */
     LONG_TRANSFERS_A_LINK = 2,   /* long transfers under way on one link */
     STALL_AVOID_MS = 2500,       /* an engine to which a handover stalled is passed over for this long */
     SUSPECT_MS = 1000,           /* an engine that failed a request gets none for this long, or until it answers */
@@ -113,6 +114,7 @@
     double est_prefill_ms;
     link_t *link;
     double link_tokens; /* counted in link->outstanding */
+    bool long_transfer; /* counted in link->long_transfers */
 } request_t;
 
 /** An attempt that must go from an engine: its pieces stay reserved until the engine says so. */
@@ -144,6 +146,7 @@
     char cell[CODEC_STR_SIZE];
     uint64_t epoch;
     uint32_t share_of;
+    uint32_t piece_tokens; /* memory is counted in pieces of this size */
     tc_time_t admit_from;
     tc_time_t rebuild_from;
     uint32_t expected, reports; /* live entry boxes, and how many of them have renewed */
@@ -178,6 +181,8 @@
 void engine_remember(engine_t *e, const uint64_t *chain, uint32_t n, tc_time_t now);
 void engine_learn_rate(engine_t *e, double est_ms, const msg_progress_t *progress);
 link_t *link_between(const sched_t *s, const char *a, const char *b);
+/** Whether a transfer of @p tokens takes the link for so long that others have to be kept from it. */
+bool link_is_long(const link_t *link, double tokens);
 /** Time a transfer of @p tokens granted now would take, in ms. */
 double link_ms(const sched_t *s, const link_t *link, double tokens);
 
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -171,7 +171,7 @@
     codec_copy_string(r->avoid, sizeof(r->avoid), place->avoid);
     r->prompt_tokens = place->prompt_tokens;
     r->max_tokens = place->max_tokens;
-    r->pieces = sched_pieces(place->prompt_tokens, place->max_tokens);
+    r->pieces = sched_pieces_of(s->piece_tokens, place->prompt_tokens, place->max_tokens);
     r->priority = place->priority;
     r->content = place->content;
     r->chain = g_memdup2(place->chain, place->chain_n * sizeof(*place->chain));
--- a/lib/sched/sched_reserve.c
+++ b/lib/sched/sched_reserve.c
@@ -14,7 +14,8 @@
     if (!link)
         return;
     link->outstanding += r->link_tokens;
-    if (r->prompt_tokens >= LONG_TRANSFER_TOKENS)
+    r->long_transfer = link_is_long(link, r->link_tokens);
+    if (r->long_transfer)
         link->long_transfers++;
 }
 
@@ -37,7 +38,7 @@
     p->prefills++;
     r->prefill = p;
     r->prefilling = true;
-    r->predicted_cached = engine_cached_pieces(p, r->chain, r->n_chain) * SCHED_PIECE_TOKENS;
+    r->predicted_cached = engine_cached_pieces(p, r->chain, r->n_chain) * s->piece_tokens;
     r->est_prefill_ms = backlog; /* what stood before it: engine_learn_rate wants to know */
     engine_remember(p, r->chain, r->n_chain, now);
 }
@@ -64,7 +65,7 @@
     link->outstanding -= r->link_tokens;
     if (link->outstanding < 0.5)
         link->outstanding = 0;
-    if (r->prompt_tokens < LONG_TRANSFER_TOKENS)
+    if (!r->long_transfer)
         return;
     assert(link->long_transfers > 0); /* counted when the link was taken */
     link->long_transfers--;
