--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -42,6 +42,7 @@
     bool waiting;
     tc_time_t next_at;
     tc_time_t heard;   /* last answer of a control box */
+    tc_time_t leader_heard;
     bool connected;    /* a leader answered last */
     document_t document;
     backend_t *backends;
@@ -211,6 +212,8 @@
     if (ack->leads || ack->members_n > 0)
         r->heard = now;
     set_connected(r, ack->leads);
+    if (ack->leads)
+        r->leader_heard = now;
     if (ack->leads) {
         r->next_at = now + EVERY_MS;
     } else if (ack->leader[0] && strcmp(ack->leader, r->target) != 0) {
@@ -294,6 +297,11 @@
 
 /* ===== To the leader ===== */
 
+tc_time_t reporter_leader_heard(const reporter_t *r)
+{
+    return r->leader_heard;
+}
+
 bool reporter_call_leader(reporter_t *r, uint32_t type, const void *message, tc_time_t limit, peer_reply_t callback,
                           void *arg)
 {
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -56,6 +56,8 @@
 tc_time_t reporter_backends_time(const reporter_t *reporter);
 /** Take a list that this box has read by itself. */
 void reporter_set_backends(reporter_t *reporter, const backend_t *list, uint32_t n, tc_time_t fetched);
+/** When a leader answered last, 0 for never. */
+tc_time_t reporter_leader_heard(const reporter_t *reporter);
 /** Call the leader of the control boxes.
  * @return false, with nothing done, when none is known; else @p callback runs as with peer_call */
 bool reporter_call_leader(reporter_t *reporter, uint32_t type, const void *message, tc_time_t limit,
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -172,6 +172,21 @@
 
 /* ===== Beginning ===== */
 
+static void log_routed(const forward_t *f)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "routed");
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "service", f->service);
+    log_str(&line, "prefix", f->route->prefix);
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "patience_ms", f->facts.patience);
+    log_int(&line, "timeout_ms", f->route->timeout);
+    log_int(&line, "prompt_tokens", f->facts.prompt_tokens);
+    log_int(&line, "output_tokens", f->facts.output_tokens);
+    log_end(&line);
+}
+
 static void refuse(web_exchange_t *exchange, const dialect_request_t *facts, int status, const char *why)
 {
     log_line_t line;
@@ -231,6 +246,7 @@
         return;
     }
     forward_t *const f = forward_create(fw, exchange, request, &facts, route);
+    log_routed(f);
     retry_budget_earn(budget_of(fw, f->service), &fw->options.retries, tc_time_now());
     web_on_gone(exchange, on_caller_gone, f);
     loop_arm(fw->loop, &f->limit, f->deadline, on_limit, f);
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -13,14 +13,30 @@
 
 /** Attempts that this box numbers by itself are below those of any scheduler. */
 enum { OWN_ATTEMPTS = 1000000 };
+/** A leader heard within this time is there: two reports, and the time of an answer. */
+enum { ALIVE_MS = 700 };
 /** All engines are one cell. */
 static const char CELL[] = "main";
 
+/** Of what a request may generate, this share is taken for what it will when its caller makes no guess. */
+static const double USUAL_SHARE = 0.4;
+/** Memory grows with every token: over its life a request holds about half of its output. Engines that run out put a
+ *  request back, so the sum over an engine's requests counts, not the worst of each. */
+static const double MEAN_HELD = 0.5;
+
 /** A question under way. Outlives its request when the caller leaves. */
 typedef struct placing_call {
     forward_t *request; /* NULL once it has ended */
 } placing_call_t;
 
+/** Tokens of output that memory is reserved for. */
+static uint32_t reserved_output(const dialect_request_t *facts)
+{
+    const double most = facts->output_tokens;
+    const double likely = facts->output_guess > 0 ? facts->output_guess : USUAL_SHARE * most;
+    return (uint32_t)(MEAN_HELD * (likely < most ? likely : most));
+}
+
 /* ===== Questions ===== */
 
 /** Place alone, and have it counted with the next renewal. */
@@ -46,6 +62,12 @@
     forward_go_on(f);
 }
 
+/** Whether the scheduler answers others: a question without an answer waits there for room. */
+static bool is_alive(const forwarder_t *fw)
+{
+    return tc_time_now() - reporter_leader_heard(fw->scheduler) < ALIVE_MS;
+}
+
 static void on_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
     placing_call_t *const call = arg;
@@ -61,6 +83,11 @@
     }
     if (rc == TC_E_TIMEOUT)
         place_tell(f, PHASE_FAILED, NULL); /* it may still wait there */
+    if (rc == TC_E_TIMEOUT && is_alive(f->owner)) {
+        counter_add(&c_refused, 1);
+        forward_fail(f, "no room in time"); /* a guess of ours would find none either */
+        return;
+    }
     forward_log(f, "place_alone", "no answer of the scheduler", 0, NULL);
     place_alone(f);
     forward_go_on(f);
@@ -89,7 +116,7 @@
         return false;
     const tc_time_t wait = f->request.arrived + f->route->aim - now;
     msg_place_t place = {.prompt_tokens = f->facts.prompt_tokens,
-                         .max_tokens = f->facts.output_tokens,
+                         .max_tokens = reserved_output(&f->facts),
                          .priority = f->route->priority,
                          .wait_ms = wait > 1 ? (uint32_t)wait : 1,
                          .repeatable = route_is_repeatable(f->route)};
@@ -176,8 +203,8 @@
     held->attempt = f->placement.attempt;
     held->phase = phase_of(f);
     held->prompt_tokens = f->facts.prompt_tokens;
-    held->max_tokens = f->facts.output_tokens;
-    held->pieces = sched_pieces_of(SCHED_SMALL_PIECE_TOKENS, f->facts.prompt_tokens, f->facts.output_tokens);
+    held->max_tokens = reserved_output(&f->facts);
+    held->pieces = sched_pieces_of(SCHED_SMALL_PIECE_TOKENS, held->prompt_tokens, held->max_tokens);
     codec_copy_string(held->prefill, sizeof(held->prefill), f->placement.prefill);
     const bool decoding = f->step && f->step->ask != DIALECT_PREFILL;
     codec_copy_string(held->decode, sizeof(held->decode),
