Control boxes tell the accepted configuration and a list of back ends before a leader is elected

Ruled out: shorter elections (the lease rests on them, and lossy links need them); telling entries of the log that are not known to be accepted. A box that restarts may act on a configuration some hundred ms old until it hears the leader; a running box never goes back.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -27,6 +27,7 @@
                                        operator wants an answer */
     SNAPSHOT_BYTES = 512 * 1024,    /* documents travel whole: the log must not outgrow memory and disk */
     SNAPSHOT_ENTRIES = 128,
+    SNAPSHOT_QUIET_MS = 250,
     FOUNDING_INDEX = 1,             /* of the image that all founders start from */
     FOUNDING_TERM = 1,
     FOUNDERS_MAX = 16
@@ -117,6 +118,7 @@
     r->applied = entry->index;
     r->since_snapshot += entry->data_n;
     r->entries_since++;
+    r->applied_at = tc_time_now();
     if (relation == DOCUMENT_NEWER) {
         counter_add(&c_accepted, 1);
         log_cluster(r, "document accepted");
@@ -195,9 +197,19 @@
     }
 }
 
+/** Also when nothing has come for a moment: what is in a snapshot is known to be accepted without asking anybody, so a
+ *  box that has just started can tell it before a leader is elected. */
+static bool wants_snapshot(const replica_t *r, tc_time_t now)
+{
+    if (r->entries_since == 0)
+        return false;
+    return r->since_snapshot >= SNAPSHOT_BYTES || r->entries_since >= SNAPSHOT_ENTRIES ||
+           now - r->applied_at > SNAPSHOT_QUIET_MS;
+}
+
 static void compact(replica_t *r)
 {
-    if (r->since_snapshot < SNAPSHOT_BYTES && r->entries_since < SNAPSHOT_ENTRIES)
+    if (!wants_snapshot(r, tc_time_now()))
         return;
     size_t size;
     char *const image = codec_pack_bytes(&document_desc, &r->document, &size);
@@ -318,6 +330,7 @@
     replica_t *const r = arg;
     const tc_time_t now = tc_time_now();
     raft_tick(r->raft, now);
+    compact(r);
     join(r, now);
     announce(r, now);
     raft_trim(r->raft, r->options.voters_wanted, now);
@@ -351,6 +364,11 @@
     return &r->document;
 }
 
+bool replica_has_leader(const replica_t *r)
+{
+    return raft_view(r->raft).leader != 0;
+}
+
 const char *replica_leader_http(const replica_t *r)
 {
     const raft_member_t *const leader = raft_find_member(r->raft, raft_view(r->raft).leader);
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -51,12 +51,12 @@
     codec_copy_string(ack.leader, sizeof(ack.leader), leader ? leader->peer : "");
     if (r->document.version > report->version)
         ack.document = r->document;
+    add_backends(r, report, &ack, now);
     backend_load_t *loads = NULL;
     entry_box_t *entries = NULL;
     if (ack.leads) {
         if (report->self.http_addr[0]) /* others only listen */
             roster_hear(r->roster, report, now);
-        add_backends(r, report, &ack, now);
         loads = roster_loads(r->roster, report->self.box, &ack.loads_n);
         ack.loads = loads;
     }
