--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -17,7 +17,7 @@
 enum {
     CONNECT_MS = 250,       /* a back end in reach takes a few ms; a dark one never answers */
     ANSWER_MARGIN_MS = 30,  /* the final answer leaves this long before the request's time is over */
-    RETRY_AFTER_MS = 250,   /* when a refused caller may come back: places free up within one request's work */
+    RETRY_AFTER_MS = 1000,  /* when a refused caller may come back */
     PLACE_LIMIT_MS = 600,   /* for the scheduler's answer, queueing there included: under a quarter of the time to the
                                first token that callers want, since a refusal that comes later is of no use to them */
     RENEW_MS = 300,         /* as SCHED_RENEW_MS */
