--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 LIB_SRC   = $(sort $(wildcard lib/*/*.c))
 LIB_OBJ   = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB       = $(BUILD)/libtrackcove.a
+PLATFORM_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard platform/*.c)))
 PROGRAMS  = trackcove-entryd trackcove-controld trackcove trackcove-stub trackcove-load
 BINS      = $(PROGRAMS:%=$(BUILD)/bin/%)
 TESTS     = $(sort $(wildcard tests/unit/*.c) $(wildcard tests/random/*.c))
@@ -49,6 +50,10 @@
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LDLIBS)
 
 HARNESS_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/harness/*.c))
+$(BUILD)/tests/platform/%: $(BUILD)/tests/platform/%.o $(HARNESS_OBJ) $(PLATFORM_OBJ) $(LIB)
+	@echo "  ld  $@"
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LDLIBS)
+
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(HARNESS_OBJ) $(LIB)
 	@echo "  ld  $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LDLIBS)
@@ -57,8 +62,6 @@
 
 # ===== The users' platform =====
 
-PLATFORM_SRC  = $(sort $(wildcard platform/*.c))
-PLATFORM_OBJ  = $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_BINS = $(BUILD)/bin/trackcove-forwardd $(BUILD)/bin/trackcove-registryd
 # No TLS, no client libraries: memory is counted on every box.
 PLATFORM_LIBS = -Wl,--as-needed $(shell pkg-config --libs glib-2.0 msgpack jansson liburcu-bp libsodium 2>/dev/null) \
@@ -94,7 +97,7 @@
 
 # ===== Tests =====
 
-UNIT   = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/*.c)))
+UNIT   = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/*.c) $(wildcard tests/platform/*.c)))
 RANDOM = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/random/*.c)))
 FAULT  = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/fault/*.c)))
 ASAN   = -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
@@ -107,7 +110,7 @@
 	@$(MAKE) --no-print-directory -j4 all $(UNIT) $(RANDOM) $(FAULT)
 	@$(MAKE) --no-print-directory -j4 BUILD=build-asan SAN="$(ASAN)" CFLAGS="-O1 -g" test-bins
 	@TRACKCOVE_BIN=build/bin RANDOM_SEEDS=$(or $(RANDOM_SEEDS),150) prove --timer -e '' $(UNIT) $(RANDOM) \
-	    $(patsubst %.c,build-asan/%,$(sort $(wildcard tests/unit/*.c) $(wildcard tests/random/*.c))) $(FAULT)
+	    $(patsubst %.c,build-asan/%,$(sort $(wildcard tests/unit/*.c) $(wildcard tests/platform/*.c) $(wildcard tests/random/*.c))) $(FAULT)
 
 .PHONY: test-bins
 test-bins: $(UNIT) $(RANDOM)
--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -12,7 +12,7 @@
 
 /* ===== Types ===== */
 
-enum { LOOP_TICKS_MAX = 8, LOOP_EVENTS_MAX = 64, LOOP_IDLE_MS = 1000 };
+enum { LOOP_TICKS_MAX = 32, LOOP_EVENTS_MAX = 64, LOOP_IDLE_MS = 1000 };
 
 typedef struct {
     struct cds_list_head node;
@@ -243,6 +243,11 @@
     wake(loop);
 }
 
+void loop_restart(loop_t *loop)
+{
+    atomic_store(&loop->stopping, false);
+}
+
 void loop_destroy(loop_t *loop)
 {
     posted_t *item, *next;
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -51,6 +51,9 @@
 /** Make loop_run return. Any thread. */
 void loop_stop(loop_t *loop);
 
+/** After loop_run returned: it may be run again. */
+void loop_restart(loop_t *loop);
+
 /** After loop_run returned. Work posted and not yet run is dropped. */
 void loop_destroy(loop_t *loop);
 
--- a/lib/web/web.c
+++ b/lib/web/web.c
@@ -95,8 +95,12 @@
     for (size_t i = 0; i < G_N_ELEMENTS(fixed); i++)
         if (g_ascii_strcasecmp(name, fixed[i]) == 0)
             return true;
-    const char *const connection = web_headers_get(headers, "Connection");
-    return connection && names_it(connection, name);
+    for (guint i = 0; i < headers->lines->len; i++) {
+        const web_header_t *const h = &g_array_index(headers->lines, web_header_t, i);
+        if (h->value && g_ascii_strcasecmp(h->name, "Connection") == 0 && names_it(h->value, name))
+            return true;
+    }
+    return false;
 }
 
 void web_append_header(GString *to, const char *name, const char *value)
--- /dev/null
+++ b/tests/harness/lab.c
@@ -0,0 +1,262 @@
+#include "harness/lab.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu/list.h>
+
+#include "peer/peer.h"
+
+enum { HANG_MS = 60000, POLL_MS = 5, READ_SIZE = 65536 };
+
+/* ===== Fake back ends ===== */
+
+typedef struct {
+    struct cds_list_head node;
+    lab_backend_t *backend;
+    loop_watch_t watch;
+    GString *in;
+    bool hanging;
+} lab_conn_t;
+
+struct lab_backend {
+    loop_t *loop;
+    loop_watch_t listener;
+    lab_script_t script;
+    void *arg;
+    unsigned requests, left;
+    struct cds_list_head conns;
+};
+
+static void conn_end(lab_conn_t *c, bool reset)
+{
+    const struct linger hard = {.l_onoff = 1, .l_linger = 0};
+    if (reset)
+        setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    loop_unwatch(c->backend->loop, &c->watch);
+    close(c->watch.fd);
+    cds_list_del(&c->node);
+    g_string_free(c->in, TRUE);
+    g_free(c);
+}
+
+/** Bytes of the first whole request, 0 when there is none. */
+static size_t request_length(const GString *in)
+{
+    const char *const end = strstr(in->str, "\r\n\r\n");
+    if (!end)
+        return 0;
+    const size_t head = (size_t)(end - in->str) + 4;
+    const char *const length = strstr(in->str, "Content-Length: ");
+    const size_t body = length && length < end ? strtoul(length + 16, NULL, 10) : 0;
+    return in->len >= head + body ? head + body : 0;
+}
+
+/** @return false when the connection is gone */
+static bool conn_answer(lab_conn_t *c, size_t length)
+{
+    lab_backend_t *const b = c->backend;
+    b->requests++;
+    char *const request = g_strndup(c->in->str, length);
+    g_string_erase(c->in, 0, (gssize)length);
+    const lab_reply_t reply = b->script(b->arg, request);
+    g_free(request);
+    if (reply.bytes) {
+        const ssize_t n = send(c->watch.fd, reply.bytes, strlen(reply.bytes), MSG_NOSIGNAL);
+        g_assert_true(n == (ssize_t)strlen(reply.bytes) || errno == EPIPE || errno == ECONNRESET);
+    }
+    g_free(reply.bytes);
+    c->hanging = reply.end == LAB_HANG;
+    if (reply.end == LAB_KEEP || reply.end == LAB_HANG)
+        return true;
+    conn_end(c, reply.end == LAB_RESET);
+    return false;
+}
+
+static void on_conn(void *arg, uint32_t events)
+{
+    lab_conn_t *const c = arg;
+    char data[READ_SIZE];
+    (void)events;
+    const ssize_t n = recv(c->watch.fd, data, sizeof(data), 0);
+    if (n < 0 && errno == EAGAIN)
+        return;
+    if (n <= 0) {
+        c->backend->left += c->hanging;
+        conn_end(c, false);
+        return;
+    }
+    g_string_append_len(c->in, data, n);
+    size_t length;
+    while ((length = request_length(c->in)) > 0)
+        if (!conn_answer(c, length))
+            return;
+}
+
+static void on_accept(void *arg, uint32_t events)
+{
+    lab_backend_t *const b = arg;
+    (void)events;
+    const int fd = accept4(b->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0)
+        return;
+    lab_conn_t *const c = g_new0(lab_conn_t, 1);
+    c->backend = b;
+    c->in = g_string_new(NULL);
+    c->watch = (loop_watch_t){.fd = fd, .on_io = on_conn, .arg = c};
+    cds_list_add(&c->node, &b->conns);
+    loop_watch(b->loop, &c->watch, EPOLLIN);
+}
+
+static int listen_at(const char *addr)
+{
+    struct sockaddr_storage at;
+    unsigned size = 0;
+    const int on = 1;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(peer_parse_addr(addr, &at, &size, NULL), ==, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    g_assert_cmpint(bind(fd, (const struct sockaddr *)&at, size), ==, 0);
+    g_assert_cmpint(listen(fd, 64), ==, 0);
+    return fd;
+}
+
+void lab_free_addr(char to[32])
+{
+    struct sockaddr_in at = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(at);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(bind(fd, (const struct sockaddr *)&at, size), ==, 0);
+    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&at, &size), ==, 0);
+    close(fd);
+    g_snprintf(to, 32, "127.0.0.1:%d", ntohs(at.sin_port));
+}
+
+lab_backend_t *lab_backend_start(loop_t *loop, const char *addr, lab_script_t script, void *arg)
+{
+    lab_backend_t *const b = g_new0(lab_backend_t, 1);
+    b->loop = loop;
+    b->script = script;
+    b->arg = arg;
+    CDS_INIT_LIST_HEAD(&b->conns);
+    b->listener = (loop_watch_t){.fd = listen_at(addr), .on_io = on_accept, .arg = b};
+    loop_watch(loop, &b->listener, EPOLLIN);
+    return b;
+}
+
+void lab_backend_stop(lab_backend_t *b)
+{
+    loop_unwatch(b->loop, &b->listener);
+    close(b->listener.fd);
+    lab_conn_t *c, *next;
+    cds_list_for_each_entry_safe(c, next, &b->conns, node)
+        conn_end(c, true);
+    g_free(b);
+}
+
+unsigned lab_backend_requests(const lab_backend_t *b)
+{
+    return b->requests;
+}
+
+unsigned lab_backend_left(const lab_backend_t *b)
+{
+    return b->left;
+}
+
+/* ===== Callers ===== */
+
+static web_verdict_t on_head(void *arg, const web_head_t *head)
+{
+    lab_call_t *const c = arg;
+    c->status = head->status;
+    c->retry_after = g_strdup(web_headers_get(head->headers, "Retry-After"));
+    c->seal = g_strdup(web_headers_get(head->headers, "Server-Seal"));
+    return WEB_TAKE;
+}
+
+static void on_data(void *arg, const char *data, size_t size)
+{
+    g_string_append_len(((lab_call_t *)arg)->body, data, (gssize)size);
+}
+
+static void on_end(void *arg, web_end_t how)
+{
+    lab_call_t *const c = arg;
+    c->done = true;
+    c->how = how;
+}
+
+lab_call_t *lab_call(web_client_t *client, const char *addr, const char *request)
+{
+    lab_call_t *const c = g_new0(lab_call_t, 1);
+    c->body = g_string_new(NULL);
+    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = c};
+    GByteArray *const bytes = g_byte_array_new();
+    g_byte_array_append(bytes, (const guint8 *)request, (guint)strlen(request));
+    c->call = web_call(client, addr, bytes, false, 1000, &sink);
+    return c;
+}
+
+void lab_call_free(lab_call_t *c)
+{
+    g_string_free(c->body, TRUE);
+    g_free(c->retry_after);
+    g_free(c->seal);
+    g_free(c);
+}
+
+/* ===== Waiting ===== */
+
+typedef struct {
+    loop_t *loop;
+    lab_condition_t condition;
+    void *arg;
+    loop_timer_t timer;
+    tc_time_t until;
+    bool met;
+} wait_t;
+
+static void look(void *arg)
+{
+    wait_t *const w = arg;
+    w->met = w->condition && w->condition(w->arg);
+    if (w->met || tc_time_now() >= w->until)
+        loop_stop(w->loop);
+    else
+        loop_arm(w->loop, &w->timer, tc_time_now() + POLL_MS, look, w);
+}
+
+static bool run(loop_t *loop, lab_condition_t condition, void *arg, tc_time_t span)
+{
+    wait_t w = {.loop = loop, .condition = condition, .arg = arg, .until = tc_time_now() + span};
+    loop_arm(loop, &w.timer, tc_time_now(), look, &w);
+    loop_run(loop);
+    loop_restart(loop);
+    return w.met;
+}
+
+void lab_run_until(loop_t *loop, lab_condition_t condition, void *arg)
+{
+    g_assert_true(run(loop, condition, arg, HANG_MS));
+}
+
+static bool is_true(void *arg)
+{
+    return *(const bool *)arg;
+}
+
+void lab_run_until_true(loop_t *loop, const bool *flag)
+{
+    lab_run_until(loop, is_true, (void *)(uintptr_t)flag);
+}
+
+void lab_run_for(loop_t *loop, tc_time_t span)
+{
+    (void)run(loop, NULL, NULL, span);
+}
--- /dev/null
+++ b/tests/harness/lab.h
@@ -0,0 +1,66 @@
+/** @file lab.h
+ * Everything in one loop on 127.0.0.1: fake back ends that answer by a script, callers, and waiting for events.
+ */
+#ifndef TRACKCOVE_TESTS_LAB_H
+#define TRACKCOVE_TESTS_LAB_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "peer/loop.h"
+#include "web/web_client.h"
+
+/** How a fake back end ends an answer. */
+typedef enum {
+    LAB_KEEP,  /**< keeps the connection */
+    LAB_CLOSE, /**< closes it in order */
+    LAB_RESET, /**< resets it */
+    LAB_HANG   /**< keeps it and says nothing more */
+} lab_end_t;
+
+/** What a fake back end answers: bytes as they are. */
+typedef struct {
+    char *bytes; /**< freed by the lab; NULL for none */
+    lab_end_t end;
+} lab_reply_t;
+
+/** Called for every whole request. @param request its bytes as text, headers and body */
+typedef lab_reply_t (*lab_script_t)(void *arg, const char *request);
+
+typedef struct lab_backend lab_backend_t;
+
+/** What came of one call of a caller. */
+typedef struct {
+    bool done;
+    web_end_t how;
+    int status;
+    char *retry_after; /**< header, or NULL */
+    char *seal;        /**< header, or NULL */
+    GString *body;
+    web_call_t *call;
+} lab_call_t;
+
+/** A free port on 127.0.0.1, as "127.0.0.1:PORT". */
+void lab_free_addr(char to[32]);
+
+lab_backend_t *lab_backend_start(loop_t *loop, const char *addr, lab_script_t script, void *arg);
+/** Connections from now on are refused, those that stand are reset. */
+void lab_backend_stop(lab_backend_t *backend);
+/** Requests taken whole. */
+unsigned lab_backend_requests(const lab_backend_t *backend);
+/** Connections that the other side closed while a request was unanswered. */
+unsigned lab_backend_left(const lab_backend_t *backend);
+
+/** Send a request, given as text. */
+lab_call_t *lab_call(web_client_t *client, const char *addr, const char *request);
+void lab_call_free(lab_call_t *call);
+
+/** Run the loop until the condition holds. Fails the test after a time that only a hang takes. */
+typedef bool (*lab_condition_t)(void *arg);
+void lab_run_until(loop_t *loop, lab_condition_t condition, void *arg);
+/** The same for a flag. */
+void lab_run_until_true(loop_t *loop, const bool *flag);
+/** Let the loop turn for a while: for what must not happen. */
+void lab_run_for(loop_t *loop, tc_time_t span);
+
+#endif
--- /dev/null
+++ b/tests/platform/test_platform.c
@@ -0,0 +1,273 @@
+/* The platform's wire forms: each decoded and written as its pages say, against bytes. */
+
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "forward/dialect.h"
+#include "platform/boot.h"
+#include "platform/config.h"
+#include "platform/directory.h"
+
+/* ===== Settings ===== */
+
+static const char SETTINGS[] =
+    "{\"node_name\":\"front-a-1\",\"ip\":\"10.1.0.30\",\"zone\":\"a\",\"listen\":{\"front\":\"10.1.0.30:81\","
+    "\"control\":\"10.1.0.30:84\"},\"internal_ports\":[7380,7395],\"seeds\":[\"10.1.0.30:84\",\"10.2.0.34:84\"],"
+    "\"bootstrap\":true,\"fault_tolerance\":{\"machines\":2},\"bounds\":{\"grace_s\":8,\"retry_budget_ratio\":0.2,"
+    "\"retry_slack\":62,\"budget_window_s\":10},\"cloud\":{\"address\":\"10.200.0.100:8142\",\"rate_per_s\":44.0},"
+    "\"unknown\":[1]}";
+
+static void test_settings(void)
+{
+    boot_t b;
+    tc_err_t err = {0};
+    g_assert_cmpint(boot_parse(SETTINGS, &b, &err), ==, 0);
+    g_assert_cmpstr(b.box, ==, "front-a-1");
+    g_assert_cmpstr(b.data_dir, ==, "");
+    g_assert_cmpstr(b.control_peers[1], ==, "10.2.0.34:7380");
+    g_assert_cmpstr(b.entry_peers[0], ==, "10.1.0.30:7381");
+    g_assert_null(b.control_peers[2]);
+    g_assert_true(b.found);
+    g_assert_cmpuint(b.losses, ==, 2);
+    g_assert_cmpint(b.stop_grace, ==, 8000);
+    g_assert_cmpint(b.retry_window, ==, 10000);
+    boot_free(&b);
+    g_assert_cmpint(boot_parse("{\"node_name\":\"x\"}", &b, &err), ==, TC_E_INVALID);
+    g_assert_cmpint(boot_parse("{", &b, &err), ==, TC_E_INVALID);
+}
+
+/* ===== Configuration ===== */
+
+#define SERVICES "\"services\":[{\"name\":\"s\",\"health_path\":\"/health\",\"max_connections\":630,\"engine\":{" \
+    "\"slots\":128,\"kv_tokens\":53213,\"kv_bytes\":18432,\"link_mbps\":350000.0,\"handle_ttl_s\":0.5}},{\"name\":\"t\"}]"
+#define ROUTE(more) "{\"host\":\"H.example\",\"path_prefix\":\"/p/\",\"kind\":\"stream\"," more "}"
+#define CONFIG(routes) "{\"version\":7,\"routes\":[" routes "]," SERVICES "}"
+
+static route_table_t *read_config(const char *text)
+{
+    tc_err_t err = {0};
+    return config_read(text, strlen(text), &err);
+}
+
+static void test_config(void)
+{
+    route_table_t *const t = read_config(
+        CONFIG(ROUTE("\"timeout_ms\":14000,\"target_latency_ms\":900,\"max_attempts\":2,\"resumable\":true,"
+                     "\"traffic_split\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}]")));
+    g_assert_nonnull(t);
+    g_assert_cmpuint(t->version, ==, 7);
+    const route_t *const r = route_table_find(t, "h.example", "/p/x");
+    g_assert_nonnull(r);
+    g_assert_cmpint(r->timeout, ==, 14000);
+    g_assert_true(route_is_repeatable(r));
+    const route_service_t *const s = route_table_service(t, "s");
+    g_assert_true(s->engines);
+    g_assert_cmpint(s->handle_ttl, ==, 500);
+    g_assert_cmpfloat(s->link_tokens_s, >, 2e6);
+    g_assert_false(route_table_service(t, "t")->engines);
+    route_table_unref(t);
+}
+
+static void test_config_refused(void)
+{
+    static const char *const bad[] = {
+        "{\"version\":7,\"routes\":[",
+        CONFIG(ROUTE("\"timeout_ms\":0,\"service\":\"s\"")),
+        CONFIG(ROUTE("\"timeout_ms\":9,\"service\":\"nobody\"")),
+        CONFIG(ROUTE("\"timeout_ms\":9,\"traffic_split\":[{\"service\":\"s\",\"weight\":0}]")),
+        CONFIG(ROUTE("\"timeout_ms\":9,\"service\":\"s\"") "," ROUTE("\"timeout_ms\":9,\"service\":\"t\"")),
+        "{\"version\":0,\"routes\":[]," SERVICES "}",
+        "{\"routes\":[]," SERVICES "}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        g_assert_null(read_config(bad[i]));
+    route_table_t *const empty = read_config("{\"version\":1,\"routes\":[]," SERVICES "}");
+    g_assert_nonnull(empty);
+    route_table_unref(empty);
+}
+
+/* ===== Dialect ===== */
+
+static void add(web_headers_t *to, const char *name, const char *value)
+{
+    web_headers_on_name(to, name, strlen(name));
+    web_headers_on_value(to, value, strlen(value));
+}
+
+static char *written(const web_headers_t *headers, const dialect_step_t *step)
+{
+    GByteArray *const body = g_byte_array_new();
+    g_byte_array_append(body, (const guint8 *)"body", 4);
+    const web_request_t request = {.method = "POST", .target = "/p/x?y", .headers = headers, .body = body};
+    GByteArray *const bytes = dialect_write_request(&request, "10.0.0.1:80", step);
+    g_byte_array_append(bytes, (const guint8 *)"", 1);
+    g_byte_array_free(body, TRUE);
+    return (char *)g_byte_array_free(bytes, FALSE);
+}
+
+static void test_forged_headers_stop_here(void)
+{
+    static const char *const forged[] = {"Stage", "kv-from", "Kv-Fetch", "KV-BACKUP", "Hold", "Pin-Ms", "Priority",
+                                         "Expect-Instance", "expect-version", "Deadline-Ms", "Server-Seal",
+                                         "Connection", "Transfer-Encoding", "X-Hop", "Content-Length"};
+    web_headers_t h;
+    web_headers_init(&h);
+    add(&h, "Host", "h.example");
+    add(&h, "Attempt-Id", "9c41");
+    add(&h, "Model", "m");
+    for (size_t i = 0; i < G_N_ELEMENTS(forged); i++)
+        add(&h, forged[i], "forged");
+    add(&h, "Connection", "X-Hop"); /* names a header of this connection */
+    web_headers_t with_hop = h;
+    const dialect_step_t step = {
+        .ask = DIALECT_DECODE, .instance = "i-1", .time_left = 1234, .handle_at = "10.0.0.2:80", .handle = "abc",
+        .resume_after = "12"};
+    char *const text = written(&with_hop, &step);
+    g_assert_true(g_str_has_prefix(text, "POST /p/x?y HTTP/1.1\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nAttempt-Id: 9c41\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nDeadline-Ms: 1234\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nExpect-Instance: i-1\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nKv-From: 10.0.0.2:80/abc\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nLast-Event-Id: 12\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nContent-Length: 4\r\n\r\nbody"));
+    g_assert_null(strstr(text, "forged"));
+    g_free(text);
+    web_headers_free(&h);
+}
+
+static void test_values_cannot_break_lines(void)
+{
+    web_headers_t h;
+    web_headers_init(&h);
+    add(&h, "X-A", "one\r\nStage: prefill");
+    const dialect_step_t step = {.ask = DIALECT_SERVE, .instance = "i", .time_left = 5, .resume_after = ""};
+    char *const text = written(&h, &step);
+    g_assert_null(strstr(text, "\nStage"));
+    g_free(text);
+    web_headers_free(&h);
+}
+
+static dialect_reply_t reply_of(int status, const char *name, const char *value, const char *name2, const char *value2)
+{
+    web_headers_t h;
+    web_headers_init(&h);
+    if (name)
+        add(&h, name, value);
+    if (name2)
+        add(&h, name2, value2);
+    const web_head_t head = {.status = status, .headers = &h};
+    dialect_reply_t reply;
+    dialect_read_reply(&head, "id1", &reply);
+    web_headers_free(&h);
+    return reply;
+}
+
+static void test_replies(void)
+{
+    g_assert_true(reply_of(503, "Not-Executed", "1", NULL, NULL).not_run);
+    g_assert_true(reply_of(421, NULL, NULL, NULL, NULL).not_run);
+    g_assert_false(reply_of(503, NULL, NULL, NULL, NULL).not_run); /* nothing else says so */
+    g_assert_false(reply_of(200, "Not-Executed", "1", NULL, NULL).not_run);
+    g_assert_true(reply_of(200, "Server-Seal", "x", NULL, NULL).genuine);
+    g_assert_false(reply_of(200, NULL, NULL, NULL, NULL).genuine);
+    g_assert_false(reply_of(200, "Server-Seal", "x", "Content-Encoding", "gzip").genuine);
+    g_assert_false(reply_of(200, "Attempt-Id", "other", NULL, NULL).ours);
+    g_assert_true(reply_of(200, "Attempt-Id", "id1", NULL, NULL).ours);
+}
+
+static void test_facts(void)
+{
+    web_headers_t h;
+    web_headers_init(&h);
+    add(&h, "attempt-id", "9c41");
+    add(&h, "Deadline-Ms", "14000");
+    add(&h, "Token-Count", "1460,80");
+    add(&h, "Length-Hint", "33");
+    const web_request_t request = {.method = "POST", .target = "/", .headers = &h};
+    dialect_request_t facts;
+    dialect_read_request(&request, &facts);
+    g_assert_cmpstr(facts.id, ==, "9c41");
+    g_assert_cmpint(facts.patience, ==, 14000);
+    g_assert_cmpuint(facts.prompt_tokens, ==, 1460);
+    g_assert_cmpuint(facts.output_tokens, ==, 80);
+    g_assert_cmpuint(facts.output_guess, ==, 33);
+    web_headers_free(&h);
+}
+
+static void test_list(void)
+{
+    static const char page[] =
+        "{\"instances\":[{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"a\",\"slots\":128,\"state\":\"ready\","
+        "\"stage\":\"decode\",\"id\":\"i-1\"},{\"service\":\"s\",\"address\":\"10.1.0.8:80\",\"zone\":\"a\",\"state\":"
+        "\"draining\",\"id\":\"i-2\"}],\"next_token\":\"p-50\"}";
+    GArray *const list = g_array_new(FALSE, TRUE, sizeof(backend_t));
+    char *next = NULL;
+    tc_err_t err = {0};
+    g_assert_cmpint(dialect_read_list(page, strlen(page), list, &next, &err), ==, 0);
+    g_assert_cmpuint(list->len, ==, 2);
+    g_assert_cmpstr(next, ==, "p-50");
+    g_assert_cmpstr(g_array_index(list, backend_t, 0).stage, ==, "decode");
+    g_assert_false(g_array_index(list, backend_t, 0).draining);
+    g_assert_true(g_array_index(list, backend_t, 1).draining);
+    g_free(next);
+    g_assert_cmpint(dialect_read_list("{}", 2, list, &next, &err), ==, TC_E_INVALID);
+    g_array_free(list, TRUE);
+}
+
+static void test_handle(void)
+{
+    static const char body[] = "{\"prefill_handle\":\"3fa\",\"tokens\":9}";
+    char *const name = dialect_read_handle(body, strlen(body));
+    g_assert_cmpstr(name, ==, "3fa");
+    g_free(name);
+    g_assert_null(dialect_read_handle("nonsense", 8));
+}
+
+/* ===== Directory ===== */
+
+static entry_box_t box(const char *http, const char *dc, bool ready, bool leaving)
+{
+    entry_box_t b = {.ready = ready, .leaving = leaving};
+    codec_copy_string(b.http_addr, sizeof(b.http_addr), http);
+    codec_copy_string(b.dc, sizeof(b.dc), dc);
+    return b;
+}
+
+static size_t addresses(const entry_box_t *boxes, uint32_t n, const char *dc)
+{
+    const entry_box_t self = box("self:1", "a", true, false);
+    char *const text = directory_answer(boxes, n, dc, &self);
+    json_t *const root = json_loads(text, 0, NULL);
+    const size_t size = json_array_size(json_object_get(root, "addresses"));
+    json_decref(root);
+    free(text);
+    return size;
+}
+
+static void test_directory(void)
+{
+    const entry_box_t boxes[] = {box("a1:1", "a", true, false), box("a2:1", "a", true, false),
+                                 box("a3:1", "a", false, false), box("a4:1", "a", true, true),
+                                 box("b1:1", "b", true, false)};
+    g_assert_cmpuint(addresses(boxes, 5, "a"), ==, 2);  /* near ones that take callers */
+    g_assert_cmpuint(addresses(boxes, 5, "b"), ==, 3);  /* one alone is too few */
+    g_assert_cmpuint(addresses(boxes, 5, NULL), ==, 3); /* who says nothing gets all */
+    g_assert_cmpuint(addresses(boxes, 0, "a"), ==, 1);  /* nobody is known: this box */
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/settings", test_settings);
+    g_test_add_func("/platform/config", test_config);
+    g_test_add_func("/platform/config-refused", test_config_refused);
+    g_test_add_func("/platform/forged-headers-stop-here", test_forged_headers_stop_here);
+    g_test_add_func("/platform/values-cannot-break-lines", test_values_cannot_break_lines);
+    g_test_add_func("/platform/replies", test_replies);
+    g_test_add_func("/platform/facts", test_facts);
+    g_test_add_func("/platform/list-of-back-ends", test_list);
+    g_test_add_func("/platform/prefill-handle", test_handle);
+    g_test_add_func("/platform/directory", test_directory);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_route.c
@@ -0,0 +1,225 @@
+/* Routing table, retry budget, choice of back ends, and the replicated document: pure parts, no I/O. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "cluster/document.h"
+#include "cluster/roster.h"
+#include "forward/fleet.h"
+#include "forward/retry_budget.h"
+#include "forward/route.h"
+
+/* ===== Routes ===== */
+
+static route_t *make_route(const char *host, const char *prefix, const char *service)
+{
+    route_t *const route = g_new0(route_t, 1);
+    route->host = g_strdup(host);
+    route->prefix = g_strdup(prefix);
+    route->targets = g_array_new(FALSE, TRUE, sizeof(route_target_t));
+    const route_target_t target = {.service = g_strdup(service), .weight = 1};
+    g_array_append_val(route->targets, target);
+    return route;
+}
+
+static const char *found(const route_table_t *t, const char *host, const char *target)
+{
+    const route_t *const route = route_table_find(t, host, target);
+    return route ? route->prefix : "none";
+}
+
+static void test_longest_prefix(void)
+{
+    route_table_t *const t = route_table_create(3);
+    g_assert_true(route_table_add(t, make_route("h.example", "/a/", "s")));
+    g_assert_true(route_table_add(t, make_route("h.example", "/a/b/", "s")));
+    g_assert_true(route_table_add(t, make_route("other.example", "/", "s")));
+    g_assert_false(route_table_add(t, make_route("h.example", "/a/", "s")));
+    g_assert_cmpstr(found(t, "h.example", "/a/x"), ==, "/a/");
+    g_assert_cmpstr(found(t, "H.Example:80", "/a/b/c?d=/a/"), ==, "/a/b/");
+    g_assert_cmpstr(found(t, "h.example", "/a/b"), ==, "/a/");
+    g_assert_cmpstr(found(t, "h.example", "/ab/"), ==, "none");
+    g_assert_cmpstr(found(t, "other.example", "/zz"), ==, "/");
+    g_assert_cmpstr(found(t, "nobody.example", "/a/"), ==, "none");
+    route_table_unref(t);
+}
+
+static void test_split(void)
+{
+    route_table_t *const t = route_table_create(1);
+    route_t *const route = make_route("h", "/", "one");
+    const route_target_t second = {.service = g_strdup("two"), .weight = 3};
+    g_array_append_val(route->targets, second);
+    g_assert_true(route_table_add(t, route));
+    unsigned twos = 0;
+    for (uint32_t i = 0; i < 400; i++)
+        twos += strcmp(route_pick_service(route, i), "two") == 0;
+    g_assert_cmpuint(twos, ==, 300);
+    route_table_unref(t);
+}
+
+static void test_repeatable(void)
+{
+    g_assert_true(route_is_repeatable(&(route_t){.kind = ROUTE_SAFE}));
+    g_assert_false(route_is_repeatable(&(route_t){.kind = ROUTE_ONCE}));
+    g_assert_false(route_is_repeatable(&(route_t){.kind = ROUTE_STREAM}));
+    g_assert_true(route_is_repeatable(&(route_t){.kind = ROUTE_STREAM, .resumable = true}));
+}
+
+/* ===== Retry budget ===== */
+
+static void test_budget_is_a_share(void)
+{
+    const retry_rules_t rules = {.ratio = 0.2, .allowance = 0, .window = 10000};
+    retry_budget_t b;
+    retry_budget_init(&b, 0);
+    unsigned allowed = 0;
+    for (tc_time_t now = 0; now < 10000; now += 10) {
+        retry_budget_earn(&b, &rules, now);
+        allowed += retry_budget_spend(&b, &rules, 1, now);
+    }
+    g_assert_cmpuint(allowed, >, 100);
+    g_assert_cmpuint(allowed, <=, 200); /* of 1,000 requests */
+}
+
+static void test_budget_allowance_is_shared(void)
+{
+    const retry_rules_t rules = {.ratio = 0, .allowance = 60, .window = 10000};
+    retry_budget_t b;
+    retry_budget_init(&b, 0);
+    g_assert_false(retry_budget_spend(&b, &rules, 10, 10)); /* others may have spent it before this box started */
+    unsigned allowed = 0;
+    for (int i = 0; i < 100; i++)
+        allowed += retry_budget_spend(&b, &rules, 10, 20000);
+    g_assert_cmpuint(allowed, >, 2);
+    g_assert_cmpuint(allowed, <=, 6);
+    g_assert_true(retry_budget_spend(&b, &rules, 10, 40000)); /* a later window */
+}
+
+/* ===== Choice ===== */
+
+static backend_t backend(const char *id, const char *dc, const char *stage, bool draining)
+{
+    backend_t b = {.slots = 4, .draining = draining};
+    codec_copy_string(b.id, sizeof(b.id), id);
+    codec_copy_string(b.service, sizeof(b.service), "s");
+    codec_copy_string(b.dc, sizeof(b.dc), dc);
+    codec_copy_string(b.stage, sizeof(b.stage), stage);
+    return b;
+}
+
+static void test_choice(void)
+{
+    const backend_t list[] = {backend("far", "b", "", false), backend("near", "a", "", false),
+                              backend("leaving", "a", "", true), backend("engine", "a", "decode", false)};
+    fleet_t *const f = fleet_create();
+    fleet_list(f, list, G_N_ELEMENTS(list));
+    GPtrArray *const tried = g_ptr_array_new();
+    const fleet_wish_t wish = {.service = "s", .dc = "a", .tried = tried, .now = 100};
+    instance_t *const near = fleet_choose(f, &wish);
+    g_assert_cmpstr(near->listed.id, ==, "near");
+    instance_begin(near, 0);
+    instance_t *const far = fleet_choose(f, &wish); /* load goes before distance */
+    g_assert_cmpstr(far->listed.id, ==, "far");
+    g_ptr_array_add(tried, near);
+    g_ptr_array_add(tried, far);
+    g_assert_null(fleet_choose(f, &wish));
+    fleet_list(f, list, 1); /* a request keeps what it uses, also when it is listed no more */
+    g_assert_false(near->present);
+    instance_end(near, 0);
+    instance_unref(near);
+    instance_unref(far);
+    g_ptr_array_free(tried, TRUE);
+    fleet_destroy(f);
+}
+
+static void test_failed_is_avoided(void)
+{
+    const backend_t list[] = {backend("one", "a", "", false), backend("two", "a", "", false)};
+    fleet_t *const f = fleet_create();
+    fleet_list(f, list, 2);
+    instance_t *const one = fleet_find(f, "one");
+    instance_failed(one, 1000);
+    for (uint32_t draw = 0; draw < 8; draw++) {
+        const fleet_wish_t wish = {.service = "s", .dc = "a", .now = 1100, .draw = draw};
+        instance_t *const chosen = fleet_choose(f, &wish);
+        g_assert_cmpstr(chosen->listed.id, ==, "two");
+        instance_unref(chosen);
+    }
+    const tc_time_t first = one->avoid_until;
+    instance_failed(one, 1000);
+    g_assert_cmpint(one->avoid_until, >, first); /* longer each time in a row */
+    instance_succeeded(one);
+    g_assert_cmpint(one->avoid_until, ==, 0);
+    fleet_destroy(f);
+}
+
+/* ===== Document ===== */
+
+static document_t document(uint64_t version, char *body)
+{
+    return (document_t){.version = version, .body = body, .body_n = (uint32_t)strlen(body)};
+}
+
+static void test_highest_version_wins(void)
+{
+    char first[] = "first", second[] = "second", other[] = "other";
+    document_t held = {0};
+    const document_t one = document(5, first), older = document(4, second), clash = document(5, other),
+                     newer = document(9, second);
+    g_assert_cmpint(document_apply(&held, &one), ==, DOCUMENT_NEWER);
+    g_assert_cmpint(document_apply(&held, &one), ==, DOCUMENT_SAME);
+    g_assert_cmpint(document_apply(&held, &older), ==, DOCUMENT_OLDER);
+    g_assert_cmpint(document_apply(&held, &clash), ==, DOCUMENT_CLASHES);
+    g_assert_cmpstr(held.body, ==, "first");
+    g_assert_cmpint(document_apply(&held, &newer), ==, DOCUMENT_NEWER);
+    g_assert_cmpuint(held.version, ==, 9);
+    g_assert_cmpstr(held.body, ==, "second");
+    codec_free(&document_desc, &held);
+}
+
+/* ===== Roster ===== */
+
+static void test_roster(void)
+{
+    roster_t *const r = roster_create();
+    backend_load_t load = {.running = 2, .tokens = 100};
+    codec_copy_string(load.id, sizeof(load.id), "x");
+    msg_report_t a = {.loads = &load, .loads_n = 1}, b = a;
+    codec_copy_string(a.self.box, sizeof(a.self.box), "a");
+    codec_copy_string(b.self.box, sizeof(b.self.box), "b");
+    b.self.incarnation = 7;
+    roster_hear(r, &a, 1000);
+    roster_hear(r, &b, 2000);
+    uint32_t n;
+    uint64_t before, after;
+    free(roster_list(r, &n, &before));
+    g_assert_cmpuint(n, ==, 2);
+    backend_load_t *const loads = roster_loads(r, "a", &n);
+    g_assert_cmpuint(n, ==, 1);
+    g_assert_cmpuint(loads[0].running, ==, 2); /* of the others only */
+    free(loads);
+    b.self.incarnation = 6;
+    b.self.leaving = true;
+    roster_hear(r, &b, 2100); /* of an earlier start */
+    free(roster_list(r, &n, &after));
+    g_assert_cmpuint(before, ==, after);
+    roster_expire(r, 1000 + ROSTER_SILENT_MS + 1);
+    g_assert_cmpuint(roster_count(r), ==, 1);
+    roster_destroy(r);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/route/longest-prefix", test_longest_prefix);
+    g_test_add_func("/route/split-by-weight", test_split);
+    g_test_add_func("/route/repeatable", test_repeatable);
+    g_test_add_func("/retry-budget/share-of-requests", test_budget_is_a_share);
+    g_test_add_func("/retry-budget/allowance-of-all-boxes", test_budget_allowance_is_shared);
+    g_test_add_func("/fleet/choice", test_choice);
+    g_test_add_func("/fleet/failed-is-avoided", test_failed_is_avoided);
+    g_test_add_func("/document/highest-version-wins", test_highest_version_wins);
+    g_test_add_func("/roster/boxes-and-loads", test_roster);
+    return g_test_run();
+}
