Tests of the cluster that finds itself

Change: tests/unit/test_cluster: founding with a dead seed, all restarted, no answer without a majority, a wiped box, a replaced box followed by a lost disk, reporters that follow the leader, are told before there is one, or are seeds without knowing anybody. The loop forgets the ticks of what is destroyed.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -13,6 +13,7 @@
 #include "common/log.h"
 
 COUNTER_DEFINE(c_accepted, "counter", "trackcove_cluster_documents_accepted_total", "Documents accepted by the log")
+COUNTER_DEFINE(c_snapshots, "counter", "trackcove_cluster_snapshots_total", "Snapshots of the document written")
 COUNTER_DEFINE(c_version, "gauge", "trackcove_cluster_document_version", "Newest accepted version this box knows")
 COUNTER_DEFINE(c_leads, "gauge", "trackcove_cluster_leads", "Whether this box leads the control boxes")
 
@@ -180,6 +181,7 @@
     case RAFT_ACT_TRUNCATE: must(store_truncate(r->store, action->index, &err), &err); break;
     case RAFT_ACT_SNAPSHOT:
         must(store_snapshot(r->store, &action->snapshot, &err), &err);
+        counter_add(&c_snapshots, 1);
         r->since_snapshot = r->entries_since = 0;
         if (action->snapshot.last_index > r->applied)
             load_image(r, &action->snapshot);
@@ -364,6 +366,11 @@
     return &r->document;
 }
 
+const raft_members_t *replica_members(const replica_t *r)
+{
+    return raft_members(r->raft);
+}
+
 bool replica_has_leader(const replica_t *r)
 {
     return raft_view(r->raft).leader != 0;
@@ -469,6 +476,7 @@
 
 void replica_destroy(replica_t *r)
 {
+    loop_remove_ticks(r->loop, r);
     offers_fail(r, TC_E_BROKEN);
     if (r->net)
         peer_destroy(r->net);
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -58,6 +58,8 @@
 
 /** Whether this box leads, with its lease. */
 bool replica_leads(const replica_t *replica);
+/** Members as this box knows them; borrowed until the loop's next turn. */
+const raft_members_t *replica_members(const replica_t *replica);
 /** Whether some box is known to lead. */
 bool replica_has_leader(const replica_t *replica);
 /** Where operators reach the leader, "" when unknown. */
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -385,6 +385,7 @@
 
 void reporter_destroy(reporter_t *r)
 {
+    loop_remove_ticks(r->loop, r);
     if (r->net)
         peer_destroy(r->net);
     g_strfreev(r->controls);
--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -107,6 +107,15 @@
     loop->ticks[loop->n_ticks++] = (tick_t){.period = period, .next = tc_time_now(), .fn = fn, .arg = arg};
 }
 
+void loop_remove_ticks(loop_t *loop, const void *arg)
+{
+    int kept = 0;
+    for (int i = 0; i < loop->n_ticks; i++)
+        if (loop->ticks[i].arg != arg)
+            loop->ticks[kept++] = loop->ticks[i];
+    loop->n_ticks = kept;
+}
+
 static tc_time_t run_ticks(loop_t *loop)
 {
     tc_time_t soonest = LOOP_IDLE_MS;
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -66,6 +66,9 @@
 /** Call @p fn every @p period ms, in the loop's thread; before loop_run or from the loop's thread. */
 void loop_add_tick(loop_t *loop, tc_time_t period, loop_fn_t fn, void *arg);
 
+/** End the ticks of @p arg. From the loop's thread, or while the loop does not run; not from within a tick. */
+void loop_remove_ticks(loop_t *loop, const void *arg);
+
 /** Call @p fn once at @p due, in the loop's thread. Arming an armed timer moves it. From the loop's thread. */
 void loop_arm(loop_t *loop, loop_timer_t *timer, tc_time_t due, loop_fn_t fn, void *arg);
 /** Disarm; harmless when it is not armed. */
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -320,6 +320,7 @@
 
 void peer_destroy(peer_net_t *net)
 {
+    loop_remove_ticks(net->loop, net);
     peer_stop_listening(net);
     conn_t *conn, *next;
     cds_list_for_each_entry_safe(conn, next, &net->conns, node)
--- /dev/null
+++ b/tests/unit/test_cluster.c
@@ -0,0 +1,360 @@
+/* A cluster that finds itself: founding, joining, losing and replacing boxes, and what reporters hear. Replicas and
+ * reporters run in one loop over loopback, with real data folders. */
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster/replica.h"
+#include "cluster/reporter.h"
+#include "common/counter.h"
+#include "harness/lab.h"
+
+/* ===== Fixture ===== */
+
+enum { BOXES = 4, SEEDS = 3 };
+
+typedef struct fixture {
+    loop_t *loop;
+    char addr[BOXES][32], http[BOXES][32], dir[BOXES][64];
+    replica_t *replica[BOXES];
+    const char *seeds[SEEDS + 1];
+    bool offered;
+    int offer_rc;
+    uint64_t want;  /* version that a wait is for */
+    int who;        /* box that a wait is for */
+    reporter_t *reporter;
+    entry_box_t self;
+    uint64_t heard;
+} fixture_t;
+
+static void clear_dir(const char *dir)
+{
+    GDir *const handle = g_dir_open(dir, 0, NULL);
+    for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
+        char *const path = g_build_filename(dir, name, NULL);
+        g_assert_cmpint(g_unlink(path), ==, 0);
+        g_free(path);
+    }
+    g_dir_close(handle);
+}
+
+static void start_box(fixture_t *f, int i, bool found)
+{
+    const replica_options_t options = {.box = f->addr[i],
+                                       .peer_listen = f->addr[i],
+                                       .http_addr = f->http[i],
+                                       .data_dir = f->dir[i],
+                                       .voters_wanted = 3,
+                                       .found = found,
+                                       .seeds = f->seeds};
+    tc_err_t err = {0};
+    f->replica[i] = replica_create(f->loop, &options, &err);
+    g_assert_nonnull(f->replica[i]);
+}
+
+static void stop_box(fixture_t *f, int i)
+{
+    if (!f->replica[i])
+        return;
+    replica_destroy(f->replica[i]);
+    f->replica[i] = NULL;
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->loop = loop_create();
+    for (int i = 0; i < BOXES; i++) {
+        lab_free_addr(f->addr[i]);
+        lab_free_addr(f->http[i]);
+        g_strlcpy(f->dir[i], "/tmp/trackcove-cluster-XXXXXX", sizeof(f->dir[i]));
+        g_assert_nonnull(g_mkdtemp(f->dir[i]));
+    }
+    for (int i = 0; i < SEEDS; i++)
+        f->seeds[i] = f->addr[i];
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    if (f->reporter)
+        reporter_destroy(f->reporter);
+    for (int i = 0; i < BOXES; i++) {
+        stop_box(f, i);
+        clear_dir(f->dir[i]);
+        g_rmdir(f->dir[i]);
+    }
+    loop_destroy(f->loop);
+}
+
+static int leader(const fixture_t *f)
+{
+    for (int i = 0; i < BOXES; i++)
+        if (f->replica[i] && replica_leads(f->replica[i]))
+            return i;
+    return -1;
+}
+
+static bool has_leader(void *arg)
+{
+    return leader(arg) >= 0;
+}
+
+static void on_offered(void *arg, int rc)
+{
+    fixture_t *const f = arg;
+    f->offered = true;
+    f->offer_rc = rc;
+}
+
+/** Offer a version to the leader, whoever that is, until it is taken: as an operator does. */
+static void put(fixture_t *f, uint64_t version)
+{
+    char body[32];
+    g_snprintf(body, sizeof(body), "content %" G_GUINT64_FORMAT, version);
+    const document_t document = {.version = version, .body = body, .body_n = (uint32_t)strlen(body)};
+    do {
+        lab_run_until(f->loop, has_leader, f);
+        f->offered = false;
+        replica_offer(f->replica[leader(f)], &document, on_offered, f);
+        lab_run_until_true(f->loop, &f->offered);
+    } while (f->offer_rc == TC_E_NOT_LEADER || f->offer_rc == TC_E_BROKEN || f->offer_rc == TC_E_TIMEOUT);
+    g_assert_cmpint(f->offer_rc, ==, TC_OK);
+}
+
+static bool reads_wanted(void *arg)
+{
+    const fixture_t *const f = arg;
+    const int at = leader(f);
+    const document_t *const document = at >= 0 ? replica_read(f->replica[at]) : NULL;
+    return document && document->version == f->want;
+}
+
+static void expect_read(fixture_t *f, uint64_t version)
+{
+    f->want = version;
+    lab_run_until(f->loop, reads_wanted, f);
+}
+
+/** Whether the members are three voters, box f->who among them. */
+static bool three_with_who(void *arg)
+{
+    const fixture_t *const f = arg;
+    const int at = leader(f);
+    if (at < 0)
+        return false;
+    const raft_members_t *const members = replica_members(f->replica[at]);
+    bool with_who = false;
+    for (uint32_t i = 0; i < members->list_n; i++)
+        with_who = with_who || (members->list[i].voter && strcmp(members->list[i].peer, f->addr[f->who]) == 0);
+    return with_who && members->list_n == 3;
+}
+
+static bool snapshots_wanted(void *arg)
+{
+    return counter_read("trackcove_cluster_snapshots_total") >= (int64_t)((fixture_t *)arg)->want;
+}
+
+static bool who_leads(void *arg)
+{
+    const fixture_t *const f = arg;
+    return f->replica[f->who] && replica_leads(f->replica[f->who]);
+}
+
+/* ===== Tests ===== */
+
+static void test_found_and_accept(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 3);
+    put(f, 7);
+    put(f, 7); /* again: acknowledged again */
+    expect_read(f, 7);
+    char other[] = "other";
+    const document_t clash = {.version = 7, .body = other, .body_n = 5};
+    f->offered = false;
+    replica_offer(f->replica[leader(f)], &clash, on_offered, f);
+    lab_run_until_true(f->loop, &f->offered);
+    g_assert_cmpint(f->offer_rc, ==, TC_E_CONFLICT);
+    put(f, 5); /* overtaken: acknowledged, and changes nothing */
+    expect_read(f, 7);
+}
+
+static void test_founding_survives_a_dead_seed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_box(f, 1, true);
+    start_box(f, 2, true); /* seed 0 never comes up */
+    put(f, 2);
+    expect_read(f, 2);
+}
+
+static void test_all_restart(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    for (int i = 0; i < SEEDS; i++)
+        stop_box(f, i);
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, false);
+    expect_read(f, 4);
+}
+
+static void test_no_answer_without_a_majority(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    const int at = leader(f);
+    for (int i = 0; i < SEEDS; i++)
+        if (i != at)
+            stop_box(f, i);
+    f->offered = false;
+    char body[] = "x";
+    const document_t document = {.version = 9, .body = body, .body_n = 1};
+    replica_offer(f->replica[at], &document, on_offered, f);
+    lab_run_until_true(f->loop, &f->offered);
+    g_assert_cmpint(f->offer_rc, <, 0);            /* never acknowledged */
+    g_assert_null(replica_read(f->replica[at])); /* and no read is certain */
+}
+
+static void test_wiped_box_is_a_new_member(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    const int wiped = (leader(f) + 1) % SEEDS, other = (leader(f) + 2) % SEEDS;
+    stop_box(f, wiped);
+    clear_dir(f->dir[wiped]);
+    start_box(f, wiped, false);
+    put(f, 5);
+    f->who = wiped;
+    lab_run_until(f->loop, three_with_who, f);
+    stop_box(f, other); /* now the new member counts */
+    put(f, 6);
+    expect_read(f, 6);
+}
+
+static void test_replaced_box_and_a_lost_disk(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    const int gone = leader(f);
+    stop_box(f, gone); /* for good */
+    lab_run_until(f->loop, has_leader, f);
+    start_box(f, 3, false); /* elsewhere, empty, while the new leader is young: both become voters */
+    put(f, 5);
+    f->who = 3;
+    lab_run_until(f->loop, three_with_who, f); /* the dead voter is dropped */
+    const int wiped = (gone + 1) % SEEDS;
+    stop_box(f, wiped);
+    clear_dir(f->dir[wiped]);
+    put(f, 6); /* two of three are left; two of four would be none */
+    start_box(f, wiped, false);
+    expect_read(f, 6);
+}
+
+static void on_document(void *arg, const document_t *document)
+{
+    fixture_t *const f = arg;
+    g_assert_cmpuint(document->version, >, f->heard); /* never back */
+    f->heard = document->version;
+}
+
+static bool heard_wanted(void *arg)
+{
+    const fixture_t *const f = arg;
+    return f->heard == f->want;
+}
+
+static void start_reporter(fixture_t *f, const char *control)
+{
+    const char *const controls[] = {control, NULL}, *const nobody[] = {NULL};
+    char own[32];
+    lab_free_addr(own);
+    codec_copy_string(f->self.box, sizeof(f->self.box), "entry");
+    codec_copy_string(f->self.http_addr, sizeof(f->self.http_addr), "127.0.0.1:1");
+    codec_copy_string(f->self.peer_addr, sizeof(f->self.peer_addr), own);
+    f->self.incarnation = 1;
+    const reporter_options_t options = {.peer_listen = own, .controls = controls, .neighbours = nobody};
+    const reporter_events_t events = {.on_document = on_document, .arg = f};
+    tc_err_t err = {0};
+    f->reporter = reporter_create(f->loop, &f->self, &options, &events, &err);
+    g_assert_nonnull(f->reporter);
+}
+
+static void test_reporter_follows(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    start_reporter(f, f->addr[0]);
+    f->want = 4;
+    lab_run_until(f->loop, heard_wanted, f);
+    stop_box(f, leader(f));
+    put(f, 8);
+    f->want = 8;
+    lab_run_until(f->loop, heard_wanted, f); /* from the next leader */
+    g_assert_cmpstr(reporter_leader_http(f->reporter), !=, "");
+}
+
+static void test_told_before_a_leader(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    f->want = (uint64_t)counter_read("trackcove_cluster_snapshots_total") + SEEDS;
+    put(f, 4);
+    f->who = leader(f);
+    lab_run_until(f->loop, snapshots_wanted, f); /* what was accepted lies in a snapshot soon */
+    for (int i = 0; i < SEEDS; i++)
+        stop_box(f, i);
+    start_box(f, f->who, false); /* alone it can never lead */
+    start_reporter(f, f->addr[f->who]);
+    f->want = 4;
+    lab_run_until(f->loop, heard_wanted, f);
+    g_assert_false(who_leads(f));
+}
+
+static void test_seeds_that_are_no_members_are_told(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    /* A box without a disk is a seed now and knows nobody. */
+    const char *const nobody = "127.0.0.1:1";
+    start_reporter(f, nobody);
+    const char *const seeds[] = {f->self.peer_addr, NULL};
+    for (int i = 0; i < SEEDS; i++)
+        replica_reseed(f->replica[i], seeds);
+    f->want = 4;
+    lab_run_until(f->loop, heard_wanted, f);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/cluster/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("found-and-accept", test_found_and_accept);
+    TEST("founding-survives-a-dead-seed", test_founding_survives_a_dead_seed);
+    TEST("all-restart", test_all_restart);
+    TEST("no-answer-without-a-majority", test_no_answer_without_a_majority);
+    TEST("wiped-box-is-a-new-member", test_wiped_box_is_a_new_member);
+    TEST("replaced-box-and-a-lost-disk", test_replaced_box_and_a_lost_disk);
+    TEST("reporter-follows-the-leader", test_reporter_follows);
+    TEST("told-before-a-leader", test_told_before_a_leader);
+    TEST("seeds-that-are-no-members-are-told", test_seeds_that_are_no_members_are_told);
+    return g_test_run();
+}
