A dead leader is noticed within 250 ms; a read prompt waits for room while it is kept

Cause: a question to a leader without power took 600 ms to end; a prompt already read was dropped when the scheduler had no second decode engine at that very moment. Change: questions are limited to 250 ms and asked again, in their place, while the leader answers reports, up to 500 ms after the request came; after a refused second choice the box tries again every 90 ms while the result is kept.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -219,7 +219,8 @@
         p->sched = NULL;
     }
     if (!p->sched && term != 0) {
-        const sched_options_t options = {.cell = CELL, .epoch = term, .piece_tokens = SCHED_SMALL_PIECE_TOKENS, .rebuild = true};
+        const sched_options_t options = {
+            .cell = CELL, .epoch = term, .piece_tokens = SCHED_SMALL_PIECE_TOKENS, .rebuild = true};
         p->sched = sched_create(&options, now);
         p->term = term;
         configure(p, now);
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -21,15 +21,15 @@
 
 enum {
     TICK_MS = 25,
-    JOIN_EVERY_MS = 300,            /* a box that is no voter, or hears no leader, asks this often */
+    JOIN_EVERY_MS = 300, /* a box that is no voter, or hears no leader, asks this often */
     JOIN_LIMIT_MS = 1000,
-    ANNOUNCE_EVERY_MS = 500,        /* to seeds that are no members */
-    OFFER_LIMIT_MS = 3000,          /* an offer not applied by then has an unknown outcome: below the time in which an
-                                       operator wants an answer */
-    SNAPSHOT_BYTES = 512 * 1024,    /* documents travel whole: the log must not outgrow memory and disk */
+    ANNOUNCE_EVERY_MS = 500,     /* to seeds that are no members */
+    OFFER_LIMIT_MS = 3000,       /* an offer not applied by then has an unknown outcome: below the time in which an
+                                    operator wants an answer */
+    SNAPSHOT_BYTES = 512 * 1024, /* documents travel whole: the log must not outgrow memory and disk */
     SNAPSHOT_ENTRIES = 128,
     SNAPSHOT_QUIET_MS = 250,
-    FOUNDING_INDEX = 1,             /* of the image that all founders start from */
+    FOUNDING_INDEX = 1, /* of the image that all founders start from */
     FOUNDING_TERM = 1,
     FOUNDERS_MAX = 16
 };
@@ -413,9 +413,8 @@
     }
     if (!among)
         return TC_OK; /* it joins */
-    const raft_image_t image = {.last_index = FOUNDING_INDEX,
-                                .last_term = FOUNDING_TERM,
-                                .members = {.list = founders, .list_n = n}};
+    const raft_image_t image = {
+        .last_index = FOUNDING_INDEX, .last_term = FOUNDING_TERM, .members = {.list = founders, .list_n = n}};
     return store_found(options->data_dir, founder_id(options->peer_listen), &image, err);
 }
 
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -27,8 +27,8 @@
     const char *peer_listen; /**< IP:port, by which this member is known to the others */
     const char *http_addr;   /**< where operators reach it */
     const char *data_dir;
-    uint32_t voters_wanted;  /**< enough to bear the losses that the deployment is to bear */
-    bool found;              /**< first start of the whole system */
+    uint32_t voters_wanted;   /**< enough to bear the losses that the deployment is to bear */
+    bool found;               /**< first start of the whole system */
     const char *const *seeds; /**< peer addresses, NULL at the end; may change between calls of replica_reseed */
     /** A newer document was accepted, or one was there at the start; may be NULL. */
     void (*on_document)(void *arg, replica_t *replica, const document_t *document);
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -33,10 +33,10 @@
     raft_member_t self;
     raft_members_t known; /* members as a box told that we asked to join */
     document_t document;
-    uint64_t applied;        /* index that the document stands at */
-    size_t since_snapshot;   /* bytes of commands applied since */
-    unsigned entries_since;  /* their number */
-    tc_time_t applied_at;    /* when the last one was */
+    uint64_t applied;       /* index that the document stands at */
+    size_t since_snapshot;  /* bytes of commands applied since */
+    unsigned entries_since; /* their number */
+    tc_time_t applied_at;   /* when the last one was */
     struct cds_list_head offers;
     tc_time_t join_at, announce_at;
     bool led; /* at the last look */
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -31,7 +31,7 @@
     peer_net_t *net;
     const entry_box_t *self;
     reporter_events_t events;
-    char **controls;   /* seeds */
+    char **controls; /* seeds */
     char **neighbours;
     raft_member_t *members; /* control boxes, as last told */
     uint32_t members_n;
@@ -41,9 +41,9 @@
     unsigned failed;             /* in a row, at this target */
     bool waiting;
     tc_time_t next_at;
-    tc_time_t heard;   /* last answer of a control box */
+    tc_time_t heard; /* last answer of a control box */
     tc_time_t leader_heard;
-    bool connected;    /* a leader answered last */
+    bool connected; /* a leader answered last */
     document_t document;
     backend_t *backends;
     uint32_t backends_n;
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -32,9 +32,9 @@
 } reporter_events_t;
 
 typedef struct {
-    const char *peer_listen;        /**< IP:port of this box for the others */
-    const char *const *controls;    /**< peer addresses of control boxes to begin with, NULL at the end */
-    const char *const *neighbours;  /**< peer addresses of other boxes that may be asked, NULL at the end */
+    const char *peer_listen;       /**< IP:port of this box for the others */
+    const char *const *controls;   /**< peer addresses of control boxes to begin with, NULL at the end */
+    const char *const *neighbours; /**< peer addresses of other boxes that may be asked, NULL at the end */
 } reporter_options_t;
 
 /* ===== Public functions ===== */
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -26,11 +26,11 @@
 /** What placement and timing need to know of a request. */
 typedef struct {
     char id[DIALECT_ID_SIZE]; /**< of this one try of the caller; "" when it sent none */
-    tc_time_t patience;       /**< how long the caller waits from when the request came in, ms; 0 when it said nothing */
-    unsigned prompt_tokens;   /**< 0 when unknown */
-    unsigned output_tokens;   /**< most that may be generated, 0 when unknown */
-    unsigned output_guess;    /**< the caller's guess of what will be, often far off; 0 when it made none */
-    char resume_after[32];    /**< last event that the caller has of a stream it takes up again, or "" */
+    tc_time_t patience;     /**< how long the caller waits from when the request came in, ms; 0 when it said nothing */
+    unsigned prompt_tokens; /**< 0 when unknown */
+    unsigned output_tokens; /**< most that may be generated, 0 when unknown */
+    unsigned output_guess;  /**< the caller's guess of what will be, often far off; 0 when it made none */
+    char resume_after[32];  /**< last event that the caller has of a stream it takes up again, or "" */
 } dialect_request_t;
 
 /** What one back end is asked to do with a request. */
@@ -85,7 +85,8 @@
 
 /* ===== Discovery ===== */
 
-/** The call for one page of the platform's list of back ends. @param page "" for the first @return bytes for web_call */
+/** The call for one page of the platform's list of back ends. @param page "" for the first @return bytes for web_call
+ */
 GByteArray *dialect_write_list(const char *addr, const char *page);
 
 /** Read a page. @param list backend_t, appended to @param next for g_free, NULL on the last page
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -25,14 +25,14 @@
 
 /** One start of one back end. Counted references: a request keeps the ones it uses. */
 typedef struct {
-    backend_t listed;     /**< as discovery told */
-    stage_t stage;        /**< of listed.stage */
-    bool present;         /**< still listed */
-    unsigned running;     /**< requests of this box that it works on */
-    uint64_t tokens;      /**< prompt tokens of this box that it is asked to read */
-    unsigned others;      /**< requests of the other boxes, as last told */
+    backend_t listed; /**< as discovery told */
+    stage_t stage;    /**< of listed.stage */
+    bool present;     /**< still listed */
+    unsigned running; /**< requests of this box that it works on */
+    uint64_t tokens;  /**< prompt tokens of this box that it is asked to read */
+    unsigned others;  /**< requests of the other boxes, as last told */
     uint64_t other_tokens;
-    unsigned failures;    /**< in a row */
+    unsigned failures;     /**< in a row */
     tc_time_t avoid_until; /**< not chosen before, unless there is no other */
     unsigned refs;
 } instance_t;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -18,8 +18,11 @@
     CONNECT_MS = 250,       /* a back end in reach takes a few ms; a dark one never answers */
     ANSWER_MARGIN_MS = 30,  /* the final answer leaves this long before the request's time is over */
     RETRY_AFTER_MS = 1000,  /* when a refused caller may come back */
-    PLACE_LIMIT_MS = 600,   /* for the scheduler's answer, queueing there included: under a quarter of the time to the
-                               first token that callers want, since a refusal that comes later is of no use to them */
+    PLACE_LIMIT_MS = 250,   /* for one answer of the scheduler, queueing there included; then the box looks whether the
+                             leader is still there */
+    PLACE_WAIT_MS = 500,    /* from a request's arrival until it is refused for want of room: what is granted later is
+                               late anyway. Measured: docs/design/results-platform.md */
+    DECODE_AGAIN_MS = 90,   /* between tries while a prefill result is kept and no decode engine has room */
     RENEW_MS = 300,         /* as SCHED_RENEW_MS */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
@@ -98,7 +101,7 @@
     route_table_t *table;
     reporter_t *scheduler; /* NULL: place alone */
     loop_timer_t renewal;
-    bool renewed_any; /* the scheduler counts something as ours */
+    bool renewed_any;    /* the scheduler counts something as ours */
     GHashTable *budgets; /* service name to retry_budget_t */
     unsigned boxes;
     unsigned busy;
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -47,8 +47,27 @@
     f->placement.prefill[0] = f->placement.decode[0] = '\0';
 }
 
+static void on_second_try(void *arg)
+{
+    forward_go_on(arg);
+}
+
+/** No engine had room for a prompt that is read already: a place may be free before the result lapses. */
+static bool try_on_soon(forward_t *f)
+{
+    const tc_time_t now = tc_time_now();
+    if (!f->handle.instance || now + DECODE_AGAIN_MS >= f->handle.until)
+        return false;
+    place_alone(f);
+    g_ptr_array_set_size(f->tried, 0);
+    loop_arm(f->owner->loop, &f->patience, now + DECODE_AGAIN_MS, on_second_try, f);
+    return true;
+}
+
 static void take_placed(forward_t *f, const msg_placed_t *placed)
 {
+    if (!placed->granted && try_on_soon(f))
+        return;
     if (!placed->granted) {
         counter_add(&c_refused, 1);
         forward_fail(f, "refused by the scheduler");
@@ -68,6 +87,18 @@
     return tc_time_now() - reporter_leader_heard(fw->scheduler) < ALIVE_MS;
 }
 
+static bool ask_placement(forward_t *f);
+
+/** The scheduler is there and has no room yet: ask on while that is of use. */
+static void wait_on(forward_t *f)
+{
+    if (!f->handle.instance && tc_time_now() - f->request.arrived < PLACE_WAIT_MS && ask_placement(f))
+        return;
+    place_tell(f, PHASE_FAILED, NULL);
+    counter_add(&c_refused, 1);
+    forward_fail(f, "no room in time"); /* a guess of ours would find none either */
+}
+
 static void on_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
     placing_call_t *const call = arg;
@@ -81,13 +112,12 @@
         take_placed(f, message);
         return;
     }
-    if (rc == TC_E_TIMEOUT)
-        place_tell(f, PHASE_FAILED, NULL); /* it may still wait there */
     if (rc == TC_E_TIMEOUT && is_alive(f->owner)) {
-        counter_add(&c_refused, 1);
-        forward_fail(f, "no room in time"); /* a guess of ours would find none either */
+        wait_on(f);
         return;
     }
+    if (rc == TC_E_TIMEOUT)
+        place_tell(f, PHASE_FAILED, NULL); /* it may still wait there */
     forward_log(f, "place_alone", "no answer of the scheduler", 0, NULL);
     place_alone(f);
     forward_go_on(f);
@@ -105,15 +135,11 @@
     return false;
 }
 
-bool place_ask(forward_t *f)
+/** Asking again with the same id keeps the request's place: the queue is in order of due times. */
+static bool ask_placement(forward_t *f)
 {
     forwarder_t *const fw = f->owner;
     const tc_time_t now = tc_time_now();
-    if (f->placement.asked)
-        return false;
-    f->placement.asked = true;
-    if (!fw->scheduler || !f->facts.id[0])
-        return false;
     const tc_time_t wait = f->request.arrived + f->route->aim - now;
     msg_place_t place = {.prompt_tokens = f->facts.prompt_tokens,
                          .max_tokens = reserved_output(&f->facts),
@@ -124,7 +150,17 @@
     codec_copy_string(place.id, sizeof(place.id), f->facts.id);
     codec_copy_string(place.box, sizeof(place.box), fw->options.box);
     codec_copy_string(place.model, sizeof(place.model), f->service);
-    if (ask(f, MSG_PLACE, &place))
+    return ask(f, MSG_PLACE, &place);
+}
+
+bool place_ask(forward_t *f)
+{
+    if (f->placement.asked)
+        return false;
+    f->placement.asked = true;
+    if (!f->owner->scheduler || !f->facts.id[0])
+        return false;
+    if (ask_placement(f))
         return true;
     place_alone(f);
     return false;
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -150,9 +150,8 @@
     }
     instance_succeeded(s->instance);
     forward_log(f, "prefilled", "prompt computed", s->status, s->instance);
-    f->handle = (handle_t){.instance = instance_ref(s->instance),
-                           .name = name,
-                           .until = tc_time_now() + f->settings->handle_ttl};
+    f->handle = (handle_t){
+        .instance = instance_ref(s->instance), .name = name, .until = tc_time_now() + f->settings->handle_ttl};
     place_tell(f, PHASE_TRANSFER, NULL);
     step_free(s);
     forward_go_on(f);
--- a/lib/forward/retry_budget.h
+++ b/lib/forward/retry_budget.h
@@ -21,9 +21,9 @@
 
 /** What settings allow. */
 typedef struct {
-    double ratio;      /**< extra arrivals a request */
-    double allowance;  /**< extra arrivals a window beside that, of all boxes */
-    tc_time_t window;  /**< ms */
+    double ratio;     /**< extra arrivals a request */
+    double allowance; /**< extra arrivals a window beside that, of all boxes */
+    tc_time_t window; /**< ms */
 } retry_rules_t;
 
 typedef struct {
--- a/lib/web/web.c
+++ b/lib/web/web.c
@@ -89,9 +89,17 @@
 
 bool web_header_is_hop(const web_headers_t *headers, const char *name)
 {
-    static const char *const fixed[] = {"Connection", "Keep-Alive", "Proxy-Connection",    "Proxy-Authenticate",
-                                        "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding",
-                                        "Upgrade", "Content-Length", "Expect"};
+    static const char *const fixed[] = {"Connection",
+                                        "Keep-Alive",
+                                        "Proxy-Connection",
+                                        "Proxy-Authenticate",
+                                        "Proxy-Authorization",
+                                        "TE",
+                                        "Trailer",
+                                        "Transfer-Encoding",
+                                        "Upgrade",
+                                        "Content-Length",
+                                        "Expect"};
     for (size_t i = 0; i < G_N_ELEMENTS(fixed); i++)
         if (g_ascii_strcasecmp(name, fixed[i]) == 0)
             return true;
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -21,10 +21,10 @@
 
 enum {
     READ_SIZE = 16 * 1024,
-    AHEAD_MAX = 64 * 1024,       /* bytes of later requests kept while one is handled */
-    OUT_MAX = 8 * 1024 * 1024,   /* bytes waiting for a caller who does not read: then it is cut off */
-    SWEEP_MS = 250,              /* how often idle connections are looked at */
-    LINGER_MS = 1000             /* an answer that ends the connection may take this long to be taken up */
+    AHEAD_MAX = 64 * 1024,     /* bytes of later requests kept while one is handled */
+    OUT_MAX = 8 * 1024 * 1024, /* bytes waiting for a caller who does not read: then it is cut off */
+    SWEEP_MS = 250,            /* how often idle connections are looked at */
+    LINGER_MS = 1000           /* an answer that ends the connection may take this long to be taken up */
 };
 
 /* ===== Types ===== */
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -66,22 +66,26 @@
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     case 'T': /* breaks in the middle of its second event */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET);
-    case 'U': /* goes on behind the first */
-        return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
+    case 'U': /* goes on behind the first */ return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     default: g_assert_not_reached();
     }
 }
 
 static const char CONFIG[] =
     "{\"version\":3,\"routes\":["
-    "{\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\",\"timeout_ms\":3000,\"max_attempts\":2,\"service\":\"app\"},"
+    "{\"host\":\"h\",\"path_prefix\":\"/safe/"
+    "\",\"kind\":\"safe\",\"timeout_ms\":3000,\"max_attempts\":2,\"service\":\"app\"},"
     "{\"host\":\"h\",\"path_prefix\":\"/once/\",\"kind\":\"unsafe\",\"timeout_ms\":3000,\"max_attempts\":2,\"service\":"
     "\"app\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/short/\",\"kind\":\"safe\",\"timeout_ms\":200,\"max_attempts\":2,\"service\":\"app\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/lm/\",\"kind\":\"stream\",\"timeout_ms\":9000,\"max_attempts\":1,\"service\":\"lm\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/again/\",\"kind\":\"stream\",\"timeout_ms\":9000,\"max_attempts\":2,\"resumable\":true,"
+    "{\"host\":\"h\",\"path_prefix\":\"/short/"
+    "\",\"kind\":\"safe\",\"timeout_ms\":200,\"max_attempts\":2,\"service\":\"app\"},"
+    "{\"host\":\"h\",\"path_prefix\":\"/lm/"
+    "\",\"kind\":\"stream\",\"timeout_ms\":9000,\"max_attempts\":1,\"service\":\"lm\"},"
+    "{\"host\":\"h\",\"path_prefix\":\"/again/"
+    "\",\"kind\":\"stream\",\"timeout_ms\":9000,\"max_attempts\":2,\"resumable\":true,"
     "\"service\":\"lm\"}],"
-    "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":5}}]}";
+    "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":5}}]"
+    "}";
 
 static void set_up(fixture_t *f, gconstpointer data)
 {
@@ -90,10 +94,8 @@
     f->fleet = fleet_create();
     f->client = web_client_create(f->loop);
     f->callers = web_client_create(f->loop);
-    const forwarder_options_t options = {.box = "box",
-                                         .dc = "a",
-                                         .retries = {.ratio = 100, .allowance = 0, .window = 60000},
-                                         .pause_limit = 60000};
+    const forwarder_options_t options = {
+        .box = "box", .dc = "a", .retries = {.ratio = 100, .allowance = 0, .window = 60000}, .pause_limit = 60000};
     f->forwarder = forwarder_create(f->loop, f->fleet, f->client, &options);
     tc_err_t err = {0};
     route_table_t *const table = config_read(CONFIG, strlen(CONFIG), &err);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -39,8 +39,10 @@
 
 /* ===== Configuration ===== */
 
-#define SERVICES "\"services\":[{\"name\":\"s\",\"health_path\":\"/health\",\"max_connections\":630,\"engine\":{" \
-    "\"slots\":128,\"kv_tokens\":53213,\"kv_bytes\":18432,\"link_mbps\":350000.0,\"handle_ttl_s\":0.5}},{\"name\":\"t\"}]"
+#define SERVICES                                                                                                       \
+    "\"services\":[{\"name\":\"s\",\"health_path\":\"/health\",\"max_connections\":630,\"engine\":{"                   \
+    "\"slots\":128,\"kv_tokens\":53213,\"kv_bytes\":18432,\"link_mbps\":350000.0,\"handle_ttl_s\":0.5}},{\"name\":"    \
+    "\"t\"}]"
 #define ROUTE(more) "{\"host\":\"H.example\",\"path_prefix\":\"/p/\",\"kind\":\"stream\"," more "}"
 #define CONFIG(routes) "{\"version\":7,\"routes\":[" routes "]," SERVICES "}"
 
@@ -108,9 +110,10 @@
 
 static void test_forged_headers_stop_here(void)
 {
-    static const char *const forged[] = {"Stage", "kv-from", "Kv-Fetch", "KV-BACKUP", "Hold", "Pin-Ms", "Priority",
-                                         "Expect-Instance", "expect-version", "Deadline-Ms", "Server-Seal",
-                                         "Connection", "Transfer-Encoding", "X-Hop", "Content-Length"};
+    static const char *const forged[] = {
+        "Stage",       "kv-from",    "Kv-Fetch",          "KV-BACKUP",      "Hold",
+        "Pin-Ms",      "Priority",   "Expect-Instance",   "expect-version", "Deadline-Ms",
+        "Server-Seal", "Connection", "Transfer-Encoding", "X-Hop",          "Content-Length"};
     web_headers_t h;
     web_headers_init(&h);
     add(&h, "Host", "h.example");
@@ -120,9 +123,12 @@
         add(&h, forged[i], "forged");
     add(&h, "Connection", "X-Hop"); /* names a header of this connection */
     web_headers_t with_hop = h;
-    const dialect_step_t step = {
-        .ask = DIALECT_DECODE, .instance = "i-1", .time_left = 1234, .handle_at = "10.0.0.2:80", .handle = "abc",
-        .resume_after = "12"};
+    const dialect_step_t step = {.ask = DIALECT_DECODE,
+                                 .instance = "i-1",
+                                 .time_left = 1234,
+                                 .handle_at = "10.0.0.2:80",
+                                 .handle = "abc",
+                                 .resume_after = "12"};
     char *const text = written(&with_hop, &step);
     g_assert_true(g_str_has_prefix(text, "POST /p/x?y HTTP/1.1\r\n"));
     g_assert_nonnull(strstr(text, "\r\nAttempt-Id: 9c41\r\n"));
@@ -198,7 +204,8 @@
 static void test_list(void)
 {
     static const char page[] =
-        "{\"instances\":[{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"a\",\"slots\":128,\"state\":\"ready\","
+        "{\"instances\":[{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"a\",\"slots\":128,\"state\":"
+        "\"ready\","
         "\"stage\":\"decode\",\"id\":\"i-1\"},{\"service\":\"s\",\"address\":\"10.1.0.8:80\",\"zone\":\"a\",\"state\":"
         "\"draining\",\"id\":\"i-2\"}],\"next_token\":\"p-50\"}";
     GArray *const list = g_array_new(FALSE, TRUE, sizeof(backend_t));
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -22,8 +22,8 @@
     const char *seeds[SEEDS + 1];
     bool offered;
     int offer_rc;
-    uint64_t want;  /* version that a wait is for */
-    int who;        /* box that a wait is for */
+    uint64_t want; /* version that a wait is for */
+    int who;       /* box that a wait is for */
     reporter_t *reporter;
     entry_box_t self;
     uint64_t heard;
@@ -221,7 +221,7 @@
     const document_t document = {.version = 9, .body = body, .body_n = 1};
     replica_offer(f->replica[at], &document, on_offered, f);
     lab_run_until_true(f->loop, &f->offered);
-    g_assert_cmpint(f->offer_rc, <, 0);            /* never acknowledged */
+    g_assert_cmpint(f->offer_rc, <, 0);          /* never acknowledged */
     g_assert_null(replica_read(f->replica[at])); /* and no read is certain */
 }
 
--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -85,8 +85,8 @@
     (void)data;
     g_assert_cmpint(status_of(f, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz"), ==, 200);
     g_assert_cmpint(
-        status_of(f, "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"), ==,
-        200);
+        status_of(f, "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"),
+        ==, 200);
     g_assert_cmpstr(f->seen->str, ==, "xyz|abc|");
 }
 
@@ -94,13 +94,15 @@
 {
     (void)data;
     /* Two lengths, or a length beside chunks: whatever is behind must not become a request of its own. */
-    g_assert_cmpint(status_of(f, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                 "0\r\n\r\nGET /evil HTTP/1.1\r\nHost: h\r\n\r\n"),
+    g_assert_cmpint(status_of(f,
+                              "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "0\r\n\r\nGET /evil HTTP/1.1\r\nHost: h\r\n\r\n"),
                     ==, 400);
     g_assert_cmpint(status_of(f, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 30\r\n\r\n"
                                  "GET /evil HTTP/1.1\r\nHost: h\r\n\r\n"),
                     ==, 400);
-    g_assert_cmpint(status_of(f, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"), ==, 400);
+    g_assert_cmpint(status_of(f, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"), ==,
+                    400);
     g_assert_cmpuint(f->handled, ==, 0);
 }
 
@@ -195,7 +197,8 @@
 {
     (void)data;
     char *body = NULL;
-    g_assert_cmpint(end_of(f, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokmore", LAB_KEEP, &body), ==, WEB_END_WHOLE);
+    g_assert_cmpint(end_of(f, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokmore", LAB_KEEP, &body), ==,
+                    WEB_END_WHOLE);
     g_assert_cmpstr(body, ==, "ok"); /* what is behind a whole answer belongs to nobody */
     g_free(body);
     g_assert_cmpint(end_of(f, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", LAB_CLOSE, NULL), ==, WEB_END_CUT);
