--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -15,6 +15,10 @@
 
 COUNTER_DEFINE(c_dropped, "counter", "trackcove_log_lines_dropped_total", "Log lines that standard output did not take")
 
+/** Lines a second on standard output; more are dropped, errors and warnings last. A box at its highest load measured
+ *  (burst days of the platform) writes 200. */
+enum { STDOUT_LINES_A_SECOND = 2000 };
+
 static FILE *log_file;
 static bool log_to_stdout;
 static char log_box[96];
@@ -26,18 +30,34 @@
     return event->evt_msg;
 }
 
+/** Whether one more line fits into this second. Lines come from one thread at a time here; a race would only let one
+ *  line more through. */
+static bool fits_in_second(int priority)
+{
+    static tc_time_t second;
+    static int lines;
+    const tc_time_t now = tc_time_now() / 1000;
+    lines = now == second ? lines + 1 : 1;
+    second = now;
+    return lines <= STDOUT_LINES_A_SECOND || (priority <= LOG4C_PRIORITY_WARN && lines <= 2 * STDOUT_LINES_A_SECOND);
+}
+
+static int write_line(const char *text, int priority)
+{
+    const size_t size = strlen(text);
+    if (!fits_in_second(priority) || write(STDOUT_FILENO, text, size) < 0)
+        counter_add(&c_dropped, 1);
+    return (int)size;
+}
+
 static int appender_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
     (void)appender;
     FILE *const out = log_file;
     if (!out)
         return 0;
-    if (log_to_stdout) {
-        const size_t size = strlen(event->evt_rendered_msg);
-        if (write(STDOUT_FILENO, event->evt_rendered_msg, size) < 0)
-            counter_add(&c_dropped, 1);
-        return (int)size;
-    }
+    if (log_to_stdout)
+        return write_line(event->evt_rendered_msg, event->evt_priority);
     /* One fwrite a line: stdio locks the stream, so lines of several threads do not mix. */
     return (int)fwrite(event->evt_rendered_msg, 1, strlen(event->evt_rendered_msg), out);
 }
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -20,6 +20,7 @@
 
 struct fleet {
     GPtrArray *instances; /* listed ones */
+    tc_time_t listed_at, loads_at; /* 0: never */
 };
 
 /* ===== Instances ===== */
@@ -106,8 +107,9 @@
     return NULL;
 }
 
-void fleet_list(fleet_t *f, const backend_t *list, uint32_t n)
+void fleet_list(fleet_t *f, const backend_t *list, uint32_t n, tc_time_t fetched)
 {
+    f->listed_at = fetched;
     GPtrArray *const fresh = g_ptr_array_new_with_free_func(drop);
     for (uint32_t i = 0; i < n; i++) {
         instance_t *const known = fleet_find(f, list[i].id);
@@ -126,6 +128,16 @@
     f->instances = fresh;
 }
 
+tc_time_t fleet_list_age(const fleet_t *f, tc_time_t now)
+{
+    return f->listed_at ? now - f->listed_at : TC_TIME_NEVER;
+}
+
+tc_time_t fleet_loads_age(const fleet_t *f, tc_time_t now)
+{
+    return f->loads_at ? now - f->loads_at : TC_TIME_NEVER;
+}
+
 unsigned fleet_size(const fleet_t *f)
 {
     return f->instances->len;
@@ -133,8 +145,9 @@
 
 /* ===== Loads ===== */
 
-void fleet_hear_loads(fleet_t *f, const backend_load_t *loads, uint32_t n)
+void fleet_hear_loads(fleet_t *f, const backend_load_t *loads, uint32_t n, tc_time_t now)
 {
+    f->loads_at = now;
     for (guint i = 0; i < f->instances->len; i++) {
         instance_t *const instance = g_ptr_array_index(f->instances, i);
         instance->others = 0;
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -54,13 +54,16 @@
 fleet_t *fleet_create(void);
 void fleet_destroy(fleet_t *fleet);
 
-/** Replace what is listed. Instances that stay keep what is known of them. */
-void fleet_list(fleet_t *fleet, const backend_t *list, uint32_t n);
+/** Replace what is listed. Instances that stay keep what is known of them. @param fetched when the list was asked for */
+void fleet_list(fleet_t *fleet, const backend_t *list, uint32_t n, tc_time_t fetched);
+/** How old the list and the other boxes' loads are, in ms, for logs; TC_TIME_NEVER when there is none yet. */
+tc_time_t fleet_list_age(const fleet_t *fleet, tc_time_t now);
+tc_time_t fleet_loads_age(const fleet_t *fleet, tc_time_t now);
 /** Number of listed instances. */
 unsigned fleet_size(const fleet_t *fleet);
 
 /** What other boxes have in flight; instances not named have nothing. */
-void fleet_hear_loads(fleet_t *fleet, const backend_load_t *loads, uint32_t n);
+void fleet_hear_loads(fleet_t *fleet, const backend_load_t *loads, uint32_t n, tc_time_t now);
 /** What this box has in flight, for the others. @return heap array for free(), its length in @p n */
 backend_load_t *fleet_own_loads(const fleet_t *fleet, uint32_t *n);
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/counter.h"
+#include "common/histogram.h"
 #include "common/log.h"
 #include "forward/forward_internal.h"
 
@@ -11,12 +12,21 @@
 COUNTER_DEFINE(c_not_run, "counter", "trackcove_forward_not_run_total", "Requests refused as not run")
 COUNTER_DEFINE(c_unknown, "counter", "trackcove_forward_unknown_total", "Requests that failed after they may have run")
 COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Requests whose caller left")
+HISTOGRAM_DEFINE(h_answer, "trackcove_forward_answer_ms", "From a request to the end of its answer")
 COUNTER_DEFINE(c_no_route, "counter", "trackcove_forward_no_route_total", "Requests without a route")
 
 /* ===== Log ===== */
 
+/** How old an input of a decision is; left out when there is none. */
+static void log_age(log_line_t *line, const char *key, tc_time_t age)
+{
+    if (age != TC_TIME_NEVER)
+        log_int(line, key, age);
+}
+
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance)
 {
+    const tc_time_t now = tc_time_now();
     log_line_t line;
     log_begin(&line, LOG_INFO, event);
     log_str(&line, "request", f->facts.id);
@@ -28,10 +38,12 @@
         log_str(&line, "addr", instance->listed.addr);
         log_int(&line, "running", instance->running);
         log_int(&line, "others", instance->others);
+        log_age(&line, "loads_age_ms", fleet_loads_age(f->owner->fleet, now));
+        log_age(&line, "list_age_ms", fleet_list_age(f->owner->fleet, now));
     }
     log_int(&line, "config", (int64_t)f->table->version);
     log_int(&line, "arrivals", f->arrivals);
-    log_int(&line, "left_ms", f->deadline - tc_time_now());
+    log_int(&line, "left_ms", f->deadline - now);
     log_end(&line);
 }
 
@@ -56,6 +68,7 @@
 void forward_done(forward_t *f, int status, const char *why)
 {
     counter_add(&c_answered, 1);
+    histogram_add(&h_answer, tc_time_now() - f->request.arrived);
     forward_log(f, "done", why, status, NULL);
     forward_free(f);
 }
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -4,9 +4,11 @@
 #include <string.h>
 
 #include "common/counter.h"
+#include "common/histogram.h"
 #include "forward/forward_internal.h"
 #include "sched/sched.h"
 
+HISTOGRAM_DEFINE(h_place, "trackcove_place_ms", "From a request to its placement by the scheduler")
 COUNTER_DEFINE(c_granted, "counter", "trackcove_place_granted_total", "Placements that the scheduler granted")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_place_refused_total", "Placements that the scheduler refused")
 COUNTER_DEFINE(c_alone, "counter", "trackcove_place_alone_total", "Placements that this box made without an answer")
@@ -74,6 +76,7 @@
         return;
     }
     counter_add(&c_granted, 1);
+    histogram_add(&h_place, tc_time_now() - f->request.arrived);
     f->placement.attempt = placed->attempt;
     if (placed->prefill[0])
         codec_copy_string(f->placement.prefill, sizeof(f->placement.prefill), placed->prefill);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -4,8 +4,11 @@
 #include <string.h>
 
 #include "common/counter.h"
+#include "common/histogram.h"
 #include "forward/forward_internal.h"
 
+HISTOGRAM_DEFINE(h_first, "trackcove_forward_first_event_ms", "From a request to the head of its stream")
+HISTOGRAM_DEFINE(h_prefill, "trackcove_forward_prefill_ms", "From a prefill's sending to its result")
 COUNTER_DEFINE(c_calls, "counter", "trackcove_forward_calls_total", "Calls to back ends, prefills included")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_forward_refused_total", "Calls that back ends did not run")
 COUNTER_DEFINE(c_broken, "counter", "trackcove_forward_broken_total", "Calls without a whole answer")
@@ -149,6 +152,7 @@
         return;
     }
     instance_succeeded(s->instance);
+    histogram_add(&h_prefill, tc_time_now() - s->began);
     forward_log(f, "prefilled", "prompt computed", s->status, s->instance);
     f->handle = (handle_t){
         .instance = instance_ref(s->instance), .name = name, .until = tc_time_now() + f->settings->handle_ttl};
@@ -244,6 +248,7 @@
         handle_forget(f); /* the decode engine has it */
     if (streams && !f->begun) {
         f->begun = true;
+        histogram_add(&h_first, tc_time_now() - f->request.arrived);
         place_tell(f, PHASE_DECODE, NULL);
         web_begin(f->exchange, head->status, s->head->str);
     }
--- a/programs/trackcove/local.c
+++ b/programs/trackcove/local.c
@@ -73,28 +73,48 @@
     return CLI_FAILED;
 }
 
-static void explain_line(const cli_options_t *options, const char *text, const char *request)
+static void explain_drop(void *line)
+{
+    json_decref(line);
+}
+
+/** Keep a line that names the request. */
+static void explain_take(GPtrArray *lines, const char *text, const char *request)
 {
     json_t *const line = json_loads(text, 0, NULL);
     const char *const named = json_string_value(json_object_get(line, "request"));
-    if (named && strcmp(named, request) == 0) {
-        if (options->json) {
-            printf("%s", text);
-        } else {
-            const char *key;
-            json_t *value;
-            json_object_foreach(line, key, value) {
-                char *const shown = json_dumps(value, JSON_ENCODE_ANY);
-                if (strcmp(key, "request") != 0 && strcmp(key, "level") != 0)
-                    printf("%s=%s ", key, shown);
-                free(shown);
-            }
-            printf("\n");
-        }
-    }
+    if (named && strcmp(named, request) == 0)
+        g_ptr_array_add(lines, json_incref(line));
     json_decref(line);
 }
 
+/** By the boxes' wall clocks, which may differ; lines of one box stay in their order. */
+static int explain_order(const void *a, const void *b)
+{
+    const json_int_t x = json_integer_value(json_object_get(*(json_t *const *)a, "time"));
+    const json_int_t y = json_integer_value(json_object_get(*(json_t *const *)b, "time"));
+    return x < y ? -1 : x > y;
+}
+
+static void explain_print(const cli_options_t *options, json_t *line)
+{
+    if (options->json) {
+        char *const text = json_dumps(line, JSON_COMPACT);
+        printf("%s\n", text);
+        free(text);
+        return;
+    }
+    const char *key;
+    json_t *value;
+    json_object_foreach(line, key, value) {
+        char *const shown = json_dumps(value, JSON_ENCODE_ANY);
+        if (strcmp(key, "request") != 0 && strcmp(key, "level") != 0)
+            printf("%s=%s ", key, shown);
+        free(shown);
+    }
+    printf("\n");
+}
+
 int cmd_explain(const cli_options_t *options, int argc, char **argv)
 {
     (void)argc;
@@ -103,15 +123,21 @@
         return CLI_USAGE;
     }
     char text[LOG_LINE_MAX * 2];
+    GPtrArray *const lines = g_ptr_array_new_with_free_func(explain_drop);
     for (gchar **path = options->logs; *path; path++) {
         FILE *const in = fopen(*path, "r");
         if (!in) {
             fprintf(stderr, "trackcove explain: cannot read %s\n", *path);
+            g_ptr_array_free(lines, TRUE);
             return CLI_FAILED;
         }
         while (fgets(text, sizeof(text), in))
-            explain_line(options, text, argv[0]);
+            explain_take(lines, text, argv[0]);
         fclose(in);
     }
+    g_ptr_array_sort(lines, explain_order);
+    for (guint i = 0; i < lines->len; i++)
+        explain_print(options, g_ptr_array_index(lines, i));
+    g_ptr_array_free(lines, TRUE);
     return CLI_OK;
 }
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -147,7 +147,7 @@
         codec_copy_string(list[i].dc, sizeof(list[i].dc), plans[i].far ? "b" : "a");
         list[i].slots = 8;
     }
-    fleet_list(f->fleet, list, n);
+    fleet_list(f->fleet, list, n, tc_time_now());
 }
 
 static unsigned requests(const fixture_t *f, int i)
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -113,7 +113,7 @@
     const backend_t list[] = {backend("far", "b", "", false), backend("near", "a", "", false),
                               backend("leaving", "a", "", true), backend("engine", "a", "decode", false)};
     fleet_t *const f = fleet_create();
-    fleet_list(f, list, G_N_ELEMENTS(list));
+    fleet_list(f, list, G_N_ELEMENTS(list), 50);
     GPtrArray *const tried = g_ptr_array_new();
     const fleet_wish_t wish = {.service = "s", .dc = "a", .tried = tried, .now = 100};
     instance_t *const near = fleet_choose(f, &wish);
@@ -124,7 +124,7 @@
     g_ptr_array_add(tried, near);
     g_ptr_array_add(tried, far);
     g_assert_null(fleet_choose(f, &wish));
-    fleet_list(f, list, 1); /* a request keeps what it uses, also when it is listed no more */
+    fleet_list(f, list, 1, 60); /* a request keeps what it uses, also when it is listed no more */
     g_assert_false(near->present);
     instance_end(near, 0);
     instance_unref(near);
@@ -137,7 +137,7 @@
 {
     const backend_t list[] = {backend("one", "a", "", false), backend("two", "a", "", false)};
     fleet_t *const f = fleet_create();
-    fleet_list(f, list, 2);
+    fleet_list(f, list, 2, 50);
     instance_t *const one = fleet_find(f, "one");
     instance_failed(one, 1000);
     for (uint32_t draw = 0; draw < 8; draw++) {
