Lint clean on the platform path; one hash for lists

Cause: clang-tidy on the new files: padding of a scheduler record, a hash over an empty list from nowhere, written in three places. Change: lib/cluster/list_hash serves all three; fields moved.

--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -3,9 +3,8 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
+#include "cluster/list_hash.h"
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
 
@@ -22,7 +21,7 @@
         abort();
     memcpy(r->backends, list, n * sizeof(*list));
     r->backends_n = n;
-    r->backends_hash = XXH64(list, n * sizeof(*list), 0) | 1;
+    r->backends_hash = list_hash(list, n * sizeof(*list));
     r->backends_fetched = fetched;
     placing_set_backends(r->placing, list, n);
 }
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -3,10 +3,9 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
 #include "cluster/document.h"
+#include "cluster/list_hash.h"
 #include "common/counter.h"
 #include "common/log.h"
 
@@ -104,7 +103,7 @@
     if (fetched <= r->backends_time)
         return;
     r->backends_time = fetched;
-    set_backends(r, list, n, XXH64(list, n * sizeof(*list), 0) | 1);
+    set_backends(r, list, n, list_hash(list, n * sizeof(*list)));
 }
 
 static void take_backends(reporter_t *r, const msg_report_ack_t *ack)
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <urcu/list.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+
+#include "cluster/list_hash.h"
 
 /* ===== Types ===== */
 
@@ -101,7 +101,7 @@
     const reported_t *m;
     cds_list_for_each_entry(m, &r->members, node)
         list[(*n)++] = m->box;
-    *hash = XXH64(list, *n * sizeof(*list), 0) | 1; /* boxes are zeroed before they are read, padding too */
+    *hash = list_hash(list, *n * sizeof(*list));
     return list;
 }
 
--- a/lib/common/histogram.c
+++ b/lib/common/histogram.c
@@ -29,8 +29,7 @@
 static size_t print_one(const histogram_t *h, char *to, size_t size)
 {
     long long count = 0;
-    size_t used =
-        (size_t)snprintf(to, size, "# HELP %s %s\n# TYPE %s histogram\n", h->name, h->help, h->name);
+    size_t used = (size_t)snprintf(to, size, "# HELP %s %s\n# TYPE %s histogram\n", h->name, h->help, h->name);
     for (int i = 0; i < HISTOGRAM_BUCKETS; i++) {
         count += atomic_load_explicit(&h->buckets[i], memory_order_relaxed);
         char bound[24] = "+Inf";
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -40,7 +40,8 @@
 /** In place of a path: standard output, which is never waited for. A line that does not fit is dropped and counted. */
 #define LOG_STDOUT "-"
 
-/** Open the log. @param path file to append to, "" for standard error, LOG_STDOUT for standard output. @param box goes into every line. */
+/** Open the log. @param path file to append to, "" for standard error, LOG_STDOUT for standard output. @param box goes
+ * into every line. */
 int log_open(const char *box, const char *path, tc_err_t *err);
 
 /** Flush and close; lines after this are dropped. */
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -19,7 +19,7 @@
 static const double PROMPT_TOKENS = 5000.0;
 
 struct fleet {
-    GPtrArray *instances; /* listed ones */
+    GPtrArray *instances;          /* listed ones */
     tc_time_t listed_at, loads_at; /* 0: never */
 };
 
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -300,8 +300,7 @@
     CDS_INIT_LIST_HEAD(&net->conns);
     CDS_INIT_LIST_HEAD(&net->backoffs);
     const int keyed = options->key_file[0] ? key_load(&net->key, options->key_file, err) : key_open(&net->key, err);
-    if (keyed < 0 ||
-        (options->listen[0] && start_listening(net, options->listen, err) < 0)) {
+    if (keyed < 0 || (options->listen[0] && start_listening(net, options->listen, err) < 0)) {
         free(net);
         return NULL;
     }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -57,11 +57,11 @@
 } sched_token_t;
 
 typedef struct {
-    const char *cell;  /**< engines with this cell belong to the scheduler */
-    uint64_t epoch;    /**< of the lease */
-    uint32_t share_of; /**< 1: the whole cell. N: one Nth of each engine (policy "share") */
+    const char *cell;      /**< engines with this cell belong to the scheduler */
+    uint64_t epoch;        /**< of the lease */
+    uint32_t share_of;     /**< 1: the whole cell. N: one Nth of each engine (policy "share") */
     uint32_t piece_tokens; /**< size of the pieces that memory is counted in; 0 for SCHED_PIECE_TOKENS */
-    bool rebuild;      /**< start with SCHED_REBUILD_MS of learning */
+    bool rebuild;          /**< start with SCHED_REBUILD_MS of learning */
 } sched_options_t;
 
 typedef enum { SCHED_ACT_ANSWER, SCHED_ACT_CANCEL } sched_action_kind_t;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -104,17 +104,17 @@
     uint32_t n_chain;
     tc_time_t due, lease_until, phase_at;
     sched_token_t token;
-    bool waiting;     /* token has not been answered */
     uint64_t content; /* what is asked: an id that comes again must ask the same */
     char avoid[CODEC_STR_SIZE];
     engine_t *prefill, *decode;
-    bool prefilling;           /* counted in prefill->prefills */
     double work_ms;            /* prefill work it brings, by the engine that has most of it cached */
     uint32_t predicted_cached; /* prompt tokens taken for cached on the prefill engine */
     double est_prefill_ms;
     link_t *link;
     double link_tokens; /* counted in link->outstanding */
     bool long_transfer; /* counted in link->long_transfers */
+    bool waiting;       /* token has not been answered */
+    bool prefilling;    /* counted in prefill->prefills */
 } request_t;
 
 /** An attempt that must go from an engine: its pieces stay reserved until the engine says so. */
