Forwarder can be ended; its tests run clean under the address sanitizer

Cause: the fixture kept the forwarder and the list of back ends; the sanitizer's check of leaks ended the program with 1. Change: forwarder_destroy.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -282,6 +282,16 @@
     return fw;
 }
 
+void forwarder_destroy(forwarder_t *fw)
+{
+    assert(fw->busy == 0); /* requests hold the forwarder */
+    loop_disarm(&fw->renewal);
+    route_table_unref(fw->table);
+    g_hash_table_destroy(fw->budgets);
+    g_rand_free(fw->random);
+    g_free(fw);
+}
+
 void forwarder_set_routes(forwarder_t *fw, route_table_t *table)
 {
     route_table_unref(fw->table);
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -37,6 +37,9 @@
 /** @p fleet and @p client are borrowed; strings of @p options too. */
 forwarder_t *forwarder_create(loop_t *loop, fleet_t *fleet, web_client_t *client, const forwarder_options_t *options);
 
+/** Only when no request is under way. */
+void forwarder_destroy(forwarder_t *forwarder);
+
 /** Requests from now on are routed by @p table; a reference is taken. NULL: none is known. */
 void forwarder_set_routes(forwarder_t *forwarder, route_table_t *table);
 /** Ask the scheduler beside the leader of the control boxes for placements; without it, or while it does not answer,
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -122,6 +122,8 @@
             lab_backend_stop(f->backend[i]);
         g_string_free(f->plan[i].seen, TRUE);
     }
+    forwarder_destroy(f->forwarder);
+    fleet_destroy(f->fleet);
     loop_destroy(f->loop);
 }
 
