--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -202,23 +202,34 @@
     return (double)(instance->running + instance->others) / slots;
 }
 
+static double cost_of(const instance_t *instance, const fleet_wish_t *wish)
+{
+    const double far = strcmp(instance->listed.dc, wish->dc) != 0 ? FAR_COST : 0;
+    return load_of(instance) + far;
+}
+
+/** Two of those that fit, drawn by lot, and the better of them: what is known of the other boxes' requests is some
+ *  hundred ms old, and if all boxes took the one that looks best, it would be swamped until they hear of it. */
 instance_t *fleet_choose(fleet_t *f, const fleet_wish_t *wish)
 {
-    instance_t *best = NULL;
-    double best_cost = 0;
-    const guint n = f->instances->len;
-    for (guint k = 0; k < n; k++) {
-        instance_t *const instance = g_ptr_array_index(f->instances, (wish->draw + k) % n);
+    GPtrArray *const good = g_ptr_array_new();
+    instance_t *last_resort = NULL; /* the one that is to be avoided for the shortest time */
+    for (guint i = 0; i < f->instances->len; i++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, i);
         if (!fits(instance, wish))
             continue;
-        double cost = load_of(instance);
-        cost += strcmp(instance->listed.dc, wish->dc) != 0 ? FAR_COST : 0;
-        cost += instance->avoid_until > wish->now ? 100.0 + (double)(instance->avoid_until - wish->now) : 0;
-        if (!best || cost < best_cost) {
-            best = instance;
-            best_cost = cost;
-        }
+        if (instance->avoid_until <= wish->now)
+            g_ptr_array_add(good, instance);
+        else if (!last_resort || instance->avoid_until < last_resort->avoid_until)
+            last_resort = instance;
+    }
+    instance_t *best = last_resort;
+    if (good->len > 0) {
+        instance_t *const one = g_ptr_array_index(good, wish->draw % good->len);
+        instance_t *const two = g_ptr_array_index(good, (wish->draw / good->len) % good->len);
+        best = cost_of(one, wish) <= cost_of(two, wish) ? one : two;
     }
+    g_ptr_array_free(good, TRUE);
     return best ? instance_ref(best) : NULL;
 }
 
