Boxes that place alone set memory aside first; control boxes keep an odd number of voters

A box without the scheduler's answer asks a decode engine to set memory aside before the prompt is read (up to four engines, again every 90 ms for 500 ms), and refuses as not run when none has room. Log lines name the true age of the list of back ends. Tests memory-is-set-aside-first, no-room-reads-no-prompt, unused-memory-is-given-back, odd-number-of-voters.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -451,6 +451,7 @@
     const uint64_t incarnation = (uint64_t)tc_time_wall();
     start.seed = incarnation ^ start.id;
     r->raft = raft_create(&start, tc_time_now());
+    raft_want_voters(r->raft, options->voters_wanted);
     if (start.snapshot.last_index > 0)
         load_image(r, &start.snapshot);
     store_start_free(&start);
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -111,6 +111,10 @@
  *  same name that it replaces, one change at a time. Call again until raft_is_voter. */
 void raft_join(raft_t *raft, const raft_member_t *member, tc_time_t now);
 
+/** No more than @p wanted voters, 0 for any number: others stay non-voters, which have the log and take a voter's place
+ *  when it falls silent. An odd number has a majority on one side of every cut in two. */
+void raft_want_voters(raft_t *raft, uint32_t wanted);
+
 /** Drop a voter that has been silent for a while, as long as more than @p wanted are left: a dead voter beside a newer
  *  one that took its work over would only make majorities larger. It joins again when it is back. Call now and then. */
 void raft_trim(raft_t *raft, uint32_t wanted, tc_time_t now);
--- a/lib/control/raft_internal.h
+++ b/lib/control/raft_internal.h
@@ -41,6 +41,7 @@
     raft_image_t snapshot;
     raft_members_t members; /* newest in the log, committed or not, as Raft wants it */
     uint64_t members_index;
+    uint32_t voters_wanted; /* 0: any number */
     uint64_t commit, applied;
     tc_time_t heard; /* last message of a leader, or our start */
     tc_time_t election_at;
--- a/lib/control/raft_leader.c
+++ b/lib/control/raft_leader.c
@@ -201,6 +201,19 @@
     return silent;
 }
 
+static uint32_t count_voters(const raft_t *r)
+{
+    uint32_t voters = 0;
+    for (uint32_t i = 0; i < r->members.list_n; i++)
+        voters += r->members.list[i].voter;
+    return voters;
+}
+
+void raft_want_voters(raft_t *r, uint32_t wanted)
+{
+    r->voters_wanted = wanted;
+}
+
 void raft_join(raft_t *r, const raft_member_t *member, tc_time_t now)
 {
     if (r->role != RAFT_LEADER || member->id == r->id || !members_settled(r))
@@ -222,6 +235,8 @@
         change_member(r, &gone, true, now);
         return;
     }
+    if (r->voters_wanted > 0 && count_voters(r) >= r->voters_wanted)
+        return; /* it has the log and waits for a place */
     next.voter = true;
     change_member(r, &next, false, now);
 }
@@ -230,14 +245,11 @@
 {
     if (r->role != RAFT_LEADER || !members_settled(r))
         return;
-    uint32_t voters = 0;
     const raft_member_t *silent = NULL;
-    for (uint32_t i = 0; i < r->members.list_n; i++) {
-        voters += r->members.list[i].voter;
+    for (uint32_t i = 0; i < r->members.list_n; i++)
         if (is_silent(r, &r->members.list[i], now))
             silent = &r->members.list[i];
-    }
-    if (!silent || voters <= wanted)
+    if (!silent || count_voters(r) <= wanted)
         return;
     const raft_member_t gone = *silent;
     change_member(r, &gone, true, now);
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "common/err.h"
 #include "common/time.h"
@@ -48,6 +49,7 @@
     const char *handle_at;    /**< DECODE: address of the engine that holds the prefill result */
     const char *handle;       /**< DECODE: names the result */
     const char *resume_after; /**< last event that the caller has, or "" */
+    const char *hold;         /**< memory that was set aside for it there, or NULL */
 } dialect_step_t;
 
 /** What the head of an answer says. */
@@ -83,6 +85,17 @@
 /** The call by which an engine drops a result nobody will take. @return bytes for web_call */
 GByteArray *dialect_write_release(const char *addr, const char *handle);
 
+/* ===== Memory set aside ===== */
+
+/** The call by which an engine sets a place and memory for @p tokens aside for @p ttl ms. @return bytes for web_call */
+GByteArray *dialect_write_hold(const char *addr, uint64_t tokens, tc_time_t ttl);
+
+/** What it is called, from the answer. @return text for g_free, or NULL when nothing was set aside */
+char *dialect_read_hold(const char *body, size_t size);
+
+/** The call by which an engine gives it back. @return bytes for web_call */
+GByteArray *dialect_write_hold_drop(const char *addr, const char *hold);
+
 /* ===== Discovery ===== */
 
 /** The call for one page of the platform's list of back ends. @param page "" for the first @return bytes for web_call
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -128,6 +128,11 @@
     f->instances = fresh;
 }
 
+void fleet_list_same(fleet_t *f, tc_time_t fetched)
+{
+    f->listed_at = fetched;
+}
+
 tc_time_t fleet_list_age(const fleet_t *f, tc_time_t now)
 {
     return f->listed_at ? now - f->listed_at : TC_TIME_NEVER;
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -57,6 +57,8 @@
 /** Replace what is listed. Instances that stay keep what is known of them. @param fetched when the list was asked for
  */
 void fleet_list(fleet_t *fleet, const backend_t *list, uint32_t n, tc_time_t fetched);
+/** The list was read again at @p fetched and is the same. */
+void fleet_list_same(fleet_t *fleet, tc_time_t fetched);
 /** How old the list and the other boxes' loads are, in ms, for logs; TC_TIME_NEVER when there is none yet. */
 tc_time_t fleet_list_age(const fleet_t *fleet, tc_time_t now);
 tc_time_t fleet_loads_age(const fleet_t *fleet, tc_time_t now);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -55,6 +55,7 @@
     loop_disarm(&f->limit);
     loop_disarm(&f->patience);
     place_end(f);
+    hold_release(f);
     handle_release(f);
     f->owner->busy--;
     cds_list_del(&f->node);
@@ -130,7 +131,7 @@
     return retry_budget_spend(budget_of(fw, f->service), &fw->options.retries, fw->boxes, tc_time_now());
 }
 
-static instance_t *choose(forward_t *f, stage_t stage)
+instance_t *forward_choose(forward_t *f, stage_t stage)
 {
     const fleet_wish_t wish = {.service = f->service,
                                .stage = stage,
@@ -144,8 +145,10 @@
 /** The scheduler's choice, else our own. */
 static instance_t *choose_engine(forward_t *f, stage_t stage)
 {
+    if (stage == STAGE_DECODE && f->hold.instance)
+        return instance_ref(f->hold.instance);
     instance_t *const chosen = place_chosen(f, stage);
-    return chosen ? chosen : choose(f, stage);
+    return chosen ? chosen : forward_choose(f, stage);
 }
 
 static void send_to(forward_t *f, dialect_ask_t ask, instance_t *instance)
@@ -168,11 +171,18 @@
         return;
     }
     if (!f->split) {
-        send_to(f, DIALECT_SERVE, choose(f, STAGE_NONE));
+        send_to(f, DIALECT_SERVE, forward_choose(f, STAGE_NONE));
         return;
     }
     if (place_ask(f))
         return; /* goes on when the scheduler has answered */
+    if (place_is_alone(f) && !f->hold.instance && hold_ask(f))
+        return; /* goes on when an engine has answered */
+    if (place_is_alone(f) && !f->hold.instance && f->hold.tries > 0) {
+        if (!hold_wait(f))
+            forward_fail(f, "no engine has room");
+        return;
+    }
     instance_t *const prefill = f->handle.instance ? NULL : choose_engine(f, STAGE_PREFILL);
     if (prefill) {
         f->placement.prefill_began = tc_time_now();
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -23,6 +23,9 @@
     PLACE_WAIT_MS = 500,    /* from a request's arrival until it is refused for want of room: what is granted later is
                                late anyway. Measured: docs/design/results-platform.md */
     DECODE_AGAIN_MS = 90,   /* between tries while a prefill result is kept and no decode engine has room */
+    HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
+    HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
+    HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
     RENEW_MS = 300,         /* as SCHED_RENEW_MS */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
@@ -57,6 +60,16 @@
     tc_time_t prefill_began;
 } placement_t;
 
+typedef struct hold_call hold_call_t;
+
+/** Memory set aside at a decode engine. */
+typedef struct {
+    hold_call_t *asking;  /* the question under way, or NULL */
+    instance_t *instance; /* NULL: there is none */
+    char *name;
+    unsigned tries;
+} hold_t;
+
 /** A prefill result that waits for a decode engine. */
 typedef struct {
     instance_t *instance; /* NULL: there is none */
@@ -82,6 +95,7 @@
     step_t *step;          /* the call under way, or NULL */
     handle_t handle;
     placement_t placement;
+    hold_t hold;
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
     unsigned arrivals;        /* sent to a back end, prefills beside */
@@ -121,8 +135,27 @@
 bool forward_may_retry(forward_t *f);
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
 
+/** One of the back ends that fit, as a reference, or NULL. */
+instance_t *forward_choose(forward_t *f, stage_t stage);
+
+/* ===== forward_hold.c ===== */
+
+/** Ask a decode engine to set memory aside. @return false when none is left to ask; else forward_go_on follows */
+bool hold_ask(forward_t *f);
+/** No engine had room: ask them again in a moment. @return false when that is of no use any more */
+bool hold_wait(forward_t *f);
+/** It was used, or lapsed. */
+void hold_forget(forward_t *f);
+/** Nobody will use it: the engine is told. */
+void hold_release(forward_t *f);
+
 /* ===== forward_place.c ===== */
 
+/** Tokens of output that memory is reserved for. */
+uint32_t place_output(const dialect_request_t *facts);
+/** Whether no scheduler chose the decode engine. */
+bool place_is_alone(const forward_t *f);
+
 /** Ask the scheduler. @return false when the box has to place by itself; else forward_go_on or forward_fail follows */
 bool place_ask(forward_t *f);
 /** The decode engine turned the request away: ask for another. @return as place_ask */
@@ -142,6 +175,8 @@
 void step_begin(forward_t *f, dialect_ask_t ask, instance_t *instance);
 /** Drop the call under way, if there is one. */
 void step_cancel(forward_t *f);
+/** Make a call whose answer changes nothing. @param request taken over */
+void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
 /** Tell the engine that holds a prefill result that nobody will take it. */
 void handle_release(forward_t *f);
 
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -31,8 +31,7 @@
     forward_t *request; /* NULL once it has ended */
 } placing_call_t;
 
-/** Tokens of output that memory is reserved for. */
-static uint32_t reserved_output(const dialect_request_t *facts)
+uint32_t place_output(const dialect_request_t *facts)
 {
     const double most = facts->output_tokens;
     const double likely = facts->output_guess > 0 ? facts->output_guess : USUAL_SHARE * most;
@@ -145,7 +144,7 @@
     const tc_time_t now = tc_time_now();
     const tc_time_t wait = f->request.arrived + f->route->aim - now;
     msg_place_t place = {.prompt_tokens = f->facts.prompt_tokens,
-                         .max_tokens = reserved_output(&f->facts),
+                         .max_tokens = place_output(&f->facts),
                          .priority = f->route->priority,
                          .wait_ms = wait > 1 ? (uint32_t)wait : 1,
                          .repeatable = route_is_repeatable(f->route)};
@@ -184,6 +183,11 @@
     return false;
 }
 
+bool place_is_alone(const forward_t *f)
+{
+    return !f->placement.decode[0];
+}
+
 instance_t *place_chosen(const forward_t *f, stage_t stage)
 {
     const char *const id = stage == STAGE_PREFILL ? f->placement.prefill : f->placement.decode;
@@ -242,7 +246,7 @@
     held->attempt = f->placement.attempt;
     held->phase = phase_of(f);
     held->prompt_tokens = f->facts.prompt_tokens;
-    held->max_tokens = reserved_output(&f->facts);
+    held->max_tokens = place_output(&f->facts);
     held->pieces = sched_pieces_of(SCHED_SMALL_PIECE_TOKENS, held->prompt_tokens, held->max_tokens);
     codec_copy_string(held->prefill, sizeof(held->prefill), f->placement.prefill);
     const bool decoding = f->step && f->step->ask != DIALECT_PREFILL;
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -58,6 +58,12 @@
     (void)arg, (void)how; /* the engine drops the result by itself soon after */
 }
 
+void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request)
+{
+    const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
+    (void)web_call(fw->client, addr, request, true, CONNECT_MS, &sink);
+}
+
 static void handle_forget(forward_t *f)
 {
     instance_unref(f->handle.instance);
@@ -70,11 +76,9 @@
     if (!f->handle.instance)
         return;
     counter_add(&c_wasted, f->facts.prompt_tokens);
-    if (tc_time_now() < f->handle.until) {
-        const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
-        const char *const addr = f->handle.instance->listed.addr;
-        (void)web_call(f->owner->client, addr, dialect_write_release(addr, f->handle.name), true, CONNECT_MS, &sink);
-    }
+    const char *const addr = f->handle.instance->listed.addr;
+    if (tc_time_now() < f->handle.until)
+        call_and_forget(f->owner, addr, dialect_write_release(addr, f->handle.name));
     handle_forget(f);
 }
 
@@ -314,15 +318,17 @@
                                  .priority = f->route->priority,
                                  .handle_at = f->handle.instance ? f->handle.instance->listed.addr : NULL,
                                  .handle = f->handle.name,
+                                 .hold = f->hold.instance == instance ? f->hold.name : NULL,
                                  .resume_after = f->last_event};
     const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = s};
+    GByteArray *const request = dialect_write_request(&f->request, instance->listed.addr, &step);
     f->step = s;
+    if (f->hold.instance == instance)
+        hold_forget(f); /* it serves once */
     instance_begin(instance, s->tokens);
     forward_log(f, "send", ask == DIALECT_PREFILL ? "prefill" : (ask == DIALECT_DECODE ? "decode" : "serve"), 0,
                 instance);
-    s->call = web_call(f->owner->client, instance->listed.addr,
-                       dialect_write_request(&f->request, instance->listed.addr, &step), may_reuse(f, ask), CONNECT_MS,
-                       &sink);
+    s->call = web_call(f->owner->client, instance->listed.addr, request, may_reuse(f, ask), CONNECT_MS, &sink);
     if (ask == DIALECT_PREFILL)
         loop_arm(f->owner->loop, &f->patience, now + PREFILL_LIMIT_MS, on_step_late, f);
 }
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -63,6 +63,7 @@
                    "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok",
                    LAB_KEEP);
     case 'p': return say("HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"prefill_handle\":\"handle1\"}", LAB_KEEP);
+    case 'H': return say("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"hold\":\"hold1\"}", LAB_KEEP);
     case 'S': /* a whole stream */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     case 'T': /* breaks in the middle of its second event */
@@ -72,21 +73,24 @@
     }
 }
 
+#define ROUTE(path, kind, timeout, attempts, service)                                                                  \
+    "{\"host\":\"h\",\"path_prefix\":\"/" path "/\",\"kind\":\"" kind "\",\"timeout_ms\":" timeout                     \
+    ",\"max_attempts\":" attempts ",\"service\":\"" service "\"}"
+#define ENGINE(more) "\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":5" more "}"
+/** As attempts: the stream may be taken up elsewhere. */
+#define RESUMABLE "2,\"resumable\":true"
+
 static const char CONFIG[] =
-    "{\"version\":3,\"routes\":["
-    "{\"host\":\"h\",\"path_prefix\":\"/safe/"
-    "\",\"kind\":\"safe\",\"timeout_ms\":3000,\"max_attempts\":2,\"service\":\"app\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/once/\",\"kind\":\"unsafe\",\"timeout_ms\":3000,\"max_attempts\":2,\"service\":"
-    "\"app\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/short/"
-    "\",\"kind\":\"safe\",\"timeout_ms\":200,\"max_attempts\":2,\"service\":\"app\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/lm/"
-    "\",\"kind\":\"stream\",\"timeout_ms\":9000,\"max_attempts\":1,\"service\":\"lm\"},"
-    "{\"host\":\"h\",\"path_prefix\":\"/again/"
-    "\",\"kind\":\"stream\",\"timeout_ms\":9000,\"max_attempts\":2,\"resumable\":true,"
-    "\"service\":\"lm\"}],"
-    "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":5}}]"
-    "}";
+    "{\"version\":3,\"routes\":[" ROUTE("safe", "safe", "3000", "2", "app") "," ROUTE("once", "unsafe", "3000", "2", "app") "," ROUTE(
+        "short", "safe", "200",
+        "2", "app") "," ROUTE("lm", "stream", "9000", "1",
+                              "lm") "," ROUTE("again", "stream", "9000", RESUMABLE,
+                                              "lm") "," ROUTE("held", "stream", "9000", "1",
+                                                              "held") "],\"services\":[{\"name\":\"app\"},{\"name\":"
+                                                                      "\"lm\"," ENGINE("") "},{\"name\":"
+                                                                                           "\"held\"," ENGINE(",\"hold_"
+                                                                                                              "ms\":"
+                                                                                                              "2000") "}]}";
 
 static void set_up(fixture_t *f, gconstpointer data)
 {
@@ -387,6 +391,39 @@
     g_assert_null(strstr(f->plan[0].seen->str, "Kv-From"));
 }
 
+static void test_memory_is_set_aside_first(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"held", "prefill", "p", false, false}, {"held", "decode", "HS", false, false}}, 2);
+    expect(f, "/held/x", 200, NULL);
+    g_assert_nonnull(strstr(f->plan[1].seen->str, "POST /hold-take "));
+    g_assert_nonnull(strstr(f->plan[1].seen->str, "\r\nHold: hold1\r\n"));
+}
+
+static void test_no_room_reads_no_prompt(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"held", "prefill", "p", false, false}, {"held", "decode", "n", false, false}}, 2);
+    expect(f, "/held/x", 503, NULL);
+    g_assert_cmpuint(requests(f, 0), ==, 0); /* nothing is read for nothing */
+}
+
+static bool was_dropped(void *arg)
+{
+    return strstr(((fixture_t *)arg)->plan[1].seen->str, "DELETE /hold-drop/hold1 ") != NULL;
+}
+
+static void test_unused_memory_is_given_back(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"held", "prefill", "h", false, false}, {"held", "decode", "Ho", false, false}}, 2);
+    lab_call_t *const c = begin(f, "/held/x");
+    lab_run_until(f->loop, has_request, f); /* the prompt is being read */
+    web_call_cancel(c->call);
+    lab_run_until(f->loop, was_dropped, f);
+    lab_call_free(c);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -408,5 +445,8 @@
     TEST("broken-stream-does-not-look-whole", test_broken_stream_does_not_look_whole);
     TEST("resumable-stream-goes-on-elsewhere", test_resumable_stream_goes_on_elsewhere);
     TEST("no-prefill-engine", test_no_prefill_engine);
+    TEST("memory-is-set-aside-first", test_memory_is_set_aside_first);
+    TEST("no-room-reads-no-prompt", test_no_room_reads_no_prompt);
+    TEST("unused-memory-is-given-back", test_unused_memory_is_given_back);
     return g_test_run();
 }
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -152,6 +152,18 @@
     return with_who && members->list_n == 3;
 }
 
+/** Whether a fourth member has the log and no vote. */
+static bool fourth_waits(void *arg)
+{
+    const fixture_t *const f = arg;
+    const int at = leader(f);
+    const raft_members_t *const members = at >= 0 ? replica_members(f->replica[at]) : NULL;
+    uint32_t voters = 0;
+    for (uint32_t i = 0; members && i < members->list_n; i++)
+        voters += members->list[i].voter;
+    return members && members->list_n == 4 && voters == 3;
+}
+
 static bool snapshots_wanted(void *arg)
 {
     return counter_read("trackcove_cluster_snapshots_total") >= (int64_t)((fixture_t *)arg)->want;
@@ -264,6 +276,23 @@
     expect_read(f, 6);
 }
 
+static void test_odd_number_of_voters(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < BOXES; i++)
+        start_box(f, i, true); /* the fourth is no seed: it joins */
+    put(f, 4);
+    lab_run_until(f->loop, fourth_waits, f);
+    put(f, 5);
+    lab_run_until(f->loop, fourth_waits, f);
+    const int gone = leader(f);
+    stop_box(f, gone);
+    f->who = 3;
+    lab_run_until(f->loop, three_with_who, f); /* it takes the place of one that is gone */
+    put(f, 6);
+    expect_read(f, 6);
+}
+
 static void on_document(void *arg, const document_t *document)
 {
     fixture_t *const f = arg;
@@ -353,6 +382,7 @@
     TEST("no-answer-without-a-majority", test_no_answer_without_a_majority);
     TEST("wiped-box-is-a-new-member", test_wiped_box_is_a_new_member);
     TEST("replaced-box-and-a-lost-disk", test_replaced_box_and_a_lost_disk);
+    TEST("odd-number-of-voters", test_odd_number_of_voters);
     TEST("reporter-follows-the-leader", test_reporter_follows);
     TEST("told-before-a-leader", test_told_before_a_leader);
     TEST("seeds-that-are-no-members-are-told", test_seeds_that_are_no_members_are_told);
