Decode engines read prompts themselves where prefill engines are short

Change: the scheduler core may grant a decode engine alone, one such prompt at a time on each, to a request that has waited 120 ms, where there are three decode engines or more a prefill engine. Estimates count those engines in part.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -16,6 +16,8 @@
 enum {
     /* First guess of what an engine reads; learnt from then on. Measured on the calm days. */
     PREFILL_TOKENS_S = 50000,
+    /* A decode engine reads prompts at under half the pace and slows the streams it carries: only what has waited. */
+    SOLO_AFTER_MS = 120,
     LOST_MAX = 256
 };
 /** Moves of memory into another data centre take twice as long there and are priced double: they are counted dearer
@@ -219,8 +221,11 @@
         p->sched = NULL;
     }
     if (!p->sched && term != 0) {
-        const sched_options_t options = {
-            .cell = CELL, .epoch = term, .piece_tokens = SCHED_SMALL_PIECE_TOKENS, .rebuild = true};
+        const sched_options_t options = {.cell = CELL,
+                                         .epoch = term,
+                                         .piece_tokens = SCHED_SMALL_PIECE_TOKENS,
+                                         .solo_after = SOLO_AFTER_MS,
+                                         .rebuild = true};
         p->sched = sched_create(&options, now);
         p->term = term;
         configure(p, now);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -183,7 +183,8 @@
             forward_fail(f, "no engine has room");
         return;
     }
-    instance_t *const prefill = f->handle.instance ? NULL : choose_engine(f, STAGE_PREFILL);
+    const bool read = f->handle.instance || f->placement.solo;
+    instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
     if (prefill) {
         f->placement.prefill_began = tc_time_now();
         send_to(f, DIALECT_PREFILL, prefill);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -54,6 +54,7 @@
 typedef struct {
     struct placing_call *asking; /* the question under way, or NULL */
     bool asked;                  /* the scheduler was asked, or there was none to ask */
+    bool solo;                   /* the decode engine is to read the prompt itself */
     uint32_t attempt;            /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
     char decode[CODEC_STR_SIZE];
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -77,6 +77,7 @@
     counter_add(&c_granted, 1);
     histogram_add(&h_place, tc_time_now() - f->request.arrived);
     f->placement.attempt = placed->attempt;
+    f->placement.solo = !placed->prefill[0] && !f->handle.instance;
     if (placed->prefill[0])
         codec_copy_string(f->placement.prefill, sizeof(f->placement.prefill), placed->prefill);
     codec_copy_string(f->placement.decode, sizeof(f->placement.decode), placed->decode);
@@ -147,6 +148,7 @@
                          .max_tokens = place_output(&f->facts),
                          .priority = f->route->priority,
                          .wait_ms = wait > 1 ? (uint32_t)wait : 1,
+                         .waited_ms = (uint32_t)(now - f->request.arrived),
                          .repeatable = route_is_repeatable(f->route)};
     codec_copy_string(place.cell, sizeof(place.cell), CELL);
     codec_copy_string(place.id, sizeof(place.id), f->facts.id);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -252,6 +252,7 @@
         handle_forget(f); /* the decode engine has it */
     if (streams && !f->begun) {
         f->begun = true;
+        forward_log(f, "streaming", "first bytes", head->status, s->instance);
         histogram_add(&h_first, tc_time_now() - f->request.arrived);
         place_tell(f, PHASE_DECODE, NULL);
         web_begin(f->exchange, head->status, s->head->str);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -436,6 +436,7 @@
     {.name = "avoid", .offset = offsetof(msg_place_t, avoid), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "repeatable", .offset = offsetof(msg_place_t, repeatable), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "content", .offset = offsetof(msg_place_t, content), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "waited_ms", .offset = offsetof(msg_place_t, waited_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
 };
 const codec_desc_t msg_place_desc = {.name = "place", .size = sizeof(msg_place_t), .fields = msg_place_fields, .n_fields = sizeof(msg_place_fields) / sizeof(msg_place_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -564,6 +564,7 @@
     char avoid[CODEC_STR_SIZE]; /**< an engine that just failed this request */
     bool repeatable;
     uint64_t content; /**< hash over workspace, model, length and prompt: an id belongs to one request */
+    uint32_t waited_ms; /**< since the request came to the entry box */
 } msg_place_t;
 extern const codec_desc_t msg_place_desc;
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -188,6 +188,7 @@
     s->epoch = options->epoch;
     s->share_of = options->share_of > 0 ? options->share_of : 1;
     s->piece_tokens = options->piece_tokens > 0 ? options->piece_tokens : SCHED_PIECE_TOKENS;
+    s->solo_after = options->solo_after;
     s->rebuilding = options->rebuild;
     s->rebuild_from = now;
     s->admit_from = options->rebuild ? now + SCHED_REBUILD_MS : now;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -61,7 +61,9 @@
     uint64_t epoch;        /**< of the lease */
     uint32_t share_of;     /**< 1: the whole cell. N: one Nth of each engine (policy "share") */
     uint32_t piece_tokens; /**< size of the pieces that memory is counted in; 0 for SCHED_PIECE_TOKENS */
-    bool rebuild;          /**< start with SCHED_REBUILD_MS of learning */
+    tc_time_t solo_after; /**< a request that no prefill engine took for this long, ms, may be read by its decode engine
+                               itself, one at a time there; 0: never */
+    bool rebuild;         /**< start with SCHED_REBUILD_MS of learning */
 } sched_options_t;
 
 typedef enum { SCHED_ACT_ANSWER, SCHED_ACT_CANCEL } sched_action_kind_t;
--- a/lib/sched/sched_check.c
+++ b/lib/sched/sched_check.c
@@ -40,7 +40,7 @@
 }
 
 typedef struct {
-    uint32_t pieces, batch, prefills;
+    uint32_t pieces, batch, prefills, solos;
 } tally_t;
 
 static void tally_placed(const sched_t *s, GHashTable *tallies)
@@ -55,6 +55,7 @@
             tally_t *const t = g_hash_table_lookup(tallies, r->decode);
             t->pieces += r->pieces;
             t->batch++;
+            t->solos += r->solo;
         }
         if (r->prefilling)
             ((tally_t *)g_hash_table_lookup(tallies, r->prefill))->prefills++;
@@ -86,6 +87,7 @@
         const tally_t *const t = g_hash_table_lookup(tallies, e);
         assert(t->pieces == e->reserved); /* no piece is held by nobody, none is held twice */
         assert(t->batch == e->batch);
+        assert(t->solos == e->solos && e->solos <= 1);
         assert(t->prefills == e->prefills);
         (void)t;
     }
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -87,6 +87,45 @@
     return best;
 }
 
+/** A decode engine reads a prompt at this part of a prefill engine's pace, between the tokens of others. */
+static const double SOLO_PACE = 0.4;
+
+/** So many decode engines a prefill engine, or more: prompts wait for prefill engines while memory is free. Where the
+ *  pools are in proportion, a burst runs out of both, and reading prompts on decode engines only slows their streams.
+ */
+enum { SHORT_OF_PREFILL = 3 };
+
+static bool is_short_of_prefill(const sched_t *s, const request_t *r, tc_time_t now)
+{
+    uint32_t prefills = 0, decodes = 0;
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        const engine_t *const e = g_ptr_array_index(s->engine_list, i);
+        if (strcmp(e->model, r->model) != 0 || !engine_usable(e, now))
+            continue;
+        prefills += e->role == ROLE_PREFILL;
+        decodes += e->role == ROLE_DECODE;
+    }
+    return decodes >= SHORT_OF_PREFILL * prefills;
+}
+
+choice_t choose_solo(const sched_t *s, const request_t *r, tc_time_t now)
+{
+    choice_t best = {.reason = "no prefill engine is free"};
+    if (s->solo_after == 0 || now - r->queued_at < s->solo_after || !is_short_of_prefill(s, r, now))
+        return best;
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        engine_t *const e = g_ptr_array_index(s->engine_list, i);
+        if (!decode_candidate(s, e, r, now) || e->solos > 0)
+            continue;
+        best.candidates++;
+        if (best.decode && best.decode->batch <= e->batch)
+            continue;
+        best.decode = e;
+        best.total_ms = engine_prefill_ms(e, r) / SOLO_PACE + TPOT_MS;
+    }
+    return best;
+}
+
 /* ===== Estimates ===== */
 
 /** Whether @p a is served before @p b. */
@@ -99,11 +138,13 @@
 static double least_prefill_ms(const sched_t *s, const request_t *r, tc_time_t now)
 {
     double least = INFINITY;
+    const bool may_solo = s->solo_after > 0 && is_short_of_prefill(s, r, now);
     for (guint i = 0; i < s->engine_list->len; i++) {
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (!prefill_candidate(e, r, now))
+        const bool solo = may_solo && e->role == ROLE_DECODE && strcmp(e->model, r->model) == 0;
+        if (!prefill_candidate(e, r, now) && !(solo && engine_usable(e, now)))
             continue;
-        const double alone = engine_prefill_ms(e, r);
+        const double alone = engine_prefill_ms(e, r) / (solo ? SOLO_PACE : 1);
         least = alone < least ? alone : least;
     }
     return least;
@@ -112,12 +153,13 @@
 /** Room and work of the engines that serve a model. */
 typedef struct {
     double free_pieces, backlog_ms;
-    uint32_t prefills;
+    double prefills; /* in prefill engines; decode engines that read prompts count for a part */
 } supply_t;
 
 static supply_t supply_for(const sched_t *s, const request_t *r, tc_time_t now)
 {
     supply_t supply = {0};
+    const bool solo = s->solo_after > 0 && is_short_of_prefill(s, r, now);
     for (guint i = 0; i < s->engine_list->len; i++) {
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
         if (strcmp(e->model, r->model) != 0 || !engine_usable(e, now))
@@ -125,6 +167,7 @@
         if (e->role == ROLE_DECODE) {
             const uint32_t taken = e->reserved + e->foreign;
             supply.free_pieces += taken < e->pieces ? e->pieces - taken : 0;
+            supply.prefills += solo ? SOLO_PACE : 0;
         } else {
             supply.prefills++;
             supply.backlog_ms += engine_backlog(e, now);
@@ -137,7 +180,7 @@
 {
     const supply_t supply = supply_for(s, r, now);
     r->work_ms = least_prefill_ms(s, r, now);
-    if (supply.prefills == 0)
+    if (supply.prefills <= 0)
         return INFINITY;
     double work_ms = supply.backlog_ms, need = r->pieces;
     const request_t *q;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -62,6 +62,7 @@
     uint32_t reserved; /* pieces of placed and cancelling requests */
     uint32_t foreign;  /* pieces of ids that no request accounts for: not given to anybody */
     uint32_t batch;    /* requests placed for decode */
+    uint32_t solos;    /* of these, whose prompt this decode engine reads itself and has not finished */
     /* prefill: work given and not reported done */
     double backlog_ms;
     tc_time_t backlog_at;
@@ -102,7 +103,7 @@
     uint32_t prompt_tokens, max_tokens, pieces, priority;
     uint64_t *chain;
     uint32_t n_chain;
-    tc_time_t due, lease_until, phase_at;
+    tc_time_t due, lease_until, phase_at, queued_at;
     sched_token_t token;
     uint64_t content; /* what is asked: an id that comes again must ask the same */
     char avoid[CODEC_STR_SIZE];
@@ -114,6 +115,7 @@
     double link_tokens; /* counted in link->outstanding */
     bool long_transfer; /* counted in link->long_transfers */
     bool waiting;       /* token has not been answered */
+    bool solo;          /* counted in decode->solos */
     bool prefilling;    /* counted in prefill->prefills */
 } request_t;
 
@@ -147,6 +149,7 @@
     uint64_t epoch;
     uint32_t share_of;
     uint32_t piece_tokens; /* memory is counted in pieces of this size */
+    tc_time_t solo_after;  /* 0: decode engines read no prompts */
     tc_time_t admit_from;
     tc_time_t rebuild_from;
     uint32_t expected, reports; /* live entry boxes, and how many of them have renewed */
@@ -199,6 +202,8 @@
 
 /** Best pair for a queued request, or for a replan the best decode engine (r->prefill is kept). */
 choice_t choose_pair(const sched_t *s, const request_t *r, bool keep_prefill, tc_time_t now);
+/** Best decode engine that would read the prompt itself, if a request may do without a prefill engine by now. */
+choice_t choose_solo(const sched_t *s, const request_t *r, tc_time_t now);
 /** Estimated ms until a request with this due time could start, judged by the queue ahead of it. */
 double estimate_wait(const sched_t *s, request_t *r, tc_time_t now);
 
@@ -207,6 +212,7 @@
 void reserve(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now);
 void end_prefill_work(request_t *r);
 void end_transfer(request_t *r);
+void end_solo(request_t *r);
 /** Give the pieces back; the engine has let go of them by itself. */
 void release_decode(sched_t *s, request_t *r, tc_time_t now);
 /** Give the pieces back only once the engine confirms a cancel. */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -23,12 +23,13 @@
     r->avoid[0] = '\0';
     msg_placed_t *const placed = answer(s, r);
     placed->granted = true;
-    codec_copy_string(placed->prefill, sizeof(placed->prefill), r->prefill->name);
+    codec_copy_string(placed->prefill, sizeof(placed->prefill), r->prefill ? r->prefill->name : "");
     codec_copy_string(placed->decode, sizeof(placed->decode), r->decode->name);
     placed->pieces = r->pieces;
     placed->est_ttft_ms = choice->total_ms < 1e9 ? (uint32_t)choice->total_ms : 0;
     placed->candidates = choice->candidates;
-    codec_copy_string(placed->reason, sizeof(placed->reason), replan ? "replanned" : "lowest estimate");
+    codec_copy_string(placed->reason, sizeof(placed->reason),
+                      replan ? "replanned" : (r->solo ? "read by its decode engine" : "lowest estimate"));
     s->stats.granted++;
 }
 
@@ -39,7 +40,9 @@
         return;
     request_t *r, *next;
     cds_list_for_each_entry_safe(r, next, &s->queue, node) {
-        const choice_t choice = choose_pair(s, r, false, now);
+        choice_t choice = choose_pair(s, r, false, now);
+        if (!choice.decode)
+            choice = choose_solo(s, r, now);
         if (!choice.decode)
             continue;
         if (now + (tc_time_t)choice.total_ms > r->due) {
@@ -178,6 +181,7 @@
     r->n_chain = place->chain_n;
     r->lease_until = now + SCHED_LEASE_MS;
     r->due = now + place->wait_ms;
+    r->queued_at = now - place->waited_ms;
     r->token = token;
     r->waiting = true;
     queue_insert(s, r);
@@ -252,6 +256,7 @@
     case PHASE_DECODE:
         end_prefill_work(r);
         end_transfer(r);
+        end_solo(r);
         r->phase = PHASE_DECODE;
         break;
     case PHASE_FINISHED: finish(s, r, now); break;
--- /dev/null
+++ b/tests/unit/test_sched_solo.c
@@ -0,0 +1,127 @@
+/* Decode engines that read prompts themselves where prefill engines are short. */
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched.h"
+
+enum { ENGINES = 4, SOLO_AFTER = 100 };
+
+typedef struct {
+    sched_t *sched;
+    config_t config;
+    engine_cfg_t engines[ENGINES];
+    msg_placed_t placed[8]; /* by token */
+    bool answered[8];
+} fixture_t;
+
+/** @param prefills how many of the engines compute prompts */
+static void set_up(fixture_t *f, int prefills)
+{
+    memset(f, 0, sizeof(*f));
+    const sched_options_t options = {.cell = "c", .epoch = 1, .piece_tokens = 256, .solo_after = SOLO_AFTER};
+    f->sched = sched_create(&options, 0);
+    for (int i = 0; i < ENGINES; i++) {
+        engine_cfg_t *const e = &f->engines[i];
+        g_snprintf(e->name, sizeof(e->name), "e%d", i);
+        codec_copy_string(e->cell, sizeof(e->cell), "c");
+        codec_copy_string(e->model, sizeof(e->model), "m");
+        e->role = i < prefills ? ROLE_PREFILL : ROLE_DECODE;
+        e->pieces = 1000;
+        e->max_batch = 8;
+        e->prefill_rate = 10000;
+    }
+    f->config = (config_t){.targets = {.max_queue = 16}, .engines = f->engines, .engines_n = ENGINES};
+    sched_configure(f->sched, &f->config, 0);
+    for (int i = 0; i < ENGINES; i++)
+        sched_engine_seen(f->sched, f->engines[i].name, 1, false, NULL, 0, 0, 0);
+}
+
+static void take_answers(fixture_t *f)
+{
+    sched_action_t action;
+    while (sched_next_action(f->sched, &action)) {
+        g_assert_cmpint(action.kind, ==, SCHED_ACT_ANSWER);
+        f->placed[action.u.answer.token.a] = action.u.answer.placed;
+        f->answered[action.u.answer.token.a] = true;
+    }
+    sched_check(f->sched);
+}
+
+static void place(fixture_t *f, uint64_t token, tc_time_t now)
+{
+    msg_place_t p = {.prompt_tokens = 5000, .max_tokens = 100, .wait_ms = 20000};
+    g_snprintf(p.id, sizeof(p.id), "r%d", (int)token);
+    codec_copy_string(p.box, sizeof(p.box), "box");
+    codec_copy_string(p.model, sizeof(p.model), "m");
+    sched_place(f->sched, &p, (sched_token_t){.a = token}, now);
+    take_answers(f);
+}
+
+static void tick(fixture_t *f, tc_time_t now)
+{
+    sched_tick(f->sched, now);
+    take_answers(f);
+}
+
+static void test_short_of_prefill(void)
+{
+    fixture_t f;
+    set_up(&f, 1);
+    place(&f, 0, 0);
+    g_assert_true(f.answered[0]);
+    g_assert_cmpstr(f.placed[0].prefill, ==, "e0");
+    for (uint64_t i = 1; i <= 5; i++)
+        place(&f, i, 1); /* the prefill engine has half a second of work */
+    g_assert_false(f.answered[1]);
+    tick(&f, SOLO_AFTER + 1);
+    unsigned solos = 0;
+    for (int i = 1; i <= 5; i++) {
+        if (!f.answered[i])
+            continue;
+        solos++;
+        g_assert_true(f.placed[i].granted);
+        g_assert_cmpstr(f.placed[i].prefill, ==, "");
+        g_assert_cmpstr(f.placed[i].decode, !=, "");
+    }
+    g_assert_cmpuint(solos, ==, 3); /* one on each decode engine */
+    msg_progress_t first = {.attempt = f.placed[1].attempt, .phase = PHASE_DECODE};
+    codec_copy_string(first.id, sizeof(first.id), "r1");
+    sched_progress(f.sched, &first, SOLO_AFTER + 2); /* its prompt is read: the next may come */
+    take_answers(&f);
+    g_assert_true(f.answered[4] || f.answered[5]);
+    sched_destroy(f.sched);
+}
+
+static void test_pools_in_proportion(void)
+{
+    fixture_t f;
+    set_up(&f, 2);
+    for (uint64_t i = 0; i <= 4; i++)
+        place(&f, i, 0);
+    tick(&f, SOLO_AFTER + 1);
+    for (int i = 0; i <= 4; i++)
+        g_assert_true(!f.answered[i] || strcmp(f.placed[i].prefill, "") != 0);
+    sched_destroy(f.sched);
+}
+
+static void test_no_prefill_engine(void)
+{
+    fixture_t f;
+    set_up(&f, 0);
+    place(&f, 0, 0);
+    g_assert_false(f.answered[0]); /* not refused: a decode engine can do it */
+    tick(&f, SOLO_AFTER + 1);
+    g_assert_true(f.answered[0] && f.placed[0].granted);
+    sched_destroy(f.sched);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/sched-solo/short-of-prefill", test_short_of_prefill);
+    g_test_add_func("/sched-solo/pools-in-proportion", test_pools_in_proportion);
+    g_test_add_func("/sched-solo/no-prefill-engine", test_no_prefill_engine);
+    return g_test_run();
+}
