--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -221,11 +221,37 @@
     return "\n".join(out)
 
 
+PLATFORM = os.path.join(ROOT, "bench/results/platform-sizes.jsonl")
+
+
+def platform_section():
+    """What trackcove-forwardd and trackcove-registryd took in played days, and what that comes to at the aim."""
+    with open(PLATFORM, encoding="utf-8") as handle:
+        rows = [json.loads(line) for line in handle]
+    small, large = rows[0], rows[-1]
+    a_box = (large["control_cores_most"] - small["control_cores_most"]) / (large["boxes"] - small["boxes"])
+    mb_a_box = (large["control_mb"] - small["control_mb"]) / (large["boxes"] - small["boxes"])
+    out = ["", "## On the users' platform", "",
+           "Played days, processor time as the bench measures it; the control column is the busiest box (leader, reader of",
+           "the list and scheduler in one). Two points a line: a slope, not a law.", ""]
+    out += table(["day", "boxes", "engines", "requests a second", "entry, cores", "entry, MB", "control, cores", "control, MB"],
+                 [[r["site"], r["boxes"], r["engines"], r["requests_s"], r["entry_cores"], r["entry_mb"],
+                   r["control_cores_most"], r["control_mb"]] for r in rows])
+    out += ["", f"At {NODES} boxes in one cluster the leader would take {100 * a_box * NODES:.1f}% of a core and "
+            f"{mb_a_box * NODES:.0f} MB, an entry what it takes now.",
+            "What binds first is not that, but one box that schedules every engine: its choice looks at every pair of a prefill and",
+            "a decode engine (about 4,500 pairs with 140 engines), so its time grows with the square of engines in a cell. The",
+            "mechanism that carries it further is the product's: cells of some tens of engines, each with its own scheduler.",
+            "Reports are one call a box every 300 ms with the loads of all others in the answer: bytes grow with boxes times busy",
+            "engines, and above some 150 boxes want changes instead of lists, as the product's beats already have them."]
+    return "\n".join(out) + "\n"
+
+
 def main():
     fits = Fits(DATA)
     with open(os.path.join(ROOT, "bench/results/scale.date"), encoding="utf-8") as handle:
         date = handle.read().strip()
-    text = page(fits, date)
+    text = page(fits, date).rstrip("\n") + "\n" + platform_section()
     if "--check" in sys.argv:
         with open(PAGE, encoding="utf-8") as handle:
             if handle.read() != text:
