--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -23,6 +23,9 @@
 /** Moves of memory into another data centre take twice as long there and are priced double: they are counted dearer
  *  than they take, so that of two engines alike the near one is taken. */
 static const double FAR_FACTOR = 0.1;
+/** Part of an engine's memory that is handed out: what requests hold is reserved by its mean, so a full engine holds
+ *  now more, now less than that, and turns a request away for whom memory was reserved. */
+static const double MEMORY_SHARE = 0.94;
 /** All engines are one cell: hundreds of placements a second cost a few hundredths of a core. */
 static const char CELL[] = "main";
 
@@ -59,7 +62,7 @@
     codec_copy_string(e->cell, sizeof(e->cell), CELL);
     codec_copy_string(e->model, sizeof(e->model), b->service);
     e->role = strcmp(b->stage, "prefill") == 0 ? ROLE_PREFILL : ROLE_DECODE;
-    e->pieces = s->memory_tokens / SCHED_SMALL_PIECE_TOKENS;
+    e->pieces = (uint32_t)(MEMORY_SHARE * s->memory_tokens / SCHED_SMALL_PIECE_TOKENS);
     e->max_batch = b->slots ? b->slots : s->slots;
     e->prefill_rate = PREFILL_TOKENS_S;
 }
