Copies of told lists are made in one place

Cause: placing.c and reporter.c each had the same copy_of, and replica.c and replica_reports.c wrote it out by hand. Change: list_hash.* becomes list.*, with list_copy beside list_hash. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cluster/list.h"
 #include "common/counter.h"
 #include "common/log.h"
 #include "sched/sched.h"
@@ -115,20 +116,10 @@
     free(config.links);
 }
 
-static void *copy_of(const void *list, size_t size)
-{
-    void *const copy = malloc(size ? size : 1);
-    if (!copy)
-        abort();
-    if (size)
-        memcpy(copy, list, size);
-    return copy;
-}
-
 void placing_set_services(placing_t *p, const placing_service_t *list, uint32_t n)
 {
     free(p->services);
-    p->services = copy_of(list, n * sizeof(*list));
+    p->services = list_copy(list, n * sizeof(*list));
     p->services_n = n;
     configure(p, tc_time_now());
 }
@@ -139,7 +130,7 @@
     if (same)
         return;
     free(p->backends);
-    p->backends = copy_of(list, n * sizeof(*list));
+    p->backends = list_copy(list, n * sizeof(*list));
     p->backends_n = n;
     configure(p, tc_time_now());
 }
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -8,6 +8,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "cluster/list.h"
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
 #include "common/log.h"
@@ -247,10 +248,7 @@
     if (ack->members_n == 0)
         return;
     codec_free(&raft_members_desc, &r->known);
-    r->known.list = calloc(ack->members_n, sizeof(*r->known.list));
-    if (!r->known.list)
-        abort();
-    memcpy(r->known.list, ack->members, ack->members_n * sizeof(*ack->members));
+    r->known.list = list_copy(ack->members, ack->members_n * sizeof(*ack->members));
     r->known.list_n = ack->members_n;
 }
 
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -2,9 +2,8 @@
 
 #include <glib.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "cluster/list_hash.h"
+#include "cluster/list.h"
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
 
@@ -16,10 +15,7 @@
 void replica_set_backends(replica_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
 {
     free(r->backends);
-    r->backends = calloc(n + 1, sizeof(*list));
-    if (!r->backends)
-        abort();
-    memcpy(r->backends, list, n * sizeof(*list));
+    r->backends = list_copy(list, n * sizeof(*list));
     r->backends_n = n;
     r->backends_hash = list_hash(list, n * sizeof(*list));
     r->backends_fetched = fetched;
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "cluster/document.h"
-#include "cluster/list_hash.h"
+#include "cluster/list.h"
 #include "common/counter.h"
 #include "common/log.h"
 
@@ -70,21 +70,11 @@
         r->events.on_document(r->events.arg, &r->document);
 }
 
-static void *copy_of(const void *list, size_t size)
-{
-    void *const copy = malloc(size ? size : 1);
-    if (!copy)
-        abort();
-    if (size)
-        memcpy(copy, list, size);
-    return copy;
-}
-
 static void set_backends(reporter_t *r, const backend_t *list, uint32_t n, uint64_t hash)
 {
     if (hash == r->backends_hash)
         return;
-    backend_t *const copy = copy_of(list, n * sizeof(*list));
+    backend_t *const copy = list_copy(list, n * sizeof(*list));
     free(r->backends);
     r->backends = copy;
     r->backends_n = n;
@@ -122,7 +112,7 @@
     if (!ack->has_entries || ack->entries_hash == r->entries_hash || ack->entries_n == 0)
         return;
     free(r->entries);
-    r->entries = copy_of(ack->entries, ack->entries_n * sizeof(*ack->entries));
+    r->entries = list_copy(ack->entries, ack->entries_n * sizeof(*ack->entries));
     r->entries_n = ack->entries_n;
     r->entries_hash = ack->entries_hash;
     log_line_t line;
@@ -136,7 +126,7 @@
     if (n == 0)
         return;
     free(r->members);
-    r->members = copy_of(members, n * sizeof(*members));
+    r->members = list_copy(members, n * sizeof(*members));
     r->members_n = n;
 }
 
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <urcu/list.h>
 
-#include "cluster/list_hash.h"
+#include "cluster/list.h"
 
 /* ===== Types ===== */
 
