Requests wait for room in one place

Cause: forward_hold.c and forward_place.c each armed the same short wait with the same callback; step_t had a field that nothing used; forward_internal.h did not name all its files. Change: forward_try_soon in forward.c, AGAIN_MS instead of DECODE_AGAIN_MS (a hold waits with it too), reusable_tried is gone, the header names all five. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -194,6 +194,21 @@
     send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose_engine(f, STAGE_DECODE));
 }
 
+static void on_again(void *arg)
+{
+    forward_go_on(arg);
+}
+
+bool forward_try_soon(forward_t *f, tc_time_t until)
+{
+    const tc_time_t at = tc_time_now() + AGAIN_MS;
+    if (at >= until)
+        return false;
+    g_ptr_array_set_size(f->tried, 0);
+    loop_arm(f->owner->loop, &f->patience, at, on_again, f);
+    return true;
+}
+
 /* ===== Beginning ===== */
 
 static void log_routed(const forward_t *f)
--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -131,19 +131,11 @@
     return true;
 }
 
-static void on_again(void *arg)
-{
-    forward_go_on(arg);
-}
-
 bool hold_wait(forward_t *f)
 {
-    const tc_time_t now = tc_time_now();
     const tc_time_t until = f->handle.instance ? f->handle.until : f->request.arrived + PLACE_WAIT_MS;
-    if (f->begun || now + DECODE_AGAIN_MS >= until)
+    if (f->begun || !forward_try_soon(f, until))
         return false;
     f->hold.tries = 0;
-    g_ptr_array_set_size(f->tried, 0);
-    loop_arm(f->owner->loop, &f->patience, now + DECODE_AGAIN_MS, on_again, f);
     return true;
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -1,6 +1,7 @@
 /** @file forward_internal.h
- * Shared by forward.c (a request's life and decisions), forward_step.c (calls to back ends) and forward_stream.c
- * (events on their way to the caller); nobody else includes it.
+ * Shared by forward.c (a request's life and decisions), forward_place.c (the scheduler's part in them), forward_hold.c
+ * (memory set aside at engines), forward_step.c (calls to back ends) and forward_stream.c (events on their way to the
+ * caller); nobody else includes it.
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
 #define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -22,7 +23,7 @@
                              leader is still there */
     PLACE_WAIT_MS = 500,    /* from a request's arrival until it is refused for want of room: what is granted later is
                                late anyway. Measured: docs/design/results-platform.md */
-    DECODE_AGAIN_MS = 90,   /* between tries while a prefill result is kept and no decode engine has room */
+    AGAIN_MS = 90,          /* between tries while no decode engine has room */
     HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
     HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
     HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
@@ -42,7 +43,6 @@
     uint64_t tokens; /* counted at the instance */
     web_call_t *call;
     bool head_seen;
-    bool reusable_tried; /* sent over a kept connection */
     int status;
     dialect_reply_t reply;
     GString *head;
@@ -128,12 +128,15 @@
 
 /** Choose what comes next: a prefill, an engine, a back end, or the refusal. */
 void forward_go_on(forward_t *f);
+/** Try again in a moment, all engines anew, unless that is at or after @p until. @return whether it will be */
+bool forward_try_soon(forward_t *f, tc_time_t until);
 /** The final answer in place of a back end's; ends the request. @param why for the log */
 void forward_fail(forward_t *f, const char *why);
 /** The answer is complete: ends the request. */
 void forward_done(forward_t *f, int status, const char *why);
 /** Whether one more arrival at a back end is allowed; takes it from the budget. */
 bool forward_may_retry(forward_t *f);
+/** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
 
 /** One of the back ends that fit, as a reference, or NULL. */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -48,20 +48,12 @@
     f->placement.prefill[0] = f->placement.decode[0] = '\0';
 }
 
-static void on_second_try(void *arg)
-{
-    forward_go_on(arg);
-}
-
 /** No engine had room for a prompt that is read already: a place may be free before the result lapses. */
 static bool try_on_soon(forward_t *f)
 {
-    const tc_time_t now = tc_time_now();
-    if (!f->handle.instance || now + DECODE_AGAIN_MS >= f->handle.until)
+    if (!f->handle.instance || !forward_try_soon(f, f->handle.until))
         return false;
     place_alone(f);
-    g_ptr_array_set_size(f->tried, 0);
-    loop_arm(f->owner->loop, &f->patience, now + DECODE_AGAIN_MS, on_second_try, f);
     return true;
 }
 
