Listening sockets are opened in one place

Cause: web_server.c and peer.c set up the same socket by hand. Change: peer_open_listener, which both use; the failed step's name stays. Tests: test_peer, test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -268,18 +268,8 @@
 
 static int start_listening(peer_net_t *net, const char *addr, tc_err_t *err)
 {
-    struct sockaddr_storage at;
-    unsigned size = 0;
-    TC_CHECK(peer_parse_addr(addr, &at, &size, err));
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-        bind(fd, (const struct sockaddr *)&at, size) != 0 || listen(fd, SOMAXCONN) != 0) {
-        const int failed = errno;
-        if (fd >= 0)
-            close(fd);
-        return tc_err_set(err, TC_E_IO, "listen for peers", addr, "%s", strerror(failed));
-    }
+    const int fd = peer_open_listener(addr, "listen for peers", err);
+    TC_CHECK(fd);
     net->listener = (loop_watch_t){.fd = fd, .on_io = on_accept, .arg = net};
     return loop_watch(net->loop, &net->listener, EPOLLIN);
 }
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -82,6 +82,10 @@
 /** Take connections no more; those that stand stay. From the loop's thread. */
 void peer_stop_listening(peer_net_t *net);
 
+/** A socket that listens on "IP:port". @param step what @p err says failed
+ * @return the file descriptor, or negative with @p err */
+int peer_open_listener(const char *at, const char *step, tc_err_t *err);
+
 /** Read "IP:port" with a numeric IP. */
 struct sockaddr_storage;
 int peer_parse_addr(const char *text, struct sockaddr_storage *to, unsigned *size, tc_err_t *err);
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -45,6 +45,23 @@
     return TC_OK;
 }
 
+int peer_open_listener(const char *at, const char *step, tc_err_t *err)
+{
+    struct sockaddr_storage to;
+    unsigned size = 0;
+    TC_CHECK(peer_parse_addr(at, &to, &size, err));
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+        bind(fd, (const struct sockaddr *)&to, size) != 0 || listen(fd, SOMAXCONN) != 0) {
+        const int failed = errno;
+        if (fd >= 0)
+            close(fd);
+        return tc_err_set(err, TC_E_IO, step, at, "%s", strerror(failed));
+    }
+    return fd;
+}
+
 backoff_t *backoff_find(const peer_net_t *net, const char *addr)
 {
     backoff_t *b;
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -453,19 +453,9 @@
 web_server_t *web_server_start(loop_t *loop, const char *listen_at, const web_limits_t *limits, web_handler_t handler,
                                void *arg, tc_err_t *err)
 {
-    struct sockaddr_storage at;
-    unsigned size = 0;
-    if (peer_parse_addr(listen_at, &at, &size, err) < 0)
+    const int fd = peer_open_listener(listen_at, "listen", err);
+    if (fd < 0)
         return NULL;
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-        bind(fd, (const struct sockaddr *)&at, size) != 0 || listen(fd, SOMAXCONN) != 0) {
-        tc_err_set(err, TC_E_IO, "listen", listen_at, "%s", strerror(errno));
-        if (fd >= 0)
-            close(fd);
-        return NULL;
-    }
     web_server_t *const s = g_new0(web_server_t, 1);
     s->loop = loop;
     s->limits = limits;
