replica.c is split: who takes part in the log is on its own

Change: founding and joining move to replica_members.c, code unchanged but for the names of the four functions that replica.c calls; doc comments. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -4,10 +4,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
-#include "cluster/list.h"
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
 #include "common/log.h"
@@ -21,17 +18,11 @@
 
 enum {
     TICK_MS = 25,
-    JOIN_EVERY_MS = 300, /* a box that is no voter, or hears no leader, asks this often */
-    JOIN_LIMIT_MS = 1000,
-    ANNOUNCE_EVERY_MS = 500,     /* to seeds that are no members */
     OFFER_LIMIT_MS = 3000,       /* an offer not applied by then has an unknown outcome: below the time in which an
                                     operator wants an answer */
     SNAPSHOT_BYTES = 512 * 1024, /* documents travel whole: the log must not outgrow memory and disk */
     SNAPSHOT_ENTRIES = 128,
-    SNAPSHOT_QUIET_MS = 250,
-    FOUNDING_INDEX = 1, /* of the image that all founders start from */
-    FOUNDING_TERM = 1,
-    FOUNDERS_MAX = 16
+    SNAPSHOT_QUIET_MS = 250
 };
 
 /* ===== Log lines ===== */
@@ -225,77 +216,6 @@
     store_must(store_sync(r->store, &err), &err);
 }
 
-/* ===== Members ===== */
-
-static void on_join_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
-{
-    replica_t *const r = arg;
-    (void)err; /* an unreachable seed is asked again */
-    if (rc != TC_OK || type != MSG_JOIN_ACK)
-        return;
-    const msg_join_ack_t *const ack = message;
-    if (ack->members_n == 0)
-        return;
-    codec_free(&raft_members_desc, &r->known);
-    r->known.list = list_copy(ack->members, ack->members_n * sizeof(*ack->members));
-    r->known.list_n = ack->members_n;
-}
-
-static void ask(replica_t *r, const char *addr)
-{
-    const msg_join_t join = {.member = r->self};
-    if (addr[0] && strcmp(addr, r->self.peer) != 0)
-        peer_call(r->net, addr, MSG_JOIN, &join, JOIN_LIMIT_MS, on_join_answer, r);
-}
-
-static bool is_seed(const replica_t *r, const char *addr)
-{
-    return g_strv_contains((const char *const *)r->seeds, addr);
-}
-
-/** Ask whoever may know the leader to take this box in: it is no member, or was dropped while it was away. */
-static void join(replica_t *r, tc_time_t now)
-{
-    const raft_view_t view = raft_view(r->raft);
-    if (now < r->join_at || (raft_is_voter(r->raft, r->self.id) && view.leader != 0))
-        return;
-    r->join_at = now + JOIN_EVERY_MS;
-    for (char **seed = r->seeds; *seed; seed++)
-        ask(r, *seed);
-    for (uint32_t i = 0; i < r->known.list_n; i++)
-        if (!is_seed(r, r->known.list[i].peer))
-            ask(r, r->known.list[i].peer);
-}
-
-/** Seeds may be boxes that are no members and know none, after a restart of everything: tell them. */
-static void announce(replica_t *r, tc_time_t now)
-{
-    if (now < r->announce_at)
-        return;
-    r->announce_at = now + ANNOUNCE_EVERY_MS;
-    const raft_members_t *const members = raft_members(r->raft);
-    const msg_join_ack_t message = {.has_state = true, .members = members->list, .members_n = members->list_n};
-    for (char **seed = r->seeds; *seed && members->list_n > 0; seed++) {
-        bool member = false;
-        for (uint32_t i = 0; i < members->list_n; i++)
-            member = member || strcmp(members->list[i].peer, *seed) == 0;
-        if (!member)
-            peer_send(r->net, *seed, MSG_JOIN_ACK, &message);
-    }
-}
-
-static void on_join(replica_t *r, peer_call_t call, const msg_join_t *message, tc_time_t now)
-{
-    const raft_members_t *const members = raft_members(r->raft);
-    const msg_join_ack_t ack = {.has_state = raft_view(r->raft).last_index > 0,
-                                .is_member = raft_is_voter(r->raft, message->member.id),
-                                .members = members->list,
-                                .members_n = members->list_n};
-    peer_reply(r->net, call, MSG_JOIN_ACK, &ack);
-    if (raft_has_lease(r->raft, now))
-        raft_join(r->raft, &message->member, now);
-}
-
 /* ===== Messages and time ===== */
 
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
@@ -307,7 +227,7 @@
         return;
     switch (type) {
     case MSG_REPORT: reports_answer(r, call, message, now); break;
-    case MSG_JOIN: on_join(r, call, message, now); break;
+    case MSG_JOIN: members_answer(r, call, message, now); break;
     case MSG_JOIN_ACK: break; /* an announcement for those who are no members */
     default: raft_receive(r->raft, type, message, now); break;
     }
@@ -320,8 +240,8 @@
     const tc_time_t now = tc_time_now();
     raft_tick(r->raft, now);
     compact(r);
-    join(r, now);
-    announce(r, now);
+    members_join(r, now);
+    members_announce(r, now);
     raft_trim(r->raft, r->options.voters_wanted, now);
     pump(r);
     roster_expire(r->roster, now);
@@ -371,55 +291,15 @@
 
 /* ===== Life ===== */
 
-/** Founders are named after their addresses, so that all know them all without asking. */
-static uint64_t founder_id(const char *peer)
-{
-    return XXH64(peer, strlen(peer), 0) | 1;
-}
-
-/** Where operators reach the member at @p peer: on the port of ours, since ports are alike everywhere. */
-static void http_beside(char *to, size_t size, const char *peer, const char *own_http)
-{
-    const char *const port = strrchr(own_http, ':');
-    g_snprintf(to, (gulong)size, "%.*s%s", (int)strcspn(peer, ":"), peer, port ? port : "");
-}
-
-static int found(const replica_options_t *options, tc_err_t *err)
-{
-    raft_member_t founders[FOUNDERS_MAX];
-    memset(founders, 0, sizeof(founders));
-    uint32_t n = 0;
-    bool among = false;
-    for (const char *const *seed = options->seeds; *seed && n < FOUNDERS_MAX; seed++, n++) {
-        codec_copy_string(founders[n].name, sizeof(founders[n].name), *seed);
-        codec_copy_string(founders[n].peer, sizeof(founders[n].peer), *seed);
-        http_beside(founders[n].http, sizeof(founders[n].http), *seed, options->http_addr);
-        founders[n].id = founder_id(*seed);
-        founders[n].voter = true;
-        among = among || strcmp(*seed, options->peer_listen) == 0;
-    }
-    if (!among)
-        return TC_OK; /* it joins */
-    const raft_image_t image = {
-        .last_index = FOUNDING_INDEX, .last_term = FOUNDING_TERM, .members = {.list = founders, .list_n = n}};
-    return store_found(options->data_dir, founder_id(options->peer_listen), &image, err);
-}
-
 void replica_set_services(replica_t *r, const placing_service_t *list, uint32_t n)
 {
     placing_set_services(r->placing, list, n);
 }
 
-void replica_reseed(replica_t *r, const char *const *seeds)
-{
-    g_strfreev(r->seeds);
-    r->seeds = g_strdupv((char **)(uintptr_t)seeds);
-}
-
 replica_t *replica_create(loop_t *loop, const replica_options_t *options, tc_err_t *err)
 {
     raft_start_t start;
-    if (options->found && found(options, err) < 0)
+    if (options->found && members_found(options, err) < 0)
         return NULL;
     store_t *const store = store_open(options->data_dir, &start, err);
     if (!store)
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -1,5 +1,6 @@
 /** @file replica_internal.h
- * Shared by replica.c (the log and its members) and replica_reports.c (what boxes are told); nobody else includes it.
+ * Shared by replica.c (the log and what it applies), replica_members.c (who takes part in it) and replica_reports.c
+ * (what boxes are told); nobody else includes it.
  */
 #ifndef TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
 #define TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
@@ -49,8 +50,20 @@
     tc_time_t backends_fetched; /* 0: never */
 };
 
+/* ===== replica_members.c ===== */
+
+/** Make the data folder that of a founder, when the box is among them. */
+int members_found(const replica_options_t *options, tc_err_t *err);
+/** Ask whoever may know the leader to take this box in: it is no member, or was dropped while it was away. */
+void members_join(replica_t *r, tc_time_t now);
+/** Seeds may be boxes that are no members and know none, after a restart of everything: tell them. */
+void members_announce(replica_t *r, tc_time_t now);
+/** Another box asks to be taken in. */
+void members_answer(replica_t *r, peer_call_t call, const msg_join_t *message, tc_time_t now);
+
 /* ===== replica_reports.c ===== */
 
+/** Answer a box's report with what it lacks. */
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now);
 /** Tell all boxes at once that a document was accepted. */
 void reports_publish(replica_t *r);
