replica_create is split in its parts

Change: fill_self, start_raft and start_peers, called where their lines stood. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -296,6 +296,33 @@
     placing_set_services(r->placing, list, n);
 }
 
+static void fill_self(replica_t *r, uint64_t id)
+{
+    r->self.id = id;
+    codec_copy_string(r->self.name, sizeof(r->self.name), r->options.peer_listen);
+    codec_copy_string(r->self.peer, sizeof(r->self.peer), r->options.peer_listen);
+    codec_copy_string(r->self.http, sizeof(r->self.http), r->options.http_addr);
+}
+
+static void start_raft(replica_t *r, raft_start_t *start)
+{
+    r->raft = raft_create(start, tc_time_now());
+    raft_want_voters(r->raft, r->options.voters_wanted);
+    if (start->snapshot.last_index > 0)
+        load_image(r, &start->snapshot);
+}
+
+static peer_net_t *start_peers(replica_t *r, uint64_t incarnation, tc_err_t *err)
+{
+    const peer_options_t options = {.box = r->options.peer_listen,
+                                    .incarnation = incarnation,
+                                    .listen = r->options.peer_listen,
+                                    .key_file = "",
+                                    .handler = on_message,
+                                    .arg = r};
+    return peer_create(r->loop, &options, err);
+}
+
 replica_t *replica_create(loop_t *loop, const replica_options_t *options, tc_err_t *err)
 {
     raft_start_t start;
@@ -311,24 +338,12 @@
     r->roster = roster_create();
     CDS_INIT_LIST_HEAD(&r->offers);
     replica_reseed(r, options->seeds);
-    r->self.id = start.id;
-    codec_copy_string(r->self.name, sizeof(r->self.name), options->peer_listen);
-    codec_copy_string(r->self.peer, sizeof(r->self.peer), options->peer_listen);
-    codec_copy_string(r->self.http, sizeof(r->self.http), options->http_addr);
+    fill_self(r, start.id);
     const uint64_t incarnation = (uint64_t)tc_time_wall();
     start.seed = incarnation ^ start.id;
-    r->raft = raft_create(&start, tc_time_now());
-    raft_want_voters(r->raft, options->voters_wanted);
-    if (start.snapshot.last_index > 0)
-        load_image(r, &start.snapshot);
+    start_raft(r, &start);
     store_start_free(&start);
-    const peer_options_t peer_options = {.box = options->peer_listen,
-                                         .incarnation = incarnation,
-                                         .listen = options->peer_listen,
-                                         .key_file = "",
-                                         .handler = on_message,
-                                         .arg = r};
-    r->net = peer_create(loop, &peer_options, err);
+    r->net = start_peers(r, incarnation, err);
     if (!r->net) {
         replica_destroy(r);
         return NULL;
