web_server.c is split: answers are on their own

Change: writing and answering move to web_answer.c, conn_* become exchange_*, code otherwise unchanged; the comment says what happens; doc comments. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- /dev/null
+++ b/lib/web/web_answer.c
@@ -0,0 +1,147 @@
+/* Answers on their way to callers: whole, or piece by piece. */
+
+#include <assert.h>
+#include <errno.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "web/web_server_internal.h"
+
+/** Bytes waiting for a caller who does not read: then it is cut off. */
+enum { OUT_MAX = 8 * 1024 * 1024 };
+
+/* ===== Writing ===== */
+
+static void exchange_want_write(web_exchange_t *c, bool want)
+{
+    if (c->writing == want)
+        return;
+    c->writing = want;
+    loop_rewatch(c->server->loop, &c->watch, EPOLLIN | EPOLLRDHUP | (want ? EPOLLOUT : 0u));
+}
+
+bool exchange_flush(web_exchange_t *c)
+{
+    while (c->out_sent < c->out->len) {
+        const ssize_t n = send(c->watch.fd, c->out->data + c->out_sent, c->out->len - c->out_sent, MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            exchange_want_write(c, true);
+            return c->out->len - c->out_sent <= OUT_MAX;
+        }
+        if (n < 0)
+            return false;
+        c->out_sent += (size_t)n;
+        c->since = tc_time_now();
+    }
+    g_byte_array_set_size(c->out, 0);
+    c->out_sent = 0;
+    exchange_want_write(c, false);
+    return true;
+}
+
+void exchange_put(web_exchange_t *c, const void *data, size_t size)
+{
+    g_byte_array_append(c->out, data, (guint)size);
+}
+
+/* ===== Answering ===== */
+
+void web_on_gone(web_exchange_t *c, loop_fn_t fn, void *arg)
+{
+    assert(c->state == EXCHANGE_HANDLING); /* only a request being handled can lose its caller */
+    c->gone = fn;
+    c->gone_arg = arg;
+}
+
+static void put_head(web_exchange_t *c, int status, const char *head)
+{
+    if (c->server->retiring)
+        c->keep = false;
+    GString *const text = g_string_new(NULL);
+    g_string_printf(text, "HTTP/1.1 %d %s\r\n%s", status, http_status_str((enum http_status)status), head);
+    g_string_append(text, c->keep ? "" : "Connection: close\r\n");
+    exchange_put(c, text->str, text->len);
+    g_string_free(text, TRUE);
+}
+
+/** The next request, if its bytes are here already: its handler runs within the one that has just answered. */
+static void exchange_next(web_exchange_t *c)
+{
+    if (c->ahead->len == 0)
+        return;
+    GByteArray *const data = c->ahead;
+    c->ahead = g_byte_array_new();
+    exchange_parse(c, (const char *)data->data, data->len);
+    g_byte_array_free(data, TRUE);
+}
+
+static void finish(web_exchange_t *c)
+{
+    assert(c->state == EXCHANGE_HANDLING); /* an exchange ends once */
+    c->server->busy--;
+    c->gone = NULL;
+    c->begun = false;
+    c->state = c->keep ? EXCHANGE_READING : EXCHANGE_CLOSING;
+    c->since = tc_time_now();
+    if (!exchange_flush(c)) {
+        exchange_close(c);
+        return;
+    }
+    if (c->state == EXCHANGE_CLOSING) {
+        if (c->out->len == 0)
+            shutdown(c->watch.fd, SHUT_WR);
+        return;
+    }
+    exchange_next(c);
+}
+
+void web_answer(web_exchange_t *c, int status, const char *head, const void *body, size_t size)
+{
+    GString *const all = g_string_new(head);
+    g_string_append_printf(all, "Content-Length: %zu\r\n", size);
+    put_head(c, status, all->str);
+    g_string_free(all, TRUE);
+    exchange_put(c, "\r\n", 2);
+    exchange_put(c, body, size);
+    finish(c);
+}
+
+void web_begin(web_exchange_t *c, int status, const char *head)
+{
+    c->chunked = !c->old;
+    if (c->old)
+        c->keep = false; /* the end of the connection ends the answer */
+    put_head(c, status, head);
+    exchange_put(c, c->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n", c->chunked ? 30 : 2);
+    (void)exchange_flush(c); /* a break shows as an event */
+}
+
+void web_add(web_exchange_t *c, const void *data, size_t size)
+{
+    if (size == 0)
+        return; /* an empty chunk would end the answer */
+    char line[24];
+    const int n = g_snprintf(line, sizeof(line), "%zx\r\n", size);
+    if (c->chunked)
+        exchange_put(c, line, (size_t)n);
+    exchange_put(c, data, size);
+    if (c->chunked)
+        exchange_put(c, "\r\n", 2);
+    (void)exchange_flush(c);
+}
+
+void web_end(web_exchange_t *c)
+{
+    if (c->chunked)
+        exchange_put(c, "0\r\n\r\n", 5);
+    finish(c);
+}
+
+void web_abort(web_exchange_t *c)
+{
+    c->gone = NULL;
+    const struct linger hard = {.l_onoff = 1, .l_linger = 0};
+    if (!c->chunked) /* without chunks an orderly end would look complete */
+        setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    exchange_close(c);
+}
--- a/lib/web/web_server.h
+++ b/lib/web/web_server.h
@@ -66,9 +66,11 @@
  *  are added here. */
 void web_answer(web_exchange_t *exchange, int status, const char *head, const void *body, size_t size);
 
-/** Begin an answer of unknown length, add to it, end it. */
+/** Begin an answer of unknown length. @param head as for web_answer */
 void web_begin(web_exchange_t *exchange, int status, const char *head);
+/** Add to an answer that was begun. */
 void web_add(web_exchange_t *exchange, const void *data, size_t size);
+/** The answer that was begun is complete. Ends the exchange. */
 void web_end(web_exchange_t *exchange);
 
 /** Break the answer off so that it can't be taken for complete: the connection is closed. Ends the exchange. */
