Unused functions and fields are gone

Cause: nobody calls fleet_has, web_client_stats or (outside its file) document_copy, and nobody reads replica_options_t.box. Change: they are removed; document_copy is a static copy(). The test's set-up no longer fills the field. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/cluster/document.c
+++ b/lib/cluster/document.c
@@ -14,7 +14,8 @@
     return same ? DOCUMENT_SAME : DOCUMENT_CLASHES;
 }
 
-void document_copy(document_t *to, const document_t *from)
+/** Replace what @p to holds by a copy. */
+static void copy(document_t *to, const document_t *from)
 {
     to->version = from->version;
     codec_set_text(&to->body, &to->body_n, from->body ? from->body : "", from->body_n);
@@ -24,6 +25,6 @@
 {
     const document_relation_t relation = document_compare(held, offered->version, offered->body, offered->body_n);
     if (relation == DOCUMENT_NEWER)
-        document_copy(held, offered);
+        copy(held, offered);
     return relation;
 }
--- a/lib/cluster/document.h
+++ b/lib/cluster/document.h
@@ -29,7 +29,4 @@
 /** Take over @p offered's content when it is newer. @return its relation to what was held before */
 document_relation_t document_apply(document_t *held, const document_t *offered);
 
-/** Replace what @p to holds by a copy. */
-void document_copy(document_t *to, const document_t *from);
-
 #endif
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -23,7 +23,6 @@
 typedef struct replica replica_t;
 
 typedef struct {
-    const char *box;         /**< name, for logs */
     const char *peer_listen; /**< IP:port, by which this member is known to the others */
     const char *http_addr;   /**< where operators reach it */
     const char *data_dir;
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -237,13 +237,3 @@
     g_ptr_array_free(good, TRUE);
     return best ? instance_ref(best) : NULL;
 }
-
-bool fleet_has(const fleet_t *f, const char *service, stage_t stage)
-{
-    for (guint i = 0; i < f->instances->len; i++) {
-        const instance_t *const instance = g_ptr_array_index(f->instances, i);
-        if (instance->stage == stage && !instance->listed.draining && strcmp(instance->listed.service, service) == 0)
-            return true;
-    }
-    return false;
-}
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -74,8 +74,6 @@
 instance_t *fleet_find(const fleet_t *fleet, const char *id);
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
-/** Whether any listed back end of the service has that stage. */
-bool fleet_has(const fleet_t *fleet, const char *service, stage_t stage);
 
 instance_t *instance_ref(instance_t *instance);
 void instance_unref(instance_t *instance);
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -57,7 +57,6 @@
     struct cds_list_head idle;
     loop_timer_t sweep;
     unsigned idle_max;
-    web_client_stats_t stats;
 };
 
 static void call_on_io(void *arg, uint32_t events);
@@ -69,7 +68,6 @@
     loop_disarm(&call->connect_limit);
     loop_unwatch(call->client->loop, &call->watch);
     close(call->watch.fd);
-    call->client->stats.open--;
     cds_list_del(&call->node);
     if (call->request)
         g_byte_array_free(call->request, TRUE);
@@ -317,8 +315,6 @@
     web_headers_init(&call->headers);
     call->connecting = true;
     call->writing = true;
-    client->stats.open++;
-    client->stats.opened++;
     counter_add(&c_opened, 1);
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -406,8 +402,3 @@
         call_free(call);
     g_free(client);
 }
-
-web_client_stats_t web_client_stats(const web_client_t *client)
-{
-    return client->stats;
-}
--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -54,12 +54,6 @@
     void *arg;
 } web_sink_t;
 
-/** Counts of one client, for pages and tests. */
-typedef struct {
-    unsigned open;   /**< connections, idle ones included */
-    unsigned opened; /**< connections ever made */
-} web_client_stats_t;
-
 /* ===== Public functions ===== */
 
 web_client_t *web_client_create(loop_t *loop);
@@ -84,6 +78,4 @@
 /** Whether a byte of the request may have left this box. */
 bool web_call_sent(const web_call_t *call);
 
-web_client_stats_t web_client_stats(const web_client_t *client);
-
 #endif
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -42,8 +42,7 @@
 
 static void start_box(fixture_t *f, int i, bool found)
 {
-    const replica_options_t options = {.box = f->addr[i],
-                                       .peer_listen = f->addr[i],
+    const replica_options_t options = {.peer_listen = f->addr[i],
                                        .http_addr = f->http[i],
                                        .data_dir = f->dir[i],
                                        .voters_wanted = 3,
