Soak: a folder is emptied by its name

Cause: box_wipe took a box, so that the logs' folder was wrapped in two copies of one; process_signal did not use its world; remove_logs removes data too. Change: folder_empty(dir), process_signal without the world, remove_files; doc comments in world.h.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -31,10 +31,12 @@
 
 /* ===== State ===== */
 
+/** Of requests; each has a route of its own. */
 typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_RESUMABLE, KINDS } kind_t;
 
+/** A caller, with one request after the other. */
 typedef struct {
-    lab_call_t *call;
+    lab_call_t *call; /* NULL between requests */
     char id[24];
     kind_t kind;
     int box;
@@ -222,7 +224,7 @@
     world_note(w, "disk of %s is lost", b->ip);
     process_restart(w, b, &b->control, SIGKILL, 500);
     lab_run_for(s->loop, 50); /* the process is gone before its folder is emptied */
-    box_wipe(b);
+    folder_empty(b->dir);
 }
 
 static void pause_or_wake(soak_t *s, box_t *b, process_t *p)
@@ -230,7 +232,7 @@
     if (!p->pid || p->ending)
         return;
     world_note(s->world, "%s %s on %s", p->paused ? "wake" : "pause", p->program, b->ip);
-    process_signal(s->world, p, p->paused ? SIGCONT : SIGSTOP);
+    process_signal(p, p->paused ? SIGCONT : SIGSTOP);
     p->paused = !p->paused;
 }
 
@@ -252,7 +254,7 @@
     case 0:
     case 1: process_restart(w, b, p, SIGKILL, pause); break;
     case 2: process_restart(w, b, p, SIGTERM, pause); break;
-    case 3: process_signal(w, p, SIGHUP); break;
+    case 3: process_signal(p, SIGHUP); break;
     case 4:
     case 5: pause_or_wake(s, b, p); break;
     case 6: trouble_worker(s); break;
@@ -331,16 +333,13 @@
     return 1;
 }
 
-static void remove_logs(const world_t *w)
+static void remove_files(const world_t *w)
 {
     for (int i = 0; i < WORLD_DISKS; i++) {
-        box_wipe(&w->boxes[i]);
+        folder_empty(w->boxes[i].dir);
         (void)remove(w->boxes[i].dir);
     }
-    const box_t root = {.dir = ""};
-    box_t copy = root;
-    g_strlcpy(copy.dir, w->root, sizeof(copy.dir));
-    box_wipe(&copy);
+    folder_empty(w->root);
     (void)remove(w->root);
 }
 
@@ -373,7 +372,7 @@
         world_broken(s.world, "service recovers after the last fault", "not in time");
     const int status = report(&s, (guint32)seed);
     if (status == 0)
-        remove_logs(s.world);
+        remove_files(s.world);
     world_destroy(s.world);
     return status;
 }
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -214,9 +214,8 @@
     g_free(env);
 }
 
-void process_signal(world_t *w, process_t *p, int number)
+void process_signal(const process_t *p, int number)
 {
-    (void)w;
     if (p->pid)
         kill(p->pid, number);
 }
@@ -229,15 +228,15 @@
     p->ending = true;
     p->start_at = tc_time_now() + pause;
     if (p->paused)
-        process_signal(w, p, SIGCONT);
-    process_signal(w, p, number);
+        process_signal(p, SIGCONT);
+    process_signal(p, number);
 }
 
-void box_wipe(const box_t *b)
+void folder_empty(const char *dir)
 {
-    GDir *const handle = g_dir_open(b->dir, 0, NULL);
+    GDir *const handle = g_dir_open(dir, 0, NULL);
     for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
-        char *const path = g_build_filename(b->dir, name, NULL);
+        char *const path = g_build_filename(dir, name, NULL);
         g_unlink(path);
         g_free(path);
     }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -22,6 +22,7 @@
     tc_time_t start_at; /**< when it is started (again) */
 } process_t;
 
+/** One box: an entry program, and a control program where it has a disk. */
 typedef struct {
     char ip[20];
     char dir[64]; /**< "" without a disk */
@@ -35,6 +36,7 @@
     bool once;     /**< it must run at most once */
 } try_t;
 
+/** The boxes and the platform around them. */
 typedef struct world {
     loop_t *loop;
     GRand *random;
@@ -60,16 +62,20 @@
 /** Ports behind world_t.port. */
 enum { PORT_FRONT, PORT_READY, PORT_CONTROL, PORT_DIRECTORY, PORT_INNER = 10 };
 
+/** Make the fakes and the boxes, whose programs come up by and by. @param bin folder of the programs, borrowed */
 world_t *world_create(loop_t *loop, guint32 seed, const char *bin);
+/** End all programs and fakes. Files stay. */
 void world_destroy(world_t *world);
 
 /** Start what is due, notice what ended by itself. */
 void world_tick(world_t *world);
-void process_signal(world_t *world, process_t *process, int number);
+/** Send a signal, when it runs. */
+void process_signal(const process_t *process, int number);
 /** End it and start it again after @p pause. */
 void process_restart(world_t *world, box_t *box, process_t *process, int number, tc_time_t pause);
-/** Empty the box's data folder; its control process must not run. */
-void box_wipe(const box_t *box);
+/** Remove all files in a folder. Of a box's data folder only while its control process does not run, unless nothing is
+ *  to come of it any more. */
+void folder_empty(const char *dir);
 
 /** "IP:port" of a box. */
 void world_addr(const world_t *world, int box, int port, char to[32]);
@@ -79,7 +85,9 @@
 void world_broken(world_t *world, const char *promise, const char *what);
 /** Note what is done. */
 void world_note(world_t *world, const char *format, ...) __attribute__((format(printf, 2, 3)));
+/** A number from [0, 1), by lot. */
 double world_draw(world_t *world);
+/** One of 0 to @p n - 1, by lot. */
 int world_pick(world_t *world, int n);
 
 #endif
