--- a/lib/cluster/document.h
+++ b/lib/cluster/document.h
@@ -24,6 +24,7 @@
 
 /* ===== Public functions ===== */
 
+/** How a document of that version and content relates to @p held. */
 document_relation_t document_compare(const document_t *held, uint64_t version, const char *body, size_t size);
 
 /** Take over @p offered's content when it is newer. @return its relation to what was held before */
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -29,7 +29,9 @@
 
 /* ===== Public functions ===== */
 
+/** @param net borrowed; answers go out through it */
 placing_t *placing_create(peer_net_t *net);
+/** Whoever waits for an answer gets none. */
 void placing_destroy(placing_t *placing);
 
 /** The services with engines, from the configuration; copied. */
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -22,13 +22,14 @@
 
 typedef struct replica replica_t;
 
+/** How to take part. Strings are borrowed for the call of replica_create. */
 typedef struct {
     const char *peer_listen; /**< IP:port, by which this member is known to the others */
     const char *http_addr;   /**< where operators reach it */
     const char *data_dir;
     uint32_t voters_wanted;   /**< enough to bear the losses that the deployment is to bear */
     bool found;               /**< first start of the whole system */
-    const char *const *seeds; /**< peer addresses, NULL at the end; may change between calls of replica_reseed */
+    const char *const *seeds; /**< peer addresses, NULL at the end */
     /** A newer document was accepted, or one was there at the start; may be NULL. */
     void (*on_document)(void *arg, replica_t *replica, const document_t *document);
     void *arg;
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -31,6 +31,7 @@
     void *arg;
 } reporter_events_t;
 
+/** Where to begin; copied. */
 typedef struct {
     const char *peer_listen;       /**< IP:port of this box for the others */
     const char *const *controls;   /**< peer addresses of control boxes to begin with, NULL at the end */
@@ -42,6 +43,7 @@
 /** @param self what is reported; borrowed and may change. @return NULL with @p err */
 reporter_t *reporter_create(loop_t *loop, const entry_box_t *self, const reporter_options_t *options,
                             const reporter_events_t *events, tc_err_t *err);
+/** After loop_run returned. */
 void reporter_destroy(reporter_t *reporter);
 
 /** New seeds, copied. */
@@ -49,8 +51,9 @@
 /** Report at once: something changed that others should know. */
 void reporter_hurry(reporter_t *reporter);
 
-/** What is held; borrowed until the loop's next turn. */
+/** The document that is held, with version 0 before the first; borrowed until the loop's next turn. */
 const document_t *reporter_document(const reporter_t *reporter);
+/** The boxes that are held; borrowed until the loop's next turn. */
 const entry_box_t *reporter_entries(const reporter_t *reporter, uint32_t *n);
 /** When the list of back ends was read from the platform, 0 for never. */
 tc_time_t reporter_backends_time(const reporter_t *reporter);
--- a/lib/cluster/roster.h
+++ b/lib/cluster/roster.h
@@ -22,6 +22,7 @@
 roster_t *roster_create(void);
 void roster_destroy(roster_t *roster);
 
+/** Take a report: the box is there, and this is all it has in flight. */
 void roster_hear(roster_t *roster, const msg_report_t *report, tc_time_t now);
 /** Forget boxes that fell silent. */
 void roster_expire(roster_t *roster, tc_time_t now);
--- a/lib/common/histogram.h
+++ b/lib/common/histogram.h
@@ -22,7 +22,7 @@
     }
 enum { HISTOGRAM_BUCKETS = 15 };
 
-/** Any thread. */
+/** Counts of spans by length. Counted from any thread. */
 typedef struct histogram {
     const char *name; /**< ends in _ms */
     const char *help;
@@ -41,6 +41,7 @@
         histogram_register(&var);                                                                                      \
     }
 
+/** Called by HISTOGRAM_DEFINE, before main. */
 void histogram_register(histogram_t *histogram);
 
 /** Count one span, in ms. */
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -41,6 +41,7 @@
     DIALECT_DECODE   /**< answer it from a prefill result held elsewhere */
 } dialect_ask_t;
 
+/** One call to one back end, beside the caller's request. Borrowed. */
 typedef struct {
     dialect_ask_t ask;
     const char *instance;     /**< only this start of the back end may take it */
@@ -69,6 +70,7 @@
  *  taken from @p step whatever the caller sent. @return bytes for web_call */
 GByteArray *dialect_write_request(const web_request_t *request, const char *addr, const dialect_step_t *step);
 
+/** Read what the head of an answer says. @param id of the request, "" when it has none */
 void dialect_read_reply(const web_head_t *head, const char *id, dialect_reply_t *reply);
 
 /** Header lines of an answer that are passed on to the caller. */
--- a/lib/forward/discover.h
+++ b/lib/forward/discover.h
@@ -23,7 +23,9 @@
 
 /* ===== Public functions ===== */
 
+/** @param addr of the platform, copied @param fn is told every list that was read whole */
 discover_t *discover_create(loop_t *loop, web_client_t *client, const char *addr, discover_fn_t fn, void *arg);
+/** A reading under way ends without a report. */
 void discover_destroy(discover_t *discover);
 
 /** Read the list now, unless a reading is under way. */
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -52,6 +52,7 @@
 /* ===== Public functions ===== */
 
 fleet_t *fleet_create(void);
+/** Instances live on as long as somebody holds a reference. */
 void fleet_destroy(fleet_t *fleet);
 
 /** Replace what is listed. Instances that stay keep what is known of them. @param fetched when the list was asked for
@@ -59,8 +60,9 @@
 void fleet_list(fleet_t *fleet, const backend_t *list, uint32_t n, tc_time_t fetched);
 /** The list was read again at @p fetched and is the same. */
 void fleet_list_same(fleet_t *fleet, tc_time_t fetched);
-/** How old the list and the other boxes' loads are, in ms, for logs; TC_TIME_NEVER when there is none yet. */
+/** How old the list is, in ms, for logs; TC_TIME_NEVER when there is none yet. */
 tc_time_t fleet_list_age(const fleet_t *fleet, tc_time_t now);
+/** The same for the other boxes' loads. */
 tc_time_t fleet_loads_age(const fleet_t *fleet, tc_time_t now);
 /** Number of listed instances. */
 unsigned fleet_size(const fleet_t *fleet);
@@ -75,11 +77,14 @@
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
 
+/** One more reference. @return @p instance */
 instance_t *instance_ref(instance_t *instance);
+/** One reference less; freed with the last. */
 void instance_unref(instance_t *instance);
 
-/** Work was handed to the back end, or is done. @param tokens prompt tokens to read, 0 for none */
+/** Work was handed to the back end. @param tokens prompt tokens to read, 0 for none */
 void instance_begin(instance_t *instance, uint64_t tokens);
+/** It is done. @param tokens as when it was handed over */
 void instance_end(instance_t *instance, uint64_t tokens);
 
 /** It answered well. */
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -24,6 +24,7 @@
 
 typedef struct forwarder forwarder_t;
 
+/** What a forwarder knows of its box. */
 typedef struct {
     const char *box;      /**< name of this box */
     uint64_t incarnation; /**< of this start of it */
--- a/lib/forward/retry_budget.h
+++ b/lib/forward/retry_budget.h
@@ -26,6 +26,7 @@
     tc_time_t window; /**< ms */
 } retry_rules_t;
 
+/** What was counted in the window. By value; retry_budget_init before use. */
 typedef struct {
     tc_time_t begun; /**< when the budget was made */
     tc_time_t slice; /**< number of the newest slice */
@@ -35,6 +36,7 @@
 
 /* ===== Public functions ===== */
 
+/** Begin counting: nothing has come in, and this box's part of the allowance is spent. */
 void retry_budget_init(retry_budget_t *budget, tc_time_t now);
 /** A request for the service came in. */
 void retry_budget_earn(retry_budget_t *budget, const retry_rules_t *rules, tc_time_t now);
--- a/lib/forward/route.h
+++ b/lib/forward/route.h
@@ -55,6 +55,7 @@
     tc_time_t handle_ttl;     /**< how long a prefill result is kept */
 } route_service_t;
 
+/** All routes of one version of the configuration. Counted references. */
 typedef struct {
     uint64_t version;
     web_limits_t limits;
@@ -66,16 +67,21 @@
 
 /* ===== Public functions ===== */
 
+/** An empty table, with one reference. */
 route_table_t *route_table_create(uint64_t version);
+/** One more reference. @return @p table */
 route_table_t *route_table_ref(route_table_t *table);
+/** One reference less; freed with the last. NULL is none. */
 void route_table_unref(route_table_t *table);
 
 /** Take over a route with its targets. @return false, with the route freed, when its place is taken */
 bool route_table_add(route_table_t *table, route_t *route);
+/** Free a route that no table took over. */
 void route_free(route_t *route);
 
 /** Take over a service. @return false, with the service freed, when its name is taken */
 bool route_table_add_service(route_table_t *table, route_service_t *service);
+/** The service of that name, or NULL. */
 const route_service_t *route_table_service(const route_table_t *table, const char *name);
 
 /** The route of that host (a port behind it is passed over) whose prefix begins the path and is longest, or NULL. */
--- a/lib/web/web.h
+++ b/lib/web/web.h
@@ -30,9 +30,11 @@
 
 /* ===== Public functions ===== */
 
+/** Make an empty list. */
 void web_headers_init(web_headers_t *headers);
 /** Forget all lines, keep the list. */
 void web_headers_clear(web_headers_t *headers);
+/** Free the list; harmless when it was freed. */
 void web_headers_free(web_headers_t *headers);
 
 /** What the parser's callbacks hand over piece by piece. */
--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -56,6 +56,7 @@
 
 /* ===== Public functions ===== */
 
+/** A client that keeps no idle connections: see web_client_keep. */
 web_client_t *web_client_create(loop_t *loop);
 /** Calls still open end without a report. */
 void web_client_destroy(web_client_t *client);
--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -43,6 +43,7 @@
 /** A free port on 127.0.0.1, as "127.0.0.1:PORT". */
 void lab_free_addr(char to[32]);
 
+/** Listen at @p addr and answer by @p script. */
 lab_backend_t *lab_backend_start(loop_t *loop, const char *addr, lab_script_t script, void *arg);
 /** Connections from now on are refused, those that stand are reset. */
 void lab_backend_stop(lab_backend_t *backend);
@@ -53,10 +54,12 @@
 
 /** Send a request, given as text. */
 lab_call_t *lab_call(web_client_t *client, const char *addr, const char *request);
+/** Only when the call is done or was cancelled. */
 void lab_call_free(lab_call_t *call);
 
-/** Run the loop until the condition holds. Fails the test after a time that only a hang takes. */
+/** What lab_run_until waits for. */
 typedef bool (*lab_condition_t)(void *arg);
+/** Run the loop until the condition holds. Fails the test after a time that only a hang takes. */
 void lab_run_until(loop_t *loop, lab_condition_t condition, void *arg);
 /** The same for a flag. */
 void lab_run_until_true(loop_t *loop, const bool *flag);
