Small calls that are read whole are made in one place

Cause: discover.c and forward_hold.c each gathered a status and a body under a time limit with the same callbacks. Change: web_ask does that; both use it. What they log, count and decide stays. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/forward/discover.c
+++ b/lib/forward/discover.c
@@ -5,6 +5,7 @@
 #include "common/counter.h"
 #include "common/log.h"
 #include "forward/dialect.h"
+#include "web/web_ask.h"
 
 COUNTER_DEFINE(c_calls, "counter", "trackcove_discover_calls_total", "Calls to the platform's list of back ends")
 COUNTER_DEFINE(c_failed, "counter", "trackcove_discover_failed_total", "Readings of that list that failed")
@@ -17,11 +18,8 @@
     char addr[CODEC_STR_SIZE];
     discover_fn_t fn;
     void *arg;
-    web_call_t *call; /* the page under way */
-    loop_timer_t limit;
-    GArray *list; /* backend_t, of the pages read so far */
-    GByteArray *body;
-    int status;
+    web_ask_t ask; /* for the page under way */
+    GArray *list;  /* backend_t, of the pages read so far */
     unsigned pages;
     tc_time_t started;
     bool failing;
@@ -41,12 +39,12 @@
 {
     tc_err_t err = {0};
     char *next = NULL;
-    if (d->status != 200) {
-        tc_err_set(&err, TC_E_REFUSED, "read list of back ends", d->addr, "status %d", d->status);
+    if (d->ask.status != 200) {
+        tc_err_set(&err, TC_E_REFUSED, "read list of back ends", d->addr, "status %d", d->ask.status);
         fail(d, &err);
         return;
     }
-    if (dialect_read_list((const char *)d->body->data, d->body->len, d->list, &next, &err) < 0) {
+    if (dialect_read_list((const char *)d->ask.body->data, d->ask.body->len, d->list, &next, &err) < 0) {
         fail(d, &err);
         return;
     }
@@ -66,38 +64,18 @@
     d->fn(d->arg, (const backend_t *)(const void *)d->list->data, d->list->len, d->started);
 }
 
-static web_verdict_t on_head(void *arg, const web_head_t *head)
-{
-    ((discover_t *)arg)->status = head->status;
-    return WEB_TAKE;
-}
-
-static void on_data(void *arg, const char *data, size_t size)
-{
-    g_byte_array_append(((discover_t *)arg)->body, (const guint8 *)data, (guint)size);
-}
-
-static void on_end(void *arg, web_end_t how)
+static void on_page(void *arg, web_ask_end_t how)
 {
     discover_t *const d = arg;
-    d->call = NULL;
-    loop_disarm(&d->limit);
-    if (how == WEB_END_WHOLE) {
+    if (how == WEB_ASK_WHOLE) {
         page_read(d);
         return;
     }
     tc_err_t err = {0};
-    tc_err_set(&err, TC_E_UNREACHABLE, "read list of back ends", d->addr, "no whole answer");
-    fail(d, &err);
-}
-
-static void on_limit(void *arg)
-{
-    discover_t *const d = arg;
-    web_call_cancel(d->call);
-    d->call = NULL;
-    tc_err_t err = {0};
-    tc_err_set(&err, TC_E_TIMEOUT, "read list of back ends", d->addr, "no answer in %d ms", PAGE_MS);
+    if (how == WEB_ASK_LATE)
+        tc_err_set(&err, TC_E_TIMEOUT, "read list of back ends", d->addr, "no answer in %d ms", PAGE_MS);
+    else
+        tc_err_set(&err, TC_E_UNREACHABLE, "read list of back ends", d->addr, "no whole answer");
     fail(d, &err);
 }
 
@@ -105,15 +83,14 @@
 {
     counter_add(&c_calls, 1);
     d->pages++;
-    g_byte_array_set_size(d->body, 0);
-    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = d};
-    d->call = web_call(d->client, d->addr, dialect_write_list(d->addr, page), true, CONNECT_MS, &sink);
-    loop_arm(d->loop, &d->limit, tc_time_now() + PAGE_MS, on_limit, d);
+    const web_ask_where_t where = {
+        .loop = d->loop, .client = d->client, .addr = d->addr, .connect_ms = CONNECT_MS, .limit_ms = PAGE_MS};
+    web_ask(&d->ask, &where, dialect_write_list(d->addr, page), on_page, d);
 }
 
 void discover_read(discover_t *d)
 {
-    if (d->call)
+    if (d->ask.call)
         return;
     g_array_set_size(d->list, 0);
     d->pages = 0;
@@ -135,16 +112,14 @@
     d->fn = fn;
     d->arg = arg;
     d->list = g_array_new(FALSE, TRUE, sizeof(backend_t));
-    d->body = g_byte_array_new();
+    d->ask.body = g_byte_array_new();
     return d;
 }
 
 void discover_destroy(discover_t *d)
 {
-    if (d->call)
-        web_call_cancel(d->call);
-    loop_disarm(&d->limit);
+    web_ask_cancel(&d->ask);
     g_array_free(d->list, TRUE);
-    g_byte_array_free(d->body, TRUE);
+    g_byte_array_free(d->ask.body, TRUE);
     g_free(d);
 }
--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -6,6 +6,7 @@
 
 #include "common/counter.h"
 #include "forward/forward_internal.h"
+#include "web/web_ask.h"
 
 COUNTER_DEFINE(c_taken, "counter", "trackcove_hold_taken_total", "Times that memory was set aside at a decode engine")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_hold_refused_total", "Times that a decode engine had none to set aside")
@@ -14,20 +15,17 @@
 struct hold_call {
     forward_t *request;
     instance_t *instance;
-    web_call_t *call;
-    int status;
-    GByteArray *body;
-    loop_timer_t limit;
+    web_ask_t ask;
 };
 
 /* ===== Ending ===== */
 
 static void call_free(hold_call_t *h)
 {
-    loop_disarm(&h->limit);
+    web_ask_cancel(&h->ask);
     h->request->hold.asking = NULL;
     instance_unref(h->instance);
-    g_byte_array_free(h->body, TRUE);
+    g_byte_array_free(h->ask.body, TRUE);
     g_free(h);
 }
 
@@ -42,10 +40,8 @@
 
 void hold_release(forward_t *f)
 {
-    if (f->hold.asking) {
-        web_call_cancel(f->hold.asking->call);
+    if (f->hold.asking)
         call_free(f->hold.asking);
-    }
     if (f->hold.instance) {
         const char *const addr = f->hold.instance->listed.addr;
         call_and_forget(f->owner, addr, dialect_write_hold_drop(addr, f->hold.name));
@@ -60,7 +56,7 @@
     forward_t *const f = h->request;
     const tc_time_t now = tc_time_now();
     counter_add(&c_refused, 1);
-    forward_log(f, "hold_refused", why, h->status, h->instance);
+    forward_log(f, "hold_refused", why, h->ask.status, h->instance);
     if (refused)
         instance_refused(h->instance, now);
     else
@@ -70,42 +66,28 @@
     forward_go_on(f);
 }
 
-static web_verdict_t on_head(void *arg, const web_head_t *head)
-{
-    ((hold_call_t *)arg)->status = head->status;
-    return WEB_TAKE;
-}
-
-static void on_data(void *arg, const char *data, size_t size)
-{
-    g_byte_array_append(((hold_call_t *)arg)->body, (const guint8 *)data, (guint)size);
-}
-
-static void on_end(void *arg, web_end_t how)
+static void on_answer(void *arg, web_ask_end_t how)
 {
     hold_call_t *const h = arg;
     forward_t *const f = h->request;
-    char *const name =
-        how == WEB_END_WHOLE && h->status == 200 ? dialect_read_hold((const char *)h->body->data, h->body->len) : NULL;
+    if (how == WEB_ASK_LATE) {
+        no_hold(h, "no answer in time", false);
+        return;
+    }
+    const bool granted = how == WEB_ASK_WHOLE && h->ask.status == 200;
+    char *const name = granted ? dialect_read_hold((const char *)h->ask.body->data, h->ask.body->len) : NULL;
     if (!name) {
-        no_hold(h, how == WEB_END_WHOLE ? "no room" : "no answer", how == WEB_END_WHOLE);
+        no_hold(h, how == WEB_ASK_WHOLE ? "no room" : "no answer", how == WEB_ASK_WHOLE);
         return;
     }
     counter_add(&c_taken, 1);
-    forward_log(f, "hold_taken", "memory set aside", h->status, h->instance);
+    forward_log(f, "hold_taken", "memory set aside", h->ask.status, h->instance);
     f->hold.instance = instance_ref(h->instance);
     f->hold.name = name;
     call_free(h);
     forward_go_on(f);
 }
 
-static void on_limit(void *arg)
-{
-    hold_call_t *const h = arg;
-    web_call_cancel(h->call);
-    no_hold(h, "no answer in time", false);
-}
-
 /* ===== Asking ===== */
 
 bool hold_ask(forward_t *f)
@@ -120,14 +102,16 @@
     hold_call_t *const h = g_new0(hold_call_t, 1);
     h->request = f;
     h->instance = instance;
-    h->body = g_byte_array_new();
+    h->ask.body = g_byte_array_new();
     f->hold.asking = h;
     const tc_time_t ttl = f->settings->hold_ttl < HOLD_MS ? f->settings->hold_ttl : HOLD_MS;
-    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = h};
     const char *const addr = instance->listed.addr;
-    h->call = web_call(f->owner->client, addr, dialect_write_hold(addr, f->facts.prompt_tokens, ttl), true, CONNECT_MS,
-                       &sink);
-    loop_arm(f->owner->loop, &h->limit, tc_time_now() + HOLD_ANSWER_MS, on_limit, h);
+    const web_ask_where_t where = {.loop = f->owner->loop,
+                                   .client = f->owner->client,
+                                   .addr = addr,
+                                   .connect_ms = CONNECT_MS,
+                                   .limit_ms = HOLD_ANSWER_MS};
+    web_ask(&h->ask, &where, dialect_write_hold(addr, f->facts.prompt_tokens, ttl), on_answer, h);
     return true;
 }
 
--- /dev/null
+++ b/lib/web/web_ask.c
@@ -0,0 +1,49 @@
+#include "web/web_ask.h"
+
+#include <assert.h>
+
+static web_verdict_t on_head(void *arg, const web_head_t *head)
+{
+    ((web_ask_t *)arg)->status = head->status;
+    return WEB_TAKE;
+}
+
+static void on_data(void *arg, const char *data, size_t size)
+{
+    g_byte_array_append(((web_ask_t *)arg)->body, (const guint8 *)data, (guint)size);
+}
+
+static void on_end(void *arg, web_end_t how)
+{
+    web_ask_t *const ask = arg;
+    ask->call = NULL;
+    loop_disarm(&ask->limit);
+    ask->fn(ask->arg, how == WEB_END_WHOLE ? WEB_ASK_WHOLE : WEB_ASK_BROKEN);
+}
+
+static void on_limit(void *arg)
+{
+    web_ask_t *const ask = arg;
+    web_ask_cancel(ask);
+    ask->fn(ask->arg, WEB_ASK_LATE);
+}
+
+void web_ask(web_ask_t *ask, const web_ask_where_t *where, GByteArray *request, web_ask_fn_t fn, void *arg)
+{
+    assert(!ask->call); /* its status and body are those of one call */
+    ask->status = 0;
+    g_byte_array_set_size(ask->body, 0);
+    ask->fn = fn;
+    ask->arg = arg;
+    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = ask};
+    ask->call = web_call(where->client, where->addr, request, true, where->connect_ms, &sink);
+    loop_arm(where->loop, &ask->limit, tc_time_now() + where->limit_ms, on_limit, ask);
+}
+
+void web_ask_cancel(web_ask_t *ask)
+{
+    if (ask->call)
+        web_call_cancel(ask->call);
+    ask->call = NULL;
+    loop_disarm(&ask->limit);
+}
--- /dev/null
+++ b/lib/web/web_ask.h
@@ -0,0 +1,50 @@
+/** @file web_ask.h
+ * A small call whose answer is read whole, within a time limit. Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_WEB_WEB_ASK_H
+#define TRACKCOVE_WEB_WEB_ASK_H
+
+/* ===== Dependencies ===== */
+
+#include "web/web_client.h"
+
+/* ===== Types ===== */
+
+/** How it ended. */
+typedef enum {
+    WEB_ASK_WHOLE,  /**< the answer came whole: status and body are the back end's */
+    WEB_ASK_BROKEN, /**< no connection, or no whole answer */
+    WEB_ASK_LATE    /**< not within the limit */
+} web_ask_end_t;
+
+/** The call has ended; it may be begun again, or freed, from within. */
+typedef void (*web_ask_fn_t)(void *arg, web_ask_end_t how);
+
+/** One such call at a time. Zeroed, with a body, before its first use. */
+typedef struct {
+    web_call_t *call; /**< NULL when none is under way */
+    int status;       /**< 0 before a head has come */
+    GByteArray *body;
+    loop_timer_t limit;
+    web_ask_fn_t fn;
+    void *arg;
+} web_ask_t;
+
+/** Where and how long to ask. */
+typedef struct {
+    loop_t *loop;
+    web_client_t *client;
+    const char *addr;     /**< "IP:port" */
+    tc_time_t connect_ms; /**< for the connection */
+    tc_time_t limit_ms;   /**< for all of it */
+} web_ask_where_t;
+
+/* ===== Public functions ===== */
+
+/** Send @p request (taken over), which may run twice. @p fn runs once, later, unless it is cancelled. */
+void web_ask(web_ask_t *ask, const web_ask_where_t *where, GByteArray *request, web_ask_fn_t fn, void *arg);
+
+/** Drop the call under way, if there is one: nothing is reported. */
+void web_ask_cancel(web_ask_t *ask);
+
+#endif
