--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -54,14 +54,9 @@
     void *arg;
 } web_sink_t;
 
-/** Counts of one client, for pages and tests. */
-typedef struct {
-    unsigned open;   /**< connections, idle ones included */
-    unsigned opened; /**< connections ever made */
-} web_client_stats_t;
-
 /* ===== Public functions ===== */
 
+/** A client that keeps no idle connections: see web_client_keep. */
 web_client_t *web_client_create(loop_t *loop);
 /** Calls still open end without a report. */
 void web_client_destroy(web_client_t *client);
@@ -84,6 +79,4 @@
 /** Whether a byte of the request may have left this box. */
 bool web_call_sent(const web_call_t *call);
 
-web_client_stats_t web_client_stats(const web_client_t *client);
-
 #endif
