Test of the forwarder: its configuration is legible; unused includes go

Cause: the formatter broke the string of macros beyond reading; two files included string.h for nothing since they were split. Change: routes and services are lists that the set-up joins; same routes, same services, same text for the parser. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -3,7 +3,6 @@
 #include <assert.h>
 #include <glib.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -3,7 +3,6 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -80,17 +80,30 @@
 /** As attempts: the stream may be taken up elsewhere. */
 #define RESUMABLE "2,\"resumable\":true"
 
-static const char CONFIG[] =
-    "{\"version\":3,\"routes\":[" ROUTE("safe", "safe", "3000", "2", "app") "," ROUTE("once", "unsafe", "3000", "2", "app") "," ROUTE(
-        "short", "safe", "200",
-        "2", "app") "," ROUTE("lm", "stream", "9000", "1",
-                              "lm") "," ROUTE("again", "stream", "9000", RESUMABLE,
-                                              "lm") "," ROUTE("held", "stream", "9000", "1",
-                                                              "held") "],\"services\":[{\"name\":\"app\"},{\"name\":"
-                                                                      "\"lm\"," ENGINE("") "},{\"name\":"
-                                                                                           "\"held\"," ENGINE(",\"hold_"
-                                                                                                              "ms\":"
-                                                                                                              "2000") "}]}";
+static const char *const routes[] = {ROUTE("safe", "safe", "3000", "2", "app"),
+                                     ROUTE("once", "unsafe", "3000", "2", "app"),
+                                     ROUTE("short", "safe", "200", "2", "app"),
+                                     ROUTE("lm", "stream", "9000", "1", "lm"),
+                                     ROUTE("again", "stream", "9000", RESUMABLE, "lm"),
+                                     ROUTE("held", "stream", "9000", "1", "held"),
+                                     NULL};
+
+static const char *const services[] = {"{\"name\":\"app\"}", "{\"name\":\"lm\"," ENGINE("") "}",
+                                       "{\"name\":\"held\"," ENGINE(",\"hold_ms\":2000") "}", NULL};
+
+static route_table_t *read_config(void)
+{
+    char *const routes_text = g_strjoinv(",", (char **)(uintptr_t)routes);
+    char *const services_text = g_strjoinv(",", (char **)(uintptr_t)services);
+    char *const text = g_strdup_printf("{\"version\":3,\"routes\":[%s],\"services\":[%s]}", routes_text, services_text);
+    tc_err_t err = {0};
+    route_table_t *const table = config_read(text, strlen(text), &err);
+    g_assert_nonnull(table);
+    g_free(text);
+    g_free(services_text);
+    g_free(routes_text);
+    return table;
+}
 
 static void set_up(fixture_t *f, gconstpointer data)
 {
@@ -102,13 +115,12 @@
     const forwarder_options_t options = {
         .box = "box", .dc = "a", .retries = {.ratio = 100, .allowance = 0, .window = 60000}, .pause_limit = 60000};
     f->forwarder = forwarder_create(f->loop, f->fleet, f->client, &options);
-    tc_err_t err = {0};
-    route_table_t *const table = config_read(CONFIG, strlen(CONFIG), &err);
-    g_assert_nonnull(table);
+    route_table_t *const table = read_config();
     forwarder_set_routes(f->forwarder, table);
     f->limits = table->limits;
     route_table_unref(table);
     lab_free_addr(f->addr);
+    tc_err_t err = {0};
     f->server = web_server_start(f->loop, f->addr, &f->limits, forwarder_handle, f->forwarder, &err);
     g_assert_nonnull(f->server);
     for (int i = 0; i < BACKENDS; i++)
