forward_step.c asks its questions in one place each

Cause: whether an answer is streamed, whether a request may run again, and which list a failed back end goes to were each written out two or three times; answered() had 38 lines. Change: is_streamed, may_run_again, mark_tried; try_elsewhere taken out of answered(). Same order of conditions, so the retry budget is drawn on as before. Tests: test_web, test_route, test_cluster, test_sched_solo, test_platform, test_forward pass.

--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -82,6 +82,27 @@
     handle_forget(f);
 }
 
+/* ===== Looking ===== */
+
+/** Whether the answer goes to the caller event by event. */
+static bool is_streamed(const step_t *s)
+{
+    return s->head_seen && s->request->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL && s->reply.success &&
+           s->reply.genuine;
+}
+
+/** Whether the request may run on one more back end when it may have run on this one. */
+static bool may_run_again(const forward_t *f)
+{
+    return route_is_repeatable(f->route) && f->runs + 1 < f->route->max_attempts;
+}
+
+static void mark_tried(const step_t *s)
+{
+    forward_t *const f = s->request;
+    g_ptr_array_add(s->ask == DIALECT_PREFILL ? f->tried_prefill : f->tried, instance_ref(s->instance));
+}
+
 /* ===== Outcomes ===== */
 
 /** The request did not arrive, or was turned away: another back end may take it. */
@@ -95,7 +116,7 @@
         instance_refused(s->instance, now);
     else
         instance_failed(s->instance, now);
-    g_ptr_array_add(ask == DIALECT_PREFILL ? f->tried_prefill : f->tried, instance_ref(s->instance));
+    mark_tried(s);
     if (ask == DIALECT_DECODE && refused && f->handle.instance && now >= f->handle.until)
         handle_forget(f);
     char bad[CODEC_STR_SIZE];
@@ -118,7 +139,7 @@
     counter_add(&c_broken, 1);
     forward_log(f, "answer_lost", why, s->status, s->instance);
     instance_failed(s->instance, tc_time_now());
-    g_ptr_array_add(ask == DIALECT_PREFILL ? f->tried_prefill : f->tried, instance_ref(s->instance));
+    mark_tried(s);
     if (ask == DIALECT_DECODE && f->handle.instance)
         handle_forget(f); /* taken, or about to lapse */
     step_free(s);
@@ -129,8 +150,8 @@
             forward_fail(f, "retry budget is used up");
         return;
     }
+    const bool again = may_run_again(f) && forward_may_retry(f);
     f->runs++;
-    const bool again = route_is_repeatable(f->route) && f->runs < f->route->max_attempts && forward_may_retry(f);
     if (again)
         forward_go_on(f);
     else
@@ -179,6 +200,22 @@
     maybe_run(s, "stream broke off");
 }
 
+/** A failure that the back end stands for is tried once more elsewhere, where that is allowed and of use. */
+static bool try_elsewhere(step_t *s)
+{
+    forward_t *const f = s->request;
+    if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !forward_may_retry(f))
+        return false;
+    forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
+    f->runs++;
+    mark_tried(s);
+    if (f->handle.instance)
+        handle_forget(f);
+    step_free(s);
+    forward_go_on(f);
+    return true;
+}
+
 static void answered(step_t *s)
 {
     forward_t *const f = s->request;
@@ -197,18 +234,8 @@
         return;
     }
     instance_succeeded(s->instance);
-    const bool failed = s->status >= 500;
-    if (failed && route_is_repeatable(f->route) && f->runs + 1 < f->route->max_attempts && !f->begun &&
-        fleet_size(f->owner->fleet) > 1 && forward_may_retry(f)) {
-        forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
-        f->runs++;
-        g_ptr_array_add(f->tried, instance_ref(s->instance));
-        if (f->handle.instance)
-            handle_forget(f);
-        step_free(s);
-        forward_go_on(f);
+    if (try_elsewhere(s))
         return;
-    }
     if (f->begun) {
         maybe_run(s, "stream could not be taken up");
         return;
@@ -231,7 +258,7 @@
 static void watch_silence(forward_t *f)
 {
     const tc_time_t limit = f->owner->options.pause_limit;
-    if (route_is_repeatable(f->route) && f->runs + 1 < f->route->max_attempts)
+    if (may_run_again(f))
         loop_arm(f->owner->loop, &f->patience, tc_time_now() + limit, on_step_late, f);
 }
 
@@ -247,7 +274,7 @@
     if (s->ask == DIALECT_PREFILL || s->reply.not_run)
         return WEB_TAKE;
     s->head = dialect_pass_head(head);
-    const bool streams = f->route->kind == ROUTE_STREAM && s->reply.success && s->reply.genuine;
+    const bool streams = is_streamed(s);
     if (streams && f->handle.instance)
         handle_forget(f); /* the decode engine has it */
     if (streams && !f->begun) {
@@ -266,7 +293,7 @@
 {
     step_t *const s = arg;
     forward_t *const f = s->request;
-    if (f->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL && s->reply.success && s->reply.genuine) {
+    if (is_streamed(s)) {
         stream_take(f, data, size);
         watch_silence(f);
         return;
@@ -277,13 +304,10 @@
 static void on_end(void *arg, web_end_t how)
 {
     step_t *const s = arg;
-    forward_t *const f = s->request;
     s->call = NULL;
-    const bool streams = s->head_seen && f->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL &&
-                         s->reply.success && s->reply.genuine && !s->reply.not_run;
     if (how == WEB_END_UNSENT)
         not_run(s, "no connection", false);
-    else if (streams)
+    else if (is_streamed(s)) /* which a refusal never is */
         stream_ended(s, how);
     else if (how == WEB_END_WHOLE)
         answered(s);
