--- a/lib/control/control_join.c
+++ b/lib/control/control_join.c
@@ -45,10 +45,11 @@
 
 void control_join_or_found(control_t *c, tc_time_t now)
 {
-    if (now < c->join_at || raft_is_voter(c->raft, c->self.id))
+    const raft_view_t view = raft_view(c->raft);
+    /* A box that was silent for long may have lost its place to another and not know it: it hears no leader then. */
+    if (now < c->join_at || (raft_is_voter(c->raft, c->self.id) && view.leader != 0))
         return;
     c->join_at = now + JOIN_EVERY_MS;
-    const raft_view_t view = raft_view(c->raft);
     const bool empty = view.last_index == 0; /* a crash in the middle of founding leaves a term and no entry */
     if (!empty || !c->settings->found_cluster) {
         ask_others(c, ignore_answer);
--- a/lib/web/web_answer.c
+++ b/lib/web/web_answer.c
@@ -9,6 +9,8 @@
 
 /** Bytes waiting for a caller who does not read: then it is cut off. */
 enum { OUT_MAX = 8 * 1024 * 1024 };
+/** Sent bytes that may stay in front of those that wait: moving the rest has its cost. */
+enum { SENT_KEPT = 64 * 1024 };
 
 /* ===== Writing ===== */
 
@@ -20,13 +22,23 @@
     loop_rewatch(c->server->loop, &c->watch, EPOLLIN | EPOLLRDHUP | (want ? EPOLLOUT : 0u));
 }
 
+/** Forget bytes that have been sent, once they are many. */
+static void drop_sent(web_exchange_t *c)
+{
+    if (c->out_sent < SENT_KEPT)
+        return;
+    g_byte_array_remove_range(c->out, 0, (guint)c->out_sent);
+    c->out_sent = 0;
+}
+
 bool exchange_flush(web_exchange_t *c)
 {
     while (c->out_sent < c->out->len) {
         const ssize_t n = send(c->watch.fd, c->out->data + c->out_sent, c->out->len - c->out_sent, MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
             exchange_want_write(c, true);
-            return c->out->len - c->out_sent <= OUT_MAX;
+            drop_sent(c);
+            return c->out->len <= OUT_MAX;
         }
         if (n < 0)
             return false;
@@ -64,17 +76,22 @@
     g_string_free(text, TRUE);
 }
 
-/** The next request, if its bytes are here already: its handler runs within the one that has just answered. */
-static void exchange_next(web_exchange_t *c)
+static void on_next(void *arg)
 {
-    if (c->ahead->len == 0)
-        return;
+    web_exchange_t *const c = arg;
     GByteArray *const data = c->ahead;
     c->ahead = g_byte_array_new();
     exchange_parse(c, (const char *)data->data, data->len);
     g_byte_array_free(data, TRUE);
 }
 
+/** The next request, if its bytes are here already. */
+static void exchange_next(web_exchange_t *c)
+{
+    if (c->ahead->len > 0)
+        loop_arm(c->server->loop, &c->next, tc_time_now(), on_next, c);
+}
+
 static void finish(web_exchange_t *c)
 {
     assert(c->state == EXCHANGE_HANDLING); /* an exchange ends once */
@@ -127,7 +144,8 @@
     exchange_put(c, data, size);
     if (c->chunked)
         exchange_put(c, "\r\n", 2);
-    (void)exchange_flush(c);
+    if (!exchange_flush(c))
+        shutdown(c->watch.fd, SHUT_RDWR); /* broken, or the caller takes nothing: the loop reports it as gone */
 }
 
 void web_end(web_exchange_t *c)
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -205,7 +205,9 @@
     }
     if (call->whole) {
         http_parser_pause(&call->parser, 0);
-        const bool keep = size > 0 && used == size && http_should_keep_alive(&call->parser);
+        /* An answer that came before the whole request was sent leaves the rest of it due on this connection. */
+        const bool sent = call->written == call->request->len;
+        const bool keep = sent && size > 0 && used == size && http_should_keep_alive(&call->parser);
         report_end(call, WEB_END_WHOLE, keep);
         return;
     }
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -31,6 +31,7 @@
 {
     if (c->state == EXCHANGE_HANDLING)
         c->server->busy--;
+    loop_disarm(&c->next);
     loop_unwatch(c->server->loop, &c->watch);
     close(c->watch.fd);
     cds_list_del(&c->node);
@@ -193,7 +194,7 @@
     }
     if (c->state == EXCHANGE_CLOSING)
         return; /* what comes behind the last answer is read and dropped, so that closing does not reset */
-    if (c->state == EXCHANGE_READING) {
+    if (c->state == EXCHANGE_READING && c->ahead->len == 0) {
         exchange_parse(c, data, (size_t)n);
         return;
     }
--- a/lib/web/web_server_internal.h
+++ b/lib/web/web_server_internal.h
@@ -31,7 +31,8 @@
     GString *target;
     web_headers_t headers;
     GByteArray *body;
-    GByteArray *ahead; /* bytes behind the request being handled */
+    GByteArray *ahead; /* bytes behind the request being handled, or waiting for their turn */
+    loop_timer_t next; /* hands them to the parser, from the loop, so that handlers never nest */
     GByteArray *out;
     size_t out_sent;
     tc_time_t since; /* state or last progress */
--- a/tests/harness/lab.c
+++ b/tests/harness/lab.c
@@ -30,6 +30,7 @@
     lab_script_t script;
     void *arg;
     unsigned requests, left;
+    bool early;
     struct cds_list_head conns;
 };
 
@@ -46,12 +47,14 @@
 }
 
 /** Bytes of the first whole request, 0 when there is none. */
-static size_t request_length(const GString *in)
+static size_t request_length(const GString *in, bool early)
 {
     const char *const end = strstr(in->str, "\r\n\r\n");
     if (!end)
         return 0;
     const size_t head = (size_t)(end - in->str) + 4;
+    if (early)
+        return head;
     const char *const length = strstr(in->str, "Content-Length: ");
     const size_t body = length && length < end ? strtoul(length + 16, NULL, 10) : 0;
     return in->len >= head + body ? head + body : 0;
@@ -93,9 +96,14 @@
     }
     g_string_append_len(c->in, data, n);
     size_t length;
-    while ((length = request_length(c->in)) > 0)
+    while ((length = request_length(c->in, c->backend->early)) > 0) {
         if (!conn_answer(c, length))
             return;
+        if (c->backend->early) {
+            loop_rewatch(c->backend->loop, &c->watch, 0); /* the rest stays unread */
+            return;
+        }
+    }
 }
 
 static void on_accept(void *arg, uint32_t events)
@@ -149,6 +157,11 @@
     return b;
 }
 
+void lab_backend_answer_early(lab_backend_t *b)
+{
+    b->early = true;
+}
+
 void lab_backend_stop(lab_backend_t *b)
 {
     loop_unwatch(b->loop, &b->listener);
@@ -192,17 +205,27 @@
     c->how = how;
 }
 
-lab_call_t *lab_call(web_client_t *client, const char *addr, const char *request)
+static lab_call_t *call(web_client_t *client, const char *addr, const char *request, bool reuse)
 {
     lab_call_t *const c = g_new0(lab_call_t, 1);
     c->body = g_string_new(NULL);
     const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = c};
     GByteArray *const bytes = g_byte_array_new();
     g_byte_array_append(bytes, (const guint8 *)request, (guint)strlen(request));
-    c->call = web_call(client, addr, bytes, false, 1000, &sink);
+    c->call = web_call(client, addr, bytes, reuse, 1000, &sink);
     return c;
 }
 
+lab_call_t *lab_call(web_client_t *client, const char *addr, const char *request)
+{
+    return call(client, addr, request, false);
+}
+
+lab_call_t *lab_call_kept(web_client_t *client, const char *addr, const char *request)
+{
+    return call(client, addr, request, true);
+}
+
 void lab_call_free(lab_call_t *c)
 {
     g_string_free(c->body, TRUE);
--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -45,6 +45,8 @@
 
 /** Listen at @p addr and answer by @p script. */
 lab_backend_t *lab_backend_start(loop_t *loop, const char *addr, lab_script_t script, void *arg);
+/** From now on answer as soon as a request's head is there, and read nothing more of it. */
+void lab_backend_answer_early(lab_backend_t *backend);
 /** Connections from now on are refused, those that stand are reset. */
 void lab_backend_stop(lab_backend_t *backend);
 /** Requests taken whole. */
@@ -54,6 +56,8 @@
 
 /** Send a request, given as text. */
 lab_call_t *lab_call(web_client_t *client, const char *addr, const char *request);
+/** The same over a kept connection, if there is one. */
+lab_call_t *lab_call_kept(web_client_t *client, const char *addr, const char *request);
 /** Only when the call is done or was cancelled. */
 void lab_call_free(lab_call_t *call);
 
--- a/tests/harness/raft_world.c
+++ b/tests/harness/raft_world.c
@@ -422,7 +422,8 @@
         return;
     raft_tick(n->raft, w->now);
     pump(w, n);
-    if (!n->raft || raft_is_voter(n->raft, n->id) || w->now < n->join_at)
+    const bool placed = n->raft && raft_is_voter(n->raft, n->id) && raft_view(n->raft).leader != 0;
+    if (!n->raft || placed || w->now < n->join_at)
         return;
     n->join_at = w->now + 200;
     for (unsigned i = 0; i < w->options.nodes; i++) {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -371,6 +371,7 @@
     if (!drive_until(&s, tc_time_now() + SETTLE_MS, is_recovered) && !s.world->failed)
         world_broken(s.world, "service recovers after the last fault", "not in time");
     const int status = report(&s, (guint32)seed);
+    world_end_processes(s.world);
     if (status == 0)
         remove_files(s.world);
     world_destroy(s.world);
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -324,14 +324,19 @@
     kill(p->pid, SIGCONT);
     kill(p->pid, SIGKILL);
     waitpid(p->pid, NULL, 0);
+    p->pid = 0;
 }
 
-void world_destroy(world_t *w)
+void world_end_processes(world_t *w)
 {
     for (int i = 0; i < WORLD_BOXES; i++) {
         process_end(&w->boxes[i].entry);
         process_end(&w->boxes[i].control);
     }
+}
+
+void world_destroy(world_t *w)
+{
     lab_backend_stop(w->list);
     for (int i = 0; i < WORLD_WORKERS; i++)
         lab_backend_stop(w->workers[i]);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -65,6 +65,8 @@
 /** Make the fakes and the boxes, whose programs come up by and by. @param bin folder of the programs, borrowed */
 world_t *world_create(loop_t *loop, guint32 seed, const char *bin);
 /** End all programs and fakes. Files stay. */
+/** End all processes that the world started; before world_destroy. */
+void world_end_processes(world_t *world);
 void world_destroy(world_t *world);
 
 /** Start what is due, notice what ended by itself. */
--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -222,6 +222,38 @@
     lab_call_free(c);
 }
 
+static lab_call_t *call_twice(fixture_t *f, const char *addr, const char *request)
+{
+    web_client_keep(f->client, 4);
+    lab_call_t *const c = lab_call_kept(f->client, addr, request);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
+    lab_call_free(c);
+    lab_run_for(f->loop, 20); /* what an unsent rest would do to the connection shows now */
+    return lab_call_kept(f->client, addr, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
+static void test_early_answer(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    enum { BODY = 8 * 1024 * 1024 }; /* more than the system takes up at once */
+    answer_t answer = {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", .end = LAB_KEEP};
+    char addr[32];
+    lab_free_addr(addr);
+    lab_backend_t *const b = lab_backend_start(f->loop, addr, say, &answer);
+    lab_backend_answer_early(b);
+    char *const body = g_strnfill(BODY, 'x');
+    char *const text = g_strdup_printf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", BODY, body);
+    lab_call_t *const next = call_twice(f, addr, text);
+    lab_run_until_true(f->loop, &next->done);
+    g_assert_cmpint(next->how, ==, WEB_END_WHOLE); /* not behind the unsent rest of the first */
+    g_assert_cmpuint(lab_backend_requests(b), ==, 2);
+    lab_call_free(next);
+    g_free(text);
+    g_free(body);
+    lab_backend_stop(b);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -235,5 +267,6 @@
     TEST("retired-server-answers-what-is-under-way", test_retired);
     TEST("answers-of-bad-back-ends", test_answers);
     TEST("unreachable-is-unsent", test_unsent);
+    TEST("early-answer-keeps-no-connection", test_early_answer);
     return g_test_run();
 }
