--- a/Makefile
+++ b/Makefile
@@ -75,6 +75,12 @@
 	@echo "  ld  $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(PLATFORM_LIBS)
 
+.PHONY: days
+days: ## play tests/days on SITE=FILE with the users' bench, where it is (FLEETBENCH=PROGRAM)
+	@test -x "$(FLEETBENCH)" || { echo "FLEETBENCH names no program: days not run"; exit 1; }
+	@for day in tests/days/*.toml; do for seed in $(or $(SEEDS),1 2 3); do \
+	    $(FLEETBENCH) run $(SITE) $$day --no-cpu --seed $$seed --why "own days" | grep -E '^own-|rules broken' || exit 1; done; done
+
 # ===== Harness, demo, bench =====
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(HARNESS_OBJ) $(LIB)
@@ -136,6 +142,23 @@
 	@/usr/bin/python3 scripts/gen.py
 	@/usr/bin/python3 scripts/docs.py
 
+# ===== Soak =====
+
+SOAK = $(BUILD)/tests/soak/soak
+$(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c)) $(HARNESS_OBJ) $(LIB)
+	@echo "  ld  $@"
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LDLIBS)
+
+.PHONY: soak soak-many
+soak: setup ## one soak of the platform's programs: SEED=N SECONDS=S
+	@$(MAKE) --no-print-directory platform $(SOAK)
+	@$(SOAK) --bin $(BUILD)/bin --seed $(or $(SEED),1) --seconds $(or $(SECONDS),20)
+
+soak-many: setup ## SEEDS=N soaks one after the other, from FIRST on
+	@$(MAKE) --no-print-directory platform $(SOAK)
+	@failed=0; for seed in $$(seq $(or $(FIRST),1) $$(($(or $(FIRST),1) + $(or $(SEEDS),50) - 1))); do \
+	    $(SOAK) --bin $(BUILD)/bin --seed $$seed --seconds $(or $(SECONDS),15) || failed=1; done; exit $$failed
+
 # ===== Lint =====
 
 SOURCES = $(filter-out lib/gen/%,$(shell git ls-files '*.c' '*.h' 2>/dev/null))
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,379 @@
+/** @file soak.c
+ * Randomised soak: the real programs as separate processes, faults from outside, promises checked from what callers,
+ * operators and back ends see while it runs.
+ *
+ *     soak --bin DIR --seed N --seconds S
+ *
+ * Prints the seed; on a broken promise the schedule and the folder with logs. Exit status 1 then.
+ */
+
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak/world.h"
+
+/* ===== Constants ===== */
+
+enum {
+    TICK_MS = 5,
+    CALLERS_MAX = 48,
+    FAULT_MIN_MS = 250,
+    FAULT_MAX_MS = 900,
+    PUT_EVERY_MS = 400,
+    WIPE_EVERY_MS = 12000, /* a box with a new disk must be a member again before the next disk goes */
+    SETTLE_MS = 20000,     /* after the last fault everything must be as before within this time */
+    START_MS = 15000
+};
+
+/* ===== State ===== */
+
+typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_RESUMABLE, KINDS } kind_t;
+
+typedef struct {
+    lab_call_t *call;
+    char id[24];
+    kind_t kind;
+    int box;
+} caller_t;
+
+typedef struct {
+    world_t *world;
+    loop_t *loop;
+    web_client_t *client;
+    caller_t callers[CALLERS_MAX];
+    unsigned started, answered, served, refused, unknown;
+    unsigned faults, puts, reads;
+    lab_call_t *put, *read;
+    uint64_t version; /* offered last */
+    uint64_t put_version, acked;
+    uint64_t read_floor; /* acknowledged before the read was sent */
+    uint64_t seen;       /* newest version that a read told */
+    tc_time_t next_fault, next_put, last_wipe;
+    bool calm;       /* no more faults */
+    unsigned in_row; /* requests served one after the other since the last failure */
+    bool config_is_newest;
+} soak_t;
+
+/* ===== Callers ===== */
+
+static const char *const paths[KINDS] = {"safe", "once", "stream", "resumable"};
+
+static void start_caller(soak_t *s, caller_t *c)
+{
+    world_t *const w = s->world;
+    char addr[32];
+    c->kind = (kind_t)world_pick(w, KINDS);
+    c->box = world_pick(w, WORLD_BOXES);
+    g_snprintf(c->id, sizeof(c->id), "t%u", s->started++);
+    world_try(w, c->id)->once = c->kind == KIND_ONCE || c->kind == KIND_STREAM;
+    world_addr(w, c->box, PORT_FRONT, addr);
+    char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n"
+                                       "Token-Count: 500,100\r\nContent-Length: 2\r\n\r\nhi",
+                                       paths[c->kind], c->id);
+    c->call = lab_call(s->client, addr, text);
+    g_free(text);
+}
+
+static bool body_is_right(const caller_t *c)
+{
+    if (c->kind == KIND_SAFE || c->kind == KIND_ONCE)
+        return strcmp(c->call->body->str, c->id) == 0;
+    GString *const expected = g_string_new(NULL);
+    for (int i = 1; i <= 5; i++)
+        g_string_append_printf(expected, "id: %d\ndata: %s\n\n", i, c->id);
+    const bool right = strcmp(expected->str, c->call->body->str) == 0;
+    g_string_free(expected, TRUE);
+    return right;
+}
+
+static void end_caller(soak_t *s, caller_t *c)
+{
+    world_t *const w = s->world;
+    const lab_call_t *const call = c->call;
+    const bool whole = call->how == WEB_END_WHOLE;
+    s->answered++;
+    if (whole && call->status == 200) {
+        s->served++;
+        s->in_row++;
+        if (!body_is_right(c))
+            world_broken(w, "a caller gets its own whole answer, each event once", c->id);
+    } else {
+        s->in_row = 0;
+        s->unknown++;
+    }
+    if (whole && (call->status == 503 || call->status == 429)) {
+        try_t *const t = world_try(w, c->id);
+        s->refused++;
+        t->refused = t->once; /* what may be repeated may have been begun before */
+        if (t->once && t->runs > 0)
+            world_broken(w, "a refusal as not run is true", c->id);
+    }
+    lab_call_free(c->call);
+    c->call = NULL;
+}
+
+static void drive_callers(soak_t *s)
+{
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        caller_t *const c = &s->callers[i];
+        if (c->call && c->call->done)
+            end_caller(s, c);
+        if (!c->call && world_draw(s->world) < 0.05)
+            start_caller(s, c);
+    }
+}
+
+/* ===== The operator ===== */
+
+static char *config_text(uint64_t version)
+{
+    GString *const text = g_string_new(NULL);
+    g_string_printf(text, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[", version);
+    static const char *const kinds[KINDS] = {"safe", "unsafe", "stream", "stream"};
+    for (int i = 0; i < KINDS; i++)
+        g_string_append_printf(text,
+                               "{\"host\":\"h\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,"
+                               "\"max_attempts\":%d,\"resumable\":%s,\"service\":\"%s\"},",
+                               paths[i], kinds[i], i == KIND_ONCE ? 1 : 2, i == KIND_RESUMABLE ? "true" : "false",
+                               i < KIND_STREAM ? "app" : "lm");
+    g_string_append_printf(text,
+                           "{\"host\":\"h\",\"path_prefix\":\"/v%" G_GUINT64_FORMAT
+                           "/\",\"kind\":\"safe\",\"timeout_ms\":900,\"service\":\"app\"}],\"services\":[{\"name\":"
+                           "\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,\"kv_tokens\":90000,\"handle_ttl_s\":0.5,"
+                           "\"kv_bytes\":1000,\"link_mbps\":1000}}]}",
+                           version);
+    return g_string_free(text, FALSE);
+}
+
+static lab_call_t *call_control(soak_t *s, const char *text)
+{
+    char addr[32];
+    world_addr(s->world, world_pick(s->world, WORLD_DISKS), PORT_CONTROL, addr);
+    return lab_call(s->client, addr, text);
+}
+
+static void drive_puts(soak_t *s, tc_time_t now)
+{
+    if (s->put && s->put->done) {
+        if (s->put->how == WEB_END_WHOLE && s->put->status == 200 && s->put_version > s->acked)
+            s->acked = s->put_version;
+        if (s->put->how == WEB_END_WHOLE && s->put->status == 400)
+            world_broken(s->world, "a valid configuration is not refused", s->put->body->str);
+        lab_call_free(s->put);
+        s->put = NULL;
+    }
+    if (s->put || now < s->next_put || (s->calm && s->acked == s->version))
+        return;
+    s->next_put = now + PUT_EVERY_MS;
+    if (s->acked == s->version)
+        s->version += 1 + (uint64_t)world_pick(s->world, 3);
+    s->put_version = s->version; /* until it is acknowledged the same is sent again, to any box */
+    s->puts++;
+    char *const body = config_text(s->version);
+    char *const text =
+        g_strdup_printf("POST /config/put HTTP/1.1\r\nHost: c\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body);
+    s->put = call_control(s, text);
+    g_free(text);
+    g_free(body);
+}
+
+static void drive_reads(soak_t *s)
+{
+    if (s->read && s->read->done) {
+        json_t *const root =
+            s->read->how == WEB_END_WHOLE && s->read->status == 200 ? json_loads(s->read->body->str, 0, NULL) : NULL;
+        const uint64_t version = (uint64_t)json_integer_value(json_object_get(root, "version"));
+        if (root && version < s->read_floor)
+            world_broken(s->world, "a read is never older than what was acknowledged", "config");
+        s->seen = root && version > s->seen ? version : s->seen;
+        s->config_is_newest = root && version >= s->acked;
+        json_decref(root);
+        lab_call_free(s->read);
+        s->read = NULL;
+    }
+    if (s->read)
+        return;
+    s->reads++;
+    s->read_floor = s->acked > s->seen ? s->acked : s->seen;
+    s->read = call_control(s, "GET /config/get HTTP/1.1\r\nHost: c\r\n\r\n");
+}
+
+/* ===== Faults ===== */
+
+static bool all_controls_run(const world_t *w)
+{
+    for (int i = 0; i < WORLD_DISKS; i++)
+        if (!w->boxes[i].control.pid || w->boxes[i].control.ending || w->boxes[i].control.paused)
+            return false;
+    return true;
+}
+
+static void wipe(soak_t *s, tc_time_t now)
+{
+    world_t *const w = s->world;
+    box_t *const b = &w->boxes[world_pick(w, WORLD_DISKS)];
+    if (now - s->last_wipe < WIPE_EVERY_MS || !all_controls_run(w))
+        return;
+    s->last_wipe = now;
+    world_note(w, "disk of %s is lost", b->ip);
+    process_restart(w, b, &b->control, SIGKILL, 500);
+    lab_run_for(s->loop, 50); /* the process is gone before its folder is emptied */
+    box_wipe(b);
+}
+
+static void pause_or_wake(soak_t *s, box_t *b, process_t *p)
+{
+    if (!p->pid || p->ending)
+        return;
+    world_note(s->world, "%s %s on %s", p->paused ? "wake" : "pause", p->program, b->ip);
+    process_signal(s->world, p, p->paused ? SIGCONT : SIGSTOP);
+    p->paused = !p->paused;
+}
+
+static void trouble_worker(soak_t *s)
+{
+    struct worker *const k = &s->world->worker[world_pick(s->world, WORLD_WORKERS)];
+    k->trouble = k->trouble > 0 ? 0 : world_draw(s->world);
+    world_note(s->world, "worker %s goes wrong in %.2f of its answers", k->id, k->trouble);
+}
+
+static void one_fault(soak_t *s, tc_time_t now)
+{
+    world_t *const w = s->world;
+    box_t *const b = &w->boxes[world_pick(w, WORLD_BOXES)];
+    process_t *const p = b->control.program && world_draw(w) < 0.4 ? &b->control : &b->entry;
+    const tc_time_t pause = 50 + world_pick(w, 1500);
+    s->faults++;
+    switch (world_pick(w, 8)) {
+    case 0:
+    case 1: process_restart(w, b, p, SIGKILL, pause); break;
+    case 2: process_restart(w, b, p, SIGTERM, pause); break;
+    case 3: process_signal(w, p, SIGHUP); break;
+    case 4:
+    case 5: pause_or_wake(s, b, p); break;
+    case 6: trouble_worker(s); break;
+    default: wipe(s, now); break;
+    }
+}
+
+static void drive_faults(soak_t *s, tc_time_t now)
+{
+    if (s->calm || now < s->next_fault)
+        return;
+    s->next_fault = now + FAULT_MIN_MS + world_pick(s->world, FAULT_MAX_MS - FAULT_MIN_MS);
+    one_fault(s, now);
+}
+
+static void end_faults(soak_t *s)
+{
+    world_t *const w = s->world;
+    s->calm = true;
+    s->in_row = 0;
+    s->config_is_newest = false;
+    world_note(w, "no more faults");
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->worker[i].trouble = 0;
+    for (int i = 0; i < WORLD_BOXES; i++) {
+        process_t *const both[] = {&w->boxes[i].entry, &w->boxes[i].control};
+        for (int k = 0; k < 2; k++)
+            if (both[k]->paused)
+                pause_or_wake(s, &w->boxes[i], both[k]);
+    }
+}
+
+/* ===== Running ===== */
+
+static void drive(soak_t *s)
+{
+    const tc_time_t now = tc_time_now();
+    world_tick(s->world);
+    drive_puts(s, now);
+    drive_reads(s);
+    drive_callers(s);
+    drive_faults(s, now);
+}
+
+static bool drive_until(soak_t *s, tc_time_t until, bool (*enough)(const soak_t *))
+{
+    while (tc_time_now() < until && !s->world->failed) {
+        drive(s);
+        if (enough && enough(s))
+            return true;
+        lab_run_for(s->loop, TICK_MS);
+    }
+    return !enough;
+}
+
+static bool is_up(const soak_t *s)
+{
+    return s->acked > 0 && s->in_row >= 20;
+}
+
+static bool is_recovered(const soak_t *s)
+{
+    return s->in_row >= 100 && s->config_is_newest && s->acked == s->version;
+}
+
+static int report(const soak_t *s, guint32 seed)
+{
+    world_t *const w = s->world;
+    printf("seed %u: %u requests, %u served, %u refused as not run, %u failed; %u faults; %u puts, %u reads, newest "
+           "%" G_GUINT64_FORMAT ": %s\n",
+           seed, s->answered, s->served, s->refused, s->unknown - s->refused, s->faults, s->puts, s->reads, s->acked,
+           w->failed ? "FAILED" : "passed");
+    if (!w->failed)
+        return 0;
+    printf("schedule:\n%slogs: %s\n", w->schedule->str, w->root);
+    return 1;
+}
+
+static void remove_logs(const world_t *w)
+{
+    for (int i = 0; i < WORLD_DISKS; i++) {
+        box_wipe(&w->boxes[i]);
+        (void)remove(w->boxes[i].dir);
+    }
+    const box_t root = {.dir = ""};
+    box_t copy = root;
+    g_strlcpy(copy.dir, w->root, sizeof(copy.dir));
+    box_wipe(&copy);
+    (void)remove(w->root);
+}
+
+int main(int argc, char **argv)
+{
+    gchar *bin = NULL;
+    gint seed = 1, seconds = 20;
+    const GOptionEntry entries[] = {{"bin", 'b', 0, G_OPTION_ARG_FILENAME, &bin, "folder of the programs", "DIR"},
+                                    {"seed", 's', 0, G_OPTION_ARG_INT, &seed, "of everything drawn by lot", "N"},
+                                    {"seconds", 't', 0, G_OPTION_ARG_INT, &seconds, "with faults", "S"},
+                                    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
+    GOptionContext *const context = g_option_context_new("- soak of the platform's programs");
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, NULL) || !bin)
+        return 2;
+    g_option_context_free(context);
+    signal(SIGPIPE, SIG_IGN);
+    static soak_t s;
+    s.loop = loop_create();
+    s.client = web_client_create(s.loop);
+    s.world = world_create(s.loop, (guint32)seed, bin);
+    s.calm = true;
+    s.version = 1;
+    if (!drive_until(&s, tc_time_now() + START_MS, is_up) && !s.world->failed)
+        world_broken(s.world, "the system comes up", "no service in time");
+    s.calm = false;
+    (void)drive_until(&s, tc_time_now() + (tc_time_t)seconds * 1000, NULL);
+    end_faults(&s);
+    if (!drive_until(&s, tc_time_now() + SETTLE_MS, is_recovered) && !s.world->failed)
+        world_broken(s.world, "service recovers after the last fault", "not in time");
+    const int status = report(&s, (guint32)seed);
+    if (status == 0)
+        remove_logs(s.world);
+    world_destroy(s.world);
+    return status;
+}
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,85 @@
+/** @file world.h
+ * The soak's world: boxes as real processes on addresses of 127.0.1.0/24, and the platform around them (list of back
+ * ends, workers, engines) as fakes in the soak's own loop.
+ */
+#ifndef TRACKCOVE_TESTS_SOAK_WORLD_H
+#define TRACKCOVE_TESTS_SOAK_WORLD_H
+
+#include <glib.h>
+#include <sys/types.h>
+
+#include "harness/lab.h"
+
+enum { WORLD_BOXES = 5, WORLD_DISKS = 3, WORLD_WORKERS = 6 };
+
+/** One program on one box. */
+typedef struct {
+    const char *program;
+    char settings[96];
+    pid_t pid;   /**< 0: not running */
+    bool ending; /**< its end was asked for */
+    bool paused;
+    tc_time_t start_at; /**< when it is started (again) */
+} process_t;
+
+typedef struct {
+    char ip[20];
+    char dir[64]; /**< "" without a disk */
+    process_t entry, control;
+} box_t;
+
+/** What the back ends saw of one try of a caller. */
+typedef struct {
+    unsigned runs; /**< back ends that began to work on it */
+    bool refused;  /**< the caller was told that it did not run and never will */
+    bool once;     /**< it must run at most once */
+} try_t;
+
+typedef struct world {
+    loop_t *loop;
+    GRand *random;
+    const char *bin; /**< folder of the programs */
+    char root[48];
+    int port; /**< first of the ports, alike on all boxes */
+    box_t boxes[WORLD_BOXES];
+    lab_backend_t *list, *workers[WORLD_WORKERS];
+    struct worker {
+        struct world *world;
+        char addr[32];
+        char id[16];
+        int kind;       /**< 0: plain, 1: prefill, 2: decode */
+        double trouble; /**< share of its answers that go wrong */
+        bool draining;
+    } worker[WORLD_WORKERS];
+    GHashTable *tries; /**< id to try_t */
+    bool failed;
+    GString *schedule; /**< what was done, a line each */
+    tc_time_t began;
+} world_t;
+
+/** Ports behind world_t.port. */
+enum { PORT_FRONT, PORT_READY, PORT_CONTROL, PORT_DIRECTORY, PORT_INNER = 10 };
+
+world_t *world_create(loop_t *loop, guint32 seed, const char *bin);
+void world_destroy(world_t *world);
+
+/** Start what is due, notice what ended by itself. */
+void world_tick(world_t *world);
+void process_signal(world_t *world, process_t *process, int number);
+/** End it and start it again after @p pause. */
+void process_restart(world_t *world, box_t *box, process_t *process, int number, tc_time_t pause);
+/** Empty the box's data folder; its control process must not run. */
+void box_wipe(const box_t *box);
+
+/** "IP:port" of a box. */
+void world_addr(const world_t *world, int box, int port, char to[32]);
+/** The record of a try, made when first asked for. */
+try_t *world_try(world_t *world, const char *id);
+/** A promise is broken: say so and remember. */
+void world_broken(world_t *world, const char *promise, const char *what);
+/** Note what is done. */
+void world_note(world_t *world, const char *format, ...) __attribute__((format(printf, 2, 3)));
+double world_draw(world_t *world);
+int world_pick(world_t *world, int n);
+
+#endif
