After a restart of everything boxes know the configuration sooner

Ruled out: the election (0.8 s), since members tell what is accepted before there is a leader.

Now dialling has a limit of 200 ms, a box without a document asks all control boxes at once, and members announce themselves every 100 ms while there is no leader. Both parts have a test that failed before (/peer/dark, /cluster/learning-waits-for-nobody).

--- a/lib/cluster/replica_members.c
+++ b/lib/cluster/replica_members.c
@@ -15,6 +15,8 @@
     JOIN_EVERY_MS = 300, /* a box that is no voter, or hears no leader, asks this often */
     JOIN_LIMIT_MS = 1000,
     ANNOUNCE_EVERY_MS = 500, /* to seeds that are no members */
+    ANNOUNCE_SOON_MS = 100,  /* the same while there is no leader: all boxes may have restarted, and whoever knows only
+                                seeds serves nobody until they know the members */
     FOUNDING_INDEX = 1,      /* of the image that all founders start from */
     FOUNDING_TERM = 1,
     FOUNDERS_MAX = 16
@@ -65,7 +67,7 @@
 {
     if (now < r->announce_at)
         return;
-    r->announce_at = now + ANNOUNCE_EVERY_MS;
+    r->announce_at = now + (replica_has_leader(r) ? ANNOUNCE_EVERY_MS : ANNOUNCE_SOON_MS);
     const raft_members_t *const members = raft_members(r->raft);
     const msg_join_ack_t message = {.has_state = true, .members = members->list, .members_n = members->list_n};
     for (char **seed = r->seeds; *seed && members->list_n > 0; seed++) {
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -20,6 +20,8 @@
     AGAIN_MS = 100,  /* to the next control box, when one did not lead */
     LIMIT_MS = 450,  /* for one report: an answer in reach takes a few ms */
     ALONE_MS = 1000, /* without any control box for so long, other boxes are asked too */
+    LEARN_MS = 100,  /* between questions to all control boxes at once while no document is known: until then every
+                        request is refused */
     FAILED_MAX = 2   /* reports that a leader may leave unanswered before another box is asked */
 };
 
@@ -40,7 +42,8 @@
     unsigned failed;             /* in a row, at this target */
     bool waiting;
     tc_time_t next_at;
-    tc_time_t heard; /* last answer of a control box */
+    tc_time_t learn_at; /* when all are asked, while nothing is known */
+    tc_time_t heard;    /* last answer of a control box */
     tc_time_t leader_heard;
     bool connected; /* a leader answered last */
     document_t document;
@@ -213,12 +216,51 @@
     }
 }
 
+static void fill_report(const reporter_t *r, msg_report_t *report)
+{
+    *report = (msg_report_t){.self = *r->self,
+                             .version = r->document.version,
+                             .backends_hash = r->backends_hash,
+                             .entries_hash = r->entries_hash};
+}
+
+/** What a box that was asked beside the reports knows. Whether it leads is for the next report to find out. */
+static void on_hearsay(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    reporter_t *const r = arg;
+    if (rc != TC_OK || type != MSG_REPORT_ACK) {
+        (void)err; /* a box that is down or knows nothing: the others are asked as well */
+        counter_add(&c_failed, 1);
+        return;
+    }
+    const msg_report_ack_t *const ack = message;
+    take_document(r, &ack->document, "any");
+    take_members(r, ack->members, ack->members_n);
+    take_backends(r, ack);
+    take_entries(r, ack);
+}
+
+/** A box that has just started is of no use before it knows a document: it does not wait for one box after the other.
+ */
+static void ask_all(reporter_t *r, tc_time_t now)
+{
+    r->learn_at = now + LEARN_MS;
+    msg_report_t report;
+    fill_report(r, &report);
+    const uint32_t seeds = strings(r->controls);
+    for (uint32_t i = 0; i < r->members_n + seeds; i++) {
+        const char *const addr = i < r->members_n ? r->members[i].peer : r->controls[i - r->members_n];
+        if (strcmp(addr, r->self->peer_addr) == 0)
+            continue;
+        counter_add(&c_reports, 1);
+        peer_call(r->net, addr, MSG_REPORT, &report, LIMIT_MS, on_hearsay, r);
+    }
+}
+
 static void send_report(reporter_t *r)
 {
-    msg_report_t report = {.self = *r->self,
-                           .version = r->document.version,
-                           .backends_hash = r->backends_hash,
-                           .entries_hash = r->entries_hash};
+    msg_report_t report;
+    fill_report(r, &report);
     if (r->events.loads)
         report.loads = r->events.loads(r->events.arg, &report.loads_n);
     r->waiting = true;
@@ -231,6 +273,8 @@
 {
     reporter_t *const r = arg;
     const tc_time_t now = tc_time_now();
+    if (r->document.body_n == 0 && now >= r->learn_at)
+        ask_all(r, now);
     if (r->waiting || now < r->next_at)
         return;
     if (!r->target[0])
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -104,7 +104,9 @@
     const tc_time_t now = tc_time_now();
     conn_t *conn, *next;
     cds_list_for_each_entry_safe(conn, next, &net->conns, node) {
-        if (conn->state != CONN_READY && now >= conn->hello_deadline)
+        if (conn->state == CONN_CONNECTING && now >= conn->connect_deadline)
+            conn_close(conn, TC_E_UNREACHABLE, "connect", "nobody answers");
+        else if (conn->state != CONN_READY && now >= conn->hello_deadline)
             conn_close(conn, TC_E_UNREACHABLE, "handshake", "took too long");
         else
             expire_pending(conn, now);
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -132,6 +132,7 @@
     conn->id = ++net->next_id;
     conn->dialed = dialed;
     conn->watch = (loop_watch_t){.fd = fd, .on_io = conn_on_io, .arg = conn};
+    conn->connect_deadline = tc_time_now() + CONNECT_LIMIT_MS;
     conn->hello_deadline = tc_time_now() + HELLO_LIMIT_MS;
     CDS_INIT_LIST_HEAD(&conn->out);
     CDS_INIT_LIST_HEAD(&conn->waiting);
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -16,7 +16,9 @@
 enum {
     OUT_MAX = 16 * 1024 * 1024, /* bytes waiting for a slow peer before calls are refused: back-pressure */
     HELLO_FRAME_MAX = 1024,     /* nobody unproved makes us keep more than this */
-    HELLO_LIMIT_MS = 1000,      /* time for the handshake: a box that has no power answers nothing at all */
+    CONNECT_LIMIT_MS = 200,     /* a box in reach answers within a round trip, some ms. The kernel repeats what a box
+                                   without power left unanswered only after 1 s: dialling anew finds it sooner */
+    HELLO_LIMIT_MS = 1000,      /* time for the handshake */
     UNACKED_LIMIT_MS = 1500,    /* a connection whose bytes nobody takes up for so long is given up */
     BACKOFF_MIN_MS = 50,        /* first pause after a failed connect */
     BACKOFF_MAX_MS = 500,       /* longest pause: a box that is back must be found within the election time */
@@ -58,6 +60,7 @@
     char addr[CODEC_STR_SIZE]; /* dialled: where to; accepted: the listener the peer named, if any */
     char box[CODEC_STR_SIZE];  /* proved name, once ready */
     char nonce[CODEC_STR_SIZE];
+    tc_time_t connect_deadline; /* of a dialled one */
     tc_time_t hello_deadline;
     struct cds_list_head out;     /* frames being written */
     struct cds_list_head waiting; /* frames to write once ready */
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -5,6 +5,8 @@
 #include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "cluster/replica.h"
 #include "cluster/reporter.h"
@@ -305,9 +307,9 @@
     return f->heard == f->want;
 }
 
-static void start_reporter(fixture_t *f, const char *control)
+static void start_reporter_with(fixture_t *f, const char *const *controls)
 {
-    const char *const controls[] = {control, NULL}, *const nobody[] = {NULL};
+    const char *const nobody[] = {NULL};
     char own[32];
     lab_free_addr(own);
     codec_copy_string(f->self.box, sizeof(f->self.box), "entry");
@@ -321,6 +323,12 @@
     g_assert_nonnull(f->reporter);
 }
 
+static void start_reporter(fixture_t *f, const char *control)
+{
+    const char *const controls[] = {control, NULL};
+    start_reporter_with(f, controls);
+}
+
 static void test_reporter_follows(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -371,6 +379,43 @@
     lab_run_until(f->loop, heard_wanted, f);
 }
 
+/** Whether somebody has dialled @p fd's listener. */
+static bool was_dialled(int fd)
+{
+    const int taken = accept4(fd, NULL, NULL, SOCK_NONBLOCK);
+    if (taken >= 0)
+        close(taken);
+    return taken >= 0;
+}
+
+/** A box that knows nothing asks everybody at once: those that never answer hold it up no more. */
+static void test_learning_waits_for_nobody(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    enum { DEAF = 5 };
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    int fds[DEAF];
+    char addrs[DEAF][32];
+    const char *controls[DEAF + 2] = {0};
+    tc_err_t err = {0};
+    for (int i = 0; i < DEAF; i++) {
+        lab_free_addr(addrs[i]);
+        fds[i] = peer_open_listener(addrs[i], "listen", &err);
+        g_assert_cmpint(fds[i], >=, 0);
+        controls[i] = addrs[i];
+    }
+    controls[DEAF] = f->addr[leader(f)];
+    start_reporter_with(f, controls);
+    f->want = 4;
+    lab_run_until(f->loop, heard_wanted, f);
+    for (int i = 0; i < DEAF; i++) {
+        g_assert_true(was_dialled(fds[i]));
+        close(fds[i]);
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -385,5 +430,6 @@
     TEST("reporter-follows-the-leader", test_reporter_follows);
     TEST("told-before-a-leader", test_told_before_a_leader);
     TEST("seeds-that-are-no-members-are-told", test_seeds_that_are_no_members_are_told);
+    TEST("learning-waits-for-nobody", test_learning_waits_for_nobody);
     return g_test_run();
 }
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -120,6 +120,52 @@
     stop(&client);
 }
 
+/** A listener whose queue is full: the kernel drops what would open a connection, as a box without power does. */
+static int open_deaf_listener(int *fillers, int n)
+{
+    const struct sockaddr_in to = {
+        .sin_family = AF_INET, .sin_port = htons(16801), .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    const int on = 1;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    g_assert_cmpint(bind(fd, (const struct sockaddr *)&to, sizeof(to)), ==, 0);
+    g_assert_cmpint(listen(fd, 0), ==, 0);
+    for (int i = 0; i < n; i++) {
+        fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        (void)connect(fillers[i], (const struct sockaddr *)&to, sizeof(to));
+    }
+    return fd;
+}
+
+/** A box that was dark is dialled anew before the kernel would try again, and long before a call's own limit. */
+static void test_dark(void)
+{
+    enum { FILLERS = 8 };
+    int fillers[FILLERS];
+    const int listener = open_deaf_listener(fillers, FILLERS);
+    side_t client = {0}, server = {0};
+    start(&client, "client", "", good_key);
+    const msg_claim_t claim = {0};
+    msg_claim_ack_t ack;
+    tc_err_t err = {0};
+    /* The limit is below the time of the handshake: unless dialling has a limit of its own, the call runs into it. */
+    g_assert_cmpint(peer_call_wait(client.net, SERVER_ADDR, MSG_CLAIM, &claim, 900, MSG_CLAIM_ACK, &ack, &err), ==,
+                    TC_E_UNREACHABLE);
+    g_assert_cmpstr(err.step, ==, "connect");
+    for (int i = 0; i < FILLERS; i++)
+        close(fillers[i]);
+    close(listener);
+    start(&server, "server", SERVER_ADDR, good_key);
+    int rc = TC_E_UNREACHABLE;
+    for (int tries = 0; tries < 200 && rc == TC_E_UNREACHABLE; tries++) {
+        rc = call(&client, "abc", 2000, &ack);
+        g_usleep(10000); /* pausing after a failed dial */
+    }
+    g_assert_cmpint(rc, ==, TC_OK);
+    stop(&client);
+    stop(&server);
+}
+
 /** Whatever a stranger sends, the server goes on serving. */
 static void test_garbage(void)
 {
@@ -162,6 +208,7 @@
     g_test_add_func("/peer/wrong-key", test_wrong_key);
     g_test_add_func("/peer/no-key", test_no_key);
     g_test_add_func("/peer/deadline", test_deadline);
+    g_test_add_func("/peer/dark", test_dark);
     g_test_add_func("/peer/garbage", test_garbage);
     const int rc = g_test_run();
     g_unlink(good_key);
