--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 PLATFORM_BINS = $(BUILD)/bin/trackcove-forwardd $(BUILD)/bin/trackcove-registryd
 # No TLS, no client libraries: memory is counted on every box.
 PLATFORM_LIBS = -Wl,--as-needed $(shell pkg-config --libs glib-2.0 msgpack jansson liburcu-bp libsodium 2>/dev/null) \
-                -lhttp_parser -llog4c -lpthread
+                -lhttp_parser -llog4c -lpthread -lm
 
 .PHONY: platform
 platform: $(PLATFORM_BINS) ## build the two programs that run on the users' platform
--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -38,6 +38,8 @@
     uint32_t services_n;
     backend_t *backends;
     uint32_t backends_n;
+    leaving_cfg_t *moving; /* engines that are changing their role */
+    uint32_t moving_n;
 };
 
 /* ===== Configuration ===== */
@@ -55,6 +57,14 @@
     return b->stage[0] && service_of(p, b->service);
 }
 
+static bool is_moving(const placing_t *p, const char *id)
+{
+    for (uint32_t i = 0; i < p->moving_n; i++)
+        if (strcmp(p->moving[i].name, id) == 0)
+            return true;
+    return false;
+}
+
 static void fill_engine(const placing_t *p, const backend_t *b, engine_cfg_t *e)
 {
     const placing_service_t *const s = service_of(p, b->service);
@@ -106,7 +116,7 @@
         if (!is_engine(p, b))
             continue;
         fill_engine(p, b, &config.engines[config.engines_n++]);
-        if (b->draining)
+        if (b->draining || is_moving(p, b->id))
             codec_copy_string(config.leaving[config.leaving_n++].name, CODEC_STR_SIZE, b->id);
     }
     fill_links(p, &config);
@@ -138,6 +148,29 @@
     configure(p, tc_time_now());
 }
 
+void placing_set_moving(placing_t *p, const leaving_cfg_t *list, uint32_t n)
+{
+    const bool same = p->moving_n == n && (n == 0 || memcmp(p->moving, list, n * sizeof(*list)) == 0);
+    if (same)
+        return;
+    free(p->moving);
+    p->moving = list_copy(list, n * sizeof(*list));
+    p->moving_n = n;
+    configure(p, tc_time_now());
+}
+
+/* ===== Work ===== */
+
+const char *placing_work(const placing_t *p, double *prefill, double *decode)
+{
+    if (!p->sched || p->services_n != 1)
+        return ""; /* the averages are those of all engines together */
+    const sched_stats_t stats = sched_stats(p->sched);
+    *prefill = stats.prefill_work;
+    *decode = stats.decode_work;
+    return p->services[0].service;
+}
+
 /* ===== Actions ===== */
 
 static void log_placed(const sched_action_t *action)
@@ -244,5 +277,6 @@
         sched_destroy(p->sched);
     free(p->services);
     free(p->backends);
+    free(p->moving);
     g_free(p);
 }
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -39,6 +39,13 @@
 /** The back ends, from discovery; copied. */
 void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
 
+/** Engines that are changing their role get nothing new; copied. */
+void placing_set_moving(placing_t *placing, const leaving_cfg_t *list, uint32_t n);
+
+/** What the two pools have to do, while this box leads and one service alone has engines: for roles/balance.h.
+ *  @return that service's name, or "" */
+const char *placing_work(const placing_t *placing, double *prefill, double *decode);
+
 /** Call every tick. @param term of the leadership, 0 when this box does not lead @param boxes entry boxes that are
  *  there */
 void placing_tick(placing_t *placing, uint64_t term, uint32_t boxes, tc_time_t now);
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -249,7 +249,7 @@
         log_cluster(r, leads ? "this box leads" : "this box leads no more");
     r->led = leads;
     counter_set(&c_leads, leads);
-    placing_tick(r->placing, leads ? raft_view(r->raft).term : 0, roster_count(r->roster), now);
+    placing_tick(r->placing, replica_term(r), roster_count(r->roster), now);
     offer_t *o, *next;
     cds_list_for_each_entry_safe(o, next, &r->offers, node)
         if (now >= o->deadline)
@@ -288,6 +288,22 @@
     return leader ? leader->http : "";
 }
 
+uint64_t replica_term(const replica_t *r)
+{
+    return replica_leads(r) ? raft_view(r->raft).term : 0;
+}
+
+const backend_t *replica_backends(const replica_t *r, uint32_t *n)
+{
+    *n = r->backends_n;
+    return r->backends;
+}
+
+placing_t *replica_placing(const replica_t *r)
+{
+    return r->placing;
+}
+
 /* ===== Life ===== */
 
 void replica_set_services(replica_t *r, const placing_service_t *list, uint32_t n)
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -98,6 +98,33 @@
 /** The call by which an engine gives it back. @return bytes for web_call */
 GByteArray *dialect_write_hold_drop(const char *addr, const char *hold);
 
+/* ===== Roles of engines ===== */
+
+/** What an engine says of itself. */
+typedef struct {
+    char stage[CODEC_STR_SIZE]; /**< prefill or decode */
+    bool busy;                  /**< an order is being carried out */
+    uint64_t orders;            /**< orders it has taken since its start */
+} dialect_engine_t;
+
+/** An order to change the role. Borrowed. */
+typedef struct {
+    const char *instance; /**< only this start of the engine may take it */
+    const char *stage;    /**< what it is to become */
+    const char *holder;   /**< who orders */
+    uint64_t fence;       /**< engines refuse what is lower than they have seen */
+    uint64_t taken;       /**< orders it must have taken until then: a late copy of an order finds more */
+} dialect_order_t;
+
+/** The call that asks an engine what it is. @return bytes for web_call */
+GByteArray *dialect_write_look(const char *addr);
+
+/** Read its answer. @return false when it does not say */
+bool dialect_read_engine(const char *body, size_t size, dialect_engine_t *engine);
+
+/** The order. @return bytes for web_call */
+GByteArray *dialect_write_order(const char *addr, const dialect_order_t *order);
+
 /* ===== Discovery ===== */
 
 /** The call for one page of the platform's list of back ends. @param page "" for the first @return bytes for web_call
--- /dev/null
+++ b/lib/roles/balance.c
@@ -0,0 +1,34 @@
+#include "roles/balance.h"
+
+/* ===== Constants ===== */
+
+/** Below this share of all engines at work the pools say little. A tenth of the load of a calm day. */
+static const double WORK_MIN = 0.05;
+/** Part of the prefill pool that may be at work in a calm moment: bursts bring twice as much, and prompts that wait
+ *  are answered late. What is above is better used as memory. Measured: docs/design/roles.md */
+static const double PREFILL_BUSY_MAX = 0.5;
+/** Above this part a prompt waits for longer than it is read: an engine comes back, if the decode pool can spare it. */
+static const double PREFILL_SHORT = 0.9;
+static const double DECODE_SPARE = 0.5;
+
+enum {
+    PREFILLS_MIN = 2, /* one may die */
+    DECODES_MIN = 2
+};
+
+/* ===== Public functions ===== */
+
+uint32_t balance_prefills(const balance_t *b)
+{
+    if (b->prefill_work + b->decode_work < WORK_MIN * (b->prefills + b->decodes))
+        return b->prefills;
+    if (b->prefills > PREFILLS_MIN) {
+        const double busy = b->prefill_work / (b->prefills - 1);
+        if (busy <= PREFILL_BUSY_MAX && b->decode_work / b->decodes >= busy)
+            return b->prefills - 1;
+    }
+    if (b->decodes > DECODES_MIN && b->prefill_work > PREFILL_SHORT * b->prefills &&
+        b->decode_work < DECODE_SPARE * (b->decodes - 1))
+        return b->prefills + 1;
+    return b->prefills;
+}
--- /dev/null
+++ b/lib/roles/balance.h
@@ -0,0 +1,31 @@
+/** @file balance.h
+ * How many of a service's engines should compute prompts: a pure function of what its two pools have to do.
+ *
+ * The prefill pool is kept as small as a burst allows, since a prefill engine
+ * holds no request's memory while it is idle, and memory is what bursts run out
+ * of. Work is counted in engines: 2.5 means that two and a half engines would be
+ * busy all the time.
+ */
+#ifndef TRACKCOVE_ROLES_BALANCE_H
+#define TRACKCOVE_ROLES_BALANCE_H
+
+/* ===== Dependencies ===== */
+
+#include <stdint.h>
+
+/* ===== Types ===== */
+
+/** The two pools of one service, engines that are about to change counted where they go. */
+typedef struct {
+    uint32_t prefills, decodes; /**< engines of each role */
+    double prefill_work;        /**< of the prefill pool, in engines */
+    double decode_work;         /**< of the decode pool, in engines: memory or places taken, whichever is more */
+} balance_t;
+
+/* ===== Public functions ===== */
+
+/** Engines that should compute prompts: the present number, one more or one fewer. Never leaves a pool with fewer than
+ *  it needs to bear a loss. */
+uint32_t balance_prefills(const balance_t *balance);
+
+#endif
--- /dev/null
+++ b/lib/roles/mover.c
@@ -0,0 +1,381 @@
+#include "roles/mover.h"
+
+#include <string.h>
+#include <urcu/list.h>
+
+#include "common/counter.h"
+#include "common/log.h"
+#include "forward/dialect.h"
+#include "roles/balance.h"
+#include "web/web_ask.h"
+
+COUNTER_DEFINE(c_orders, "counter", "trackcove_roles_orders_total", "Orders to engines to change their role")
+COUNTER_DEFINE(c_refused, "counter", "trackcove_roles_refused_total", "Such orders that engines refused")
+COUNTER_DEFINE(c_unknown, "counter", "trackcove_roles_unknown_total", "Such orders without an answer")
+COUNTER_DEFINE(c_moving, "gauge", "trackcove_roles_moving", "Engines that are changing their role")
+
+/* ===== Constants ===== */
+
+enum {
+    CONNECT_MS = 250,  /* an engine in reach takes a few ms */
+    ORDER_MS = 1000,   /* for one answer of an engine; with this past, an order arrives no more */
+    SUSTAIN_MS = 700,  /* a wish must last: work is a moving average over 2 s */
+    FORGET_MS = 20000, /* an order whose effect the list does not show by then had none: engines drain what they run, a
+                          few seconds, change in some more, and may carry an order out up to 12 s late */
+    STALE_MS = 500,    /* this box stood still for longer than that since its last look: its term may be over */
+    PAUSE_MS = 3000,   /* an engine that refused an order is left alone for so long */
+    MOVING_SHARE = 10  /* one in so many engines may change at a time, and one always */
+};
+
+/* ===== Types ===== */
+
+typedef enum {
+    MOVE_LOOKING,  /* the engine is asked what it is */
+    MOVE_ORDERING, /* the order is on its way */
+    MOVE_ORDERED,  /* taken, or perhaps taken: the list will show it */
+    MOVE_PAUSED    /* refused: not again for a while */
+} move_state_t;
+
+/** One engine that changes its role, or was to. */
+typedef struct {
+    struct cds_list_head node;
+    backend_t engine;
+    char to[CODEC_STR_SIZE]; /* stage */
+    move_state_t state;
+    tc_time_t until;
+} move_t;
+
+struct mover {
+    loop_t *loop;
+    web_client_t *client;
+    char box[CODEC_STR_SIZE];
+    tc_time_t turn;
+    uint64_t term;
+    tc_time_t term_since;
+    tc_time_t ticked_at;
+    bool fenced; /* somebody with a higher fence orders: no more in this term */
+    uint32_t wanted;
+    tc_time_t wanted_since;
+    struct cds_list_head moves;
+    web_ask_t ask;
+    move_t *asked; /* the move that the call under way is for, or NULL */
+};
+
+static const char PREFILL[] = "prefill";
+static const char DECODE[] = "decode";
+
+/* ===== Log ===== */
+
+static void log_move(const mover_t *m, const move_t *move, const char *what, int status)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "role_move");
+    log_str(&line, "what", what);
+    log_str(&line, "backend", move->engine.id);
+    log_str(&line, "addr", move->engine.addr);
+    log_str(&line, "to", move->to);
+    log_int(&line, "term", (int64_t)m->term);
+    if (status)
+        log_int(&line, "status", status);
+    log_end(&line);
+}
+
+static void log_wish(const balance_t *b, uint32_t wanted)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "role_wish");
+    log_int(&line, "prefills", b->prefills);
+    log_int(&line, "decodes", b->decodes);
+    log_int(&line, "prefill_work_pct", (int64_t)(100 * b->prefill_work));
+    log_int(&line, "decode_work_pct", (int64_t)(100 * b->decode_work));
+    log_int(&line, "wanted", wanted);
+    log_end(&line);
+}
+
+/* ===== Moves ===== */
+
+static move_t *move_of(const mover_t *m, const char *id)
+{
+    move_t *move;
+    cds_list_for_each_entry(move, &m->moves, node)
+        if (strcmp(move->engine.id, id) == 0)
+            return move;
+    return NULL;
+}
+
+static void move_end(mover_t *m, move_t *move)
+{
+    if (m->asked == move) {
+        web_ask_cancel(&m->ask);
+        m->asked = NULL;
+    }
+    cds_list_del(&move->node);
+    g_free(move);
+}
+
+static void moves_clear(mover_t *m)
+{
+    move_t *move, *next;
+    cds_list_for_each_entry_safe(move, next, &m->moves, node)
+        move_end(m, move);
+}
+
+static void pause_move(move_t *move, tc_time_t span)
+{
+    move->state = MOVE_PAUSED;
+    move->until = tc_time_now() + span;
+}
+
+uint32_t mover_moving(const mover_t *m, leaving_cfg_t *list, uint32_t room)
+{
+    uint32_t n = 0;
+    const move_t *move;
+    memset(list, 0, room * sizeof(*list));
+    cds_list_for_each_entry(move, &m->moves, node) {
+        if (move->state == MOVE_PAUSED || n == room)
+            continue;
+        codec_copy_string(list[n++].name, sizeof(list->name), move->engine.id);
+    }
+    return n;
+}
+
+static uint32_t count_moving(const mover_t *m)
+{
+    uint32_t n = 0;
+    const move_t *move;
+    cds_list_for_each_entry(move, &m->moves, node)
+        n += move->state != MOVE_PAUSED;
+    return n;
+}
+
+static const backend_t *listed(const mover_view_t *view, const char *id)
+{
+    for (uint32_t i = 0; i < view->backends_n; i++)
+        if (strcmp(view->backends[i].id, id) == 0)
+            return &view->backends[i];
+    return NULL;
+}
+
+/** Moves that are over: the engine is what it was to become, is gone, or was ordered long ago. */
+static void sweep(mover_t *m, const mover_view_t *view, tc_time_t now)
+{
+    move_t *move, *next;
+    cds_list_for_each_entry_safe(move, next, &m->moves, node) {
+        const backend_t *const engine = listed(view, move->engine.id);
+        if (move == m->asked)
+            continue;
+        if (engine && strcmp(engine->stage, move->to) == 0) {
+            log_move(m, move, "done", 0);
+            move_end(m, move);
+        } else if (!engine || now >= move->until) {
+            log_move(m, move, engine ? "given up" : "gone", 0);
+            move_end(m, move);
+        }
+    }
+}
+
+/* ===== Calls to an engine ===== */
+
+static void call_engine(mover_t *m, move_t *move, GByteArray *request, web_ask_fn_t fn)
+{
+    const web_ask_where_t where = {.loop = m->loop,
+                                   .client = m->client,
+                                   .addr = move->engine.addr,
+                                   .connect_ms = CONNECT_MS,
+                                   .limit_ms = ORDER_MS};
+    m->asked = move;
+    web_ask(&m->ask, &where, request, fn, m);
+}
+
+/** The engine's answer to the order. */
+static void on_ordered(void *arg, web_ask_end_t how)
+{
+    enum { STATUS_OK = 200, STATUS_TAKEN = 202, STATUS_FENCED = 412 };
+    mover_t *const m = arg;
+    move_t *const move = m->asked;
+    m->asked = NULL;
+    if (how != WEB_ASK_WHOLE) {
+        counter_add(&c_unknown, 1);
+        move->state = MOVE_ORDERED; /* it may have been taken, or be carried out later */
+        log_move(m, move, "no answer", 0);
+        return;
+    }
+    if (m->ask.status == STATUS_OK || m->ask.status == STATUS_TAKEN) {
+        move->state = MOVE_ORDERED;
+        log_move(m, move, "taken", m->ask.status);
+        return;
+    }
+    counter_add(&c_refused, 1);
+    m->fenced = m->fenced || m->ask.status == STATUS_FENCED;
+    log_move(m, move, "refused", m->ask.status);
+    pause_move(move, PAUSE_MS);
+}
+
+/** What the engine says it is: the order rests on it. */
+static void on_looked(void *arg, web_ask_end_t how)
+{
+    mover_t *const m = arg;
+    move_t *const move = m->asked;
+    dialect_engine_t engine;
+    m->asked = NULL;
+    const bool known = how == WEB_ASK_WHOLE && m->ask.status == 200 &&
+                       dialect_read_engine((const char *)m->ask.body->data, m->ask.body->len, &engine);
+    if (tc_time_now() - m->ticked_at > STALE_MS) {
+        log_move(m, move, "this box stood still", 0);
+        pause_move(move, PAUSE_MS);
+        return;
+    }
+    if (!known || engine.busy || strcmp(engine.stage, move->to) == 0) {
+        log_move(m, move, known ? "busy or right already" : "does not tell what it is", m->ask.status);
+        pause_move(move, PAUSE_MS);
+        return;
+    }
+    const dialect_order_t order = {
+        .instance = move->engine.id, .stage = move->to, .holder = m->box, .fence = m->term, .taken = engine.orders};
+    counter_add(&c_orders, 1);
+    move->state = MOVE_ORDERING;
+    log_move(m, move, "ordered", 0);
+    call_engine(m, move, dialect_write_order(move->engine.addr, &order), on_ordered);
+}
+
+/* ===== Deciding ===== */
+
+static bool takes_part(const backend_t *b, const mover_view_t *view)
+{
+    return strcmp(b->service, view->service) == 0 && !b->draining && b->stage[0];
+}
+
+/** The stage that an engine has, or goes to. */
+static const char *stage_of(const mover_t *m, const backend_t *b)
+{
+    const move_t *const move = move_of(m, b->id);
+    return move && move->state != MOVE_PAUSED ? move->to : b->stage;
+}
+
+static void count_pools(const mover_t *m, const mover_view_t *view, balance_t *b)
+{
+    *b = (balance_t){.prefill_work = view->prefill_work, .decode_work = view->decode_work};
+    for (uint32_t i = 0; i < view->backends_n; i++) {
+        const backend_t *const engine = &view->backends[i];
+        if (!takes_part(engine, view))
+            continue;
+        if (strcmp(stage_of(m, engine), PREFILL) == 0)
+            b->prefills++;
+        else
+            b->decodes++;
+    }
+}
+
+/** How many engines of a role a data centre has. */
+static uint32_t count_in_dc(const mover_t *m, const mover_view_t *view, const char *dc, const char *stage)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < view->backends_n; i++) {
+        const backend_t *const b = &view->backends[i];
+        n += takes_part(b, view) && strcmp(b->dc, dc) == 0 && strcmp(stage_of(m, b), stage) == 0;
+    }
+    return n;
+}
+
+/** An engine of the role, from the data centre that has most of them. */
+static const backend_t *choose_engine(const mover_t *m, const mover_view_t *view, const char *from)
+{
+    const backend_t *best = NULL;
+    uint32_t most = 0;
+    for (uint32_t i = 0; i < view->backends_n; i++) {
+        const backend_t *const b = &view->backends[i];
+        if (!takes_part(b, view) || strcmp(b->stage, from) != 0 || move_of(m, b->id))
+            continue;
+        const uint32_t n = count_in_dc(m, view, b->dc, from);
+        if (n <= most)
+            continue;
+        most = n;
+        best = b;
+    }
+    return best;
+}
+
+static void begin(mover_t *m, const backend_t *engine, const char *to, tc_time_t now)
+{
+    move_t *const move = g_new0(move_t, 1);
+    move->engine = *engine;
+    codec_copy_string(move->to, sizeof(move->to), to);
+    move->until = now + FORGET_MS;
+    cds_list_add_tail(&move->node, &m->moves);
+    log_move(m, move, "look", 0);
+    call_engine(m, move, dialect_write_look(engine->addr), on_looked);
+}
+
+/** Whether the same number has been wanted for long enough. */
+static bool is_sustained(mover_t *m, uint32_t wanted, bool other, tc_time_t now)
+{
+    if (wanted != m->wanted || !other) {
+        m->wanted = wanted;
+        m->wanted_since = now;
+    }
+    return other && now - m->wanted_since >= SUSTAIN_MS;
+}
+
+static void decide(mover_t *m, const mover_view_t *view, tc_time_t now)
+{
+    balance_t pools;
+    count_pools(m, view, &pools);
+    const uint32_t wanted = balance_prefills(&pools);
+    const bool fewer = wanted < pools.prefills;
+    if (!is_sustained(m, fewer ? 0 : wanted, wanted != pools.prefills, now))
+        return;
+    const uint32_t room = (pools.prefills + pools.decodes) / MOVING_SHARE;
+    if (count_moving(m) > room)
+        return;
+    const backend_t *const engine = choose_engine(m, view, fewer ? PREFILL : DECODE);
+    if (!engine)
+        return;
+    log_wish(&pools, wanted);
+    begin(m, engine, fewer ? DECODE : PREFILL, now);
+}
+
+/* ===== Life ===== */
+
+static void take_term(mover_t *m, uint64_t term, tc_time_t now)
+{
+    if (term == m->term)
+        return;
+    moves_clear(m); /* what was ordered shows in the list; what was not is for the next leader */
+    m->term = term;
+    m->term_since = now;
+    m->wanted_since = now;
+    m->fenced = false;
+}
+
+void mover_tick(mover_t *m, const mover_view_t *view, tc_time_t now)
+{
+    m->ticked_at = now;
+    take_term(m, view->term, now);
+    counter_set(&c_moving, count_moving(m));
+    if (m->term == 0)
+        return;
+    sweep(m, view, now);
+    /* An older leader's order may be under way until its lease and the time of an order are over. */
+    const bool turn = now - m->term_since >= m->turn + ORDER_MS;
+    if (turn && !m->fenced && !m->asked && view->service[0])
+        decide(m, view, now);
+}
+
+mover_t *mover_create(loop_t *loop, web_client_t *client, const char *box, tc_time_t turn)
+{
+    mover_t *const m = g_new0(mover_t, 1);
+    m->loop = loop;
+    m->client = client;
+    m->turn = turn;
+    codec_copy_string(m->box, sizeof(m->box), box);
+    CDS_INIT_LIST_HEAD(&m->moves);
+    m->ask.body = g_byte_array_new();
+    return m;
+}
+
+void mover_destroy(mover_t *m)
+{
+    moves_clear(m);
+    g_byte_array_free(m->ask.body, TRUE);
+    g_free(m);
+}
--- /dev/null
+++ b/lib/roles/mover.h
@@ -0,0 +1,53 @@
+/** @file mover.h
+ * Moves engines between the prefill and the decode pool as load shifts: decides on balance.h, looks at the engine, and
+ * orders it by the adapter's dialect.
+ *
+ * Only the leader of the control boxes orders, with its term as fence, and not
+ * before every order of an older leader has arrived or failed. An order names
+ * the start of the engine it is for and how many orders that engine has taken,
+ * so that one that is carried out late changes nothing. A refusal that says that
+ * somebody else has a higher fence ends all orders of this term.
+ *
+ * Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_ROLES_MOVER_H
+#define TRACKCOVE_ROLES_MOVER_H
+
+/* ===== Dependencies ===== */
+
+#include <stdbool.h>
+
+#include "gen/schema.h"
+#include "peer/loop.h"
+#include "web/web_client.h"
+
+/* ===== Types ===== */
+
+typedef struct mover mover_t;
+
+/** What a look rests on. Borrowed for the call. */
+typedef struct {
+    uint64_t term; /**< of the leadership, 0 when this box does not lead */
+    const backend_t *backends;
+    uint32_t backends_n;
+    const char *service; /**< whose engines may change, "" for none */
+    double prefill_work; /**< as balance_t says */
+    double decode_work;  /**< as balance_t says */
+} mover_view_t;
+
+/* ===== Public functions ===== */
+
+/** @param box names this box as the one that orders; copied
+ *  @param turn ms after which orders of another leader can't arrive any more, beside the time of an order itself */
+mover_t *mover_create(loop_t *loop, web_client_t *client, const char *box, tc_time_t turn);
+/** After loop_run returned. */
+void mover_destroy(mover_t *mover);
+
+/** Look, and begin the next step if there is one. Call every 50 to 250 ms. */
+void mover_tick(mover_t *mover, const mover_view_t *view, tc_time_t now);
+
+/** Engines that are changing their role, or were asked to: they should get nothing new.
+ *  @return how many; at most @p room are filled in, by id, zeroed behind it */
+uint32_t mover_moving(const mover_t *mover, leaving_cfg_t *list, uint32_t room);
+
+#endif
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -90,8 +90,13 @@
         taken += memory > batch ? memory : batch;
     }
     const double span = (double)(now - s->busy_at);
+    if (span <= 0)
+        return;
     const double weight = span < BUSY_MS ? span / BUSY_MS : 1;
     s->busy_at = now;
+    s->stats.decode_work += weight * (taken - s->stats.decode_work);
+    s->stats.prefill_work += weight * (s->granted_ms / span - s->stats.prefill_work);
+    s->granted_ms = 0;
     if (prefills > 0)
         s->stats.prefill_busy += weight * (working / prefills - s->stats.prefill_busy);
     if (places > 0)
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -12,6 +12,7 @@
 static void grant(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now)
 {
     const bool replan = r->state == REQ_REPLANNING;
+    s->granted_ms += choice->prefill ? choice->prefill_ms : 0;
     reserve(s, r, choice, now);
     if (replan)
         r->state = REQ_PLACED;
