Engines move from the prefill pool to the decode pool while they are not needed there

Cause: memory of decode engines binds in bursts, and the prefill pool is idle for most of the time (1.3 of 3, 2.4 of 6, 16 of 49 engines at work).

The leader orders idle prefill engines over, fenced by its term, so that the pool is at most 0.55 at work in calm moments.

Tests without the bench: test_balance, test_mover (turns of leaders, fences, orders without an answer), the wire forms in test_platform. docs/design/roles.md.

--- a/lib/roles/balance.c
+++ b/lib/roles/balance.c
@@ -6,7 +6,7 @@
 static const double WORK_MIN = 0.05;
 /** Part of the prefill pool that may be at work in a calm moment: bursts bring twice as much, and prompts that wait
  *  are answered late. What is above is better used as memory. Measured: docs/design/roles.md */
-static const double PREFILL_BUSY_MAX = 0.5;
+static const double PREFILL_BUSY_MAX = 0.55;
 /** Above this part a prompt waits for longer than it is read: an engine comes back, if the decode pool can spare it. */
 static const double PREFILL_SHORT = 0.9;
 static const double DECODE_SPARE = 0.5;
--- a/lib/roles/mover.c
+++ b/lib/roles/mover.c
@@ -120,10 +120,10 @@
         move_end(m, move);
 }
 
-static void pause_move(move_t *move, tc_time_t span)
+static void pause_move(const mover_t *m, move_t *move)
 {
     move->state = MOVE_PAUSED;
-    move->until = tc_time_now() + span;
+    move->until = m->ticked_at + PAUSE_MS;
 }
 
 uint32_t mover_moving(const mover_t *m, leaving_cfg_t *list, uint32_t room)
@@ -168,7 +168,8 @@
             log_move(m, move, "done", 0);
             move_end(m, move);
         } else if (!engine || now >= move->until) {
-            log_move(m, move, engine ? "given up" : "gone", 0);
+            if (move->state != MOVE_PAUSED)
+                log_move(m, move, engine ? "given up" : "gone", 0);
             move_end(m, move);
         }
     }
@@ -208,7 +209,7 @@
     counter_add(&c_refused, 1);
     m->fenced = m->fenced || m->ask.status == STATUS_FENCED;
     log_move(m, move, "refused", m->ask.status);
-    pause_move(move, PAUSE_MS);
+    pause_move(m, move);
 }
 
 /** What the engine says it is: the order rests on it. */
@@ -222,12 +223,12 @@
                        dialect_read_engine((const char *)m->ask.body->data, m->ask.body->len, &engine);
     if (tc_time_now() - m->ticked_at > STALE_MS) {
         log_move(m, move, "this box stood still", 0);
-        pause_move(move, PAUSE_MS);
+        pause_move(m, move);
         return;
     }
     if (!known || engine.busy || strcmp(engine.stage, move->to) == 0) {
         log_move(m, move, known ? "busy or right already" : "does not tell what it is", m->ask.status);
-        pause_move(move, PAUSE_MS);
+        pause_move(m, move);
         return;
     }
     const dialect_order_t order = {
--- /dev/null
+++ b/tests/platform/test_mover.c
@@ -0,0 +1,190 @@
+/* Orders to engines: who may give them and when, what they rest on, and what their answers mean. Engines are fakes on
+ * 127.0.0.1; the mover's time is the test's. */
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness/lab.h"
+#include "roles/mover.h"
+
+enum { ENGINES = 8, PREFILLS = 4, TURN_MS = 3000 };
+
+typedef struct {
+    loop_t *loop;
+    web_client_t *client;
+    mover_t *mover;
+    char addr[ENGINES][32];
+    lab_backend_t *engine[ENGINES];
+    backend_t list[ENGINES];
+    mover_view_t view;
+    tc_time_t now;
+    GString *orders; /* all that came, one after the other */
+    unsigned looks, ordered;
+    unsigned orders_taken; /* that engines say they have taken */
+    int status;            /* of an order's answer */
+    bool silent;           /* orders get no answer */
+} fixture_t;
+
+static lab_reply_t script(void *arg, const char *request)
+{
+    fixture_t *const f = arg;
+    if (g_str_has_prefix(request, "GET /report ")) {
+        f->looks++;
+        char *const body = g_strdup_printf("{\"stage\":\"prefill\",\"busy\":false,\"call_seq\":%u}", f->orders_taken);
+        const lab_reply_t reply = {
+            .bytes = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body)};
+        g_free(body);
+        return reply;
+    }
+    g_string_append(f->orders, request);
+    f->ordered++;
+    if (f->silent)
+        return (lab_reply_t){.bytes = NULL};
+    return (lab_reply_t){.bytes = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", f->status)};
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->loop = loop_create();
+    f->client = web_client_create(f->loop);
+    f->mover = mover_create(f->loop, f->client, "box-1", TURN_MS);
+    f->orders = g_string_new(NULL);
+    f->status = 202;
+    f->orders_taken = 5;
+    f->now = tc_time_now();
+    for (int i = 0; i < ENGINES; i++) {
+        lab_free_addr(f->addr[i]);
+        f->engine[i] = lab_backend_start(f->loop, f->addr[i], script, f);
+        backend_t *const b = &f->list[i];
+        g_snprintf(b->id, sizeof(b->id), "e%d", i);
+        codec_copy_string(b->service, sizeof(b->service), "lm");
+        codec_copy_string(b->addr, sizeof(b->addr), f->addr[i]);
+        codec_copy_string(b->dc, sizeof(b->dc), i == 1 ? "b" : "a");
+        codec_copy_string(b->stage, sizeof(b->stage), i < PREFILLS ? "prefill" : "decode");
+    }
+    f->view = (mover_view_t){.term = 7,
+                             .backends = f->list,
+                             .backends_n = ENGINES,
+                             .service = "lm",
+                             .prefill_work = 1.5, /* three would be half busy, two are too few */
+                             .decode_work = 3.0};
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    mover_destroy(f->mover);
+    for (int i = 0; i < ENGINES; i++)
+        lab_backend_stop(f->engine[i]);
+    web_client_destroy(f->client);
+    loop_destroy(f->loop);
+    g_string_free(f->orders, TRUE);
+}
+
+/** Let the mover's time pass, with a look every 50 ms of it. The loop turns beside, so that calls are answered. */
+static void pass(fixture_t *f, tc_time_t span)
+{
+    for (const tc_time_t until = f->now + span; f->now < until; f->now += 50) {
+        mover_tick(f->mover, &f->view, f->now);
+        lab_run_for(f->loop, 5);
+    }
+}
+
+static uint32_t moving(const fixture_t *f)
+{
+    leaving_cfg_t list[ENGINES];
+    return mover_moving(f->mover, list, ENGINES);
+}
+
+static void test_order(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    pass(f, 6000);
+    g_assert_cmpuint(f->ordered, ==, 1);
+    g_assert_nonnull(strstr(f->orders->str, "POST /order "));
+    g_assert_nonnull(strstr(f->orders->str, "Expect-Instance: e0\r\n")); /* where most of them are */
+    g_assert_nonnull(strstr(f->orders->str, "\"op\":\"stage\""));
+    g_assert_nonnull(strstr(f->orders->str, "\"stage\":\"decode\""));
+    g_assert_nonnull(strstr(f->orders->str, "\"holder\":\"box-1\""));
+    g_assert_nonnull(strstr(f->orders->str, "\"fencing_token\":7"));
+    g_assert_nonnull(strstr(f->orders->str, "\"expected_rev\":5"));
+    g_assert_cmpuint(moving(f), ==, 1);
+    codec_copy_string(f->list[0].stage, sizeof(f->list[0].stage), "decode");
+    pass(f, 100);
+    g_assert_cmpuint(moving(f), ==, 0); /* the list shows it */
+}
+
+/** Promise: no order while an older leader's may still arrive. */
+static void test_waits_its_turn(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    pass(f, TURN_MS);
+    g_assert_cmpuint(f->looks, ==, 0);
+    f->view.term = 0; /* the lease was lost for a moment: somebody else may have led */
+    pass(f, 50);
+    f->view.term = 7;
+    pass(f, TURN_MS);
+    g_assert_cmpuint(f->looks, ==, 0);
+    f->view.term = 9;
+    pass(f, TURN_MS);
+    g_assert_cmpuint(f->looks, ==, 0);
+    pass(f, 3000);
+    g_assert_cmpuint(f->ordered, ==, 1);
+}
+
+static void test_no_order_without_leading(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->view.term = 0;
+    pass(f, 8000);
+    g_assert_cmpuint(f->looks + f->ordered, ==, 0);
+}
+
+/** Promise: whoever was told that another has a higher fence orders no more. */
+static void test_fenced(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->status = 412;
+    pass(f, 20000);
+    g_assert_cmpuint(f->ordered, ==, 1);
+}
+
+/** An order without an answer may still be carried out: the engine gets no second one, and no new work, meanwhile. */
+static void test_unknown_order_is_not_repeated(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->silent = true;
+    pass(f, 6000);
+    g_assert_cmpuint(f->ordered, ==, 1);
+    lab_run_for(f->loop, 1100); /* the call's own limit is in real time */
+    pass(f, 10000);
+    g_assert_cmpuint(moving(f), ==, 1);
+    g_assert_cmpuint(f->ordered, ==, 1);
+    pass(f, 10000);
+    g_assert_cmpuint(f->ordered, ==, 2); /* given up, and begun anew */
+}
+
+static void test_refused_engine_is_left_alone(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->status = 409;
+    pass(f, 5500);
+    g_assert_cmpuint(moving(f), ==, 0);
+    g_assert_nonnull(strstr(f->orders->str, "Expect-Instance: e0\r\n"));
+    g_assert_null(strstr(strstr(f->orders->str, "Expect-Instance: e0\r\n") + 1, "Expect-Instance: e0\r\n"));
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/mover/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("order", test_order);
+    TEST("waits-its-turn", test_waits_its_turn);
+    TEST("no-order-without-leading", test_no_order_without_leading);
+    TEST("fenced", test_fenced);
+    TEST("unknown-order-is-not-repeated", test_unknown_order_is_not_repeated);
+    TEST("refused-engine-is-left-alone", test_refused_engine_is_left_alone);
+    return g_test_run();
+}
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -15,7 +15,8 @@
     "{\"node_name\":\"front-a-1\",\"ip\":\"10.1.0.30\",\"zone\":\"a\",\"listen\":{\"front\":\"10.1.0.30:81\","
     "\"control\":\"10.1.0.30:84\"},\"internal_ports\":[7380,7395],\"seeds\":[\"10.1.0.30:84\",\"10.2.0.34:84\"],"
     "\"bootstrap\":true,\"fault_tolerance\":{\"machines\":2},\"bounds\":{\"grace_s\":8,\"retry_budget_ratio\":0.2,"
-    "\"retry_slack\":62,\"budget_window_s\":10},\"cloud\":{\"address\":\"10.200.0.100:8142\",\"rate_per_s\":44.0},"
+    "\"retry_slack\":62,\"budget_window_s\":10,\"lease_ms\":2500,\"require_fencing\":true},\"cloud\":{\"address\":\"10."
+    "200.0.100:8142\",\"rate_per_s\":44.0},"
     "\"unknown\":[1]}";
 
 static void test_settings(void)
@@ -32,6 +33,8 @@
     g_assert_cmpuint(b.losses, ==, 2);
     g_assert_cmpint(b.stop_grace, ==, 8000);
     g_assert_cmpint(b.retry_window, ==, 10000);
+    g_assert_cmpint(b.order_turn, ==, 2500);
+    g_assert_true(b.orders_fenced);
     boot_free(&b);
     g_assert_cmpint(boot_parse("{\"node_name\":\"x\"}", &b, &err), ==, TC_E_INVALID);
     g_assert_cmpint(boot_parse("{", &b, &err), ==, TC_E_INVALID);
@@ -263,6 +266,43 @@
     g_assert_cmpuint(addresses(boxes, 0, "a"), ==, 1);  /* nobody is known: this box */
 }
 
+/* ===== Roles of engines ===== */
+
+static bool read_engine(const char *text, dialect_engine_t *engine)
+{
+    return dialect_read_engine(text, strlen(text), engine);
+}
+
+static void test_engine(void)
+{
+    dialect_engine_t engine;
+    g_assert_true(read_engine("{\"stage\":\"decode\",\"busy\":true,\"call_seq\":2,\"running\":12}", &engine));
+    g_assert_cmpstr(engine.stage, ==, "decode");
+    g_assert_true(engine.busy);
+    g_assert_cmpuint(engine.orders, ==, 2);
+    g_assert_false(read_engine("{\"stage\":\"decode\"}", &engine)); /* an order must rest on a number */
+    g_assert_false(read_engine("{\"call_seq\":2}", &engine));
+    g_assert_false(read_engine("{", &engine));
+}
+
+static void test_order(void)
+{
+    const dialect_order_t order = {.instance = "i-1", .stage = "decode", .holder = "box", .fence = 41, .taken = 0};
+    GByteArray *const bytes = dialect_write_order("10.0.0.1:80", &order);
+    g_byte_array_append(bytes, (const guint8 *)"", 1);
+    const char *const text = (const char *)bytes->data;
+    g_assert_true(g_str_has_prefix(text, "POST /order HTTP/1.1\r\nHost: 10.0.0.1:80\r\n"));
+    g_assert_nonnull(strstr(text, "\r\nExpect-Instance: i-1\r\n"));
+    json_t *const body = json_loads(strstr(text, "\r\n\r\n") + 4, 0, NULL);
+    g_assert_cmpstr(json_string_value(json_object_get(body, "op")), ==, "stage");
+    g_assert_cmpstr(json_string_value(json_object_get(body, "stage")), ==, "decode");
+    g_assert_cmpstr(json_string_value(json_object_get(body, "holder")), ==, "box");
+    g_assert_cmpint(json_integer_value(json_object_get(body, "fencing_token")), ==, 41);
+    g_assert_true(json_is_integer(json_object_get(body, "expected_rev"))); /* 0 is said too */
+    json_decref(body);
+    g_byte_array_free(bytes, TRUE);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -276,5 +316,7 @@
     g_test_add_func("/platform/list-of-back-ends", test_list);
     g_test_add_func("/platform/prefill-handle", test_handle);
     g_test_add_func("/platform/directory", test_directory);
+    g_test_add_func("/platform/engine", test_engine);
+    g_test_add_func("/platform/order", test_order);
     return g_test_run();
 }
--- /dev/null
+++ b/tests/unit/test_balance.c
@@ -0,0 +1,50 @@
+/* How many engines compute prompts. */
+
+#include <glib.h>
+
+#include "roles/balance.h"
+
+static uint32_t wanted(uint32_t prefills, uint32_t decodes, double prefill_work, double decode_work)
+{
+    const balance_t b = {
+        .prefills = prefills, .decodes = decodes, .prefill_work = prefill_work, .decode_work = decode_work};
+    return balance_prefills(&b);
+}
+
+static void test_idle_engines_become_memory(void)
+{
+    g_assert_cmpuint(wanted(6, 12, 2.0, 7.0), ==, 5); /* 2.0 of 5 is little */
+    g_assert_cmpuint(wanted(49, 91, 13.0, 48.0), ==, 48);
+    g_assert_cmpuint(wanted(4, 14, 2.0, 7.0), ==, 4); /* 2.0 of 3 leaves nothing for a burst */
+}
+
+static void test_memory_is_not_needed(void)
+{
+    g_assert_cmpuint(wanted(6, 12, 2.0, 1.0), ==, 6); /* the decode pool is the idler one */
+    g_assert_cmpuint(wanted(6, 12, 0.1, 0.2), ==, 6); /* hardly any work: nothing is known */
+}
+
+static void test_pools_keep_what_a_loss_needs(void)
+{
+    g_assert_cmpuint(wanted(2, 12, 0.3, 7.0), ==, 2);
+    g_assert_cmpuint(wanted(2, 2, 1.95, 0.1), ==, 2);
+    g_assert_cmpuint(wanted(1, 1, 0.1, 0.9), ==, 1);
+    g_assert_cmpuint(wanted(0, 3, 0.0, 1.0), ==, 0);
+}
+
+static void test_short_of_prefill(void)
+{
+    g_assert_cmpuint(wanted(2, 12, 1.95, 3.0), ==, 3);
+    g_assert_cmpuint(wanted(2, 12, 1.95, 9.0), ==, 2); /* nothing to spare */
+    g_assert_cmpuint(wanted(2, 12, 1.5, 3.0), ==, 2);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/balance/idle-engines-become-memory", test_idle_engines_become_memory);
+    g_test_add_func("/balance/memory-is-not-needed", test_memory_is_not_needed);
+    g_test_add_func("/balance/pools-keep-what-a-loss-needs", test_pools_keep_what_a_loss_needs);
+    g_test_add_func("/balance/short-of-prefill", test_short_of_prefill);
+    return g_test_run();
+}
