--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -74,7 +74,7 @@
     forward_free(f);
 }
 
-void forward_fail(forward_t *f, const char *why)
+static void fail(forward_t *f, const char *why, tc_time_t come_back)
 {
     step_cancel(f);
     if (f->begun) {
@@ -89,12 +89,22 @@
     counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
     forward_log(f, "failed", why, status, NULL);
     /* Promise: 503 says that the request did not run, so it is given only while no back end can have begun it. */
-    char *const head = f->runs == 0 ? dialect_retry_after(RETRY_AFTER_MS) : g_strdup("");
+    char *const head = f->runs == 0 ? dialect_retry_after(come_back) : g_strdup("");
     web_answer(f->exchange, status, head, "", 0);
     g_free(head);
     forward_free(f);
 }
 
+void forward_fail(forward_t *f, const char *why)
+{
+    fail(f, why, RETRY_AFTER_MS);
+}
+
+void forward_fail_full(forward_t *f, const char *why)
+{
+    fail(f, why, FULL_AFTER_MS + g_rand_int_range(f->owner->random, 0, FULL_SPREAD_MS));
+}
+
 static void on_limit(void *arg)
 {
     forward_t *const f = arg;
@@ -178,7 +188,7 @@
         return; /* goes on when an engine has answered */
     if (place_is_alone(f) && !f->hold.instance && f->hold.tries > 0) {
         if (!hold_wait(f))
-            forward_fail(f, "no engine has room");
+            forward_fail_full(f, "no engine has room");
         return;
     }
     const bool read = f->handle.instance || f->placement.solo;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -19,9 +19,11 @@
     CONNECT_MS = 250,       /* a back end in reach takes a few ms; a dark one never answers */
     ANSWER_MARGIN_MS = 30,  /* the final answer leaves this long before the request's time is over */
     RETRY_AFTER_MS = 1000,  /* when a refused caller may come back */
-    PLACE_LIMIT_MS = 250,   /* for one answer of the scheduler, queueing there included; then the box looks whether the
+    FULL_AFTER_MS = 2500,   /* the same when engines are full, */
+    FULL_SPREAD_MS = 1800,  /* and up to so much more: who is refused in one moment must not return in one moment */
+    PLACE_LIMIT_MS = 220,   /* for one answer of the scheduler, queueing there included; then the box looks whether the
                              leader is still there */
-    PLACE_WAIT_MS = 500,    /* from a request's arrival until it is refused for want of room: what is granted later is
+    PLACE_WAIT_MS = 600,    /* from a request's arrival until it is refused for want of room: what is granted later is
                                late anyway. Measured: docs/design/results-platform.md */
     AGAIN_MS = 90,          /* between tries while no decode engine has room */
     HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
@@ -132,6 +134,8 @@
 bool forward_try_soon(forward_t *f, tc_time_t until);
 /** The final answer in place of a back end's; ends the request. @param why for the log */
 void forward_fail(forward_t *f, const char *why);
+/** The same for want of room at the engines: refused callers are told to come back when a burst is likely over. */
+void forward_fail_full(forward_t *f, const char *why);
 /** The answer is complete: ends the request. */
 void forward_done(forward_t *f, int status, const char *why);
 /** Whether one more arrival at a back end is allowed; takes it from the budget. */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -63,7 +63,7 @@
         return;
     if (!placed->granted) {
         counter_add(&c_refused, 1);
-        forward_fail(f, "refused by the scheduler");
+        forward_fail_full(f, "refused by the scheduler");
         return;
     }
     counter_add(&c_granted, 1);
@@ -91,7 +91,7 @@
         return;
     place_tell(f, PHASE_FAILED, NULL);
     counter_add(&c_refused, 1);
-    forward_fail(f, "no room in time"); /* a guess of ours would find none either */
+    forward_fail_full(f, "no room in time"); /* a guess of ours would find none either */
 }
 
 static void on_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
