Back ends that are not what the list says are left alone; engines that change role are told as leaving

Engines under an order were avoided by the scheduler only, and boxes that had to choose for themselves still used them.

Tests: /forward/outdated-back-end-is-left-alone (failed before: 55 ms instead of 2500), /cluster/moving-engine-is-told-as-leaving.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -150,9 +150,6 @@
 
 void placing_set_moving(placing_t *p, const leaving_cfg_t *list, uint32_t n)
 {
-    const bool same = p->moving_n == n && (n == 0 || memcmp(p->moving, list, n * sizeof(*list)) == 0);
-    if (same)
-        return;
     free(p->moving);
     p->moving = list_copy(list, n * sizeof(*list));
     p->moving_n = n;
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -299,9 +299,9 @@
     return r->backends;
 }
 
-placing_t *replica_placing(const replica_t *r)
+const char *replica_work(const replica_t *r, double *prefill, double *decode)
 {
-    return r->placing;
+    return placing_work(r->placing, prefill, decode);
 }
 
 /* ===== Life ===== */
@@ -386,5 +386,7 @@
     codec_free(&raft_members_desc, &r->known);
     g_strfreev(r->seeds);
     free(r->backends);
+    free(r->told);
+    free(r->moving);
     g_free(r);
 }
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -44,9 +44,12 @@
     bool pumping;
     roster_t *roster;
     placing_t *placing;
-    backend_t *backends;
+    backend_t *backends; /* as discovery has them */
+    backend_t *told;     /* the same, with engines that change their role as leaving */
     uint32_t backends_n;
-    uint64_t backends_hash;
+    uint64_t told_hash;
+    leaving_cfg_t *moving;
+    uint32_t moving_n;
     tc_time_t backends_fetched; /* 0: never */
 };
 
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "cluster/list.h"
 #include "cluster/replica_internal.h"
@@ -12,26 +13,57 @@
 /** A new leader tells no list of boxes before all had the time to report to it. */
 enum { ROSTER_SETTLE_MS = 1000 };
 
+static bool is_moving(const replica_t *r, const char *id)
+{
+    for (uint32_t i = 0; i < r->moving_n; i++)
+        if (strcmp(r->moving[i].name, id) == 0)
+            return true;
+    return false;
+}
+
+/** The list as boxes get it. */
+static void make_told(replica_t *r)
+{
+    const size_t size = r->backends_n * sizeof(*r->backends);
+    free(r->told);
+    r->told = list_copy(r->backends, size);
+    for (uint32_t i = 0; i < r->backends_n; i++)
+        r->told[i].draining = r->told[i].draining || is_moving(r, r->told[i].id);
+    r->told_hash = list_hash(r->told, size);
+}
+
 void replica_set_backends(replica_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
 {
     free(r->backends);
     r->backends = list_copy(list, n * sizeof(*list));
     r->backends_n = n;
-    r->backends_hash = list_hash(list, n * sizeof(*list));
     r->backends_fetched = fetched;
+    make_told(r);
     placing_set_backends(r->placing, list, n);
 }
 
+void replica_set_moving(replica_t *r, const leaving_cfg_t *list, uint32_t n)
+{
+    const bool same = r->moving_n == n && (n == 0 || memcmp(r->moving, list, n * sizeof(*list)) == 0);
+    if (same)
+        return;
+    free(r->moving);
+    r->moving = list_copy(list, n * sizeof(*list));
+    r->moving_n = n;
+    make_told(r);
+    placing_set_moving(r->placing, list, n);
+}
+
 static void add_backends(const replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
 {
     if (r->backends_fetched == 0)
         return;
     ack->has_backends = true;
     ack->backends_age_ms = (uint64_t)(now - r->backends_fetched);
-    ack->backends_hash = r->backends_hash;
-    if (report->backends_hash == r->backends_hash)
+    ack->backends_hash = r->told_hash;
+    if (report->backends_hash == r->told_hash)
         return;
-    ack->backends = r->backends;
+    ack->backends = r->told;
     ack->backends_n = r->backends_n;
 }
 
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -8,6 +8,7 @@
 enum {
     AVOID_FIRST_MS = 300, /* a restarted back end is back within a few hundred ms */
     AVOID_MAX_MS = 3000,  /* a crashed one leaves the platform's list after some seconds */
+    OUTDATED_MS = 2500,   /* the platform's list lags by about a second, and is read once a second */
     REFUSED_MS = 60,      /* about one request's work: a place may be free again */
     SLOTS_DEFAULT = 8     /* of back ends whose list entry names none */
 };
@@ -69,6 +70,11 @@
     instance->avoid_until = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
 }
 
+void instance_outdated(instance_t *instance, tc_time_t now)
+{
+    instance->avoid_until = now + OUTDATED_MS;
+}
+
 void instance_refused(instance_t *instance, tc_time_t now)
 {
     if (instance->avoid_until < now + REFUSED_MS)
@@ -116,6 +122,8 @@
         instance_t *const instance = known ? instance_ref(known) : g_new0(instance_t, 1);
         if (!known)
             instance->refs = 1;
+        if (known && strcmp(known->listed.stage, list[i].stage) != 0)
+            instance->avoid_until = 0; /* what it refused, it refused in its other role */
         instance->listed = list[i];
         instance->stage = stage_of(list[i].stage);
         g_ptr_array_add(fresh, instance);
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -91,6 +91,8 @@
 void instance_succeeded(instance_t *instance);
 /** It failed or is silent: avoid it for a while, longer each time in a row. */
 void instance_failed(instance_t *instance, tc_time_t now);
+/** It is not what the list says: leave it alone until the list is likely to say better. */
+void instance_outdated(instance_t *instance, tc_time_t now);
 /** It is full: leave it alone for a moment. */
 void instance_refused(instance_t *instance, tc_time_t now);
 
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -112,11 +112,15 @@
     const dialect_ask_t ask = s->ask;
     const tc_time_t now = tc_time_now();
     forward_log(f, "not_run", why, s->status, s->instance);
-    if (refused)
+    if (s->reply.other)
+        instance_outdated(s->instance, now);
+    else if (refused)
         instance_refused(s->instance, now);
     else
         instance_failed(s->instance, now);
     mark_tried(s);
+    if (ask == DIALECT_PREFILL)
+        place_tell(f, PHASE_PREFILL, s->instance); /* the scheduler leaves it alone for a moment */
     if (ask == DIALECT_DECODE && refused && f->handle.instance && now >= f->handle.until)
         handle_forget(f);
     char bad[CODEC_STR_SIZE];
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -53,6 +53,7 @@
     switch (kind) {
     case 'o': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok", LAB_KEEP);
     case 'n': return say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
+    case 'm': return say("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
     case 'e': return say("HTTP/1.1 500 No\r\n" SEAL "Content-Length: 2\r\n\r\nno", LAB_KEEP);
     case 'r': return say(NULL, LAB_RESET);
     case 'c': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 9\r\n\r\nok", LAB_CLOSE);
@@ -249,6 +250,21 @@
     g_assert_cmpuint(requests(f, 0), ==, 1);
 }
 
+/** Promise: a back end that says it is not the one that the list names is left alone until the list says better. */
+static void test_outdated_back_end_is_left_alone(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "m", false, false}, {"app", "", "o", true, false}}, 2);
+    expect(f, "/once/x", 200, "ok");
+    const tc_time_t now = tc_time_now();
+    const tc_time_t rest = fleet_find(f->fleet, "i-0")->avoid_until - now;
+    g_assert_cmpint(rest, >, 1000); /* the list is read once a second */
+    backend_t changed = fleet_find(f->fleet, "i-0")->listed;
+    codec_copy_string(changed.stage, sizeof(changed.stage), "decode");
+    fleet_list(f->fleet, &changed, 1, now);
+    g_assert_cmpint(fleet_find(f->fleet, "i-0")->avoid_until, <=, now);
+}
+
 static void test_refused_everywhere_is_503(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -457,6 +473,7 @@
     TEST("served", test_served);
     TEST("once-that-crashes-is-never-503", test_once_that_crashes_is_never_503);
     TEST("once-refused-goes-elsewhere", test_once_refused_goes_elsewhere);
+    TEST("outdated-back-end-is-left-alone", test_outdated_back_end_is_left_alone);
     TEST("refused-everywhere-is-503", test_refused_everywhere_is_503);
     TEST("unreachable-goes-elsewhere", test_unreachable_goes_elsewhere);
     TEST("safe-is-tried-again", test_safe_is_tried_again);
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -29,6 +29,8 @@
     reporter_t *reporter;
     entry_box_t self;
     uint64_t heard;
+    bool leaving; /* the back end that was told last is */
+    bool told;
 } fixture_t;
 
 static void clear_dir(const char *dir)
@@ -301,6 +303,14 @@
     f->heard = document->version;
 }
 
+static void on_backends(void *arg, const backend_t *list, uint32_t n)
+{
+    fixture_t *const f = arg;
+    g_assert_cmpuint(n, ==, 1);
+    f->told = true;
+    f->leaving = list[0].draining;
+}
+
 static bool heard_wanted(void *arg)
 {
     const fixture_t *const f = arg;
@@ -317,7 +327,7 @@
     codec_copy_string(f->self.peer_addr, sizeof(f->self.peer_addr), own);
     f->self.incarnation = 1;
     const reporter_options_t options = {.peer_listen = own, .controls = controls, .neighbours = nobody};
-    const reporter_events_t events = {.on_document = on_document, .arg = f};
+    const reporter_events_t events = {.on_document = on_document, .on_backends = on_backends, .arg = f};
     tc_err_t err = {0};
     f->reporter = reporter_create(f->loop, &f->self, &options, &events, &err);
     g_assert_nonnull(f->reporter);
@@ -379,6 +389,30 @@
     lab_run_until(f->loop, heard_wanted, f);
 }
 
+/** An engine that changes its role is told to all boxes as leaving, so that nobody gives it work. */
+static void test_moving_engine_is_told_as_leaving(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    replica_t *const r = f->replica[leader(f)];
+    backend_t engine = {.id = "e1", .service = "lm", .addr = "127.0.0.1:1", .stage = "prefill"};
+    replica_set_backends(r, &engine, 1, tc_time_now());
+    start_reporter(f, f->addr[leader(f)]);
+    lab_run_until_true(f->loop, &f->told);
+    g_assert_false(f->leaving);
+    const leaving_cfg_t moving = {.name = "e1"};
+    replica_set_moving(r, &moving, 1);
+    replica_set_backends(r, &engine, 1, tc_time_now());
+    lab_run_until_true(f->loop, &f->leaving);
+    replica_set_moving(r, NULL, 0);
+    replica_set_backends(r, &engine, 1, tc_time_now());
+    f->told = false;
+    lab_run_until_true(f->loop, &f->told);
+    g_assert_false(f->leaving);
+}
+
 /** Whether somebody has dialled @p fd's listener. */
 static bool was_dialled(int fd)
 {
@@ -430,6 +464,7 @@
     TEST("reporter-follows-the-leader", test_reporter_follows);
     TEST("told-before-a-leader", test_told_before_a_leader);
     TEST("seeds-that-are-no-members-are-told", test_seeds_that_are_no_members_are_told);
+    TEST("moving-engine-is-told-as-leaving", test_moving_engine_is_told_as_leaving);
     TEST("learning-waits-for-nobody", test_learning_waits_for_nobody);
     return g_test_run();
 }
