Streams that callers take up again go to the engine that keeps their prompt

Engines are asked since the scheduler may have died with the box.

Tests: three in test_forward, /platform/kept, /balance/short-of-memory.

--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -22,7 +22,17 @@
 
 /* ===== Types ===== */
 
-enum { DIALECT_ID_SIZE = 96 };
+enum {
+    DIALECT_ID_SIZE = 96,
+    DIALECT_PART_SIZE = 24, /* ids of parts are longer on no deployment seen; a longer one is not looked for */
+    DIALECT_PARTS_MAX = 8   /* parts behind these are not looked for */
+};
+
+/** One part of a prompt: engines that keep all parts up to it need not compute it again. */
+typedef struct {
+    char id[DIALECT_PART_SIZE];
+    unsigned tokens;
+} dialect_part_t;
 
 /** What placement and timing need to know of a request. */
 typedef struct {
@@ -32,6 +42,8 @@
     unsigned output_tokens; /**< most that may be generated, 0 when unknown */
     unsigned output_guess;  /**< the caller's guess of what will be, often far off; 0 when it made none */
     char resume_after[32];  /**< last event that the caller has of a stream it takes up again, or "" */
+    dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, in order */
+    unsigned parts_n;
 } dialect_request_t;
 
 /** What one back end is asked to do with a request. */
@@ -88,6 +100,14 @@
 /** The call by which an engine drops a result nobody will take. @return bytes for web_call */
 GByteArray *dialect_write_release(const char *addr, const char *handle);
 
+/* ===== Prompts that engines keep ===== */
+
+/** The call that asks an engine which parts of prompts it keeps. @return bytes for web_call */
+GByteArray *dialect_write_kept(const char *addr);
+
+/** How many tokens of a prompt, from its start, the engine keeps by its answer. 0 when it does not say. */
+unsigned dialect_read_kept(const char *body, size_t size, const dialect_request_t *facts);
+
 /* ===== Memory set aside ===== */
 
 /** The call by which an engine sets a place and memory for @p tokens aside for @p ttl ms. @return bytes for web_call */
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -206,6 +206,17 @@
     return true;
 }
 
+void fleet_each(const fleet_t *f, const char *service, stage_t stage, void (*fn)(void *arg, instance_t *instance),
+                void *arg)
+{
+    const fleet_wish_t wish = {.service = service, .stage = stage};
+    for (guint i = 0; i < f->instances->len; i++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (fits(instance, &wish))
+            fn(arg, instance);
+    }
+}
+
 /** Share of a back end's capacity that is in use, 0 for idle; more than 1 means that requests queue there. */
 static double load_of(const instance_t *instance)
 {
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -74,6 +74,9 @@
 
 /** The listed instance of that id, borrowed, or NULL. */
 instance_t *fleet_find(const fleet_t *fleet, const char *id);
+/** Run @p fn for every instance of the service and stage that is not leaving. */
+void fleet_each(const fleet_t *fleet, const char *service, stage_t stage, void (*fn)(void *arg, instance_t *instance),
+                void *arg);
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -56,6 +56,7 @@
     loop_disarm(&f->patience);
     place_end(f);
     hold_release(f);
+    locate_end(f);
     handle_release(f);
     f->owner->busy--;
     cds_list_del(&f->node);
@@ -182,6 +183,14 @@
         send_to(f, DIALECT_SERVE, forward_choose(f, STAGE_NONE));
         return;
     }
+    if (locate_ask(f))
+        return; /* goes on when the engines have answered */
+    if (f->locate.instance) {
+        instance_t *const keeper = f->locate.instance;
+        f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
+        send_to(f, DIALECT_SERVE, keeper);
+        return;
+    }
     if (place_ask(f))
         return; /* goes on when the scheduler has answered */
     if (place_is_alone(f) && !f->hold.instance && hold_ask(f))
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -26,6 +26,7 @@
     PLACE_WAIT_MS = 600,    /* from a request's arrival until it is refused for want of room: what is granted later is
                                late anyway. Measured: docs/design/results-platform.md */
     AGAIN_MS = 90,          /* between tries while no decode engine has room */
+    LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
     HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
     HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
     HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
@@ -73,6 +74,17 @@
     unsigned tries;
 } hold_t;
 
+typedef struct locate_call locate_call_t;
+
+/** The search for an engine that keeps the prompt of a stream that is taken up again. */
+typedef struct {
+    locate_call_t *calls; /* all questions, answered ones too */
+    unsigned waiting;     /* without an answer */
+    bool asked;
+    instance_t *instance; /* keeps most of it, or NULL */
+    unsigned tokens;      /* that it keeps */
+} locate_t;
+
 /** A prefill result that waits for a decode engine. */
 typedef struct {
     instance_t *instance; /* NULL: there is none */
@@ -99,6 +111,7 @@
     handle_t handle;
     placement_t placement;
     hold_t hold;
+    locate_t locate;
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
     unsigned arrivals;        /* sent to a back end, prefills beside */
@@ -157,6 +170,14 @@
 /** Nobody will use it: the engine is told. */
 void hold_release(forward_t *f);
 
+/* ===== forward_locate.c ===== */
+
+/** A stream is taken up again: ask the engines whether one keeps its prompt. @return false when there is nothing to
+ *  ask; else forward_go_on follows */
+bool locate_ask(forward_t *f);
+/** Drop the questions under way, and what was found. */
+void locate_end(forward_t *f);
+
 /* ===== forward_place.c ===== */
 
 /** Tokens of output that memory is reserved for. */
--- a/lib/roles/balance.c
+++ b/lib/roles/balance.c
@@ -7,6 +7,9 @@
 /** Part of the prefill pool that may be at work in a calm moment: bursts bring twice as much, and prompts that wait
  *  are answered late. What is above is better used as memory. Measured: docs/design/roles.md */
 static const double PREFILL_BUSY_MAX = 0.55;
+/** While memory is short, in a burst or after losses, the prefill pool may be as busy as this share of the decode pool:
+ *  what it could read faster would find no memory. */
+static const double DECODE_LEADS = 0.85;
 /** Above this part a prompt waits for longer than it is read: an engine comes back, if the decode pool can spare it. */
 static const double PREFILL_SHORT = 0.9;
 static const double DECODE_SPARE = 0.5;
@@ -23,8 +26,9 @@
     if (b->prefill_work + b->decode_work < WORK_MIN * (b->prefills + b->decodes))
         return b->prefills;
     if (b->prefills > PREFILLS_MIN) {
-        const double busy = b->prefill_work / (b->prefills - 1);
-        if (busy <= PREFILL_BUSY_MAX && b->decode_work / b->decodes >= busy)
+        const double left = b->prefill_work / (b->prefills - 1);
+        const double memory = b->decodes > 0 ? b->decode_work / b->decodes : 1;
+        if (left <= memory && (left <= PREFILL_BUSY_MAX || left <= DECODE_LEADS * memory))
             return b->prefills - 1;
     }
     if (b->decodes > DECODES_MIN && b->prefill_work > PREFILL_SHORT * b->prefills &&
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -43,6 +43,12 @@
     return (lab_reply_t){.bytes = g_strdup(bytes), .end = end};
 }
 
+static lab_reply_t say_json(const char *body)
+{
+    char *const bytes = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
+}
+
 static lab_reply_t answer(void *arg, const char *request)
 {
     plan_t *const plan = arg;
@@ -63,8 +69,11 @@
         return say("HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 5\r\n\r\nother"
                    "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok",
                    LAB_KEEP);
-    case 'p': return say("HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"prefill_handle\":\"handle1\"}", LAB_KEEP);
-    case 'H': return say("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"hold\":\"hold1\"}", LAB_KEEP);
+    case 'p': return say_json("{\"prefill_handle\":\"handle1\"}");
+    case 'k': /* keeps both parts of the prompt of resume() */
+        return say_json("{\"held\":[[\"\",\"b2\",90,\"m\"],[\"\",\"a1\",10,\"m\"]]}");
+    case 'l': /* keeps the shared part only */ return say_json("{\"held\":[[\"\",\"a1\",10,\"m\"]]}");
+    case 'H': return say_json("{\"hold\":\"hold1\"}");
     case 'S': /* a whole stream */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     case 'T': /* breaks in the middle of its second event */
@@ -187,17 +196,23 @@
     }
 }
 
-static lab_call_t *begin(fixture_t *f, const char *path)
+/** @param more header lines beside */
+static lab_call_t *begin_with(fixture_t *f, const char *path, const char *more)
 {
     avoid_spares(f);
     char *const text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\nDeadline-Ms: 8000\r\n"
-                                       "Token-Count: 100,50\r\nContent-Length: 4\r\n\r\nbody",
-                                       path);
+                                       "Token-Count: 100,50\r\n%sContent-Length: 4\r\n\r\nbody",
+                                       path, more);
     lab_call_t *const c = lab_call(f->callers, f->addr, text);
     g_free(text);
     return c;
 }
 
+static lab_call_t *begin(fixture_t *f, const char *path)
+{
+    return begin_with(f, path, "");
+}
+
 static lab_call_t *call(fixture_t *f, const char *path)
 {
     lab_call_t *const c = begin(f, path);
@@ -425,6 +440,53 @@
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
+/** A caller takes a stream up again at this box, which knows nothing of it. */
+static void resume(fixture_t *f)
+{
+    lab_call_t *const c = begin_with(f, "/again/x", "Last-Event-Id: 1\r\nPrompt-Prefix: a1:10,b2:90\r\n");
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, 200);
+    lab_call_free(c);
+}
+
+static void test_resumed_stream_goes_where_its_prompt_is_kept(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "lS", false, false},
+                                 {"lm", "decode", "kU", false, false}},
+              3);
+    resume(f);
+    g_assert_cmpuint(requests(f, 0), ==, 0); /* nothing is computed anew */
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, 2);
+    g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
+}
+
+static void test_resumed_stream_whose_prompt_is_gone(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"lm", "prefill", "p", false, false}, {"lm", "decode", "lU", false, false}}, 2);
+    resume(f);
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+    g_assert_cmpuint(requests(f, 1), ==, 2);
+}
+
+/** An engine that keeps the prompt and is full: the stream is placed like any other. */
+static void test_resumed_stream_whose_keeper_is_full(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "knk", false, false},
+                                 {"lm", "decode", "lU", false, false}},
+              3);
+    resume(f);
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, 2);
+}
+
 static void test_no_prefill_engine(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -488,6 +550,9 @@
     TEST("unused-prefill-is-released", test_unused_prefill_is_released);
     TEST("broken-stream-does-not-look-whole", test_broken_stream_does_not_look_whole);
     TEST("resumable-stream-goes-on-elsewhere", test_resumable_stream_goes_on_elsewhere);
+    TEST("resumed-stream-goes-where-its-prompt-is-kept", test_resumed_stream_goes_where_its_prompt_is_kept);
+    TEST("resumed-stream-whose-prompt-is-gone", test_resumed_stream_whose_prompt_is_gone);
+    TEST("resumed-stream-whose-keeper-is-full", test_resumed_stream_whose_keeper_is_full);
     TEST("no-prefill-engine", test_no_prefill_engine);
     TEST("memory-is-set-aside-first", test_memory_is_set_aside_first);
     TEST("no-room-reads-no-prompt", test_no_room_reads_no_prompt);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -266,6 +266,37 @@
     g_assert_cmpuint(addresses(boxes, 0, "a"), ==, 1);  /* nobody is known: this box */
 }
 
+/* ===== Prompts that engines keep ===== */
+
+static void read_parts(const char *value, dialect_request_t *facts)
+{
+    web_headers_t h;
+    web_headers_init(&h);
+    add(&h, "Prompt-Prefix", value);
+    const web_request_t request = {.method = "POST", .target = "/", .headers = &h};
+    dialect_read_request(&request, facts);
+    web_headers_free(&h);
+}
+
+static void test_kept(void)
+{
+    dialect_request_t facts;
+    read_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250", &facts);
+    g_assert_cmpuint(facts.parts_n, ==, 3);
+    g_assert_cmpstr(facts.parts[2].id, ==, "e4402b7d");
+    g_assert_cmpuint(facts.parts[2].tokens, ==, 250);
+    static const char all[] = "{\"held\":[[\"\",\"e4402b7d\",250,\"m\"],[\"\",\"5c1e07a2\",800,\"m\"],"
+                              "[\"\",\"91bd3f06\",410,\"m\"]]}";
+    static const char gap[] = "{\"held\":[[\"\",\"e4402b7d\",250,\"m\"],[\"\",\"5c1e07a2\",800,\"m\"]]}";
+    g_assert_cmpuint(dialect_read_kept(all, strlen(all), &facts), ==, 1460);
+    g_assert_cmpuint(dialect_read_kept(gap, strlen(gap), &facts), ==, 800); /* only up to the first that is missing */
+    g_assert_cmpuint(dialect_read_kept("{", 1, &facts), ==, 0);
+    read_parts("5c1e07a2,x:1", &facts);
+    g_assert_cmpuint(facts.parts_n, ==, 0);
+    read_parts("0123456789012345678901234567890123:5,a:7", &facts);
+    g_assert_cmpuint(facts.parts_n, ==, 0);
+}
+
 /* ===== Roles of engines ===== */
 
 static bool read_engine(const char *text, dialect_engine_t *engine)
@@ -316,6 +347,7 @@
     g_test_add_func("/platform/list-of-back-ends", test_list);
     g_test_add_func("/platform/prefill-handle", test_handle);
     g_test_add_func("/platform/directory", test_directory);
+    g_test_add_func("/platform/kept", test_kept);
     g_test_add_func("/platform/engine", test_engine);
     g_test_add_func("/platform/order", test_order);
     return g_test_run();
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -18,6 +18,14 @@
     g_assert_cmpuint(wanted(4, 14, 2.0, 7.0), ==, 4); /* 2.0 of 3 leaves nothing for a burst */
 }
 
+/** In a burst, or after losses, memory leads: prompts that are read sooner would find none. */
+static void test_short_of_memory(void)
+{
+    g_assert_cmpuint(wanted(6, 10, 3.5, 9.5), ==, 5);
+    g_assert_cmpuint(wanted(6, 10, 4.5, 9.5), ==, 6);
+    g_assert_cmpuint(wanted(3, 6, 2.2, 6.0), ==, 3);
+}
+
 static void test_memory_is_not_needed(void)
 {
     g_assert_cmpuint(wanted(6, 12, 2.0, 1.0), ==, 6); /* the decode pool is the idler one */
@@ -43,6 +51,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/balance/idle-engines-become-memory", test_idle_engines_become_memory);
+    g_test_add_func("/balance/short-of-memory", test_short_of_memory);
     g_test_add_func("/balance/memory-is-not-needed", test_memory_is_not_needed);
     g_test_add_func("/balance/pools-keep-what-a-loss-needs", test_pools_keep_what_a_loss_needs);
     g_test_add_func("/balance/short-of-prefill", test_short_of_prefill);
