A box that has just started lets requests wait until it knows where to send them

They wait up to 200 ms in the box's first second; a box without a document asks every 50 ms; readiness follows at once and not at the next look.

Tests: early-request-waits, early-caller-leaves.

--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -20,8 +20,8 @@
     AGAIN_MS = 100,  /* to the next control box, when one did not lead */
     LIMIT_MS = 450,  /* for one report: an answer in reach takes a few ms */
     ALONE_MS = 1000, /* without any control box for so long, other boxes are asked too */
-    LEARN_MS = 100,  /* between questions to all control boxes at once while no document is known: until then every
-                        request is refused */
+    LEARN_MS = 50,   /* between questions to all control boxes at once while no document is known: until then every
+                         request is refused */
     FAILED_MAX = 2   /* reports that a leader may leave unanswered before another box is asked */
 };
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -285,9 +285,8 @@
     return f;
 }
 
-void forwarder_handle(void *arg, web_exchange_t *exchange, const web_request_t *request)
+void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request)
 {
-    forwarder_t *const fw = arg;
     dialect_request_t facts;
     dialect_read_request(request, &facts);
     if (fw->closed) {
@@ -313,6 +312,13 @@
     forward_go_on(f);
 }
 
+void forwarder_handle(void *arg, web_exchange_t *exchange, const web_request_t *request)
+{
+    forwarder_t *const fw = arg;
+    if (!early_hold(fw, exchange, request))
+        forward_route(fw, exchange, request);
+}
+
 /* ===== Life ===== */
 
 forwarder_t *forwarder_create(loop_t *loop, fleet_t *fleet, web_client_t *client, const forwarder_options_t *options)
@@ -325,7 +331,9 @@
     fw->boxes = 1;
     fw->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fw->random = g_rand_new();
+    fw->created = tc_time_now();
     CDS_INIT_LIST_HEAD(&fw->requests);
+    CDS_INIT_LIST_HEAD(&fw->early);
     return fw;
 }
 
--- /dev/null
+++ b/lib/forward/forward_early.c
@@ -0,0 +1,79 @@
+/* Requests that come before the box knows where to send them: in its first second it learns the configuration and the
+ * back ends within some ten ms, so they wait for that instead of being refused. */
+
+#include <urcu/list.h>
+
+#include "common/counter.h"
+#include "forward/forward_internal.h"
+
+COUNTER_DEFINE(c_held, "counter", "trackcove_forward_early_total", "Requests that came before the box knew where to")
+
+/** One that waits. */
+typedef struct {
+    struct cds_list_head node;
+    forwarder_t *owner;
+    web_exchange_t *exchange;
+    web_request_t request;
+    loop_timer_t limit;
+} early_t;
+
+/** Take it off the list. */
+static void early_end(early_t *e)
+{
+    loop_disarm(&e->limit);
+    cds_list_del(&e->node);
+    e->owner->busy--;
+    g_free(e);
+}
+
+/** Have it handled: as any other by now, or refused. */
+static void handle(early_t *e)
+{
+    forwarder_t *const fw = e->owner;
+    web_exchange_t *const exchange = e->exchange;
+    const web_request_t request = e->request;
+    web_on_gone(exchange, NULL, NULL);
+    early_end(e);
+    forward_route(fw, exchange, &request);
+}
+
+static void on_limit(void *arg)
+{
+    handle(arg);
+}
+
+static void on_gone(void *arg)
+{
+    early_end(arg);
+}
+
+static bool knows_enough(const forwarder_t *fw)
+{
+    return fw->table && fleet_size(fw->fleet) > 0;
+}
+
+bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request)
+{
+    const tc_time_t now = tc_time_now();
+    if (knows_enough(fw) || now - fw->created > EARLY_LIFE_MS)
+        return false;
+    counter_add(&c_held, 1);
+    early_t *const e = g_new0(early_t, 1);
+    e->owner = fw;
+    e->exchange = exchange;
+    e->request = *request;
+    cds_list_add_tail(&e->node, &fw->early);
+    fw->busy++;
+    web_on_gone(exchange, on_gone, e);
+    loop_arm(fw->loop, &e->limit, now + EARLY_WAIT_MS, on_limit, e);
+    return true;
+}
+
+void forwarder_learnt(forwarder_t *fw)
+{
+    early_t *e, *next;
+    if (!knows_enough(fw))
+        return;
+    cds_list_for_each_entry_safe(e, next, &fw->early, node)
+        handle(e);
+}
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -27,6 +27,9 @@
                                late anyway. Measured: docs/design/results-platform.md */
     AGAIN_MS = 90,          /* between tries while no decode engine has room */
     LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
+    EARLY_LIFE_MS = 1000,   /* a box that has run for longer without learning where to send requests refuses them */
+    EARLY_WAIT_MS = 200,    /* they wait so long: boxes that are all started at once know after 100 ms or so; a refusal
+                               within a quarter of the aim of a stream is still an early one */
     HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
     HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
     HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
@@ -137,6 +140,8 @@
     unsigned busy;
     GRand *random;
     struct cds_list_head requests;
+    struct cds_list_head early; /* requests that wait until the box knows where to send them */
+    tc_time_t created;
 };
 
 /* ===== forward.c ===== */
@@ -156,6 +161,16 @@
 /** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
 
+/** Begin a request, by the configuration and the back ends that are known now. */
+void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
+
+/* ===== forward_early.c ===== */
+
+/** Have a request wait until the box knows where to send it. @return false when it need not, or is not to */
+bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
+
+/* ===== forward.c ===== */
+
 /** One of the back ends that fit, as a reference, or NULL. */
 instance_t *forward_choose(forward_t *f, stage_t stage);
 
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -360,6 +360,47 @@
     expect(f, "/once/x", 503, NULL);
 }
 
+/** Whether a request is under way. */
+static bool is_busy(void *arg)
+{
+    return forwarder_busy(((fixture_t *)arg)->forwarder) > 0;
+}
+
+static bool is_idle(void *arg)
+{
+    return !is_busy(arg);
+}
+
+/** A box that has just started learns where to send requests while they wait. */
+static void test_early_request_waits(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    forwarder_set_routes(f->forwarder, NULL);
+    lab_call_t *const c = begin(f, "/safe/x");
+    lab_run_until(f->loop, is_busy, f);
+    route_table_t *const table = read_config();
+    forwarder_set_routes(f->forwarder, table);
+    route_table_unref(table);
+    forwarder_learnt(f->forwarder); /* no back end is known yet: it waits on */
+    g_assert_false(c->done);
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    forwarder_learnt(f->forwarder);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, 200);
+    lab_call_free(c);
+}
+
+static void test_early_caller_leaves(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    forwarder_set_routes(f->forwarder, NULL);
+    lab_call_t *const c = begin(f, "/safe/x");
+    lab_run_until(f->loop, is_busy, f);
+    web_call_cancel(c->call);
+    lab_run_until(f->loop, is_idle, f);
+    lab_call_free(c);
+}
+
 static void test_closed_ends_what_it_began(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -544,6 +585,8 @@
     TEST("timeout-is-answered", test_timeout_is_answered);
     TEST("caller-leaves", test_caller_leaves);
     TEST("without-configuration", test_without_configuration);
+    TEST("early-request-waits", test_early_request_waits);
+    TEST("early-caller-leaves", test_early_caller_leaves);
     TEST("closed-ends-what-it-began", test_closed_ends_what_it_began);
     TEST("prefill-then-decode", test_prefill_then_decode);
     TEST("refused-decode-keeps-the-prefill", test_refused_decode_keeps_the_prefill);
