Half of the engines' retry budget is handed out by the leader; what engines keep is asked once for several callers

A box asks the leader when its own half is used up; the leader counts first questions for placements and hands out its half exactly. What an engine told is used for 1.5 s. Test: /cluster/leader-hands-out-its-part (5 of 10 at most).

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -7,6 +7,7 @@
 #include "cluster/list.h"
 #include "common/counter.h"
 #include "common/log.h"
+#include "common/retry_budget.h"
 #include "sched/sched.h"
 
 COUNTER_DEFINE(c_granted, "counter", "trackcove_placing_granted_total", "Placements granted by the scheduler")
@@ -40,6 +41,8 @@
     uint32_t backends_n;
     leaving_cfg_t *moving; /* engines that are changing their role */
     uint32_t moving_n;
+    retry_rules_t retries; /* for what is handed out here */
+    GHashTable *budgets;   /* service to retry_budget_t, since this box leads */
 };
 
 /* ===== Configuration ===== */
@@ -215,10 +218,41 @@
     peer_reply(p->net, call, MSG_RENEW_ACK, &ack);
 }
 
+/* ===== Retry budget ===== */
+
+static retry_budget_t *budget_of(placing_t *p, const char *service, tc_time_t now)
+{
+    retry_budget_t *budget = g_hash_table_lookup(p->budgets, service);
+    if (!budget) {
+        budget = g_new0(retry_budget_t, 1);
+        retry_budget_init(budget, now); /* an older leader may have handed out all of it */
+        g_hash_table_insert(p->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
+
+static void on_retry(placing_t *p, peer_call_t call, const msg_retry_t *retry, tc_time_t now)
+{
+    const msg_retry_ack_t ack = {.granted = retry_budget_spend(budget_of(p, retry->service, now), &p->retries, 1, now)};
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "retry_lent");
+    log_str(&line, "request", retry->id);
+    log_int(&line, "granted", ack.granted);
+    log_end(&line);
+    peer_reply(p->net, call, MSG_RETRY_ACK, &ack);
+}
+
+static void on_place(placing_t *p, sched_token_t token, const msg_place_t *place, tc_time_t now)
+{
+    if (!place->again)
+        retry_budget_earn(budget_of(p, place->model, now), &p->retries, now);
+    sched_place(p->sched, place, token, now);
+}
+
 bool placing_receive(placing_t *p, peer_call_t call, uint32_t type, const void *message, tc_time_t now)
 {
     const sched_token_t token = {.a = call.connection, .b = call.call};
-    if (type != MSG_PLACE && type != MSG_REPLAN && type != MSG_PROGRESS && type != MSG_RENEW)
+    if (type != MSG_PLACE && type != MSG_REPLAN && type != MSG_PROGRESS && type != MSG_RENEW && type != MSG_RETRY)
         return false;
     if (!p->sched) {
         tc_err_t err = {0};
@@ -227,7 +261,8 @@
         return true;
     }
     switch (type) {
-    case MSG_PLACE: sched_place(p->sched, message, token, now); break;
+    case MSG_PLACE: on_place(p, token, message, now); break;
+    case MSG_RETRY: on_retry(p, call, message, now); break;
     case MSG_REPLAN: sched_replan(p->sched, message, token, now); break;
     case MSG_PROGRESS: sched_progress(p->sched, message, now); break;
     default: on_renew(p, call, message, now); break;
@@ -243,6 +278,7 @@
     if (p->sched && term != p->term) {
         sched_destroy(p->sched); /* whoever waits asks the next leader, or places by itself */
         p->sched = NULL;
+        g_hash_table_remove_all(p->budgets);
     }
     if (!p->sched && term != 0) {
         const sched_options_t options = {.cell = CELL,
@@ -261,10 +297,14 @@
     pump(p, now);
 }
 
-placing_t *placing_create(peer_net_t *net)
+placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries)
 {
     placing_t *const p = g_new0(placing_t, 1);
     p->net = net;
+    p->retries = *retries;
+    p->retries.ratio *= 1 - RETRY_BOXES_PART;
+    p->retries.allowance *= 1 - RETRY_BOXES_PART;
+    p->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return p;
 }
 
@@ -272,6 +312,7 @@
 {
     if (p->sched)
         sched_destroy(p->sched);
+    g_hash_table_destroy(p->budgets);
     free(p->services);
     free(p->backends);
     free(p->moving);
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -12,6 +12,7 @@
 
 /* ===== Dependencies ===== */
 
+#include "common/retry_budget.h"
 #include "gen/schema.h"
 #include "peer/peer.h"
 
@@ -29,8 +30,8 @@
 
 /* ===== Public functions ===== */
 
-/** @param net borrowed; answers go out through it */
-placing_t *placing_create(peer_net_t *net);
+/** @param net borrowed; answers go out through it @param retries what settings allow all boxes together */
+placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries);
 /** Whoever waits for an answer gets none. */
 void placing_destroy(placing_t *placing);
 
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -363,7 +363,7 @@
         replica_destroy(r);
         return NULL;
     }
-    r->placing = placing_create(r->net);
+    r->placing = placing_create(r->net, &options->retries);
     log_cluster(r, "started");
     if (r->document.version > 0)
         note_version(r);
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -30,6 +30,7 @@
     uint32_t voters_wanted;   /**< enough to bear the losses that the deployment is to bear */
     bool found;               /**< first start of the whole system */
     const char *const *seeds; /**< peer addresses, NULL at the end */
+    retry_rules_t retries;    /**< what settings allow all boxes together */
     /** A newer document was accepted, or one was there at the start; may be NULL. */
     void (*on_document)(void *arg, replica_t *replica, const document_t *document);
     void *arg;
--- a/lib/forward/retry_budget.c
+++ b/lib/common/retry_budget.c
@@ -1,4 +1,4 @@
-#include "forward/retry_budget.h"
+#include "common/retry_budget.h"
 
 #include <string.h>
 
--- a/lib/forward/retry_budget.h
+++ b/lib/common/retry_budget.h
@@ -6,8 +6,8 @@
  * nothing, so it starts with its part of the allowance spent: others, or its
  * former life, may have spent it.
  */
-#ifndef TRACKCOVE_FORWARD_RETRY_BUDGET_H
-#define TRACKCOVE_FORWARD_RETRY_BUDGET_H
+#ifndef TRACKCOVE_COMMON_RETRY_BUDGET_H
+#define TRACKCOVE_COMMON_RETRY_BUDGET_H
 
 /* ===== Dependencies ===== */
 
@@ -19,6 +19,11 @@
 
 enum { RETRY_SLICES = 10 };
 
+/** Of the budget of a service whose requests the scheduler places, the boxes have this part among themselves; the rest
+ *  is handed out by the leader to whoever needs it. Failures come unevenly: with 92 boxes the whole, divided, was used
+ *  up at some while most of it lay idle (126 prompts read for nothing on one day). */
+#define RETRY_BOXES_PART 0.5
+
 /** What settings allow. */
 typedef struct {
     double ratio;     /**< extra arrivals a request */
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -34,8 +34,11 @@
 
 void instance_unref(instance_t *instance)
 {
-    if (--instance->refs == 0)
-        g_free(instance);
+    if (--instance->refs > 0)
+        return;
+    if (instance->kept)
+        g_byte_array_unref(instance->kept);
+    g_free(instance);
 }
 
 static void drop(void *instance)
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -34,6 +34,8 @@
     uint64_t other_tokens;
     unsigned failures;     /**< in a row */
     tc_time_t avoid_until; /**< not chosen before, unless there is no other */
+    GByteArray *kept;      /**< what it last said of the prompts it keeps, or NULL; the adapter's to read */
+    tc_time_t kept_at;
     unsigned refs;
 } instance_t;
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -54,6 +54,7 @@
     assert(!f->step); /* a call under way would report to freed memory */
     loop_disarm(&f->limit);
     loop_disarm(&f->patience);
+    retry_end(f);
     place_end(f);
     hold_release(f);
     locate_end(f);
@@ -125,23 +126,6 @@
 
 /* ===== Deciding ===== */
 
-static retry_budget_t *budget_of(forwarder_t *fw, const char *service)
-{
-    retry_budget_t *budget = g_hash_table_lookup(fw->budgets, service);
-    if (!budget) {
-        budget = g_new0(retry_budget_t, 1);
-        retry_budget_init(budget, tc_time_now());
-        g_hash_table_insert(fw->budgets, g_strdup(service), budget);
-    }
-    return budget;
-}
-
-bool forward_may_retry(forward_t *f)
-{
-    forwarder_t *const fw = f->owner;
-    return retry_budget_spend(budget_of(fw, f->service), &fw->options.retries, fw->boxes, tc_time_now());
-}
-
 instance_t *forward_choose(forward_t *f, stage_t stage)
 {
     const fleet_wish_t wish = {.service = f->service,
@@ -306,7 +290,7 @@
     }
     forward_t *const f = forward_create(fw, exchange, request, &facts, route);
     log_routed(f);
-    retry_budget_earn(budget_of(fw, f->service), &fw->options.retries, tc_time_now());
+    retry_earn(f);
     web_on_gone(exchange, on_caller_gone, f);
     loop_arm(fw->loop, &f->limit, f->deadline, on_limit, f);
     forward_go_on(f);
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -14,8 +14,8 @@
 /* ===== Dependencies ===== */
 
 #include "cluster/reporter.h"
+#include "common/retry_budget.h"
 #include "forward/fleet.h"
-#include "forward/retry_budget.h"
 #include "forward/route.h"
 #include "web/web_client.h"
 #include "web/web_server.h"
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -26,6 +26,8 @@
     PLACE_WAIT_MS = 600,    /* from a request's arrival until it is refused for want of room: what is granted later is
                                late anyway. Measured: docs/design/results-platform.md */
     AGAIN_MS = 90,          /* between tries while no decode engine has room */
+    LOCATE_FRESH_MS = 1500, /* callers of a box that died come at once: what an engine told one of them holds for the
+                               others. Prompts give way to newer ones only after some seconds */
     LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
     EARLY_LIFE_MS = 1000,   /* a box that has run for longer without learning where to send requests refuses them */
     EARLY_WAIT_MS = 200,    /* they wait so long: boxes that are all started at once know after 100 ms or so; a refusal
@@ -61,6 +63,7 @@
     struct placing_call *asking; /* the question under way, or NULL */
     bool asked;                  /* the scheduler was asked, or there was none to ask */
     bool solo;                   /* the decode engine is to read the prompt itself */
+    unsigned questions;          /* that were put to it */
     uint32_t attempt;            /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
     char decode[CODEC_STR_SIZE];
@@ -78,6 +81,7 @@
 } hold_t;
 
 typedef struct locate_call locate_call_t;
+typedef struct retry_call retry_call_t;
 
 /** The search for an engine that keeps the prompt of a stream that is taken up again. */
 typedef struct {
@@ -114,6 +118,8 @@
     handle_t handle;
     placement_t placement;
     hold_t hold;
+    retry_call_t *retrying;   /* the question for one more arrival, or NULL */
+    char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last */
     locate_t locate;
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
@@ -156,8 +162,6 @@
 void forward_fail_full(forward_t *f, const char *why);
 /** The answer is complete: ends the request. */
 void forward_done(forward_t *f, int status, const char *why);
-/** Whether one more arrival at a back end is allowed; takes it from the budget. */
-bool forward_may_retry(forward_t *f);
 /** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
 
@@ -174,6 +178,18 @@
 /** One of the back ends that fit, as a reference, or NULL. */
 instance_t *forward_choose(forward_t *f, stage_t stage);
 
+/* ===== forward_retry.c ===== */
+
+/** A request came in, by which the budget grows. */
+void retry_earn(forward_t *f);
+/** Whether one more arrival at a back end is allowed by this box's part of the budget; takes it. */
+bool forward_may_retry(forward_t *f);
+/** Run @p then, at once or later, when one more arrival is allowed by this box's part or the leader's; else the
+ *  request fails. */
+void retry_then(forward_t *f, void (*then)(forward_t *f));
+/** The request ends. */
+void retry_end(forward_t *f);
+
 /* ===== forward_hold.c ===== */
 
 /** Ask a decode engine to set memory aside. @return false when none is left to ask; else forward_go_on follows */
--- a/lib/forward/forward_locate.c
+++ b/lib/forward/forward_locate.c
@@ -27,7 +27,7 @@
 {
     web_ask_cancel(&c->ask);
     instance_unref(c->instance);
-    g_byte_array_free(c->ask.body, TRUE);
+    g_byte_array_unref(c->ask.body);
     g_free(c);
 }
 
@@ -44,8 +44,8 @@
     f->locate.instance = NULL;
 }
 
-/** All have answered, or are late. */
-static void decide(forward_t *f)
+/** Keep what was found, if it is worth it. */
+static void settle(forward_t *f)
 {
     const bool found = f->locate.instance && f->locate.tokens >= KEPT_MIN * f->facts.prompt_tokens;
     counter_add(&c_looked, 1);
@@ -56,29 +56,50 @@
         instance_unref(f->locate.instance);
         f->locate.instance = NULL;
     }
-    forward_go_on(f);
+}
+
+static void remember(instance_t *instance, GByteArray *answer)
+{
+    if (instance->kept)
+        g_byte_array_unref(instance->kept);
+    instance->kept = g_byte_array_ref(answer);
+    instance->kept_at = tc_time_now();
+}
+
+/** Take the instance when it keeps more of the prompt than the best so far, by what it told last. */
+static void compare(forward_t *f, instance_t *instance)
+{
+    const unsigned tokens = dialect_read_kept((const char *)instance->kept->data, instance->kept->len, &f->facts);
+    if (tokens <= f->locate.tokens)
+        return;
+    if (f->locate.instance)
+        instance_unref(f->locate.instance);
+    f->locate.instance = instance_ref(instance);
+    f->locate.tokens = tokens;
 }
 
 static void on_answer(void *arg, web_ask_end_t how)
 {
     locate_call_t *const c = arg;
     forward_t *const f = c->request;
-    const bool told = how == WEB_ASK_WHOLE && c->ask.status == 200;
-    const unsigned tokens = told ? dialect_read_kept((const char *)c->ask.body->data, c->ask.body->len, &f->facts) : 0;
-    if (tokens > f->locate.tokens) {
-        if (f->locate.instance)
-            instance_unref(f->locate.instance);
-        f->locate.instance = instance_ref(c->instance);
-        f->locate.tokens = tokens;
+    if (how == WEB_ASK_WHOLE && c->ask.status == 200) {
+        remember(c->instance, c->ask.body);
+        compare(f, c->instance);
     }
     assert(f->locate.waiting > 0); /* counted when it was asked */
-    if (--f->locate.waiting == 0)
-        decide(f);
+    if (--f->locate.waiting > 0)
+        return; /* all answer, or are late */
+    settle(f);
+    forward_go_on(f);
 }
 
 static void ask(void *arg, instance_t *instance)
 {
     forward_t *const f = arg;
+    if (instance->kept && tc_time_now() - instance->kept_at < LOCATE_FRESH_MS) {
+        compare(f, instance);
+        return;
+    }
     locate_call_t *const c = g_new0(locate_call_t, 1);
     c->request = f;
     c->instance = instance_ref(instance);
@@ -101,5 +122,8 @@
         return false;
     f->locate.asked = true;
     fleet_each(f->owner->fleet, f->service, STAGE_DECODE, ask, f);
-    return f->locate.waiting > 0;
+    if (f->locate.waiting > 0)
+        return true;
+    settle(f);
+    return false;
 }
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -141,7 +141,8 @@
                          .priority = f->route->priority,
                          .wait_ms = wait > 1 ? (uint32_t)wait : 1,
                          .waited_ms = (uint32_t)(now - f->request.arrived),
-                         .repeatable = route_is_repeatable(f->route)};
+                         .repeatable = route_is_repeatable(f->route),
+                         .again = f->placement.questions++ > 0};
     codec_copy_string(place.cell, sizeof(place.cell), CELL);
     codec_copy_string(place.id, sizeof(place.id), f->facts.id);
     codec_copy_string(place.box, sizeof(place.box), fw->options.box);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -105,6 +105,14 @@
 
 /* ===== Outcomes ===== */
 
+/** To another engine, the scheduler's choice if it chose the last one. */
+static void go_elsewhere(forward_t *f)
+{
+    if (f->bad[0] && place_ask_again(f, f->bad))
+        return;
+    forward_go_on(f);
+}
+
 /** The request did not arrive, or was turned away: another back end may take it. */
 static void not_run(step_t *s, const char *why, bool refused)
 {
@@ -123,16 +131,12 @@
         place_tell(f, PHASE_PREFILL, s->instance); /* the scheduler leaves it alone for a moment */
     if (ask == DIALECT_DECODE && refused && f->handle.instance && now >= f->handle.until)
         handle_forget(f);
-    char bad[CODEC_STR_SIZE];
-    codec_copy_string(bad, sizeof(bad), s->instance->listed.id);
+    codec_copy_string(f->bad, sizeof(f->bad), ask == DIALECT_DECODE ? s->instance->listed.id : "");
     step_free(s);
-    if (refused && !forward_may_retry(f)) {
-        forward_fail(f, "retry budget is used up");
-        return;
-    }
-    if (ask == DIALECT_DECODE && place_ask_again(f, bad))
-        return;
-    forward_go_on(f);
+    if (refused)
+        retry_then(f, go_elsewhere);
+    else
+        go_elsewhere(f);
 }
 
 /** The back end may have run the request and its answer is lost. */
@@ -148,10 +152,7 @@
         handle_forget(f); /* taken, or about to lapse */
     step_free(s);
     if (ask == DIALECT_PREFILL) {
-        if (forward_may_retry(f))
-            forward_go_on(f);
-        else
-            forward_fail(f, "retry budget is used up");
+        retry_then(f, forward_go_on);
         return;
     }
     const bool again = may_run_again(f) && forward_may_retry(f);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -436,6 +436,7 @@
     {.name = "avoid", .offset = offsetof(msg_place_t, avoid), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "repeatable", .offset = offsetof(msg_place_t, repeatable), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "content", .offset = offsetof(msg_place_t, content), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "again", .offset = offsetof(msg_place_t, again), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "waited_ms", .offset = offsetof(msg_place_t, waited_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
 };
 const codec_desc_t msg_place_desc = {.name = "place", .size = sizeof(msg_place_t), .fields = msg_place_fields, .n_fields = sizeof(msg_place_fields) / sizeof(msg_place_fields[0])};
@@ -603,6 +604,18 @@
 };
 const codec_desc_t msg_snapshot_ack_desc = {.name = "snapshot_ack", .size = sizeof(msg_snapshot_ack_t), .fields = msg_snapshot_ack_fields, .n_fields = sizeof(msg_snapshot_ack_fields) / sizeof(msg_snapshot_ack_fields[0])};
 
+static const codec_field_t msg_retry_fields[] = {
+    {.name = "cell", .offset = offsetof(msg_retry_t, cell), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "id", .offset = offsetof(msg_retry_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "service", .offset = offsetof(msg_retry_t, service), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t msg_retry_desc = {.name = "retry", .size = sizeof(msg_retry_t), .fields = msg_retry_fields, .n_fields = sizeof(msg_retry_fields) / sizeof(msg_retry_fields[0])};
+
+static const codec_field_t msg_retry_ack_fields[] = {
+    {.name = "granted", .offset = offsetof(msg_retry_ack_t, granted), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+};
+const codec_desc_t msg_retry_ack_desc = {.name = "retry_ack", .size = sizeof(msg_retry_ack_t), .fields = msg_retry_ack_fields, .n_fields = sizeof(msg_retry_ack_fields) / sizeof(msg_retry_ack_fields[0])};
+
 const codec_desc_t *msg_desc(uint32_t type)
 {
     static const codec_desc_t *const table[MSG_COUNT] = {
@@ -632,6 +645,8 @@
         [MSG_APPEND_ACK] = &msg_append_ack_desc,
         [MSG_SNAPSHOT] = &msg_snapshot_desc,
         [MSG_SNAPSHOT_ACK] = &msg_snapshot_ack_desc,
+        [MSG_RETRY] = &msg_retry_desc,
+        [MSG_RETRY_ACK] = &msg_retry_ack_desc,
     };
     return type < MSG_COUNT ? table[type] : NULL;
 }
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -564,6 +564,7 @@
     char avoid[CODEC_STR_SIZE]; /**< an engine that just failed this request */
     bool repeatable;
     uint64_t content; /**< hash over workspace, model, length and prompt: an id belongs to one request */
+    bool again; /**< asked before, and not answered yet */
     uint32_t waited_ms; /**< since the request came to the entry box */
 } msg_place_t;
 extern const codec_desc_t msg_place_desc;
@@ -757,6 +758,20 @@
 } msg_snapshot_ack_t;
 extern const codec_desc_t msg_snapshot_ack_desc;
 
+/** A request needs one more arrival at a back end than this box's part of the retry budget allows. */
+typedef struct {
+    char cell[CODEC_STR_SIZE];
+    char id[CODEC_STR_SIZE];
+    char service[CODEC_STR_SIZE];
+} msg_retry_t;
+extern const codec_desc_t msg_retry_desc;
+
+/** Whether it is allowed by the part that the leader hands out. */
+typedef struct {
+    bool granted;
+} msg_retry_ack_t;
+extern const codec_desc_t msg_retry_ack_desc;
+
 /** Message types, as the first element of a frame. */
 typedef enum {
     MSG_NONE = 0,
@@ -786,6 +801,8 @@
     MSG_APPEND_ACK,
     MSG_SNAPSHOT,
     MSG_SNAPSHOT_ACK,
+    MSG_RETRY,
+    MSG_RETRY_ACK,
     MSG_COUNT
 } msg_type_t;
 /** Descriptor of a message type, NULL for an unknown one. */
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -31,6 +31,7 @@
     uint64_t heard;
     bool leaving; /* the back end that was told last is */
     bool told;
+    unsigned lent, answered; /* questions for one more arrival that were granted, and all */
 } fixture_t;
 
 static void clear_dir(const char *dir)
@@ -51,7 +52,8 @@
                                        .data_dir = f->dir[i],
                                        .voters_wanted = 3,
                                        .found = found,
-                                       .seeds = f->seeds};
+                                       .seeds = f->seeds,
+                                       .retries = {.ratio = 1, .allowance = 0, .window = 600000}};
     tc_err_t err = {0};
     f->replica[i] = replica_create(f->loop, &options, &err);
     g_assert_nonnull(f->replica[i]);
@@ -413,6 +415,73 @@
     g_assert_false(f->leaving);
 }
 
+/** The scheduler begins a moment after its box leads: whether it has. */
+static void on_probe(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    fixture_t *const f = arg;
+    (void)type, (void)message, (void)err;
+    f->answered = 1;
+    f->told = rc == TC_OK;
+}
+
+static bool one_answered(void *arg)
+{
+    return ((fixture_t *)arg)->answered == 1;
+}
+
+static void on_retry(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    fixture_t *const f = arg;
+    (void)err;
+    g_assert_cmpint(rc, ==, TC_OK);
+    g_assert_cmpuint(type, ==, MSG_RETRY_ACK);
+    f->answered++;
+    f->lent += ((const msg_retry_ack_t *)message)->granted;
+}
+
+static void ignore_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)arg, (void)rc, (void)type, (void)message, (void)err; /* there are no engines */
+}
+
+static bool all_answered(void *arg)
+{
+    return ((fixture_t *)arg)->answered == 10;
+}
+
+/** Promise: what the leader hands out stays below its part of the budget, however often a box asks. */
+static void test_leader_hands_out_its_part(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    start_reporter(f, f->addr[leader(f)]);
+    f->want = 4;
+    lab_run_until(f->loop, heard_wanted, f);
+    const msg_retry_t retry = {.service = "lm"};
+    while (!f->told) {
+        f->answered = 0;
+        if (reporter_call_leader(f->reporter, MSG_RETRY, &retry, 5000, on_probe, f))
+            lab_run_until(f->loop, one_answered, f);
+        else
+            lab_run_for(f->loop, 10);
+    }
+    f->answered = 0;
+    msg_place_t place = {.model = "lm", .box = "entry", .prompt_tokens = 10, .wait_ms = 10};
+    for (int i = 0; i < 20; i++) { /* ten requests, each asked for twice */
+        g_snprintf(place.id, sizeof(place.id), "r%d", i / 2);
+        place.again = i % 2;
+        while (!reporter_call_leader(f->reporter, MSG_PLACE, &place, 5000, ignore_placed, f))
+            lab_run_for(f->loop, 10);
+    }
+    for (int i = 0; i < 10; i++)
+        g_assert_true(reporter_call_leader(f->reporter, MSG_RETRY, &retry, 5000, on_retry, f));
+    lab_run_until(f->loop, all_answered, f);
+    g_assert_cmpuint(f->lent, >=, 2);
+    g_assert_cmpuint(f->lent, <=, 5); /* half of one for each request */
+}
+
 /** Whether somebody has dialled @p fd's listener. */
 static bool was_dialled(int fd)
 {
@@ -465,6 +534,7 @@
     TEST("told-before-a-leader", test_told_before_a_leader);
     TEST("seeds-that-are-no-members-are-told", test_seeds_that_are_no_members_are_told);
     TEST("moving-engine-is-told-as-leaving", test_moving_engine_is_told_as_leaving);
+    TEST("leader-hands-out-its-part", test_leader_hands_out_its_part);
     TEST("learning-waits-for-nobody", test_learning_waits_for_nobody);
     return g_test_run();
 }
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -7,7 +7,7 @@
 #include "cluster/document.h"
 #include "cluster/roster.h"
 #include "forward/fleet.h"
-#include "forward/retry_budget.h"
+#include "common/retry_budget.h"
 #include "forward/route.h"
 
 /* ===== Routes ===== */
