An engine whose answer was lost is asked once more before another

It counts as one back end of max_attempts; a stream given up for its silence still goes elsewhere. The test of a resumable stream had a fake engine that began from its first event whatever it was asked for; it now breaks twice, and a new test holds that an engine that goes on is not left.

Tests: resumable-stream-goes-on-where-it-was, lost-prefill-is-asked-for-again.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -172,6 +172,7 @@
     if (f->locate.instance) {
         instance_t *const keeper = f->locate.instance;
         f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
+        f->asked_again = f->repeated && f->runs > 0;
         send_to(f, DIALECT_SERVE, keeper);
         return;
     }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -51,6 +51,7 @@
     uint64_t tokens; /* counted at the instance */
     web_call_t *call;
     bool head_seen;
+    bool hung; /* given up for its silence */
     int status;
     dialect_reply_t reply;
     GString *head;
@@ -118,13 +119,16 @@
     handle_t handle;
     placement_t placement;
     hold_t hold;
+    bool asked_again;         /* the call under way is to an engine that may have run it before */
+    bool repeated;            /* an engine whose answer was lost was asked once more */
     retry_call_t *retrying;   /* the question for one more arrival, or NULL */
     char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last */
     locate_t locate;
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
     unsigned arrivals;        /* sent to a back end, prefills beside */
-    unsigned runs;            /* back ends that may have run it */
+    unsigned runs;            /* times that a back end may have run it */
+    unsigned backends;        /* that may have: one that was asked twice counts once */
     bool begun;               /* the answer's head has left */
     GByteArray *partial;      /* bytes of an event that is not whole yet */
     char last_event[32];      /* newest event passed on, or the one that the caller has */
@@ -206,6 +210,8 @@
 /** A stream is taken up again: ask the engines whether one keeps its prompt. @return false when there is nothing to
  *  ask; else forward_go_on follows */
 bool locate_ask(forward_t *f);
+/** The engine that carried the answer so far is taken for the one that keeps the prompt. */
+void locate_take(forward_t *f, instance_t *instance);
 /** Drop the questions under way, and what was found. */
 void locate_end(forward_t *f);
 
--- a/lib/forward/forward_locate.c
+++ b/lib/forward/forward_locate.c
@@ -116,6 +116,13 @@
     web_ask(&c->ask, &where, dialect_write_kept(addr), on_answer, c);
 }
 
+void locate_take(forward_t *f, instance_t *instance)
+{
+    locate_end(f);
+    f->locate.asked = true;
+    f->locate.instance = instance_ref(instance);
+}
+
 bool locate_ask(forward_t *f)
 {
     if (f->locate.asked || !f->facts.resume_after[0] || f->facts.parts_n == 0)
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -94,7 +94,15 @@
 /** Whether the request may run on one more back end when it may have run on this one. */
 static bool may_run_again(const forward_t *f)
 {
-    return route_is_repeatable(f->route) && f->runs + 1 < f->route->max_attempts;
+    return route_is_repeatable(f->route) && f->backends + !f->asked_again < f->route->max_attempts;
+}
+
+/** The back end that was asked last may have run the request. */
+static void count_run(forward_t *f)
+{
+    f->runs++;
+    f->backends += !f->asked_again;
+    f->asked_again = false;
 }
 
 static void mark_tried(const step_t *s)
@@ -120,6 +128,7 @@
     const dialect_ask_t ask = s->ask;
     const tc_time_t now = tc_time_now();
     forward_log(f, "not_run", why, s->status, s->instance);
+    f->asked_again = false;
     if (s->reply.other)
         instance_outdated(s->instance, now);
     else if (refused)
@@ -139,6 +148,22 @@
         go_elsewhere(f);
 }
 
+/** An engine whose answer was lost has the prompt still, unless it died with it: it is asked once more, which computes
+ *  nothing anew; when it is gone the connection fails at once and another engine is asked. */
+static void ask_same_engine(step_t *s)
+{
+    forward_t *const f = s->request;
+    if (!f->split || f->repeated || s->instance->failures > 1 || s->hung) {
+        mark_tried(s);
+        return;
+    }
+    f->repeated = true;
+    if (s->ask == DIALECT_PREFILL)
+        codec_copy_string(f->placement.prefill, sizeof(f->placement.prefill), s->instance->listed.id);
+    else
+        locate_take(f, s->instance);
+}
+
 /** The back end may have run the request and its answer is lost. */
 static void maybe_run(step_t *s, const char *why)
 {
@@ -147,7 +172,7 @@
     counter_add(&c_broken, 1);
     forward_log(f, "answer_lost", why, s->status, s->instance);
     instance_failed(s->instance, tc_time_now());
-    mark_tried(s);
+    ask_same_engine(s);
     if (ask == DIALECT_DECODE && f->handle.instance)
         handle_forget(f); /* taken, or about to lapse */
     step_free(s);
@@ -156,7 +181,7 @@
         return;
     }
     const bool again = may_run_again(f) && forward_may_retry(f);
-    f->runs++;
+    count_run(f);
     if (again)
         forward_go_on(f);
     else
@@ -212,7 +237,7 @@
     if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !forward_may_retry(f))
         return false;
     forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
-    f->runs++;
+    count_run(f);
     mark_tried(s);
     if (f->handle.instance)
         handle_forget(f);
@@ -256,6 +281,7 @@
     step_t *const s = f->step;
     assert(s); /* disarmed with the step */
     web_call_cancel(s->call);
+    s->hung = s->ask != DIALECT_PREFILL; /* a stream that has stopped: the engine would stand still again */
     maybe_run(s, s->ask == DIALECT_PREFILL ? "prefill engine is silent" : "stream is silent");
 }
 
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -474,13 +474,42 @@
     (void)data;
     start_all(f,
               (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "T", false, false},
+                                 {"lm", "decode", "Tr", false, false},
                                  {"lm", "decode", "U", true, false}},
               3);
     expect(f, "/again/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"); /* each event once */
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
+/** The engine that carried the answer has the prompt still: it is asked first, and counts as one back end. */
+static void test_resumable_stream_goes_on_where_it_was(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "TU", false, false},
+                                 {"lm", "decode", "U", true, false}},
+              3);
+    expect(f, "/again/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    g_assert_cmpuint(requests(f, 0), ==, 1); /* nothing is computed anew */
+    g_assert_cmpuint(requests(f, 2), ==, 0);
+    g_assert_nonnull(strstr(f->plan[1].seen->str, "Last-Event-Id: 1\r\n"));
+}
+
+/** A prefill whose answer was lost is asked for where the prompt is computed already. */
+static void test_lost_prefill_is_asked_for_again(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "rp", false, false},
+                                 {"lm", "prefill", "p", true, false},
+                                 {"lm", "decode", "S", false, false}},
+              3);
+    expect(f, "/lm/x", 200, NULL);
+    g_assert_cmpuint(requests(f, 0), ==, 2);
+    g_assert_cmpuint(requests(f, 1), ==, 0);
+}
+
 /** A caller takes a stream up again at this box, which knows nothing of it. */
 static void resume(fixture_t *f)
 {
@@ -593,6 +622,8 @@
     TEST("unused-prefill-is-released", test_unused_prefill_is_released);
     TEST("broken-stream-does-not-look-whole", test_broken_stream_does_not_look_whole);
     TEST("resumable-stream-goes-on-elsewhere", test_resumable_stream_goes_on_elsewhere);
+    TEST("resumable-stream-goes-on-where-it-was", test_resumable_stream_goes_on_where_it_was);
+    TEST("lost-prefill-is-asked-for-again", test_lost_prefill_is_asked_for_again);
     TEST("resumed-stream-goes-where-its-prompt-is-kept", test_resumed_stream_goes_where_its_prompt_is_kept);
     TEST("resumed-stream-whose-prompt-is-gone", test_resumed_stream_whose_prompt_is_gone);
     TEST("resumed-stream-whose-keeper-is-full", test_resumed_stream_whose_keeper_is_full);
