A grant that crosses with its box giving up holds nothing; the soak harms connections

A box that gives a request up tells so without an attempt's number; when the scheduler had granted it in that moment it took the news for that of an old attempt, and the grant held its engines until its lease ran out. Its prefill engine then never counted as free, requests waited longer, more of them were given up in the moment of their grant: 33 placements a second on engines that were idle.

The scheduler withdraws a grant when the box that has it gives up. Test: /sched-solo/given-up-while-granted (the grant stayed before).

The soak gains a proxy before every box and worker: delays, resets, calls or answers or both lost. Our ports may be opened at another address than the one that others use (internal_bind_ip).

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -332,6 +332,7 @@
     const peer_options_t options = {.box = r->options.peer_listen,
                                     .incarnation = incarnation,
                                     .listen = r->options.peer_listen,
+                                    .bind = r->options.peer_bind,
                                     .key_file = "",
                                     .handler = on_message,
                                     .arg = r};
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -25,6 +25,7 @@
 /** How to take part. Strings are borrowed for the call of replica_create. */
 typedef struct {
     const char *peer_listen; /**< IP:port, by which this member is known to the others */
+    const char *peer_bind;   /**< where that port is opened; NULL: there */
     const char *http_addr;   /**< where operators reach it */
     const char *data_dir;
     uint32_t voters_wanted;   /**< enough to bear the losses that the deployment is to bear */
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -404,6 +404,7 @@
     const peer_options_t peer_options = {.box = self->box,
                                          .incarnation = self->incarnation,
                                          .listen = options->peer_listen,
+                                         .bind = options->peer_bind,
                                          .key_file = "",
                                          .handler = on_message,
                                          .arg = r};
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -34,6 +34,7 @@
 /** Where to begin; copied. */
 typedef struct {
     const char *peer_listen;       /**< IP:port of this box for the others */
+    const char *peer_bind;         /**< where that port is opened; NULL: there */
     const char *const *controls;   /**< peer addresses of control boxes to begin with, NULL at the end */
     const char *const *neighbours; /**< peer addresses of other boxes that may be asked, NULL at the end */
 } reporter_options_t;
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -203,6 +203,7 @@
     msg_progress_t progress = {.attempt = f->placement.attempt, .phase = phase};
     codec_copy_string(progress.cell, sizeof(progress.cell), CELL);
     codec_copy_string(progress.id, sizeof(progress.id), f->facts.id);
+    codec_copy_string(progress.box, sizeof(progress.box), fw->options.box);
     codec_copy_string(progress.bad, sizeof(progress.bad), bad ? bad->listed.id : "");
     if (phase == PHASE_TRANSFER) {
         progress.took_ms = (uint32_t)(tc_time_now() - f->placement.prefill_began);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -474,6 +474,7 @@
     {.name = "computed_tokens", .offset = offsetof(msg_progress_t, computed_tokens), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "cached_tokens", .offset = offsetof(msg_progress_t, cached_tokens), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "bad", .offset = offsetof(msg_progress_t, bad), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "box", .offset = offsetof(msg_progress_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "held", .offset = offsetof(msg_progress_t, held), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_progress_desc = {.name = "progress", .size = sizeof(msg_progress_t), .fields = msg_progress_fields, .n_fields = sizeof(msg_progress_fields) / sizeof(msg_progress_fields[0])};
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -605,6 +605,7 @@
     uint32_t computed_tokens;
     uint32_t cached_tokens;
     char bad[CODEC_STR_SIZE]; /**< engine that failed, if one did */
+    char box[CODEC_STR_SIZE]; /**< the entry box that says so; may be empty */
     bool held; /**< the failed engine may still hold memory for it */
 } msg_progress_t;
 extern const codec_desc_t msg_progress_desc;
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -292,7 +292,8 @@
     CDS_INIT_LIST_HEAD(&net->conns);
     CDS_INIT_LIST_HEAD(&net->backoffs);
     const int keyed = options->key_file[0] ? key_load(&net->key, options->key_file, err) : key_open(&net->key, err);
-    if (keyed < 0 || (options->listen[0] && start_listening(net, options->listen, err) < 0)) {
+    const char *const at = options->bind ? options->bind : options->listen;
+    if (keyed < 0 || (options->listen[0] && start_listening(net, at, err) < 0)) {
         free(net);
         return NULL;
     }
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -44,7 +44,8 @@
 typedef struct {
     const char *box;      /**< own name */
     uint64_t incarnation; /**< larger after every start */
-    const char *listen;   /**< IP:port, or "" to take no connections */
+    const char *listen;   /**< IP:port by which others reach us, or "" to take no connections */
+    const char *bind;     /**< IP:port where the port is opened; NULL: at listen */
     const char *key_file; /**< the cluster key; "" where the network between the boxes is closed to others: then
                                any process that speaks the protocol is let in */
     peer_handler_t handler;
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -232,6 +232,14 @@
         e->suspect_until = now + SUSPECT_MS;
 }
 
+/** Whether its box gave the request up before the grant reached it: the grant would hold its engines until its lease
+ *  ran out. */
+static bool was_given_up(const request_t *r, const msg_progress_t *p)
+{
+    return r && r->state == REQ_PLACED && p->phase == PHASE_FAILED && p->attempt == 0 && p->box[0] &&
+           strcmp(r->owner->name, p->box) == 0;
+}
+
 void sched_progress(sched_t *s, const msg_progress_t *p, tc_time_t now)
 {
     if (p->bad[0])
@@ -241,6 +249,13 @@
         refuse_queued(s, r, "the caller is gone", 0);
         return;
     }
+    if (was_given_up(r, p)) {
+        withdraw(s, r, p->held, now);
+        request_forget(s, r);
+        dispatch(s, now);
+        ask_cancels(s, now);
+        return;
+    }
     if (!r || r->state != REQ_PLACED || r->attempt != p->attempt)
         return; /* late news of an attempt that is over */
     r->lease_until = now + SCHED_LEASE_MS;
--- /dev/null
+++ b/tests/platform/soak/proxy.h
@@ -0,0 +1,36 @@
+/** @file proxy.h
+ * A TCP proxy on loopback that harms what passes through it: delays, resets, silence, one way cut.
+ *
+ * Connections are accepted whatever the mode, as the network accepts what it will
+ * lose. Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_TESTS_SOAK_PROXY_H
+#define TRACKCOVE_TESTS_SOAK_PROXY_H
+
+#include "peer/loop.h"
+
+/** What happens to bytes. */
+typedef enum {
+    PROXY_PASS,
+    PROXY_DELAY,     /**< they pass 150 ms later */
+    PROXY_NO_ANSWER, /**< those of the side that listens are lost */
+    PROXY_NO_CALL,   /**< those of the side that dialled are lost */
+    PROXY_SILENT,    /**< all are lost */
+    PROXY_MODES
+} proxy_mode_t;
+
+/** Names of the modes, for the schedule. */
+extern const char *const proxy_mode_names[PROXY_MODES];
+
+typedef struct proxy proxy_t;
+
+/** Listen at @p at, "IP:port", and connect what comes to @p to. */
+proxy_t *proxy_start(loop_t *loop, const char *at, const char *to);
+/** From now on. What was lost stays lost: connections that lost bytes are reset when the mode changes. */
+void proxy_set(proxy_t *proxy, proxy_mode_t mode);
+/** Reset all connections. */
+void proxy_reset(proxy_t *proxy);
+/** Close everything. */
+void proxy_stop(proxy_t *proxy);
+
+#endif
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -243,6 +243,53 @@
     world_note(s->world, "worker %s goes wrong in %.2f of its answers", k->id, k->trouble);
 }
 
+/** Harm a way or mend it; a way to control boxes only while the others' are whole, so that a majority is left. */
+static void harm_way(soak_t *s)
+{
+    world_t *const w = s->world;
+    const int i = world_pick(w, WORLD_BOXES);
+    const proxy_mode_t mode = world_draw(w) < 0.4 ? PROXY_PASS : (proxy_mode_t)world_pick(w, PROXY_MODES);
+    box_t *const b = &w->boxes[i];
+    struct worker *const k = &w->worker[world_pick(w, WORLD_WORKERS)];
+    switch (world_pick(w, 3)) {
+    case 0:
+        world_note(w, "way to entry of %s: %s", b->ip, proxy_mode_names[mode]);
+        proxy_set(b->way_to_entry, mode);
+        break;
+    case 1:
+        for (int at = 0; at < WORLD_DISKS; at++)
+            proxy_set(w->boxes[at].way_to_control, at == i ? mode : PROXY_PASS);
+        world_note(w, "way to control of %s: %s, others pass", b->ip, proxy_mode_names[mode]);
+        break;
+    default:
+        world_note(w, "way to worker %s: %s", k->id, proxy_mode_names[mode]);
+        proxy_set(k->way, mode);
+        break;
+    }
+}
+
+static void reset_way(soak_t *s)
+{
+    world_t *const w = s->world;
+    box_t *const b = &w->boxes[world_pick(w, WORLD_BOXES)];
+    world_note(w, "connections to %s are reset", b->ip);
+    proxy_reset(b->way_to_entry);
+    if (b->way_to_control)
+        proxy_reset(b->way_to_control);
+    proxy_reset(w->worker[world_pick(w, WORLD_WORKERS)].way);
+}
+
+static void mend_ways(const world_t *w)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        proxy_set(w->worker[i].way, PROXY_PASS);
+    for (int i = 0; i < WORLD_BOXES; i++) {
+        proxy_set(w->boxes[i].way_to_entry, PROXY_PASS);
+        if (w->boxes[i].way_to_control)
+            proxy_set(w->boxes[i].way_to_control, PROXY_PASS);
+    }
+}
+
 static void one_fault(soak_t *s, tc_time_t now)
 {
     world_t *const w = s->world;
@@ -250,7 +297,7 @@
     process_t *const p = b->control.program && world_draw(w) < 0.4 ? &b->control : &b->entry;
     const tc_time_t pause = 50 + world_pick(w, 1500);
     s->faults++;
-    switch (world_pick(w, 8)) {
+    switch (world_pick(w, 11)) {
     case 0:
     case 1: process_restart(w, b, p, SIGKILL, pause); break;
     case 2: process_restart(w, b, p, SIGTERM, pause); break;
@@ -258,6 +305,9 @@
     case 4:
     case 5: pause_or_wake(s, b, p); break;
     case 6: trouble_worker(s); break;
+    case 7:
+    case 8: harm_way(s); break;
+    case 9: reset_way(s); break;
     default: wipe(s, now); break;
     }
 }
@@ -277,6 +327,7 @@
     s->in_row = 0;
     s->config_is_newest = false;
     world_note(w, "no more faults");
+    mend_ways(w);
     for (int i = 0; i < WORLD_WORKERS; i++)
         w->worker[i].trouble = 0;
     for (int i = 0; i < WORLD_BOXES; i++) {
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -184,14 +184,15 @@
 static void write_settings(const world_t *w, const box_t *b, const process_t *p, bool first)
 {
     char *const text = g_strdup_printf(
-        "{\"node_name\":\"%s\",\"ip\":\"%s\",\"zone\":\"z%d\",\"listen\":{\"front\":\"%s:%d\",\"ready\":\"%s:%d\","
+        "{\"node_name\":\"%s\",\"ip\":\"%s\",\"internal_bind_ip\":\"127.0.2.%d\",\"zone\":\"z%d\",\"listen\":{"
+        "\"front\":\"%s:%d\",\"ready\":\"%s:%d\","
         "\"control\":\"%s:%d\",\"directory\":\"%s:%d\"},\"internal_ports\":[%d,%d],\"seeds\":[\"127.0.1.10:1\","
         "\"127.0.1.11:1\",\"127.0.1.12:1\"],\"bootstrap\":%s,\"data_dir\":\"%s\",\"fault_tolerance\":{\"machines\":1},"
         "\"bounds\":{\"grace_s\":8,\"retry_budget_ratio\":0.2,\"retry_slack\":60,\"budget_window_s\":10},"
         "\"cloud\":{\"address\":\"127.0.1.2:%d\",\"rate_per_s\":50}}",
-        b->ip, b->ip, (int)(b - w->boxes) % 2, b->ip, w->port + PORT_FRONT, b->ip, w->port + PORT_READY, b->ip,
-        w->port + PORT_CONTROL, b->ip, w->port + PORT_DIRECTORY, w->port + PORT_INNER, w->port + PORT_INNER + 5,
-        first ? "true" : "false", p == &b->control ? b->dir : "", w->port);
+        b->ip, b->ip, 10 + (int)(b - w->boxes), (int)(b - w->boxes) % 2, b->ip, w->port + PORT_FRONT, b->ip,
+        w->port + PORT_READY, b->ip, w->port + PORT_CONTROL, b->ip, w->port + PORT_DIRECTORY, w->port + PORT_INNER,
+        w->port + PORT_INNER + 5, first ? "true" : "false", p == &b->control ? b->dir : "", w->port);
     g_assert_true(g_file_set_contents(p->settings, text, -1, NULL));
     g_free(text);
 }
@@ -269,10 +270,23 @@
 
 /* ===== Life ===== */
 
+/** Other boxes reach this box's programs through proxies: at the box's address, where the programs do not listen. */
+static proxy_t *create_way(const world_t *w, int i, int port)
+{
+    char at[32], to[32];
+    g_snprintf(at, sizeof(at), "127.0.1.%d:%d", 10 + i, w->port + PORT_INNER + port);
+    g_snprintf(to, sizeof(to), "127.0.2.%d:%d", 10 + i, w->port + PORT_INNER + port);
+    return proxy_start(w->loop, at, to);
+}
+
 static void create_box(world_t *w, int i)
 {
+    enum { CONTROL, ENTRY }; /* order of the programs' own ports */
     box_t *const b = &w->boxes[i];
     g_snprintf(b->ip, sizeof(b->ip), "127.0.1.%d", 10 + i);
+    b->way_to_entry = create_way(w, i, ENTRY);
+    if (i < WORLD_DISKS)
+        b->way_to_control = create_way(w, i, CONTROL);
     b->entry.program = "trackcove-forwardd";
     g_snprintf(b->entry.settings, sizeof(b->entry.settings), "%s/entry-%d.json", w->root, i);
     process_start(w, b, &b->entry, true);
@@ -291,8 +305,11 @@
     k->world = w;
     k->kind = i < 3 ? 0 : (i == 3 ? 1 : 2);
     g_snprintf(k->id, sizeof(k->id), "i-%d", i);
+    char own[32];
+    lab_free_addr(own);
+    w->workers[i] = lab_backend_start(w->loop, own, on_request, k);
     lab_free_addr(k->addr);
-    w->workers[i] = lab_backend_start(w->loop, k->addr, on_request, k);
+    k->way = proxy_start(w->loop, k->addr, own);
 }
 
 world_t *world_create(loop_t *loop, guint32 seed, const char *bin)
@@ -338,8 +355,15 @@
 void world_destroy(world_t *w)
 {
     lab_backend_stop(w->list);
-    for (int i = 0; i < WORLD_WORKERS; i++)
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        proxy_stop(w->worker[i].way);
         lab_backend_stop(w->workers[i]);
+    }
+    for (int i = 0; i < WORLD_BOXES; i++) {
+        proxy_stop(w->boxes[i].way_to_entry);
+        if (w->boxes[i].way_to_control)
+            proxy_stop(w->boxes[i].way_to_control);
+    }
     g_hash_table_destroy(w->tries);
     g_string_free(w->schedule, TRUE);
     g_rand_free(w->random);
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include "harness/lab.h"
+#include "platform/soak/proxy.h"
 
 enum { WORLD_BOXES = 5, WORLD_DISKS = 3, WORLD_WORKERS = 6 };
 
@@ -27,6 +28,7 @@
     char ip[20];
     char dir[64]; /**< "" without a disk */
     process_t entry, control;
+    proxy_t *way_to_entry, *way_to_control; /**< what other boxes' connections pass through; NULL for none */
 } box_t;
 
 /** What the back ends saw of one try of a caller. */
@@ -47,7 +49,8 @@
     lab_backend_t *list, *workers[WORLD_WORKERS];
     struct worker {
         struct world *world;
-        char addr[32];
+        char addr[32]; /**< as it is listed: a proxy's */
+        proxy_t *way;
         char id[16];
         int kind;       /**< 0: plain, 1: prefill, 2: decode */
         double trouble; /**< share of its answers that go wrong */
--- a/tests/unit/test_sched_solo.c
+++ b/tests/unit/test_sched_solo.c
@@ -117,11 +117,33 @@
     sched_destroy(f.sched);
 }
 
+/** A box gives a request up in the moment in which it is granted: the grant holds nothing any more. */
+static void test_given_up_while_granted(void)
+{
+    fixture_t f;
+    set_up(&f, 1);
+    place(&f, 0, 0);
+    g_assert_true(f.answered[0] && f.placed[0].granted);
+    msg_progress_t gone = {.phase = PHASE_FAILED}; /* it knows no attempt */
+    codec_copy_string(gone.id, sizeof(gone.id), "r0");
+    codec_copy_string(gone.box, sizeof(gone.box), "another");
+    sched_progress(f.sched, &gone, 1); /* of a box that had the request before: not its to end */
+    g_assert_cmpuint(sched_stats(f.sched).placed, ==, 1);
+    codec_copy_string(gone.box, sizeof(gone.box), "box");
+    sched_progress(f.sched, &gone, 2);
+    sched_check(f.sched);
+    g_assert_cmpuint(sched_stats(f.sched).placed, ==, 0);
+    place(&f, 1, 3); /* its prefill engine is free at once */
+    g_assert_true(f.answered[1] && f.placed[1].granted);
+    sched_destroy(f.sched);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/sched-solo/short-of-prefill", test_short_of_prefill);
     g_test_add_func("/sched-solo/pools-in-proportion", test_pools_in_proportion);
     g_test_add_func("/sched-solo/no-prefill-engine", test_no_prefill_engine);
+    g_test_add_func("/sched-solo/given-up-while-granted", test_given_up_while_granted);
     return g_test_run();
 }
