--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -42,7 +42,8 @@
     leaving_cfg_t *moving; /* engines that are changing their role */
     uint32_t moving_n;
     retry_rules_t retries; /* for what is handed out here */
-    GHashTable *budgets;   /* service to retry_budget_t, since this box leads */
+    GHashTable *budgets;   /* as retry_budgets_create; emptied when this box leads no more, since an older leader may
+                              have handed out all of what a new one has */
 };
 
 /* ===== Configuration ===== */
@@ -220,20 +221,11 @@
 
 /* ===== Retry budget ===== */
 
-static retry_budget_t *budget_of(placing_t *p, const char *service, tc_time_t now)
-{
-    retry_budget_t *budget = g_hash_table_lookup(p->budgets, service);
-    if (!budget) {
-        budget = g_new0(retry_budget_t, 1);
-        retry_budget_init(budget, now); /* an older leader may have handed out all of it */
-        g_hash_table_insert(p->budgets, g_strdup(service), budget);
-    }
-    return budget;
-}
-
 static void on_retry(placing_t *p, peer_call_t call, const msg_retry_t *retry, tc_time_t now)
 {
-    const msg_retry_ack_t ack = {.granted = retry_budget_spend(budget_of(p, retry->service, now), &p->retries, 1, now)};
+    enum { ALONE = 1 }; /* the leader shares its part of the allowance with nobody */
+    retry_budget_t *const budget = retry_budgets_get(p->budgets, retry->service, now);
+    const msg_retry_ack_t ack = {.granted = retry_budget_spend(budget, &p->retries, ALONE, now)};
     log_line_t line;
     log_begin(&line, LOG_INFO, "retry_lent");
     log_str(&line, "request", retry->id);
@@ -245,7 +237,7 @@
 static void on_place(placing_t *p, sched_token_t token, const msg_place_t *place, tc_time_t now)
 {
     if (!place->again)
-        retry_budget_earn(budget_of(p, place->model, now), &p->retries, now);
+        retry_budget_earn(retry_budgets_get(p->budgets, place->model, now), &p->retries, now);
     sched_place(p->sched, place, token, now);
 }
 
@@ -301,10 +293,8 @@
 {
     placing_t *const p = g_new0(placing_t, 1);
     p->net = net;
-    p->retries = *retries;
-    p->retries.ratio *= 1 - RETRY_BOXES_PART;
-    p->retries.allowance *= 1 - RETRY_BOXES_PART;
-    p->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p->retries = retry_rules_part(retries, 1 - RETRY_BOXES_PART);
+    p->budgets = retry_budgets_create();
     return p;
 }
 
--- a/lib/common/retry_budget.c
+++ b/lib/common/retry_budget.c
@@ -2,10 +2,21 @@
 
 #include <string.h>
 
+/* ===== Constants ===== */
+
 /** Kept back from what the rules allow: boxes count their windows from different moments, and the number of boxes
  *  is known some hundred ms late. */
 static const double SAFE_PART = 0.8;
 
+/* ===== Rules ===== */
+
+retry_rules_t retry_rules_part(const retry_rules_t *rules, double part)
+{
+    return (retry_rules_t){.ratio = rules->ratio * part, .allowance = rules->allowance * part, .window = rules->window};
+}
+
+/* ===== One service's budget ===== */
+
 void retry_budget_init(retry_budget_t *b, tc_time_t now)
 {
     memset(b, 0, sizeof(*b));
@@ -50,3 +61,21 @@
     b->extras[at]++;
     return true;
 }
+
+/* ===== Budgets by service ===== */
+
+GHashTable *retry_budgets_create(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+retry_budget_t *retry_budgets_get(GHashTable *budgets, const char *service, tc_time_t now)
+{
+    retry_budget_t *budget = g_hash_table_lookup(budgets, service);
+    if (budget)
+        return budget;
+    budget = g_new0(retry_budget_t, 1);
+    retry_budget_init(budget, now);
+    g_hash_table_insert(budgets, g_strdup(service), budget);
+    return budget;
+}
--- a/lib/common/retry_budget.h
+++ b/lib/common/retry_budget.h
@@ -5,18 +5,22 @@
  * Counted over a sliding window in slices. A box that has just started has seen
  * nothing, so it starts with its part of the allowance spent: others, or its
  * former life, may have spent it.
+ *
+ * Nothing here fails, blocks or reads the clock. Everything runs in the loop's thread.
  */
 #ifndef TRACKCOVE_COMMON_RETRY_BUDGET_H
 #define TRACKCOVE_COMMON_RETRY_BUDGET_H
 
 /* ===== Dependencies ===== */
 
+#include <glib.h>
 #include <stdbool.h>
 
 #include "common/time.h"
 
-/* ===== Types ===== */
+/* ===== Constants ===== */
 
+/** Slices of a window, the newest one begun: what is counted is the last 0.9 to 1 windows. */
 enum { RETRY_SLICES = 10 };
 
 /** Of the budget of a service whose requests the scheduler places, the boxes have this part among themselves; the rest
@@ -24,22 +28,29 @@
  *  up at some while most of it lay idle (126 prompts read for nothing on one day). */
 #define RETRY_BOXES_PART 0.5
 
+/* ===== Types ===== */
+
 /** What settings allow. */
 typedef struct {
-    double ratio;     /**< extra arrivals a request */
-    double allowance; /**< extra arrivals a window beside that, of all boxes */
-    tc_time_t window; /**< ms */
+    double ratio;     /**< extra arrivals a request, 0 or more */
+    double allowance; /**< extra arrivals a window beside that, of all boxes, 0 or more */
+    tc_time_t window; /**< ms, more than 0 */
 } retry_rules_t;
 
 /** What was counted in the window. By value; retry_budget_init before use. */
 typedef struct {
-    tc_time_t begun; /**< when the budget was made */
-    tc_time_t slice; /**< number of the newest slice */
-    unsigned requests[RETRY_SLICES];
-    unsigned extras[RETRY_SLICES];
+    tc_time_t begun;                 /**< when the budget was made */
+    tc_time_t slice;                 /**< number of the newest slice, counted from time 0 */
+    unsigned requests[RETRY_SLICES]; /**< that came in, by slice number modulo RETRY_SLICES */
+    unsigned extras[RETRY_SLICES];   /**< further arrivals that were allowed, the same */
 } retry_budget_t;
 
-/* ===== Public functions ===== */
+/* ===== Rules ===== */
+
+/** The same rules for a part of the budget. @param part from 0 to 1 */
+retry_rules_t retry_rules_part(const retry_rules_t *rules, double part);
+
+/* ===== One service's budget ===== */
 
 /** Begin counting: nothing has come in, and this box's part of the allowance is spent. */
 void retry_budget_init(retry_budget_t *budget, tc_time_t now);
@@ -48,4 +59,11 @@
 /** Whether one more arrival is allowed; takes it. @param boxes how many share the allowance, at least 1 */
 bool retry_budget_spend(retry_budget_t *budget, const retry_rules_t *rules, unsigned boxes, tc_time_t now);
 
+/* ===== Budgets by service ===== */
+
+/** An empty table of them, for g_hash_table_destroy. */
+GHashTable *retry_budgets_create(void);
+/** The service's budget, made at its first use; borrowed until it is removed from the table. */
+retry_budget_t *retry_budgets_get(GHashTable *budgets, const char *service, tc_time_t now);
+
 #endif
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -314,7 +314,7 @@
     fw->client = client;
     fw->options = *options;
     fw->boxes = 1;
-    fw->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fw->budgets = retry_budgets_create();
     fw->random = g_rand_new();
     fw->created = tc_time_now();
     CDS_INIT_LIST_HEAD(&fw->requests);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -144,7 +144,7 @@
     reporter_t *scheduler; /* NULL: place alone */
     loop_timer_t renewal;
     bool renewed_any;    /* the scheduler counts something as ours */
-    GHashTable *budgets; /* service name to retry_budget_t */
+    GHashTable *budgets; /* as retry_budgets_create */
     unsigned boxes;
     bool closed; /* the box stops soon: nothing new is begun */
     unsigned busy;
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -18,38 +18,25 @@
 
 /* ===== This box's part ===== */
 
-static retry_budget_t *budget_of(forwarder_t *fw, const char *service)
-{
-    retry_budget_t *budget = g_hash_table_lookup(fw->budgets, service);
-    if (!budget) {
-        budget = g_new0(retry_budget_t, 1);
-        retry_budget_init(budget, tc_time_now());
-        g_hash_table_insert(fw->budgets, g_strdup(service), budget);
-    }
-    return budget;
-}
-
 /** The rules for this box: services whose requests the scheduler places share their budget with its part. */
 static retry_rules_t rules_of(const forward_t *f)
 {
-    retry_rules_t rules = f->owner->options.retries;
-    if (f->split && f->owner->scheduler) {
-        rules.ratio *= RETRY_BOXES_PART;
-        rules.allowance *= RETRY_BOXES_PART;
-    }
-    return rules;
+    const bool shared = f->split && f->owner->scheduler;
+    return retry_rules_part(&f->owner->options.retries, shared ? RETRY_BOXES_PART : 1);
 }
 
 void retry_earn(forward_t *f)
 {
     const retry_rules_t rules = rules_of(f);
-    retry_budget_earn(budget_of(f->owner, f->service), &rules, tc_time_now());
+    const tc_time_t now = tc_time_now();
+    retry_budget_earn(retry_budgets_get(f->owner->budgets, f->service, now), &rules, now);
 }
 
 bool forward_may_retry(forward_t *f)
 {
     const retry_rules_t rules = rules_of(f);
-    return retry_budget_spend(budget_of(f->owner, f->service), &rules, f->owner->boxes, tc_time_now());
+    const tc_time_t now = tc_time_now();
+    return retry_budget_spend(retry_budgets_get(f->owner->budgets, f->service, now), &rules, f->owner->boxes, now);
 }
 
 /* ===== The leader's part ===== */
