Forwarding: questions to the leader and to engines have one life each

Placements and the retry budget each kept a call that outlives its request, holds and the search for kept prompts each their own web_ask; forward_ask.c now has both once, and the module's header lists its files.

--- /dev/null
+++ b/lib/forward/forward_ask.c
@@ -0,0 +1,73 @@
+/* Questions that a request puts beside the call that serves it: to the leader of the control boxes and to engines. */
+
+#include "forward/forward_internal.h"
+
+/* ===== To the leader ===== */
+
+/** A question under way. The transport can't take it back, so it outlives its request when the caller leaves. */
+struct leader_ask {
+    forward_t *request; /* NULL once it has ended */
+    leader_ask_t **slot;
+    leader_answer_t fn;
+};
+
+static void on_leader_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    leader_ask_t *const ask = arg;
+    forward_t *const f = ask->request;
+    const leader_answer_t fn = ask->fn;
+    (void)err; /* what counts is that there is no answer */
+    if (f)
+        *ask->slot = NULL;
+    g_free(ask);
+    if (f)
+        fn(f, rc, type, message);
+}
+
+bool leader_ask(forward_t *f, leader_ask_t **slot, uint32_t type, const void *message, tc_time_t limit,
+                leader_answer_t fn)
+{
+    leader_ask_t *const ask = g_new0(leader_ask_t, 1);
+    ask->request = f;
+    ask->slot = slot;
+    ask->fn = fn;
+    *slot = ask;
+    if (reporter_call_leader(f->owner->scheduler, type, message, limit, on_leader_answer, ask))
+        return true;
+    *slot = NULL;
+    g_free(ask);
+    return false;
+}
+
+void leader_ask_drop(leader_ask_t **slot)
+{
+    if (*slot)
+        (*slot)->request = NULL;
+    *slot = NULL;
+}
+
+/* ===== To an engine ===== */
+
+engine_ask_t *engine_ask(forward_t *f, instance_t *instance, GByteArray *request, const engine_ask_limits_t *limits,
+                         web_ask_fn_t fn)
+{
+    engine_ask_t *const e = g_new0(engine_ask_t, 1);
+    e->request = f;
+    e->instance = instance;
+    e->ask.body = g_byte_array_new();
+    const web_ask_where_t where = {.loop = f->owner->loop,
+                                   .client = f->owner->client,
+                                   .addr = instance->listed.addr,
+                                   .connect_ms = limits->connect_ms,
+                                   .limit_ms = limits->answer_ms};
+    web_ask(&e->ask, &where, request, fn, e);
+    return e;
+}
+
+void engine_ask_free(engine_ask_t *e)
+{
+    web_ask_cancel(&e->ask);
+    instance_unref(e->instance);
+    g_byte_array_unref(e->ask.body);
+    g_free(e);
+}
--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -6,27 +6,17 @@
 
 #include "common/counter.h"
 #include "forward/forward_internal.h"
-#include "web/web_ask.h"
 
 COUNTER_DEFINE(c_taken, "counter", "trackcove_hold_taken_total", "Times that memory was set aside at a decode engine")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_hold_refused_total", "Times that a decode engine had none to set aside")
 
-/** One question to one engine. */
-struct hold_call {
-    forward_t *request;
-    instance_t *instance;
-    web_ask_t ask;
-};
-
 /* ===== Ending ===== */
 
-static void call_free(hold_call_t *h)
+static void drop_question(forward_t *f)
 {
-    web_ask_cancel(&h->ask);
-    h->request->hold.asking = NULL;
-    instance_unref(h->instance);
-    g_byte_array_free(h->ask.body, TRUE);
-    g_free(h);
+    if (f->hold.asking)
+        engine_ask_free(f->hold.asking);
+    f->hold.asking = NULL;
 }
 
 void hold_forget(forward_t *f)
@@ -40,8 +30,7 @@
 
 void hold_release(forward_t *f)
 {
-    if (f->hold.asking)
-        call_free(f->hold.asking);
+    drop_question(f);
     if (f->hold.instance) {
         const char *const addr = f->hold.instance->listed.addr;
         call_and_forget(f->owner, addr, dialect_write_hold_drop(addr, f->hold.name));
@@ -51,7 +40,7 @@
 
 /* ===== The engine's answer ===== */
 
-static void no_hold(hold_call_t *h, const char *why, bool refused)
+static void no_hold(const engine_ask_t *h, const char *why, bool refused)
 {
     forward_t *const f = h->request;
     const tc_time_t now = tc_time_now();
@@ -62,13 +51,13 @@
     else
         instance_failed(h->instance, now);
     g_ptr_array_add(f->tried, instance_ref(h->instance));
-    call_free(h);
+    drop_question(f);
     forward_go_on(f);
 }
 
 static void on_answer(void *arg, web_ask_end_t how)
 {
-    hold_call_t *const h = arg;
+    const engine_ask_t *const h = arg;
     forward_t *const f = h->request;
     if (how == WEB_ASK_LATE) {
         no_hold(h, "no answer in time", false);
@@ -84,7 +73,7 @@
     forward_log(f, "hold_taken", "memory set aside", h->ask.status, h->instance);
     f->hold.instance = instance_ref(h->instance);
     f->hold.name = name;
-    call_free(h);
+    drop_question(f);
     forward_go_on(f);
 }
 
@@ -99,19 +88,10 @@
         return false;
     assert(!f->hold.asking); /* one question at a time */
     f->hold.tries++;
-    hold_call_t *const h = g_new0(hold_call_t, 1);
-    h->request = f;
-    h->instance = instance;
-    h->ask.body = g_byte_array_new();
-    f->hold.asking = h;
+    static const engine_ask_limits_t limits = {.connect_ms = CONNECT_MS, .answer_ms = HOLD_ANSWER_MS};
     const tc_time_t ttl = f->settings->hold_ttl < HOLD_MS ? f->settings->hold_ttl : HOLD_MS;
-    const char *const addr = instance->listed.addr;
-    const web_ask_where_t where = {.loop = f->owner->loop,
-                                   .client = f->owner->client,
-                                   .addr = addr,
-                                   .connect_ms = CONNECT_MS,
-                                   .limit_ms = HOLD_ANSWER_MS};
-    web_ask(&h->ask, &where, dialect_write_hold(addr, f->facts.prompt_tokens, ttl), on_answer, h);
+    GByteArray *const request = dialect_write_hold(instance->listed.addr, f->facts.prompt_tokens, ttl);
+    f->hold.asking = engine_ask(f, instance, request, &limits, on_answer);
     return true;
 }
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -1,7 +1,15 @@
 /** @file forward_internal.h
- * Shared by forward.c (a request's life and decisions), forward_place.c (the scheduler's part in them), forward_hold.c
- * (memory set aside at engines), forward_step.c (calls to back ends) and forward_stream.c (events on their way to the
- * caller); nobody else includes it.
+ * Shared by the files of this module; nobody else includes it:
+ *
+ *   forward.c         a request's life and decisions
+ *   forward_early.c   requests that come before the box knows where to send them
+ *   forward_place.c   the scheduler's part in the decisions
+ *   forward_hold.c    memory set aside at engines
+ *   forward_locate.c  engines that keep the prompt of a stream that is taken up again
+ *   forward_retry.c   the retry budget
+ *   forward_step.c    calls to back ends
+ *   forward_stream.c  events on their way to the caller
+ *   forward_ask.c     questions to the leader and to engines, for the others
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
 #define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -12,6 +20,7 @@
 
 #include "forward/dialect.h"
 #include "forward/forward.h"
+#include "web/web_ask.h"
 
 /* ===== Constants ===== */
 
@@ -59,35 +68,56 @@
     tc_time_t began;
 } step_t;
 
+/** A question to the leader of the control boxes. */
+typedef struct leader_ask leader_ask_t;
+
+/** Its answer: @p message is of @p type when @p rc is TC_OK, else nothing; borrowed for the call. */
+typedef void (*leader_answer_t)(forward_t *f, int rc, uint32_t type, const void *message);
+
+/** A question to an engine. Its callback gets it as the argument and may free it. */
+typedef struct engine_ask {
+    forward_t *request;
+    instance_t *instance; /* a reference */
+    web_ask_t ask;        /* its status and body are the answer's */
+    struct engine_ask *next;
+} engine_ask_t;
+
+/** How long an engine may take. */
+typedef struct {
+    tc_time_t connect_ms; /* to the connection */
+    tc_time_t answer_ms;  /* to the whole answer */
+} engine_ask_limits_t;
+
 /** A request's placement by the scheduler. */
 typedef struct {
-    struct placing_call *asking; /* the question under way, or NULL */
-    bool asked;                  /* the scheduler was asked, or there was none to ask */
-    bool solo;                   /* the decode engine is to read the prompt itself */
-    unsigned questions;          /* that were put to it */
-    uint32_t attempt;            /* what the scheduler counts it as, 0 for nothing */
+    leader_ask_t *asking; /* the question under way, or NULL */
+    bool asked;           /* the scheduler was asked, or there was none to ask */
+    bool solo;            /* the decode engine is to read the prompt itself */
+    unsigned questions;   /* that were put to it */
+    uint32_t attempt;     /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
     char decode[CODEC_STR_SIZE];
     tc_time_t prefill_began;
 } placement_t;
 
-typedef struct hold_call hold_call_t;
-
 /** Memory set aside at a decode engine. */
 typedef struct {
-    hold_call_t *asking;  /* the question under way, or NULL */
+    engine_ask_t *asking; /* the question under way, or NULL */
     instance_t *instance; /* NULL: there is none */
     char *name;
     unsigned tries;
 } hold_t;
 
-typedef struct locate_call locate_call_t;
-typedef struct retry_call retry_call_t;
+/** The question for one more arrival, when this box's part of the retry budget is used up. */
+typedef struct {
+    leader_ask_t *asking;       /* the question under way, or NULL */
+    void (*then)(forward_t *f); /* what follows when it is granted */
+} retry_t;
 
 /** The search for an engine that keeps the prompt of a stream that is taken up again. */
 typedef struct {
-    locate_call_t *calls; /* all questions, answered ones too */
-    unsigned waiting;     /* without an answer */
+    engine_ask_t *asks; /* all questions, answered ones too */
+    unsigned waiting;   /* without an answer */
     bool asked;
     instance_t *instance; /* keeps most of it, or NULL */
     unsigned tokens;      /* that it keeps */
@@ -119,9 +149,9 @@
     handle_t handle;
     placement_t placement;
     hold_t hold;
-    bool asked_again;         /* the call under way is to an engine that may have run it before */
-    bool repeated;            /* an engine whose answer was lost was asked once more */
-    retry_call_t *retrying;   /* the question for one more arrival, or NULL */
+    bool asked_again; /* the call under way is to an engine that may have run it before */
+    bool repeated;    /* an engine whose answer was lost was asked once more */
+    retry_t retry;
     char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last */
     locate_t locate;
     GPtrArray *tried;         /* instance_t that failed this request */
@@ -172,16 +202,30 @@
 /** Begin a request, by the configuration and the back ends that are known now. */
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
 
+/** One of the back ends that fit, as a reference, or NULL. */
+instance_t *forward_choose(forward_t *f, stage_t stage);
+
+/* ===== forward_ask.c ===== */
+
+/** Ask the leader on behalf of a request that has a scheduler. The question stands in @p slot, a field of the request,
+ *  until @p fn runs, later, or it is dropped. @return false, with nothing done, when no leader is known */
+bool leader_ask(forward_t *f, leader_ask_t **slot, uint32_t type, const void *message, tc_time_t limit,
+                leader_answer_t fn);
+/** Nobody waits for the answer any more. Nothing to do when no question is under way. */
+void leader_ask_drop(leader_ask_t **slot);
+
+/** Ask an engine. @param instance a reference, taken over @param request taken over @param fn runs once, later
+ *  @return for engine_ask_free, at any time */
+engine_ask_t *engine_ask(forward_t *f, instance_t *instance, GByteArray *request, const engine_ask_limits_t *limits,
+                         web_ask_fn_t fn);
+/** Drop the question, under way or answered. */
+void engine_ask_free(engine_ask_t *ask);
+
 /* ===== forward_early.c ===== */
 
 /** Have a request wait until the box knows where to send it. @return false when it need not, or is not to */
 bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
 
-/* ===== forward.c ===== */
-
-/** One of the back ends that fit, as a reference, or NULL. */
-instance_t *forward_choose(forward_t *f, stage_t stage);
-
 /* ===== forward_retry.c ===== */
 
 /** A request came in, by which the budget grows. */
--- a/lib/forward/forward_locate.c
+++ b/lib/forward/forward_locate.c
@@ -7,7 +7,6 @@
 
 #include "common/counter.h"
 #include "forward/forward_internal.h"
-#include "web/web_ask.h"
 
 COUNTER_DEFINE(c_looked, "counter", "trackcove_locate_looked_total", "Streams whose prompt was looked for at engines")
 COUNTER_DEFINE(c_found, "counter", "trackcove_locate_found_total", "Those of which an engine kept most of the prompt")
@@ -15,28 +14,14 @@
 /** Of a prompt, an engine must keep so much for the stream to be sent there: it reads what is missing at half pace. */
 static const double KEPT_MIN = 0.5;
 
-/** One question to one engine. */
-struct locate_call {
-    forward_t *request;
-    instance_t *instance;
-    web_ask_t ask;
-    locate_call_t *next;
-};
-
-static void call_free(locate_call_t *c)
-{
-    web_ask_cancel(&c->ask);
-    instance_unref(c->instance);
-    g_byte_array_unref(c->ask.body);
-    g_free(c);
-}
+/* ===== Ending ===== */
 
 void locate_end(forward_t *f)
 {
-    while (f->locate.calls) {
-        locate_call_t *const c = f->locate.calls;
-        f->locate.calls = c->next;
-        call_free(c);
+    while (f->locate.asks) {
+        engine_ask_t *const question = f->locate.asks;
+        f->locate.asks = question->next;
+        engine_ask_free(question);
     }
     f->locate.waiting = 0;
     if (f->locate.instance)
@@ -44,6 +29,8 @@
     f->locate.instance = NULL;
 }
 
+/* ===== Answers ===== */
+
 /** Keep what was found, if it is worth it. */
 static void settle(forward_t *f)
 {
@@ -80,11 +67,11 @@
 
 static void on_answer(void *arg, web_ask_end_t how)
 {
-    locate_call_t *const c = arg;
-    forward_t *const f = c->request;
-    if (how == WEB_ASK_WHOLE && c->ask.status == 200) {
-        remember(c->instance, c->ask.body);
-        compare(f, c->instance);
+    const engine_ask_t *const question = arg;
+    forward_t *const f = question->request;
+    if (how == WEB_ASK_WHOLE && question->ask.status == 200) {
+        remember(question->instance, question->ask.body);
+        compare(f, question->instance);
     }
     assert(f->locate.waiting > 0); /* counted when it was asked */
     if (--f->locate.waiting > 0)
@@ -93,27 +80,21 @@
     forward_go_on(f);
 }
 
+/* ===== Asking ===== */
+
 static void ask(void *arg, instance_t *instance)
 {
+    static const engine_ask_limits_t limits = {.connect_ms = LOCATE_MS, .answer_ms = LOCATE_MS};
     forward_t *const f = arg;
     if (instance->kept && tc_time_now() - instance->kept_at < LOCATE_FRESH_MS) {
         compare(f, instance);
         return;
     }
-    locate_call_t *const c = g_new0(locate_call_t, 1);
-    c->request = f;
-    c->instance = instance_ref(instance);
-    c->ask.body = g_byte_array_new();
-    c->next = f->locate.calls;
-    f->locate.calls = c;
+    GByteArray *const request = dialect_write_kept(instance->listed.addr);
+    engine_ask_t *const question = engine_ask(f, instance_ref(instance), request, &limits, on_answer);
+    question->next = f->locate.asks;
+    f->locate.asks = question;
     f->locate.waiting++;
-    const char *const addr = instance->listed.addr;
-    const web_ask_where_t where = {.loop = f->owner->loop,
-                                   .client = f->owner->client,
-                                   .addr = addr,
-                                   .connect_ms = LOCATE_MS,
-                                   .limit_ms = LOCATE_MS};
-    web_ask(&c->ask, &where, dialect_write_kept(addr), on_answer, c);
 }
 
 void locate_take(forward_t *f, instance_t *instance)
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -26,11 +26,6 @@
  *  request back, so the sum over an engine's requests counts, not the worst of each. */
 static const double MEAN_HELD = 0.5;
 
-/** A question under way. Outlives its request when the caller leaves. */
-typedef struct placing_call {
-    forward_t *request; /* NULL once it has ended */
-} placing_call_t;
-
 uint32_t place_output(const dialect_request_t *facts)
 {
     const double most = facts->output_tokens;
@@ -94,15 +89,8 @@
     forward_fail_full(f, "no room in time"); /* a guess of ours would find none either */
 }
 
-static void on_placed(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+static void on_placed(forward_t *f, int rc, uint32_t type, const void *message)
 {
-    placing_call_t *const call = arg;
-    forward_t *const f = call->request;
-    g_free(call);
-    (void)err; /* what counts is that there is no answer */
-    if (!f)
-        return;
-    f->placement.asking = NULL;
     if (rc == TC_OK && type == MSG_PLACED) {
         take_placed(f, message);
         return;
@@ -120,14 +108,7 @@
 
 static bool ask(forward_t *f, uint32_t type, const void *message)
 {
-    placing_call_t *const call = g_new0(placing_call_t, 1);
-    call->request = f;
-    f->placement.asking = call;
-    if (reporter_call_leader(f->owner->scheduler, type, message, PLACE_LIMIT_MS, on_placed, call))
-        return true;
-    f->placement.asking = NULL;
-    g_free(call);
-    return false;
+    return leader_ask(f, &f->placement.asking, type, message, PLACE_LIMIT_MS, on_placed);
 }
 
 /** Asking again with the same id keeps the request's place: the queue is in order of due times. */
@@ -213,10 +194,7 @@
 
 void place_end(forward_t *f)
 {
-    if (f->placement.asking) {
-        f->placement.asking->request = NULL;
-        f->placement.asking = NULL;
-    }
+    leader_ask_drop(&f->placement.asking);
     if (f->split)
         place_tell(f, f->events > 0 ? PHASE_FINISHED : PHASE_FAILED, NULL);
 }
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -10,19 +10,17 @@
 
 enum { ANSWER_MS = 100 /* the leader answers within a round trip; without it the budget is used up */ };
 
-/** A question under way. Outlives its request when the caller leaves. */
-struct retry_call {
-    forward_t *request; /* NULL once it has ended */
-    void (*then)(forward_t *f);
-};
-
 /* ===== This box's part ===== */
 
-/** The rules for this box: services whose requests the scheduler places share their budget with its part. */
+/** Whether the leader hands out a part of the service's budget: of those whose requests the scheduler places. */
+static bool shares_with_leader(const forward_t *f)
+{
+    return f->split && f->owner->scheduler;
+}
+
 static retry_rules_t rules_of(const forward_t *f)
 {
-    const bool shared = f->split && f->owner->scheduler;
-    return retry_rules_part(&f->owner->options.retries, shared ? RETRY_BOXES_PART : 1);
+    return retry_rules_part(&f->owner->options.retries, shares_with_leader(f) ? RETRY_BOXES_PART : 1);
 }
 
 void retry_earn(forward_t *f)
@@ -47,22 +45,23 @@
     forward_fail(f, "retry budget is used up");
 }
 
-static void on_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+/** No answer is no. */
+static void on_answer(forward_t *f, int rc, uint32_t type, const void *message)
 {
-    retry_call_t *const call = arg;
-    forward_t *const f = call->request;
-    void (*const then)(forward_t *) = call->then;
-    (void)err; /* no answer is no */
-    g_free(call);
-    if (!f)
-        return;
-    f->retrying = NULL;
-    if (rc == TC_OK && type == MSG_RETRY_ACK && ((const msg_retry_ack_t *)message)->granted) {
-        counter_add(&c_lent, 1);
-        then(f);
+    if (rc != TC_OK || type != MSG_RETRY_ACK || !((const msg_retry_ack_t *)message)->granted) {
+        give_up(f);
         return;
     }
-    give_up(f);
+    counter_add(&c_lent, 1);
+    f->retry.then(f);
+}
+
+static bool ask_leader(forward_t *f)
+{
+    msg_retry_t message = {0};
+    codec_copy_string(message.id, sizeof(message.id), f->facts.id);
+    codec_copy_string(message.service, sizeof(message.service), f->service);
+    return leader_ask(f, &f->retry.asking, MSG_RETRY, &message, ANSWER_MS, on_answer);
 }
 
 void retry_then(forward_t *f, void (*then)(forward_t *f))
@@ -71,25 +70,12 @@
         then(f);
         return;
     }
-    forwarder_t *const fw = f->owner;
-    msg_retry_t message = {0};
-    codec_copy_string(message.id, sizeof(message.id), f->facts.id);
-    codec_copy_string(message.service, sizeof(message.service), f->service);
-    retry_call_t *const call = g_new0(retry_call_t, 1);
-    call->request = f;
-    call->then = then;
-    f->retrying = call;
-    if (f->split && fw->scheduler &&
-        reporter_call_leader(fw->scheduler, MSG_RETRY, &message, ANSWER_MS, on_answer, call))
-        return;
-    f->retrying = NULL;
-    g_free(call);
-    give_up(f);
+    f->retry.then = then;
+    if (!shares_with_leader(f) || !ask_leader(f))
+        give_up(f);
 }
 
 void retry_end(forward_t *f)
 {
-    if (f->retrying)
-        f->retrying->request = NULL;
-    f->retrying = NULL;
+    leader_ask_drop(&f->retry.asking);
 }
