Forwarding: the steps of a decision have names

forward_go_on held four decisions in one body; each is a function now. forward_may_retry lives in forward_retry.c and takes from the budget, so it is retry_spend.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -157,6 +157,47 @@
     step_begin(f, ask, instance);
 }
 
+/** Send a stream that is taken up again to the engine that keeps its prompt, if one does. */
+static bool send_to_keeper(forward_t *f)
+{
+    instance_t *const keeper = f->locate.instance;
+    if (!keeper)
+        return false;
+    f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
+    f->asked_again = f->repeated && f->runs > 0;
+    send_to(f, DIALECT_SERVE, keeper);
+    return true;
+}
+
+/** Whether memory must be set aside first, since no scheduler knows of any: then the request goes on later, or has
+ *  failed. */
+static bool wait_for_hold(forward_t *f)
+{
+    if (!place_is_alone(f) || f->hold.instance)
+        return false;
+    if (hold_ask(f))
+        return true;
+    if (f->hold.tries == 0)
+        return false; /* engines set nothing aside, or there is none to ask */
+    if (!hold_wait(f))
+        forward_fail_full(f, "no engine has room");
+    return true;
+}
+
+/** Read the prompt on a prefill engine, then decode. Without a prefill engine the decode engine reads the prompt
+ *  itself, slowly. */
+static void send_to_engines(forward_t *f)
+{
+    const bool read = f->handle.instance || f->placement.solo;
+    instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
+    if (prefill) {
+        f->placement.prefill_began = tc_time_now();
+        send_to(f, DIALECT_PREFILL, prefill);
+        return;
+    }
+    send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose_engine(f, STAGE_DECODE));
+}
+
 void forward_go_on(forward_t *f)
 {
     if (tc_time_now() >= f->deadline) {
@@ -169,31 +210,13 @@
     }
     if (locate_ask(f))
         return; /* goes on when the engines have answered */
-    if (f->locate.instance) {
-        instance_t *const keeper = f->locate.instance;
-        f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
-        f->asked_again = f->repeated && f->runs > 0;
-        send_to(f, DIALECT_SERVE, keeper);
+    if (send_to_keeper(f))
         return;
-    }
     if (place_ask(f))
         return; /* goes on when the scheduler has answered */
-    if (place_is_alone(f) && !f->hold.instance && hold_ask(f))
-        return; /* goes on when an engine has answered */
-    if (place_is_alone(f) && !f->hold.instance && f->hold.tries > 0) {
-        if (!hold_wait(f))
-            forward_fail_full(f, "no engine has room");
-        return;
-    }
-    const bool read = f->handle.instance || f->placement.solo;
-    instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
-    if (prefill) {
-        f->placement.prefill_began = tc_time_now();
-        send_to(f, DIALECT_PREFILL, prefill);
-        return;
-    }
-    /* Without a prefill engine the decode engine reads the prompt itself, slowly. */
-    send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose_engine(f, STAGE_DECODE));
+    if (wait_for_hold(f))
+        return; /* goes on when an engine has answered, or in a moment */
+    send_to_engines(f);
 }
 
 static void on_again(void *arg)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -190,11 +190,11 @@
 void forward_go_on(forward_t *f);
 /** Try again in a moment, all engines anew, unless that is at or after @p until. @return whether it will be */
 bool forward_try_soon(forward_t *f, tc_time_t until);
-/** The final answer in place of a back end's; ends the request. @param why for the log */
+/** The final answer in place of a back end's; ends the request, which is freed. @param why for the log */
 void forward_fail(forward_t *f, const char *why);
 /** The same for want of room at the engines: refused callers are told to come back when a burst is likely over. */
 void forward_fail_full(forward_t *f, const char *why);
-/** The answer is complete: ends the request. */
+/** The answer is complete: ends the request, which is freed. */
 void forward_done(forward_t *f, int status, const char *why);
 /** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
@@ -231,11 +231,11 @@
 /** A request came in, by which the budget grows. */
 void retry_earn(forward_t *f);
 /** Whether one more arrival at a back end is allowed by this box's part of the budget; takes it. */
-bool forward_may_retry(forward_t *f);
+bool retry_spend(forward_t *f);
 /** Run @p then, at once or later, when one more arrival is allowed by this box's part or the leader's; else the
- *  request fails. */
+ *  request fails, at once or later, and is freed. */
 void retry_then(forward_t *f, void (*then)(forward_t *f));
-/** The request ends. */
+/** The request ends: an answer of the leader finds nobody. */
 void retry_end(forward_t *f);
 
 /* ===== forward_hold.c ===== */
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -30,7 +30,7 @@
     retry_budget_earn(retry_budgets_get(f->owner->budgets, f->service, now), &rules, now);
 }
 
-bool forward_may_retry(forward_t *f)
+bool retry_spend(forward_t *f)
 {
     const retry_rules_t rules = rules_of(f);
     const tc_time_t now = tc_time_now();
@@ -66,7 +66,7 @@
 
 void retry_then(forward_t *f, void (*then)(forward_t *f))
 {
-    if (forward_may_retry(f)) {
+    if (retry_spend(f)) {
         then(f);
         return;
     }
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -180,7 +180,7 @@
         retry_then(f, forward_go_on);
         return;
     }
-    const bool again = may_run_again(f) && forward_may_retry(f);
+    const bool again = may_run_again(f) && retry_spend(f);
     count_run(f);
     if (again)
         forward_go_on(f);
@@ -234,7 +234,7 @@
 static bool try_elsewhere(step_t *s)
 {
     forward_t *const f = s->request;
-    if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !forward_may_retry(f))
+    if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !retry_spend(f))
         return false;
     forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
     count_run(f);
