Cluster: one look-up of moving engines, and contracts that say who owns what

The scheduler and the reports each searched the list of moving engines; list_has_name does it for both. The leader's part of an answer to a report is a function, and the public headers give units, ownership and what is not filled in.

--- a/lib/cluster/list.c
+++ b/lib/cluster/list.c
@@ -19,3 +19,11 @@
         memcpy(copy, list, size);
     return copy;
 }
+
+bool list_has_name(const leaving_cfg_t *list, uint32_t n, const char *name)
+{
+    for (uint32_t i = 0; i < n; i++)
+        if (strcmp(list[i].name, name) == 0)
+            return true;
+    return false;
+}
--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -31,6 +31,8 @@
 /** All engines are one cell: hundreds of placements a second cost a few hundredths of a core. */
 static const char CELL[] = "main";
 
+/* ===== Types ===== */
+
 struct placing {
     peer_net_t *net;
     sched_t *sched; /* NULL while this box does not lead */
@@ -61,14 +63,6 @@
     return b->stage[0] && service_of(p, b->service);
 }
 
-static bool is_moving(const placing_t *p, const char *id)
-{
-    for (uint32_t i = 0; i < p->moving_n; i++)
-        if (strcmp(p->moving[i].name, id) == 0)
-            return true;
-    return false;
-}
-
 static void fill_engine(const placing_t *p, const backend_t *b, engine_cfg_t *e)
 {
     const placing_service_t *const s = service_of(p, b->service);
@@ -120,7 +114,7 @@
         if (!is_engine(p, b))
             continue;
         fill_engine(p, b, &config.engines[config.engines_n++]);
-        if (b->draining || is_moving(p, b->id))
+        if (b->draining || list_has_name(p->moving, p->moving_n, b->id))
             codec_copy_string(config.leaving[config.leaving_n++].name, CODEC_STR_SIZE, b->id);
     }
     fill_links(p, &config);
@@ -209,7 +203,7 @@
     }
 }
 
-/* ===== Messages ===== */
+/* ===== Renewals ===== */
 
 static void on_renew(placing_t *p, peer_call_t call, const msg_renew_t *renew, tc_time_t now)
 {
@@ -234,6 +228,8 @@
     peer_reply(p->net, call, MSG_RETRY_ACK, &ack);
 }
 
+/* ===== Messages ===== */
+
 static void on_place(placing_t *p, sched_token_t token, const msg_place_t *place, tc_time_t now)
 {
     if (!place->again)
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -5,6 +5,9 @@
  * entry boxes' renewals what is under way before it grants. Whoever leads no more
  * drops it. Entry boxes that get no answer place by themselves meanwhile.
  *
+ * Beside placements it hands out the leader's part of the retry budgets
+ * (common/retry_budget.h): a new leader begins with all of it spent.
+ *
  * Everything runs in the loop's thread.
  */
 #ifndef TRACKCOVE_CLUSTER_PLACING_H
@@ -30,7 +33,8 @@
 
 /* ===== Public functions ===== */
 
-/** @param net borrowed; answers go out through it @param retries what settings allow all boxes together */
+/** @param net borrowed; answers go out through it
+ *  @param retries what settings allow all boxes together, copied: the leader's part of it is handed out here */
 placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries);
 /** Whoever waits for an answer gets none. */
 void placing_destroy(placing_t *placing);
@@ -40,18 +44,21 @@
 /** The back ends, from discovery; copied. */
 void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
 
-/** Engines that are changing their role get nothing new; copied. */
+/** Engines that are changing their role, by id: they get nothing new. Copied. */
 void placing_set_moving(placing_t *placing, const leaving_cfg_t *list, uint32_t n);
 
 /** What the two pools have to do, while this box leads and one service alone has engines: for roles/balance.h.
- *  @return that service's name, or "" */
+ *  @param prefill work of the prefill pool, as a moving average, in engines that would be busy all the time
+ *  @param decode the same of the decode pool
+ *  @return that service's name, borrowed until services are set again; or "", with nothing filled in */
 const char *placing_work(const placing_t *placing, double *prefill, double *decode);
 
 /** Call every tick. @param term of the leadership, 0 when this box does not lead @param boxes entry boxes that are
  *  there */
 void placing_tick(placing_t *placing, uint64_t term, uint32_t boxes, tc_time_t now);
 
-/** Take a message. @return false when it is none of the scheduler's */
+/** Take a message. The scheduler's are answered, with TC_E_NOT_LEADER while this box does not lead.
+ *  @return false, with nothing done, when it is none of the scheduler's */
 bool placing_receive(placing_t *placing, peer_call_t call, uint32_t type, const void *message, tc_time_t now);
 
 #endif
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -69,14 +69,16 @@
 /** The list of back ends, as this box's discovery has it: told to the boxes that report here. Copied. */
 void replica_set_backends(replica_t *replica, const backend_t *list, uint32_t n, tc_time_t fetched);
 
-/** Engines that are changing their role: the scheduler and all boxes leave them alone. Copied. */
+/** Engines that are changing their role, by id: the scheduler gives them nothing new, and boxes are told that they
+ * leave. Copied. */
 void replica_set_moving(replica_t *replica, const leaving_cfg_t *list, uint32_t n);
 
 /** Term of this box's leadership, 0 while it has no lease. */
 uint64_t replica_term(const replica_t *replica);
-/** The list as it was set last; borrowed until it is set again. */
+/** The list of back ends as it was set last, without regard to engines that change their role; borrowed until it is
+ *  set again. NULL with 0 before the first. */
 const backend_t *replica_backends(const replica_t *replica, uint32_t *n);
-/** As placing_work. */
+/** What the pools of engines have to do: as placing_work. */
 const char *replica_work(const replica_t *replica, double *prefill, double *decode);
 
 /** The services with engines that the document names: for the scheduler beside the leader. */
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -47,8 +47,8 @@
     backend_t *backends; /* as discovery has them */
     backend_t *told;     /* the same, with engines that change their role as leaving */
     uint32_t backends_n;
-    uint64_t told_hash;
-    leaving_cfg_t *moving;
+    uint64_t told_hash;    /* list_hash of what is told */
+    leaving_cfg_t *moving; /* engines that change their role */
     uint32_t moving_n;
     tc_time_t backends_fetched; /* 0: never */
 };
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -1,4 +1,4 @@
-/* What the boxes that report here are told. */
+/* What the boxes that report here are told: the document, the back ends, the other boxes and their loads. */
 
 #include <glib.h>
 #include <stdlib.h>
@@ -10,25 +10,21 @@
 
 COUNTER_DEFINE(c_reports, "counter", "trackcove_cluster_reports_total", "Reports of boxes answered")
 
+/* ===== Constants ===== */
+
 /** A new leader tells no list of boxes before all had the time to report to it. */
 enum { ROSTER_SETTLE_MS = 1000 };
 
-static bool is_moving(const replica_t *r, const char *id)
-{
-    for (uint32_t i = 0; i < r->moving_n; i++)
-        if (strcmp(r->moving[i].name, id) == 0)
-            return true;
-    return false;
-}
+/* ===== Back ends ===== */
 
-/** The list as boxes get it. */
+/** Make the list as boxes get it: engines that change their role are told as leaving. */
 static void make_told(replica_t *r)
 {
     const size_t size = r->backends_n * sizeof(*r->backends);
     free(r->told);
     r->told = list_copy(r->backends, size);
     for (uint32_t i = 0; i < r->backends_n; i++)
-        r->told[i].draining = r->told[i].draining || is_moving(r, r->told[i].id);
+        r->told[i].draining = r->told[i].draining || list_has_name(r->moving, r->moving_n, r->told[i].id);
     r->told_hash = list_hash(r->told, size);
 }
 
@@ -67,6 +63,23 @@
     ack->backends_n = r->backends_n;
 }
 
+/* ===== Answers to reports ===== */
+
+/** What only the leader knows. The lists of loads and boxes in @p ack are to be freed with free. */
+static void add_boxes(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t leader_since,
+                      tc_time_t now)
+{
+    if (report->self.http_addr[0]) /* others only listen */
+        roster_hear(r->roster, report, now);
+    ack->loads = roster_loads(r->roster, report->self.box, &ack->loads_n);
+    if (now - leader_since <= ROSTER_SETTLE_MS)
+        return;
+    ack->entries = roster_list(r->roster, &ack->entries_n, &ack->entries_hash);
+    ack->has_entries = true;
+    if (report->entries_hash == ack->entries_hash)
+        ack->entries_n = 0;
+}
+
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now)
 {
     counter_add(&c_reports, 1);
@@ -79,26 +92,15 @@
     if (r->document.version > report->version)
         ack.document = r->document;
     add_backends(r, report, &ack, now);
-    backend_load_t *loads = NULL;
-    entry_box_t *entries = NULL;
-    if (ack.leads) {
-        if (report->self.http_addr[0]) /* others only listen */
-            roster_hear(r->roster, report, now);
-        loads = roster_loads(r->roster, report->self.box, &ack.loads_n);
-        ack.loads = loads;
-    }
-    if (ack.leads && now - view.leader_since > ROSTER_SETTLE_MS) {
-        entries = roster_list(r->roster, &ack.entries_n, &ack.entries_hash);
-        ack.has_entries = true;
-        ack.entries = entries;
-        if (report->entries_hash == ack.entries_hash)
-            ack.entries_n = 0;
-    }
+    if (ack.leads)
+        add_boxes(r, report, &ack, view.leader_since, now);
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
-    free(loads);
-    free(entries);
+    free(ack.loads);
+    free(ack.entries);
 }
 
+/* ===== News ===== */
+
 static void publish_to(void *arg, const char *peer_addr)
 {
     const replica_t *const r = arg;
