Reporter: whoever answers, the answer is taken by one function

Reports and the questions to all control boxes read their answers and walked the list of control boxes by copied code; reports, learning and time are sections of their own.

--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -14,6 +14,8 @@
 COUNTER_DEFINE(c_version, "gauge", "trackcove_report_document_version", "Version of the document this box acts on")
 COUNTER_DEFINE(c_leader, "gauge", "trackcove_report_leader_heard", "Whether a leader answered the last report")
 
+/* ===== Constants ===== */
+
 enum {
     TICK_MS = 50,
     EVERY_MS = 300,  /* between reports: a fifth of the time after which a box that says nothing is left out */
@@ -133,24 +135,42 @@
     r->members_n = n;
 }
 
+/** All that an answer tells, whoever gave it. */
+static void take_ack(reporter_t *r, const msg_report_ack_t *ack, const char *from)
+{
+    take_document(r, &ack->document, from);
+    take_members(r, ack->members, ack->members_n);
+    take_backends(r, ack);
+    take_entries(r, ack);
+}
+
 /* ===== Whom to ask ===== */
 
-static uint32_t strings(char **list)
+static uint32_t count_strings(char **list)
 {
     return list ? g_strv_length(list) : 0;
 }
 
+/** Control boxes that are known: members, then seeds. */
+static uint32_t count_controls(const reporter_t *r)
+{
+    return r->members_n + count_strings(r->controls);
+}
+
+static const char *control_at(const reporter_t *r, uint32_t at)
+{
+    return at < r->members_n ? r->members[at].peer : r->controls[at - r->members_n];
+}
+
 /** The next one who may know, in turn: members and seeds, and other boxes when control is out of reach. */
 static void next_target(reporter_t *r, tc_time_t now)
 {
-    const uint32_t controls = r->members_n + strings(r->controls);
-    const uint32_t all = controls + (now - r->heard > ALONE_MS ? strings(r->neighbours) : 0);
+    const uint32_t controls = count_controls(r);
+    const uint32_t all = controls + (now - r->heard > ALONE_MS ? count_strings(r->neighbours) : 0);
     r->failed = 0;
     for (uint32_t tries = 0; tries < all; tries++) {
         const uint32_t at = r->turn++ % all;
-        const char *const addr = at < r->members_n ? r->members[at].peer
-                                 : at < controls   ? r->controls[at - r->members_n]
-                                                   : r->neighbours[at - controls];
+        const char *const addr = at < controls ? control_at(r, at) : r->neighbours[at - controls];
         if (strcmp(addr, r->self->peer_addr) == 0)
             continue;
         codec_copy_string(r->target, sizeof(r->target), addr);
@@ -171,7 +191,10 @@
     log_end(&line);
 }
 
-static void failed(reporter_t *r, tc_time_t now)
+/* ===== Reports ===== */
+
+/** The report under way has no answer. */
+static void report_failed(reporter_t *r, tc_time_t now)
 {
     counter_add(&c_failed, 1);
     if (r->connected && ++r->failed < FAILED_MAX)
@@ -181,6 +204,19 @@
     next_target(r, now);
 }
 
+/** Whom to report to next, and when, after an answer. */
+static void follow(reporter_t *r, const msg_report_ack_t *ack, tc_time_t now)
+{
+    if (ack->leads) {
+        r->next_at = now + EVERY_MS;
+    } else if (ack->leader[0] && strcmp(ack->leader, r->target) != 0) {
+        codec_copy_string(r->target, sizeof(r->target), ack->leader);
+        r->next_at = now;
+    } else {
+        next_target(r, now);
+    }
+}
+
 static void on_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
     reporter_t *const r = arg;
@@ -189,15 +225,12 @@
     r->waiting = false;
     r->next_at = now + AGAIN_MS;
     if (rc != TC_OK || type != MSG_REPORT_ACK) {
-        failed(r, now);
+        report_failed(r, now);
         return;
     }
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
-    take_document(r, &ack->document, r->target);
-    take_members(r, ack->members, ack->members_n);
-    take_backends(r, ack);
-    take_entries(r, ack);
+    take_ack(r, ack, r->target);
     if (ack->leads && r->events.on_loads)
         r->events.on_loads(r->events.arg, ack->loads, ack->loads_n);
     codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
@@ -206,14 +239,7 @@
     set_connected(r, ack->leads);
     if (ack->leads)
         r->leader_heard = now;
-    if (ack->leads) {
-        r->next_at = now + EVERY_MS;
-    } else if (ack->leader[0] && strcmp(ack->leader, r->target) != 0) {
-        codec_copy_string(r->target, sizeof(r->target), ack->leader);
-        r->next_at = now;
-    } else {
-        next_target(r, now);
-    }
+    follow(r, ack, now);
 }
 
 static void fill_report(const reporter_t *r, msg_report_t *report)
@@ -224,20 +250,29 @@
                              .entries_hash = r->entries_hash};
 }
 
+static void send_report(reporter_t *r)
+{
+    msg_report_t report;
+    fill_report(r, &report);
+    if (r->events.loads)
+        report.loads = r->events.loads(r->events.arg, &report.loads_n);
+    r->waiting = true;
+    counter_add(&c_reports, 1);
+    peer_call(r->net, r->target, MSG_REPORT, &report, LIMIT_MS, on_answer, r);
+    free(report.loads);
+}
+
+/* ===== Learning ===== */
+
 /** What a box that was asked beside the reports knows. Whether it leads is for the next report to find out. */
 static void on_hearsay(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
-    reporter_t *const r = arg;
     if (rc != TC_OK || type != MSG_REPORT_ACK) {
         (void)err; /* a box that is down or knows nothing: the others are asked as well */
         counter_add(&c_failed, 1);
         return;
     }
-    const msg_report_ack_t *const ack = message;
-    take_document(r, &ack->document, "any");
-    take_members(r, ack->members, ack->members_n);
-    take_backends(r, ack);
-    take_entries(r, ack);
+    take_ack(arg, message, "any");
 }
 
 /** A box that has just started is of no use before it knows a document: it does not wait for one box after the other.
@@ -247,9 +282,9 @@
     r->learn_at = now + LEARN_MS;
     msg_report_t report;
     fill_report(r, &report);
-    const uint32_t seeds = strings(r->controls);
-    for (uint32_t i = 0; i < r->members_n + seeds; i++) {
-        const char *const addr = i < r->members_n ? r->members[i].peer : r->controls[i - r->members_n];
+    const uint32_t controls = count_controls(r);
+    for (uint32_t i = 0; i < controls; i++) {
+        const char *const addr = control_at(r, i);
         if (strcmp(addr, r->self->peer_addr) == 0)
             continue;
         counter_add(&c_reports, 1);
@@ -257,17 +292,7 @@
     }
 }
 
-static void send_report(reporter_t *r)
-{
-    msg_report_t report;
-    fill_report(r, &report);
-    if (r->events.loads)
-        report.loads = r->events.loads(r->events.arg, &report.loads_n);
-    r->waiting = true;
-    counter_add(&c_reports, 1);
-    peer_call(r->net, r->target, MSG_REPORT, &report, LIMIT_MS, on_answer, r);
-    free(report.loads);
-}
+/* ===== Time ===== */
 
 static void on_tick(void *arg)
 {
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -4,8 +4,9 @@
  *
  * Control boxes are asked one after another until one answers as the leader; a
  * leader that is heard keeps being asked. What was heard is kept while nobody
- * answers: a box serves on with the newest it knows. A box that knows nothing yet
- * asks other boxes as well. Never goes back to an older document.
+ * answers: a box serves on with the newest it knows. A box that knows no document
+ * yet asks all control boxes at once, and after a second without any of them other
+ * boxes as well. Never goes back to an older document.
  *
  * Everything runs in the loop's thread.
  */
@@ -21,10 +22,11 @@
 
 typedef struct reporter reporter_t;
 
-/** What changed; each is called with what the reporter now holds. Any may be NULL. */
+/** What changed; each is called with what the reporter now holds, borrowed for the call. Any may be NULL. */
 typedef struct {
     void (*on_document)(void *arg, const document_t *document);
     void (*on_backends)(void *arg, const backend_t *list, uint32_t n);
+    /** What all other boxes together have in flight, after each answer of a leader. */
     void (*on_loads)(void *arg, const backend_load_t *loads, uint32_t n);
     /** @return what this box has in flight, for free() */
     backend_load_t *(*loads)(void *arg, uint32_t *n);
@@ -53,19 +55,21 @@
 
 /** The document that is held, with version 0 before the first; borrowed until the loop's next turn. */
 const document_t *reporter_document(const reporter_t *reporter);
-/** The boxes that are held; borrowed until the loop's next turn. */
+/** The entry boxes that are held; borrowed until the loop's next turn. */
 const entry_box_t *reporter_entries(const reporter_t *reporter, uint32_t *n);
 /** When the list of back ends was read from the platform, 0 for never. */
 tc_time_t reporter_backends_time(const reporter_t *reporter);
-/** Take a list that this box has read by itself. */
+/** Take a list that this box has read by itself, copied, unless the one that is held is as new.
+ *  @param fetched when the reading began */
 void reporter_set_backends(reporter_t *reporter, const backend_t *list, uint32_t n, tc_time_t fetched);
 /** When a leader answered last, 0 for never. */
 tc_time_t reporter_leader_heard(const reporter_t *reporter);
-/** Call the leader of the control boxes.
- * @return false, with nothing done, when none is known; else @p callback runs as with peer_call */
+/** Call the leader of the control boxes. @param limit for the answer, ms
+ *  @return false, with nothing done, when no leader answered the last report; else @p callback runs once, later, as
+ *  with peer_call */
 bool reporter_call_leader(reporter_t *reporter, uint32_t type, const void *message, tc_time_t limit,
                           peer_reply_t callback, void *arg);
-/** Tell the leader, without an answer; dropped when none is known. */
+/** Tell the leader, without an answer; dropped when no leader answered the last report. */
 void reporter_tell_leader(reporter_t *reporter, uint32_t type, const void *message);
 
 /** Where operators reach the leader, "" when unknown. */
