--- a/lib/roles/balance.c
+++ b/lib/roles/balance.c
@@ -1,5 +1,7 @@
 #include "roles/balance.h"
 
+#include <stdbool.h>
+
 /* ===== Constants ===== */
 
 /** Below this share of all engines at work the pools say little. A tenth of the load of a calm day. */
@@ -12,27 +14,40 @@
 static const double DECODE_LEADS = 0.85;
 /** Above this part a prompt waits for longer than it is read: an engine comes back, if the decode pool can spare it. */
 static const double PREFILL_SHORT = 0.9;
+/** It can, when those that stay would be busy for less than this part. */
 static const double DECODE_SPARE = 0.5;
 
 enum {
     PREFILLS_MIN = 2, /* one may die */
-    DECODES_MIN = 2
+    DECODES_MIN = 2   /* the same */
 };
 
+/* ===== Rules ===== */
+
+/** Whether the prefill pool would do with one engine less. */
+static bool can_give(const balance_t *b)
+{
+    if (b->prefills <= PREFILLS_MIN)
+        return false;
+    const double left = b->prefill_work / (b->prefills - 1);
+    const double memory = b->decodes > 0 ? b->decode_work / b->decodes : 1;
+    return left <= memory && (left <= PREFILL_BUSY_MAX || left <= DECODE_LEADS * memory);
+}
+
+/** Whether the prefill pool is short of an engine that the decode pool can spare. */
+static bool must_take(const balance_t *b)
+{
+    return b->decodes > DECODES_MIN && b->prefill_work > PREFILL_SHORT * b->prefills &&
+           b->decode_work < DECODE_SPARE * (b->decodes - 1);
+}
+
 /* ===== Public functions ===== */
 
 uint32_t balance_prefills(const balance_t *b)
 {
     if (b->prefill_work + b->decode_work < WORK_MIN * (b->prefills + b->decodes))
         return b->prefills;
-    if (b->prefills > PREFILLS_MIN) {
-        const double left = b->prefill_work / (b->prefills - 1);
-        const double memory = b->decodes > 0 ? b->decode_work / b->decodes : 1;
-        if (left <= memory && (left <= PREFILL_BUSY_MAX || left <= DECODE_LEADS * memory))
-            return b->prefills - 1;
-    }
-    if (b->decodes > DECODES_MIN && b->prefill_work > PREFILL_SHORT * b->prefills &&
-        b->decode_work < DECODE_SPARE * (b->decodes - 1))
-        return b->prefills + 1;
-    return b->prefills;
+    if (can_give(b))
+        return b->prefills - 1;
+    return must_take(b) ? b->prefills + 1 : b->prefills;
 }
--- a/lib/roles/balance.h
+++ b/lib/roles/balance.h
@@ -5,6 +5,8 @@
  * holds no request's memory while it is idle, and memory is what bursts run out
  * of. Work is counted in engines: 2.5 means that two and a half engines would be
  * busy all the time.
+ *
+ * Pure: no I/O, clock or state.
  */
 #ifndef TRACKCOVE_ROLES_BALANCE_H
 #define TRACKCOVE_ROLES_BALANCE_H
@@ -18,14 +20,14 @@
 /** The two pools of one service, engines that are about to change counted where they go. */
 typedef struct {
     uint32_t prefills, decodes; /**< engines of each role */
-    double prefill_work;        /**< of the prefill pool, in engines */
-    double decode_work;         /**< of the decode pool, in engines: memory or places taken, whichever is more */
+    double prefill_work;        /**< of the prefill pool, in engines, 0 or more */
+    double decode_work;         /**< of the decode pool, the same: memory or places taken, whichever is more */
 } balance_t;
 
 /* ===== Public functions ===== */
 
-/** Engines that should compute prompts: the present number, one more or one fewer. Never leaves a pool with fewer than
- *  it needs to bear a loss. */
+/** Engines that should compute prompts: the present number, one more or one fewer. Never takes an engine from a pool
+ *  that would then not bear a loss. */
 uint32_t balance_prefills(const balance_t *balance);
 
 #endif
--- a/lib/roles/mover.c
+++ b/lib/roles/mover.c
@@ -27,6 +27,13 @@
     MOVING_SHARE = 10  /* one in so many engines may change at a time, and one always */
 };
 
+/** Of engines' answers. */
+enum { STATUS_OK = 200, STATUS_TAKEN = 202, STATUS_FENCED = 412 };
+
+/** Stages, as backend_t names them. */
+static const char PREFILL[] = "prefill";
+static const char DECODE[] = "decode";
+
 /* ===== Types ===== */
 
 typedef enum {
@@ -40,30 +47,27 @@
 typedef struct {
     struct cds_list_head node;
     backend_t engine;
-    char to[CODEC_STR_SIZE]; /* stage */
+    char to[CODEC_STR_SIZE]; /* stage that it is to have */
     move_state_t state;
-    tc_time_t until;
+    tc_time_t until; /* the move is forgotten then, whatever came of it */
 } move_t;
 
 struct mover {
     loop_t *loop;
     web_client_t *client;
     char box[CODEC_STR_SIZE];
-    tc_time_t turn;
-    uint64_t term;
+    tc_time_t turn; /* as mover_create says */
+    uint64_t term;  /* of the leadership, 0 for none */
     tc_time_t term_since;
-    tc_time_t ticked_at;
-    bool fenced; /* somebody with a higher fence orders: no more in this term */
-    uint32_t wanted;
-    tc_time_t wanted_since;
-    struct cds_list_head moves;
+    tc_time_t ticked_at;        /* time of the last look */
+    bool fenced;                /* somebody with a higher fence orders: no more in this term */
+    uint32_t wanted;            /* what is_sustained was told last */
+    tc_time_t wanted_since;     /* without a change */
+    struct cds_list_head moves; /* all move_t */
     web_ask_t ask;
     move_t *asked; /* the move that the call under way is for, or NULL */
 };
 
-static const char PREFILL[] = "prefill";
-static const char DECODE[] = "decode";
-
 /* ===== Log ===== */
 
 static void log_move(const mover_t *m, const move_t *move, const char *what, int status)
@@ -94,7 +98,7 @@
 
 /* ===== Moves ===== */
 
-static move_t *move_of(const mover_t *m, const char *id)
+static move_t *find_move(const mover_t *m, const char *id)
 {
     move_t *move;
     cds_list_for_each_entry(move, &m->moves, node)
@@ -103,7 +107,7 @@
     return NULL;
 }
 
-static void move_end(mover_t *m, move_t *move)
+static void end_move(mover_t *m, move_t *move)
 {
     if (m->asked == move) {
         web_ask_cancel(&m->ask);
@@ -113,26 +117,32 @@
     g_free(move);
 }
 
-static void moves_clear(mover_t *m)
+static void end_moves(mover_t *m)
 {
     move_t *move, *next;
     cds_list_for_each_entry_safe(move, next, &m->moves, node)
-        move_end(m, move);
+        end_move(m, move);
 }
 
+/** Leave the engine alone for a while. */
 static void pause_move(const mover_t *m, move_t *move)
 {
     move->state = MOVE_PAUSED;
     move->until = m->ticked_at + PAUSE_MS;
 }
 
+static bool is_moving(const move_t *move)
+{
+    return move->state != MOVE_PAUSED;
+}
+
 uint32_t mover_moving(const mover_t *m, leaving_cfg_t *list, uint32_t room)
 {
     uint32_t n = 0;
     const move_t *move;
-    memset(list, 0, room * sizeof(*list));
+    memset(list, 0, room * sizeof(*list)); /* lists are compared by their bytes */
     cds_list_for_each_entry(move, &m->moves, node) {
-        if (move->state == MOVE_PAUSED || n == room)
+        if (!is_moving(move) || n == room)
             continue;
         codec_copy_string(list[n++].name, sizeof(list->name), move->engine.id);
     }
@@ -144,11 +154,13 @@
     uint32_t n = 0;
     const move_t *move;
     cds_list_for_each_entry(move, &m->moves, node)
-        n += move->state != MOVE_PAUSED;
+        n += is_moving(move);
     return n;
 }
 
-static const backend_t *listed(const mover_view_t *view, const char *id)
+/* ===== Moves and the list ===== */
+
+static const backend_t *find_listed(const mover_view_t *view, const char *id)
 {
     for (uint32_t i = 0; i < view->backends_n; i++)
         if (strcmp(view->backends[i].id, id) == 0)
@@ -156,21 +168,21 @@
     return NULL;
 }
 
-/** Moves that are over: the engine is what it was to become, is gone, or was ordered long ago. */
-static void sweep(mover_t *m, const mover_view_t *view, tc_time_t now)
+/** End the moves that are over: the engine is what it was to become, is gone, or was ordered long ago. */
+static void sweep_moves(mover_t *m, const mover_view_t *view, tc_time_t now)
 {
     move_t *move, *next;
     cds_list_for_each_entry_safe(move, next, &m->moves, node) {
-        const backend_t *const engine = listed(view, move->engine.id);
+        const backend_t *const engine = find_listed(view, move->engine.id);
         if (move == m->asked)
-            continue;
+            continue; /* its answer comes first */
         if (engine && strcmp(engine->stage, move->to) == 0) {
             log_move(m, move, "done", 0);
-            move_end(m, move);
+            end_move(m, move);
         } else if (!engine || now >= move->until) {
-            if (move->state != MOVE_PAUSED)
+            if (is_moving(move))
                 log_move(m, move, engine ? "given up" : "gone", 0);
-            move_end(m, move);
+            end_move(m, move);
         }
     }
 }
@@ -191,7 +203,6 @@
 /** The engine's answer to the order. */
 static void on_ordered(void *arg, web_ask_end_t how)
 {
-    enum { STATUS_OK = 200, STATUS_TAKEN = 202, STATUS_FENCED = 412 };
     mover_t *const m = arg;
     move_t *const move = m->asked;
     m->asked = NULL;
@@ -212,6 +223,16 @@
     pause_move(m, move);
 }
 
+static void send_order(mover_t *m, move_t *move, uint64_t taken)
+{
+    const dialect_order_t order = {
+        .instance = move->engine.id, .stage = move->to, .holder = m->box, .fence = m->term, .taken = taken};
+    counter_add(&c_orders, 1);
+    move->state = MOVE_ORDERING;
+    log_move(m, move, "ordered", 0);
+    call_engine(m, move, dialect_write_order(move->engine.addr, &order), on_ordered);
+}
+
 /** What the engine says it is: the order rests on it. */
 static void on_looked(void *arg, web_ask_end_t how)
 {
@@ -219,7 +240,7 @@
     move_t *const move = m->asked;
     dialect_engine_t engine;
     m->asked = NULL;
-    const bool known = how == WEB_ASK_WHOLE && m->ask.status == 200 &&
+    const bool known = how == WEB_ASK_WHOLE && m->ask.status == STATUS_OK &&
                        dialect_read_engine((const char *)m->ask.body->data, m->ask.body->len, &engine);
     if (tc_time_now() - m->ticked_at > STALE_MS) {
         log_move(m, move, "this box stood still", 0);
@@ -231,12 +252,7 @@
         pause_move(m, move);
         return;
     }
-    const dialect_order_t order = {
-        .instance = move->engine.id, .stage = move->to, .holder = m->box, .fence = m->term, .taken = engine.orders};
-    counter_add(&c_orders, 1);
-    move->state = MOVE_ORDERING;
-    log_move(m, move, "ordered", 0);
-    call_engine(m, move, dialect_write_order(move->engine.addr, &order), on_ordered);
+    send_order(m, move, engine.orders);
 }
 
 /* ===== Deciding ===== */
@@ -249,8 +265,8 @@
 /** The stage that an engine has, or goes to. */
 static const char *stage_of(const mover_t *m, const backend_t *b)
 {
-    const move_t *const move = move_of(m, b->id);
-    return move && move->state != MOVE_PAUSED ? move->to : b->stage;
+    const move_t *const move = find_move(m, b->id);
+    return move && is_moving(move) ? move->to : b->stage;
 }
 
 static void count_pools(const mover_t *m, const mover_view_t *view, balance_t *b)
@@ -285,7 +301,7 @@
     uint32_t most = 0;
     for (uint32_t i = 0; i < view->backends_n; i++) {
         const backend_t *const b = &view->backends[i];
-        if (!takes_part(b, view) || strcmp(b->stage, from) != 0 || move_of(m, b->id))
+        if (!takes_part(b, view) || strcmp(b->stage, from) != 0 || find_move(m, b->id))
             continue;
         const uint32_t n = count_in_dc(m, view, b->dc, from);
         if (n <= most)
@@ -296,7 +312,8 @@
     return best;
 }
 
-static void begin(mover_t *m, const backend_t *engine, const char *to, tc_time_t now)
+/** Begin a move: look at the engine first. */
+static void begin_move(mover_t *m, const backend_t *engine, const char *to, tc_time_t now)
 {
     move_t *const move = g_new0(move_t, 1);
     move->engine = *engine;
@@ -307,7 +324,7 @@
     call_engine(m, move, dialect_write_look(engine->addr), on_looked);
 }
 
-/** Whether the same number has been wanted for long enough. */
+/** Whether the same has been wanted for long enough. @param other it is not what there is: a wish at all */
 static bool is_sustained(mover_t *m, uint32_t wanted, bool other, tc_time_t now)
 {
     if (wanted != m->wanted || !other) {
@@ -323,16 +340,17 @@
     count_pools(m, view, &pools);
     const uint32_t wanted = balance_prefills(&pools);
     const bool fewer = wanted < pools.prefills;
+    /* A wish for fewer is one wish, whatever the number: it lasts while one engine after the other goes. */
     if (!is_sustained(m, fewer ? 0 : wanted, wanted != pools.prefills, now))
         return;
     const uint32_t room = (pools.prefills + pools.decodes) / MOVING_SHARE;
     if (count_moving(m) > room)
-        return;
+        return; /* one more than the share, so that small services change too */
     const backend_t *const engine = choose_engine(m, view, fewer ? PREFILL : DECODE);
     if (!engine)
         return;
     log_wish(&pools, wanted);
-    begin(m, engine, fewer ? DECODE : PREFILL, now);
+    begin_move(m, engine, fewer ? DECODE : PREFILL, now);
 }
 
 /* ===== Life ===== */
@@ -341,7 +359,7 @@
 {
     if (term == m->term)
         return;
-    moves_clear(m); /* what was ordered shows in the list; what was not is for the next leader */
+    end_moves(m); /* what was ordered shows in the list; what was not is for the next leader */
     m->term = term;
     m->term_since = now;
     m->wanted_since = now;
@@ -355,10 +373,10 @@
     counter_set(&c_moving, count_moving(m));
     if (m->term == 0)
         return;
-    sweep(m, view, now);
+    sweep_moves(m, view, now);
     /* An older leader's order may be under way until its lease and the time of an order are over. */
-    const bool turn = now - m->term_since >= m->turn + ORDER_MS;
-    if (turn && !m->fenced && !m->asked && view->service[0])
+    const bool our_turn = now - m->term_since >= m->turn + ORDER_MS;
+    if (our_turn && !m->fenced && !m->asked && view->service[0])
         decide(m, view, now);
 }
 
@@ -376,7 +394,7 @@
 
 void mover_destroy(mover_t *m)
 {
-    moves_clear(m);
+    end_moves(m);
     g_byte_array_free(m->ask.body, TRUE);
     g_free(m);
 }
--- a/lib/roles/mover.h
+++ b/lib/roles/mover.h
@@ -27,27 +27,30 @@
 
 /** What a look rests on. Borrowed for the call. */
 typedef struct {
-    uint64_t term; /**< of the leadership, 0 when this box does not lead */
-    const backend_t *backends;
+    uint64_t term;             /**< of the leadership, 0 when this box does not lead */
+    const backend_t *backends; /**< as the platform lists them */
     uint32_t backends_n;
     const char *service; /**< whose engines may change, "" for none */
-    double prefill_work; /**< as balance_t says */
-    double decode_work;  /**< as balance_t says */
+    double prefill_work; /**< as in balance_t */
+    double decode_work;  /**< as in balance_t */
 } mover_view_t;
 
 /* ===== Public functions ===== */
 
-/** @param box names this box as the one that orders; copied
- *  @param turn ms after which orders of another leader can't arrive any more, beside the time of an order itself */
+/** @param loop borrowed @param client borrowed, for calls to engines
+ *  @param box names this box as the one that orders; copied
+ *  @param turn ms after which orders of another leader can't arrive any more, beside the time of an order itself
+ *  @return never NULL */
 mover_t *mover_create(loop_t *loop, web_client_t *client, const char *box, tc_time_t turn);
-/** After loop_run returned. */
+/** After loop_run returned; orders under way are dropped. */
 void mover_destroy(mover_t *mover);
 
-/** Look, and begin the next step if there is one. Call every 50 to 250 ms. */
+/** Look, and begin the next step if there is one. Call every 50 to 250 ms, with tc_time_now: a box that finds on an
+ *  engine's answer that it has not looked for longer does not order. */
 void mover_tick(mover_t *mover, const mover_view_t *view, tc_time_t now);
 
-/** Engines that are changing their role, or were asked to: they should get nothing new.
- *  @return how many; at most @p room are filled in, by id, zeroed behind it */
+/** Engines that are changing their role, or are about to be asked to: they should get nothing new.
+ *  @param list filled in with their ids, zeroed behind them @return how many, @p room at most */
 uint32_t mover_moving(const mover_t *mover, leaving_cfg_t *list, uint32_t room);
 
 #endif
