--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -20,7 +20,7 @@
 #include "web/web_client.h"
 #include "web/web_server.h"
 
-/* ===== Types ===== */
+/* ===== Constants ===== */
 
 enum {
     DIALECT_ID_SIZE = 96,
@@ -28,10 +28,12 @@
     DIALECT_PARTS_MAX = 8   /* parts behind these are not looked for */
 };
 
+/* ===== Types ===== */
+
 /** One part of a prompt: engines that keep all parts up to it need not compute it again. */
 typedef struct {
-    char id[DIALECT_PART_SIZE];
-    unsigned tokens;
+    char id[DIALECT_PART_SIZE]; /**< names it; never "" */
+    unsigned tokens;            /**< of this part alone */
 } dialect_part_t;
 
 /** What placement and timing need to know of a request. */
@@ -42,8 +44,8 @@
     unsigned output_tokens; /**< most that may be generated, 0 when unknown */
     unsigned output_guess;  /**< the caller's guess of what will be, often far off; 0 when it made none */
     char resume_after[32];  /**< last event that the caller has of a stream it takes up again, or "" */
-    dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, in order */
-    unsigned parts_n;
+    dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, from its start, in order */
+    unsigned parts_n;                        /**< 0 when the caller names none */
 } dialect_request_t;
 
 /** What one back end is asked to do with a request. */
@@ -74,6 +76,22 @@
     bool success; /**< 2xx */
 } dialect_reply_t;
 
+/** What an engine says of itself. */
+typedef struct {
+    char stage[CODEC_STR_SIZE]; /**< as in backend_t */
+    bool busy;                  /**< an order is being carried out */
+    uint64_t orders;            /**< orders it has taken since its start */
+} dialect_engine_t;
+
+/** An order to change the role. Borrowed. */
+typedef struct {
+    const char *instance; /**< only this start of the engine may take it */
+    const char *stage;    /**< what it is to become, as in backend_t */
+    const char *holder;   /**< who orders */
+    uint64_t fence;       /**< engines refuse what is lower than they have seen */
+    uint64_t taken;       /**< orders it must have taken until then: a late copy of an order finds more */
+} dialect_order_t;
+
 /* ===== Requests and answers ===== */
 
 /** Read what is needed of a caller's request. */
@@ -105,7 +123,8 @@
 /** The call that asks an engine which parts of prompts it keeps. @return bytes for web_call */
 GByteArray *dialect_write_kept(const char *addr);
 
-/** How many tokens of a prompt, from its start, the engine keeps by its answer. 0 when it does not say. */
+/** How many tokens of a prompt, from its start, the engine keeps by its answer: those of the parts before the first
+ *  that it does not keep. 0 when it does not say. */
 unsigned dialect_read_kept(const char *body, size_t size, const dialect_request_t *facts);
 
 /* ===== Memory set aside ===== */
@@ -121,29 +140,14 @@
 
 /* ===== Roles of engines ===== */
 
-/** What an engine says of itself. */
-typedef struct {
-    char stage[CODEC_STR_SIZE]; /**< prefill or decode */
-    bool busy;                  /**< an order is being carried out */
-    uint64_t orders;            /**< orders it has taken since its start */
-} dialect_engine_t;
-
-/** An order to change the role. Borrowed. */
-typedef struct {
-    const char *instance; /**< only this start of the engine may take it */
-    const char *stage;    /**< what it is to become */
-    const char *holder;   /**< who orders */
-    uint64_t fence;       /**< engines refuse what is lower than they have seen */
-    uint64_t taken;       /**< orders it must have taken until then: a late copy of an order finds more */
-} dialect_order_t;
-
 /** The call that asks an engine what it is. @return bytes for web_call */
 GByteArray *dialect_write_look(const char *addr);
 
-/** Read its answer. @return false when it does not say */
+/** Read its answer. @return false, with @p engine zeroed, when it does not say what it is and how many orders it has
+ *  taken */
 bool dialect_read_engine(const char *body, size_t size, dialect_engine_t *engine);
 
-/** The order. @return bytes for web_call */
+/** The order itself. @return bytes for web_call */
 GByteArray *dialect_write_order(const char *addr, const dialect_order_t *order);
 
 /* ===== Discovery ===== */
