Scheduler: what engines have to do is counted by a function of its own

learn_busy counted and averaged at once. The fleet's and scheduler's headers say what the new averages, kept answers and callbacks are; the randomised run of the scheduler is unchanged.

--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -35,7 +35,7 @@
     unsigned failures;     /**< in a row */
     tc_time_t avoid_until; /**< not chosen before, unless there is no other */
     GByteArray *kept;      /**< what it last said of the prompts it keeps, or NULL; the adapter's to read */
-    tc_time_t kept_at;
+    tc_time_t kept_at;     /**< when it said that */
     unsigned refs;
 } instance_t;
 
@@ -76,7 +76,8 @@
 
 /** The listed instance of that id, borrowed, or NULL. */
 instance_t *fleet_find(const fleet_t *fleet, const char *id);
-/** Run @p fn for every instance of the service and stage that is not leaving. */
+/** Run @p fn, which may not change the list, for every instance of the service and stage that is not leaving. The
+ *  instance is borrowed. */
 void fleet_each(const fleet_t *fleet, const char *service, stage_t stage, void (*fn)(void *arg, instance_t *instance),
                 void *arg);
 /** Choose. @return a counted reference, or NULL when no back end is left */
@@ -96,7 +97,7 @@
 void instance_succeeded(instance_t *instance);
 /** It failed or is silent: avoid it for a while, longer each time in a row. */
 void instance_failed(instance_t *instance, tc_time_t now);
-/** It is not what the list says: leave it alone until the list is likely to say better. */
+/** It is not what the list says: leave it alone until the list is likely to say better, or says another stage. */
 void instance_outdated(instance_t *instance, tc_time_t now);
 /** It is full: leave it alone for a moment. */
 void instance_refused(instance_t *instance, tc_time_t now);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -69,38 +69,52 @@
     }
 }
 
-/** Time constant of the averages the planner decides on. */
+/** Time constant of the averages that planner and mover decide on. */
 static const double BUSY_MS = 2000;
 
-static void learn_busy(sched_t *s, tc_time_t now)
+/** Engines that can be used, and what they have to do, at one moment. */
+typedef struct {
+    double prefills; /* engines that compute prompts */
+    double working;  /* those of them that do */
+    double decodes;  /* engines that decode */
+    double taken;    /* of them, by memory or places, whichever is more: in engines */
+} use_t;
+
+static use_t count_use(const sched_t *s, tc_time_t now)
 {
-    double prefills = 0, working = 0, places = 0, taken = 0;
+    use_t use = {0};
     for (guint i = 0; i < s->engine_list->len; i++) {
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
         if (!engine_usable(e, now))
             continue;
         if (e->role == ROLE_PREFILL) {
-            prefills++;
-            working += engine_backlog(e, now) > 0 || e->prefills > 0;
+            use.prefills++;
+            use.working += engine_backlog(e, now) > 0 || e->prefills > 0;
             continue;
         }
         const double memory = (double)e->reserved / (e->pieces ? e->pieces : 1);
         const double batch = (double)e->batch / (e->max_batch ? e->max_batch : 1);
-        places++;
-        taken += memory > batch ? memory : batch;
+        use.decodes++;
+        use.taken += memory > batch ? memory : batch;
     }
+    return use;
+}
+
+static void learn_busy(sched_t *s, tc_time_t now)
+{
     const double span = (double)(now - s->busy_at);
     if (span <= 0)
         return;
+    const use_t use = count_use(s, now);
     const double weight = span < BUSY_MS ? span / BUSY_MS : 1;
     s->busy_at = now;
-    s->stats.decode_work += weight * (taken - s->stats.decode_work);
+    s->stats.decode_work += weight * (use.taken - s->stats.decode_work);
     s->stats.prefill_work += weight * (s->granted_ms / span - s->stats.prefill_work);
     s->granted_ms = 0;
-    if (prefills > 0)
-        s->stats.prefill_busy += weight * (working / prefills - s->stats.prefill_busy);
-    if (places > 0)
-        s->stats.decode_busy += weight * (taken / places - s->stats.decode_busy);
+    if (use.prefills > 0)
+        s->stats.prefill_busy += weight * (use.working / use.prefills - s->stats.prefill_busy);
+    if (use.decodes > 0)
+        s->stats.decode_busy += weight * (use.taken / use.decodes - s->stats.decode_busy);
 }
 
 void sched_tick(sched_t *s, tc_time_t now)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -93,7 +93,7 @@
 typedef struct {
     uint32_t queued, placed, cancelling, engines;
     double prefill_busy, decode_busy; /**< moving averages, 0 to 1, for the planner */
-    double prefill_work, decode_work; /**< moving averages, in engines that would be busy all the time */
+    double prefill_work, decode_work; /**< moving averages, in engines that would be busy all the time, for the mover */
     uint64_t cache_predicted,
         cache_actual; /**< prompt tokens taken for cached at the grant, and cached as engines said */
     uint64_t granted, refused, resumed, replanned, lapsed, orphans;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -168,7 +168,7 @@
     double freed_pieces;   /* since freed_at */
     tc_time_t freed_at;
     tc_time_t busy_at; /* when the busy averages were updated last */
-    double granted_ms; /* prompt work handed out since */
+    double granted_ms; /* prompt work handed out since, in ms of a prefill engine */
     sched_stats_t stats;
 };
 
