--- /dev/null
+++ b/tests/platform/forward_lab.h
@@ -0,0 +1,249 @@
+/** @file forward_lab.h
+ * The world of test_forward.c, which alone includes it: an entry over loopback, fake back ends that answer by a plan,
+ * and callers.
+ */
+#ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
+#define TRACKCOVE_TESTS_FORWARD_LAB_H
+
+#include <glib.h>
+#include <string.h>
+
+#include "forward/forward.h"
+#include "harness/lab.h"
+#include "platform/config.h"
+
+/* ===== Types ===== */
+
+enum { BACKENDS = 4 };
+
+/** What one fake back end does with its next requests; the last one goes on for ever. */
+typedef struct {
+    const char *replies; /* a letter each, see answer() */
+    unsigned at;         /* the letter for the next request */
+    GString *seen;       /* all requests, one after the other */
+    struct fixture *fixture;
+} plan_t;
+
+typedef struct fixture {
+    loop_t *loop;
+    fleet_t *fleet;
+    web_client_t *client, *callers;
+    forwarder_t *forwarder;
+    web_server_t *server;
+    web_limits_t limits;
+    char addr[32];
+    char backend_addr[BACKENDS][32];
+    lab_backend_t *backend[BACKENDS];
+    plan_t plan[BACKENDS];
+    bool spare[BACKENDS]; /* as in backend_plan_t */
+} fixture_t;
+
+/** One back end: a spare one is chosen only when no other is left; nobody listens at one that is down. */
+typedef struct {
+    const char *service, *stage, *replies;
+    bool spare, down;
+} backend_plan_t;
+
+/* ===== Fake back ends ===== */
+
+#define SEAL "Server-Seal: s1\r\nAttempt-Id: id1\r\n"
+#define STREAM_HEAD "HTTP/1.1 200 OK\r\n" SEAL "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static lab_reply_t say(const char *bytes, lab_end_t end)
+{
+    return (lab_reply_t){.bytes = g_strdup(bytes), .end = end};
+}
+
+static lab_reply_t say_json(const char *body)
+{
+    char *const bytes = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
+}
+
+static lab_reply_t answer(void *arg, const char *request)
+{
+    plan_t *const plan = arg;
+    g_string_append(plan->seen, request);
+    const char kind = plan->replies[plan->at];
+    if (plan->replies[plan->at + 1])
+        plan->at++;
+    switch (kind) {
+    case 'o': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok", LAB_KEEP);
+    case 'n': return say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
+    case 'm': return say("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
+    case 'e': return say("HTTP/1.1 500 No\r\n" SEAL "Content-Length: 2\r\n\r\nno", LAB_KEEP);
+    case 'r': return say(NULL, LAB_RESET);
+    case 'c': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 9\r\n\r\nok", LAB_CLOSE);
+    case 'g': return say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LAB_KEEP); /* no proof of origin */
+    case 'h': return say(NULL, LAB_HANG);
+    case 'x': /* somebody else's answer first */
+        return say("HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 5\r\n\r\nother"
+                   "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok",
+                   LAB_KEEP);
+    case 'p': return say_json("{\"prefill_handle\":\"handle1\"}");
+    case 'k': /* keeps both parts of the prompt of resume() */
+        return say_json("{\"held\":[[\"\",\"b2\",90,\"m\"],[\"\",\"a1\",10,\"m\"]]}");
+    case 'l': /* keeps the shared part only */ return say_json("{\"held\":[[\"\",\"a1\",10,\"m\"]]}");
+    case 'H': return say_json("{\"hold\":\"hold1\"}");
+    case 'S': /* a whole stream */
+        return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
+    case 'T': /* breaks in the middle of its second event */
+        return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET);
+    case 'U': /* goes on behind the first */ return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
+    default: g_assert_not_reached();
+    }
+}
+
+/* ===== Configuration ===== */
+
+#define ROUTE(path, kind, timeout, attempts, service)                                                                  \
+    "{\"host\":\"h\",\"path_prefix\":\"/" path "/\",\"kind\":\"" kind "\",\"timeout_ms\":" timeout                     \
+    ",\"max_attempts\":" attempts ",\"service\":\"" service "\"}"
+#define ENGINE(more) "\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":5" more "}"
+/** As attempts: the stream may be taken up elsewhere. */
+#define RESUMABLE "2,\"resumable\":true"
+
+static const char *const routes[] = {ROUTE("safe", "safe", "3000", "2", "app"),
+                                     ROUTE("once", "unsafe", "3000", "2", "app"),
+                                     ROUTE("short", "safe", "200", "2", "app"),
+                                     ROUTE("lm", "stream", "9000", "1", "lm"),
+                                     ROUTE("again", "stream", "9000", RESUMABLE, "lm"),
+                                     ROUTE("held", "stream", "9000", "1", "held"),
+                                     NULL};
+
+static const char *const services[] = {"{\"name\":\"app\"}", "{\"name\":\"lm\"," ENGINE("") "}",
+                                       "{\"name\":\"held\"," ENGINE(",\"hold_ms\":2000") "}", NULL};
+
+static route_table_t *read_config(void)
+{
+    char *const routes_text = g_strjoinv(",", (char **)(uintptr_t)routes);
+    char *const services_text = g_strjoinv(",", (char **)(uintptr_t)services);
+    char *const text = g_strdup_printf("{\"version\":3,\"routes\":[%s],\"services\":[%s]}", routes_text, services_text);
+    tc_err_t err = {0};
+    route_table_t *const table = config_read(text, strlen(text), &err);
+    g_assert_nonnull(table);
+    g_free(text);
+    g_free(services_text);
+    g_free(routes_text);
+    return table;
+}
+
+/* ===== Life ===== */
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->loop = loop_create();
+    f->fleet = fleet_create();
+    f->client = web_client_create(f->loop);
+    f->callers = web_client_create(f->loop);
+    const forwarder_options_t options = {
+        .box = "box", .dc = "a", .retries = {.ratio = 100, .allowance = 0, .window = 60000}, .pause_limit = 60000};
+    f->forwarder = forwarder_create(f->loop, f->fleet, f->client, &options);
+    route_table_t *const table = read_config();
+    forwarder_set_routes(f->forwarder, table);
+    f->limits = table->limits;
+    route_table_unref(table);
+    lab_free_addr(f->addr);
+    tc_err_t err = {0};
+    f->server = web_server_start(f->loop, f->addr, &f->limits, forwarder_handle, f->forwarder, &err);
+    g_assert_nonnull(f->server);
+    for (int i = 0; i < BACKENDS; i++)
+        f->plan[i].seen = g_string_new(NULL);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    g_assert_cmpuint(forwarder_busy(f->forwarder), ==, 0);
+    web_client_destroy(f->callers);
+    web_client_destroy(f->client);
+    web_server_stop(f->server);
+    for (int i = 0; i < BACKENDS; i++) {
+        if (f->backend[i])
+            lab_backend_stop(f->backend[i]);
+        g_string_free(f->plan[i].seen, TRUE);
+    }
+    forwarder_destroy(f->forwarder);
+    fleet_destroy(f->fleet);
+    loop_destroy(f->loop);
+}
+
+/** Start the back ends and list them: the first @p n of the plans are i-0, i-1 and so on. */
+static void start_all(fixture_t *f, const backend_plan_t *plans, uint32_t n)
+{
+    backend_t list[BACKENDS];
+    memset(list, 0, sizeof(list));
+    for (uint32_t i = 0; i < n; i++) {
+        f->plan[i].replies = plans[i].replies;
+        lab_free_addr(f->backend_addr[i]);
+        if (!plans[i].down)
+            f->backend[i] = lab_backend_start(f->loop, f->backend_addr[i], answer, &f->plan[i]);
+        g_snprintf(list[i].id, sizeof(list[i].id), "i-%u", i);
+        codec_copy_string(list[i].service, sizeof(list[i].service), plans[i].service);
+        codec_copy_string(list[i].stage, sizeof(list[i].stage), plans[i].stage);
+        codec_copy_string(list[i].addr, sizeof(list[i].addr), f->backend_addr[i]);
+        f->spare[i] = plans[i].spare;
+        list[i].slots = 8;
+    }
+    fleet_list(f->fleet, list, n, tc_time_now());
+}
+
+/** How many requests a back end got. */
+static unsigned requests(const fixture_t *f, int i)
+{
+    return f->backend[i] ? lab_backend_requests(f->backend[i]) : 0;
+}
+
+/* ===== Calls ===== */
+
+/** Choices are by lot: leave the spare ones out until the others have been tried. */
+static void avoid_spares(fixture_t *f)
+{
+    for (int i = 0; i < BACKENDS; i++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "i-%d", i);
+        instance_t *const instance = fleet_find(f->fleet, id);
+        if (instance)
+            instance->avoid_until = f->spare[i] ? TC_TIME_NEVER : 0;
+    }
+}
+
+/** Begin a call. @param more header lines beside @return for lab_call_free */
+static lab_call_t *begin_with(fixture_t *f, const char *path, const char *more)
+{
+    avoid_spares(f);
+    char *const text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\nDeadline-Ms: 8000\r\n"
+                                       "Token-Count: 100,50\r\n%sContent-Length: 4\r\n\r\nbody",
+                                       path, more);
+    lab_call_t *const c = lab_call(f->callers, f->addr, text);
+    g_free(text);
+    return c;
+}
+
+static lab_call_t *begin(fixture_t *f, const char *path)
+{
+    return begin_with(f, path, "");
+}
+
+/** A whole call. @return for lab_call_free */
+static lab_call_t *call(fixture_t *f, const char *path)
+{
+    lab_call_t *const c = begin(f, path);
+    lab_run_until_true(f->loop, &c->done);
+    return c;
+}
+
+/** @param body of the answer, or NULL for any */
+static void expect(fixture_t *f, const char *path, int status, const char *body)
+{
+    lab_call_t *const c = call(f, path);
+    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
+    g_assert_cmpint(c->status, ==, status);
+    if (body)
+        g_assert_cmpstr(c->body->str, ==, body);
+    g_assert_true((status == 503) == (c->retry_after != NULL)); /* a refusal says when to come back */
+    lab_call_free(c);
+}
+
+#endif
