--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -2,185 +2,13 @@
  * reporters run in one loop over loopback, with real data folders. */
 
 #include <glib.h>
-#include <glib/gstdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "cluster/replica.h"
-#include "cluster/reporter.h"
-#include "common/counter.h"
-#include "harness/lab.h"
-
-/* ===== Fixture ===== */
-
-enum { BOXES = 4, SEEDS = 3 };
-
-typedef struct fixture {
-    loop_t *loop;
-    char addr[BOXES][32], http[BOXES][32], dir[BOXES][64];
-    replica_t *replica[BOXES];
-    const char *seeds[SEEDS + 1];
-    bool offered;
-    int offer_rc;
-    uint64_t want; /* version that a wait is for */
-    int who;       /* box that a wait is for */
-    reporter_t *reporter;
-    entry_box_t self;
-    uint64_t heard;
-    bool leaving; /* the back end that was told last is */
-    bool told;
-    unsigned lent, answered; /* questions for one more arrival that were granted, and all */
-} fixture_t;
-
-static void clear_dir(const char *dir)
-{
-    GDir *const handle = g_dir_open(dir, 0, NULL);
-    for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
-        char *const path = g_build_filename(dir, name, NULL);
-        g_assert_cmpint(g_unlink(path), ==, 0);
-        g_free(path);
-    }
-    g_dir_close(handle);
-}
-
-static void start_box(fixture_t *f, int i, bool found)
-{
-    const replica_options_t options = {.peer_listen = f->addr[i],
-                                       .http_addr = f->http[i],
-                                       .data_dir = f->dir[i],
-                                       .voters_wanted = 3,
-                                       .found = found,
-                                       .seeds = f->seeds,
-                                       .retries = {.ratio = 1, .allowance = 0, .window = 600000}};
-    tc_err_t err = {0};
-    f->replica[i] = replica_create(f->loop, &options, &err);
-    g_assert_nonnull(f->replica[i]);
-}
-
-static void stop_box(fixture_t *f, int i)
-{
-    if (!f->replica[i])
-        return;
-    replica_destroy(f->replica[i]);
-    f->replica[i] = NULL;
-}
-
-static void set_up(fixture_t *f, gconstpointer data)
-{
-    (void)data;
-    f->loop = loop_create();
-    for (int i = 0; i < BOXES; i++) {
-        lab_free_addr(f->addr[i]);
-        lab_free_addr(f->http[i]);
-        g_strlcpy(f->dir[i], "/tmp/trackcove-cluster-XXXXXX", sizeof(f->dir[i]));
-        g_assert_nonnull(g_mkdtemp(f->dir[i]));
-    }
-    for (int i = 0; i < SEEDS; i++)
-        f->seeds[i] = f->addr[i];
-}
-
-static void tear_down(fixture_t *f, gconstpointer data)
-{
-    (void)data;
-    if (f->reporter)
-        reporter_destroy(f->reporter);
-    for (int i = 0; i < BOXES; i++) {
-        stop_box(f, i);
-        clear_dir(f->dir[i]);
-        g_rmdir(f->dir[i]);
-    }
-    loop_destroy(f->loop);
-}
-
-static int leader(const fixture_t *f)
-{
-    for (int i = 0; i < BOXES; i++)
-        if (f->replica[i] && replica_leads(f->replica[i]))
-            return i;
-    return -1;
-}
-
-static bool has_leader(void *arg)
-{
-    return leader(arg) >= 0;
-}
-
-static void on_offered(void *arg, int rc)
-{
-    fixture_t *const f = arg;
-    f->offered = true;
-    f->offer_rc = rc;
-}
-
-/** Offer a version to the leader, whoever that is, until it is taken: as an operator does. */
-static void put(fixture_t *f, uint64_t version)
-{
-    char body[32];
-    g_snprintf(body, sizeof(body), "content %" G_GUINT64_FORMAT, version);
-    const document_t document = {.version = version, .body = body, .body_n = (uint32_t)strlen(body)};
-    do {
-        lab_run_until(f->loop, has_leader, f);
-        f->offered = false;
-        replica_offer(f->replica[leader(f)], &document, on_offered, f);
-        lab_run_until_true(f->loop, &f->offered);
-    } while (f->offer_rc == TC_E_NOT_LEADER || f->offer_rc == TC_E_BROKEN || f->offer_rc == TC_E_TIMEOUT);
-    g_assert_cmpint(f->offer_rc, ==, TC_OK);
-}
-
-static bool reads_wanted(void *arg)
-{
-    const fixture_t *const f = arg;
-    const int at = leader(f);
-    const document_t *const document = at >= 0 ? replica_read(f->replica[at]) : NULL;
-    return document && document->version == f->want;
-}
-
-static void expect_read(fixture_t *f, uint64_t version)
-{
-    f->want = version;
-    lab_run_until(f->loop, reads_wanted, f);
-}
-
-/** Whether the members are three voters, box f->who among them. */
-static bool three_with_who(void *arg)
-{
-    const fixture_t *const f = arg;
-    const int at = leader(f);
-    if (at < 0)
-        return false;
-    const raft_members_t *const members = replica_members(f->replica[at]);
-    bool with_who = false;
-    for (uint32_t i = 0; i < members->list_n; i++)
-        with_who = with_who || (members->list[i].voter && strcmp(members->list[i].peer, f->addr[f->who]) == 0);
-    return with_who && members->list_n == 3;
-}
-
-/** Whether a fourth member has the log and no vote. */
-static bool fourth_waits(void *arg)
-{
-    const fixture_t *const f = arg;
-    const int at = leader(f);
-    const raft_members_t *const members = at >= 0 ? replica_members(f->replica[at]) : NULL;
-    uint32_t voters = 0;
-    for (uint32_t i = 0; members && i < members->list_n; i++)
-        voters += members->list[i].voter;
-    return members && members->list_n == 4 && voters == 3;
-}
+#include "unit/cluster_lab.h"
 
-static bool snapshots_wanted(void *arg)
-{
-    return counter_read("trackcove_cluster_snapshots_total") >= (int64_t)((fixture_t *)arg)->want;
-}
-
-static bool who_leads(void *arg)
-{
-    const fixture_t *const f = arg;
-    return f->replica[f->who] && replica_leads(f->replica[f->who]);
-}
-
-/* ===== Tests ===== */
+/* ===== Founding, losing and replacing boxes ===== */
 
 static void test_found_and_accept(fixture_t *f, gconstpointer data)
 {
@@ -298,6 +126,8 @@
     expect_read(f, 6);
 }
 
+/* ===== Reporters ===== */
+
 static void on_document(void *arg, const document_t *document)
 {
     fixture_t *const f = arg;
@@ -415,6 +245,8 @@
     g_assert_false(f->leaving);
 }
 
+/* ===== The leader's part of the retry budget ===== */
+
 /** The scheduler begins a moment after its box leads: whether it has. */
 static void on_probe(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
@@ -449,32 +281,44 @@
     return ((fixture_t *)arg)->answered == 10;
 }
 
-/** Promise: what the leader hands out stays below its part of the budget, however often a box asks. */
-static void test_leader_hands_out_its_part(fixture_t *f, gconstpointer data)
+/** Wait until the scheduler beside the leader answers. */
+static void wait_for_scheduler(fixture_t *f, const msg_retry_t *retry)
 {
-    (void)data;
-    for (int i = 0; i < SEEDS; i++)
-        start_box(f, i, true);
-    put(f, 4);
-    start_reporter(f, f->addr[leader(f)]);
-    f->want = 4;
-    lab_run_until(f->loop, heard_wanted, f);
-    const msg_retry_t retry = {.service = "lm"};
     while (!f->told) {
         f->answered = 0;
-        if (reporter_call_leader(f->reporter, MSG_RETRY, &retry, 5000, on_probe, f))
+        if (reporter_call_leader(f->reporter, MSG_RETRY, retry, 5000, on_probe, f))
             lab_run_until(f->loop, one_answered, f);
         else
             lab_run_for(f->loop, 10);
     }
-    f->answered = 0;
+}
+
+/** Ten requests, each asked for twice. */
+static void place_ten(fixture_t *f)
+{
     msg_place_t place = {.model = "lm", .box = "entry", .prompt_tokens = 10, .wait_ms = 10};
-    for (int i = 0; i < 20; i++) { /* ten requests, each asked for twice */
+    for (int i = 0; i < 20; i++) {
         g_snprintf(place.id, sizeof(place.id), "r%d", i / 2);
         place.again = i % 2;
         while (!reporter_call_leader(f->reporter, MSG_PLACE, &place, 5000, ignore_placed, f))
             lab_run_for(f->loop, 10);
     }
+}
+
+/** Promise: what the leader hands out stays below its part of the budget, however often a box asks. */
+static void test_leader_hands_out_its_part(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    start_reporter(f, f->addr[leader(f)]);
+    f->want = 4;
+    lab_run_until(f->loop, heard_wanted, f);
+    const msg_retry_t retry = {.service = "lm"};
+    wait_for_scheduler(f, &retry);
+    f->answered = 0;
+    place_ten(f);
     for (int i = 0; i < 10; i++)
         g_assert_true(reporter_call_leader(f->reporter, MSG_RETRY, &retry, 5000, on_retry, f));
     lab_run_until(f->loop, all_answered, f);
@@ -482,6 +326,8 @@
     g_assert_cmpuint(f->lent, <=, 5); /* half of one for each request */
 }
 
+/* ===== Learning ===== */
+
 /** Whether somebody has dialled @p fd's listener. */
 static bool was_dialled(int fd)
 {
