--- a/lib/forward/forward_ask.c
+++ b/lib/forward/forward_ask.c
@@ -71,3 +71,27 @@
     g_byte_array_unref(e->ask.body);
     g_free(e);
 }
+
+/* ===== Without an answer ===== */
+
+static web_verdict_t ignore_head(void *arg, const web_head_t *head)
+{
+    (void)arg, (void)head;
+    return WEB_TAKE;
+}
+
+static void ignore_data(void *arg, const char *data, size_t size)
+{
+    (void)arg, (void)data, (void)size;
+}
+
+static void ignore_end(void *arg, web_end_t how)
+{
+    (void)arg, (void)how; /* what an engine keeps for us it drops by itself soon after */
+}
+
+void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request)
+{
+    const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
+    (void)web_call(fw->client, addr, request, true, CONNECT_MS, &sink);
+}
--- a/lib/forward/forward_early.c
+++ b/lib/forward/forward_early.c
@@ -8,6 +8,8 @@
 
 COUNTER_DEFINE(c_held, "counter", "trackcove_forward_early_total", "Requests that came before the box knew where to")
 
+/* ===== Types ===== */
+
 /** One that waits. */
 typedef struct {
     struct cds_list_head node;
@@ -17,7 +19,9 @@
     loop_timer_t limit;
 } early_t;
 
-/** Take it off the list. */
+/* ===== Ending ===== */
+
+/** Take it off the list and free it. */
 static void early_end(early_t *e)
 {
     loop_disarm(&e->limit);
@@ -26,8 +30,8 @@
     g_free(e);
 }
 
-/** Have it handled: as any other by now, or refused. */
-static void handle(early_t *e)
+/** Begin the request: it is sent like any other by now, or refused. */
+static void early_begin(early_t *e)
 {
     forwarder_t *const fw = e->owner;
     web_exchange_t *const exchange = e->exchange;
@@ -39,7 +43,7 @@
 
 static void on_limit(void *arg)
 {
-    handle(arg);
+    early_begin(arg);
 }
 
 static void on_gone(void *arg)
@@ -47,6 +51,8 @@
     early_end(arg);
 }
 
+/* ===== Waiting ===== */
+
 static bool knows_enough(const forwarder_t *fw)
 {
     return fw->table && fleet_size(fw->fleet) > 0;
@@ -75,5 +81,5 @@
     if (!knows_enough(fw))
         return;
     cds_list_for_each_entry_safe(e, next, &fw->early, node)
-        handle(e);
+        early_begin(e);
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -137,32 +137,40 @@
     web_exchange_t *exchange;
     web_request_t request;
     dialect_request_t facts;
-    route_table_t *table;
+
+    /* What the configuration says of it. */
+    route_table_t *table; /* a reference, which the next three stand in */
     const route_t *route;
     const char *service;
     const route_service_t *settings;
-    bool split;            /* prefill and decode on different engines */
-    tc_time_t deadline;    /* the final answer has left by then */
-    loop_timer_t limit;    /* of the request */
-    loop_timer_t patience; /* of the step under way */
+    bool split;         /* prefill and decode on different engines */
+    tc_time_t deadline; /* the final answer has left by then */
+    loop_timer_t limit; /* of the request */
+
+    /* What is under way for it, and what is kept for it. */
     step_t *step;          /* the call under way, or NULL */
+    loop_timer_t patience; /* of the call under way; between calls, until the next try */
+    bool asked_again;      /* the call under way is to an engine that may have run the request before */
     handle_t handle;
     placement_t placement;
     hold_t hold;
-    bool asked_again; /* the call under way is to an engine that may have run it before */
-    bool repeated;    /* an engine whose answer was lost was asked once more */
-    retry_t retry;
-    char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last */
     locate_t locate;
+    retry_t retry;
+
+    /* What has happened to it. */
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
+    char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last, or "" */
+    bool repeated;            /* an engine whose answer was lost was asked once more */
     unsigned arrivals;        /* sent to a back end, prefills beside */
     unsigned runs;            /* times that a back end may have run it */
     unsigned backends;        /* that may have: one that was asked twice counts once */
-    bool begun;               /* the answer's head has left */
-    GByteArray *partial;      /* bytes of an event that is not whole yet */
-    char last_event[32];      /* newest event passed on, or the one that the caller has */
-    unsigned events;          /* passed on */
+
+    /* Its answer. */
+    bool begun;          /* the answer's head has left */
+    GByteArray *partial; /* bytes of an event that is not whole yet */
+    char last_event[32]; /* newest event passed on, or the one that the caller has */
+    unsigned events;     /* passed on */
 };
 
 struct forwarder {
@@ -221,9 +229,13 @@
 /** Drop the question, under way or answered. */
 void engine_ask_free(engine_ask_t *ask);
 
+/** Make a call whose answer changes nothing. @param request taken over */
+void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
+
 /* ===== forward_early.c ===== */
 
-/** Have a request wait until the box knows where to send it. @return false when it need not, or is not to */
+/** Have a request wait until the box knows where to send it; then, or when it has waited for long enough, it is begun
+ *  by forward_route. @return false, with nothing done, when it need not wait, or is not to: the box has run for long */
 bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
 
 /* ===== forward_retry.c ===== */
@@ -285,8 +297,6 @@
 void step_begin(forward_t *f, dialect_ask_t ask, instance_t *instance);
 /** Drop the call under way, if there is one. */
 void step_cancel(forward_t *f);
-/** Make a call whose answer changes nothing. @param request taken over */
-void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
 /** Tell the engine that holds a prefill result that nobody will take it. */
 void handle_release(forward_t *f);
 
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -8,6 +8,8 @@
 COUNTER_DEFINE(c_lent, "counter", "trackcove_retry_lent_total", "Further arrivals allowed by the leader's part")
 COUNTER_DEFINE(c_denied, "counter", "trackcove_retry_denied_total", "Requests given up since the budget was used up")
 
+/* ===== Constants ===== */
+
 enum { ANSWER_MS = 100 /* the leader answers within a round trip; without it the budget is used up */ };
 
 /* ===== This box's part ===== */
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -42,28 +42,6 @@
 
 /* ===== Prefill results ===== */
 
-static web_verdict_t ignore_head(void *arg, const web_head_t *head)
-{
-    (void)arg, (void)head;
-    return WEB_TAKE;
-}
-
-static void ignore_data(void *arg, const char *data, size_t size)
-{
-    (void)arg, (void)data, (void)size;
-}
-
-static void ignore_end(void *arg, web_end_t how)
-{
-    (void)arg, (void)how; /* the engine drops the result by itself soon after */
-}
-
-void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request)
-{
-    const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
-    (void)web_call(fw->client, addr, request, true, CONNECT_MS, &sink);
-}
-
 static void handle_forget(forward_t *f)
 {
     instance_unref(f->handle.instance);
