--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -31,6 +31,8 @@
 /** All engines are one cell: hundreds of placements a second cost a few hundredths of a core. */
 static const char CELL[] = "main";
 
+/* ===== Types ===== */
+
 struct placing {
     peer_net_t *net;
     sched_t *sched; /* NULL while this box does not lead */
@@ -42,7 +44,8 @@
     leaving_cfg_t *moving; /* engines that are changing their role */
     uint32_t moving_n;
     retry_rules_t retries; /* for what is handed out here */
-    GHashTable *budgets;   /* service to retry_budget_t, since this box leads */
+    GHashTable *budgets;   /* as retry_budgets_create; emptied when this box leads no more, since an older leader may
+                              have handed out all of what a new one has */
 };
 
 /* ===== Configuration ===== */
@@ -60,14 +63,6 @@
     return b->stage[0] && service_of(p, b->service);
 }
 
-static bool is_moving(const placing_t *p, const char *id)
-{
-    for (uint32_t i = 0; i < p->moving_n; i++)
-        if (strcmp(p->moving[i].name, id) == 0)
-            return true;
-    return false;
-}
-
 static void fill_engine(const placing_t *p, const backend_t *b, engine_cfg_t *e)
 {
     const placing_service_t *const s = service_of(p, b->service);
@@ -119,7 +114,7 @@
         if (!is_engine(p, b))
             continue;
         fill_engine(p, b, &config.engines[config.engines_n++]);
-        if (b->draining || is_moving(p, b->id))
+        if (b->draining || list_has_name(p->moving, p->moving_n, b->id))
             codec_copy_string(config.leaving[config.leaving_n++].name, CODEC_STR_SIZE, b->id);
     }
     fill_links(p, &config);
@@ -208,7 +203,7 @@
     }
 }
 
-/* ===== Messages ===== */
+/* ===== Renewals ===== */
 
 static void on_renew(placing_t *p, peer_call_t call, const msg_renew_t *renew, tc_time_t now)
 {
@@ -220,20 +215,11 @@
 
 /* ===== Retry budget ===== */
 
-static retry_budget_t *budget_of(placing_t *p, const char *service, tc_time_t now)
-{
-    retry_budget_t *budget = g_hash_table_lookup(p->budgets, service);
-    if (!budget) {
-        budget = g_new0(retry_budget_t, 1);
-        retry_budget_init(budget, now); /* an older leader may have handed out all of it */
-        g_hash_table_insert(p->budgets, g_strdup(service), budget);
-    }
-    return budget;
-}
-
 static void on_retry(placing_t *p, peer_call_t call, const msg_retry_t *retry, tc_time_t now)
 {
-    const msg_retry_ack_t ack = {.granted = retry_budget_spend(budget_of(p, retry->service, now), &p->retries, 1, now)};
+    enum { ALONE = 1 }; /* the leader shares its part of the allowance with nobody */
+    retry_budget_t *const budget = retry_budgets_get(p->budgets, retry->service, now);
+    const msg_retry_ack_t ack = {.granted = retry_budget_spend(budget, &p->retries, ALONE, now)};
     log_line_t line;
     log_begin(&line, LOG_INFO, "retry_lent");
     log_str(&line, "request", retry->id);
@@ -242,10 +228,12 @@
     peer_reply(p->net, call, MSG_RETRY_ACK, &ack);
 }
 
+/* ===== Messages ===== */
+
 static void on_place(placing_t *p, sched_token_t token, const msg_place_t *place, tc_time_t now)
 {
     if (!place->again)
-        retry_budget_earn(budget_of(p, place->model, now), &p->retries, now);
+        retry_budget_earn(retry_budgets_get(p->budgets, place->model, now), &p->retries, now);
     sched_place(p->sched, place, token, now);
 }
 
@@ -301,10 +289,8 @@
 {
     placing_t *const p = g_new0(placing_t, 1);
     p->net = net;
-    p->retries = *retries;
-    p->retries.ratio *= 1 - RETRY_BOXES_PART;
-    p->retries.allowance *= 1 - RETRY_BOXES_PART;
-    p->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p->retries = retry_rules_part(retries, 1 - RETRY_BOXES_PART);
+    p->budgets = retry_budgets_create();
     return p;
 }
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -1,7 +1,15 @@
 /** @file forward_internal.h
- * Shared by forward.c (a request's life and decisions), forward_place.c (the scheduler's part in them), forward_hold.c
- * (memory set aside at engines), forward_step.c (calls to back ends) and forward_stream.c (events on their way to the
- * caller); nobody else includes it.
+ * Shared by the files of this module; nobody else includes it:
+ *
+ *   forward.c         a request's life and decisions
+ *   forward_early.c   requests that come before the box knows where to send them
+ *   forward_place.c   the scheduler's part in the decisions
+ *   forward_hold.c    memory set aside at engines
+ *   forward_locate.c  engines that keep the prompt of a stream that is taken up again
+ *   forward_retry.c   the retry budget
+ *   forward_step.c    calls to back ends
+ *   forward_stream.c  events on their way to the caller
+ *   forward_ask.c     questions to the leader and to engines, for the others
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
 #define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -12,6 +20,7 @@
 
 #include "forward/dialect.h"
 #include "forward/forward.h"
+#include "web/web_ask.h"
 
 /* ===== Constants ===== */
 
@@ -59,35 +68,56 @@
     tc_time_t began;
 } step_t;
 
+/** A question to the leader of the control boxes. */
+typedef struct leader_ask leader_ask_t;
+
+/** Its answer: @p message is of @p type when @p rc is TC_OK, else nothing; borrowed for the call. */
+typedef void (*leader_answer_t)(forward_t *f, int rc, uint32_t type, const void *message);
+
+/** A question to an engine. Its callback gets it as the argument and may free it. */
+typedef struct engine_ask {
+    forward_t *request;
+    instance_t *instance; /* a reference */
+    web_ask_t ask;        /* its status and body are the answer's */
+    struct engine_ask *next;
+} engine_ask_t;
+
+/** How long an engine may take. */
+typedef struct {
+    tc_time_t connect_ms; /* to the connection */
+    tc_time_t answer_ms;  /* to the whole answer */
+} engine_ask_limits_t;
+
 /** A request's placement by the scheduler. */
 typedef struct {
-    struct placing_call *asking; /* the question under way, or NULL */
-    bool asked;                  /* the scheduler was asked, or there was none to ask */
-    bool solo;                   /* the decode engine is to read the prompt itself */
-    unsigned questions;          /* that were put to it */
-    uint32_t attempt;            /* what the scheduler counts it as, 0 for nothing */
+    leader_ask_t *asking; /* the question under way, or NULL */
+    bool asked;           /* the scheduler was asked, or there was none to ask */
+    bool solo;            /* the decode engine is to read the prompt itself */
+    unsigned questions;   /* that were put to it */
+    uint32_t attempt;     /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
     char decode[CODEC_STR_SIZE];
     tc_time_t prefill_began;
 } placement_t;
 
-typedef struct hold_call hold_call_t;
-
 /** Memory set aside at a decode engine. */
 typedef struct {
-    hold_call_t *asking;  /* the question under way, or NULL */
+    engine_ask_t *asking; /* the question under way, or NULL */
     instance_t *instance; /* NULL: there is none */
     char *name;
     unsigned tries;
 } hold_t;
 
-typedef struct locate_call locate_call_t;
-typedef struct retry_call retry_call_t;
+/** The question for one more arrival, when this box's part of the retry budget is used up. */
+typedef struct {
+    leader_ask_t *asking;       /* the question under way, or NULL */
+    void (*then)(forward_t *f); /* what follows when it is granted */
+} retry_t;
 
 /** The search for an engine that keeps the prompt of a stream that is taken up again. */
 typedef struct {
-    locate_call_t *calls; /* all questions, answered ones too */
-    unsigned waiting;     /* without an answer */
+    engine_ask_t *asks; /* all questions, answered ones too */
+    unsigned waiting;   /* without an answer */
     bool asked;
     instance_t *instance; /* keeps most of it, or NULL */
     unsigned tokens;      /* that it keeps */
@@ -107,32 +137,40 @@
     web_exchange_t *exchange;
     web_request_t request;
     dialect_request_t facts;
-    route_table_t *table;
+
+    /* What the configuration says of it. */
+    route_table_t *table; /* a reference, which the next three stand in */
     const route_t *route;
     const char *service;
     const route_service_t *settings;
-    bool split;            /* prefill and decode on different engines */
-    tc_time_t deadline;    /* the final answer has left by then */
-    loop_timer_t limit;    /* of the request */
-    loop_timer_t patience; /* of the step under way */
+    bool split;         /* prefill and decode on different engines */
+    tc_time_t deadline; /* the final answer has left by then */
+    loop_timer_t limit; /* of the request */
+
+    /* What is under way for it, and what is kept for it. */
     step_t *step;          /* the call under way, or NULL */
+    loop_timer_t patience; /* of the call under way; between calls, until the next try */
+    bool asked_again;      /* the call under way is to an engine that may have run the request before */
     handle_t handle;
     placement_t placement;
     hold_t hold;
-    bool asked_again;         /* the call under way is to an engine that may have run it before */
-    bool repeated;            /* an engine whose answer was lost was asked once more */
-    retry_call_t *retrying;   /* the question for one more arrival, or NULL */
-    char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last */
     locate_t locate;
+    retry_t retry;
+
+    /* What has happened to it. */
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
+    char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last, or "" */
+    bool repeated;            /* an engine whose answer was lost was asked once more */
     unsigned arrivals;        /* sent to a back end, prefills beside */
     unsigned runs;            /* times that a back end may have run it */
     unsigned backends;        /* that may have: one that was asked twice counts once */
-    bool begun;               /* the answer's head has left */
-    GByteArray *partial;      /* bytes of an event that is not whole yet */
-    char last_event[32];      /* newest event passed on, or the one that the caller has */
-    unsigned events;          /* passed on */
+
+    /* Its answer. */
+    bool begun;          /* the answer's head has left */
+    GByteArray *partial; /* bytes of an event that is not whole yet */
+    char last_event[32]; /* newest event passed on, or the one that the caller has */
+    unsigned events;     /* passed on */
 };
 
 struct forwarder {
@@ -144,7 +182,7 @@
     reporter_t *scheduler; /* NULL: place alone */
     loop_timer_t renewal;
     bool renewed_any;    /* the scheduler counts something as ours */
-    GHashTable *budgets; /* service name to retry_budget_t */
+    GHashTable *budgets; /* as retry_budgets_create */
     unsigned boxes;
     bool closed; /* the box stops soon: nothing new is begun */
     unsigned busy;
@@ -160,11 +198,11 @@
 void forward_go_on(forward_t *f);
 /** Try again in a moment, all engines anew, unless that is at or after @p until. @return whether it will be */
 bool forward_try_soon(forward_t *f, tc_time_t until);
-/** The final answer in place of a back end's; ends the request. @param why for the log */
+/** The final answer in place of a back end's; ends the request, which is freed. @param why for the log */
 void forward_fail(forward_t *f, const char *why);
 /** The same for want of room at the engines: refused callers are told to come back when a burst is likely over. */
 void forward_fail_full(forward_t *f, const char *why);
-/** The answer is complete: ends the request. */
+/** The answer is complete: ends the request, which is freed. */
 void forward_done(forward_t *f, int status, const char *why);
 /** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
@@ -172,26 +210,44 @@
 /** Begin a request, by the configuration and the back ends that are known now. */
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
 
-/* ===== forward_early.c ===== */
+/** One of the back ends that fit, as a reference, or NULL. */
+instance_t *forward_choose(forward_t *f, stage_t stage);
 
-/** Have a request wait until the box knows where to send it. @return false when it need not, or is not to */
-bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
+/* ===== forward_ask.c ===== */
 
-/* ===== forward.c ===== */
+/** Ask the leader on behalf of a request that has a scheduler. The question stands in @p slot, a field of the request,
+ *  until @p fn runs, later, or it is dropped. @return false, with nothing done, when no leader is known */
+bool leader_ask(forward_t *f, leader_ask_t **slot, uint32_t type, const void *message, tc_time_t limit,
+                leader_answer_t fn);
+/** Nobody waits for the answer any more. Nothing to do when no question is under way. */
+void leader_ask_drop(leader_ask_t **slot);
 
-/** One of the back ends that fit, as a reference, or NULL. */
-instance_t *forward_choose(forward_t *f, stage_t stage);
+/** Ask an engine. @param instance a reference, taken over @param request taken over @param fn runs once, later
+ *  @return for engine_ask_free, at any time */
+engine_ask_t *engine_ask(forward_t *f, instance_t *instance, GByteArray *request, const engine_ask_limits_t *limits,
+                         web_ask_fn_t fn);
+/** Drop the question, under way or answered. */
+void engine_ask_free(engine_ask_t *ask);
+
+/** Make a call whose answer changes nothing. @param request taken over */
+void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
+
+/* ===== forward_early.c ===== */
+
+/** Have a request wait until the box knows where to send it; then, or when it has waited for long enough, it is begun
+ *  by forward_route. @return false, with nothing done, when it need not wait, or is not to: the box has run for long */
+bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
 
 /* ===== forward_retry.c ===== */
 
 /** A request came in, by which the budget grows. */
 void retry_earn(forward_t *f);
 /** Whether one more arrival at a back end is allowed by this box's part of the budget; takes it. */
-bool forward_may_retry(forward_t *f);
+bool retry_spend(forward_t *f);
 /** Run @p then, at once or later, when one more arrival is allowed by this box's part or the leader's; else the
- *  request fails. */
+ *  request fails, at once or later, and is freed. */
 void retry_then(forward_t *f, void (*then)(forward_t *f));
-/** The request ends. */
+/** The request ends: an answer of the leader finds nobody. */
 void retry_end(forward_t *f);
 
 /* ===== forward_hold.c ===== */
@@ -241,8 +297,6 @@
 void step_begin(forward_t *f, dialect_ask_t ask, instance_t *instance);
 /** Drop the call under way, if there is one. */
 void step_cancel(forward_t *f);
-/** Make a call whose answer changes nothing. @param request taken over */
-void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
 /** Tell the engine that holds a prefill result that nobody will take it. */
 void handle_release(forward_t *f);
 
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -42,28 +42,6 @@
 
 /* ===== Prefill results ===== */
 
-static web_verdict_t ignore_head(void *arg, const web_head_t *head)
-{
-    (void)arg, (void)head;
-    return WEB_TAKE;
-}
-
-static void ignore_data(void *arg, const char *data, size_t size)
-{
-    (void)arg, (void)data, (void)size;
-}
-
-static void ignore_end(void *arg, web_end_t how)
-{
-    (void)arg, (void)how; /* the engine drops the result by itself soon after */
-}
-
-void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request)
-{
-    const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
-    (void)web_call(fw->client, addr, request, true, CONNECT_MS, &sink);
-}
-
 static void handle_forget(forward_t *f)
 {
     instance_unref(f->handle.instance);
@@ -180,7 +158,7 @@
         retry_then(f, forward_go_on);
         return;
     }
-    const bool again = may_run_again(f) && forward_may_retry(f);
+    const bool again = may_run_again(f) && retry_spend(f);
     count_run(f);
     if (again)
         forward_go_on(f);
@@ -234,7 +212,7 @@
 static bool try_elsewhere(step_t *s)
 {
     forward_t *const f = s->request;
-    if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !forward_may_retry(f))
+    if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !retry_spend(f))
         return false;
     forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
     count_run(f);
