Soak: three deliberate faults that it must find (make soak-sabotage)

An operator answered before a document is on another disk, a leader that reads without its lease, a request that must run once sent again: each built in by a flag of that target alone.

--- a/Makefile
+++ b/Makefile
@@ -160,6 +160,16 @@
 	@failed=0; for seed in $$(seq $(or $(FIRST),1) $$(($(or $(FIRST),1) + $(or $(SEEDS),50) - 1))); do \
 	    $(SOAK) --bin $(BUILD)/bin --seed $$seed --seconds $(or $(SECONDS),15) || failed=1; done; exit $$failed
 
+# Each deliberate fault of lib/common/sabotage.h must be found: the soak can fail.
+.PHONY: soak-sabotage
+soak-sabotage: setup $(SOAK) ## SEEDS=N soaks at most for each deliberate fault, until one finds it
+	@missed=0; for which in 1 2 3; do found=0; \
+	    $(MAKE) --no-print-directory -s BUILD=build-sabotage-$$which CFLAGS="-O2 -g -DTRACKCOVE_SABOTAGE=$$which" platform >/dev/null || exit 1; \
+	    for seed in $$(seq 1 $(or $(SEEDS),10)); do \
+	        if ! $(SOAK) --bin build-sabotage-$$which/bin --seed $$seed --seconds $(or $(SECONDS),15) >/dev/null 2>build-sabotage-$$which/broken; then \
+	            echo "fault $$which: found with seed $$seed: $$(head -1 build-sabotage-$$which/broken)"; found=1; break; fi; done; \
+	    [ $$found = 1 ] || { echo "fault $$which: not found"; missed=1; }; done; exit $$missed
+
 # ===== Lint =====
 
 SOURCES = $(filter-out lib/gen/%,$(shell git ls-files '*.c' '*.h' 2>/dev/null))
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -7,6 +7,7 @@
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
 #include "common/log.h"
+#include "common/sabotage.h"
 
 COUNTER_DEFINE(c_accepted, "counter", "trackcove_cluster_documents_accepted_total", "Documents accepted by the log")
 COUNTER_DEFINE(c_snapshots, "counter", "trackcove_cluster_snapshots_total", "Snapshots of the document written")
@@ -86,6 +87,8 @@
     cds_list_add_tail(&o->node, &r->offers);
     const int64_t index = raft_propose(r->raft, data, size, now);
     assert(index == (int64_t)o->index); /* the log gives the next index */
+    if (SABOTAGE_IS(SABOTAGE_EARLY_ANSWER))
+        offer_end(o, TC_OK);
     (void)index;
     free(data);
     pump(r);
--- /dev/null
+++ b/lib/common/sabotage.h
@@ -0,0 +1,18 @@
+/** @file sabotage.h
+ * Deliberate faults, by which the soak shows that it can fail. Built in by `make soak-sabotage` alone, one at a time:
+ * nothing else defines TRACKCOVE_SABOTAGE.
+ */
+#ifndef TRACKCOVE_COMMON_SABOTAGE_H
+#define TRACKCOVE_COMMON_SABOTAGE_H
+
+#define SABOTAGE_EARLY_ANSWER 1 /* an operator hears that a document is accepted before it is on any other disk */
+#define SABOTAGE_NO_LEASE 2     /* a leader answers reads without asking whether it still leads */
+#define SABOTAGE_RUN_TWICE 3    /* a request that must run once is sent again after its answer was lost */
+
+#ifdef TRACKCOVE_SABOTAGE
+#define SABOTAGE_IS(which) (TRACKCOVE_SABOTAGE == (which))
+#else
+#define SABOTAGE_IS(which) 0
+#endif
+
+#endif
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/sabotage.h"
 #include "control/raft_internal.h"
 
 /* ===== Actions ===== */
@@ -465,6 +466,8 @@
 
 bool raft_has_lease(const raft_t *r, tc_time_t now)
 {
+    if (SABOTAGE_IS(SABOTAGE_NO_LEASE))
+        return r->role == RAFT_LEADER && r->commit >= r->noop_index;
     return r->role == RAFT_LEADER && r->commit >= r->noop_index && now < leader_quorum_time(r, now) + RAFT_LEASE_MS;
 }
 
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -5,6 +5,7 @@
 
 #include "common/counter.h"
 #include "common/histogram.h"
+#include "common/sabotage.h"
 #include "forward/forward_internal.h"
 
 HISTOGRAM_DEFINE(h_first, "trackcove_forward_first_event_ms", "From a request to the head of its stream")
@@ -72,6 +73,8 @@
 /** Whether the request may run on one more back end when it may have run on this one. */
 static bool may_run_again(const forward_t *f)
 {
+    if (SABOTAGE_IS(SABOTAGE_RUN_TWICE))
+        return f->runs == 0;
     return route_is_repeatable(f->route) && f->backends + !f->asked_again < f->route->max_attempts;
 }
 
