--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -6,8 +6,8 @@
 
 #include "cluster/document.h"
 #include "cluster/roster.h"
-#include "forward/fleet.h"
 #include "common/retry_budget.h"
+#include "forward/fleet.h"
 #include "forward/route.h"
 
 /* ===== Routes ===== */
