A prefill engine that hangs is told to the scheduler and left alone longer each time

Now its box tells the scheduler, the pause of 1 s doubles with each failure in a row up to 8 s, and silent engines are not asked again for the same request. Test: /sched-solo/failures-in-a-row (failed before: the engine was granted again 1.2 s after its second failure).

--- a/lib/common/sabotage.h
+++ b/lib/common/sabotage.h
@@ -1,5 +1,5 @@
 /** @file sabotage.h
- * Deliberate faults, by which the soak shows that it can fail. Built in by `make soak-sabotage` alone, one at a time:
+ * Deliberate faults, by which the checks show that they can fail. Built in by `make sabotage` alone, one at a time:
  * nothing else defines TRACKCOVE_SABOTAGE.
  */
 #ifndef TRACKCOVE_COMMON_SABOTAGE_H
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -154,6 +154,8 @@
     forward_log(f, "answer_lost", why, s->status, s->instance);
     instance_failed(s->instance, tc_time_now());
     ask_same_engine(s);
+    if (ask == DIALECT_PREFILL && s->hung)
+        place_tell(f, PHASE_PREFILL, s->instance); /* no box need find it out again */
     if (ask == DIALECT_DECODE && f->handle.instance)
         handle_forget(f); /* taken, or about to lapse */
     step_free(s);
@@ -262,7 +264,7 @@
     step_t *const s = f->step;
     assert(s); /* disarmed with the step */
     web_call_cancel(s->call);
-    s->hung = s->ask != DIALECT_PREFILL; /* a stream that has stopped: the engine would stand still again */
+    s->hung = true; /* it would stand still again */
     maybe_run(s, s->ask == DIALECT_PREFILL ? "prefill engine is silent" : "stream is silent");
 }
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -27,6 +27,7 @@
     LONG_TRANSFER_MS = 20,       /* but not where the link carries it in less than this */
     LONG_TRANSFERS_A_LINK = 2,   /* long transfers under way on one link */
     STALL_AVOID_MS = 2500,       /* an engine to which a handover stalled is passed over for this long */
+    SUSPECT_DOUBLINGS = 3,       /* the time below doubles with each failure in a row, so often at most */
     SUSPECT_MS = 1000,           /* an engine that failed a request gets none for this long, or until it answers */
     MISSES_DOWN = 3,             /* state pages missed in a row before an engine counts as down */
     CANCEL_RETRY_MS = 300,       /* pause between cancels that were not confirmed */
@@ -55,6 +56,7 @@
     bool down;
     uint32_t misses;
     tc_time_t suspect_until;
+    uint32_t failures;       /* of requests there, one after the other */
     tc_time_t stalled_until; /* a handover to it stalled: no more of them, whatever its state page says */
     uint64_t incarnation;
     tc_time_t seen; /* last answer of its state page */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -228,8 +228,11 @@
 static void engine_failed(sched_t *s, const char *name, tc_time_t now)
 {
     engine_t *const e = engine_find(s, name);
-    if (e)
-        e->suspect_until = now + SUSPECT_MS;
+    if (!e)
+        return;
+    e->suspect_until = now + ((tc_time_t)SUSPECT_MS << e->failures);
+    if (e->failures < SUSPECT_DOUBLINGS)
+        e->failures++;
 }
 
 /** Whether its box gave the request up before the grant reached it: the grant would hold its engines until its lease
@@ -262,6 +265,7 @@
     switch (p->phase) {
     case PHASE_TRANSFER:
         if (r->prefilling) {
+            r->prefill->failures = 0;
             engine_learn_rate(r->prefill, r->est_prefill_ms, p);
             s->stats.cache_predicted += r->predicted_cached;
             s->stats.cache_actual += p->cached_tokens;
@@ -274,6 +278,8 @@
         end_transfer(r);
         end_solo(r);
         r->phase = PHASE_DECODE;
+        if (r->decode)
+            r->decode->failures = 0;
         break;
     case PHASE_FINISHED: finish(s, r, now); break;
     case PHASE_FAILED:
--- a/tests/unit/test_sched_solo.c
+++ b/tests/unit/test_sched_solo.c
@@ -138,6 +138,36 @@
     sched_destroy(f.sched);
 }
 
+static void tell_failed(fixture_t *f, int request, tc_time_t now)
+{
+    msg_progress_t p = {.attempt = f->placed[request].attempt, .phase = PHASE_PREFILL};
+    g_snprintf(p.id, sizeof(p.id), "r%d", request);
+    codec_copy_string(p.bad, sizeof(p.bad), f->placed[request].prefill);
+    sched_progress(f->sched, &p, now);
+    take_answers(f);
+}
+
+/** An engine that hangs is tried again later each time, not once a second by every box. */
+static void test_failures_in_a_row(void)
+{
+    fixture_t f;
+    set_up(&f, 2);
+    place(&f, 0, 0);
+    char bad[CODEC_STR_SIZE];
+    codec_copy_string(bad, sizeof(bad), f.placed[0].prefill);
+    tell_failed(&f, 0, 10);
+    place(&f, 1, 20);
+    g_assert_cmpstr(f.placed[1].prefill, !=, bad);
+    place(&f, 2, 1100); /* tried again after a second */
+    g_assert_cmpstr(f.placed[2].prefill, ==, bad);
+    tell_failed(&f, 2, 1200);
+    place(&f, 3, 2400); /* not so soon after the second failure */
+    g_assert_cmpstr(f.placed[3].prefill, !=, bad);
+    place(&f, 4, 2401);
+    g_assert_false(f.answered[4]); /* the other one is busy */
+    sched_destroy(f.sched);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -145,5 +175,6 @@
     g_test_add_func("/sched-solo/pools-in-proportion", test_pools_in_proportion);
     g_test_add_func("/sched-solo/no-prefill-engine", test_no_prefill_engine);
     g_test_add_func("/sched-solo/given-up-while-granted", test_given_up_while_granted);
+    g_test_add_func("/sched-solo/failures-in-a-row", test_failures_in_a_row);
     return g_test_run();
 }
