--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -41,8 +41,6 @@
     uint32_t services_n;
     backend_t *backends;
     uint32_t backends_n;
-    leaving_cfg_t *moving; /* engines that are changing their role */
-    uint32_t moving_n;
     retry_rules_t retries; /* for what is handed out here */
     GHashTable *budgets;   /* as retry_budgets_create; emptied when this box leads no more, since an older leader may
                               have handed out all of what a new one has */
@@ -114,7 +112,7 @@
         if (!is_engine(p, b))
             continue;
         fill_engine(p, b, &config.engines[config.engines_n++]);
-        if (b->draining || list_has_name(p->moving, p->moving_n, b->id))
+        if (b->draining)
             codec_copy_string(config.leaving[config.leaving_n++].name, CODEC_STR_SIZE, b->id);
     }
     fill_links(p, &config);
@@ -146,14 +144,6 @@
     configure(p, tc_time_now());
 }
 
-void placing_set_moving(placing_t *p, const leaving_cfg_t *list, uint32_t n)
-{
-    free(p->moving);
-    p->moving = list_copy(list, n * sizeof(*list));
-    p->moving_n = n;
-    configure(p, tc_time_now());
-}
-
 /* ===== Work ===== */
 
 const char *placing_work(const placing_t *p, double *prefill, double *decode)
@@ -301,6 +291,5 @@
     g_hash_table_destroy(p->budgets);
     free(p->services);
     free(p->backends);
-    free(p->moving);
     g_free(p);
 }
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -41,12 +41,9 @@
 
 /** The services with engines, from the configuration; copied. */
 void placing_set_services(placing_t *placing, const placing_service_t *list, uint32_t n);
-/** The back ends, from discovery; copied. */
+/** The back ends, as boxes are told them: engines that change their role are leaving. Copied. */
 void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
 
-/** Engines that are changing their role, by id: they get nothing new. Copied. */
-void placing_set_moving(placing_t *placing, const leaving_cfg_t *list, uint32_t n);
-
 /** What the two pools have to do, while this box leads and one service alone has engines: for roles/balance.h.
  *  @param prefill work of the prefill pool, as a moving average, in engines that would be busy all the time
  *  @param decode the same of the decode pool
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -17,8 +17,8 @@
 
 /* ===== Back ends ===== */
 
-/** Make the list as boxes get it: engines that change their role are told as leaving. */
-static void make_told(replica_t *r)
+/** Make the list as boxes and the scheduler get it: engines that change their role are told as leaving. */
+static void tell_backends(replica_t *r)
 {
     const size_t size = r->backends_n * sizeof(*r->backends);
     free(r->told);
@@ -26,6 +26,7 @@
     for (uint32_t i = 0; i < r->backends_n; i++)
         r->told[i].draining = r->told[i].draining || list_has_name(r->moving, r->moving_n, r->told[i].id);
     r->told_hash = list_hash(r->told, size);
+    placing_set_backends(r->placing, r->told, r->backends_n);
 }
 
 void replica_set_backends(replica_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
@@ -34,8 +35,7 @@
     r->backends = list_copy(list, n * sizeof(*list));
     r->backends_n = n;
     r->backends_fetched = fetched;
-    make_told(r);
-    placing_set_backends(r->placing, list, n);
+    tell_backends(r);
 }
 
 void replica_set_moving(replica_t *r, const leaving_cfg_t *list, uint32_t n)
@@ -46,8 +46,7 @@
     free(r->moving);
     r->moving = list_copy(list, n * sizeof(*list));
     r->moving_n = n;
-    make_told(r);
-    placing_set_moving(r->placing, list, n);
+    tell_backends(r);
 }
 
 static void add_backends(const replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -264,6 +264,14 @@
 
 /* ===== Learning ===== */
 
+static bool is_member(const reporter_t *r, const char *addr)
+{
+    for (uint32_t i = 0; i < r->members_n; i++)
+        if (strcmp(r->members[i].peer, addr) == 0)
+            return true;
+    return false;
+}
+
 /** What a box that was asked beside the reports knows. Whether it leads is for the next report to find out. */
 static void on_hearsay(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
@@ -285,8 +293,9 @@
     const uint32_t controls = count_controls(r);
     for (uint32_t i = 0; i < controls; i++) {
         const char *const addr = control_at(r, i);
-        if (strcmp(addr, r->self->peer_addr) == 0)
-            continue;
+        const bool asked = i >= r->members_n && is_member(r, addr);
+        if (asked || strcmp(addr, r->self->peer_addr) == 0)
+            continue; /* a seed that is a member too, or this box */
         counter_add(&c_reports, 1);
         peer_call(r->net, addr, MSG_REPORT, &report, LIMIT_MS, on_hearsay, r);
     }
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -239,8 +239,7 @@
  *  ran out. */
 static bool was_given_up(const request_t *r, const msg_progress_t *p)
 {
-    return r && r->state == REQ_PLACED && p->phase == PHASE_FAILED && p->attempt == 0 && p->box[0] &&
-           strcmp(r->owner->name, p->box) == 0;
+    return p->phase == PHASE_FAILED && p->attempt == 0 && p->box[0] && strcmp(r->owner->name, p->box) == 0;
 }
 
 void sched_progress(sched_t *s, const msg_progress_t *p, tc_time_t now)
@@ -252,14 +251,7 @@
         refuse_queued(s, r, "the caller is gone", 0);
         return;
     }
-    if (was_given_up(r, p)) {
-        withdraw(s, r, p->held, now);
-        request_forget(s, r);
-        dispatch(s, now);
-        ask_cancels(s, now);
-        return;
-    }
-    if (!r || r->state != REQ_PLACED || r->attempt != p->attempt)
+    if (!r || r->state != REQ_PLACED || (r->attempt != p->attempt && !was_given_up(r, p)))
         return; /* late news of an attempt that is over */
     r->lease_until = now + SCHED_LEASE_MS;
     switch (p->phase) {
