A box that stops begins only what it expects to end in time

Cause: a box asked to end took new streams for 2.9 s of its 8 s; some need over 6 s, and the box ended in the middle of them, which the users count as lost where the configuration changes at the same time. Tests: /forward/stopping-begins-what-ends-in-time (begins the stream on the code before).

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -49,6 +49,22 @@
 
 /* ===== Ending ===== */
 
+static pace_t *pace_of(const forward_t *f)
+{
+    pace_t *pace = g_hash_table_lookup(f->owner->paces, f->service);
+    if (!pace) {
+        pace = g_new0(pace_t, 1);
+        g_hash_table_insert(f->owner->paces, g_strdup(f->service), pace);
+    }
+    return pace;
+}
+
+/** Tokens that a request may generate; 0 where it generates none. */
+static unsigned output_of(const forward_t *f)
+{
+    return f->split ? f->facts.output_tokens : 0;
+}
+
 static void forward_free(forward_t *f)
 {
     assert(!f->step); /* a call under way would report to freed memory */
@@ -72,6 +88,8 @@
 {
     counter_add(&c_answered, 1);
     histogram_add(&h_answer, tc_time_now() - f->request.arrived);
+    if (status < 300)
+        pace_learn(pace_of(f), tc_time_now() - f->request.arrived, output_of(f), f->events);
     forward_log(f, "done", why, status, NULL);
     forward_free(f);
 }
@@ -251,7 +269,8 @@
     log_end(&line);
 }
 
-static void refuse(web_exchange_t *exchange, const dialect_request_t *facts, int status, const char *why)
+static void refuse(web_exchange_t *exchange, const dialect_request_t *facts, int status, const char *why,
+                   tc_time_t come_back)
 {
     log_line_t line;
     log_begin(&line, LOG_INFO, "refused");
@@ -259,7 +278,7 @@
     log_str(&line, "why", why);
     log_int(&line, "status", status);
     log_end(&line);
-    char *const head = status == 503 ? dialect_retry_after(RETRY_AFTER_MS) : g_strdup("");
+    char *const head = status == 503 ? dialect_retry_after(come_back) : g_strdup("");
     web_answer(exchange, status, head, "", 0);
     g_free(head);
 }
@@ -293,27 +312,51 @@
     return f;
 }
 
+/* ===== Stopping ===== */
+
+/** Whether a request that begins now is expected to be over before the box ends. */
+static bool ends_in_time(const forward_t *f)
+{
+    const tc_time_t end = f->owner->end;
+    if (!end || f->deadline <= end)
+        return true;
+    const tc_time_t takes = pace_expect(pace_of(f), output_of(f));
+    return takes != TC_TIME_NEVER && tc_time_now() + takes <= end;
+}
+
+void forwarder_stop(forwarder_t *fw, tc_time_t last, tc_time_t end)
+{
+    fw->last = last;
+    fw->end = end;
+}
+
+/* ===== Routing ===== */
+
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request)
 {
     dialect_request_t facts;
     dialect_read_request(request, &facts);
-    if (fw->closed) {
-        refuse(exchange, &facts, 503, "this box stops");
+    if (fw->last && tc_time_now() >= fw->last) {
+        refuse(exchange, &facts, 503, "this box stops", ELSEWHERE_AFTER_MS);
         return;
     }
     if (!fw->table) {
-        refuse(exchange, &facts, 503, "no configuration is known yet");
+        refuse(exchange, &facts, 503, "no configuration is known yet", RETRY_AFTER_MS);
         return;
     }
     const char *const host = web_headers_get(request->headers, "Host");
     const route_t *const route = host ? route_table_find(fw->table, host, request->target) : NULL;
     if (!route) {
         counter_add(&c_no_route, 1);
-        refuse(exchange, &facts, host ? 404 : 400, host ? "no route" : "no host");
+        refuse(exchange, &facts, host ? 404 : 400, host ? "no route" : "no host", 0);
         return;
     }
     forward_t *const f = forward_create(fw, exchange, request, &facts, route);
     log_routed(f);
+    if (!ends_in_time(f)) {
+        fail(f, "this box stops before it would end", ELSEWHERE_AFTER_MS);
+        return;
+    }
     retry_earn(f);
     web_on_gone(exchange, on_caller_gone, f);
     loop_arm(fw->loop, &f->limit, f->deadline, on_limit, f);
@@ -338,6 +381,7 @@
     fw->options = *options;
     fw->boxes = 1;
     fw->budgets = retry_budgets_create();
+    fw->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fw->random = g_rand_new();
     fw->created = tc_time_now();
     CDS_INIT_LIST_HEAD(&fw->requests);
@@ -351,6 +395,7 @@
     loop_disarm(&fw->renewal);
     route_table_unref(fw->table);
     g_hash_table_destroy(fw->budgets);
+    g_hash_table_destroy(fw->paces);
     g_rand_free(fw->random);
     g_free(fw);
 }
@@ -367,11 +412,6 @@
     place_start(fw);
 }
 
-void forwarder_close(forwarder_t *fw)
-{
-    fw->closed = true;
-}
-
 void forwarder_set_boxes(forwarder_t *fw, unsigned boxes)
 {
     fw->boxes = boxes ? boxes : 1;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -20,6 +20,7 @@
 
 #include "forward/dialect.h"
 #include "forward/forward.h"
+#include "forward/pace.h"
 #include "web/web_ask.h"
 
 /* ===== Constants ===== */
@@ -28,6 +29,7 @@
     CONNECT_MS = 250,       /* a back end in reach takes a few ms; a dark one never answers */
     ANSWER_MARGIN_MS = 30,  /* the final answer leaves this long before the request's time is over */
     RETRY_AFTER_MS = 1000,  /* when a refused caller may come back */
+    ELSEWHERE_AFTER_MS = 5, /* the same when this box alone refuses: another one may take it now */
     FULL_AFTER_MS = 2500,   /* the same when engines are full, */
     FULL_SPREAD_MS = 1800,  /* and up to so much more: who is refused in one moment must not return in one moment */
     PLACE_LIMIT_MS = 220,   /* for one answer of the scheduler, queueing there included; then the box looks whether the
@@ -184,7 +186,9 @@
     bool renewed_any;    /* the scheduler counts something as ours */
     GHashTable *budgets; /* as retry_budgets_create */
     unsigned boxes;
-    bool closed; /* the box stops soon: nothing new is begun */
+    tc_time_t last; /* the box stops: nothing is begun from then on; 0: it does not stop */
+    tc_time_t end;  /* and all is over by then */
+    GHashTable *paces; /* service -> pace_t */
     unsigned busy;
     GRand *random;
     struct cds_list_head requests;
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -182,7 +182,7 @@
     start_all(f, (backend_plan_t[]){{"app", "", "h", false, false}}, 1);
     lab_call_t *const old = begin(f, "/short/x");
     lab_run_until(f->loop, has_request, f);
-    forwarder_close(f->forwarder);
+    forwarder_stop(f->forwarder, tc_time_now(), tc_time_now() + 60000);
     expect(f, "/once/x", 503, NULL); /* not run, and said so */
     g_assert_cmpuint(requests(f, 0), ==, 1);
     lab_run_until_true(f->loop, &old->done);
@@ -190,6 +190,31 @@
     lab_call_free(old);
 }
 
+/** Promise: a planned stop cuts nothing off, so a box that stops begins only what it expects to end in time, by what it
+ *  has seen; a caller that it refuses is sent elsewhere at once. */
+static void test_stopping_begins_what_ends_in_time(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "S", false, false},
+                                 {"app", "", "o", false, false}},
+              3);
+    const tc_time_t now = tc_time_now();
+    forwarder_stop(f->forwarder, now + 60000, now + 6000);
+    lab_call_t *const c = call(f, "/lm/x"); /* it may take 8 s, and nobody knows better */
+    g_assert_cmpint(c->status, ==, 503);
+    g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL), <, 0.1);
+    lab_call_free(c);
+    g_assert_cmpuint(requests(f, 0), ==, 0);
+    expect(f, "/short/x", 200, "ok"); /* its time is over before the box is */
+    forwarder_stop(f->forwarder, now + 60000, now + 60000);
+    for (int i = 0; i < 50; i++)
+        expect(f, "/lm/x", 200, NULL);
+    forwarder_stop(f->forwarder, now + 60000, now + 6000);
+    expect(f, "/lm/x", 200, NULL); /* streams are seen to take no time */
+}
+
 /* ===== Engines ===== */
 
 static void test_prefill_then_decode(fixture_t *f, gconstpointer data)
@@ -392,6 +417,7 @@
     TEST("early-request-waits", test_early_request_waits);
     TEST("early-caller-leaves", test_early_caller_leaves);
     TEST("closed-ends-what-it-began", test_closed_ends_what_it_began);
+    TEST("stopping-begins-what-ends-in-time", test_stopping_begins_what_ends_in_time);
     TEST("prefill-then-decode", test_prefill_then_decode);
     TEST("refused-decode-keeps-the-prefill", test_refused_decode_keeps_the_prefill);
     TEST("unused-prefill-is-released", test_unused_prefill_is_released);
