Connections that fall silent without a reset are noticed

Cause: a connection whose bytes something between takes up, and loses, stood for ever: the kernel's own limit counts only unacknowledged bytes. Calls over it timed out one by one while new connections worked. Change: lib/peer asks the other side after 400 ms without a byte and gives the connection up after 1 s; an answer of which a caller takes nothing for 4 s has lost its caller. The proxy of the soak can do the same to connections that stand (proxy_mute) and moved to tests/harness; the soak uses it. Ruled out: giving up whenever a call times out (the scheduler holds calls on purpose; /peer/slow-answer). Tests: /peer/silent-connection, /web/silent-caller (neither ends on the code before).

--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -617,6 +617,11 @@
 };
 const codec_desc_t msg_retry_ack_desc = {.name = "retry_ack", .size = sizeof(msg_retry_ack_t), .fields = msg_retry_ack_fields, .n_fields = sizeof(msg_retry_ack_fields) / sizeof(msg_retry_ack_fields[0])};
 
+static const codec_field_t msg_ping_fields[] = {
+    {.name = "sent", .offset = offsetof(msg_ping_t, sent), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t msg_ping_desc = {.name = "ping", .size = sizeof(msg_ping_t), .fields = msg_ping_fields, .n_fields = sizeof(msg_ping_fields) / sizeof(msg_ping_fields[0])};
+
 const codec_desc_t *msg_desc(uint32_t type)
 {
     static const codec_desc_t *const table[MSG_COUNT] = {
@@ -648,6 +653,7 @@
         [MSG_SNAPSHOT_ACK] = &msg_snapshot_ack_desc,
         [MSG_RETRY] = &msg_retry_desc,
         [MSG_RETRY_ACK] = &msg_retry_ack_desc,
+        [MSG_PING] = &msg_ping_desc,
     };
     return type < MSG_COUNT ? table[type] : NULL;
 }
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -773,6 +773,12 @@
 } msg_retry_ack_t;
 extern const codec_desc_t msg_retry_ack_desc;
 
+/** Are you there? Answered by the transport with another, as a reply; a process that reads its connections does. */
+typedef struct {
+    uint64_t sent; /**< the sender's clock, ms */
+} msg_ping_t;
+extern const codec_desc_t msg_ping_desc;
+
 /** Message types, as the first element of a frame. */
 typedef enum {
     MSG_NONE = 0,
@@ -804,6 +810,7 @@
     MSG_SNAPSHOT_ACK,
     MSG_RETRY,
     MSG_RETRY_ACK,
+    MSG_PING,
     MSG_COUNT
 } msg_type_t;
 /** Descriptor of a message type, NULL for an unknown one. */
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -98,6 +98,16 @@
             pending_fail(p, conn->addr, p->sent ? TC_E_TIMEOUT : TC_E_UNREACHABLE, "call", "no answer in time");
 }
 
+/** Look whether the peer is still there, when bytes were sent and none has come since. */
+static void watch_silence(conn_t *conn, tc_time_t now)
+{
+    const tc_time_t quiet = conn->quiet_since ? now - conn->quiet_since : 0;
+    if (quiet >= SILENT_LIMIT_MS)
+        conn_close(conn, TC_E_BROKEN, "read", "the peer is silent");
+    else if (quiet >= PING_AFTER_MS && !conn->pinged)
+        (void)conn_ping(conn);
+}
+
 static void on_tick(void *arg)
 {
     peer_net_t *const net = arg;
@@ -111,6 +121,9 @@
         else
             expire_pending(conn, now);
     }
+    cds_list_for_each_entry_safe(conn, next, &net->conns, node)
+        if (conn->state == CONN_READY)
+            watch_silence(conn, now);
 }
 
 /* ===== Public functions: sending ===== */
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -224,6 +224,8 @@
     *item = (out_t){.data = data, .size = size, .call = call};
     conn->out_bytes += size;
     cds_list_add_tail(&item->node, hello || conn->state == CONN_READY ? &conn->out : &conn->waiting);
+    if (conn->quiet_since == 0 && conn->state == CONN_READY)
+        conn->quiet_since = tc_time_now();
     return true;
 }
 
@@ -254,6 +256,23 @@
     return conn_flush(conn);
 }
 
+bool conn_ping(conn_t *conn)
+{
+    const msg_ping_t ping = {.sent = (uint64_t)tc_time_now()};
+    size_t size;
+    char *const data = frame_pack(MSG_PING, 0, false, &ping, &size);
+    conn->pinged = true;
+    return conn_queue(conn, data, size, 0, false) ? conn_flush(conn) : true;
+}
+
+/** @return false when the connection is gone */
+static bool answer_ping(conn_t *conn, const msg_ping_t *ping)
+{
+    size_t size;
+    char *const data = frame_pack(MSG_PING, 0, true, ping, &size);
+    return conn_queue(conn, data, size, 0, false) ? conn_flush(conn) : true;
+}
+
 static bool conn_ready(conn_t *conn, const msg_hello_t *hello)
 {
     conn->state = CONN_READY;
@@ -261,6 +280,8 @@
     if (!conn->dialed)
         codec_copy_string(conn->addr, sizeof(conn->addr), hello->addr);
     backoff_clear(conn->net, conn->addr);
+    if (!cds_list_empty(&conn->waiting))
+        conn->quiet_since = tc_time_now();
     cds_list_splice(&conn->waiting, conn->out.prev);
     CDS_INIT_LIST_HEAD(&conn->waiting);
     return conn_flush(conn);
@@ -333,6 +354,8 @@
             refuse_hello(conn);
             alive = false;
         }
+    } else if (frame.type == MSG_PING && !frame.reply) {
+        alive = answer_ping(conn, frame.message);
     } else if (frame.reply) {
         handle_reply(conn, &frame);
     } else {
@@ -394,6 +417,8 @@
         return;
     }
     counter_add(&c_bytes_in, n);
+    conn->quiet_since = 0;
+    conn->pinged = false;
     conn->in_size += (size_t)n;
     (void)conn_parse(conn);
 }
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -20,9 +20,14 @@
                                    without power left unanswered only after 1 s: dialling anew finds it sooner */
     HELLO_LIMIT_MS = 1000,      /* time for the handshake */
     UNACKED_LIMIT_MS = 1500,    /* a connection whose bytes nobody takes up for so long is given up */
-    BACKOFF_MIN_MS = 50,        /* first pause after a failed connect */
-    BACKOFF_MAX_MS = 500,       /* longest pause: a box that is back must be found within the election time */
-    TICK_MS = 25,               /* how often deadlines are looked at: each look is a wake-up that costs */
+    PING_AFTER_MS = 400,    /* bytes were sent and none came for so long: the peer is asked whether it is there. Reports
+                               are answered every 300 ms, so that this is rare */
+    SILENT_LIMIT_MS = 1000, /* and for so long: the connection is given up, though its bytes may still be taken up by
+                               something between. A new one takes some ms; a peer that stood still for a second
+                               has lost its leases anyway */
+    BACKOFF_MIN_MS = 50,    /* first pause after a failed connect */
+    BACKOFF_MAX_MS = 500,   /* longest pause: a box that is back must be found within the election time */
+    TICK_MS = 25,           /* how often deadlines are looked at: each look is a wake-up that costs */
     READ_SIZE = 65536,
     SEND_WAIT_MS = 2000 /* how long a one-way message waits for a connection */
 };
@@ -62,6 +67,8 @@
     char nonce[CODEC_STR_SIZE];
     tc_time_t connect_deadline; /* of a dialled one */
     tc_time_t hello_deadline;
+    tc_time_t quiet_since;        /* a frame was sent then and no byte has come since; 0: one has, or none was sent */
+    bool pinged;                  /* the peer was asked since then */
     struct cds_list_head out;     /* frames being written */
     struct cds_list_head waiting; /* frames to write once ready */
     size_t out_bytes;
@@ -110,6 +117,8 @@
 /** Send our part of the handshake. @param their_nonce NULL sends no proof yet @return false when the connection is gone
  */
 bool send_hello(conn_t *conn, const char *direction, const char *their_nonce);
+/** Ask the peer whether it is there. @return false when the connection is gone */
+bool conn_ping(conn_t *conn);
 /** A connection that still stands, or NULL. */
 conn_t *conn_by_id(const peer_net_t *net, uint64_t id);
 
--- a/lib/web/web_answer.c
+++ b/lib/web/web_answer.c
@@ -36,6 +36,8 @@
     while (c->out_sent < c->out->len) {
         const ssize_t n = send(c->watch.fd, c->out->data + c->out_sent, c->out->len - c->out_sent, MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            if (!c->writing)
+                c->since = tc_time_now();
             exchange_want_write(c, true);
             drop_sent(c);
             return c->out->len <= OUT_MAX;
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -224,6 +224,11 @@
 
 /* ===== Listening ===== */
 
+static tc_time_t take_limit(const web_server_t *s)
+{
+    return s->limits->take_ms > 0 ? s->limits->take_ms : WEB_TAKE_MS;
+}
+
 static void on_accept(void *arg, uint32_t events)
 {
     (void)events;
@@ -234,6 +239,9 @@
             return;
         const int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        /* Short answers fit the kernel's buffers: it is the one that sees that nobody takes them up. */
+        const unsigned unacked = (unsigned)take_limit(s);
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
         web_exchange_t *const c = g_new0(web_exchange_t, 1);
         c->server = s;
         c->watch = (loop_watch_t){.fd = fd, .on_io = exchange_on_io, .arg = c};
@@ -255,12 +263,15 @@
 {
     web_server_t *const s = arg;
     const tc_time_t now = tc_time_now();
+    const tc_time_t take_ms = take_limit(s);
     web_exchange_t *c, *next;
     cds_list_for_each_entry_safe(c, next, &s->conns, node) {
         if (c->state == EXCHANGE_READING && c->begun && now - c->since > s->limits->header_ms)
             refuse(c, 408);
         else if (c->state == EXCHANGE_READING && !c->begun && now - c->since > s->limits->idle_ms)
             exchange_close(c);
+        else if (c->state == EXCHANGE_HANDLING && c->writing && now - c->since > take_ms)
+            exchange_lost(c);
         else if (c->state == EXCHANGE_CLOSING && now - c->since > LINGER_MS)
             exchange_close(c);
     }
--- a/lib/web/web_server.h
+++ b/lib/web/web_server.h
@@ -23,6 +23,11 @@
 /* ===== Types ===== */
 
 typedef struct web_server web_server_t;
+
+/** A caller that takes up nothing for so long is gone, though its connection was never closed: callers give a stream up
+ *  themselves after a pause of two to four seconds. */
+#define WEB_TAKE_MS 4000
+
 /** One request and its answer. Valid from the handler's start until the answer is complete, aborted or on_gone ran. */
 typedef struct web_exchange web_exchange_t;
 
@@ -32,6 +37,7 @@
     size_t body_bytes;
     tc_time_t header_ms; /**< from the first byte of a request to the end of its headers */
     tc_time_t idle_ms;   /**< a kept connection without a request */
+    tc_time_t take_ms;   /**< of an answer under way, between two bytes that the caller takes up; 0: WEB_TAKE_MS */
 } web_limits_t;
 
 /** A request as it came in. Borrowed, valid as long as its exchange. */
--- a/tests/platform/soak/proxy.c
+++ b/tests/harness/proxy.c
@@ -1,4 +1,4 @@
-#include "platform/soak/proxy.h"
+#include "harness/proxy.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -42,6 +42,7 @@
     proxy_t *proxy;
     side_t caller, listener;
     bool harmed; /* bytes of it are lost */
+    bool mute;   /* all are, for good */
 } pair_t;
 
 struct proxy {
@@ -102,6 +103,8 @@
 static bool is_lost(const side_t *from)
 {
     const bool from_caller = from == &from->pair->caller;
+    if (from->pair->mute)
+        return true;
     switch (from->pair->proxy->mode) {
     case PROXY_NO_ANSWER: return !from_caller;
     case PROXY_NO_CALL: return from_caller;
@@ -218,12 +221,19 @@
         pair_close(p, true);
 }
 
+void proxy_mute(proxy_t *proxy)
+{
+    pair_t *p;
+    cds_list_for_each_entry(p, &proxy->pairs, node)
+        p->mute = true;
+}
+
 void proxy_set(proxy_t *proxy, proxy_mode_t mode)
 {
     pair_t *p, *next;
     proxy->mode = mode;
     cds_list_for_each_entry_safe(p, next, &proxy->pairs, node)
-        if (p->harmed)
+        if (p->harmed && !p->mute)
             pair_close(p, true);
 }
 
--- a/tests/platform/soak/proxy.h
+++ b/tests/harness/proxy.h
@@ -4,8 +4,8 @@
  * Connections are accepted whatever the mode, as the network accepts what it will
  * lose. Everything runs in the loop's thread.
  */
-#ifndef TRACKCOVE_TESTS_SOAK_PROXY_H
-#define TRACKCOVE_TESTS_SOAK_PROXY_H
+#ifndef TRACKCOVE_TESTS_PROXY_H
+#define TRACKCOVE_TESTS_PROXY_H
 
 #include "peer/loop.h"
 
@@ -28,6 +28,8 @@
 proxy_t *proxy_start(loop_t *loop, const char *at, const char *to);
 /** From now on. What was lost stays lost: connections that lost bytes are reset when the mode changes. */
 void proxy_set(proxy_t *proxy, proxy_mode_t mode);
+/** The connections that stand lose all from now on, for good; new ones pass. */
+void proxy_mute(proxy_t *proxy);
 /** Reset all connections. */
 void proxy_reset(proxy_t *proxy);
 /** Close everything. */
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -268,15 +268,18 @@
     }
 }
 
-static void reset_way(soak_t *s)
+/** The connections that stand are reset, or fall silent for good. */
+static void lose_connections(soak_t *s)
 {
     world_t *const w = s->world;
     box_t *const b = &w->boxes[world_pick(w, WORLD_BOXES)];
-    world_note(w, "connections to %s are reset", b->ip);
-    proxy_reset(b->way_to_entry);
+    const bool mute = world_draw(w) < 0.5;
+    void (*const lose)(proxy_t *) = mute ? proxy_mute : proxy_reset;
+    world_note(w, "connections to %s %s", b->ip, mute ? "fall silent" : "are reset");
+    lose(b->way_to_entry);
     if (b->way_to_control)
-        proxy_reset(b->way_to_control);
-    proxy_reset(w->worker[world_pick(w, WORLD_WORKERS)].way);
+        lose(b->way_to_control);
+    lose(w->worker[world_pick(w, WORLD_WORKERS)].way);
 }
 
 static void mend_ways(const world_t *w)
@@ -307,7 +310,7 @@
     case 6: trouble_worker(s); break;
     case 7:
     case 8: harm_way(s); break;
-    case 9: reset_way(s); break;
+    case 9: lose_connections(s); break;
     default: wipe(s, now); break;
     }
 }
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -9,7 +9,7 @@
 #include <sys/types.h>
 
 #include "harness/lab.h"
-#include "platform/soak/proxy.h"
+#include "harness/proxy.h"
 
 enum { WORLD_BOXES = 5, WORLD_DISKS = 3, WORLD_WORKERS = 6 };
 
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #include "common/counter.h"
+#include "harness/lab.h"
+#include "harness/proxy.h"
 #include "peer/peer.h"
 
 #define SERVER_ADDR "127.0.0.1:16801"
@@ -21,6 +23,11 @@
     bool silent; /* takes calls and never answers */
 } side_t;
 
+static void mute(void *arg)
+{
+    proxy_mute(arg);
+}
+
 static char *good_key, *other_key;
 
 static void answer(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
@@ -166,6 +173,48 @@
     stop(&server);
 }
 
+/** A connection that falls silent for good, while something between takes its bytes up, is noticed and replaced. */
+static void test_silent_connection(void)
+{
+    char way[32];
+    lab_free_addr(way);
+    side_t server = {0}, client = {0};
+    start(&server, "server", SERVER_ADDR, good_key);
+    start(&client, "client", "", good_key);
+    loop_t *const loop = loop_create();
+    proxy_t *const proxy = proxy_start(loop, way, SERVER_ADDR);
+    pthread_t thread;
+    pthread_create(&thread, NULL, run_loop, loop);
+    msg_claim_t claim = {0};
+    msg_claim_ack_t ack;
+    tc_err_t err;
+    codec_copy_string(claim.id, sizeof(claim.id), "abc");
+    g_assert_cmpint(peer_call_wait(client.net, way, MSG_CLAIM, &claim, 5000, MSG_CLAIM_ACK, &ack, &err), ==, TC_OK);
+    loop_post_wait(loop, mute, proxy);
+    /* The call that finds out fails long before its own limit, and may have arrived; the next one passes. */
+    g_assert_cmpint(peer_call_wait(client.net, way, MSG_CLAIM, &claim, 60000, MSG_CLAIM_ACK, &ack, &err), ==,
+                    TC_E_BROKEN);
+    g_assert_cmpint(peer_call_wait(client.net, way, MSG_CLAIM, &claim, 5000, MSG_CLAIM_ACK, &ack, &err), ==, TC_OK);
+    loop_stop(loop);
+    pthread_join(thread, NULL);
+    proxy_stop(proxy);
+    loop_destroy(loop);
+    stop(&client);
+    stop(&server);
+}
+
+/** A peer that is there, but takes its time, is not mistaken for a silent one. */
+static void test_slow_answer(void)
+{
+    side_t server = {.silent = true}, client = {0};
+    start(&server, "server", SERVER_ADDR, good_key);
+    start(&client, "client", "", good_key);
+    msg_claim_ack_t ack;
+    g_assert_cmpint(call(&client, "abc", 2500, &ack), ==, TC_E_TIMEOUT); /* not broken before its limit */
+    stop(&server);
+    stop(&client);
+}
+
 /** Whatever a stranger sends, the server goes on serving. */
 static void test_garbage(void)
 {
@@ -209,6 +258,8 @@
     g_test_add_func("/peer/no-key", test_no_key);
     g_test_add_func("/peer/deadline", test_deadline);
     g_test_add_func("/peer/dark", test_dark);
+    g_test_add_func("/peer/silent-connection", test_silent_connection);
+    g_test_add_func("/peer/slow-answer", test_slow_answer);
     g_test_add_func("/peer/garbage", test_garbage);
     const int rc = g_test_run();
     g_unlink(good_key);
--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -2,10 +2,16 @@
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "harness/lab.h"
+#include "peer/peer.h"
 #include "web/web_server.h"
 
+/** An answer that the kernel does not take off the server's hands: its buffers grow to some 6 MB. */
+enum { MORE_THAN_BUFFERS = 7 * 1024 * 1024 };
+
 /* ===== A server that answers by the path ===== */
 
 typedef struct {
@@ -52,7 +58,7 @@
     (void)data;
     f->loop = loop_create();
     f->seen = g_string_new(NULL);
-    f->limits = (web_limits_t){.header_bytes = 512, .body_bytes = 64, .header_ms = 300, .idle_ms = 300};
+    f->limits = (web_limits_t){.header_bytes = 512, .body_bytes = 64, .header_ms = 300, .idle_ms = 300, .take_ms = 300};
     lab_free_addr(f->addr);
     tc_err_t err = {0};
     f->server = web_server_start(f->loop, f->addr, &f->limits, handle, f, &err);
@@ -141,6 +147,27 @@
     lab_call_free(c);
 }
 
+/** Promise: nothing is held for a caller that is gone, also when its connection only fell silent. */
+static void test_silent_caller(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    static const char request[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
+    struct sockaddr_storage to;
+    unsigned size = 0;
+    g_assert_cmpint(peer_parse_addr(f->addr, &to, &size, NULL), ==, TC_OK);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(connect(fd, (const struct sockaddr *)&to, size), ==, 0);
+    g_assert_cmpint(send(fd, request, strlen(request), 0), ==, (ssize_t)strlen(request));
+    lab_run_until_true(f->loop, &f->held);
+    char *const piece = g_malloc0(MORE_THAN_BUFFERS);
+    web_begin(f->exchange, 200, "");
+    web_add(f->exchange, piece, MORE_THAN_BUFFERS);
+    lab_run_until_true(f->loop, &f->gone); /* it reads nothing, and never closes */
+    g_assert_cmpuint(web_server_busy(f->server), ==, 0);
+    g_free(piece);
+    close(fd);
+}
+
 static void test_abort_shows(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -264,6 +291,7 @@
     TEST("pipelined", test_pipelined);
     TEST("caller-leaves", test_caller_leaves);
     TEST("aborted-answer-is-not-whole", test_abort_shows);
+    TEST("silent-caller", test_silent_caller);
     TEST("retired-server-answers-what-is-under-way", test_retired);
     TEST("answers-of-bad-back-ends", test_answers);
     TEST("unreachable-is-unsent", test_unsent);
