--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -47,6 +47,27 @@
     log_end(&line);
 }
 
+/** The line that ends a request: how its caller was served. */
+static void log_end_of(const forward_t *f, const char *event, const char *why, int status)
+{
+    const tc_time_t now = tc_time_now();
+    log_line_t line;
+    log_begin(&line, LOG_INFO, event);
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "why", why);
+    log_int(&line, "status", status);
+    log_int(&line, "took_ms", now - f->request.arrived);
+    if (f->first_at) {
+        log_int(&line, "first_ms", f->first_at - f->request.arrived);
+        log_int(&line, "pause_ms", f->pause);
+        log_int(&line, "events", f->events);
+    }
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "arrivals", f->arrivals);
+    log_int(&line, "left_ms", f->deadline - now);
+    log_end(&line);
+}
+
 /* ===== Ending ===== */
 
 static pace_t *pace_of(const forward_t *f)
@@ -90,7 +111,7 @@
     histogram_add(&h_answer, tc_time_now() - f->request.arrived);
     if (status < 300)
         pace_learn(pace_of(f), tc_time_now() - f->request.arrived, output_of(f), f->events);
-    forward_log(f, "done", why, status, NULL);
+    log_end_of(f, "done", why, status);
     forward_free(f);
 }
 
@@ -99,7 +120,7 @@
     step_cancel(f);
     if (f->begun) {
         counter_add(&c_unknown, 1);
-        forward_log(f, "aborted", why, 0, NULL);
+        log_end_of(f, "aborted", why, 0);
         web_abort(f->exchange);
         forward_free(f);
         return;
@@ -107,7 +128,7 @@
     const bool late = tc_time_now() >= f->deadline;
     const int status = f->runs == 0 ? 503 : (late ? 504 : 502);
     counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
-    forward_log(f, "failed", why, status, NULL);
+    log_end_of(f, "failed", why, status);
     /* Promise: 503 says that the request did not run, so it is given only while no back end can have begun it. */
     char *const head = f->runs == 0 ? dialect_retry_after(come_back) : g_strdup("");
     web_answer(f->exchange, status, head, "", 0);
@@ -137,7 +158,7 @@
 {
     forward_t *const f = arg;
     counter_add(&c_left, 1);
-    forward_log(f, "caller_gone", "connection closed", 0, f->step ? f->step->instance : NULL);
+    log_end_of(f, "caller_gone", "connection closed", 0);
     step_cancel(f);
     forward_free(f);
 }
@@ -266,6 +287,12 @@
     log_int(&line, "timeout_ms", f->route->timeout);
     log_int(&line, "prompt_tokens", f->facts.prompt_tokens);
     log_int(&line, "output_tokens", f->facts.output_tokens);
+    log_int(&line, "aim_ms", f->route->aim);
+    log_int(&line, "pause_aim_ms", f->route->pause_aim);
+    if (f->facts.parts_n > 0) /* the caller's own: the same when it asks again */
+        log_str(&line, "prompt", f->facts.parts[f->facts.parts_n - 1].id);
+    if (f->facts.resume_after[0])
+        log_str(&line, "resume_after", f->facts.resume_after);
     log_end(&line);
 }
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -173,6 +173,9 @@
     GByteArray *partial; /* bytes of an event that is not whole yet */
     char last_event[32]; /* newest event passed on, or the one that the caller has */
     unsigned events;     /* passed on */
+    tc_time_t first_at;  /* the first of them was; 0: none */
+    tc_time_t event_at;  /* the last one */
+    tc_time_t pause;     /* longest time between two of them */
 };
 
 struct forwarder {
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -35,6 +35,14 @@
     return 0;
 }
 
+static void note_time(forward_t *f, tc_time_t now)
+{
+    const tc_time_t pause = f->event_at ? now - f->event_at : 0;
+    f->pause = pause > f->pause ? pause : f->pause;
+    f->first_at = f->first_at ? f->first_at : now;
+    f->event_at = now;
+}
+
 void stream_take(forward_t *f, const char *data, size_t size)
 {
     g_byte_array_append(f->partial, (const guint8 *)data, (guint)size);
@@ -46,6 +54,7 @@
         used += length;
     }
     if (used > 0) {
+        note_time(f, tc_time_now());
         web_add(f->exchange, bytes, used);
         g_byte_array_remove_range(f->partial, 0, (guint)used);
     }
--- a/lib/forward/route.h
+++ b/lib/forward/route.h
@@ -39,6 +39,7 @@
     uint32_t max_attempts; /**< most back ends that one request may run on */
     tc_time_t timeout;     /**< longest time a request is held */
     tc_time_t aim;         /**< answers later than this earn less */
+    tc_time_t pause_aim;   /**< streams with a longer pause between two events earn less; 0 when unknown */
     GArray *targets;       /**< route_target_t */
     uint32_t weight_sum;
 } route_t;
--- a/programs/trackcove/main.c
+++ b/programs/trackcove/main.c
@@ -34,6 +34,8 @@
     {"drain", cmd_drain, 1, "drain BOX", "planned stop of an entry box"},
     {"undrain", cmd_undrain, 1, "undrain BOX", "let the box start again"},
     {"explain", cmd_explain, 1, "explain REQUEST --log FILE...", "every decision about a request, from log files"},
+    {"account", cmd_account, 0, "account --log FILE...",
+     "requests that were served late or not, by cause, from log files"},
     {"token", cmd_token, 0, "token", "make an operator's token and its hash for the settings"},
     {"data", cmd_data, 2, "data check DIR", "verify a data folder offline"},
 };
