The scheduler counts what boxes place by themselves

Hypothesis: the leader counts fewer streams than engines carry (33 of 49 at one moment), because a request that a box placed by itself was taken for one whose lease had lapsed, unless a new scheduler was learning; streams sent to the engine that keeps their prompt were not told at all; and one that moved after a break stayed counted where it was. Change: a box numbers each placement of its own and lists it within 30 ms; the scheduler adopts it at any time, and counts a moved one where it is. Tests: test_sched_adopt (not counted on the code before).

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -263,7 +263,8 @@
                                          .epoch = term,
                                          .piece_tokens = SCHED_SMALL_PIECE_TOKENS,
                                          .solo_after = SOLO_AFTER_MS,
-                                         .rebuild = true};
+                                         .rebuild = true,
+                                         .adopts = true};
         p->sched = sched_create(&options, now);
         p->term = term;
         configure(p, now);
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -84,8 +84,7 @@
     counter_add(&c_reports, 1);
     const raft_member_t *const leader = raft_find_member(r->raft, replica_leader_id(r));
     const raft_members_t *const members = raft_members(r->raft);
-    msg_report_ack_t ack = {
-        .leads = replica_leads(r), .members = members->list, .members_n = members->list_n};
+    msg_report_ack_t ack = {.leads = replica_leads(r), .members = members->list, .members_n = members->list_n};
     codec_copy_string(ack.leader, sizeof(ack.leader), leader ? leader->peer : "");
     if (r->document.version > report->version)
         ack.document = r->document;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -193,6 +193,8 @@
     }
     if (ask != DIALECT_PREFILL)
         f->arrivals++;
+    if (ask != DIALECT_PREFILL && f->split)
+        place_note(f, instance);
     step_begin(f, ask, instance);
 }
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -47,6 +47,7 @@
     HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
     HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
     RENEW_MS = 300,         /* as SCHED_RENEW_MS */
+    RENEW_SOON_MS = 30,     /* after this box placed something by itself: with it, what follows in the same burst */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
 
@@ -99,6 +100,7 @@
     uint32_t attempt;     /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
     char decode[CODEC_STR_SIZE];
+    char own[CODEC_STR_SIZE]; /* decode engine that this box chose by itself for the attempt, or "" */
     tc_time_t prefill_began;
 } placement_t;
 
@@ -186,6 +188,7 @@
     route_table_t *table;
     reporter_t *scheduler; /* NULL: place alone */
     loop_timer_t renewal;
+    bool renews_soon; /* the renewal that is due lists what this box placed by itself */
     bool renewed_any;    /* the scheduler counts something as ours */
     GHashTable *budgets; /* as retry_budgets_create */
     unsigned boxes;
@@ -291,6 +294,8 @@
 bool place_ask_again(forward_t *f, const char *bad);
 /** The instance that the scheduler chose, as a reference, or NULL when it chose none that is known here. */
 instance_t *place_chosen(const forward_t *f, stage_t stage);
+/** The request goes to a decode engine: when the scheduler did not choose it, it is told which and counts it there. */
+void place_note(forward_t *f, const instance_t *decode);
 /** Tell the scheduler how far the request is. @param bad instance that failed, or NULL */
 void place_tell(forward_t *f, phase_t phase, const instance_t *bad);
 /** The request ends: whatever is reserved for it is free. */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -35,12 +35,25 @@
 
 /* ===== Questions ===== */
 
-/** Place alone, and have it counted with the next renewal. */
+/** Place alone, and have it counted with a renewal. */
 static void place_alone(forward_t *f)
 {
     counter_add(&c_alone, 1);
     f->placement.attempt = g_rand_int_range(f->owner->random, 1, OWN_ATTEMPTS);
-    f->placement.prefill[0] = f->placement.decode[0] = '\0';
+    f->placement.prefill[0] = f->placement.decode[0] = f->placement.own[0] = '\0';
+}
+
+static void renew_soon(forwarder_t *fw);
+
+void place_note(forward_t *f, const instance_t *decode)
+{
+    if (!f->owner->scheduler || strcmp(f->placement.decode, decode->listed.id) == 0 ||
+        strcmp(f->placement.own, decode->listed.id) == 0)
+        return;
+    place_tell(f, PHASE_FAILED, NULL); /* where it was counted before */
+    place_alone(f);
+    codec_copy_string(f->placement.own, sizeof(f->placement.own), decode->listed.id);
+    renew_soon(f->owner);
 }
 
 /** No engine had room for a prompt that is read already: a place may be free before the result lapses. */
@@ -136,6 +149,9 @@
     if (f->placement.asked)
         return false;
     f->placement.asked = true;
+    if (f->placement.attempt > 0)
+        place_tell(f, PHASE_FAILED, NULL); /* the engine that this box chose did not take it */
+    f->placement.attempt = 0;
     if (!f->owner->scheduler || !f->facts.id[0])
         return false;
     if (ask_placement(f))
@@ -179,7 +195,7 @@
 void place_tell(forward_t *f, phase_t phase, const instance_t *bad)
 {
     forwarder_t *const fw = f->owner;
-    if (!fw->scheduler || !f->placement.asked)
+    if (!fw->scheduler || (!f->placement.asked && f->placement.attempt == 0))
         return;
     msg_progress_t progress = {.attempt = f->placement.attempt, .phase = phase};
     codec_copy_string(progress.cell, sizeof(progress.cell), CELL);
@@ -223,9 +239,8 @@
     held->max_tokens = place_output(&f->facts);
     held->pieces = sched_pieces_of(SCHED_SMALL_PIECE_TOKENS, held->prompt_tokens, held->max_tokens);
     codec_copy_string(held->prefill, sizeof(held->prefill), f->placement.prefill);
-    const bool decoding = f->step && f->step->ask != DIALECT_PREFILL;
-    codec_copy_string(held->decode, sizeof(held->decode),
-                      decoding ? f->step->instance->listed.id : f->placement.decode);
+    const char *const own = f->hold.instance ? f->hold.instance->listed.id : f->placement.own;
+    codec_copy_string(held->decode, sizeof(held->decode), f->placement.decode[0] ? f->placement.decode : own);
 }
 
 static void send_renewal(forwarder_t *fw, bool listed);
@@ -273,10 +288,19 @@
 static void on_renewal(void *arg)
 {
     forwarder_t *const fw = arg;
-    send_renewal(fw, false);
+    send_renewal(fw, fw->renews_soon);
+    fw->renews_soon = false;
     loop_arm(fw->loop, &fw->renewal, tc_time_now() + RENEW_MS, on_renewal, fw);
 }
 
+static void renew_soon(forwarder_t *fw)
+{
+    if (fw->renews_soon)
+        return;
+    fw->renews_soon = true;
+    loop_arm(fw->loop, &fw->renewal, tc_time_now() + RENEW_SOON_MS, on_renewal, fw);
+}
+
 void place_start(forwarder_t *fw)
 {
     on_renewal(fw);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -209,6 +209,7 @@
     s->piece_tokens = options->piece_tokens > 0 ? options->piece_tokens : SCHED_PIECE_TOKENS;
     s->solo_after = options->solo_after;
     s->rebuilding = options->rebuild;
+    s->adopts = options->adopts;
     s->rebuild_from = now;
     s->admit_from = options->rebuild ? now + SCHED_REBUILD_MS : now;
     s->requests = g_hash_table_new(g_str_hash, g_str_equal);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -64,6 +64,8 @@
     tc_time_t solo_after; /**< a request that no prefill engine took for this long, ms, may be read by its decode engine
                                itself, one at a time there; 0: never */
     bool rebuild;         /**< start with SCHED_REBUILD_MS of learning */
+    bool adopts;          /**< what an entry box lists runs, whoever placed it: it is counted at any time. Without it,
+                               what nobody here knows outside a rebuild is a request whose lease lapsed */
 } sched_options_t;
 
 typedef enum { SCHED_ACT_ANSWER, SCHED_ACT_CANCEL } sched_action_kind_t;
@@ -96,7 +98,7 @@
     double prefill_work, decode_work; /**< moving averages, in engines that would be busy all the time, for the mover */
     uint64_t cache_predicted,
         cache_actual; /**< prompt tokens taken for cached at the grant, and cached as engines said */
-    uint64_t granted, refused, resumed, replanned, lapsed, orphans;
+    uint64_t granted, refused, resumed, replanned, lapsed, orphans, adopted;
 } sched_stats_t;
 
 /** One engine as the scheduler sees it, for status pages. */
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -156,6 +156,7 @@
     tc_time_t rebuild_from;
     uint32_t expected, reports; /* live entry boxes, and how many of them have renewed */
     bool rebuilding;            /* began with the requests of a scheduler before it */
+    bool adopts;                /* as in sched_options_t */
     targets_cfg_t targets;
     GHashTable *requests; /* id -> request_t, owned by the lists */
     GHashTable *engines;  /* name -> engine_t, owned */
--- a/lib/sched/sched_lease.c
+++ b/lib/sched/sched_lease.c
@@ -31,6 +31,14 @@
     decode->reserved += r->pieces;
     decode->batch++;
     to_placed(s, r);
+    s->stats.adopted++;
+}
+
+/** Whether a request that nobody here knows may be another's: else its lease has lapsed, and its engines were told to
+ *  let go of it. */
+static bool is_news(const sched_t *s, tc_time_t now)
+{
+    return s->adopts || (s->rebuilding && now < s->admit_from + SCHED_LEASE_MS);
 }
 
 /** A list of everything the box holds: the exact, longer way. */
@@ -41,12 +49,18 @@
     for (uint32_t i = 0; i < renew->held_n; i++) {
         const held_t *const held = &renew->held[i];
         request_t *const r = g_hash_table_lookup(s->requests, held->id);
-        /* Only while rebuilding is an unknown request news; later it is one whose lease lapsed. */
-        if (!r && now < s->admit_from + SCHED_LEASE_MS && held->attempt > 0 && s->rebuilding) {
+        if (!r && held->attempt > 0 && is_news(s, now)) {
             adopt(s, renew, held, now);
             continue;
         }
         const bool mine = r && r->owner == owner;
+        if (mine && s->adopts && r->state == REQ_PLACED && held->attempt > 0 && held->attempt != r->attempt &&
+            !r->waiting) {
+            withdraw(s, r, false, now); /* its box has placed it anew by itself */
+            request_forget(s, r);
+            adopt(s, renew, held, now);
+            continue;
+        }
         if (mine && (r->state == REQ_QUEUED || r->attempt == held->attempt || r->waiting))
             r->lease_until = now + SCHED_LEASE_MS;
         else if (held->attempt > 0 && n_lost < room && !(r && r->state == REQ_FINISHED && mine))
--- /dev/null
+++ b/tests/unit/test_sched_adopt.c
@@ -0,0 +1,139 @@
+/* Requests that boxes placed by themselves: the scheduler counts them when it is told, at any time. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "sched/sched.h"
+
+enum { ENGINES = 3, PIECES = 100, EPOCH = 2 };
+
+typedef struct {
+    sched_t *sched;
+    config_t config;
+    engine_cfg_t engines[ENGINES];
+    msg_placed_t placed; /* the last answer */
+    bool answered;
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    const sched_options_t options = {.cell = "c", .epoch = EPOCH, .piece_tokens = 16, .adopts = true};
+    f->sched = sched_create(&options, 0);
+    for (int i = 0; i < ENGINES; i++) {
+        engine_cfg_t *const e = &f->engines[i];
+        g_snprintf(e->name, sizeof(e->name), "e%d", i);
+        codec_copy_string(e->cell, sizeof(e->cell), "c");
+        codec_copy_string(e->model, sizeof(e->model), "m");
+        e->role = i == 0 ? ROLE_PREFILL : ROLE_DECODE;
+        e->pieces = PIECES;
+        e->max_batch = 8;
+        e->prefill_rate = 10000;
+    }
+    f->config = (config_t){.targets = {.max_queue = 16}, .engines = f->engines, .engines_n = ENGINES};
+    sched_configure(f->sched, &f->config, 0);
+    for (int i = 0; i < ENGINES; i++)
+        sched_engine_seen(f->sched, f->engines[i].name, 1, false, NULL, 0, 0, 0);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    sched_check(f->sched);
+    sched_destroy(f->sched);
+}
+
+static void take_answers(fixture_t *f)
+{
+    sched_action_t action;
+    while (sched_next_action(f->sched, &action)) {
+        if (action.kind != SCHED_ACT_ANSWER)
+            continue;
+        f->placed = action.u.answer.placed;
+        f->answered = true;
+    }
+    sched_check(f->sched);
+}
+
+/** Ask for @p pieces on any decode engine. */
+static void place(fixture_t *f, const char *id, uint32_t pieces, tc_time_t now)
+{
+    msg_place_t p = {.prompt_tokens = pieces * 16, .wait_ms = 20000};
+    codec_copy_string(p.id, sizeof(p.id), id);
+    codec_copy_string(p.box, sizeof(p.box), "box");
+    codec_copy_string(p.model, sizeof(p.model), "m");
+    f->answered = false;
+    sched_place(f->sched, &p, (sched_token_t){0}, now);
+    take_answers(f);
+}
+
+/** A box tells all that it holds: one request, or none when @p id is NULL. */
+static void list(fixture_t *f, const char *id, uint32_t attempt, const char *engine, tc_time_t now)
+{
+    held_t held = {.attempt = attempt, .phase = PHASE_DECODE, .pieces = PIECES - 10};
+    if (id)
+        codec_copy_string(held.id, sizeof(held.id), id);
+    codec_copy_string(held.decode, sizeof(held.decode), engine);
+    msg_renew_t renew = {.held = &held,
+                         .held_n = id != NULL,
+                         .count = id != NULL,
+                         .digest = id ? sched_digest(id, attempt) : 0,
+                         .listed = true};
+    codec_copy_string(renew.box, sizeof(renew.box), "box");
+    held_t lost[4];
+    bool want_list = true;
+    (void)sched_renew(f->sched, &renew, lost, 4, &want_list, now);
+    g_assert_false(want_list);
+    take_answers(f);
+}
+
+static uint32_t reserved(const fixture_t *f, int engine)
+{
+    sched_engine_view_t views[ENGINES];
+    (void)sched_engines(f->sched, views, ENGINES, 0);
+    return views[engine].reserved;
+}
+
+/** Long after the scheduler began, a box placed by itself: its engine is counted as full, and nothing is sent there. */
+static void test_counted(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    list(f, "own", 77, "e1", 60000);
+    g_assert_cmpuint(reserved(f, 1), ==, PIECES - 10);
+    place(f, "next", 50, 60001);
+    g_assert_true(f->answered && f->placed.granted);
+    g_assert_cmpstr(f->placed.decode, ==, "e2");
+}
+
+/** The box moved the request by itself: it is counted where it is, and no longer where it was. */
+static void test_moved(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    list(f, "own", 77, "e1", 60000);
+    list(f, "own", 78, "e2", 60100);
+    g_assert_cmpuint(reserved(f, 1), ==, 0);
+    g_assert_cmpuint(reserved(f, 2), ==, PIECES - 10);
+}
+
+/** The box says that it is over. */
+static void test_over(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    list(f, "own", 77, "e1", 60000);
+    msg_progress_t over = {.attempt = 77, .phase = PHASE_FINISHED};
+    codec_copy_string(over.id, sizeof(over.id), "own");
+    sched_progress(f->sched, &over, 60100);
+    take_answers(f);
+    g_assert_cmpuint(reserved(f, 1), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/sched-adopt/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("counted", test_counted);
+    TEST("moved", test_moved);
+    TEST("over", test_over);
+#undef TEST
+    return g_test_run();
+}
