A refusal corrects the count of its engine instead of shutting it

Hypothesis: each refusal shut its engine for 2.5 s, as if a transfer there had stalled, so that in a burst nearly all were shut at once while they drained to a third. Change: a refusal for want of room says how much must be taken there beyond what is counted; that is not handed out, and fades over the time that requests are held, as observed. Stalled transfers shut an engine as before.

--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -48,8 +48,8 @@
 /** Ask the scheduler beside the leader of the control boxes for placements; without it, or while it does not answer,
  *  the box places by itself. */
 void forwarder_set_scheduler(forwarder_t *forwarder, reporter_t *reporter);
-/** The box is to end at @p end. From now on a request is begun only before @p last, and when it is expected to be over by
- *  the end; others are refused as not run, and their callers sent to another box at once. Those under way go on. */
+/** The box is to end at @p end. From now on a request is begun only before @p last, and when it is expected to be over
+ * by the end; others are refused as not run, and their callers sent to another box at once. Those under way go on. */
 void forwarder_stop(forwarder_t *forwarder, tc_time_t last, tc_time_t end);
 /** How many boxes share the retry allowance. */
 void forwarder_set_boxes(forwarder_t *forwarder, unsigned boxes);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -164,7 +164,8 @@
     /* What has happened to it. */
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
-    char bad[CODEC_STR_SIZE]; /* decode engine that turned it away last, or "" */
+    char bad[CODEC_STR_SIZE]; /* decode engine that did not take it last, or "" */
+    bool bad_full;            /* it turned it away */
     bool repeated;            /* an engine whose answer was lost was asked once more */
     unsigned arrivals;        /* sent to a back end, prefills beside */
     unsigned runs;            /* times that a back end may have run it */
@@ -188,12 +189,12 @@
     route_table_t *table;
     reporter_t *scheduler; /* NULL: place alone */
     loop_timer_t renewal;
-    bool renews_soon; /* the renewal that is due lists what this box placed by itself */
+    bool renews_soon;    /* the renewal that is due lists what this box placed by itself */
     bool renewed_any;    /* the scheduler counts something as ours */
     GHashTable *budgets; /* as retry_budgets_create */
     unsigned boxes;
-    tc_time_t last; /* the box stops: nothing is begun from then on; 0: it does not stop */
-    tc_time_t end;  /* and all is over by then */
+    tc_time_t last;    /* the box stops: nothing is begun from then on; 0: it does not stop */
+    tc_time_t end;     /* and all is over by then */
     GHashTable *paces; /* service -> pace_t */
     unsigned busy;
     GRand *random;
@@ -290,8 +291,9 @@
 
 /** Ask the scheduler. @return false when the box has to place by itself; else forward_go_on or forward_fail follows */
 bool place_ask(forward_t *f);
-/** The decode engine turned the request away: ask for another. @return as place_ask */
-bool place_ask_again(forward_t *f, const char *bad);
+/** The decode engine did not take the request: ask for another. @param full it turned it away for want of room
+ *  @return as place_ask */
+bool place_ask_again(forward_t *f, const char *bad, bool full);
 /** The instance that the scheduler chose, as a reference, or NULL when it chose none that is known here. */
 instance_t *place_chosen(const forward_t *f, stage_t stage);
 /** The request goes to a decode engine: when the scheduler did not choose it, it is told which and counts it there. */
--- a/lib/forward/pace.h
+++ b/lib/forward/pace.h
@@ -1,6 +1,6 @@
 /** @file pace.h
- * How long requests of a service take, as this box has seen it: for a box that stops, which must not begin what it would
- * have to cut off. Slow ones count: the question is how long a request may take, not how long it will.
+ * How long requests of a service take, as this box has seen it: for a box that stops, which must not begin what it
+ * would have to cut off. Slow ones count: the question is how long a request may take, not how long it will.
  */
 #ifndef TRACKCOVE_FORWARD_PACE_H
 #define TRACKCOVE_FORWARD_PACE_H
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -591,6 +591,7 @@
     uint32_t attempt;
     uint64_t epoch;
     char bad[CODEC_STR_SIZE];
+    bool full; /**< it has no room for the request; else the transfer to it stalled */
 } msg_replan_t;
 extern const codec_desc_t msg_replan_desc;
 
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -14,16 +14,16 @@
 
 /* ===== Choice ===== */
 
-static bool decode_fits(const sched_t *s, const engine_t *e, const request_t *r)
+static bool decode_fits(const sched_t *s, const engine_t *e, const request_t *r, tc_time_t now)
 {
     const uint32_t batch_limit = e->max_batch / s->share_of > 0 ? e->max_batch / s->share_of : 1;
-    return e->reserved + e->foreign + r->pieces <= e->pieces && e->batch < batch_limit;
+    return engine_taken(s, e, now) + r->pieces <= e->pieces && e->batch < batch_limit;
 }
 
 static bool decode_candidate(const sched_t *s, const engine_t *e, const request_t *r, tc_time_t now)
 {
     return e->role == ROLE_DECODE && strcmp(e->model, r->model) == 0 && engine_usable(e, now) &&
-           now >= e->stalled_until && strcmp(e->name, r->avoid) != 0 && decode_fits(s, e, r);
+           now >= e->stalled_until && strcmp(e->name, r->avoid) != 0 && decode_fits(s, e, r, now);
 }
 
 static bool prefill_candidate(const engine_t *e, const request_t *r, tc_time_t now)
@@ -165,7 +165,7 @@
         if (strcmp(e->model, r->model) != 0 || !engine_usable(e, now))
             continue;
         if (e->role == ROLE_DECODE) {
-            const uint32_t taken = e->reserved + e->foreign;
+            const uint32_t taken = engine_taken(s, e, now);
             supply.free_pieces += taken < e->pieces ? e->pieces - taken : 0;
             supply.prefills += solo ? SOLO_PACE : 0;
         } else {
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -18,6 +18,20 @@
     return e->configured && !leaving && !e->down && now >= e->suspect_until;
 }
 
+uint32_t engine_taken(const sched_t *s, const engine_t *e, tc_time_t now)
+{
+    const double age = (double)(now - e->unseen_at);
+    const double left = s->held_ms > 0 && age < s->held_ms ? 1 - age / s->held_ms : 0;
+    return e->reserved + e->foreign + (uint32_t)(left * e->unseen);
+}
+
+void engine_is_full(engine_t *e, tc_time_t now)
+{
+    const uint32_t counted = e->reserved + e->foreign;
+    e->unseen = counted <= e->pieces ? e->pieces - counted + 1 : 0;
+    e->unseen_at = now;
+}
+
 double engine_backlog(const engine_t *e, tc_time_t now)
 {
     const double left = e->backlog_ms - (double)(now - e->backlog_at);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -61,10 +61,12 @@
     uint64_t incarnation;
     tc_time_t seen; /* last answer of its state page */
     uint32_t pieces, max_batch;
-    uint32_t reserved; /* pieces of placed and cancelling requests */
-    uint32_t foreign;  /* pieces of ids that no request accounts for: not given to anybody */
-    uint32_t batch;    /* requests placed for decode */
-    uint32_t solos;    /* of these, whose prompt this decode engine reads itself and has not finished */
+    uint32_t reserved;   /* pieces of placed and cancelling requests */
+    uint32_t foreign;    /* pieces of ids that no request accounts for: not given to anybody */
+    uint32_t unseen;     /* pieces that are taken though nothing here accounts for them, as a refusal has shown, */
+    tc_time_t unseen_at; /* then */
+    uint32_t batch;      /* requests placed for decode */
+    uint32_t solos;      /* of these, whose prompt this decode engine reads itself and has not finished */
     /* prefill: work given and not reported done */
     double backlog_ms;
     tc_time_t backlog_at;
@@ -105,7 +107,7 @@
     uint32_t prompt_tokens, max_tokens, pieces, priority;
     uint64_t *chain;
     uint32_t n_chain;
-    tc_time_t due, lease_until, phase_at, queued_at;
+    tc_time_t due, lease_until, phase_at, queued_at, granted_at;
     sched_token_t token;
     uint64_t content; /* what is asked: an id that comes again must ask the same */
     char avoid[CODEC_STR_SIZE];
@@ -168,6 +170,7 @@
     uint32_t n_queue, n_placed, n_cancelling;
     uint32_t next_attempt; /* attempts are numbered across all requests of this epoch */
     double free_rate;      /* decode pieces freed per ms, moving average */
+    double held_ms;        /* from a grant to the end of its request, moving average */
     double freed_pieces;   /* since freed_at */
     tc_time_t freed_at;
     tc_time_t busy_at; /* when the busy averages were updated last */
@@ -179,6 +182,11 @@
 
 engine_t *engine_find(const sched_t *s, const char *name);
 bool engine_usable(const engine_t *e, tc_time_t now);
+/** Pieces of the engine that nobody can have: reserved, foreign, or shown by a refusal to be taken. */
+uint32_t engine_taken(const sched_t *s, const engine_t *e, tc_time_t now);
+/** The engine had no room for a request that was granted: something is taken there that is not counted here. Call while
+ *  the request is still counted. */
+void engine_is_full(engine_t *e, tc_time_t now);
 /** Prefill work given to the engine and not done yet, in ms. */
 double engine_backlog(const engine_t *e, tc_time_t now);
 /** Time the engine would need for the prompt, in ms. */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -20,6 +20,7 @@
         to_placed(s, r);
     r->phase = replan ? PHASE_TRANSFER : PHASE_PREFILL;
     r->phase_at = now;
+    r->granted_at = replan ? r->granted_at : now;
     r->lease_until = now + SCHED_LEASE_MS;
     r->avoid[0] = '\0';
     msg_placed_t *const placed = answer(s, r);
@@ -200,7 +201,9 @@
         return;
     }
     engine_t *const bad = engine_find(s, replan->bad);
-    if (bad)
+    if (bad && replan->full)
+        engine_is_full(bad, now);
+    else if (bad)
         bad->stalled_until = now + STALL_AVOID_MS;
     cancel_decode(s, r, now);
     codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
--- a/lib/sched/sched_request.c
+++ b/lib/sched/sched_request.c
@@ -128,12 +128,17 @@
     request_forget(s, r);
 }
 
+/** Weight of one request in the average of how long they are held. */
+static const double HELD_LEARN = 0.05;
+
 /** The request ended by itself: its engines hold nothing more. */
 void finish(sched_t *s, request_t *r, tc_time_t now)
 {
     leave_placed(s, r);
     /* Its engine keeps a finished stream for a while: remember where. */
     engine_t *const decode = r->decode;
+    if (r->granted_at > 0)
+        s->held_ms += (s->held_ms > 0 ? HELD_LEARN : 1) * ((double)(now - r->granted_at) - s->held_ms);
     end_prefill_work(r);
     release_decode(s, r, now);
     r->state = REQ_FINISHED;
