The scheduler leaves an engine alone that is not what it is taken for; its picture in logs and gauges

Change: a box tells the scheduler why an engine did not take a request; an outdated one gets nothing for 2.5 s, or until the list of back ends tells. Refused placements and a line a second tell what the scheduler takes the engines for. Tests: /sched-adopt/outdated-engine-is-left-alone.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -13,6 +13,9 @@
 COUNTER_DEFINE(c_granted, "counter", "trackcove_placing_granted_total", "Placements granted by the scheduler")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_placing_refused_total", "Placements refused by the scheduler")
 
+COUNTER_DEFINE(c_pieces, "gauge", "trackcove_placing_decode_pieces", "Memory of the decode engines that can be used")
+COUNTER_DEFINE(c_taken, "gauge", "trackcove_placing_decode_taken", "Of it, what the scheduler takes for taken")
+
 /* ===== Constants ===== */
 
 enum {
@@ -20,7 +23,8 @@
     PREFILL_TOKENS_S = 50000,
     /* A decode engine reads prompts at under half the pace and slows the streams it carries: only what has waited. */
     SOLO_AFTER_MS = 120,
-    LOST_MAX = 256
+    LOST_MAX = 256,
+    PICTURE_MS = 1000 /* between lines that tell what the scheduler takes engines for */
 };
 /** Moves of memory into another data centre take twice as long there and are priced double: they are counted dearer
  *  than they take, so that of two engines alike the near one is taken. */
@@ -37,6 +41,7 @@
     peer_net_t *net;
     sched_t *sched; /* NULL while this box does not lead */
     uint64_t term;
+    tc_time_t picture_at;
     placing_service_t *services;
     uint32_t services_n;
     backend_t *backends;
@@ -150,7 +155,7 @@
 {
     if (!p->sched || p->services_n != 1)
         return ""; /* the averages are those of all engines together */
-    const sched_stats_t stats = sched_stats(p->sched);
+    const sched_stats_t stats = sched_stats(p->sched, tc_time_now());
     *prefill = stats.prefill_work;
     *decode = stats.decode_work;
     return p->services[0].service;
@@ -158,7 +163,37 @@
 
 /* ===== Actions ===== */
 
-static void log_placed(const sched_action_t *action)
+/** What the scheduler takes engines for: the inputs of its refusals. */
+static void log_picture(log_line_t *line, const sched_stats_t *stats)
+{
+    log_int(line, "prefills", stats->prefills);
+    log_int(line, "decodes", stats->decodes);
+    log_int(line, "queued", stats->queued);
+    log_int(line, "placed", stats->placed);
+    log_int(line, "decode_pieces", stats->decode_pieces);
+    log_int(line, "decode_taken", stats->decode_taken);
+    log_int(line, "prefill_backlog_ms", (int64_t)stats->backlog_ms);
+    log_int(line, "freed_pieces_s", (int64_t)(stats->free_rate * 1000));
+}
+
+/** A line a second: what the scheduler believes, for comparison with what engines and entry boxes say. */
+static void log_engines(placing_t *p, tc_time_t now)
+{
+    if (now < p->picture_at)
+        return;
+    p->picture_at = now + PICTURE_MS;
+    const sched_stats_t stats = sched_stats(p->sched, now);
+    counter_set(&c_taken, stats.decode_taken);
+    counter_set(&c_pieces, stats.decode_pieces);
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "engines");
+    log_picture(&line, &stats);
+    log_int(&line, "adopted", (int64_t)stats.adopted);
+    log_int(&line, "lapsed", (int64_t)stats.lapsed);
+    log_end(&line);
+}
+
+static void log_placed(const placing_t *p, const sched_action_t *action, tc_time_t now)
 {
     const msg_placed_t *const placed = &action->u.answer.placed;
     log_line_t line;
@@ -171,6 +206,11 @@
     log_int(&line, "attempt", placed->attempt);
     log_int(&line, "candidates", placed->candidates);
     log_int(&line, "est_ttft_ms", placed->est_ttft_ms);
+    if (!placed->granted) {
+        const sched_stats_t stats = sched_stats(p->sched, now);
+        log_int(&line, "retry_after_ms", placed->retry_after_ms);
+        log_picture(&line, &stats);
+    }
     log_end(&line);
 }
 
@@ -181,7 +221,7 @@
         switch (action.kind) {
         case SCHED_ACT_ANSWER:
             counter_add(action.u.answer.placed.granted ? &c_granted : &c_refused, 1);
-            log_placed(&action);
+            log_placed(p, &action, now);
             peer_reply(p->net, (peer_call_t){.connection = action.u.answer.token.a, .call = action.u.answer.token.b},
                        MSG_PLACED, &action.u.answer.placed);
             break;
@@ -274,6 +314,7 @@
     sched_expect_reports(p->sched, boxes);
     sched_tick(p->sched, now);
     pump(p, now);
+    log_engines(p, now);
 }
 
 placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -165,7 +165,7 @@
     GPtrArray *tried;         /* instance_t that failed this request */
     GPtrArray *tried_prefill; /* the same for prefill */
     char bad[CODEC_STR_SIZE]; /* decode engine that did not take it last, or "" */
-    bool bad_full;            /* it turned it away */
+    trouble_t trouble;        /* why */
     bool repeated;            /* an engine whose answer was lost was asked once more */
     unsigned arrivals;        /* sent to a back end, prefills beside */
     unsigned runs;            /* times that a back end may have run it */
@@ -291,9 +291,8 @@
 
 /** Ask the scheduler. @return false when the box has to place by itself; else forward_go_on or forward_fail follows */
 bool place_ask(forward_t *f);
-/** The decode engine did not take the request: ask for another. @param full it turned it away for want of room
- *  @return as place_ask */
-bool place_ask_again(forward_t *f, const char *bad, bool full);
+/** The decode engine did not take the request: ask for another. @return as place_ask */
+bool place_ask_again(forward_t *f, const char *bad, trouble_t trouble);
 /** The instance that the scheduler chose, as a reference, or NULL when it chose none that is known here. */
 instance_t *place_chosen(const forward_t *f, stage_t stage);
 /** The request goes to a decode engine: when the scheduler did not choose it, it is told which and counts it there. */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -160,11 +160,11 @@
     return false;
 }
 
-bool place_ask_again(forward_t *f, const char *bad, bool full)
+bool place_ask_again(forward_t *f, const char *bad, trouble_t trouble)
 {
     if (!f->placement.decode[0])
         return false; /* the scheduler did not choose: it can't choose anew */
-    msg_replan_t replan = {.attempt = f->placement.attempt, .full = full};
+    msg_replan_t replan = {.attempt = f->placement.attempt, .trouble = trouble};
     codec_copy_string(replan.cell, sizeof(replan.cell), CELL);
     codec_copy_string(replan.id, sizeof(replan.id), f->facts.id);
     codec_copy_string(replan.bad, sizeof(replan.bad), bad);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -97,7 +97,7 @@
 /** To another engine, the scheduler's choice if it chose the last one. */
 static void go_elsewhere(forward_t *f)
 {
-    if (f->bad[0] && place_ask_again(f, f->bad, f->bad_full))
+    if (f->bad[0] && place_ask_again(f, f->bad, f->trouble))
         return;
     forward_go_on(f);
 }
@@ -122,7 +122,7 @@
     if (ask == DIALECT_DECODE && refused && f->handle.instance && now >= f->handle.until)
         handle_forget(f);
     codec_copy_string(f->bad, sizeof(f->bad), ask == DIALECT_DECODE ? s->instance->listed.id : "");
-    f->bad_full = refused;
+    f->trouble = s->reply.other ? TROUBLE_OUTDATED : (refused ? TROUBLE_FULL : TROUBLE_STALLED);
     step_free(s);
     if (refused)
         retry_then(f, go_elsewhere);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -9,6 +9,7 @@
 const char *const phase_names[] = {"queued", "prefill", "transfer", "decode", "finished", "failed", NULL};
 const char *const command_kind_names[] = {"found", "plan", "confirm", "reject", "claim", "claim_end", "cell", "drain", NULL};
 const char *const claim_state_names[] = {"running", "done", "not_run", NULL};
+const char *const trouble_names[] = {"stalled", "full", "outdated", NULL};
 
 static const codec_field_t cell_lease_fields[] = {
     {.name = "cell", .offset = offsetof(cell_lease_t, cell), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
@@ -461,7 +462,7 @@
     {.name = "attempt", .offset = offsetof(msg_replan_t, attempt), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "epoch", .offset = offsetof(msg_replan_t, epoch), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "bad", .offset = offsetof(msg_replan_t, bad), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
-    {.name = "full", .offset = offsetof(msg_replan_t, full), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "trouble", .offset = offsetof(msg_replan_t, trouble), .kind = CODEC_ENUM, .enum_names = trouble_names, .min = 0, .max = TROUBLE_COUNT - 1, .def = 0},
 };
 const codec_desc_t msg_replan_desc = {.name = "replan", .size = sizeof(msg_replan_t), .fields = msg_replan_fields, .n_fields = sizeof(msg_replan_fields) / sizeof(msg_replan_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -58,6 +58,15 @@
 } claim_state_t;
 extern const char *const claim_state_names[];
 
+/** Why a decode engine did not take a request: the transfer to it stalled or broke, it had no room, or it is not what it is taken for: it restarted, or changed its role. */
+typedef enum {
+    TROUBLE_STALLED,
+    TROUBLE_FULL,
+    TROUBLE_OUTDATED,
+    TROUBLE_COUNT
+} trouble_t;
+extern const char *const trouble_names[];
+
 /** Which entry box schedules a cell. */
 typedef struct {
     char cell[CODEC_STR_SIZE];
@@ -591,7 +600,7 @@
     uint32_t attempt;
     uint64_t epoch;
     char bad[CODEC_STR_SIZE];
-    bool full; /**< it has no room for the request; else the transfer to it stalled */
+    trouble_t trouble;
 } msg_replan_t;
 extern const codec_desc_t msg_replan_desc;
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -145,6 +145,7 @@
                                        strcmp(e->version, cfg->version) != 0);
     if (other) {
         memset(e->cache, 0, sizeof(e->cache));
+        e->outdated_until = 0;
         e->leaving_self = true; /* until its state page shows that it has become what it is to be */
     }
     codec_copy_string(e->version, sizeof(e->version), cfg->version);
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -15,7 +15,7 @@
 bool engine_usable(const engine_t *e, tc_time_t now)
 {
     const bool leaving = e->leaving_config || e->leaving_platform || e->leaving_self;
-    return e->configured && !leaving && !e->down && now >= e->suspect_until;
+    return e->configured && !leaving && !e->down && now >= e->suspect_until && now >= e->outdated_until;
 }
 
 uint32_t engine_taken(const sched_t *s, const engine_t *e, tc_time_t now)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -27,10 +27,12 @@
     LONG_TRANSFER_MS = 20,       /* but not where the link carries it in less than this */
     LONG_TRANSFERS_A_LINK = 2,   /* long transfers under way on one link */
     STALL_AVOID_MS = 2500,       /* an engine to which a handover stalled is passed over for this long */
-    SUSPECT_DOUBLINGS = 3,       /* the time below doubles with each failure in a row, so often at most */
-    SUSPECT_MS = 1000,           /* an engine that failed a request gets none for this long, or until it answers */
-    MISSES_DOWN = 3,             /* state pages missed in a row before an engine counts as down */
-    CANCEL_RETRY_MS = 300,       /* pause between cancels that were not confirmed */
+    OUTDATED_AVOID_MS = 2500, /* an engine that is not what it is taken for: until the configuration tells what it is.
+                                 The list of back ends is read once a second and lags by up to another */
+    SUSPECT_DOUBLINGS = 3,    /* the time below doubles with each failure in a row, so often at most */
+    SUSPECT_MS = 1000,        /* an engine that failed a request gets none for this long, or until it answers */
+    MISSES_DOWN = 3,          /* state pages missed in a row before an engine counts as down */
+    CANCEL_RETRY_MS = 300,    /* pause between cancels that were not confirmed */
     ORPHAN_GRACE_MS = SCHED_LEASE_MS + SCHED_RENEW_MS, /* an id nobody renews is cancelled after this */
     FALLBACK_LINK_RATE = 50000,                        /* tokens/s on a path no link is declared for */
     TPOT_MS = 40 /* time between tokens that estimates count with: a batch of some twenty */
@@ -56,8 +58,9 @@
     bool down;
     uint32_t misses;
     tc_time_t suspect_until;
-    uint32_t failures;       /* of requests there, one after the other */
-    tc_time_t stalled_until; /* a handover to it stalled: no more of them, whatever its state page says */
+    uint32_t failures;        /* of requests there, one after the other */
+    tc_time_t stalled_until;  /* a handover to it stalled: no more of them, whatever its state page says */
+    tc_time_t outdated_until; /* it is not what the configuration says, or no longer there */
     uint64_t incarnation;
     tc_time_t seen; /* last answer of its state page */
     uint32_t pieces, max_batch;
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -192,6 +192,20 @@
     ask_cancels(s, now);
 }
 
+/** What a refusal tells of its engine. Call while the request is still counted there. */
+static void note_trouble(const sched_t *s, const msg_replan_t *replan, tc_time_t now)
+{
+    engine_t *const bad = engine_find(s, replan->bad);
+    if (!bad)
+        return;
+    switch (replan->trouble) {
+    case TROUBLE_FULL: engine_is_full(bad, now); break;
+    case TROUBLE_OUTDATED: bad->outdated_until = now + OUTDATED_AVOID_MS; break;
+    case TROUBLE_STALLED:
+    default: bad->stalled_until = now + STALL_AVOID_MS; break;
+    }
+}
+
 void sched_replan(sched_t *s, const msg_replan_t *replan, sched_token_t token, tc_time_t now)
 {
     request_t *const r = g_hash_table_lookup(s->requests, replan->id);
@@ -200,11 +214,7 @@
         refuse_token(s, replan->id, token, "no such attempt", 0);
         return;
     }
-    engine_t *const bad = engine_find(s, replan->bad);
-    if (bad && replan->full)
-        engine_is_full(bad, now);
-    else if (bad)
-        bad->stalled_until = now + STALL_AVOID_MS;
+    note_trouble(s, replan, now);
     cancel_decode(s, r, now);
     codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
     r->token = token;
--- a/tests/unit/test_sched_adopt.c
+++ b/tests/unit/test_sched_adopt.c
@@ -148,7 +148,7 @@
     place(f, "second", 60, 2000);
     char bad[CODEC_STR_SIZE];
     codec_copy_string(bad, sizeof(bad), f->placed.decode);
-    msg_replan_t replan = {.attempt = f->placed.attempt, .full = true};
+    msg_replan_t replan = {.attempt = f->placed.attempt, .trouble = TROUBLE_FULL};
     codec_copy_string(replan.id, sizeof(replan.id), "second");
     codec_copy_string(replan.bad, sizeof(replan.bad), bad);
     sched_replan(f->sched, &replan, (sched_token_t){0}, 2010);
@@ -165,6 +165,32 @@
     g_assert_cmpstr(f->placed.decode, ==, bad); /* the large one: most of what was not counted is over by now */
 }
 
+/** An engine that is not what the scheduler takes it for gets nothing until the configuration may have told. */
+static void test_outdated_engine_is_left_alone(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    place(f, "first", 10, 10);
+    char bad[CODEC_STR_SIZE];
+    codec_copy_string(bad, sizeof(bad), f->placed.decode);
+    msg_replan_t replan = {.attempt = f->placed.attempt, .trouble = TROUBLE_OUTDATED};
+    codec_copy_string(replan.id, sizeof(replan.id), "first");
+    codec_copy_string(replan.bad, sizeof(replan.bad), bad);
+    sched_replan(f->sched, &replan, (sched_token_t){0}, 20);
+    take_answers(f);
+    for (tc_time_t now = 100; now < 900; now += 100) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "r%d", (int)now);
+        place(f, id, 10, now);
+        g_assert_true(f->answered && f->placed.granted);
+        g_assert_cmpstr(f->placed.decode, !=, bad);
+        finish(f, id, now + 50);
+    }
+    place(f, "stays", 10, 1000);
+    sched_tick(f->sched, 4000);
+    place(f, "last", 95, 4000); /* more than the other one has left */
+    g_assert_cmpstr(f->placed.decode, ==, bad);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -172,6 +198,7 @@
     TEST("counted", test_counted);
     TEST("moved", test_moved);
     TEST("over", test_over);
+    TEST("outdated-engine-is-left-alone", test_outdated_engine_is_left_alone);
     TEST("refusal-corrects-the-count", test_refusal_corrects_the_count);
 #undef TEST
     return g_test_run();
--- a/tests/unit/test_sched_solo.c
+++ b/tests/unit/test_sched_solo.c
@@ -128,11 +128,11 @@
     codec_copy_string(gone.id, sizeof(gone.id), "r0");
     codec_copy_string(gone.box, sizeof(gone.box), "another");
     sched_progress(f.sched, &gone, 1); /* of a box that had the request before: not its to end */
-    g_assert_cmpuint(sched_stats(f.sched).placed, ==, 1);
+    g_assert_cmpuint(sched_stats(f.sched, 0).placed, ==, 1);
     codec_copy_string(gone.box, sizeof(gone.box), "box");
     sched_progress(f.sched, &gone, 2);
     sched_check(f.sched);
-    g_assert_cmpuint(sched_stats(f.sched).placed, ==, 0);
+    g_assert_cmpuint(sched_stats(f.sched, 0).placed, ==, 0);
     place(&f, 1, 3); /* its prefill engine is free at once */
     g_assert_true(f.answered[1] && f.placed[1].granted);
     sched_destroy(f.sched);
