The leader reads what engines run, and counts what it does not know

Hypothesis: what a box places that is cut off from the leader is not counted until the cut is over, so that engines turn away what they are granted and prompts are read in vain. Tests: /sched-adopt/engine-tells-what-it-runs, /sched-adopt/doubt, /platform/runs.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -289,6 +289,19 @@
     return true;
 }
 
+bool placing_is_in_doubt(const placing_t *p, tc_time_t now)
+{
+    return p->sched && sched_is_in_doubt(p->sched, now);
+}
+
+void placing_hear_engine(placing_t *p, const char *engine, const sched_holding_t *held, uint32_t n, tc_time_t now)
+{
+    if (!p->sched)
+        return;
+    sched_engine_holds(p->sched, engine, held, n, now);
+    pump(p, now);
+}
+
 /* ===== Life ===== */
 
 void placing_tick(placing_t *p, uint64_t term, uint32_t boxes, tc_time_t now)
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -18,6 +18,7 @@
 #include "common/retry_budget.h"
 #include "gen/schema.h"
 #include "peer/peer.h"
+#include "sched/sched.h"
 
 /* ===== Types ===== */
 
@@ -44,6 +45,12 @@
 /** The back ends, as boxes are told them: engines that change their role are leaving. Copied. */
 void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
 
+/** Whether engines should be asked often what they run: as sched_is_in_doubt. */
+bool placing_is_in_doubt(const placing_t *placing, tc_time_t now);
+/** An engine told what it runs: as sched_engine_holds. */
+void placing_hear_engine(placing_t *placing, const char *engine, const sched_holding_t *held, uint32_t n,
+                         tc_time_t now);
+
 /** What the two pools have to do, while this box leads and one service alone has engines: for roles/balance.h.
  *  @param prefill work of the prefill pool, as a moving average, in engines that would be busy all the time
  *  @param decode the same of the decode pool
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -310,6 +310,16 @@
     return placing_work(r->placing, prefill, decode);
 }
 
+bool replica_is_in_doubt(const replica_t *r)
+{
+    return placing_is_in_doubt(r->placing, tc_time_now());
+}
+
+void replica_hear_engine(replica_t *r, const char *engine, const sched_holding_t *held, uint32_t n)
+{
+    placing_hear_engine(r->placing, engine, held, n, tc_time_now());
+}
+
 /* ===== Life ===== */
 
 void replica_set_services(replica_t *r, const placing_service_t *list, uint32_t n)
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -83,6 +83,12 @@
     uint64_t orders;            /**< orders it has taken since its start */
 } dialect_engine_t;
 
+/** A request that an engine runs. */
+typedef struct {
+    char id[DIALECT_ID_SIZE]; /**< as dialect_request_t has it */
+    uint32_t tokens;          /**< of memory */
+} dialect_run_t;
+
 /** An order to change the role. Borrowed. */
 typedef struct {
     const char *instance; /**< only this start of the engine may take it */
@@ -147,6 +153,10 @@
  *  taken */
 bool dialect_read_engine(const char *body, size_t size, dialect_engine_t *engine);
 
+/** Read from the same answer what it runs, as of up to a second ago. @return dialect_run_t, for g_array_free; NULL when
+ *  it does not say */
+GArray *dialect_read_runs(const char *body, size_t size);
+
 /** The order itself. @return bytes for web_call */
 GByteArray *dialect_write_order(const char *addr, const dialect_order_t *order);
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -213,6 +213,7 @@
     s->adopts = options->adopts;
     s->rebuild_from = now;
     s->admit_from = options->rebuild ? now + SCHED_REBUILD_MS : now;
+    s->doubt_until = now + DOUBT_MS;
     s->requests = g_hash_table_new(g_str_hash, g_str_equal);
     s->engines = g_hash_table_new(g_str_hash, g_str_equal);
     s->engine_list = g_ptr_array_new_with_free_func(g_free);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -157,6 +157,14 @@
 void sched_engine_seen(sched_t *sched, const char *engine, uint64_t incarnation, bool leaving,
                        const sched_holding_t *held, uint32_t n_held, tc_time_t asked, tc_time_t now);
 
+/** An engine told which requests it runs, by their plain ids, as of up to a second ago: what is not counted here is
+ *  given to nobody, until it tells otherwise. For engines that end what nobody holds by themselves. */
+void sched_engine_holds(sched_t *sched, const char *engine, const sched_holding_t *held, uint32_t n, tc_time_t now);
+
+/** Whether engines may run what is not counted here: the scheduler has just begun, an engine refused what it had room
+ * for by the count, or an entry box is silent and may place by itself. Then it is worth asking them often. */
+bool sched_is_in_doubt(const sched_t *sched, tc_time_t now);
+
 /** The engine did not answer its state page. */
 void sched_engine_missed(sched_t *sched, const char *engine, tc_time_t now);
 
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -22,13 +22,13 @@
 {
     const double age = (double)(now - e->unseen_at);
     const double left = s->held_ms > 0 && age < s->held_ms ? 1 - age / s->held_ms : 0;
-    return e->reserved + e->foreign + (uint32_t)(left * e->unseen);
+    const uint32_t unseen = (uint32_t)(left * e->unseen);
+    return e->reserved + (unseen > e->foreign ? unseen : e->foreign);
 }
 
 void engine_is_full(engine_t *e, tc_time_t now)
 {
-    const uint32_t counted = e->reserved + e->foreign;
-    e->unseen = counted <= e->pieces ? e->pieces - counted + 1 : 0;
+    e->unseen = e->reserved <= e->pieces ? e->pieces - e->reserved + 1 : 0;
     e->unseen_at = now;
 }
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -29,10 +29,13 @@
     STALL_AVOID_MS = 2500,       /* an engine to which a handover stalled is passed over for this long */
     OUTDATED_AVOID_MS = 2500, /* an engine that is not what it is taken for: until the configuration tells what it is.
                                  The list of back ends is read once a second and lags by up to another */
-    SUSPECT_DOUBLINGS = 3,    /* the time below doubles with each failure in a row, so often at most */
-    SUSPECT_MS = 1000,        /* an engine that failed a request gets none for this long, or until it answers */
-    MISSES_DOWN = 3,          /* state pages missed in a row before an engine counts as down */
-    CANCEL_RETRY_MS = 300,    /* pause between cancels that were not confirmed */
+    DOUBT_MS = 3000,          /* as long as most requests are held: what was not counted has ended by then */
+    BOX_SILENT_MS = 3 * SCHED_RENEW_MS, /* an entry box that has not renewed for so long may place by itself, */
+    BOX_GONE_MS = 15000,                /* and after so long is taken for gone */
+    SUSPECT_DOUBLINGS = 3,              /* the time below doubles with each failure in a row, so often at most */
+    SUSPECT_MS = 1000,     /* an engine that failed a request gets none for this long, or until it answers */
+    MISSES_DOWN = 3,       /* state pages missed in a row before an engine counts as down */
+    CANCEL_RETRY_MS = 300, /* pause between cancels that were not confirmed */
     ORPHAN_GRACE_MS = SCHED_LEASE_MS + SCHED_RENEW_MS, /* an id nobody renews is cancelled after this */
     FALLBACK_LINK_RATE = 50000,                        /* tokens/s on a path no link is declared for */
     TPOT_MS = 40 /* time between tokens that estimates count with: a batch of some twenty */
@@ -158,6 +161,7 @@
     uint32_t piece_tokens; /* memory is counted in pieces of this size */
     tc_time_t solo_after;  /* 0: decode engines read no prompts */
     tc_time_t admit_from;
+    tc_time_t doubt_until; /* engines may run what is not counted here */
     tc_time_t rebuild_from;
     uint32_t expected, reports; /* live entry boxes, and how many of them have renewed */
     bool rebuilding;            /* began with the requests of a scheduler before it */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -193,13 +193,16 @@
 }
 
 /** What a refusal tells of its engine. Call while the request is still counted there. */
-static void note_trouble(const sched_t *s, const msg_replan_t *replan, tc_time_t now)
+static void note_trouble(sched_t *s, const msg_replan_t *replan, tc_time_t now)
 {
     engine_t *const bad = engine_find(s, replan->bad);
     if (!bad)
         return;
     switch (replan->trouble) {
-    case TROUBLE_FULL: engine_is_full(bad, now); break;
+    case TROUBLE_FULL:
+        engine_is_full(bad, now);
+        s->doubt_until = now + DOUBT_MS;
+        break;
     case TROUBLE_OUTDATED: bad->outdated_until = now + OUTDATED_AVOID_MS; break;
     case TROUBLE_STALLED:
     default: bad->stalled_until = now + STALL_AVOID_MS; break;
--- a/lib/sched/sched_reconcile.c
+++ b/lib/sched/sched_reconcile.c
@@ -83,6 +83,49 @@
     }
 }
 
+/** Whether what an engine runs under this id is counted there. Its word is up to a second old: what has ended since is
+ *  still in it. */
+static bool is_counted(const sched_t *s, const engine_t *e, const char *id)
+{
+    const request_t *const r = g_hash_table_lookup(s->requests, id);
+    if (!r)
+        return false;
+    switch (r->state) {
+    case REQ_QUEUED: return false;
+    case REQ_PLACED:
+    case REQ_REPLANNING: return r->decode == e || r->prefill == e;
+    case REQ_FINISHED:
+    default: return true;
+    }
+}
+
+bool sched_is_in_doubt(const sched_t *s, tc_time_t now)
+{
+    if (now < s->doubt_until)
+        return true;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const tc_time_t silent = now - ((const owner_t *)value)->heard;
+        if (silent > BOX_SILENT_MS && silent < BOX_GONE_MS)
+            return true;
+    }
+    return false;
+}
+
+void sched_engine_holds(sched_t *s, const char *name, const sched_holding_t *held, uint32_t n, tc_time_t now)
+{
+    engine_t *const e = engine_find(s, name);
+    if (!e)
+        return;
+    e->foreign = 0;
+    for (uint32_t i = 0; i < n; i++)
+        if (!is_counted(s, e, held[i].engine_id))
+            e->foreign += held[i].pieces;
+    dispatch(s, now);
+}
+
 void sched_engine_seen(sched_t *s, const char *name, uint64_t incarnation, bool leaving, const sched_holding_t *held,
                        uint32_t n_held, tc_time_t asked, tc_time_t now)
 {
@@ -98,7 +141,8 @@
     e->seen = now;
     if (asked >= e->suspect_until - SUSPECT_MS && now >= e->suspect_until - SUSPECT_MS / 2)
         e->suspect_until = 0;
-    reconcile(s, e, held, n_held, now);
+    if (!s->adopts) /* else sched_engine_holds tells */
+        reconcile(s, e, held, n_held, now);
     end_rebuild_early(s, now);
     dispatch(s, now);
     ask_cancels(s, now);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -316,6 +316,18 @@
     g_assert_false(read_engine("{", &engine));
 }
 
+static void test_runs(void)
+{
+    static const char text[] = "{\"stage\":\"decode\",\"runs\":[[\"abc\",3300,7,1],[null,16,0,1],[\"def\",16,0,1]]}";
+    GArray *const runs = dialect_read_runs(text, strlen(text));
+    g_assert_cmpuint(runs->len, ==, 2); /* one belongs to nobody's request */
+    g_assert_cmpstr(g_array_index(runs, dialect_run_t, 0).id, ==, "abc");
+    g_assert_cmpuint(g_array_index(runs, dialect_run_t, 0).tokens, ==, 3300);
+    g_array_free(runs, TRUE);
+    g_assert_null(dialect_read_runs("{\"stage\":\"decode\"}", 18)); /* it does not say */
+    g_assert_null(dialect_read_runs("{", 1));
+}
+
 static void test_order(void)
 {
     const dialect_order_t order = {.instance = "i-1", .stage = "decode", .holder = "box", .fence = 41, .taken = 0};
@@ -349,6 +361,7 @@
     g_test_add_func("/platform/directory", test_directory);
     g_test_add_func("/platform/kept", test_kept);
     g_test_add_func("/platform/engine", test_engine);
+    g_test_add_func("/platform/runs", test_runs);
     g_test_add_func("/platform/order", test_order);
     return g_test_run();
 }
--- a/tests/unit/test_sched_adopt.c
+++ b/tests/unit/test_sched_adopt.c
@@ -191,6 +191,42 @@
     g_assert_cmpstr(f->placed.decode, ==, bad);
 }
 
+/** An engine runs what nobody here placed: that memory is given to nobody until the engine tells that it is over. What
+ *  is placed there, and what ended since, is not counted twice. */
+static void test_engine_tells_what_it_runs(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    place(f, "known", 10, 10);
+    char engine[CODEC_STR_SIZE];
+    codec_copy_string(engine, sizeof(engine), f->placed.decode);
+    const sched_holding_t held[] = {{.engine_id = "known", .pieces = 10}, {.engine_id = "stranger", .pieces = 60}};
+    sched_engine_holds(f->sched, engine, held, 2, 20);
+    place(f, "large", 50, 30);
+    g_assert_cmpstr(f->placed.decode, !=, engine);
+    place(f, "fits", 30, 40); /* beside 10 and 60 */
+    place(f, "too", 45, 50);
+    g_assert_true(f->answered); /* on the other one */
+    place(f, "waits", 20, 60);
+    g_assert_false(f->answered);
+    finish(f, "too", 70); /* the engines' word is older than that */
+    sched_engine_holds(f->sched, engine, held, 1, 80);
+    sched_tick(f->sched, 90);
+    take_answers(f);
+    g_assert_true(f->answered && f->placed.granted);
+}
+
+/** Engines are asked often only while what they run may differ from what is counted. */
+static void test_doubt(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    g_assert_true(sched_is_in_doubt(f->sched, 10)); /* it has just begun */
+    g_assert_false(sched_is_in_doubt(f->sched, 10000));
+    list(f, NULL, 0, "", 10000);
+    g_assert_false(sched_is_in_doubt(f->sched, 10100));
+    g_assert_true(sched_is_in_doubt(f->sched, 12000));  /* its box is silent, and may place by itself */
+    g_assert_false(sched_is_in_doubt(f->sched, 60000)); /* and is gone */
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -199,6 +235,8 @@
     TEST("moved", test_moved);
     TEST("over", test_over);
     TEST("outdated-engine-is-left-alone", test_outdated_engine_is_left_alone);
+    TEST("engine-tells-what-it-runs", test_engine_tells_what_it_runs);
+    TEST("doubt", test_doubt);
     TEST("refusal-corrects-the-count", test_refusal_corrects_the_count);
 #undef TEST
     return g_test_run();
