--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -7,6 +7,7 @@
 #include "cluster/list.h"
 #include "common/counter.h"
 #include "common/log.h"
+#include "common/mechanism.h"
 #include "common/retry_budget.h"
 #include "sched/sched.h"
 
@@ -96,7 +97,7 @@
             link_cfg_t *const link = &config->links[config->links_n++];
             codec_copy_string(link->a, sizeof(link->a), names[i]);
             codec_copy_string(link->b, sizeof(link->b), names[k]);
-            link->rate = (uint32_t)(rate * (i == k ? 1 : FAR_FACTOR));
+            link->rate = (uint32_t)(rate * (i == k || !mechanism_is_on(MECHANISM_NEARNESS) ? 1 : FAR_FACTOR));
         }
     }
     g_free(names);
@@ -315,9 +316,9 @@
         const sched_options_t options = {.cell = CELL,
                                          .epoch = term,
                                          .piece_tokens = SCHED_SMALL_PIECE_TOKENS,
-                                         .solo_after = SOLO_AFTER_MS,
+                                         .solo_after = mechanism_is_on(MECHANISM_SOLO) ? SOLO_AFTER_MS : 0,
                                          .rebuild = true,
-                                         .adopts = true};
+                                         .adopts = mechanism_is_on(MECHANISM_ADOPTION)};
         p->sched = sched_create(&options, now);
         p->term = term;
         configure(p, now);
@@ -334,7 +335,7 @@
 {
     placing_t *const p = g_new0(placing_t, 1);
     p->net = net;
-    p->retries = retry_rules_part(retries, 1 - RETRY_BOXES_PART);
+    p->retries = retry_rules_part(retries, mechanism_is_on(MECHANISM_RETRY_LENDING) ? 1 - RETRY_BOXES_PART : 0);
     p->budgets = retry_budgets_create();
     return p;
 }
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/mechanism.h"
 /* ===== Constants ===== */
 
 enum {
@@ -70,6 +71,8 @@
     const unsigned doublings = instance->failures < 4 ? instance->failures : 4;
     const tc_time_t pause = (tc_time_t)AVOID_FIRST_MS << doublings;
     instance->failures++;
+    if (!mechanism_is_on(MECHANISM_AVOIDANCE))
+        return;
     instance->avoid_until = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
 }
 
--- a/lib/forward/forward_early.c
+++ b/lib/forward/forward_early.c
@@ -4,6 +4,7 @@
 #include <urcu/list.h>
 
 #include "common/counter.h"
+#include "common/mechanism.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_held, "counter", "trackcove_forward_early_total", "Requests that came before the box knew where to")
@@ -61,7 +62,7 @@
 bool early_hold(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request)
 {
     const tc_time_t now = tc_time_now();
-    if (knows_enough(fw) || now - fw->created > EARLY_LIFE_MS)
+    if (!mechanism_is_on(MECHANISM_EARLY_WAIT) || knows_enough(fw) || now - fw->created > EARLY_LIFE_MS)
         return false;
     counter_add(&c_held, 1);
     early_t *const e = g_new0(early_t, 1);
--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/counter.h"
+#include "common/mechanism.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_taken, "counter", "trackcove_hold_taken_total", "Times that memory was set aside at a decode engine")
@@ -81,7 +82,8 @@
 
 bool hold_ask(forward_t *f)
 {
-    if (f->hold.instance || f->settings->hold_ttl == 0 || f->hold.tries >= HOLD_TRIES)
+    if (!mechanism_is_on(MECHANISM_HOLDS) || f->hold.instance || f->settings->hold_ttl == 0 ||
+        f->hold.tries >= HOLD_TRIES)
         return false;
     instance_t *const instance = forward_choose(f, STAGE_DECODE);
     if (!instance)
--- a/lib/forward/forward_locate.c
+++ b/lib/forward/forward_locate.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/counter.h"
+#include "common/mechanism.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_looked, "counter", "trackcove_locate_looked_total", "Streams whose prompt was looked for at engines")
@@ -106,7 +107,7 @@
 
 bool locate_ask(forward_t *f)
 {
-    if (f->locate.asked || !f->facts.resume_after[0] || f->facts.parts_n == 0)
+    if (!mechanism_is_on(MECHANISM_KEEPERS) || f->locate.asked || !f->facts.resume_after[0] || f->facts.parts_n == 0)
         return false;
     f->locate.asked = true;
     fleet_each(f->owner->fleet, f->service, STAGE_DECODE, ask, f);
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -5,6 +5,7 @@
 
 #include "common/counter.h"
 #include "common/histogram.h"
+#include "common/mechanism.h"
 #include "forward/forward_internal.h"
 #include "sched/sched.h"
 
@@ -152,7 +153,7 @@
     if (f->placement.attempt > 0)
         place_tell(f, PHASE_FAILED, NULL); /* the engine that this box chose did not take it */
     f->placement.attempt = 0;
-    if (!f->owner->scheduler || !f->facts.id[0])
+    if (!f->owner->scheduler || !f->facts.id[0] || !mechanism_is_on(MECHANISM_SCHEDULER))
         return false;
     if (ask_placement(f))
         return true;
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/counter.h"
+#include "common/mechanism.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_lent, "counter", "trackcove_retry_lent_total", "Further arrivals allowed by the leader's part")
@@ -17,7 +18,7 @@
 /** Whether the leader hands out a part of the service's budget: of those whose requests the scheduler places. */
 static bool shares_with_leader(const forward_t *f)
 {
-    return f->split && f->owner->scheduler;
+    return f->split && f->owner->scheduler && mechanism_is_on(MECHANISM_RETRY_LENDING);
 }
 
 static retry_rules_t rules_of(const forward_t *f)
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -5,6 +5,7 @@
 
 #include "common/counter.h"
 #include "common/histogram.h"
+#include "common/mechanism.h"
 #include "common/sabotage.h"
 #include "forward/forward_internal.h"
 
@@ -75,6 +76,8 @@
 {
     if (SABOTAGE_IS(SABOTAGE_RUN_TWICE))
         return f->runs == 0;
+    if (f->begun && !mechanism_is_on(MECHANISM_RESUMPTION))
+        return false;
     return route_is_repeatable(f->route) && f->backends + !f->asked_again < f->route->max_attempts;
 }
 
@@ -135,7 +138,7 @@
 static void ask_same_engine(step_t *s)
 {
     forward_t *const f = s->request;
-    if (!f->split || f->repeated || s->instance->failures > 1 || s->hung) {
+    if (!mechanism_is_on(MECHANISM_SAME_ENGINE) || !f->split || f->repeated || s->instance->failures > 1 || s->hung) {
         mark_tried(s);
         return;
     }
@@ -218,7 +221,8 @@
 static bool try_elsewhere(step_t *s)
 {
     forward_t *const f = s->request;
-    if (s->status < 500 || f->begun || !may_run_again(f) || fleet_size(f->owner->fleet) <= 1 || !retry_spend(f))
+    if (!mechanism_is_on(MECHANISM_SECOND_TRY) || s->status < 500 || f->begun || !may_run_again(f) ||
+        fleet_size(f->owner->fleet) <= 1 || !retry_spend(f))
         return false;
     forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
     count_run(f);
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/mechanism.h"
 #include "sched/sched_internal.h"
 
 /* ===== Granting ===== */
@@ -47,7 +48,7 @@
             choice = choose_solo(s, r, now);
         if (!choice.decode)
             continue;
-        if (now + (tc_time_t)choice.total_ms > r->due) {
+        if (mechanism_is_on(MECHANISM_EARLY_REFUSAL) && now + (tc_time_t)choice.total_ms > r->due) {
             refuse_queued(s, r, "cannot meet the time to first token", estimate_wait(s, r, now));
             continue;
         }
@@ -99,7 +100,8 @@
 {
     for (;;) {
         const double wait = estimate_wait(s, r, now);
-        const bool late = now >= s->admit_from && (double)now + wait > (double)r->due;
+        const bool late =
+            mechanism_is_on(MECHANISM_EARLY_REFUSAL) && now >= s->admit_from && (double)now + wait > (double)r->due;
         if (!late && s->n_queue <= s->targets.max_queue)
             return;
         request_t *const victim = shed_victim(s, r, waiting_share(s, r->workspace));
@@ -189,6 +191,9 @@
     queue_insert(s, r);
     admit(s, r, now);
     dispatch(s, now);
+    const request_t *const waits = g_hash_table_lookup(s->requests, place->id);
+    if (waits && waits->state == REQ_QUEUED && now >= s->admit_from && !mechanism_is_on(MECHANISM_QUEUE))
+        refuse_queued(s, r, "no room at once", 0);
     ask_cancels(s, now);
 }
 
@@ -200,7 +205,10 @@
         return;
     switch (replan->trouble) {
     case TROUBLE_FULL:
-        engine_is_full(bad, now);
+        if (mechanism_is_on(MECHANISM_CORRECTION))
+            engine_is_full(bad, now);
+        else
+            bad->stalled_until = now + STALL_AVOID_MS;
         s->doubt_until = now + DOUBT_MS;
         break;
     case TROUBLE_OUTDATED: bad->outdated_until = now + OUTDATED_AVOID_MS; break;
