--- /dev/null
+++ b/lib/control/store_file.c
@@ -0,0 +1,202 @@
+/* Files of the data folder: heads with checksums, whole files, the records of a segment. */
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "control/raft_internal.h"
+#include "control/store_internal.h"
+
+/* ===== Heads ===== */
+
+int store_io_err(tc_err_t *err, const char *step, const char *path)
+{
+    const int code = errno == ENOSPC || errno == EDQUOT || errno == EFBIG ? TC_E_FULL : TC_E_IO;
+    return tc_err_set(err, code, step, path, "%s", strerror(errno));
+}
+
+static uint32_t checksum(const void *data, uint32_t length)
+{
+    return XXH32(data, length, length);
+}
+
+head_t store_make_head(const void *data, uint32_t length)
+{
+    head_t head = {.length = length, .check = checksum(data, length)};
+    head.head_check = checksum(&head, 2 * sizeof(uint32_t));
+    return head;
+}
+
+static bool head_good(const head_t *head)
+{
+    return head->head_check == checksum(head, 2 * sizeof(uint32_t)) && head->length > 0 && head->length <= RECORD_MAX;
+}
+
+/* ===== Whole files ===== */
+
+int store_write_all(int fd, const void *data, size_t size)
+{
+    const char *at = data;
+    while (size > 0) {
+        const ssize_t n = write(fd, at, size);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n <= 0)
+            return -1;
+        at += n;
+        size -= (size_t)n;
+    }
+    return 0;
+}
+
+int store_replace_file(const store_t *s, const char *name, const void *data, uint32_t size, tc_err_t *err)
+{
+    char path[STORE_PATH_SIZE], fresh[STORE_PATH_SIZE + 8];
+    snprintf(path, sizeof(path), "%s/%s", s->dir, name);
+    snprintf(fresh, sizeof(fresh), "%s.new", path);
+    const int fd = open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    if (fd < 0)
+        return store_io_err(err, "create", fresh);
+    const head_t head = store_make_head(data, size);
+    const bool written =
+        store_write_all(fd, &head, sizeof(head)) == 0 && store_write_all(fd, data, size) == 0 && fsync(fd) == 0;
+    const int failed = errno;
+    close(fd);
+    errno = failed;
+    if (!written || rename(fresh, path) != 0 || fsync(s->dir_fd) != 0) {
+        (void)store_io_err(err, "write", path);
+        unlink(fresh);
+        return err ? err->code : TC_E_IO;
+    }
+    return TC_OK;
+}
+
+char *store_read_file(const char *path, uint32_t *size, tc_err_t *err)
+{
+    const int fd = open(path, O_RDONLY | O_CLOEXEC);
+    if (fd < 0) {
+        tc_err_set(err, errno == ENOENT ? TC_E_NOT_FOUND : TC_E_IO, "open", path, "%s", strerror(errno));
+        return NULL;
+    }
+    struct stat info;
+    head_t head = {0};
+    const bool read_head = fstat(fd, &info) == 0 && read(fd, &head, sizeof(head)) == sizeof(head);
+    char *data = NULL;
+    if (!read_head || !head_good(&head) || head.length != (uint64_t)info.st_size - sizeof(head)) {
+        tc_err_set(err, TC_E_CORRUPT, "read", path, "offset 0: length does not match the file");
+    } else {
+        data = malloc(head.length + 1);
+        if (data && read(fd, data, head.length) != (ssize_t)head.length) {
+            tc_err_set(err, TC_E_IO, "read", path, "%s", strerror(errno));
+            free(data);
+            data = NULL;
+        }
+    }
+    close(fd);
+    if (data && checksum(data, head.length) != head.check) {
+        tc_err_set(err, TC_E_CORRUPT, "read", path, "offset %zu: checksum is wrong", sizeof(head));
+        free(data);
+        return NULL;
+    }
+    *size = head.length;
+    return data;
+}
+
+/* ===== Records ===== */
+
+/** Whether all bytes from @p at on are zero: space that was given to the file but never written. */
+static bool zeros(const char *data, size_t at, size_t size)
+{
+    while (at < size && data[at] == 0)
+        at++;
+    return at == size;
+}
+
+int store_walk_records(const char *path, const char *data, size_t size, store_record_fn_t fn, void *arg, size_t *end,
+                       tc_err_t *err)
+{
+    size_t at = 0;
+    *end = 0;
+    while (at < size) {
+        head_t head = {0};
+        const bool short_head = size - at < sizeof(head);
+        if (!short_head)
+            memcpy(&head, data + at, sizeof(head));
+        if (short_head || zeros(data, at, size) || (head_good(&head) && head.length > size - at - sizeof(head)))
+            return TC_OK; /* torn: nobody was told that this record is there */
+        const char *const payload = data + at + sizeof(head);
+        const bool good = head_good(&head) && checksum(payload, head.length) == head.check;
+        if (!good && head_good(&head) && zeros(data, at + sizeof(head) + head.length / 2, size))
+            return TC_OK; /* its second half was never written */
+        log_entry_t entry;
+        if (!good || codec_unpack_bytes(&log_entry_desc, &entry, payload, head.length, NULL) < 0)
+            return tc_err_set(err, TC_E_CORRUPT, "read log", path, "offset %zu: checksum or record is wrong", at);
+        const int rc = fn(arg, &entry, at);
+        codec_free(&log_entry_desc, &entry);
+        if (rc < 0)
+            return tc_err_set(err, rc, "read log", path, "offset %zu: index out of order", at);
+        at += sizeof(head) + head.length;
+        *end = at;
+    }
+    return TC_OK;
+}
+
+char *store_slurp(const char *path, size_t *size, tc_err_t *err)
+{
+    FILE *const in = fopen(path, "rb");
+    if (!in) {
+        (void)store_io_err(err, "open", path);
+        return NULL;
+    }
+    struct stat info;
+    char *const data = fstat(fileno(in), &info) == 0 ? malloc((size_t)info.st_size + 1) : NULL;
+    *size = data ? fread(data, 1, (size_t)info.st_size, in) : 0;
+    fclose(in);
+    if (!data)
+        (void)tc_err_set(err, TC_E_NOMEM, "read", path, "out of memory");
+    return data;
+}
+
+/* ===== Folders ===== */
+
+bool store_newest_file(const char *dir, const char *prefix, uint64_t *index)
+{
+    bool found = false;
+    DIR *const handle = opendir(dir);
+    if (!handle)
+        return false;
+    const size_t length = strlen(prefix);
+    for (const struct dirent *e = readdir(handle); e; e = readdir(handle)) {
+        if (strncmp(e->d_name, prefix, length) != 0 || strchr(e->d_name, '.'))
+            continue;
+        const uint64_t value = strtoull(e->d_name + length, NULL, 10);
+        if (!found || value > *index)
+            *index = value;
+        found = true;
+    }
+    closedir(handle);
+    return found;
+}
+
+void store_remove_older(const store_t *s, const char *prefix, uint64_t keep)
+{
+    DIR *const handle = opendir(s->dir);
+    if (!handle)
+        return;
+    const size_t length = strlen(prefix);
+    for (const struct dirent *e = readdir(handle); e; e = readdir(handle)) {
+        if (strncmp(e->d_name, prefix, length) == 0 && !strchr(e->d_name, '.') &&
+            strtoull(e->d_name + length, NULL, 10) < keep)
+            unlinkat(s->dir_fd, e->d_name, 0);
+    }
+    closedir(handle);
+    (void)fsync(s->dir_fd);
+}
--- /dev/null
+++ b/lib/control/store_internal.h
@@ -0,0 +1,77 @@
+/** @file store_internal.h
+ * Shared by the files of the data folder; nobody else includes it:
+ *
+ *   store_file.c    files: heads with checksums, whole files, the records of a segment
+ *   store_open.c    founding, opening, closing
+ *   store.c         writing
+ *   store_verify.c  the offline check
+ */
+#ifndef TRACKCOVE_CONTROL_STORE_INTERNAL_H
+#define TRACKCOVE_CONTROL_STORE_INTERNAL_H
+
+/* ===== Dependencies ===== */
+
+#include <glib.h>
+#include <sys/types.h>
+
+#include "control/store.h"
+
+/* ===== Types ===== */
+
+/** Before each record and in front of each whole file. */
+typedef struct {
+    uint32_t length;
+    uint32_t check;      /* XXH32 of the payload, seeded with the length */
+    uint32_t head_check; /* XXH32 of the two above: a flipped length is not taken for a torn tail */
+} head_t;
+
+/** The file of term and vote. */
+typedef struct {
+    uint64_t term, vote;
+} meta_t;
+
+enum { RECORD_MAX = 16 * 1024 * 1024, STORE_PATH_SIZE = 512 };
+
+struct store {
+    char dir[CODEC_PATH_SIZE];
+    int dir_fd, lock_fd, log_fd;
+    char log_path[STORE_PATH_SIZE];
+    uint64_t first;  /* index of the segment's first record */
+    GArray *offsets; /* off_t of each record, and of the end */
+    bool dirty;
+    bool torn;            /* the file may go on behind the last record, or lack a part of what is not synced */
+    off_t synced;         /* the file is on disk up to here */
+    GByteArray *unsynced; /* its bytes from there on: after a failed sync the kernel may have dropped them */
+};
+
+/** Called for each record. @return 0, or negative to stop */
+typedef int (*store_record_fn_t)(void *arg, const log_entry_t *entry, size_t offset);
+
+/* ===== store_file.c ===== */
+
+/** What errno says, as TC_E_FULL or TC_E_IO. */
+int store_io_err(tc_err_t *err, const char *step, const char *path);
+head_t store_make_head(const void *data, uint32_t length);
+/** @return 0, or -1 with errno */
+int store_write_all(int fd, const void *data, size_t size);
+/** Write a file whole, or leave what was there. Durable on return. */
+int store_replace_file(const store_t *s, const char *name, const void *data, uint32_t size, tc_err_t *err);
+/** Read a file written by store_replace_file. @return heap bytes, or NULL: with err->code TC_E_NOT_FOUND when missing
+ */
+char *store_read_file(const char *path, uint32_t *size, tc_err_t *err);
+/** Read any file. @return heap bytes, or NULL */
+char *store_slurp(const char *path, size_t *size, tc_err_t *err);
+/** Walk the records of a segment. @param end where the good part ends; less than @p size when the tail is torn */
+int store_walk_records(const char *path, const char *data, size_t size, store_record_fn_t fn, void *arg, size_t *end,
+                       tc_err_t *err);
+/** Largest index among the files with this prefix; @return false when there is none. */
+bool store_newest_file(const char *dir, const char *prefix, uint64_t *index);
+/** Remove files with this prefix that are older than @p keep. */
+void store_remove_older(const store_t *s, const char *prefix, uint64_t keep);
+
+/* ===== store_open.c ===== */
+
+/** Where the last record ends. */
+off_t *store_end_offset(const store_t *s);
+
+#endif
