--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -30,7 +30,8 @@
     uint64_t incarnation; /**< of this start of it */
     const char *dc;       /**< data centre of this box */
     retry_rules_t retries;
-    tc_time_t pause_limit; /**< a stream that may be taken up elsewhere is, after a silence of this long; ms */
+    tc_time_t pause_limit; /**< a stream that may be taken up elsewhere is, after a silence of this long, where its
+                              route names no pause; ms */
 } forwarder_options_t;
 
 /* ===== Public functions ===== */
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -34,8 +34,6 @@
     FULL_SPREAD_MS = 1800,  /* and up to so much more: who is refused in one moment must not return in one moment */
     PLACE_LIMIT_MS = 220,   /* for one answer of the scheduler, queueing there included; then the box looks whether the
                              leader is still there */
-    PLACE_WAIT_MS = 600,    /* from a request's arrival until it is refused for want of room: what is granted later is
-                               late anyway. Measured: docs/design/results-platform.md */
     AGAIN_MS = 90,          /* between tries while no decode engine has room */
     LOCATE_FRESH_MS = 1500, /* callers of a box that died come at once: what an engine told one of them holds for the
                                others. Prompts give way to newer ones only after some seconds */
@@ -51,6 +49,13 @@
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
 
+/** Of a route's aim: from a request's arrival until it is refused for want of room. What is granted later is late
+ * anyway: a prompt is read and moved in the rest. Measured for an aim of 900 ms: docs/design/results-platform.md */
+static const double PLACE_WAIT_AIMS = 2.0 / 3;
+/** Silence after which a stream that may be taken up elsewhere is, in pauses that its route allows: what stalls for a
+ *  moment comes back sooner, and callers wait for twice as long. */
+static const int SILENT_PAUSES = 4;
+
 /* ===== Types ===== */
 
 typedef struct forward forward_t;
@@ -289,6 +294,8 @@
 /** Whether no scheduler chose the decode engine. */
 bool place_is_alone(const forward_t *f);
 
+/** Until when it is of use to wait for room. */
+tc_time_t place_until(const forward_t *f);
 /** Ask the scheduler. @return false when the box has to place by itself; else forward_go_on or forward_fail follows */
 bool place_ask(forward_t *f);
 /** The decode engine did not take the request: ask for another. @return as place_ask */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -96,7 +96,7 @@
 /** The scheduler is there and has no room yet: ask on while that is of use. */
 static void wait_on(forward_t *f)
 {
-    if (!f->handle.instance && tc_time_now() - f->request.arrived < PLACE_WAIT_MS && ask_placement(f))
+    if (!f->handle.instance && tc_time_now() < place_until(f) && ask_placement(f))
         return;
     place_tell(f, PHASE_FAILED, NULL);
     counter_add(&c_refused, 1);
@@ -145,6 +145,11 @@
     return ask(f, MSG_PLACE, &place);
 }
 
+tc_time_t place_until(const forward_t *f)
+{
+    return f->request.arrived + (tc_time_t)(PLACE_WAIT_AIMS * (double)f->route->aim);
+}
+
 bool place_ask(forward_t *f)
 {
     if (f->placement.asked)
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -276,7 +276,8 @@
 /** A stream that may be taken up elsewhere is not waited for longer than its pauses allow. */
 static void watch_silence(forward_t *f)
 {
-    const tc_time_t limit = f->owner->options.pause_limit;
+    const tc_time_t pauses = SILENT_PAUSES * f->route->pause_aim;
+    const tc_time_t limit = pauses > 0 ? pauses : f->owner->options.pause_limit;
     if (may_run_again(f))
         loop_arm(f->owner->loop, &f->patience, tc_time_now() + limit, on_step_late, f);
 }
