--- a/lib/control/control_internal.h
+++ b/lib/control/control_internal.h
@@ -10,9 +10,9 @@
 #include <urcu/list.h>
 
 #include "control/control.h"
+#include "control/log_writer.h"
 #include "control/orders.h"
 #include "control/planner.h"
-#include "control/log_writer.h"
 
 /* ===== Constants ===== */
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -15,77 +15,8 @@
 HISTOGRAM_DEFINE(h_answer, "trackcove_forward_answer_ms", "From a request to the end of its answer")
 COUNTER_DEFINE(c_no_route, "counter", "trackcove_forward_no_route_total", "Requests without a route")
 
-/* ===== Log ===== */
-
-/** How old an input of a decision is; left out when there is none. */
-static void log_age(log_line_t *line, const char *key, tc_time_t age)
-{
-    if (age != TC_TIME_NEVER)
-        log_int(line, key, age);
-}
-
-void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance)
-{
-    const tc_time_t now = tc_time_now();
-    log_line_t line;
-    log_begin(&line, LOG_INFO, event);
-    log_str(&line, "request", f->facts.id);
-    log_str(&line, "why", why);
-    if (status)
-        log_int(&line, "status", status);
-    if (instance) {
-        log_str(&line, "backend", instance->listed.id);
-        log_str(&line, "addr", instance->listed.addr);
-        log_int(&line, "running", instance->running);
-        log_int(&line, "others", instance->others);
-        log_age(&line, "loads_age_ms", fleet_loads_age(f->owner->fleet, now));
-        log_age(&line, "list_age_ms", fleet_list_age(f->owner->fleet, now));
-    }
-    log_int(&line, "config", (int64_t)f->table->version);
-    log_int(&line, "arrivals", f->arrivals);
-    log_int(&line, "left_ms", f->deadline - now);
-    log_end(&line);
-}
-
-/** The line that ends a request: how its caller was served. */
-static void log_end_of(const forward_t *f, const char *event, const char *why, int status)
-{
-    const tc_time_t now = tc_time_now();
-    log_line_t line;
-    log_begin(&line, LOG_INFO, event);
-    log_str(&line, "request", f->facts.id);
-    log_str(&line, "why", why);
-    log_int(&line, "status", status);
-    log_int(&line, "took_ms", now - f->request.arrived);
-    if (f->first_at) {
-        log_int(&line, "first_ms", f->first_at - f->request.arrived);
-        log_int(&line, "pause_ms", f->pause);
-        log_int(&line, "events", f->events);
-    }
-    log_int(&line, "config", (int64_t)f->table->version);
-    log_int(&line, "arrivals", f->arrivals);
-    log_int(&line, "left_ms", f->deadline - now);
-    log_end(&line);
-}
-
 /* ===== Ending ===== */
 
-static pace_t *pace_of(const forward_t *f)
-{
-    pace_t *pace = g_hash_table_lookup(f->owner->paces, f->service);
-    if (!pace) {
-        pace = g_new0(pace_t, 1);
-        g_hash_table_insert(f->owner->paces, g_strdup(f->service), pace);
-    }
-    return pace;
-}
-
-/** Tokens that a request may generate; 0 where it generates none. */
-static unsigned output_of(const forward_t *f)
-{
-    return f->split ? f->facts.output_tokens : 0;
-}
-
 static void forward_free(forward_t *f)
 {
     assert(!f->step); /* a call under way would report to freed memory */
@@ -110,8 +41,8 @@
     counter_add(&c_answered, 1);
     histogram_add(&h_answer, tc_time_now() - f->request.arrived);
     if (status < 300)
-        pace_learn(pace_of(f), tc_time_now() - f->request.arrived, output_of(f), f->events);
-    log_end_of(f, "done", why, status);
+        stop_learn(f);
+    forward_log_end(f, "done", why, status);
     forward_free(f);
 }
 
@@ -120,7 +51,7 @@
     step_cancel(f);
     if (f->begun) {
         counter_add(&c_unknown, 1);
-        log_end_of(f, "aborted", why, 0);
+        forward_log_end(f, "aborted", why, 0);
         web_abort(f->exchange);
         forward_free(f);
         return;
@@ -128,7 +59,7 @@
     const bool late = tc_time_now() >= f->deadline;
     const int status = f->runs == 0 ? 503 : (late ? 504 : 502);
     counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
-    log_end_of(f, "failed", why, status);
+    forward_log_end(f, "failed", why, status);
     /* Promise: 503 says that the request did not run, so it is given only while no back end can have begun it. */
     char *const head = f->runs == 0 ? dialect_retry_after(come_back) : g_strdup("");
     web_answer(f->exchange, status, head, "", 0);
@@ -158,7 +89,7 @@
 {
     forward_t *const f = arg;
     counter_add(&c_left, 1);
-    log_end_of(f, "caller_gone", "connection closed", 0);
+    forward_log_end(f, "caller_gone", "connection closed", 0);
     step_cancel(f);
     forward_free(f);
 }
@@ -277,27 +208,6 @@
 
 /* ===== Beginning ===== */
 
-static void log_routed(const forward_t *f)
-{
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "routed");
-    log_str(&line, "request", f->facts.id);
-    log_str(&line, "service", f->service);
-    log_str(&line, "prefix", f->route->prefix);
-    log_int(&line, "config", (int64_t)f->table->version);
-    log_int(&line, "patience_ms", f->facts.patience);
-    log_int(&line, "timeout_ms", f->route->timeout);
-    log_int(&line, "prompt_tokens", f->facts.prompt_tokens);
-    log_int(&line, "output_tokens", f->facts.output_tokens);
-    log_int(&line, "aim_ms", f->route->aim);
-    log_int(&line, "pause_aim_ms", f->route->pause_aim);
-    if (f->facts.parts_n > 0) /* the caller's own: the same when it asks again */
-        log_str(&line, "prompt", f->facts.parts[f->facts.parts_n - 1].id);
-    if (f->facts.resume_after[0])
-        log_str(&line, "resume_after", f->facts.resume_after);
-    log_end(&line);
-}
-
 static void refuse(web_exchange_t *exchange, const dialect_request_t *facts, int status, const char *why,
                    tc_time_t come_back)
 {
@@ -341,24 +251,6 @@
     return f;
 }
 
-/* ===== Stopping ===== */
-
-/** Whether a request that begins now is expected to be over before the box ends. */
-static bool ends_in_time(const forward_t *f)
-{
-    const tc_time_t end = f->owner->end;
-    if (!end || f->deadline <= end)
-        return true;
-    const tc_time_t takes = pace_expect(pace_of(f), output_of(f));
-    return takes != TC_TIME_NEVER && tc_time_now() + takes <= end;
-}
-
-void forwarder_stop(forwarder_t *fw, tc_time_t last, tc_time_t end)
-{
-    fw->last = last;
-    fw->end = end;
-}
-
 /* ===== Routing ===== */
 
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request)
@@ -381,8 +273,8 @@
         return;
     }
     forward_t *const f = forward_create(fw, exchange, request, &facts, route);
-    log_routed(f);
-    if (!ends_in_time(f)) {
+    forward_log_routed(f);
+    if (!stop_allows(f)) {
         fail(f, "this box stops before it would end", ELSEWHERE_AFTER_MS);
         return;
     }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -8,6 +8,8 @@
  *   forward_locate.c  engines that keep the prompt of a stream that is taken up again
  *   forward_retry.c   the retry budget
  *   forward_step.c    calls to back ends
+ *   forward_stop.c    what a box that is to end still begins
+ *   forward_log.c     lines of the log
  *   forward_stream.c  events on their way to the caller
  *   forward_ask.c     questions to the leader and to engines, for the others
  */
@@ -220,8 +222,6 @@
 void forward_fail_full(forward_t *f, const char *why);
 /** The answer is complete: ends the request, which is freed. */
 void forward_done(forward_t *f, int status, const char *why);
-/** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
-void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
 
 /** Begin a request, by the configuration and the back ends that are known now. */
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
@@ -229,6 +229,22 @@
 /** One of the back ends that fit, as a reference, or NULL. */
 instance_t *forward_choose(forward_t *f, stage_t stage);
 
+/* ===== forward_log.c ===== */
+
+/** The line that begins a request: what is known of it, and what its route allows. */
+void forward_log_routed(const forward_t *f);
+/** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
+void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
+/** The line that ends a request: how its caller was served. */
+void forward_log_end(const forward_t *f, const char *event, const char *why, int status);
+
+/* ===== forward_stop.c ===== */
+
+/** A request was answered: remember how long that took. */
+void stop_learn(const forward_t *f);
+/** Whether a request that begins now is expected to be over before the box ends; true unless it is to end. */
+bool stop_allows(const forward_t *f);
+
 /* ===== forward_ask.c ===== */
 
 /** Ask the leader on behalf of a request that has a scheduler. The question stands in @p slot, a field of the request,
--- /dev/null
+++ b/lib/forward/forward_log.c
@@ -0,0 +1,75 @@
+/* Lines of the log about one request. */
+
+#include "common/log.h"
+#include "forward/forward_internal.h"
+
+void forward_log_routed(const forward_t *f)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "routed");
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "service", f->service);
+    log_str(&line, "prefix", f->route->prefix);
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "patience_ms", f->facts.patience);
+    log_int(&line, "timeout_ms", f->route->timeout);
+    log_int(&line, "prompt_tokens", f->facts.prompt_tokens);
+    log_int(&line, "output_tokens", f->facts.output_tokens);
+    log_int(&line, "aim_ms", f->route->aim);
+    log_int(&line, "pause_aim_ms", f->route->pause_aim);
+    if (f->facts.parts_n > 0) /* the caller's own: the same when it asks again */
+        log_str(&line, "prompt", f->facts.parts[f->facts.parts_n - 1].id);
+    if (f->facts.resume_after[0])
+        log_str(&line, "resume_after", f->facts.resume_after);
+    log_end(&line);
+}
+
+/** How old an input of a decision is; left out when there is none. */
+static void log_age(log_line_t *line, const char *key, tc_time_t age)
+{
+    if (age != TC_TIME_NEVER)
+        log_int(line, key, age);
+}
+
+void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance)
+{
+    const tc_time_t now = tc_time_now();
+    log_line_t line;
+    log_begin(&line, LOG_INFO, event);
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "why", why);
+    if (status)
+        log_int(&line, "status", status);
+    if (instance) {
+        log_str(&line, "backend", instance->listed.id);
+        log_str(&line, "addr", instance->listed.addr);
+        log_int(&line, "running", instance->running);
+        log_int(&line, "others", instance->others);
+        log_age(&line, "loads_age_ms", fleet_loads_age(f->owner->fleet, now));
+        log_age(&line, "list_age_ms", fleet_list_age(f->owner->fleet, now));
+    }
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "arrivals", f->arrivals);
+    log_int(&line, "left_ms", f->deadline - now);
+    log_end(&line);
+}
+
+void forward_log_end(const forward_t *f, const char *event, const char *why, int status)
+{
+    const tc_time_t now = tc_time_now();
+    log_line_t line;
+    log_begin(&line, LOG_INFO, event);
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "why", why);
+    log_int(&line, "status", status);
+    log_int(&line, "took_ms", now - f->request.arrived);
+    if (f->first_at) {
+        log_int(&line, "first_ms", f->first_at - f->request.arrived);
+        log_int(&line, "pause_ms", f->pause);
+        log_int(&line, "events", f->events);
+    }
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "arrivals", f->arrivals);
+    log_int(&line, "left_ms", f->deadline - now);
+    log_end(&line);
+}
