A leader that is to stop hands over

Change: the leader gives its lease up, then has the voter whose log is nearest stand at once, with votes that need not wait for silence; why that keeps the lease safe is told in docs/design/replicated-log.md.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -256,6 +256,15 @@
             offer_end(o, TC_E_TIMEOUT);
 }
 
+void replica_resign(replica_t *r)
+{
+    if (!raft_resign(r->raft, tc_time_now()))
+        return;
+    log_cluster(r, "this box resigns");
+    pump(r);
+    placing_tick(r->placing, 0, 0, tc_time_now()); /* whoever waits for a placement asks the next leader */
+}
+
 /* ===== Looking ===== */
 
 bool replica_leads(const replica_t *r)
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -48,6 +48,9 @@
 /** After loop_run returned. */
 void replica_destroy(replica_t *replica);
 
+/** The box is to stop: if it leads, another one is to lead at once. */
+void replica_resign(replica_t *replica);
+
 /** New seeds, copied. */
 void replica_reseed(replica_t *replica, const char *const *seeds);
 
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -112,7 +112,7 @@
     plan_election(r, now);
 }
 
-static void ask_votes(raft_t *r, bool pre)
+static void ask_votes(raft_t *r, bool pre, bool yielded)
 {
     for (uint32_t i = 0; i < r->members.list_n; i++) {
         const raft_member_t *const member = &r->members.list[i];
@@ -123,14 +123,16 @@
                                  .last_index = log_last_index(r),
                                  .last_term = log_last_term(r),
                                  .to = member->id,
-                                 .from = r->id};
+                                 .from = r->id,
+                                 .yielded = yielded};
         raft_send(r, member->id, MSG_VOTE, &vote, sizeof(vote));
     }
 }
 
 static void count_votes(raft_t *r, tc_time_t now);
 
-static void stand(raft_t *r, tc_time_t now)
+/** @param yielded as in msg_vote_t */
+static void stand(raft_t *r, bool yielded, tc_time_t now)
 {
     r->role = RAFT_CANDIDATE;
     r->term++;
@@ -140,7 +142,7 @@
     g_hash_table_remove_all(r->votes);
     g_hash_table_add(r->votes, GSIZE_TO_POINTER(r->id));
     plan_election(r, now);
-    ask_votes(r, false);
+    ask_votes(r, false, yielded);
     count_votes(r, now);
 }
 
@@ -153,7 +155,7 @@
     r->leader = 0;
     g_hash_table_remove_all(r->votes);
     g_hash_table_add(r->votes, GSIZE_TO_POINTER(r->id));
-    ask_votes(r, true);
+    ask_votes(r, true, false);
     count_votes(r, now);
 }
 
@@ -162,7 +164,7 @@
     if (g_hash_table_size(r->votes) < raft_majority(r))
         return;
     if (r->role == RAFT_PRE_CANDIDATE)
-        stand(r, now);
+        stand(r, false, now);
     else if (r->role == RAFT_CANDIDATE)
         leader_begin(r, now);
 }
@@ -175,8 +177,11 @@
 
 static void on_vote(raft_t *r, const msg_vote_t *vote, tc_time_t now)
 {
-    /* A leader may be resting its lease on our silence: no vote while one could be alive. */
-    const bool leader_alive = r->role == RAFT_LEADER || now - r->heard < RAFT_ELECTION_MIN_MS;
+    /* A leader may be resting its lease on our silence: no vote while one could be alive. The one of the term before a
+     * yielded vote has given its lease up, and any later one has a majority of the votes of a term that this one can
+     * not win. */
+    const bool heard_leader = now - r->heard < RAFT_ELECTION_MIN_MS && !vote->yielded;
+    const bool leader_alive = r->role == RAFT_LEADER || heard_leader;
     msg_vote_ack_t ack = {.pre = vote->pre, .to = vote->from, .from = r->id};
     if (!leader_alive && !vote->pre && vote->term > r->term)
         raft_step_down(r, vote->term, now);
@@ -211,6 +216,28 @@
     count_votes(r, now);
 }
 
+/* ===== Resigning ===== */
+
+/** The leader resigns in our favour. */
+static void on_yield(raft_t *r, const msg_yield_t *yield, tc_time_t now)
+{
+    const bool current = yield->term == r->term && r->role == RAFT_FOLLOWER && r->leader == yield->from;
+    if (current && raft_is_voter(r, r->id))
+        stand(r, true, now);
+}
+
+bool raft_resign(raft_t *r, tc_time_t now)
+{
+    if (r->role != RAFT_LEADER)
+        return false;
+    const uint64_t to = leader_successor(r);
+    const msg_yield_t yield = {.term = r->term, .to = to, .from = r->id};
+    raft_step_down(r, r->term, now); /* first of all the lease: nobody rests on it when the message arrives */
+    if (to != 0)
+        raft_send(r, to, MSG_YIELD, &yield, sizeof(yield));
+    return true;
+}
+
 /* ===== Following ===== */
 
 void raft_apply_committed(raft_t *r)
@@ -373,6 +400,7 @@
     case MSG_APPEND_ACK: return ((const msg_append_ack_t *)message)->to;
     case MSG_SNAPSHOT: return ((const msg_snapshot_t *)message)->to;
     case MSG_SNAPSHOT_ACK: return ((const msg_snapshot_ack_t *)message)->to;
+    case MSG_YIELD: return ((const msg_yield_t *)message)->to;
     default: return 0;
     }
 }
@@ -386,6 +414,7 @@
     case MSG_APPEND_ACK: return ((const msg_append_ack_t *)message)->from;
     case MSG_SNAPSHOT: return ((const msg_snapshot_t *)message)->from;
     case MSG_SNAPSHOT_ACK: return ((const msg_snapshot_ack_t *)message)->from;
+    case MSG_YIELD: return ((const msg_yield_t *)message)->from;
     default: return 0;
     }
 }
@@ -397,6 +426,7 @@
     switch (type) {
     case MSG_VOTE: on_vote(r, message, now); break;
     case MSG_VOTE_ACK: on_vote_ack(r, message, now); break;
+    case MSG_YIELD: on_yield(r, message, now); break;
     case MSG_APPEND: on_append(r, message, now); break;
     case MSG_SNAPSHOT: on_snapshot(r, message, now); break;
     case MSG_APPEND_ACK: {
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -97,13 +97,18 @@
 /** Let time pass; call at least every 50 ms. */
 void raft_tick(raft_t *raft, tc_time_t now);
 
-/** A message came in. @param type MSG_VOTE ... MSG_SNAPSHOT_ACK */
+/** A message came in. @param type MSG_VOTE ... MSG_SNAPSHOT_ACK, or MSG_YIELD */
 void raft_receive(raft_t *raft, uint32_t type, const void *message, tc_time_t now);
 
 /** Identity of the sender of a message of those types, 0 for others. A box that has just been added knows no
  *  members yet, so its shell must remember where a message came from to answer it. */
 uint64_t raft_sender(uint32_t type, const void *message);
 
+/** Give up leadership, and have the voter whose log is nearest stand at once: before a planned stop. Its election takes
+ *  a round trip or two in place of the time after which a silent leader is given up.
+ *  @return false when this member does not lead */
+bool raft_resign(raft_t *raft, tc_time_t now);
+
 /** Propose a command. @return its index, or TC_E_NOT_LEADER */
 int64_t raft_propose(raft_t *raft, const char *data, size_t size, tc_time_t now);
 
--- a/lib/control/raft_internal.h
+++ b/lib/control/raft_internal.h
@@ -74,6 +74,8 @@
 void members_refresh(raft_t *r);
 void image_copy(raft_image_t *to, const raft_image_t *from);
 
+/** The voter that answered lately whose log is nearest to ours, 0 for none. */
+uint64_t leader_successor(const raft_t *r);
 /** Forget the packed snapshot: there is a newer one. */
 void drop_outgoing(raft_t *r);
 
--- a/lib/control/raft_leader.c
+++ b/lib/control/raft_leader.c
@@ -50,6 +50,22 @@
     r->outgoing_size = 0;
 }
 
+uint64_t leader_successor(const raft_t *r)
+{
+    uint64_t best = 0, match = 0;
+    tc_time_t newest = -1;
+    for (guint i = 0; i < r->peers->len; i++) {
+        const progress_t *const p = &g_array_index(r->peers, progress_t, i);
+        const bool nearer = p->match > match || (p->match == match && p->acked_sent > newest);
+        if (!raft_is_voter(r, p->id) || p->acked_sent < 0 || !nearer)
+            continue;
+        best = p->id;
+        match = p->match;
+        newest = p->acked_sent;
+    }
+    return best;
+}
+
 static void send_snapshot_piece(raft_t *r, progress_t *p, tc_time_t now)
 {
     if (!r->outgoing)
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -549,6 +549,7 @@
     {.name = "last_term", .offset = offsetof(msg_vote_t, last_term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "to", .offset = offsetof(msg_vote_t, to), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "from", .offset = offsetof(msg_vote_t, from), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "yielded", .offset = offsetof(msg_vote_t, yielded), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_vote_desc = {.name = "vote", .size = sizeof(msg_vote_t), .fields = msg_vote_fields, .n_fields = sizeof(msg_vote_fields) / sizeof(msg_vote_fields[0])};
 
@@ -624,6 +625,13 @@
 };
 const codec_desc_t msg_ping_desc = {.name = "ping", .size = sizeof(msg_ping_t), .fields = msg_ping_fields, .n_fields = sizeof(msg_ping_fields) / sizeof(msg_ping_fields[0])};
 
+static const codec_field_t msg_yield_fields[] = {
+    {.name = "term", .offset = offsetof(msg_yield_t, term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "to", .offset = offsetof(msg_yield_t, to), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "from", .offset = offsetof(msg_yield_t, from), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t msg_yield_desc = {.name = "yield", .size = sizeof(msg_yield_t), .fields = msg_yield_fields, .n_fields = sizeof(msg_yield_fields) / sizeof(msg_yield_fields[0])};
+
 const codec_desc_t *msg_desc(uint32_t type)
 {
     static const codec_desc_t *const table[MSG_COUNT] = {
@@ -656,6 +664,7 @@
         [MSG_RETRY] = &msg_retry_desc,
         [MSG_RETRY_ACK] = &msg_retry_ack_desc,
         [MSG_PING] = &msg_ping_desc,
+        [MSG_YIELD] = &msg_yield_desc,
     };
     return type < MSG_COUNT ? table[type] : NULL;
 }
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -704,6 +704,7 @@
     uint64_t last_term;
     uint64_t to;
     uint64_t from;
+    bool yielded; /**< the leader of the term before has resigned in favour of the sender: nobody rests a lease on silence */
 } msg_vote_t;
 extern const codec_desc_t msg_vote_desc;
 
@@ -789,6 +790,14 @@
 } msg_ping_t;
 extern const codec_desc_t msg_ping_desc;
 
+/** The leader of the term resigns: the receiver is to stand at once. */
+typedef struct {
+    uint64_t term;
+    uint64_t to;
+    uint64_t from;
+} msg_yield_t;
+extern const codec_desc_t msg_yield_desc;
+
 /** Message types, as the first element of a frame. */
 typedef enum {
     MSG_NONE = 0,
@@ -821,6 +830,7 @@
     MSG_RETRY,
     MSG_RETRY_ACK,
     MSG_PING,
+    MSG_YIELD,
     MSG_COUNT
 } msg_type_t;
 /** Descriptor of a message type, NULL for an unknown one. */
--- a/tests/harness/raft_world.c
+++ b/tests/harness/raft_world.c
@@ -408,7 +408,12 @@
     case 4: memset(w->cut, 0, sizeof(w->cut)); break;
     case 5: n->frozen_until = w->now + (tc_time_t)choose(w->chooser, 4000); break;
     case 6: lose_disk(w, n); break;
-    default: break;
+    default: /* a planned stop begins */
+        if (!n->raft || n->frozen_until > w->now)
+            break;
+        (void)raft_resign(n->raft, w->now);
+        pump(w, n);
+        break;
     }
 }
 
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -87,6 +87,22 @@
     expect_read(f, 6);
 }
 
+/** A leader that is to stop hands over: another box leads. */
+static void test_resign(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    const int old = leader(f);
+    replica_resign(f->replica[old]);
+    g_assert_false(replica_leads(f->replica[old]));
+    lab_run_until(f->loop, has_leader, f);
+    g_assert_cmpint(leader(f), !=, old);
+    expect_read(f, 4);
+    put(f, 5);
+}
+
 static void test_no_answer_without_a_majority(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -409,6 +425,7 @@
     TEST("founding-survives-a-dead-seed", test_founding_survives_a_dead_seed);
     TEST("all-restart", test_all_restart);
     TEST("full-disk", test_full_disk);
+    TEST("resign", test_resign);
     TEST("no-answer-without-a-majority", test_no_answer_without_a_majority);
     TEST("wiped-box-is-a-new-member", test_wiped_box_is_a_new_member);
     TEST("replaced-box-and-a-lost-disk", test_replaced_box_and_a_lost_disk);
