--- a/tests/unit/cluster_lab.h
+++ b/tests/unit/cluster_lab.h
@@ -60,7 +60,8 @@
                                        .retries = {.ratio = 1, .allowance = 0, .window = 600000}};
     tc_err_t err = {0};
     f->replica[i] = replica_create(f->loop, &options, &err);
-    g_assert_nonnull(f->replica[i]);
+    if (!f->replica[i])
+        g_error("box %d: %s %s: %s", i, err.step, err.peer, err.detail);
 }
 
 static void stop_box(fixture_t *f, int i)
