Scheduler: a picture of the engines apart from the counters; one adoption; one fixture of engines

Cause: sched_stats had grown a walk over all engines and a time, which four of its callers do not want, one of them every 50 ms; renew_listed adopted in two places; two tests described their engines in the same lines, and one of them turned requests away twice in the same lines. Change: sched_picture is what the log and the gauges want, sched_stats is as it was; a request that its box moved is forgotten and then adopted like any unknown one; tests/unit/sched_lab.h fills in engines, turn_away asks anew. No assertion changed.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -156,7 +156,7 @@
 {
     if (!p->sched || p->services_n != 1)
         return ""; /* the averages are those of all engines together */
-    const sched_stats_t stats = sched_stats(p->sched, tc_time_now());
+    const sched_stats_t stats = sched_stats(p->sched);
     *prefill = stats.prefill_work;
     *decode = stats.decode_work;
     return p->services[0].service;
@@ -165,16 +165,16 @@
 /* ===== Actions ===== */
 
 /** What the scheduler takes engines for: the inputs of its refusals. */
-static void log_picture(log_line_t *line, const sched_stats_t *stats)
+static void log_picture(log_line_t *line, const sched_picture_t *picture)
 {
-    log_int(line, "prefills", stats->prefills);
-    log_int(line, "decodes", stats->decodes);
-    log_int(line, "queued", stats->queued);
-    log_int(line, "placed", stats->placed);
-    log_int(line, "decode_pieces", stats->decode_pieces);
-    log_int(line, "decode_taken", stats->decode_taken);
-    log_int(line, "prefill_backlog_ms", (int64_t)stats->backlog_ms);
-    log_int(line, "freed_pieces_s", (int64_t)(stats->free_rate * 1000));
+    log_int(line, "prefills", picture->prefills);
+    log_int(line, "decodes", picture->decodes);
+    log_int(line, "queued", picture->queued);
+    log_int(line, "placed", picture->placed);
+    log_int(line, "decode_pieces", picture->decode_pieces);
+    log_int(line, "decode_taken", picture->decode_taken);
+    log_int(line, "prefill_backlog_ms", (int64_t)picture->backlog_ms);
+    log_int(line, "freed_pieces_s", (int64_t)(picture->free_rate * 1000));
 }
 
 /** A line a second: what the scheduler believes, for comparison with what engines and entry boxes say. */
@@ -183,12 +183,13 @@
     if (now < p->picture_at)
         return;
     p->picture_at = now + PICTURE_MS;
-    const sched_stats_t stats = sched_stats(p->sched, now);
-    counter_set(&c_taken, stats.decode_taken);
-    counter_set(&c_pieces, stats.decode_pieces);
+    const sched_picture_t picture = sched_picture(p->sched, now);
+    const sched_stats_t stats = sched_stats(p->sched);
+    counter_set(&c_taken, picture.decode_taken);
+    counter_set(&c_pieces, picture.decode_pieces);
     log_line_t line;
     log_begin(&line, LOG_INFO, "engines");
-    log_picture(&line, &stats);
+    log_picture(&line, &picture);
     log_int(&line, "adopted", (int64_t)stats.adopted);
     log_int(&line, "lapsed", (int64_t)stats.lapsed);
     log_end(&line);
@@ -208,9 +209,9 @@
     log_int(&line, "candidates", placed->candidates);
     log_int(&line, "est_ttft_ms", placed->est_ttft_ms);
     if (!placed->granted) {
-        const sched_stats_t stats = sched_stats(p->sched, now);
+        const sched_picture_t picture = sched_picture(p->sched, now);
         log_int(&line, "retry_after_ms", placed->retry_after_ms);
-        log_picture(&line, &stats);
+        log_picture(&line, &picture);
     }
     log_end(&line);
 }
--- a/lib/request/scheduler.c
+++ b/lib/request/scheduler.c
@@ -478,7 +478,7 @@
     cds_list_for_each_entry(h, &s->hosted, node) {
         if (h->share)
             continue;
-        const sched_stats_t stats = sched_stats(h->core, tc_time_now());
+        const sched_stats_t stats = sched_stats(h->core);
         cell_load_t *const load = &(*loads)[n++];
         codec_copy_string(load->cell, sizeof(load->cell), h->cell);
         load->epoch = h->epoch;
@@ -495,7 +495,7 @@
     sched_engine_view_t *const views = calloc(VIEWS, sizeof(*views));
     const hosted_t *h;
     cds_list_for_each_entry(h, &s->hosted, node) {
-        const sched_stats_t st = sched_stats(h->core, tc_time_now());
+        const sched_stats_t st = sched_stats(h->core);
         json_t *const engines = json_array();
         const uint32_t n = views ? sched_engines(h->core, views, VIEWS, tc_time_now()) : 0;
         for (uint32_t i = 0; i < n && i < VIEWS; i++)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -96,16 +96,20 @@
     uint32_t queued, placed, cancelling, engines;
     double prefill_busy, decode_busy; /**< moving averages, 0 to 1, for the planner */
     double prefill_work, decode_work; /**< moving averages, in engines that would be busy all the time, for the mover */
-    uint32_t prefills, decodes;       /**< engines that can be used */
-    uint32_t decode_pieces, decode_taken; /**< memory of the decode engines that can be used, and what of it nobody can
-                                               have */
-    double backlog_ms;                    /**< prefill work given and not done, over all prefill engines */
-    double free_rate;                     /**< decode pieces freed, a ms */
     uint64_t cache_predicted,
         cache_actual; /**< prompt tokens taken for cached at the grant, and cached as engines said */
     uint64_t granted, refused, resumed, replanned, lapsed, orphans, adopted;
 } sched_stats_t;
 
+/** What the scheduler takes all engines that can be used for, at one moment. */
+typedef struct {
+    uint32_t queued, placed;              /**< requests */
+    uint32_t prefills, decodes;           /**< engines */
+    uint32_t decode_pieces, decode_taken; /**< memory of the decode engines, and what of it nobody can have */
+    double backlog_ms;                    /**< prefill work given and not done, over all prefill engines */
+    double free_rate;                     /**< decode pieces freed, a ms */
+} sched_picture_t;
+
 /** One engine as the scheduler sees it, for status pages. */
 typedef struct {
     char name[CODEC_STR_SIZE];
@@ -191,7 +195,8 @@
 /** Assert every invariant; costs a walk over all requests and engines. */
 void sched_check(const sched_t *sched);
 
-sched_stats_t sched_stats(const sched_t *sched, tc_time_t now);
+sched_stats_t sched_stats(const sched_t *sched);
+sched_picture_t sched_picture(const sched_t *sched, tc_time_t now);
 
 /** Fill up to @p room views. @return how many engines there are */
 uint32_t sched_engines(const sched_t *sched, sched_engine_view_t *views, uint32_t room, tc_time_t now);
--- a/lib/sched/sched_check.c
+++ b/lib/sched/sched_check.c
@@ -94,20 +94,9 @@
     g_hash_table_destroy(tallies);
 }
 
-sched_stats_t sched_stats(const sched_t *s, tc_time_t now)
+sched_stats_t sched_stats(const sched_t *s)
 {
     sched_stats_t stats = s->stats;
-    for (guint i = 0; i < s->engine_list->len; i++) {
-        const engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (!engine_usable(e, now))
-            continue;
-        stats.prefills += e->role == ROLE_PREFILL;
-        stats.decodes += e->role == ROLE_DECODE;
-        stats.backlog_ms += e->role == ROLE_PREFILL ? engine_backlog(e, now) : 0;
-        stats.decode_pieces += e->role == ROLE_DECODE ? e->pieces : 0;
-        stats.decode_taken += e->role == ROLE_DECODE ? engine_taken(s, e, now) : 0;
-    }
-    stats.free_rate = s->free_rate;
     stats.queued = s->n_queue;
     stats.placed = s->n_placed;
     stats.cancelling = s->n_cancelling;
@@ -115,6 +104,25 @@
     return stats;
 }
 
+sched_picture_t sched_picture(const sched_t *s, tc_time_t now)
+{
+    sched_picture_t picture = {.queued = s->n_queue, .placed = s->n_placed, .free_rate = s->free_rate};
+    for (guint i = 0; i < s->engine_list->len; i++) {
+        const engine_t *const e = g_ptr_array_index(s->engine_list, i);
+        if (!engine_usable(e, now))
+            continue;
+        if (e->role == ROLE_PREFILL) {
+            picture.prefills++;
+            picture.backlog_ms += engine_backlog(e, now);
+            continue;
+        }
+        picture.decodes++;
+        picture.decode_pieces += e->pieces;
+        picture.decode_taken += engine_taken(s, e, now);
+    }
+    return picture;
+}
+
 uint32_t sched_engines(const sched_t *s, sched_engine_view_t *views, uint32_t room, tc_time_t now)
 {
     for (guint i = 0; i < s->engine_list->len && i < room; i++) {
--- a/lib/sched/sched_lease.c
+++ b/lib/sched/sched_lease.c
@@ -41,6 +41,13 @@
     return s->adopts || (s->rebuilding && now < s->admit_from + SCHED_LEASE_MS);
 }
 
+/** Whether the box that holds a request has placed it anew by itself. */
+static bool has_moved(const request_t *r, const owner_t *owner, const held_t *held)
+{
+    return r->owner == owner && r->state == REQ_PLACED && !r->waiting && held->attempt > 0 &&
+           held->attempt != r->attempt;
+}
+
 /** A list of everything the box holds: the exact, longer way. */
 static uint32_t renew_listed(sched_t *s, const msg_renew_t *renew, const owner_t *owner, held_t *lost, uint32_t room,
                              tc_time_t now)
@@ -48,19 +55,17 @@
     uint32_t n_lost = 0;
     for (uint32_t i = 0; i < renew->held_n; i++) {
         const held_t *const held = &renew->held[i];
-        request_t *const r = g_hash_table_lookup(s->requests, held->id);
+        request_t *r = g_hash_table_lookup(s->requests, held->id);
+        if (r && s->adopts && has_moved(r, owner, held)) {
+            withdraw(s, r, false, now);
+            request_forget(s, r);
+            r = NULL;
+        }
         if (!r && held->attempt > 0 && is_news(s, now)) {
             adopt(s, renew, held, now);
             continue;
         }
         const bool mine = r && r->owner == owner;
-        if (mine && s->adopts && r->state == REQ_PLACED && held->attempt > 0 && held->attempt != r->attempt &&
-            !r->waiting) {
-            withdraw(s, r, false, now); /* its box has placed it anew by itself */
-            request_forget(s, r);
-            adopt(s, renew, held, now);
-            continue;
-        }
         if (mine && (r->state == REQ_QUEUED || r->attempt == held->attempt || r->waiting))
             r->lease_until = now + SCHED_LEASE_MS;
         else if (held->attempt > 0 && n_lost < room && !(r && r->state == REQ_FINISHED && mine))
--- a/tests/harness/sched_world.c
+++ b/tests/harness/sched_world.c
@@ -504,7 +504,7 @@
     sched_resume(w->sched, w->now);
     for (unsigned i = 0; i < SETTLE_STEPS; i++)
         step(w, i);
-    const sched_stats_t stats = sched_stats(w->sched, w->now);
+    const sched_stats_t stats = sched_stats(w->sched);
     w->result.checks += ENGINES;
     if (stats.queued || stats.placed || stats.cancelling)
         broken(w, "the scheduler still counts requests whose callers are gone");
--- /dev/null
+++ b/tests/unit/sched_lab.h
@@ -0,0 +1,26 @@
+/** @file sched_lab.h
+ * Engines for the tests of the scheduler that need a few of them, by hand.
+ */
+#ifndef TRACKCOVE_TESTS_SCHED_LAB_H
+#define TRACKCOVE_TESTS_SCHED_LAB_H
+
+#include <glib.h>
+#include <string.h>
+
+#include "sched/sched.h"
+
+/** Fill in engines e0, e1 and so on of cell "c" and model "m". @param prefills how many compute prompts, from the first
+ *  @param like what else they have in common */
+static inline void lab_fill_engines(engine_cfg_t *engines, int n, int prefills, const engine_cfg_t *like)
+{
+    for (int i = 0; i < n; i++) {
+        engine_cfg_t *const e = &engines[i];
+        *e = *like;
+        g_snprintf(e->name, sizeof(e->name), "e%d", i);
+        codec_copy_string(e->cell, sizeof(e->cell), "c");
+        codec_copy_string(e->model, sizeof(e->model), "m");
+        e->role = i < prefills ? ROLE_PREFILL : ROLE_DECODE;
+    }
+}
+
+#endif
--- a/tests/unit/test_sched_adopt.c
+++ b/tests/unit/test_sched_adopt.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "sched/sched.h"
+#include "unit/sched_lab.h"
 
 enum { ENGINES = 3, PIECES = 100, EPOCH = 2 };
 
@@ -20,16 +20,9 @@
     (void)data;
     const sched_options_t options = {.cell = "c", .epoch = EPOCH, .piece_tokens = 16, .adopts = true};
     f->sched = sched_create(&options, 0);
-    for (int i = 0; i < ENGINES; i++) {
-        engine_cfg_t *const e = &f->engines[i];
-        g_snprintf(e->name, sizeof(e->name), "e%d", i);
-        codec_copy_string(e->cell, sizeof(e->cell), "c");
-        codec_copy_string(e->model, sizeof(e->model), "m");
-        e->role = i == 0 ? ROLE_PREFILL : ROLE_DECODE;
-        e->pieces = PIECES;
-        e->max_batch = 8;
-        e->prefill_rate = 1000000; /* prompts take no time to speak of */
-    }
+    /* Prompts take no time to speak of. */
+    const engine_cfg_t like = {.pieces = PIECES, .max_batch = 8, .prefill_rate = 1000000};
+    lab_fill_engines(f->engines, ENGINES, 1, &like);
     f->config = (config_t){.targets = {.max_queue = 16}, .engines = f->engines, .engines_n = ENGINES};
     sched_configure(f->sched, &f->config, 0);
     for (int i = 0; i < ENGINES; i++)
@@ -98,6 +91,18 @@
     take_answers(f);
 }
 
+/** The decode engine that was granted last does not take the request: ask for another. @param bad its name, filled in
+ */
+static void turn_away(fixture_t *f, const char *id, trouble_t trouble, char bad[CODEC_STR_SIZE], tc_time_t now)
+{
+    codec_copy_string(bad, CODEC_STR_SIZE, f->placed.decode);
+    msg_replan_t replan = {.attempt = f->placed.attempt, .trouble = trouble};
+    codec_copy_string(replan.id, sizeof(replan.id), id);
+    codec_copy_string(replan.bad, sizeof(replan.bad), bad);
+    sched_replan(f->sched, &replan, (sched_token_t){0}, now);
+    take_answers(f);
+}
+
 static uint32_t reserved(const fixture_t *f, int engine)
 {
     sched_engine_view_t views[ENGINES];
@@ -147,12 +152,7 @@
     finish(f, "first", 1010); /* requests are held for a second */
     place(f, "second", 60, 2000);
     char bad[CODEC_STR_SIZE];
-    codec_copy_string(bad, sizeof(bad), f->placed.decode);
-    msg_replan_t replan = {.attempt = f->placed.attempt, .trouble = TROUBLE_FULL};
-    codec_copy_string(replan.id, sizeof(replan.id), "second");
-    codec_copy_string(replan.bad, sizeof(replan.bad), bad);
-    sched_replan(f->sched, &replan, (sched_token_t){0}, 2010);
-    take_answers(f);
+    turn_away(f, "second", TROUBLE_FULL, bad, 2010);
     g_assert_true(f->placed.granted);
     g_assert_cmpstr(f->placed.decode, !=, bad);
     place(f, "large", 60, 2010);
@@ -171,12 +171,7 @@
     (void)data;
     place(f, "first", 10, 10);
     char bad[CODEC_STR_SIZE];
-    codec_copy_string(bad, sizeof(bad), f->placed.decode);
-    msg_replan_t replan = {.attempt = f->placed.attempt, .trouble = TROUBLE_OUTDATED};
-    codec_copy_string(replan.id, sizeof(replan.id), "first");
-    codec_copy_string(replan.bad, sizeof(replan.bad), bad);
-    sched_replan(f->sched, &replan, (sched_token_t){0}, 20);
-    take_answers(f);
+    turn_away(f, "first", TROUBLE_OUTDATED, bad, 20);
     for (tc_time_t now = 100; now < 900; now += 100) {
         char id[8];
         g_snprintf(id, sizeof(id), "r%d", (int)now);
--- a/tests/unit/test_sched_solo.c
+++ b/tests/unit/test_sched_solo.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "sched/sched.h"
+#include "unit/sched_lab.h"
 
 enum { ENGINES = 4, SOLO_AFTER = 100 };
 
@@ -22,16 +22,8 @@
     memset(f, 0, sizeof(*f));
     const sched_options_t options = {.cell = "c", .epoch = 1, .piece_tokens = 256, .solo_after = SOLO_AFTER};
     f->sched = sched_create(&options, 0);
-    for (int i = 0; i < ENGINES; i++) {
-        engine_cfg_t *const e = &f->engines[i];
-        g_snprintf(e->name, sizeof(e->name), "e%d", i);
-        codec_copy_string(e->cell, sizeof(e->cell), "c");
-        codec_copy_string(e->model, sizeof(e->model), "m");
-        e->role = i < prefills ? ROLE_PREFILL : ROLE_DECODE;
-        e->pieces = 1000;
-        e->max_batch = 8;
-        e->prefill_rate = 10000;
-    }
+    const engine_cfg_t like = {.pieces = 1000, .max_batch = 8, .prefill_rate = 10000};
+    lab_fill_engines(f->engines, ENGINES, prefills, &like);
     f->config = (config_t){.targets = {.max_queue = 16}, .engines = f->engines, .engines_n = ENGINES};
     sched_configure(f->sched, &f->config, 0);
     for (int i = 0; i < ENGINES; i++)
@@ -128,11 +120,11 @@
     codec_copy_string(gone.id, sizeof(gone.id), "r0");
     codec_copy_string(gone.box, sizeof(gone.box), "another");
     sched_progress(f.sched, &gone, 1); /* of a box that had the request before: not its to end */
-    g_assert_cmpuint(sched_stats(f.sched, 0).placed, ==, 1);
+    g_assert_cmpuint(sched_stats(f.sched).placed, ==, 1);
     codec_copy_string(gone.box, sizeof(gone.box), "box");
     sched_progress(f.sched, &gone, 2);
     sched_check(f.sched);
-    g_assert_cmpuint(sched_stats(f.sched, 0).placed, ==, 0);
+    g_assert_cmpuint(sched_stats(f.sched).placed, ==, 0);
     place(&f, 1, 3); /* its prefill engine is free at once */
     g_assert_true(f.answered[1] && f.placed[1].granted);
     sched_destroy(f.sched);
