One rule on who leads while a disk fails, for both control programs

Cause: that a box whose writes fail neither leads nor is taken for the leader stood in lib/control and in lib/cluster. Change: log_writer_leads and log_writer_leader say so, next to the state they rest on.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -269,7 +269,7 @@
 
 bool replica_leads(const replica_t *r)
 {
-    return !log_writer_is_stalled(r->writer) && raft_has_lease(r->raft, tc_time_now());
+    return log_writer_leads(r->writer, r->raft, tc_time_now());
 }
 
 const document_t *replica_read(const replica_t *r)
@@ -286,20 +286,14 @@
     return raft_members(r->raft);
 }
 
-uint64_t replica_leader_id(const replica_t *r)
-{
-    const uint64_t leader = raft_view(r->raft).leader;
-    return leader == r->self.id && log_writer_is_stalled(r->writer) ? 0 : leader;
-}
-
 bool replica_has_leader(const replica_t *r)
 {
-    return replica_leader_id(r) != 0;
+    return log_writer_leader(r->writer, r->raft) != 0;
 }
 
 const char *replica_leader_http(const replica_t *r)
 {
-    const raft_member_t *const leader = raft_find_member(r->raft, replica_leader_id(r));
+    const raft_member_t *const leader = raft_find_member(r->raft, log_writer_leader(r->writer, r->raft));
     return leader ? leader->http : "";
 }
 
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -53,11 +53,6 @@
     tc_time_t backends_fetched; /* 0: never */
 };
 
-/* ===== replica.c ===== */
-
-/** Identity of the member that leads as far as this box knows, 0 for none. */
-uint64_t replica_leader_id(const replica_t *r);
-
 /* ===== replica_members.c ===== */
 
 /** Make the data folder that of a founder, when the box is among them. */
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -82,7 +82,7 @@
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now)
 {
     counter_add(&c_reports, 1);
-    const raft_member_t *const leader = raft_find_member(r->raft, replica_leader_id(r));
+    const raft_member_t *const leader = raft_find_member(r->raft, log_writer_leader(r->writer, r->raft));
     const raft_members_t *const members = raft_members(r->raft);
     msg_report_ack_t ack = {.leads = replica_leads(r), .members = members->list, .members_n = members->list_n};
     codec_copy_string(ack.leader, sizeof(ack.leader), leader ? leader->peer : "");
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -76,20 +76,12 @@
     void *arg;
 } reading_t;
 
-/** The member that leads as far as this box knows, or NULL. */
-static const raft_member_t *known_leader(const control_t *c)
-{
-    const uint64_t leader = raft_view(c->raft).leader;
-    const bool stalled_self = leader == c->self.id && log_writer_is_stalled(c->writer);
-    return stalled_self ? NULL : raft_find_member(c->raft, leader);
-}
-
 static void run_read(void *arg)
 {
     const reading_t *const reading = arg;
     control_t *const c = reading->control;
     const tc_time_t now = tc_time_now();
-    const raft_member_t *const leader = known_leader(c);
+    const raft_member_t *const leader = raft_find_member(c->raft, log_writer_leader(c->writer, c->raft));
     const control_view_t view = {.state = c->state,
                                  .members = c->members,
                                  .raft = raft_view(c->raft),
--- a/lib/control/control_log.c
+++ b/lib/control/control_log.c
@@ -140,7 +140,7 @@
 
 bool control_leads(const control_t *c, tc_time_t now)
 {
-    return !log_writer_is_stalled(c->writer) && raft_has_lease(c->raft, now);
+    return log_writer_leads(c->writer, c->raft, now);
 }
 
 void control_pump(control_t *c)
--- a/lib/control/log_writer.c
+++ b/lib/control/log_writer.c
@@ -87,6 +87,17 @@
     return w->stalled;
 }
 
+bool log_writer_leads(const log_writer_t *w, const raft_t *raft, tc_time_t now)
+{
+    return !w->stalled && raft_has_lease(raft, now);
+}
+
+uint64_t log_writer_leader(const log_writer_t *w, const raft_t *raft)
+{
+    const raft_view_t view = raft_view(raft);
+    return w->stalled && view.leader == view.id ? 0 : view.leader;
+}
+
 bool log_writer_has_room(const log_writer_t *w)
 {
     return store_has_room(w->store);
--- a/lib/control/log_writer.h
+++ b/lib/control/log_writer.h
@@ -43,6 +43,12 @@
 /** Whether the last write failed and has not been made good yet. */
 bool log_writer_is_stalled(const log_writer_t *writer);
 
+/** Whether the member leads, with its lease, and its disk takes writes. */
+bool log_writer_leads(const log_writer_t *writer, const raft_t *raft, tc_time_t now);
+
+/** Identity of the member that leads as far as this one knows, which is not itself while its disk fails; 0 for none. */
+uint64_t log_writer_leader(const log_writer_t *writer, const raft_t *raft);
+
 /** Whether there is room for a new record beside the reserve. */
 bool log_writer_has_room(const log_writer_t *writer);
 
