--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -256,21 +256,19 @@
     return conn_flush(conn);
 }
 
-bool conn_ping(conn_t *conn)
+/** @param reply to a ping of the peer's @return false when the connection is gone */
+static bool send_ping(conn_t *conn, const msg_ping_t *ping, bool reply)
 {
-    const msg_ping_t ping = {.sent = (uint64_t)tc_time_now()};
     size_t size;
-    char *const data = frame_pack(MSG_PING, 0, false, &ping, &size);
-    conn->pinged = true;
-    return conn_queue(conn, data, size, 0, false) ? conn_flush(conn) : true;
+    char *const data = frame_pack(MSG_PING, 0, reply, ping, &size);
+    return !conn_queue(conn, data, size, 0, false) || conn_flush(conn);
 }
 
-/** @return false when the connection is gone */
-static bool answer_ping(conn_t *conn, const msg_ping_t *ping)
+bool conn_ping(conn_t *conn)
 {
-    size_t size;
-    char *const data = frame_pack(MSG_PING, 0, true, ping, &size);
-    return conn_queue(conn, data, size, 0, false) ? conn_flush(conn) : true;
+    const msg_ping_t ping = {.sent = (uint64_t)tc_time_now()};
+    conn->pinged = true;
+    return send_ping(conn, &ping, false);
 }
 
 static bool conn_ready(conn_t *conn, const msg_hello_t *hello)
@@ -355,7 +353,7 @@
             alive = false;
         }
     } else if (frame.type == MSG_PING && !frame.reply) {
-        alive = answer_ping(conn, frame.message);
+        alive = send_ping(conn, frame.message, true);
     } else if (frame.reply) {
         handle_reply(conn, &frame);
     } else {
