Reasons for want of room have one spelling; what a caller's tries had in common stands in one place

Cause: trackcove account knew three texts of the log by heart that two other files write, so that a change of one would have been counted wrongly without a word; whether a stream was taken up again went beside the rest of a caller's story; last and end of a forwarder did not say of what. Change: lib/forward/reasons.h; resumed is part of story_t; stop_last and stop_end.

--- a/lib/forward/account.c
+++ b/lib/forward/account.c
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "forward/reasons.h"
 #include "gen/schema.h"
 
 /* ===== Constants ===== */
@@ -71,7 +72,7 @@
 
 static void end_try(try_t *t, const json_t *line, const char *event)
 {
-    static const char *const full[] = {"refused by the scheduler", "no room in time", "no engine has room"};
+    static const char *const full[] = {REASON_REFUSED, REASON_NOT_IN_TIME, REASON_NO_ROOM};
     const char *const why = json_string_value(json_object_get(line, "why"));
     g_strlcpy(t->end, event, sizeof(t->end));
     t->status = number_in(line, "status", 0);
@@ -108,7 +109,7 @@
 
 /** All tries of one caller, seen together. */
 typedef struct {
-    bool full, refused, box, broken, served, paused, left, backend;
+    bool full, refused, box, resumed, broken, served, paused, left, backend;
     json_int_t first; /* from the first try to the first event of any, or to the whole answer; -1: none */
 } story_t;
 
@@ -118,6 +119,7 @@
     s->full |= refused && t->full;
     s->refused |= refused && !t->full;
     s->box |= !t->end[0];
+    s->resumed |= t->resumes;
     s->broken |= t->broken;
     s->left |= strcmp(t->end, "caller_gone") == 0;
     s->paused |= t->pause_aim > 0 && t->pause > t->pause_aim;
@@ -128,16 +130,16 @@
         s->first = t->at - first->at + answered;
 }
 
-static cause_t cause_of(const story_t *s, json_int_t aim, bool resumed)
+static cause_t cause_of(const story_t *s, json_int_t aim)
 {
-    const bool late = s->first > aim || resumed || s->paused;
+    const bool late = s->first > aim || s->resumed || s->paused;
     if (s->served && !late)
         return CAUSE_SERVED;
     if (s->full)
         return s->served ? CAUSE_FULL_LATE : CAUSE_FULL;
     if (s->refused)
         return s->served ? CAUSE_REFUSED_LATE : CAUSE_REFUSED;
-    if (s->box || resumed)
+    if (s->box || s->resumed)
         return s->served ? CAUSE_BOX_LATE : CAUSE_BOX;
     if (s->broken)
         return s->served ? CAUSE_ENGINE_LATE : CAUSE_ENGINE;
@@ -154,12 +156,11 @@
     return (x->at > y->at) - (x->at < y->at);
 }
 
-/** All that the caller's later tries add to its story. */
+/** What came of a caller, by all its tries from the first one on. */
 static cause_t judge_caller(const GPtrArray *order, guint at, GHashTable *taken)
 {
     const try_t *const first = g_ptr_array_index(order, at);
     story_t story = {.first = -1};
-    bool resumed = first->resumes;
     add_try(&story, first, first);
     for (guint k = at + 1; k < order->len && first->prompt[0]; k++) {
         try_t *const next = g_ptr_array_index(order, k);
@@ -168,10 +169,9 @@
         if (strcmp(next->prompt, first->prompt) != 0)
             continue;
         g_hash_table_add(taken, next);
-        resumed = resumed || next->resumes;
         add_try(&story, first, next);
     }
-    return cause_of(&story, first->aim, resumed);
+    return cause_of(&story, first->aim);
 }
 
 static account_service_t *service_of(GArray *services, const char *name)
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -152,7 +152,7 @@
     if (f->hold.tries == 0)
         return false; /* engines set nothing aside, or there is none to ask */
     if (!hold_wait(f))
-        forward_fail_full(f, "no engine has room");
+        forward_fail_full(f, REASON_NO_ROOM);
     return true;
 }
 
@@ -257,7 +257,7 @@
 {
     dialect_request_t facts;
     dialect_read_request(request, &facts);
-    if (fw->last && tc_time_now() >= fw->last) {
+    if (fw->stop_last && tc_time_now() >= fw->stop_last) {
         refuse(exchange, &facts, 503, "this box stops", ELSEWHERE_AFTER_MS);
         return;
     }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -23,6 +23,7 @@
 #include "forward/dialect.h"
 #include "forward/forward.h"
 #include "forward/pace.h"
+#include "forward/reasons.h"
 #include "web/web_ask.h"
 
 /* ===== Constants ===== */
@@ -200,9 +201,9 @@
     bool renewed_any;    /* the scheduler counts something as ours */
     GHashTable *budgets; /* as retry_budgets_create */
     unsigned boxes;
-    tc_time_t last;    /* the box stops: nothing is begun from then on; 0: it does not stop */
-    tc_time_t end;     /* and all is over by then */
-    GHashTable *paces; /* service -> pace_t */
+    tc_time_t stop_last; /* the box stops: nothing is begun from then on; 0: it does not stop */
+    tc_time_t stop_end;  /* and all is over by then */
+    GHashTable *paces;   /* service -> pace_t */
     unsigned busy;
     GRand *random;
     struct cds_list_head requests;
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -72,7 +72,7 @@
         return;
     if (!placed->granted) {
         counter_add(&c_refused, 1);
-        forward_fail_full(f, "refused by the scheduler");
+        forward_fail_full(f, REASON_REFUSED);
         return;
     }
     counter_add(&c_granted, 1);
@@ -100,7 +100,7 @@
         return;
     place_tell(f, PHASE_FAILED, NULL);
     counter_add(&c_refused, 1);
-    forward_fail_full(f, "no room in time"); /* a guess of ours would find none either */
+    forward_fail_full(f, REASON_NOT_IN_TIME); /* a guess of ours would find none either */
 }
 
 static void on_placed(forward_t *f, int rc, uint32_t type, const void *message)
--- a/lib/forward/forward_stop.c
+++ b/lib/forward/forward_stop.c
@@ -25,7 +25,7 @@
 
 bool stop_allows(const forward_t *f)
 {
-    const tc_time_t end = f->owner->end;
+    const tc_time_t end = f->owner->stop_end;
     if (!end || f->deadline <= end)
         return true;
     const tc_time_t takes = pace_expect(pace_of(f), output_of(f));
@@ -34,6 +34,6 @@
 
 void forwarder_stop(forwarder_t *fw, tc_time_t last, tc_time_t end)
 {
-    fw->last = last;
-    fw->end = end;
+    fw->stop_last = last;
+    fw->stop_end = end;
 }
--- /dev/null
+++ b/lib/forward/reasons.h
@@ -0,0 +1,11 @@
+/** @file reasons.h
+ * Why a request was refused for want of room, as the log says it: read again by account.h.
+ */
+#ifndef TRACKCOVE_FORWARD_REASONS_H
+#define TRACKCOVE_FORWARD_REASONS_H
+
+#define REASON_REFUSED "refused by the scheduler"
+#define REASON_NOT_IN_TIME "no room in time" /* the scheduler did not answer while waiting was of use */
+#define REASON_NO_ROOM "no engine has room"  /* that was asked to set memory aside */
+
+#endif
