--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -12,7 +12,11 @@
 
 /* ===== Types ===== */
 
-enum { LOOP_TICKS_MAX = 32, LOOP_EVENTS_MAX = 64, LOOP_IDLE_MS = 1000 };
+enum {
+    LOOP_TICKS_MAX = 256, /* a program has a dozen; a test's loop carries those of 70 boxes */
+    LOOP_EVENTS_MAX = 64,
+    LOOP_IDLE_MS = 1000
+};
 
 typedef struct {
     struct cds_list_head node;
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -21,6 +21,7 @@
 COUNTER_DEFINE(c_bytes_out, "counter", "trackcove_peer_bytes_sent_total", "Bytes sent to other boxes")
 COUNTER_DEFINE(c_frames_in, "counter", "trackcove_peer_frames_received_total", "Frames received from other boxes")
 COUNTER_DEFINE(c_bytes_in, "counter", "trackcove_peer_bytes_received_total", "Bytes received from other boxes")
+COUNTER_DEFINE(c_queued, "gauge", "trackcove_peer_queued_bytes", "Bytes that wait for other boxes to take them")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_peer_refused_total", "Connections refused in the handshake")
 
 static void conn_on_io(void *arg, uint32_t events);
@@ -166,6 +167,7 @@
         pending_fail(p, conn->addr, p->sent ? code : (code == TC_E_AUTH ? TC_E_AUTH : TC_E_UNREACHABLE), step, detail);
     free_frames(&conn->out);
     free_frames(&conn->waiting);
+    counter_add(&c_queued, -(int64_t)conn->out_bytes);
     free(conn->in);
     free(conn);
 }
@@ -199,6 +201,7 @@
         }
         item->written += (size_t)n;
         conn->out_bytes -= (size_t)n;
+        counter_add(&c_queued, -n);
         counter_add(&c_bytes_out, n);
         if (item->written < item->size) {
             conn_want_write(conn, true);
@@ -223,6 +226,7 @@
     }
     *item = (out_t){.data = data, .size = size, .call = call};
     conn->out_bytes += size;
+    counter_add(&c_queued, (int64_t)size);
     cds_list_add_tail(&item->node, hello || conn->state == CONN_READY ? &conn->out : &conn->waiting);
     if (conn->quiet_since == 0 && conn->state == CONN_READY)
         conn->quiet_since = tc_time_now();
--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -14,7 +14,12 @@
 
 /* ===== Types ===== */
 
-enum { DELAY_MS = 150, TICK_MS = 5, CHUNK = 65536 };
+enum {
+    DELAY_MS = 150,
+    TICK_MS = 5,
+    CHUNK = 65536,
+    AHEAD_MS = 20 /* what a narrow way holds of bytes that it has read: the sender waits for the rest */
+};
 
 const char *const proxy_mode_names[PROXY_MODES] = {"pass", "delay", "lose answers", "lose calls", "lose all"};
 
@@ -33,6 +38,8 @@
     loop_watch_t watch;
     struct pair *pair;
     struct cds_list_head out; /* to be written to this end */
+    tc_time_t free_at;        /* of a narrow way: when all that waits for this end is written */
+    bool held;                /* not read for now */
     bool ended;               /* nothing comes from it any more */
 };
 
@@ -50,6 +57,7 @@
     loop_watch_t watch;
     char to[32];
     proxy_mode_t mode;
+    size_t rate; /* bytes a second, each way of a connection; 0: any number */
     struct cds_list_head pairs;
 };
 
@@ -113,6 +121,25 @@
     }
 }
 
+/** When bytes that come now may be written to @p to. */
+static tc_time_t due_at(const proxy_t *proxy, side_t *to, size_t size, tc_time_t now)
+{
+    if (proxy->rate == 0)
+        return proxy->mode == PROXY_DELAY ? now + DELAY_MS : now;
+    to->free_at = MAX(to->free_at, now) + (tc_time_t)(size * 1000 / proxy->rate);
+    return to->free_at;
+}
+
+/** Read from @p from only while the narrow way to @p to has room. */
+static void hold(side_t *from, const side_t *to, tc_time_t now)
+{
+    const bool held = to->free_at > now + AHEAD_MS;
+    if (from->held == held || from->ended)
+        return;
+    from->held = held;
+    loop_rewatch(from->pair->proxy->loop, &from->watch, held ? 0 : EPOLLIN);
+}
+
 static void on_io(void *arg, uint32_t events)
 {
     side_t *const from = arg;
@@ -120,7 +147,9 @@
     side_t *const to = from == &p->caller ? &p->listener : &p->caller;
     char buffer[CHUNK];
     (void)events;
-    const ssize_t n = recv(from->watch.fd, buffer, sizeof(buffer), 0);
+    const size_t rate = p->proxy->rate;
+    const size_t most = rate > 0 ? MIN(sizeof(buffer), rate * AHEAD_MS / 1000) : sizeof(buffer);
+    const ssize_t n = recv(from->watch.fd, buffer, most, 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (n <= 0) {
@@ -139,9 +168,10 @@
     const tc_time_t now = tc_time_now();
     chunk_t *const chunk = g_malloc0(sizeof(*chunk) + (size_t)n);
     chunk->size = (size_t)n;
-    chunk->due = p->proxy->mode == PROXY_DELAY ? now + DELAY_MS : now;
+    chunk->due = due_at(p->proxy, to, (size_t)n, now);
     memcpy(chunk->data, buffer, (size_t)n);
     cds_list_add_tail(&chunk->node, &to->out);
+    hold(from, to, now);
     (void)side_flush(to, now);
 }
 
@@ -153,6 +183,8 @@
     cds_list_for_each_entry_safe(p, next, &proxy->pairs, node) {
         if (!side_flush(&p->caller, now) || !side_flush(&p->listener, now))
             continue;
+        hold(&p->caller, &p->listener, now);
+        hold(&p->listener, &p->caller, now);
         const bool over = (p->caller.ended && cds_list_empty(&p->listener.out)) ||
                           (p->listener.ended && cds_list_empty(&p->caller.out));
         if (over)
@@ -214,6 +246,11 @@
     return proxy;
 }
 
+void proxy_set_rate(proxy_t *proxy, size_t rate)
+{
+    proxy->rate = rate;
+}
+
 void proxy_reset(proxy_t *proxy)
 {
     pair_t *p, *next;
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -28,6 +28,8 @@
 proxy_t *proxy_start(loop_t *loop, const char *at, const char *to);
 /** From now on. What was lost stays lost: connections that lost bytes are reset when the mode changes. */
 void proxy_set(proxy_t *proxy, proxy_mode_t mode);
+/** No more than @p rate bytes a second pass each way of a connection, 0 for any number: whoever sends more waits. */
+void proxy_set_rate(proxy_t *proxy, size_t rate);
 /** The connections that stand lose all from now on, for good; new ones pass. */
 void proxy_mute(proxy_t *proxy);
 /** Reset all connections. */
