--- a/lib/cluster/document.c
+++ b/lib/cluster/document.c
@@ -1,30 +1,132 @@
 #include "cluster/document.h"
 
+#include <assert.h>
+#include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/codec.h"
 
-document_relation_t document_compare(const document_t *held, uint64_t version, const char *body, size_t size)
+/* ===== Making and reading ===== */
+
+enum { DIGEST_BYTES = 16 }; /* of BLAKE2b: texts of one version that differ are told apart */
+
+static void digest_of(char to[CODEC_STR_SIZE], const char *text, size_t size)
+{
+    unsigned char hash[DIGEST_BYTES];
+    crypto_generichash(hash, sizeof(hash), (const unsigned char *)text, size, NULL, 0);
+    sodium_bin2hex(to, CODEC_STR_SIZE, hash, sizeof(hash));
+}
+
+void document_make(document_t *to, uint64_t version, const char *text, size_t size)
+{
+    size_t packed;
+    char *const body = pack_text(text, size, &packed);
+    codec_free(&document_desc, to);
+    *to = (document_t){.version = version, .body = body, .body_n = (uint32_t)packed, .size = size};
+    digest_of(to->digest, text, size);
+}
+
+void document_copy(document_t *to, const document_t *from)
+{
+    char *body = NULL;
+    uint32_t n = 0;
+    codec_set_text(&body, &n, from->body ? from->body : "", from->body_n);
+    codec_free(&document_desc, to);
+    *to = *from;
+    to->body = body;
+}
+
+int document_read(const document_t *document, pack_sink_t sink, void *arg, tc_err_t *err)
+{
+    return pack_expand(document->body, document->body_n, sink, arg, err);
+}
+
+document_head_t document_head(const document_t *document)
+{
+    document_head_t head = {.version = document->version, .packed = document->body_n, .size = document->size};
+    codec_copy_string(head.digest, sizeof(head.digest), document->digest);
+    return head;
+}
+
+/* ===== The newest wins ===== */
+
+document_relation_t document_compare(const document_t *held, const document_t *offered)
 {
-    if (version > held->version)
+    if (offered->version > held->version)
         return DOCUMENT_NEWER;
-    if (version < held->version)
+    if (offered->version < held->version)
         return DOCUMENT_OLDER;
-    const bool same = held->body_n == size && (size == 0 || memcmp(held->body, body, size) == 0);
+    const bool same = held->size == offered->size && strcmp(held->digest, offered->digest) == 0;
     return same ? DOCUMENT_SAME : DOCUMENT_CLASHES;
 }
 
-/** Replace what @p to holds by a copy. */
-static void copy(document_t *to, const document_t *from)
+document_relation_t document_apply(document_t *held, document_t *offered)
 {
-    to->version = from->version;
-    codec_set_text(&to->body, &to->body_n, from->body ? from->body : "", from->body_n);
+    const document_relation_t relation = document_compare(held, offered);
+    if (relation != DOCUMENT_NEWER)
+        return relation;
+    codec_free(&document_desc, held);
+    *held = *offered;
+    memset(offered, 0, sizeof(*offered));
+    return relation;
 }
 
-document_relation_t document_apply(document_t *held, const document_t *offered)
+/* ===== Pieces ===== */
+
+document_piece_t document_piece(const document_t *held, const msg_fetch_piece_t *asked)
 {
-    const document_relation_t relation = document_compare(held, offered->version, offered->body, offered->body_n);
-    if (relation == DOCUMENT_NEWER)
-        copy(held, offered);
-    return relation;
+    document_piece_t piece = {.head = document_head(held), .offset = asked->offset};
+    const bool here = asked->version == held->version && strcmp(asked->digest, held->digest) == 0;
+    if (!here || asked->offset >= held->body_n)
+        return piece;
+    const uint64_t left = held->body_n - asked->offset;
+    piece.data = held->body + asked->offset;
+    piece.data_n = (uint32_t)(left < DOCUMENT_PIECE ? left : DOCUMENT_PIECE);
+    return piece;
+}
+
+bool document_arrival_begin(document_arrival_t *a, const document_head_t *head)
+{
+    document_arrival_clear(a);
+    if (head->packed > DOCUMENT_BODY_MAX)
+        return false;
+    a->head = *head;
+    a->body = malloc(head->packed + 1);
+    if (!a->body)
+        abort();
+    return true;
+}
+
+bool document_arrival_add(document_arrival_t *a, const document_piece_t *piece)
+{
+    const bool of_this = piece->head.version == a->head.version && strcmp(piece->head.digest, a->head.digest) == 0;
+    if (!a->body || !of_this || piece->offset != a->have || piece->data_n > a->head.packed - a->have)
+        return false;
+    if (piece->data_n > 0)
+        memcpy(a->body + a->have, piece->data, piece->data_n);
+    a->have += piece->data_n;
+    return piece->data_n > 0;
+}
+
+bool document_arrival_is_whole(const document_arrival_t *a)
+{
+    return a->body && a->have == a->head.packed;
+}
+
+void document_arrival_take(document_arrival_t *a, document_t *to)
+{
+    assert(document_arrival_is_whole(a)); /* a part is nobody's document */
+    codec_free(&document_desc, to);
+    *to = (document_t){
+        .version = a->head.version, .body = a->body, .body_n = (uint32_t)a->head.packed, .size = a->head.size};
+    to->body[to->body_n] = '\0'; /* as every text field ends */
+    codec_copy_string(to->digest, sizeof(to->digest), a->head.digest);
+    *a = (document_arrival_t){0};
+}
+
+void document_arrival_clear(document_arrival_t *a)
+{
+    free(a->body);
+    *a = (document_arrival_t){0};
 }
--- a/lib/cluster/document.h
+++ b/lib/cluster/document.h
@@ -1,6 +1,9 @@
 /** @file document.h
  * The replicated state of a cluster that keeps the operators' configuration as they sent it: one document, of which
  * the highest version wins. A pure state machine.
+ *
+ * A document's body is its text packed. Boxes tell each other its head alone; the body travels in pieces, one at a time
+ * to whoever asks, so that no process holds a copy for each other box and nothing else waits long behind it.
  */
 #ifndef TRACKCOVE_CLUSTER_DOCUMENT_H
 #define TRACKCOVE_CLUSTER_DOCUMENT_H
@@ -10,8 +13,17 @@
 #include <stdbool.h>
 
 #include "common/err.h"
+#include "common/pack.h"
 #include "gen/schema.h"
 
+/* ===== Constants ===== */
+
+/** Largest body that is accepted, bytes: every box holds the newest one and takes the next beside it, and a box behind
+ *  10 Mbit/s has it within a second. Some 60,000 routes with names by lot. */
+#define DOCUMENT_BODY_MAX (1024 * 1024)
+/** Bytes of one piece: 26 ms of a link of 10 Mbit/s, so that an event of a stream waits no longer behind it. */
+#define DOCUMENT_PIECE (32 * 1024)
+
 /* ===== Types ===== */
 
 /** How an offered document relates to the one held. */
@@ -22,12 +34,43 @@
     DOCUMENT_CLASHES /**< the same version with other content */
 } document_relation_t;
 
-/* ===== Public functions ===== */
+/** A document on its way here, in pieces. Zeroed for none; document_arrival_clear ends it. */
+typedef struct {
+    document_head_t head;
+    char *body;
+    uint64_t have; /**< bytes, from the first on */
+} document_arrival_t;
+
+/* ===== Making and reading ===== */
+
+/** Make a document of a text. @param to is replaced; to be freed with codec_free */
+void document_make(document_t *to, uint64_t version, const char *text, size_t size);
+/** Replace what @p to holds by a copy. */
+void document_copy(document_t *to, const document_t *from);
+/** Hand the text to @p sink piece by piece. @return as pack_expand */
+int document_read(const document_t *document, pack_sink_t sink, void *arg, tc_err_t *err);
+document_head_t document_head(const document_t *document);
+
+/* ===== The newest wins ===== */
+
+/** How an offered document relates to @p held: by version, and by the texts' digests. */
+document_relation_t document_compare(const document_t *held, const document_t *offered);
+
+/** Take over @p offered, which is emptied, when it is newer. @return its relation to what was held before */
+document_relation_t document_apply(document_t *held, document_t *offered);
 
-/** How a document of that version and content relates to @p held. */
-document_relation_t document_compare(const document_t *held, uint64_t version, const char *body, size_t size);
+/* ===== Pieces ===== */
 
-/** Take over @p offered's content when it is newer. @return its relation to what was held before */
-document_relation_t document_apply(document_t *held, const document_t *offered);
+/** The piece of @p held that is asked for; only its head when it is not of the document asked for. Data is borrowed. */
+document_piece_t document_piece(const document_t *held, const msg_fetch_piece_t *asked);
+/** A document begins to arrive; what arrived of another one is dropped. @return false when it is larger than any that
+ *  is accepted */
+bool document_arrival_begin(document_arrival_t *arrival, const document_head_t *head);
+/** Add a piece. @return false when it is not the next one of this document */
+bool document_arrival_add(document_arrival_t *arrival, const document_piece_t *piece);
+bool document_arrival_is_whole(const document_arrival_t *arrival);
+/** Move a whole document out to @p to, which is replaced, and end the arrival. */
+void document_arrival_take(document_arrival_t *arrival, document_t *to);
+void document_arrival_clear(document_arrival_t *arrival);
 
 #endif
--- /dev/null
+++ b/lib/cluster/fetch.c
@@ -0,0 +1,177 @@
+#include "cluster/fetch.h"
+
+#include <stdlib.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "common/codec.h"
+#include "common/counter.h"
+
+COUNTER_DEFINE(c_pieces, "counter", "trackcove_fetch_pieces_total", "Pieces of documents that arrived")
+COUNTER_DEFINE(c_missed, "counter", "trackcove_fetch_missed_total", "Pieces of documents asked for in vain")
+
+/* ===== Constants ===== */
+
+enum {
+    PIECE_LIMIT_MS = 1000, /* for one piece: forty times what it takes on the narrowest link, which may be busy */
+    AGAIN_MS = 50,         /* after a piece that did not come: the next box is asked */
+    UNSPREAD_BYTES = 2 * DOCUMENT_PIECE
+};
+
+/* ===== Types ===== */
+
+struct fetch {
+    peer_net_t *net;
+    const char *self;
+    fetch_events_t events;
+    document_arrival_t arrival;
+    document_head_t next;           /* newer than what arrives; version 0 for none */
+    char told_by[CODEC_STR_SIZE];   /* who has what arrives */
+    char next_told[CODEC_STR_SIZE]; /* who has the next */
+    char source[CODEC_STR_SIZE];    /* asked now */
+    uint32_t turn;                  /* of sources, for this document */
+    bool waiting;
+    bool stopped;
+    tc_time_t again_at; /* 0: not waiting for a time */
+};
+
+/* ===== Whom to ask ===== */
+
+/** On even turns a control box by this box's hash, on odd ones whoever told of the document. What fits into a few
+ * pieces is not spread: others hear of it a moment later. */
+static void choose_source(fetch_t *f)
+{
+    const raft_member_t *list = NULL;
+    const uint32_t n = f->events.sources(f->events.arg, &list);
+    const char *source = f->told_by;
+    if (f->turn == 0 && f->arrival.head.packed <= UNSPREAD_BYTES)
+        f->turn = 1;
+    if (n > 0 && f->turn % 2 == 0)
+        source = list[(XXH32(f->self, strlen(f->self), 0) + f->turn / 2) % n].peer;
+    if (strcmp(source, f->self) == 0)
+        source = f->told_by;
+    f->turn++;
+    codec_copy_string(f->source, sizeof(f->source), source);
+}
+
+/* ===== Pieces ===== */
+
+static void on_piece(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err);
+
+static void ask(fetch_t *f)
+{
+    msg_fetch_piece_t message = {.version = f->arrival.head.version, .offset = f->arrival.have};
+    codec_copy_string(message.digest, sizeof(message.digest), f->arrival.head.digest);
+    f->waiting = true;
+    f->again_at = 0;
+    peer_call(f->net, f->source, MSG_FETCH_PIECE, &message, PIECE_LIMIT_MS, on_piece, f);
+}
+
+static void begin(fetch_t *f, const document_head_t *head, const char *from)
+{
+    if (!document_arrival_begin(&f->arrival, head))
+        return;
+    codec_copy_string(f->told_by, sizeof(f->told_by), from);
+    f->turn = 0;
+    choose_source(f);
+    if (!f->waiting)
+        ask(f); /* else the answer that is under way goes on with this document */
+}
+
+/** What has arrived is whole: hand it over, and go on with what was heard of meanwhile. */
+static void end(fetch_t *f)
+{
+    document_t document = {0};
+    document_arrival_take(&f->arrival, &document);
+    f->events.on_whole(f->events.arg, &document, f->source);
+    codec_free(&document_desc, &document);
+    const document_head_t next = f->next;
+    f->next = (document_head_t){0};
+    if (next.version > 0)
+        begin(f, &next, f->next_told);
+}
+
+/** @param at_once the box that was asked is there, but lacks the document */
+static void try_elsewhere(fetch_t *f, bool at_once)
+{
+    char before[CODEC_STR_SIZE];
+    codec_copy_string(before, sizeof(before), f->source);
+    counter_add(&c_missed, 1);
+    choose_source(f);
+    if (at_once && f->turn == 2 && strcmp(before, f->source) != 0)
+        ask(f);
+    else
+        f->again_at = tc_time_now() + AGAIN_MS;
+}
+
+static void on_piece(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    fetch_t *const f = arg;
+    (void)err; /* counted; the next box is asked */
+    f->waiting = false;
+    if (f->stopped || !f->arrival.body)
+        return;
+    const document_piece_t *const piece =
+        rc == TC_OK && type == MSG_PIECE ? &((const msg_piece_t *)message)->piece : NULL;
+    if (piece && document_arrival_add(&f->arrival, piece)) {
+        counter_add(&c_pieces, 1);
+        if (document_arrival_is_whole(&f->arrival))
+            end(f);
+        else
+            ask(f);
+        return;
+    }
+    /* Whoever has a newer one may be the last to have had this one. */
+    if (piece && piece->head.version > f->arrival.head.version)
+        begin(f, &piece->head, f->source);
+    else
+        try_elsewhere(f, piece != NULL);
+}
+
+/* ===== Public functions ===== */
+
+void fetch_hear(fetch_t *f, const document_head_t *head, const char *from, uint64_t held)
+{
+    if (head->version <= held || head->packed == 0)
+        return;
+    if (!f->arrival.body) {
+        begin(f, head, from);
+    } else if (head->version > f->arrival.head.version && head->version > f->next.version) {
+        f->next = *head;
+        codec_copy_string(f->next_told, sizeof(f->next_told), from);
+    }
+}
+
+bool fetch_is_busy(const fetch_t *f)
+{
+    return f->arrival.body != NULL;
+}
+
+void fetch_tick(fetch_t *f, tc_time_t now)
+{
+    if (f->again_at > 0 && now >= f->again_at && !f->waiting)
+        ask(f);
+}
+
+fetch_t *fetch_create(peer_net_t *net, const char *self, const fetch_events_t *events)
+{
+    fetch_t *const f = calloc(1, sizeof(*f));
+    if (!f)
+        abort();
+    f->net = net;
+    f->self = self;
+    f->events = *events;
+    return f;
+}
+
+void fetch_stop(fetch_t *f)
+{
+    f->stopped = true;
+}
+
+void fetch_destroy(fetch_t *f)
+{
+    document_arrival_clear(&f->arrival);
+    free(f);
+}
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -1,6 +1,6 @@
 /** @file replica_internal.h
- * Shared by replica.c (the log and what it applies), replica_members.c (who takes part in it) and replica_reports.c
- * (what boxes are told); nobody else includes it.
+ * Shared by replica.c (the log and what it applies), replica_offers.c (documents on their way into force),
+ * replica_members.c (who takes part in it) and replica_reports.c (what boxes are told); nobody else includes it.
  */
 #ifndef TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
 #define TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
@@ -15,10 +15,18 @@
 
 /* ===== Types ===== */
 
-/** An offer on its way through the log. */
+/** What an offer waits for. */
+typedef enum {
+    OFFER_LOGGED, /**< that the log has its last entry at a majority */
+    OFFER_SPREAD  /**< accepted: that every box that is there acts on it */
+} offer_state_t;
+
+/** An offer on its way. */
 typedef struct {
     struct cds_list_head node;
-    uint64_t index, term;
+    offer_state_t state;
+    uint64_t version;
+    uint64_t index, term; /**< of its last entry, while it waits for the log */
     tc_time_t deadline;
     replica_done_t done;
     void *arg;
@@ -34,10 +42,13 @@
     raft_member_t self;
     raft_members_t known; /* members as a box told that we asked to join */
     document_t document;
-    uint64_t applied;       /* index that the document stands at */
-    size_t since_snapshot;  /* bytes of commands applied since */
-    unsigned entries_since; /* their number */
-    tc_time_t applied_at;   /* when the last one was */
+    document_t previous;        /* the one before, for boxes that are fetching it */
+    document_arrival_t arrival; /* the document whose pieces the log is applying */
+    uint64_t arrival_first;     /* index of its first entry */
+    uint64_t applied;           /* index that all this stands at */
+    size_t since_snapshot;      /* bytes of commands applied since */
+    unsigned entries_since;     /* their number */
+    tc_time_t applied_at;       /* when the last one was */
     struct cds_list_head offers;
     tc_time_t join_at, announce_at;
     bool led; /* at the last look */
@@ -53,6 +64,20 @@
     tc_time_t backends_fetched; /* 0: never */
 };
 
+/* ===== replica.c ===== */
+
+/** Do what the log asks. */
+void replica_pump(replica_t *r);
+
+/* ===== replica_offers.c ===== */
+
+/** An entry with the last piece of a document was applied, with that relation to the document held before. */
+void offers_applied(replica_t *r, const log_entry_t *entry, document_relation_t relation, tc_time_t now);
+/** Boxes may have come to act on a newer version, or be gone. */
+void offers_look(replica_t *r, tc_time_t now);
+/** End all: those that are accepted well, the others with @p rc. */
+void offers_fail(replica_t *r, int rc);
+
 /* ===== replica_members.c ===== */
 
 /** Make the data folder that of a founder, when the box is among them. */
@@ -70,5 +95,7 @@
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now);
 /** Tell all boxes at once that a document was accepted. */
 void reports_publish(replica_t *r);
+/** A box asks for a piece of the document, or of the one before. */
+void reports_answer_piece(replica_t *r, peer_call_t call, const msg_fetch_piece_t *asked);
 
 #endif
--- /dev/null
+++ b/lib/cluster/replica_offers.c
@@ -0,0 +1,173 @@
+/* Documents that operators offer, on their way into force: through the log in pieces, then to every box. */
+
+#include <assert.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#include "cluster/replica_internal.h"
+#include "common/counter.h"
+#include "common/log.h"
+#include "common/sabotage.h"
+
+COUNTER_DEFINE(c_unspread, "counter", "trackcove_cluster_unspread_total",
+               "Documents acknowledged while a box that was there did not act on them yet")
+
+/* ===== Constants ===== */
+
+enum {
+    LOG_LIMIT_MS = 3000, /* an offer not applied by then has an unknown outcome: below the time in which an operator
+                            wants an answer */
+    /* An accepted document is acknowledged once every box that is there acts on it, so that none needs this leader for
+     * it any more; for boxes that do not get there no longer than this. Below 1 s, after which operators ask another
+     * box, and 2 ms more a KB: twice what it takes over 10 Mbit/s. */
+    SPREAD_LIMIT_MS = 800,
+    SPREAD_MS_PER_KB = 2,
+    PIECE_BYTES =
+        64 * 1024 /* of one entry: 5 ms of a link of 100 Mbit/s, so that heartbeats wait no longer behind it */
+};
+
+/* ===== Ending ===== */
+
+static void offer_end(offer_t *o, int rc)
+{
+    cds_list_del(&o->node);
+    o->done(o->arg, rc);
+    g_free(o);
+}
+
+void offers_fail(replica_t *r, int rc)
+{
+    offer_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->offers, node)
+        offer_end(o, o->state == OFFER_SPREAD ? TC_OK : rc);
+}
+
+/* ===== Through the log ===== */
+
+static offer_t *offer_add(replica_t *r, uint64_t version, replica_done_t done, void *arg)
+{
+    offer_t *const o = g_new0(offer_t, 1);
+    o->version = version;
+    o->done = done;
+    o->arg = arg;
+    cds_list_add_tail(&o->node, &r->offers);
+    return o;
+}
+
+/** Append all pieces of a document to the log. */
+static void propose(replica_t *r, const document_t *document, tc_time_t now)
+{
+    document_piece_t piece = {.head = document_head(document)};
+    while (piece.offset < document->body_n) {
+        const uint64_t left = document->body_n - piece.offset;
+        piece.data = document->body + piece.offset;
+        piece.data_n = (uint32_t)(left < PIECE_BYTES ? left : PIECE_BYTES);
+        size_t size;
+        char *const data = codec_pack_bytes(&document_piece_desc, &piece, &size);
+        const int64_t index = raft_propose(r->raft, data, size, now);
+        assert(index > 0); /* this box leads: nothing was pumped since it was asked */
+        (void)index;
+        free(data);
+        piece.offset += piece.data_n;
+    }
+}
+
+static uint64_t count_pieces(const document_t *document)
+{
+    return (document->body_n + PIECE_BYTES - 1) / PIECE_BYTES;
+}
+
+static void offer_newer(replica_t *r, const document_t *document, replica_done_t done, void *arg)
+{
+    const tc_time_t now = tc_time_now();
+    offer_t *const o = offer_add(r, document->version, done, arg);
+    /* Entered before it is proposed: a cluster of one applies it at once. */
+    o->index = raft_view(r->raft).last_index + count_pieces(document);
+    o->term = raft_view(r->raft).term;
+    o->deadline = now + LOG_LIMIT_MS;
+    propose(r, document, now);
+    if (SABOTAGE_IS(SABOTAGE_EARLY_ANSWER))
+        offer_end(o, TC_OK);
+    replica_pump(r);
+}
+
+/* ===== Into force ===== */
+
+static void wait_for_spread(const replica_t *r, offer_t *o, tc_time_t now)
+{
+    o->state = OFFER_SPREAD;
+    o->deadline = now + SPREAD_LIMIT_MS + SPREAD_MS_PER_KB * (tc_time_t)(r->document.body_n / 1024);
+}
+
+void offers_applied(replica_t *r, const log_entry_t *entry, document_relation_t relation, tc_time_t now)
+{
+    offer_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->offers, node) {
+        if (o->state != OFFER_LOGGED || o->index != entry->index)
+            continue;
+        /* Promise: the answer comes after the log has it on disk at a majority. */
+        if (o->term != entry->term)
+            offer_end(o, TC_E_BROKEN);
+        else if (relation == DOCUMENT_CLASHES)
+            offer_end(o, TC_E_CONFLICT);
+        else
+            wait_for_spread(r, o, now);
+    }
+    offers_look(r, now);
+}
+
+static void log_unspread(const offer_t *o)
+{
+    counter_add(&c_unspread, 1);
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "not_everywhere");
+    log_int(&line, "version", (int64_t)o->version);
+    log_end(&line);
+}
+
+void offers_look(replica_t *r, tc_time_t now)
+{
+    offer_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->offers, node) {
+        const bool late = now >= o->deadline;
+        switch (o->state) {
+        case OFFER_LOGGED:
+            if (late)
+                offer_end(o, TC_E_TIMEOUT);
+            break;
+        case OFFER_SPREAD:
+            if (!roster_is_behind(r->roster, o->version)) {
+                offer_end(o, TC_OK);
+            } else if (late) {
+                log_unspread(o);
+                offer_end(o, TC_OK);
+            }
+            break;
+        }
+    }
+}
+
+/* ===== Public functions ===== */
+
+void replica_offer(replica_t *r, const document_t *document, replica_done_t done, void *arg)
+{
+    if (!replica_leads(r)) {
+        done(arg, TC_E_NOT_LEADER);
+        return;
+    }
+    const tc_time_t now = tc_time_now();
+    switch (document_compare(&r->document, document)) {
+    case DOCUMENT_OLDER: done(arg, TC_OK); return;
+    case DOCUMENT_CLASHES: done(arg, TC_E_CONFLICT); return;
+    case DOCUMENT_SAME:
+        wait_for_spread(r, offer_add(r, document->version, done, arg), now);
+        offers_look(r, now);
+        return;
+    case DOCUMENT_NEWER: break;
+    }
+    if (!log_writer_has_room(r->writer)) {
+        done(arg, TC_E_FULL);
+        return;
+    }
+    offer_newer(r, document, done, arg);
+}
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -1,4 +1,5 @@
-/* What the boxes that report here are told: the document, the back ends, the other boxes and their loads. */
+/* What the boxes that report here are told: which document there is, its pieces, the back ends, the other boxes and
+ * their loads. */
 
 #include <glib.h>
 #include <stdlib.h>
@@ -86,14 +87,22 @@
     const raft_members_t *const members = raft_members(r->raft);
     msg_report_ack_t ack = {.leads = replica_leads(r), .members = members->list, .members_n = members->list_n};
     codec_copy_string(ack.leader, sizeof(ack.leader), leader ? leader->peer : "");
-    if (r->document.version > report->version)
-        ack.document = r->document;
+    ack.head = document_head(&r->document);
+    codec_copy_string(ack.peer, sizeof(ack.peer), r->self.peer);
     add_backends(r, report, &ack, now);
     if (ack.leads)
         add_boxes(r, report, &ack, raft_view(r->raft).leader_since, now);
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
     free(ack.loads);
     free(ack.entries);
+    offers_look(r, now);
+}
+
+void reports_answer_piece(replica_t *r, peer_call_t call, const msg_fetch_piece_t *asked)
+{
+    const bool before = asked->version == r->previous.version && r->previous.body;
+    const msg_piece_t message = {.piece = document_piece(before ? &r->previous : &r->document, asked)};
+    peer_reply(r->net, call, MSG_PIECE, &message);
 }
 
 /* ===== News ===== */
@@ -101,7 +110,7 @@
 static void publish_to(void *arg, const char *peer_addr)
 {
     const replica_t *const r = arg;
-    const msg_publish_t message = {.document = r->document};
+    const msg_publish_t message = {.head = document_head(&r->document)};
     if (peer_addr[0])
         peer_send(r->net, peer_addr, MSG_PUBLISH, &message);
 }
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "cluster/document.h"
+#include "cluster/fetch.h"
 #include "cluster/list.h"
 #include "common/counter.h"
 #include "common/log.h"
@@ -43,12 +44,14 @@
     unsigned turn;               /* through everyone who may know */
     unsigned failed;             /* in a row, at this target */
     bool waiting;
+    bool hurry; /* something changed since the report under way was sent */
     tc_time_t next_at;
     tc_time_t learn_at; /* when all are asked, while nothing is known */
     tc_time_t heard;    /* last answer of a control box */
     tc_time_t leader_heard;
     bool connected; /* a leader answered last */
     document_t document;
+    fetch_t *fetch; /* of a newer one */
     backend_t *backends;
     uint32_t backends_n;
     uint64_t backends_hash;
@@ -60,10 +63,12 @@
 
 /* ===== What is heard ===== */
 
-static void take_document(reporter_t *r, const document_t *offered, const char *from)
+/** A newer document is here whole. */
+static void on_whole(void *arg, document_t *offered, const char *from)
 {
+    reporter_t *const r = arg;
     /* Promise: a box never goes back to an older configuration. */
-    if (offered->body_n == 0 || document_apply(&r->document, offered) != DOCUMENT_NEWER)
+    if (document_apply(&r->document, offered) != DOCUMENT_NEWER)
         return;
     counter_set(&c_version, (int64_t)r->document.version);
     log_line_t line;
@@ -73,6 +78,19 @@
     log_end(&line);
     if (r->events.on_document)
         r->events.on_document(r->events.arg, &r->document);
+    reporter_hurry(r); /* the leader waits to hear that it is in force here */
+}
+
+static uint32_t sources(void *arg, const raft_member_t **list)
+{
+    const reporter_t *const r = arg;
+    *list = r->members;
+    return r->members_n;
+}
+
+static void hear_head(reporter_t *r, const document_head_t *head, const char *from)
+{
+    fetch_hear(r->fetch, head, from, r->document.version);
 }
 
 static void set_backends(reporter_t *r, const backend_t *list, uint32_t n, uint64_t hash)
@@ -136,10 +154,10 @@
 }
 
 /** All that an answer tells, whoever gave it. */
-static void take_ack(reporter_t *r, const msg_report_ack_t *ack, const char *from)
+static void take_ack(reporter_t *r, const msg_report_ack_t *ack)
 {
-    take_document(r, &ack->document, from);
     take_members(r, ack->members, ack->members_n);
+    hear_head(r, &ack->head, ack->peer);
     take_backends(r, ack);
     take_entries(r, ack);
 }
@@ -230,7 +248,7 @@
     }
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
-    take_ack(r, ack, r->target);
+    take_ack(r, ack);
     if (ack->leads && r->events.on_loads)
         r->events.on_loads(r->events.arg, ack->loads, ack->loads_n);
     codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
@@ -240,6 +258,8 @@
     if (ack->leads)
         r->leader_heard = now;
     follow(r, ack, now);
+    if (r->hurry)
+        r->next_at = now;
 }
 
 static void fill_report(const reporter_t *r, msg_report_t *report)
@@ -257,6 +277,7 @@
     if (r->events.loads)
         report.loads = r->events.loads(r->events.arg, &report.loads_n);
     r->waiting = true;
+    r->hurry = false;
     counter_add(&c_reports, 1);
     peer_call(r->net, r->target, MSG_REPORT, &report, LIMIT_MS, on_answer, r);
     free(report.loads);
@@ -280,7 +301,7 @@
         counter_add(&c_failed, 1);
         return;
     }
-    take_ack(arg, message, "any");
+    take_ack(arg, message);
 }
 
 /** A box that has just started is of no use before it knows a document: it does not wait for one box after the other.
@@ -307,8 +328,9 @@
 {
     reporter_t *const r = arg;
     const tc_time_t now = tc_time_now();
-    if (r->document.body_n == 0 && now >= r->learn_at)
+    if (r->document.body_n == 0 && !fetch_is_busy(r->fetch) && now >= r->learn_at)
         ask_all(r, now);
+    fetch_tick(r->fetch, now);
     if (r->waiting || now < r->next_at)
         return;
     if (!r->target[0])
@@ -323,8 +345,8 @@
 {
     msg_report_ack_t ack = {.members = r->members, .members_n = r->members_n};
     codec_copy_string(ack.leader, sizeof(ack.leader), r->leader);
-    if (r->document.version > report->version)
-        ack.document = r->document;
+    ack.head = document_head(&r->document);
+    codec_copy_string(ack.peer, sizeof(ack.peer), r->self->peer_addr);
     if (r->backends_time > 0) {
         ack.has_backends = true;
         ack.backends_age_ms = (uint64_t)(tc_time_now() - r->backends_time);
@@ -341,6 +363,12 @@
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
 }
 
+static void answer_piece(reporter_t *r, peer_call_t call, const msg_fetch_piece_t *asked)
+{
+    const msg_piece_t message = {.piece = document_piece(&r->document, asked)};
+    peer_reply(r->net, call, MSG_PIECE, &message);
+}
+
 /** A control box that knows nobody asks: this box can't take it in, but knows who can. */
 static void answer_join(reporter_t *r, peer_call_t call)
 {
@@ -352,7 +380,8 @@
 {
     reporter_t *const r = arg;
     switch (type) {
-    case MSG_PUBLISH: take_document(r, &((const msg_publish_t *)message)->document, from); break;
+    case MSG_PUBLISH: hear_head(r, &((const msg_publish_t *)message)->head, from); break;
+    case MSG_FETCH_PIECE: answer_piece(r, call, message); break;
     case MSG_REPORT: answer(r, call, message); break;
     case MSG_JOIN: answer_join(r, call); break;
     case MSG_JOIN_ACK: /* unasked: a control box tells who the members are */
@@ -388,7 +417,10 @@
 
 void reporter_hurry(reporter_t *r)
 {
-    r->next_at = 0;
+    if (!r->waiting && r->target[0])
+        send_report(r);
+    else
+        r->hurry = true;
 }
 
 const document_t *reporter_document(const reporter_t *r)
@@ -447,6 +479,8 @@
         reporter_destroy(r);
         return NULL;
     }
+    const fetch_events_t fetch_events = {.on_whole = on_whole, .sources = sources, .arg = r};
+    r->fetch = fetch_create(r->net, r->self->peer_addr, &fetch_events);
     loop_add_tick(loop, TICK_MS, on_tick, r);
     return r;
 }
@@ -454,8 +488,12 @@
 void reporter_destroy(reporter_t *r)
 {
     loop_remove_ticks(r->loop, r);
+    if (r->fetch)
+        fetch_stop(r->fetch);
     if (r->net)
         peer_destroy(r->net);
+    if (r->fetch)
+        fetch_destroy(r->fetch);
     g_strfreev(r->controls);
     g_strfreev(r->neighbours);
     free(r->members);
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -13,6 +13,7 @@
     struct cds_list_head node; /* by name */
     entry_box_t box;
     tc_time_t heard;
+    uint64_t version; /* of the document that it acts on */
     backend_load_t *loads;
     uint32_t loads_n;
 } reported_t;
@@ -72,6 +73,7 @@
         return; /* of an earlier start, late */
     m->box = report->self;
     m->heard = now;
+    m->version = report->version;
     g_free(m->loads);
     m->loads = g_memdup2(report->loads, report->loads_n * sizeof(*report->loads));
     m->loads_n = report->loads_n;
@@ -87,6 +89,15 @@
 
 /* ===== Telling ===== */
 
+bool roster_is_behind(const roster_t *r, uint64_t version)
+{
+    const reported_t *m;
+    cds_list_for_each_entry(m, &r->members, node)
+        if (m->version < version)
+            return true;
+    return false;
+}
+
 uint32_t roster_count(const roster_t *r)
 {
     return r->n;
--- a/lib/cluster/roster.h
+++ b/lib/cluster/roster.h
@@ -7,6 +7,8 @@
 
 /* ===== Dependencies ===== */
 
+#include <stdbool.h>
+
 #include "common/time.h"
 #include "gen/schema.h"
 
@@ -27,6 +29,8 @@
 /** Forget boxes that fell silent. */
 void roster_expire(roster_t *roster, tc_time_t now);
 
+/** Whether a box that is there acts on an older version. */
+bool roster_is_behind(const roster_t *roster, uint64_t version);
 /** How many boxes are there. */
 uint32_t roster_count(const roster_t *roster);
 /** Boxes that are there. @return heap array for free(), in a stable order; @p hash names this state of the list */
--- /dev/null
+++ b/lib/common/pack.h
@@ -0,0 +1,29 @@
+/** @file pack.h
+ * Texts packed for the wire, the log and memory. A configuration of 13,000 routes, 3.9 MB, packs to 0.2 MB in some
+ * 5 ms. Pure.
+ */
+#ifndef TRACKCOVE_COMMON_PACK_H
+#define TRACKCOVE_COMMON_PACK_H
+
+/* ===== Dependencies ===== */
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "common/err.h"
+
+/* ===== Types ===== */
+
+/** Takes the next bytes of a text. @return false to stop */
+typedef bool (*pack_sink_t)(void *arg, const char *data, size_t size);
+
+/* ===== Public functions ===== */
+
+/** Pack a text. @return heap bytes for free(), with their number in @p packed */
+char *pack_text(const char *text, size_t size, size_t *packed);
+
+/** Hand the text of packed bytes to @p sink, in pieces of at most 16 KB: it is never whole in memory.
+ * @return 0, TC_E_CORRUPT when the bytes are not one whole packed text, or TC_E_CANCELLED when @p sink stopped */
+int pack_expand(const char *packed, size_t size, pack_sink_t sink, void *arg, tc_err_t *err);
+
+#endif
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -171,9 +171,26 @@
 static const codec_field_t document_fields[] = {
     {.name = "version", .offset = offsetof(document_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "body", .offset = offsetof(document_t, body), .kind = CODEC_TEXT, .size = 0, .count_offset = offsetof(document_t, body_n), .min = 0, .max = 0, .def = 0},
+    {.name = "size", .offset = offsetof(document_t, size), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "digest", .offset = offsetof(document_t, digest), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t document_desc = {.name = "document", .size = sizeof(document_t), .fields = document_fields, .n_fields = sizeof(document_fields) / sizeof(document_fields[0])};
 
+static const codec_field_t document_head_fields[] = {
+    {.name = "version", .offset = offsetof(document_head_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "packed", .offset = offsetof(document_head_t, packed), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "size", .offset = offsetof(document_head_t, size), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "digest", .offset = offsetof(document_head_t, digest), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t document_head_desc = {.name = "document_head", .size = sizeof(document_head_t), .fields = document_head_fields, .n_fields = sizeof(document_head_fields) / sizeof(document_head_fields[0])};
+
+static const codec_field_t document_piece_fields[] = {
+    {.name = "head", .offset = offsetof(document_piece_t, head), .kind = CODEC_STRUCT, .sub = &document_head_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "offset", .offset = offsetof(document_piece_t, offset), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "data", .offset = offsetof(document_piece_t, data), .kind = CODEC_TEXT, .size = 0, .count_offset = offsetof(document_piece_t, data_n), .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t document_piece_desc = {.name = "document_piece", .size = sizeof(document_piece_t), .fields = document_piece_fields, .n_fields = sizeof(document_piece_fields) / sizeof(document_piece_fields[0])};
+
 static const codec_field_t backend_fields[] = {
     {.name = "id", .offset = offsetof(backend_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "service", .offset = offsetof(backend_t, service), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
@@ -524,7 +541,7 @@
 static const codec_field_t msg_report_ack_fields[] = {
     {.name = "leads", .offset = offsetof(msg_report_ack_t, leads), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "leader", .offset = offsetof(msg_report_ack_t, leader), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
-    {.name = "document", .offset = offsetof(msg_report_ack_t, document), .kind = CODEC_STRUCT, .sub = &document_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "head", .offset = offsetof(msg_report_ack_t, head), .kind = CODEC_STRUCT, .sub = &document_head_desc, .min = 0, .max = 0, .def = 0},
     {.name = "members", .offset = offsetof(msg_report_ack_t, members), .kind = CODEC_LIST, .sub = &raft_member_desc, .count_offset = offsetof(msg_report_ack_t, members_n), .min = 0, .max = 0, .def = 0},
     {.name = "has_backends", .offset = offsetof(msg_report_ack_t, has_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "backends_age_ms", .offset = offsetof(msg_report_ack_t, backends_age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
@@ -534,11 +551,12 @@
     {.name = "entries", .offset = offsetof(msg_report_ack_t, entries), .kind = CODEC_LIST, .sub = &entry_box_desc, .count_offset = offsetof(msg_report_ack_t, entries_n), .min = 0, .max = 0, .def = 0},
     {.name = "entries_hash", .offset = offsetof(msg_report_ack_t, entries_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "loads", .offset = offsetof(msg_report_ack_t, loads), .kind = CODEC_LIST, .sub = &backend_load_desc, .count_offset = offsetof(msg_report_ack_t, loads_n), .min = 0, .max = 0, .def = 0},
+    {.name = "peer", .offset = offsetof(msg_report_ack_t, peer), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
 static const codec_field_t msg_publish_fields[] = {
-    {.name = "document", .offset = offsetof(msg_publish_t, document), .kind = CODEC_STRUCT, .sub = &document_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "head", .offset = offsetof(msg_publish_t, head), .kind = CODEC_STRUCT, .sub = &document_head_desc, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_publish_desc = {.name = "publish", .size = sizeof(msg_publish_t), .fields = msg_publish_fields, .n_fields = sizeof(msg_publish_fields) / sizeof(msg_publish_fields[0])};
 
@@ -632,6 +650,18 @@
 };
 const codec_desc_t msg_yield_desc = {.name = "yield", .size = sizeof(msg_yield_t), .fields = msg_yield_fields, .n_fields = sizeof(msg_yield_fields) / sizeof(msg_yield_fields[0])};
 
+static const codec_field_t msg_fetch_piece_fields[] = {
+    {.name = "version", .offset = offsetof(msg_fetch_piece_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "digest", .offset = offsetof(msg_fetch_piece_t, digest), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "offset", .offset = offsetof(msg_fetch_piece_t, offset), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t msg_fetch_piece_desc = {.name = "fetch_piece", .size = sizeof(msg_fetch_piece_t), .fields = msg_fetch_piece_fields, .n_fields = sizeof(msg_fetch_piece_fields) / sizeof(msg_fetch_piece_fields[0])};
+
+static const codec_field_t msg_piece_fields[] = {
+    {.name = "piece", .offset = offsetof(msg_piece_t, piece), .kind = CODEC_STRUCT, .sub = &document_piece_desc, .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t msg_piece_desc = {.name = "piece", .size = sizeof(msg_piece_t), .fields = msg_piece_fields, .n_fields = sizeof(msg_piece_fields) / sizeof(msg_piece_fields[0])};
+
 const codec_desc_t *msg_desc(uint32_t type)
 {
     static const codec_desc_t *const table[MSG_COUNT] = {
@@ -665,6 +695,8 @@
         [MSG_RETRY_ACK] = &msg_retry_ack_desc,
         [MSG_PING] = &msg_ping_desc,
         [MSG_YIELD] = &msg_yield_desc,
+        [MSG_FETCH_PIECE] = &msg_fetch_piece_desc,
+        [MSG_PIECE] = &msg_piece_desc,
     };
     return type < MSG_COUNT ? table[type] : NULL;
 }
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -256,14 +256,34 @@
 } raft_image_t;
 extern const codec_desc_t raft_image_desc;
 
-/** The operators' configuration as they sent it, with its version: the highest version wins. */
+/** The operators' configuration with its version: the highest version wins. */
 typedef struct {
     uint64_t version;
-    char *body;
+    char *body; /**< packed; the text itself in folders written before it was packed */
     uint32_t body_n;
+    uint64_t size; /**< bytes of the text; 0 when the body is the text itself */
+    char digest[CODEC_STR_SIZE]; /**< of the text, in hex */
 } document_t;
 extern const codec_desc_t document_desc;
 
+/** Names a document without its body. */
+typedef struct {
+    uint64_t version;
+    uint64_t packed; /**< bytes of the body */
+    uint64_t size; /**< bytes of the text */
+    char digest[CODEC_STR_SIZE]; /**< of the text, in hex */
+} document_head_t;
+extern const codec_desc_t document_head_desc;
+
+/** A piece of a document's body, as it travels and as it stands in the replicated log. */
+typedef struct {
+    document_head_t head;
+    uint64_t offset;
+    char *data;
+    uint32_t data_n;
+} document_piece_t;
+extern const codec_desc_t document_piece_desc;
+
 /** One back end as discovery lists it. */
 typedef struct {
     char id[CODEC_STR_SIZE]; /**< names one start of it */
@@ -673,7 +693,7 @@
 typedef struct {
     bool leads; /**< the answering box leads the control boxes */
     char leader[CODEC_STR_SIZE]; /**< peer address of the leader, empty when unknown */
-    document_t document; /**< empty body when the reporter has it */
+    document_head_t head; /**< of the document that the answering box has; version 0 for none */
     raft_member_t *members;
     uint32_t members_n;
     bool has_backends;
@@ -687,12 +707,13 @@
     uint64_t entries_hash;
     backend_load_t *loads; /**< of all other boxes together */
     uint32_t loads_n;
+    char peer[CODEC_STR_SIZE]; /**< peer address of the answering box */
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
-/** Leader to the boxes: a document was accepted; no answer. */
+/** Leader to the boxes: a document was accepted, to be fetched; no answer. */
 typedef struct {
-    document_t document;
+    document_head_t head;
 } msg_publish_t;
 extern const codec_desc_t msg_publish_desc;
 
@@ -798,6 +819,20 @@
 } msg_yield_t;
 extern const codec_desc_t msg_yield_desc;
 
+/** A box asks for a piece of a document's body, from an offset on. */
+typedef struct {
+    uint64_t version;
+    char digest[CODEC_STR_SIZE];
+    uint64_t offset;
+} msg_fetch_piece_t;
+extern const codec_desc_t msg_fetch_piece_desc;
+
+/** The piece asked for; without data, and with the head of what is there, when that document is not. */
+typedef struct {
+    document_piece_t piece;
+} msg_piece_t;
+extern const codec_desc_t msg_piece_desc;
+
 /** Message types, as the first element of a frame. */
 typedef enum {
     MSG_NONE = 0,
@@ -831,6 +866,8 @@
     MSG_RETRY_ACK,
     MSG_PING,
     MSG_YIELD,
+    MSG_FETCH_PIECE,
+    MSG_PIECE,
     MSG_COUNT
 } msg_type_t;
 /** Descriptor of a message type, NULL for an unknown one. */
--- a/lib/web/web_answer.c
+++ b/lib/web/web_answer.c
@@ -47,12 +47,19 @@
         c->out_sent += (size_t)n;
         c->since = tc_time_now();
     }
-    g_byte_array_set_size(c->out, 0);
+    exchange_empty(&c->out);
+    exchange_release_answer(c);
     c->out_sent = 0;
     exchange_want_write(c, false);
     return true;
 }
 
+void exchange_release_answer(web_exchange_t *c)
+{
+    c->server->held -= c->answer_held;
+    c->answer_held = 0;
+}
+
 void exchange_put(web_exchange_t *c, const void *data, size_t size)
 {
     g_byte_array_append(c->out, data, (guint)size);
@@ -102,6 +109,7 @@
     c->begun = false;
     c->state = c->keep ? EXCHANGE_READING : EXCHANGE_CLOSING;
     c->since = tc_time_now();
+    exchange_drop_body(c);
     if (!exchange_flush(c)) {
         exchange_close(c);
         return;
@@ -121,6 +129,8 @@
     put_head(c, status, all->str);
     g_string_free(all, TRUE);
     exchange_put(c, "\r\n", 2);
+    c->answer_held += size;
+    c->server->held += size;
     exchange_put(c, body, size);
     finish(c);
 }
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -20,11 +20,60 @@
     READ_SIZE = 16 * 1024,
     AHEAD_MAX = 64 * 1024, /* bytes of later requests kept while one is handled */
     SWEEP_MS = 250,        /* how often idle connections are looked at */
+    ROOM_KEPT = 64 * 1024, /* of a buffer that is empty: connections stay open, a large body is rare */
     LINGER_MS = 1000       /* an answer that ends the connection may take this long to be taken up */
 };
 
 static void exchange_on_io(void *arg, uint32_t events);
 
+/* ===== Bytes that are held ===== */
+
+void exchange_empty(GByteArray **bytes)
+{
+    if ((*bytes)->len <= ROOM_KEPT) {
+        g_byte_array_set_size(*bytes, 0);
+        return;
+    }
+    g_byte_array_free(*bytes, TRUE);
+    *bytes = g_byte_array_new();
+}
+
+void exchange_drop_body(web_exchange_t *c)
+{
+    exchange_empty(&c->body);
+    c->server->held -= c->body_held;
+    c->body_held = 0;
+}
+
+static bool has_room(const web_server_t *s, size_t size)
+{
+    return s->limits->held_bytes == 0 || s->held + size <= s->limits->held_bytes;
+}
+
+/** Count so many bytes of a body. @return false, with the request to be refused, when they are too many */
+static bool hold_body(web_exchange_t *c, size_t size)
+{
+    if (size <= c->body_held)
+        return true;
+    if (!has_room(c->server, size - c->body_held)) {
+        c->refuse = 503;
+        return false;
+    }
+    c->server->held += size - c->body_held;
+    c->body_held = size;
+    return true;
+}
+
+void web_drop_body(web_exchange_t *c)
+{
+    exchange_drop_body(c);
+}
+
+bool web_has_room(const web_exchange_t *c, size_t size)
+{
+    return has_room(c->server, size);
+}
+
 /* ===== Connections: making and ending ===== */
 
 void exchange_close(web_exchange_t *c)
@@ -35,6 +84,8 @@
     loop_unwatch(c->server->loop, &c->watch);
     close(c->watch.fd);
     cds_list_del(&c->node);
+    exchange_drop_body(c);
+    exchange_release_answer(c);
     g_string_free(c->target, TRUE);
     web_headers_free(&c->headers);
     g_byte_array_free(c->body, TRUE);
@@ -64,7 +115,8 @@
     web_exchange_t *const c = parser->data;
     g_string_truncate(c->target, 0);
     web_headers_clear(&c->headers);
-    g_byte_array_set_size(c->body, 0);
+    exchange_drop_body(c);
+    c->in_body = false;
     c->refuse = 0;
     return 0;
 }
@@ -101,6 +153,15 @@
         c->refuse = 413;
         return -1;
     }
+    if (parser->content_length != ULLONG_MAX && parser->content_length > 0) {
+        if (!hold_body(c, (size_t)parser->content_length))
+            return -1;
+        g_byte_array_free(c->body, TRUE);
+        c->body = g_byte_array_sized_new((guint)parser->content_length);
+    }
+    c->in_body = true;
+    if (c->server->limits->body_ms > 0)
+        c->since = tc_time_now();
     const char *const expect = web_headers_get(&c->headers, "Expect");
     if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0)
         exchange_put(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
@@ -114,7 +175,11 @@
         c->refuse = 413;
         return -1;
     }
+    if (!hold_body(c, c->body->len + size))
+        return -1;
     g_byte_array_append(c->body, (const guint8 *)data, (guint)size);
+    if (c->server->limits->body_ms > 0)
+        c->since = tc_time_now();
     return 0;
 }
 
@@ -142,7 +207,8 @@
     c->state = EXCHANGE_HANDLING;
     c->server->busy++;
     c->keep = false;
-    web_answer(c, status, "", "", 0);
+    /* For want of room: soon there is some, since no body stays for long. */
+    web_answer(c, status, status == 503 ? "Retry-After: 0.3\r\n" : "", "", 0);
 }
 
 static void handle(web_exchange_t *c)
@@ -259,6 +325,13 @@
     }
 }
 
+/** How long the request that is being read may go on without what it is measured by. */
+static tc_time_t read_limit(const web_exchange_t *c)
+{
+    const web_limits_t *const limits = c->server->limits;
+    return c->in_body && limits->body_ms > 0 ? limits->body_ms : limits->header_ms;
+}
+
 static void sweep(void *arg)
 {
     web_server_t *const s = arg;
@@ -266,7 +339,7 @@
     const tc_time_t take_ms = take_limit(s);
     web_exchange_t *c, *next;
     cds_list_for_each_entry_safe(c, next, &s->conns, node) {
-        if (c->state == EXCHANGE_READING && c->begun && now - c->since > s->limits->header_ms)
+        if (c->state == EXCHANGE_READING && c->begun && now - c->since > read_limit(c))
             refuse(c, 408);
         else if (c->state == EXCHANGE_READING && !c->begun && now - c->since > s->limits->idle_ms)
             exchange_close(c);
--- a/lib/web/web_server.h
+++ b/lib/web/web_server.h
@@ -35,7 +35,10 @@
 typedef struct {
     size_t header_bytes;
     size_t body_bytes;
-    tc_time_t header_ms; /**< from the first byte of a request to the end of its headers */
+    size_t held_bytes;   /**< of bodies and answers of all connections together, 0 for any number: a request whose body
+                              would go beyond is refused with 503 before it is read */
+    tc_time_t header_ms; /**< from the first byte of a request to its end */
+    tc_time_t body_ms;   /**< when not 0, only to the end of its headers, and then between two bytes of its body */
     tc_time_t idle_ms;   /**< a kept connection without a request */
     tc_time_t take_ms;   /**< of an answer under way, between two bytes that the caller takes up; 0: WEB_TAKE_MS */
 } web_limits_t;
@@ -68,6 +71,11 @@
 /** Report when the caller leaves before the answer is complete; the exchange is invalid once @p fn has run. */
 void web_on_gone(web_exchange_t *exchange, loop_fn_t fn, void *arg);
 
+/** The request's body is needed no more: free it before the answer. */
+void web_drop_body(web_exchange_t *exchange);
+/** Whether the server may hold an answer of so many bytes, by held_bytes. */
+bool web_has_room(const web_exchange_t *exchange, size_t size);
+
 /** Answer whole and end the exchange. @param head header lines, each with its line end, or ""; length and connection
  *  are added here. */
 void web_answer(web_exchange_t *exchange, int status, const char *head, const void *body, size_t size);
--- a/lib/web/web_server_internal.h
+++ b/lib/web/web_server_internal.h
@@ -23,6 +23,7 @@
     exchange_state_t state;
     http_parser parser;
     bool begun;    /* a byte of the next request has come */
+    bool in_body;  /* its headers have come */
     bool complete; /* the parser has a whole request */
     bool keep;     /* the caller keeps the connection */
     bool chunked;  /* the answer under way goes in chunks */
@@ -31,8 +32,9 @@
     GString *target;
     web_headers_t headers;
     GByteArray *body;
-    GByteArray *ahead; /* bytes behind the request being handled, or waiting for their turn */
-    loop_timer_t next; /* hands them to the parser, from the loop, so that handlers never nest */
+    size_t body_held, answer_held; /* what the server counts for it */
+    GByteArray *ahead;             /* bytes behind the request being handled, or waiting for their turn */
+    loop_timer_t next;             /* hands them to the parser, from the loop, so that handlers never nest */
     GByteArray *out;
     size_t out_sent;
     tc_time_t since; /* state or last progress */
@@ -49,6 +51,7 @@
     void *arg;
     struct cds_list_head conns;
     loop_timer_t sweep;
+    size_t held; /* bytes of bodies and answers, as counted */
     unsigned busy;
     bool retiring;
 };
@@ -60,8 +63,16 @@
 /** Hand bytes to the parser; may answer and so free the connection. */
 void exchange_parse(web_exchange_t *c, const char *data, size_t size);
 
+/** Make an array empty, and free its room when that is large. */
+void exchange_empty(GByteArray **bytes);
+/** The body is needed no more. */
+void exchange_drop_body(web_exchange_t *c);
+
 /* ===== web_answer.c ===== */
 
+/** The server counts the answer no more. */
+void exchange_release_answer(web_exchange_t *c);
+
 /** Add bytes to those that wait to be sent. */
 void exchange_put(web_exchange_t *c, const void *data, size_t size);
 /** Send what waits, as far as the caller takes it. @return false when the connection broke, or too much waits */
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -2,7 +2,7 @@
 # Install the Debian packages that are missing. Nothing is downloaded otherwise.
 set -eu
 packages="gcc make pkg-config libcivetweb-dev libhttp-parser-dev libmsgpack-dev liblog4c-dev libglib2.0-dev liburcu-dev libjansson-dev
- libxxhash-dev libsodium-dev libcurl4-openssl-dev python3 perl clang clang-format clang-tidy cppcheck
+ libxxhash-dev libsodium-dev libzstd-dev libyajl-dev libcurl4-openssl-dev python3 perl clang clang-format clang-tidy cppcheck
  libclang-rt-14-dev gnuplot-nox"
 missing=""
 for p in $packages; do
