--- a/lib/control/operators.c
+++ b/lib/control/operators.c
@@ -334,7 +334,7 @@
     if (state_check_patch(view->state, page->text, &next, &page->err) < 0)
         return;
     config_t to;
-    if (codec_from_json(&config_desc, &to, next, &page->err) == TC_OK) {
+    if (state_check_size(next, &page->err) == TC_OK && codec_from_json(&config_desc, &to, next, &page->err) == TC_OK) {
         if (check_roles(&to, &page->err) == TC_OK)
             page->out = operators_describe(state_config(view->state), &to);
         codec_free(&config_desc, &to);
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -163,6 +163,15 @@
     return TC_OK;
 }
 
+int state_check_size(const json_t *next, tc_err_t *err)
+{
+    const size_t size = json_dumpb(next, NULL, 0, JSON_COMPACT);
+    if (size <= STATE_CONFIG_MAX)
+        return TC_OK;
+    return tc_err_set(err, TC_E_INVALID, "check plan", "configuration", "would have %zu bytes, %d at most", size,
+                      STATE_CONFIG_MAX);
+}
+
 /** Make a checked patch the next version. */
 static void accept_change(state_t *s, const command_t *command, const char *patch, json_t *next, config_t *parsed)
 {
--- a/lib/control/state.h
+++ b/lib/control/state.h
@@ -26,6 +26,9 @@
 
 /** Changes kept: as history for operators, and so that boxes behind get changes rather than the whole. */
 #define STATE_CHANGES_KEPT 2000
+/** Largest configuration that a plan may lead to, bytes of its text: a box that missed changes fetches it whole, in one
+ *  frame between our processes (8 MB). */
+#define STATE_CONFIG_MAX (6 * 1024 * 1024)
 /** Answers kept for resends. */
 #define STATE_ANSWERS_KEPT 5000
 /** A claim is kept this long after it was made; a caller must not use an id again within this time. */
@@ -83,6 +86,10 @@
  * @param next the resulting configuration as JSON, new reference, may be NULL */
 int state_check_patch(const state_t *state, const char *patch, json_t **next, tc_err_t *err);
 
+/** Whether a configuration that a plan leads to is small enough for every box to fetch. Asked before a plan is made:
+ * what the log has accepted is applied whatever its size. */
+int state_check_size(const json_t *next, tc_err_t *err);
+
 /** The patch that leads back to the configuration of an old version. @return heap text or NULL when not kept */
 char *state_rollback_patch(const state_t *state, uint64_t version);
 
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -22,6 +22,7 @@
 COUNTER_DEFINE(c_frames_in, "counter", "trackcove_peer_frames_received_total", "Frames received from other boxes")
 COUNTER_DEFINE(c_bytes_in, "counter", "trackcove_peer_bytes_received_total", "Bytes received from other boxes")
 COUNTER_DEFINE(c_queued, "gauge", "trackcove_peer_queued_bytes", "Bytes that wait for other boxes to take them")
+COUNTER_DEFINE(c_full, "counter", "trackcove_peer_full_total", "Frames dropped because too many bytes wait already")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_peer_refused_total", "Connections refused in the handshake")
 
 static void conn_on_io(void *arg, uint32_t events);
@@ -146,6 +147,14 @@
     return conn;
 }
 
+/** Count bytes that wait, or, below 0, that wait no more. */
+static void count_queued(conn_t *conn, ssize_t bytes)
+{
+    conn->out_bytes += (size_t)bytes;
+    conn->net->queued += (size_t)bytes;
+    counter_add(&c_queued, bytes);
+}
+
 static void free_frames(struct cds_list_head *list)
 {
     out_t *item, *next;
@@ -167,7 +176,7 @@
         pending_fail(p, conn->addr, p->sent ? code : (code == TC_E_AUTH ? TC_E_AUTH : TC_E_UNREACHABLE), step, detail);
     free_frames(&conn->out);
     free_frames(&conn->waiting);
-    counter_add(&c_queued, -(int64_t)conn->out_bytes);
+    count_queued(conn, -(ssize_t)conn->out_bytes);
     free(conn->in);
     free(conn);
 }
@@ -200,8 +209,7 @@
             return false;
         }
         item->written += (size_t)n;
-        conn->out_bytes -= (size_t)n;
-        counter_add(&c_queued, -n);
+        count_queued(conn, -n);
         counter_add(&c_bytes_out, n);
         if (item->written < item->size) {
             conn_want_write(conn, true);
@@ -216,17 +224,25 @@
     return true;
 }
 
+/** Whether a frame may wait here: for this peer, and beside what waits for others. */
+static bool has_room(const conn_t *conn, size_t size)
+{
+    if (size > PEER_FRAME_MAX || conn->out_bytes + size > OUT_MAX)
+        return false;
+    return size <= LARGE_FRAME || conn->net->queued + size <= QUEUED_MAX;
+}
+
 bool conn_queue(conn_t *conn, char *data, size_t size, uint64_t call, bool hello)
 {
     out_t *const item = calloc(1, sizeof(*item));
-    if (!item || conn->out_bytes + size > OUT_MAX || size > PEER_FRAME_MAX) {
+    if (!item || !has_room(conn, size)) {
+        counter_add(&c_full, 1);
         free(item);
         free(data);
         return false;
     }
     *item = (out_t){.data = data, .size = size, .call = call};
-    conn->out_bytes += size;
-    counter_add(&c_queued, (int64_t)size);
+    count_queued(conn, (ssize_t)size);
     cds_list_add_tail(&item->node, hello || conn->state == CONN_READY ? &conn->out : &conn->waiting);
     if (conn->quiet_since == 0 && conn->state == CONN_READY)
         conn->quiet_since = tc_time_now();
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -14,12 +14,15 @@
 /* ===== Constants ===== */
 
 enum {
-    OUT_MAX = 16 * 1024 * 1024, /* bytes waiting for a slow peer before calls are refused: back-pressure */
-    HELLO_FRAME_MAX = 1024,     /* nobody unproved makes us keep more than this */
-    CONNECT_LIMIT_MS = 200,     /* a box in reach answers within a round trip, some ms. The kernel repeats what a box
-                                   without power left unanswered only after 1 s: dialling anew finds it sooner */
-    HELLO_LIMIT_MS = 1000,      /* time for the handshake */
-    UNACKED_LIMIT_MS = 1500,    /* a connection whose bytes nobody takes up for so long is given up */
+    OUT_MAX = 16 * 1024 * 1024,    /* bytes waiting for a slow peer before calls are refused: back-pressure */
+    LARGE_FRAME = 64 * 1024,       /* frames above this share QUEUED_MAX; those below, heartbeats among them, pass */
+    QUEUED_MAX = 24 * 1024 * 1024, /* bytes waiting for all peers together, of a process that may have 88 MB: whoever
+                                      is refused a large frame asks again */
+    HELLO_FRAME_MAX = 1024,        /* nobody unproved makes us keep more than this */
+    CONNECT_LIMIT_MS = 200,        /* a box in reach answers within a round trip, some ms. The kernel repeats what a box
+                                      without power left unanswered only after 1 s: dialling anew finds it sooner */
+    HELLO_LIMIT_MS = 1000,         /* time for the handshake */
+    UNACKED_LIMIT_MS = 1500,       /* a connection whose bytes nobody takes up for so long is given up */
     PING_AFTER_MS = 400,    /* bytes were sent and none came for so long: the peer is asked whether it is there. Reports
                                are answered every 300 ms, so that this is rare */
     SILENT_LIMIT_MS = 1000, /* and for so long: the connection is given up, though its bytes may still be taken up by
@@ -95,6 +98,7 @@
     loop_watch_t listener;
     struct cds_list_head conns;
     struct cds_list_head backoffs;
+    size_t queued; /* bytes waiting for all peers */
     uint64_t next_id;
     unsigned jitter; /* state of the jitter's own small generator */
 };
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -173,6 +173,45 @@
     stop(&server);
 }
 
+/** The loop's thread has taken all that was sent before. */
+static void nothing(void *arg)
+{
+    (void)arg;
+}
+
+/** What waits for peers that take nothing stays bounded, for all of them together; small frames still pass. */
+static void test_bounded_together(void)
+{
+    enum { PEERS = 8, FRAMES = 12, FRAME = 1024 * 1024, BOUND = 24 * 1024 * 1024 };
+    char addrs[PEERS][32], *const text = g_strnfill(FRAME, 'x');
+    int listeners[PEERS];
+    side_t client = {0};
+    tc_err_t err = {0};
+    start(&client, "client", "", good_key);
+    const int64_t before = counter_read("trackcove_peer_full_total");
+    const msg_fetch_ack_t large = {.whole = text, .whole_n = FRAME};
+    const msg_fetch_t small = {.from = 1};
+    for (int i = 0; i < PEERS; i++) {
+        lab_free_addr(addrs[i]);
+        listeners[i] = peer_open_listener(addrs[i], "listen", &err);
+        g_assert_cmpint(listeners[i], >=, 0);
+        for (int k = 0; k < FRAMES; k++)
+            peer_send(client.net, addrs[i], MSG_FETCH_ACK, &large);
+    }
+    loop_post_wait(client.loop, nothing, NULL);
+    const int64_t refused = counter_read("trackcove_peer_full_total");
+    g_assert_cmpint(refused, >, before);
+    g_assert_cmpint(counter_read("trackcove_peer_queued_bytes"), <=, BOUND);
+    peer_send(client.net, addrs[PEERS - 1], MSG_FETCH, &small);
+    loop_post_wait(client.loop, nothing, NULL);
+    g_assert_cmpint(counter_read("trackcove_peer_full_total"), ==, refused);
+    stop(&client);
+    g_assert_cmpint(counter_read("trackcove_peer_queued_bytes"), ==, 0);
+    for (int i = 0; i < PEERS; i++)
+        close(listeners[i]);
+    g_free(text);
+}
+
 /** A connection that falls silent for good, while something between takes its bytes up, is noticed and replaced. */
 static void test_silent_connection(void)
 {
@@ -258,6 +297,7 @@
     g_test_add_func("/peer/no-key", test_no_key);
     g_test_add_func("/peer/deadline", test_deadline);
     g_test_add_func("/peer/dark", test_dark);
+    g_test_add_func("/peer/bounded-together", test_bounded_together);
     g_test_add_func("/peer/silent-connection", test_silent_connection);
     g_test_add_func("/peer/slow-answer", test_slow_answer);
     g_test_add_func("/peer/garbage", test_garbage);
--- a/tests/unit/test_state.c
+++ b/tests/unit/test_state.c
@@ -197,6 +197,20 @@
     members_destroy(m);
 }
 
+/** What no box could fetch is refused before it is planned. */
+static void test_size(void)
+{
+    char *const text = g_strnfill(STATE_CONFIG_MAX, 'x');
+    json_t *const next = json_pack("{s:s}", "a", text);
+    tc_err_t err = {0};
+    g_assert_cmpint(state_check_size(next, &err), ==, TC_E_INVALID);
+    text[STATE_CONFIG_MAX - 64] = '\0';
+    json_object_set_new(next, "a", json_string(text));
+    g_assert_cmpint(state_check_size(next, &err), ==, TC_OK);
+    json_decref(next);
+    g_free(text);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -207,5 +221,6 @@
     g_test_add_func("/state/rollback", test_rollback);
     g_test_add_func("/state/claims", test_claims);
     g_test_add_func("/members/leases", test_members);
+    g_test_add_func("/state/size", test_size);
     return g_test_run();
 }
