Tests: one way to start a program and to empty a folder; the soak grows its configurations and watches memory

Every third version of the soak now has 2,000 routes more, some control boxes are killed at the moment at which they acknowledge, and no process may ever hold more than 44 MB. Five copies of the loop that empties a folder are one, and so are the two that start a program with its settings.

--- a/tests/fault/test_control.c
+++ b/tests/fault/test_control.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "harness/client.h"
+#include "harness/process.h"
 
 enum { OFFSET = 1500 };
 
@@ -210,13 +211,7 @@
 static void empty_disk(const char *box)
 {
     char *const path = g_strdup_printf("%s/data/%s", cluster_dir(cluster), box);
-    GDir *const dir = g_dir_open(path, 0, NULL);
-    for (const char *name = g_dir_read_name(dir); name; name = g_dir_read_name(dir)) {
-        char *const file = g_build_filename(path, name, NULL);
-        remove(file);
-        g_free(file);
-    }
-    g_dir_close(dir);
+    folder_empty(path);
     g_free(path);
 }
 
--- a/tests/platform/large_lab.h
+++ b/tests/platform/large_lab.h
@@ -5,11 +5,9 @@
 #ifndef TRACKCOVE_TESTS_LARGE_LAB_H
 #define TRACKCOVE_TESTS_LARGE_LAB_H
 
-#include <fcntl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <signal.h>
-#include <spawn.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -18,6 +16,7 @@
 #include "cluster/reporter.h"
 #include "common/counter.h"
 #include "harness/lab.h"
+#include "harness/process.h"
 #include "harness/proxy.h"
 
 /* ===== Constants ===== */
@@ -97,19 +96,9 @@
 {
     const char *const bin = g_getenv("TRACKCOVE_BIN");
     char *const path = g_build_filename(bin ? bin : "build/bin", p->program, NULL);
-    char *const env = g_strconcat("TRACKCOVE_CONFIG=", p->settings, NULL);
-    char *const log = g_strconcat(p->settings, ".log", NULL);
-    char *const argv[] = {path, NULL}, *const envp[] = {env, NULL};
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    g_assert_cmpint(posix_spawn(&p->pid, path, &files, NULL, argv, envp), ==, 0);
-    posix_spawn_file_actions_destroy(&files);
+    p->pid = process_spawn(path, p->settings);
     note_running(0, p->pid);
     g_free(path);
-    g_free(env);
-    g_free(log);
 }
 
 static void process_kill(process_t *p)
@@ -120,18 +109,11 @@
     p->pid = 0;
 }
 
-/** Most memory that the process ever had, KB. */
 static long peak_kb(const process_t *p)
 {
-    char path[40];
-    char *text = NULL;
-    g_snprintf(path, sizeof(path), "/proc/%d/status", (int)p->pid);
-    g_assert_true(g_file_get_contents(path, &text, NULL, NULL)); /* it has not ended by itself */
-    const char *const line = strstr(text, "VmHWM:");
-    const long kb = line ? strtol(line + strlen("VmHWM:"), NULL, 10) : -1;
-    g_free(text);
-    g_assert_cmpint(kb, >, 0);
+    const long kb = process_peak_kb(p->pid);
     g_test_message("%s at %s: peak %ld KB", p->program, p->ip, kb);
+    g_assert_cmpint(kb, >, 0);
     return kb;
 }
 
@@ -377,17 +359,6 @@
         start_entry(w, i);
 }
 
-static void remove_files(const char *dir)
-{
-    GDir *const handle = g_dir_open(dir, 0, NULL);
-    for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
-        char *const path = g_build_filename(dir, name, NULL);
-        g_unlink(path);
-        g_free(path);
-    }
-    g_dir_close(handle);
-}
-
 static void tear_down(large_t *w, gconstpointer data)
 {
     (void)data;
@@ -397,10 +368,10 @@
         if (w->control[i].process.pid)
             process_kill(&w->control[i].process);
         proxy_stop(w->control[i].way);
-        remove_files(w->control[i].dir);
+        folder_empty(w->control[i].dir);
         g_rmdir(w->control[i].dir);
     }
-    remove_files(w->root);
+    folder_empty(w->root);
     g_rmdir(w->root);
 }
 
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -25,7 +25,9 @@
     FAULT_MAX_MS = 900,
     PUT_EVERY_MS = 400,
     WIPE_EVERY_MS = 12000, /* a box with a new disk must be a member again before the next disk goes */
-    SETTLE_MS = 20000,     /* after the last fault everything must be as before within this time */
+    IDLE_ROUTES = 2000,
+    MEMORY_KB_MAX = 44 * 1024,
+    SETTLE_MS = 20000, /* after the last fault everything must be as before within this time */
     START_MS = 15000
 };
 
@@ -52,6 +54,7 @@
     lab_call_t *put, *read;
     uint64_t version; /* offered last */
     uint64_t put_version, acked;
+    int put_box;         /* that was asked */
     uint64_t read_floor; /* acknowledged before the read was sent */
     uint64_t seen;       /* newest version that a read told */
     tc_time_t next_fault, next_put, last_wipe;
@@ -131,6 +134,16 @@
 
 /* ===== The operator ===== */
 
+/** Routes that nobody asks for: every third version has two thousand, so that configurations grow and shrink. */
+static void add_idle_routes(GString *text, uint64_t version)
+{
+    const int routes = version % 3 == 0 ? IDLE_ROUTES : 0;
+    for (int i = 0; i < routes; i++)
+        g_string_append_printf(
+            text, "{\"host\":\"idle\",\"path_prefix\":\"/%08x/%d/\",\"timeout_ms\":900,\"service\":\"app\"},",
+            (unsigned)i * 2654435761u, i);
+}
+
 static char *config_text(uint64_t version)
 {
     GString *const text = g_string_new(NULL);
@@ -142,6 +155,7 @@
                                "\"max_attempts\":%d,\"resumable\":%s,\"service\":\"%s\"},",
                                paths[i], kinds[i], i == KIND_ONCE ? 1 : 2, i == KIND_RESUMABLE ? "true" : "false",
                                i < KIND_STREAM ? "app" : "lm");
+    add_idle_routes(text, version);
     g_string_append_printf(text,
                            "{\"host\":\"h\",\"path_prefix\":\"/v%" G_GUINT64_FORMAT
                            "/\",\"kind\":\"safe\",\"timeout_ms\":900,\"service\":\"app\"}],\"services\":[{\"name\":"
@@ -151,18 +165,28 @@
     return g_string_free(text, FALSE);
 }
 
-static lab_call_t *call_control(soak_t *s, const char *text)
+static lab_call_t *call_control(const soak_t *s, int box, const char *text)
 {
     char addr[32];
-    world_addr(s->world, world_pick(s->world, WORLD_DISKS), PORT_CONTROL, addr);
+    world_addr(s->world, box, PORT_CONTROL, addr);
     return lab_call(s->client, addr, text);
 }
 
+/** Some boxes die at the moment at which they acknowledge. */
+static void on_acknowledged(soak_t *s)
+{
+    box_t *const box = &s->world->boxes[s->put_box];
+    if (s->put_version > s->acked)
+        s->acked = s->put_version;
+    if (!s->calm && world_draw(s->world) < 0.1)
+        process_restart(s->world, box, &box->control, SIGKILL, 300);
+}
+
 static void drive_puts(soak_t *s, tc_time_t now)
 {
     if (s->put && s->put->done) {
-        if (s->put->how == WEB_END_WHOLE && s->put->status == 200 && s->put_version > s->acked)
-            s->acked = s->put_version;
+        if (s->put->how == WEB_END_WHOLE && s->put->status == 200)
+            on_acknowledged(s);
         if (s->put->how == WEB_END_WHOLE && s->put->status == 400)
             world_broken(s->world, "a valid configuration is not refused", s->put->body->str);
         lab_call_free(s->put);
@@ -178,7 +202,8 @@
     char *const body = config_text(s->version);
     char *const text =
         g_strdup_printf("POST /config/put HTTP/1.1\r\nHost: c\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body);
-    s->put = call_control(s, text);
+    s->put_box = world_pick(s->world, WORLD_DISKS);
+    s->put = call_control(s, s->put_box, text);
     g_free(text);
     g_free(body);
 }
@@ -201,7 +226,7 @@
         return;
     s->reads++;
     s->read_floor = s->acked > s->seen ? s->acked : s->seen;
-    s->read = call_control(s, "GET /config/get HTTP/1.1\r\nHost: c\r\n\r\n");
+    s->read = call_control(s, world_pick(s->world, WORLD_DISKS), "GET /config/get HTTP/1.1\r\nHost: c\r\n\r\n");
 }
 
 /* ===== Faults ===== */
@@ -341,6 +366,17 @@
     }
 }
 
+/** No process holds more than half of the memory of the smallest boxes, 88 MB. */
+static void check_memory(const soak_t *s)
+{
+    for (int i = 0; i < 2 * WORLD_BOXES && !s->world->failed; i++) {
+        const box_t *const box = &s->world->boxes[i / 2];
+        const process_t *const p = i % 2 ? &box->control : &box->entry;
+        if (p->pid && process_peak_kb(p->pid) > MEMORY_KB_MAX)
+            world_broken(s->world, "memory is bounded", p->settings);
+    }
+}
+
 /* ===== Running ===== */
 
 static void drive(soak_t *s)
@@ -421,9 +457,11 @@
         world_broken(s.world, "the system comes up", "no service in time");
     s.calm = false;
     (void)drive_until(&s, tc_time_now() + (tc_time_t)seconds * 1000, NULL);
+    check_memory(&s);
     end_faults(&s);
     if (!drive_until(&s, tc_time_now() + SETTLE_MS, is_recovered) && !s.world->failed)
         world_broken(s.world, "service recovers after the last fault", "not in time");
+    check_memory(&s);
     const int status = report(&s, (guint32)seed);
     world_end_processes(s.world);
     if (status == 0)
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -1,9 +1,7 @@
 #include "platform/soak/world.h"
 
-#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
-#include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -197,22 +195,13 @@
     g_free(text);
 }
 
-static void process_start(world_t *w, box_t *b, process_t *p, bool first)
+static void process_start(const world_t *w, box_t *b, process_t *p, bool first)
 {
     write_settings(w, b, p, first);
     char *const path = g_build_filename(w->bin, p->program, NULL);
-    char *const log = g_strconcat(p->settings, ".log", NULL);
-    char *const env = g_strconcat("TRACKCOVE_CONFIG=", p->settings, NULL);
-    char *const argv[] = {path, NULL}, *const envp[] = {env, NULL};
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, 0600);
-    g_assert_cmpint(posix_spawn(&p->pid, path, &files, NULL, argv, envp), ==, 0);
-    posix_spawn_file_actions_destroy(&files);
+    p->pid = process_spawn(path, p->settings);
     p->ending = p->paused = false;
     g_free(path);
-    g_free(log);
-    g_free(env);
 }
 
 void process_signal(const process_t *p, int number)
@@ -233,17 +222,6 @@
     process_signal(p, number);
 }
 
-void folder_empty(const char *dir)
-{
-    GDir *const handle = g_dir_open(dir, 0, NULL);
-    for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
-        char *const path = g_build_filename(dir, name, NULL);
-        g_unlink(path);
-        g_free(path);
-    }
-    g_dir_close(handle);
-}
-
 static void look_after(world_t *w, box_t *b, process_t *p)
 {
     int status;
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include "harness/lab.h"
+#include "harness/process.h"
 #include "harness/proxy.h"
 
 enum { WORLD_BOXES = 5, WORLD_DISKS = 3, WORLD_WORKERS = 6 };
@@ -78,9 +79,6 @@
 void process_signal(const process_t *process, int number);
 /** End it and start it again after @p pause. */
 void process_restart(world_t *world, box_t *box, process_t *process, int number, tc_time_t pause);
-/** Remove all files in a folder. Of a box's data folder only while its control process does not run, unless nothing is
- *  to come of it any more. */
-void folder_empty(const char *dir);
 
 /** "IP:port" of a box. */
 void world_addr(const world_t *world, int box, int port, char to[32]);
--- a/tests/unit/cluster_lab.h
+++ b/tests/unit/cluster_lab.h
@@ -14,6 +14,7 @@
 #include "common/counter.h"
 #include "control/store.h"
 #include "harness/lab.h"
+#include "harness/process.h"
 
 /* ===== Types ===== */
 
@@ -39,17 +40,6 @@
 
 /* ===== Boxes ===== */
 
-static void clear_dir(const char *dir)
-{
-    GDir *const handle = g_dir_open(dir, 0, NULL);
-    for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
-        char *const path = g_build_filename(dir, name, NULL);
-        g_assert_cmpint(g_unlink(path), ==, 0);
-        g_free(path);
-    }
-    g_dir_close(handle);
-}
-
 /** @param found first start of the whole system */
 static void start_box(fixture_t *f, int i, bool found)
 {
@@ -97,7 +87,7 @@
         reporter_destroy(f->reporter);
     for (int i = 0; i < BOXES; i++) {
         stop_box(f, i);
-        clear_dir(f->dir[i]);
+        folder_empty(f->dir[i]);
         g_rmdir(f->dir[i]);
     }
     loop_destroy(f->loop);
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -148,7 +148,7 @@
     put(f, 4);
     const int wiped = (leader(f) + 1) % SEEDS, other = (leader(f) + 2) % SEEDS;
     stop_box(f, wiped);
-    clear_dir(f->dir[wiped]);
+    folder_empty(f->dir[wiped]);
     start_box(f, wiped, false);
     put(f, 5);
     f->who = wiped;
@@ -173,7 +173,7 @@
     lab_run_until(f->loop, three_with_who, f); /* the dead voter is dropped */
     const int wiped = (gone + 1) % SEEDS;
     stop_box(f, wiped);
-    clear_dir(f->dir[wiped]);
+    folder_empty(f->dir[wiped]);
     put(f, 6); /* two of three are left; two of four would be none */
     start_box(f, wiped, false);
     expect_read(f, 6);
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "control/store.h"
+#include "harness/process.h"
 
 enum { ENTRIES = 5 };
 
@@ -41,13 +42,7 @@
 
 static void remove_dir(void)
 {
-    GDir *const handle = g_dir_open(dir, 0, NULL);
-    for (const char *name = g_dir_read_name(handle); name; name = g_dir_read_name(handle)) {
-        char *const path = g_build_filename(dir, name, NULL);
-        g_unlink(path);
-        g_free(path);
-    }
-    g_dir_close(handle);
+    folder_empty(dir);
     g_rmdir(dir);
     g_free(dir);
 }
