A configuration fetched from several boxes is checked by its hash; the leader logs when each is in force

Cause: pieces come from any control box, and two of them may have packed the same text in different ways (folders of plain documents are packed by each box by itself). Change: a document's head names the hash of its body; pieces are asked for by it, and what arrived is checked before it is used, or fetched anew (config_damaged). Whoever is heard to have the document that is arriving becomes the next to be asked. The lines in_force and not_everywhere say how long each version took to reach every box: what the logs of the incident lacked.

--- a/lib/cluster/document.c
+++ b/lib/cluster/document.c
@@ -4,6 +4,8 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include "common/codec.h"
 
@@ -25,6 +27,7 @@
     codec_free(&document_desc, to);
     *to = (document_t){.version = version, .body = body, .body_n = (uint32_t)packed, .size = size};
     digest_of(to->digest, text, size);
+    to->body_hash = XXH64(body, packed, 0);
 }
 
 void document_copy(document_t *to, const document_t *from)
@@ -44,7 +47,10 @@
 
 document_head_t document_head(const document_t *document)
 {
-    document_head_t head = {.version = document->version, .packed = document->body_n, .size = document->size};
+    document_head_t head = {.version = document->version,
+                            .packed = document->body_n,
+                            .size = document->size,
+                            .body_hash = document->body_hash};
     codec_copy_string(head.digest, sizeof(head.digest), document->digest);
     return head;
 }
@@ -77,7 +83,7 @@
 document_piece_t document_piece(const document_t *held, const msg_fetch_piece_t *asked)
 {
     document_piece_t piece = {.head = document_head(held), .offset = asked->offset};
-    const bool here = asked->version == held->version && strcmp(asked->digest, held->digest) == 0;
+    const bool here = asked->version == held->version && asked->body_hash == held->body_hash;
     if (!here || asked->offset >= held->body_n)
         return piece;
     const uint64_t left = held->body_n - asked->offset;
@@ -100,7 +106,7 @@
 
 bool document_arrival_add(document_arrival_t *a, const document_piece_t *piece)
 {
-    const bool of_this = piece->head.version == a->head.version && strcmp(piece->head.digest, a->head.digest) == 0;
+    const bool of_this = piece->head.version == a->head.version && piece->head.body_hash == a->head.body_hash;
     if (!a->body || !of_this || piece->offset != a->have || piece->data_n > a->head.packed - a->have)
         return false;
     if (piece->data_n > 0)
@@ -114,12 +120,20 @@
     return a->body && a->have == a->head.packed;
 }
 
+bool document_arrival_is_sound(const document_arrival_t *a)
+{
+    return document_arrival_is_whole(a) && XXH64(a->body, a->have, 0) == a->head.body_hash;
+}
+
 void document_arrival_take(document_arrival_t *a, document_t *to)
 {
     assert(document_arrival_is_whole(a)); /* a part is nobody's document */
     codec_free(&document_desc, to);
-    *to = (document_t){
-        .version = a->head.version, .body = a->body, .body_n = (uint32_t)a->head.packed, .size = a->head.size};
+    *to = (document_t){.version = a->head.version,
+                       .body = a->body,
+                       .body_n = (uint32_t)a->head.packed,
+                       .size = a->head.size,
+                       .body_hash = a->head.body_hash};
     to->body[to->body_n] = '\0'; /* as every text field ends */
     codec_copy_string(to->digest, sizeof(to->digest), a->head.digest);
     *a = (document_arrival_t){0};
--- a/lib/cluster/document.h
+++ b/lib/cluster/document.h
@@ -69,6 +69,8 @@
 /** Add a piece. @return false when it is not the next one of this document */
 bool document_arrival_add(document_arrival_t *arrival, const document_piece_t *piece);
 bool document_arrival_is_whole(const document_arrival_t *arrival);
+/** Whether it is whole, and by its hash what its head names: pieces come from several boxes. */
+bool document_arrival_is_sound(const document_arrival_t *arrival);
 /** Move a whole document out to @p to, which is replaced, and end the arrival. */
 void document_arrival_take(document_arrival_t *arrival, document_t *to);
 void document_arrival_clear(document_arrival_t *arrival);
--- a/lib/cluster/fetch.c
+++ b/lib/cluster/fetch.c
@@ -7,6 +7,7 @@
 
 #include "common/codec.h"
 #include "common/counter.h"
+#include "common/log.h"
 
 COUNTER_DEFINE(c_pieces, "counter", "trackcove_fetch_pieces_total", "Pieces of documents that arrived")
 COUNTER_DEFINE(c_missed, "counter", "trackcove_fetch_missed_total", "Pieces of documents asked for in vain")
@@ -61,13 +62,26 @@
 
 static void ask(fetch_t *f)
 {
-    msg_fetch_piece_t message = {.version = f->arrival.head.version, .offset = f->arrival.have};
-    codec_copy_string(message.digest, sizeof(message.digest), f->arrival.head.digest);
+    const msg_fetch_piece_t message = {
+        .version = f->arrival.head.version, .body_hash = f->arrival.head.body_hash, .offset = f->arrival.have};
     f->waiting = true;
     f->again_at = 0;
     peer_call(f->net, f->source, MSG_FETCH_PIECE, &message, PIECE_LIMIT_MS, on_piece, f);
 }
 
+/** @param at_once the box that was asked is there, but lacks the document */
+static void try_elsewhere(fetch_t *f, bool at_once)
+{
+    char before[CODEC_STR_SIZE];
+    codec_copy_string(before, sizeof(before), f->source);
+    counter_add(&c_missed, 1);
+    choose_source(f);
+    if (at_once && f->turn == 2 && strcmp(before, f->source) != 0)
+        ask(f);
+    else
+        f->again_at = tc_time_now() + AGAIN_MS;
+}
+
 static void begin(fetch_t *f, const document_head_t *head, const char *from)
 {
     if (!document_arrival_begin(&f->arrival, head))
@@ -79,6 +93,19 @@
         ask(f); /* else the answer that is under way goes on with this document */
 }
 
+/** What has arrived is not what it should be: all of it anew. */
+static void begin_again(fetch_t *f)
+{
+    const document_head_t head = f->arrival.head;
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "config_damaged");
+    log_int(&line, "version", (int64_t)head.version);
+    log_str(&line, "from", f->source);
+    log_end(&line);
+    (void)document_arrival_begin(&f->arrival, &head);
+    try_elsewhere(f, false);
+}
+
 /** What has arrived is whole: hand it over, and go on with what was heard of meanwhile. */
 static void end(fetch_t *f)
 {
@@ -92,19 +119,6 @@
         begin(f, &next, f->next_told);
 }
 
-/** @param at_once the box that was asked is there, but lacks the document */
-static void try_elsewhere(fetch_t *f, bool at_once)
-{
-    char before[CODEC_STR_SIZE];
-    codec_copy_string(before, sizeof(before), f->source);
-    counter_add(&c_missed, 1);
-    choose_source(f);
-    if (at_once && f->turn == 2 && strcmp(before, f->source) != 0)
-        ask(f);
-    else
-        f->again_at = tc_time_now() + AGAIN_MS;
-}
-
 static void on_piece(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
     fetch_t *const f = arg;
@@ -116,10 +130,12 @@
         rc == TC_OK && type == MSG_PIECE ? &((const msg_piece_t *)message)->piece : NULL;
     if (piece && document_arrival_add(&f->arrival, piece)) {
         counter_add(&c_pieces, 1);
-        if (document_arrival_is_whole(&f->arrival))
+        if (!document_arrival_is_whole(&f->arrival))
+            ask(f);
+        else if (document_arrival_is_sound(&f->arrival))
             end(f);
         else
-            ask(f);
+            begin_again(f);
         return;
     }
     /* Whoever has a newer one may be the last to have had this one. */
@@ -137,6 +153,8 @@
         return;
     if (!f->arrival.body) {
         begin(f, head, from);
+    } else if (head->version == f->arrival.head.version) {
+        codec_copy_string(f->told_by, sizeof(f->told_by), from); /* the newest to have it is there most likely */
     } else if (head->version > f->arrival.head.version && head->version > f->next.version) {
         f->next = *head;
         codec_copy_string(f->next_told, sizeof(f->next_told), from);
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -27,7 +27,7 @@
     offer_state_t state;
     uint64_t version;
     uint64_t index, term; /**< of its last entry, while it waits for the log */
-    tc_time_t deadline;
+    tc_time_t begun, deadline;
     replica_done_t done;
     void *arg;
 } offer_t;
--- a/lib/cluster/replica_offers.c
+++ b/lib/cluster/replica_offers.c
@@ -48,6 +48,7 @@
 {
     offer_t *const o = g_new0(offer_t, 1);
     o->version = version;
+    o->begun = tc_time_now();
     o->done = done;
     o->arg = arg;
     cds_list_add_tail(&o->node, &r->offers);
@@ -116,13 +117,16 @@
     offers_look(r, now);
 }
 
-static void log_unspread(const offer_t *o)
+/** Every box that is there acts on it, or is waited for no more. */
+static void end_spread(offer_t *o, bool everywhere, tc_time_t now)
 {
-    counter_add(&c_unspread, 1);
+    counter_add(&c_unspread, everywhere ? 0 : 1);
     log_line_t line;
-    log_begin(&line, LOG_WARN, "not_everywhere");
+    log_begin(&line, everywhere ? LOG_INFO : LOG_WARN, everywhere ? "in_force" : "not_everywhere");
     log_int(&line, "version", (int64_t)o->version);
+    log_int(&line, "took_ms", now - o->begun);
     log_end(&line);
+    offer_end(o, TC_OK);
 }
 
 void offers_look(replica_t *r, tc_time_t now)
@@ -136,12 +140,10 @@
                 offer_end(o, TC_E_TIMEOUT);
             break;
         case OFFER_SPREAD:
-            if (!roster_is_behind(r->roster, o->version)) {
-                offer_end(o, TC_OK);
-            } else if (late) {
-                log_unspread(o);
-                offer_end(o, TC_OK);
-            }
+            if (!roster_is_behind(r->roster, o->version))
+                end_spread(o, true, now);
+            else if (late)
+                end_spread(o, false, now);
             break;
         }
     }
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -173,6 +173,7 @@
     {.name = "body", .offset = offsetof(document_t, body), .kind = CODEC_TEXT, .size = 0, .count_offset = offsetof(document_t, body_n), .min = 0, .max = 0, .def = 0},
     {.name = "size", .offset = offsetof(document_t, size), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "digest", .offset = offsetof(document_t, digest), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "body_hash", .offset = offsetof(document_t, body_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t document_desc = {.name = "document", .size = sizeof(document_t), .fields = document_fields, .n_fields = sizeof(document_fields) / sizeof(document_fields[0])};
 
@@ -181,6 +182,7 @@
     {.name = "packed", .offset = offsetof(document_head_t, packed), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "size", .offset = offsetof(document_head_t, size), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "digest", .offset = offsetof(document_head_t, digest), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "body_hash", .offset = offsetof(document_head_t, body_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t document_head_desc = {.name = "document_head", .size = sizeof(document_head_t), .fields = document_head_fields, .n_fields = sizeof(document_head_fields) / sizeof(document_head_fields[0])};
 
@@ -652,7 +654,7 @@
 
 static const codec_field_t msg_fetch_piece_fields[] = {
     {.name = "version", .offset = offsetof(msg_fetch_piece_t, version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
-    {.name = "digest", .offset = offsetof(msg_fetch_piece_t, digest), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "body_hash", .offset = offsetof(msg_fetch_piece_t, body_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "offset", .offset = offsetof(msg_fetch_piece_t, offset), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t msg_fetch_piece_desc = {.name = "fetch_piece", .size = sizeof(msg_fetch_piece_t), .fields = msg_fetch_piece_fields, .n_fields = sizeof(msg_fetch_piece_fields) / sizeof(msg_fetch_piece_fields[0])};
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -263,6 +263,7 @@
     uint32_t body_n;
     uint64_t size; /**< bytes of the text; 0 when the body is the text itself */
     char digest[CODEC_STR_SIZE]; /**< of the text, in hex */
+    uint64_t body_hash; /**< of the body: the same text may be packed in more than one way */
 } document_t;
 extern const codec_desc_t document_desc;
 
@@ -272,6 +273,7 @@
     uint64_t packed; /**< bytes of the body */
     uint64_t size; /**< bytes of the text */
     char digest[CODEC_STR_SIZE]; /**< of the text, in hex */
+    uint64_t body_hash;
 } document_head_t;
 extern const codec_desc_t document_head_desc;
 
@@ -822,7 +824,7 @@
 /** A box asks for a piece of a document's body, from an offset on. */
 typedef struct {
     uint64_t version;
-    char digest[CODEC_STR_SIZE];
+    uint64_t body_hash;
     uint64_t offset;
 } msg_fetch_piece_t;
 extern const codec_desc_t msg_fetch_piece_desc;
--- a/tests/unit/cluster_lab.h
+++ b/tests/unit/cluster_lab.h
@@ -128,10 +128,8 @@
 }
 
 /** Offer a version to the leader, whoever that is, until it is taken: as an operator does. */
-static void put(fixture_t *f, uint64_t version)
+static void put_text(fixture_t *f, uint64_t version, const char *text)
 {
-    char text[32];
-    g_snprintf(text, sizeof(text), "content %" G_GUINT64_FORMAT, version);
     do {
         lab_run_until(f->loop, has_leader, f);
         offer_text(f, leader(f), version, text);
@@ -139,6 +137,13 @@
     g_assert_cmpint(f->offer_rc, ==, TC_OK);
 }
 
+static void put(fixture_t *f, uint64_t version)
+{
+    char text[32];
+    g_snprintf(text, sizeof(text), "content %" G_GUINT64_FORMAT, version);
+    put_text(f, version, text);
+}
+
 static bool reads_wanted(void *arg)
 {
     const fixture_t *const f = arg;
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -158,6 +158,45 @@
     expect_read(f, 6);
 }
 
+/** A text that packs to nearly as much as is accepted: half of each byte by lot. */
+static char *large_text(guint32 seed)
+{
+    GRand *const random = g_rand_new_with_seed(seed);
+    GString *const text = g_string_new(NULL);
+    while (text->len < 15 * DOCUMENT_BODY_MAX / 8)
+        g_string_append_printf(text, "%08x", g_rand_int(random));
+    g_rand_free(random);
+    return g_string_free(text, FALSE);
+}
+
+/** A box whose disk was lost catches up with the largest document while operators go on, and then counts. */
+static void test_wiped_box_and_large_documents(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const first = large_text(1), *const second = large_text(2);
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 3);
+    put_text(f, 4, first);
+    const int wiped = (leader(f) + 1) % SEEDS, other = (leader(f) + 2) % SEEDS;
+    stop_box(f, wiped);
+    folder_empty(f->dir[wiped]);
+    start_box(f, wiped, false);
+    put_text(f, 5, second);
+    f->who = wiped;
+    lab_run_until(f->loop, three_with_who, f);
+    stop_box(f, other); /* now the new member counts */
+    put_text(f, 6, first);
+    expect_read(f, 6);
+    for (int i = 0; i < SEEDS; i++)
+        stop_box(f, i);
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, false);
+    expect_read(f, 6); /* from disk */
+    g_free(first);
+    g_free(second);
+}
+
 static void test_replaced_box_and_a_lost_disk(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -501,6 +540,7 @@
     TEST("resign", test_resign);
     TEST("no-answer-without-a-majority", test_no_answer_without_a_majority);
     TEST("wiped-box-is-a-new-member", test_wiped_box_is_a_new_member);
+    TEST("wiped-box-and-large-documents", test_wiped_box_and_large_documents);
     TEST("replaced-box-and-a-lost-disk", test_replaced_box_and_a_lost_disk);
     TEST("odd-number-of-voters", test_odd_number_of_voters);
     TEST("reporter-follows-the-leader", test_reporter_follows);
--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -63,8 +63,8 @@
 /** The next piece that @p arrival lacks, as @p held gives it. */
 static document_piece_t next_piece(const document_t *held, const document_arrival_t *arrival)
 {
-    msg_fetch_piece_t ask = {.version = arrival->head.version, .offset = arrival->have};
-    codec_copy_string(ask.digest, sizeof(ask.digest), arrival->head.digest);
+    const msg_fetch_piece_t ask = {
+        .version = arrival->head.version, .body_hash = arrival->head.body_hash, .offset = arrival->have};
     return document_piece(held, &ask);
 }
 
@@ -85,6 +85,10 @@
         pieces++;
     }
     g_assert_cmpuint(pieces, >, 3);
+    g_assert_true(document_arrival_is_sound(&arrival));
+    arrival.body[7] ^= 1; /* damaged on its way */
+    g_assert_false(document_arrival_is_sound(&arrival));
+    arrival.body[7] ^= 1;
     document_arrival_take(&arrival, &copy);
     g_assert_cmpint(document_compare(&held, &copy), ==, DOCUMENT_SAME);
     expect_text(&copy, text);
