--- a/Makefile
+++ b/Makefile
@@ -210,10 +210,11 @@
 
 .PHONY: bench-scale
 bench-scale: setup ## measure the slopes and write docs/CAPACITY.md and its plots
-	@$(MAKE) --no-print-directory all $(BUILD)/bench/scale $(BUILD)/bench/scale_cores
+	@$(MAKE) --no-print-directory all platform $(BUILD)/bench/scale $(BUILD)/bench/scale_cores $(BUILD)/bench/config_sizes
 	@mkdir -p bench/results docs/plots
 	@$(BUILD)/bench/scale_cores > bench/results/scale.new
 	@$(BUILD)/bench/scale >> bench/results/scale.new
+	@$(BUILD)/bench/config_sizes | grep '^{' > bench/results/config-sizes.jsonl
 	@mv bench/results/scale.new bench/results/scale.jsonl
 	@date +%F > bench/results/scale.date
 	@python3 scripts/capacity.py
--- /dev/null
+++ b/bench/config_sizes.c
@@ -0,0 +1,68 @@
+/* What a configuration costs by its size: memory of every process, bytes over the links, time until it is in force at
+ * 66 entry boxes behind 10 Mbit/s. A line of JSON a measure goes to standard output. */
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "cluster/document.h"
+#include "platform/large_lab.h"
+
+static const int SIZES[] = {40, 1000, 4000, 8000, 13000, 20000};
+
+static void print_point(const char *measure, int routes, double value)
+{
+    printf("{\"measure\": \"%s\", \"x\": %d, \"y\": %.6g}\n", measure, routes, value);
+    fflush(stdout);
+}
+
+/** Of the control boxes, the one that took most. */
+static long peak_of_controls(const large_t *w)
+{
+    long most = 0;
+    for (int i = 0; i < CONTROLS; i++)
+        most = MAX(most, peak_kb(&w->control[i].process));
+    return most;
+}
+
+/** Two configurations of that size, one after the other, and what the second one cost. */
+static void measure(int routes)
+{
+    static large_t w;
+    w = (large_t){0};
+    set_up(&w, NULL);
+    w.want = 3;
+    put_routes(&w, w.want, routes);
+    lab_run_until(w.loop, all_have_wanted, &w);
+    const int leader = find_leader(&w);
+    char *const body = make_config(++w.want, routes);
+    document_t packed = {0};
+    document_make(&packed, w.want, body, strlen(body));
+    const int64_t before = counter_read("trackcove_peer_bytes_received_total");
+    const tc_time_t begun = tc_time_now();
+    lab_call_t *const call = begin_put(&w, leader, body);
+    lab_run_until(w.loop, is_done, call);
+    const tc_time_t acknowledged = tc_time_now();
+    lab_run_until(w.loop, all_have_wanted, &w);
+    const tc_time_t in_force = tc_time_now();
+    const int64_t bytes = counter_read("trackcove_peer_bytes_received_total") - before;
+    g_assert_cmpint(call->status, ==, 200);
+    print_point("config_size_text_kb", routes, (double)strlen(body) / 1024);
+    print_point("config_size_packed_kb", routes, packed.body_n / 1024.0);
+    print_point("config_size_control_kb", routes, (double)peak_of_controls(&w));
+    print_point("config_size_entry_kb", routes, (double)peak_kb(&w.forward));
+    print_point("config_size_link_kb", routes, (double)bytes / ENTRIES / 1024);
+    print_point("config_size_acknowledged_ms", routes, (double)(acknowledged - begun));
+    print_point("config_size_in_force_ms", routes, (double)(MAX(in_force, acknowledged) - begun));
+    lab_call_free(call);
+    codec_free(&document_desc, &packed);
+    g_free(body);
+    tear_down(&w, NULL);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (guint i = 0; i < G_N_ELEMENTS(SIZES); i++)
+        measure(SIZES[i]);
+    return 0;
+}
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -249,11 +249,40 @@
     return "\n".join(out) + "\n"
 
 
+SIZES = os.path.join(ROOT, "bench/results/config-sizes.jsonl")
+
+
+def sizes_section():
+    """What a configuration costs on the users' platform, by its size."""
+    f = Fits(SIZES)
+    columns = ["text_kb", "packed_kb", "control_kb", "entry_kb", "link_kb", "acknowledged_ms", "in_force_ms"]
+    points = {c: dict(f.points["config_size_" + c]) for c in columns}
+    rows = [[num(x)] + [num(points[c][x]) for c in columns] for x in sorted(points["text_kb"])]
+    control, control_at_0, _ = f.line("config_size_control_kb")
+    entry, entry_at_0, _ = f.line("config_size_entry_kb")
+    out = ["", "## Size of the configuration on the users' platform", "",
+           "Three real control processes and a real entry process, and 66 entry boxes behind 10 Mbit/s each; the second of two",
+           "configurations of that many routes (`bench/config_sizes`). The link's figure is all that an entry box receives until",
+           "it is in force everywhere, reports and lists included.", ""]
+    out += table(["routes", "text, KB", "packed, KB", "control, peak KB", "entry, peak KB", "to an entry box, KB", "acknowledged, ms",
+                  "in force everywhere, ms"], rows)
+    voters, voter_mb_s, largest_mb, usual = 5, 12.5, 1, 4000
+    usual_mb = points["packed_kb"][usual] / 1024 * NODES
+    out += [f"A route costs a control box {1024 * control:,.0f} bytes beside {control_at_0 / 1024:.1f} MB, an entry box "
+            f"{1024 * entry:,.0f} beside {entry_at_0 / 1024:.1f} MB.",
+            "What is accepted is bounded: 6 MB of text, and 1 MB packed, which `/large/largest` holds against 44 MB a process, half",
+            f"of what the smallest boxes have. At {NODES} boxes {num(usual)} routes are {usual_mb:.0f} MB from {voters} voters of 100 Mbit/s:"
+            f" {usual_mb / voters / voter_mb_s:.1f} s; the largest body would be {NODES * largest_mb} MB:",
+            f"{NODES * largest_mb / voters / voter_mb_s:.1f} s at best, above the 5 s. There boxes would have to pass it on to each other, which they do today only",
+            "while no control box answers."]
+    return "\n".join(out) + "\n"
+
+
 def main():
     fits = Fits(DATA)
     with open(os.path.join(ROOT, "bench/results/scale.date"), encoding="utf-8") as handle:
         date = handle.read().strip()
-    text = page(fits, date).rstrip("\n") + "\n" + platform_section()
+    text = page(fits, date).rstrip("\n") + "\n" + platform_section() + sizes_section()
     if "--check" in sys.argv:
         with open(PAGE, encoding="utf-8") as handle:
             if handle.read() != text:
--- a/tests/platform/test_large.c
+++ b/tests/platform/test_large.c
@@ -5,11 +5,70 @@
 
 #include "platform/large_lab.h"
 
+/** Half of what a process may take on the smallest boxes: the rest is for what the test does not do. */
+enum { CONTROL_KB_MAX = 44 * 1024, ENTRY_KB_MAX = 44 * 1024 };
+
+/* ===== Looking ===== */
+
+/** Promise: no process takes more memory than there is, whatever configuration was accepted. */
+static void expect_bounded(const large_t *w)
+{
+    for (int i = 0; i < CONTROLS; i++)
+        if (w->control[i].process.pid)
+            g_assert_cmpint(peak_kb(&w->control[i].process), <=, CONTROL_KB_MAX);
+    g_assert_cmpint(peak_kb(&w->forward), <=, ENTRY_KB_MAX);
+}
+
+/** Whether the process logged an event about a version. */
+static bool has_said(const process_t *p, const char *event, uint64_t version)
+{
+    char *const path = g_strconcat(p->settings, ".log", NULL);
+    char *const what = g_strdup_printf("\"event\":\"%s\",\"version\":%" G_GUINT64_FORMAT, event, version);
+    char *text = NULL;
+    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    const bool said = strstr(text, what) != NULL;
+    g_free(path);
+    g_free(what);
+    g_free(text);
+    return said;
+}
+
+static bool pieces_have_come(void *arg)
+{
+    return counter_read("trackcove_fetch_pieces_total") >= ((const large_t *)arg)->pieces;
+}
+
+/* ===== Configurations ===== */
+
+/** One of 6 MB, the largest text that is taken, whose routes have long paths.
+ * @param by_lot letters of each path that no packing makes fewer: 68 pack to 0.98 of the most that is accepted */
+static char *make_config_by_lot(uint64_t version, int by_lot)
+{
+    enum { SIZE = 6 * 1024 * 1024 - 8192, PATH = 200 };
+    GRand *const random = g_rand_new_with_seed(11);
+    GString *const text = g_string_new(NULL);
+    g_string_append_printf(text, "{\"version\":%" G_GUINT64_FORMAT ",\"services\":[{\"name\":\"s\"}],\"routes\":[",
+                           version);
+    for (int i = 0; text->len < SIZE; i++) {
+        g_string_append_printf(text,
+                               "%s{\"host\":\"h.example\",\"timeout_ms\":9,\"service\":\"s\",\"path_prefix\":\"/%d",
+                               i ? "," : "", i);
+        for (int k = 0; k < PATH; k++)
+            g_string_append_c(text, k < by_lot ? (char)g_rand_int_range(random, 'a', 'z') : 'x');
+        g_string_append(text, "/\"}");
+    }
+    g_string_append(text, "]}");
+    g_rand_free(random);
+    return g_string_free(text, FALSE);
+}
+
 /** What operators had when it went wrong: three times 1,400 routes more. */
 static const int GROWTH[] = {1400, 2800, 4200};
 /** The largest of them, once more by the same step. */
 enum { LARGE = 5600 };
 
+/* ===== Tests ===== */
+
 /** Each change reaches every box, and no control box takes more than it may. */
 static void test_growing(large_t *w, gconstpointer data)
 {
