--- a/lib/cluster/fetch.c
+++ b/lib/cluster/fetch.c
@@ -82,12 +82,13 @@
         f->again_at = tc_time_now() + AGAIN_MS;
 }
 
-static void begin(fetch_t *f, const document_head_t *head, const char *from)
+/** @param spread whether any control box may be asked first */
+static void begin(fetch_t *f, const document_head_t *head, const char *from, bool spread)
 {
     if (!document_arrival_begin(&f->arrival, head))
         return;
     codec_copy_string(f->told_by, sizeof(f->told_by), from);
-    f->turn = 0;
+    f->turn = spread ? 0 : 1;
     choose_source(f);
     if (!f->waiting)
         ask(f); /* else the answer that is under way goes on with this document */
@@ -116,7 +117,7 @@
     const document_head_t next = f->next;
     f->next = (document_head_t){0};
     if (next.version > 0)
-        begin(f, &next, f->next_told);
+        begin(f, &next, f->next_told, true);
 }
 
 static void on_piece(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
@@ -138,9 +139,11 @@
             begin_again(f);
         return;
     }
-    /* Whoever has a newer one may be the last to have had this one. */
-    if (piece && piece->head.version > f->arrival.head.version)
-        begin(f, &piece->head, f->source);
+    const document_head_t *const theirs = piece ? &piece->head : NULL;
+    if (theirs && theirs->version > f->arrival.head.version)
+        begin(f, theirs, f->source, true); /* this one may be nowhere any more */
+    else if (theirs && theirs->version == f->arrival.head.version && theirs->body_hash != f->arrival.head.body_hash)
+        begin(f, theirs, f->source, false); /* the same text, packed in another way: all of it from there */
     else
         try_elsewhere(f, piece != NULL);
 }
@@ -152,7 +155,7 @@
     if (head->version <= held || head->packed == 0)
         return;
     if (!f->arrival.body) {
-        begin(f, head, from);
+        begin(f, head, from, true);
     } else if (head->version == f->arrival.head.version) {
         codec_copy_string(f->told_by, sizeof(f->told_by), from); /* the newest to have it is there most likely */
     } else if (head->version > f->arrival.head.version && head->version > f->next.version) {
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -54,12 +54,6 @@
     return packed;
 }
 
-static bool read_plain(const log_entry_t *entry, document_t *whole)
-{
-    *whole = read_document(entry->data, entry->data_n);
-    return true;
-}
-
 static void note_version(replica_t *r)
 {
     counter_set(&c_version, (int64_t)r->document.version);
@@ -90,8 +84,10 @@
 static bool add_piece(replica_t *r, const log_entry_t *entry, document_t *whole)
 {
     document_piece_t piece;
-    if (codec_unpack_bytes(&document_piece_desc, &piece, entry->data, entry->data_n, NULL) < 0)
-        return read_plain(entry, whole);
+    if (codec_unpack_bytes(&document_piece_desc, &piece, entry->data, entry->data_n, NULL) < 0) {
+        *whole = read_document(entry->data, entry->data_n);
+        return true;
+    }
     if (piece.offset == 0) {
         const bool fits = document_arrival_begin(&r->arrival, &piece.head);
         assert(fits); /* checked when it was offered */
--- a/lib/cluster/replica_offers.c
+++ b/lib/cluster/replica_offers.c
@@ -167,7 +167,7 @@
         return;
     case DOCUMENT_NEWER: break;
     }
-    if (!log_writer_has_room(r->writer)) {
+    if (document->body_n > DOCUMENT_BODY_MAX || !log_writer_has_room(r->writer)) {
         done(arg, TC_E_FULL);
         return;
     }
--- /dev/null
+++ b/tests/unit/test_fetch.c
@@ -0,0 +1,318 @@
+/* Fetching a document piece by piece from boxes that lack it, die, damage it, or packed it in another way. The boxes
+ * are fakes in the test's own loop, which answer from the document that they are given. */
+
+#include <glib.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+#include <zstd.h>
+
+#include "cluster/fetch.h"
+#include "common/codec.h"
+#include "harness/lab.h"
+
+enum { BOXES = 3 };
+
+/* ===== The world ===== */
+
+/** A box that may have a document. */
+typedef struct {
+    peer_net_t *net;
+    char addr[32];
+    document_t document;
+    unsigned asked;      /* pieces */
+    unsigned dies_after; /* says nothing more from then on; 0: never */
+    bool damages;        /* a byte of every piece */
+} box_t;
+
+typedef struct {
+    loop_t *loop;
+    box_t boxes[BOXES];
+    raft_member_t members[BOXES];
+    uint32_t members_n; /* that the fetching box knows */
+    char own[32];
+    peer_net_t *net;
+    fetch_t *fetch;
+    GString *text;   /* of the last document that came whole */
+    GArray *arrived; /* uint64_t: versions, in their order */
+    uint64_t want;
+} fixture_t;
+
+static void answer(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    box_t *const box = arg;
+    (void)from;
+    if (type != MSG_FETCH_PIECE || (box->dies_after > 0 && ++box->asked > box->dies_after))
+        return;
+    msg_piece_t reply = {.piece = document_piece(&box->document, message)};
+    char *const data = g_memdup2(reply.piece.data, reply.piece.data_n);
+    if (box->damages && data)
+        data[0] ^= 1;
+    reply.piece.data = data;
+    peer_reply(box->net, call, MSG_PIECE, &reply);
+    g_free(data);
+}
+
+static bool append(void *arg, const char *data, size_t size)
+{
+    g_string_append_len(arg, data, (gssize)size);
+    return true;
+}
+
+static void on_whole(void *arg, document_t *document, const char *from)
+{
+    fixture_t *const f = arg;
+    tc_err_t err = {0};
+    (void)from;
+    g_string_truncate(f->text, 0);
+    g_assert_cmpint(document_read(document, append, f->text, &err), ==, TC_OK);
+    g_array_append_val(f->arrived, document->version);
+}
+
+static uint32_t sources(void *arg, const raft_member_t **list)
+{
+    const fixture_t *const f = arg;
+    *list = f->members;
+    return f->members_n;
+}
+
+static peer_net_t *open_net(loop_t *loop, const char *addr, peer_handler_t handler, void *arg)
+{
+    tc_err_t err = {0};
+    const peer_options_t options = {
+        .box = addr, .incarnation = 1, .listen = addr, .key_file = "", .handler = handler, .arg = arg};
+    peer_net_t *const net = peer_create(loop, &options, &err);
+    g_assert_nonnull(net);
+    return net;
+}
+
+static void nothing(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    (void)arg, (void)call, (void)from, (void)type, (void)message; /* nobody calls this box */
+}
+
+static void on_tick(void *arg)
+{
+    fetch_tick(((fixture_t *)arg)->fetch, tc_time_now());
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->loop = loop_create();
+    f->text = g_string_new(NULL);
+    f->arrived = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    for (int i = 0; i < BOXES; i++) {
+        box_t *const box = &f->boxes[i];
+        lab_free_addr(box->addr);
+        box->net = open_net(f->loop, box->addr, answer, box);
+        codec_copy_string(f->members[i].peer, sizeof(f->members[i].peer), box->addr);
+    }
+    f->members_n = BOXES;
+    lab_free_addr(f->own);
+    f->net = open_net(f->loop, f->own, nothing, NULL);
+    const fetch_events_t events = {.on_whole = on_whole, .sources = sources, .arg = f};
+    f->fetch = fetch_create(f->net, f->own, &events);
+    loop_add_tick(f->loop, 20, on_tick, f);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    loop_remove_ticks(f->loop, f);
+    fetch_stop(f->fetch);
+    peer_destroy(f->net);
+    fetch_destroy(f->fetch);
+    for (int i = 0; i < BOXES; i++) {
+        peer_destroy(f->boxes[i].net);
+        codec_free(&document_desc, &f->boxes[i].document);
+    }
+    g_array_free(f->arrived, TRUE);
+    g_string_free(f->text, TRUE);
+    loop_destroy(f->loop);
+}
+
+/* ===== Documents ===== */
+
+/** A text that packs to some ten pieces. */
+static char *make_text(guint32 seed)
+{
+    GRand *const random = g_rand_new_with_seed(seed);
+    GString *const text = g_string_new(NULL);
+    while (text->len < 20 * DOCUMENT_PIECE)
+        g_string_append_printf(text, "%08x", g_rand_int(random));
+    g_rand_free(random);
+    return g_string_free(text, FALSE);
+}
+
+static void give(box_t *box, uint64_t version, const char *text)
+{
+    document_make(&box->document, version, text, strlen(text));
+}
+
+/** The same text as it would be packed elsewhere. */
+static void give_packed_otherwise(box_t *box, uint64_t version, const char *text)
+{
+    document_t *const d = &box->document;
+    give(box, version, text);
+    const size_t room = ZSTD_compressBound(strlen(text));
+    char *const body = g_malloc(room);
+    ZSTD_CCtx *const context = ZSTD_createCCtx();
+    ZSTD_CCtx_setParameter(context, ZSTD_c_compressionLevel, 9);
+    ZSTD_CCtx_setParameter(context, ZSTD_c_windowLog, 16);
+    const size_t n = ZSTD_compress2(context, body, room, text, strlen(text));
+    ZSTD_freeCCtx(context);
+    g_assert_true(n != d->body_n || memcmp(body, d->body, n) != 0);
+    codec_set_text(&d->body, &d->body_n, body, n);
+    d->body_hash = XXH64(body, n, 0);
+    g_free(body);
+}
+
+static void hear(fixture_t *f, const box_t *box)
+{
+    const document_head_t head = document_head(&box->document);
+    fetch_hear(f->fetch, &head, box->addr, 0);
+}
+
+static bool has_wanted(void *arg)
+{
+    const fixture_t *const f = arg;
+    return f->arrived->len > 0 && g_array_index(f->arrived, uint64_t, f->arrived->len - 1) == f->want;
+}
+
+static void expect(fixture_t *f, uint64_t version, const char *text)
+{
+    f->want = version;
+    lab_run_until(f->loop, has_wanted, f);
+    g_assert_cmpstr(f->text->str, ==, text);
+    g_assert_false(fetch_is_busy(f->fetch));
+}
+
+/* ===== Tests ===== */
+
+/** Whoever is asked first: only the box that told has it. */
+static void test_others_lack_it(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(1);
+    for (int i = 0; i < BOXES; i++) {
+        give(&f->boxes[i], 10 + (uint64_t)i, text);
+        hear(f, &f->boxes[i]);
+        expect(f, 10 + (uint64_t)i, text);
+    }
+    g_free(text);
+}
+
+/** The box that told dies in the middle, and those it knows of have it. */
+static void test_source_dies(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(2);
+    for (int i = 0; i < BOXES; i++)
+        give(&f->boxes[i], 7, text);
+    f->members_n = 1; /* whichever is asked first dies */
+    f->boxes[0].dies_after = 3;
+    hear(f, &f->boxes[0]);
+    lab_run_for(f->loop, 100);
+    f->members_n = BOXES;
+    expect(f, 7, text);
+    g_free(text);
+}
+
+static void test_damaged(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(3);
+    for (int i = 0; i < BOXES; i++) {
+        give(&f->boxes[i], 7, text);
+        f->boxes[i].damages = i < 2;
+    }
+    hear(f, &f->boxes[2]);
+    expect(f, 7, text);
+    g_free(text);
+}
+
+/** Boxes that packed the same text in different ways: pieces are not mixed, and the fetch ends. */
+static void test_packed_otherwise(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(4);
+    for (uint64_t version = 7; version < 13; version++) {
+        for (int i = 0; i < BOXES; i++)
+            if (i == (int)version % BOXES)
+                give_packed_otherwise(&f->boxes[i], version, text);
+            else
+                give(&f->boxes[i], version, text);
+        hear(f, &f->boxes[version % 2]);
+        expect(f, version, text);
+    }
+    g_free(text);
+}
+
+/** The same when the only box that packed it that way dies in the middle: all of it anew, from the others. */
+static void test_packed_otherwise_and_gone(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(8);
+    give_packed_otherwise(&f->boxes[0], 7, text);
+    give(&f->boxes[1], 7, text);
+    give(&f->boxes[2], 7, text);
+    f->boxes[0].dies_after = 3;
+    hear(f, &f->boxes[0]);
+    expect(f, 7, text);
+    g_free(text);
+}
+
+/** What has begun to arrive is fetched to its end while somebody has it; then the newest, and none between. */
+static void test_newer_waits(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const first = make_text(5), *const second = make_text(6);
+    document_t middle = {0};
+    give(&f->boxes[0], 7, first);
+    give(&f->boxes[1], 9, second);
+    f->members_n = 0; /* only those who tell are asked */
+    document_make(&middle, 8, "between", 7);
+    hear(f, &f->boxes[0]);
+    const document_head_t between = document_head(&middle);
+    fetch_hear(f->fetch, &between, f->boxes[2].addr, 0);
+    hear(f, &f->boxes[1]);
+    expect(f, 9, second);
+    g_assert_cmpuint(f->arrived->len, ==, 2);
+    g_assert_cmpuint(g_array_index(f->arrived, uint64_t, 0), ==, 7);
+    codec_free(&document_desc, &middle);
+    g_free(first);
+    g_free(second);
+}
+
+/** A document that nobody has any more gives way to the one that replaced it. */
+static void test_gone(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(7);
+    document_t gone = {0};
+    document_make(&gone, 7, "gone", 4);
+    for (int i = 0; i < BOXES; i++)
+        give(&f->boxes[i], 8, text);
+    const document_head_t head = document_head(&gone);
+    fetch_hear(f->fetch, &head, f->boxes[1].addr, 0);
+    expect(f, 8, text);
+    fetch_hear(f->fetch, &head, f->boxes[1].addr, 8);
+    g_assert_false(fetch_is_busy(f->fetch)); /* never back */
+    codec_free(&document_desc, &gone);
+    g_free(text);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/fetch/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("others-lack-it", test_others_lack_it);
+    TEST("source-dies", test_source_dies);
+    TEST("damaged", test_damaged);
+    TEST("packed-otherwise", test_packed_otherwise);
+    TEST("packed-otherwise-and-gone", test_packed_otherwise_and_gone);
+    TEST("newer-waits", test_newer_waits);
+    TEST("gone", test_gone);
+    return g_test_run();
+}
