A stream that broke waits for room as long as its caller bears the pause

Cause: the time to wait for room counted from the request's arrival, which is long past for a stream under way; in the box's own placement it was ruled out outright. Change: a stream that has begun waits from its last event until 0.4 s before its caller gives up. Test: /forward/broken-stream-waits-for-room fails before (the answer is cut), passes. What is left: the silent engine is cancelled before another one is certain.

--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -100,7 +100,7 @@
 bool hold_wait(forward_t *f)
 {
     const tc_time_t until = f->handle.instance ? f->handle.until : place_until(f);
-    if (f->begun || !forward_try_soon(f, until))
+    if (!forward_try_soon(f, until))
         return false;
     f->hold.tries = 0;
     return true;
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -18,6 +18,12 @@
 enum { OWN_ATTEMPTS = 1000000 };
 /** A leader heard within this time is there: two reports, and the time of an answer. */
 enum { ALIVE_MS = 700 };
+/** Callers give a stream up after the longest of this pause in ms, these multiples of the route's aim, and of the pause
+ *  that it wants: as the users' platform tells of them. */
+enum { BORNE_MS = 2000, BORNE_AIMS = 4, BORNE_PAUSES = 8 };
+/** Of that pause, what taking a stream up takes at the new engine: some 200 ms to read the prompt again, and as much
+ * for the question and the first event of an engine with others. */
+enum { RESUME_MS = 400 };
 /** All engines are one cell. */
 static const char CELL[] = "main";
 
@@ -57,10 +63,13 @@
     renew_soon(f->owner);
 }
 
-/** No engine had room for a prompt that is read already: a place may be free before the result lapses. */
+/** No engine had room for a prompt that is read already, or for a stream that broke: a place may be free before the
+ *  result lapses, or the caller gives up. */
 static bool try_on_soon(forward_t *f)
 {
-    if (!f->handle.instance || !forward_try_soon(f, f->handle.until))
+    if (!f->handle.instance && !f->begun)
+        return false;
+    if (!forward_try_soon(f, f->handle.instance ? f->handle.until : place_until(f)))
         return false;
     place_alone(f);
     return true;
@@ -145,8 +154,18 @@
     return ask(f, MSG_PLACE, &place);
 }
 
+/** How long a caller bears a pause of a stream: it gives up after the longest of these. */
+static tc_time_t borne_pause(const route_t *route)
+{
+    const tc_time_t by_aims = MAX(BORNE_AIMS * route->aim, BORNE_PAUSES * route->pause_aim);
+    return MAX((tc_time_t)BORNE_MS, by_aims);
+}
+
 tc_time_t place_until(const forward_t *f)
 {
+    if (f->event_at >
+        0) /* its caller holds a part of the answer: it is cut off only when nobody waits for the rest any more */
+        return f->event_at + borne_pause(f->route) - RESUME_MS;
     return f->request.arrived + (tc_time_t)(PLACE_WAIT_AIMS * (double)f->route->aim);
 }
 
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -109,6 +109,7 @@
                                      ROUTE("lm", "stream", "9000", "1", "lm"),
                                      ROUTE("again", "stream", "9000", RESUMABLE, "lm"),
                                      ROUTE("held", "stream", "9000", "1", "held"),
+                                     ROUTE("held-again", "stream", "9000", RESUMABLE, "held"),
                                      NULL};
 
 static const char *const services[] = {"{\"name\":\"app\"}", "{\"name\":\"lm\"," ENGINE("") "}",
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -254,6 +254,16 @@
     lab_run_until(f->loop, was_released, f);
 }
 
+/** A stream that broke, and for which no engine has room at that moment, is not cut off at once: its caller bears a
+ *  pause, and room comes. */
+static void test_broken_stream_waits_for_room(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"held", "decode", "HTn", false, false}, {"held", "decode", "nnHU", true, false}},
+              2);
+    expect(f, "/held-again/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 static void test_broken_stream_does_not_look_whole(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -421,6 +431,7 @@
     TEST("prefill-then-decode", test_prefill_then_decode);
     TEST("refused-decode-keeps-the-prefill", test_refused_decode_keeps_the_prefill);
     TEST("unused-prefill-is-released", test_unused_prefill_is_released);
+    TEST("broken-stream-waits-for-room", test_broken_stream_waits_for_room);
     TEST("broken-stream-does-not-look-whole", test_broken_stream_does_not_look_whole);
     TEST("resumable-stream-goes-on-elsewhere", test_resumable_stream_goes_on_elsewhere);
     TEST("resumable-stream-goes-on-where-it-was", test_resumable_stream_goes_on_where_it_was);
