--- a/tests/unit/test_fetch.c
+++ b/tests/unit/test_fetch.c
@@ -157,6 +157,7 @@
     give(box, version, text);
     const size_t room = ZSTD_compressBound(strlen(text));
     char *const body = g_malloc(room);
+    g_assert_nonnull(body);
     ZSTD_CCtx *const context = ZSTD_createCCtx();
     ZSTD_CCtx_setParameter(context, ZSTD_c_compressionLevel, 9);
     ZSTD_CCtx_setParameter(context, ZSTD_c_windowLog, 16);
