--- a/lib/common/json_stream.c
+++ b/lib/common/json_stream.c
@@ -53,8 +53,10 @@
     if (!value)
         return fail(s, "a value can't be read");
     if (s->open->len == 0) {
-        if (!s->inside)
+        if (!s->inside) {
+            json_decref(value);
             return fail(s, "is no object");
+        }
         return deliver(s, s->listing ? JSON_STREAM_ELEMENT : JSON_STREAM_VALUE, value);
     }
     json_t *const parent = g_ptr_array_index(s->open, s->open->len - 1);
--- a/tests/platform/large_lab.h
+++ b/tests/platform/large_lab.h
@@ -320,6 +320,8 @@
     }
     folder_empty(w->root);
     g_rmdir(w->root);
+    web_client_destroy(w->client);
+    loop_destroy(w->loop);
 }
 
 #endif
