A function that nothing calls is gone

Reading the change again: document_copy was left when documents came to be moved, not copied; no program and no test called it. Behaviour is as it was. The whole check was not run again.

--- a/lib/cluster/document.c
+++ b/lib/cluster/document.c
@@ -30,16 +30,6 @@
     to->body_hash = XXH64(body, packed, 0);
 }
 
-void document_copy(document_t *to, const document_t *from)
-{
-    char *body = NULL;
-    uint32_t n = 0;
-    codec_set_text(&body, &n, from->body ? from->body : "", from->body_n);
-    codec_free(&document_desc, to);
-    *to = *from;
-    to->body = body;
-}
-
 int document_read(const document_t *document, pack_sink_t sink, void *arg, tc_err_t *err)
 {
     return pack_expand(document->body, document->body_n, sink, arg, err);
--- a/lib/cluster/document.h
+++ b/lib/cluster/document.h
@@ -45,8 +45,6 @@
 
 /** Make a document of a text. @param to is replaced; to be freed with codec_free */
 void document_make(document_t *to, uint64_t version, const char *text, size_t size);
-/** Replace what @p to holds by a copy. */
-void document_copy(document_t *to, const document_t *from);
 /** Hand the text to @p sink piece by piece. @return as pack_expand */
 int document_read(const document_t *document, pack_sink_t sink, void *arg, tc_err_t *err);
 document_head_t document_head(const document_t *document);
