--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -306,8 +306,9 @@
 
 /* ===== Life ===== */
 
-void placing_tick(placing_t *p, uint64_t term, uint32_t boxes, tc_time_t now)
+void placing_tick(placing_t *p, const placing_lease_t *lease, uint32_t boxes, tc_time_t now)
 {
+    const uint64_t term = lease->term;
     if (p->sched && term != p->term) {
         sched_destroy(p->sched); /* whoever waits asks the next leader, or places by itself */
         p->sched = NULL;
@@ -326,6 +327,7 @@
     }
     if (!p->sched)
         return;
+    sched_suspend(p->sched, !lease->held);
     sched_expect_reports(p->sched, boxes);
     sched_tick(p->sched, now);
     pump(p, now);
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -32,6 +32,13 @@
     double link_tokens_s;   /**< KV cache that an engine's link carries, tokens a second */
 } placing_service_t;
 
+/** What this box knows of its leadership. */
+typedef struct {
+    uint64_t term; /**< 0: this box does not lead */
+    bool held;     /**< whether it holds the lease now. Without it nothing is granted, but nothing is forgotten either:
+                        it may have it again a few ms later, and nobody else can lead meanwhile */
+} placing_lease_t;
+
 /* ===== Public functions ===== */
 
 /** @param net borrowed; answers go out through it
@@ -57,9 +64,8 @@
  *  @return that service's name, borrowed until services are set again; or "", with nothing filled in */
 const char *placing_work(const placing_t *placing, double *prefill, double *decode);
 
-/** Call every tick. @param term of the leadership, 0 when this box does not lead @param boxes entry boxes that are
- *  there */
-void placing_tick(placing_t *placing, uint64_t term, uint32_t boxes, tc_time_t now);
+/** Call every tick, and when the lease changes. @param boxes entry boxes that are there */
+void placing_tick(placing_t *placing, const placing_lease_t *lease, uint32_t boxes, tc_time_t now);
 
 /** Take a message. The scheduler's are answered, with TC_E_NOT_LEADER while this box does not lead.
  *  @return false, with nothing done, when it is none of the scheduler's */
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -22,6 +22,12 @@
     SNAPSHOT_QUIET_MS = 250
 };
 
+/** A leader whose lease has just lapsed still leads for those who report and ask, for as long as no other box can have
+ *  been elected: voters that have answered it vote for nobody within RAFT_ELECTION_MIN_MS of that. The 20 ms are for
+ *  clocks that drift. Lapses of 25 to 50 ms were seen twice a second where links were full; each had 300 boxes place by
+ *  themselves, and the scheduler begin anew. */
+enum { LEAD_KEPT_MS = RAFT_ELECTION_MIN_MS - 20 };
+
 /* ===== Log lines ===== */
 
 static void log_cluster(const replica_t *r, const char *event)
@@ -37,6 +43,25 @@
     log_end(&line);
 }
 
+/** Why a lease lapsed, as far as this box can see: what its loop stood still for, and what waits to be sent. */
+static void log_lapse(const replica_t *r, const char *event, tc_time_t now)
+{
+    const loop_turn_t turn = loop_longest_turn(r->loop);
+    const peer_backlog_t waiting = peer_backlog(r->net, now);
+    const tc_time_t age = raft_quorum_age(r->raft, now);
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "lease_lapsed");
+    log_str(&line, "what", event);
+    log_int(&line, "term", (int64_t)raft_view(r->raft).term);
+    log_int(&line, "quorum_age_ms", age == TC_TIME_NEVER ? -1 : age);
+    log_int(&line, "longest_turn_ms", turn.took);
+    log_str(&line, "longest_turn_in", turn.what);
+    log_int(&line, "queued_bytes", (int64_t)waiting.bytes);
+    log_int(&line, "oldest_frame_ms", waiting.oldest);
+    log_str(&line, "oldest_frame_to", waiting.addr);
+    log_end(&line);
+}
+
 /* ===== What the log applies ===== */
 
 /** A document as it lies in a snapshot, or in entries written before there were pieces. */
@@ -137,7 +162,7 @@
         if (r->known.list[i].id == action->to)
             addr = r->known.list[i].peer;
     if (addr[0])
-        peer_send(r->net, addr, action->type, action->message);
+        peer_send_first(r->net, addr, action->type, action->message);
 }
 
 /** The part of an action that does not concern the disk. */
@@ -223,6 +248,21 @@
     replica_pump(r);
 }
 
+/** Begin, suspend or end what a leader does, by its lease. */
+static void note_lead(replica_t *r, tc_time_t now)
+{
+    const bool keeps = replica_keeps_lead(r);
+    const placing_lease_t lease = {.term = keeps ? raft_view(r->raft).term : 0, .held = replica_leads(r)};
+    if (r->held && !lease.held)
+        log_lapse(r, keeps ? "the lease lapsed" : "the lease is over", now);
+    if (keeps != r->led)
+        log_cluster(r, keeps ? "this box leads" : "this box leads no more");
+    r->held = lease.held;
+    r->led = keeps;
+    counter_set(&c_leads, lease.held);
+    placing_tick(r->placing, &lease, roster_count(r->roster), now);
+}
+
 static void on_tick(void *arg)
 {
     replica_t *const r = arg;
@@ -236,12 +276,7 @@
     }
     replica_pump(r);
     roster_expire(r->roster, now);
-    const bool leads = replica_leads(r);
-    if (leads != r->led)
-        log_cluster(r, leads ? "this box leads" : "this box leads no more");
-    r->led = leads;
-    counter_set(&c_leads, leads);
-    placing_tick(r->placing, replica_term(r), roster_count(r->roster), now);
+    note_lead(r, now);
     offers_look(r, now);
 }
 
@@ -251,7 +286,7 @@
         return;
     log_cluster(r, "this box resigns");
     replica_pump(r);
-    placing_tick(r->placing, 0, 0, tc_time_now()); /* whoever waits for a placement asks the next leader */
+    note_lead(r, tc_time_now()); /* whoever waits for a placement asks the next leader */
 }
 
 /* ===== Looking ===== */
@@ -261,6 +296,13 @@
     return log_writer_leads(r->writer, r->raft, tc_time_now());
 }
 
+bool replica_keeps_lead(const replica_t *r)
+{
+    const bool acts = !log_writer_is_stalled(r->writer);
+    /* A leader that has just been elected leads once it holds the lease for the first time. */
+    return acts && raft_quorum_age(r->raft, tc_time_now()) < (r->led ? LEAD_KEPT_MS : RAFT_LEASE_MS);
+}
+
 const document_t *replica_read(const replica_t *r)
 {
     /* Promise: a read is certain. With the lease no other box can have accepted anything newer, and everything
@@ -360,6 +402,7 @@
     r->options = *options;
     r->writer = log_writer_create(store);
     r->roster = roster_create();
+    r->told = list_history_create(sizeof(backend_t));
     CDS_INIT_LIST_HEAD(&r->offers);
     replica_reseed(r, options->seeds);
     fill_self(r, start.id);
@@ -397,7 +440,7 @@
     codec_free(&raft_members_desc, &r->known);
     g_strfreev(r->seeds);
     free(r->backends);
-    free(r->told);
+    list_history_destroy(r->told);
     free(r->moving);
     g_free(r);
 }
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -51,14 +51,15 @@
     tc_time_t applied_at;       /* when the last one was */
     struct cds_list_head offers;
     tc_time_t join_at, announce_at;
-    bool led; /* at the last look */
+    bool led, held; /* at the last look: this box led, and with its lease */
     bool pumping;
     roster_t *roster;
     placing_t *placing;
     backend_t *backends; /* as discovery has them */
-    backend_t *told;     /* the same, with engines that change their role as leaving */
     uint32_t backends_n;
-    uint64_t told_hash;    /* list_hash of what is told */
+    list_history_t *told;  /* the same, with engines that change their role as leaving */
+    double list_bytes;     /* that whole lists may take in answers now, */
+    tc_time_t list_at;     /* as of then */
     leaving_cfg_t *moving; /* engines that change their role */
     uint32_t moving_n;
     tc_time_t backends_fetched; /* 0: never */
@@ -68,6 +69,8 @@
 
 /** Do what the log asks. */
 void replica_pump(replica_t *r);
+/** Whether this box leads, though its lease may have lapsed a moment ago: no other one can lead yet. */
+bool replica_keeps_lead(const replica_t *r);
 
 /* ===== replica_offers.c ===== */
 
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -16,18 +16,32 @@
 /** A new leader tells no list of boxes before all had the time to report to it. */
 enum { ROSTER_SETTLE_MS = 1000 };
 
+enum {
+    /* Whole lists, and long differences, are told at this rate, to one box after the other. After a restart of
+     * everything 300 boxes ask for 60 KB each at once: in full they would keep a link of 12 MB/s from everything else
+     * for a second and a half, heartbeats among it. */
+    LIST_BYTES_S = 4 * 1024 * 1024,
+    LIST_BYTES_MOST = LIST_BYTES_S / 4,
+    RECORD_BYTES = 128, /* of a record on its way, at most */
+    SHORT_NEWS = 8,     /* records that are told at any time */
+    /* Between two answers to one box that tell the loads of engines: it needs them while it places alone, and those of
+     * 256 engines are 5 KB, 300 times in this time. Loads of other back ends, a few, are in each answer. */
+    ENGINE_LOADS_MS = 1500
+};
+
 /* ===== Back ends ===== */
 
 /** Make the list as boxes and the scheduler get it: engines that change their role are told as leaving. */
 static void tell_backends(replica_t *r)
 {
-    const size_t size = r->backends_n * sizeof(*r->backends);
-    free(r->told);
-    r->told = list_copy(r->backends, size);
+    backend_t *const list = list_copy(r->backends, r->backends_n * sizeof(*list));
     for (uint32_t i = 0; i < r->backends_n; i++)
-        r->told[i].draining = r->told[i].draining || list_has_name(r->moving, r->moving_n, r->told[i].id);
-    r->told_hash = list_hash(r->told, size);
-    placing_set_backends(r->placing, r->told, r->backends_n);
+        list[i].draining = list[i].draining || list_has_name(r->moving, r->moving_n, list[i].id);
+    (void)list_history_set(r->told, list, r->backends_n);
+    free(list);
+    uint32_t n;
+    const backend_t *const told = list_history_list(r->told, &n);
+    placing_set_backends(r->placing, told, n);
 }
 
 void replica_set_backends(replica_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
@@ -50,34 +64,82 @@
     tell_backends(r);
 }
 
-static void add_backends(const replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
+/* ===== Lists within their share of the link ===== */
+
+/** Whether news of this length may be told now; a box that is told nothing asks again with its next report. */
+static bool may_tell(replica_t *r, const list_news_t *news, tc_time_t now)
+{
+    const uint32_t records = news->changed_n + news->gone_n;
+    if (records <= SHORT_NEWS)
+        return true;
+    const double due = (double)LIST_BYTES_S * (double)(now - r->list_at) / 1000;
+    r->list_bytes = MIN(r->list_bytes + due, LIST_BYTES_MOST);
+    r->list_at = now;
+    if (r->list_bytes <= 0)
+        return false;
+    r->list_bytes -= (double)records * RECORD_BYTES;
+    return true;
+}
+
+static void add_backends(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
 {
     if (r->backends_fetched == 0)
         return;
+    const list_news_t news = list_history_news(r->told, report->backends_hash);
+    if (!may_tell(r, &news, now))
+        return;
     ack->has_backends = true;
     ack->backends_age_ms = (uint64_t)(now - r->backends_fetched);
-    ack->backends_hash = r->told_hash;
-    if (report->backends_hash == r->told_hash)
+    ack->backends_hash = list_history_hash(r->told);
+    ack->backends_base = news.base;
+    ack->backends = (backend_t *)(uintptr_t)news.changed;
+    ack->backends_n = news.changed_n;
+    ack->backends_gone = (leaving_cfg_t *)(uintptr_t)news.gone;
+    ack->backends_gone_n = news.gone_n;
+}
+
+static void add_entries(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
+{
+    list_history_t *const list = roster_list(r->roster);
+    const list_news_t news = list_history_news(list, report->entries_hash);
+    if (!may_tell(r, &news, now))
         return;
-    ack->backends = r->told;
-    ack->backends_n = r->backends_n;
+    ack->has_entries = true;
+    ack->entries_hash = list_history_hash(list);
+    ack->entries_base = news.base;
+    ack->entries = (entry_box_t *)(uintptr_t)news.changed;
+    ack->entries_n = news.changed_n;
+    ack->entries_gone = (leaving_cfg_t *)(uintptr_t)news.gone;
+    ack->entries_gone_n = news.gone_n;
 }
 
 /* ===== Answers to reports ===== */
 
-/** What only the leader knows. The lists of loads and boxes in @p ack are to be freed with free. */
+/** What the other boxes have in flight. The list is to be freed with free. */
+static void add_loads(const replica_t *r, const char *box, msg_report_ack_t *ack, tc_time_t now)
+{
+    uint32_t n;
+    const backend_t *const told = list_history_list(r->told, &n);
+    ack->loads_partial = !roster_wants_engines(r->roster, box, ENGINE_LOADS_MS, now);
+    ack->loads = calloc(n + 1, sizeof(*ack->loads));
+    if (!ack->loads)
+        abort();
+    for (uint32_t i = 0; i < n; i++) {
+        const bool skipped = ack->loads_partial && told[i].stage[0];
+        if (!skipped && roster_load(r->roster, box, told[i].id, &ack->loads[ack->loads_n]))
+            ack->loads_n++;
+    }
+}
+
+/** What only the leader knows. The list of loads in @p ack is to be freed with free. */
 static void add_boxes(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t leader_since,
                       tc_time_t now)
 {
     if (report->self.http_addr[0]) /* others only listen */
         roster_hear(r->roster, report, now);
-    ack->loads = roster_loads(r->roster, report->self.box, &ack->loads_n);
-    if (now - leader_since <= ROSTER_SETTLE_MS)
-        return;
-    ack->entries = roster_list(r->roster, &ack->entries_n, &ack->entries_hash);
-    ack->has_entries = true;
-    if (report->entries_hash == ack->entries_hash)
-        ack->entries_n = 0;
+    add_loads(r, report->self.box, ack, now);
+    if (now - leader_since > ROSTER_SETTLE_MS)
+        add_entries(r, report, ack, now);
 }
 
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now)
@@ -85,7 +147,7 @@
     counter_add(&c_reports, 1);
     const raft_member_t *const leader = raft_find_member(r->raft, log_writer_leader(r->writer, r->raft));
     const raft_members_t *const members = raft_members(r->raft);
-    msg_report_ack_t ack = {.leads = replica_leads(r), .members = members->list, .members_n = members->list_n};
+    msg_report_ack_t ack = {.leads = replica_keeps_lead(r), .members = members->list, .members_n = members->list_n};
     codec_copy_string(ack.leader, sizeof(ack.leader), leader ? leader->peer : "");
     ack.head = document_head(&r->document);
     codec_copy_string(ack.peer, sizeof(ack.peer), r->self.peer);
@@ -94,7 +156,6 @@
         add_boxes(r, report, &ack, raft_view(r->raft).leader_since, now);
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
     free(ack.loads);
-    free(ack.entries);
     offers_look(r, now);
 }
 
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -8,6 +8,7 @@
 #include "cluster/document.h"
 #include "cluster/fetch.h"
 #include "cluster/list.h"
+#include "cluster/list_history.h"
 #include "common/counter.h"
 #include "common/log.h"
 
@@ -20,12 +21,15 @@
 
 enum {
     TICK_MS = 50,
-    EVERY_MS = 300,  /* between reports: a fifth of the time after which a box that says nothing is left out */
-    AGAIN_MS = 100,  /* to the next control box, when one did not lead */
-    LIMIT_MS = 450,  /* for one report: an answer in reach takes a few ms */
-    ALONE_MS = 1000, /* without any control box for so long, other boxes are asked too */
-    LEARN_MS = 50,   /* between questions to all control boxes at once while no document is known: until then every
-                         request is refused */
+    EVERY_MS = 300,      /* between reports: a fifth of the time after which a box that says nothing is left out */
+    AGAIN_MS = 100,      /* to the next control box, when one did not lead */
+    LIMIT_MS = 450,      /* for one report: an answer in reach takes a few ms */
+    ALONE_MS = 1000,     /* without any control box for so long, other boxes are asked too */
+    LEARN_MS = 50,       /* between questions to all control boxes at once while no document is known: until then every
+                             request is refused. */
+    LEARN_MOST_MS = 800, /* The pause doubles up to this: hundreds of boxes that start at once, before there is any
+                            document, would ask control 20,000 times a second */
+    AROUND_MS = 500, /* between questions to other boxes: what one knows is known to 300 after some ten such rounds */
     FAILED_MAX = 2   /* reports that a leader may leave unanswered before another box is asked */
 };
 
@@ -48,7 +52,9 @@
     bool hurry; /* something changed since the report under way was sent */
     tc_time_t next_at;
     tc_time_t learn_at; /* when all are asked, while nothing is known */
-    tc_time_t heard;    /* last answer of a control box */
+    tc_time_t learn_pause;
+    tc_time_t around_at; /* when another box may be asked */
+    tc_time_t heard;     /* last answer of a control box */
     tc_time_t leader_heard;
     bool connected;      /* a leader answered last */
     document_t document; /* newest that was told to the program */
@@ -118,13 +124,11 @@
     fetch_hear(r->fetch, head, from, MAX(r->document.version, r->later.version));
 }
 
-static void set_backends(reporter_t *r, const backend_t *list, uint32_t n, uint64_t hash)
+/** Act on a list in order of names. @param list taken over */
+static void set_backends(reporter_t *r, backend_t *list, uint32_t n, uint64_t hash)
 {
-    if (hash == r->backends_hash)
-        return;
-    backend_t *const copy = list_copy(list, n * sizeof(*list));
     free(r->backends);
-    r->backends = copy;
+    r->backends = list;
     r->backends_n = n;
     r->backends_hash = hash;
     log_line_t line;
@@ -141,7 +145,28 @@
     if (fetched <= r->backends_time)
         return;
     r->backends_time = fetched;
-    set_backends(r, list, n, list_hash(list, n * sizeof(*list)));
+    backend_t *const copy = list_copy(list, n * sizeof(*list));
+    list_sort(copy, n, sizeof(*copy));
+    const uint64_t hash = list_hash(copy, n * sizeof(*copy));
+    if (hash == r->backends_hash)
+        free(copy);
+    else
+        set_backends(r, copy, n, hash);
+}
+
+/** The list that news lead to. @param held hash of the one that this box has
+ * @return heap array for free, or NULL when they do not lead from it to the list they name: the next report says what
+ *         this box has, and is told the difference from that */
+static void *follow_news(const void *list, uint32_t n, uint64_t held, const list_news_t *news, uint64_t hash,
+                         size_t record, uint32_t *applied_n)
+{
+    if (news->base != 0 && news->base != held)
+        return NULL;
+    void *const applied = list_apply(list, n, news, record, applied_n);
+    if (list_hash(applied, *applied_n * record) == hash)
+        return applied;
+    free(applied);
+    return NULL;
 }
 
 static void take_backends(reporter_t *r, const msg_report_ack_t *ack)
@@ -149,23 +174,45 @@
     const tc_time_t fetched = tc_time_now() - (tc_time_t)ack->backends_age_ms;
     if (!ack->has_backends || fetched <= r->backends_time)
         return;
-    if (ack->backends_hash != r->backends_hash && ack->backends_n == 0)
-        return; /* it took us for one who has the list; the next report tells what we have */
+    if (ack->backends_hash == r->backends_hash) {
+        r->backends_time = fetched;
+        return;
+    }
+    const list_news_t news = {.base = ack->backends_base,
+                              .changed = ack->backends,
+                              .changed_n = ack->backends_n,
+                              .gone = ack->backends_gone,
+                              .gone_n = ack->backends_gone_n};
+    uint32_t n;
+    backend_t *const list =
+        follow_news(r->backends, r->backends_n, r->backends_hash, &news, ack->backends_hash, sizeof(backend_t), &n);
+    if (!list)
+        return;
     r->backends_time = fetched;
-    set_backends(r, ack->backends, ack->backends_n, ack->backends_hash);
+    set_backends(r, list, n, ack->backends_hash);
 }
 
 static void take_entries(reporter_t *r, const msg_report_ack_t *ack)
 {
-    if (!ack->has_entries || ack->entries_hash == r->entries_hash || ack->entries_n == 0)
+    if (!ack->has_entries || ack->entries_hash == r->entries_hash)
+        return;
+    const list_news_t news = {.base = ack->entries_base,
+                              .changed = ack->entries,
+                              .changed_n = ack->entries_n,
+                              .gone = ack->entries_gone,
+                              .gone_n = ack->entries_gone_n};
+    uint32_t n;
+    entry_box_t *const list =
+        follow_news(r->entries, r->entries_n, r->entries_hash, &news, ack->entries_hash, sizeof(entry_box_t), &n);
+    if (!list)
         return;
     free(r->entries);
-    r->entries = list_copy(ack->entries, ack->entries_n * sizeof(*ack->entries));
-    r->entries_n = ack->entries_n;
+    r->entries = list;
+    r->entries_n = n;
     r->entries_hash = ack->entries_hash;
     log_line_t line;
     log_begin(&line, LOG_INFO, "boxes");
-    log_int(&line, "count", ack->entries_n);
+    log_int(&line, "count", n);
     log_end(&line);
 }
 
@@ -184,7 +231,8 @@
     take_members(r, ack->members, ack->members_n);
     hear_head(r, &ack->head, ack->peer);
     take_backends(r, ack);
-    take_entries(r, ack);
+    if (ack->leads || r->entries_n == 0)
+        take_entries(r, ack); /* another box's list may be older than this box's */
 }
 
 /* ===== Whom to ask ===== */
@@ -275,7 +323,7 @@
     r->failed = 0;
     take_ack(r, ack);
     if (ack->leads && r->events.on_loads)
-        r->events.on_loads(r->events.arg, ack->loads, ack->loads_n);
+        r->events.on_loads(r->events.arg, ack->loads, ack->loads_n, ack->loads_partial);
     codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
     if (ack->leads || ack->members_n > 0)
         r->heard = now;
@@ -331,7 +379,8 @@
  */
 static void ask_all(reporter_t *r, tc_time_t now)
 {
-    r->learn_at = now + LEARN_MS;
+    r->learn_pause = r->learn_pause ? MIN(2 * r->learn_pause, LEARN_MOST_MS) : LEARN_MS;
+    r->learn_at = now + r->learn_pause;
     msg_report_t report;
     fill_report(r, &report);
     const uint32_t controls = count_controls(r);
@@ -345,6 +394,24 @@
     }
 }
 
+void reporter_ask_around(reporter_t *r, tc_time_t now)
+{
+    if (now < r->around_at)
+        return;
+    r->around_at = now + AROUND_MS;
+    if (r->connected) {
+        reporter_hurry(r);
+        return;
+    }
+    const entry_box_t *const other = r->entries_n ? &r->entries[g_random_int() % r->entries_n] : NULL;
+    if (!other || strcmp(other->peer_addr, r->self->peer_addr) == 0)
+        return;
+    msg_report_t report;
+    fill_report(r, &report);
+    counter_add(&c_reports, 1);
+    peer_call(r->net, other->peer_addr, MSG_REPORT, &report, LIMIT_MS, on_hearsay, r);
+}
+
 /* ===== Time ===== */
 
 static void on_tick(void *arg)
@@ -374,14 +441,18 @@
         ack.has_backends = true;
         ack.backends_age_ms = (uint64_t)(tc_time_now() - r->backends_time);
         ack.backends_hash = r->backends_hash;
+        const bool same = r->backends_hash == report->backends_hash;
+        ack.backends_base = same ? r->backends_hash : 0;
         ack.backends = r->backends;
-        ack.backends_n = r->backends_hash == report->backends_hash ? 0 : r->backends_n;
+        ack.backends_n = same ? 0 : r->backends_n;
     }
     if (r->entries_hash) {
         ack.has_entries = true;
         ack.entries_hash = r->entries_hash;
+        const bool same = r->entries_hash == report->entries_hash;
+        ack.entries_base = same ? r->entries_hash : 0;
         ack.entries = r->entries;
-        ack.entries_n = r->entries_hash == report->entries_hash ? 0 : r->entries_n;
+        ack.entries_n = same ? 0 : r->entries_n;
     }
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
 }
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -29,7 +29,7 @@
     bool (*on_document)(void *arg, const document_t *document);
     void (*on_backends)(void *arg, const backend_t *list, uint32_t n);
     /** What all other boxes together have in flight, after each answer of a leader. */
-    void (*on_loads)(void *arg, const backend_load_t *loads, uint32_t n);
+    void (*on_loads)(void *arg, const backend_load_t *loads, uint32_t n, bool partial);
     /** @return what this box has in flight, for free() */
     backend_load_t *(*loads)(void *arg, uint32_t *n);
     void *arg;
@@ -53,6 +53,10 @@
 
 /** New seeds, copied. */
 void reporter_reseed(reporter_t *reporter, const char *const *controls, const char *const *neighbours);
+/** The list of back ends is stale: ask for a newer one now, the leader while it is in touch, else any other box: what a
+ *  few boxes read spreads from box to box. Call often; it keeps the pauses itself. */
+void reporter_ask_around(reporter_t *reporter, tc_time_t now);
+
 /** Report at once: something changed that others should know. */
 void reporter_hurry(reporter_t *reporter);
 
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -1,26 +1,36 @@
 #include "cluster/roster.h"
 
+#include <assert.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu/list.h>
 
-#include "cluster/list.h"
-
 /* ===== Types ===== */
 
 typedef struct {
     struct cds_list_head node; /* by name */
     entry_box_t box;
     tc_time_t heard;
-    uint64_t version; /* of the document that it acts on */
+    tc_time_t engines_told; /* when it was last told the loads of all back ends */
+    uint64_t version;       /* of the document that it acts on */
     backend_load_t *loads;
     uint32_t loads_n;
 } reported_t;
 
+/** What boxes have in flight at one back end. */
+typedef struct {
+    backend_load_t load;
+    uint32_t parts; /* loads that were added up */
+} sum_t;
+
 struct roster {
     struct cds_list_head members;
+    GHashTable *by_name; /* box -> reported_t */
+    GHashTable *sums;    /* back end -> sum_t of all boxes together, kept as they report */
     uint32_t n;
+    list_history_t *list; /* the boxes as others are told */
+    bool is_listed;       /* list is up to date */
 };
 
 /* ===== Life ===== */
@@ -29,13 +39,82 @@
 {
     roster_t *const r = g_new0(roster_t, 1);
     CDS_INIT_LIST_HEAD(&r->members);
+    r->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    r->sums = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    r->list = list_history_create(sizeof(entry_box_t));
     return r;
 }
 
+/* ===== Loads ===== */
+
+static void sum_add(roster_t *r, const backend_load_t *load)
+{
+    sum_t *sum = g_hash_table_lookup(r->sums, load->id);
+    if (!sum) {
+        sum = g_new0(sum_t, 1);
+        codec_copy_string(sum->load.id, sizeof(sum->load.id), load->id);
+        g_hash_table_insert(r->sums, sum->load.id, sum);
+    }
+    sum->load.running += load->running;
+    sum->load.tokens += load->tokens;
+    sum->parts++;
+}
+
+static void sum_take(roster_t *r, const backend_load_t *load)
+{
+    sum_t *const sum = g_hash_table_lookup(r->sums, load->id);
+    assert(sum && sum->parts > 0); /* it was added before */
+    sum->load.running -= load->running;
+    sum->load.tokens -= load->tokens;
+    if (--sum->parts == 0)
+        g_hash_table_remove(r->sums, load->id);
+}
+
+static void set_loads(roster_t *r, reported_t *m, const backend_load_t *loads, uint32_t n)
+{
+    for (uint32_t i = 0; i < m->loads_n; i++)
+        sum_take(r, &m->loads[i]);
+    g_free(m->loads);
+    m->loads = g_memdup2(loads, n * sizeof(*loads));
+    m->loads_n = n;
+    for (uint32_t i = 0; i < n; i++)
+        sum_add(r, &m->loads[i]);
+}
+
+bool roster_load(const roster_t *r, const char *except, const char *id, backend_load_t *load)
+{
+    const sum_t *const sum = g_hash_table_lookup(r->sums, id);
+    const reported_t *const self = g_hash_table_lookup(r->by_name, except);
+    if (!sum)
+        return false;
+    *load = sum->load;
+    for (uint32_t i = 0; self && i < self->loads_n; i++) {
+        if (strcmp(self->loads[i].id, id) != 0)
+            continue;
+        load->running -= self->loads[i].running;
+        load->tokens -= self->loads[i].tokens;
+    }
+    return load->running > 0;
+}
+
+bool roster_wants_engines(const roster_t *r, const char *box, tc_time_t every, tc_time_t now)
+{
+    reported_t *const m = g_hash_table_lookup(r->by_name, box);
+    if (!m || (m->engines_told > 0 && now - m->engines_told < every))
+        return false;
+    m->engines_told = now;
+    return true;
+}
+
+/* ===== Members ===== */
+
 static void member_drop(roster_t *r, reported_t *m)
 {
     cds_list_del(&m->node);
+    g_hash_table_remove(r->by_name, m->box.box);
+    set_loads(r, m, NULL, 0);
     r->n--;
+    r->is_listed = false;
     g_free(m->loads);
     g_free(m);
 }
@@ -45,6 +124,9 @@
     reported_t *m, *next;
     cds_list_for_each_entry_safe(m, next, &r->members, node)
         member_drop(r, m);
+    g_hash_table_destroy(r->by_name);
+    g_hash_table_destroy(r->sums);
+    list_history_destroy(r->list);
     g_free(r);
 }
 
@@ -52,16 +134,20 @@
 
 static reported_t *member_of(roster_t *r, const char *box)
 {
-    reported_t *m;
+    reported_t *m = g_hash_table_lookup(r->by_name, box);
+    if (m)
+        return m;
+    struct cds_list_head *before = &r->members;
     cds_list_for_each_entry(m, &r->members, node) {
-        const int order = strcmp(m->box.box, box);
-        if (order == 0)
-            return m;
-        if (order > 0)
+        if (strcmp(m->box.box, box) > 0) {
+            before = &m->node;
             break;
+        }
     }
     reported_t *const fresh = g_new0(reported_t, 1);
-    cds_list_add_tail(&fresh->node, &m->node);
+    codec_copy_string(fresh->box.box, sizeof(fresh->box.box), box);
+    g_hash_table_insert(r->by_name, fresh->box.box, fresh);
+    cds_list_add_tail(&fresh->node, before);
     r->n++;
     return fresh;
 }
@@ -71,12 +157,12 @@
     reported_t *const m = member_of(r, report->self.box);
     if (m->box.incarnation > report->self.incarnation)
         return; /* of an earlier start, late */
+    if (memcmp(&m->box, &report->self, sizeof(m->box)) != 0)
+        r->is_listed = false;
     m->box = report->self;
     m->heard = now;
     m->version = report->version;
-    g_free(m->loads);
-    m->loads = g_memdup2(report->loads, report->loads_n * sizeof(*report->loads));
-    m->loads_n = report->loads_n;
+    set_loads(r, m, report->loads, report->loads_n);
 }
 
 void roster_expire(roster_t *r, tc_time_t now)
@@ -103,48 +189,19 @@
     return r->n;
 }
 
-entry_box_t *roster_list(const roster_t *r, uint32_t *n, uint64_t *hash)
+list_history_t *roster_list(roster_t *r)
 {
-    entry_box_t *const list = calloc(r->n + 1, sizeof(*list));
-    if (!list)
-        abort();
-    *n = 0;
+    if (r->is_listed)
+        return r->list;
+    entry_box_t *const boxes = g_new0(entry_box_t, r->n + 1);
+    uint32_t n = 0;
     const reported_t *m;
     cds_list_for_each_entry(m, &r->members, node)
-        list[(*n)++] = m->box;
-    *hash = list_hash(list, *n * sizeof(*list));
-    return list;
-}
-
-backend_load_t *roster_loads(const roster_t *r, const char *except, uint32_t *n)
-{
-    GHashTable *const sums = g_hash_table_new(g_str_hash, g_str_equal);
-    const reported_t *m;
-    cds_list_for_each_entry(m, &r->members, node) {
-        for (uint32_t i = 0; i < m->loads_n && strcmp(m->box.box, except) != 0; i++) {
-            backend_load_t *sum = g_hash_table_lookup(sums, m->loads[i].id);
-            if (!sum) {
-                sum = g_memdup2(&m->loads[i], sizeof(*sum));
-                g_hash_table_insert(sums, sum->id, sum);
-                continue;
-            }
-            sum->running += m->loads[i].running;
-            sum->tokens += m->loads[i].tokens;
-        }
-    }
-    *n = 0;
-    backend_load_t *const list = calloc(g_hash_table_size(sums) + 1, sizeof(*list));
-    if (!list)
-        abort();
-    GHashTableIter iter;
-    gpointer key, value;
-    g_hash_table_iter_init(&iter, sums);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        list[(*n)++] = *(backend_load_t *)value;
-        g_free(value);
-    }
-    g_hash_table_destroy(sums);
-    return list;
+        boxes[n++] = m->box;
+    (void)list_history_set(r->list, boxes, n);
+    g_free(boxes);
+    r->is_listed = true;
+    return r->list;
 }
 
 void roster_each(const roster_t *r, void (*fn)(void *arg, const char *peer_addr), void *arg)
--- a/lib/cluster/roster.h
+++ b/lib/cluster/roster.h
@@ -9,6 +9,7 @@
 
 #include <stdbool.h>
 
+#include "cluster/list_history.h"
 #include "common/time.h"
 #include "gen/schema.h"
 
@@ -33,10 +34,12 @@
 bool roster_is_behind(const roster_t *roster, uint64_t version);
 /** How many boxes are there. */
 uint32_t roster_count(const roster_t *roster);
-/** Boxes that are there. @return heap array for free(), in a stable order; @p hash names this state of the list */
-entry_box_t *roster_list(const roster_t *roster, uint32_t *n, uint64_t *hash);
-/** What all boxes but @p except have in flight, by back end. @return heap array for free() */
-backend_load_t *roster_loads(const roster_t *roster, const char *except, uint32_t *n);
+/** Boxes that are there, as they are told to others. @return owned by the roster */
+list_history_t *roster_list(roster_t *roster);
+/** What all boxes but @p except have in flight at one back end. @return false when that is nothing */
+bool roster_load(const roster_t *roster, const char *except, const char *id, backend_load_t *load);
+/** Whether a box is to be told what the others have in flight at engines: once every @p every ms. It counts as told. */
+bool roster_wants_engines(const roster_t *roster, const char *box, tc_time_t every, tc_time_t now);
 
 /** Call @p fn with the peer address of every box. */
 void roster_each(const roster_t *roster, void (*fn)(void *arg, const char *peer_addr), void *arg);
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -494,11 +494,18 @@
 
 /* ===== Views ===== */
 
+tc_time_t raft_quorum_age(const raft_t *r, tc_time_t now)
+{
+    const bool leads = r->role == RAFT_LEADER && r->commit >= r->noop_index;
+    return leads ? now - leader_quorum_time(r, now) : TC_TIME_NEVER;
+}
+
 bool raft_has_lease(const raft_t *r, tc_time_t now)
 {
+    const tc_time_t age = raft_quorum_age(r, now);
     if (SABOTAGE_IS(SABOTAGE_NO_LEASE))
-        return r->role == RAFT_LEADER && r->commit >= r->noop_index;
-    return r->role == RAFT_LEADER && r->commit >= r->noop_index && now < leader_quorum_time(r, now) + RAFT_LEASE_MS;
+        return age != TC_TIME_NEVER;
+    return age < RAFT_LEASE_MS;
 }
 
 raft_view_t raft_view(const raft_t *r)
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -134,6 +134,9 @@
 
 /** Whether this member leads and no other can: reads and leases may rest on it. */
 bool raft_has_lease(const raft_t *raft, tc_time_t now);
+/** For a leader that may act on its term: how long ago the newest question was sent that a majority has answered, in
+ * ms; the lease holds while this is below RAFT_LEASE_MS. TC_TIME_NEVER for anybody else. */
+tc_time_t raft_quorum_age(const raft_t *raft, tc_time_t now);
 
 raft_view_t raft_view(const raft_t *raft);
 
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -164,11 +164,13 @@
 
 /* ===== Loads ===== */
 
-void fleet_hear_loads(fleet_t *f, const backend_load_t *loads, uint32_t n, tc_time_t now)
+void fleet_hear_loads(fleet_t *f, const backend_load_t *loads, uint32_t n, bool partial, tc_time_t now)
 {
     f->loads_at = now;
     for (guint i = 0; i < f->instances->len; i++) {
         instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (partial && instance->stage != STAGE_NONE)
+            continue;
         instance->others = 0;
         instance->other_tokens = 0;
     }
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -69,8 +69,9 @@
 /** Number of listed instances. */
 unsigned fleet_size(const fleet_t *fleet);
 
-/** What other boxes have in flight; instances not named have nothing. */
-void fleet_hear_loads(fleet_t *fleet, const backend_load_t *loads, uint32_t n, tc_time_t now);
+/** What other boxes have in flight; instances not named have nothing. @param partial engines are left out: what was
+ *  told of them stands */
+void fleet_hear_loads(fleet_t *fleet, const backend_load_t *loads, uint32_t n, bool partial, tc_time_t now);
 /** What this box has in flight, for the others. @return heap array for free(), its length in @p n */
 backend_load_t *fleet_own_loads(const fleet_t *fleet, uint32_t *n);
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -554,6 +554,11 @@
     {.name = "entries_hash", .offset = offsetof(msg_report_ack_t, entries_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "loads", .offset = offsetof(msg_report_ack_t, loads), .kind = CODEC_LIST, .sub = &backend_load_desc, .count_offset = offsetof(msg_report_ack_t, loads_n), .min = 0, .max = 0, .def = 0},
     {.name = "peer", .offset = offsetof(msg_report_ack_t, peer), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "backends_base", .offset = offsetof(msg_report_ack_t, backends_base), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "backends_gone", .offset = offsetof(msg_report_ack_t, backends_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, backends_gone_n), .min = 0, .max = 0, .def = 0},
+    {.name = "entries_base", .offset = offsetof(msg_report_ack_t, entries_base), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "entries_gone", .offset = offsetof(msg_report_ack_t, entries_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, entries_gone_n), .min = 0, .max = 0, .def = 0},
+    {.name = "loads_partial", .offset = offsetof(msg_report_ack_t, loads_partial), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -700,7 +700,7 @@
     uint32_t members_n;
     bool has_backends;
     uint64_t backends_age_ms;
-    backend_t *backends; /**< left out when the reporter has the same */
+    backend_t *backends; /**< what differs from the list that the reporter has, or all of it */
     uint32_t backends_n;
     uint64_t backends_hash;
     bool has_entries;
@@ -710,6 +710,13 @@
     backend_load_t *loads; /**< of all other boxes together */
     uint32_t loads_n;
     char peer[CODEC_STR_SIZE]; /**< peer address of the answering box */
+    uint64_t backends_base; /**< hash of the list that backends and backends_gone change; 0 when backends is the whole list */
+    leaving_cfg_t *backends_gone;
+    uint32_t backends_gone_n;
+    uint64_t entries_base; /**< the same of entries */
+    leaving_cfg_t *entries_gone;
+    uint32_t entries_gone_n;
+    bool loads_partial; /**< loads leaves the engines out */
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -15,7 +15,8 @@
 enum {
     LOOP_TICKS_MAX = 256, /* a program has a dozen; a test's loop carries those of 70 boxes */
     LOOP_EVENTS_MAX = 64,
-    LOOP_IDLE_MS = 1000
+    LOOP_IDLE_MS = 1000,
+    LOOP_TURNS_MS = 1000 /* the longest turn is that of this time and of as much before it */
 };
 
 typedef struct {
@@ -41,9 +42,34 @@
     int n_ticks;
     struct cds_list_head timers; /* soonest first */
     struct epoll_event events[LOOP_EVENTS_MAX];
-    int n_events; /* of the round being handled, so that loop_unwatch can drop them */
+    int n_events;                 /* of the round being handled, so that loop_unwatch can drop them */
+    tc_time_t turn_at;            /* when what runs now began */
+    loop_turn_t longest, earlier; /* since turns_from, and in the LOOP_TURNS_MS before it */
+    tc_time_t turns_from;
 };
 
+/* ===== How long things take ===== */
+
+/** Something has run, and the next thing begins. */
+static void end_turn(loop_t *loop, const char *what)
+{
+    const tc_time_t now = tc_time_now();
+    const tc_time_t took = now - loop->turn_at;
+    loop->turn_at = now;
+    if (now - loop->turns_from >= LOOP_TURNS_MS) {
+        loop->earlier = loop->longest;
+        loop->longest = (loop_turn_t){.what = ""};
+        loop->turns_from = now;
+    }
+    if (took > loop->longest.took)
+        loop->longest = (loop_turn_t){.took = took, .what = what};
+}
+
+loop_turn_t loop_longest_turn(const loop_t *loop)
+{
+    return loop->longest.took >= loop->earlier.took ? loop->longest : loop->earlier;
+}
+
 /* ===== Posting ===== */
 
 static void wake(loop_t *loop)
@@ -100,6 +126,7 @@
     cds_list_for_each_entry_safe(item, next, &batch, node) {
         item->fn(item->arg);
         free(item);
+        end_turn(loop, "posted");
     }
 }
 
@@ -129,6 +156,7 @@
         if (now >= tick->next) {
             tick->next = now + tick->period;
             tick->fn(tick->arg);
+            end_turn(loop, "tick");
         }
         const tc_time_t left = tick->next - now;
         soonest = left < soonest ? left : soonest;
@@ -172,6 +200,7 @@
             return timer->due - now < soonest ? timer->due - now : soonest;
         loop_disarm(timer);
         timer->fn(timer->arg);
+        end_turn(loop, "timer");
     }
     return soonest;
 }
@@ -209,6 +238,7 @@
     loop_t *const loop = calloc(1, sizeof(*loop));
     if (!loop)
         return NULL;
+    loop->longest.what = loop->earlier.what = "";
     loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     pthread_mutex_init(&loop->lock, NULL);
@@ -233,8 +263,10 @@
             continue;
         }
         loop_watch_t *const watch = loop->events[i].data.ptr;
-        if (watch)
-            watch->on_io(watch->arg, loop->events[i].events);
+        if (!watch)
+            continue;
+        watch->on_io(watch->arg, loop->events[i].events);
+        end_turn(loop, "socket");
     }
     loop->n_events = 0;
 }
@@ -245,6 +277,7 @@
         const tc_time_t wait = run_timers(loop, run_ticks(loop));
         const int n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, (int)(wait > 0 ? wait : 0));
         loop->n_events = n > 0 ? n : 0;
+        loop->turn_at = tc_time_now();
         handle_events(loop);
         run_posted(loop);
     }
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -40,6 +40,12 @@
     void *arg;
 } loop_timer_t;
 
+/** The longest time that one thing kept the loop from all others. */
+typedef struct {
+    tc_time_t took;   /**< ms */
+    const char *what; /**< "tick", "timer", "socket" or "posted"; "" when nothing took a ms */
+} loop_turn_t;
+
 /* ===== Public functions ===== */
 
 /** @return NULL when the system refuses */
@@ -48,6 +54,9 @@
 /** Run until loop_stop; to be called by the loop's own thread. */
 void loop_run(loop_t *loop);
 
+/** The longest turn of the last second or two. From the loop's thread. */
+loop_turn_t loop_longest_turn(const loop_t *loop);
+
 /** Make loop_run return. Any thread. */
 void loop_stop(loop_t *loop);
 
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -136,6 +136,7 @@
     uint64_t call;
     char *data;
     size_t size;
+    frame_turn_t turn;
     tc_time_t deadline;
     peer_reply_t callback;
     void *arg;
@@ -157,7 +158,7 @@
         return;
     }
     pending_t *const pending = o->callback ? calloc(1, sizeof(*pending)) : NULL;
-    if (!conn_queue(conn, o->data, o->size, o->call, false)) {
+    if (!conn_queue(conn, o->data, o->size, o->call, o->turn)) {
         free(pending);
         tc_err_set(&err, TC_E_FULL, "send", o->addr, "the peer takes its messages too slowly");
         outgoing_fail(o, &err);
@@ -209,6 +210,30 @@
     loop_post(net->loop, run_outgoing, outgoing_create(net, addr, type, message, false));
 }
 
+void peer_send_first(peer_net_t *net, const char *addr, uint32_t type, const void *message)
+{
+    outgoing_t *const o = outgoing_create(net, addr, type, message, false);
+    o->turn = FRAME_FIRST;
+    loop_post(net->loop, run_outgoing, o);
+}
+
+peer_backlog_t peer_backlog(const peer_net_t *net, tc_time_t now)
+{
+    peer_backlog_t backlog = {.bytes = net->queued};
+    conn_t *conn;
+    cds_list_for_each_entry(conn, &net->conns, node) {
+        struct cds_list_head *const queue = cds_list_empty(&conn->out) ? &conn->waiting : &conn->out;
+        if (cds_list_empty(queue))
+            continue;
+        const tc_time_t age = now - cds_list_first_entry(queue, out_t, node)->at;
+        if (age < backlog.oldest)
+            continue;
+        backlog.oldest = age;
+        codec_copy_string(backlog.addr, sizeof(backlog.addr), conn->addr);
+    }
+    return backlog;
+}
+
 /** A thread waiting in peer_call_wait. */
 typedef struct {
     sem_t done;
@@ -265,7 +290,7 @@
         return;
     size_t size;
     char *const data = frame_pack(type, call.call, true, message, &size);
-    if (conn_queue(conn, data, size, 0, false))
+    if (conn_queue(conn, data, size, 0, FRAME_IN_TURN))
         (void)conn_flush(conn);
 }
 
@@ -303,10 +328,12 @@
     codec_copy_string(net->box, sizeof(net->box), options->box);
     codec_copy_string(net->listen, sizeof(net->listen), options->listen);
     CDS_INIT_LIST_HEAD(&net->conns);
+    net->by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
     CDS_INIT_LIST_HEAD(&net->backoffs);
     const int keyed = options->key_file[0] ? key_load(&net->key, options->key_file, err) : key_open(&net->key, err);
     const char *const at = options->bind ? options->bind : options->listen;
     if (keyed < 0 || (options->listen[0] && start_listening(net, at, err) < 0)) {
+        g_hash_table_destroy(net->by_id);
         free(net);
         return NULL;
     }
@@ -333,5 +360,6 @@
     backoff_t *b, *following;
     cds_list_for_each_entry_safe(b, following, &net->backoffs, node)
         free(b);
+    g_hash_table_destroy(net->by_id);
     free(net);
 }
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -52,6 +52,13 @@
     void *arg;
 } peer_options_t;
 
+/** What waits for other boxes to take it. */
+typedef struct {
+    size_t bytes;
+    tc_time_t oldest;          /**< age of the oldest frame, in ms; 0 when none waits */
+    char addr[CODEC_STR_SIZE]; /**< for whom it waits */
+} peer_backlog_t;
+
 /* ===== Public functions ===== */
 
 /** Set up and start listening. @p loop must outlive the result. @return NULL with @p err filled */
@@ -74,12 +81,19 @@
 /** Send without waiting for anything; lost if there is no connection within a short while. */
 void peer_send(peer_net_t *net, const char *addr, uint32_t type, const void *message);
 
+/** As peer_send, ahead of all that waits for the same peer and is not sent first itself: heartbeats and votes must not
+ *  wait behind bulk. */
+void peer_send_first(peer_net_t *net, const char *addr, uint32_t type, const void *message);
+
 /** Answer a call; from the loop's thread, at any time after the handler began. */
 void peer_reply(peer_net_t *net, peer_call_t call, uint32_t type, const void *message);
 
 /** Answer a call with an error. */
 void peer_reply_error(peer_net_t *net, peer_call_t call, const tc_err_t *err);
 
+/** A walk over all connections. From the loop's thread. */
+peer_backlog_t peer_backlog(const peer_net_t *net, tc_time_t now);
+
 /** Take connections no more; those that stand stay. From the loop's thread. */
 void peer_stop_listening(peer_net_t *net);
 
--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -140,6 +140,7 @@
     CDS_INIT_LIST_HEAD(&conn->waiting);
     CDS_INIT_LIST_HEAD(&conn->pending);
     cds_list_add(&conn->node, &net->conns);
+    g_hash_table_insert(net->by_id, GSIZE_TO_POINTER(conn->id), conn);
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const unsigned unacked = UNACKED_LIMIT_MS;
@@ -169,6 +170,7 @@
     loop_unwatch(conn->net->loop, &conn->watch);
     close(conn->watch.fd);
     cds_list_del(&conn->node);
+    g_hash_table_remove(conn->net->by_id, GSIZE_TO_POINTER(conn->id));
     if (conn->dialed && conn->state != CONN_READY)
         backoff_grow(conn->net, conn->addr);
     pending_t *p, *next;
@@ -232,7 +234,20 @@
     return size <= LARGE_FRAME || conn->net->queued + size <= QUEUED_MAX;
 }
 
-bool conn_queue(conn_t *conn, char *data, size_t size, uint64_t call, bool hello)
+/** Put a frame behind those that go first, and behind the one that is being written. */
+static void queue_first(struct cds_list_head *queue, out_t *item)
+{
+    struct cds_list_head *behind = queue;
+    out_t *other;
+    cds_list_for_each_entry(other, queue, node) {
+        if (!other->first && other->written == 0)
+            break;
+        behind = &other->node;
+    }
+    cds_list_add(&item->node, behind);
+}
+
+bool conn_queue(conn_t *conn, char *data, size_t size, uint64_t call, frame_turn_t turn)
 {
     out_t *const item = calloc(1, sizeof(*item));
     if (!item || !has_room(conn, size)) {
@@ -241,11 +256,15 @@
         free(data);
         return false;
     }
-    *item = (out_t){.data = data, .size = size, .call = call};
+    *item = (out_t){.data = data, .size = size, .call = call, .at = tc_time_now(), .first = turn == FRAME_FIRST};
     count_queued(conn, (ssize_t)size);
-    cds_list_add_tail(&item->node, hello || conn->state == CONN_READY ? &conn->out : &conn->waiting);
+    struct cds_list_head *const queue = turn == FRAME_HELLO || conn->state == CONN_READY ? &conn->out : &conn->waiting;
+    if (item->first)
+        queue_first(queue, item);
+    else
+        cds_list_add_tail(&item->node, queue);
     if (conn->quiet_since == 0 && conn->state == CONN_READY)
-        conn->quiet_since = tc_time_now();
+        conn->quiet_since = item->at;
     return true;
 }
 
@@ -272,7 +291,7 @@
         key_prove(&conn->net->key, direction, their_nonce, &hello, hello.mac);
     size_t size;
     char *const data = frame_pack(MSG_HELLO, 0, false, &hello, &size);
-    conn_queue(conn, data, size, 0, true);
+    conn_queue(conn, data, size, 0, FRAME_HELLO);
     return conn_flush(conn);
 }
 
@@ -281,7 +300,7 @@
 {
     size_t size;
     char *const data = frame_pack(MSG_PING, 0, reply, ping, &size);
-    return !conn_queue(conn, data, size, 0, false) || conn_flush(conn);
+    return !conn_queue(conn, data, size, 0, FRAME_IN_TURN) || conn_flush(conn);
 }
 
 bool conn_ping(conn_t *conn)
@@ -386,11 +405,7 @@
 
 conn_t *conn_by_id(const peer_net_t *net, uint64_t id)
 {
-    conn_t *conn;
-    cds_list_for_each_entry(conn, &net->conns, node)
-        if (conn->id == id)
-            return conn;
-    return NULL;
+    return g_hash_table_lookup(net->by_id, GSIZE_TO_POINTER(id));
 }
 
 /** Handle every whole frame read so far. @return false when the connection is gone */
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -6,6 +6,7 @@
 
 /* ===== Dependencies ===== */
 
+#include <glib.h>
 #include <urcu/list.h>
 
 #include "peer/key.h"
@@ -46,6 +47,8 @@
     size_t size;
     size_t written;
     uint64_t call; /* 0 unless it is a call of ours */
+    tc_time_t at;  /* when it was queued */
+    bool first;    /* ahead of those that are not */
 } out_t;
 
 /** One call of ours waiting for its reply, or for a connection to be sent on. */
@@ -97,6 +100,7 @@
     cluster_key_t key;
     loop_watch_t listener;
     struct cds_list_head conns;
+    GHashTable *by_id; /* the same by number: a box with hundreds of connections looks one up for each frame */
     struct cds_list_head backoffs;
     size_t queued; /* bytes waiting for all peers */
     uint64_t next_id;
@@ -115,9 +119,15 @@
 void conn_close(conn_t *conn, int code, const char *step, const char *detail);
 /** Write what can be written. @return false when the connection is gone */
 bool conn_flush(conn_t *conn);
-/** Queue a frame, which is taken over; held back until the handshake is done unless it is part of it. @return false
- * when the peer takes too little */
-bool conn_queue(conn_t *conn, char *data, size_t size, uint64_t call, bool hello);
+/** How a frame goes out. */
+typedef enum {
+    FRAME_IN_TURN,
+    FRAME_FIRST, /* ahead of those in turn */
+    FRAME_HELLO  /* part of the handshake: the others wait until that is done */
+} frame_turn_t;
+
+/** Queue a frame, which is taken over. @return false when the peer takes too little */
+bool conn_queue(conn_t *conn, char *data, size_t size, uint64_t call, frame_turn_t turn);
 /** Send our part of the handshake. @param their_nonce NULL sends no proof yet @return false when the connection is gone
  */
 bool send_hello(conn_t *conn, const char *direction, const char *their_nonce);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -183,6 +183,10 @@
  *  requests begin anew and nothing is granted for SCHED_REBUILD_MS. */
 void sched_resume(sched_t *sched, tc_time_t now);
 
+/** The holder of the lease can't tell for a moment whether it still holds: nothing is granted until it can, and nothing
+ *  is forgotten. Who waits goes on waiting, until its due time. */
+void sched_suspend(sched_t *sched, bool suspended);
+
 /** The lease is over: take out one waiting call, so that the shell can send it to the next scheduler.
  * @return false when none waits */
 bool sched_pop_waiting(sched_t *sched, sched_token_t *token);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -184,6 +184,7 @@
     uint32_t expected, reports; /* live entry boxes, and how many of them have renewed */
     bool rebuilding;            /* began with the requests of a scheduler before it */
     bool adopts;                /* as in sched_options_t */
+    bool suspended;             /* nothing is granted now */
     targets_cfg_t targets;
     GHashTable *requests; /* id -> request_t, owned by the lists */
     GHashTable *engines;  /* name -> engine_t, owned */
--- a/lib/sched/sched_lease.c
+++ b/lib/sched/sched_lease.c
@@ -138,6 +138,11 @@
         r->lease_until = s->admit_from + SCHED_LEASE_MS;
 }
 
+void sched_suspend(sched_t *s, bool suspended)
+{
+    s->suspended = suspended;
+}
+
 bool sched_pop_waiting(sched_t *s, sched_token_t *token)
 {
     if (cds_list_empty(&s->queue))
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -39,7 +39,7 @@
 /** Grant what can be granted, in order of priority and due time. */
 void dispatch(sched_t *s, tc_time_t now)
 {
-    if (now < s->admit_from)
+    if (now < s->admit_from || s->suspended)
         return;
     begin_pass(s);
     request_t *r, *next;
@@ -229,7 +229,8 @@
     codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
     r->token = token;
     r->waiting = true;
-    const choice_t choice = choose_pair(s, r, true, now);
+    const choice_t choice =
+        s->suspended ? (choice_t){.reason = "nothing is granted now"} : choose_pair(s, r, true, now);
     if (choice.decode) {
         r->state = REQ_REPLANNING;
         /* A new number, so that tokens of the stalled engine, should it wake, are not taken for the new one's. */
--- /dev/null
+++ b/tests/unit/test_placing.c
@@ -0,0 +1,113 @@
+/* The scheduler beside a leader whose lease lapses for a moment: nothing is granted meanwhile, and nobody loses a
+ * place. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "cluster/placing.h"
+#include "common/counter.h"
+#include "harness/lab.h"
+#include "peer/loop.h"
+#include "sched/sched.h"
+
+typedef struct {
+    loop_t *loop;
+    peer_net_t *net;
+    placing_t *placing;
+    tc_time_t now;
+    int64_t granted, refused; /* before the test */
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char addr[32];
+    lab_free_addr(addr);
+    f->loop = loop_create();
+    const peer_options_t options = {.box = "leader", .incarnation = 1, .listen = addr, .key_file = ""};
+    tc_err_t err = {0};
+    f->net = peer_create(f->loop, &options, &err);
+    g_assert_nonnull(f->net);
+    const retry_rules_t retries = {.ratio = 1, .allowance = 1, .window = 1000};
+    f->placing = placing_create(f->net, &retries);
+    const placing_service_t service = {.service = "lm", .slots = 8, .memory_tokens = 100000};
+    placing_set_services(f->placing, &service, 1);
+    const backend_t engines[] = {{.id = "p", .service = "lm", .addr = "a", .dc = "dc", .stage = "prefill", .slots = 8},
+                                 {.id = "d", .service = "lm", .addr = "b", .dc = "dc", .stage = "decode", .slots = 8}};
+    placing_set_backends(f->placing, engines, 2);
+    f->now = tc_time_now();
+    f->granted = counter_read("trackcove_placing_granted_total");
+    f->refused = counter_read("trackcove_placing_refused_total");
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    placing_destroy(f->placing);
+    peer_destroy(f->net);
+    loop_destroy(f->loop);
+}
+
+static void pass(fixture_t *f, tc_time_t span, uint64_t term, bool held)
+{
+    const placing_lease_t lease = {.term = term, .held = held};
+    f->now += span;
+    placing_tick(f->placing, &lease, 0, f->now);
+}
+
+static bool ask(const fixture_t *f, const char *id)
+{
+    msg_place_t place = {.prompt_tokens = 3000, .max_tokens = 40, .wait_ms = 900};
+    codec_copy_string(place.id, sizeof(place.id), id);
+    codec_copy_string(place.box, sizeof(place.box), "box");
+    codec_copy_string(place.model, sizeof(place.model), "lm");
+    return placing_receive(f->placing, (peer_call_t){0}, MSG_PLACE, &place, f->now);
+}
+
+static int64_t granted(const fixture_t *f)
+{
+    return counter_read("trackcove_placing_granted_total") - f->granted;
+}
+
+static int64_t refused(const fixture_t *f)
+{
+    return counter_read("trackcove_placing_refused_total") - f->refused;
+}
+
+static void test_lapse(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    pass(f, 0, 3, true);
+    pass(f, 2 * SCHED_REBUILD_MS, 3, true);
+    g_assert_true(ask(f, "before"));
+    g_assert_cmpint(granted(f), ==, 1);
+    pass(f, 25, 3, false);
+    g_assert_true(ask(f, "meanwhile"));
+    pass(f, 25, 3, false);
+    g_assert_cmpint(granted(f), ==, 1); /* without the lease nothing is given away */
+    g_assert_cmpint(refused(f), ==, 0);
+    pass(f, 25, 3, true);
+    g_assert_cmpint(granted(f), ==, 2); /* at once: nothing has to be learnt again */
+}
+
+/** A leadership that ended has forgotten everything. */
+static void test_end(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    pass(f, 0, 3, true);
+    pass(f, 2 * SCHED_REBUILD_MS, 3, true);
+    pass(f, 25, 3, false);
+    g_assert_true(ask(f, "meanwhile"));
+    pass(f, 25, 0, false);
+    pass(f, 25, 5, true);
+    pass(f, 2 * SCHED_REBUILD_MS, 5, true);
+    g_assert_cmpint(granted(f), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add("/placing/lapse", fixture_t, NULL, set_up, test_lapse, tear_down);
+    g_test_add("/placing/end", fixture_t, NULL, set_up, test_end, tear_down);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_read_turn.c
@@ -0,0 +1,68 @@
+/* Boxes that nobody tells the list of back ends: few of them read it at once, many take turns. */
+
+#include <glib.h>
+
+#include "forward/read_turn.h"
+
+enum { STEP_MS = 100, BOXES_MOST = 1000 };
+
+/** Readings of all boxes together while nobody tells any of them the list, and what is read is not passed on. */
+static unsigned count_reads(uint32_t boxes, uint32_t known, tc_time_t span)
+{
+    static read_turn_t turns[BOXES_MOST];
+    GRand *const random = g_rand_new_with_seed(boxes);
+    unsigned reads = 0;
+    for (uint32_t i = 0; i < boxes; i++)
+        turns[i] = (read_turn_t){0};
+    for (tc_time_t now = 10000; now < 10000 + span; now += STEP_MS)
+        for (uint32_t i = 0; i < boxes; i++)
+            reads += read_turn_is_due(&turns[i], READ_TURN_STALE_MS + now, known, g_rand_int(random), now);
+    g_rand_free(random);
+    return reads;
+}
+
+static void test_many(void)
+{
+    static const uint32_t sizes[] = {60, 300, 1000};
+    for (guint i = 0; i < G_N_ELEMENTS(sizes); i++)
+        g_assert_cmpuint(count_reads(sizes[i], sizes[i], 30000), <=, 30 * 7); /* 5 a second, and the luck of the draw */
+}
+
+static void test_few(void)
+{
+    read_turn_t turn = {0};
+    g_assert_false(read_turn_is_due(&turn, READ_TURN_STALE_MS - 1, 7, 1, 1000));
+    g_assert_true(read_turn_is_due(&turn, READ_TURN_STALE_MS, 7, 1, 1001)); /* at once */
+    g_assert_false(read_turn_is_due(&turn, READ_TURN_STALE_MS, 7, 1, 2400));
+    g_assert_true(read_turn_is_due(&turn, READ_TURN_STALE_MS, 7, 1, 4100));
+}
+
+/** Control that was lost again and again for a moment makes no box read that would not have. */
+static void test_turns_are_drawn_anew(void)
+{
+    unsigned reads = 0;
+    GRand *const random = g_rand_new_with_seed(1);
+    read_turn_t turns[300] = {{0}};
+    for (tc_time_t now = 0; now < 60000; now += STEP_MS)
+        for (int i = 0; i < 300; i++)
+            reads +=
+                read_turn_is_due(&turns[i], now % 5000 < 2500 ? 0 : READ_TURN_STALE_MS, 300, g_rand_int(random), now);
+    g_rand_free(random);
+    g_assert_cmpuint(reads, <=, 30 * 7); /* of 60 s the list is stale for 30 */
+}
+
+/** Boxes that have just started and know no other one. */
+static void test_start(void)
+{
+    g_assert_cmpuint(count_reads(300, 0, 1000), <=, 100);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/read-turn/many-boxes", test_many);
+    g_test_add_func("/read-turn/few-boxes", test_few);
+    g_test_add_func("/read-turn/drawn-anew", test_turns_are_drawn_anew);
+    g_test_add_func("/read-turn/start", test_start);
+    return g_test_run();
+}
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -202,7 +202,7 @@
     fleet_t *const f = fleet_create();
     fleet_list(f, list, 8, 50);
     const backend_load_t busy = {.id = "3", .running = 4};
-    fleet_hear_loads(f, &busy, 1, 90);
+    fleet_hear_loads(f, &busy, 1, false, 90);
     for (uint32_t draw = 0; draw < 64; draw++) {
         const fleet_wish_t wish = {.service = "s", .dc = "a", .now = 100, .draw = draw};
         instance_t *const chosen = fleet_choose(f, &wish);
@@ -230,23 +230,48 @@
     roster_hear(r, &a, 1000);
     roster_hear(r, &b, 2000);
     uint32_t n;
-    uint64_t before, after;
-    free(roster_list(r, &n, &before));
+    const uint64_t before = list_history_hash(roster_list(r));
+    (void)list_history_list(roster_list(r), &n);
     g_assert_cmpuint(n, ==, 2);
-    backend_load_t *const loads = roster_loads(r, "a", &n);
-    g_assert_cmpuint(n, ==, 1);
-    g_assert_cmpuint(loads[0].running, ==, 2); /* of the others only */
-    free(loads);
+    backend_load_t others;
+    g_assert_true(roster_load(r, "a", "x", &others));
+    g_assert_cmpuint(others.running, ==, 2); /* of the others only */
+    g_assert_false(roster_load(r, "a", "y", &others));
     b.self.incarnation = 6;
     b.self.leaving = true;
     roster_hear(r, &b, 2100); /* of an earlier start */
-    free(roster_list(r, &n, &after));
-    g_assert_cmpuint(before, ==, after);
+    g_assert_cmpuint(before, ==, list_history_hash(roster_list(r)));
+    load.running = 5;
+    load.tokens = 700;
+    b.self.incarnation = 7;
+    b.self.leaving = false;
+    roster_hear(r, &b, 2200);
+    g_assert_true(roster_load(r, "a", "x", &others));
+    g_assert_cmpuint(others.running, ==, 5); /* in place of what it told before */
     roster_expire(r, 1000 + ROSTER_SILENT_MS + 1);
     g_assert_cmpuint(roster_count(r), ==, 1);
+    g_assert_cmpuint(before, !=, list_history_hash(roster_list(r)));
+    g_assert_false(roster_load(r, "b", "x", &others));
     roster_destroy(r);
 }
 
+/** Boxes that are told the loads of back ends without engines alone keep what they were told of engines. */
+static void test_partial_loads(void)
+{
+    const backend_t list[] = {backend("1", "a", "", false), backend("2", "a", "decode", false)};
+    fleet_t *const f = fleet_create();
+    fleet_list(f, list, 2, 50);
+    const backend_load_t all[] = {{.id = "1", .running = 4}, {.id = "2", .running = 6}};
+    fleet_hear_loads(f, all, 2, false, 60);
+    const backend_load_t some = {.id = "1", .running = 1};
+    fleet_hear_loads(f, &some, 1, true, 70);
+    g_assert_cmpuint(fleet_find(f, "1")->others, ==, 1);
+    g_assert_cmpuint(fleet_find(f, "2")->others, ==, 6);
+    fleet_hear_loads(f, &some, 1, false, 80);
+    g_assert_cmpuint(fleet_find(f, "2")->others, ==, 0);
+    fleet_destroy(f);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -257,6 +282,7 @@
     g_test_add_func("/retry-budget/allowance-of-all-boxes", test_budget_allowance_is_shared);
     g_test_add_func("/retry-budget/while-boxes-are-missing", test_budget_while_boxes_are_missing);
     g_test_add_func("/fleet/choice", test_choice);
+    g_test_add_func("/fleet/partial-loads", test_partial_loads);
     g_test_add_func("/fleet/failed-is-avoided", test_failed_is_avoided);
     g_test_add_func("/fleet/choices-spread", test_choices_spread);
     g_test_add_func("/roster/boxes-and-loads", test_roster);
