Control under load: a question asked again is no new question, checks without tables, back ends first after a restart

Asking on now keeps the place and looks at no engine (tests/unit/test_sched_choose, asking-on). Boxes that start got back ends from the leader alone and whole, since it told a list with moving engines that no history led to: 169 boxes read the platform's list by themselves before traffic. The list as read is a state of the history now; back ends go before boxes; a box asks all control boxes until it knows both a document and back ends.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -33,7 +33,8 @@
 /** Part of an engine's memory that is handed out: what requests hold is reserved by its mean, so a full engine holds
  *  now more, now less than that, and turns a request away for whom memory was reserved. */
 static const double MEMORY_SHARE = 0.94;
-/** All engines are one cell: hundreds of placements a second cost a few hundredths of a core. */
+/** All engines are one cell: a placement costs some 10 us before 256 engines, hundreds a second a few hundredths of a
+ *  core. */
 static const char CELL[] = "main";
 
 /* ===== Types ===== */
@@ -195,12 +196,12 @@
     log_end(&line);
 }
 
-static void log_placed(const placing_t *p, const sched_action_t *action, tc_time_t now)
+static void log_placed(const placing_t *p, const sched_answer_t *answer, tc_time_t now)
 {
-    const msg_placed_t *const placed = &action->u.answer.placed;
+    const msg_placed_t *const placed = &answer->placed;
     log_line_t line;
     log_begin(&line, LOG_INFO, "placement");
-    log_str(&line, "request", action->u.answer.id);
+    log_str(&line, "request", answer->id);
     log_int(&line, "granted", placed->granted);
     log_str(&line, "reason", placed->reason);
     log_str(&line, "prefill", placed->prefill);
@@ -216,14 +217,20 @@
     log_end(&line);
 }
 
+static void note_decision(const placing_t *p, const sched_answer_t *answer, tc_time_t now)
+{
+    counter_add(answer->placed.granted ? &c_granted : &c_refused, 1);
+    log_placed(p, answer, now);
+}
+
 static void pump(placing_t *p, tc_time_t now)
 {
     sched_action_t action;
     while (p->sched && sched_next_action(p->sched, &action)) {
         switch (action.kind) {
         case SCHED_ACT_ANSWER:
-            counter_add(action.u.answer.placed.granted ? &c_granted : &c_refused, 1);
-            log_placed(p, &action, now);
+            if (!action.u.answer.repeated)
+                note_decision(p, &action.u.answer, now);
             peer_reply(p->net, (peer_call_t){.connection = action.u.answer.token.a, .call = action.u.answer.token.b},
                        MSG_PLACED, &action.u.answer.placed);
             break;
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -17,13 +17,13 @@
 enum { ROSTER_SETTLE_MS = 1000 };
 
 enum {
-    /* Whole lists, and long differences, are told at this rate, to one box after the other. After a restart of
-     * everything 300 boxes ask for 60 KB each at once: in full they would keep a link of 12 MB/s from everything else
-     * for a second and a half, heartbeats among it. */
-    LIST_BYTES_S = 4 * 1024 * 1024,
-    LIST_BYTES_MOST = LIST_BYTES_S / 4,
-    RECORD_BYTES = 128, /* of a record on its way, at most */
-    SHORT_NEWS = 8,     /* records that are told at any time */
+    /* Whole lists, and long differences, are told at this rate, to one box after the other: half of a link of 12 MB/s.
+     * After a restart of everything 300 boxes ask for 50 KB each at once; those of the back ends go first, without
+     * which a box refuses every request. */
+    LIST_BYTES_S = 6 * 1024 * 1024,
+    LIST_BYTES_MOST = LIST_BYTES_S / 2,
+    RECORD_BYTES = 80, /* of a record on its way, more or less */
+    SHORT_NEWS = 8,    /* records that are told at any time */
     /* Between two answers to one box that tell the loads of engines: it needs them while it places alone, and those of
      * 256 engines are 5 KB, 300 times in this time. Loads of other back ends, a few, are in each answer. */
     ENGINE_LOADS_MS = 1500
@@ -46,10 +46,15 @@
 
 void replica_set_backends(replica_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
 {
+    const bool same = r->backends_n == n && r->backends && memcmp(r->backends, list, n * sizeof(*list)) == 0;
+    r->backends_fetched = fetched;
+    if (same)
+        return;
+    /* The list as it was read is a state that boxes may have: from another control box, or read by themselves. */
+    (void)list_history_set(r->told, list, n);
     free(r->backends);
     r->backends = list_copy(list, n * sizeof(*list));
     r->backends_n = n;
-    r->backends_fetched = fetched;
     tell_backends(r);
 }
 
@@ -66,8 +71,9 @@
 
 /* ===== Lists within their share of the link ===== */
 
-/** Whether news of this length may be told now; a box that is told nothing asks again with its next report. */
-static bool may_tell(replica_t *r, const list_news_t *news, tc_time_t now)
+/** Whether news of this length may be told now; a box that is told nothing asks again with its next report.
+ *  @param reserve bytes that are kept for more urgent ones */
+static bool may_tell(replica_t *r, const list_news_t *news, double reserve, tc_time_t now)
 {
     const uint32_t records = news->changed_n + news->gone_n;
     if (records <= SHORT_NEWS)
@@ -75,7 +81,7 @@
     const double due = (double)LIST_BYTES_S * (double)(now - r->list_at) / 1000;
     r->list_bytes = MIN(r->list_bytes + due, LIST_BYTES_MOST);
     r->list_at = now;
-    if (r->list_bytes <= 0)
+    if (r->list_bytes <= reserve)
         return false;
     r->list_bytes -= (double)records * RECORD_BYTES;
     return true;
@@ -86,7 +92,7 @@
     if (r->backends_fetched == 0)
         return;
     const list_news_t news = list_history_news(r->told, report->backends_hash);
-    if (!may_tell(r, &news, now))
+    if (!may_tell(r, &news, 0, now))
         return;
     ack->has_backends = true;
     ack->backends_age_ms = (uint64_t)(now - r->backends_fetched);
@@ -102,7 +108,7 @@
 {
     list_history_t *const list = roster_list(r->roster);
     const list_news_t news = list_history_news(list, report->entries_hash);
-    if (!may_tell(r, &news, now))
+    if (!may_tell(r, &news, LIST_BYTES_MOST / 2, now))
         return;
     ack->has_entries = true;
     ack->entries_hash = list_history_hash(list);
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -375,8 +375,8 @@
     take_ack(arg, message);
 }
 
-/** A box that has just started is of no use before it knows a document: it does not wait for one box after the other.
- */
+/** A box that has just started is of no use before it knows a document and the back ends: it does not wait for one box
+ *  after the other. */
 static void ask_all(reporter_t *r, tc_time_t now)
 {
     r->learn_pause = r->learn_pause ? MIN(2 * r->learn_pause, LEARN_MOST_MS) : LEARN_MS;
@@ -394,6 +394,13 @@
     }
 }
 
+/** Whether this box has just started: until it has a document and knows back ends, it refuses every request. */
+static bool lacks_something(const reporter_t *r)
+{
+    const bool fetching = r->document.body_n == 0 && fetch_is_busy(r->fetch);
+    return !fetching && (r->document.body_n == 0 || (r->events.on_backends && r->backends_time == 0));
+}
+
 void reporter_ask_around(reporter_t *r, tc_time_t now)
 {
     if (now < r->around_at)
@@ -418,7 +425,7 @@
 {
     reporter_t *const r = arg;
     const tc_time_t now = tc_time_now();
-    if (r->document.body_n == 0 && !fetch_is_busy(r->fetch) && now >= r->learn_at)
+    if (lacks_something(r) && now >= r->learn_at)
         ask_all(r, now);
     fetch_tick(r->fetch, now);
     if (r->waiting || now < r->next_at)
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -200,6 +200,9 @@
             configure_engine(s, &config->engines[i]);
     configure_links(s, config);
     links_index(s);
+    request_t *r;
+    cds_list_for_each_entry(r, &s->queue, node)
+        r->model = model_find(s, r->model_name);
     for (uint32_t i = 0; i < config->leaving_n; i++) {
         engine_t *const e = engine_find(s, config->leaving[i].name);
         if (e)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -70,15 +70,18 @@
 
 typedef enum { SCHED_ACT_ANSWER, SCHED_ACT_CANCEL } sched_action_kind_t;
 
+typedef struct {
+    sched_token_t token;
+    char id[CODEC_STR_SIZE];
+    msg_placed_t placed;
+    bool repeated; /**< the same box has asked on: this is no decision, and the call has probably timed out */
+} sched_answer_t;
+
 /** Something the shell must do. */
 typedef struct {
     sched_action_kind_t kind;
     union {
-        struct {
-            sched_token_t token;
-            char id[CODEC_STR_SIZE];
-            msg_placed_t placed;
-        } answer; /**< send placed to the waiting call */
+        sched_answer_t answer; /**< send placed to the waiting call */
         struct {
             char engine[CODEC_STR_SIZE];
             char engine_id[CODEC_STR_SIZE + 16]; /**< id the engine knows: "ID.ATTEMPT" */
--- a/lib/sched/sched_check.c
+++ b/lib/sched/sched_check.c
@@ -9,41 +9,22 @@
 
 /* ===== Invariants and views ===== */
 
-/** Counts and digests of owners are those of their placed requests. */
-static void check_owners(const sched_t *s)
+/** Begin to count anew what engines and owners are thought to hold. */
+static void clear_counts(const sched_t *s)
 {
-    GHashTable *const counts = g_hash_table_new(g_direct_hash, g_direct_equal);
-    GHashTable *const digests = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-    const request_t *r;
-    cds_list_for_each_entry(r, &s->placed, node) {
-        uint64_t *digest = g_hash_table_lookup(digests, r->owner);
-        if (!digest) {
-            digest = g_new0(uint64_t, 1);
-            g_hash_table_insert(digests, r->owner, digest);
-        }
-        *digest ^= sched_digest(r->id, r->attempt);
-        g_hash_table_insert(counts, r->owner,
-                            GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(counts, r->owner)) + 1));
-    }
+    for (guint i = 0; i < s->engine_list->len; i++)
+        ((engine_t *)g_ptr_array_index(s->engine_list, i))->counted = (tally_t){0};
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, s->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const owner_t *const owner = value;
-        const uint64_t *const digest = g_hash_table_lookup(digests, owner);
-        assert(owner->count == GPOINTER_TO_UINT(g_hash_table_lookup(counts, owner)));
-        assert(owner->digest == (digest ? *digest : 0)); /* a renewal by digest renews exactly what is placed */
-        (void)digest;
+        owner_t *const owner = value;
+        owner->counted = 0;
+        owner->digested = 0;
     }
-    g_hash_table_destroy(counts);
-    g_hash_table_destroy(digests);
 }
 
-typedef struct {
-    uint32_t pieces, batch, prefills, solos;
-} tally_t;
-
-static void tally_placed(const sched_t *s, GHashTable *tallies)
+static void count_placed(const sched_t *s)
 {
     uint32_t n = 0;
     const request_t *r;
@@ -51,30 +32,28 @@
         n++;
         assert(g_hash_table_lookup(s->requests, r->id) == r); /* one record an id */
         assert(r->state == REQ_PLACED);                       /* queued or placed, never both */
+        r->owner->counted++;
+        r->owner->digested ^= sched_digest(r->id, r->attempt);
         if (r->decode) {
-            tally_t *const t = g_hash_table_lookup(tallies, r->decode);
-            t->pieces += r->pieces;
-            t->batch++;
-            t->solos += r->solo;
+            r->decode->counted.pieces += r->pieces;
+            r->decode->counted.batch++;
+            r->decode->counted.solos += r->solo;
         }
         if (r->prefilling)
-            ((tally_t *)g_hash_table_lookup(tallies, r->prefill))->prefills++;
+            r->prefill->counted.prefills++;
     }
     assert(n == s->n_placed); /* the count shown is the count kept */
 }
 
-void sched_check(const sched_t *s)
+static void count_cancelling(const sched_t *s)
 {
-    GHashTable *const tallies = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-    for (guint i = 0; i < s->engine_list->len; i++)
-        g_hash_table_insert(tallies, g_ptr_array_index(s->engine_list, i), g_new0(tally_t, 1));
-    tally_placed(s, tallies);
-    check_owners(s);
     const cancelling_t *c;
-    cds_list_for_each_entry(c, &s->cancelling, node) {
-        tally_t *const t = g_hash_table_lookup(tallies, c->engine);
-        t->pieces += c->pieces;
-    }
+    cds_list_for_each_entry(c, &s->cancelling, node)
+        c->engine->counted.pieces += c->pieces;
+}
+
+static void check_queue(const sched_t *s)
+{
     uint32_t queued = 0;
     const request_t *q;
     cds_list_for_each_entry(q, &s->queue, node) {
@@ -82,16 +61,39 @@
         assert(q->state == REQ_QUEUED && q->waiting && !q->decode && !q->prefill); /* a refusal has not run */
     }
     assert(queued == s->n_queue);
+}
+
+static void check_engines(const sched_t *s)
+{
     for (guint i = 0; i < s->engine_list->len; i++) {
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        const tally_t *const t = g_hash_table_lookup(tallies, e);
-        assert(t->pieces == e->reserved); /* no piece is held by nobody, none is held twice */
-        assert(t->batch == e->batch);
-        assert(t->solos == e->solos && e->solos <= 1);
-        assert(t->prefills == e->prefills);
-        (void)t;
+        assert(e->counted.pieces == e->reserved); /* no piece is held by nobody, none is held twice */
+        assert(e->counted.batch == e->batch);
+        assert(e->counted.solos == e->solos && e->solos <= 1);
+        assert(e->counted.prefills == e->prefills);
+    }
+}
+
+static void check_owners(const sched_t *s)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const owner_t *const owner = value;
+        assert(owner->counted == owner->count);
+        assert(owner->digested == owner->digest); /* a renewal by digest renews exactly what is placed */
     }
-    g_hash_table_destroy(tallies);
+}
+
+void sched_check(const sched_t *s)
+{
+    clear_counts(s);
+    count_placed(s);
+    count_cancelling(s);
+    check_queue(s);
+    check_engines(s);
+    check_owners(s);
 }
 
 sched_stats_t sched_stats(const sched_t *s)
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -58,13 +58,12 @@
 /** Find the best engines of each data centre, and count those that could be taken. */
 static void look_at_engines(sched_t *s, const request_t *r, bool keep_prefill, choice_t *choice, tc_time_t now)
 {
-    const model_t *const model = model_find(s, r->model);
     const engine_t *const avoid = r->avoid[0] ? engine_find(s, r->avoid) : NULL;
     memset(s->best, 0, s->dcs->len * sizeof(*s->best));
     s->stats.looks += s->engine_list->len;
     for (guint i = 0; i < s->engine_list->len; i++) {
         engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (e->model != model || e == avoid)
+        if (e->model != r->model || e == avoid)
             continue;
         if (e->role == ROLE_DECODE)
             offer_decode(s, e, r, choice, now);
@@ -129,13 +128,12 @@
 choice_t choose_solo(sched_t *s, const request_t *r, tc_time_t now)
 {
     choice_t best = {.reason = "no prefill engine is free"};
-    const model_t *const model = model_find(s, r->model);
     const engine_t *const avoid = r->avoid[0] ? engine_find(s, r->avoid) : NULL;
     uint32_t prefills = 0, decodes = 0;
     s->stats.looks += s->engine_list->len;
     for (guint i = 0; i < s->engine_list->len; i++) {
         engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (e->model != model || !engine_usable(e, now))
+        if (e->model != r->model || !engine_usable(e, now))
             continue;
         prefills += e->role == ROLE_PREFILL;
         decodes += e->role == ROLE_DECODE;
@@ -192,7 +190,7 @@
 
 choice_t choose_queued(sched_t *s, const request_t *r, tc_time_t now)
 {
-    model_t *const model = model_find(s, r->model);
+    model_t *const model = r->model;
     if (!model)
         return (choice_t){.reason = "no prefill engine is free"};
     begin_findings(s, model);
@@ -222,7 +220,6 @@
 
 static supply_t supply_for(sched_t *s, const request_t *r, tc_time_t now)
 {
-    const model_t *const model = model_find(s, r->model);
     const engine_t *const avoid = r->avoid[0] ? engine_find(s, r->avoid) : NULL;
     supply_t supply = {.least_ms = INFINITY};
     double least_solo_ms = INFINITY;
@@ -230,7 +227,7 @@
     s->stats.looks += s->engine_list->len;
     for (guint i = 0; i < s->engine_list->len; i++) {
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (e->model != model || !engine_usable(e, now))
+        if (e->model != r->model || !engine_usable(e, now))
             continue;
         if (e->role == ROLE_DECODE) {
             const uint32_t taken = engine_taken(s, e, now);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -59,6 +59,11 @@
     uint32_t no_solo_from;   /* the same of decode engines that would read the prompt */
 } model_t;
 
+/** What requests and cancels hold of an engine. */
+typedef struct {
+    uint32_t pieces, batch, prefills, solos;
+} tally_t;
+
 /** What a choice looks at comes first: it looks at all engines, and a cache line holds 64 bytes. */
 typedef struct {
     model_t *model;
@@ -89,6 +94,7 @@
     tc_time_t seen; /* last answer of its state page */
     char name[CODEC_STR_SIZE];
     char version[CODEC_STR_SIZE];
+    tally_t counted; /* sched_check's own count */
     cache_slot_t cache[CACHE_SLOTS];
 } engine_t;
 
@@ -117,6 +123,8 @@
     tc_time_t lease_until; /* all of them are renewed until then */
     tc_time_t heard;       /* last renewal of any kind */
     bool reported;         /* it renewed since this scheduler began, or was resumed */
+    uint32_t counted;      /* sched_check's own count, */
+    uint64_t digested;     /* and digest */
 } owner_t;
 
 typedef struct {
@@ -124,7 +132,8 @@
     char id[CODEC_STR_SIZE];
     owner_t *owner;
     char workspace[CODEC_STR_SIZE];
-    char model[CODEC_STR_SIZE];
+    char model_name[CODEC_STR_SIZE];
+    model_t *model; /* NULL while no engine serves it */
     req_state_t state;
     phase_t phase;
     uint32_t attempt;
@@ -284,7 +293,8 @@
 
 /** Answer the request's waiting call; the caller fills in the result. */
 msg_placed_t *answer(sched_t *s, request_t *r);
-void refuse_token(sched_t *s, const char *id, sched_token_t token, const char *reason, double retry_ms);
+/** Answer a call that is not, or no longer, a request's own. */
+sched_answer_t *refuse_token(sched_t *s, const char *id, sched_token_t token, const char *reason, double retry_ms);
 request_t *request_create(sched_t *s, const char *id);
 void request_forget(sched_t *s, request_t *r);
 void queue_insert(sched_t *s, request_t *r);
--- a/lib/sched/sched_lease.c
+++ b/lib/sched/sched_lease.c
@@ -16,7 +16,8 @@
     if (!decode || held->phase == PHASE_QUEUED || held->phase >= PHASE_FINISHED)
         return;
     request_t *const r = request_create(s, held->id);
-    codec_copy_string(r->model, sizeof(r->model), decode->model->name);
+    codec_copy_string(r->model_name, sizeof(r->model_name), decode->model->name);
+    r->model = decode->model;
     set_owner(s, r, renew->box, held->attempt);
     if (held->attempt > s->next_attempt)
         s->next_attempt = held->attempt;
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -161,6 +161,21 @@
     return false;
 }
 
+/** Whether the box of a request that waits asks on, since it has had no answer for a while: nothing has changed. */
+static bool asks_on(const request_t *old, const msg_place_t *place)
+{
+    return old->state == REQ_QUEUED && strcmp(old->owner->name, place->box) == 0 &&
+           strcmp(old->avoid, place->avoid) == 0;
+}
+
+/** The request keeps its place, and is not judged again: in a burst hundreds wait, and each asks on every 220 ms. */
+static void keep_place(sched_t *s, request_t *r, sched_token_t token, tc_time_t now)
+{
+    refuse_token(s, r->id, r->token, "asked on", 0)->repeated = true;
+    r->token = token;
+    r->lease_until = now + SCHED_LEASE_MS;
+}
+
 void sched_place(sched_t *s, const msg_place_t *place, sched_token_t token, tc_time_t now)
 {
     request_t *const old = g_hash_table_lookup(s->requests, place->id);
@@ -168,12 +183,17 @@
         refuse_token(s, place->id, token, "the id belongs to another request", 0);
         return;
     }
+    if (old && asks_on(old, place)) {
+        keep_place(s, old, token, now);
+        return;
+    }
     if (old && take_over(s, old, place, token, now))
         return;
     request_t *const r = request_create(s, place->id);
     set_owner(s, r, place->box, 0);
     codec_copy_string(r->workspace, sizeof(r->workspace), place->workspace);
-    codec_copy_string(r->model, sizeof(r->model), place->model);
+    codec_copy_string(r->model_name, sizeof(r->model_name), place->model);
+    r->model = model_find(s, place->model);
     codec_copy_string(r->avoid, sizeof(r->avoid), place->avoid);
     r->prompt_tokens = place->prompt_tokens;
     r->max_tokens = place->max_tokens;
--- a/lib/sched/sched_request.c
+++ b/lib/sched/sched_request.c
@@ -18,7 +18,7 @@
     return &action->u.answer.placed;
 }
 
-void refuse_token(sched_t *s, const char *id, sched_token_t token, const char *reason, double retry_ms)
+sched_answer_t *refuse_token(sched_t *s, const char *id, sched_token_t token, const char *reason, double retry_ms)
 {
     sched_action_t *const action = add_action(s, SCHED_ACT_ANSWER);
     action->u.answer.token = token;
@@ -27,6 +27,7 @@
     codec_copy_string(placed->reason, sizeof(placed->reason), reason);
     placed->retry_after_ms = retry_ms > 60000 || !(retry_ms >= 0) ? 60000 : (uint32_t)retry_ms;
     s->stats.refused++;
+    return &action->u.answer;
 }
 
 /* ===== Requests: life ===== */
--- a/tests/unit/test_sched_choose.c
+++ b/tests/unit/test_sched_choose.c
@@ -80,11 +80,11 @@
     return s;
 }
 
-static request_t make_request(GRand *random)
+static request_t make_request(const sched_t *s, GRand *random)
 {
     request_t r = {.prompt_tokens = (uint32_t)g_rand_int_range(random, 1, 12000)};
     r.pieces = 1 + r.prompt_tokens / 100;
-    codec_copy_string(r.model, sizeof(r.model), "m");
+    r.model = model_find(s, "m");
     if (g_rand_int_range(random, 0, 3) == 0)
         g_snprintf(r.avoid, sizeof(r.avoid), "e%d", g_rand_int_range(random, 0, 20));
     return r;
@@ -94,7 +94,7 @@
 
 static bool may_serve(const sched_t *s, const engine_t *e, const request_t *r, role_t role)
 {
-    return e->role == role && strcmp(e->model->name, r->model) == 0 && engine_usable(e, NOW) &&
+    return e->role == role && strcmp(e->model->name, "m") == 0 && engine_usable(e, NOW) &&
            strcmp(e->name, r->avoid) != 0 && s->share_of == 1;
 }
 
@@ -150,7 +150,7 @@
     for (guint32 seed = 1; seed <= FLEETS; seed++) {
         GRand *const random = g_rand_new_with_seed(seed);
         sched_t *const s = make_fleet(random);
-        request_t r = make_request(random);
+        request_t r = make_request(s, random);
         const choice_t choice = choose_pair(s, &r, false, NOW);
         assert_same(&choice, cheapest_pair(s, &r));
         found += choice.decode != NULL;
@@ -171,7 +171,7 @@
         sched_t *const s = make_fleet(random);
         begin_pass(s);
         for (int i = 0; i < 20; i++) {
-            const request_t r = make_request(random);
+            const request_t r = make_request(s, random);
             const choice_t choice = choose_queued(s, &r, NOW);
             assert_same(&choice, cheapest_pair(s, &r));
         }
@@ -249,6 +249,33 @@
     }
 }
 
+/** Boxes whose requests wait ask on every 220 ms. That costs no look at any engine, and they keep their places. */
+static void test_asking_on(void)
+{
+    sched_t *const s = make_even_fleet(256);
+    unsigned number = 0;
+    while (sched_stats(s).queued < BURST / 2)
+        place(s, number++, 60000, 1000);
+    const sched_stats_t before = sched_stats(s);
+    sched_token_t again = {.a = 1};
+    for (unsigned i = number - 100; i < number; i++) {
+        msg_place_t p = {.prompt_tokens = 3000, .max_tokens = 35, .wait_ms = 60000, .again = true};
+        g_snprintf(p.id, sizeof(p.id), "r%u", i);
+        codec_copy_string(p.box, sizeof(p.box), "box");
+        codec_copy_string(p.model, sizeof(p.model), "m");
+        sched_place(s, &p, again, 1001);
+    }
+    sched_action_t action;
+    unsigned repeated = 0;
+    while (sched_next_action(s, &action))
+        repeated += action.u.answer.repeated; /* of the call before */
+    g_assert_cmpuint(repeated, ==, 100);
+    g_assert_cmpuint(sched_stats(s).looks, ==, before.looks);
+    g_assert_cmpuint(sched_stats(s).queued, ==, before.queued);
+    sched_check(s);
+    sched_destroy(s);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -256,5 +283,6 @@
     g_test_add_func("/sched-choose/pass-as-alone", test_pass_as_alone);
     g_test_add_func("/sched-choose/looks-in-calm", test_looks_in_calm);
     g_test_add_func("/sched-choose/looks-in-a-burst", test_looks_in_a_burst);
+    g_test_add_func("/sched-choose/asking-on", test_asking_on);
     return g_test_run();
 }
