Roles: prompts read are compared with memory over 6 s, and limit moves by the last 2 s

Change: the comparison takes the prefill work over 6 s; the limits of how busy the pool may be take the present work.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -153,13 +153,12 @@
 
 /* ===== Work ===== */
 
-const char *placing_work(const placing_t *p, double *prefill, double *decode)
+const char *placing_work(const placing_t *p, pool_work_t *work)
 {
     if (!p->sched || p->services_n != 1)
         return ""; /* the averages are those of all engines together */
     const sched_stats_t stats = sched_stats(p->sched);
-    *prefill = stats.prefill_work;
-    *decode = stats.decode_work;
+    *work = (pool_work_t){.prefill = stats.prefill_work, .settled = stats.prefill_settled, .decode = stats.decode_work};
     return p->services[0].service;
 }
 
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -18,6 +18,7 @@
 #include "common/retry_budget.h"
 #include "gen/schema.h"
 #include "peer/peer.h"
+#include "roles/balance.h"
 #include "sched/sched.h"
 
 /* ===== Types ===== */
@@ -58,11 +59,9 @@
 void placing_hear_engine(placing_t *placing, const char *engine, const sched_holding_t *held, uint32_t n,
                          tc_time_t now);
 
-/** What the two pools have to do, while this box leads and one service alone has engines: for roles/balance.h.
- *  @param prefill work of the prefill pool, as a moving average, in engines that would be busy all the time
- *  @param decode the same of the decode pool
+/** What the two pools have to do, while this box leads and one service alone has engines.
  *  @return that service's name, borrowed until services are set again; or "", with nothing filled in */
-const char *placing_work(const placing_t *placing, double *prefill, double *decode);
+const char *placing_work(const placing_t *placing, pool_work_t *work);
 
 /** Call every tick, and when the lease changes. @param boxes entry boxes that are there */
 void placing_tick(placing_t *placing, const placing_lease_t *lease, uint32_t boxes, tc_time_t now);
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -339,9 +339,9 @@
     return r->backends;
 }
 
-const char *replica_work(const replica_t *r, double *prefill, double *decode)
+const char *replica_work(const replica_t *r, pool_work_t *work)
 {
-    return placing_work(r->placing, prefill, decode);
+    return placing_work(r->placing, work);
 }
 
 bool replica_is_in_doubt(const replica_t *r)
--- a/lib/roles/balance.c
+++ b/lib/roles/balance.c
@@ -29,23 +29,24 @@
 {
     if (b->prefills <= PREFILLS_MIN)
         return false;
-    const double left = b->prefill_work / (b->prefills - 1);
-    const double memory = b->decodes > 0 ? b->decode_work / b->decodes : 1;
-    return left <= memory && (left <= PREFILL_BUSY_MAX || left <= DECODE_LEADS * memory);
+    const double left = b->work.prefill / (b->prefills - 1);
+    const double settled = b->work.settled / (b->prefills - 1);
+    const double memory = b->decodes > 0 ? b->work.decode / b->decodes : 1;
+    return settled <= memory && (left <= PREFILL_BUSY_MAX || left <= DECODE_LEADS * memory);
 }
 
 /** Whether the prefill pool is short of an engine that the decode pool can spare. */
 static bool must_take(const balance_t *b)
 {
-    return b->decodes > DECODES_MIN && b->prefill_work > PREFILL_SHORT * b->prefills &&
-           b->decode_work < DECODE_SPARE * (b->decodes - 1);
+    return b->decodes > DECODES_MIN && b->work.prefill > PREFILL_SHORT * b->prefills &&
+           b->work.decode < DECODE_SPARE * (b->decodes - 1);
 }
 
 /* ===== Public functions ===== */
 
 uint32_t balance_prefills(const balance_t *b)
 {
-    if (b->prefill_work + b->decode_work < WORK_MIN * (b->prefills + b->decodes))
+    if (b->work.prefill + b->work.decode < WORK_MIN * (b->prefills + b->decodes))
         return b->prefills;
     if (can_give(b))
         return b->prefills - 1;
--- a/lib/roles/balance.h
+++ b/lib/roles/balance.h
@@ -17,11 +17,17 @@
 
 /* ===== Types ===== */
 
+/** What the two pools of a service have to do, in engines that would be busy all the time: moving averages. */
+typedef struct {
+    double prefill; /**< prompts that are read, as of the last seconds */
+    double settled; /**< the same over as long as memory takes to follow: for comparison with it */
+    double decode;  /**< memory or places taken, whichever is more */
+} pool_work_t;
+
 /** The two pools of one service, engines that are about to change counted where they go. */
 typedef struct {
     uint32_t prefills, decodes; /**< engines of each role */
-    double prefill_work;        /**< of the prefill pool, in engines, 0 or more */
-    double decode_work;         /**< of the decode pool, the same: memory or places taken, whichever is more */
+    pool_work_t work;
 } balance_t;
 
 /* ===== Public functions ===== */
--- a/lib/roles/mover.c
+++ b/lib/roles/mover.c
@@ -6,7 +6,6 @@
 #include "common/counter.h"
 #include "common/log.h"
 #include "forward/dialect.h"
-#include "roles/balance.h"
 #include "web/web_ask.h"
 
 COUNTER_DEFINE(c_orders, "counter", "trackcove_roles_orders_total", "Orders to engines to change their role")
@@ -90,8 +89,9 @@
     log_begin(&line, LOG_INFO, "role_wish");
     log_int(&line, "prefills", b->prefills);
     log_int(&line, "decodes", b->decodes);
-    log_int(&line, "prefill_work_pct", (int64_t)(100 * b->prefill_work));
-    log_int(&line, "decode_work_pct", (int64_t)(100 * b->decode_work));
+    log_int(&line, "prefill_work_pct", (int64_t)(100 * b->work.prefill));
+    log_int(&line, "settled_work_pct", (int64_t)(100 * b->work.settled));
+    log_int(&line, "decode_work_pct", (int64_t)(100 * b->work.decode));
     log_int(&line, "wanted", wanted);
     log_end(&line);
 }
@@ -271,7 +271,7 @@
 
 static void count_pools(const mover_t *m, const mover_view_t *view, balance_t *b)
 {
-    *b = (balance_t){.prefill_work = view->prefill_work, .decode_work = view->decode_work};
+    *b = (balance_t){.work = view->work};
     for (uint32_t i = 0; i < view->backends_n; i++) {
         const backend_t *const engine = &view->backends[i];
         if (!takes_part(engine, view))
--- a/lib/roles/mover.h
+++ b/lib/roles/mover.h
@@ -19,6 +19,7 @@
 
 #include "gen/schema.h"
 #include "peer/loop.h"
+#include "roles/balance.h"
 #include "web/web_client.h"
 
 /* ===== Types ===== */
@@ -31,8 +32,7 @@
     const backend_t *backends; /**< as the platform lists them */
     uint32_t backends_n;
     const char *service; /**< whose engines may change, "" for none */
-    double prefill_work; /**< as in balance_t */
-    double decode_work;  /**< as in balance_t */
+    pool_work_t work;
 } mover_view_t;
 
 /* ===== Public functions ===== */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -71,6 +71,9 @@
 
 /** Time constant of the averages that planner and mover decide on. */
 static const double BUSY_MS = 2000;
+/** The same of prompts that are read, where they are compared with the memory that decode engines hold: that follows by
+ *  as long as streams last, some seconds. */
+static const double SETTLE_MS = 6000;
 
 /** Engines that can be used, and what they have to do, at one moment. */
 typedef struct {
@@ -109,7 +112,9 @@
     const double weight = span < BUSY_MS ? span / BUSY_MS : 1;
     s->busy_at = now;
     s->stats.decode_work += weight * (use.taken - s->stats.decode_work);
-    s->stats.prefill_work += weight * (s->granted_ms / span - s->stats.prefill_work);
+    const double prompts = s->granted_ms / span;
+    s->stats.prefill_work += weight * (prompts - s->stats.prefill_work);
+    s->stats.prefill_settled += (span < SETTLE_MS ? span / SETTLE_MS : 1) * (prompts - s->stats.prefill_settled);
     s->granted_ms = 0;
     if (use.prefills > 0)
         s->stats.prefill_busy += weight * (use.working / use.prefills - s->stats.prefill_busy);
--- a/tests/platform/test_mover.c
+++ b/tests/platform/test_mover.c
@@ -68,8 +68,8 @@
                              .backends = f->list,
                              .backends_n = ENGINES,
                              .service = "lm",
-                             .prefill_work = 1.5, /* three would be half busy, two are too few */
-                             .decode_work = 3.0};
+                             /* three prefill engines would be half busy, two are too few */
+                             .work = {.prefill = 1.5, .settled = 1.5, .decode = 3.0}};
 }
 
 static void tear_down(fixture_t *f, gconstpointer data)
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -6,11 +6,24 @@
 
 static uint32_t wanted(uint32_t prefills, uint32_t decodes, double prefill_work, double decode_work)
 {
-    const balance_t b = {
-        .prefills = prefills, .decodes = decodes, .prefill_work = prefill_work, .decode_work = decode_work};
+    const balance_t b = {.prefills = prefills,
+                         .decodes = decodes,
+                         .work = {.prefill = prefill_work, .settled = prefill_work, .decode = decode_work}};
     return balance_prefills(&b);
 }
 
+/** A burst: prompts come at once, the memory they take follows seconds later. What is compared with memory has settled;
+ *  what the prefill pool must be able to read has not. */
+static void test_burst(void)
+{
+    balance_t b = {.prefills = 76, .decodes = 180, .work = {.prefill = 40, .settled = 28, .decode = 80}};
+    g_assert_cmpuint(balance_prefills(&b), ==, 75); /* 0.53 at work now, but 0.37 of each pool before the burst */
+    b.work.settled = 40;
+    g_assert_cmpuint(balance_prefills(&b), ==, 76);
+    b.work = (pool_work_t){.prefill = 50, .settled = 28, .decode = 80};
+    g_assert_cmpuint(balance_prefills(&b), ==, 76); /* the burst needs them */
+}
+
 static void test_idle_engines_become_memory(void)
 {
     g_assert_cmpuint(wanted(6, 12, 2.0, 7.0), ==, 5); /* 2.0 of 5 is little */
@@ -51,6 +64,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/balance/idle-engines-become-memory", test_idle_engines_become_memory);
+    g_test_add_func("/balance/burst", test_burst);
     g_test_add_func("/balance/short-of-memory", test_short_of_memory);
     g_test_add_func("/balance/memory-is-not-needed", test_memory_is_not_needed);
     g_test_add_func("/balance/pools-keep-what-a-loss-needs", test_pools_keep_what_a_loss_needs);
