--- a/lib/cluster/list_history.c
+++ b/lib/cluster/list_history.c
@@ -1,5 +1,6 @@
 #include "cluster/list_history.h"
 
+#include <assert.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,6 +36,7 @@
 
 list_history_t *list_history_create(size_t record)
 {
+    assert(record >= CODEC_STR_SIZE); /* a record begins with its name */
     list_history_t *const h = g_new0(list_history_t, 1);
     h->record = record;
     return h;
@@ -107,6 +109,7 @@
 
 static void compare(const list_history_t *h, state_t *old)
 {
+    assert(h->record > 0); /* as list_history_create was told */
     const state_t *const now = &h->states[0];
     GByteArray *const changed = g_byte_array_new();
     GArray *const gone = g_array_new(FALSE, TRUE, sizeof(leaving_cfg_t));
@@ -161,6 +164,7 @@
 
 void *list_apply(const void *list, uint32_t n, const list_news_t *news, size_t record, uint32_t *applied_n)
 {
+    assert(record > 0);
     GByteArray *const applied = g_byte_array_new();
     for (uint32_t i = 0; news->base != 0 && i < n; i++) {
         const char *const old = (const char *)list + i * record;
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -22,8 +22,9 @@
      * which a box refuses every request. */
     LIST_BYTES_S = 6 * 1024 * 1024,
     LIST_BYTES_MOST = LIST_BYTES_S / 2,
-    RECORD_BYTES = 80, /* of a record on its way, more or less */
-    SHORT_NEWS = 8,    /* records that are told at any time */
+    ENTRIES_RESERVE = LIST_BYTES_MOST / 2, /* of these, kept from lists of boxes */
+    RECORD_BYTES = 80,                     /* of a record on its way, more or less */
+    SHORT_NEWS = 8,                        /* records that are told at any time */
     /* Between two answers to one box that tell the loads of engines: it needs them while it places alone, and those of
      * 256 engines are 5 KB, 300 times in this time. Loads of other back ends, a few, are in each answer. */
     ENGINE_LOADS_MS = 1500
@@ -108,7 +109,7 @@
 {
     list_history_t *const list = roster_list(r->roster);
     const list_news_t news = list_history_news(list, report->entries_hash);
-    if (!may_tell(r, &news, LIST_BYTES_MOST / 2, now))
+    if (!may_tell(r, &news, ENTRIES_RESERVE, now))
         return;
     ack->has_entries = true;
     ack->entries_hash = list_history_hash(list);
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -152,12 +152,20 @@
     return fresh;
 }
 
+/** Whether two records of a box are told alike. */
+static bool is_same_box(const entry_box_t *a, const entry_box_t *b)
+{
+    return a->incarnation == b->incarnation && a->ready == b->ready && a->leaving == b->leaving &&
+           strcmp(a->box, b->box) == 0 && strcmp(a->dc, b->dc) == 0 && strcmp(a->http_addr, b->http_addr) == 0 &&
+           strcmp(a->peer_addr, b->peer_addr) == 0;
+}
+
 void roster_hear(roster_t *r, const msg_report_t *report, tc_time_t now)
 {
     reported_t *const m = member_of(r, report->self.box);
     if (m->box.incarnation > report->self.incarnation)
         return; /* of an earlier start, late */
-    if (memcmp(&m->box, &report->self, sizeof(m->box)) != 0)
+    if (!is_same_box(&m->box, &report->self))
         r->is_listed = false;
     m->box = report->self;
     m->heard = now;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -42,13 +42,13 @@
                                others. Prompts give way to newer ones only after some seconds */
     LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
     EARLY_LIFE_MS = 1000,   /* a box that has run for longer without learning where to send requests refuses them */
-    EARLY_WAIT_MS = 450,    /* they wait so long: hundreds of boxes that are all started at once, control among them, know
-                               the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
-    HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
-    HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
-    HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
-    RENEW_MS = 300,         /* as SCHED_RENEW_MS */
-    RENEW_SOON_MS = 30,     /* after this box placed something by itself: with it, what follows in the same burst */
+    EARLY_WAIT_MS = 450,  /* they wait so long: hundreds of boxes that are all started at once, control among them, know
+                             the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
+    HOLD_TRIES = 4,       /* engines asked to set memory aside for one request */
+    HOLD_MS = 1200,       /* how long it is set aside: a prompt is read in a few hundred ms */
+    HOLD_ANSWER_MS = 300, /* an engine in reach answers in a few ms */
+    RENEW_MS = 300,       /* as SCHED_RENEW_MS */
+    RENEW_SOON_MS = 30,   /* after this box placed something by itself: with it, what follows in the same burst */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -542,14 +542,15 @@
 
 static const codec_field_t msg_report_ack_fields[] = {
     {.name = "leads", .offset = offsetof(msg_report_ack_t, leads), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "has_backends", .offset = offsetof(msg_report_ack_t, has_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "has_entries", .offset = offsetof(msg_report_ack_t, has_entries), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "loads_partial", .offset = offsetof(msg_report_ack_t, loads_partial), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "leader", .offset = offsetof(msg_report_ack_t, leader), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "head", .offset = offsetof(msg_report_ack_t, head), .kind = CODEC_STRUCT, .sub = &document_head_desc, .min = 0, .max = 0, .def = 0},
     {.name = "members", .offset = offsetof(msg_report_ack_t, members), .kind = CODEC_LIST, .sub = &raft_member_desc, .count_offset = offsetof(msg_report_ack_t, members_n), .min = 0, .max = 0, .def = 0},
-    {.name = "has_backends", .offset = offsetof(msg_report_ack_t, has_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "backends_age_ms", .offset = offsetof(msg_report_ack_t, backends_age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "backends", .offset = offsetof(msg_report_ack_t, backends), .kind = CODEC_LIST, .sub = &backend_desc, .count_offset = offsetof(msg_report_ack_t, backends_n), .min = 0, .max = 0, .def = 0},
     {.name = "backends_hash", .offset = offsetof(msg_report_ack_t, backends_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
-    {.name = "has_entries", .offset = offsetof(msg_report_ack_t, has_entries), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "entries", .offset = offsetof(msg_report_ack_t, entries), .kind = CODEC_LIST, .sub = &entry_box_desc, .count_offset = offsetof(msg_report_ack_t, entries_n), .min = 0, .max = 0, .def = 0},
     {.name = "entries_hash", .offset = offsetof(msg_report_ack_t, entries_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "loads", .offset = offsetof(msg_report_ack_t, loads), .kind = CODEC_LIST, .sub = &backend_load_desc, .count_offset = offsetof(msg_report_ack_t, loads_n), .min = 0, .max = 0, .def = 0},
@@ -558,7 +559,6 @@
     {.name = "backends_gone", .offset = offsetof(msg_report_ack_t, backends_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, backends_gone_n), .min = 0, .max = 0, .def = 0},
     {.name = "entries_base", .offset = offsetof(msg_report_ack_t, entries_base), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "entries_gone", .offset = offsetof(msg_report_ack_t, entries_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, entries_gone_n), .min = 0, .max = 0, .def = 0},
-    {.name = "loads_partial", .offset = offsetof(msg_report_ack_t, loads_partial), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -694,16 +694,17 @@
 /** Answer to a report: what is newer than what the reporter knows. */
 typedef struct {
     bool leads; /**< the answering box leads the control boxes */
+    bool has_backends;
+    bool has_entries;
+    bool loads_partial; /**< loads leaves the engines out */
     char leader[CODEC_STR_SIZE]; /**< peer address of the leader, empty when unknown */
     document_head_t head; /**< of the document that the answering box has; version 0 for none */
     raft_member_t *members;
     uint32_t members_n;
-    bool has_backends;
     uint64_t backends_age_ms;
     backend_t *backends; /**< what differs from the list that the reporter has, or all of it */
     uint32_t backends_n;
     uint64_t backends_hash;
-    bool has_entries;
     entry_box_t *entries;
     uint32_t entries_n;
     uint64_t entries_hash;
@@ -716,7 +717,6 @@
     uint64_t entries_base; /**< the same of entries */
     leaving_cfg_t *entries_gone;
     uint32_t entries_gone_n;
-    bool loads_partial; /**< loads leaves the engines out */
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -249,8 +249,9 @@
     codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
     r->token = token;
     r->waiting = true;
-    const choice_t choice =
-        s->suspended ? (choice_t){.reason = "nothing is granted now"} : choose_pair(s, r, true, now);
+    choice_t choice = {.reason = "nothing is granted now"};
+    if (!s->suspended)
+        choice = choose_pair(s, r, true, now);
     if (choice.decode) {
         r->state = REQ_REPLANNING;
         /* A new number, so that tokens of the stalled engine, should it wake, are not taken for the new one's. */
