A box asks one box at a time for the list of back ends

Cause: a box that starts asked all control boxes for everything, again after 50, 100 and 200 ms: lists of a thousand back ends are 80 KB each, on a link of 1.25 MB/s, and answers count for 450 ms.

--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -90,7 +90,7 @@
 
 static void add_backends(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
 {
-    if (r->backends_fetched == 0)
+    if (r->backends_fetched == 0 || report->without_backends)
         return;
     const list_news_t news = list_history_news(r->told, report->backends_hash);
     if (!may_tell(r, &news, 0, now))
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -50,7 +50,11 @@
     unsigned turn;               /* through everyone who may know */
     unsigned failed;             /* in a row, at this target */
     bool waiting;
-    bool hurry; /* something changed since the report under way was sent */
+    bool list_asked;    /* a question is under way that may bring the list of back ends: one at a time. A box that has
+                           just started lacks the whole list, and a few of them at once would fill its link for longer
+                           than it waits for any */
+    bool report_brings; /* that question is the report under way */
+    bool hurry;         /* something changed since the report under way was sent */
     tc_time_t next_at;
     tc_time_t learn_at; /* when all are asked, while nothing is known */
     tc_time_t learn_pause;
@@ -317,6 +321,8 @@
     const tc_time_t now = tc_time_now();
     (void)err; /* counted; a lasting loss is logged once */
     r->waiting = false;
+    if (r->report_brings)
+        r->list_asked = false;
     r->next_at = now + AGAIN_MS;
     if (rc != TC_OK || type != MSG_REPORT_ACK) {
         report_failed(r, now);
@@ -340,8 +346,11 @@
 
 static void fill_report(const reporter_t *r, msg_report_t *report)
 {
-    *report = (msg_report_t){
-        .self = *r->self, .version = r->in_force, .backends_hash = r->backends_hash, .entries_hash = r->entries_hash};
+    *report = (msg_report_t){.self = *r->self,
+                             .version = r->in_force,
+                             .backends_hash = r->backends_hash,
+                             .entries_hash = r->entries_hash,
+                             .without_backends = r->list_asked};
 }
 
 static void send_report(reporter_t *r)
@@ -352,6 +361,8 @@
         report.loads = r->events.loads(r->events.arg, &report.loads_n);
     r->waiting = true;
     r->hurry = false;
+    r->report_brings = !report.without_backends;
+    r->list_asked = true;
     counter_add(&c_reports, 1);
     peer_call(r->net, r->target, MSG_REPORT, &report, LIMIT_MS, on_answer, r);
     free(report.loads);
@@ -378,22 +389,38 @@
     take_ack(arg, message);
 }
 
+static void on_list_hearsay(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    ((reporter_t *)arg)->list_asked = false;
+    on_hearsay(arg, rc, type, message, err);
+}
+
+/** Ask a box beside the reports. */
+static void ask_beside(reporter_t *r, const char *addr)
+{
+    msg_report_t report;
+    fill_report(r, &report);
+    const peer_reply_t fn = report.without_backends ? on_hearsay : on_list_hearsay;
+    r->list_asked = true;
+    counter_add(&c_reports, 1);
+    peer_call(r->net, addr, MSG_REPORT, &report, LIMIT_MS, fn, r);
+}
+
 /** A box that has just started is of no use before it knows a document and the back ends: it does not wait for one box
  *  after the other. */
 static void ask_all(reporter_t *r, tc_time_t now)
 {
     r->learn_pause = r->learn_pause ? MIN(2 * r->learn_pause, LEARN_MOST_MS) : LEARN_MS;
     r->learn_at = now + r->learn_pause;
-    msg_report_t report;
-    fill_report(r, &report);
     const uint32_t controls = count_controls(r);
-    for (uint32_t i = 0; i < controls; i++) {
+    const uint32_t first = g_random_int(); /* the one that is asked for the back ends too */
+    for (uint32_t n = 0; n < controls; n++) {
+        const uint32_t i = (first % controls + n) % controls;
         const char *const addr = control_at(r, i);
         const bool asked = i >= r->members_n && is_member(r, addr);
         if (asked || strcmp(addr, r->self->peer_addr) == 0)
             continue; /* a seed that is a member too, or this box */
-        counter_add(&c_reports, 1);
-        peer_call(r->net, addr, MSG_REPORT, &report, LIMIT_MS, on_hearsay, r);
+        ask_beside(r, addr);
     }
 }
 
@@ -416,10 +443,7 @@
     const entry_box_t *const other = r->entries_n ? &r->entries[g_random_int() % r->entries_n] : NULL;
     if (!other || strcmp(other->peer_addr, r->self->peer_addr) == 0)
         return;
-    msg_report_t report;
-    fill_report(r, &report);
-    counter_add(&c_reports, 1);
-    peer_call(r->net, other->peer_addr, MSG_REPORT, &report, LIMIT_MS, on_hearsay, r);
+    ask_beside(r, other->peer_addr);
 }
 
 /* ===== Time ===== */
@@ -447,7 +471,7 @@
     codec_copy_string(ack.leader, sizeof(ack.leader), r->leader);
     ack.head = document_head(&r->document);
     codec_copy_string(ack.peer, sizeof(ack.peer), r->self->peer_addr);
-    if (r->backends_time > 0) {
+    if (r->backends_time > 0 && !report->without_backends) {
         ack.has_backends = true;
         ack.backends_age_ms = (uint64_t)(tc_time_now() - r->backends_time);
         ack.backends_hash = r->backends_hash;
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -537,6 +537,7 @@
     {.name = "backends_hash", .offset = offsetof(msg_report_t, backends_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "entries_hash", .offset = offsetof(msg_report_t, entries_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "loads", .offset = offsetof(msg_report_t, loads), .kind = CODEC_LIST, .sub = &backend_load_desc, .count_offset = offsetof(msg_report_t, loads_n), .min = 0, .max = 0, .def = 0},
+    {.name = "without_backends", .offset = offsetof(msg_report_t, without_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_report_desc = {.name = "report", .size = sizeof(msg_report_t), .fields = msg_report_fields, .n_fields = sizeof(msg_report_fields) / sizeof(msg_report_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -688,6 +688,7 @@
     uint64_t entries_hash;
     backend_load_t *loads;
     uint32_t loads_n;
+    bool without_backends; /**< answer without the list of back ends: another box was asked for it */
 } msg_report_t;
 extern const codec_desc_t msg_report_desc;
 
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -528,6 +528,61 @@
     }
 }
 
+/* ===== A box that starts, and control that is slow to answer ===== */
+
+enum { SLOW_CONTROLS = 3, ENOUGH_QUESTIONS = 20, QUESTION_LIMIT_MS = 450 };
+
+typedef struct {
+    unsigned questions, with_list;
+} slow_t;
+
+/** Hears and never answers, as seen from behind a link that is full. */
+static void on_question(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    slow_t *const slow = arg;
+    (void)call, (void)from;
+    if (type != MSG_REPORT)
+        return;
+    slow->questions++;
+    slow->with_list += !((const msg_report_t *)message)->without_backends;
+}
+
+static bool asked_enough(void *arg)
+{
+    return ((const slow_t *)arg)->questions >= ENOUGH_QUESTIONS;
+}
+
+/** A list of a thousand back ends fills the link of a small box for a good part of the time that it waits for one: it
+ *  asks one box at a time, or several lists on their way keep each other from arriving in time, again and again. */
+static void test_one_list_at_a_time(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    slow_t slow = {0};
+    peer_net_t *nets[SLOW_CONTROLS];
+    const char *controls[SLOW_CONTROLS + 1] = {NULL};
+    for (int i = 0; i < SLOW_CONTROLS; i++) {
+        const peer_options_t options = {.box = f->addr[i],
+                                        .incarnation = 1,
+                                        .listen = f->addr[i],
+                                        .key_file = "",
+                                        .handler = on_question,
+                                        .arg = &slow};
+        tc_err_t err = {0};
+        nets[i] = peer_create(f->loop, &options, &err);
+        g_assert_nonnull(nets[i]);
+        controls[i] = f->addr[i];
+    }
+    const tc_time_t begun = tc_time_now();
+    start_reporter_with(f, controls);
+    lab_run_until(f->loop, asked_enough, &slow);
+    g_assert_cmpuint(slow.with_list, >=, 1);
+    g_assert_cmpuint(slow.with_list, <=, 1 + (tc_time_now() - begun) / QUESTION_LIMIT_MS);
+    reporter_destroy(f->reporter);
+    f->reporter = NULL;
+    for (int i = 0; i < SLOW_CONTROLS; i++)
+        peer_destroy(nets[i]);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -550,5 +605,6 @@
     TEST("moving-engine-is-told-as-leaving", test_moving_engine_is_told_as_leaving);
     TEST("leader-hands-out-its-part", test_leader_hands_out_its_part);
     TEST("learning-waits-for-nobody", test_learning_waits_for_nobody);
+    TEST("one-list-at-a-time", test_one_list_at_a_time);
     return g_test_run();
 }
