--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -287,6 +287,76 @@
     return path;
 }
 
+/* ===== What goes first ===== */
+
+typedef struct {
+    GString *order; /* ids as they came */
+} heard_t;
+
+static void note_order(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    (void)call, (void)from, (void)type;
+    g_string_append(((heard_t *)arg)->order, ((const msg_claim_t *)message)->id);
+}
+
+static bool heard_all(void *arg)
+{
+    return ((const heard_t *)arg)->order->len == 4;
+}
+
+static msg_claim_t named(const char *id)
+{
+    msg_claim_t claim = {0};
+    codec_copy_string(claim.id, sizeof(claim.id), id);
+    return claim;
+}
+
+/** Heartbeats and votes overtake what waits for the same peer, and keep their own order. */
+static void test_first_goes_first(void)
+{
+    heard_t heard = {.order = g_string_new(NULL)};
+    tc_err_t err;
+    loop_t *const loop = loop_create();
+    const peer_options_t hears = {
+        .box = "server", .incarnation = 1, .listen = SERVER_ADDR, .key_file = "", .handler = note_order, .arg = &heard};
+    const peer_options_t tells = {
+        .box = "client", .incarnation = 1, .listen = "", .key_file = "", .handler = note_order, .arg = &heard};
+    peer_net_t *const server = peer_create(loop, &hears, &err), *const client = peer_create(loop, &tells, &err);
+    g_assert_true(server && client);
+    const msg_claim_t bulk[] = {named("a"), named("b")}, urgent[] = {named("1"), named("2")};
+    peer_send(client, SERVER_ADDR, MSG_CLAIM, &bulk[0]); /* all wait for the connection */
+    peer_send(client, SERVER_ADDR, MSG_CLAIM, &bulk[1]);
+    peer_send_first(client, SERVER_ADDR, MSG_CLAIM, &urgent[0]);
+    peer_send_first(client, SERVER_ADDR, MSG_CLAIM, &urgent[1]);
+    lab_run_until(loop, heard_all, &heard);
+    g_assert_cmpstr(heard.order->str, ==, "12ab");
+    g_assert_cmpuint(peer_backlog(client, tc_time_now()).bytes, ==, 0);
+    peer_destroy(client);
+    peer_destroy(server);
+    loop_destroy(loop);
+    g_string_free(heard.order, TRUE);
+}
+
+/* ===== What keeps the loop ===== */
+
+static void stand_still(void *arg)
+{
+    const tc_time_t until = tc_time_now() + 30;
+    while (tc_time_now() < until) {
+    }
+    loop_stop(arg);
+}
+
+static void test_longest_turn(void)
+{
+    loop_t *const loop = loop_create();
+    loop_post(loop, stand_still, loop);
+    loop_run(loop);
+    g_assert_cmpint(loop_longest_turn(loop).took, >=, 29);
+    g_assert_cmpstr(loop_longest_turn(loop).what, ==, "posted");
+    loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -301,6 +371,8 @@
     g_test_add_func("/peer/silent-connection", test_silent_connection);
     g_test_add_func("/peer/slow-answer", test_slow_answer);
     g_test_add_func("/peer/garbage", test_garbage);
+    g_test_add_func("/peer/first-goes-first", test_first_goes_first);
+    g_test_add_func("/peer/longest-turn", test_longest_turn);
     const int rc = g_test_run();
     g_unlink(good_key);
     g_unlink(other_key);
