Runs of a stream are told in the log: what each was to bring, what it brought, what it left unfinished

Cause: no line told which back end's part of an answer an event came from, so the hypotheses of the incident could not be told apart. Added: run_ended for each part (the event it was to go on behind, first and last event, bytes of an unfinished one, bytes the caller has not taken), events' digest at the end of the answer, and an assertion that the bytes added to a connection are those written and those that wait. No decision changes.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -48,7 +48,7 @@
 
 static void fail(forward_t *f, const char *why, tc_time_t come_back)
 {
-    step_cancel(f);
+    step_cancel(f, why);
     if (f->begun) {
         counter_add(&c_unknown, 1);
         forward_log_end(f, "aborted", why, 0);
@@ -90,7 +90,7 @@
     forward_t *const f = arg;
     counter_add(&c_left, 1);
     forward_log_end(f, "caller_gone", "connection closed", 0);
-    step_cancel(f);
+    step_cancel(f, "connection closed");
     forward_free(f);
 }
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -42,13 +42,14 @@
                                others. Prompts give way to newer ones only after some seconds */
     LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
     EARLY_LIFE_MS = 1000,   /* a box that has run for longer without learning where to send requests refuses them */
-    EARLY_WAIT_MS = 450,  /* they wait so long: hundreds of boxes that are all started at once, control among them, know
-                             the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
-    HOLD_TRIES = 4,       /* engines asked to set memory aside for one request */
-    HOLD_MS = 1200,       /* how long it is set aside: a prompt is read in a few hundred ms */
-    HOLD_ANSWER_MS = 300, /* an engine in reach answers in a few ms */
-    RENEW_MS = 300,       /* as SCHED_RENEW_MS */
-    RENEW_SOON_MS = 30,   /* after this box placed something by itself: with it, what follows in the same burst */
+    EARLY_WAIT_MS = 450, /* they wait so long: hundreds of boxes that are all started at once, control among them, know
+                            the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
+    EVENT_ID_SIZE = 32,
+    HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
+    HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
+    HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
+    RENEW_MS = 300,         /* as SCHED_RENEW_MS */
+    RENEW_SOON_MS = 30,     /* after this box placed something by itself: with it, what follows in the same burst */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
 
@@ -63,6 +64,15 @@
 
 typedef struct forward forward_t;
 
+/** What one run of a stream brought. A run is the part of an answer that one call to one back end brings. */
+typedef struct {
+    char after[EVENT_ID_SIZE]; /* event that it was to go on behind, "" when it was to begin */
+    char first[EVENT_ID_SIZE]; /* id of the first event that it brought whole, "" for none */
+    char last[EVENT_ID_SIZE];  /* the same of the last one */
+    unsigned events;           /* that it brought whole */
+    uint64_t bytes;            /* of these */
+} stream_run_t;
+
 /** One call to one back end. */
 typedef struct {
     forward_t *request;
@@ -76,6 +86,7 @@
     dialect_reply_t reply;
     GString *head;
     GByteArray *body;
+    stream_run_t run; /* of a streamed answer */
     tc_time_t began;
 } step_t;
 
@@ -180,13 +191,16 @@
     unsigned backends;        /* that may have: one that was asked twice counts once */
 
     /* Its answer. */
-    bool begun;          /* the answer's head has left */
-    GByteArray *partial; /* bytes of an event that is not whole yet */
-    char last_event[32]; /* newest event passed on, or the one that the caller has */
-    unsigned events;     /* passed on */
-    tc_time_t first_at;  /* the first of them was; 0: none */
-    tc_time_t event_at;  /* the last one */
-    tc_time_t pause;     /* longest time between two of them */
+    bool begun;                     /* the answer's head has left */
+    GByteArray *partial;            /* bytes of an event that is not whole yet */
+    char last_event[EVENT_ID_SIZE]; /* newest event passed on, or the one that the caller has */
+    unsigned stream_runs;           /* that brought it */
+    unsigned events;                /* passed on */
+    uint64_t bytes;                 /* of these */
+    uint64_t digest;                /* of these, one after the other */
+    tc_time_t first_at;             /* the first of them was; 0: none */
+    tc_time_t event_at;             /* the last one */
+    tc_time_t pause;                /* longest time between two of them */
 };
 
 struct forwarder {
@@ -237,6 +251,9 @@
 void forward_log_routed(const forward_t *f);
 /** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
+/** The line that ends a run of a stream: what it was to bring, what it brought, and what was left of it.
+ *  @param unfinished bytes of an event that it did not bring whole */
+void forward_log_run(const step_t *s, const char *why, size_t unfinished);
 /** The line that ends a request: how its caller was served. */
 void forward_log_end(const forward_t *f, const char *event, const char *why, int status);
 
@@ -333,15 +350,15 @@
 
 /** Send the request to @p instance, whose reference is taken over. */
 void step_begin(forward_t *f, dialect_ask_t ask, instance_t *instance);
-/** Drop the call under way, if there is one. */
-void step_cancel(forward_t *f);
+/** Drop the call under way, if there is one. @param why for the log */
+void step_cancel(forward_t *f, const char *why);
 /** Tell the engine that holds a prefill result that nobody will take it. */
 void handle_release(forward_t *f);
 
 /* ===== forward_stream.c ===== */
 
-/** Take bytes of a stream and pass on the events that are whole. */
-void stream_take(forward_t *f, const char *data, size_t size);
+/** Take bytes that a run brought and pass on the events that are whole. */
+void stream_take(step_t *s, const char *data, size_t size);
 /** Whether nothing of an event is left over. */
 bool stream_is_whole(const forward_t *f);
 
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -54,6 +54,27 @@
     log_end(&line);
 }
 
+void forward_log_run(const step_t *s, const char *why, size_t unfinished)
+{
+    const forward_t *const f = s->request;
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "run_ended");
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "why", why);
+    log_int(&line, "run", f->stream_runs);
+    log_str(&line, "backend", s->instance->listed.id);
+    log_str(&line, "addr", s->instance->listed.addr);
+    log_str(&line, "after", s->run.after);
+    log_str(&line, "first", s->run.first);
+    log_str(&line, "last", s->run.last);
+    log_int(&line, "events", s->run.events);
+    log_int(&line, "bytes", (int64_t)s->run.bytes);
+    log_int(&line, "unfinished", (int64_t)unfinished);
+    log_int(&line, "unsent", (int64_t)web_unsent(f->exchange));
+    log_int(&line, "took_ms", tc_time_now() - s->began);
+    log_end(&line);
+}
+
 void forward_log_end(const forward_t *f, const char *event, const char *why, int status)
 {
     const tc_time_t now = tc_time_now();
@@ -67,6 +88,12 @@
         log_int(&line, "first_ms", f->first_at - f->request.arrived);
         log_int(&line, "pause_ms", f->pause);
         log_int(&line, "events", f->events);
+        log_int(&line, "runs", f->stream_runs);
+        log_str(&line, "last", f->last_event);
+        log_int(&line, "bytes", (int64_t)f->bytes);
+        char digest[17];
+        g_snprintf(digest, sizeof(digest), "%016" G_GINT64_MODIFIER "x", f->digest);
+        log_str(&line, "digest", digest);
     }
     log_int(&line, "config", (int64_t)f->table->version);
     log_int(&line, "arrivals", f->arrivals);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -20,10 +20,19 @@
 
 /* ===== Ending a step ===== */
 
-/** Take the step off its request. */
-static void step_free(step_t *s)
+/** Whether the answer goes to the caller event by event. */
+static bool is_streamed(const step_t *s)
+{
+    return s->head_seen && s->request->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL && s->reply.success &&
+           s->reply.genuine;
+}
+
+/** Take the step off its request. @param why for the log */
+static void step_free(step_t *s, const char *why)
 {
     forward_t *const f = s->request;
+    if (is_streamed(s))
+        forward_log_run(s, why, f->partial->len);
     loop_disarm(&f->patience);
     instance_end(s->instance, s->tokens);
     instance_unref(s->instance);
@@ -34,12 +43,12 @@
     g_free(s);
 }
 
-void step_cancel(forward_t *f)
+void step_cancel(forward_t *f, const char *why)
 {
     if (!f->step)
         return;
     web_call_cancel(f->step->call);
-    step_free(f->step);
+    step_free(f->step, why);
 }
 
 /* ===== Prefill results ===== */
@@ -64,13 +73,6 @@
 
 /* ===== Looking ===== */
 
-/** Whether the answer goes to the caller event by event. */
-static bool is_streamed(const step_t *s)
-{
-    return s->head_seen && s->request->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL && s->reply.success &&
-           s->reply.genuine;
-}
-
 /** Whether the request may run on one more back end when it may have run on this one. */
 static bool may_run_again(const forward_t *f)
 {
@@ -126,7 +128,7 @@
         handle_forget(f);
     codec_copy_string(f->bad, sizeof(f->bad), ask == DIALECT_DECODE ? s->instance->listed.id : "");
     f->trouble = s->reply.other ? TROUBLE_OUTDATED : (refused ? TROUBLE_FULL : TROUBLE_STALLED);
-    step_free(s);
+    step_free(s, why);
     if (refused)
         retry_then(f, go_elsewhere);
     else
@@ -162,7 +164,7 @@
         place_tell(f, PHASE_PREFILL, s->instance); /* no box need find it out again */
     if (ask == DIALECT_DECODE && f->handle.instance)
         handle_forget(f); /* taken, or about to lapse */
-    step_free(s);
+    step_free(s, why);
     if (ask == DIALECT_PREFILL) {
         retry_then(f, forward_go_on);
         return;
@@ -181,7 +183,7 @@
     forward_t *const f = s->request;
     const int status = s->status;
     web_answer(f->exchange, status, s->head->str, s->body->data, s->body->len);
-    step_free(s);
+    step_free(s, "answered");
     forward_done(f, status, "answered");
 }
 
@@ -199,7 +201,7 @@
     f->handle = (handle_t){
         .instance = instance_ref(s->instance), .name = name, .until = tc_time_now() + f->settings->handle_ttl};
     place_tell(f, PHASE_TRANSFER, NULL);
-    step_free(s);
+    step_free(s, "prompt computed");
     forward_go_on(f);
 }
 
@@ -208,8 +210,8 @@
     forward_t *const f = s->request;
     if (how == WEB_END_WHOLE && stream_is_whole(f)) {
         instance_succeeded(s->instance);
+        step_free(s, "streamed");
         web_end(f->exchange);
-        step_free(s);
         forward_done(f, 200, "streamed");
         return;
     }
@@ -229,7 +231,7 @@
     mark_tried(s);
     if (f->handle.instance)
         handle_forget(f);
-    step_free(s);
+    step_free(s, "tried once more elsewhere");
     forward_go_on(f);
     return true;
 }
@@ -304,8 +306,10 @@
         place_tell(f, PHASE_DECODE, NULL);
         web_begin(f->exchange, head->status, s->head->str);
     }
-    if (streams)
+    if (streams) {
+        f->stream_runs++;
         watch_silence(f);
+    }
     return WEB_TAKE;
 }
 
@@ -314,7 +318,7 @@
     step_t *const s = arg;
     forward_t *const f = s->request;
     if (is_streamed(s)) {
-        stream_take(f, data, size);
+        stream_take(s, data, size);
         watch_silence(f);
         return;
     }
@@ -356,6 +360,7 @@
     s->instance = instance;
     s->tokens = ask == DIALECT_DECODE ? 0 : f->facts.prompt_tokens;
     s->body = g_byte_array_new();
+    g_strlcpy(s->run.after, f->last_event, sizeof(s->run.after));
     s->began = now;
     const dialect_step_t step = {.ask = ask,
                                  .instance = instance->listed.id,
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -2,13 +2,18 @@
 
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "common/counter.h"
 #include "forward/forward_internal.h"
 
 enum { EVENT_MAX = 1024 * 1024 };
 
-/** Remember the id of an event, its last one if it names several. */
-static void note_id(forward_t *f, const char *event, size_t size)
+/** Read the id of an event, its last one if it names several. @return whether it has one */
+static bool read_id(const char *event, size_t size, char to[EVENT_ID_SIZE])
 {
+    bool found = false;
     const char *line = event;
     const char *const end = event + size;
     while (line < end) {
@@ -16,11 +21,30 @@
         const size_t length = (size_t)((stop ? stop : end) - line);
         if (length > 3 && memcmp(line, "id:", 3) == 0) {
             char *const id = g_strstrip(g_strndup(line + 3, length - 3));
-            g_strlcpy(f->last_event, id, sizeof(f->last_event));
+            g_strlcpy(to, id, EVENT_ID_SIZE);
             g_free(id);
+            found = true;
         }
         line += length + 1;
     }
+    return found;
+}
+
+/** A whole event has come. */
+static void note_event(step_t *s, const char *event, size_t size)
+{
+    forward_t *const f = s->request;
+    stream_run_t *const run = &s->run;
+    if (read_id(event, size, run->last)) {
+        g_strlcpy(f->last_event, run->last, sizeof(f->last_event));
+        if (!run->first[0])
+            g_strlcpy(run->first, run->last, sizeof(run->first));
+    }
+    run->events++;
+    run->bytes += size;
+    f->events++;
+    f->bytes += size;
+    f->digest = XXH64(event, size, f->digest); /* event by event: as they come in does not matter */
 }
 
 /** Bytes up to the end of the first whole event, 0 when there is none. */
@@ -43,14 +67,14 @@
     f->event_at = now;
 }
 
-void stream_take(forward_t *f, const char *data, size_t size)
+void stream_take(step_t *s, const char *data, size_t size)
 {
+    forward_t *const f = s->request;
     g_byte_array_append(f->partial, (const guint8 *)data, (guint)size);
     size_t used = 0, length;
     const char *const bytes = (const char *)f->partial->data;
     while ((length = event_length(bytes + used, f->partial->len - used)) > 0) {
-        note_id(f, bytes + used, length);
-        f->events++;
+        note_event(s, bytes + used, length);
         used += length;
     }
     if (used > 0) {
--- a/lib/web/web_answer.c
+++ b/lib/web/web_answer.c
@@ -22,6 +22,12 @@
     loop_rewatch(c->server->loop, &c->watch, EPOLLIN | EPOLLRDHUP | (want ? EPOLLOUT : 0u));
 }
 
+/** No byte of an answer is lost or doubled on its way through the buffer. */
+static bool adds_up(const web_exchange_t *c)
+{
+    return c->put - c->sent == c->out->len - c->out_sent;
+}
+
 /** Forget bytes that have been sent, once they are many. */
 static void drop_sent(web_exchange_t *c)
 {
@@ -33,6 +39,7 @@
 
 bool exchange_flush(web_exchange_t *c)
 {
+    assert(adds_up(c)); /* callers would get pieces that no back end made */
     while (c->out_sent < c->out->len) {
         const ssize_t n = send(c->watch.fd, c->out->data + c->out_sent, c->out->len - c->out_sent, MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
@@ -40,20 +47,28 @@
                 c->since = tc_time_now();
             exchange_want_write(c, true);
             drop_sent(c);
+            assert(adds_up(c)); /* what was dropped had been sent */
             return c->out->len <= OUT_MAX;
         }
         if (n < 0)
             return false;
         c->out_sent += (size_t)n;
+        c->sent += (uint64_t)n;
         c->since = tc_time_now();
     }
     exchange_empty(&c->out);
     exchange_release_answer(c);
     c->out_sent = 0;
     exchange_want_write(c, false);
+    assert(adds_up(c));
     return true;
 }
 
+size_t web_unsent(const web_exchange_t *c)
+{
+    return c->out->len - c->out_sent;
+}
+
 void exchange_release_answer(web_exchange_t *c)
 {
     c->server->held -= c->answer_held;
@@ -63,6 +78,7 @@
 void exchange_put(web_exchange_t *c, const void *data, size_t size)
 {
     g_byte_array_append(c->out, data, (guint)size);
+    c->put += size;
 }
 
 /* ===== Answering ===== */
--- a/lib/web/web_server.h
+++ b/lib/web/web_server.h
@@ -84,6 +84,8 @@
 void web_begin(web_exchange_t *exchange, int status, const char *head);
 /** Add to an answer that was begun. */
 void web_add(web_exchange_t *exchange, const void *data, size_t size);
+/** Bytes of answers that the connection has not taken yet. */
+size_t web_unsent(const web_exchange_t *exchange);
 /** The answer that was begun is complete. Ends the exchange. */
 void web_end(web_exchange_t *exchange);
 
--- a/lib/web/web_server_internal.h
+++ b/lib/web/web_server_internal.h
@@ -37,7 +37,8 @@
     loop_timer_t next;             /* hands them to the parser, from the loop, so that handlers never nest */
     GByteArray *out;
     size_t out_sent;
-    tc_time_t since; /* state or last progress */
+    uint64_t put, sent; /* bytes since the connection was made: added to out, and written to the socket */
+    tc_time_t since;    /* state or last progress */
     tc_time_t arrived;
     loop_fn_t gone;
     void *gone_arg;
