Incident reproduced: a run that stops within an event without closing (known red)

Seen: the caller of a stream that is taken up again gets the unfinished event of one run and the next run's first event as one ("iid: 2"), already at the first of the places that the test goes through; the first reading saw it at each.

--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,6 +1,6 @@
 /** @file forward_lab.h
- * The world of test_forward.c, which alone includes it: an entry over loopback, fake back ends that answer by a plan,
- * and callers.
+ * The world of test_forward.c and test_stream_events.c, which alone include it: an entry over loopback, fake back ends
+ * that answer by a plan, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -21,6 +21,8 @@
     const char *replies; /* a letter each, see answer() */
     unsigned at;         /* the letter for the next request */
     GString *seen;       /* all requests, one after the other */
+    const char *stream;  /* letter 'q': events as they are sent */
+    size_t stream_size;  /* so many bytes of them; then nothing more, and the connection stays open */
     struct fixture *fixture;
 } plan_t;
 
@@ -60,6 +62,13 @@
     return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
 }
 
+/** The first bytes of a stream, and then nothing more. */
+static lab_reply_t say_part(const char *stream, size_t size)
+{
+    char *const bytes = g_strdup_printf(STREAM_HEAD "%zx\r\n%.*s\r\n", size, (int)size, stream);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_HANG};
+}
+
 static lab_reply_t answer(void *arg, const char *request)
 {
     plan_t *const plan = arg;
@@ -89,6 +98,7 @@
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     case 'T': /* breaks in the middle of its second event */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET);
+    case 'q': return say_part(plan->stream, plan->stream_size);
     case 'U': /* goes on behind the first */ return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     default: g_assert_not_reached();
     }
@@ -102,12 +112,15 @@
 #define ENGINE(more) "\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":5" more "}"
 /** As attempts: the stream may be taken up elsewhere. */
 #define RESUMABLE "2,\"resumable\":true"
+/** The same after a silence of 40 ms. */
+#define RESUMABLE_SOON RESUMABLE ",\"gap_aim_ms\":10"
 
 static const char *const routes[] = {ROUTE("safe", "safe", "3000", "2", "app"),
                                      ROUTE("once", "unsafe", "3000", "2", "app"),
                                      ROUTE("short", "safe", "200", "2", "app"),
                                      ROUTE("lm", "stream", "9000", "1", "lm"),
                                      ROUTE("again", "stream", "9000", RESUMABLE, "lm"),
+                                     ROUTE("soon", "stream", "9000", RESUMABLE_SOON, "lm"),
                                      ROUTE("held", "stream", "9000", "1", "held"),
                                      ROUTE("held-again", "stream", "9000", RESUMABLE, "held"),
                                      NULL};
--- /dev/null
+++ b/tests/platform/test_stream_events.c
@@ -0,0 +1,54 @@
+/* Events of a stream that several runs bring.
+ *
+ * Callers of streams that may be taken up elsewhere got events that no back end had written: the first bytes of an
+ * event of one run, and behind them a whole event of the next. It came about where a back end, or the network before
+ * it, fell silent within an event without closing the connection. Bytes of an unfinished event were kept in the
+ * request; a run that broke off emptied them, a run that was given up for its silence did not, and the next run's bytes
+ * were added to them. Shown by the first test: at each place within an event the caller got joined bytes. */
+
+#include "platform/forward_lab.h"
+
+#define FIRST "id: 1\ndata: a\n\n"
+#define SECOND "id: 2\ndata: b\n\n"
+#define FIRST_CRLF "id: 1\r\ndata: a\r\n\r\n"
+#define SECOND_CRLF "id: 2\r\ndata: b\r\n\r\n"
+
+/** An engine whose streams stop after some bytes, and one that goes on behind the first event. */
+static void start_engines(fixture_t *f)
+{
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "q", false, false},
+                                 {"lm", "decode", "U", true, false}},
+              3);
+}
+
+/** @param stream what the engine that stops sends of @p first and the event behind it, place by place */
+static void stop_within_second_event(fixture_t *f, const char *stream, const char *first)
+{
+    char *const whole = g_strconcat(first, SECOND, NULL);
+    f->plan[1].stream = stream;
+    for (size_t size = strlen(first); size < strlen(stream); size++) {
+        const unsigned before = requests(f, 1);
+        f->plan[1].stream_size = size;
+        expect(f, "/soon/x", 200, whole);
+        g_assert_cmpuint(requests(f, 1), ==, before + 1); /* the run that stops was one of the answer's */
+    }
+    g_free(whole);
+}
+
+static void test_run_that_stops_within_an_event(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f);
+    stop_within_second_event(f, FIRST SECOND, FIRST);
+    stop_within_second_event(f, FIRST_CRLF SECOND_CRLF, FIRST_CRLF);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add("/stream-events/run-stops-within", fixture_t, NULL, set_up, test_run_that_stops_within_an_event,
+               tear_down);
+    return g_test_run();
+}
