A run that begins anew in spite of the event it was asked to go on behind (known red)

Seen: the caller gets the first event again (200, whole). An answer of two runs must go on where the first stopped; what the second brings is not looked at today.

--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -45,10 +45,28 @@
     stop_within_second_event(f, FIRST_CRLF SECOND_CRLF, FIRST_CRLF);
 }
 
+/** A run that begins at the first event again, whatever it is asked to go on behind, is given up: an engine may word
+ * its answer in another way the second time. */
+static void test_run_that_starts_over(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "T", false, false},
+                                 {"lm", "decode", "S", true, false}},
+              3);
+    lab_call_t *const c = call(f, "/soon/x");
+    g_assert_cmpint(c->how, ==, WEB_END_CUT);
+    g_assert_cmpstr(c->body->str, ==, FIRST);
+    lab_call_free(c);
+    g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add("/stream-events/run-stops-within", fixture_t, NULL, set_up, test_run_that_stops_within_an_event,
                tear_down);
+    g_test_add("/stream-events/run-starts-over", fixture_t, NULL, set_up, test_run_that_starts_over, tear_down);
     return g_test_run();
 }
