What belongs to a run of a stream ends with the call that brings it

Cause: bytes of an unfinished event lay in the request, and each way in which a run can end had to empty them; the end by silence did not. Now a run (stream_run_t) is part of its call and is freed with it, whatever ends it, and begins empty. Of the same class: a run's events are compared with the event that it was asked to go on behind, and a run that does not keep to it is given up, not passed on; an event of more than 1 MB lost its end without a word, now 4 MB are kept and a larger one breaks the answer off with its reason. The search for an event's end goes on where it stopped.

--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -64,8 +64,12 @@
 
 typedef struct forward forward_t;
 
-/** What one run of a stream brought. A run is the part of an answer that one call to one back end brings. */
+/** One run of a stream: the part of an answer that one call to one back end brings. It is part of the call, so that
+ *  nothing of it outlives the call however that ends: bytes of an unfinished event of one run must never stand before
+ *  those of the next. */
 typedef struct {
+    GByteArray *partial;       /* bytes of an event that is not whole yet */
+    size_t searched;           /* of these, without the end of an event */
     char after[EVENT_ID_SIZE]; /* event that it was to go on behind, "" when it was to begin */
     char first[EVENT_ID_SIZE]; /* id of the first event that it brought whole, "" for none */
     char last[EVENT_ID_SIZE];  /* the same of the last one */
@@ -81,7 +85,7 @@
     uint64_t tokens; /* counted at the instance */
     web_call_t *call;
     bool head_seen;
-    bool hung; /* given up for its silence */
+    bool given_up; /* by this box: asked again, the back end would do the same */
     int status;
     dialect_reply_t reply;
     GString *head;
@@ -192,7 +196,6 @@
 
     /* Its answer. */
     bool begun;                     /* the answer's head has left */
-    GByteArray *partial;            /* bytes of an event that is not whole yet */
     char last_event[EVENT_ID_SIZE]; /* newest event passed on, or the one that the caller has */
     unsigned stream_runs;           /* that brought it */
     unsigned events;                /* passed on */
@@ -251,9 +254,8 @@
 void forward_log_routed(const forward_t *f);
 /** One line on a decision, with the age of what it rests on. @param instance the one it concerns, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
-/** The line that ends a run of a stream: what it was to bring, what it brought, and what was left of it.
- *  @param unfinished bytes of an event that it did not bring whole */
-void forward_log_run(const step_t *s, const char *why, size_t unfinished);
+/** The line that ends a run of a stream: what it was to bring, what it brought, and what was left of it. */
+void forward_log_run(const step_t *s, const char *why);
 /** The line that ends a request: how its caller was served. */
 void forward_log_end(const forward_t *f, const char *event, const char *why, int status);
 
@@ -357,9 +359,22 @@
 
 /* ===== forward_stream.c ===== */
 
+/** What came of bytes that a run brought. */
+typedef enum {
+    STREAM_TAKEN,    /* whole events were passed on, the rest is kept */
+    STREAM_REPEATED, /* the run does not go on behind the event that it was asked to go on behind */
+    STREAM_TOO_LARGE /* an event is larger than what is kept of one */
+} stream_verdict_t;
+
+/** Begin a run that goes on behind the last event of its request. */
+void stream_begin(step_t *s);
+/** Whether the answer goes to the caller event by event. */
+bool stream_has_begun(const step_t *s);
 /** Take bytes that a run brought and pass on the events that are whole. */
-void stream_take(step_t *s, const char *data, size_t size);
+stream_verdict_t stream_take(step_t *s, const char *data, size_t size);
 /** Whether nothing of an event is left over. */
-bool stream_is_whole(const forward_t *f);
+bool stream_is_whole(const step_t *s);
+/** The run is over, whole or not: what is left of an event is dropped. @param why for the log */
+void stream_end(step_t *s, const char *why);
 
 #endif
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -54,7 +54,7 @@
     log_end(&line);
 }
 
-void forward_log_run(const step_t *s, const char *why, size_t unfinished)
+void forward_log_run(const step_t *s, const char *why)
 {
     const forward_t *const f = s->request;
     log_line_t line;
@@ -69,7 +69,7 @@
     log_str(&line, "last", s->run.last);
     log_int(&line, "events", s->run.events);
     log_int(&line, "bytes", (int64_t)s->run.bytes);
-    log_int(&line, "unfinished", (int64_t)unfinished);
+    log_int(&line, "unfinished", s->run.partial->len);
     log_int(&line, "unsent", (int64_t)web_unsent(f->exchange));
     log_int(&line, "took_ms", tc_time_now() - s->began);
     log_end(&line);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -20,19 +20,11 @@
 
 /* ===== Ending a step ===== */
 
-/** Whether the answer goes to the caller event by event. */
-static bool is_streamed(const step_t *s)
-{
-    return s->head_seen && s->request->route->kind == ROUTE_STREAM && s->ask != DIALECT_PREFILL && s->reply.success &&
-           s->reply.genuine;
-}
-
 /** Take the step off its request. @param why for the log */
 static void step_free(step_t *s, const char *why)
 {
     forward_t *const f = s->request;
-    if (is_streamed(s))
-        forward_log_run(s, why, f->partial->len);
+    stream_end(s, why);
     loop_disarm(&f->patience);
     instance_end(s->instance, s->tokens);
     instance_unref(s->instance);
@@ -140,7 +132,8 @@
 static void ask_same_engine(step_t *s)
 {
     forward_t *const f = s->request;
-    if (!mechanism_is_on(MECHANISM_SAME_ENGINE) || !f->split || f->repeated || s->instance->failures > 1 || s->hung) {
+    if (!mechanism_is_on(MECHANISM_SAME_ENGINE) || !f->split || f->repeated || s->instance->failures > 1 ||
+        s->given_up) {
         mark_tried(s);
         return;
     }
@@ -160,7 +153,7 @@
     forward_log(f, "answer_lost", why, s->status, s->instance);
     instance_failed(s->instance, tc_time_now());
     ask_same_engine(s);
-    if (ask == DIALECT_PREFILL && s->hung)
+    if (ask == DIALECT_PREFILL && s->given_up)
         place_tell(f, PHASE_PREFILL, s->instance); /* no box need find it out again */
     if (ask == DIALECT_DECODE && f->handle.instance)
         handle_forget(f); /* taken, or about to lapse */
@@ -208,14 +201,13 @@
 static void stream_ended(step_t *s, web_end_t how)
 {
     forward_t *const f = s->request;
-    if (how == WEB_END_WHOLE && stream_is_whole(f)) {
+    if (how == WEB_END_WHOLE && stream_is_whole(s)) {
         instance_succeeded(s->instance);
         step_free(s, "streamed");
         web_end(f->exchange);
         forward_done(f, 200, "streamed");
         return;
     }
-    g_byte_array_set_size(f->partial, 0);
     maybe_run(s, "stream broke off");
 }
 
@@ -265,14 +257,19 @@
 
 /* ===== Reports of the call ===== */
 
+/** This box ends the call. */
+static void give_up(step_t *s, const char *why)
+{
+    web_call_cancel(s->call);
+    s->given_up = true;
+    maybe_run(s, why);
+}
+
 static void on_step_late(void *arg)
 {
-    forward_t *const f = arg;
-    step_t *const s = f->step;
+    step_t *const s = ((forward_t *)arg)->step;
     assert(s); /* disarmed with the step */
-    web_call_cancel(s->call);
-    s->hung = true; /* it would stand still again */
-    maybe_run(s, s->ask == DIALECT_PREFILL ? "prefill engine is silent" : "stream is silent");
+    give_up(s, s->ask == DIALECT_PREFILL ? "prefill engine is silent" : "stream is silent");
 }
 
 /** A stream that may be taken up elsewhere is not waited for longer than its pauses allow. */
@@ -296,7 +293,7 @@
     if (s->ask == DIALECT_PREFILL || s->reply.not_run)
         return WEB_TAKE;
     s->head = dialect_pass_head(head);
-    const bool streams = is_streamed(s);
+    const bool streams = f->route->kind == ROUTE_STREAM && s->reply.success && s->reply.genuine;
     if (streams && f->handle.instance)
         handle_forget(f); /* the decode engine has it */
     if (streams && !f->begun) {
@@ -307,7 +304,7 @@
         web_begin(f->exchange, head->status, s->head->str);
     }
     if (streams) {
-        f->stream_runs++;
+        stream_begin(s);
         watch_silence(f);
     }
     return WEB_TAKE;
@@ -316,13 +313,15 @@
 static void on_data(void *arg, const char *data, size_t size)
 {
     step_t *const s = arg;
-    forward_t *const f = s->request;
-    if (is_streamed(s)) {
-        stream_take(s, data, size);
-        watch_silence(f);
+    if (!stream_has_begun(s)) {
+        g_byte_array_append(s->body, (const guint8 *)data, (guint)size);
         return;
     }
-    g_byte_array_append(s->body, (const guint8 *)data, (guint)size);
+    switch (stream_take(s, data, size)) {
+    case STREAM_TAKEN: watch_silence(s->request); break;
+    case STREAM_REPEATED: give_up(s, "run does not go on behind the last event"); break;
+    case STREAM_TOO_LARGE: forward_fail(s->request, "event is too large"); break; /* it would be on every engine */
+    }
 }
 
 static void on_end(void *arg, web_end_t how)
@@ -331,7 +330,7 @@
     s->call = NULL;
     if (how == WEB_END_UNSENT)
         not_run(s, "no connection", false);
-    else if (is_streamed(s)) /* which a refusal never is */
+    else if (stream_has_begun(s)) /* which a refusal never is */
         stream_ended(s, how);
     else if (how == WEB_END_WHOLE)
         answered(s);
@@ -360,7 +359,6 @@
     s->instance = instance;
     s->tokens = ask == DIALECT_DECODE ? 0 : f->facts.prompt_tokens;
     s->body = g_byte_array_new();
-    g_strlcpy(s->run.after, f->last_event, sizeof(s->run.after));
     s->began = now;
     const dialect_step_t step = {.ask = ask,
                                  .instance = instance->listed.id,
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -8,7 +8,15 @@
 #include "common/counter.h"
 #include "forward/forward_internal.h"
 
-enum { EVENT_MAX = 1024 * 1024 };
+COUNTER_DEFINE(c_unfinished, "counter", "trackcove_stream_unfinished_total",
+               "Runs of streams that ended within an event, whose bytes were dropped")
+COUNTER_DEFINE(c_repeated, "counter", "trackcove_stream_repeated_total",
+               "Runs of streams given up since they did not go on behind the event that they were asked to")
+
+/** Bytes kept of an event that is not whole: half of what may wait for a caller who is slow to read. */
+enum { EVENT_MAX = 4 * 1024 * 1024 };
+
+/* ===== Events ===== */
 
 /** Read the id of an event, its last one if it names several. @return whether it has one */
 static bool read_id(const char *event, size_t size, char to[EVENT_ID_SIZE])
@@ -30,33 +38,86 @@
     return found;
 }
 
-/** A whole event has come. */
-static void note_event(step_t *s, const char *event, size_t size)
+/** Where the first event ends. @param from where to begin to look for it @return its bytes, 0 when it is not whole */
+static size_t event_length(const char *data, size_t from, size_t size)
+{
+    for (size_t i = from > 1 ? from : 1; i < size; i++) {
+        if (data[i] != '\n')
+            continue;
+        if (data[i - 1] == '\n' || (i >= 2 && data[i - 1] == '\r' && data[i - 2] == '\n'))
+            return i + 1;
+    }
+    return 0;
+}
+
+static bool is_number(const char *text)
+{
+    return text[0] && strspn(text, "0123456789") == strlen(text);
+}
+
+/** Whether an event may stand behind another: ids rise. Of ids that are no whole numbers only the same one is known. */
+static bool stands_behind(const char *id, const char *after)
+{
+    if (!is_number(id) || !is_number(after))
+        return strcmp(id, after) != 0;
+    return g_ascii_strtoull(id, NULL, 10) > g_ascii_strtoull(after, NULL, 10);
+}
+
+/* ===== Runs ===== */
+
+void stream_begin(step_t *s)
+{
+    forward_t *const f = s->request;
+    s->run.partial = g_byte_array_new();
+    g_strlcpy(s->run.after, f->last_event, sizeof(s->run.after));
+    f->stream_runs++;
+}
+
+bool stream_has_begun(const step_t *s)
+{
+    return s->run.partial != NULL;
+}
+
+bool stream_is_whole(const step_t *s)
+{
+    return s->run.partial->len == 0;
+}
+
+void stream_end(step_t *s, const char *why)
+{
+    if (!stream_has_begun(s))
+        return;
+    forward_log_run(s, why);
+    counter_add(&c_unfinished, !stream_is_whole(s));
+    g_byte_array_free(s->run.partial, TRUE);
+    s->run.partial = NULL;
+}
+
+/* ===== Passing on ===== */
+
+/** A whole event has come. @return whether the caller is to get it: a run that begins anew, in spite of the event that
+ *  it was asked to go on behind, may word the same answer in another way and divide it into other events, so that
+ *  what of it the caller has not got yet can't be told. */
+static bool take_event(step_t *s, const char *event, size_t size)
 {
     forward_t *const f = s->request;
     stream_run_t *const run = &s->run;
-    if (read_id(event, size, run->last)) {
-        g_strlcpy(f->last_event, run->last, sizeof(f->last_event));
-        if (!run->first[0])
-            g_strlcpy(run->first, run->last, sizeof(run->first));
+    char id[EVENT_ID_SIZE];
+    const bool named = read_id(event, size, id);
+    if (named && run->after[0] && route_is_repeatable(f->route) && !stands_behind(id, run->after))
+        return false;
+    if (named) {
+        g_strlcpy(run->last, id, sizeof(run->last));
+        g_strlcpy(f->last_event, id, sizeof(f->last_event));
     }
+    if (named && !run->first[0])
+        g_strlcpy(run->first, id, sizeof(run->first));
     run->events++;
     run->bytes += size;
     f->events++;
     f->bytes += size;
     f->digest = XXH64(event, size, f->digest); /* event by event: as they come in does not matter */
-}
-
-/** Bytes up to the end of the first whole event, 0 when there is none. */
-static size_t event_length(const char *data, size_t size)
-{
-    for (size_t i = 1; i < size; i++) {
-        if (data[i] != '\n')
-            continue;
-        if (data[i - 1] == '\n' || (i >= 2 && data[i - 1] == '\r' && data[i - 2] == '\n'))
-            return i + 1;
-    }
-    return 0;
+    return true;
 }
 
 static void note_time(forward_t *f, tc_time_t now)
@@ -67,26 +128,33 @@
     f->event_at = now;
 }
 
-void stream_take(step_t *s, const char *data, size_t size)
+/** Hand the first @p used of the kept bytes to the caller. */
+static void pass_on(step_t *s, size_t used)
 {
-    forward_t *const f = s->request;
-    g_byte_array_append(f->partial, (const guint8 *)data, (guint)size);
-    size_t used = 0, length;
-    const char *const bytes = (const char *)f->partial->data;
-    while ((length = event_length(bytes + used, f->partial->len - used)) > 0) {
-        note_event(s, bytes + used, length);
-        used += length;
-    }
-    if (used > 0) {
-        note_time(f, tc_time_now());
-        web_add(f->exchange, bytes, used);
-        g_byte_array_remove_range(f->partial, 0, (guint)used);
-    }
-    if (f->partial->len > EVENT_MAX)
-        g_byte_array_set_size(f->partial, EVENT_MAX); /* no event: the stream will not count as whole */
+    if (used == 0)
+        return;
+    note_time(s->request, tc_time_now());
+    web_add(s->request->exchange, s->run.partial->data, used);
+    g_byte_array_remove_range(s->run.partial, 0, (guint)used);
 }
 
-bool stream_is_whole(const forward_t *f)
+stream_verdict_t stream_take(step_t *s, const char *data, size_t size)
 {
-    return f->partial->len == 0;
+    stream_run_t *const run = &s->run;
+    g_byte_array_append(run->partial, (const guint8 *)data, (guint)size);
+    const char *const bytes = (const char *)run->partial->data;
+    size_t used = 0, from = run->searched, length;
+    bool goes_on = true;
+    while (goes_on && (length = event_length(bytes + used, from, run->partial->len - used)) > 0) {
+        goes_on = take_event(s, bytes + used, length);
+        used += goes_on ? length : 0;
+        from = 0;
+    }
+    pass_on(s, used);
+    run->searched = run->partial->len;
+    if (!goes_on) {
+        counter_add(&c_repeated, 1);
+        return STREAM_REPEATED;
+    }
+    return run->partial->len > EVENT_MAX ? STREAM_TOO_LARGE : STREAM_TAKEN;
 }
