Fake back ends of the tests send answers in parts, at their pace, and stand still when told to

Needed by the tests of streams that stop within an event: until now an answer was written in one piece, and events were torn by a reset alone.

--- a/tests/harness/lab.c
+++ b/tests/harness/lab.c
@@ -22,6 +22,12 @@
     loop_watch_t watch;
     GString *in;
     bool hanging;
+    bool deaf;          /* answered early: the rest of the request stays unread */
+    lab_reply_t reply;  /* under way, or none: bytes NULL */
+    size_t size, sent;  /* of its bytes */
+    size_t due;         /* bytes that may be sent by now */
+    guint next;         /* of its pieces */
+    loop_timer_t pause; /* before the next piece */
 } lab_conn_t;
 
 struct lab_backend {
@@ -30,19 +36,29 @@
     lab_script_t script;
     void *arg;
     unsigned requests, left;
-    bool early;
+    bool early, frozen;
     struct cds_list_head conns;
 };
 
+static void drop_reply(lab_conn_t *c)
+{
+    g_free(c->reply.bytes);
+    if (c->reply.pieces)
+        g_array_free(c->reply.pieces, TRUE);
+    c->reply = (lab_reply_t){0};
+}
+
 static void conn_end(lab_conn_t *c, bool reset)
 {
     const struct linger hard = {.l_onoff = 1, .l_linger = 0};
     if (reset)
         setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    loop_disarm(&c->pause);
     loop_unwatch(c->backend->loop, &c->watch);
     close(c->watch.fd);
     cds_list_del(&c->node);
     g_string_free(c->in, TRUE);
+    drop_reply(c);
     g_free(c);
 }
 
@@ -60,32 +76,115 @@
     return in->len >= head + body ? head + body : 0;
 }
 
+/** Watch for what is of use now. */
+static void conn_watch(lab_conn_t *c)
+{
+    const bool sending = c->reply.bytes && c->sent < c->due;
+    const uint32_t events = (c->deaf ? 0u : EPOLLIN) | (sending ? EPOLLOUT : 0u);
+    loop_rewatch(c->backend->loop, &c->watch, c->backend->frozen ? 0u : events);
+}
+
+/** The answer is sent. @return false when the connection is gone */
+static bool conn_finish(lab_conn_t *c)
+{
+    const lab_end_t end = c->reply.end;
+    drop_reply(c);
+    c->hanging = end == LAB_HANG;
+    if (end == LAB_KEEP || end == LAB_HANG) {
+        conn_watch(c);
+        return true;
+    }
+    conn_end(c, end == LAB_RESET);
+    return false;
+}
+
+static void on_pause_over(void *arg);
+
+/** The next piece may be sent, at once or later. */
+static void conn_next_piece(lab_conn_t *c)
+{
+    const GArray *const pieces = c->reply.pieces;
+    if (!pieces || c->next >= pieces->len) {
+        c->due = c->size;
+        return;
+    }
+    const lab_piece_t *const piece = &g_array_index(pieces, lab_piece_t, c->next);
+    loop_arm(c->backend->loop, &c->pause, tc_time_now() + piece->wait, on_pause_over, c);
+}
+
+/** Send what may be sent. @return false when the connection is gone */
+static bool conn_send(lab_conn_t *c)
+{
+    while (c->sent < c->due && !c->backend->frozen) {
+        const ssize_t n = send(c->watch.fd, c->reply.bytes + c->sent, c->due - c->sent, MSG_NOSIGNAL);
+        if (n < 0 && errno == EAGAIN)
+            break;
+        if (n < 0) {
+            g_assert_true(errno == EPIPE || errno == ECONNRESET);
+            conn_end(c, false);
+            return false;
+        }
+        c->sent += (size_t)n;
+        if (c->sent == c->due && c->due < c->size)
+            conn_next_piece(c);
+    }
+    if (c->sent == c->size)
+        return conn_finish(c);
+    conn_watch(c);
+    return true;
+}
+
+static bool conn_take_requests(lab_conn_t *c);
+
+static void on_pause_over(void *arg)
+{
+    lab_conn_t *const c = arg;
+    const lab_piece_t *const piece = &g_array_index(c->reply.pieces, lab_piece_t, c->next);
+    c->due = MIN(c->due + piece->size, c->size);
+    c->next++;
+    if (conn_send(c))
+        (void)conn_take_requests(c);
+}
+
 /** @return false when the connection is gone */
 static bool conn_answer(lab_conn_t *c, size_t length)
 {
     lab_backend_t *const b = c->backend;
     b->requests++;
+    c->deaf = b->early;
     char *const request = g_strndup(c->in->str, length);
     g_string_erase(c->in, 0, (gssize)length);
-    const lab_reply_t reply = b->script(b->arg, request);
+    c->reply = b->script(b->arg, request);
     g_free(request);
-    if (reply.bytes) {
-        const ssize_t n = send(c->watch.fd, reply.bytes, strlen(reply.bytes), MSG_NOSIGNAL);
-        g_assert_true(n == (ssize_t)strlen(reply.bytes) || errno == EPIPE || errno == ECONNRESET);
-    }
-    g_free(reply.bytes);
-    c->hanging = reply.end == LAB_HANG;
-    if (reply.end == LAB_KEEP || reply.end == LAB_HANG)
-        return true;
-    conn_end(c, reply.end == LAB_RESET);
-    return false;
+    if (!c->reply.bytes)
+        return conn_finish(c);
+    c->size = strlen(c->reply.bytes);
+    c->sent = c->due = 0;
+    c->next = 0;
+    conn_next_piece(c);
+    return conn_send(c);
+}
+
+/** Answer the requests that are there whole, one after the other. @return false when the connection is gone */
+static bool conn_take_requests(lab_conn_t *c)
+{
+    size_t length;
+    while (!c->reply.bytes && (length = request_length(c->in, c->backend->early)) > 0)
+        if (!conn_answer(c, length))
+            return false;
+    return true;
 }
 
 static void on_conn(void *arg, uint32_t events)
 {
     lab_conn_t *const c = arg;
     char data[READ_SIZE];
-    (void)events;
+    if ((events & EPOLLOUT) && !conn_send(c))
+        return;
+    if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR))) {
+        (void)conn_take_requests(c); /* that came while an answer was under way */
+        return;
+    }
     const ssize_t n = recv(c->watch.fd, data, sizeof(data), 0);
     if (n < 0 && errno == EAGAIN)
         return;
@@ -95,15 +194,7 @@
         return;
     }
     g_string_append_len(c->in, data, n);
-    size_t length;
-    while ((length = request_length(c->in, c->backend->early)) > 0) {
-        if (!conn_answer(c, length))
-            return;
-        if (c->backend->early) {
-            loop_rewatch(c->backend->loop, &c->watch, 0); /* the rest stays unread */
-            return;
-        }
-    }
+    (void)conn_take_requests(c);
 }
 
 static void on_accept(void *arg, uint32_t events)
@@ -176,6 +267,14 @@
     b->early = true;
 }
 
+void lab_backend_freeze(lab_backend_t *b, bool frozen)
+{
+    lab_conn_t *c;
+    b->frozen = frozen;
+    cds_list_for_each_entry(c, &b->conns, node)
+        conn_watch(c);
+}
+
 void lab_backend_stop(lab_backend_t *b)
 {
     loop_unwatch(b->loop, &b->listener);
--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -18,10 +18,18 @@
     LAB_HANG   /**< keeps it and says nothing more */
 } lab_end_t;
 
+/** A part of an answer that is sent by itself. */
+typedef struct {
+    size_t size;
+    tc_time_t wait; /**< ms before it is sent */
+} lab_piece_t;
+
 /** What a fake back end answers: bytes as they are. */
 typedef struct {
     char *bytes; /**< freed by the lab; NULL for none */
     lab_end_t end;
+    GArray
+        *pieces; /**< lab_piece_t, freed by the lab: the answer's parts, the rest follows at once; NULL: all at once */
 } lab_reply_t;
 
 /** Called for every whole request. @param request its bytes as text, headers and body */
@@ -47,6 +55,8 @@
 lab_backend_t *lab_backend_start(loop_t *loop, const char *addr, lab_script_t script, void *arg);
 /** From now on answer as soon as a request's head is there, and read nothing more of it. */
 void lab_backend_answer_early(lab_backend_t *backend);
+/** From now on nothing is sent and nothing is read, as of a process that stands still; and on again. */
+void lab_backend_freeze(lab_backend_t *backend, bool frozen);
 /** Connections from now on are refused, those that stand are reset. */
 void lab_backend_stop(lab_backend_t *backend);
 /** Requests taken whole. */
