Ids of events are told unchanged, however long: the next run goes on behind the very event that came last

Cause: 31 characters of an id were kept, of the caller's too; a UUID has 36, so the next run was asked to go on behind an event that does not exist. An id also ends at a carriage return, so that a back end's event can't add header lines to the request that follows. /stream-events/ids-are-told-unchanged fails before and passes now; test_forward and test_platform pass.

--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -43,7 +43,8 @@
     unsigned prompt_tokens; /**< 0 when unknown */
     unsigned output_tokens; /**< most that may be generated, 0 when unknown */
     unsigned output_guess;  /**< the caller's guess of what will be, often far off; 0 when it made none */
-    char resume_after[32];  /**< last event that the caller has of a stream it takes up again, or "" */
+    const char *resume_after; /**< last event that the caller has of a stream it takes up again, or ""; borrowed from
+                                 the request */
     dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, from its start, in order */
     unsigned parts_n;                        /**< 0 when the caller names none */
 } dialect_request_t;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -31,6 +31,7 @@
     cds_list_del(&f->node);
     g_ptr_array_free(f->tried, TRUE);
     g_ptr_array_free(f->tried_prefill, TRUE);
+    g_free(f->last_event);
     route_table_unref(f->table);
     g_free(f);
 }
@@ -241,7 +242,7 @@
     f->split = f->settings->engines;
     f->tried = g_ptr_array_new_with_free_func(drop_instance);
     f->tried_prefill = g_ptr_array_new_with_free_func(drop_instance);
-    g_strlcpy(f->last_event, facts->resume_after, sizeof(f->last_event));
+    f->last_event = g_strdup(facts->resume_after);
     const bool hurried = facts->patience > 0 && facts->patience < route->timeout;
     f->deadline = request->arrived + (hurried ? facts->patience : route->timeout) - ANSWER_MARGIN_MS;
     cds_list_add(&f->node, &fw->requests);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -42,14 +42,13 @@
                                others. Prompts give way to newer ones only after some seconds */
     LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
     EARLY_LIFE_MS = 1000,   /* a box that has run for longer without learning where to send requests refuses them */
-    EARLY_WAIT_MS = 450, /* they wait so long: hundreds of boxes that are all started at once, control among them, know
-                            the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
-    EVENT_ID_SIZE = 32,
-    HOLD_TRIES = 4,         /* engines asked to set memory aside for one request */
-    HOLD_MS = 1200,         /* how long it is set aside: a prompt is read in a few hundred ms */
-    HOLD_ANSWER_MS = 300,   /* an engine in reach answers in a few ms */
-    RENEW_MS = 300,         /* as SCHED_RENEW_MS */
-    RENEW_SOON_MS = 30,     /* after this box placed something by itself: with it, what follows in the same burst */
+    EARLY_WAIT_MS = 450,  /* they wait so long: hundreds of boxes that are all started at once, control among them, know
+                             the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
+    HOLD_TRIES = 4,       /* engines asked to set memory aside for one request */
+    HOLD_MS = 1200,       /* how long it is set aside: a prompt is read in a few hundred ms */
+    HOLD_ANSWER_MS = 300, /* an engine in reach answers in a few ms */
+    RENEW_MS = 300,       /* as SCHED_RENEW_MS */
+    RENEW_SOON_MS = 30,   /* after this box placed something by itself: with it, what follows in the same burst */
     PREFILL_LIMIT_MS = 1500 /* a prefill engine that has not answered by then is taken for dark */
 };
 
@@ -68,13 +67,13 @@
  *  nothing of it outlives the call however that ends: bytes of an unfinished event of one run must never stand before
  *  those of the next. */
 typedef struct {
-    GByteArray *partial;       /* bytes of an event that is not whole yet */
-    size_t searched;           /* of these, without the end of an event */
-    char after[EVENT_ID_SIZE]; /* event that it was to go on behind, "" when it was to begin */
-    char first[EVENT_ID_SIZE]; /* id of the first event that it brought whole, "" for none */
-    char last[EVENT_ID_SIZE];  /* the same of the last one */
-    unsigned events;           /* that it brought whole */
-    uint64_t bytes;            /* of these */
+    GByteArray *partial; /* bytes of an event that is not whole yet */
+    size_t searched;     /* of these, without the end of an event */
+    char *after;         /* event that it was to go on behind, "" when it was to begin */
+    char *first;         /* id of the first event that it brought whole, or NULL */
+    char *last;          /* the same of the last one */
+    unsigned events;     /* that it brought whole */
+    uint64_t bytes;      /* of these */
 } stream_run_t;
 
 /** One call to one back end. */
@@ -195,15 +194,15 @@
     unsigned backends;        /* that may have: one that was asked twice counts once */
 
     /* Its answer. */
-    bool begun;                     /* the answer's head has left */
-    char last_event[EVENT_ID_SIZE]; /* newest event passed on, or the one that the caller has */
-    unsigned stream_runs;           /* that brought it */
-    unsigned events;                /* passed on */
-    uint64_t bytes;                 /* of these */
-    uint64_t digest;                /* of these, one after the other */
-    tc_time_t first_at;             /* the first of them was; 0: none */
-    tc_time_t event_at;             /* the last one */
-    tc_time_t pause;                /* longest time between two of them */
+    bool begun;           /* the answer's head has left */
+    char *last_event;     /* id of the newest event passed on, or of the one that the caller has; "" for none */
+    unsigned stream_runs; /* that brought it */
+    unsigned events;      /* passed on */
+    uint64_t bytes;       /* of these */
+    uint64_t digest;      /* of these, one after the other */
+    tc_time_t first_at;   /* the first of them was; 0: none */
+    tc_time_t event_at;   /* the last one */
+    tc_time_t pause;      /* longest time between two of them */
 };
 
 struct forwarder {
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -65,8 +65,8 @@
     log_str(&line, "backend", s->instance->listed.id);
     log_str(&line, "addr", s->instance->listed.addr);
     log_str(&line, "after", s->run.after);
-    log_str(&line, "first", s->run.first);
-    log_str(&line, "last", s->run.last);
+    log_str(&line, "first", s->run.first ? s->run.first : "");
+    log_str(&line, "last", s->run.last ? s->run.last : "");
     log_int(&line, "events", s->run.events);
     log_int(&line, "bytes", (int64_t)s->run.bytes);
     log_int(&line, "unfinished", s->run.partial->len);
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -18,24 +18,24 @@
 
 /* ===== Events ===== */
 
-/** Read the id of an event, its last one if it names several. @return whether it has one */
-static bool read_id(const char *event, size_t size, char to[EVENT_ID_SIZE])
+/** Read the id of an event, its last one if it names several. @return for g_free, NULL when it names none */
+static char *read_id(const char *event, size_t size)
 {
-    bool found = false;
+    char *id = NULL;
     const char *line = event;
     const char *const end = event + size;
     while (line < end) {
         const char *const stop = memchr(line, '\n', (size_t)(end - line));
         const size_t length = (size_t)((stop ? stop : end) - line);
         if (length > 3 && memcmp(line, "id:", 3) == 0) {
-            char *const id = g_strstrip(g_strndup(line + 3, length - 3));
-            g_strlcpy(to, id, EVENT_ID_SIZE);
             g_free(id);
-            found = true;
+            id = g_strndup(line + 3, length - 3);
+            id[strcspn(id, "\r")] = '\0'; /* ends a line too: what follows must not become a header line of a request */
+            g_strstrip(id);
         }
         line += length + 1;
     }
-    return found;
+    return id;
 }
 
 /** Where the first event ends. @param from where to begin to look for it @return its bytes, 0 when it is not whole */
@@ -69,7 +69,7 @@
 {
     forward_t *const f = s->request;
     s->run.partial = g_byte_array_new();
-    g_strlcpy(s->run.after, f->last_event, sizeof(s->run.after));
+    s->run.after = g_strdup(f->last_event);
     f->stream_runs++;
 }
 
@@ -90,11 +90,27 @@
     forward_log_run(s, why);
     counter_add(&c_unfinished, !stream_is_whole(s));
     g_byte_array_free(s->run.partial, TRUE);
-    s->run.partial = NULL;
+    g_free(s->run.after);
+    g_free(s->run.first);
+    g_free(s->run.last);
+    s->run = (stream_run_t){0};
 }
 
 /* ===== Passing on ===== */
 
+/** The event that is passed on has an id, which is taken over. */
+static void note_id(step_t *s, char *id)
+{
+    forward_t *const f = s->request;
+    stream_run_t *const run = &s->run;
+    if (!run->first)
+        run->first = g_strdup(id);
+    g_free(run->last);
+    run->last = g_strdup(id);
+    g_free(f->last_event);
+    f->last_event = id;
+}
+
 /** A whole event has come. @return whether the caller is to get it: a run that begins anew, in spite of the event that
  *  it was asked to go on behind, may word the same answer in another way and divide it into other events, so that
  *  what of it the caller has not got yet can't be told. */
@@ -102,16 +118,13 @@
 {
     forward_t *const f = s->request;
     stream_run_t *const run = &s->run;
-    char id[EVENT_ID_SIZE];
-    const bool named = read_id(event, size, id);
-    if (named && run->after[0] && route_is_repeatable(f->route) && !stands_behind(id, run->after))
+    char *const id = read_id(event, size);
+    if (id && run->after[0] && route_is_repeatable(f->route) && !stands_behind(id, run->after)) {
+        g_free(id);
         return false;
-    if (named) {
-        g_strlcpy(run->last, id, sizeof(run->last));
-        g_strlcpy(f->last_event, id, sizeof(f->last_event));
     }
-    if (named && !run->first[0])
-        g_strlcpy(run->first, id, sizeof(run->first));
+    if (id)
+        note_id(s, id);
     run->events++;
     run->bytes += size;
     f->events++;
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -62,11 +62,35 @@
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
+#define LONG_ID "6f1c8a52-7f0e-4c3b-9d64-0a5be2f1d7c3-0000000001"
+
+/** The next run is asked to go on behind the very event that came last, however long its id is, and gets no header
+ * lines out of it. */
+static void test_ids_are_told_unchanged(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    const char *const first = "id: " LONG_ID "\rX: 1\ndata: a\n\n";
+    start_engines(f);
+    f->plan[1].stream = first;
+    f->plan[1].stream_size = strlen(first);
+    char *const whole = g_strconcat(first, SECOND, NULL);
+    expect(f, "/soon/x", 200, whole);
+    g_assert_nonnull(strstr(f->plan[2].seen->str, "\r\nLast-Event-Id: " LONG_ID "\r\n"));
+    g_assert_null(strstr(f->plan[2].seen->str, "X: 1"));
+    lab_call_t *const c = begin_with(f, "/soon/x", "Last-Event-Id: " LONG_ID "\r\n");
+    lab_run_until_true(f->loop, &c->done);
+    lab_call_free(c);
+    g_assert_nonnull(strstr(f->plan[1].seen->str, "\r\nLast-Event-Id: " LONG_ID "\r\n"));
+    g_free(whole);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add("/stream-events/run-stops-within", fixture_t, NULL, set_up, test_run_that_stops_within_an_event,
                tear_down);
     g_test_add("/stream-events/run-starts-over", fixture_t, NULL, set_up, test_run_that_starts_over, tear_down);
+    g_test_add("/stream-events/ids-are-told-unchanged", fixture_t, NULL, set_up, test_ids_are_told_unchanged,
+               tear_down);
     return g_test_run();
 }
