No run goes on behind an event without an id

Cause: a run that breaks behind such an event was taken up behind the last one with an id, so the caller got it twice. Now the answer is broken off, and its caller decides. Comments count for nothing. Test event-without-id fails before (200, whole) and passes now; test_forward passes.

--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -196,6 +196,7 @@
     /* Its answer. */
     bool begun;           /* the answer's head has left */
     char *last_event;     /* id of the newest event passed on, or of the one that the caller has; "" for none */
+    bool unnamed;         /* an event without an id was passed on behind that one: no run can go on there */
     unsigned stream_runs; /* that brought it */
     unsigned events;      /* passed on */
     uint64_t bytes;       /* of these */
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -70,7 +70,7 @@
 {
     if (SABOTAGE_IS(SABOTAGE_RUN_TWICE))
         return f->runs == 0;
-    if (f->begun && !mechanism_is_on(MECHANISM_RESUMPTION))
+    if (f->begun && (f->unnamed || !mechanism_is_on(MECHANISM_RESUMPTION)))
         return false;
     return route_is_repeatable(f->route) && f->backends + !f->asked_again < f->route->max_attempts;
 }
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -38,6 +38,12 @@
     return id;
 }
 
+/** Whether it is more than a comment. */
+static bool has_data(const char *event, size_t size)
+{
+    return (size >= 5 && memcmp(event, "data:", 5) == 0) || memmem(event, size, "\ndata:", 6);
+}
+
 /** Where the first event ends. @param from where to begin to look for it @return its bytes, 0 when it is not whole */
 static size_t event_length(const char *data, size_t from, size_t size)
 {
@@ -125,6 +131,7 @@
     }
     if (id)
         note_id(s, id);
+    f->unnamed = !id && (f->unnamed || has_data(event, size));
     run->events++;
     run->bytes += size;
     f->events++;
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -62,6 +62,22 @@
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
+/** Nothing can go on behind an event without an id: the caller would get it twice. A comment is no event. */
+static void test_event_without_id(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f);
+    f->plan[1].stream = FIRST "data: x\n\n";
+    f->plan[1].stream_size = strlen(f->plan[1].stream);
+    lab_call_t *const c = call(f, "/soon/x");
+    g_assert_cmpint(c->how, ==, WEB_END_CUT);
+    g_assert_cmpstr(c->body->str, ==, f->plan[1].stream);
+    lab_call_free(c);
+    f->plan[1].stream = FIRST ": still there\n\n";
+    f->plan[1].stream_size = strlen(f->plan[1].stream);
+    expect(f, "/soon/x", 200, FIRST ": still there\n\n" SECOND);
+}
+
 #define LONG_ID "6f1c8a52-7f0e-4c3b-9d64-0a5be2f1d7c3-0000000001"
 
 /** The next run is asked to go on behind the very event that came last, however long its id is, and gets no header
@@ -92,5 +108,6 @@
     g_test_add("/stream-events/run-starts-over", fixture_t, NULL, set_up, test_run_that_starts_over, tear_down);
     g_test_add("/stream-events/ids-are-told-unchanged", fixture_t, NULL, set_up, test_ids_are_told_unchanged,
                tear_down);
+    g_test_add("/stream-events/event-without-id", fixture_t, NULL, set_up, test_event_without_id, tear_down);
     return g_test_run();
 }
