A run that none can follow is waited for: the silence that an earlier event allowed does not end it

Cause: the time by which a silent run is given up was only moved on while another run could follow; behind an event without an id it stood as the event before had set it, and ended a run that was well. Test silence-behind-event-without-id fails before; event-without-id breaks its run by a reset now, since silence no longer does (same assertions).

--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -279,6 +279,8 @@
     const tc_time_t limit = pauses > 0 ? pauses : f->owner->options.pause_limit;
     if (may_run_again(f))
         loop_arm(f->owner->loop, &f->patience, tc_time_now() + limit, on_step_late, f);
+    else
+        loop_disarm(&f->patience); /* of an event before */
 }
 
 static web_verdict_t on_head(void *arg, const web_head_t *head)
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -67,6 +67,7 @@
 {
     (void)data;
     start_engines(f);
+    f->plan[1].replies = "Qq";
     f->plan[1].stream = FIRST "data: x\n\n";
     f->plan[1].stream_size = strlen(f->plan[1].stream);
     lab_call_t *const c = call(f, "/soon/x");
@@ -78,6 +79,24 @@
     expect(f, "/soon/x", 200, FIRST ": still there\n\n" SECOND);
 }
 
+/** So its run is waited for, however long it is silent. */
+static void test_silence_behind_an_event_without_id(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f);
+    f->plan[1].stream = FIRST "data: x\n\n";
+    f->plan[1].stream_size = strlen(f->plan[1].stream);
+    lab_call_t *const c = begin(f, "/soon/x");
+    while (c->body->len < f->plan[1].stream_size)
+        lab_run_for(f->loop, 1);
+    lab_run_for(f->loop, 200); /* five times what a silent run is given */
+    g_assert_false(c->done);
+    web_call_cancel(c->call);
+    lab_call_free(c);
+    while (forwarder_busy(f->forwarder) > 0)
+        lab_run_for(f->loop, 1);
+}
+
 #define LONG_ID "6f1c8a52-7f0e-4c3b-9d64-0a5be2f1d7c3-0000000001"
 
 /** The next run is asked to go on behind the very event that came last, however long its id is, and gets no header
@@ -109,5 +128,7 @@
     g_test_add("/stream-events/ids-are-told-unchanged", fixture_t, NULL, set_up, test_ids_are_told_unchanged,
                tear_down);
     g_test_add("/stream-events/event-without-id", fixture_t, NULL, set_up, test_event_without_id, tear_down);
+    g_test_add("/stream-events/silence-behind-event-without-id", fixture_t, NULL, set_up,
+               test_silence_behind_an_event_without_id, tear_down);
     return g_test_run();
 }
