--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,6 +1,6 @@
 /** @file forward_lab.h
- * The world of test_forward.c and test_stream_events.c, which alone include it: an entry over loopback, fake back ends
- * that answer by a plan, and callers.
+ * The world of test_forward.c, test_stream_events.c and test_stream_random.c, which alone include it: an entry over
+ * loopback, fake back ends that answer by a plan, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -21,8 +21,8 @@
     const char *replies; /* a letter each, see answer() */
     unsigned at;         /* the letter for the next request */
     GString *seen;       /* all requests, one after the other */
-    const char *stream;  /* letter 'q': events as they are sent */
-    size_t stream_size;  /* so many bytes of them; then nothing more, and the connection stays open */
+    const char *stream;  /* letters 'q' and 'Q': events as they are sent */
+    size_t stream_size;  /* 'q': so many bytes of them; then nothing more, and the connection stays open */
     struct fixture *fixture;
 } plan_t;
 
@@ -69,6 +69,13 @@
     return (lab_reply_t){.bytes = bytes, .end = LAB_HANG};
 }
 
+/** A whole stream, as one chunk. */
+static lab_reply_t say_all(const char *stream)
+{
+    char *const bytes = g_strdup_printf(STREAM_HEAD "%zx\r\n%s\r\n0\r\n\r\n", strlen(stream), stream);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
+}
+
 static lab_reply_t answer(void *arg, const char *request)
 {
     plan_t *const plan = arg;
@@ -99,6 +106,7 @@
     case 'T': /* breaks in the middle of its second event */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET);
     case 'q': return say_part(plan->stream, plan->stream_size);
+    case 'Q': return say_all(plan->stream);
     case 'U': /* goes on behind the first */ return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     default: g_assert_not_reached();
     }
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -84,6 +84,54 @@
     g_free(whole);
 }
 
+/** A stream of one event, behind another. @return for g_free */
+static char *large_stream(size_t size)
+{
+    static const char head[] = "id: 2\ndata: ";
+    char *const data = g_strnfill(size - strlen(head) - strlen("\n\n"), 'x');
+    char *const stream = g_strconcat(FIRST, head, data, "\n\n", NULL);
+    g_free(data);
+    return stream;
+}
+
+/** Events are passed on whole, however many bytes of the answer come before their end. */
+static void test_large_event_arrives_whole(fixture_t *f, gconstpointer data)
+{
+    enum { SIZE = 1200014 };
+    (void)data;
+    start_engines(f);
+    char *const stream = large_stream(SIZE);
+    f->plan[1].replies = "Q";
+    f->plan[1].stream = stream;
+    expect(f, "/lm/x", 200, stream);
+    expect(f, "/soon/x", 200, stream);
+    g_assert_cmpuint(requests(f, 2), ==, 0);
+    g_free(stream);
+}
+
+/** More than is kept of one event: the answer breaks off before it, at once and for good, since it would be as large on
+ * every engine. */
+static void test_event_larger_than_is_kept(fixture_t *f, gconstpointer data)
+{
+    enum { SIZE = 5 * 1024 * 1024 };
+    static const char *const paths[] = {"/lm/x", "/soon/x"};
+    (void)data;
+    start_engines(f);
+    char *const stream = large_stream(SIZE);
+    f->plan[1].replies = "Q";
+    f->plan[1].stream = stream;
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        lab_call_t *const c = call(f, paths[i]);
+        g_assert_cmpint(c->status, ==, 200);
+        g_assert_cmpint(c->how, ==, WEB_END_CUT);
+        g_assert_cmpstr(c->body->str, ==, FIRST);
+        lab_call_free(c);
+    }
+    g_assert_cmpuint(requests(f, 1), ==, G_N_ELEMENTS(paths));
+    g_assert_cmpuint(requests(f, 2), ==, 0);
+    g_free(stream);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -92,5 +140,9 @@
     g_test_add("/stream-events/run-starts-over", fixture_t, NULL, set_up, test_run_that_starts_over, tear_down);
     g_test_add("/stream-events/ids-are-told-unchanged", fixture_t, NULL, set_up, test_ids_are_told_unchanged,
                tear_down);
+    g_test_add("/stream-events/large-event-arrives-whole", fixture_t, NULL, set_up, test_large_event_arrives_whole,
+               tear_down);
+    g_test_add("/stream-events/event-larger-than-is-kept", fixture_t, NULL, set_up, test_event_larger_than_is_kept,
+               tear_down);
     return g_test_run();
 }
