The list of back ends: a reading without an end is none, and a back end that moved between two pages is told once

Cause: the 64th page of a reading was taken for its last whatever followed, so the back ends behind it looked gone.

Ruled out, by tests that passed before: pages of a reading that failed (refused, reset, no list) stay in the next; a reading is begun while another is under way.

/discover/list-without-an-end and /discover/back-end-on-two-pages fail before and pass now, 4 of 4 pass, also under the sanitizers. An entry that moves to a page that was read already is still missed until the next reading.

--- a/lib/forward/discover.c
+++ b/lib/forward/discover.c
@@ -35,6 +35,38 @@
     d->failing = true;
 }
 
+/** The reading goes on, unless it has no end: a part of the list would have the rest look gone. */
+static void go_on(discover_t *d, const char *page)
+{
+    if (d->pages < PAGES_MAX) {
+        ask_page(d, page);
+        return;
+    }
+    tc_err_t err = {0};
+    tc_err_set(&err, TC_E_INVALID, "read list of back ends", d->addr, "more than %d pages", PAGES_MAX);
+    fail(d, &err);
+}
+
+/** A back end that moved from page to page between two calls is told once, as the later one told of it. */
+static void drop_repeated(GArray *list)
+{
+    GHashTable *const places = g_hash_table_new(g_str_hash, g_str_equal); /* id, in the list -> place */
+    backend_t *const told = (backend_t *)(void *)list->data;
+    guint kept = 0;
+    for (guint i = 0; i < list->len; i++) {
+        gpointer place;
+        if (g_hash_table_lookup_extended(places, told[i].id, NULL, &place)) {
+            told[GPOINTER_TO_UINT(place)] = told[i];
+            continue;
+        }
+        told[kept] = told[i];
+        g_hash_table_insert(places, told[kept].id, GUINT_TO_POINTER(kept));
+        kept++;
+    }
+    g_hash_table_destroy(places);
+    g_array_set_size(list, kept);
+}
+
 static void page_read(discover_t *d)
 {
     tc_err_t err = {0};
@@ -48,12 +80,12 @@
         fail(d, &err);
         return;
     }
-    if (next && d->pages < PAGES_MAX) {
-        ask_page(d, next);
+    if (next) {
+        go_on(d, next);
         g_free(next);
         return;
     }
-    g_free(next);
+    drop_repeated(d->list);
     if (d->failing) {
         log_line_t line;
         log_begin(&line, LOG_INFO, "discovery_regained");
--- /dev/null
+++ b/tests/platform/test_discover.c
@@ -0,0 +1,161 @@
+/* Readings of the platform's list of back ends, page by page: a list is one reading's, whole, or there is none. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "forward/discover.h"
+#include "harness/lab.h"
+
+enum { PAGES_MAX = 64 /* of a reading */ };
+
+typedef struct {
+    loop_t *loop;
+    web_client_t *client;
+    lab_backend_t *platform;
+    discover_t *discover;
+    const char *const *answers; /* one a call; the last one goes on for ever */
+    unsigned calls, lists;
+    GString *ids; /* of the last list, a blank behind each */
+} fixture_t;
+
+static lab_reply_t answer(void *arg, const char *request)
+{
+    fixture_t *const f = arg;
+    (void)request;
+    f->calls++;
+    const char *const body = *f->answers;
+    f->answers += f->answers[1] != NULL;
+    if (!body[0])
+        return (lab_reply_t){.bytes = g_strdup("HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n"), .end = LAB_KEEP};
+    if (strcmp(body, "-") == 0)
+        return (lab_reply_t){.end = LAB_RESET};
+    char *const bytes = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
+}
+
+static void on_list(void *arg, const backend_t *list, uint32_t n, tc_time_t started)
+{
+    fixture_t *const f = arg;
+    g_assert_cmpint(started, ==, discover_asked(f->discover));
+    f->lists++;
+    g_string_truncate(f->ids, 0);
+    for (uint32_t i = 0; i < n; i++)
+        g_string_append_printf(f->ids, "%s%s ", list[i].id, list[i].draining ? "!" : "");
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    char addr[32];
+    (void)data;
+    f->loop = loop_create();
+    f->client = web_client_create(f->loop);
+    web_client_keep(f->client, 1);
+    lab_free_addr(addr);
+    f->platform = lab_backend_start(f->loop, addr, answer, f);
+    f->discover = discover_create(f->loop, f->client, addr, on_list, f);
+    f->ids = g_string_new(NULL);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    discover_destroy(f->discover);
+    web_client_destroy(f->client);
+    lab_backend_stop(f->platform);
+    loop_destroy(f->loop);
+    g_string_free(f->ids, TRUE);
+}
+
+#define WORKER(id, state) "{\"id\":\"" id "\",\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"state\":\"" state "\"}"
+#define PAGE(workers, next) "{\"instances\":[" workers "],\"next_token\":" next "}"
+#define READY(id) WORKER(id, "ready")
+
+typedef struct {
+    fixture_t *f;
+    unsigned calls;
+} calls_t;
+
+static bool were_made(void *arg)
+{
+    const calls_t *const c = arg;
+    return c->f->calls >= c->calls;
+}
+
+/** Read, until so many calls were answered and what follows of that has come. */
+static void read_list(fixture_t *f, unsigned calls)
+{
+    calls_t wanted = {.f = f, .calls = f->calls + calls};
+    discover_read(f->discover);
+    lab_run_until(f->loop, were_made, &wanted);
+    lab_run_for(f->loop, 20);
+    g_assert_cmpuint(f->calls, ==, wanted.calls);
+}
+
+/** Pages of a reading that failed are not in the next one. */
+static void test_failed_reading_leaves_nothing(fixture_t *f, gconstpointer data)
+{
+    static const char *const answers[] = {PAGE(READY("a"), "\"p1\""),
+                                          "",
+                                          PAGE(READY("b"), "\"p1\""),
+                                          "-",
+                                          PAGE(READY("c"), "\"p1\""),
+                                          "no list",
+                                          PAGE(READY("d"), "\"p1\""),
+                                          PAGE(READY("e"), "null"),
+                                          NULL};
+    (void)data;
+    f->answers = answers;
+    for (int i = 0; i < 3; i++) {
+        read_list(f, 2);
+        g_assert_cmpuint(f->lists, ==, 0);
+    }
+    read_list(f, 2);
+    g_assert_cmpuint(f->lists, ==, 1);
+    g_assert_cmpstr(f->ids->str, ==, "d e ");
+}
+
+/** A reading that is under way is not begun again. */
+static void test_one_reading_at_a_time(fixture_t *f, gconstpointer data)
+{
+    static const char *const answers[] = {PAGE(READY("a"), "\"p1\""), PAGE(READY("b"), "null"), NULL};
+    (void)data;
+    f->answers = answers;
+    discover_read(f->discover);
+    read_list(f, 2);
+    g_assert_cmpuint(f->lists, ==, 1);
+    g_assert_cmpstr(f->ids->str, ==, "a b ");
+}
+
+/** A list that goes on behind the last page that is read is not taken for a whole one: back ends that it leaves out
+ *  would be taken for gone. */
+static void test_list_without_an_end(fixture_t *f, gconstpointer data)
+{
+    static const char *const answers[] = {PAGE(READY("a"), "\"p1\""), NULL};
+    (void)data;
+    f->answers = answers;
+    read_list(f, PAGES_MAX);
+    g_assert_cmpuint(f->lists, ==, 0);
+}
+
+/** Back ends come and go between two pages, so that one moves from page to page: it is told once, as last told. */
+static void test_back_end_on_two_pages(fixture_t *f, gconstpointer data)
+{
+    static const char *const answers[] = {PAGE(READY("a") "," READY("b"), "\"p1\""),
+                                          PAGE(WORKER("b", "draining") "," READY("c"), "null"), NULL};
+    (void)data;
+    f->answers = answers;
+    read_list(f, 2);
+    g_assert_cmpuint(f->lists, ==, 1);
+    g_assert_cmpstr(f->ids->str, ==, "a b! c ");
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/discover/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("failed-reading-leaves-nothing", test_failed_reading_leaves_nothing);
+    TEST("one-reading-at-a-time", test_one_reading_at_a_time);
+    TEST("list-without-an-end", test_list_without_an_end);
+    TEST("back-end-on-two-pages", test_back_end_on_two_pages);
+    return g_test_run();
+}
