What an attempt leaves in its request is checked before the next one uses it: holds, keepers of prompts, late answers

Cause, found by looking at each field of a request that belongs to one attempt: - Memory set aside at an engine was used after its time: it is granted for 1.2 s at most, and a prompt may take longer. It was also used when the engine had left the list or was leaving meanwhile, so that engine got a request. Such a hold is now dropped (hold_check) and asked for anew. - A stream that broke was taken up at the engine that carried it, also when that engine leaves. - Questions to engines go over kept connections, and took whatever answer came for theirs: a late answer to a request was read as the answer to a hold. Answers that carry a request's id are now read past, as those to requests are. - Only one question to the leader stands in a slot: asserted, since an older one's answer would pass for the newer one's.

Ruled out, by tests that passed before: the caller leaves while a question to an engine is under way; a prefill's result that lapsed at the engine that refused it; a configuration that changes within a stream.

--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -111,6 +111,10 @@
 /** Read what the head of an answer says. @param id of the request, "" when it has none */
 void dialect_read_reply(const web_head_t *head, const char *id, dialect_reply_t *reply);
 
+/** Whether an answer may be one to a question of ours, which has no request's id: one that carries an id is a request's
+ *  late answer. */
+bool dialect_answers_question(const web_head_t *head);
+
 /** Header lines of an answer that are passed on to the caller. */
 GString *dialect_pass_head(const web_head_t *head);
 
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -42,6 +42,11 @@
     g_free(instance);
 }
 
+bool instance_takes_work(const instance_t *instance)
+{
+    return instance->present && !instance->listed.draining;
+}
+
 static void drop(void *instance)
 {
     instance_unref(instance);
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -84,6 +84,10 @@
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
 
+/** Whether it may get requests: it is listed, and not as one that leaves. What an attempt remembers of an instance is
+ *  checked by this before it is used again. */
+bool instance_takes_work(const instance_t *instance);
+
 /** One more reference. @return @p instance */
 instance_t *instance_ref(instance_t *instance);
 /** One reference less; freed with the last. */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -136,6 +136,10 @@
     if (!keeper)
         return false;
     f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
+    if (!instance_takes_work(keeper)) {
+        instance_unref(keeper);
+        return false;
+    }
     f->asked_again = f->repeated && f->runs > 0;
     send_to(f, DIALECT_SERVE, keeper);
     return true;
@@ -180,6 +184,7 @@
         send_to(f, DIALECT_SERVE, forward_choose(f, STAGE_NONE));
         return;
     }
+    hold_check(f);
     if (locate_ask(f))
         return; /* goes on when the engines have answered */
     if (send_to_keeper(f))
--- a/lib/forward/forward_ask.c
+++ b/lib/forward/forward_ask.c
@@ -1,5 +1,7 @@
 /* Questions that a request puts beside the call that serves it: to the leader of the control boxes and to engines. */
 
+#include <assert.h>
+
 #include "forward/forward_internal.h"
 
 /* ===== To the leader ===== */
@@ -27,6 +29,7 @@
 bool leader_ask(forward_t *f, leader_ask_t **slot, uint32_t type, const void *message, tc_time_t limit,
                 leader_answer_t fn)
 {
+    assert(!*slot); /* one at a time: an answer to an older question would pass for the newer one's */
     leader_ask_t *const ask = g_new0(leader_ask_t, 1);
     ask->request = f;
     ask->slot = slot;
@@ -58,6 +61,7 @@
     const web_ask_where_t where = {.loop = f->owner->loop,
                                    .client = f->owner->client,
                                    .addr = instance->listed.addr,
+                                   .is_ours = dialect_answers_question,
                                    .connect_ms = limits->connect_ms,
                                    .limit_ms = limits->answer_ms};
     web_ask(&e->ask, &where, request, fn, e);
--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -32,13 +32,19 @@
 void hold_release(forward_t *f)
 {
     drop_question(f);
-    if (f->hold.instance) {
+    if (f->hold.instance && f->hold.instance->present && tc_time_now() < f->hold.until) {
         const char *const addr = f->hold.instance->listed.addr;
         call_and_forget(f->owner, addr, dialect_write_hold_drop(addr, f->hold.name));
     }
     hold_forget(f);
 }
 
+void hold_check(forward_t *f)
+{
+    if (f->hold.instance && (tc_time_now() >= f->hold.until || !instance_takes_work(f->hold.instance)))
+        hold_release(f);
+}
+
 /* ===== The engine's answer ===== */
 
 static void no_hold(const engine_ask_t *h, const char *why, bool refused)
@@ -93,6 +99,7 @@
     static const engine_ask_limits_t limits = {.connect_ms = CONNECT_MS, .answer_ms = HOLD_ANSWER_MS};
     const tc_time_t ttl = f->settings->hold_ttl < HOLD_MS ? f->settings->hold_ttl : HOLD_MS;
     GByteArray *const request = dialect_write_hold(instance->listed.addr, f->facts.prompt_tokens, ttl);
+    f->hold.until = tc_time_now() + ttl - HOLD_WAY_MS;
     f->hold.asking = engine_ask(f, instance, request, &limits, on_answer);
     return true;
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -46,6 +46,7 @@
                              the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
     HOLD_TRIES = 4,       /* engines asked to set memory aside for one request */
     HOLD_MS = 1200,       /* how long it is set aside: a prompt is read in a few hundred ms */
+    HOLD_WAY_MS = 20,     /* of that, for the request's way to the engine: a few ms */
     HOLD_ANSWER_MS = 300, /* an engine in reach answers in a few ms */
     RENEW_MS = 300,       /* as SCHED_RENEW_MS */
     RENEW_SOON_MS = 30,   /* after this box placed something by itself: with it, what follows in the same burst */
@@ -131,6 +132,7 @@
     engine_ask_t *asking; /* the question under way, or NULL */
     instance_t *instance; /* NULL: there is none */
     char *name;
+    tc_time_t until; /* a request that leaves by then finds it there */
     unsigned tries;
 } hold_t;
 
@@ -308,8 +310,10 @@
 bool hold_ask(forward_t *f);
 /** No engine had room: ask them again in a moment. @return false when that is of no use any more */
 bool hold_wait(forward_t *f);
-/** It was used, or lapsed. */
+/** It was used. */
 void hold_forget(forward_t *f);
+/** Drop it when no request can use it any more: it has lapsed, or its engine leaves. */
+void hold_check(forward_t *f);
 /** Nobody will use it: the engine is told. */
 void hold_release(forward_t *f);
 
--- a/lib/web/web_ask.h
+++ b/lib/web/web_ask.h
@@ -26,6 +26,7 @@
     int status;       /**< 0 before a head has come */
     GByteArray *body;
     loop_timer_t limit;
+    bool (*is_ours)(const web_head_t *head);
     web_ask_fn_t fn;
     void *arg;
 } web_ask_t;
@@ -34,9 +35,11 @@
 typedef struct {
     loop_t *loop;
     web_client_t *client;
-    const char *addr;     /**< "IP:port" */
-    tc_time_t connect_ms; /**< for the connection */
-    tc_time_t limit_ms;   /**< for all of it */
+    const char *addr;                        /**< "IP:port" */
+    bool (*is_ours)(const web_head_t *head); /**< whether an answer may be the one to this call: others, which come late
+                                                  on a kept connection, are read past; NULL: any may */
+    tc_time_t connect_ms;                    /**< for the connection */
+    tc_time_t limit_ms;                      /**< for all of it */
 } web_ask_where_t;
 
 /* ===== Public functions ===== */
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,6 +1,6 @@
 /** @file forward_lab.h
- * The world of test_forward.c, test_stream_events.c and test_stream_random.c, which alone include it: an entry over
- * loopback, fake back ends that answer by a plan, and callers.
+ * The world of test_forward.c, test_forward_attempts.c, test_stream_events.c and test_stream_random.c, which alone
+ * include it: an entry over loopback, fake back ends that answer by a plan, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -14,7 +14,11 @@
 
 /* ===== Types ===== */
 
-enum { BACKENDS = 6 };
+enum {
+    BACKENDS = 6,
+    BRIEF_MS = 400,     /* longer than memory is set aside for "brief" */
+    FLEETING_MS = 1100, /* longer than results of prefills are kept for "fleeting" */
+};
 
 /** What one fake back end does with its next requests; the last one goes on for ever. */
 typedef struct {
@@ -76,6 +80,15 @@
     return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
 }
 
+/** The first bytes of an answer at once, the rest after a while. */
+static lab_reply_t say_slowly(lab_reply_t reply, size_t first, tc_time_t wait)
+{
+    const lab_piece_t pieces[] = {{.size = first}, {.size = strlen(reply.bytes) - first, .wait = wait}};
+    reply.pieces = g_array_new(FALSE, FALSE, sizeof(lab_piece_t));
+    g_array_append_vals(reply.pieces, pieces, G_N_ELEMENTS(pieces));
+    return reply;
+}
+
 static lab_reply_t answer(void *arg, const char *request)
 {
     plan_t *const plan = arg;
@@ -96,15 +109,28 @@
         return say("HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 5\r\n\r\nother"
                    "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok",
                    LAB_KEEP);
+    case 'N': /* refuses, after the results of "fleeting" have lapsed */
+        return say_slowly(say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP), 1,
+                          FLEETING_MS);
+    case 'P': /* the prompt is read, after what was set aside for "brief" has lapsed */
+        return say_slowly(say_json("{\"prefill_handle\":\"handle1\"}"), 1, BRIEF_MS);
     case 'p': return say_json("{\"prefill_handle\":\"handle1\"}");
     case 'k': /* keeps both parts of the prompt of resume() */
         return say_json("{\"held\":[[\"\",\"b2\",90,\"m\"],[\"\",\"a1\",10,\"m\"]]}");
     case 'l': /* keeps the shared part only */ return say_json("{\"held\":[[\"\",\"a1\",10,\"m\"]]}");
     case 'H': return say_json("{\"hold\":\"hold1\"}");
+    case 'X': /* somebody else's answer first, with what looks like our own in it */
+        return say(
+            "HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 14\r\n\r\n{\"hold\":\"not\"}"
+            "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"hold\":\"hold1\"}",
+            LAB_KEEP);
     case 'S': /* a whole stream */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     case 'T': /* breaks in the middle of its second event */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET);
+    case 't': /* the same, after a while */
+        return say_slowly(say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET),
+                          strlen(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"), 150);
     case 'q': return say_part(plan->stream, plan->stream_size);
     case 'Q': return say_all(plan->stream);
     case 'U': /* goes on behind the first */ return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
@@ -133,11 +159,18 @@
                                      ROUTE("soon", "stream", "9000", RESUMABLE_SOON, "lm"),
                                      ROUTE("many", "stream", "9000", RESUMABLE_OFTEN, "lm"),
                                      ROUTE("held", "stream", "9000", "1", "held"),
+                                     ROUTE("brief", "stream", "9000", "1", "brief"),
+                                     ROUTE("fleeting", "stream", "9000", "1", "fleeting"),
                                      ROUTE("held-again", "stream", "9000", RESUMABLE, "held"),
                                      NULL};
 
-static const char *const services[] = {"{\"name\":\"app\"}", "{\"name\":\"lm\"," ENGINE("") "}",
-                                       "{\"name\":\"held\"," ENGINE(",\"hold_ms\":2000") "}", NULL};
+static const char *const services[] = {
+    "{\"name\":\"app\"}",
+    "{\"name\":\"lm\"," ENGINE("") "}",
+    "{\"name\":\"held\"," ENGINE(",\"hold_ms\":2000") "}",
+    "{\"name\":\"brief\"," ENGINE(",\"hold_ms\":300") "}",
+    "{\"name\":\"fleeting\",\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":1}}",
+    NULL};
 
 static route_table_t *read_config(void)
 {
