A prompt that its decode engine was to read itself is not read by another one for that reason

Cause: the leader grants it for one engine, where no other request has it read a prompt at that time. The mark stood in the request: when that engine turned the request away, the next one, chosen by this box, got it without a prefill too, beside whatever it reads already. It now holds only while the engine that was chosen can be used (place_is_solo).

Ruled out, by tests against a fake leader that passed before: an answer to an older question taken for the newer one's (it comes after its time, while the question is put anew); an answer that finds its caller gone.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -164,7 +164,7 @@
  *  itself, slowly. */
 static void send_to_engines(forward_t *f)
 {
-    const bool read = f->handle.instance || f->placement.solo;
+    const bool read = f->handle.instance || place_is_solo(f);
     instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
     if (prefill) {
         f->placement.prefill_began = tc_time_now();
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -118,7 +118,7 @@
 typedef struct {
     leader_ask_t *asking; /* the question under way, or NULL */
     bool asked;           /* the scheduler was asked, or there was none to ask */
-    bool solo;            /* the decode engine is to read the prompt itself */
+    bool solo;            /* the decode engine of this placement is to read the prompt itself: see place_is_solo */
     unsigned questions;   /* that were put to it */
     uint32_t attempt;     /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
@@ -342,6 +342,9 @@
 bool place_ask_again(forward_t *f, const char *bad, trouble_t trouble);
 /** The instance that the scheduler chose, as a reference, or NULL when it chose none that is known here. */
 instance_t *place_chosen(const forward_t *f, stage_t stage);
+/** Whether the engine that the scheduler chose is to read the prompt itself. It is not said of another one: the
+ *  scheduler has an engine read one prompt at a time, since that slows its streams. */
+bool place_is_solo(const forward_t *f);
 /** The request goes to a decode engine: when the scheduler did not choose it, it is told which and counts it there. */
 void place_note(forward_t *f, const instance_t *decode);
 /** Tell the scheduler how far the request is. @param bad instance that failed, or NULL */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -215,6 +215,15 @@
     return instance_ref(instance);
 }
 
+bool place_is_solo(const forward_t *f)
+{
+    instance_t *const chosen = f->placement.solo ? place_chosen(f, STAGE_DECODE) : NULL;
+    if (!chosen)
+        return false;
+    instance_unref(chosen);
+    return true;
+}
+
 /* ===== Telling ===== */
 
 void place_tell(forward_t *f, phase_t phase, const instance_t *bad)
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,6 +1,7 @@
 /** @file forward_lab.h
- * The world of test_forward.c, test_forward_attempts.c, test_stream_events.c and test_stream_random.c, which alone
- * include it: an entry over loopback, fake back ends that answer by a plan, and callers.
+ * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c and
+ * test_stream_random.c, which alone include it: an entry over loopback, fake back ends that answer by a plan, and
+ * callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -158,6 +159,7 @@
                                      ROUTE("again", "stream", "9000", RESUMABLE, "lm"),
                                      ROUTE("soon", "stream", "9000", RESUMABLE_SOON, "lm"),
                                      ROUTE("many", "stream", "9000", RESUMABLE_OFTEN, "lm"),
+                                     ROUTE("placed", "stream", "9000", "1,\"target_latency_ms\":3000", "lm"),
                                      ROUTE("held", "stream", "9000", "1", "held"),
                                      ROUTE("brief", "stream", "9000", "1", "brief"),
                                      ROUTE("fleeting", "stream", "9000", "1", "fleeting"),
--- /dev/null
+++ b/tests/platform/test_forward_leader.c
@@ -0,0 +1,203 @@
+/* Questions to the leader of the control boxes: what it answers holds for the question that it answers, and for the
+ * placement that it names. The leader is a fake one, which answers when it is told to. */
+
+#include "cluster/reporter.h"
+#include "peer/peer.h"
+#include "platform/forward_lab.h"
+
+#define BOTH "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+enum { CALLS = 4 };
+
+typedef struct {
+    fixture_t f;
+    char addr[32];
+    peer_net_t *net;
+    entry_box_t self;
+    reporter_t *reporter;
+    peer_call_t asked[CALLS]; /* for placements, not answered yet */
+    unsigned asked_n, awaited;
+    unsigned replans;
+} world_t;
+
+/* ===== The leader ===== */
+
+static void reply_report(const world_t *w, peer_call_t call)
+{
+    msg_report_ack_t ack = {.leads = true};
+    codec_copy_string(ack.leader, sizeof(ack.leader), w->addr);
+    codec_copy_string(ack.peer, sizeof(ack.peer), w->addr);
+    peer_reply(w->net, call, MSG_REPORT_ACK, &ack);
+}
+
+static void refuse(const world_t *w, peer_call_t call)
+{
+    tc_err_t err = {0};
+    tc_err_set(&err, TC_E_REFUSED, "test", "", "not played");
+    peer_reply_error(w->net, call, &err);
+}
+
+static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    world_t *const w = arg;
+    (void)from, (void)message;
+    switch (type) {
+    case MSG_REPORT: reply_report(w, call); break;
+    case MSG_PLACE:
+        g_assert_cmpuint(w->asked_n, <, CALLS);
+        w->asked[w->asked_n++] = call;
+        break;
+    case MSG_REPLAN:
+        w->replans++;
+        refuse(w, call);
+        break;
+    default:
+        if (call.call != 0)
+            refuse(w, call);
+        break;
+    }
+}
+
+/** Answer one of the questions. @param prefill "" when the decode engine is to read the prompt */
+static void grant(const world_t *w, unsigned question, const char *prefill, const char *decode)
+{
+    msg_placed_t placed = {.granted = true, .attempt = question + 1};
+    codec_copy_string(placed.prefill, sizeof(placed.prefill), prefill);
+    codec_copy_string(placed.decode, sizeof(placed.decode), decode);
+    peer_reply(w->net, w->asked[question], MSG_PLACED, &placed);
+}
+
+static bool was_asked(void *arg)
+{
+    const world_t *const w = arg;
+    return w->asked_n >= w->awaited;
+}
+
+static void await_questions(world_t *w, unsigned n)
+{
+    w->awaited = n;
+    lab_run_until(w->f.loop, was_asked, w);
+}
+
+/* ===== Life ===== */
+
+static bool is_heard(void *arg)
+{
+    return reporter_leader_heard(((const world_t *)arg)->reporter) > 0;
+}
+
+static void set_up_world(world_t *w, gconstpointer data)
+{
+    set_up(&w->f, data);
+    tc_err_t err = {0};
+    lab_free_addr(w->addr);
+    const peer_options_t options = {
+        .box = "leader", .incarnation = 1, .listen = w->addr, .key_file = "", .handler = on_message, .arg = w};
+    w->net = peer_create(w->f.loop, &options, &err);
+    g_assert_nonnull(w->net);
+    codec_copy_string(w->self.box, sizeof(w->self.box), "entry");
+    lab_free_addr(w->self.peer_addr);
+    w->self.incarnation = 1;
+    const char *const controls[] = {w->addr, NULL};
+    const char *const nobody[] = {NULL};
+    const reporter_options_t reports = {.peer_listen = w->self.peer_addr, .controls = controls, .neighbours = nobody};
+    const reporter_events_t events = {.arg = w};
+    w->reporter = reporter_create(w->f.loop, &w->self, &reports, &events, &err);
+    g_assert_nonnull(w->reporter);
+    lab_run_until(w->f.loop, is_heard, w);
+    forwarder_set_scheduler(w->f.forwarder, w->reporter);
+}
+
+static bool is_idle(void *arg)
+{
+    return forwarder_busy(((world_t *)arg)->f.forwarder) == 0;
+}
+
+static void tear_down_world(world_t *w, gconstpointer data)
+{
+    lab_run_until(w->f.loop, is_idle, w);
+    reporter_destroy(w->reporter);
+    peer_destroy(w->net);
+    tear_down(&w->f, data);
+}
+
+static void start_engines(world_t *w, const char *first)
+{
+    start_all(&w->f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", first, false, false},
+                                 {"lm", "decode", "S", true, false}},
+              3);
+}
+
+static void expect_whole(world_t *w, lab_call_t *c)
+{
+    lab_run_until_true(w->f.loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
+    g_assert_cmpint(c->status, ==, 200);
+    g_assert_cmpstr(c->body->str, ==, BOTH);
+    lab_call_free(c);
+}
+
+/* ===== Answers ===== */
+
+/** An answer that comes after its question was put anew is not taken for the answer to the newer one. */
+static void test_answer_to_an_older_question(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_engines(w, "S");
+    lab_call_t *const c = begin(&w->f, "/placed/x");
+    await_questions(w, 2);
+    grant(w, 0, "i-0", "i-2");
+    lab_run_for(w->f.loop, 30);
+    g_assert_cmpuint(requests(&w->f, 0), ==, 0); /* nothing has begun */
+    grant(w, 1, "i-0", "i-1");
+    expect_whole(w, c);
+    g_assert_cmpuint(requests(&w->f, 1), ==, 1);
+    g_assert_cmpuint(requests(&w->f, 2), ==, 0);
+}
+
+/** An answer for a caller that is gone begins nothing. */
+static void test_answer_for_nobody(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_engines(w, "S");
+    lab_call_t *const c = begin(&w->f, "/placed/x");
+    await_questions(w, 1);
+    web_call_cancel(c->call);
+    lab_run_until(w->f.loop, is_idle, w);
+    grant(w, 0, "i-0", "i-1");
+    lab_run_for(w->f.loop, 30);
+    g_assert_cmpuint(requests(&w->f, 0), ==, 0);
+    lab_call_free(c);
+}
+
+/** The leader has a decode engine read a prompt itself where no other request has it do so: when that engine does not
+ *  take it, this is not said of the next one. */
+static void test_prompt_read_by_its_decode_engine(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_engines(w, "nS");
+    lab_call_t *c = begin(&w->f, "/placed/x");
+    await_questions(w, 1);
+    grant(w, 0, "", "i-1");
+    expect_whole(w, c);
+    g_assert_cmpuint(requests(&w->f, 1), ==, 1);
+    g_assert_cmpuint(requests(&w->f, 0), ==, 1); /* the prompt is read for the other engine */
+    g_assert_nonnull(strstr(w->f.plan[2].seen->str, "Kv-From: "));
+    c = begin(&w->f, "/placed/x");
+    await_questions(w, 2);
+    grant(w, 1, "", "i-1");
+    expect_whole(w, c);
+    g_assert_cmpuint(requests(&w->f, 0), ==, 1); /* it took it, and read the prompt */
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/forward-leader/" name, world_t, NULL, set_up_world, fn, tear_down_world)
+    TEST("answer-to-an-older-question", test_answer_to_an_older_question);
+    TEST("answer-for-nobody", test_answer_for_nobody);
+    TEST("prompt-read-by-its-decode-engine", test_prompt_read_by_its_decode_engine);
+    return g_test_run();
+}
