--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -99,6 +99,7 @@
         plan->at++;
     switch (kind) {
     case 'o': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok", LAB_KEEP);
+    case 'E': /* to HEAD */ return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\n", LAB_KEEP);
     case 'n': return say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
     case 'm': return say("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
     case 'e': return say("HTTP/1.1 500 No\r\n" SEAL "Content-Length: 2\r\n\r\nno", LAB_KEEP);
--- a/tests/platform/test_forward_attempts.c
+++ b/tests/platform/test_forward_attempts.c
@@ -177,6 +177,28 @@
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
+/* ===== Connections that are used again ===== */
+
+/** An answer that ends with its head ends there on both sides, so that the next ones are their own. */
+static void test_head_on_kept_connections(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "EoEo", false, false}}, 1);
+    web_client_keep(f->client, 4);
+    web_client_keep(f->callers, 4);
+    for (int i = 0; i < 4; i++) {
+        char *const text =
+            g_strdup_printf("%s /safe/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\n\r\n", i % 2 ? "GET" : "HEAD");
+        lab_call_t *const c = lab_call_kept(f->callers, f->addr, text);
+        lab_run_until_true(f->loop, &c->done);
+        g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
+        g_assert_cmpint(c->status, ==, 200);
+        g_assert_cmpstr(c->body->str, ==, i % 2 ? "ok" : "");
+        lab_call_free(c);
+        g_free(text);
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -188,5 +210,6 @@
     TEST("result-that-lapsed", test_result_that_lapsed);
     TEST("stream-of-an-engine-that-leaves", test_stream_of_an_engine_that_leaves);
     TEST("stream-across-a-configuration", test_stream_across_a_configuration);
+    TEST("head-on-kept-connections", test_head_on_kept_connections);
     return g_test_run();
 }
--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -435,6 +435,22 @@
     raw_close(&raw);
 }
 
+/** Answers that are whole on our side and that nobody takes up are not kept for ever, nor is the connection. */
+static void test_caller_who_stops_reading(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    raw_t raw = raw_open(f);
+    for (int i = 0; i < 4; i++)
+        raw_send(&raw, GET("/large"));
+    for (int i = 0; i < 2; i++)
+        lab_run_for(f->loop, 2 * f->limits.idle_ms);
+    (void)raw_read(&raw, SIZE_MAX);
+    g_assert_true(raw.closed);
+    g_assert_cmpuint(raw.in->len, <, 4 * LARGE);
+    g_assert_cmpuint(web_server_busy(f->server), ==, 0);
+    raw_close(&raw);
+}
+
 /* ===== Client ===== */
 
 typedef struct {
@@ -753,6 +769,7 @@
     TEST("pipelined-in-parts", test_pipelined_in_parts);
     TEST("aborted-answer-ends-the-connection", test_aborted_answer_ends_the_connection);
     TEST("short-writes", test_short_writes);
+    TEST("caller-who-stops-reading", test_caller_who_stops_reading);
     TEST("answers-of-somebody-else", test_answers_of_somebody_else);
     TEST("interim-answers", test_interim_answers);
     TEST("dropped-from-within", test_dropped_from_within);
