--- a/lib/cluster/engine_reader.c
+++ b/lib/cluster/engine_reader.c
@@ -114,8 +114,12 @@
     if (!engine)
         return;
     r->asked_at = now;
-    const web_ask_where_t where = {
-        .loop = r->loop, .client = r->client, .addr = engine->addr, .connect_ms = CONNECT_MS, .limit_ms = ANSWER_MS};
+    const web_ask_where_t where = {.loop = r->loop,
+                                   .client = r->client,
+                                   .addr = engine->addr,
+                                   .is_ours = dialect_answers_question,
+                                   .connect_ms = CONNECT_MS,
+                                   .limit_ms = ANSWER_MS};
     codec_copy_string(q->engine, sizeof(q->engine), engine->id);
     web_ask(&q->ask, &where, dialect_write_look(engine->addr), on_answer, q);
 }
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -136,6 +136,10 @@
     if (!keeper)
         return false;
     f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
+    if (!instance_takes_work(keeper)) {
+        instance_unref(keeper);
+        return false;
+    }
     f->asked_again = f->repeated && f->runs > 0;
     send_to(f, DIALECT_SERVE, keeper);
     return true;
@@ -160,7 +164,7 @@
  *  itself, slowly. */
 static void send_to_engines(forward_t *f)
 {
-    const bool read = f->handle.instance || f->placement.solo;
+    const bool read = f->handle.instance || place_is_solo(f);
     instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
     if (prefill) {
         f->placement.prefill_began = tc_time_now();
@@ -180,6 +184,7 @@
         send_to(f, DIALECT_SERVE, forward_choose(f, STAGE_NONE));
         return;
     }
+    hold_check(f);
     if (locate_ask(f))
         return; /* goes on when the engines have answered */
     if (send_to_keeper(f))
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -46,6 +46,7 @@
                              the back ends after 320 ms, a few after 100; half of a stream's usual aim is left then */
     HOLD_TRIES = 4,       /* engines asked to set memory aside for one request */
     HOLD_MS = 1200,       /* how long it is set aside: a prompt is read in a few hundred ms */
+    HOLD_WAY_MS = 20,     /* of that, for the request's way to the engine: a few ms */
     HOLD_ANSWER_MS = 300, /* an engine in reach answers in a few ms */
     RENEW_MS = 300,       /* as SCHED_RENEW_MS */
     RENEW_SOON_MS = 30,   /* after this box placed something by itself: with it, what follows in the same burst */
@@ -117,7 +118,7 @@
 typedef struct {
     leader_ask_t *asking; /* the question under way, or NULL */
     bool asked;           /* the scheduler was asked, or there was none to ask */
-    bool solo;            /* the decode engine is to read the prompt itself */
+    bool solo;            /* the decode engine of this placement is to read the prompt itself: see place_is_solo */
     unsigned questions;   /* that were put to it */
     uint32_t attempt;     /* what the scheduler counts it as, 0 for nothing */
     char prefill[CODEC_STR_SIZE];
@@ -131,6 +132,7 @@
     engine_ask_t *asking; /* the question under way, or NULL */
     instance_t *instance; /* NULL: there is none */
     char *name;
+    tc_time_t until; /* a request that leaves by then finds it there */
     unsigned tries;
 } hold_t;
 
@@ -309,8 +311,10 @@
 bool hold_ask(forward_t *f);
 /** No engine had room: ask them again in a moment. @return false when that is of no use any more */
 bool hold_wait(forward_t *f);
-/** It was used, or lapsed. */
+/** It was used. */
 void hold_forget(forward_t *f);
+/** Drop it when no request can use it any more: it has lapsed, or its engine leaves. */
+void hold_check(forward_t *f);
 /** Nobody will use it: the engine is told. */
 void hold_release(forward_t *f);
 
@@ -339,6 +343,9 @@
 bool place_ask_again(forward_t *f, const char *bad, trouble_t trouble);
 /** The instance that the scheduler chose, as a reference, or NULL when it chose none that is known here. */
 instance_t *place_chosen(const forward_t *f, stage_t stage);
+/** Whether the engine that the scheduler chose is to read the prompt itself. It is not said of another one: the
+ *  scheduler has an engine read one prompt at a time, since that slows its streams. */
+bool place_is_solo(const forward_t *f);
 /** The request goes to a decode engine: when the scheduler did not choose it, it is told which and counts it there. */
 void place_note(forward_t *f, const instance_t *decode);
 /** Tell the scheduler how far the request is. @param bad instance that failed, or NULL */
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -287,9 +287,11 @@
 {
     step_t *const s = arg;
     forward_t *const f = s->request;
-    dialect_read_reply(head, f->facts.id, &s->reply);
-    if (!s->reply.ours)
+    dialect_reply_t reply;
+    dialect_read_reply(head, f->facts.id, &reply);
+    if (!reply.ours)
         return WEB_SKIP;
+    s->reply = reply;
     s->head_seen = true;
     s->status = head->status;
     if (s->ask == DIALECT_PREFILL || s->reply.not_run)
