--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,6 +1,7 @@
 /** @file forward_lab.h
- * The world of test_forward.c and test_stream_events.c, which alone include it: an entry over loopback, fake back ends
- * that answer by a plan, and callers.
+ * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c and
+ * test_stream_random.c, which alone include it: an entry over loopback, fake back ends that answer by a plan, and
+ * callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -14,15 +15,19 @@
 
 /* ===== Types ===== */
 
-enum { BACKENDS = 4 };
+enum {
+    BACKENDS = 6,
+    BRIEF_MS = 400,     /* longer than memory is set aside for "brief" */
+    FLEETING_MS = 1100, /* longer than results of prefills are kept for "fleeting" */
+};
 
 /** What one fake back end does with its next requests; the last one goes on for ever. */
 typedef struct {
     const char *replies; /* a letter each, see answer() */
     unsigned at;         /* the letter for the next request */
     GString *seen;       /* all requests, one after the other */
-    const char *stream;  /* letter 'q': events as they are sent */
-    size_t stream_size;  /* so many bytes of them; then nothing more, and the connection stays open */
+    const char *stream;  /* letters 'q', 'R' and 'Q': events as they are sent */
+    size_t stream_size;  /* 'q' and 'R': so many bytes of them; then nothing more, or a reset */
     struct fixture *fixture;
 } plan_t;
 
@@ -62,11 +67,27 @@
     return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
 }
 
-/** The first bytes of a stream, and then nothing more. */
-static lab_reply_t say_part(const char *stream, size_t size)
+/** The first bytes of a stream alone. */
+static lab_reply_t say_part(const char *stream, size_t size, lab_end_t end)
 {
     char *const bytes = g_strdup_printf(STREAM_HEAD "%zx\r\n%.*s\r\n", size, (int)size, stream);
-    return (lab_reply_t){.bytes = bytes, .end = LAB_HANG};
+    return (lab_reply_t){.bytes = bytes, .end = end};
+}
+
+/** A whole stream, as one chunk. */
+static lab_reply_t say_all(const char *stream)
+{
+    char *const bytes = g_strdup_printf(STREAM_HEAD "%zx\r\n%s\r\n0\r\n\r\n", strlen(stream), stream);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
+}
+
+/** The first bytes of an answer at once, the rest after a while. */
+static lab_reply_t say_slowly(lab_reply_t reply, size_t first, tc_time_t wait)
+{
+    const lab_piece_t pieces[] = {{.size = first}, {.size = strlen(reply.bytes) - first, .wait = wait}};
+    reply.pieces = g_array_new(FALSE, FALSE, sizeof(lab_piece_t));
+    g_array_append_vals(reply.pieces, pieces, G_N_ELEMENTS(pieces));
+    return reply;
 }
 
 static lab_reply_t answer(void *arg, const char *request)
@@ -78,6 +99,7 @@
         plan->at++;
     switch (kind) {
     case 'o': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok", LAB_KEEP);
+    case 'E': /* to HEAD */ return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\n", LAB_KEEP);
     case 'n': return say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
     case 'm': return say("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
     case 'e': return say("HTTP/1.1 500 No\r\n" SEAL "Content-Length: 2\r\n\r\nno", LAB_KEEP);
@@ -89,16 +111,31 @@
         return say("HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 5\r\n\r\nother"
                    "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok",
                    LAB_KEEP);
+    case 'N': /* refuses, after the results of "fleeting" have lapsed */
+        return say_slowly(say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP), 1,
+                          FLEETING_MS);
+    case 'P': /* the prompt is read, after what was set aside for "brief" has lapsed */
+        return say_slowly(say_json("{\"prefill_handle\":\"handle1\"}"), 1, BRIEF_MS);
     case 'p': return say_json("{\"prefill_handle\":\"handle1\"}");
     case 'k': /* keeps both parts of the prompt of resume() */
         return say_json("{\"held\":[[\"\",\"b2\",90,\"m\"],[\"\",\"a1\",10,\"m\"]]}");
     case 'l': /* keeps the shared part only */ return say_json("{\"held\":[[\"\",\"a1\",10,\"m\"]]}");
     case 'H': return say_json("{\"hold\":\"hold1\"}");
+    case 'X': /* somebody else's answer first, with what looks like our own in it */
+        return say(
+            "HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 14\r\n\r\n{\"hold\":\"not\"}"
+            "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"hold\":\"hold1\"}",
+            LAB_KEEP);
     case 'S': /* a whole stream */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     case 'T': /* breaks in the middle of its second event */
         return say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET);
-    case 'q': return say_part(plan->stream, plan->stream_size);
+    case 't': /* the same, after a while */
+        return say_slowly(say(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n", LAB_RESET),
+                          strlen(STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"), 150);
+    case 'q': return say_part(plan->stream, plan->stream_size, LAB_HANG);
+    case 'R': return say_part(plan->stream, plan->stream_size, LAB_RESET);
+    case 'Q': return say_all(plan->stream);
     case 'U': /* goes on behind the first */ return say(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     default: g_assert_not_reached();
     }
@@ -114,6 +151,8 @@
 #define RESUMABLE "2,\"resumable\":true"
 /** The same after a silence of 40 ms. */
 #define RESUMABLE_SOON RESUMABLE ",\"gap_aim_ms\":10"
+/** The same, at more engines. */
+#define RESUMABLE_OFTEN "4,\"resumable\":true,\"gap_aim_ms\":10"
 
 static const char *const routes[] = {ROUTE("safe", "safe", "3000", "2", "app"),
                                      ROUTE("once", "unsafe", "3000", "2", "app"),
@@ -121,12 +160,21 @@
                                      ROUTE("lm", "stream", "9000", "1", "lm"),
                                      ROUTE("again", "stream", "9000", RESUMABLE, "lm"),
                                      ROUTE("soon", "stream", "9000", RESUMABLE_SOON, "lm"),
+                                     ROUTE("many", "stream", "9000", RESUMABLE_OFTEN, "lm"),
+                                     ROUTE("placed", "stream", "9000", "1,\"target_latency_ms\":3000", "lm"),
                                      ROUTE("held", "stream", "9000", "1", "held"),
+                                     ROUTE("brief", "stream", "9000", "1", "brief"),
+                                     ROUTE("fleeting", "stream", "9000", "1", "fleeting"),
                                      ROUTE("held-again", "stream", "9000", RESUMABLE, "held"),
                                      NULL};
 
-static const char *const services[] = {"{\"name\":\"app\"}", "{\"name\":\"lm\"," ENGINE("") "}",
-                                       "{\"name\":\"held\"," ENGINE(",\"hold_ms\":2000") "}", NULL};
+static const char *const services[] = {
+    "{\"name\":\"app\"}",
+    "{\"name\":\"lm\"," ENGINE("") "}",
+    "{\"name\":\"held\"," ENGINE(",\"hold_ms\":2000") "}",
+    "{\"name\":\"brief\"," ENGINE(",\"hold_ms\":300") "}",
+    "{\"name\":\"fleeting\",\"engine\":{\"slots\":8,\"kv_tokens\":9000,\"handle_ttl_s\":1}}",
+    NULL};
 
 static route_table_t *read_config(void)
 {
@@ -183,8 +231,9 @@
     loop_destroy(f->loop);
 }
 
-/** Start the back ends and list them: the first @p n of the plans are i-0, i-1 and so on. */
-static void start_all(fixture_t *f, const backend_plan_t *plans, uint32_t n)
+/** Start back ends that answer by @p script and list them: the first @p n of the plans are i-0, i-1 and so on.
+ *  @param arg for the script; NULL: the back end's plan_t */
+static void start_scripted(fixture_t *f, const backend_plan_t *plans, uint32_t n, lab_script_t script, void *arg)
 {
     backend_t list[BACKENDS];
     memset(list, 0, sizeof(list));
@@ -192,7 +241,7 @@
         f->plan[i].replies = plans[i].replies;
         lab_free_addr(f->backend_addr[i]);
         if (!plans[i].down)
-            f->backend[i] = lab_backend_start(f->loop, f->backend_addr[i], answer, &f->plan[i]);
+            f->backend[i] = lab_backend_start(f->loop, f->backend_addr[i], script, arg ? arg : &f->plan[i]);
         g_snprintf(list[i].id, sizeof(list[i].id), "i-%u", i);
         codec_copy_string(list[i].service, sizeof(list[i].service), plans[i].service);
         codec_copy_string(list[i].stage, sizeof(list[i].stage), plans[i].stage);
@@ -203,8 +252,14 @@
     fleet_list(f->fleet, list, n, tc_time_now());
 }
 
+/** The same with back ends that answer by their plans. */
+static __attribute__((unused)) void start_all(fixture_t *f, const backend_plan_t *plans, uint32_t n)
+{
+    start_scripted(f, plans, n, answer, NULL);
+}
+
 /** How many requests a back end got. */
-static unsigned requests(const fixture_t *f, int i)
+static __attribute__((unused)) unsigned requests(const fixture_t *f, int i)
 {
     return f->backend[i] ? lab_backend_requests(f->backend[i]) : 0;
 }
@@ -212,7 +267,7 @@
 /* ===== Calls ===== */
 
 /** Choices are by lot: leave the spare ones out until the others have been tried. */
-static void avoid_spares(fixture_t *f)
+static __attribute__((unused)) void avoid_spares(fixture_t *f)
 {
     for (int i = 0; i < BACKENDS; i++) {
         char id[8];
@@ -224,7 +279,7 @@
 }
 
 /** Begin a call. @param more header lines beside @return for lab_call_free */
-static lab_call_t *begin_with(fixture_t *f, const char *path, const char *more)
+static __attribute__((unused)) lab_call_t *begin_with(fixture_t *f, const char *path, const char *more)
 {
     avoid_spares(f);
     char *const text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\nDeadline-Ms: 8000\r\n"
@@ -235,13 +290,13 @@
     return c;
 }
 
-static lab_call_t *begin(fixture_t *f, const char *path)
+static __attribute__((unused)) lab_call_t *begin(fixture_t *f, const char *path)
 {
     return begin_with(f, path, "");
 }
 
 /** A whole call. @return for lab_call_free */
-static lab_call_t *call(fixture_t *f, const char *path)
+static __attribute__((unused)) lab_call_t *call(fixture_t *f, const char *path)
 {
     lab_call_t *const c = begin(f, path);
     lab_run_until_true(f->loop, &c->done);
@@ -249,7 +304,7 @@
 }
 
 /** @param body of the answer, or NULL for any */
-static void expect(fixture_t *f, const char *path, int status, const char *body)
+static __attribute__((unused)) void expect(fixture_t *f, const char *path, int status, const char *body)
 {
     lab_call_t *const c = call(f, path);
     g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -67,6 +67,7 @@
 {
     (void)data;
     start_engines(f);
+    f->plan[1].replies = "Rq";
     f->plan[1].stream = FIRST "data: x\n\n";
     f->plan[1].stream_size = strlen(f->plan[1].stream);
     lab_call_t *const c = call(f, "/soon/x");
@@ -78,6 +79,24 @@
     expect(f, "/soon/x", 200, FIRST ": still there\n\n" SECOND);
 }
 
+/** So its run is waited for, however long it is silent. */
+static void test_silence_behind_an_event_without_id(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f);
+    f->plan[1].stream = FIRST "data: x\n\n";
+    f->plan[1].stream_size = strlen(f->plan[1].stream);
+    lab_call_t *const c = begin(f, "/soon/x");
+    while (c->body->len < f->plan[1].stream_size)
+        lab_run_for(f->loop, 1);
+    lab_run_for(f->loop, 200); /* five times what a silent run is given */
+    g_assert_false(c->done);
+    web_call_cancel(c->call);
+    lab_call_free(c);
+    while (forwarder_busy(f->forwarder) > 0)
+        lab_run_for(f->loop, 1);
+}
+
 #define LONG_ID "6f1c8a52-7f0e-4c3b-9d64-0a5be2f1d7c3-0000000001"
 
 /** The next run is asked to go on behind the very event that came last, however long its id is, and gets no header
@@ -100,6 +119,54 @@
     g_free(whole);
 }
 
+/** A stream of one event, behind another. @return for g_free */
+static char *large_stream(size_t size)
+{
+    static const char head[] = "id: 2\ndata: ";
+    char *const data = g_strnfill(size - strlen(head) - strlen("\n\n"), 'x');
+    char *const stream = g_strconcat(FIRST, head, data, "\n\n", NULL);
+    g_free(data);
+    return stream;
+}
+
+/** Events are passed on whole, however many bytes of the answer come before their end. */
+static void test_large_event_arrives_whole(fixture_t *f, gconstpointer data)
+{
+    enum { SIZE = 1200014 };
+    (void)data;
+    start_engines(f);
+    char *const stream = large_stream(SIZE);
+    f->plan[1].replies = "Q";
+    f->plan[1].stream = stream;
+    expect(f, "/lm/x", 200, stream);
+    expect(f, "/soon/x", 200, stream);
+    g_assert_cmpuint(requests(f, 2), ==, 0);
+    g_free(stream);
+}
+
+/** More than is kept of one event: the answer breaks off before it, at once and for good, since it would be as large on
+ * every engine. */
+static void test_event_larger_than_is_kept(fixture_t *f, gconstpointer data)
+{
+    enum { SIZE = 5 * 1024 * 1024 };
+    static const char *const paths[] = {"/lm/x", "/soon/x"};
+    (void)data;
+    start_engines(f);
+    char *const stream = large_stream(SIZE);
+    f->plan[1].replies = "Q";
+    f->plan[1].stream = stream;
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        lab_call_t *const c = call(f, paths[i]);
+        g_assert_cmpint(c->status, ==, 200);
+        g_assert_cmpint(c->how, ==, WEB_END_CUT);
+        g_assert_cmpstr(c->body->str, ==, FIRST);
+        lab_call_free(c);
+    }
+    g_assert_cmpuint(requests(f, 1), ==, G_N_ELEMENTS(paths));
+    g_assert_cmpuint(requests(f, 2), ==, 0);
+    g_free(stream);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -109,5 +176,11 @@
     g_test_add("/stream-events/ids-are-told-unchanged", fixture_t, NULL, set_up, test_ids_are_told_unchanged,
                tear_down);
     g_test_add("/stream-events/event-without-id", fixture_t, NULL, set_up, test_event_without_id, tear_down);
+    g_test_add("/stream-events/silence-behind-event-without-id", fixture_t, NULL, set_up,
+               test_silence_behind_an_event_without_id, tear_down);
+    g_test_add("/stream-events/large-event-arrives-whole", fixture_t, NULL, set_up, test_large_event_arrives_whole,
+               tear_down);
+    g_test_add("/stream-events/event-larger-than-is-kept", fixture_t, NULL, set_up, test_event_larger_than_is_kept,
+               tear_down);
     return g_test_run();
 }
