Every arrival beyond a request's first is paid for before it is sent, the second prompt of a broken stream too

Cause: a stream that broke and could not go on where it was arrives twice more, with its prompt and with its run, and one of the two was paid for; the same when a result lapsed and its prompt was read anew. Test second-run-beyond-budget fails before and passes now; 52 tests of forwarding pass.

--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -136,10 +136,20 @@
     unsigned tries;
 } hold_t;
 
-/** The question for one more arrival, when this box's part of the retry budget is used up. */
+/** What came of a call, as far as the retry budget goes. */
+typedef enum {
+    ARRIVAL_NONE,    /* it did not arrive */
+    ARRIVAL_REFUSED, /* the back end turned it away */
+    ARRIVAL_TAKEN    /* the back end worked on it, or may have */
+} arrival_t;
+
+/** A request's part in the retry budget: every arrival beyond the first is paid for before it is sent. */
 typedef struct {
-    leader_ask_t *asking;       /* the question under way, or NULL */
+    leader_ask_t *asking;       /* the question under way, when this box's part of the budget is used up, or NULL */
     void (*then)(forward_t *f); /* what follows when it is granted */
+    unsigned counted;           /* arrivals so far, without the first prefill that an engine took up */
+    unsigned paid;              /* further arrivals that the budget allowed it */
+    bool read;                  /* a prefill was taken up: the next one counts */
 } retry_t;
 
 /** The search for an engine that keeps the prompt of a stream that is taken up again. */
@@ -299,6 +309,11 @@
 void retry_earn(forward_t *f);
 /** Whether one more arrival at a back end is allowed by this box's part of the budget; takes it. */
 bool retry_spend(forward_t *f);
+/** A call has ended. */
+void retry_note(forward_t *f, dialect_ask_t ask, arrival_t how);
+/** Whether more must be paid before the call that is next is sent. A prefill is of no use without the decode behind it,
+ *  so both are paid: a stream that broke off and is read anew elsewhere arrives twice. */
+bool retry_owes(const forward_t *f, dialect_ask_t ask);
 /** Run @p then, at once or later, when one more arrival is allowed by this box's part or the leader's; else the
  *  request fails, at once or later, and is freed. */
 void retry_then(forward_t *f, void (*then)(forward_t *f));
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -37,7 +37,26 @@
 {
     const retry_rules_t rules = rules_of(f);
     const tc_time_t now = tc_time_now();
-    return retry_budget_spend(retry_budgets_get(f->owner->budgets, f->service, now), &rules, f->owner->boxes, now);
+    if (!retry_budget_spend(retry_budgets_get(f->owner->budgets, f->service, now), &rules, f->owner->boxes, now))
+        return false;
+    f->retry.paid++;
+    return true;
+}
+
+/* ===== Arrivals of a request ===== */
+
+void retry_note(forward_t *f, dialect_ask_t ask, arrival_t how)
+{
+    const bool first_prefill = ask == DIALECT_PREFILL && how == ARRIVAL_TAKEN && !f->retry.read;
+    f->retry.read = f->retry.read || first_prefill;
+    if (how != ARRIVAL_NONE && !first_prefill)
+        f->retry.counted++;
+}
+
+bool retry_owes(const forward_t *f, dialect_ask_t ask)
+{
+    const unsigned before = f->retry.counted + (ask == DIALECT_PREFILL && f->retry.read);
+    return before > f->retry.paid; /* the first is free, so those before it are what must be paid */
 }
 
 /* ===== The leader's part ===== */
@@ -56,6 +75,7 @@
         return;
     }
     counter_add(&c_lent, 1);
+    f->retry.paid++;
     f->retry.then(f);
 }
 
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -106,6 +106,7 @@
     const dialect_ask_t ask = s->ask;
     const tc_time_t now = tc_time_now();
     forward_log(f, "not_run", why, s->status, s->instance);
+    retry_note(f, ask, refused ? ARRIVAL_REFUSED : ARRIVAL_NONE);
     f->asked_again = false;
     if (s->reply.other)
         instance_outdated(s->instance, now);
@@ -151,6 +152,7 @@
     const dialect_ask_t ask = s->ask;
     counter_add(&c_broken, 1);
     forward_log(f, "answer_lost", why, s->status, s->instance);
+    retry_note(f, ask, ARRIVAL_TAKEN);
     instance_failed(s->instance, tc_time_now());
     ask_same_engine(s);
     if (ask == DIALECT_PREFILL && s->given_up)
@@ -191,6 +193,7 @@
     instance_succeeded(s->instance);
     histogram_add(&h_prefill, tc_time_now() - s->began);
     forward_log(f, "prefilled", "prompt computed", s->status, s->instance);
+    retry_note(f, DIALECT_PREFILL, ARRIVAL_TAKEN);
     f->handle = (handle_t){
         .instance = instance_ref(s->instance), .name = name, .until = tc_time_now() + f->settings->handle_ttl};
     place_tell(f, PHASE_TRANSFER, NULL);
@@ -219,6 +222,7 @@
         fleet_size(f->owner->fleet) <= 1 || !retry_spend(f))
         return false;
     forward_log(f, "backend_failed", "tried once more elsewhere", s->status, s->instance);
+    retry_note(f, s->ask, ARRIVAL_TAKEN);
     count_run(f);
     mark_tried(s);
     if (f->handle.instance)
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -192,15 +192,16 @@
 
 /* ===== Life ===== */
 
+/** @param data retry budget, further arrivals a request, as double; NULL for plenty */
 static void set_up(fixture_t *f, gconstpointer data)
 {
-    (void)data;
+    const double ratio = data ? *(const double *)data : 100;
     f->loop = loop_create();
     f->fleet = fleet_create();
     f->client = web_client_create(f->loop);
     f->callers = web_client_create(f->loop);
     const forwarder_options_t options = {
-        .box = "box", .dc = "a", .retries = {.ratio = 100, .allowance = 0, .window = 60000}, .pause_limit = 60000};
+        .box = "box", .dc = "a", .retries = {.ratio = ratio, .allowance = 0, .window = 60000}, .pause_limit = 60000};
     f->forwarder = forwarder_create(f->loop, f->fleet, f->client, &options);
     route_table_t *const table = read_config();
     forwarder_set_routes(f->forwarder, table);
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -167,6 +167,25 @@
     g_free(stream);
 }
 
+/** Further arrivals that a request may have: of what the rules allow, 0.8 is used. */
+static const double one_more = 1 / 0.8, two_more = 2 / 0.8;
+
+/** A prompt that is read a second time is an arrival beyond the first, as the engine that answers next is. */
+static void test_both_arrivals_of_a_second_run_are_paid(fixture_t *f, gconstpointer data)
+{
+    start_engines(f);
+    f->plan[1].stream = FIRST SECOND;
+    f->plan[1].stream_size = strlen(FIRST);
+    if (data == &two_more) {
+        expect(f, "/soon/x", 200, FIRST SECOND);
+        return;
+    }
+    lab_call_t *const c = call(f, "/soon/x");
+    g_assert_cmpint(c->how, ==, WEB_END_CUT);
+    lab_call_free(c);
+    g_assert_cmpuint(requests(f, 0), ==, 1); /* no prompt is read for a run that can't follow */
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -182,5 +201,9 @@
                tear_down);
     g_test_add("/stream-events/event-larger-than-is-kept", fixture_t, NULL, set_up, test_event_larger_than_is_kept,
                tear_down);
+    g_test_add("/stream-events/second-run-within-budget", fixture_t, &two_more, set_up,
+               test_both_arrivals_of_a_second_run_are_paid, tear_down);
+    g_test_add("/stream-events/second-run-beyond-budget", fixture_t, &one_more, set_up,
+               test_both_arrivals_of_a_second_run_are_paid, tear_down);
     return g_test_run();
 }
