Tests: ids of many digits, an empty line at a stream's end (failing)

Cause: ids of 20 digits and more are compared as numbers that end at 2^64 - 1, so the right next run is taken for one that begins anew; a line end behind the last event counts as an event that is not whole, so a whole answer is broken off. Before: both fail. No repair here.

--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -167,6 +167,35 @@
     g_free(stream);
 }
 
+/** Ids of more digits than a machine's number has rise as well. */
+static void test_ids_of_many_digits(fixture_t *f, gconstpointer data)
+{
+    static const char first[] = "id: 99999999999999999998\ndata: a\n\n";
+    static const char both[] = "id: 99999999999999999998\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n";
+    (void)data;
+    start_engines(f);
+    f->plan[1].stream = both;
+    f->plan[1].stream_size = strlen(first);
+    f->plan[2].replies = "Q";
+    f->plan[2].stream = both + strlen(first);
+    expect(f, "/soon/x", 200, both);
+}
+
+/** An empty line behind the last event begins no other one: the answer is whole. */
+static void test_empty_line_at_the_end(fixture_t *f, gconstpointer data)
+{
+    static const char *const ends[] = {"\n", "\r\n"};
+    (void)data;
+    start_engines(f);
+    f->plan[1].replies = "Q";
+    for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+        char *const stream = g_strconcat(FIRST, SECOND, ends[i], NULL);
+        f->plan[1].stream = stream;
+        expect(f, "/lm/x", 200, stream);
+        g_free(stream);
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -182,5 +211,7 @@
                tear_down);
     g_test_add("/stream-events/event-larger-than-is-kept", fixture_t, NULL, set_up, test_event_larger_than_is_kept,
                tear_down);
+    g_test_add("/stream-events/ids-of-many-digits", fixture_t, NULL, set_up, test_ids_of_many_digits, tear_down);
+    g_test_add("/stream-events/empty-line-at-the-end", fixture_t, NULL, set_up, test_empty_line_at_the_end, tear_down);
     return g_test_run();
 }
