Tests: an answer without chunks that ends early is reset (failing)

Cause: only an abort resets the connection of a caller of HTTP/1.0; when the server drops it (the caller takes nothing, too much waits, it half-closes, the server stops) it is closed in order, which such a caller takes for the end of the answer. No repair here.

--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -1,5 +1,6 @@
 /* The HTTP server and client on the loop, against bytes as a bad peer would send them. */
 
+#include <errno.h>
 #include <glib.h>
 #include <stdint.h>
 #include <string.h>
@@ -746,6 +747,96 @@
     expect_next(f, request, "HTTP/1.1 200 OK\r\n\r\n", 0, "");
 }
 
+/* ===== Answers without chunks ===== */
+
+/** How a connection ended for a caller that has read all that came. */
+typedef struct {
+    int fd;
+    bool over, reset;
+} ending_t;
+
+static bool has_ended(void *arg)
+{
+    ending_t *const e = arg;
+    char data[65536];
+    ssize_t n;
+    while ((n = recv(e->fd, data, sizeof(data), MSG_DONTWAIT)) > 0) {
+    }
+    e->reset = n < 0 && errno == ECONNRESET;
+    e->over = n == 0 || e->reset;
+    return e->over;
+}
+
+/** A caller of HTTP/1.0 takes an orderly end of its connection for the end of the answer. */
+static void expect_reset(fixture_t *f, int fd)
+{
+    ending_t ending = {.fd = fd};
+    lab_run_until(f->loop, has_ended, &ending);
+    g_assert_true(ending.reset);
+}
+
+/** Begin an answer to a caller of HTTP/1.0. @param size of the first piece of more */
+static raw_t begin_old(fixture_t *f, size_t size)
+{
+    raw_t raw = raw_open(f);
+    raw_send(&raw, "GET /hold HTTP/1.0\r\nHost: h\r\n\r\n");
+    lab_run_until_true(f->loop, &f->held);
+    char *const piece = g_malloc0(size);
+    web_begin(f->exchange, 200, "");
+    web_add(f->exchange, piece, size);
+    g_free(piece);
+    return raw;
+}
+
+/** An answer that ends early does not look complete: its caller took nothing for too long. */
+static void test_old_caller_who_stops_reading(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    raw_t raw = begin_old(f, MORE_THAN_BUFFERS);
+    lab_run_until_true(f->loop, &f->gone);
+    expect_reset(f, raw.fd);
+    raw_close(&raw);
+}
+
+/** The same when more waits for it than is kept. */
+static void test_old_caller_too_much_waits(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->limits.take_ms = 60000; /* it is not given up before */
+    raw_t raw = begin_old(f, MORE_THAN_BUFFERS);
+    char *const piece = g_malloc0(MORE_THAN_BUFFERS);
+    web_add(f->exchange, piece, MORE_THAN_BUFFERS);
+    web_add(f->exchange, piece, MORE_THAN_BUFFERS);
+    g_free(piece);
+    lab_run_until_true(f->loop, &f->gone);
+    expect_reset(f, raw.fd);
+    raw_close(&raw);
+}
+
+/** The same when it has closed its own side. */
+static void test_old_caller_half_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    raw_t raw = begin_old(f, 4);
+    g_assert_cmpint(shutdown(raw.fd, SHUT_WR), ==, 0);
+    lab_run_until_true(f->loop, &f->gone);
+    expect_reset(f, raw.fd);
+    raw_close(&raw);
+}
+
+/** The same when the server ends. */
+static void test_old_caller_server_stops(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    raw_t raw = begin_old(f, 4);
+    web_server_stop(f->server);
+    tc_err_t err = {0};
+    f->server = web_server_start(f->loop, f->addr, &f->limits, handle, f, &err);
+    g_assert_nonnull(f->server);
+    expect_reset(f, raw.fd);
+    raw_close(&raw);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -775,5 +866,9 @@
     TEST("dropped-from-within", test_dropped_from_within);
     TEST("next-answer-is-its-own", test_next_answer_is_its_own);
     TEST("head-has-no-body", test_head_has_no_body);
+    TEST("old-caller-who-stops-reading", test_old_caller_who_stops_reading);
+    TEST("old-caller-too-much-waits", test_old_caller_too_much_waits);
+    TEST("old-caller-half-closed", test_old_caller_half_closed);
+    TEST("old-caller-server-stops", test_old_caller_server_stops);
     return g_test_run();
 }
