--- a/lib/web/web_answer.c
+++ b/lib/web/web_answer.c
@@ -173,6 +173,7 @@
 {
     c->bodiless = is_bodiless(c, status);
     c->chunked = !c->old && !c->bodiless;
+    c->unframed = c->old && !c->bodiless;
     if (c->old)
         c->keep = false; /* the end of the connection ends the answer */
     put_head(c, status, head);
@@ -192,7 +193,7 @@
     if (c->chunked)
         exchange_put(c, "\r\n", 2);
     if (!exchange_flush(c))
-        shutdown(c->watch.fd, SHUT_RDWR); /* broken, or the caller takes nothing: the loop reports it as gone */
+        shutdown(c->watch.fd, SHUT_RD); /* broken, or the caller takes nothing: the loop reports it as gone */
 }
 
 void web_end(web_exchange_t *c)
@@ -205,8 +206,5 @@
 void web_abort(web_exchange_t *c)
 {
     c->gone = NULL;
-    const struct linger hard = {.l_onoff = 1, .l_linger = 0};
-    if (!c->chunked) /* without chunks an orderly end would look complete */
-        setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
     exchange_close(c);
 }
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -76,8 +76,18 @@
 
 /* ===== Connections: making and ending ===== */
 
+/** Promise: an answer that ends early does not look complete. Chunks and lengths say so; without them only a reset
+ * does, since callers take an orderly end of the connection for the answer's. */
+static void reset_unfinished(const web_exchange_t *c)
+{
+    const struct linger hard = {.l_onoff = 1, .l_linger = 0};
+    if (c->unframed && (c->state == EXCHANGE_HANDLING || web_unsent(c) > 0))
+        setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+}
+
 void exchange_close(web_exchange_t *c)
 {
+    reset_unfinished(c);
     if (c->state == EXCHANGE_HANDLING)
         c->server->busy--;
     loop_disarm(&c->next);
