--- a/lib/control/store_open.c
+++ b/lib/control/store_open.c
@@ -117,6 +117,23 @@
     return TC_OK;
 }
 
+/** Go on behind the snapshot when the segment's records end before it: the process ended after it wrote a snapshot
+ *  that was received, and before the segment behind that. Records that follow must not be joined to those. */
+static int leave_older_segment(store_t *s, uint64_t snapshot_end, tc_err_t *err)
+{
+    const uint64_t next = s->first + s->offsets->len - 1;
+    if (next > snapshot_end)
+        return TC_OK;
+    close(s->log_fd);
+    TC_CHECK(open_segment(s, snapshot_end + 1, err));
+    const off_t start = 0;
+    g_array_set_size(s->offsets, 0);
+    g_array_append_val(s->offsets, start);
+    s->synced = start;
+    store_remove_older(s, "log-", s->first);
+    return TC_OK;
+}
+
 static int load_all(store_t *s, raft_start_t *start, tc_err_t *err)
 {
     TC_CHECK(load_identity(s, start, err));
@@ -133,7 +150,8 @@
                           (unsigned long long)index, (unsigned long long)start->snapshot.last_index);
     if (store_newest_file(s->dir, "log-", &index))
         first = index;
-    return load_segment(s, start, first, err);
+    TC_CHECK(load_segment(s, start, first, err));
+    return leave_older_segment(s, start->snapshot.last_index, err);
 }
 
 int store_found(const char *dir, uint64_t id, const raft_image_t *image, tc_err_t *err)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -232,6 +232,114 @@
     remove_dir();
 }
 
+/** Move the only snapshot of one folder into another. */
+static void move_snapshot(const char *from, const char *to, uint64_t index)
+{
+    char *const old = g_strdup_printf("%s/snapshot-%020llu", from, (unsigned long long)index);
+    char *const new = g_strdup_printf("%s/snapshot-%020llu", to, (unsigned long long)index);
+    g_assert_cmpint(g_rename(old, new), ==, 0);
+    g_free(old);
+    g_free(new);
+}
+
+/** Killed between writing a received snapshot and starting the segment behind it: the log of before, with @p kept of
+ *  its records, ends before the snapshot does, and the next record is the one behind the snapshot. */
+static void snapshot_and_killed(uint64_t kept)
+{
+    enum { INDEX = 20 };
+    char *const other = g_dir_make_tmp("trackcove-store-XXXXXX", NULL);
+    const raft_image_t image = {
+        .last_index = INDEX, .last_term = 1, .state = (char *)(uintptr_t) "state", .state_n = 5};
+    g_assert_cmpint(store_found(other, 1, &image, NULL), ==, TC_OK);
+    fresh_dir();
+    raft_start_t start;
+    store_t *store = store_open(dir, &start, NULL);
+    store_start_free(&start);
+    g_assert_cmpint(store_truncate(store, kept + 1, NULL), ==, TC_OK);
+    g_assert_cmpint(store_sync(store, NULL), ==, TC_OK);
+    store_close(store);
+    move_snapshot(other, dir, INDEX);
+    for (uint64_t next = INDEX + 1; next <= INDEX + 3; next++) {
+        store = store_open(dir, &start, NULL);
+        g_assert_cmpuint(start.snapshot.last_index, ==, INDEX);
+        g_assert_cmpuint(start.n_entries, ==, next - INDEX - 1);
+        store_start_free(&start);
+        add_entries(store, next, next);
+        store_close(store);
+    }
+    char report[4096];
+    g_assert_cmpint(store_verify(dir, report, sizeof(report), NULL), ==, TC_OK);
+    folder_empty(other);
+    g_rmdir(other);
+    g_free(other);
+    remove_dir();
+}
+
+static void test_killed_within_snapshot(void)
+{
+    for (uint64_t kept = 0; kept <= ENTRIES; kept++)
+        snapshot_and_killed(kept);
+}
+
+/** A record whose text tells its index. */
+static int append_text(store_t *store, uint64_t index, const char *text)
+{
+    const log_entry_t entry = {.term = 2,
+                               .index = index,
+                               .kind = RAFT_COMMAND,
+                               .data = (char *)(uintptr_t)text,
+                               .data_n = (uint32_t)strlen(text)};
+    return store_append(store, &entry, NULL);
+}
+
+static void assert_last_text(uint32_t entries, const char *text)
+{
+    raft_start_t start;
+    store_t *const store = store_open(dir, &start, NULL);
+    g_assert_nonnull(store);
+    g_assert_cmpuint(start.n_entries, ==, entries);
+    g_assert_cmpstr(start.entries[entries - 1].data, ==, text);
+    store_start_free(&start);
+    store_close(store);
+}
+
+/** Torn at each byte of the last record, by a kill and by a disk that is full: nothing of it is in front of the next,
+ *  whether that is shorter or longer. */
+static void test_torn_at_each_byte(void)
+{
+    static const char *const texts[] = {"x", "a record that is longer than the one that was torn, and by many bytes"};
+    fresh_dir();
+    const long whole = log_size();
+    change_log(0, NULL, 0, whole - 1);
+    g_assert_cmpuint(count_after_open(), ==, ENTRIES - 1);
+    const long before = log_size();
+    remove_dir();
+    g_assert_cmpint(before, <, whole);
+    signal(SIGXFSZ, SIG_IGN);
+    for (long cut = before; cut < whole; cut++) {
+        raft_start_t start;
+        fresh_dir();
+        change_log(0, NULL, 0, cut);
+        store_t *store = store_open(dir, &start, NULL);
+        store_start_free(&start);
+        g_assert_cmpint(append_text(store, ENTRIES, texts[cut % 2]), ==, TC_OK);
+        store_close(store); /* unsynced: the process was killed, not the machine */
+        assert_last_text(ENTRIES, texts[cut % 2]);
+        store = store_open(dir, &start, NULL);
+        store_start_free(&start);
+        struct rlimit old;
+        g_assert_cmpint(getrlimit(RLIMIT_FSIZE, &old), ==, 0);
+        const struct rlimit small = {.rlim_cur = (rlim_t)(log_size() + cut - before), .rlim_max = old.rlim_max};
+        g_assert_cmpint(setrlimit(RLIMIT_FSIZE, &small), ==, 0);
+        g_assert_cmpint(append_text(store, ENTRIES + 1, texts[1]), ==, TC_E_FULL);
+        g_assert_cmpint(setrlimit(RLIMIT_FSIZE, &old), ==, 0);
+        g_assert_cmpint(append_text(store, ENTRIES + 1, texts[0]), ==, TC_OK);
+        store_close(store);
+        assert_last_text(ENTRIES + 1, texts[0]);
+        remove_dir();
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -241,5 +349,7 @@
     g_test_add_func("/store/full", test_full);
     g_test_add_func("/store/full-snapshot", test_full_snapshot);
     g_test_add_func("/store/snapshot", test_snapshot);
+    g_test_add_func("/store/torn-at-each-byte", test_torn_at_each_byte);
+    g_test_add_func("/store/killed-within-snapshot", test_killed_within_snapshot);
     return g_test_run();
 }
