Connections and calls are not kept over a step of the walk that ends them

Cause: each 25 ms all connections and calls that wait are walked through, and those whose time is over are ended. A call's callback may answer a question of another box; if that finds its connection broken, the connection is freed with all its calls, among them the one that the walk was to look at next: on the same connection, or the next connection. The same when a net is destroyed.

Change: what is due next is looked for anew after each step; nothing is kept between two. One walk in place of two while nothing is due.

Ruled out: conn_close and conn_parse (they look the connection up by its number after each callback, or it is in no list any more), conn_flush (returns after it closed).

Before: /peer-torn/ends-within-a-walk and ...-crossed end the process; with the sanitizers both are a heap-use-after-free in expire_pending (peer.c), the call freed by conn_close under peer_reply. After: both pass, each call ends once.

New and passed at once, without a change: /peer-torn/client-breaks and server-breaks tear the first connection at each byte of what one side writes, handshake included, and have it replaced: the other side hears whole frames alone, each once, each answer goes to its own question, each call ends once, and one that ended as unreachable was not heard. .../client-stands-still and server-stands-still do so by silence at 60 places. test_peer passes as before, all with and without the sanitizers.

Measured by: prove -e '' {build,build-asan}/tests/unit/test_peer{,_torn}

--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -90,40 +90,71 @@
 
 /* ===== Deadlines ===== */
 
-static void expire_pending(conn_t *conn, tc_time_t now)
+/** What time asks of a connection. */
+typedef enum { DUE_NOTHING, DUE_CONNECT, DUE_HELLO, DUE_CALL, DUE_SILENCE, DUE_PING } due_t;
+
+static pending_t *overdue_call(const conn_t *conn, tc_time_t now)
 {
-    pending_t *p, *next;
-    cds_list_for_each_entry_safe(p, next, &conn->pending, node)
+    pending_t *p;
+    cds_list_for_each_entry(p, &conn->pending, node)
         if (now >= p->deadline)
-            pending_fail(p, conn->addr, p->sent ? TC_E_TIMEOUT : TC_E_UNREACHABLE, "call", "no answer in time");
+            return p;
+    return NULL;
 }
 
-/** Look whether the peer is still there, when bytes were sent and none has come since. */
-static void watch_silence(conn_t *conn, tc_time_t now)
+static due_t conn_due(const conn_t *conn, tc_time_t now)
 {
-    const tc_time_t quiet = conn->quiet_since ? now - conn->quiet_since : 0;
+    if (conn->state == CONN_CONNECTING && now >= conn->connect_deadline)
+        return DUE_CONNECT;
+    if (conn->state != CONN_READY && now >= conn->hello_deadline)
+        return DUE_HELLO;
+    if (overdue_call(conn, now))
+        return DUE_CALL;
+    const tc_time_t quiet = conn->state == CONN_READY && conn->quiet_since ? now - conn->quiet_since : 0;
     if (quiet >= SILENT_LIMIT_MS)
-        conn_close(conn, TC_E_BROKEN, "read", "the peer is silent");
-    else if (quiet >= PING_AFTER_MS && !conn->pinged)
-        (void)conn_ping(conn);
+        return DUE_SILENCE;
+    return quiet >= PING_AFTER_MS && !conn->pinged ? DUE_PING : DUE_NOTHING;
 }
 
+static conn_t *first_due(const peer_net_t *net, tc_time_t now, due_t *due)
+{
+    conn_t *conn;
+    cds_list_for_each_entry(conn, &net->conns, node) {
+        *due = conn_due(conn, now);
+        if (*due != DUE_NOTHING)
+            return conn;
+    }
+    return NULL;
+}
+
+static void expire_call(conn_t *conn, tc_time_t now)
+{
+    pending_t *const p = overdue_call(conn, now);
+    pending_fail(p, conn->addr, p->sent ? TC_E_TIMEOUT : TC_E_UNREACHABLE, "call", "no answer in time");
+}
+
+/** Afterwards the same is due no more. */
+static void conn_do_due(conn_t *conn, due_t due, tc_time_t now)
+{
+    switch (due) {
+    case DUE_CONNECT: conn_close(conn, TC_E_UNREACHABLE, "connect", "nobody answers"); break;
+    case DUE_HELLO: conn_close(conn, TC_E_UNREACHABLE, "handshake", "took too long"); break;
+    case DUE_CALL: expire_call(conn, now); break;
+    case DUE_SILENCE: conn_close(conn, TC_E_BROKEN, "read", "the peer is silent"); break;
+    case DUE_PING: (void)conn_ping(conn); break;
+    case DUE_NOTHING: break;
+    }
+}
+
+/** A call's callback may send, and find any connection broken, which ends that and its calls: none of them is kept over
+ *  a step, what is due next is looked for anew. */
 static void on_tick(void *arg)
 {
     peer_net_t *const net = arg;
     const tc_time_t now = tc_time_now();
-    conn_t *conn, *next;
-    cds_list_for_each_entry_safe(conn, next, &net->conns, node) {
-        if (conn->state == CONN_CONNECTING && now >= conn->connect_deadline)
-            conn_close(conn, TC_E_UNREACHABLE, "connect", "nobody answers");
-        else if (conn->state != CONN_READY && now >= conn->hello_deadline)
-            conn_close(conn, TC_E_UNREACHABLE, "handshake", "took too long");
-        else
-            expire_pending(conn, now);
-    }
-    cds_list_for_each_entry_safe(conn, next, &net->conns, node)
-        if (conn->state == CONN_READY)
-            watch_silence(conn, now);
+    due_t due = DUE_NOTHING;
+    for (conn_t *conn = first_due(net, now, &due); conn; conn = first_due(net, now, &due))
+        conn_do_due(conn, due, now);
 }
 
 /* ===== Public functions: sending ===== */
@@ -354,9 +385,8 @@
 {
     loop_remove_ticks(net->loop, net);
     peer_stop_listening(net);
-    conn_t *conn, *next;
-    cds_list_for_each_entry_safe(conn, next, &net->conns, node)
-        conn_close(conn, TC_E_CANCELLED, "stop", "stopping");
+    while (!cds_list_empty(&net->conns)) /* what a callback sends may end another connection */
+        conn_close(cds_list_first_entry(&net->conns, conn_t, node), TC_E_CANCELLED, "stop", "stopping");
     backoff_t *b, *following;
     cds_list_for_each_entry_safe(b, following, &net->backoffs, node)
         free(b);
--- /dev/null
+++ b/tests/unit/test_peer_torn.c
@@ -0,0 +1,454 @@
+/* Connections that break, or stand still, at each byte of what one side writes, and are replaced. The send() of this
+ * file stands in for the C library's and lets pass what a test allows. Real sockets on 127.0.0.1. */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "harness/lab.h"
+#include "peer/peer.h"
+
+/* ===== Tearing ===== */
+
+/** @return how many of @p size bytes may be written now, 0 for none yet, negative when the connection breaks
+ * @param server port of the side that listens @param client port of the side that dialled
+ * @param by_server who writes */
+typedef ssize_t (*tear_t)(uint16_t server, uint16_t client, bool by_server, size_t size);
+
+static tear_t tear;              /* NULL: all passes */
+static GHashTable *server_ports; /* of the test that runs */
+
+static uint16_t port_of(int fd, int (*fn)(int, struct sockaddr *, socklen_t *))
+{
+    struct sockaddr_in at = {0};
+    socklen_t size = sizeof(at);
+    return fn(fd, (struct sockaddr *)&at, &size) == 0 ? ntohs(at.sin_port) : 0;
+}
+
+static int local_name(int fd, struct sockaddr *at, socklen_t *size)
+{
+    return getsockname(fd, at, size);
+}
+
+static int remote_name(int fd, struct sockaddr *at, socklen_t *size)
+{
+    return getpeername(fd, at, size);
+}
+
+ssize_t send(int fd, const void *data, size_t size, int flags)
+{
+    if (!tear)
+        return sendto(fd, data, size, flags, NULL, 0);
+    const uint16_t local = port_of(fd, local_name), remote = port_of(fd, remote_name);
+    const bool by_server = g_hash_table_contains(server_ports, GUINT_TO_POINTER(local));
+    const ssize_t may = tear(by_server ? local : remote, by_server ? remote : local, by_server, size);
+    if (may <= 0) {
+        errno = may == 0 ? EAGAIN : ECONNRESET;
+        return -1;
+    }
+    return sendto(fd, data, MIN((size_t)may, size), flags, NULL, 0);
+}
+
+static uint16_t addr_port(const char *addr)
+{
+    return (uint16_t)atoi(strchr(addr, ':') + 1);
+}
+
+static void watch_port(const char *addr)
+{
+    g_hash_table_add(server_ports, GUINT_TO_POINTER(addr_port(addr)));
+}
+
+static void set_up(void)
+{
+    server_ports = g_hash_table_new(g_direct_hash, g_direct_equal);
+}
+
+static void tear_down(void)
+{
+    tear = NULL;
+    g_hash_table_destroy(server_ports);
+}
+
+/* ===== Pairs ===== */
+
+enum { CALLS = 3, LIMIT_MS = 5000, LONGEST = 40 };
+
+typedef struct pair pair_t;
+
+/** One call of a pair's client. */
+typedef struct {
+    pair_t *pair;
+    char id[CODEC_STR_SIZE];
+    unsigned ended;
+    int rc;
+} asked_t;
+
+/** A server and a client whose first connection is torn. */
+struct pair {
+    char addr[32];
+    peer_net_t *server, *client;
+    bool by_server; /* what the server writes is torn, else what the client does */
+    bool stalls;    /* nothing more is written on it, else it breaks */
+    size_t cut;     /* bytes that pass before */
+    size_t written;
+    uint16_t first; /* the client's port of the first connection, 0 before it */
+    bool torn;
+    GHashTable *heard; /* ids that came to the server */
+    asked_t asked[CALLS];
+    asked_t last; /* the call that is repeated until it is answered */
+    unsigned tries;
+    bool done;
+};
+
+static GPtrArray *pairs;
+
+static pair_t *find_pair(uint16_t server)
+{
+    for (guint i = 0; i < pairs->len; i++) {
+        pair_t *const p = g_ptr_array_index(pairs, i);
+        if (addr_port(p->addr) == server)
+            return p;
+    }
+    return NULL;
+}
+
+static ssize_t tear_pair(uint16_t server, uint16_t client, bool by_server, size_t size)
+{
+    pair_t *const p = find_pair(server);
+    g_assert_nonnull(p); /* every connection is a pair's */
+    if (by_server != p->by_server)
+        return (ssize_t)size;
+    p->first = p->first ? p->first : client;
+    if (client != p->first || (p->torn && !p->stalls))
+        return (ssize_t)size;
+    if (p->written < p->cut) {
+        const size_t may = MIN(size, p->cut - p->written);
+        p->written += may;
+        return (ssize_t)may;
+    }
+    p->torn = true;
+    return p->stalls ? 0 : -1;
+}
+
+/** Every id that comes was sent, as it came, and comes once. */
+static void hear(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    pair_t *const p = arg;
+    const msg_claim_t *const claim = message;
+    g_assert_cmpuint(type, ==, MSG_CLAIM);
+    g_assert_cmpstr(from, ==, "client");
+    bool known = strcmp(claim->id, p->last.id) == 0;
+    for (int i = 0; i < CALLS; i++)
+        known = known || strcmp(claim->id, p->asked[i].id) == 0;
+    g_assert_true(known);
+    g_assert_true(g_hash_table_add(p->heard, g_strdup(claim->id)));
+    msg_claim_ack_t ack = {.won = true};
+    codec_copy_string(ack.owner, sizeof(ack.owner), claim->id);
+    peer_reply(p->server, call, MSG_CLAIM_ACK, &ack);
+}
+
+static void ask(asked_t *asked);
+
+static void on_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)err;
+    asked_t *const asked = arg;
+    pair_t *const p = asked->pair;
+    asked->ended++;
+    asked->rc = rc;
+    if (rc == TC_OK) {
+        g_assert_cmpuint(type, ==, MSG_CLAIM_ACK);
+        g_assert_cmpstr(((const msg_claim_ack_t *)message)->owner, ==, asked->id); /* the answer to this very call */
+    }
+    if (rc == TC_E_UNREACHABLE)
+        g_assert_false(g_hash_table_contains(p->heard, asked->id)); /* nothing was sent */
+    if (asked != &p->last)
+        return;
+    p->done = rc == TC_OK;
+    if (!p->done)
+        ask(asked);
+}
+
+static void ask(asked_t *asked)
+{
+    pair_t *const p = asked->pair;
+    if (asked == &p->last)
+        g_snprintf(asked->id, sizeof(asked->id), "the last, try %u", p->tries++);
+    msg_claim_t claim = {0};
+    codec_copy_string(claim.id, sizeof(claim.id), asked->id);
+    peer_call(p->client, p->addr, MSG_CLAIM, &claim, LIMIT_MS, on_answer, asked);
+}
+
+static void nothing(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    (void)arg, (void)call, (void)from, (void)type, (void)message; /* nobody calls this side */
+}
+
+static peer_net_t *open_net(loop_t *loop, const char *box, const char *listen, peer_handler_t handler, void *arg)
+{
+    tc_err_t err = {0};
+    const peer_options_t options = {
+        .box = box, .incarnation = 1, .listen = listen, .key_file = "", .handler = handler, .arg = arg};
+    peer_net_t *const net = peer_create(loop, &options, &err);
+    g_assert_nonnull(net);
+    return net;
+}
+
+static pair_t *open_pair(loop_t *loop, GRand *random, bool by_server, bool stalls, size_t cut)
+{
+    pair_t *const p = g_new0(pair_t, 1);
+    p->by_server = by_server;
+    p->stalls = stalls;
+    p->cut = cut;
+    p->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    lab_free_addr(p->addr);
+    watch_port(p->addr);
+    p->server = open_net(loop, "server", p->addr, hear, p);
+    p->client = open_net(loop, "client", "", nothing, NULL);
+    g_ptr_array_add(pairs, p);
+    for (int i = 0; i < CALLS; i++) {
+        p->asked[i].pair = p;
+        const int length = g_rand_int_range(random, 1, LONGEST);
+        for (int k = 0; k < length; k++)
+            p->asked[i].id[k] = (char)('a' + g_rand_int_range(random, 0, 26));
+        p->asked[i].id[length] = (char)('0' + i); /* no two are equal */
+        ask(&p->asked[i]);
+    }
+    p->last.pair = p;
+    return p;
+}
+
+static void close_pair(pair_t *p)
+{
+    peer_destroy(p->client);
+    peer_destroy(p->server);
+    for (int i = 0; i < CALLS; i++)
+        g_assert_cmpuint(p->asked[i].ended, ==, 1);
+    g_hash_table_destroy(p->heard);
+    g_free(p);
+}
+
+static bool first_ended(void *arg)
+{
+    (void)arg;
+    for (guint n = 0; n < pairs->len; n++) {
+        const pair_t *const p = g_ptr_array_index(pairs, n);
+        for (int i = 0; i < CALLS; i++)
+            if (p->asked[i].ended == 0)
+                return false;
+    }
+    return true;
+}
+
+static bool last_answered(void *arg)
+{
+    (void)arg;
+    for (guint n = 0; n < pairs->len; n++)
+        if (!((const pair_t *)g_ptr_array_index(pairs, n))->done)
+            return false;
+    return true;
+}
+
+/** Let all calls end, and one more come through: over another connection where the first was torn. */
+static void play(loop_t *loop)
+{
+    lab_run_until(loop, first_ended, NULL);
+    for (guint n = 0; n < pairs->len; n++)
+        ask(&((pair_t *)g_ptr_array_index(pairs, n))->last);
+    lab_run_until(loop, last_answered, NULL);
+}
+
+/** What one side writes while nothing is torn. */
+static size_t whole_length(bool by_server)
+{
+    loop_t *const loop = loop_create();
+    GRand *const random = g_rand_new_with_seed(1);
+    pairs = g_ptr_array_new();
+    const pair_t *const p = open_pair(loop, random, by_server, false, G_MAXSIZE);
+    play(loop);
+    const size_t written = p->written;
+    close_pair(g_ptr_array_index(pairs, 0));
+    g_ptr_array_free(pairs, TRUE);
+    g_rand_free(random);
+    loop_destroy(loop);
+    return written;
+}
+
+/** A pair for each @p step bytes from @p from on, at most @p most of them, in one loop. @return the next byte */
+static size_t play_pairs(bool by_server, bool stalls, size_t from, size_t end, size_t step, guint most)
+{
+    loop_t *const loop = loop_create();
+    GRand *const random = g_rand_new_with_seed((guint32)from + 1);
+    pairs = g_ptr_array_new();
+    size_t cut = from;
+    for (; cut < end && pairs->len < most; cut += step)
+        (void)open_pair(loop, random, by_server, stalls, cut);
+    play(loop);
+    for (guint n = 0; n < pairs->len; n++) {
+        pair_t *const p = g_ptr_array_index(pairs, n);
+        g_assert_true(p->torn);
+        close_pair(p);
+    }
+    g_ptr_array_free(pairs, TRUE);
+    g_rand_free(random);
+    loop_destroy(loop);
+    return cut;
+}
+
+enum { AT_ONCE = 60 }; /* each has two of a loop's ticks */
+
+static void test_breaks(gconstpointer by_server)
+{
+    set_up();
+    tear = tear_pair;
+    /* Lengths of ids vary with the seed: only up to the shortest is every pair torn. */
+    const size_t end = whole_length(by_server != NULL) - CALLS * LONGEST;
+    for (size_t cut = 0; cut < end;)
+        cut = play_pairs(by_server != NULL, false, cut, end, 1, AT_ONCE);
+    tear_down();
+}
+
+static void test_stands_still(gconstpointer by_server)
+{
+    set_up();
+    tear = tear_pair;
+    const size_t end = whole_length(by_server != NULL) - CALLS * LONGEST;
+    (void)play_pairs(by_server != NULL, true, 0, end, end / AT_ONCE + 1, AT_ONCE);
+    tear_down();
+}
+
+/* ===== Ends of calls that end connections ===== */
+
+enum { ENDS = 2, SHORT_MS = 100 };
+
+typedef struct {
+    peer_net_t *asker; /* dials the middle box and asks it; its own answer never comes */
+    char addr[32];
+    peer_call_t question; /* as the middle box got it */
+    bool asked, answered;
+    unsigned ended[ENDS]; /* calls of the middle box to this one */
+} end_t;
+
+static struct {
+    peer_net_t *middle;
+    char addr[32];
+    end_t ends[ENDS];
+    bool broken; /* the middle box writes no more */
+    bool crossed;
+} middle;
+
+static ssize_t break_middle(uint16_t server, uint16_t client, bool by_server, size_t size)
+{
+    (void)client;
+    return middle.broken && by_server && server == addr_port(middle.addr) ? -1 : (ssize_t)size;
+}
+
+static void keep_question(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    (void)arg, (void)type, (void)message;
+    end_t *const end = &middle.ends[from[0] - '0'];
+    end->question = call;
+    end->asked = true;
+}
+
+static void on_question_end(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)type, (void)message, (void)err;
+    g_assert_cmpint(rc, ==, TC_E_BROKEN);
+    ((end_t *)arg)->answered = true;
+}
+
+/** The call of the middle box ends, and it answers a question: on the same connection, or on the other. */
+static void on_middle_end(int end, int n)
+{
+    middle.broken = true;
+    middle.ends[end].ended[n]++;
+    const tc_err_t err = {.code = TC_E_UNREACHABLE, .step = "call"};
+    peer_reply_error(middle.middle, middle.ends[middle.crossed ? 1 - end : end].question, &err);
+}
+
+static void on_end_00(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)arg, (void)rc, (void)type, (void)message, (void)err;
+    on_middle_end(0, 0);
+}
+
+static void on_end_01(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)arg, (void)rc, (void)type, (void)message, (void)err;
+    on_middle_end(0, 1);
+}
+
+static void on_end_10(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)arg, (void)rc, (void)type, (void)message, (void)err;
+    on_middle_end(1, 0);
+}
+
+static void on_end_11(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    (void)arg, (void)rc, (void)type, (void)message, (void)err;
+    on_middle_end(1, 1);
+}
+
+static bool both_asked(void *arg)
+{
+    (void)arg;
+    return middle.ends[0].asked && middle.ends[1].asked;
+}
+
+static bool both_answered(void *arg)
+{
+    (void)arg;
+    return middle.ends[0].answered && middle.ends[1].answered;
+}
+
+/** Calls run out of time, and what their callbacks send finds connections broken: each call ends once. */
+static void test_ends_within_a_walk(gconstpointer crossed)
+{
+    static const peer_reply_t fns[ENDS][ENDS] = {{on_end_00, on_end_01}, {on_end_10, on_end_11}};
+    set_up();
+    memset(&middle, 0, sizeof(middle));
+    middle.crossed = crossed != NULL;
+    loop_t *const loop = loop_create();
+    lab_free_addr(middle.addr);
+    watch_port(middle.addr);
+    tear = break_middle;
+    middle.middle = open_net(loop, "middle", middle.addr, keep_question, NULL);
+    const msg_claim_t claim = {0};
+    for (int i = 0; i < ENDS; i++) {
+        end_t *const end = &middle.ends[i];
+        lab_free_addr(end->addr);
+        end->asker = open_net(loop, i == 0 ? "0" : "1", end->addr, nothing, NULL);
+        peer_call(end->asker, middle.addr, MSG_CLAIM, &claim, LIMIT_MS, on_question_end, end);
+    }
+    lab_run_until(loop, both_asked, NULL);
+    for (int i = 0; i < ENDS; i++)
+        for (int n = 0; n < ENDS; n++)
+            peer_call(middle.middle, middle.ends[i].addr, MSG_CLAIM, &claim, SHORT_MS, fns[i][n], NULL);
+    lab_run_until(loop, both_answered, NULL);
+    for (int i = 0; i < ENDS; i++)
+        for (int n = 0; n < ENDS; n++)
+            g_assert_cmpuint(middle.ends[i].ended[n], ==, 1);
+    for (int i = 0; i < ENDS; i++)
+        peer_destroy(middle.ends[i].asker);
+    peer_destroy(middle.middle);
+    loop_destroy(loop);
+    tear_down();
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_data_func("/peer-torn/client-breaks", NULL, test_breaks);
+    g_test_add_data_func("/peer-torn/server-breaks", "server", test_breaks);
+    g_test_add_data_func("/peer-torn/client-stands-still", NULL, test_stands_still);
+    g_test_add_data_func("/peer-torn/server-stands-still", "server", test_stands_still);
+    g_test_add_data_func("/peer-torn/ends-within-a-walk", NULL, test_ends_within_a_walk);
+    g_test_add_data_func("/peer-torn/ends-within-a-walk-crossed", "crossed", test_ends_within_a_walk);
+    return g_test_run();
+}
