The handshake's last frame is not overtaken by what is sent first

Cause: the accepting side is ready as soon as it has queued its last frame of the handshake, also when the socket did not take it yet. A heartbeat or a vote that was sent first from then on was queued ahead of it, the peer got another message within the handshake, and refused the connection.

Change: the handshake's frames go first as well, in their order.

Ruled out: frames that wait for the handshake (they are put behind what is queued when the connection is ready); a frame that is partly written (it stays ahead of all).

Before: /peer-torn/hello-is-not-overtaken, whose send() holds back the last frame while two heartbeats and one message are sent, waits in vain for them.

Measured by: prove -e '' {build,build-asan}/tests/unit/test_peer{,_torn}

--- a/lib/peer/peer_conn.c
+++ b/lib/peer/peer_conn.c
@@ -234,7 +234,8 @@
     return size <= LARGE_FRAME || conn->net->queued + size <= QUEUED_MAX;
 }
 
-/** Put a frame behind those that go first, and behind the one that is being written. */
+/** Put a frame behind those that go first, and behind the one that is being written. The handshake's frames go first as
+ *  well: its last one may still wait when the connection is ready, and a peer refuses whatever comes before it. */
 static void queue_first(struct cds_list_head *queue, out_t *item)
 {
     struct cds_list_head *behind = queue;
@@ -256,7 +257,7 @@
         free(data);
         return false;
     }
-    *item = (out_t){.data = data, .size = size, .call = call, .at = tc_time_now(), .first = turn == FRAME_FIRST};
+    *item = (out_t){.data = data, .size = size, .call = call, .at = tc_time_now(), .first = turn != FRAME_IN_TURN};
     count_queued(conn, (ssize_t)size);
     struct cds_list_head *const queue = turn == FRAME_HELLO || conn->state == CONN_READY ? &conn->out : &conn->waiting;
     if (item->first)
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -123,7 +123,7 @@
 typedef enum {
     FRAME_IN_TURN,
     FRAME_FIRST, /* ahead of those in turn */
-    FRAME_HELLO  /* part of the handshake: the others wait until that is done */
+    FRAME_HELLO  /* part of the handshake: ahead of all others, which wait until that is done */
 } frame_turn_t;
 
 /** Queue a frame, which is taken over. @return false when the peer takes too little */
--- a/tests/unit/test_peer_torn.c
+++ b/tests/unit/test_peer_torn.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "common/counter.h"
 #include "harness/lab.h"
 #include "peer/peer.h"
 
@@ -321,6 +322,82 @@
     tear_down();
 }
 
+/* ===== The handshake goes first ===== */
+
+typedef struct {
+    loop_t *loop;
+    peer_net_t *server;
+    char server_addr[32], client_addr[32];
+    unsigned writes; /* of the server */
+    bool blocked;    /* what follows its first write waits */
+    bool tried;      /* and something does */
+    GString *order;  /* ids that came to the client */
+} hello_t;
+
+static hello_t hello;
+
+static ssize_t block_last_hello(uint16_t server, uint16_t client, bool by_server, size_t size)
+{
+    (void)server, (void)client;
+    if (!by_server || hello.writes++ == 0 || !hello.blocked)
+        return (ssize_t)size;
+    hello.tried = true;
+    return 0;
+}
+
+static void note_order(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    (void)arg, (void)call, (void)from, (void)type;
+    g_string_append(hello.order, ((const msg_claim_t *)message)->id);
+}
+
+static void unblock(void *arg)
+{
+    (void)arg;
+    hello.blocked = false;
+}
+
+static bool heard_three(void *arg)
+{
+    (void)arg;
+    return hello.order->len == 3;
+}
+
+static void send_named(peer_net_t *net, const char *addr, const char *id, bool first)
+{
+    msg_claim_t claim = {0};
+    codec_copy_string(claim.id, sizeof(claim.id), id);
+    (first ? peer_send_first : peer_send)(net, addr, MSG_CLAIM, &claim);
+}
+
+/** The last frame of the handshake waits for a full socket: what is sent first goes behind it. */
+static void test_hello_is_not_overtaken(void)
+{
+    set_up();
+    hello = (hello_t){.loop = loop_create(), .blocked = true, .order = g_string_new(NULL)};
+    lab_free_addr(hello.server_addr);
+    lab_free_addr(hello.client_addr);
+    watch_port(hello.server_addr);
+    tear = block_last_hello;
+    hello.server = open_net(hello.loop, "server", hello.server_addr, nothing, NULL);
+    peer_net_t *const client = open_net(hello.loop, "client", hello.client_addr, note_order, NULL);
+    const int64_t refused = counter_read("trackcove_peer_refused_total");
+    send_named(client, hello.server_addr, "x", false);
+    lab_run_until_true(hello.loop, &hello.tried);
+    send_named(hello.server, hello.client_addr, "a", false);
+    send_named(hello.server, hello.client_addr, "1", true);
+    send_named(hello.server, hello.client_addr, "2", true);
+    loop_post(hello.loop, unblock, NULL);
+    lab_run_until(hello.loop, heard_three, NULL);
+    g_assert_cmpstr(hello.order->str, ==, "12a");
+    g_assert_cmpint(counter_read("trackcove_peer_refused_total"), ==, refused);
+    peer_destroy(client);
+    peer_destroy(hello.server);
+    loop_destroy(hello.loop);
+    g_string_free(hello.order, TRUE);
+    tear_down();
+}
+
 /* ===== Ends of calls that end connections ===== */
 
 enum { ENDS = 2, SHORT_MS = 100 };
@@ -448,6 +525,7 @@
     g_test_add_data_func("/peer-torn/server-breaks", "server", test_breaks);
     g_test_add_data_func("/peer-torn/client-stands-still", NULL, test_stands_still);
     g_test_add_data_func("/peer-torn/server-stands-still", "server", test_stands_still);
+    g_test_add_func("/peer-torn/hello-is-not-overtaken", test_hello_is_not_overtaken);
     g_test_add_data_func("/peer-torn/ends-within-a-walk", NULL, test_ends_within_a_walk);
     g_test_add_data_func("/peer-torn/ends-within-a-walk-crossed", "crossed", test_ends_within_a_walk);
     return g_test_run();
