What waits behind a document is dropped when a newer one is begun

Cause: while a document arrives, the newest that is heard of waits for its end. A box that no longer has what is asked for answers with the head of what it has instead, which is begun at once; what waited stayed, and was begun behind it, though older. Nobody has it, so that each box answers with the newer head, and that one is fetched a second time, whole: up to 1 MB of a box's link.

Change: beginning a document drops what waits unless that is newer still.

Ruled out: a configuration that goes back (the second one was dropped where documents are taken over, by its version); pieces of two versions, or of two packings, in one body (a piece names version and hash, its offset must be the next, and the whole is checked by the hash: /fetch/all-orders); answers to a question of an earlier fetch (one is under way at a time, an answer after its time is dropped with its call).

Before: /fetch/overtaken-while-waiting fails: 2 documents came, not 1; /fetch/all-orders fails: version 6 behind version 6. Also with the sanitizers.

Measured by: prove -e '' {build,build-asan}/tests/unit/test_{fetch,document}

--- a/lib/cluster/fetch.c
+++ b/lib/cluster/fetch.c
@@ -87,6 +87,8 @@
 {
     if (!document_arrival_begin(&f->arrival, head))
         return;
+    if (f->next.version <= head->version)
+        f->next = (document_head_t){0}; /* overtaken on the way: it would be fetched behind this one, and be older */
     codec_copy_string(f->told_by, sizeof(f->told_by), from);
     f->turn = spread ? 0 : 1;
     choose_source(f);
--- a/tests/unit/test_fetch.c
+++ b/tests/unit/test_fetch.c
@@ -304,6 +304,127 @@
     g_free(text);
 }
 
+/** A document that was heard of while another arrived is not fetched behind a newer one, which was found on the way. */
+static void test_overtaken_while_waiting(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(9);
+    document_t gone = {0}, between = {0};
+    document_make(&gone, 7, "gone", 4);
+    document_make(&between, 8, "between", 7);
+    for (int i = 0; i < BOXES; i++)
+        give(&f->boxes[i], 9, text);
+    const document_head_t first = document_head(&gone), second = document_head(&between);
+    fetch_hear(f->fetch, &first, f->boxes[1].addr, 0);
+    fetch_hear(f->fetch, &second, f->boxes[2].addr, 0);
+    expect(f, 9, text);
+    g_assert_cmpuint(f->arrived->len, ==, 1);
+    codec_free(&document_desc, &gone);
+    codec_free(&document_desc, &between);
+    g_free(text);
+}
+
+/** A head that no document can have changes nothing: what arrives goes on. */
+static void test_too_large(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    char *const text = make_text(10);
+    for (int i = 0; i < BOXES; i++)
+        give(&f->boxes[i], 7, text);
+    const document_head_t large = {.version = 8, .packed = DOCUMENT_BODY_MAX + 1};
+    hear(f, &f->boxes[0]);
+    fetch_hear(f->fetch, &large, f->boxes[1].addr, 0);
+    expect(f, 7, text);
+    fetch_hear(f->fetch, &large, f->boxes[1].addr, 7);
+    g_assert_false(fetch_is_busy(f->fetch));
+    for (int i = 0; i < BOXES; i++)
+        give(&f->boxes[i], 9, text);
+    hear(f, &f->boxes[2]);
+    expect(f, 9, text);
+    g_free(text);
+}
+
+/* ===== In all orders ===== */
+
+enum { ROUNDS = 24, LATEST = 6, STEP_MS = 8 };
+
+/** The text of each version, which a box may hold packed in one of two ways. */
+typedef struct {
+    char *texts[LATEST + 1];
+    uint64_t held[BOXES];
+    GRand *random;
+} many_t;
+
+static uint64_t last_arrived(const fixture_t *f)
+{
+    return f->arrived->len ? g_array_index(f->arrived, uint64_t, f->arrived->len - 1) : 0;
+}
+
+static void hear_if_newer(fixture_t *f, const box_t *box)
+{
+    const document_head_t head = document_head(&box->document);
+    fetch_hear(f->fetch, &head, box->addr, last_arrived(f));
+}
+
+/** A box takes a version that is newer than its own, and may damage or lose pieces from now on. */
+static void change_box(fixture_t *f, many_t *m)
+{
+    const int i = g_rand_int_range(m->random, 0, BOXES);
+    box_t *const box = &f->boxes[i];
+    if (m->held[i] == LATEST)
+        return;
+    m->held[i] = (uint64_t)g_rand_int_range(m->random, (gint32)m->held[i] + 1, LATEST + 1);
+    const char *const text = m->texts[m->held[i]];
+    (g_rand_boolean(m->random) ? give : give_packed_otherwise)(box, m->held[i], text);
+    box->damages = g_rand_int_range(m->random, 0, 6) == 0;
+    hear_if_newer(f, box);
+}
+
+/** Every document that came is whole, of its version, and newer than the one before. */
+static void assert_arrived(const fixture_t *f, const many_t *m)
+{
+    for (guint i = 0; i < f->arrived->len; i++) {
+        const uint64_t version = g_array_index(f->arrived, uint64_t, i);
+        g_assert_cmpuint(version, >, i ? g_array_index(f->arrived, uint64_t, i - 1) : 0);
+        if (i + 1 == f->arrived->len)
+            g_assert_cmpstr(f->text->str, ==, m->texts[version]);
+    }
+}
+
+static void play_round(fixture_t *f, many_t *m)
+{
+    g_array_set_size(f->arrived, 0);
+    memset(m->held, 0, sizeof(m->held));
+    f->members_n = (uint32_t)g_rand_int_range(m->random, 0, BOXES + 1);
+    for (int step = g_rand_int_range(m->random, 2, 12); step > 0; step--) {
+        change_box(f, m);
+        lab_run_for(f->loop, g_rand_int_range(m->random, 0, STEP_MS));
+        assert_arrived(f, m);
+    }
+    for (int i = 0; i < BOXES; i++) {
+        f->boxes[i].damages = false;
+        m->held[i] = LATEST;
+        (g_rand_boolean(m->random) ? give : give_packed_otherwise)(&f->boxes[i], LATEST, m->texts[LATEST]);
+        hear_if_newer(f, &f->boxes[i]);
+    }
+    expect(f, LATEST, m->texts[LATEST]);
+    assert_arrived(f, m);
+}
+
+/** Boxes take versions, packed in either way, and damage pieces, while pieces of others are on their way. */
+static void test_all_orders(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    many_t m = {.random = g_rand_new_with_seed(11)};
+    for (int version = 1; version <= LATEST; version++)
+        m.texts[version] = make_text(100 + (guint32)version);
+    for (int round = 0; round < ROUNDS; round++)
+        play_round(f, &m);
+    for (int version = 1; version <= LATEST; version++)
+        g_free(m.texts[version]);
+    g_rand_free(m.random);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -315,5 +436,8 @@
     TEST("packed-otherwise-and-gone", test_packed_otherwise_and_gone);
     TEST("newer-waits", test_newer_waits);
     TEST("gone", test_gone);
+    TEST("overtaken-while-waiting", test_overtaken_while_waiting);
+    TEST("too-large", test_too_large);
+    TEST("all-orders", test_all_orders);
     return g_test_run();
 }
