A list's age counts from when its question was sent

Cause: an answer says how old the list of back ends was when it left. The box counted that from when it came: a list that was on its way for 300 ms was taken for 300 ms newer than it is, and replaced one that was read within that time, by the box itself or by whom it asked before. By the code, a back end that leaves could be used again until the next reading, one second later.

Change: when a question was asked, and whether it may bring the list, is kept with the question, which is freed by its end; the age counts from there, so that a list is taken for somewhat older than it is at most by its question's way.

Ruled out: two answers with lists that overtake each other (one question at a time may bring the list, an answer after its time is dropped with its call); a difference joined to another list than it was made for (the base must be the list held, and what comes out must have the hash that is told); back ends that are never followed any more (readings are 1,000 ms apart, a question lasts at most 450).

Before: /reporter/late-list fails: the box acts on the older list. After: it passes, and test_cluster and test_list_history as before. /reporter/somebodys is new and passed at once: two leaders with histories of their own answer in turn, some for a list that the box no longer has; what it has is always a list that one of them told. Also with the sanitizers.

Measured by: prove -e '' {build,build-asan}/tests/unit/test_{reporter,cluster,list_history}

--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -50,11 +50,10 @@
     unsigned turn;               /* through everyone who may know */
     unsigned failed;             /* in a row, at this target */
     bool waiting;
-    bool list_asked;    /* a question is under way that may bring the list of back ends: one at a time. A box that has
-                           just started lacks the whole list, and a few of them at once would fill its link for longer
-                           than it waits for any */
-    bool report_brings; /* that question is the report under way */
-    bool hurry;         /* something changed since the report under way was sent */
+    bool list_asked; /* a question is under way that may bring the list of back ends: one at a time. A box that has
+                        just started lacks the whole list, and a few of them at once would fill its link for longer
+                        than it waits for any */
+    bool hurry;      /* something changed since the report under way was sent */
     tc_time_t next_at;
     tc_time_t learn_at; /* when all are asked, while nothing is known */
     tc_time_t learn_pause;
@@ -76,6 +75,13 @@
     missing_t *missing; /* boxes that are no more among them */
 };
 
+/** One question to another box: a report, or one beside the reports. Freed by its end. */
+typedef struct {
+    reporter_t *reporter;
+    tc_time_t asked;
+    bool brings; /* the answer may have the list of back ends */
+} question_t;
+
 /* ===== What is heard ===== */
 
 /** Have the program act on a newer document. */
@@ -175,9 +181,11 @@
     return NULL;
 }
 
-static void take_backends(reporter_t *r, const msg_report_ack_t *ack)
+/** @param asked when the question was sent: the list is as old as it says since then, at most. Counted from when it
+ * came, one that was long on its way would replace a list that was read after it */
+static void take_backends(reporter_t *r, const msg_report_ack_t *ack, tc_time_t asked)
 {
-    const tc_time_t fetched = tc_time_now() - (tc_time_t)ack->backends_age_ms;
+    const tc_time_t fetched = asked - (tc_time_t)ack->backends_age_ms;
     if (!ack->has_backends || fetched <= r->backends_time)
         return;
     if (ack->backends_hash == r->backends_hash) {
@@ -233,11 +241,11 @@
 }
 
 /** All that an answer tells, whoever gave it. */
-static void take_ack(reporter_t *r, const msg_report_ack_t *ack)
+static void take_ack(reporter_t *r, const msg_report_ack_t *ack, tc_time_t asked)
 {
     take_members(r, ack->members, ack->members_n);
     hear_head(r, &ack->head, ack->peer);
-    take_backends(r, ack);
+    take_backends(r, ack, asked);
     if (ack->leads || r->entries_n == 0)
         take_entries(r, ack); /* another box's list may be older than this box's */
 }
@@ -289,6 +297,36 @@
     log_end(&line);
 }
 
+/* ===== Questions ===== */
+
+static void fill_report(const reporter_t *r, msg_report_t *report)
+{
+    *report = (msg_report_t){.self = *r->self,
+                             .version = r->in_force,
+                             .backends_hash = r->backends_hash,
+                             .entries_hash = r->entries_hash,
+                             .without_backends = r->list_asked};
+}
+
+static void ask(reporter_t *r, const char *addr, const msg_report_t *report, peer_reply_t fn)
+{
+    question_t *const question = g_new(question_t, 1);
+    *question = (question_t){.reporter = r, .asked = tc_time_now(), .brings = !report->without_backends};
+    r->list_asked = true;
+    counter_add(&c_reports, 1);
+    peer_call(r->net, addr, MSG_REPORT, report, LIMIT_MS, fn, question);
+}
+
+/** @param arg the question, which is freed */
+static question_t end_question(void *arg)
+{
+    const question_t question = *(question_t *)arg;
+    g_free(arg);
+    if (question.brings)
+        question.reporter->list_asked = false;
+    return question;
+}
+
 /* ===== Reports ===== */
 
 /** The report under way has no answer. */
@@ -317,12 +355,11 @@
 
 static void on_answer(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
-    reporter_t *const r = arg;
+    const question_t question = end_question(arg);
+    reporter_t *const r = question.reporter;
     const tc_time_t now = tc_time_now();
     (void)err; /* counted; a lasting loss is logged once */
     r->waiting = false;
-    if (r->report_brings)
-        r->list_asked = false;
     r->next_at = now + AGAIN_MS;
     if (rc != TC_OK || type != MSG_REPORT_ACK) {
         report_failed(r, now);
@@ -330,7 +367,7 @@
     }
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
-    take_ack(r, ack);
+    take_ack(r, ack, question.asked);
     if (ack->leads && r->events.on_loads)
         r->events.on_loads(r->events.arg, ack->loads, ack->loads_n, ack->loads_partial);
     codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
@@ -344,15 +381,6 @@
         r->next_at = now;
 }
 
-static void fill_report(const reporter_t *r, msg_report_t *report)
-{
-    *report = (msg_report_t){.self = *r->self,
-                             .version = r->in_force,
-                             .backends_hash = r->backends_hash,
-                             .entries_hash = r->entries_hash,
-                             .without_backends = r->list_asked};
-}
-
 static void send_report(reporter_t *r)
 {
     msg_report_t report;
@@ -361,10 +389,7 @@
         report.loads = r->events.loads(r->events.arg, &report.loads_n);
     r->waiting = true;
     r->hurry = false;
-    r->report_brings = !report.without_backends;
-    r->list_asked = true;
-    counter_add(&c_reports, 1);
-    peer_call(r->net, r->target, MSG_REPORT, &report, LIMIT_MS, on_answer, r);
+    ask(r, r->target, &report, on_answer);
     free(report.loads);
 }
 
@@ -381,18 +406,13 @@
 /** What a box that was asked beside the reports knows. Whether it leads is for the next report to find out. */
 static void on_hearsay(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
 {
-    if (rc != TC_OK || type != MSG_REPORT_ACK) {
-        (void)err; /* a box that is down or knows nothing: the others are asked as well */
-        counter_add(&c_failed, 1);
+    const question_t question = end_question(arg);
+    if (rc == TC_OK && type == MSG_REPORT_ACK) {
+        take_ack(question.reporter, message, question.asked);
         return;
     }
-    take_ack(arg, message);
-}
-
-static void on_list_hearsay(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
-{
-    ((reporter_t *)arg)->list_asked = false;
-    on_hearsay(arg, rc, type, message, err);
+    (void)err; /* a box that is down or knows nothing: the others are asked as well */
+    counter_add(&c_failed, 1);
 }
 
 /** Ask a box beside the reports. */
@@ -400,10 +420,7 @@
 {
     msg_report_t report;
     fill_report(r, &report);
-    const peer_reply_t fn = report.without_backends ? on_hearsay : on_list_hearsay;
-    r->list_asked = true;
-    counter_add(&c_reports, 1);
-    peer_call(r->net, addr, MSG_REPORT, &report, LIMIT_MS, fn, r);
+    ask(r, addr, &report, on_hearsay);
 }
 
 /** A box that has just started is of no use before it knows a document and the back ends: it does not wait for one box
--- /dev/null
+++ b/tests/unit/test_reporter.c
@@ -0,0 +1,258 @@
+/* Lists that come to a box late, on another base, or from another writer: what it acts on is a list that somebody told,
+ * whole, and never an older one. The control box is a fake in the test's own loop. */
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster/list.h"
+#include "cluster/list_history.h"
+#include "cluster/reporter.h"
+#include "harness/lab.h"
+
+/* ===== The world ===== */
+
+typedef struct {
+    loop_t *loop;
+    char addr[32];
+    peer_net_t *control;
+    entry_box_t self;
+    reporter_t *reporter;
+    bool asked; /* a report waits for its answer */
+    peer_call_t call;
+    uint64_t backends_hash, entries_hash; /* as that report names them */
+    bool brings;                          /* it asks for the back ends */
+    uint64_t told_hash;                   /* of the back ends that the program was told last */
+} fixture_t;
+
+static void on_question(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    fixture_t *const f = arg;
+    const msg_report_t *const report = message;
+    (void)from;
+    if (type != MSG_REPORT)
+        return;
+    if (!report->self.http_addr[0] || f->asked)
+        return;
+    f->asked = true;
+    f->call = call;
+    f->backends_hash = report->backends_hash;
+    f->entries_hash = report->entries_hash;
+    f->brings = !report->without_backends;
+}
+
+static void on_backends(void *arg, const backend_t *list, uint32_t n)
+{
+    ((fixture_t *)arg)->told_hash = list_hash(list, n * sizeof(*list));
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    const char *const nobody[] = {NULL}, *const controls[] = {f->addr, NULL};
+    tc_err_t err = {0};
+    f->loop = loop_create();
+    lab_free_addr(f->addr);
+    const peer_options_t net = {
+        .box = "control", .incarnation = 1, .listen = f->addr, .key_file = "", .handler = on_question, .arg = f};
+    f->control = peer_create(f->loop, &net, &err);
+    g_assert_nonnull(f->control);
+    lab_free_addr(f->self.peer_addr);
+    codec_copy_string(f->self.box, sizeof(f->self.box), "entry");
+    codec_copy_string(f->self.http_addr, sizeof(f->self.http_addr), "127.0.0.1:1");
+    f->self.incarnation = 1;
+    const reporter_options_t options = {.peer_listen = f->self.peer_addr, .controls = controls, .neighbours = nobody};
+    const reporter_events_t events = {.on_backends = on_backends, .arg = f};
+    f->reporter = reporter_create(f->loop, &f->self, &options, &events, &err);
+    g_assert_nonnull(f->reporter);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    reporter_destroy(f->reporter);
+    peer_destroy(f->control);
+    loop_destroy(f->loop);
+}
+
+/** Answer the report that waits, and wait for the next one. */
+static void answer(fixture_t *f, msg_report_ack_t *ack)
+{
+    g_assert_true(f->asked);
+    f->asked = false;
+    ack->leads = true;
+    codec_copy_string(ack->leader, sizeof(ack->leader), f->addr);
+    codec_copy_string(ack->peer, sizeof(ack->peer), f->addr);
+    peer_reply(f->control, f->call, MSG_REPORT_ACK, ack);
+    reporter_hurry(f->reporter);
+    lab_run_until_true(f->loop, &f->asked);
+}
+
+static bool asked_for_backends(void *arg)
+{
+    fixture_t *const f = arg;
+    if (!f->asked || f->brings)
+        return f->asked;
+    f->asked = false; /* a question beside it is to bring them: the next one */
+    return false;
+}
+
+/* ===== Late ===== */
+
+static backend_t make_backend(const char *id)
+{
+    backend_t backend = {.slots = 1};
+    codec_copy_string(backend.id, sizeof(backend.id), id);
+    return backend;
+}
+
+/** A list that was read before the box read its own, and came after: the way was longer than the time between. */
+static void test_late_list(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    enum { AGE_MS = 20, APART_MS = 60, LATE_MS = 120 };
+    const backend_t older = make_backend("older"), newer = make_backend("newer");
+    const uint64_t newer_hash = list_hash(&newer, sizeof(newer));
+    lab_run_until(f->loop, asked_for_backends, f);
+    msg_report_ack_t ack = {.has_backends = true,
+                            .backends_age_ms = AGE_MS,
+                            .backends = (backend_t *)(uintptr_t)&older,
+                            .backends_n = 1,
+                            .backends_hash = list_hash(&older, sizeof(older))};
+    lab_run_for(f->loop, APART_MS);
+    const tc_time_t read = tc_time_now();
+    reporter_set_backends(f->reporter, &newer, 1, read);
+    lab_run_for(f->loop, LATE_MS); /* on its way */
+    answer(f, &ack);
+    g_assert_cmpuint(f->told_hash, ==, newer_hash);
+    g_assert_cmpuint(f->backends_hash, ==, newer_hash);
+    g_assert_cmpint(reporter_backends_time(f->reporter), ==, read);
+}
+
+/* ===== Bases and writers ===== */
+
+enum { WRITERS = 2, ROUNDS = 40, NAMES = 12, MOST_STATES = ROUNDS * WRITERS + 1 };
+
+/** What somebody has told, whole. */
+typedef struct {
+    list_history_t *entries[WRITERS], *backends[WRITERS];
+    uint64_t entries_told[MOST_STATES], backends_told[MOST_STATES];
+    unsigned n;
+    GRand *random;
+} writers_t;
+
+static void change(writers_t *w, int writer)
+{
+    entry_box_t entries[NAMES];
+    backend_t backends[NAMES];
+    memset(entries, 0, sizeof(entries));
+    memset(backends, 0, sizeof(backends));
+    uint32_t n = 0;
+    for (int i = 0; i < NAMES; i++) {
+        if (g_rand_int_range(w->random, 0, 3) == 0)
+            continue;
+        g_snprintf(entries[n].box, sizeof(entries[n].box), "box-%d", i);
+        entries[n].incarnation = (uint64_t)g_rand_int_range(w->random, 1, 3);
+        g_snprintf(backends[n].id, sizeof(backends[n].id), "engine-%d", i);
+        backends[n].slots = (uint32_t)g_rand_int_range(w->random, 1, 3);
+        n++;
+    }
+    (void)list_history_set(w->entries[writer], entries, n);
+    (void)list_history_set(w->backends[writer], backends, n);
+    w->entries_told[w->n] = list_history_hash(w->entries[writer]);
+    w->backends_told[w->n++] = list_history_hash(w->backends[writer]);
+}
+
+static bool was_told(const uint64_t *told, unsigned n, uint64_t hash)
+{
+    for (unsigned i = 0; i < n; i++)
+        if (told[i] == hash)
+            return true;
+    return hash == 0;
+}
+
+/** A writer's answer to a box that has those lists. */
+static msg_report_ack_t make_answer(const writers_t *w, int writer, uint64_t entries_known, uint64_t backends_known)
+{
+    const list_news_t entries = list_history_news(w->entries[writer], entries_known);
+    const list_news_t backends = list_history_news(w->backends[writer], backends_known);
+    return (msg_report_ack_t){.has_entries = true,
+                              .entries_hash = list_history_hash(w->entries[writer]),
+                              .entries_base = entries.base,
+                              .entries = (entry_box_t *)(uintptr_t)entries.changed,
+                              .entries_n = entries.changed_n,
+                              .entries_gone = (leaving_cfg_t *)(uintptr_t)entries.gone,
+                              .entries_gone_n = entries.gone_n,
+                              .has_backends = true,
+                              .backends_hash = list_history_hash(w->backends[writer]),
+                              .backends_base = backends.base,
+                              .backends = (backend_t *)(uintptr_t)backends.changed,
+                              .backends_n = backends.changed_n,
+                              .backends_gone = (leaving_cfg_t *)(uintptr_t)backends.gone,
+                              .backends_gone_n = backends.gone_n};
+}
+
+static void assert_somebodys(const fixture_t *f, const writers_t *w)
+{
+    uint32_t n;
+    const entry_box_t *const entries = reporter_entries(f->reporter, &n);
+    g_assert_true(was_told(w->entries_told, w->n, f->entries_hash));
+    g_assert_true(was_told(w->backends_told, w->n, f->backends_hash));
+    g_assert_cmpuint(f->backends_hash, ==, f->told_hash);
+    if (f->entries_hash != 0)
+        g_assert_cmpuint(list_hash(entries, n * sizeof(*entries)), ==, f->entries_hash);
+}
+
+/** Two control boxes lead in turn, each with a history of its own. Some answers are made for a list that the box no
+ *  longer has, or lead to another list than they name: those change nothing, and the next one that fits is taken. */
+static void test_somebodys(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    writers_t w = {.random = g_rand_new_with_seed(12)};
+    for (int i = 0; i < WRITERS; i++) {
+        w.entries[i] = list_history_create(sizeof(entry_box_t));
+        w.backends[i] = list_history_create(sizeof(backend_t));
+        change(&w, i);
+    }
+    uint64_t entries_before = 0, backends_before = 0;
+    unsigned fitting = 0, followed = 0, refused = 0;
+    lab_run_until_true(f->loop, &f->asked);
+    for (int round = 0; round < ROUNDS; round++) {
+        const int writer = g_rand_int_range(w.random, 0, WRITERS);
+        if (g_rand_boolean(w.random))
+            change(&w, writer);
+        const bool stale = g_rand_boolean(w.random), wrong = g_rand_int_range(w.random, 0, 5) == 0;
+        const uint64_t entries_now = f->entries_hash, backends_now = f->backends_hash;
+        msg_report_ack_t ack =
+            make_answer(&w, writer, stale ? entries_before : entries_now, stale ? backends_before : backends_now);
+        const uint64_t named = ack.entries_hash;
+        if (wrong)
+            ack.entries_hash = ack.backends_hash = 2; /* no list's: their hashes are odd */
+        const bool fits = !wrong && (ack.entries_base == 0 || ack.entries_base == entries_now);
+        answer(f, &ack);
+        assert_somebodys(f, &w);
+        g_assert_true(f->entries_hash == entries_now || (fits && f->entries_hash == named));
+        fitting += fits;
+        followed += fits && f->entries_hash == named;
+        refused += !fits;
+        entries_before = entries_now;
+        backends_before = backends_now;
+    }
+    g_assert_cmpuint(fitting, >=, ROUNDS / 8);
+    g_assert_cmpuint(refused, >=, ROUNDS / 8);
+    g_assert_cmpuint(fitting - followed, <=, 1); /* an answer may come after its time, when the machine stands still */
+    for (int i = 0; i < WRITERS; i++) {
+        list_history_destroy(w.entries[i]);
+        list_history_destroy(w.backends[i]);
+    }
+    g_rand_free(w.random);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/reporter/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("late-list", test_late_list);
+    TEST("somebodys", test_somebodys);
+    return g_test_run();
+}
