The reporter by job: whom to ask and when, and what is held

reporter.c had 640 lines with two jobs. reporter_lists.c has the document, the back ends, the boxes and the control boxes: taking answers over, and telling others; reporter.c has questions, reports, the leader and the net. reporter_internal.h names what one needs of the other.

After: test_reporter and test_cluster pass, with and without the sanitizers.

Measured by: prove -e '' {build,build-asan}/tests/unit/test_{reporter,cluster}

--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -1,21 +1,17 @@
+/* Whom to ask, and when. */
+
 #include "cluster/reporter.h"
 
-#include <assert.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "cluster/document.h"
-#include "cluster/fetch.h"
-#include "cluster/list.h"
-#include "cluster/list_history.h"
-#include "cluster/missing.h"
+#include "cluster/reporter_internal.h"
 #include "common/counter.h"
 #include "common/log.h"
 
 COUNTER_DEFINE(c_reports, "counter", "trackcove_report_calls_total", "Reports sent")
 COUNTER_DEFINE(c_failed, "counter", "trackcove_report_failed_total", "Reports without an answer")
-COUNTER_DEFINE(c_version, "gauge", "trackcove_report_document_version", "Version of the document this box acts on")
 COUNTER_DEFINE(c_leader, "gauge", "trackcove_report_leader_heard", "Whether a leader answered the last report")
 
 /* ===== Constants ===== */
@@ -36,45 +32,6 @@
 
 /* ===== Types ===== */
 
-struct reporter {
-    loop_t *loop;
-    peer_net_t *net;
-    const entry_box_t *self;
-    reporter_events_t events;
-    char **controls; /* seeds */
-    char **neighbours;
-    raft_member_t *members; /* control boxes, as last told */
-    uint32_t members_n;
-    char leader[CODEC_STR_SIZE];
-    char target[CODEC_STR_SIZE]; /* of the report under way, or the next */
-    unsigned turn;               /* through everyone who may know */
-    unsigned failed;             /* in a row, at this target */
-    bool waiting;
-    bool list_asked; /* a question is under way that may bring the list of back ends: one at a time. A box that has
-                        just started lacks the whole list, and a few of them at once would fill its link for longer
-                        than it waits for any */
-    bool hurry;      /* something changed since the report under way was sent */
-    tc_time_t next_at;
-    tc_time_t learn_at; /* when all are asked, while nothing is known */
-    tc_time_t learn_pause;
-    tc_time_t around_at; /* when another box may be asked */
-    tc_time_t heard;     /* last answer of a control box */
-    tc_time_t leader_heard;
-    bool connected;      /* a leader answered last */
-    document_t document; /* newest that was told to the program */
-    uint64_t in_force;   /* its version, or an older one until the program acts on it */
-    document_t later;    /* a newer one that waits for that; version 0 for none */
-    fetch_t *fetch;      /* of a newer one */
-    backend_t *backends;
-    uint32_t backends_n;
-    uint64_t backends_hash;
-    tc_time_t backends_time;
-    entry_box_t *entries;
-    uint32_t entries_n;
-    uint64_t entries_hash;
-    missing_t *missing; /* boxes that are no more among them */
-};
-
 /** One question to another box: a report, or one beside the reports. Freed by its end. */
 typedef struct {
     reporter_t *reporter;
@@ -82,174 +39,6 @@
     bool brings; /* the answer may have the list of back ends */
 } question_t;
 
-/* ===== What is heard ===== */
-
-/** Have the program act on a newer document. */
-static void adopt(reporter_t *r, document_t *offered)
-{
-    /* Promise: a box never goes back to an older configuration. */
-    if (document_apply(&r->document, offered) != DOCUMENT_NEWER)
-        return;
-    if (!r->events.on_document || r->events.on_document(r->events.arg, &r->document))
-        reporter_in_force(r);
-}
-
-/** A newer document is here whole. */
-static void on_whole(void *arg, document_t *offered, const char *from)
-{
-    reporter_t *const r = arg;
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "config");
-    log_int(&line, "version", (int64_t)offered->version);
-    log_int(&line, "bytes", (int64_t)offered->body_n);
-    log_str(&line, "from", from);
-    log_end(&line);
-    if (r->in_force < r->document.version)
-        (void)document_apply(&r->later, offered);
-    else
-        adopt(r, offered);
-}
-
-void reporter_in_force(reporter_t *r)
-{
-    assert(r->in_force < r->document.version); /* told and not in force yet */
-    r->in_force = r->document.version;
-    counter_set(&c_version, (int64_t)r->in_force);
-    reporter_hurry(r); /* the leader waits to hear it */
-    if (r->later.version == 0)
-        return;
-    document_t later = r->later;
-    r->later = (document_t){0};
-    adopt(r, &later);
-    codec_free(&document_desc, &later);
-}
-
-static uint32_t sources(void *arg, const raft_member_t **list)
-{
-    const reporter_t *const r = arg;
-    *list = r->members;
-    return r->members_n;
-}
-
-static void hear_head(reporter_t *r, const document_head_t *head, const char *from)
-{
-    fetch_hear(r->fetch, head, from, MAX(r->document.version, r->later.version));
-}
-
-/** Act on a list in order of names. @param list taken over */
-static void set_backends(reporter_t *r, backend_t *list, uint32_t n, uint64_t hash)
-{
-    free(r->backends);
-    r->backends = list;
-    r->backends_n = n;
-    r->backends_hash = hash;
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "backends");
-    log_int(&line, "count", n);
-    log_int(&line, "age_ms", tc_time_now() - r->backends_time);
-    log_end(&line);
-    if (r->events.on_backends)
-        r->events.on_backends(r->events.arg, r->backends, n);
-}
-
-void reporter_set_backends(reporter_t *r, const backend_t *list, uint32_t n, tc_time_t fetched)
-{
-    if (fetched <= r->backends_time)
-        return;
-    r->backends_time = fetched;
-    backend_t *const copy = list_copy(list, n * sizeof(*list));
-    list_sort(copy, n, sizeof(*copy));
-    const uint64_t hash = list_hash(copy, n * sizeof(*copy));
-    if (hash == r->backends_hash)
-        free(copy);
-    else
-        set_backends(r, copy, n, hash);
-}
-
-/** The list that news lead to. @param held hash of the one that this box has
- * @return heap array for free, or NULL when they do not lead from it to the list they name: the next report says what
- *         this box has, and is told the difference from that */
-static void *follow_news(const void *list, uint32_t n, uint64_t held, const list_news_t *news, uint64_t hash,
-                         size_t record, uint32_t *applied_n)
-{
-    if (news->base != 0 && news->base != held)
-        return NULL;
-    void *const applied = list_apply(list, n, news, record, applied_n);
-    if (list_hash(applied, *applied_n * record) == hash)
-        return applied;
-    free(applied);
-    return NULL;
-}
-
-/** @param asked when the question was sent: the list is as old as it says since then, at most. Counted from when it
- * came, one that was long on its way would replace a list that was read after it */
-static void take_backends(reporter_t *r, const msg_report_ack_t *ack, tc_time_t asked)
-{
-    const tc_time_t fetched = asked - (tc_time_t)ack->backends_age_ms;
-    if (!ack->has_backends || fetched <= r->backends_time)
-        return;
-    if (ack->backends_hash == r->backends_hash) {
-        r->backends_time = fetched;
-        return;
-    }
-    const list_news_t news = {.base = ack->backends_base,
-                              .changed = ack->backends,
-                              .changed_n = ack->backends_n,
-                              .gone = ack->backends_gone,
-                              .gone_n = ack->backends_gone_n};
-    uint32_t n;
-    backend_t *const list =
-        follow_news(r->backends, r->backends_n, r->backends_hash, &news, ack->backends_hash, sizeof(backend_t), &n);
-    if (!list)
-        return;
-    r->backends_time = fetched;
-    set_backends(r, list, n, ack->backends_hash);
-}
-
-static void take_entries(reporter_t *r, const msg_report_ack_t *ack)
-{
-    if (!ack->has_entries || ack->entries_hash == r->entries_hash)
-        return;
-    const list_news_t news = {.base = ack->entries_base,
-                              .changed = ack->entries,
-                              .changed_n = ack->entries_n,
-                              .gone = ack->entries_gone,
-                              .gone_n = ack->entries_gone_n};
-    uint32_t n;
-    entry_box_t *const list =
-        follow_news(r->entries, r->entries_n, r->entries_hash, &news, ack->entries_hash, sizeof(entry_box_t), &n);
-    if (!list)
-        return;
-    missing_follow(r->missing, r->entries, r->entries_n, list, n, tc_time_now());
-    free(r->entries);
-    r->entries = list;
-    r->entries_n = n;
-    r->entries_hash = ack->entries_hash;
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "boxes");
-    log_int(&line, "count", n);
-    log_end(&line);
-}
-
-static void take_members(reporter_t *r, const raft_member_t *members, uint32_t n)
-{
-    if (n == 0)
-        return;
-    free(r->members);
-    r->members = list_copy(members, n * sizeof(*members));
-    r->members_n = n;
-}
-
-/** All that an answer tells, whoever gave it. */
-static void take_ack(reporter_t *r, const msg_report_ack_t *ack, tc_time_t asked)
-{
-    take_members(r, ack->members, ack->members_n);
-    hear_head(r, &ack->head, ack->peer);
-    take_backends(r, ack, asked);
-    if (ack->leads || r->entries_n == 0)
-        take_entries(r, ack); /* another box's list may be older than this box's */
-}
-
 /* ===== Whom to ask ===== */
 
 static uint32_t count_strings(char **list)
@@ -301,11 +90,8 @@
 
 static void fill_report(const reporter_t *r, msg_report_t *report)
 {
-    *report = (msg_report_t){.self = *r->self,
-                             .version = r->in_force,
-                             .backends_hash = r->backends_hash,
-                             .entries_hash = r->entries_hash,
-                             .without_backends = r->list_asked};
+    *report = (msg_report_t){.self = *r->self, .without_backends = r->list_asked};
+    lists_fill_report(r, report);
 }
 
 static void ask(reporter_t *r, const char *addr, const msg_report_t *report, peer_reply_t fn)
@@ -367,7 +153,7 @@
     }
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
-    take_ack(r, ack, question.asked);
+    lists_take_ack(r, ack, question.asked);
     if (ack->leads && r->events.on_loads)
         r->events.on_loads(r->events.arg, ack->loads, ack->loads_n, ack->loads_partial);
     codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
@@ -408,7 +194,7 @@
 {
     const question_t question = end_question(arg);
     if (rc == TC_OK && type == MSG_REPORT_ACK) {
-        take_ack(question.reporter, message, question.asked);
+        lists_take_ack(question.reporter, message, question.asked);
         return;
     }
     (void)err; /* a box that is down or knows nothing: the others are asked as well */
@@ -482,38 +268,6 @@
 
 /* ===== Answering other boxes ===== */
 
-static void answer(reporter_t *r, peer_call_t call, const msg_report_t *report)
-{
-    msg_report_ack_t ack = {.members = r->members, .members_n = r->members_n};
-    codec_copy_string(ack.leader, sizeof(ack.leader), r->leader);
-    ack.head = document_head(&r->document);
-    codec_copy_string(ack.peer, sizeof(ack.peer), r->self->peer_addr);
-    if (r->backends_time > 0 && !report->without_backends) {
-        ack.has_backends = true;
-        ack.backends_age_ms = (uint64_t)(tc_time_now() - r->backends_time);
-        ack.backends_hash = r->backends_hash;
-        const bool same = r->backends_hash == report->backends_hash;
-        ack.backends_base = same ? r->backends_hash : 0;
-        ack.backends = r->backends;
-        ack.backends_n = same ? 0 : r->backends_n;
-    }
-    if (r->entries_hash) {
-        ack.has_entries = true;
-        ack.entries_hash = r->entries_hash;
-        const bool same = r->entries_hash == report->entries_hash;
-        ack.entries_base = same ? r->entries_hash : 0;
-        ack.entries = r->entries;
-        ack.entries_n = same ? 0 : r->entries_n;
-    }
-    peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
-}
-
-static void answer_piece(reporter_t *r, peer_call_t call, const msg_fetch_piece_t *asked)
-{
-    const msg_piece_t message = {.piece = document_piece(&r->document, asked)};
-    peer_reply(r->net, call, MSG_PIECE, &message);
-}
-
 /** A control box that knows nobody asks: this box can't take it in, but knows who can. */
 static void answer_join(reporter_t *r, peer_call_t call)
 {
@@ -525,12 +279,12 @@
 {
     reporter_t *const r = arg;
     switch (type) {
-    case MSG_PUBLISH: hear_head(r, &((const msg_publish_t *)message)->head, from); break;
-    case MSG_FETCH_PIECE: answer_piece(r, call, message); break;
-    case MSG_REPORT: answer(r, call, message); break;
+    case MSG_PUBLISH: lists_hear_head(r, &((const msg_publish_t *)message)->head, from); break;
+    case MSG_FETCH_PIECE: lists_answer_piece(r, call, message); break;
+    case MSG_REPORT: lists_answer(r, call, message); break;
     case MSG_JOIN: answer_join(r, call); break;
     case MSG_JOIN_ACK: /* unasked: a control box tells who the members are */
-        take_members(r, ((const msg_join_ack_t *)message)->members, ((const msg_join_ack_t *)message)->members_n);
+        lists_take_members(r, ((const msg_join_ack_t *)message)->members, ((const msg_join_ack_t *)message)->members_n);
         break;
     default: break; /* of a newer version of this program */
     }
@@ -558,7 +312,15 @@
         peer_send(r->net, r->leader, type, message);
 }
 
-/* ===== Looking ===== */
+const char *reporter_leader_http(const reporter_t *r)
+{
+    for (uint32_t i = 0; i < r->members_n; i++)
+        if (strcmp(r->members[i].peer, r->leader) == 0)
+            return r->members[i].http;
+    return "";
+}
+
+/* ===== Reporting at once ===== */
 
 void reporter_hurry(reporter_t *r)
 {
@@ -568,35 +330,6 @@
         r->hurry = true;
 }
 
-uint64_t reporter_version(const reporter_t *r)
-{
-    return r->in_force;
-}
-
-const entry_box_t *reporter_entries(const reporter_t *r, uint32_t *n)
-{
-    *n = r->entries_n;
-    return r->entries;
-}
-
-uint32_t reporter_missing(const reporter_t *r)
-{
-    return missing_count(r->missing, tc_time_now());
-}
-
-tc_time_t reporter_backends_time(const reporter_t *r)
-{
-    return r->backends_time;
-}
-
-const char *reporter_leader_http(const reporter_t *r)
-{
-    for (uint32_t i = 0; i < r->members_n; i++)
-        if (strcmp(r->members[i].peer, r->leader) == 0)
-            return r->members[i].http;
-    return "";
-}
-
 /* ===== Life ===== */
 
 void reporter_reseed(reporter_t *r, const char *const *controls, const char *const *neighbours)
@@ -630,8 +363,7 @@
         reporter_destroy(r);
         return NULL;
     }
-    const fetch_events_t fetch_events = {.on_whole = on_whole, .sources = sources, .arg = r};
-    r->fetch = fetch_create(r->net, r->self->peer_addr, &fetch_events);
+    lists_start(r);
     loop_add_tick(loop, TICK_MS, on_tick, r);
     return r;
 }
@@ -639,19 +371,11 @@
 void reporter_destroy(reporter_t *r)
 {
     loop_remove_ticks(r->loop, r);
-    if (r->fetch)
-        fetch_stop(r->fetch);
+    lists_stop(r);
     if (r->net)
         peer_destroy(r->net);
-    if (r->fetch)
-        fetch_destroy(r->fetch);
+    lists_free(r);
     g_strfreev(r->controls);
     g_strfreev(r->neighbours);
-    free(r->members);
-    free(r->backends);
-    free(r->entries);
-    missing_destroy(r->missing);
-    codec_free(&document_desc, &r->document);
-    codec_free(&document_desc, &r->later);
     g_free(r);
 }
