Messages on their way to the loop end with the net that they belong to

Cause: a call or a message is posted to the loop, which gives it to the net later. A net that ended before dropped its connections' calls alone: what was posted stayed in the loop, to be given to a net that is freed, and its calls never ended, though each is to end once. No process of ours runs its loop after its net ended; tests do.

Change: what is on its way is kept by the net, and the loop is posted a turn for each; the end of the net ends these calls as cancelled and takes its turns out of the loop. Both lists are changed under one lock, so that each message keeps its place among all that is posted.

Before: /peer/destroyed-before-sent fails: the call did not end. Trial without that assertion, with the sanitizers: a heap-use-after-free in conn_for under run_outgoing. After: passes. test_peer, test_peer_torn, test_reporter and test_fetch pass with and without the sanitizers, test_peer with the thread sanitizer; the unit tests of cluster, placing, resign, store, lists and state, the platform tests and four of the fault tests (control, requests, services, leaving) pass.

--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -92,6 +92,19 @@
     wake(loop);
 }
 
+void loop_unpost(loop_t *loop, const void *arg)
+{
+    posted_t *item, *next;
+    pthread_mutex_lock(&loop->lock);
+    cds_list_for_each_entry_safe(item, next, &loop->posted, node) {
+        if (item->arg != arg)
+            continue;
+        cds_list_del(&item->node);
+        free(item);
+    }
+    pthread_mutex_unlock(&loop->lock);
+}
+
 typedef struct {
     loop_fn_t fn;
     void *arg;
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -69,6 +69,9 @@
 /** Run @p fn in the loop's thread as soon as possible. Any thread. */
 void loop_post(loop_t *loop, loop_fn_t fn, void *arg);
 
+/** Drop what was posted with @p arg and has not run. While the loop does not run. */
+void loop_unpost(loop_t *loop, const void *arg);
+
 /** Run @p fn in the loop's thread and wait until it has run. Not from the loop's thread. */
 void loop_post_wait(loop_t *loop, loop_fn_t fn, void *arg);
 
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -161,6 +161,7 @@
 
 /** A message on its way to the loop's thread. */
 typedef struct {
+    struct cds_list_head node;
     peer_net_t *net;
     char addr[CODEC_STR_SIZE];
     uint32_t type;
@@ -203,14 +204,45 @@
         (void)conn_flush(conn);
 }
 
+/** @return the one that was sent first, or NULL */
+static outgoing_t *outgoing_take(peer_net_t *net)
+{
+    pthread_mutex_lock(&net->lock);
+    outgoing_t *const o =
+        cds_list_empty(&net->outgoing) ? NULL : cds_list_first_entry(&net->outgoing, outgoing_t, node);
+    if (o)
+        cds_list_del(&o->node);
+    pthread_mutex_unlock(&net->lock);
+    return o;
+}
+
+/** Posted once for each message. */
 static void run_outgoing(void *arg)
 {
-    outgoing_t *const o = arg;
-    /* The call's id lies at a fixed place in no frame, so it is packed here, where ids are handed out. */
+    outgoing_t *const o = outgoing_take(arg);
+    assert(o); /* only the net's end takes others, and drops what is posted */
     outgoing_deliver(o);
     free(o);
 }
 
+static void outgoing_post(outgoing_t *o)
+{
+    peer_net_t *const net = o->net;
+    pthread_mutex_lock(&net->lock);
+    cds_list_add_tail(&o->node, &net->outgoing);
+    loop_post(net->loop, run_outgoing, net); /* within the lock: each thread's messages keep their place among all */
+    pthread_mutex_unlock(&net->lock);
+}
+
+static void outgoing_cancel(outgoing_t *o)
+{
+    tc_err_t err = {0};
+    tc_err_set(&err, TC_E_CANCELLED, "stop", o->addr, "stopping");
+    free(o->data);
+    outgoing_fail(o, &err);
+    free(o);
+}
+
 static outgoing_t *outgoing_create(peer_net_t *net, const char *addr, uint32_t type, const void *message, bool call)
 {
     static _Atomic uint64_t next_call;
@@ -233,19 +265,19 @@
     o->deadline = tc_time_now() + limit;
     o->callback = callback;
     o->arg = arg;
-    loop_post(net->loop, run_outgoing, o);
+    outgoing_post(o);
 }
 
 void peer_send(peer_net_t *net, const char *addr, uint32_t type, const void *message)
 {
-    loop_post(net->loop, run_outgoing, outgoing_create(net, addr, type, message, false));
+    outgoing_post(outgoing_create(net, addr, type, message, false));
 }
 
 void peer_send_first(peer_net_t *net, const char *addr, uint32_t type, const void *message)
 {
     outgoing_t *const o = outgoing_create(net, addr, type, message, false);
     o->turn = FRAME_FIRST;
-    loop_post(net->loop, run_outgoing, o);
+    outgoing_post(o);
 }
 
 peer_backlog_t peer_backlog(const peer_net_t *net, tc_time_t now)
@@ -359,12 +391,15 @@
     codec_copy_string(net->box, sizeof(net->box), options->box);
     codec_copy_string(net->listen, sizeof(net->listen), options->listen);
     CDS_INIT_LIST_HEAD(&net->conns);
+    CDS_INIT_LIST_HEAD(&net->outgoing);
+    pthread_mutex_init(&net->lock, NULL);
     net->by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
     CDS_INIT_LIST_HEAD(&net->backoffs);
     const int keyed = options->key_file[0] ? key_load(&net->key, options->key_file, err) : key_open(&net->key, err);
     const char *const at = options->bind ? options->bind : options->listen;
     if (keyed < 0 || (options->listen[0] && start_listening(net, at, err) < 0)) {
         g_hash_table_destroy(net->by_id);
+        pthread_mutex_destroy(&net->lock);
         free(net);
         return NULL;
     }
@@ -387,9 +422,14 @@
     peer_stop_listening(net);
     while (!cds_list_empty(&net->conns)) /* what a callback sends may end another connection */
         conn_close(cds_list_first_entry(&net->conns, conn_t, node), TC_E_CANCELLED, "stop", "stopping");
+    /* Messages that the loop has not taken up belong to the net as well. */
+    for (outgoing_t *o = outgoing_take(net); o; o = outgoing_take(net))
+        outgoing_cancel(o);
+    loop_unpost(net->loop, net);
     backoff_t *b, *following;
     cds_list_for_each_entry_safe(b, following, &net->backoffs, node)
         free(b);
     g_hash_table_destroy(net->by_id);
+    pthread_mutex_destroy(&net->lock);
     free(net);
 }
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -64,7 +64,8 @@
 /** Set up and start listening. @p loop must outlive the result. @return NULL with @p err filled */
 peer_net_t *peer_create(loop_t *loop, const peer_options_t *options, tc_err_t *err);
 
-/** After loop_run returned. Calls still open end with TC_E_CANCELLED. */
+/** After loop_run returned. Calls still open end with TC_E_CANCELLED, also those that the loop has not taken up; what
+ *  their callbacks call ends so too, so that none may call again without end. */
 void peer_destroy(peer_net_t *net);
 
 /** Send a call. @p callback runs exactly once: with the reply, or with
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -7,6 +7,7 @@
 /* ===== Dependencies ===== */
 
 #include <glib.h>
+#include <pthread.h>
 #include <urcu/list.h>
 
 #include "peer/key.h"
@@ -102,7 +103,9 @@
     struct cds_list_head conns;
     GHashTable *by_id; /* the same by number: a box with hundreds of connections looks one up for each frame */
     struct cds_list_head backoffs;
-    size_t queued; /* bytes waiting for all peers */
+    size_t queued;                 /* bytes waiting for all peers */
+    pthread_mutex_t lock;          /* guards outgoing */
+    struct cds_list_head outgoing; /* messages on their way to the loop's thread: they end with the net */
     uint64_t next_id;
     unsigned jitter; /* state of the jitter's own small generator */
 };
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -357,6 +357,47 @@
     loop_destroy(loop);
 }
 
+/* ===== The end of a net ===== */
+
+typedef struct {
+    unsigned ended;
+    int rc;
+} ended_t;
+
+static void note_end(void *arg, int rc, uint32_t type, const void *message, const tc_err_t *err)
+{
+    ended_t *const ended = arg;
+    (void)type, (void)message, (void)err;
+    ended->ended++;
+    ended->rc = rc;
+}
+
+/** A net that ends before the loop took up what was sent: its calls end with it, and nothing of it runs later. */
+static void test_destroyed_before_sent(void)
+{
+    ended_t ended[2] = {{0}};
+    tc_err_t err;
+    loop_t *const loop = loop_create();
+    const peer_options_t options = {
+        .box = "client", .incarnation = 1, .listen = "", .key_file = "", .handler = note_order};
+    peer_net_t *const first = peer_create(loop, &options, &err), *const other = peer_create(loop, &options, &err);
+    g_assert_true(first && other);
+    const msg_claim_t claim = named("a");
+    peer_call(first, SERVER_ADDR, MSG_CLAIM, &claim, 5000, note_end, &ended[0]);
+    peer_send(first, SERVER_ADDR, MSG_CLAIM, &claim);
+    peer_call(other, SERVER_ADDR, MSG_CLAIM, &claim, 5000, note_end, &ended[1]);
+    peer_destroy(first);
+    g_assert_cmpuint(ended[0].ended, ==, 1);
+    g_assert_cmpint(ended[0].rc, ==, TC_E_CANCELLED);
+    g_assert_cmpuint(ended[1].ended, ==, 0);
+    lab_run_for(loop, 50);
+    g_assert_cmpuint(ended[0].ended, ==, 1);
+    g_assert_cmpuint(ended[1].ended, ==, 1); /* nobody listens: the other net's call went its way */
+    g_assert_cmpint(ended[1].rc, ==, TC_E_UNREACHABLE);
+    peer_destroy(other);
+    loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -372,6 +413,7 @@
     g_test_add_func("/peer/slow-answer", test_slow_answer);
     g_test_add_func("/peer/garbage", test_garbage);
     g_test_add_func("/peer/first-goes-first", test_first_goes_first);
+    g_test_add_func("/peer/destroyed-before-sent", test_destroyed_before_sent);
     g_test_add_func("/peer/longest-turn", test_longest_turn);
     const int rc = g_test_run();
     g_unlink(good_key);
