--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -145,11 +145,12 @@
 
 /** A request's part in the retry budget: every arrival beyond the first is paid for before it is sent. */
 typedef struct {
-    leader_ask_t *asking;       /* the question under way, when this box's part of the budget is used up, or NULL */
-    void (*then)(forward_t *f); /* what follows when it is granted */
-    unsigned counted;           /* arrivals so far, without the first prefill that an engine took up */
-    unsigned paid;              /* further arrivals that the budget allowed it */
-    bool read;                  /* a prefill was taken up: the next one counts */
+    leader_ask_t *asking;         /* the question under way, when this box's part of the budget is used up, or NULL */
+    void (*then)(forward_t *f);   /* what follows when it is granted, */
+    void (*denied)(forward_t *f); /* and when it is not */
+    unsigned counted;             /* arrivals so far, without the first prefill that an engine took up */
+    unsigned paid;                /* further arrivals that the budget allowed it */
+    bool read;                    /* a prefill was taken up: the next one counts */
 } retry_t;
 
 /** The search for an engine that keeps the prompt of a stream that is taken up again. */
@@ -314,10 +315,12 @@
 /** Whether more must be paid before the call that is next is sent. A prefill is of no use without the decode behind it,
  *  so both are paid: a stream that broke off and is read anew elsewhere arrives twice. */
 bool retry_owes(const forward_t *f, dialect_ask_t ask);
-/** Run @p then, at once or later, when one more arrival is allowed by this box's part or the leader's; else the
- *  request fails, at once or later, and is freed. */
+/** Run @p then, at once or later, when one more arrival is allowed by this box's part or the leader's; else @p denied.
+ */
+void retry_ask(forward_t *f, void (*then)(forward_t *f), void (*denied)(forward_t *f));
+/** The same; else the request fails and is freed. */
 void retry_then(forward_t *f, void (*then)(forward_t *f));
-/** The request ends: an answer of the leader finds nobody. */
+/** Nobody waits for it any more: an answer of the leader finds nobody. */
 void retry_end(forward_t *f);
 
 /* ===== forward_hold.c ===== */
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -7,7 +7,7 @@
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_lent, "counter", "trackcove_retry_lent_total", "Further arrivals allowed by the leader's part")
-COUNTER_DEFINE(c_denied, "counter", "trackcove_retry_denied_total", "Requests given up since the budget was used up")
+COUNTER_DEFINE(c_denied, "counter", "trackcove_retry_denied_total", "Further arrivals that the budget did not allow")
 
 /* ===== Constants ===== */
 
@@ -63,15 +63,20 @@
 
 static void give_up(forward_t *f)
 {
-    counter_add(&c_denied, 1);
     forward_fail(f, "retry budget is used up");
 }
 
+static void deny(forward_t *f)
+{
+    counter_add(&c_denied, 1);
+    f->retry.denied(f);
+}
+
 /** No answer is no. */
 static void on_answer(forward_t *f, int rc, uint32_t type, const void *message)
 {
     if (rc != TC_OK || type != MSG_RETRY_ACK || !((const msg_retry_ack_t *)message)->granted) {
-        give_up(f);
+        deny(f);
         return;
     }
     counter_add(&c_lent, 1);
@@ -87,15 +92,21 @@
     return leader_ask(f, &f->retry.asking, MSG_RETRY, &message, ANSWER_MS, on_answer);
 }
 
-void retry_then(forward_t *f, void (*then)(forward_t *f))
+void retry_ask(forward_t *f, void (*then)(forward_t *f), void (*denied)(forward_t *f))
 {
     if (retry_spend(f)) {
         then(f);
         return;
     }
     f->retry.then = then;
+    f->retry.denied = denied;
     if (!shares_with_leader(f) || !ask_leader(f))
-        give_up(f);
+        deny(f);
+}
+
+void retry_then(forward_t *f, void (*then)(forward_t *f))
+{
+    retry_ask(f, then, give_up);
 }
 
 void retry_end(forward_t *f)
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -25,6 +25,7 @@
 {
     forward_t *const f = s->request;
     stream_end(s, why);
+    retry_end(f); /* a question on what could follow this call */
     loop_disarm(&f->patience);
     instance_end(s->instance, s->tokens);
     instance_unref(s->instance);
@@ -164,7 +165,7 @@
         retry_then(f, forward_go_on);
         return;
     }
-    const bool again = may_run_again(f) && retry_spend(f);
+    const bool again = may_run_again(f) && (!retry_owes(f, DIALECT_DECODE) || retry_spend(f));
     count_run(f);
     if (again)
         forward_go_on(f);
@@ -269,11 +270,48 @@
     maybe_run(s, why);
 }
 
-static void on_step_late(void *arg)
+static void on_prefill_late(void *arg)
 {
     step_t *const s = ((forward_t *)arg)->step;
     assert(s); /* disarmed with the step */
-    give_up(s, s->ask == DIALECT_PREFILL ? "prefill engine is silent" : "stream is silent");
+    give_up(s, "prefill engine is silent");
+}
+
+/** Whether there is another back end that could go on. */
+static bool has_other(const step_t *s)
+{
+    forward_t *const f = s->request;
+    g_ptr_array_add(f->tried, instance_ref(s->instance));
+    instance_t *const other = forward_choose(f, f->split ? STAGE_DECODE : STAGE_NONE);
+    g_ptr_array_set_size(f->tried, (gint)f->tried->len - 1);
+    if (other)
+        instance_unref(other);
+    return other != NULL;
+}
+
+static void watch_silence(forward_t *f);
+
+/** The run is silent and another can follow: once all that this takes is paid for, it is given up. */
+static void pay_and_give_up(forward_t *f)
+{
+    /* This run counts, and so does the prompt that is read anew. */
+    const unsigned before = f->retry.counted + 1 + (f->split && f->retry.read);
+    if (before > f->retry.paid)
+        retry_ask(f, pay_and_give_up, watch_silence);
+    else
+        give_up(f->step, "stream is silent");
+}
+
+/** Giving a run up ends it for good, so it is done only for a silence of the back end's, which is none while bytes wait
+ *  to be read (this box stood still), and only when another run can follow: else it is waited for. */
+static void on_run_late(void *arg)
+{
+    forward_t *const f = arg;
+    assert(f->step); /* disarmed with the step */
+    if (web_call_has_news(f->step->call) || !has_other(f->step))
+        watch_silence(f);
+    else
+        pay_and_give_up(f);
 }
 
 /** A stream that may be taken up elsewhere is not waited for longer than its pauses allow. */
@@ -281,8 +319,9 @@
 {
     const tc_time_t pauses = SILENT_PAUSES * f->route->pause_aim;
     const tc_time_t limit = pauses > 0 ? pauses : f->owner->options.pause_limit;
+    retry_end(f); /* what was asked of the leader was for a silence that is over */
     if (may_run_again(f))
-        loop_arm(f->owner->loop, &f->patience, tc_time_now() + limit, on_step_late, f);
+        loop_arm(f->owner->loop, &f->patience, tc_time_now() + limit, on_run_late, f);
     else
         loop_disarm(&f->patience); /* of an event before */
 }
@@ -386,5 +425,5 @@
                 instance);
     s->call = web_call(f->owner->client, instance->listed.addr, request, may_reuse(f, ask), CONNECT_MS, &sink);
     if (ask == DIALECT_PREFILL)
-        loop_arm(f->owner->loop, &f->patience, now + PREFILL_LIMIT_MS, on_step_late, f);
+        loop_arm(f->owner->loop, &f->patience, now + PREFILL_LIMIT_MS, on_prefill_late, f);
 }
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -44,9 +44,21 @@
     return (size >= 5 && memcmp(event, "data:", 5) == 0) || memmem(event, size, "\ndata:", 6);
 }
 
-/** Where the first event ends. @param from where to begin to look for it @return its bytes, 0 when it is not whole */
+/** Bytes of an empty line at the beginning, 0 for none. */
+static size_t empty_line(const char *data, size_t size)
+{
+    if (size >= 1 && data[0] == '\n')
+        return 1;
+    return size >= 2 && data[0] == '\r' && data[1] == '\n' ? 2 : 0;
+}
+
+/** Where the first event ends, or an empty line that stands before one and says nothing. @param from where to begin to
+ * look for it @return its bytes, 0 when it is not whole */
 static size_t event_length(const char *data, size_t from, size_t size)
 {
+    const size_t empty = empty_line(data, size);
+    if (empty > 0)
+        return empty;
     for (size_t i = from > 1 ? from : 1; i < size; i++) {
         if (data[i] != '\n')
             continue;
@@ -66,7 +78,10 @@
 {
     if (!is_number(id) || !is_number(after))
         return strcmp(id, after) != 0;
-    return g_ascii_strtoull(id, NULL, 10) > g_ascii_strtoull(after, NULL, 10);
+    id += strspn(id, "0");
+    after += strspn(after, "0");
+    const size_t digits = strlen(id), digits_after = strlen(after); /* of any number: no machine word holds all */
+    return digits != digits_after ? digits > digits_after : strcmp(id, after) > 0;
 }
 
 /* ===== Runs ===== */
@@ -124,6 +139,8 @@
 {
     forward_t *const f = s->request;
     stream_run_t *const run = &s->run;
+    if (empty_line(event, size) > 0)
+        return true;
     char *const id = read_id(event, size);
     if (id && run->after[0] && route_is_repeatable(f->route) && !stands_behind(id, run->after)) {
         g_free(id);
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -7,6 +7,7 @@
 /* ===== Dependencies ===== */
 
 #include <glib.h>
+#include <pthread.h>
 #include <urcu/list.h>
 
 #include "peer/key.h"
@@ -102,7 +103,9 @@
     struct cds_list_head conns;
     GHashTable *by_id; /* the same by number: a box with hundreds of connections looks one up for each frame */
     struct cds_list_head backoffs;
-    size_t queued; /* bytes waiting for all peers */
+    size_t queued;                 /* bytes waiting for all peers */
+    pthread_mutex_t lock;          /* guards outgoing */
+    struct cds_list_head outgoing; /* messages on their way to the loop's thread: they end with the net */
     uint64_t next_id;
     unsigned jitter; /* state of the jitter's own small generator */
 };
@@ -123,7 +126,7 @@
 typedef enum {
     FRAME_IN_TURN,
     FRAME_FIRST, /* ahead of those in turn */
-    FRAME_HELLO  /* part of the handshake: the others wait until that is done */
+    FRAME_HELLO  /* part of the handshake: ahead of all others, which wait until that is done */
 } frame_turn_t;
 
 /** Queue a frame, which is taken over. @return false when the peer takes too little */
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -294,6 +294,13 @@
     call_broken(arg);
 }
 
+bool web_call_has_news(const web_call_t *call)
+{
+    char byte;
+    const ssize_t n = recv(call->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /** A kept connection that is still silent and open, or NULL. */
 static web_call_t *take_idle(web_client_t *client, const char *addr)
 {
@@ -302,10 +309,7 @@
     cds_list_for_each_entry_safe(call, next, &client->idle, node) {
         if (strcmp(call->addr, addr) != 0)
             continue;
-        char byte;
-        const ssize_t n = recv(call->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool silent = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (silent && now < call->idle_until)
+        if (!web_call_has_news(call) && now < call->idle_until)
             return call;
         call_free(call);
     }
--- a/lib/web/web_server_internal.h
+++ b/lib/web/web_server_internal.h
@@ -29,6 +29,7 @@
     bool head_only; /* the caller reads no body behind any answer to the request being handled */
     bool bodiless;  /* and none behind the answer under way */
     bool chunked;   /* the answer under way goes in chunks */
+    bool unframed;  /* the end of the connection is the answer's end: one that ends early must be reset */
     bool old;       /* HTTP/1.0 */
     int refuse;     /* status to refuse the request with, found while reading */
     GString *target;
