Stand-in engines split their events, halt or break off within one, put several tokens into one

Cause: a stand-in wrote each event of a stream in one piece, so no test brought part of an event before a run ended.

Change: fault kinds split, batch, vary, halt, break, go_on and plain of an engine's streams; stopped counts the events that were stopped. Several tokens of one event are listed in token_ids, as engines publish them. The callers of tests and of the load tool compare the whole text between two ids, so that an event may hold several tokens and no less is checked.

Ruled out: a pause drawn at random, which a test could not wait for.

--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -105,13 +105,11 @@
 
 static void take_token(reading_t *r, uint32_t place, const char *text)
 {
-    char expected[STANDIN_TOKEN_SIZE];
     if (place <= r->got) {
         r->doubled = true;
         return;
     }
-    standin_token(expected, r->hash, place - 1);
-    if (place != r->got + 1 || strcmp(text, expected) != 0)
+    if (!standin_is_text(text, r->hash, r->got, place))
         r->wrong = true;
     r->got = place;
     r->last = load_now();
--- a/programs/standin.h
+++ b/programs/standin.h
@@ -7,6 +7,7 @@
 #ifndef TRACKCOVE_PROGRAMS_STANDIN_H
 #define TRACKCOVE_PROGRAMS_STANDIN_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
@@ -30,6 +31,20 @@
     snprintf(to, STANDIN_TOKEN_SIZE, " %07llx", (unsigned long long)(mixed & 0xfffffff));
 }
 
+/** Whether @p text is just what follows the first @p got tokens, up to @p place; an event may hold several. */
+static inline bool standin_is_text(const char *text, uint64_t prompt_hash, uint32_t got, uint32_t place)
+{
+    char token[STANDIN_TOKEN_SIZE];
+    if (!text || strlen(text) != (size_t)(place - got) * (STANDIN_TOKEN_SIZE - 1))
+        return false;
+    for (uint32_t i = got; i < place; i++, text += STANDIN_TOKEN_SIZE - 1) {
+        standin_token(token, prompt_hash, i);
+        if (memcmp(text, token, STANDIN_TOKEN_SIZE - 1) != 0)
+            return false;
+    }
+    return true;
+}
+
 /** How long the answer is: 40 to 100 per cent of what the caller allows, fixed by the prompt. */
 static inline uint32_t standin_length(uint64_t prompt_hash, uint32_t max_tokens)
 {
--- a/programs/stub/admin.c
+++ b/programs/stub/admin.c
@@ -6,6 +6,29 @@
 
 /* ===== Faults and counts, for tests ===== */
 
+/** How streams are written from now on. @param n bytes, tokens or a place, by the kind */
+static bool wire_fault(sim_wire_t *wire, const char *kind, uint32_t n, uint32_t place)
+{
+    if (strcmp(kind, "split") == 0) {
+        wire->piece = n;
+    } else if (strcmp(kind, "batch") == 0) {
+        wire->tokens = n;
+    } else if (strcmp(kind, "vary") == 0) {
+        wire->vary_from = n;
+    } else if (strcmp(kind, "halt") == 0 || strcmp(kind, "break") == 0) {
+        wire->stop = kind[0] == 'h' ? SIM_STOP_HALT : SIM_STOP_BREAK;
+        wire->stop_byte = n;
+        wire->stop_place = place;
+    } else if (strcmp(kind, "go_on") == 0) {
+        wire->released++;
+    } else if (strcmp(kind, "plain") == 0) {
+        *wire = (sim_wire_t){.released = wire->released + 1};
+    } else {
+        return false;
+    }
+    return true;
+}
+
 static bool engine_fault(sim_engine_t *e, const char *kind, double ms, double now)
 {
     if (strcmp(kind, "die") == 0) {
@@ -49,6 +72,11 @@
     return true;
 }
 
+static uint32_t number_of(const json_t *body, const char *key)
+{
+    return (uint32_t)json_integer_value(json_object_get(body, key));
+}
+
 int stub_fault_handler(struct mg_connection *conn, void *arg)
 {
     (void)arg;
@@ -60,7 +88,8 @@
     sim_engine_t *const e = sim_find_engine(sim, stub_text(body, "name"));
     worker_t *const w = stub_find_worker(stub_text(body, "name"));
     if (e)
-        done = engine_fault(e, kind, ms, stub_now());
+        done = engine_fault(e, kind, ms, stub_now()) ||
+               wire_fault(&e->wire, kind, number_of(body, "n"), number_of(body, "place"));
     else if (w)
         done = worker_fault(w, kind, ms, stub_now());
     pthread_mutex_unlock(&sim->lock);
@@ -75,11 +104,11 @@
     const sim_request_t *r;
     cds_list_for_each_entry(r, &e->requests, node)
         live += r->state < SIM_DONE;
-    return json_pack("{s:s,s:i,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}", "name", e->cfg.name, "started", (int)e->started,
-                     "role", role_names[e->cfg.role], "model", e->cfg.model, "live", (int)live, "pieces",
-                     (int)e->pieces_used, "batch",
-                     (int)(e->n_loads ? e->loads[(e->n_loads - 1) % SIM_LOAD_SLOTS].batch : 0), "obeyed",
-                     (int)e->orders_obeyed, "refused", (int)e->orders_refused, "backward", (int)e->orders_backward);
+    return json_pack(
+        "{s:s,s:i,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "name", e->cfg.name, "started", (int)e->started, "role",
+        role_names[e->cfg.role], "model", e->cfg.model, "live", (int)live, "pieces", (int)e->pieces_used, "batch",
+        (int)(e->n_loads ? e->loads[(e->n_loads - 1) % SIM_LOAD_SLOTS].batch : 0), "obeyed", (int)e->orders_obeyed,
+        "refused", (int)e->orders_refused, "backward", (int)e->orders_backward, "stopped", (int)e->stopped);
 }
 
 int stub_stats_handler(struct mg_connection *conn, void *arg)
--- a/programs/stub/sim.h
+++ b/programs/stub/sim.h
@@ -90,6 +90,23 @@
     uint32_t queue, batch, pieces_free;
 } sim_load_t;
 
+/** Where the writing of a stream stops, on command. */
+typedef enum {
+    SIM_STOP_NONE,
+    SIM_STOP_HALT, /* nothing more comes, the connection stays open */
+    SIM_STOP_BREAK /* the connection ends */
+} sim_stop_t;
+
+/** How an engine writes its streams. */
+typedef struct {
+    uint32_t piece;                 /* bytes in one write; 0: whole events */
+    uint32_t tokens;                /* most tokens in one event; 0: one */
+    uint32_t vary_from;             /* from this place on its tokens are others than those of its peers; 0: nowhere */
+    sim_stop_t stop;                /* for one event: the next one that ends at stop_place or behind it */
+    uint32_t stop_place, stop_byte; /* bytes of that event which are still written */
+    uint32_t released;              /* how often halted streams were told to go on */
+} sim_wire_t;
+
 struct sim_engine {
     engine_cfg_t cfg;
     uint64_t incarnation;
@@ -109,6 +126,8 @@
     uint64_t order_term, order_index;
     uint32_t started; /* requests taken */
     uint32_t orders_obeyed, orders_refused, orders_backward;
+    sim_wire_t wire;
+    uint32_t stopped; /* streams that were stopped within an event */
 };
 
 /** Counts over the whole run. */
--- a/programs/stub/stub.c
+++ b/programs/stub/stub.c
@@ -83,12 +83,90 @@
 
 /* ===== Streams ===== */
 
-static void append_token(GString *out, const sim_request_t *r, uint32_t place)
+/** Whether there is something to write behind place @p sent: an event's tokens, or the end. */
+static bool event_is_due(const sim_request_t *r, uint32_t sent)
 {
-    char token[STANDIN_TOKEN_SIZE];
-    standin_token(token, r->hash, place);
-    g_string_append_printf(out, "id: %u\ndata: {\"choices\":[{\"index\":0,\"text\":\"%s\",\"finish_reason\":%s}]}\n\n",
-                           place + 1, token, place + 1 == r->length ? "\"stop\"" : "null");
+    const uint32_t most = r->engine->wire.tokens ? r->engine->wire.tokens : 1;
+    return r->state >= SIM_DONE || r->generated >= sent + most;
+}
+
+/** One event of up to the engine's number of tokens, which stand one by one in token_ids. @return tokens out with it */
+static uint32_t append_event(GString *out, const sim_request_t *r, uint32_t sent)
+{
+    const sim_wire_t *const wire = &r->engine->wire;
+    const uint32_t most = wire->tokens ? wire->tokens : 1;
+    const uint32_t end = r->generated - sent < most ? r->generated : sent + most;
+    GString *const ids = g_string_new(NULL);
+    g_string_append_printf(out, "id: %u\ndata: {\"choices\":[{\"index\":0,\"text\":\"", end);
+    for (uint32_t place = sent; place < end; place++) {
+        char token[STANDIN_TOKEN_SIZE];
+        const bool varies = wire->vary_from && place + 1 >= wire->vary_from;
+        standin_token(token, varies ? ~r->hash : r->hash, place);
+        g_string_append(out, token);
+        g_string_append_printf(ids, "%s%lu", ids->len ? "," : "", strtoul(token + 1, NULL, 16));
+    }
+    if (wire->tokens)
+        g_string_append_printf(out, "\",\"token_ids\":[%s],\"finish_reason\":", ids->str);
+    else
+        g_string_append(out, "\",\"finish_reason\":");
+    g_string_append(out, end == r->length ? "\"stop\"}]}\n\n" : "null}]}\n\n");
+    g_string_free(ids, TRUE);
+    return end;
+}
+
+/** With the lock held: how the event that ends at @p place is written; a stop is used up. */
+static sim_wire_t wire_for(sim_engine_t *e, uint32_t place)
+{
+    sim_wire_t wire = e->wire;
+    if (wire.stop != SIM_STOP_NONE && place < wire.stop_place)
+        wire.stop = SIM_STOP_NONE;
+    if (wire.stop != SIM_STOP_NONE)
+        e->wire.stop = SIM_STOP_NONE;
+    return wire;
+}
+
+/** Whether an event is written by itself, not together with others that are due. */
+static bool is_special(const sim_wire_t *wire)
+{
+    return wire->piece > 0 || wire->stop != SIM_STOP_NONE;
+}
+
+/** Send bytes in pieces that arrive one by one. */
+static void send_pieces(http_stream_t *stream, const char *data, size_t size, size_t piece)
+{
+    enum { APART_US = 500 };
+    if (piece == 0) {
+        http_stream_send(stream, data, size);
+        return;
+    }
+    for (size_t at = 0; at < size && !stream->broken; at += piece) {
+        http_stream_send(stream, data + at, size - at < piece ? size - at : piece);
+        g_usleep(APART_US);
+    }
+}
+
+/** Stand still until told to go on, the request is cancelled, or no reader can be interested any more. */
+static void stand_still(sim_request_t *r, uint32_t released)
+{
+    const double until = stub_now() + SIM_KEEP_MS;
+    pthread_mutex_lock(&sim->lock);
+    r->engine->stopped++;
+    while (r->engine->wire.released == released && r->state != SIM_CANCELLED && !r->engine->dead && stub_now() < until)
+        wait_change(r);
+    pthread_mutex_unlock(&sim->lock);
+}
+
+/** Write events, of which the last, at @p last, may be stopped. @return false when the connection is to end */
+static bool write_events(http_stream_t *stream, sim_request_t *r, const GString *out, size_t last,
+                         const sim_wire_t *wire)
+{
+    const size_t first = wire->stop == SIM_STOP_NONE ? out->len : MIN(last + wire->stop_byte, out->len);
+    send_pieces(stream, out->str, first, wire->piece);
+    if (wire->stop == SIM_STOP_HALT) {
+        stand_still(r, wire->released);
+        send_pieces(stream, out->str + first, out->len - first, wire->piece);
+    }
+    return wire->stop != SIM_STOP_BREAK;
 }
 
 /** Send tokens as they come, from place @p from on. The stream outlives its reader: only a cancel ends it. */
@@ -96,25 +174,32 @@
 {
     http_stream_t stream = {.conn = conn, .sse = true};
     uint32_t sent = from;
+    bool cut = false;
     GString *const out = g_string_new(NULL);
     pthread_mutex_lock(&sim->lock);
     while (!stream.broken) {
-        while (r->generated <= sent && r->state < SIM_DONE)
+        while (!event_is_due(r, sent))
             wait_change(r);
         if (r->generated <= sent && r->state != SIM_DONE)
             break;
         g_string_truncate(out, 0);
-        while (sent < r->generated)
-            append_token(out, r, sent++);
+        sim_wire_t wire = {.stop = SIM_STOP_NONE};
+        size_t last = 0; /* where the last event begins */
+        while (sent < r->generated && event_is_due(r, sent) && !is_special(&wire)) {
+            last = out->len;
+            sent = append_event(out, r, sent);
+            wire = wire_for(r->engine, sent);
+        }
         const bool done = r->state == SIM_DONE && sent >= r->length;
         if (done)
             g_string_append(out, "data: [DONE]\n\n");
         const bool dead = r->engine->dead;
         pthread_mutex_unlock(&sim->lock);
         if (!dead)
-            http_stream_send(&stream, out->str, out->len);
+            cut = !write_events(&stream, r, out, last, &wire);
         pthread_mutex_lock(&sim->lock);
-        if (done || dead)
+        r->engine->stopped += cut;
+        if (done || dead || cut)
             break;
     }
     const sim_state_t state = r->state;
@@ -122,6 +207,8 @@
     sim_unref(r);
     pthread_mutex_unlock(&sim->lock);
     g_string_free(out, TRUE);
+    if (cut)
+        return hang_up(conn);
     if (state == SIM_DONE) {
         http_stream_close(&stream);
         return 200;
--- a/tests/harness/client.c
+++ b/tests/harness/client.c
@@ -39,12 +39,10 @@
     json_t *const body = json_loads(event->data, 0, NULL);
     const char *const text =
         json_string_value(json_object_get(json_array_get(json_object_get(body, "choices"), 0), "text"));
-    char expected[STANDIN_TOKEN_SIZE];
     const unsigned place = (unsigned)strtoul(event->id, NULL, 10);
     const unsigned got = atomic_load(&c->got);
-    standin_token(expected, r->hash, place - 1);
     c->doubled = c->doubled || place <= got;
-    c->wrong = c->wrong || place != got + 1 || !text || strcmp(text, expected) != 0;
+    c->wrong = c->wrong || place <= got || !standin_is_text(text, r->hash, got, place);
     atomic_store(&c->got, place);
     json_decref(body);
     return true;
