--- a/tests/fault/test_requests.c
+++ b/tests/fault/test_requests.c
@@ -322,6 +322,217 @@
     g_assert_true(client_wait_in_force(cluster, 15000));
 }
 
+/* ===== How engines write their streams ===== */
+
+enum { NOWHERE = 60000 }; /* a place that no answer of these tests has */
+
+/** Order one fault of an engine's streams. */
+static void wire_one(const char *name, const char *kind, unsigned n, unsigned place)
+{
+    int status = 0;
+    json_decref(cluster_call(
+        cluster, "stub", "/admin/fault",
+        json_pack("{s:s,s:s,s:i,s:i}", "name", name, "kind", kind, "n", (int)n, "place", (int)place), &status));
+    g_assert_cmpint(status, ==, 200);
+}
+
+/** Order one fault of all decode engines' streams, or of all but one. */
+static void wire_decode(const char *except, const char *kind, unsigned n, unsigned place)
+{
+    json_t *const stats = cluster_call(cluster, "stub", "/admin/stats", NULL, NULL);
+    size_t i;
+    json_t *e;
+    json_array_foreach(json_object_get(stats, "engines"), i, e) {
+        const char *const name = json_string_value(json_object_get(e, "name"));
+        if (strcmp(json_string_value(json_object_get(e, "role")), "decode") != 0 || strcmp(name, except) == 0)
+            continue;
+        wire_one(name, kind, n, place);
+    }
+    json_decref(stats);
+}
+
+/** How many streams were stopped within an event. */
+static json_int_t stopped(void)
+{
+    json_t *const stats = cluster_call(cluster, "stub", "/admin/stats", NULL, NULL);
+    json_int_t n = 0;
+    size_t i;
+    json_t *e;
+    json_array_foreach(json_object_get(stats, "engines"), i, e)
+        n += json_integer_value(json_object_get(e, "stopped"));
+    json_decref(stats);
+    return n;
+}
+
+static bool stopped_more(void *arg)
+{
+    return stopped() > *(const json_int_t *)arg;
+}
+
+static void wire_plain(void)
+{
+    wire_decode("", "plain", 0, 0);
+    g_assert_true(client_wait_free(cluster, 5000));
+}
+
+static void test_events_in_pieces(void)
+{
+    static const unsigned pieces[] = {1, 2, 7, 31};
+    for (size_t i = 0; i < G_N_ELEMENTS(pieces); i++) {
+        client_t c;
+        char id[32];
+        snprintf(id, sizeof(id), "pieces-%u", pieces[i]);
+        client_init(&c, id, 500, 20);
+        wire_decode("", "split", pieces[i], 0);
+        client_start(&c, cluster, "entry-1");
+        client_join(&c);
+        assert_whole(&c);
+    }
+    wire_plain();
+}
+
+static void test_events_of_several_tokens(void)
+{
+    client_t c;
+    client_init(&c, "several", 500, 50);
+    wire_decode("", "batch", 3, 0);
+    client_start(&c, cluster, "entry-1");
+    client_join(&c);
+    assert_whole(&c);
+    g_assert_cmpint(client_count(cluster, c.id, "answers"), ==, 1);
+    wire_plain();
+}
+
+/** One answer, whose stream breaks off behind each byte of an event in turn and is read on each time. */
+static void test_breaks_within_events(void)
+{
+    enum { EVENT_BYTES = 80 };
+    client_t c;
+    client_init(&c, "breaks", 500, 4000);
+    client_start(&c, cluster, "entry-1");
+    g_assert_true(client_wait_tokens(&c, 1, 10000));
+    char *const engine = busiest("decode");
+    for (unsigned byte = 0; byte < EVENT_BYTES; byte++) {
+        json_int_t before = stopped();
+        wire_one(engine, "break", byte, 0);
+        g_assert_true(cluster_until(stopped_more, &before, 10000));
+        if (!client_wait_tokens(&c, atomic_load(&c.got) + 2, 10000))
+            g_error("byte %u: got %u error %s", byte, atomic_load(&c.got), c.error);
+    }
+    g_assert_false(c.wrong || c.doubled);
+    g_assert_cmpint(client_count(cluster, c.id, "answers"), ==, 1);
+    atomic_store(&c.leave, true);
+    client_join(&c);
+    g_free(engine);
+    wire_plain();
+}
+
+/** A stream falls silent within an event; its engine is asked for the rest. Then what was silent goes on. */
+static void test_halts_within_an_event(void)
+{
+    client_t c;
+    json_int_t before = stopped();
+    client_init(&c, "halts", 500, 600);
+    wire_decode("", "halt", 40, 8);
+    client_start(&c, cluster, "entry-1");
+    g_assert_true(cluster_until(stopped_more, &before, 10000));
+    wire_decode("", "halt", 0, NOWHERE); /* nobody else stops */
+    g_assert_true(client_wait_tokens(&c, 8, 10000));
+    wire_decode("", "go_on", 0, 0);
+    client_join(&c);
+    assert_whole(&c);
+    g_assert_cmpint(client_count(cluster, c.id, "answers"), ==, 1);
+    wire_plain();
+}
+
+/** Silent within the first event: the prefill result goes to another engine; what the first one still writes is not
+ *  taken for the answer. */
+static void test_halts_within_the_first_event(void)
+{
+    client_t c;
+    json_int_t before = stopped();
+    client_init(&c, "halts-first", 500, 600);
+    wire_decode("", "halt", 40, 1);
+    client_start(&c, cluster, "entry-1");
+    g_assert_true(cluster_until(stopped_more, &before, 10000));
+    wire_decode("", "halt", 0, NOWHERE); /* nobody else stops */
+    g_assert_true(client_wait_tokens(&c, 1, 10000));
+    wire_decode("", "go_on", 0, 0);
+    client_join(&c);
+    assert_whole(&c);
+    wire_plain();
+}
+
+/** A second run on an engine that gives other tokens breaks before it comes to where the first run ended. What it
+ * brings then must not be taken for what follows the first run's tokens. */
+static void test_second_run_differs_behind_a_halt(void)
+{
+    client_t c;
+    client_init(&c, "differs", 500, 300);
+    client_start(&c, cluster, "entry-1");
+    g_assert_true(client_wait_tokens(&c, 30, 10000));
+    char *const engine = busiest("decode");
+    wire_decode(engine, "vary", 15, 0);
+    wire_decode(engine, "halt", 20, 10);
+    cluster_fault(cluster, engine, "die", 0);
+    client_join(&c);
+    g_assert_false(c.wrong || c.doubled);
+    g_assert_false(c.whole);
+    g_assert_cmpstr(c.error, ==, "outcome_unknown");
+    cluster_fault(cluster, engine, "revive", 0);
+    g_free(engine);
+    wire_plain();
+}
+
+/** The same, where the second run gives the same tokens: it is read on behind the break and goes into the answer. */
+static void test_second_run_breaks_before_the_first_ended(void)
+{
+    client_t c;
+    client_init(&c, "same-again", 500, 300);
+    client_start(&c, cluster, "entry-1");
+    g_assert_true(client_wait_tokens(&c, 30, 10000));
+    char *const engine = busiest("decode");
+    wire_decode(engine, "break", 20, 10);
+    cluster_fault(cluster, engine, "die", 0);
+    client_join(&c);
+    assert_whole(&c);
+    g_assert_cmpint(client_count(cluster, c.id, "answers"), ==, 2);
+    cluster_fault(cluster, engine, "revive", 0);
+    g_free(engine);
+    wire_plain();
+}
+
+/** Each run gets its own time: one that begins behind the first token's due time has as much for its prefill. */
+static void test_second_prefill_has_its_time(void)
+{
+    enum { TTFT_MS = 5000, LONG_PROMPT = 68000 }; /* 3.4 s of prefill */
+    static const char *const prefills[] = {"p0", "p1", "p2", "p3", "p4"};
+    g_assert_cmpint(client_change(cluster, "five-seconds", "{\"targets\":{\"ttft_ms\":5000}}"), ==, 200);
+    g_assert_true(client_wait_in_force(cluster, 15000));
+    client_t c;
+    client_init(&c, "long-again", LONG_PROMPT, 600);
+    const gint64 due = g_get_monotonic_time() + TTFT_MS * G_TIME_SPAN_MILLISECOND;
+    client_start(&c, cluster, "entry-1");
+    if (!client_wait_tokens(&c, 30, 10000))
+        g_error("no tokens: status %d error %s", c.status, c.error);
+    while (g_get_monotonic_time() < due)
+        g_assert_true(client_wait_tokens(&c, atomic_load(&c.got) + 1, 10000));
+    for (size_t i = 0; i < G_N_ELEMENTS(prefills); i++) { /* their caches are gone: it is computed once more */
+        cluster_fault(cluster, prefills[i], "die", 0);
+        cluster_fault(cluster, prefills[i], "revive", 0);
+    }
+    char *const engine = busiest("decode");
+    cluster_fault(cluster, engine, "die", 0);
+    client_join(&c);
+    assert_whole(&c);
+    g_assert_cmpint(client_count(cluster, c.id, "runs"), ==, 2);
+    cluster_fault(cluster, engine, "revive", 0);
+    g_free(engine);
+    g_assert_cmpint(client_change(cluster, "twenty-seconds", "{\"targets\":{\"ttft_ms\":20000}}"), ==, 200);
+    g_assert_true(client_wait_in_force(cluster, 15000));
+    g_assert_true(client_wait_free(cluster, 5000));
+}
+
 /** Overload: refused early, and whoever is told "not run" did not run. */
 static void test_overload(void)
 {
@@ -366,6 +577,15 @@
     g_test_add_func("/requests/entry-freezes-and-caller-comes-again", test_entry_freezes_and_caller_comes_again);
     g_test_add_func("/requests/scheduler-freezes", test_scheduler_freezes);
     g_test_add_func("/requests/resend-is-not-called-not-run", test_resend_is_not_called_not_run);
+    g_test_add_func("/requests/events-in-pieces", test_events_in_pieces);
+    g_test_add_func("/requests/events-of-several-tokens", test_events_of_several_tokens);
+    g_test_add_func("/requests/breaks-within-events", test_breaks_within_events);
+    g_test_add_func("/requests/halts-within-an-event", test_halts_within_an_event);
+    g_test_add_func("/requests/halts-within-the-first-event", test_halts_within_the_first_event);
+    g_test_add_func("/requests/second-run-differs-behind-a-halt", test_second_run_differs_behind_a_halt);
+    g_test_add_func("/requests/second-run-breaks-before-the-first-ended",
+                    test_second_run_breaks_before_the_first_ended);
+    g_test_add_func("/requests/second-prefill-has-its-time", test_second_prefill_has_its_time);
     g_test_add_func("/requests/overload", test_overload);
     const int rc = g_test_run();
     stop(rc != 0);
