Completions: what belongs to an attempt or to a run of the answer ends with it

Cause: one structure held the request, its attempt, and the reading of its tokens; each way into an attempt set back what it knew of. Two things were not the attempt's: - the resume point. A broken stream was read on behind the place where the answer stood, which an earlier run may have brought. What the second run had between its break and that place was never compared, so a caller could get the tokens of two answers; and where the run was not that far yet, its engine was called stalled and all attempts were used up; - its time.

Texts are compared by bytes, so that runs may put different numbers of tokens into an event. An answer is whole only when the run that ends it said of its last token that it is the last, and stands where the answer stands; a shorter second run passed for whole before.

Ruled out: late tokens of an earlier run. A call to an engine returns only when its transfer is closed, and the reading dies with the call: halts-within-the-first-event lets the silent run go on while the next one is read.

--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -1,5 +1,6 @@
 #include "request/caller.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -206,7 +207,6 @@
     c->request = request;
     c->text = g_string_new(NULL);
     c->event = g_string_sized_new(256);
-    c->ends = g_array_new(FALSE, FALSE, sizeof(size_t));
     c->probed = tc_time_now();
 }
 
@@ -214,7 +214,6 @@
 {
     g_string_free(c->text, TRUE);
     g_string_free(c->event, TRUE);
-    g_array_free(c->ends, TRUE);
 }
 
 bool caller_there(caller_t *c)
@@ -259,32 +258,49 @@
     http_stream_send(&c->http, out->str, out->len);
 }
 
-/** Whether the token is what was given at that place before. */
-static bool same_as_before(const caller_t *c, uint32_t place, const char *text)
+/** Whether a run's tokens, of which @p known bytes were given before, say the same as what was given. */
+static bool agrees(const caller_t *c, const caller_cursor_t *cursor, uint32_t place, const char *text, size_t known,
+                   bool finished)
 {
-    if (place <= c->request->last_event && place > c->ends->len)
-        return true; /* given by another entry: nothing to compare with */
-    const size_t end = g_array_index(c->ends, size_t, place - 1);
-    const size_t start = place > 1 ? g_array_index(c->ends, size_t, place - 2) : 0;
-    return strlen(text) == end - start && memcmp(c->text->str + start, text, end - start) == 0;
+    if (memcmp(c->text->str + cursor->offset, text, known) != 0)
+        return false;
+    const size_t behind = cursor->offset + strlen(text), out = c->text->len;
+    if (place < c->places)
+        return behind <= out && !finished;
+    if (place == c->places)
+        return behind == out && finished == c->finished;
+    return behind >= out && !c->finished;
 }
 
-int caller_token(caller_t *c, uint32_t place, const char *text, const char *finish)
+int caller_tokens(caller_t *c, caller_cursor_t *cursor, uint32_t place, const char *text, const char *finish)
 {
+    const size_t size = strlen(text), ahead = c->text->len - cursor->offset;
+    const size_t known = size < ahead ? size : ahead;
+    assert(cursor->offset <= c->text->len && place > cursor->place); /* a run cannot be ahead of what all runs gave */
+    if (!agrees(c, cursor, place, text, known, finish != NULL))
+        return TC_E_CONFLICT;
+    cursor->place = place;
+    cursor->offset += size;
     if (place <= c->places)
-        return same_as_before(c, place, text) ? TC_OK : TC_E_CONFLICT;
-    /* Promise: the whole answer, each token once and in order. */
-    if (place != c->places + 1)
+        return TC_OK;
+    const uint32_t last_event = c->request->last_event;
+    /* Promise: each token once. Where the caller's last event ends within this one its text cannot be told apart. */
+    if (c->request->stream && c->places < last_event && place > last_event)
         return TC_E_CONFLICT;
     c->places = place;
-    g_string_append(c->text, text);
-    g_array_append_val(c->ends, c->text->len);
-    if (c->request->stream && place > c->request->last_event)
-        send_event(c, place, text, finish);
+    c->finished = finish != NULL;
+    g_string_append(c->text, text + known);
+    if (c->request->stream && place > last_event)
+        send_event(c, place, text + known, finish);
     c->probed = tc_time_now();
     return c->http.broken ? TC_E_CANCELLED : TC_OK;
 }
 
+bool caller_is_whole(const caller_t *c, const caller_cursor_t *cursor)
+{
+    return c->finished && cursor->place == c->places;
+}
+
 void caller_finish(caller_t *c, uint32_t prompt_tokens)
 {
     if (c->request->stream) {
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -40,11 +40,18 @@
     const caller_request_t *request;
     GString *text;   /**< tokens sent or collected, to compare a second run with */
     GString *event;  /**< the event being written */
-    GArray *ends;    /**< length of text after each place */
     uint32_t places; /**< tokens out */
+    bool finished;   /**< the last of them was said to be the last of the answer */
     tc_time_t probed;
 } caller_t;
 
+/** How far one run has brought the answer. It belongs to the run: the answer may be farther, by an earlier one. All
+ * zero: a run from the start. */
+typedef struct {
+    uint32_t place; /**< of the last token it brought */
+    size_t offset;  /**< bytes of the answer's text up to there */
+} caller_cursor_t;
+
 /* ===== Public functions ===== */
 
 /** Read and check a request. On error the answer was not sent. @return 0 or a negative number with @p err */
@@ -57,9 +64,14 @@
 /** Whether the caller is still there; sends something harmless now and then. */
 bool caller_there(caller_t *caller);
 
-/** Give the token at @p place (from 1). One that was given before is compared, not sent again.
- * @return 0; TC_E_CANCELLED: the caller is gone; TC_E_CONFLICT: it differs from what was sent, or a place is missing */
-int caller_token(caller_t *caller, uint32_t place, const char *text, const char *finish);
+/** Give the next tokens of a run, the last of which stands at @p place (from 1), and move its cursor. What was given
+ * before, by whichever run, is compared, not sent again; runs may put different numbers of tokens into one event.
+ * @return 0; TC_E_CANCELLED: the caller is gone; TC_E_CONFLICT: they differ from what was sent, or end where that does
+ * not */
+int caller_tokens(caller_t *caller, caller_cursor_t *cursor, uint32_t place, const char *text, const char *finish);
+
+/** Whether a run that stands at @p cursor has brought the whole answer. */
+bool caller_is_whole(const caller_t *caller, const caller_cursor_t *cursor);
 
 /** End the answer well. */
 void caller_finish(caller_t *caller, uint32_t prompt_tokens);
--- /dev/null
+++ b/tests/unit/test_answer.c
@@ -0,0 +1,165 @@
+/* The answer that goes to a caller, as several runs bring it: each token once, and never the tokens of two answers. */
+
+#include <glib.h>
+
+#include "request/caller.h"
+
+/* ===== Lab ===== */
+
+typedef struct {
+    caller_request_t request;
+    caller_t caller;
+} lab_t;
+
+/** A caller who wants the answer in one piece: nothing goes out before its end. */
+static void lab_begin(lab_t *lab)
+{
+    *lab = (lab_t){.request = {.id = "answer"}};
+    caller_begin(&lab->caller, NULL, &lab->request);
+}
+
+static void lab_end(lab_t *lab)
+{
+    caller_free(&lab->caller);
+}
+
+/** Bring tokens of one letter each. */
+static int bring(lab_t *lab, caller_cursor_t *run, const char *tokens, const char *finish)
+{
+    return caller_tokens(&lab->caller, run, run->place + (uint32_t)strlen(tokens), tokens, finish);
+}
+
+static void assert_out(const lab_t *lab, const char *text)
+{
+    g_assert_cmpstr(lab->caller.text->str, ==, text);
+    g_assert_cmpuint(lab->caller.places, ==, strlen(text));
+}
+
+/* ===== Tests ===== */
+
+static void test_one_run(void)
+{
+    lab_t lab;
+    caller_cursor_t run = {0};
+    lab_begin(&lab);
+    g_assert_cmpint(bring(&lab, &run, "a", NULL), ==, TC_OK);
+    g_assert_cmpint(bring(&lab, &run, "bcd", NULL), ==, TC_OK);
+    g_assert_false(caller_is_whole(&lab.caller, &run));
+    g_assert_cmpint(bring(&lab, &run, "e", "stop"), ==, TC_OK);
+    g_assert_true(caller_is_whole(&lab.caller, &run));
+    assert_out(&lab, "abcde");
+    lab_end(&lab);
+}
+
+/** Two runs of one answer, cut into events at every pair of places. */
+static void test_same_again(void)
+{
+    static const char answer[] = "abcdefgh";
+    for (size_t ended = 1; ended < sizeof(answer) - 1; ended++) {
+        for (size_t cut = 1; cut < sizeof(answer) - 1; cut++) {
+            char first[16], second[16];
+            g_strlcpy(first, answer, ended + 1);
+            g_strlcpy(second, answer, cut + 1);
+            lab_t lab;
+            caller_cursor_t runs[2] = {{0}, {0}};
+            lab_begin(&lab);
+            g_assert_cmpint(bring(&lab, &runs[0], first, NULL), ==, TC_OK);
+            g_assert_cmpint(bring(&lab, &runs[1], second, NULL), ==, TC_OK);
+            g_assert_cmpint(bring(&lab, &runs[1], answer + cut, "stop"), ==, TC_OK);
+            assert_out(&lab, answer);
+            g_assert_true(caller_is_whole(&lab.caller, &runs[1]));
+            g_assert_false(caller_is_whole(&lab.caller, &runs[0]));
+            lab_end(&lab);
+        }
+    }
+}
+
+/** A second run that differs at any place is refused there, and nothing of it goes out. */
+static void test_other_tokens(void)
+{
+    static const char answer[] = "abcdefgh";
+    for (size_t differs = 0; differs < 6; differs++) {
+        lab_t lab;
+        caller_cursor_t runs[2] = {{0}, {0}};
+        lab_begin(&lab);
+        g_assert_cmpint(bring(&lab, &runs[0], "abcdef", NULL), ==, TC_OK);
+        int rc = TC_OK;
+        for (size_t i = 0; i < sizeof(answer) - 1 && rc == TC_OK; i++) {
+            const char token[2] = {i == differs ? 'x' : answer[i], '\0'};
+            rc = bring(&lab, &runs[1], token, NULL);
+        }
+        g_assert_cmpint(rc, ==, TC_E_CONFLICT);
+        g_assert_cmpuint(runs[1].place, ==, differs);
+        assert_out(&lab, "abcdef");
+        lab_end(&lab);
+    }
+}
+
+/** The same bytes, but in another number of tokens. */
+static void test_other_lengths(void)
+{
+    lab_t lab;
+    caller_cursor_t runs[3] = {{0}, {0}, {0}};
+    lab_begin(&lab);
+    g_assert_cmpint(bring(&lab, &runs[0], "abc", NULL), ==, TC_OK);
+    g_assert_cmpint(caller_tokens(&lab.caller, &runs[1], 2, "abcd", NULL), ==, TC_E_CONFLICT);
+    g_assert_cmpint(caller_tokens(&lab.caller, &runs[1], 3, "ab", NULL), ==, TC_E_CONFLICT);
+    g_assert_cmpint(caller_tokens(&lab.caller, &runs[2], 4, "ab", NULL), ==, TC_E_CONFLICT);
+    assert_out(&lab, "abc");
+    lab_end(&lab);
+}
+
+/** A run that ends before or behind where another one did is another answer, also when its tokens agree. */
+static void test_other_ends(void)
+{
+    lab_t lab;
+    caller_cursor_t runs[4] = {{0}, {0}, {0}, {0}};
+    lab_begin(&lab);
+    g_assert_cmpint(bring(&lab, &runs[0], "abcd", NULL), ==, TC_OK);
+    g_assert_cmpint(bring(&lab, &runs[1], "ab", "stop"), ==, TC_E_CONFLICT);
+    g_assert_cmpint(bring(&lab, &runs[2], "abcd", "stop"), ==, TC_E_CONFLICT); /* the first said more would come */
+    g_assert_cmpint(bring(&lab, &runs[0], "e", "stop"), ==, TC_OK);
+    g_assert_cmpint(bring(&lab, &runs[3], "abcdef", NULL), ==, TC_E_CONFLICT);
+    assert_out(&lab, "abcde");
+    lab_end(&lab);
+}
+
+/** A run that ends without a last token did not bring the answer, whatever an earlier one had. */
+static void test_not_whole(void)
+{
+    lab_t lab;
+    caller_cursor_t runs[2] = {{0}, {0}};
+    lab_begin(&lab);
+    g_assert_false(caller_is_whole(&lab.caller, &runs[0]));
+    g_assert_cmpint(bring(&lab, &runs[0], "abcd", "stop"), ==, TC_OK);
+    g_assert_cmpint(bring(&lab, &runs[1], "ab", NULL), ==, TC_OK);
+    g_assert_false(caller_is_whole(&lab.caller, &runs[1]));
+    g_assert_true(caller_is_whole(&lab.caller, &runs[0]));
+    lab_end(&lab);
+}
+
+/** A caller who has the answer up to a place within an event cannot be given the rest of that event. */
+static void test_last_event_within(void)
+{
+    lab_t lab;
+    caller_cursor_t run = {0};
+    lab_begin(&lab);
+    lab.request.stream = true;
+    lab.request.last_event = 3;
+    g_assert_cmpint(bring(&lab, &run, "ab", NULL), ==, TC_OK);
+    g_assert_cmpint(bring(&lab, &run, "cd", NULL), ==, TC_E_CONFLICT);
+    lab_end(&lab);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/answer/one-run", test_one_run);
+    g_test_add_func("/answer/same-again", test_same_again);
+    g_test_add_func("/answer/other-tokens", test_other_tokens);
+    g_test_add_func("/answer/other-lengths", test_other_lengths);
+    g_test_add_func("/answer/other-ends", test_other_ends);
+    g_test_add_func("/answer/not-whole", test_not_whole);
+    g_test_add_func("/answer/last-event-within", test_last_event_within);
+    return g_test_run();
+}
