Test: a resend that reaches another run of its answer (failing)

Cause: an entry that never had the request compares a new run with nothing: the caller's last event id says how far it has the answer, not which answer. /requests/resend-reaches-another-answer fails: tokens of a second run follow those of the first. /requests/resend-reaches-the-same-answer passes and holds that a run which agrees goes on.

--- a/tests/fault/test_requests.c
+++ b/tests/fault/test_requests.c
@@ -502,6 +502,55 @@
     wire_plain();
 }
 
+/** An entry dies with an answer half given, and so does the engine that has it. The caller comes to another entry with
+ *  the id of its last event, unchanged. */
+static void come_again_after_both_died(const char *id, client_t *rest, bool differs)
+{
+    char *const scheduler = cluster_scheduler(cluster, 10000);
+    const char *const entry = other_entry(scheduler);
+    client_t c;
+    client_init(&c, id, 500, 300);
+    client_start(&c, cluster, entry);
+    g_assert_true(client_wait_tokens(&c, 30, 10000));
+    char *const engine = busiest("decode");
+    cluster_signal(cluster, entry, SIGKILL);
+    cluster_fault(cluster, engine, "die", 0);
+    client_join(&c);
+    g_assert_false(c.wrong || c.doubled);
+    if (differs)
+        wire_decode(engine, "vary", 15, 0);
+    client_init(rest, id, 500, 300);
+    rest->resend = true;
+    rest->last_event = atomic_load(&c.got);
+    g_strlcpy(rest->event_id, c.event_id, sizeof(rest->event_id));
+    client_start(rest, cluster, scheduler);
+    client_join(rest);
+    cluster_fault(cluster, engine, "revive", 0);
+    cluster_spawn(cluster, entry);
+    g_assert_true(cluster_wait_ready(cluster, entry, 20000));
+    g_free(engine);
+    g_free(scheduler);
+    wire_plain();
+}
+
+/** The new run gives the same tokens: the answer goes on. */
+static void test_resend_reaches_the_same_answer(void)
+{
+    client_t rest;
+    come_again_after_both_died("resend-same", &rest, false);
+    assert_whole(&rest);
+}
+
+/** The new run gives others, already where the caller has the first one's: nothing of it may follow those. */
+static void test_resend_reaches_another_answer(void)
+{
+    client_t rest;
+    come_again_after_both_died("resend-other", &rest, true);
+    g_assert_false(rest.wrong || rest.doubled);
+    g_assert_false(rest.whole);
+    g_assert_cmpstr(rest.error, ==, "outcome_unknown");
+}
+
 /** Each run gets its own time: one that begins behind the first token's due time has as much for its prefill. */
 static void test_second_prefill_has_its_time(void)
 {
@@ -584,6 +633,8 @@
     g_test_add_func("/requests/second-run-differs-behind-a-halt", test_second_run_differs_behind_a_halt);
     g_test_add_func("/requests/second-run-breaks-before-the-first-ended",
                     test_second_run_breaks_before_the_first_ended);
+    g_test_add_func("/requests/resend-reaches-the-same-answer", test_resend_reaches_the_same_answer);
+    g_test_add_func("/requests/resend-reaches-another-answer", test_resend_reaches_another_answer);
     g_test_add_func("/requests/second-prefill-has-its-time", test_second_prefill_has_its_time);
     g_test_add_func("/requests/overload", test_overload);
     const int rc = g_test_run();
--- a/tests/harness/client.c
+++ b/tests/harness/client.c
@@ -43,6 +43,7 @@
     const unsigned got = atomic_load(&c->got);
     c->doubled = c->doubled || place <= got;
     c->wrong = c->wrong || place <= got || !standin_is_text(text, r->hash, got, place);
+    g_strlcpy(c->event_id, event->id, sizeof(c->event_id));
     atomic_store(&c->got, place);
     json_decref(body);
     return true;
@@ -75,9 +76,12 @@
     char *const url = g_strdup_printf("http://%s/v1/completions", c->addr);
     char *const body = g_strdup_printf("{\"model\":\"sahel-lm\",\"stream\":true,\"max_tokens\":%u,\"prompt\":\"%s\"}",
                                        c->max_tokens, prompt);
-    char id[96], event[48];
+    char id[96], event[80];
     snprintf(id, sizeof(id), "Idempotency-Key: %s", c->id);
-    snprintf(event, sizeof(event), "Last-Event-ID: %u", c->last_event);
+    if (c->event_id[0])
+        snprintf(event, sizeof(event), "Last-Event-ID: %s", c->event_id);
+    else
+        snprintf(event, sizeof(event), "Last-Event-ID: %u", c->last_event);
     const char *headers[4] = {id};
     size_t n = 1;
     if (c->resend)
--- a/tests/harness/client.h
+++ b/tests/harness/client.h
@@ -16,6 +16,7 @@
     bool once;           /* not repeatable */
     bool resend;         /* says that it sends this id again */
     unsigned last_event; /* the answer is had up to here */
+    char event_id[48];   /* id of the last event, as it came; set before it begins it is sent instead of last_event */
     /* what happened */
     pthread_t thread;
     atomic_uint got;   /* tokens, those before last_event included */
