Event ids say which answer a caller has, not only how far

Cause: an entry that takes over a request it never had has nothing to compare a new run with. When entry and engine died together, or an orphaned run was cancelled before its caller came again, the caller got the tokens of a second run behind those of the first; also a run that was shorter than what the caller had passed for whole.

Change: the id of an event is its place and 32 bits of a digest of the text up to there (FNV-1a, byte by byte, so that it does not depend on how the text was cut into events). A run that comes to the place of the caller's last event with another text, or ends before it, is outcome_unknown. A place alone is taken as before, so older entries, and callers who keep only the number, are served as they were. The load tool sends ids as they came.

Ruled out: comparing only on the box that gave the first run's tokens (as it was; a dead box compares nothing); keeping the text in the scheduler (as long as the answers themselves); XXH3's state (576 bytes for each answer, and aligned).

--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -119,6 +119,17 @@
     return strlen(id) > 0 && strlen(id) <= 64;
 }
 
+/** "PLACE-DIGEST" as send_event writes it; a place alone says how far the caller is, not with which answer. */
+static void read_last_event(caller_request_t *r, const char *id)
+{
+    char *end;
+    r->resend = id[0] != '\0';
+    r->last_event = (uint32_t)strtoul(id, &end, 10);
+    r->has_digest = r->last_event > 0 && *end == '-';
+    if (r->has_digest)
+        r->last_digest = (uint32_t)strtoul(end + 1, NULL, 16);
+}
+
 static int read_headers(struct mg_connection *conn, caller_request_t *r, tc_err_t *err)
 {
     const char *const id = http_header(conn, "Idempotency-Key");
@@ -136,9 +147,7 @@
         return bad(err, "X-Trackcove-Workspace", "is too long");
     codec_copy_string(r->workspace, sizeof(r->workspace), workspace[0] ? workspace : "default");
     r->repeatable = strcmp(http_header(conn, "X-Trackcove-Repeatable"), "no") != 0;
-    const char *const last_event = http_header(conn, "Last-Event-ID");
-    r->resend = last_event[0] != '\0';
-    r->last_event = (uint32_t)strtoul(last_event, NULL, 10);
+    read_last_event(r, http_header(conn, "Last-Event-ID"));
     return TC_OK;
 }
 
@@ -198,6 +207,24 @@
     r->chain = NULL;
 }
 
+/* ===== Digests of an answer ===== */
+
+/** FNV-1a, 64 bits: it goes on byte by byte, so that it does not depend on how a text was cut into events. */
+static const uint64_t HASH_START = 0xcbf29ce484222325, HASH_FACTOR = 0x100000001b3;
+
+static uint64_t hash_on(uint64_t hash, const char *text)
+{
+    for (const unsigned char *c = (const unsigned char *)text; *c; c++)
+        hash = (hash ^ *c) * HASH_FACTOR;
+    return hash;
+}
+
+/** What of the hash stands in an event id. */
+static uint32_t digest_of(const caller_t *c)
+{
+    return (uint32_t)(c->hash ^ (c->hash >> 32));
+}
+
 /* ===== Answering ===== */
 
 void caller_begin(caller_t *c, struct mg_connection *conn, const caller_request_t *request)
@@ -207,6 +234,7 @@
     c->request = request;
     c->text = g_string_new(NULL);
     c->event = g_string_sized_new(256);
+    c->hash = HASH_START;
     c->probed = tc_time_now();
 }
 
@@ -245,8 +273,8 @@
 static void send_event(caller_t *c, uint32_t place, const char *text, const char *finish)
 {
     GString *const out = c->event;
-    g_string_printf(out, "id: %u\ndata: {\"id\":\"%s\",\"object\":\"%s\",\"choices\":[{\"index\":0,%s", place,
-                    c->request->id, c->request->chat ? "chat.completion.chunk" : "text_completion",
+    g_string_printf(out, "id: %u-%08x\ndata: {\"id\":\"%s\",\"object\":\"%s\",\"choices\":[{\"index\":0,%s", place,
+                    digest_of(c), c->request->id, c->request->chat ? "chat.completion.chunk" : "text_completion",
                     c->request->chat ? "\"delta\":{\"content\":" : "\"text\":");
     append_json(out, text);
     g_string_append(out, c->request->chat ? "},\"finish_reason\":" : ",\"finish_reason\":");
@@ -272,6 +300,16 @@
     return behind >= out && !c->finished;
 }
 
+/** Promise: the tokens that follow a caller's last event are those of the answer it has. The answer cannot end before
+ * that event, and has the same text up to it. */
+static bool is_the_callers(const caller_t *c)
+{
+    const caller_request_t *const r = c->request;
+    if (c->places < r->last_event)
+        return !c->finished;
+    return c->places > r->last_event || !r->has_digest || digest_of(c) == r->last_digest;
+}
+
 int caller_tokens(caller_t *c, caller_cursor_t *cursor, uint32_t place, const char *text, const char *finish)
 {
     const size_t size = strlen(text), ahead = c->text->len - cursor->offset;
@@ -283,14 +321,15 @@
     cursor->offset += size;
     if (place <= c->places)
         return TC_OK;
-    const uint32_t last_event = c->request->last_event;
-    /* Promise: each token once. Where the caller's last event ends within this one its text cannot be told apart. */
-    if (c->request->stream && c->places < last_event && place > last_event)
-        return TC_E_CONFLICT;
+    const bool within = c->places < c->request->last_event && place > c->request->last_event;
     c->places = place;
     c->finished = finish != NULL;
     g_string_append(c->text, text + known);
-    if (c->request->stream && place > last_event)
+    c->hash = hash_on(c->hash, text + known);
+    /* Where the caller's last event ends within this one, what is new in it cannot be told apart. */
+    if (c->request->stream && (within || !is_the_callers(c)))
+        return TC_E_CONFLICT;
+    if (c->request->stream && place > c->request->last_event)
         send_event(c, place, text + known, finish);
     c->probed = tc_time_now();
     return c->http.broken ? TC_E_CANCELLED : TC_OK;
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -23,6 +23,8 @@
     bool resend; /**< the caller says that it sent this id before */
     uint32_t prompt_tokens, max_tokens, priority;
     uint32_t last_event;    /**< the caller has the answer up to this place */
+    bool has_digest;        /**< and said, by the id of its last event, which answer */
+    uint32_t last_digest;   /**< of the text up to there */
     tc_time_t arrived, due; /**< due: when the first token is to be out */
     char *prompt_json;      /**< the prompt as a JSON string, heap */
     size_t prompt_json_size;
@@ -42,6 +44,7 @@
     GString *event;  /**< the event being written */
     uint32_t places; /**< tokens out */
     bool finished;   /**< the last of them was said to be the last of the answer */
+    uint64_t hash;   /**< of the text; event ids carry it, so that another entry can tell which answer a caller has */
     tc_time_t probed;
 } caller_t;
 
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -73,8 +73,9 @@
 
 typedef struct {
     uint64_t hash;
-    uint32_t length; /* what the answer must be */
-    uint32_t got;    /* tokens in order so far */
+    uint32_t length;   /* what the answer must be */
+    uint32_t got;      /* tokens in order so far */
+    char event_id[48]; /* id of the event that brought the last of them, as it came */
     bool wrong, doubled, done;
     saw_t error; /* an error event came */
     bool has_error;
@@ -133,7 +134,10 @@
     json_t *const body = json_loads(event->data, 0, NULL);
     const char *const text =
         json_string_value(json_object_get(json_array_get(json_object_get(body, "choices"), 0), "text"));
-    take_token(r, (uint32_t)strtoul(event->id, NULL, 10), text ? text : "");
+    const uint32_t place = (uint32_t)strtoul(event->id, NULL, 10);
+    if (place > r->got)
+        g_strlcpy(r->event_id, event->id, sizeof(r->event_id));
+    take_token(r, place, text ? text : "");
     json_decref(body);
     return true;
 }
@@ -157,11 +161,11 @@
 static bool complete_once(const char *addr, const char *model, const mix_request_t *q, const char *id, reading_t *r,
                           outcome_t *out)
 {
-    char url[256], id_header[128], workspace[64], event[48];
+    char url[256], id_header[128], workspace[64], event[80];
     snprintf(url, sizeof(url), "http://%s/v1/completions", addr);
     snprintf(id_header, sizeof(id_header), "Idempotency-Key: %s", id);
     snprintf(workspace, sizeof(workspace), "X-Trackcove-Workspace: ws-%u", q->workspace);
-    snprintf(event, sizeof(event), "Last-Event-ID: %u", r->got);
+    snprintf(event, sizeof(event), "Last-Event-ID: %s", r->event_id[0] ? r->event_id : "0");
     const char *headers[5] = {id_header, workspace};
     size_t n = 2;
     if (r->sent) /* whoever sends again says so, with what it has */
--- a/tests/unit/test_answer.c
+++ b/tests/unit/test_answer.c
@@ -151,6 +151,46 @@
     lab_end(&lab);
 }
 
+/** Whoever goes on behind a caller's last event has the same text up to there, or is refused where it ends. */
+static void test_last_event_of_another_answer(void)
+{
+    lab_t first, second;
+    caller_cursor_t run = {0};
+    lab_begin(&first);
+    g_assert_cmpint(bring(&first, &run, "abc", NULL), ==, TC_OK);
+    const uint32_t digest = (uint32_t)(first.caller.hash ^ (first.caller.hash >> 32));
+    lab_end(&first);
+    static const char *const texts[] = {"abc", "abd", "xbc"};
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        for (size_t cut = 0; cut < 3; cut++) { /* however the text is cut into events */
+            lab_begin(&second);
+            second.request.stream = true;
+            second.request.last_event = 3;
+            second.request.has_digest = true;
+            second.request.last_digest = digest;
+            run = (caller_cursor_t){0};
+            char head[8];
+            g_strlcpy(head, texts[i], cut + 1);
+            g_assert_cmpint(cut ? bring(&second, &run, head, NULL) : TC_OK, ==, TC_OK);
+            g_assert_cmpint(bring(&second, &run, texts[i] + cut, NULL), ==, i == 0 ? TC_OK : TC_E_CONFLICT);
+            lab_end(&second);
+        }
+    }
+}
+
+/** An answer that ends before a caller's last event is not the one the caller has. */
+static void test_last_event_behind_the_end(void)
+{
+    lab_t lab;
+    caller_cursor_t run = {0};
+    lab_begin(&lab);
+    lab.request.stream = true;
+    lab.request.last_event = 5;
+    g_assert_cmpint(bring(&lab, &run, "ab", NULL), ==, TC_OK);
+    g_assert_cmpint(bring(&lab, &run, "c", "stop"), ==, TC_E_CONFLICT);
+    lab_end(&lab);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -161,5 +201,7 @@
     g_test_add_func("/answer/other-ends", test_other_ends);
     g_test_add_func("/answer/not-whole", test_not_whole);
     g_test_add_func("/answer/last-event-within", test_last_event_within);
+    g_test_add_func("/answer/last-event-of-another-answer", test_last_event_of_another_answer);
+    g_test_add_func("/answer/last-event-behind-the-end", test_last_event_behind_the_end);
     return g_test_run();
 }
