Baselines: a run given up for another decode engine is cancelled where it was

Cause: without a scheduler an entry cancels for itself, at the end of the attempt, by the placement it has then. A replanned attempt has another id at the engines, so the first decode engine went on to the end of the answer and held its memory.

Change: what is left is cancelled when the next engine is chosen. The prefill engine's result under the first id is not: the next decode engine needs it, and it is lost by itself within its hold time.

--- a/lib/request/completion.c
+++ b/lib/request/completion.c
@@ -125,15 +125,11 @@
 }
 
 /** The baselines have no scheduler that frees engines: each entry cancels for itself. */
-static void cancel_alone(const placement_t *p)
+static void cancel_alone(const placement_t *p, const engine_cfg_t *engine)
 {
     tc_err_t err = {0};
-    if (p->policy > POLICY_LEAST_LOADED)
-        return;
-    if (p->prefill.url[0])
-        (void)engine_cancel(p->prefill.name, p->prefill.url, p->engine_id, CANCEL_LIMIT_MS, &err);
-    if (p->decode.url[0])
-        (void)engine_cancel(p->decode.name, p->decode.url, p->engine_id, CANCEL_LIMIT_MS, &err);
+    if (p->policy <= POLICY_LEAST_LOADED && engine->url[0])
+        (void)engine_cancel(engine->name, engine->url, p->engine_id, CANCEL_LIMIT_MS, &err);
 }
 
 /** The attempt is over without a whole answer. */
@@ -142,7 +138,8 @@
     run_t *const run = at->run;
     counter_add(&c_dropped, at->dropped);
     placer_progress(run->entry, run->request->id, &at->placement, PHASE_FAILED, 0, NULL, bad, true);
-    cancel_alone(&at->placement);
+    cancel_alone(&at->placement, &at->placement.prefill);
+    cancel_alone(&at->placement, &at->placement.decode);
     const held_t none = {.phase = PHASE_QUEUED};
     inflight_update(&run->entry->inflight, &run->inflight, &none);
 }
@@ -270,10 +267,12 @@
     for (int replans = 0; rc < 0 && replans < REPLANS_MAX && may_replan(at, rc); replans++) {
         log_trouble(at, "handover_failed");
         const placer_request_t request = placer_request(run);
+        const placement_t left = at->placement;
         tc_err_t refused; /* the attempt fails on the engine, not on whoever refuses another */
         if (placer_replan(run->entry, &request, &at->placement, &refused) < 0)
             break;
         counter_add(&c_replans, 1);
+        cancel_alone(&left, &left.decode); /* known there by an id that goes with the placement */
         say_phase(at, PHASE_TRANSFER);
         rc = read_run(at, prefill, first_token_limit(at));
     }
