Proxies of the tests fall silent after some bytes of one direction; a back end that stands still takes no new request

Needed by the soak, to find streams that stop within an event: until now a proxy lost whole directions or whole connections from a moment on, never from a place in the bytes. proxy_mute is the same with no bytes left. A fake back end that stands still accepted a new connection and took its request, which a process that stands still does not.

--- a/tests/harness/lab.c
+++ b/tests/harness/lab.c
@@ -209,7 +209,7 @@
     c->in = g_string_new(NULL);
     c->watch = (loop_watch_t){.fd = fd, .on_io = on_conn, .arg = c};
     cds_list_add(&c->node, &b->conns);
-    loop_watch(b->loop, &c->watch, EPOLLIN);
+    loop_watch(b->loop, &c->watch, b->frozen ? 0u : EPOLLIN);
 }
 
 static int listen_at(const char *addr)
--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <netinet/tcp.h>
+#include <stdint.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -21,6 +22,9 @@
     AHEAD_MS = 20 /* what a narrow way holds of bytes that it has read: the sender waits for the rest */
 };
 
+/** Of bytes that may pass. */
+static const size_t ANY_NUMBER = SIZE_MAX;
+
 const char *const proxy_mode_names[PROXY_MODES] = {"pass", "delay", "lose answers", "lose calls", "lose all"};
 
 typedef struct side side_t;
@@ -41,6 +45,7 @@
     tc_time_t free_at;        /* of a narrow way: when all that waits for this end is written */
     bool held;                /* not read for now */
     bool ended;               /* nothing comes from it any more */
+    size_t left;              /* bytes that come from it and may still pass */
 };
 
 /** A connection through the proxy. */
@@ -49,7 +54,7 @@
     proxy_t *proxy;
     side_t caller, listener;
     bool harmed; /* bytes of it are lost */
-    bool mute;   /* all are, for good */
+    bool mute;   /* for good */
 } pair_t;
 
 struct proxy {
@@ -111,8 +116,6 @@
 static bool is_lost(const side_t *from)
 {
     const bool from_caller = from == &from->pair->caller;
-    if (from->pair->mute)
-        return true;
     switch (from->pair->proxy->mode) {
     case PROXY_NO_ANSWER: return !from_caller;
     case PROXY_NO_CALL: return from_caller;
@@ -121,6 +124,16 @@
     }
 }
 
+/** How many of @p size bytes that come now may pass: the first ones. */
+static size_t take_passing(side_t *from, size_t size)
+{
+    if (is_lost(from))
+        return 0;
+    const size_t passing = MIN(size, from->left);
+    from->left -= from->left == ANY_NUMBER ? 0 : passing;
+    return passing;
+}
+
 /** When bytes that come now may be written to @p to. */
 static tc_time_t due_at(const proxy_t *proxy, side_t *to, size_t size, tc_time_t now)
 {
@@ -161,15 +174,15 @@
             loop_rewatch(p->proxy->loop, &from->watch, 0);
         return;
     }
-    if (is_lost(from)) {
-        p->harmed = true;
+    const size_t passing = take_passing(from, (size_t)n);
+    p->harmed |= passing < (size_t)n;
+    if (passing == 0)
         return;
-    }
     const tc_time_t now = tc_time_now();
-    chunk_t *const chunk = g_malloc0(sizeof(*chunk) + (size_t)n);
-    chunk->size = (size_t)n;
-    chunk->due = due_at(p->proxy, to, (size_t)n, now);
-    memcpy(chunk->data, buffer, (size_t)n);
+    chunk_t *const chunk = g_malloc0(sizeof(*chunk) + passing);
+    chunk->size = passing;
+    chunk->due = due_at(p->proxy, to, passing, now);
+    memcpy(chunk->data, buffer, passing);
     cds_list_add_tail(&chunk->node, &to->out);
     hold(from, to, now);
     (void)side_flush(to, now);
@@ -197,6 +210,7 @@
 static void side_init(side_t *s, pair_t *p, int fd)
 {
     s->pair = p;
+    s->left = ANY_NUMBER;
     s->watch = (loop_watch_t){.fd = fd, .on_io = on_io, .arg = s};
     const int on = 1; /* what passes is not held back by our own kernel */
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -261,8 +275,20 @@
 void proxy_mute(proxy_t *proxy)
 {
     pair_t *p;
-    cds_list_for_each_entry(p, &proxy->pairs, node)
+    cds_list_for_each_entry(p, &proxy->pairs, node) {
+        p->mute = true;
+        p->caller.left = p->listener.left = 0;
+    }
+}
+
+void proxy_mute_after(proxy_t *proxy, bool answers, size_t bytes)
+{
+    pair_t *p;
+    cds_list_for_each_entry(p, &proxy->pairs, node) {
+        side_t *const from = answers ? &p->listener : &p->caller;
         p->mute = true;
+        from->left = MIN(from->left, bytes);
+    }
 }
 
 void proxy_set(proxy_t *proxy, proxy_mode_t mode)
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -32,6 +32,9 @@
 void proxy_set_rate(proxy_t *proxy, size_t rate);
 /** The connections that stand lose all from now on, for good; new ones pass. */
 void proxy_mute(proxy_t *proxy);
+/** The connections that stand let @p bytes more of one direction pass, lose what follows in it for good, and stay open;
+ *  new ones pass. @param answers the direction from the side that listens, else that from the side that dialled */
+void proxy_mute_after(proxy_t *proxy, bool answers, size_t bytes);
 /** Reset all connections. */
 void proxy_reset(proxy_t *proxy);
 /** Close everything. */
