A deliberate fault: what a silent run left of an event stands before the next run's bytes

Cause: the checks must show that they find the class of the joined stream events, bytes of one run that outlive it. Compiled out unless `make sabotage` builds it.

--- a/Makefile
+++ b/Makefile
@@ -168,8 +168,8 @@
 # randomised log alone: a leader that was paused hears of its successor before it reads the next question.
 SABOTAGE = $(MAKE) --no-print-directory -s BUILD=build-sabotage-$$which CFLAGS="-O2 -g -DTRACKCOVE_SABOTAGE=$$which"
 .PHONY: sabotage
-sabotage: setup $(SOAK) ## three deliberate faults, each to be found within SEEDS=N soaks, or by the randomised log
-	@missed=0; for which in 1 3; do found=0; $(SABOTAGE) platform >/dev/null || exit 1; \
+sabotage: setup $(SOAK) ## four deliberate faults, each to be found within SEEDS=N soaks, or by the randomised log
+	@missed=0; for which in 1 3 4; do found=0; $(SABOTAGE) platform >/dev/null || exit 1; \
 	    for seed in $$(seq 1 $(or $(SEEDS),10)); do \
 	        if ! $(SOAK) --bin build-sabotage-$$which/bin --seed $$seed --seconds $(or $(SECONDS),15) >/dev/null 2>build-sabotage-$$which/broken; then \
 	            echo "fault $$which: found by the soak with seed $$seed: $$(head -1 build-sabotage-$$which/broken)"; found=1; break; fi; done; \
--- a/lib/common/sabotage.h
+++ b/lib/common/sabotage.h
@@ -8,6 +8,7 @@
 #define SABOTAGE_EARLY_ANSWER 1 /* an operator hears that a document is accepted before it is on any other disk */
 #define SABOTAGE_NO_LEASE 2     /* a leader answers reads without asking whether it still leads */
 #define SABOTAGE_RUN_TWICE 3    /* a request that must run once is sent again after its answer was lost */
+#define SABOTAGE_JOINED_RUNS 4  /* what a silent run left of an event stands before the next run's bytes */
 
 #ifdef TRACKCOVE_SABOTAGE
 #define SABOTAGE_IS(which) (TRACKCOVE_SABOTAGE == (which))
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "common/counter.h"
+#include "common/sabotage.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_unfinished, "counter", "trackcove_stream_unfinished_total",
@@ -63,12 +64,38 @@
     return g_ascii_strtoull(id, NULL, 10) > g_ascii_strtoull(after, NULL, 10);
 }
 
+/* ===== A deliberate fault ===== */
+
+/** Bytes that silent runs left of an event, by their request. */
+static GHashTable *left_over;
+
+static void keep_left_over(const step_t *s)
+{
+    if (!left_over)
+        left_over = g_hash_table_new(NULL, NULL);
+    if (s->given_up)
+        g_hash_table_insert(left_over, s->request, g_byte_array_ref(s->run.partial));
+}
+
+static void add_left_over(step_t *s)
+{
+    GByteArray *const bytes = left_over ? g_hash_table_lookup(left_over, s->request) : NULL;
+    if (!bytes)
+        return;
+    g_hash_table_remove(left_over, s->request);
+    if (s->request->stream_runs > 0) /* else they are of another request, which stood there before */
+        g_byte_array_append(s->run.partial, bytes->data, bytes->len);
+    g_byte_array_unref(bytes);
+}
+
 /* ===== Runs ===== */
 
 void stream_begin(step_t *s)
 {
     forward_t *const f = s->request;
     s->run.partial = g_byte_array_new();
+    if (SABOTAGE_IS(SABOTAGE_JOINED_RUNS))
+        add_left_over(s);
     s->run.after = g_strdup(f->last_event);
     f->stream_runs++;
 }
@@ -89,7 +116,9 @@
         return;
     forward_log_run(s, why);
     counter_add(&c_unfinished, !stream_is_whole(s));
-    g_byte_array_free(s->run.partial, TRUE);
+    if (SABOTAGE_IS(SABOTAGE_JOINED_RUNS))
+        keep_left_over(s);
+    g_byte_array_unref(s->run.partial);
     g_free(s->run.after);
     g_free(s->run.first);
     g_free(s->run.last);
