The soak finds events that no run made: paced engines that stop within an event, callers that come back, a record

Cause: engines of the soak wrote a stream in one piece and tore it by a reset alone, callers compared one fixed text. So a run that fell silent within an event, the case of the joined stream events, never came about.

Change: decode engines send a stream of 5 to 30 tokens at a pace, in parts that end at any byte, with LF or CR LF, with several tokens in an event, divided anew by each run; they break off by reset, in order or by ending the chunks, stop and stay open, stand still and wake. Ways to workers fall silent after some bytes. Two of three stream routes name a pause. Callers close within an answer and come back at another box behind the last event they had whole. Each event that a run made is recorded with its run and tokens; each that a caller gets must be one of them byte for byte, stand behind the one before over all its answers, and come of a run that went on behind it; an answer that ends well must be complete. No exception is allowed.

--- /dev/null
+++ b/tests/platform/soak/engines.c
@@ -0,0 +1,301 @@
+#include "platform/soak/engines.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ===== Reading and answering ===== */
+
+static char *header_of(const char *request, const char *name)
+{
+    char *const line = g_strdup_printf("\r\n%s: ", name);
+    const char *const at = strstr(request, line);
+    char *const value = at ? g_strndup(at + strlen(line), strcspn(at + strlen(line), "\r")) : g_strdup("");
+    g_free(line);
+    return value;
+}
+
+/** A worker begins to work on a try. */
+static void note_run(world_t *w, const char *id)
+{
+    try_t *const t = world_try(w, id);
+    t->runs++;
+    if (t->once && t->runs > 1)
+        world_broken(w, "a request that must run once ran twice", id);
+    if (t->refused)
+        world_broken(w, "a request that was refused as not run ran", id);
+}
+
+static lab_reply_t reply(lab_end_t end, const char *format, ...) __attribute__((format(printf, 2, 3)));
+static lab_reply_t reply(lab_end_t end, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    char *const bytes = g_strdup_vprintf(format, args);
+    va_end(args);
+    return (lab_reply_t){.bytes = bytes, .end = end};
+}
+
+static lab_reply_t refuse(void)
+{
+    return reply(LAB_KEEP, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+/* ===== Streams ===== */
+
+/** How a stream ends. */
+typedef enum {
+    TEAR_NONE,
+    TEAR_RESET,
+    TEAR_CLOSE, /* in order, without the end of the chunks */
+    TEAR_END,   /* the chunks end well, within an event */
+    TEAR_STOP,  /* it falls silent, the connection stays */
+    TEARS
+} tear_t;
+
+enum {
+    EVENT_TOKENS = 4,  /* most in one event */
+    FILLER_BYTES = 60, /* most of an event's text behind what names it */
+    PART_BYTES = 120,  /* most of a stream sent at once: an event has 40 to 150 */
+    PACE_MS = 25       /* most between two parts */
+};
+
+/** An event as engines write them: its id before or behind its text, or behind the line of a version. */
+static GString *write_event(world_t *w, const char *text, unsigned id, const char *nl)
+{
+    GString *const out = g_string_new(NULL);
+    const int shape = world_pick(w, 3);
+    if (shape == 0)
+        g_string_append_printf(out, "id: %u%sdata: %s%s%s", id, nl, text, nl, nl);
+    else if (shape == 1)
+        g_string_append_printf(out, "data: %s%sid: %u%s%s", text, nl, id, nl, nl);
+    else
+        g_string_append_printf(out, "versions: 1%sid: %u%sdata: %s%sdata: more%s%s", nl, id, nl, text, nl, nl, nl);
+    return out;
+}
+
+/** Make the events behind the token that the run goes on behind, its own way. @return record_event_t */
+static GArray *make_events(world_t *w, const record_t *r, const char *name, unsigned after)
+{
+    GArray *const events = g_array_new(FALSE, FALSE, sizeof(record_event_t));
+    const record_run_t run = {.number = ++w->runs, .after = after};
+    const char *const nl = world_pick(w, 2) ? "\n" : "\r\n";
+    const unsigned most = 1 + (unsigned)world_pick(w, EVENT_TOKENS);
+    for (unsigned first = after + 1, last; first <= r->tokens; first = last + 1) {
+        const unsigned more = (unsigned)world_pick(w, (int)most);
+        last = MIN(r->tokens, first + more);
+        char *const text = g_strdup_printf("%s run %u tokens %u to %u %.*s", name, run.number, first, last,
+                                           world_pick(w, FILLER_BYTES + 1),
+                                           "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefgh");
+        const record_event_t e = {run, first, last, 0, write_event(w, text, last, nl)};
+        g_array_append_val(events, e);
+        g_free(text);
+    }
+    return events;
+}
+
+static size_t size_of(const GArray *events)
+{
+    size_t size = 0;
+    for (guint i = 0; i < events->len; i++)
+        size += g_array_index(events, record_event_t, i).bytes->len;
+    return size;
+}
+
+/** Whether a stream that is cut there ends within an event. */
+static bool is_within(const GArray *events, size_t cut)
+{
+    size_t end = 0;
+    for (guint i = 0; i < events->len && end < cut; i++)
+        end += g_array_index(events, record_event_t, i).bytes->len;
+    return end != cut;
+}
+
+/** Bytes that are sent of a stream that breaks off: any place, but the chunks never end well between two events, since
+ *  nobody could tell that from a whole answer. */
+static size_t choose_cut(world_t *w, const GArray *events, tear_t tear)
+{
+    const size_t cut = (size_t)world_pick(w, (int)size_of(events));
+    return tear == TEAR_END && !is_within(events, cut) ? cut + 1 : cut;
+}
+
+/** Record the events. @return the first @p cut bytes of them */
+static GString *record_events(record_t *r, GArray *events, size_t cut)
+{
+    GString *const out = g_string_new(NULL);
+    for (guint i = 0; i < events->len; i++) {
+        record_event_t *const e = &g_array_index(events, record_event_t, i);
+        e->written = MIN(e->bytes->len, cut - out->len);
+        g_string_append_len(out, e->bytes->str, (gssize)e->written);
+        record_add(r, e);
+    }
+    return out;
+}
+
+static void add_piece(GArray *pieces, size_t size, tc_time_t wait)
+{
+    const lab_piece_t piece = {.size = size, .wait = wait};
+    g_array_append_val(pieces, piece);
+}
+
+/** Add @p bytes as chunks that end anywhere, each sent at its time, some in two parts. */
+static void add_chunks(world_t *w, GString *out, GArray *pieces, const GString *bytes)
+{
+    for (size_t at = 0, size; at < bytes->len; at += size) {
+        const size_t before = out->len;
+        const size_t part = 1 + (size_t)world_pick(w, PART_BYTES);
+        size = MIN(bytes->len - at, part);
+        g_string_append_printf(out, "%zx\r\n%.*s\r\n", size, (int)size, bytes->str + at);
+        const size_t chunk = out->len - before;
+        const size_t now = world_pick(w, 4) ? chunk : 1 + (size_t)world_pick(w, (int)chunk - 1);
+        add_piece(pieces, now, world_pick(w, PACE_MS));
+        if (now < chunk)
+            add_piece(pieces, chunk - now, world_pick(w, PACE_MS));
+    }
+}
+
+static lab_end_t end_of(tear_t tear)
+{
+    switch (tear) {
+    case TEAR_RESET: return LAB_RESET;
+    case TEAR_CLOSE: return LAB_CLOSE;
+    case TEAR_STOP: return LAB_HANG;
+    default: return LAB_KEEP;
+    }
+}
+
+/** A run of a stream, whose name is the request's body. */
+static lab_reply_t stream(struct worker *me, const char *id, const char *request, tear_t tear)
+{
+    world_t *const w = me->world;
+    const char *const name = strstr(request, "\r\n\r\n") + 4;
+    char *const asked = header_of(request, "Last-Event-Id");
+    record_t *const r = world_stream(w, name, 0);
+    const unsigned after = (unsigned)strtoul(asked, NULL, 10);
+    if (!r || !record_ends_with(r, after)) {
+        world_broken(w, "a run is asked to go on behind an event that was made", id);
+        g_free(asked);
+        return refuse();
+    }
+    g_free(asked);
+    GArray *const events = make_events(w, r, name, after);
+    const bool tears = tear != TEAR_NONE && events->len > 0;
+    const size_t cut = tears ? choose_cut(w, events, tear) : size_of(events);
+    w->torn += is_within(events, cut);
+    GString *const sent = record_events(r, events, cut);
+    GString *const out = g_string_new(NULL);
+    g_string_printf(out,
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\nContent-Type: text/event-stream\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n",
+                    id, me->id);
+    GArray *const pieces = g_array_new(FALSE, FALSE, sizeof(lab_piece_t));
+    add_piece(pieces, out->len, world_pick(w, PACE_MS));
+    add_chunks(w, out, pieces, sent);
+    g_string_append(out, !tears || tear == TEAR_END ? "0\r\n\r\n" : "");
+    g_string_free(sent, TRUE);
+    g_array_free(events, TRUE);
+    return (lab_reply_t){.bytes = g_string_free(out, FALSE), .end = tears ? end_of(tear) : LAB_KEEP, .pieces = pieces};
+}
+
+/* ===== Workers ===== */
+
+static lab_reply_t serve(struct worker *me, const char *id, const char *request)
+{
+    world_t *const w = me->world;
+    const bool wrong = world_draw(w) < me->trouble;
+    const int how = world_pick(w, 6);
+    if (wrong && how == 0)
+        return refuse();
+    note_run(w, id);
+    if (me->kind == 2)
+        return stream(me, id, request, wrong ? (tear_t)(1 + world_pick(w, TEARS - 1)) : TEAR_NONE);
+    if (wrong && how == 1)
+        return reply(LAB_RESET, "%s", "");
+    if (wrong && how == 2)
+        return reply(LAB_HANG, "%s", "");
+    if (wrong && how == 3)
+        return reply(LAB_CLOSE, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 99\r\n\r\npart");
+    if (wrong && how == 4)
+        return reply(LAB_KEEP, "HTTP/1.1 500 No\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nno",
+                     id);
+    return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %zu\r\n\r\n%s", id,
+                 strlen(id), id);
+}
+
+static lab_reply_t on_request(void *arg, const char *request)
+{
+    struct worker *const me = arg;
+    if (g_str_has_prefix(request, "DELETE "))
+        return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    char *const id = header_of(request, "Attempt-Id");
+    char *const expected = header_of(request, "Expect-Instance");
+    char *const stage = header_of(request, "Stage");
+    lab_reply_t answer;
+    if (strcmp(expected, me->id) != 0)
+        answer = reply(LAB_KEEP, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+    else if (me->kind == 1 && strcmp(stage, "prefill") == 0 && world_draw(me->world) >= me->trouble)
+        answer = reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"prefill_handle\":\"h1\"}");
+    else if (me->kind == 1)
+        answer = refuse();
+    else
+        answer = serve(me, id, request);
+    g_free(id);
+    g_free(expected);
+    g_free(stage);
+    return answer;
+}
+
+/* ===== The list of workers ===== */
+
+lab_reply_t engines_list(void *arg, const char *request)
+{
+    world_t *const w = arg;
+    (void)request;
+    GString *const list = g_string_new("{\"instances\":[");
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        const struct worker *const k = &w->worker[i];
+        static const char *const stages[] = {"", ",\"stage\":\"prefill\"", ",\"stage\":\"decode\""};
+        g_string_append_printf(list,
+                               "%s{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\",\"slots\":24,"
+                               "\"state\":\"%s\"%s}",
+                               i ? "," : "", k->id, k->kind ? "lm" : "app", k->addr, i % 2,
+                               k->draining ? "draining" : "ready", stages[k->kind]);
+    }
+    g_string_append(list, "],\"next_token\":null}");
+    const lab_reply_t answer =
+        reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", list->len, list->str);
+    g_string_free(list, TRUE);
+    return answer;
+}
+
+/* ===== Life ===== */
+
+void engine_create(world_t *w, int i)
+{
+    struct worker *const k = &w->worker[i];
+    k->world = w;
+    k->kind = i < WORLD_PREFILL ? 0 : (i < WORLD_DECODE ? 1 : 2);
+    g_snprintf(k->id, sizeof(k->id), "i-%d", i);
+    char own[32];
+    lab_free_addr(own);
+    k->backend = lab_backend_start(w->loop, own, on_request, k);
+    lab_free_addr(k->addr);
+    k->way = proxy_start(w->loop, k->addr, own);
+}
+
+void engine_freeze(struct worker *k, tc_time_t until)
+{
+    k->wake_at = until;
+    lab_backend_freeze(k->backend, true);
+}
+
+void engine_wake(struct worker *k)
+{
+    k->wake_at = 0;
+    lab_backend_freeze(k->backend, false);
+}
+
+void engine_destroy(struct worker *k)
+{
+    proxy_stop(k->way);
+    lab_backend_stop(k->backend);
+}
--- /dev/null
+++ b/tests/platform/soak/record.c
@@ -0,0 +1,123 @@
+#include "platform/soak/record.h"
+
+#include <string.h>
+
+/* ===== Life ===== */
+
+static void event_free(void *arg)
+{
+    record_event_t *const e = arg;
+    g_string_free(e->bytes, TRUE);
+    g_free(e);
+}
+
+record_t *record_create(unsigned tokens)
+{
+    record_t *const r = g_new0(record_t, 1);
+    r->tokens = tokens;
+    r->events = g_ptr_array_new_with_free_func(event_free);
+    return r;
+}
+
+void record_destroy(record_t *r)
+{
+    g_ptr_array_free(r->events, TRUE);
+    g_free(r);
+}
+
+/* ===== What runs make ===== */
+
+void record_add(record_t *r, const record_event_t *event)
+{
+    record_event_t *const copy = g_new(record_event_t, 1);
+    *copy = *event;
+    g_ptr_array_add(r->events, copy);
+}
+
+bool record_ends_with(const record_t *r, unsigned token)
+{
+    for (guint i = 0; i < r->events->len; i++)
+        if (((const record_event_t *)g_ptr_array_index(r->events, i))->last == token)
+            return true;
+    return token == 0;
+}
+
+/* ===== What a caller gets ===== */
+
+/** Bytes of the first event, 0 when it is not whole: it ends with an empty line. */
+static size_t event_size(const char *data, size_t size)
+{
+    size_t line = 0; /* where it begins */
+    for (size_t i = 0; i < size; i++) {
+        if (data[i] != '\n')
+            continue;
+        const bool empty = i == line || (i == line + 1 && data[line] == '\r');
+        if (empty && line > 0)
+            return i + 1;
+        line = i + 1;
+    }
+    return 0;
+}
+
+/** The event that a run sent whole and that is this one byte for byte, or NULL. */
+static const record_event_t *find_whole(const record_t *r, const char *data, size_t size)
+{
+    for (guint i = 0; i < r->events->len; i++) {
+        const record_event_t *const e = g_ptr_array_index(r->events, i);
+        if (e->written == size && e->bytes->len == size && memcmp(e->bytes->str, data, size) == 0)
+            return e;
+    }
+    return NULL;
+}
+
+/** A run that is not the one before went on behind what the caller had, and no run comes back after another. */
+static bool may_follow(const record_t *r, const record_event_t *e)
+{
+    if (e->run.number == r->run)
+        return true;
+    return e->run.number > r->run && e->run.after == r->last;
+}
+
+static const char *take_event(record_t *r, const char *data, size_t size)
+{
+    const record_event_t *const e = find_whole(r, data, size);
+    if (!e)
+        return "each event of a stream is one that a run made, byte for byte";
+    if (e->first <= r->last)
+        return "no event of a stream is repeated";
+    if (e->first > r->last + 1)
+        return "no event of a stream is lost";
+    if (!may_follow(r, e))
+        return "a run of a stream goes on behind the event before it";
+    r->last = e->last;
+    r->run = e->run.number;
+    return NULL;
+}
+
+/** What is left of an answer that broke off within an event is the beginning of what a run made of the next one. */
+static bool is_beginning(const record_t *r, const char *data, size_t size)
+{
+    for (guint i = 0; i < r->events->len; i++) {
+        const record_event_t *const e = g_ptr_array_index(r->events, i);
+        if (e->first == r->last + 1 && may_follow(r, e) && e->written >= size && memcmp(e->bytes->str, data, size) == 0)
+            return true;
+    }
+    return size == 0;
+}
+
+const char *record_take(record_t *r, const char *body, size_t size, bool whole)
+{
+    size_t length;
+    while ((length = event_size(body, size)) > 0) {
+        const char *const broken = take_event(r, body, length);
+        if (broken)
+            return broken;
+        body += length;
+        size -= length;
+    }
+    if (!is_beginning(r, body, size))
+        return "the torn end of a stream is one that a run made";
+    if (whole && (size > 0 || r->last != r->tokens))
+        return "a stream that ends well is complete";
+    return NULL;
+}
--- /dev/null
+++ b/tests/platform/soak/routes.c
@@ -0,0 +1,61 @@
+#include "platform/soak/routes.h"
+
+/* ===== Kinds ===== */
+
+const char *const kind_paths[KINDS] = {"safe", "once", "stream", "resumable", "patient"};
+
+bool kind_is_stream(kind_t kind)
+{
+    return kind >= KIND_STREAM;
+}
+
+bool kind_is_resumable(kind_t kind)
+{
+    return kind == KIND_RESUMABLE || kind == KIND_PATIENT;
+}
+
+/* ===== The configuration ===== */
+
+enum { IDLE_ROUTES = 2000 };
+
+/** Longest pause that a route names: a stream is silent after four of them, and engines pause for less than one. */
+#define GAP_AIM "\"gap_aim_ms\":40,"
+
+/** Routes that nobody asks for: every third version has two thousand, so that configurations grow and shrink. */
+static void add_idle_routes(GString *text, uint64_t version)
+{
+    const int routes = version % 3 == 0 ? IDLE_ROUTES : 0;
+    for (int i = 0; i < routes; i++)
+        g_string_append_printf(
+            text, "{\"host\":\"idle\",\"path_prefix\":\"/%08x/%d/\",\"timeout_ms\":900,\"service\":\"app\"},",
+            (unsigned)i * 2654435761u, i);
+}
+
+static void add_route(GString *text, kind_t kind)
+{
+    static const char *const kinds[KINDS] = {"safe", "unsafe", "stream", "stream", "stream"};
+    static const int runs[KINDS] = {2, 1, 2, 3, 3};
+    g_string_append_printf(text,
+                           "{\"host\":\"h\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,"
+                           "\"max_attempts\":%d,\"resumable\":%s,%s\"service\":\"%s\"},",
+                           kind_paths[kind], kinds[kind], runs[kind], kind_is_resumable(kind) ? "true" : "false",
+                           kind == KIND_STREAM || kind == KIND_RESUMABLE ? GAP_AIM : "",
+                           kind_is_stream(kind) ? "lm" : "app");
+}
+
+char *routes_text(uint64_t version)
+{
+    GString *const text = g_string_new(NULL);
+    g_string_printf(text, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[", version);
+    for (int i = 0; i < KINDS; i++)
+        add_route(text, (kind_t)i);
+    add_idle_routes(text, version);
+    g_string_append_printf(
+        text,
+        "{\"host\":\"h\",\"path_prefix\":\"/v%" G_GUINT64_FORMAT
+        "/\",\"kind\":\"safe\",\"timeout_ms\":900,\"service\":\"app\"}],\"services\":[{\"name\":"
+        "\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":24,\"kv_tokens\":90000,\"handle_ttl_s\":0.5,"
+        "\"kv_bytes\":1000,\"link_mbps\":1000}}]}",
+        version);
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/tests/platform/soak/routes.h
@@ -0,0 +1,24 @@
+/** @file routes.h
+ * The soak's routes: one for each kind of request, and some that nobody asks for.
+ */
+#ifndef TRACKCOVE_TESTS_SOAK_ROUTES_H
+#define TRACKCOVE_TESTS_SOAK_ROUTES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Of requests; each has a route of its own. Streams of the last two may be taken up elsewhere: one route names the
+ *  longest pause, so that silence is soon acted on, one does not. */
+typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_RESUMABLE, KIND_PATIENT, KINDS } kind_t;
+
+/** First part of the path of each kind's requests. */
+extern const char *const kind_paths[KINDS];
+
+bool kind_is_stream(kind_t kind);
+bool kind_is_resumable(kind_t kind);
+
+/** The operator's document under this version. @return for g_free */
+char *routes_text(uint64_t version);
+
+#endif
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -14,6 +14,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "platform/soak/engines.h"
+#include "platform/soak/routes.h"
 #include "platform/soak/world.h"
 
 /* ===== Constants ===== */
@@ -24,24 +26,36 @@
     FAULT_MIN_MS = 250,
     FAULT_MAX_MS = 900,
     PUT_EVERY_MS = 400,
+    FREEZE_MIN_MS = 50,
+    FREEZE_MAX_MS = 1500,
+    SILENT_BYTES = 600,    /* most that pass before a connection falls silent: within its stream */
     WIPE_EVERY_MS = 12000, /* a box with a new disk must be a member again before the next disk goes */
-    IDLE_ROUTES = 2000,
+    TOKENS_MIN = 5,        /* of a stream */
+    TOKENS_MAX = 30,
+    LEAVE_BYTES = 800, /* most that a caller has when it leaves: an event has 40 to 150, an answer up to 30 */
+    REQUESTS_MAX = 4,  /* of one caller for one stream */
     MEMORY_KB_MAX = 44 * 1024,
     SETTLE_MS = 20000, /* after the last fault everything must be as before within this time */
     START_MS = 15000
 };
 
-/* ===== State ===== */
+/** Of streams that may be taken up elsewhere. */
+static const double LEAVE_SHARE = 0.15;
+/** Of the answers of decode engines, until a fault changes it. */
+static const double TROUBLE_SHARE = 0.1;
 
-/** Of requests; each has a route of its own. */
-typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_RESUMABLE, KINDS } kind_t;
+/* ===== State ===== */
 
 /** A caller, with one request after the other. */
 typedef struct {
     lab_call_t *call; /* NULL between requests */
-    char id[24];
+    char id[24];      /* of the request */
+    char name[16];    /* of what is asked for, in one request or several */
     kind_t kind;
     int box;
+    record_t *stream;  /* that is asked for until it is whole, or NULL */
+    unsigned requests; /* for it */
+    size_t leave_at;   /* the caller closes when it has so many bytes; 0: it stays */
 } caller_t;
 
 typedef struct {
@@ -50,6 +64,7 @@
     web_client_t *client;
     caller_t callers[CALLERS_MAX];
     unsigned started, answered, served, refused, unknown;
+    unsigned left, returned; /* callers that closed within a stream; that came back for the rest of one */
     unsigned faults, puts, reads;
     lab_call_t *put, *read;
     uint64_t version; /* offered last */
@@ -65,34 +80,67 @@
 
 /* ===== Callers ===== */
 
-static const char *const paths[KINDS] = {"safe", "once", "stream", "resumable"};
-
-static void start_caller(soak_t *s, caller_t *c)
+/** Ask for something new. */
+static void choose_request(soak_t *s, caller_t *c)
 {
     world_t *const w = s->world;
-    char addr[32];
     c->kind = (kind_t)world_pick(w, KINDS);
     c->box = world_pick(w, WORLD_BOXES);
-    g_snprintf(c->id, sizeof(c->id), "t%u", s->started++);
+    c->requests = 0;
+    g_snprintf(c->name, sizeof(c->name), "t%u", s->started++);
+    if (kind_is_stream(c->kind))
+        c->stream = world_stream(w, c->name, TOKENS_MIN + (unsigned)world_pick(w, TOKENS_MAX - TOKENS_MIN + 1));
+}
+
+/** Come back for the rest of a stream, at another box. */
+static void choose_return(soak_t *s, caller_t *c)
+{
+    c->box = (c->box + 1 + world_pick(s->world, WORLD_BOXES - 1)) % WORLD_BOXES;
+    s->returned++;
+}
+
+static void start_caller(soak_t *s, caller_t *c)
+{
+    world_t *const w = s->world;
+    char addr[32], last[40] = "";
+    if (c->stream)
+        choose_return(s, c);
+    else
+        choose_request(s, c);
+    g_snprintf(c->id, sizeof(c->id), "%s.%u", c->name, c->requests++);
     world_try(w, c->id)->once = c->kind == KIND_ONCE || c->kind == KIND_STREAM;
+    c->leave_at =
+        kind_is_resumable(c->kind) && world_draw(w) < LEAVE_SHARE ? 1 + (size_t)world_pick(w, LEAVE_BYTES) : 0;
+    if (c->stream && c->stream->last > 0)
+        g_snprintf(last, sizeof(last), "Last-Event-Id: %u\r\n", c->stream->last);
     world_addr(w, c->box, PORT_FRONT, addr);
     char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n"
-                                       "Token-Count: 500,100\r\nContent-Length: 2\r\n\r\nhi",
-                                       paths[c->kind], c->id);
+                                       "Token-Count: 500,100\r\n%sContent-Length: %zu\r\n\r\n%s",
+                                       kind_paths[c->kind], c->id, last, strlen(c->name), c->name);
     c->call = lab_call(s->client, addr, text);
     g_free(text);
 }
 
-static bool body_is_right(const caller_t *c)
+/** The answer, or what the caller has of it. @param whole it ended well */
+static void check_body(const soak_t *s, const caller_t *c, bool whole)
+{
+    const GString *const body = c->call->body;
+    const char *broken = NULL;
+    if (c->stream)
+        broken = record_take(c->stream, body->str, body->len, whole);
+    else if (whole && strcmp(body->str, c->id) != 0)
+        broken = "a caller gets its own whole answer";
+    if (broken)
+        world_broken(s->world, broken, c->id);
+}
+
+/** No call is under way; a stream that is not whole may be asked for again. */
+static void drop_call(caller_t *c)
 {
-    if (c->kind == KIND_SAFE || c->kind == KIND_ONCE)
-        return strcmp(c->call->body->str, c->id) == 0;
-    GString *const expected = g_string_new(NULL);
-    for (int i = 1; i <= 5; i++)
-        g_string_append_printf(expected, "id: %d\ndata: %s\n\n", i, c->id);
-    const bool right = strcmp(expected->str, c->call->body->str) == 0;
-    g_string_free(expected, TRUE);
-    return right;
+    lab_call_free(c->call);
+    c->call = NULL;
+    if (c->stream && (!kind_is_resumable(c->kind) || c->requests == REQUESTS_MAX))
+        c->stream = NULL;
 }
 
 static void end_caller(soak_t *s, caller_t *c)
@@ -101,11 +149,12 @@
     const lab_call_t *const call = c->call;
     const bool whole = call->how == WEB_END_WHOLE;
     s->answered++;
+    if (call->status == 200)
+        check_body(s, c, whole);
     if (whole && call->status == 200) {
         s->served++;
         s->in_row++;
-        if (!body_is_right(c))
-            world_broken(w, "a caller gets its own whole answer, each event once", c->id);
+        c->stream = NULL;
     } else {
         s->in_row = 0;
         s->unknown++;
@@ -117,8 +166,17 @@
         if (t->once && t->runs > 0)
             world_broken(w, "a refusal as not run is true", c->id);
     }
-    lab_call_free(c->call);
-    c->call = NULL;
+    drop_call(c);
+}
+
+/** The caller closes its connection within the answer. */
+static void leave(soak_t *s, caller_t *c)
+{
+    web_call_cancel(c->call->call);
+    g_string_truncate(c->call->body, c->leave_at);
+    s->left++;
+    check_body(s, c, false);
+    drop_call(c);
 }
 
 static void drive_callers(soak_t *s)
@@ -127,6 +185,8 @@
         caller_t *const c = &s->callers[i];
         if (c->call && c->call->done)
             end_caller(s, c);
+        else if (c->call && c->leave_at && c->call->status == 200 && c->call->body->len >= c->leave_at)
+            leave(s, c);
         if (!c->call && world_draw(s->world) < 0.05)
             start_caller(s, c);
     }
@@ -134,37 +194,6 @@
 
 /* ===== The operator ===== */
 
-/** Routes that nobody asks for: every third version has two thousand, so that configurations grow and shrink. */
-static void add_idle_routes(GString *text, uint64_t version)
-{
-    const int routes = version % 3 == 0 ? IDLE_ROUTES : 0;
-    for (int i = 0; i < routes; i++)
-        g_string_append_printf(
-            text, "{\"host\":\"idle\",\"path_prefix\":\"/%08x/%d/\",\"timeout_ms\":900,\"service\":\"app\"},",
-            (unsigned)i * 2654435761u, i);
-}
-
-static char *config_text(uint64_t version)
-{
-    GString *const text = g_string_new(NULL);
-    g_string_printf(text, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[", version);
-    static const char *const kinds[KINDS] = {"safe", "unsafe", "stream", "stream"};
-    for (int i = 0; i < KINDS; i++)
-        g_string_append_printf(text,
-                               "{\"host\":\"h\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,"
-                               "\"max_attempts\":%d,\"resumable\":%s,\"service\":\"%s\"},",
-                               paths[i], kinds[i], i == KIND_ONCE ? 1 : 2, i == KIND_RESUMABLE ? "true" : "false",
-                               i < KIND_STREAM ? "app" : "lm");
-    add_idle_routes(text, version);
-    g_string_append_printf(text,
-                           "{\"host\":\"h\",\"path_prefix\":\"/v%" G_GUINT64_FORMAT
-                           "/\",\"kind\":\"safe\",\"timeout_ms\":900,\"service\":\"app\"}],\"services\":[{\"name\":"
-                           "\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,\"kv_tokens\":90000,\"handle_ttl_s\":0.5,"
-                           "\"kv_bytes\":1000,\"link_mbps\":1000}}]}",
-                           version);
-    return g_string_free(text, FALSE);
-}
-
 static lab_call_t *call_control(const soak_t *s, int box, const char *text)
 {
     char addr[32];
@@ -199,7 +228,7 @@
         s->version += 1 + (uint64_t)world_pick(s->world, 3);
     s->put_version = s->version; /* until it is acknowledged the same is sent again, to any box */
     s->puts++;
-    char *const body = config_text(s->version);
+    char *const body = routes_text(s->version);
     char *const text =
         g_strdup_printf("POST /config/put HTTP/1.1\r\nHost: c\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body);
     s->put_box = world_pick(s->world, WORLD_DISKS);
@@ -261,13 +290,28 @@
     p->paused = !p->paused;
 }
 
+/** Decode engines are two of six: half of what goes wrong with workers is theirs. */
+static struct worker *pick_worker(world_t *w)
+{
+    const bool any = world_draw(w) < 0.5;
+    return &w->worker[any ? world_pick(w, WORLD_WORKERS) : WORLD_DECODE + world_pick(w, WORLD_WORKERS - WORLD_DECODE)];
+}
+
 static void trouble_worker(soak_t *s)
 {
-    struct worker *const k = &s->world->worker[world_pick(s->world, WORLD_WORKERS)];
+    struct worker *const k = pick_worker(s->world);
     k->trouble = k->trouble > 0 ? 0 : world_draw(s->world);
     world_note(s->world, "worker %s goes wrong in %.2f of its answers", k->id, k->trouble);
 }
 
+static void freeze_worker(soak_t *s, tc_time_t now)
+{
+    struct worker *const k = pick_worker(s->world);
+    const int span = FREEZE_MIN_MS + world_pick(s->world, FREEZE_MAX_MS - FREEZE_MIN_MS);
+    world_note(s->world, "worker %s stands still for %d ms", k->id, span);
+    engine_freeze(k, now + span);
+}
+
 /** Harm a way or mend it; a way to control boxes only while the others' are whole, so that a majority is left. */
 static void harm_way(soak_t *s)
 {
@@ -307,6 +351,17 @@
     lose(w->worker[world_pick(w, WORLD_WORKERS)].way);
 }
 
+/** The connections to a worker that stand fall silent one way, after some bytes, and stay open. */
+static void silence_worker(soak_t *s)
+{
+    world_t *const w = s->world;
+    const struct worker *const k = pick_worker(w);
+    const bool answers = world_draw(w) < 0.8;
+    const size_t bytes = (size_t)world_pick(w, SILENT_BYTES);
+    world_note(w, "connections to worker %s lose %s after %zu bytes", k->id, answers ? "answers" : "calls", bytes);
+    proxy_mute_after(k->way, answers, bytes);
+}
+
 static void mend_ways(const world_t *w)
 {
     for (int i = 0; i < WORLD_WORKERS; i++)
@@ -325,17 +380,22 @@
     process_t *const p = b->control.program && world_draw(w) < 0.4 ? &b->control : &b->entry;
     const tc_time_t pause = 50 + world_pick(w, 1500);
     s->faults++;
-    switch (world_pick(w, 11)) {
+    switch (world_pick(w, 16)) {
     case 0:
     case 1: process_restart(w, b, p, SIGKILL, pause); break;
     case 2: process_restart(w, b, p, SIGTERM, pause); break;
     case 3: process_signal(p, SIGHUP); break;
     case 4:
     case 5: pause_or_wake(s, b, p); break;
-    case 6: trouble_worker(s); break;
-    case 7:
-    case 8: harm_way(s); break;
-    case 9: lose_connections(s); break;
+    case 6:
+    case 7: trouble_worker(s); break;
+    case 8:
+    case 9: harm_way(s); break;
+    case 10: lose_connections(s); break;
+    case 11: freeze_worker(s, now); break;
+    case 12:
+    case 13:
+    case 14: silence_worker(s); break;
     default: wipe(s, now); break;
     }
 }
@@ -348,6 +408,14 @@
     one_fault(s, now);
 }
 
+/** Decode engines go wrong from the start: not every run of the soak draws that by lot. */
+static void begin_faults(soak_t *s)
+{
+    s->calm = false;
+    for (int i = WORLD_DECODE; i < WORLD_WORKERS; i++)
+        s->world->worker[i].trouble = TROUBLE_SHARE;
+}
+
 static void end_faults(soak_t *s)
 {
     world_t *const w = s->world;
@@ -356,8 +424,10 @@
     s->config_is_newest = false;
     world_note(w, "no more faults");
     mend_ways(w);
-    for (int i = 0; i < WORLD_WORKERS; i++)
+    for (int i = 0; i < WORLD_WORKERS; i++) {
         w->worker[i].trouble = 0;
+        engine_wake(&w->worker[i]);
+    }
     for (int i = 0; i < WORLD_BOXES; i++) {
         process_t *const both[] = {&w->boxes[i].entry, &w->boxes[i].control};
         for (int k = 0; k < 2; k++)
@@ -413,10 +483,10 @@
 static int report(const soak_t *s, guint32 seed)
 {
     world_t *const w = s->world;
-    printf("seed %u: %u requests, %u served, %u refused as not run, %u failed; %u faults; %u puts, %u reads, newest "
-           "%" G_GUINT64_FORMAT ": %s\n",
-           seed, s->answered, s->served, s->refused, s->unknown - s->refused, s->faults, s->puts, s->reads, s->acked,
-           w->failed ? "FAILED" : "passed");
+    printf("seed %u: %u requests, %u served, %u refused as not run, %u failed; %u runs of streams, %u torn within an "
+           "event, %u callers left one, %u returned; %u faults; %u puts, %u reads, newest %" G_GUINT64_FORMAT ": %s\n",
+           seed, s->answered, s->served, s->refused, s->unknown - s->refused, w->runs, w->torn, s->left, s->returned,
+           s->faults, s->puts, s->reads, s->acked, w->failed ? "FAILED" : "passed");
     if (!w->failed)
         return 0;
     printf("schedule:\n%slogs: %s\n", w->schedule->str, w->root);
@@ -455,7 +525,7 @@
     s.version = 1;
     if (!drive_until(&s, tc_time_now() + START_MS, is_up) && !s.world->failed)
         world_broken(s.world, "the system comes up", "no service in time");
-    s.calm = false;
+    begin_faults(&s);
     (void)drive_until(&s, tc_time_now() + (tc_time_t)seconds * 1000, NULL);
     check_memory(&s);
     end_faults(&s);
@@ -467,5 +537,6 @@
     if (status == 0)
         remove_files(s.world);
     world_destroy(s.world);
+    g_free(bin);
     return status;
 }
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -1,4 +1,5 @@
 #include "platform/soak/world.h"
+#include "platform/soak/engines.h"
 
 #include <glib/gstdio.h>
 #include <signal.h>
@@ -47,129 +48,14 @@
     return t;
 }
 
-/* ===== Fake workers ===== */
-
-static char *header_of(const char *request, const char *name)
-{
-    char *const line = g_strdup_printf("\r\n%s: ", name);
-    const char *const at = strstr(request, line);
-    char *const value = at ? g_strndup(at + strlen(line), strcspn(at + strlen(line), "\r")) : g_strdup("");
-    g_free(line);
-    return value;
-}
-
-/** A worker begins to work on a try. */
-static void note_run(world_t *w, const char *id)
+record_t *world_stream(world_t *w, const char *name, unsigned tokens)
 {
-    try_t *const t = world_try(w, id);
-    t->runs++;
-    if (t->once && t->runs > 1)
-        world_broken(w, "a request that must run once ran twice", id);
-    if (t->refused)
-        world_broken(w, "a request that was refused as not run ran", id);
-}
-
-static lab_reply_t reply(lab_end_t end, const char *format, ...) __attribute__((format(printf, 2, 3)));
-static lab_reply_t reply(lab_end_t end, const char *format, ...)
-{
-    va_list args;
-    va_start(args, format);
-    char *const bytes = g_strdup_vprintf(format, args);
-    va_end(args);
-    return (lab_reply_t){.bytes = bytes, .end = end};
-}
-
-static lab_reply_t refuse(void)
-{
-    return reply(LAB_KEEP, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-}
-
-/** Events that the caller has not got yet; each names the try, so that nobody gets another's. */
-static lab_reply_t stream(struct worker *me, const char *id, const char *request, bool breaks)
-{
-    enum { EVENTS = 5 };
-    char *const last = header_of(request, "Last-Event-Id");
-    GString *const out = g_string_new(NULL);
-    g_string_printf(out,
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s.%s\r\nContent-Type: text/event-stream\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n",
-                    id, me->id);
-    for (int i = atoi(last) + 1; i <= EVENTS; i++) {
-        char *const event = g_strdup_printf("id: %d\ndata: %s\n\n", i, id);
-        const size_t shown = breaks && i == EVENTS ? strlen(event) / 2 : strlen(event);
-        g_string_append_printf(out, "%zx\r\n%.*s\r\n", shown, (int)shown, event);
-        g_free(event);
-    }
-    g_string_append(out, breaks ? "" : "0\r\n\r\n");
-    g_free(last);
-    return (lab_reply_t){.bytes = g_string_free(out, FALSE), .end = breaks ? LAB_RESET : LAB_KEEP};
-}
-
-static lab_reply_t serve(struct worker *me, const char *id, const char *request)
-{
-    world_t *const w = me->world;
-    const bool wrong = world_draw(w) < me->trouble;
-    const int how = world_pick(w, 6);
-    if (wrong && how == 0)
-        return refuse();
-    note_run(w, id);
-    if (me->kind == 2)
-        return stream(me, id, request, wrong);
-    if (wrong && how == 1)
-        return reply(LAB_RESET, "%s", "");
-    if (wrong && how == 2)
-        return reply(LAB_HANG, "%s", "");
-    if (wrong && how == 3)
-        return reply(LAB_CLOSE, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 99\r\n\r\npart");
-    if (wrong && how == 4)
-        return reply(LAB_KEEP, "HTTP/1.1 500 No\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nno",
-                     id);
-    return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %zu\r\n\r\n%s", id,
-                 strlen(id), id);
-}
-
-static lab_reply_t on_request(void *arg, const char *request)
-{
-    struct worker *const me = arg;
-    if (g_str_has_prefix(request, "DELETE "))
-        return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    char *const id = header_of(request, "Attempt-Id");
-    char *const expected = header_of(request, "Expect-Instance");
-    char *const stage = header_of(request, "Stage");
-    lab_reply_t answer;
-    if (strcmp(expected, me->id) != 0)
-        answer = reply(LAB_KEEP, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
-    else if (me->kind == 1 && strcmp(stage, "prefill") == 0 && world_draw(me->world) >= me->trouble)
-        answer = reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"prefill_handle\":\"h1\"}");
-    else if (me->kind == 1)
-        answer = refuse();
-    else
-        answer = serve(me, id, request);
-    g_free(id);
-    g_free(expected);
-    g_free(stage);
-    return answer;
-}
-
-static lab_reply_t on_list(void *arg, const char *request)
-{
-    world_t *const w = arg;
-    (void)request;
-    GString *const list = g_string_new("{\"instances\":[");
-    for (int i = 0; i < WORLD_WORKERS; i++) {
-        const struct worker *const k = &w->worker[i];
-        static const char *const stages[] = {"", ",\"stage\":\"prefill\"", ",\"stage\":\"decode\""};
-        g_string_append_printf(list,
-                               "%s{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\",\"slots\":8,"
-                               "\"state\":\"%s\"%s}",
-                               i ? "," : "", k->id, k->kind ? "lm" : "app", k->addr, i % 2,
-                               k->draining ? "draining" : "ready", stages[k->kind]);
+    record_t *r = g_hash_table_lookup(w->streams, name);
+    if (!r && tokens > 0) {
+        r = record_create(tokens);
+        g_hash_table_insert(w->streams, g_strdup(name), r);
     }
-    g_string_append(list, "],\"next_token\":null}");
-    const lab_reply_t answer =
-        reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", list->len, list->str);
-    g_string_free(list, TRUE);
-    return answer;
+    return r;
 }
 
 /* ===== Processes ===== */
@@ -244,6 +130,9 @@
         look_after(w, &w->boxes[i], &w->boxes[i].entry);
         look_after(w, &w->boxes[i], &w->boxes[i].control);
     }
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (w->worker[i].wake_at && tc_time_now() >= w->worker[i].wake_at)
+            engine_wake(&w->worker[i]);
 }
 
 /* ===== Life ===== */
@@ -277,17 +166,9 @@
     process_start(w, b, &b->control, true);
 }
 
-static void create_worker(world_t *w, int i)
+static void drop_stream(void *record)
 {
-    struct worker *const k = &w->worker[i];
-    k->world = w;
-    k->kind = i < 3 ? 0 : (i == 3 ? 1 : 2);
-    g_snprintf(k->id, sizeof(k->id), "i-%d", i);
-    char own[32];
-    lab_free_addr(own);
-    w->workers[i] = lab_backend_start(w->loop, own, on_request, k);
-    lab_free_addr(k->addr);
-    k->way = proxy_start(w->loop, k->addr, own);
+    record_destroy(record);
 }
 
 world_t *world_create(loop_t *loop, guint32 seed, const char *bin)
@@ -297,6 +178,7 @@
     w->bin = bin;
     w->random = g_rand_new_with_seed(seed);
     w->tries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    w->streams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, drop_stream);
     w->schedule = g_string_new(NULL);
     w->began = tc_time_now();
     w->port = 20000 + (int)(getpid() % 1000) * 20;
@@ -304,9 +186,9 @@
     g_assert_nonnull(g_mkdtemp(w->root));
     char at[32];
     g_snprintf(at, sizeof(at), "127.0.1.2:%d", w->port);
-    w->list = lab_backend_start(loop, at, on_list, w);
+    w->list = lab_backend_start(loop, at, engines_list, w);
     for (int i = 0; i < WORLD_WORKERS; i++)
-        create_worker(w, i);
+        engine_create(w, i);
     for (int i = 0; i < WORLD_BOXES; i++)
         create_box(w, i);
     return w;
@@ -333,16 +215,15 @@
 void world_destroy(world_t *w)
 {
     lab_backend_stop(w->list);
-    for (int i = 0; i < WORLD_WORKERS; i++) {
-        proxy_stop(w->worker[i].way);
-        lab_backend_stop(w->workers[i]);
-    }
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        engine_destroy(&w->worker[i]);
     for (int i = 0; i < WORLD_BOXES; i++) {
         proxy_stop(w->boxes[i].way_to_entry);
         if (w->boxes[i].way_to_control)
             proxy_stop(w->boxes[i].way_to_control);
     }
     g_hash_table_destroy(w->tries);
+    g_hash_table_destroy(w->streams);
     g_string_free(w->schedule, TRUE);
     g_rand_free(w->random);
     g_free(w);
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -11,8 +11,15 @@
 #include "harness/lab.h"
 #include "harness/process.h"
 #include "harness/proxy.h"
+#include "platform/soak/record.h"
 
-enum { WORLD_BOXES = 5, WORLD_DISKS = 3, WORLD_WORKERS = 6 };
+enum {
+    WORLD_BOXES = 5,
+    WORLD_DISKS = 3,
+    WORLD_WORKERS = 6,
+    WORLD_PREFILL = 3, /**< this worker is a prefill engine, */
+    WORLD_DECODE = 4   /**< this one and those behind it are decode engines */
+};
 
 /** One program on one box. */
 typedef struct {
@@ -47,17 +54,21 @@
     char root[48];
     int port; /**< first of the ports, alike on all boxes */
     box_t boxes[WORLD_BOXES];
-    lab_backend_t *list, *workers[WORLD_WORKERS];
+    lab_backend_t *list;
     struct worker {
         struct world *world;
+        lab_backend_t *backend;
         char addr[32]; /**< as it is listed: a proxy's */
         proxy_t *way;
         char id[16];
         int kind;       /**< 0: plain, 1: prefill, 2: decode */
         double trouble; /**< share of its answers that go wrong */
         bool draining;
+        tc_time_t wake_at; /**< it stands still until then; 0: it does not */
     } worker[WORLD_WORKERS];
-    GHashTable *tries; /**< id to try_t */
+    GHashTable *tries;   /**< id to try_t */
+    GHashTable *streams; /**< name to record_t */
+    unsigned runs, torn; /**< of streams; those that broke off or stopped within an event */
     bool failed;
     GString *schedule; /**< what was done, a line each */
     tc_time_t began;
@@ -68,12 +79,12 @@
 
 /** Make the fakes and the boxes, whose programs come up by and by. @param bin folder of the programs, borrowed */
 world_t *world_create(loop_t *loop, guint32 seed, const char *bin);
-/** End all programs and fakes. Files stay. */
 /** End all processes that the world started; before world_destroy. */
 void world_end_processes(world_t *world);
+/** End all fakes. Files stay. */
 void world_destroy(world_t *world);
 
-/** Start what is due, notice what ended by itself. */
+/** Start and wake what is due, notice what ended by itself. */
 void world_tick(world_t *world);
 /** Send a signal, when it runs. */
 void process_signal(const process_t *process, int number);
@@ -84,6 +95,8 @@
 void world_addr(const world_t *world, int box, int port, char to[32]);
 /** The record of a try, made when first asked for. */
 try_t *world_try(world_t *world, const char *id);
+/** The record of a stream, made when first asked for with the number of its tokens; NULL when there is none. */
+record_t *world_stream(world_t *world, const char *name, unsigned tokens);
 /** A promise is broken: say so and remember. */
 void world_broken(world_t *world, const char *promise, const char *what);
 /** Note what is done. */
