Test: a result that an engine may have taken is not offered to another

Cause: a trial that left the handle in the request when a decode engine's answer was lost passed all tests of forward (test_forward, _attempts, _leader, test_stream_events, test_stream_random). No fault in today's code: the test passes, and fails in that trial with one prefill in place of two.

--- a/tests/platform/test_forward_attempts.c
+++ b/tests/platform/test_forward_attempts.c
@@ -199,6 +199,22 @@
     }
 }
 
+/** A result that an engine may have taken before its answer was lost is no other engine's: the prompt is read again. */
+static void test_result_of_a_lost_answer(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "rr", false, false},
+                                 {"lm", "decode", "S", true, false}},
+              3);
+    expect_whole(f, begin(f, "/again/x"), BOTH);
+    g_assert_cmpuint(count(f->plan[1].seen->str, "\r\nKv-From: "), ==, 1);
+    g_assert_cmpuint(requests(f, 1), ==, 2);
+    g_assert_cmpuint(count(f->plan[0].seen->str, "\r\nStage: prefill\r\n"), ==, 2);
+    g_assert_cmpuint(requests(f, 2), ==, 1);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -211,5 +227,6 @@
     TEST("stream-of-an-engine-that-leaves", test_stream_of_an_engine_that_leaves);
     TEST("stream-across-a-configuration", test_stream_across_a_configuration);
     TEST("head-on-kept-connections", test_head_on_kept_connections);
+    TEST("result-of-a-lost-answer", test_result_of_a_lost_answer);
     return g_test_run();
 }
