A loop that stood still reads what waits in its sockets before it runs its timers

Cause: most timers judge the silence of somebody else. A process that was stopped, or had no processor, found them due and its sockets full, and ran them first: a wait that a stop ends tells nothing of the sockets. Now the sockets come first, through all that waits at most eight rounds, when they were not looked at for 20 ms. Ruled out: looking at them before every timer (a call of the system a turn more). /loop, three tests, fail before ("ts") and pass now; 15 programs of tests of transport and forwarding pass. /web/pipelined waits for the second request now, whose turn comes behind the first answer: it stood on the order of timers; the same numbers are asserted.

--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -15,6 +15,8 @@
 enum {
     LOOP_TICKS_MAX = 256, /* a program has a dozen; a test's loop carries those of 70 boxes */
     LOOP_EVENTS_MAX = 64,
+    LOOP_STILL_MS = 20, /* since the sockets were looked at: this process stood still, or one thing took long */
+    LOOP_ROUNDS = 8,    /* then, through all that waits at most, before timers run */
     LOOP_IDLE_MS = 1000,
     LOOP_TURNS_MS = 1000 /* the longest turn is that of this time and of as much before it */
 };
@@ -43,6 +45,7 @@
     struct cds_list_head timers; /* soonest first */
     struct epoll_event events[LOOP_EVENTS_MAX];
     int n_events;                 /* of the round being handled, so that loop_unwatch can drop them */
+    tc_time_t looked_at;          /* when the sockets were last looked at */
     tc_time_t turn_at;            /* when what runs now began */
     loop_turn_t longest, earlier; /* since turns_from, and in the LOOP_TURNS_MS before it */
     tc_time_t turns_from;
@@ -252,6 +255,7 @@
     if (!loop)
         return NULL;
     loop->longest.what = loop->earlier.what = "";
+    loop->looked_at = tc_time_now();
     loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     pthread_mutex_init(&loop->lock, NULL);
@@ -284,14 +288,37 @@
     loop->n_events = 0;
 }
 
+/** Wait for events and handle them. @return how many there were */
+static int run_events(loop_t *loop, tc_time_t wait)
+{
+    int n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, (int)(wait > 0 ? wait : 0));
+    if (n < 0) /* a process that was stopped wakes so, whatever its sockets have */
+        n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, 0);
+    loop->n_events = n > 0 ? n : 0;
+    loop->looked_at = loop->turn_at = tc_time_now();
+    handle_events(loop);
+    return n;
+}
+
+/** Most timers judge the silence of somebody else: when this process stood still, what others said meanwhile is read
+ *  first, else sound streams, calls and leaders are given up at its waking. */
+static void catch_up(loop_t *loop)
+{
+    if (tc_time_now() - loop->looked_at < LOOP_STILL_MS)
+        return;
+    for (int i = 0; i < LOOP_ROUNDS; i++)
+        if (run_events(loop, 0) <= 0)
+            return;
+}
+
 void loop_run(loop_t *loop)
 {
     while (!atomic_load(&loop->stopping)) {
+        catch_up(loop);
+        if (atomic_load(&loop->stopping))
+            return; /* what woke the loop for that is read already */
         const tc_time_t wait = run_timers(loop, run_ticks(loop));
-        const int n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, (int)(wait > 0 ? wait : 0));
-        loop->n_events = n > 0 ? n : 0;
-        loop->turn_at = tc_time_now();
-        handle_events(loop);
+        (void)run_events(loop, wait);
         run_posted(loop);
     }
 }
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -2,7 +2,8 @@
  * One epoll thread that owns the process's peer connections and its cores.
  *
  * Everything registered here runs in the loop's thread, one thing at a time, so
- * cores need no locks. Other threads hand over work with loop_post.
+ * cores need no locks. Other threads hand over work with loop_post. When the
+ * process stood still, what waits in its sockets is handled before timers are.
  */
 #ifndef TRACKCOVE_PEER_LOOP_H
 #define TRACKCOVE_PEER_LOOP_H
--- /dev/null
+++ b/tests/unit/test_loop.c
@@ -0,0 +1,142 @@
+/* The order in which a loop does what is due.
+ *
+ * A process that stood still (it was stopped, or had no processor) finds its timers due and its sockets full. Most
+ * timers judge the silence of somebody else: run first, they gave up streams and calls whose bytes were waiting to be
+ * read. */
+
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "peer/loop.h"
+
+enum { STILL_MS = 80 };
+
+typedef struct {
+    loop_t *loop;
+    int pipe[2];
+    loop_watch_t watch;
+    loop_timer_t timer;
+    GString *order; /* a letter for each thing that ran */
+} fixture_t;
+
+static void on_io(void *arg, uint32_t events)
+{
+    fixture_t *const f = arg;
+    char byte;
+    (void)events;
+    g_assert_cmpint(read(f->pipe[0], &byte, 1), ==, 1);
+    g_string_append_c(f->order, 's');
+    if (f->order->len == 2)
+        loop_stop(f->loop);
+}
+
+static void on_timer(void *arg)
+{
+    fixture_t *const f = arg;
+    g_string_append_c(f->order, 't');
+    if (f->order->len == 2)
+        loop_stop(f->loop);
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->loop = loop_create();
+    f->order = g_string_new(NULL);
+    g_assert_cmpint(pipe(f->pipe), ==, 0);
+    f->watch = (loop_watch_t){.fd = f->pipe[0], .on_io = on_io, .arg = f};
+    g_assert_cmpint(loop_watch(f->loop, &f->watch, EPOLLIN), ==, 0);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    loop_unwatch(f->loop, &f->watch);
+    loop_destroy(f->loop);
+    close(f->pipe[0]);
+    close(f->pipe[1]);
+    g_string_free(f->order, TRUE);
+}
+
+/** The loop does not turn while the byte comes and the timer falls due. */
+static void test_stands_still_between_turns(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    loop_arm(f->loop, &f->timer, tc_time_now() + STILL_MS / 2, on_timer, f);
+    g_assert_cmpint(write(f->pipe[1], "x", 1), ==, 1);
+    g_usleep((gulong)STILL_MS * 1000);
+    loop_run(f->loop);
+    g_assert_cmpstr(f->order->str, ==, "st");
+}
+
+/** Within one thing that takes long. */
+static void stand_still(void *arg)
+{
+    fixture_t *const f = arg;
+    g_assert_cmpint(write(f->pipe[1], "x", 1), ==, 1);
+    g_usleep((gulong)STILL_MS * 1000);
+}
+
+static void test_stands_still_within_a_turn(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    loop_arm(f->loop, &f->timer, tc_time_now() + STILL_MS / 2, on_timer, f);
+    loop_post(f->loop, stand_still, f);
+    loop_run(f->loop);
+    g_assert_cmpstr(f->order->str, ==, "st");
+}
+
+static int pipe_of_signal;
+
+static void on_signal(int number)
+{
+    (void)number;
+    const ssize_t n = write(pipe_of_signal, "x", 1);
+    (void)n;
+    usleep((useconds_t)STILL_MS * 1000);
+}
+
+typedef struct {
+    pthread_t loop_thread;
+    fixture_t *fixture;
+} sender_t;
+
+/** Only the loop's own thread is asleep in its wait for so long. */
+static void *send_signal(void *arg)
+{
+    const sender_t *const sender = arg;
+    g_usleep(20 * 1000);
+    pthread_kill(sender->loop_thread, SIGUSR1);
+    return NULL;
+}
+
+/** A wait that a signal ends tells nothing of the sockets, as that of a process which is stopped and goes on. */
+static void test_stands_still_within_its_wait(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    const struct sigaction action = {.sa_handler = on_signal};
+    struct sigaction before;
+    sigaction(SIGUSR1, &action, &before);
+    pipe_of_signal = f->pipe[1];
+    sender_t sender = {.loop_thread = pthread_self(), .fixture = f};
+    loop_arm(f->loop, &f->timer, tc_time_now() + STILL_MS, on_timer, f);
+    pthread_t thread;
+    g_assert_cmpint(pthread_create(&thread, NULL, send_signal, &sender), ==, 0);
+    loop_run(f->loop);
+    pthread_join(thread, NULL);
+    sigaction(SIGUSR1, &before, NULL);
+    g_assert_cmpstr(f->order->str, ==, "st");
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add("/loop/stands-still-between-turns", fixture_t, NULL, set_up, test_stands_still_between_turns, tear_down);
+    g_test_add("/loop/stands-still-within-a-turn", fixture_t, NULL, set_up, test_stands_still_within_a_turn, tear_down);
+    g_test_add("/loop/stands-still-within-its-wait", fixture_t, NULL, set_up, test_stands_still_within_its_wait,
+               tear_down);
+    return g_test_run();
+}
--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -189,6 +189,11 @@
     g_assert_cmpuint(f->handled, ==, 0);
 }
 
+static bool has_handled_two(void *arg)
+{
+    return ((const fixture_t *)arg)->handled >= 2;
+}
+
 static void test_pipelined(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -196,6 +201,7 @@
         lab_call(f->client, f->addr, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
     lab_run_until_true(f->loop, &c->done);
     g_assert_cmpstr(c->body->str, ==, "/1");
+    lab_run_until(f->loop, has_handled_two, f); /* its turn comes behind the first answer */
     g_assert_cmpuint(f->handled, ==, 2);
     lab_call_free(c);
 }
