Soaks that run beside each other never take the same ports

Cause: ports went by the process id modulo 1,000, so that two soaks whose ids differ by a multiple of it met, and ports reached into those that the system gives to connections.

Change: a block of ports is tried first and passed over when it is taken, below 32,000.

--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -1,5 +1,4 @@
 #include "platform/soak/world.h"
-#include "platform/soak/engines.h"
 
 #include <glib/gstdio.h>
 #include <signal.h>
@@ -9,6 +8,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "common/err.h"
+#include "peer/peer.h"
+#include "platform/soak/engines.h"
+
 /* ===== Notes ===== */
 
 void world_note(world_t *w, const char *format, ...)
@@ -166,6 +169,25 @@
     process_start(w, b, &b->control, true);
 }
 
+/** The first of ports that no other soak of this machine has: their lists stand at the same address. */
+static int choose_port(void)
+{
+    /* Below those that the system gives to connections. A box and its ways take 16. */
+    enum { FIRST = 20000, SPAN = 20, BLOCKS = 600 };
+    for (int i = 0; i < BLOCKS; i++) {
+        const int port = FIRST + ((int)getpid() + i) % BLOCKS * SPAN;
+        char at[32];
+        tc_err_t err = {0};
+        g_snprintf(at, sizeof(at), "127.0.1.2:%d", port);
+        const int fd = peer_open_listener(at, "listen", &err);
+        if (fd < 0)
+            continue;
+        close(fd);
+        return port;
+    }
+    g_assert_not_reached(); /* nobody runs so many */
+}
+
 static void drop_stream(void *record)
 {
     record_destroy(record);
@@ -181,7 +203,7 @@
     w->streams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, drop_stream);
     w->schedule = g_string_new(NULL);
     w->began = tc_time_now();
-    w->port = 20000 + (int)(getpid() % 1000) * 20;
+    w->port = choose_port();
     g_strlcpy(w->root, "/tmp/trackcove-soak-XXXXXX", sizeof(w->root));
     g_assert_nonnull(g_mkdtemp(w->root));
     char at[32];
