--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -1,5 +1,6 @@
 #include "request/caller.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -118,6 +119,17 @@
     return strlen(id) > 0 && strlen(id) <= 64;
 }
 
+/** "PLACE-DIGEST" as send_event writes it; a place alone says how far the caller is, not with which answer. */
+static void read_last_event(caller_request_t *r, const char *id)
+{
+    char *end;
+    r->resend = id[0] != '\0';
+    r->last_event = (uint32_t)strtoul(id, &end, 10);
+    r->has_digest = r->last_event > 0 && *end == '-';
+    if (r->has_digest)
+        r->last_digest = (uint32_t)strtoul(end + 1, NULL, 16);
+}
+
 static int read_headers(struct mg_connection *conn, caller_request_t *r, tc_err_t *err)
 {
     const char *const id = http_header(conn, "Idempotency-Key");
@@ -135,9 +147,7 @@
         return bad(err, "X-Trackcove-Workspace", "is too long");
     codec_copy_string(r->workspace, sizeof(r->workspace), workspace[0] ? workspace : "default");
     r->repeatable = strcmp(http_header(conn, "X-Trackcove-Repeatable"), "no") != 0;
-    const char *const last_event = http_header(conn, "Last-Event-ID");
-    r->resend = last_event[0] != '\0';
-    r->last_event = (uint32_t)strtoul(last_event, NULL, 10);
+    read_last_event(r, http_header(conn, "Last-Event-ID"));
     return TC_OK;
 }
 
@@ -197,6 +207,24 @@
     r->chain = NULL;
 }
 
+/* ===== Digests of an answer ===== */
+
+/** FNV-1a, 64 bits: it goes on byte by byte, so that it does not depend on how a text was cut into events. */
+static const uint64_t HASH_START = 0xcbf29ce484222325, HASH_FACTOR = 0x100000001b3;
+
+static uint64_t hash_on(uint64_t hash, const char *text)
+{
+    for (const unsigned char *c = (const unsigned char *)text; *c; c++)
+        hash = (hash ^ *c) * HASH_FACTOR;
+    return hash;
+}
+
+/** What of the hash stands in an event id. */
+static uint32_t digest_of(const caller_t *c)
+{
+    return (uint32_t)(c->hash ^ (c->hash >> 32));
+}
+
 /* ===== Answering ===== */
 
 void caller_begin(caller_t *c, struct mg_connection *conn, const caller_request_t *request)
@@ -206,7 +234,7 @@
     c->request = request;
     c->text = g_string_new(NULL);
     c->event = g_string_sized_new(256);
-    c->ends = g_array_new(FALSE, FALSE, sizeof(size_t));
+    c->hash = HASH_START;
     c->probed = tc_time_now();
 }
 
@@ -214,7 +242,6 @@
 {
     g_string_free(c->text, TRUE);
     g_string_free(c->event, TRUE);
-    g_array_free(c->ends, TRUE);
 }
 
 bool caller_there(caller_t *c)
@@ -246,8 +273,8 @@
 static void send_event(caller_t *c, uint32_t place, const char *text, const char *finish)
 {
     GString *const out = c->event;
-    g_string_printf(out, "id: %u\ndata: {\"id\":\"%s\",\"object\":\"%s\",\"choices\":[{\"index\":0,%s", place,
-                    c->request->id, c->request->chat ? "chat.completion.chunk" : "text_completion",
+    g_string_printf(out, "id: %u-%08x\ndata: {\"id\":\"%s\",\"object\":\"%s\",\"choices\":[{\"index\":0,%s", place,
+                    digest_of(c), c->request->id, c->request->chat ? "chat.completion.chunk" : "text_completion",
                     c->request->chat ? "\"delta\":{\"content\":" : "\"text\":");
     append_json(out, text);
     g_string_append(out, c->request->chat ? "},\"finish_reason\":" : ",\"finish_reason\":");
@@ -259,32 +286,60 @@
     http_stream_send(&c->http, out->str, out->len);
 }
 
-/** Whether the token is what was given at that place before. */
-static bool same_as_before(const caller_t *c, uint32_t place, const char *text)
+/** Whether a run's tokens, of which @p known bytes were given before, say the same as what was given. */
+static bool agrees(const caller_t *c, const caller_cursor_t *cursor, uint32_t place, const char *text, size_t known,
+                   bool finished)
 {
-    if (place <= c->request->last_event && place > c->ends->len)
-        return true; /* given by another entry: nothing to compare with */
-    const size_t end = g_array_index(c->ends, size_t, place - 1);
-    const size_t start = place > 1 ? g_array_index(c->ends, size_t, place - 2) : 0;
-    return strlen(text) == end - start && memcmp(c->text->str + start, text, end - start) == 0;
+    if (memcmp(c->text->str + cursor->offset, text, known) != 0)
+        return false;
+    const size_t behind = cursor->offset + strlen(text), out = c->text->len;
+    if (place < c->places)
+        return behind <= out && !finished;
+    if (place == c->places)
+        return behind == out && finished == c->finished;
+    return behind >= out && !c->finished;
 }
 
-int caller_token(caller_t *c, uint32_t place, const char *text, const char *finish)
+/** Promise: the tokens that follow a caller's last event are those of the answer it has. The answer cannot end before
+ * that event, and has the same text up to it. */
+static bool is_the_callers(const caller_t *c)
 {
-    if (place <= c->places)
-        return same_as_before(c, place, text) ? TC_OK : TC_E_CONFLICT;
-    /* Promise: the whole answer, each token once and in order. */
-    if (place != c->places + 1)
+    const caller_request_t *const r = c->request;
+    if (c->places < r->last_event)
+        return !c->finished;
+    return c->places > r->last_event || !r->has_digest || digest_of(c) == r->last_digest;
+}
+
+int caller_tokens(caller_t *c, caller_cursor_t *cursor, uint32_t place, const char *text, const char *finish)
+{
+    const size_t size = strlen(text), ahead = c->text->len - cursor->offset;
+    const size_t known = size < ahead ? size : ahead;
+    assert(cursor->offset <= c->text->len && place > cursor->place); /* a run cannot be ahead of what all runs gave */
+    if (!agrees(c, cursor, place, text, known, finish != NULL))
         return TC_E_CONFLICT;
+    cursor->place = place;
+    cursor->offset += size;
+    if (place <= c->places)
+        return TC_OK;
+    const bool within = c->places < c->request->last_event && place > c->request->last_event;
     c->places = place;
-    g_string_append(c->text, text);
-    g_array_append_val(c->ends, c->text->len);
+    c->finished = finish != NULL;
+    g_string_append(c->text, text + known);
+    c->hash = hash_on(c->hash, text + known);
+    /* Where the caller's last event ends within this one, what is new in it cannot be told apart. */
+    if (c->request->stream && (within || !is_the_callers(c)))
+        return TC_E_CONFLICT;
     if (c->request->stream && place > c->request->last_event)
-        send_event(c, place, text, finish);
+        send_event(c, place, text + known, finish);
     c->probed = tc_time_now();
     return c->http.broken ? TC_E_CANCELLED : TC_OK;
 }
 
+bool caller_is_whole(const caller_t *c, const caller_cursor_t *cursor)
+{
+    return c->finished && cursor->place == c->places;
+}
+
 void caller_finish(caller_t *c, uint32_t prompt_tokens)
 {
     if (c->request->stream) {
