--- a/tests/unit/test_backend.c
+++ b/tests/unit/test_backend.c
@@ -80,6 +80,7 @@
 
 #define SERVER "127.0.0.1:16911"
 
+static http_server_t *server;
 static int served;
 
 static int hang_up(struct mg_connection *conn, void *arg)
@@ -155,7 +156,7 @@
     return engine_resume(&request, from, &reader, err);
 }
 
-static void assert_stream(http_server_t *server, const char *text, uint32_t from, int rc, const char *wanted)
+static void assert_stream(const char *text, uint32_t from, int rc, const char *wanted)
 {
     taker_t taker = {.most = 0};
     tc_err_t err = {0};
@@ -165,33 +166,21 @@
     g_string_free(taker.seen, TRUE);
 }
 
-static http_server_t *serve(void)
-{
-    tc_err_t err;
-    http_client_init("test");
-    http_server_t *const server = http_start(SERVER, 4, &err);
-    g_assert_nonnull(server);
-    return server;
-}
-
 /** A stream says of each event where it stands. One that does not go on behind the place that was asked for, or behind
  *  its own last event, is not passed on. */
 static void test_places(void)
 {
-    http_server_t *const server = serve();
-    assert_stream(server, EVENT("1", "a") LAST("2", "b") DONE, 0, TC_OK, "1a 2b! ");
-    assert_stream(server, EVENT("8", "a") LAST("9", "b") DONE, 7, TC_OK, "8a 9b! ");
-    assert_stream(server, DONE, 7, TC_OK, "");
-    assert_stream(server, EVENT("1", "a") EVENT("2", "b") DONE, 7, TC_E_INVALID, ""); /* from the start, unasked */
-    assert_stream(server, EVENT("7", "a") EVENT("8", "b") DONE, 7, TC_E_INVALID, "");
-    assert_stream(server, EVENT("9", "a") DONE, 7, TC_E_INVALID, "");                    /* 8 is missing */
-    assert_stream(server, EVENT("1", "a") EVENT("1", "a") DONE, 0, TC_E_INVALID, "1a "); /* twice */
-    assert_stream(server, EVENT("1", "a") EVENT("3", "c") DONE, 0, TC_E_INVALID, "1a ");
-    assert_stream(server, EVENT("1x", "a") DONE, 0, TC_E_INVALID, "");
-    assert_stream(server, EVENT("", "a") DONE, 0, TC_E_INVALID, "");
-    assert_stream(server, EVENT("4294967297", "a") DONE, 0, TC_E_INVALID, "");
-    http_stop(server);
-    http_client_cleanup();
+    assert_stream(EVENT("1", "a") LAST("2", "b") DONE, 0, TC_OK, "1a 2b! ");
+    assert_stream(EVENT("8", "a") LAST("9", "b") DONE, 7, TC_OK, "8a 9b! ");
+    assert_stream(DONE, 7, TC_OK, "");
+    assert_stream(EVENT("1", "a") EVENT("2", "b") DONE, 7, TC_E_INVALID, ""); /* from the start, unasked */
+    assert_stream(EVENT("7", "a") EVENT("8", "b") DONE, 7, TC_E_INVALID, "");
+    assert_stream(EVENT("9", "a") DONE, 7, TC_E_INVALID, "");                    /* 8 is missing */
+    assert_stream(EVENT("1", "a") EVENT("1", "a") DONE, 0, TC_E_INVALID, "1a "); /* twice */
+    assert_stream(EVENT("1", "a") EVENT("3", "c") DONE, 0, TC_E_INVALID, "1a ");
+    assert_stream(EVENT("1x", "a") DONE, 0, TC_E_INVALID, "");
+    assert_stream(EVENT("", "a") DONE, 0, TC_E_INVALID, "");
+    assert_stream(EVENT("4294967297", "a") DONE, 0, TC_E_INVALID, "");
 }
 
 /** An event without an id of its own has no place; that of the event before it is not its place. */
@@ -199,22 +188,16 @@
 {
     static const char none[] = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n" DONE;
     static const char second[] = EVENT("1", "a") "data: {\"choices\":[{\"text\":\"a\"}]}\n\n" DONE;
-    http_server_t *const server = serve();
-    assert_stream(server, none, 0, TC_E_INVALID, "");
-    assert_stream(server, second, 0, TC_E_INVALID, "1a ");
-    http_stop(server);
-    http_client_cleanup();
+    assert_stream(none, 0, TC_E_INVALID, "");
+    assert_stream(second, 0, TC_E_INVALID, "1a ");
 }
 
 static void test_events_that_are_no_tokens(void)
 {
-    http_server_t *const server = serve();
-    assert_stream(server, EVENT("1", "a") "id: 2\ndata: {\"choi\n\n" DONE, 0, TC_E_INVALID, "1a ");
-    assert_stream(server, EVENT("1", "a") "event: error\ndata: {\"error\":{}}\n\n", 0, TC_E_INVALID, "1a ");
-    assert_stream(server, EVENT("1", "a") "id: 2\ndata: {\"choices\":[{\"text\":\"b\"", 0, TC_E_BROKEN, "1a ");
-    assert_stream(server, EVENT("1", "a") DONE EVENT("2", "b"), 0, TC_OK, "1a "); /* nothing follows the end */
-    http_stop(server);
-    http_client_cleanup();
+    assert_stream(EVENT("1", "a") "id: 2\ndata: {\"choi\n\n" DONE, 0, TC_E_INVALID, "1a ");
+    assert_stream(EVENT("1", "a") "event: error\ndata: {\"error\":{}}\n\n", 0, TC_E_INVALID, "1a ");
+    assert_stream(EVENT("1", "a") "id: 2\ndata: {\"choices\":[{\"text\":\"b\"", 0, TC_E_BROKEN, "1a ");
+    assert_stream(EVENT("1", "a") DONE EVENT("2", "b"), 0, TC_OK, "1a "); /* nothing follows the end */
 }
 
 /** Several tokens in one event: its id is the place of the last. */
@@ -222,11 +205,8 @@
 {
     static const char text[] = "id: 3\ndata: {\"choices\":[{\"text\":\"abc\",\"token_ids\":[1,2,3]}]}\n\n"
                                "id: 5\ndata: {\"choices\":[{\"text\":\"de\",\"token_ids\":[4,5]}]}\n\n" DONE;
-    http_server_t *const server = serve();
-    assert_stream(server, text, 0, TC_OK, "3abc 5de ");
-    assert_stream(server, text, 1, TC_E_INVALID, "");
-    http_stop(server);
-    http_client_cleanup();
+    assert_stream(text, 0, TC_OK, "3abc 5de ");
+    assert_stream(text, 1, TC_E_INVALID, "");
 }
 
 /** Write the second token only when the first was taken. */
@@ -247,19 +227,15 @@
 {
     taker_t taker = {.nap_ms = 2 * TOKEN_GAP_MS};
     tc_err_t err = {0};
-    http_server_t *const server = serve();
     http_route(server, "/v1/streams/patient", patient, &taker);
     g_assert_cmpint(read_stream("patient", 0, &taker, &err), ==, TC_OK);
     g_assert_cmpstr(taker.seen->str, ==, "1a 2b! ");
     g_string_free(taker.seen, TRUE);
-    http_stop(server);
-    http_client_cleanup();
 }
 
 /** A transfer that is given up in the middle leaves nothing to the next one, which uses the same handle. */
 static void test_given_up(void)
 {
-    http_server_t *const server = serve();
     http_route(server, "/v1/streams/endless", endless, NULL);
     for (unsigned round = 1; round <= 10; round++) {
         taker_t taker = {.most = round};
@@ -267,10 +243,8 @@
         g_assert_cmpint(read_stream("endless", 0, &taker, &err), ==, TC_E_CANCELLED);
         g_assert_cmpuint(taker.got, ==, round);
         g_string_free(taker.seen, TRUE);
-        assert_stream(server, EVENT("1", "a") LAST("2", "b") DONE, 0, TC_OK, "1a 2b! ");
+        assert_stream(EVENT("1", "a") LAST("2", "b") DONE, 0, TC_OK, "1a 2b! ");
     }
-    http_stop(server);
-    http_client_cleanup();
 }
 
 static int call(const char *url, bool once, http_result_t *result)
@@ -292,9 +266,6 @@
 static void test_calls(void)
 {
     tc_err_t err;
-    http_client_init("test");
-    http_server_t *const server = http_start(SERVER, 4, &err);
-    g_assert_nonnull(server);
     http_route(server, "/hang-up", hang_up, NULL);
     http_route(server, "/v1/orders", answer, NULL);
     http_result_t result;
@@ -307,13 +278,15 @@
     const engine_order_t order = {.term = 1, .index = 2, .role = ROLE_DECODE, .model = "m", .version = "1"};
     g_assert_cmpint(engine_order("e", "http://" SERVER, &order, 3000, &err), ==, TC_E_FENCED);
     g_assert_cmpstr(err.peer, ==, "e");
-    http_stop(server);
-    http_client_cleanup();
 }
 
 int main(int argc, char **argv)
 {
+    tc_err_t err;
     g_test_init(&argc, &argv, NULL);
+    http_client_init("test");
+    server = http_start(SERVER, 4, &err);
+    g_assert_nonnull(server);
     g_test_add_func("/backend/sse", test_sse);
     g_test_add_func("/backend/sse-limits", test_sse_limits);
     g_test_add_func("/backend/sse-fields", test_sse_fields);
@@ -324,5 +297,8 @@
     g_test_add_func("/backend/slow-reader", test_slow_reader);
     g_test_add_func("/backend/given-up", test_given_up);
     g_test_add_func("/backend/calls", test_calls);
-    return g_test_run();
+    const int rc = g_test_run();
+    http_stop(server);
+    http_client_cleanup();
+    return rc;
 }
