Connections' test: the port is one that the system has free

Cause: all its servers listened at one fixed port, so that two copies at a time on one machine met ("Address already in use", the program ends).

Change: the port is asked of the system once, as other tests do (lab_free_addr). The checks are the same; the deaf listener and the stranger take the address from the same place.

Ruled out: a port for each test. The tests run one after the other and the listener takes its port again at once. Not covered: between asking for the port and listening another process may still get it, as in all tests that ask so.

--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -1,6 +1,5 @@
 /* Connections between processes: keys, calls, deadlines, damage. Real sockets on 127.0.0.1. */
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <pthread.h>
@@ -14,7 +13,8 @@
 #include "harness/proxy.h"
 #include "peer/peer.h"
 
-#define SERVER_ADDR "127.0.0.1:16801"
+/** "IP:port" of the server of all tests, which run one after the other. */
+static char server_addr[32];
 
 typedef struct {
     loop_t *loop;
@@ -73,13 +73,13 @@
     msg_claim_t claim = {0};
     tc_err_t err;
     codec_copy_string(claim.id, sizeof(claim.id), id);
-    return peer_call_wait(client->net, SERVER_ADDR, MSG_CLAIM, &claim, limit, MSG_CLAIM_ACK, ack, &err);
+    return peer_call_wait(client->net, server_addr, MSG_CLAIM, &claim, limit, MSG_CLAIM_ACK, ack, &err);
 }
 
 static void test_calls(void)
 {
     side_t server = {0}, client = {0};
-    start(&server, "server", SERVER_ADDR, good_key);
+    start(&server, "server", server_addr, good_key);
     start(&client, "client", "", good_key);
     for (int i = 0; i < 100; i++) {
         msg_claim_ack_t ack;
@@ -94,7 +94,7 @@
 static void test_wrong_key(void)
 {
     side_t server = {0}, client = {0};
-    start(&server, "server", SERVER_ADDR, good_key);
+    start(&server, "server", server_addr, good_key);
     start(&client, "client", "", other_key);
     const int64_t refused = counter_read("trackcove_peer_refused_total");
     msg_claim_ack_t ack;
@@ -117,7 +117,7 @@
 static void test_deadline(void)
 {
     side_t server = {.silent = true}, client = {0};
-    start(&server, "server", SERVER_ADDR, good_key);
+    start(&server, "server", server_addr, good_key);
     start(&client, "client", "", good_key);
     msg_claim_ack_t ack;
     g_assert_cmpint(call(&client, "abc", 150, &ack), ==, TC_E_TIMEOUT); /* sent: it may have arrived */
@@ -127,19 +127,27 @@
     stop(&client);
 }
 
+static struct sockaddr_storage server_at(unsigned *size)
+{
+    struct sockaddr_storage at;
+    tc_err_t err = {0};
+    g_assert_cmpint(peer_parse_addr(server_addr, &at, size, &err), ==, TC_OK);
+    return at;
+}
+
 /** A listener whose queue is full: the kernel drops what would open a connection, as a box without power does. */
 static int open_deaf_listener(int *fillers, int n)
 {
-    const struct sockaddr_in to = {
-        .sin_family = AF_INET, .sin_port = htons(16801), .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    unsigned size = 0;
+    const struct sockaddr_storage to = server_at(&size);
     const int on = 1;
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    g_assert_cmpint(bind(fd, (const struct sockaddr *)&to, sizeof(to)), ==, 0);
+    g_assert_cmpint(bind(fd, (const struct sockaddr *)&to, size), ==, 0);
     g_assert_cmpint(listen(fd, 0), ==, 0);
     for (int i = 0; i < n; i++) {
         fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        (void)connect(fillers[i], (const struct sockaddr *)&to, sizeof(to));
+        (void)connect(fillers[i], (const struct sockaddr *)&to, size);
     }
     return fd;
 }
@@ -156,13 +164,13 @@
     msg_claim_ack_t ack;
     tc_err_t err = {0};
     /* The limit is below the time of the handshake: unless dialling has a limit of its own, the call runs into it. */
-    g_assert_cmpint(peer_call_wait(client.net, SERVER_ADDR, MSG_CLAIM, &claim, 900, MSG_CLAIM_ACK, &ack, &err), ==,
+    g_assert_cmpint(peer_call_wait(client.net, server_addr, MSG_CLAIM, &claim, 900, MSG_CLAIM_ACK, &ack, &err), ==,
                     TC_E_UNREACHABLE);
     g_assert_cmpstr(err.step, ==, "connect");
     for (int i = 0; i < FILLERS; i++)
         close(fillers[i]);
     close(listener);
-    start(&server, "server", SERVER_ADDR, good_key);
+    start(&server, "server", server_addr, good_key);
     int rc = TC_E_UNREACHABLE;
     for (int tries = 0; tries < 200 && rc == TC_E_UNREACHABLE; tries++) {
         rc = call(&client, "abc", 2000, &ack);
@@ -218,10 +226,10 @@
     char way[32];
     lab_free_addr(way);
     side_t server = {0}, client = {0};
-    start(&server, "server", SERVER_ADDR, good_key);
+    start(&server, "server", server_addr, good_key);
     start(&client, "client", "", good_key);
     loop_t *const loop = loop_create();
-    proxy_t *const proxy = proxy_start(loop, way, SERVER_ADDR);
+    proxy_t *const proxy = proxy_start(loop, way, server_addr);
     pthread_t thread;
     pthread_create(&thread, NULL, run_loop, loop);
     msg_claim_t claim = {0};
@@ -246,7 +254,7 @@
 static void test_slow_answer(void)
 {
     side_t server = {.silent = true}, client = {0};
-    start(&server, "server", SERVER_ADDR, good_key);
+    start(&server, "server", server_addr, good_key);
     start(&client, "client", "", good_key);
     msg_claim_ack_t ack;
     g_assert_cmpint(call(&client, "abc", 2500, &ack), ==, TC_E_TIMEOUT); /* not broken before its limit */
@@ -258,13 +266,13 @@
 static void test_garbage(void)
 {
     side_t server = {0}, client = {0};
-    start(&server, "server", SERVER_ADDR, good_key);
-    const struct sockaddr_in to = {
-        .sin_family = AF_INET, .sin_port = htons(16801), .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    start(&server, "server", server_addr, good_key);
+    unsigned size = 0;
+    const struct sockaddr_storage to = server_at(&size);
     const char *const pieces[] = {"\xff\xff\xff\xff", "GET / HTTP/1.0\r\n\r\n", "\0\0\0\x05\x94\x01\x00\xc2\xc0"};
     for (size_t i = 0; i < G_N_ELEMENTS(pieces); i++) {
         const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        g_assert_cmpint(connect(fd, (const struct sockaddr *)&to, sizeof(to)), ==, 0);
+        g_assert_cmpint(connect(fd, (const struct sockaddr *)&to, size), ==, 0);
         g_assert_cmpint(send(fd, pieces[i], i == 2 ? 9 : strlen(pieces[i]), MSG_NOSIGNAL), >, 0);
         char buffer[4096];
         while (recv(fd, buffer, sizeof(buffer), 0) > 0) { /* until the server hangs up */
@@ -318,16 +326,16 @@
     tc_err_t err;
     loop_t *const loop = loop_create();
     const peer_options_t hears = {
-        .box = "server", .incarnation = 1, .listen = SERVER_ADDR, .key_file = "", .handler = note_order, .arg = &heard};
+        .box = "server", .incarnation = 1, .listen = server_addr, .key_file = "", .handler = note_order, .arg = &heard};
     const peer_options_t tells = {
         .box = "client", .incarnation = 1, .listen = "", .key_file = "", .handler = note_order, .arg = &heard};
     peer_net_t *const server = peer_create(loop, &hears, &err), *const client = peer_create(loop, &tells, &err);
     g_assert_true(server && client);
     const msg_claim_t bulk[] = {named("a"), named("b")}, urgent[] = {named("1"), named("2")};
-    peer_send(client, SERVER_ADDR, MSG_CLAIM, &bulk[0]); /* all wait for the connection */
-    peer_send(client, SERVER_ADDR, MSG_CLAIM, &bulk[1]);
-    peer_send_first(client, SERVER_ADDR, MSG_CLAIM, &urgent[0]);
-    peer_send_first(client, SERVER_ADDR, MSG_CLAIM, &urgent[1]);
+    peer_send(client, server_addr, MSG_CLAIM, &bulk[0]); /* all wait for the connection */
+    peer_send(client, server_addr, MSG_CLAIM, &bulk[1]);
+    peer_send_first(client, server_addr, MSG_CLAIM, &urgent[0]);
+    peer_send_first(client, server_addr, MSG_CLAIM, &urgent[1]);
     lab_run_until(loop, heard_all, &heard);
     g_assert_cmpstr(heard.order->str, ==, "12ab");
     g_assert_cmpuint(peer_backlog(client, tc_time_now()).bytes, ==, 0);
@@ -383,9 +391,9 @@
     peer_net_t *const first = peer_create(loop, &options, &err), *const other = peer_create(loop, &options, &err);
     g_assert_true(first && other);
     const msg_claim_t claim = named("a");
-    peer_call(first, SERVER_ADDR, MSG_CLAIM, &claim, 5000, note_end, &ended[0]);
-    peer_send(first, SERVER_ADDR, MSG_CLAIM, &claim);
-    peer_call(other, SERVER_ADDR, MSG_CLAIM, &claim, 5000, note_end, &ended[1]);
+    peer_call(first, server_addr, MSG_CLAIM, &claim, 5000, note_end, &ended[0]);
+    peer_send(first, server_addr, MSG_CLAIM, &claim);
+    peer_call(other, server_addr, MSG_CLAIM, &claim, 5000, note_end, &ended[1]);
     peer_destroy(first);
     g_assert_cmpuint(ended[0].ended, ==, 1);
     g_assert_cmpint(ended[0].rc, ==, TC_E_CANCELLED);
@@ -401,6 +409,7 @@
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    lab_free_addr(server_addr);
     good_key = write_key("a key of enough bytes\n");
     other_key = write_key("another key of enough bytes\n");
     g_test_add_func("/peer/calls", test_calls);
