--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,7 +1,7 @@
 /** @file forward_lab.h
- * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c and
- * test_stream_random.c, which alone include it: an entry over loopback, fake back ends that answer by a plan, and
- * callers.
+ * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c,
+ * test_stream_random.c and test_stream_silence.c, which alone include it: an entry over loopback, fake back ends that
+ * answer by a plan, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -56,6 +56,10 @@
 #define SEAL "Server-Seal: s1\r\nAttempt-Id: id1\r\n"
 #define STREAM_HEAD "HTTP/1.1 200 OK\r\n" SEAL "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+/** Two events, as the plans write them. */
+#define FIRST "id: 1\ndata: a\n\n"
+#define SECOND "id: 2\ndata: b\n\n"
+
 static lab_reply_t say(const char *bytes, lab_end_t end)
 {
     return (lab_reply_t){.bytes = g_strdup(bytes), .end = end};
@@ -259,6 +263,16 @@
     start_scripted(f, plans, n, answer, NULL);
 }
 
+/** The same with engines of one service: prefill, decode and, unless NULL, a spare decode one, by their replies. */
+static __attribute__((unused)) void start_engines(fixture_t *f, const char *service, const char *prefill,
+                                                  const char *decode, const char *spare)
+{
+    const backend_plan_t plans[] = {{service, "prefill", prefill, false, false},
+                                    {service, "decode", decode, false, false},
+                                    {service, "decode", spare, true, false}};
+    start_all(f, plans, spare ? 3 : 2);
+}
+
 /** How many requests a back end got. */
 static __attribute__((unused)) unsigned requests(const fixture_t *f, int i)
 {
@@ -304,6 +318,16 @@
     return c;
 }
 
+/** Wait for a call's answer, which is whole. */
+static __attribute__((unused)) void expect_whole(fixture_t *f, lab_call_t *c, const char *body)
+{
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
+    g_assert_cmpint(c->status, ==, 200);
+    g_assert_cmpstr(c->body->str, ==, body);
+    lab_call_free(c);
+}
+
 /** @param body of the answer, or NULL for any */
 static __attribute__((unused)) void expect(fixture_t *f, const char *path, int status, const char *body)
 {
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -220,8 +220,8 @@
 static void test_prefill_then_decode(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"lm", "prefill", "p", false, false}, {"lm", "decode", "S", false, false}}, 2);
-    expect(f, "/lm/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    start_engines(f, "lm", "p", "S", NULL);
+    expect(f, "/lm/x", 200, FIRST SECOND);
     g_assert_nonnull(strstr(f->plan[0].seen->str, "Stage: prefill\r\n"));
     char *const from = g_strdup_printf("Kv-From: %s/handle1\r\n", f->backend_addr[0]);
     g_assert_nonnull(strstr(f->plan[1].seen->str, from));
@@ -231,11 +231,7 @@
 static void test_refused_decode_keeps_the_prefill(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "n", false, false},
-                                 {"lm", "decode", "S", true, false}},
-              3);
+    start_engines(f, "lm", "p", "n", "S");
     expect(f, "/lm/x", 200, NULL);
     g_assert_cmpuint(requests(f, 0), ==, 1); /* read once */
     g_assert_nonnull(strstr(f->plan[2].seen->str, "/handle1\r\n"));
@@ -249,7 +245,7 @@
 static void test_unused_prefill_is_released(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"lm", "prefill", "po", false, false}, {"lm", "decode", "n", false, false}}, 2);
+    start_engines(f, "lm", "po", "n", NULL);
     expect(f, "/lm/x", 503, NULL);
     lab_run_until(f->loop, was_released, f);
 }
@@ -261,33 +257,25 @@
     (void)data;
     start_all(f, (backend_plan_t[]){{"held", "decode", "HTn", false, false}, {"held", "decode", "nnHU", true, false}},
               2);
-    expect(f, "/held-again/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    expect(f, "/held-again/x", 200, FIRST SECOND);
 }
 
 static void test_broken_stream_does_not_look_whole(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "T", false, false},
-                                 {"lm", "decode", "S", true, false}},
-              3);
+    start_engines(f, "lm", "p", "T", "S");
     lab_call_t *const c = call(f, "/lm/x");
     g_assert_cmpint(c->how, ==, WEB_END_CUT);
-    g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n"); /* whole events only */
-    g_assert_cmpuint(requests(f, 2), ==, 0);                 /* it may run only once */
+    g_assert_cmpstr(c->body->str, ==, FIRST); /* whole events only */
+    g_assert_cmpuint(requests(f, 2), ==, 0);  /* it may run only once */
     lab_call_free(c);
 }
 
 static void test_resumable_stream_goes_on_elsewhere(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "Tr", false, false},
-                                 {"lm", "decode", "U", true, false}},
-              3);
-    expect(f, "/again/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"); /* each event once */
+    start_engines(f, "lm", "p", "Tr", "U");
+    expect(f, "/again/x", 200, FIRST SECOND); /* each event once */
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
@@ -295,12 +283,8 @@
 static void test_resumable_stream_goes_on_where_it_was(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "TU", false, false},
-                                 {"lm", "decode", "U", true, false}},
-              3);
-    expect(f, "/again/x", 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    start_engines(f, "lm", "p", "TU", "U");
+    expect(f, "/again/x", 200, FIRST SECOND);
     g_assert_cmpuint(requests(f, 0), ==, 1); /* nothing is computed anew */
     g_assert_cmpuint(requests(f, 2), ==, 0);
     g_assert_nonnull(strstr(f->plan[1].seen->str, "Last-Event-Id: 1\r\n"));
@@ -347,7 +331,7 @@
 static void test_resumed_stream_whose_prompt_is_gone(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"lm", "prefill", "p", false, false}, {"lm", "decode", "lU", false, false}}, 2);
+    start_engines(f, "lm", "p", "lU", NULL);
     resume(f);
     g_assert_cmpuint(requests(f, 0), ==, 1);
     g_assert_cmpuint(requests(f, 1), ==, 2);
@@ -378,7 +362,7 @@
 static void test_memory_is_set_aside_first(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"held", "prefill", "p", false, false}, {"held", "decode", "HS", false, false}}, 2);
+    start_engines(f, "held", "p", "HS", NULL);
     expect(f, "/held/x", 200, NULL);
     g_assert_nonnull(strstr(f->plan[1].seen->str, "POST /hold-take "));
     g_assert_nonnull(strstr(f->plan[1].seen->str, "\r\nHold: hold1\r\n"));
@@ -387,7 +371,7 @@
 static void test_no_room_reads_no_prompt(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"held", "prefill", "p", false, false}, {"held", "decode", "n", false, false}}, 2);
+    start_engines(f, "held", "p", "n", NULL);
     expect(f, "/held/x", 503, NULL);
     g_assert_cmpuint(requests(f, 0), ==, 0); /* nothing is read for nothing */
 }
@@ -400,7 +384,7 @@
 static void test_unused_memory_is_given_back(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"held", "prefill", "h", false, false}, {"held", "decode", "Ho", false, false}}, 2);
+    start_engines(f, "held", "h", "Ho", NULL);
     lab_call_t *const c = begin(f, "/held/x");
     lab_run_until(f->loop, has_request, f); /* the prompt is being read */
     web_call_cancel(c->call);
--- a/tests/platform/test_forward_attempts.c
+++ b/tests/platform/test_forward_attempts.c
@@ -3,8 +3,6 @@
 
 #include "platform/forward_lab.h"
 
-#define BOTH "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-
 /* ===== Waiting ===== */
 
 static bool has_prefill(void *arg)
@@ -50,15 +48,6 @@
     fleet_list(f->fleet, list, n, tc_time_now());
 }
 
-static void expect_whole(fixture_t *f, lab_call_t *c, const char *body)
-{
-    lab_run_until_true(f->loop, &c->done);
-    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
-    g_assert_cmpint(c->status, ==, 200);
-    g_assert_cmpstr(c->body->str, ==, body);
-    lab_call_free(c);
-}
-
 static unsigned count(const char *text, const char *part)
 {
     unsigned n = 0;
@@ -73,9 +62,8 @@
 static void test_hold_that_lapsed(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"brief", "prefill", "P", false, false}, {"brief", "decode", "HHS", false, false}},
-              2);
-    expect_whole(f, begin(f, "/brief/x"), BOTH);
+    start_engines(f, "brief", "P", "HHS", NULL);
+    expect_whole(f, begin(f, "/brief/x"), FIRST SECOND);
     g_assert_cmpuint(count(f->plan[1].seen->str, "POST /hold-take "), ==, 2);
     g_assert_cmpuint(count(f->plan[1].seen->str, "\r\nHold: hold1\r\n"), ==, 1);
     g_assert_cmpuint(requests(f, 0), ==, 1); /* the prompt is read once */
@@ -85,15 +73,11 @@
 static void test_hold_at_an_engine_that_leaves(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"held", "prefill", "P", false, false},
-                                 {"held", "decode", "HS", false, false},
-                                 {"held", "decode", "HS", true, false}},
-              3);
+    start_engines(f, "held", "P", "HS", "HS");
     lab_call_t *const c = begin(f, "/held/x");
     lab_run_until(f->loop, has_prefill, f);
     let_leave(f);
-    expect_whole(f, c, BOTH);
+    expect_whole(f, c, FIRST SECOND);
     lab_run_until(f->loop, was_dropped, f);
     g_assert_null(strstr(f->plan[1].seen->str, "Kv-From"));
     g_assert_nonnull(strstr(f->plan[2].seen->str, "\r\nHold: hold1\r\n"));
@@ -103,8 +87,8 @@
 static void test_hold_behind_an_answer_of_another(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f, (backend_plan_t[]){{"held", "prefill", "p", false, false}, {"held", "decode", "XS", false, false}}, 2);
-    expect_whole(f, begin(f, "/held/x"), BOTH);
+    start_engines(f, "held", "p", "XS", NULL);
+    expect_whole(f, begin(f, "/held/x"), FIRST SECOND);
     g_assert_nonnull(strstr(f->plan[1].seen->str, "\r\nHold: hold1\r\n"));
 }
 
@@ -113,7 +97,7 @@
 {
     static const char *const more[] = {"", "Last-Event-Id: 1\r\nPrompt-Prefix: a1:10,b2:90\r\n"};
     (void)data;
-    start_all(f, (backend_plan_t[]){{"held", "prefill", "p", false, false}, {"held", "decode", "h", false, false}}, 2);
+    start_engines(f, "held", "p", "h", NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(more); i++) {
         lab_call_t *const c = begin_with(f, "/held-again/x", more[i]);
         while (requests(f, 1) <= i)
@@ -132,12 +116,8 @@
 static void test_result_that_lapsed(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"fleeting", "prefill", "p", false, false},
-                                 {"fleeting", "decode", "N", false, false},
-                                 {"fleeting", "decode", "S", true, false}},
-              3);
-    expect_whole(f, begin(f, "/fleeting/x"), BOTH);
+    start_engines(f, "fleeting", "p", "N", "S");
+    expect_whole(f, begin(f, "/fleeting/x"), FIRST SECOND);
     g_assert_cmpuint(requests(f, 0), ==, 2); /* read anew */
 }
 
@@ -147,15 +127,11 @@
 static void test_stream_of_an_engine_that_leaves(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "tU", false, false},
-                                 {"lm", "decode", "U", true, false}},
-              3);
+    start_engines(f, "lm", "p", "tU", "U");
     lab_call_t *const c = begin(f, "/again/x");
     lab_run_until(f->loop, has_bytes, c);
     let_leave(f);
-    expect_whole(f, c, BOTH);
+    expect_whole(f, c, FIRST SECOND);
     g_assert_cmpuint(requests(f, 1), ==, 1);
     g_assert_cmpuint(requests(f, 2), ==, 1);
 }
@@ -164,16 +140,12 @@
 static void test_stream_across_a_configuration(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "t", false, false},
-                                 {"lm", "decode", "U", true, false}},
-              3);
+    start_engines(f, "lm", "p", "t", "U");
     lab_call_t *const c = begin(f, "/again/x");
     lab_run_until(f->loop, has_bytes, c);
     forwarder_set_routes(f->forwarder, NULL);
     fleet_find(f->fleet, "i-1")->listed.draining = true; /* so that another engine takes it up */
-    expect_whole(f, c, BOTH);
+    expect_whole(f, c, FIRST SECOND);
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
@@ -203,12 +175,8 @@
 static void test_result_of_a_lost_answer(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "rr", false, false},
-                                 {"lm", "decode", "S", true, false}},
-              3);
-    expect_whole(f, begin(f, "/again/x"), BOTH);
+    start_engines(f, "lm", "p", "rr", "S");
+    expect_whole(f, begin(f, "/again/x"), FIRST SECOND);
     g_assert_cmpuint(count(f->plan[1].seen->str, "\r\nKv-From: "), ==, 1);
     g_assert_cmpuint(requests(f, 1), ==, 2);
     g_assert_cmpuint(count(f->plan[0].seen->str, "\r\nStage: prefill\r\n"), ==, 2);
--- a/tests/platform/test_forward_leader.c
+++ b/tests/platform/test_forward_leader.c
@@ -5,8 +5,6 @@
 #include "peer/peer.h"
 #include "platform/forward_lab.h"
 
-#define BOTH "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-
 enum { CALLS = 4 };
 
 typedef struct {
@@ -121,38 +119,20 @@
     tear_down(&w->f, data);
 }
 
-static void start_engines(world_t *w, const char *first)
-{
-    start_all(&w->f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", first, false, false},
-                                 {"lm", "decode", "S", true, false}},
-              3);
-}
-
-static void expect_whole(world_t *w, lab_call_t *c)
-{
-    lab_run_until_true(w->f.loop, &c->done);
-    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
-    g_assert_cmpint(c->status, ==, 200);
-    g_assert_cmpstr(c->body->str, ==, BOTH);
-    lab_call_free(c);
-}
-
 /* ===== Answers ===== */
 
 /** An answer that comes after its question was put anew is not taken for the answer to the newer one. */
 static void test_answer_to_an_older_question(world_t *w, gconstpointer data)
 {
     (void)data;
-    start_engines(w, "S");
+    start_engines(&w->f, "lm", "p", "S", "S");
     lab_call_t *const c = begin(&w->f, "/placed/x");
     await_questions(w, 2);
     grant(w, 0, "i-0", "i-2");
     lab_run_for(w->f.loop, 30);
     g_assert_cmpuint(requests(&w->f, 0), ==, 0); /* nothing has begun */
     grant(w, 1, "i-0", "i-1");
-    expect_whole(w, c);
+    expect_whole(&w->f, c, FIRST SECOND);
     g_assert_cmpuint(requests(&w->f, 1), ==, 1);
     g_assert_cmpuint(requests(&w->f, 2), ==, 0);
 }
@@ -161,7 +141,7 @@
 static void test_answer_for_nobody(world_t *w, gconstpointer data)
 {
     (void)data;
-    start_engines(w, "S");
+    start_engines(&w->f, "lm", "p", "S", "S");
     lab_call_t *const c = begin(&w->f, "/placed/x");
     await_questions(w, 1);
     web_call_cancel(c->call);
@@ -177,18 +157,18 @@
 static void test_prompt_read_by_its_decode_engine(world_t *w, gconstpointer data)
 {
     (void)data;
-    start_engines(w, "nS");
+    start_engines(&w->f, "lm", "p", "nS", "S");
     lab_call_t *c = begin(&w->f, "/placed/x");
     await_questions(w, 1);
     grant(w, 0, "", "i-1");
-    expect_whole(w, c);
+    expect_whole(&w->f, c, FIRST SECOND);
     g_assert_cmpuint(requests(&w->f, 1), ==, 1);
     g_assert_cmpuint(requests(&w->f, 0), ==, 1); /* the prompt is read for the other engine */
     g_assert_nonnull(strstr(w->f.plan[2].seen->str, "Kv-From: "));
     c = begin(&w->f, "/placed/x");
     await_questions(w, 2);
     grant(w, 1, "", "i-1");
-    expect_whole(w, c);
+    expect_whole(&w->f, c, FIRST SECOND);
     g_assert_cmpuint(requests(&w->f, 0), ==, 1); /* it took it, and read the prompt */
 }
 
--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -8,19 +8,13 @@
 
 #include "platform/forward_lab.h"
 
-#define FIRST "id: 1\ndata: a\n\n"
-#define SECOND "id: 2\ndata: b\n\n"
 #define FIRST_CRLF "id: 1\r\ndata: a\r\n\r\n"
 #define SECOND_CRLF "id: 2\r\ndata: b\r\n\r\n"
 
 /** An engine whose streams stop after some bytes, and one that goes on behind the first event. */
-static void start_engines(fixture_t *f)
+static void start_stopping(fixture_t *f)
 {
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "q", false, false},
-                                 {"lm", "decode", "U", true, false}},
-              3);
+    start_engines(f, "lm", "p", "q", "U");
 }
 
 /** @param stream what the engine that stops sends of @p first and the event behind it, place by place */
@@ -40,7 +34,7 @@
 static void test_run_that_stops_within_an_event(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     stop_within_second_event(f, FIRST SECOND, FIRST);
     stop_within_second_event(f, FIRST_CRLF SECOND_CRLF, FIRST_CRLF);
 }
@@ -50,11 +44,7 @@
 static void test_run_that_starts_over(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_all(f,
-              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
-                                 {"lm", "decode", "T", false, false},
-                                 {"lm", "decode", "S", true, false}},
-              3);
+    start_engines(f, "lm", "p", "T", "S");
     lab_call_t *const c = call(f, "/soon/x");
     g_assert_cmpint(c->how, ==, WEB_END_CUT);
     g_assert_cmpstr(c->body->str, ==, FIRST);
@@ -66,7 +56,7 @@
 static void test_event_without_id(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     f->plan[1].replies = "Rq";
     f->plan[1].stream = FIRST "data: x\n\n";
     f->plan[1].stream_size = strlen(f->plan[1].stream);
@@ -83,7 +73,7 @@
 static void test_silence_behind_an_event_without_id(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     f->plan[1].stream = FIRST "data: x\n\n";
     f->plan[1].stream_size = strlen(f->plan[1].stream);
     lab_call_t *const c = begin(f, "/soon/x");
@@ -105,7 +95,7 @@
 {
     (void)data;
     const char *const first = "id: " LONG_ID "\rX: 1\ndata: a\n\n";
-    start_engines(f);
+    start_stopping(f);
     f->plan[1].stream = first;
     f->plan[1].stream_size = strlen(first);
     char *const whole = g_strconcat(first, SECOND, NULL);
@@ -134,7 +124,7 @@
 {
     enum { SIZE = 1200014 };
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     char *const stream = large_stream(SIZE);
     f->plan[1].replies = "Q";
     f->plan[1].stream = stream;
@@ -151,7 +141,7 @@
     enum { SIZE = 5 * 1024 * 1024 };
     static const char *const paths[] = {"/lm/x", "/soon/x"};
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     char *const stream = large_stream(SIZE);
     f->plan[1].replies = "Q";
     f->plan[1].stream = stream;
@@ -174,7 +164,7 @@
  *  first, as the run behind it is: with the engine that was asked again they are three. */
 static void test_all_arrivals_of_a_second_run_are_paid(fixture_t *f, gconstpointer data)
 {
-    start_engines(f);
+    start_stopping(f);
     f->plan[1].replies = "Rn";
     f->plan[1].stream = FIRST SECOND;
     f->plan[1].stream_size = strlen(FIRST);
@@ -194,7 +184,7 @@
     static const char first[] = "id: 99999999999999999998\ndata: a\n\n";
     static const char both[] = "id: 99999999999999999998\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n";
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     f->plan[1].stream = both;
     f->plan[1].stream_size = strlen(first);
     f->plan[2].replies = "Q";
@@ -207,7 +197,7 @@
 {
     static const char *const ends[] = {"\n", "\r\n"};
     (void)data;
-    start_engines(f);
+    start_stopping(f);
     f->plan[1].replies = "Q";
     for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
         char *const stream = g_strconcat(FIRST, SECOND, ends[i], NULL);
--- a/tests/platform/test_stream_silence.c
+++ b/tests/platform/test_stream_silence.c
@@ -7,8 +7,6 @@
 #include "peer/peer.h"
 #include "platform/forward_lab.h"
 
-#define FIRST "id: 1\ndata: a\n\n"
-#define SECOND "id: 2\ndata: b\n\n"
 #define FIRST_CHUNK "f\r\n" FIRST "\r\n"
 #define SECOND_CHUNK "f\r\n" SECOND "\r\n0\r\n\r\n"
 
@@ -76,22 +74,13 @@
 
 /* ===== Tests ===== */
 
-/** The caller gets the whole stream of the engine i-1, which was asked once, as was no other. */
-static void expect_one_run(fixture_t *f, lab_call_t *c)
-{
-    lab_run_until_true(f->loop, &c->done);
-    g_assert_cmpstr(c->body->str, ==, FIRST SECOND);
-    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
-    lab_call_free(c);
-}
-
 /** No other engine could follow. */
 static void test_only_engine(fixture_t *f, gconstpointer data)
 {
     (void)data;
     start_scripted(f, (backend_plan_t[]){{"lm", "prefill", "", false, false}, {"lm", "decode", "", false, false}}, 2,
                    answer_with_silence, NULL);
-    expect_one_run(f, begin(f, "/soon/x"));
+    expect_whole(f, begin(f, "/soon/x"), FIRST SECOND);
     g_assert_cmpuint(requests(f, 1), ==, 1);
 }
 
@@ -104,7 +93,7 @@
                                       {"lm", "decode", "", false, false},
                                       {"lm", "decode", "", true, false}},
                    3, answer_with_silence, NULL);
-    expect_one_run(f, begin(f, "/soon/x"));
+    expect_whole(f, begin(f, "/soon/x"), FIRST SECOND);
     g_assert_cmpuint(requests(f, 1), ==, 1);
     g_assert_cmpuint(requests(f, 2), ==, 0);
 }
@@ -125,7 +114,7 @@
     lab_run_until(f->loop, has_first, c);
     outer_send(&engine, SECOND_CHUNK);
     g_usleep((gulong)STILL_MS * 1000); /* the loop does not turn */
-    expect_one_run(f, c);
+    expect_whole(f, c, FIRST SECOND);
     g_assert_cmpuint(requests(f, 2), ==, 0);
     outer_close(&engine);
 }
