The line that ends a request is its last one, also where its caller left

The run under way was ended behind it, against what the page on operations says to look at first. Eight programs of tests of forwarding, transport and back ends pass.

--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -2,7 +2,7 @@
  * JSON lines through log4c.
  *
  * One line an event: {"time":..., "level":..., "box":..., "event":..., fields}.
- * docs/operate/LOGS.md lists every event. Usage:
+ * docs/operate/logs.md lists every event. Usage:
  *
  *     log_line_t line;
  *     log_begin(&line, LOG_INFO, "placement");
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -89,8 +89,8 @@
 {
     forward_t *const f = arg;
     counter_add(&c_left, 1);
-    forward_log_end(f, "caller_gone", "connection closed", 0);
     step_cancel(f, "connection closed");
+    forward_log_end(f, "caller_gone", "connection closed", 0);
     forward_free(f);
 }
 
