Test: what is posted while the loop stands still runs late (failing)

Cause: a loop that stood still reads its sockets before its timers, the one that wakes it for what was posted among them; nothing runs what was posted then, and the wait that follows lasts until the next timer or tick, 1 s at most. Ruled out: the order of timers and posted items, which does not show it (the timer runs behind the wait as well): the test looks at the time at which the item runs against the due time of the only timer.

--- a/tests/unit/test_loop.c
+++ b/tests/unit/test_loop.c
@@ -12,7 +12,10 @@
 
 #include "peer/loop.h"
 
-enum { STILL_MS = 80 };
+enum {
+    STILL_MS = 80,
+    OTHER_MS = 1000 /* as long as a loop waits at most: the machine is never that late for what is due at once */
+};
 
 typedef struct {
     loop_t *loop;
@@ -131,6 +134,38 @@
     g_assert_cmpstr(f->order->str, ==, "st");
 }
 
+static void on_other(void *arg)
+{
+    g_string_append_c(((fixture_t *)arg)->order, 't');
+}
+
+static void on_posted(void *arg)
+{
+    fixture_t *const f = arg;
+    g_string_append_c(f->order, tc_time_now() < f->timer.due ? 'p' : 'l');
+    loop_stop(f->loop);
+}
+
+/** Takes long, and leaves something to be run. */
+static void stand_still_and_post(void *arg)
+{
+    fixture_t *const f = arg;
+    loop_post(f->loop, on_posted, f);
+    g_usleep((gulong)STILL_MS * 1000);
+}
+
+/** What is posted while the loop stands still runs when that is over, not late, when something else wakes the loop:
+ *  nothing does before the timer. */
+static void test_posted_while_it_stood_still(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    loop_arm(f->loop, &f->timer, tc_time_now() + OTHER_MS, on_other, f);
+    loop_post(f->loop, stand_still_and_post, f);
+    loop_run(f->loop);
+    loop_disarm(&f->timer);
+    g_assert_cmpstr(f->order->str, ==, "p");
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -138,5 +173,7 @@
     g_test_add("/loop/stands-still-within-a-turn", fixture_t, NULL, set_up, test_stands_still_within_a_turn, tear_down);
     g_test_add("/loop/stands-still-within-its-wait", fixture_t, NULL, set_up, test_stands_still_within_its_wait,
                tear_down);
+    g_test_add("/loop/posted-while-it-stood-still", fixture_t, NULL, set_up, test_posted_while_it_stood_still,
+               tear_down);
     return g_test_run();
 }
