Tests: an answer without a length whose reset is found by something else than its reading (failing)

Cause: the system reports a reset once. web_call_has_news, and the sending of a long request, take that report; what is read next looks like an orderly end, which makes an answer without a length whole. Ruled out: a reset that the reading finds first, which is reported as cut off (test answers). Before: reset-behind-a-look and reset-while-sending fail, both with a whole answer.

--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -506,6 +506,92 @@
     g_assert_cmpint(end_of(f, NULL, LAB_CLOSE, NULL), ==, WEB_END_BROKEN);
 }
 
+/* ===== Resets ===== */
+
+/** A back end outside of the loop, whose end of the one connection the test moves by hand. */
+typedef struct {
+    int listener, fd;
+    char addr[32];
+} peer_end_t;
+
+static peer_end_t peer_end_open(void)
+{
+    peer_end_t p = {.fd = -1};
+    lab_free_addr(p.addr);
+    tc_err_t err = {0};
+    p.listener = peer_open_listener(p.addr, "listen", &err);
+    g_assert_cmpint(p.listener, >=, 0);
+    return p;
+}
+
+/** Whether the first bytes of a request have come, which are left unread. */
+static bool peer_end_has_request(void *arg)
+{
+    peer_end_t *const p = arg;
+    char byte;
+    if (p->fd < 0)
+        p->fd = accept4(p->listener, NULL, NULL, SOCK_CLOEXEC);
+    return p->fd >= 0 && recv(p->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
+static void peer_end_send(const peer_end_t *p, const char *bytes)
+{
+    g_assert_cmpint(send(p->fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==, (ssize_t)strlen(bytes));
+}
+
+static void peer_end_reset(peer_end_t *p)
+{
+    const struct linger hard = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(p->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    close(p->fd);
+    close(p->listener);
+}
+
+#define ENDLESS "HTTP/1.1 200 OK\r\n\r\nto the"
+
+static bool has_body(void *arg)
+{
+    return strcmp(((const lab_call_t *)arg)->body->str, "to the") == 0;
+}
+
+/** The caller of web_call_has_news looks between the reset and its reading: an answer that only an orderly end of its
+ *  connection would make whole is not. */
+static void test_reset_behind_a_look(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    peer_end_t p = peer_end_open();
+    lab_call_t *const c = lab_call(f->client, p.addr, GET("/a"));
+    lab_run_until(f->loop, peer_end_has_request, &p);
+    peer_end_send(&p, ENDLESS);
+    lab_run_until(f->loop, has_body, c);
+    g_assert_false(web_call_has_news(c->call));
+    peer_end_reset(&p);
+    g_assert_true(web_call_has_news(c->call));
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_END_CUT);
+    lab_call_free(c);
+}
+
+/** The same while the request is still being sent: the sending finds the reset first. */
+static void test_reset_while_sending(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    enum { BODY = 8 * 1024 * 1024 }; /* more than the system takes up at once */
+    char *const body = g_strnfill(BODY, 'x');
+    char *const text = g_strdup_printf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", BODY, body);
+    peer_end_t p = peer_end_open();
+    lab_call_t *const c = lab_call(f->client, p.addr, text);
+    lab_run_until(f->loop, peer_end_has_request, &p);
+    peer_end_send(&p, ENDLESS);
+    lab_run_until(f->loop, has_body, c);
+    peer_end_reset(&p);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_END_CUT);
+    lab_call_free(c);
+    g_free(text);
+    g_free(body);
+}
+
 static void test_unsent(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -867,6 +953,8 @@
     TEST("aborted-answer-ends-the-connection", test_aborted_answer_ends_the_connection);
     TEST("short-writes", test_short_writes);
     TEST("caller-who-stops-reading", test_caller_who_stops_reading);
+    TEST("reset-behind-a-look", test_reset_behind_a_look);
+    TEST("reset-while-sending", test_reset_while_sending);
     TEST("answers-of-somebody-else", test_answers_of_somebody_else);
     TEST("interim-answers", test_interim_answers);
     TEST("dropped-from-within", test_dropped_from_within);
