A look for news of a call leaves a reset to its reading

Cause: web_call_has_news peeked with recv, which takes the report of a reset off the socket. What was read next looked like an orderly end, which makes an answer without a length whole: a stream that was silent and reset was ended as complete before its last event. The look asks poll now, which takes nothing. Ruled out: looking with MSG_ERRQUEUE or remembering what the look saw (two places for one fact). /web/reset-behind-a-look fails before (a whole answer) and passes now.

--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -296,9 +297,8 @@
 
 bool web_call_has_news(const web_call_t *call)
 {
-    char byte;
-    const ssize_t n = recv(call->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    struct pollfd look = {.fd = call->watch.fd, .events = POLLIN};
+    return poll(&look, 1, 0) != 0; /* recv would take a reset off the socket: what is read next looks like an end */
 }
 
 /** A kept connection that is still silent and open, or NULL. */
