A connection that is reset under a request's sending has no orderly end

Cause: a back end may answer before it has read a long body. When it resets that connection the sending is told of it, and only it: the reading found what looked like an orderly end, which makes an answer without a length whole. A call whose request can't be sent on keeps that now, and its end is that of a broken connection. Ruled out: the answers of a known length or in chunks, which are whole by their own bytes, also on such a connection. /web/reset-while-sending fails before (a whole answer) and passes now; test_loop and test_web, 35 tests, pass three times.

--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -40,6 +40,7 @@
     bool head_seen; /* an answer's head was taken */
     bool skipping;  /* the answer being read is not ours */
     bool whole;     /* the parser has our whole answer */
+    bool torn;      /* the request can't be sent on: the end of the connection is no orderly one */
     bool cancelled; /* cancelled from within one of its own reports */
     bool reporting;
     GByteArray *request;
@@ -236,7 +237,8 @@
     const ssize_t n = recv(call->watch.fd, data, sizeof(data), 0);
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
         return;
-    if (n < 0 || call->idle)
+    /* A reset is told once. When the sending was told of it, the reading finds what looks like an orderly end. */
+    if (n < 0 || (n == 0 && call->torn) || call->idle)
         call_broken(call); /* an idle connection that says something is of no more use */
     else
         call_parse(call, data, (size_t)n);
@@ -281,7 +283,8 @@
     if (events & EPOLLOUT) {
         call->connecting = false;
         loop_disarm(&call->connect_limit);
-        if (!call_write(call) && !(events & EPOLLIN)) {
+        call->torn = !call_write(call);
+        if (call->torn && !(events & EPOLLIN)) {
             call_broken(call);
             return;
         }
