Tests: a prompt that no prefill engine can read is paid for (failing)

Cause: what must be paid before a stream is taken up counts a prompt that is read anew, also when no prefill engine is left and the decode engine reads it itself, which is one arrival. With a budget for just what would arrive the request failed, or its silent run was waited for until the request's time was over. Before: broken-run-without-prefill and silent-run-without-prefill fail, both with a stream cut off.

--- a/tests/platform/test_stream_events.c
+++ b/tests/platform/test_stream_events.c
@@ -188,6 +188,33 @@
     g_assert_cmpuint(requests(f, 0), ==, 1); /* no prompt is read for a run that can't follow */
 }
 
+/** No prefill engine is left when the stream is taken up, so the engine that does reads the prompt itself: that is one
+ *  arrival. With the prompt that was asked for twice, in vain, they are two beyond the first. */
+static void expect_no_prompt_paid(fixture_t *f, const char *first_run)
+{
+    start_engines(f);
+    f->plan[0].replies = "r";
+    f->plan[1].replies = first_run;
+    f->plan[1].stream = FIRST SECOND;
+    f->plan[1].stream_size = strlen(FIRST);
+    expect(f, "/soon/x", 200, FIRST SECOND);
+    g_assert_cmpuint(requests(f, 0), ==, 2);
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, 1);
+}
+
+static void test_broken_run_without_prefill(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    expect_no_prompt_paid(f, "R");
+}
+
+static void test_silent_run_without_prefill(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    expect_no_prompt_paid(f, "q");
+}
+
 /** Ids of more digits than a machine's number has rise as well. */
 static void test_ids_of_many_digits(fixture_t *f, gconstpointer data)
 {
@@ -236,6 +263,10 @@
                test_all_arrivals_of_a_second_run_are_paid, tear_down);
     g_test_add("/stream-events/second-run-beyond-budget", fixture_t, &two_more, set_up,
                test_all_arrivals_of_a_second_run_are_paid, tear_down);
+    g_test_add("/stream-events/broken-run-without-prefill", fixture_t, &two_more, set_up,
+               test_broken_run_without_prefill, tear_down);
+    g_test_add("/stream-events/silent-run-without-prefill", fixture_t, &two_more, set_up,
+               test_silent_run_without_prefill, tear_down);
     g_test_add("/stream-events/ids-of-many-digits", fixture_t, NULL, set_up, test_ids_of_many_digits, tear_down);
     g_test_add("/stream-events/empty-line-at-the-end", fixture_t, NULL, set_up, test_empty_line_at_the_end, tear_down);
     return g_test_run();
