A prompt that no prefill engine can read is not paid for

Cause: what must be paid before a stream is taken up counted a prompt that is read anew, whether or not a prefill engine was left. The call that is sent is known now before it is paid for; a silent run is given up once what can arrive is paid. Ruled out: paying less and asking again for the rest when a prefill engine turns up (send_to_engines does: it looks again). /stream-events/broken-run-without-prefill and silent-run-without-prefill fail before and pass now; the seven programs of tests of streams and forwarding, 64 tests, pass.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -165,11 +165,13 @@
 static void send_to_engines(forward_t *f)
 {
     const bool read = f->handle.instance || place_is_solo(f);
-    if (retry_owes(f, read ? DIALECT_DECODE : DIALECT_PREFILL)) {
+    instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
+    if (retry_owes(f, prefill ? DIALECT_PREFILL : DIALECT_DECODE)) {
+        if (prefill)
+            instance_unref(prefill);
         retry_then(f, forward_go_on);
         return;
     }
-    instance_t *const prefill = read ? NULL : choose_engine(f, STAGE_PREFILL);
     if (prefill) {
         f->placement.prefill_began = tc_time_now();
         send_to(f, DIALECT_PREFILL, prefill);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -277,16 +277,22 @@
     give_up(s, "prefill engine is silent");
 }
 
+static bool is_any_left(forward_t *f, stage_t stage)
+{
+    instance_t *const instance = forward_choose(f, stage);
+    if (instance)
+        instance_unref(instance);
+    return instance != NULL;
+}
+
 /** Whether there is another back end that could go on. */
 static bool has_other(const step_t *s)
 {
     forward_t *const f = s->request;
     g_ptr_array_add(f->tried, instance_ref(s->instance));
-    instance_t *const other = forward_choose(f, f->split ? STAGE_DECODE : STAGE_NONE);
+    const bool is = is_any_left(f, f->split ? STAGE_DECODE : STAGE_NONE);
     g_ptr_array_set_size(f->tried, (gint)f->tried->len - 1);
-    if (other)
-        instance_unref(other);
-    return other != NULL;
+    return is;
 }
 
 static void watch_silence(forward_t *f);
@@ -294,8 +300,10 @@
 /** The run is silent and another can follow: once all that this takes is paid for, it is given up. */
 static void pay_and_give_up(forward_t *f)
 {
-    /* This run counts, and so does the prompt that is read anew. */
-    const unsigned before = f->retry.counted + 1 + (f->split && f->retry.read);
+    /* This run counts, and so does the prompt that is read anew; without a prefill engine the run behind it reads it.
+     */
+    const bool prefills = f->split && f->retry.read && is_any_left(f, STAGE_PREFILL);
+    const unsigned before = f->retry.counted + 1 + prefills;
     if (before > f->retry.paid)
         retry_ask(f, pay_and_give_up, watch_silence);
     else
