Test: a silent run goes on while the leader is asked for what could follow it (failing)

Cause: whether bytes of the run wait to be read is looked at when its silence is noticed, not when the leader has answered, up to twice 100 ms later: read in one turn of the loop, the answer ends a run that has gone on. Ruled out: bytes that are read before the answer, which drop the question. Before: run-goes-on-while-the-leader-answers fails with the stream cut off. The engine outside of the loop moves to forward_lab.h unchanged; test_stream_silence, 3 tests, passes.

--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -8,9 +8,12 @@
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "forward/forward.h"
 #include "harness/lab.h"
+#include "peer/peer.h"
 #include "platform/config.h"
 
 /* ===== Types ===== */
@@ -141,6 +144,47 @@
     }
 }
 
+/* ===== A back end outside of the loop ===== */
+
+/** A back end outside of the loop: it goes on while the box stands still. */
+typedef struct {
+    int listener, fd;
+    GString *in;
+} outer_t;
+
+static __attribute__((unused)) outer_t outer_open(const char *addr)
+{
+    tc_err_t err = {0};
+    const outer_t o = {.listener = peer_open_listener(addr, "listen", &err), .fd = -1, .in = g_string_new(NULL)};
+    g_assert_cmpint(o.listener, >=, 0);
+    return o;
+}
+
+static __attribute__((unused)) void outer_close(outer_t *o)
+{
+    close(o->fd);
+    close(o->listener);
+    g_string_free(o->in, TRUE);
+}
+
+/** Whether a whole request has come. */
+static __attribute__((unused)) bool outer_has_read(void *arg)
+{
+    outer_t *const o = arg;
+    char data[4096];
+    ssize_t n;
+    if (o->fd < 0)
+        o->fd = accept4(o->listener, NULL, NULL, SOCK_CLOEXEC);
+    while (o->fd >= 0 && (n = recv(o->fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
+        g_string_append_len(o->in, data, n);
+    return g_str_has_suffix(o->in->str, "body");
+}
+
+static __attribute__((unused)) void outer_send(const outer_t *o, const char *bytes)
+{
+    g_assert_cmpint(send(o->fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==, (ssize_t)strlen(bytes));
+}
+
 /* ===== Configuration ===== */
 
 #define ROUTE(path, kind, timeout, attempts, service)                                                                  \
--- a/tests/platform/test_forward_leader.c
+++ b/tests/platform/test_forward_leader.c
@@ -5,7 +5,9 @@
 #include "peer/peer.h"
 #include "platform/forward_lab.h"
 
-#define BOTH "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+#define FIRST "id: 1\ndata: a\n\n"
+#define SECOND "id: 2\ndata: b\n\n"
+#define BOTH FIRST SECOND
 
 enum { CALLS = 4 };
 
@@ -18,6 +20,8 @@
     peer_call_t asked[CALLS]; /* for placements, not answered yet */
     unsigned asked_n, awaited;
     unsigned replans;
+    unsigned lent;         /* further arrivals, each of which is granted */
+    const outer_t *engine; /* goes on behind the last of them */
 } world_t;
 
 /* ===== The leader ===== */
@@ -37,6 +41,16 @@
     peer_reply_error(w->net, call, &err);
 }
 
+/** What a run given up takes is two arrivals: the prompt's and that of the run behind it. With the second of them the
+ *  silent engine goes on, so that its bytes wait when the answer is read. */
+static void lend(world_t *w, peer_call_t call)
+{
+    const msg_retry_ack_t ack = {.granted = true};
+    peer_reply(w->net, call, MSG_RETRY_ACK, &ack);
+    if (++w->lent == 2)
+        outer_send(w->engine, "f\r\n" SECOND "\r\n0\r\n\r\n");
+}
+
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
 {
     world_t *const w = arg;
@@ -51,6 +65,7 @@
         w->replans++;
         refuse(w, call);
         break;
+    case MSG_RETRY: lend(w, call); break;
     default:
         if (call.call != 0)
             refuse(w, call);
@@ -192,6 +207,34 @@
     g_assert_cmpuint(requests(&w->f, 0), ==, 1); /* it took it, and read the prompt */
 }
 
+static bool has_first(void *arg)
+{
+    return strcmp(((const lab_call_t *)arg)->body->str, FIRST) == 0;
+}
+
+/** A silent run that goes on while the leader is asked for what could follow it is not given up. */
+static void test_run_goes_on_while_the_leader_answers(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_all(&w->f,
+              (backend_plan_t[]){{"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "", false, true},
+                                 {"lm", "decode", "S", true, false}},
+              3);
+    outer_t engine = outer_open(w->f.backend_addr[1]);
+    w->engine = &engine;
+    lab_call_t *const c = begin(&w->f, "/soon/x");
+    await_questions(w, 1);
+    grant(w, 0, "i-0", "i-1");
+    lab_run_until(w->f.loop, outer_has_read, &engine);
+    outer_send(&engine, STREAM_HEAD "f\r\n" FIRST "\r\n");
+    lab_run_until(w->f.loop, has_first, c);
+    expect_whole(w, c);
+    g_assert_cmpuint(w->lent, ==, 2);
+    g_assert_cmpuint(requests(&w->f, 2), ==, 0);
+    outer_close(&engine);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -199,5 +242,8 @@
     TEST("answer-to-an-older-question", test_answer_to_an_older_question);
     TEST("answer-for-nobody", test_answer_for_nobody);
     TEST("prompt-read-by-its-decode-engine", test_prompt_read_by_its_decode_engine);
+    static const double nothing = 0; /* of the budget is this box's part */
+    g_test_add("/forward-leader/run-goes-on-while-the-leader-answers", world_t, &nothing, set_up_world,
+               test_run_goes_on_while_the_leader_answers, tear_down_world);
     return g_test_run();
 }
--- a/tests/platform/test_stream_silence.c
+++ b/tests/platform/test_stream_silence.c
@@ -1,10 +1,6 @@
 /* Runs of a stream that are silent for longer than their route allows, and well. Giving one up ends it for good, so it
  * is done only when another run can follow, and only for a silence of the back end's. */
 
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include "peer/peer.h"
 #include "platform/forward_lab.h"
 
 #define FIRST "id: 1\ndata: a\n\n"
@@ -30,45 +26,6 @@
     return say_slowly(say(STREAM_HEAD FIRST_CHUNK SECOND_CHUNK, LAB_KEEP), strlen(STREAM_HEAD FIRST_CHUNK), STILL_MS);
 }
 
-/** A back end outside of the loop: it goes on while the box stands still. */
-typedef struct {
-    int listener, fd;
-    GString *in;
-} outer_t;
-
-static outer_t outer_open(const char *addr)
-{
-    tc_err_t err = {0};
-    const outer_t o = {.listener = peer_open_listener(addr, "listen", &err), .fd = -1, .in = g_string_new(NULL)};
-    g_assert_cmpint(o.listener, >=, 0);
-    return o;
-}
-
-static void outer_close(outer_t *o)
-{
-    close(o->fd);
-    close(o->listener);
-    g_string_free(o->in, TRUE);
-}
-
-/** Whether a whole request has come. */
-static bool outer_has_read(void *arg)
-{
-    outer_t *const o = arg;
-    char data[4096];
-    ssize_t n;
-    if (o->fd < 0)
-        o->fd = accept4(o->listener, NULL, NULL, SOCK_CLOEXEC);
-    while (o->fd >= 0 && (n = recv(o->fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
-        g_string_append_len(o->in, data, n);
-    return g_str_has_suffix(o->in->str, "body");
-}
-
-static void outer_send(const outer_t *o, const char *bytes)
-{
-    g_assert_cmpint(send(o->fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==, (ssize_t)strlen(bytes));
-}
-
 static bool has_first(void *arg)
 {
     return g_str_has_prefix(((lab_call_t *)arg)->body->str, FIRST);
