Whether bytes wait to be read is looked at when a silent run is given up

Cause: it was looked at before the leader was asked. An answer of the leader that was read in the same turn of the loop as bytes of the run ended it, though it had gone on. Ruled out: a look only behind the question, which would ask the leader for a run that is sound. /forward-leader/run-goes-on-while-the-leader-answers fails before and passes now; with stream-silence and stream-events, 20 tests, three times.

--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -297,9 +297,14 @@
 
 static void watch_silence(forward_t *f);
 
-/** The run is silent and another can follow: once all that this takes is paid for, it is given up. */
+/** The run is silent and another can follow: once all that this takes is paid for, it is given up. The silence is none
+ *  while bytes wait to be read: this box stood still, or they came while the leader was asked. */
 static void pay_and_give_up(forward_t *f)
 {
+    if (web_call_has_news(f->step->call)) {
+        watch_silence(f);
+        return;
+    }
     /* This run counts, and so does the prompt that is read anew; without a prefill engine the run behind it reads it.
      */
     const bool prefills = f->split && f->retry.read && is_any_left(f, STAGE_PREFILL);
@@ -310,16 +315,15 @@
         give_up(f->step, "stream is silent");
 }
 
-/** Giving a run up ends it for good, so it is done only for a silence of the back end's, which is none while bytes wait
- *  to be read (this box stood still), and only when another run can follow: else it is waited for. */
+/** Giving a run up ends it for good, so it is done only when another run can follow: else it is waited for. */
 static void on_run_late(void *arg)
 {
     forward_t *const f = arg;
     assert(f->step); /* disarmed with the step */
-    if (web_call_has_news(f->step->call) || !has_other(f->step))
-        watch_silence(f);
-    else
+    if (has_other(f->step))
         pay_and_give_up(f);
+    else
+        watch_silence(f);
 }
 
 /** A stream that may be taken up elsewhere is not waited for longer than its pauses allow. */
