Test: an engine that names no token ids (failing)

Cause: token_ids that is null, which engines say when they do not list them, counts as a list of none; the event was refused and with it the answer, which was read before. Ruled out: an event without that field, which is one token. Before: tokens-that-are-not-listed fails.

--- a/tests/unit/test_backend.c
+++ b/tests/unit/test_backend.c
@@ -229,6 +229,16 @@
     http_client_cleanup();
 }
 
+/** An engine that does not list them says null. */
+static void test_tokens_that_are_not_listed(void)
+{
+    static const char text[] = "id: 1\ndata: {\"choices\":[{\"text\":\"a\",\"token_ids\":null}]}\n\n" DONE;
+    http_server_t *const server = serve();
+    assert_stream(server, text, 0, TC_OK, "1a ");
+    http_stop(server);
+    http_client_cleanup();
+}
+
 /** Write the second token only when the first was taken. */
 static int patient(struct mg_connection *conn, void *arg)
 {
@@ -321,6 +331,7 @@
     g_test_add_func("/backend/event-without-id", test_event_without_id);
     g_test_add_func("/backend/events-that-are-no-tokens", test_events_that_are_no_tokens);
     g_test_add_func("/backend/several-tokens", test_several_tokens);
+    g_test_add_func("/backend/tokens-that-are-not-listed", test_tokens_that_are_not_listed);
     g_test_add_func("/backend/slow-reader", test_slow_reader);
     g_test_add_func("/backend/given-up", test_given_up);
     g_test_add_func("/backend/calls", test_calls);
