Token ids that an engine does not list are no empty list

Cause: null stands for no list in what engines write, and was counted as a list of no tokens. Ruled out: taking an empty list for one token: it says that there is none. /backend/tokens-that-are-not-listed fails before and passes now, with the rest of test_backend.

--- a/lib/backend/engine.c
+++ b/lib/backend/engine.c
@@ -131,7 +131,7 @@
 static uint32_t count_tokens(const json_t *choice)
 {
     const json_t *const ids = json_object_get(choice, "token_ids");
-    return ids ? (uint32_t)json_array_size(ids) : 1;
+    return json_is_array(ids) ? (uint32_t)json_array_size(ids) : 1;
 }
 
 /** Pass the tokens of an event on, if they are the next ones. */
