--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -301,8 +301,8 @@
 }
 
 /** Most timers judge the silence of somebody else: when this process stood still, what others said meanwhile is read
- *  first, else sound streams, calls and leaders are given up at its waking. What was posted runs as well: what wakes the
- *  loop for it is read here, so that the next wait would not end for it. */
+ *  first, else sound streams, calls and leaders are given up at its waking. What was posted runs as well: what wakes
+ * the loop for it is read here, so that the next wait would not end for it. */
 static void catch_up(loop_t *loop)
 {
     if (tc_time_now() - loop->looked_at < LOOP_STILL_MS)
