Test: a loop's first turn takes as long as the machine has run (failing)

Cause: the beginning of the first turn is not set. What the loop stood still for is told from it when a lease lapses. Ruled out: turns behind the first look at the sockets, which begin there. Before: first-turn fails, with the machine's up time for a turn.

--- a/tests/unit/test_loop.c
+++ b/tests/unit/test_loop.c
@@ -92,6 +92,24 @@
     g_assert_cmpstr(f->order->str, ==, "st");
 }
 
+static void stop(void *arg)
+{
+    loop_stop(arg);
+}
+
+/** The first turn of a loop is no longer than the loop's life. */
+static void test_first_turn(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    const tc_time_t before = tc_time_now();
+    loop_t *const loop = loop_create();
+    loop_add_tick(loop, STILL_MS, stop, loop);
+    loop_run(loop);
+    g_assert_cmpint(loop_longest_turn(loop).took, <=, tc_time_now() - before);
+    loop_destroy(loop);
+    (void)f;
+}
+
 static int pipe_of_signal;
 
 static void on_signal(int number)
@@ -175,5 +193,6 @@
                tear_down);
     g_test_add("/loop/posted-while-it-stood-still", fixture_t, NULL, set_up, test_posted_while_it_stood_still,
                tear_down);
+    g_test_add("/loop/first-turn", fixture_t, NULL, set_up, test_first_turn, tear_down);
     return g_test_run();
 }
