A loop's first turn begins with the loop

Cause: its beginning was not set, so that a tick of the first turn seemed to take as long as the machine had run, for the 2 s that the longest turn is kept. Ruled out: none but this place; every other turn begins with a look at the sockets or with the end of the one before. /loop/first-turn fails before and passes now, with the four others.

--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -255,7 +255,7 @@
     if (!loop)
         return NULL;
     loop->longest.what = loop->earlier.what = "";
-    loop->looked_at = tc_time_now();
+    loop->looked_at = loop->turn_at = tc_time_now();
     loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     pthread_mutex_init(&loop->lock, NULL);
