Test: a leader that stood still grants what waits for it (failing)

Cause: the scheduler beside the leader knows of the lease from the last tick. Since a loop that stood still reads its sockets first, questions that waited there are answered by a leader that may be none any more. Ruled out: reads of the document, whose certainty looks at the time; the mover, which looks at it too. Before: nothing-is-granted-behind-a-standstill fails: one more arrival was answered by the leader.

--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -497,6 +497,76 @@
     g_assert_cmpuint(f->lent, <=, 5); /* half of one for each request */
 }
 
+/* ===== A leader that stood still ===== */
+
+/** Somebody who asks the leader, in a loop of his own. */
+typedef struct {
+    fixture_t *f;
+    loop_t *loop;
+    peer_net_t *net;
+} asker_t;
+
+static void no_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    (void)arg, (void)call, (void)from, (void)type, (void)message;
+}
+
+static asker_t asker_create(fixture_t *f)
+{
+    asker_t a = {.f = f, .loop = loop_create()};
+    const peer_options_t options = {
+        .box = "asker", .incarnation = 1, .listen = "", .key_file = "", .handler = no_message};
+    tc_err_t err = {0};
+    a.net = peer_create(a.loop, &options, &err);
+    g_assert_nonnull(a.net);
+    return a;
+}
+
+static void asker_destroy(const asker_t *a)
+{
+    peer_destroy(a->net);
+    loop_destroy(a->loop);
+}
+
+/** Put a question to box @p to, which does not read it yet. */
+static void asker_send(const asker_t *a, int to)
+{
+    enum { WRITTEN_MS = 20 };
+    const msg_retry_t retry = {.service = "lm"};
+    a->f->answered = 0;
+    peer_call(a->net, a->f->addr[to], MSG_RETRY, &retry, 5000, on_probe, a->f);
+    lab_run_for(a->loop, WRITTEN_MS);
+}
+
+static void asker_wait(const asker_t *a)
+{
+    while (a->f->answered == 0) {
+        lab_run_for(a->f->loop, 2);
+        lab_run_for(a->loop, 2);
+    }
+}
+
+/** What waits for a leader that stood still, for so long that another may lead, is not answered as by the leader: it is
+ *  read before the leader's own clock shows it how late it is. */
+static void test_nothing_is_granted_behind_a_standstill(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    const int led = leader(f);
+    const asker_t asker = asker_create(f);
+    do {
+        asker_send(&asker, led);
+        asker_wait(&asker);
+    } while (!f->told); /* the scheduler begins a moment after its box leads */
+    asker_send(&asker, led);
+    g_usleep((gulong)(RAFT_ELECTION_MIN_MS + 100) * 1000);
+    asker_wait(&asker);
+    g_assert_false(f->told);
+    asker_destroy(&asker);
+}
+
 /* ===== Learning ===== */
 
 /** Whether somebody has dialled @p fd's listener. */
@@ -612,6 +682,7 @@
     TEST("seeds-that-are-no-members-are-told", test_seeds_that_are_no_members_are_told);
     TEST("moving-engine-is-told-as-leaving", test_moving_engine_is_told_as_leaving);
     TEST("leader-hands-out-its-part", test_leader_hands_out_its_part);
+    TEST("nothing-is-granted-behind-a-standstill", test_nothing_is_granted_behind_a_standstill);
     TEST("learning-waits-for-nobody", test_learning_waits_for_nobody);
     TEST("one-list-at-a-time", test_one_list_at_a_time);
     return g_test_run();
