A leader looks whether it still leads before it grants

Cause: the scheduler beside the leader went by the lease of the last tick. Behind a standstill the questions that wait are read before the ticks run, and a box that may lead no more answered them: placements, and arrivals of its part of the retry budget, which the next leader hands out as well. Now the scheduler's messages find the end of the lead first. Ruled out: a look before every message, which would end a lead that an answer of another voter, read next, keeps; ending it for a lapse alone, in which nobody else can lead. placing_receive says no more whether a message is the scheduler's, placing_takes does; test_placing asserts that instead. /cluster/nothing-is-granted-behind-a-standstill fails before and passes now; cluster, placing and resign, 24 tests, pass.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -275,16 +275,19 @@
     sched_place(p->sched, place, token, now);
 }
 
-bool placing_receive(placing_t *p, peer_call_t call, uint32_t type, const void *message, tc_time_t now)
+bool placing_takes(uint32_t type)
+{
+    return type == MSG_PLACE || type == MSG_REPLAN || type == MSG_PROGRESS || type == MSG_RENEW || type == MSG_RETRY;
+}
+
+void placing_receive(placing_t *p, peer_call_t call, uint32_t type, const void *message, tc_time_t now)
 {
     const sched_token_t token = {.a = call.connection, .b = call.call};
-    if (type != MSG_PLACE && type != MSG_REPLAN && type != MSG_PROGRESS && type != MSG_RENEW && type != MSG_RETRY)
-        return false;
     if (!p->sched) {
         tc_err_t err = {0};
         tc_err_set(&err, TC_E_NOT_LEADER, "place", "", "this box does not lead");
         peer_reply_error(p->net, call, &err);
-        return true;
+        return;
     }
     switch (type) {
     case MSG_PLACE: on_place(p, token, message, now); break;
@@ -294,7 +297,6 @@
     default: on_renew(p, call, message, now); break;
     }
     pump(p, now);
-    return true;
 }
 
 bool placing_is_in_doubt(const placing_t *p, tc_time_t now)
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -66,8 +66,9 @@
 /** Call every tick, and when the lease changes. @param boxes entry boxes that are there */
 void placing_tick(placing_t *placing, const placing_lease_t *lease, uint32_t boxes, tc_time_t now);
 
-/** Take a message. The scheduler's are answered, with TC_E_NOT_LEADER while this box does not lead.
- *  @return false, with nothing done, when it is none of the scheduler's */
-bool placing_receive(placing_t *placing, peer_call_t call, uint32_t type, const void *message, tc_time_t now);
+/** Whether messages of this type are the scheduler's. */
+bool placing_takes(uint32_t type);
+/** Take one of the scheduler's messages: it is answered, with TC_E_NOT_LEADER while this box does not lead. */
+void placing_receive(placing_t *placing, peer_call_t call, uint32_t type, const void *message, tc_time_t now);
 
 #endif
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -228,13 +228,38 @@
 
 /* ===== Messages and time ===== */
 
+/** Begin, suspend or end what a leader does, by its lease. */
+static void note_lead(replica_t *r, tc_time_t now)
+{
+    const bool keeps = replica_keeps_lead(r);
+    const placing_lease_t lease = {.term = keeps ? raft_view(r->raft).term : 0, .held = replica_leads(r)};
+    if (r->held && !lease.held)
+        log_lapse(r, keeps ? "the lease lapsed" : "the lease is over", now);
+    if (keeps != r->led)
+        log_cluster(r, keeps ? "this box leads" : "this box leads no more");
+    r->held = lease.held;
+    r->led = keeps;
+    counter_set(&c_leads, lease.held);
+    placing_tick(r->placing, &lease, roster_count(r->roster), now);
+}
+
+/** A loop that stood still reads messages before it ticks: nothing is granted by a box that may lead no more. */
+static void note_end(replica_t *r, tc_time_t now)
+{
+    if (r->led && !replica_keeps_lead(r))
+        note_lead(r, now);
+}
+
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
 {
     replica_t *const r = arg;
     const tc_time_t now = tc_time_now();
     (void)from;
-    if (placing_receive(r->placing, call, type, message, now))
+    if (placing_takes(type)) {
+        note_end(r, now);
+        placing_receive(r->placing, call, type, message, now);
         return;
+    }
     switch (type) {
     case MSG_REPORT: reports_answer(r, call, message, now); break;
     case MSG_FETCH_PIECE: reports_answer_piece(r, call, message); break;
@@ -248,21 +273,6 @@
     replica_pump(r);
 }
 
-/** Begin, suspend or end what a leader does, by its lease. */
-static void note_lead(replica_t *r, tc_time_t now)
-{
-    const bool keeps = replica_keeps_lead(r);
-    const placing_lease_t lease = {.term = keeps ? raft_view(r->raft).term : 0, .held = replica_leads(r)};
-    if (r->held && !lease.held)
-        log_lapse(r, keeps ? "the lease lapsed" : "the lease is over", now);
-    if (keeps != r->led)
-        log_cluster(r, keeps ? "this box leads" : "this box leads no more");
-    r->held = lease.held;
-    r->led = keeps;
-    counter_set(&c_leads, lease.held);
-    placing_tick(r->placing, &lease, roster_count(r->roster), now);
-}
-
 static void on_tick(void *arg)
 {
     replica_t *const r = arg;
--- a/tests/unit/test_placing.c
+++ b/tests/unit/test_placing.c
@@ -61,7 +61,8 @@
     codec_copy_string(place.id, sizeof(place.id), id);
     codec_copy_string(place.box, sizeof(place.box), "box");
     codec_copy_string(place.model, sizeof(place.model), "lm");
-    return placing_receive(f->placing, (peer_call_t){0}, MSG_PLACE, &place, f->now);
+    placing_receive(f->placing, (peer_call_t){0}, MSG_PLACE, &place, f->now);
+    return placing_takes(MSG_PLACE);
 }
 
 static int64_t granted(const fixture_t *f)
