--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,16 +1,19 @@
 /** @file forward_lab.h
- * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c and
- * test_stream_random.c, which alone include it: an entry over loopback, fake back ends that answer by a plan, and
- * callers.
+ * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c,
+ * test_stream_random.c and test_stream_silence.c, which alone include it: an entry over loopback, fake back ends that
+ * answer by a plan, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "forward/forward.h"
 #include "harness/lab.h"
+#include "peer/peer.h"
 #include "platform/config.h"
 
 /* ===== Types ===== */
@@ -56,6 +59,10 @@
 #define SEAL "Server-Seal: s1\r\nAttempt-Id: id1\r\n"
 #define STREAM_HEAD "HTTP/1.1 200 OK\r\n" SEAL "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+/** Two events, as the plans write them. */
+#define FIRST "id: 1\ndata: a\n\n"
+#define SECOND "id: 2\ndata: b\n\n"
+
 static lab_reply_t say(const char *bytes, lab_end_t end)
 {
     return (lab_reply_t){.bytes = g_strdup(bytes), .end = end};
@@ -141,6 +148,47 @@
     }
 }
 
+/* ===== A back end outside of the loop ===== */
+
+/** A back end outside of the loop: it goes on while the box stands still. */
+typedef struct {
+    int listener, fd;
+    GString *in;
+} outer_t;
+
+static __attribute__((unused)) outer_t outer_open(const char *addr)
+{
+    tc_err_t err = {0};
+    const outer_t o = {.listener = peer_open_listener(addr, "listen", &err), .fd = -1, .in = g_string_new(NULL)};
+    g_assert_cmpint(o.listener, >=, 0);
+    return o;
+}
+
+static __attribute__((unused)) void outer_close(outer_t *o)
+{
+    close(o->fd);
+    close(o->listener);
+    g_string_free(o->in, TRUE);
+}
+
+/** Whether a whole request has come. */
+static __attribute__((unused)) bool outer_has_read(void *arg)
+{
+    outer_t *const o = arg;
+    char data[4096];
+    ssize_t n;
+    if (o->fd < 0)
+        o->fd = accept4(o->listener, NULL, NULL, SOCK_CLOEXEC);
+    while (o->fd >= 0 && (n = recv(o->fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
+        g_string_append_len(o->in, data, n);
+    return g_str_has_suffix(o->in->str, "body");
+}
+
+static __attribute__((unused)) void outer_send(const outer_t *o, const char *bytes)
+{
+    g_assert_cmpint(send(o->fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==, (ssize_t)strlen(bytes));
+}
+
 /* ===== Configuration ===== */
 
 #define ROUTE(path, kind, timeout, attempts, service)                                                                  \
@@ -259,6 +307,16 @@
     start_scripted(f, plans, n, answer, NULL);
 }
 
+/** The same with engines of one service: prefill, decode and, unless NULL, a spare decode one, by their replies. */
+static __attribute__((unused)) void start_engines(fixture_t *f, const char *service, const char *prefill,
+                                                  const char *decode, const char *spare)
+{
+    const backend_plan_t plans[] = {{service, "prefill", prefill, false, false},
+                                    {service, "decode", decode, false, false},
+                                    {service, "decode", spare, true, false}};
+    start_all(f, plans, spare ? 3 : 2);
+}
+
 /** How many requests a back end got. */
 static __attribute__((unused)) unsigned requests(const fixture_t *f, int i)
 {
@@ -304,6 +362,16 @@
     return c;
 }
 
+/** Wait for a call's answer, which is whole. */
+static __attribute__((unused)) void expect_whole(fixture_t *f, lab_call_t *c, const char *body)
+{
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_END_WHOLE);
+    g_assert_cmpint(c->status, ==, 200);
+    g_assert_cmpstr(c->body->str, ==, body);
+    lab_call_free(c);
+}
+
 /** @param body of the answer, or NULL for any */
 static __attribute__((unused)) void expect(fixture_t *f, const char *path, int status, const char *body)
 {
