Sight: which tries are the same request, whether a back end has ended, what a retry rests on, stand-stills

The record could not tell two tries at the same from two requests (but by the prompt's part), a broken connection from a back end that ended, what the leader's window held when it lent, or a suspended machine. routed has a fingerprint (method, host, target, caller, body), backend_looked says whether anybody listens at the address of a lost answer, retry_lent has the window's counts and limit, stood_still the time stopped and suspended. No decision rests on any of it yet. test_forward, test_forward_attempts and test_stream_silence pass.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -257,11 +257,15 @@
 {
     enum { ALONE = 1 }; /* the leader shares its part of the allowance with nobody */
     retry_budget_t *const budget = retry_budgets_get(p->budgets, retry->service, now);
+    const retry_budget_view_t view = retry_budget_view(budget, &p->retries, ALONE, now);
     const msg_retry_ack_t ack = {.granted = retry_budget_spend(budget, &p->retries, ALONE, now)};
     log_line_t line;
     log_begin(&line, LOG_INFO, "retry_lent");
     log_str(&line, "request", retry->id);
     log_int(&line, "granted", ack.granted);
+    log_int(&line, "window_requests", view.requests);
+    log_int(&line, "window_extras", view.extras);
+    log_num(&line, "window_limit", view.limit);
     log_end(&line);
     peer_reply(p->net, call, MSG_RETRY_ACK, &ack);
 }
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -170,6 +170,13 @@
     put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "%.3f", value));
 }
 
+void log_hash(log_line_t *line, const char *key, uint64_t value)
+{
+    char text[17];
+    (void)snprintf(text, sizeof(text), "%016llx", (unsigned long long)value);
+    log_str(line, key, text);
+}
+
 void log_err(log_line_t *line, const tc_err_t *err)
 {
     log_int(line, "code", err->code);
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -51,6 +51,8 @@
 void log_str(log_line_t *line, const char *key, const char *value);
 void log_int(log_line_t *line, const char *key, int64_t value);
 void log_num(log_line_t *line, const char *key, double value);
+/** A hash, as 16 hex digits: JSON readers round large numbers. */
+void log_hash(log_line_t *line, const char *key, uint64_t value);
 /** Add an error's number, name, step, peer and detail. */
 void log_err(log_line_t *line, const tc_err_t *err);
 void log_end(log_line_t *line);
--- a/lib/common/retry_budget.c
+++ b/lib/common/retry_budget.c
@@ -46,17 +46,25 @@
     b->requests[slice_at(b, rules, now)]++;
 }
 
-bool retry_budget_spend(retry_budget_t *b, const retry_rules_t *rules, unsigned boxes, tc_time_t now)
+retry_budget_view_t retry_budget_view(retry_budget_t *b, const retry_rules_t *rules, unsigned boxes, tc_time_t now)
 {
-    const int at = slice_at(b, rules, now);
-    unsigned requests = 0, extras = 0;
+    retry_budget_view_t view = {0};
+    (void)slice_at(b, rules, now);
     for (int i = 0; i < RETRY_SLICES; i++) {
-        requests += b->requests[i];
-        extras += b->extras[i];
+        view.requests += b->requests[i];
+        view.extras += b->extras[i];
     }
     const double lived = (double)(now - b->begun) / (double)rules->window;
     const double part = rules->allowance / (boxes ? boxes : 1) * (lived < 1 ? lived : 1);
-    if (extras + 1 > SAFE_PART * (rules->ratio * requests + part))
+    view.limit = SAFE_PART * (rules->ratio * view.requests + part);
+    return view;
+}
+
+bool retry_budget_spend(retry_budget_t *b, const retry_rules_t *rules, unsigned boxes, tc_time_t now)
+{
+    const int at = slice_at(b, rules, now);
+    const retry_budget_view_t view = retry_budget_view(b, rules, boxes, now);
+    if (view.extras + 1 > view.limit)
         return false;
     b->extras[at]++;
     return true;
--- a/lib/common/retry_budget.h
+++ b/lib/common/retry_budget.h
@@ -45,6 +45,13 @@
     unsigned extras[RETRY_SLICES];   /**< further arrivals that were allowed, the same */
 } retry_budget_t;
 
+/** What a decision rests on, for logs. */
+typedef struct {
+    unsigned requests; /**< counted in the window */
+    unsigned extras;   /**< further arrivals that were allowed in it, */
+    double limit;      /**< and how many may be */
+} retry_budget_view_t;
+
 /** How many boxes share an allowance. Zeroed before the first is heard of. */
 typedef struct {
     unsigned n;
@@ -65,6 +72,10 @@
 /** Whether one more arrival is allowed; takes it. @param boxes how many share the allowance, at least 1 */
 bool retry_budget_spend(retry_budget_t *budget, const retry_rules_t *rules, unsigned boxes, tc_time_t now);
 
+/** What the next decision rests on. @param boxes as above */
+retry_budget_view_t retry_budget_view(retry_budget_t *budget, const retry_rules_t *rules, unsigned boxes,
+                                      tc_time_t now);
+
 /** So many boxes are there now. @return how many share the allowance: a box that is missing, since it or the leader was
  *  cut off, may still spend its part, so it counts for one window more */
 unsigned retry_sharers_hear(retry_sharers_t *sharers, unsigned n, tc_time_t window, tc_time_t now);
--- a/lib/common/time.c
+++ b/lib/common/time.c
@@ -16,6 +16,11 @@
     return read_clock(CLOCK_MONOTONIC);
 }
 
+tc_time_t tc_time_suspended(void)
+{
+    return read_clock(CLOCK_BOOTTIME) - read_clock(CLOCK_MONOTONIC);
+}
+
 int64_t tc_time_wall(void)
 {
     return read_clock(CLOCK_REALTIME);
--- a/lib/common/time.h
+++ b/lib/common/time.h
@@ -21,6 +21,9 @@
 /** Now on the monotonic clock. Counts while the process is stopped by a signal. */
 tc_time_t tc_time_now(void);
 
+/** For how long the machine was suspended since it started: time that CLOCK_MONOTONIC leaves out. */
+tc_time_t tc_time_suspended(void);
+
 /** Wall clock in milliseconds since 1970; for logs and incarnation numbers only. */
 int64_t tc_time_wall(void);
 
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -45,6 +45,7 @@
     unsigned output_guess;  /**< the caller's guess of what will be, often far off; 0 when it made none */
     const char *resume_after; /**< last event that the caller has of a stream it takes up again, or ""; borrowed from
                                  the request */
+    const char *credentials;  /**< by which the caller proves who it is, or ""; borrowed from the request */
     dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, from its start, in order */
     unsigned parts_n;                        /**< 0 when the caller names none */
 } dialect_request_t;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -6,6 +6,7 @@
 #include "common/counter.h"
 #include "common/histogram.h"
 #include "common/log.h"
+#include "forward/fingerprint.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_answered, "counter", "trackcove_forward_answered_total", "Requests answered by a back end")
@@ -246,6 +247,7 @@
     f->exchange = exchange;
     f->request = *request;
     f->facts = *facts;
+    f->fingerprint = fingerprint_of(request, facts);
     f->table = route_table_ref(fw->table);
     f->route = route;
     f->service = route_pick_service(route, g_rand_int(fw->random));
@@ -317,6 +319,7 @@
     fw->created = tc_time_now();
     CDS_INIT_LIST_HEAD(&fw->requests);
     CDS_INIT_LIST_HEAD(&fw->early);
+    CDS_INIT_LIST_HEAD(&fw->looks);
     return fw;
 }
 
@@ -324,6 +327,7 @@
 {
     assert(fw->busy == 0); /* requests hold the forwarder */
     loop_disarm(&fw->renewal);
+    looks_end(fw);
     route_table_unref(fw->table);
     g_hash_table_destroy(fw->budgets);
     g_hash_table_destroy(fw->paces);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -12,6 +12,7 @@
  *   forward_log.c     lines of the log
  *   forward_stream.c  events on their way to the caller
  *   forward_ask.c     questions to the leader and to engines, for the others
+ *   forward_look.c    whether a back end whose answer was lost has ended
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
 #define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -25,6 +26,7 @@
 #include "forward/pace.h"
 #include "forward/reasons.h"
 #include "web/web_ask.h"
+#include "web/web_probe.h"
 
 /* ===== Constants ===== */
 
@@ -176,6 +178,7 @@
     web_exchange_t *exchange;
     web_request_t request;
     dialect_request_t facts;
+    uint64_t fingerprint;
 
     /* What the configuration says of it. */
     route_table_t *table; /* a reference, which the next three stand in */
@@ -239,6 +242,7 @@
     GRand *random;
     struct cds_list_head requests;
     struct cds_list_head early; /* requests that wait until the box knows where to send them */
+    struct cds_list_head looks; /* of forward_look.c */
     tc_time_t created;
 };
 
@@ -298,6 +302,13 @@
 /** Make a call whose answer changes nothing. @param request taken over */
 void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
 
+/* ===== forward_look.c ===== */
+
+/** A back end's connection broke while it may have run the request: see whether it has ended. */
+void look_begin(forward_t *f, instance_t *instance);
+/** End all looks: before the forwarder is destroyed. */
+void looks_end(forwarder_t *fw);
+
 /* ===== forward_early.c ===== */
 
 /** Have a request wait until the box knows where to send it; then, or when it has waited for long enough, it is begun
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -10,6 +10,7 @@
     log_str(&line, "request", f->facts.id);
     log_str(&line, "service", f->service);
     log_str(&line, "prefix", f->route->prefix);
+    log_hash(&line, "fingerprint", f->fingerprint);
     log_int(&line, "config", (int64_t)f->table->version);
     log_int(&line, "patience_ms", f->facts.patience);
     log_int(&line, "timeout_ms", f->route->timeout);
@@ -91,9 +92,7 @@
         log_int(&line, "runs", f->stream_runs);
         log_str(&line, "last", f->last_event);
         log_int(&line, "bytes", (int64_t)f->bytes);
-        char digest[17];
-        g_snprintf(digest, sizeof(digest), "%016" G_GINT64_MODIFIER "x", f->digest);
-        log_str(&line, "digest", digest);
+        log_hash(&line, "digest", f->digest);
     }
     log_int(&line, "config", (int64_t)f->table->version);
     log_int(&line, "arrivals", f->arrivals);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -155,6 +155,8 @@
     forward_log(f, "answer_lost", why, s->status, s->instance);
     retry_note(f, ask, ARRIVAL_TAKEN);
     instance_failed(s->instance, tc_time_now());
+    if (!s->given_up)
+        look_begin(f, s->instance);
     ask_same_engine(s);
     if (ask == DIALECT_PREFILL && s->given_up)
         place_tell(f, PHASE_PREFILL, s->instance); /* no box need find it out again */
