Retry budget: what was allowed is remembered for a whole window

Cause: ten slices, the newest one begun, so an arrival allowed at the end of a slice was forgotten after 0.9 windows. One slice more is kept for further arrivals; requests are counted over ten as before, so that the budget is not raised.

--- a/lib/common/retry_budget.c
+++ b/lib/common/retry_budget.c
@@ -29,16 +29,16 @@
     const tc_time_t length = rules->window / RETRY_SLICES > 0 ? rules->window / RETRY_SLICES : 1;
     const tc_time_t number = now / length;
     tc_time_t passed = number - b->slice;
-    if (passed > RETRY_SLICES)
-        passed = RETRY_SLICES;
+    if (passed > RETRY_KEPT)
+        passed = RETRY_KEPT;
     for (tc_time_t i = 0; i < passed; i++) {
-        const int at = (int)((number - i) % RETRY_SLICES);
+        const int at = (int)((number - i) % RETRY_KEPT);
         b->requests[at] = 0;
         b->extras[at] = 0;
     }
     if (number > b->slice)
         b->slice = number;
-    return (int)(b->slice % RETRY_SLICES);
+    return (int)(b->slice % RETRY_KEPT);
 }
 
 void retry_budget_earn(retry_budget_t *b, const retry_rules_t *rules, tc_time_t now)
@@ -49,9 +49,10 @@
 retry_budget_view_t retry_budget_view(retry_budget_t *b, const retry_rules_t *rules, unsigned boxes, tc_time_t now)
 {
     retry_budget_view_t view = {0};
-    (void)slice_at(b, rules, now);
-    for (int i = 0; i < RETRY_SLICES; i++) {
-        view.requests += b->requests[i];
+    const int newest = slice_at(b, rules, now);
+    const int oldest = (newest + 1) % RETRY_KEPT;
+    for (int i = 0; i < RETRY_KEPT; i++) {
+        view.requests += i == oldest ? 0 : b->requests[i];
         view.extras += b->extras[i];
     }
     const double lived = (double)(now - b->begun) / (double)rules->window;
--- a/lib/common/retry_budget.h
+++ b/lib/common/retry_budget.h
@@ -2,7 +2,8 @@
  * Retry budget of one service at one box: arrivals at back ends beyond the first of each request stay below a share
  * of the requests, plus this box's part of an allowance that all boxes have together.
  *
- * Counted over a sliding window in slices. A box that has just started has seen
+ * Counted over a sliding window in slices: further arrivals over the last 1 to 1.1 windows, requests over the last 0.9
+ * to 1, so that no window, wherever it begins, holds more than is allowed. A box that has just started has seen
  * nothing, so it starts with its part of the allowance spent: others, or its
  * former life, may have spent it.
  *
@@ -20,8 +21,13 @@
 
 /* ===== Constants ===== */
 
-/** Slices of a window, the newest one begun: what is counted is the last 0.9 to 1 windows. */
-enum { RETRY_SLICES = 10 };
+enum {
+    RETRY_SLICES = 10, /**< of a window */
+    /** Slices that are kept: the newest one has only begun, so one more than a window has covers a whole window at any
+     *  moment. With one less, what was allowed at the end of a slice was allowed again nine slices later: up to twice
+     *  the budget in a window (122 of 78 at worst, two bursts 9.01 s apart). */
+    RETRY_KEPT = RETRY_SLICES + 1
+};
 
 /** Of the budget of a service whose requests the scheduler places, the boxes have this part among themselves; the rest
  *  is handed out by the leader to whoever needs it. Failures come unevenly: with 92 boxes the whole, divided, was used
@@ -39,10 +45,10 @@
 
 /** What was counted in the window. By value; retry_budget_init before use. */
 typedef struct {
-    tc_time_t begun;                 /**< when the budget was made */
-    tc_time_t slice;                 /**< number of the newest slice, counted from time 0 */
-    unsigned requests[RETRY_SLICES]; /**< that came in, by slice number modulo RETRY_SLICES */
-    unsigned extras[RETRY_SLICES];   /**< further arrivals that were allowed, the same */
+    tc_time_t begun;               /**< when the budget was made */
+    tc_time_t slice;               /**< number of the newest slice, counted from time 0 */
+    unsigned requests[RETRY_KEPT]; /**< that came in, by slice number modulo RETRY_KEPT */
+    unsigned extras[RETRY_KEPT];   /**< further arrivals that were allowed, the same */
 } retry_budget_t;
 
 /** What a decision rests on, for logs. */
