--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,15 @@
 	@echo "  ld  $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LDLIBS)
 
+# Preloaded into programs under test; without sanitizers, whose own libraries must come first.
+SHIM = $(BUILD)/tests/shim/suspend.so
+$(SHIM): tests/shim/suspend.c
+	@mkdir -p $(@D)
+	@echo "  so  $@"
+	@$(CC) -std=gnu11 -O2 -D_GNU_SOURCE $(WARN) -shared -fPIC $< -o $@
+
+$(BUILD)/tests/platform/test_suspended: | $(SHIM)
+
 HARNESS_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/harness/*.c))
 $(BUILD)/tests/platform/%: $(BUILD)/tests/platform/%.o $(HARNESS_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@echo "  ld  $@"
