Clock: CLOCK_BOOTTIME, and a loop that overslept reads all its sockets first

Cause: CLOCK_MONOTONIC leaves out the time for which a machine is suspended, so that leases, votes, windows and time limits looked younger than they were. All of them go through tc_time_now, which counts that time now. Second cause, by the same test: a loop that stood still within its wait read one round of 64 events before its timers ran (64 of 100 pipes heard); it notices that the wait took longer than it was to, and reads up to 4,096. Beside: naps on conditions rested on the time of day (a jump back made them that much longer), in two places alike; load tool and stand-ins read the clock by functions of their own: one of each in common/time.

--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -6,7 +6,7 @@
  * must be synced before a later SEND or APPLY is done: that is the whole rule
  * that keeps "accepted" true.
  *
- * With it: pre-vote, quorum check, leader lease on the monotonic clock, members
+ * With it: pre-vote, quorum check, leader lease on the boot clock, members
  * changed one at a time through non-voters, snapshots in pieces, entries in
  * bounded pieces. A member is named by the identity of its data folder, so a box
  * whose disk was lost is a new member.
--- a/lib/peer/loop.c
+++ b/lib/peer/loop.c
@@ -16,7 +16,8 @@
     LOOP_TICKS_MAX = 256, /* a program has a dozen; a test's loop carries those of 70 boxes */
     LOOP_EVENTS_MAX = 64,
     LOOP_STILL_MS = 20, /* since the sockets were looked at: this process stood still, or one thing took long */
-    LOOP_ROUNDS = 8,    /* then, through all that waits at most, before timers run */
+    LOOP_ROUNDS = 64,   /* then, through all that waits at most, before timers run: as many events as a box has
+                           descriptors (4,100) */
     LOOP_IDLE_MS = 1000,
     LOOP_TURNS_MS = 1000 /* the longest turn is that of this time and of as much before it */
 };
@@ -46,6 +47,7 @@
     struct epoll_event events[LOOP_EVENTS_MAX];
     int n_events;                 /* of the round being handled, so that loop_unwatch can drop them */
     tc_time_t looked_at;          /* when the sockets were last looked at */
+    bool overslept;               /* a wait for them took longer than it was to: this process stood still in it */
     tc_time_t turn_at;            /* when what runs now began */
     loop_turn_t longest, earlier; /* since turns_from, and in the LOOP_TURNS_MS before it */
     tc_time_t turns_from;
@@ -291,11 +293,13 @@
 /** Wait for events and handle them. @return how many there were */
 static int run_events(loop_t *loop, tc_time_t wait)
 {
+    const tc_time_t due = tc_time_now() + (wait > 0 ? wait : 0);
     int n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, (int)(wait > 0 ? wait : 0));
     if (n < 0) /* a process that was stopped wakes so, whatever its sockets have */
         n = epoll_wait(loop->epoll_fd, loop->events, LOOP_EVENTS_MAX, 0);
     loop->n_events = n > 0 ? n : 0;
     loop->looked_at = loop->turn_at = tc_time_now();
+    loop->overslept = loop->overslept || loop->looked_at - due >= LOOP_STILL_MS;
     handle_events(loop);
     return n;
 }
@@ -305,8 +309,9 @@
  * the loop for it is read here, so that the next wait would not end for it. */
 static void catch_up(loop_t *loop)
 {
-    if (tc_time_now() - loop->looked_at < LOOP_STILL_MS)
+    if (!loop->overslept && tc_time_now() - loop->looked_at < LOOP_STILL_MS)
         return;
+    loop->overslept = false;
     for (int i = 0; i < LOOP_ROUNDS && run_events(loop, 0) > 0; i++) {
     }
     run_posted(loop);
--- a/lib/peer/loop.h
+++ b/lib/peer/loop.h
@@ -36,7 +36,7 @@
 typedef struct {
     struct cds_list_head node; /**< among the armed ones, soonest first */
     bool armed;
-    tc_time_t due; /**< monotonic */
+    tc_time_t due; /**< as tc_time_now tells */
     loop_fn_t fn;
     void *arg;
 } loop_timer_t;
--- a/lib/request/placer.c
+++ b/lib/request/placer.c
@@ -87,20 +87,10 @@
     w->to = *to;
     codec_copy_string(w->id, sizeof(w->id), id);
     pthread_mutex_init(&w->lock, NULL);
-    pthread_cond_init(&w->changed, NULL);
+    tc_cond_init(&w->changed);
     return w;
 }
 
-static void nap_on(wait_t *w)
-{
-    struct timespec until;
-    clock_gettime(CLOCK_REALTIME, &until);
-    until.tv_nsec += IDLE_MS * 1000000L;
-    until.tv_sec += until.tv_nsec / 1000000000L;
-    until.tv_nsec %= 1000000000L;
-    pthread_cond_timedwait(&w->changed, &w->lock, &until);
-}
-
 /** Whether the scheduler asked still holds its lease, as far as we know: a box that was cut off does not answer. */
 static bool still_leads(entry_t *entry, const placement_t *to)
 {
@@ -118,7 +108,7 @@
 {
     pthread_mutex_lock(&w->lock);
     while (!w->done) {
-        nap_on(w);
+        tc_cond_nap(&w->changed, &w->lock, IDLE_MS);
         if (w->done)
             break;
         pthread_mutex_unlock(&w->lock);
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -3,7 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "backend/http_client.h"
 #include "backend/sse.h"
@@ -18,13 +17,6 @@
     ENTRIES_LIMIT_MS = 1000
 };
 
-double load_now(void)
-{
-    struct timespec ts;
-    clock_gettime(CLOCK_MONOTONIC, &ts);
-    return (double)ts.tv_sec * 1000 + (double)ts.tv_nsec / 1e6;
-}
-
 /* ===== Which entry ===== */
 
 static bool ask_entries(load_caller_t *c, const char *addr)
@@ -44,7 +36,7 @@
         for (size_t i = 0; i < n && i < G_N_ELEMENTS(c->entries); i++)
             g_strlcpy(c->entries[c->n_entries++], json_string_value(json_object_get(json_array_get(list, i), "addr")),
                       sizeof(c->entries[0]));
-        c->keep_until = load_now() + (double)json_integer_value(json_object_get(body, "keep_ms"));
+        c->keep_until = tc_time_exact() + (double)json_integer_value(json_object_get(body, "keep_ms"));
     }
     json_decref(body);
     free(result.body);
@@ -55,7 +47,7 @@
 static void choose_entry(load_caller_t *c, uint32_t try, char addr[64])
 {
     pthread_mutex_lock(&c->lock);
-    if (load_now() >= c->keep_until || c->n_entries == 0) {
+    if (tc_time_exact() >= c->keep_until || c->n_entries == 0) {
         bool known = false;
         for (uint32_t i = 0; i < c->n_entries && !known; i++)
             known = ask_entries(c, c->entries[i]);
@@ -113,7 +105,7 @@
     if (!standin_is_text(text, r->hash, r->got, place))
         r->wrong = true;
     r->got = place;
-    r->last = load_now();
+    r->last = tc_time_exact();
     if (r->first == 0)
         r->first = r->last;
 }
@@ -151,7 +143,7 @@
 static bool on_idle(void *arg)
 {
     reading_t *const r = arg;
-    r->cancelled = r->cancel_at > 0 && load_now() >= r->cancel_at;
+    r->cancelled = r->cancel_at > 0 && tc_time_exact() >= r->cancel_at;
     return !r->cancelled;
 }
 
@@ -215,7 +207,7 @@
 static void complete(load_caller_t *c, const char *model, const mix_request_t *q, const char *id,
                      double cancel_after_ms, outcome_t *out)
 {
-    reading_t r = {.hash = standin_prompt_hash(q->prompt, q->prompt_size), .begin = load_now()};
+    reading_t r = {.hash = standin_prompt_hash(q->prompt, q->prompt_size), .begin = tc_time_exact()};
     r.length = standin_length(r.hash, q->kind->max_tokens);
     r.cancel_at = cancel_after_ms > 0 ? r.begin + cancel_after_ms : 0;
     out->saw = SAW_LOST;
@@ -281,7 +273,7 @@
         complete(c, model, q, id, cancel_after_ms, out);
         return;
     }
-    const double begin = load_now();
+    const double begin = tc_time_exact();
     out->saw = SAW_LOST;
     g_usleep(2 * CLIENT_DELAY_US);
     char addr[64];
@@ -291,5 +283,5 @@
             break;
         g_usleep(50000);
     }
-    out->ttft_ms = load_now() - begin;
+    out->ttft_ms = tc_time_exact() - begin;
 }
--- a/programs/load/caller.h
+++ b/programs/load/caller.h
@@ -6,6 +6,7 @@
 
 #include <pthread.h>
 
+#include "common/time.h"
 #include "load/mix.h"
 #include "load/tally.h"
 
@@ -25,6 +26,4 @@
 void load_caller_run(load_caller_t *caller, const char *model, const mix_request_t *request, const char *id,
                      double cancel_after_ms, outcome_t *outcome);
 
-double load_now(void);
-
 #endif
--- a/programs/load/main.c
+++ b/programs/load/main.c
@@ -94,7 +94,7 @@
 
 static void sleep_until(double at)
 {
-    const double left = at - load_now();
+    const double left = at - tc_time_exact();
     if (left > 0)
         g_usleep((gulong)(left * 1000));
 }
@@ -111,7 +111,7 @@
     for (uint32_t i = 0; i < mix->n_kinds; i++)
         completions += mix->kinds[i].service ? 0 : mix->kinds[i].share;
     const double rate = opt_load * mix->capacity / completions;
-    const double begin = load_now(), end = begin + (opt_warm + opt_seconds) * 1000;
+    const double begin = tc_time_exact(), end = begin + (opt_warm + opt_seconds) * 1000;
     const double shift = begin + (opt_warm + opt_shift) * 1000;
     double at = begin, said = begin;
     for (uint64_t number = 1;; number++) {
@@ -120,8 +120,8 @@
             break;
         sleep_until(at);
         start_job(random, then_mix && at >= shift ? then_mix : mix, number, at >= begin + opt_warm * 1000, &attr);
-        if (!opt_quiet && load_now() - said > 2000) {
-            said = load_now();
+        if (!opt_quiet && tc_time_exact() - said > 2000) {
+            said = tc_time_exact();
             fprintf(stderr, "  %.0f s: %llu sent, %d under way\n", (said - begin) / 1000, (unsigned long long)number,
                     atomic_load(&running));
         }
@@ -156,9 +156,9 @@
 /** Pieces still held when all callers are gone; waits for a while until there are none. */
 static json_t *settle(void)
 {
-    const double until = load_now() + SETTLE_LIMIT_MS;
+    const double until = tc_time_exact() + SETTLE_LIMIT_MS;
     json_t *stats = admin_stats();
-    while (stat_of(stats, "held_pieces") > 0 && load_now() < until) {
+    while (stat_of(stats, "held_pieces") > 0 && tc_time_exact() < until) {
         g_usleep(100000);
         json_decref(stats);
         stats = admin_stats();
--- a/programs/stub/admin.c
+++ b/programs/stub/admin.c
@@ -88,10 +88,10 @@
     sim_engine_t *const e = sim_find_engine(sim, stub_text(body, "name"));
     worker_t *const w = stub_find_worker(stub_text(body, "name"));
     if (e)
-        done = engine_fault(e, kind, ms, stub_now()) ||
+        done = engine_fault(e, kind, ms, tc_time_exact()) ||
                wire_fault(&e->wire, kind, number_of(body, "n"), number_of(body, "place"));
     else if (w)
-        done = worker_fault(w, kind, ms, stub_now());
+        done = worker_fault(w, kind, ms, tc_time_exact());
     pthread_mutex_unlock(&sim->lock);
     json_decref(body);
     return done ? http_send_json(conn, 200, json_pack("{s:b}", "done", 1), 0)
--- a/programs/stub/sim.c
+++ b/programs/stub/sim.c
@@ -144,7 +144,7 @@
     r->pieces = (tokens + SIM_PIECE_TOKENS - 1) / SIM_PIECE_TOKENS;
     hash_pieces(r, prompt, prompt_size, salt);
     r->refs = 2; /* the list's and the caller's */
-    pthread_cond_init(&r->changed, NULL);
+    tc_cond_init(&r->changed);
     cds_list_add_tail(&r->node, &engine->requests);
     return r;
 }
--- a/programs/stub/stub.c
+++ b/programs/stub/stub.c
@@ -20,7 +20,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "common/codec.h"
 #include "http/http.h"
@@ -29,7 +28,11 @@
 
 /* ===== State ===== */
 
-enum { BODY_MAX = 64 * 1024 * 1024, STUB_THREADS = 1200 };
+enum {
+    BODY_MAX = 64 * 1024 * 1024,
+    STUB_THREADS = 1200,
+    CHANGE_MS = 100 /* between two looks whether a caller whose answer is due has left */
+};
 
 sim_t *sim;
 worker_t workers[STUB_WORKERS];
@@ -37,13 +40,6 @@
 static double service_ms = 10;
 static gint event_loss = 5;
 
-double stub_now(void)
-{
-    struct timespec ts;
-    clock_gettime(CLOCK_MONOTONIC, &ts);
-    return (double)ts.tv_sec * 1000 + (double)ts.tv_nsec / 1e6;
-}
-
 int stub_fail(struct mg_connection *conn, int status, const char *type, const char *text)
 {
     return http_send_json(conn, status, json_pack("{s:{s:s,s:s}}", "error", "type", type, "message", text), 0);
@@ -60,12 +56,7 @@
 /** Wait on a request's condition, for a short while at most so that a lost connection is noticed. */
 static void wait_change(sim_request_t *r)
 {
-    struct timespec until;
-    clock_gettime(CLOCK_REALTIME, &until);
-    until.tv_nsec += 100 * 1000000L;
-    until.tv_sec += until.tv_nsec / 1000000000L;
-    until.tv_nsec %= 1000000000L;
-    pthread_cond_timedwait(&r->changed, &sim->lock, &until);
+    tc_cond_nap(&r->changed, &sim->lock, CHANGE_MS);
 }
 
 /** One-way delay between the caller's data centre and the engine's, both ways, as the links declare it. */
@@ -148,10 +139,11 @@
 /** Stand still until told to go on, the request is cancelled, or no reader can be interested any more. */
 static void stand_still(sim_request_t *r, uint32_t released)
 {
-    const double until = stub_now() + SIM_KEEP_MS;
+    const double until = tc_time_exact() + SIM_KEEP_MS;
     pthread_mutex_lock(&sim->lock);
     r->engine->stopped++;
-    while (r->engine->wire.released == released && r->state != SIM_CANCELLED && !r->engine->dead && stub_now() < until)
+    while (r->engine->wire.released == released && r->state != SIM_CANCELLED && !r->engine->dead &&
+           tc_time_exact() < until)
         wait_change(r);
     pthread_mutex_unlock(&sim->lock);
 }
@@ -262,8 +254,8 @@
     const uint32_t max_tokens = (uint32_t)json_integer_value(json_object_get(body, "max_tokens"));
     pthread_mutex_lock(&sim->lock);
     sim_request_t *source = decode ? find_source(kv) : NULL;
-    const bool wrong_role = e->cfg.role != (decode ? ROLE_DECODE : ROLE_PREFILL) || stub_now() < e->loading_until ||
-                            strcmp(stub_text(body, "model"), e->cfg.model) != 0;
+    const bool wrong_role = e->cfg.role != (decode ? ROLE_DECODE : ROLE_PREFILL) ||
+                            tc_time_exact() < e->loading_until || strcmp(stub_text(body, "model"), e->cfg.model) != 0;
     sim_request_t *r = NULL;
     if (!wrong_role && (!decode || source))
         r = sim_submit(sim, e, stub_text(body, "request_id"), decode, json_string_value(prompt),
@@ -321,7 +313,7 @@
     pthread_mutex_lock(&sim->lock);
     sim_request_t *const r = sim_lookup(e, stub_text(body, "request_id"));
     if (r) {
-        sim_cancel(sim, r, stub_now());
+        sim_cancel(sim, r, tc_time_exact());
         sim_unref(r);
     }
     pthread_mutex_unlock(&sim->lock);
@@ -342,7 +334,7 @@
                                   json_pack("{s:s,s:i}", "id", r->id, "pieces", r->in_memory ? (int)r->pieces : 0));
     json_t *const body = json_pack("{s:I,s:s,s:s,s:s,s:b,s:o}", "incarnation", (json_int_t)e->incarnation, "role",
                                    role_names[e->cfg.role], "model", e->cfg.model, "version", e->cfg.version, "loading",
-                                   stub_now() < e->loading_until, "held", held);
+                                   tc_time_exact() < e->loading_until, "held", held);
     pthread_mutex_unlock(&sim->lock);
     return http_send_json(conn, 200, body, 0);
 }
@@ -350,7 +342,7 @@
 static int load(struct mg_connection *conn, const sim_engine_t *e)
 {
     pthread_mutex_lock(&sim->lock);
-    const sim_load_t l = sim_load_report(sim, e, stub_now());
+    const sim_load_t l = sim_load_report(sim, e, tc_time_exact());
     pthread_mutex_unlock(&sim->lock);
     return http_send_json(
         conn, 200,
@@ -363,7 +355,7 @@
     const uint64_t since = query && strncmp(query, "since=", 6) == 0 ? strtoull(query + 6, NULL, 10) : 0;
     sim_event_t events[SIM_EVENTS];
     pthread_mutex_lock(&sim->lock);
-    const uint32_t n = sim_cache_events(sim, e, since, (uint32_t)event_loss, events, SIM_EVENTS, stub_now());
+    const uint32_t n = sim_cache_events(sim, e, since, (uint32_t)event_loss, events, SIM_EVENTS, tc_time_exact());
     pthread_mutex_unlock(&sim->lock);
     json_t *const list = json_array();
     for (uint32_t i = 0; i < n; i++) {
@@ -411,7 +403,7 @@
     if (stale)
         e->orders_refused++;
     else if (!repeat)
-        obey(e, body, term, index, stub_now());
+        obey(e, body, term, index, tc_time_exact());
     pthread_mutex_unlock(&sim->lock);
     json_decref(body);
     return stale ? stub_fail(conn, 409, "fenced", "a newer order was obeyed before")
@@ -432,7 +424,7 @@
         return stub_fail(conn, 404, "not_found", "no such engine");
     pthread_mutex_lock(&sim->lock);
     const bool dead = e->dead;
-    const bool refuse = stub_now() < e->refuse_until;
+    const bool refuse = tc_time_exact() < e->refuse_until;
     const double delay = e->delay_ms;
     pthread_mutex_unlock(&sim->lock);
     if (dead) {
@@ -483,7 +475,7 @@
         return stub_fail(conn, 404, "not_found", "no such worker");
     json_t *const body = stub_read_json(conn);
     json_decref(body);
-    const double now = stub_now();
+    const double now = tc_time_exact();
     if (w->dead || now < w->die_before) {
         return hang_up(conn);
     }
@@ -513,7 +505,7 @@
         json_array_append_new(e->leaving_listed ? leaving : live, json_string(e->cfg.name));
     }
     for (uint32_t i = 0; i < n_workers; i++) {
-        if (workers[i].leaving != workers[i].leaving_listed && stub_now() >= workers[i].list_at)
+        if (workers[i].leaving != workers[i].leaving_listed && tc_time_exact() >= workers[i].list_at)
             workers[i].leaving_listed = workers[i].leaving;
         json_array_append_new(workers[i].leaving_listed ? leaving : live, json_string(workers[i].name));
     }
@@ -581,7 +573,7 @@
     http_route(server, "/admin/stats", stub_stats_handler, NULL);
     http_route(server, "/admin/runs", stub_runs_handler, NULL);
     while (!atomic_load(&stopping)) {
-        sim_advance(sim, stub_now());
+        sim_advance(sim, tc_time_exact());
         g_usleep(1000);
     }
     _exit(0); /* handlers may be waiting inside; there is nothing to save */
--- a/programs/stub/stub.h
+++ b/programs/stub/stub.h
@@ -23,9 +23,6 @@
 extern worker_t workers[STUB_WORKERS];
 extern uint32_t n_workers;
 
-/** Milliseconds on the monotonic clock, with their fractions. */
-double stub_now(void);
-
 /** Answer with an error. @return @p status */
 int stub_fail(struct mg_connection *conn, int status, const char *type, const char *text);
 
--- a/tests/platform/test_suspended.c
+++ b/tests/platform/test_suspended.c
@@ -6,8 +6,8 @@
  * only stand-still that the tests knew, but not while its machine is suspended.
  *
  * What proved it: a child below is suspended by a shim (tests/shim/suspend.c) while its parent counts the time. And, by
- * the same child: after a stand-still a loop read one round of its sockets before its timers ran, so that with more
- * than 64 of them full, or some that fill a moment later, sound streams were given up as silent. */
+ * the same child: a loop that stood still within its wait read one round of its sockets before its timers ran, so that
+ * with more than 64 of them full sound streams were given up as silent. */
 
 #include <glib.h>
 #include <signal.h>
