--- a/tests/unit/cluster_lab.h
+++ b/tests/unit/cluster_lab.h
@@ -1,6 +1,6 @@
 /** @file cluster_lab.h
- * The world of test_cluster.c, which alone includes it: replicas with real data folders in one loop over loopback, and
- * an operator who offers documents.
+ * The world of test_cluster.c and test_quarantine_spread.c, which alone include it: replicas with real data folders in
+ * one loop over loopback, and an operator who offers documents.
  */
 #ifndef TRACKCOVE_TESTS_CLUSTER_LAB_H
 #define TRACKCOVE_TESTS_CLUSTER_LAB_H
@@ -128,7 +128,7 @@
 }
 
 /** Offer a version to the leader, whoever that is, until it is taken: as an operator does. */
-static void put_text(fixture_t *f, uint64_t version, const char *text)
+static __attribute__((unused)) void put_text(fixture_t *f, uint64_t version, const char *text)
 {
     do {
         lab_run_until(f->loop, has_leader, f);
@@ -137,7 +137,7 @@
     g_assert_cmpint(f->offer_rc, ==, TC_OK);
 }
 
-static void put(fixture_t *f, uint64_t version)
+static __attribute__((unused)) void put(fixture_t *f, uint64_t version)
 {
     char text[32];
     g_snprintf(text, sizeof(text), "content %" G_GUINT64_FORMAT, version);
@@ -153,7 +153,7 @@
 }
 
 /** Wait until the leader reads that version. */
-static void expect_read(fixture_t *f, uint64_t version)
+static __attribute__((unused)) void expect_read(fixture_t *f, uint64_t version)
 {
     f->want = version;
     lab_run_until(f->loop, reads_wanted, f);
@@ -162,7 +162,7 @@
 /* ===== Members ===== */
 
 /** Whether the members are three voters, box f->who among them. */
-static bool three_with_who(void *arg)
+static __attribute__((unused)) bool three_with_who(void *arg)
 {
     const fixture_t *const f = arg;
     const int at = leader(f);
@@ -176,7 +176,7 @@
 }
 
 /** Whether a fourth member has the log and no vote. */
-static bool fourth_waits(void *arg)
+static __attribute__((unused)) bool fourth_waits(void *arg)
 {
     const fixture_t *const f = arg;
     const int at = leader(f);
@@ -187,12 +187,12 @@
     return members && members->list_n == 4 && voters == 3;
 }
 
-static bool snapshots_wanted(void *arg)
+static __attribute__((unused)) bool snapshots_wanted(void *arg)
 {
     return counter_read("trackcove_cluster_snapshots_total") >= (int64_t)((fixture_t *)arg)->want;
 }
 
-static bool who_leads(void *arg)
+static __attribute__((unused)) bool who_leads(void *arg)
 {
     const fixture_t *const f = arg;
     return f->replica[f->who] && replica_leads(f->replica[f->who]);
--- /dev/null
+++ b/tests/unit/test_quarantine_spread.c
@@ -0,0 +1,209 @@
+/* Requests under which back ends ended, told between real control boxes and the entry boxes that report to them: what
+ * each box found out adds up, over changes of the leader and restarts of everything. */
+
+#include "unit/cluster_lab.h"
+
+enum { ENTRIES = 3, CULPRIT = 17 };
+
+/** Three control boxes and three entry boxes. */
+typedef struct {
+    fixture_t f;
+    struct entry {
+        entry_box_t self;
+        quarantine_t *quarantine;
+        reporter_t *reporter;
+        bool leaving; /* the back end that it was told of last is */
+        bool told;
+    } entries[ENTRIES];
+    unsigned wanted; /* ends that all entry boxes should know of */
+} world_t;
+
+/* ===== Boxes ===== */
+
+static void on_list(void *arg, const backend_t *list, uint32_t n)
+{
+    struct entry *const e = arg;
+    g_assert_cmpuint(n, ==, 1);
+    e->told = true;
+    e->leaving = list[0].draining;
+}
+
+static void start_entry(world_t *w, int i)
+{
+    struct entry *const e = &w->entries[i];
+    const char *const nobody[] = {NULL};
+    char own[32];
+    lab_free_addr(own);
+    *e = (struct entry){.self = {.incarnation = 1}, .quarantine = quarantine_create()};
+    g_snprintf(e->self.box, sizeof(e->self.box), "entry-%d", i);
+    codec_copy_string(e->self.http_addr, sizeof(e->self.http_addr), "127.0.0.1:1");
+    codec_copy_string(e->self.peer_addr, sizeof(e->self.peer_addr), own);
+    const reporter_options_t options = {
+        .peer_listen = own, .controls = w->f.seeds, .neighbours = nobody, .quarantine = e->quarantine};
+    const reporter_events_t events = {.on_backends = on_list, .arg = e};
+    tc_err_t err = {0};
+    e->reporter = reporter_create(w->f.loop, &e->self, &options, &events, &err);
+    g_assert_nonnull(e->reporter);
+}
+
+static void stop_entry(struct entry *e)
+{
+    reporter_destroy(e->reporter);
+    quarantine_destroy(e->quarantine);
+}
+
+static void set_up_world(world_t *w, gconstpointer data)
+{
+    set_up(&w->f, data);
+    for (int i = 0; i < SEEDS; i++)
+        start_box(&w->f, i, true);
+    lab_run_until(w->f.loop, has_leader, &w->f);
+    for (int i = 0; i < ENTRIES; i++)
+        start_entry(w, i);
+}
+
+static void tear_down_world(world_t *w, gconstpointer data)
+{
+    for (int i = 0; i < ENTRIES; i++)
+        stop_entry(&w->entries[i]);
+    tear_down(&w->f, data);
+}
+
+/* ===== What is found out ===== */
+
+/** An entry box finds that a back end ended under the request. */
+static void find_end(world_t *w, int i, const char *backend)
+{
+    const tc_time_t now = tc_time_now();
+    g_assert_true(quarantine_add_end(w->entries[i].quarantine, CULPRIT, backend, now, now));
+    reporter_hurry(w->entries[i].reporter);
+}
+
+static bool all_know(void *arg)
+{
+    const world_t *const w = arg;
+    for (int i = 0; i < ENTRIES; i++)
+        if (quarantine_ends(w->entries[i].quarantine, CULPRIT, tc_time_now()) != w->wanted)
+            return false;
+    return true;
+}
+
+static void await_ends(world_t *w, unsigned ends)
+{
+    w->wanted = ends;
+    lab_run_until(w->f.loop, all_know, w);
+}
+
+/* ===== Tests ===== */
+
+static void test_adds_up(world_t *w, gconstpointer data)
+{
+    (void)data;
+    find_end(w, 0, "a");
+    await_ends(w, 1);
+    find_end(w, 1, "b");
+    await_ends(w, 2);
+    find_end(w, 2, "c");
+    await_ends(w, QUARANTINE_ENDS);
+}
+
+/** Two ends are known when the leader goes, the third is found under the next one; then that goes as well, and a box
+ * that has just started hears of it from the third. */
+static void test_leaders_go(world_t *w, gconstpointer data)
+{
+    (void)data;
+    find_end(w, 0, "a");
+    find_end(w, 1, "b");
+    await_ends(w, 2);
+    const int first = leader(&w->f);
+    stop_box(&w->f, first);
+    find_end(w, 2, "c");
+    await_ends(w, QUARANTINE_ENDS);
+    start_box(&w->f, first, false);
+    lab_run_until(w->f.loop, has_leader, &w->f);
+    stop_box(&w->f, leader(&w->f));
+    stop_entry(&w->entries[0]);
+    start_entry(w, 0);
+    await_ends(w, QUARANTINE_ENDS);
+}
+
+/** Everything is killed, but for the disks. */
+static void test_everything_restarts(world_t *w, gconstpointer data)
+{
+    (void)data;
+    find_end(w, 0, "a");
+    find_end(w, 1, "b");
+    find_end(w, 2, "c");
+    await_ends(w, QUARANTINE_ENDS);
+    lab_run_for(w->f.loop, 200); /* it is written at the next tick */
+    for (int i = 0; i < ENTRIES; i++)
+        stop_entry(&w->entries[i]);
+    for (int i = 0; i < SEEDS; i++)
+        stop_box(&w->f, i);
+    for (int i = 0; i < SEEDS; i++)
+        start_box(&w->f, i, false);
+    for (int i = 0; i < ENTRIES; i++)
+        start_entry(w, i);
+    await_ends(w, QUARANTINE_ENDS);
+}
+
+/** The leader reads the platform's list, as it does once a second. */
+static void read_list(const world_t *w)
+{
+    const backend_t engine = {.id = "a", .service = "lm", .addr = "127.0.0.1:1", .stage = "decode"};
+    if (leader(&w->f) >= 0)
+        replica_set_backends(w->f.replica[leader(&w->f)], &engine, 1, tc_time_now());
+}
+
+static bool all_are_told(void *arg)
+{
+    const world_t *const w = arg;
+    read_list(w);
+    for (int i = 0; i < ENTRIES; i++)
+        if (!w->entries[i].told)
+            return false;
+    return true;
+}
+
+static bool all_leave_it(void *arg)
+{
+    const world_t *const w = arg;
+    read_list(w);
+    for (int i = 0; i < ENTRIES; i++)
+        if (!w->entries[i].leaving)
+            return false;
+    return true;
+}
+
+static bool all_use_it(void *arg)
+{
+    const world_t *const w = arg;
+    read_list(w);
+    for (int i = 0; i < ENTRIES; i++)
+        if (w->entries[i].leaving)
+            return false;
+    return true;
+}
+
+/** A back end that one box found to have ended gets no work from the others, though the platform lists it still; and
+ * does again when it is listed for longer than one that has ended is. */
+static void test_ended_back_end(world_t *w, gconstpointer data)
+{
+    (void)data;
+    lab_run_until(w->f.loop, all_are_told, w);
+    g_assert_true(all_use_it(w));
+    find_end(w, 1, "a");
+    lab_run_until(w->f.loop, all_leave_it, w);
+    lab_run_until(w->f.loop, all_use_it, w);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/quarantine-spread/" name, world_t, NULL, set_up_world, fn, tear_down_world)
+    TEST("adds-up", test_adds_up);
+    TEST("leaders-go", test_leaders_go);
+    TEST("everything-restarts", test_everything_restarts);
+    TEST("ended-back-end", test_ended_back_end);
+    return g_test_run();
+}
