A back end is looked at again while calls to it are on their way; no prompt is read without a decode engine

Seen in a soak's logs: a box with a call on its way to a back end that had just ended counted it as running there, and did not take the end for one (found=refused, ended=0, running=1). It looks again each 20 ms, for 300 ms at most. Seen there too: a request for which no decode engine was left had its prompt read at each try, for nothing. /quarantine/prompt-for-nothing fails without the check. The fields of the answer to a report stand in a struct of their own.

--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -178,10 +178,13 @@
 static void add_suspects(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
 {
     uint32_t n;
-    const suspect_request_t *const list = quarantine_suspects(r->quarantine, &n, &ack->suspects_hash, now);
-    ack->has_suspects = ack->suspects_hash != report->suspects_hash;
-    ack->suspects = (suspect_request_t *)(uintptr_t)list;
-    ack->suspects_n = ack->has_suspects ? n : 0;
+    uint64_t hash;
+    const suspect_request_t *const list = quarantine_suspects(r->quarantine, &n, &hash, now);
+    if (hash == report->suspects_hash)
+        return;
+    ack->quarantine.hash = hash;
+    ack->quarantine.suspects = (suspect_request_t *)(uintptr_t)list;
+    ack->quarantine.suspects_n = n;
 }
 
 /** What only the leader knows. The list of loads in @p ack is to be freed with free. */
@@ -193,7 +196,7 @@
     add_loads(r, report->self.box, ack, now);
     if (now - leader_since > ROSTER_SETTLE_MS)
         add_entries(r, report, ack, now);
-    ack->term = raft_view(r->raft).term;
+    ack->quarantine.term = raft_view(r->raft).term;
     add_suspects(r, report, ack, now);
 }
 
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -154,7 +154,7 @@
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
     lists_take_ack(r, ack, question.asked);
-    if (ack->leads && r->quarantine && quarantine_news_heard(r->quarantine, ack->term))
+    if (ack->leads && r->quarantine && quarantine_news_heard(r->quarantine, ack->quarantine.term))
         r->hurry = true;
     if (ack->leads && r->events.on_loads)
         r->events.on_loads(r->events.arg, ack->loads, ack->loads_n, ack->loads_partial);
--- a/lib/cluster/reporter_lists.c
+++ b/lib/cluster/reporter_lists.c
@@ -175,15 +175,17 @@
 static void take_suspects(reporter_t *r, const msg_report_ack_t *ack)
 {
     const tc_time_t now = tc_time_now();
-    if (!r->quarantine || !ack->has_suspects)
+    if (!r->quarantine || ack->quarantine.hash == 0)
         return;
     if (ack->leads) {
-        quarantine_take_suspects(r->quarantine, ack->suspects, ack->suspects_n, ack->suspects_hash, now);
+        quarantine_take_suspects(r->quarantine, ack->quarantine.suspects, ack->quarantine.suspects_n,
+                                 ack->quarantine.hash, now);
         return;
     }
-    for (uint32_t i = 0; i < ack->suspects_n; i++)
-        if (ack->suspects[i].ends >= QUARANTINE_ENDS)
-            quarantine_hold(r->quarantine, ack->suspects[i].request, now - (tc_time_t)ack->suspects[i].age_ms, now);
+    for (uint32_t i = 0; i < ack->quarantine.suspects_n; i++)
+        if (ack->quarantine.suspects[i].ends >= QUARANTINE_ENDS)
+            quarantine_hold(r->quarantine, ack->quarantine.suspects[i].request,
+                            now - (tc_time_t)ack->quarantine.suspects[i].age_ms, now);
 }
 
 void lists_take_ack(reporter_t *r, const msg_report_ack_t *ack, tc_time_t asked)
@@ -206,6 +208,9 @@
     report->suspects_hash = r->quarantine ? quarantine_suspects_hash(r->quarantine) : 0;
 }
 
+/** In place of the hash of a leader's list, which no other box's list replaces. */
+enum { ALL_HELD = 1 };
+
 /** Tell another box what this one holds back. The list in @p ack is to be freed with free. */
 static void add_held(const reporter_t *r, msg_report_ack_t *ack)
 {
@@ -213,12 +218,12 @@
         return;
     uint32_t n;
     request_age_t *const held = quarantine_held(r->quarantine, &n, tc_time_now());
-    ack->has_suspects = n > 0;
-    ack->suspects = calloc(n + 1, sizeof(*ack->suspects));
-    if (!ack->suspects)
+    ack->quarantine.hash = ALL_HELD;
+    ack->quarantine.suspects = calloc(n + 1, sizeof(*ack->quarantine.suspects));
+    if (!ack->quarantine.suspects)
         abort();
     for (uint32_t i = 0; i < n; i++)
-        ack->suspects[ack->suspects_n++] =
+        ack->quarantine.suspects[ack->quarantine.suspects_n++] =
             (suspect_request_t){.request = held[i].request, .ends = QUARANTINE_ENDS, .age_ms = held[i].age_ms};
     free(held);
 }
@@ -248,7 +253,7 @@
     }
     add_held(r, &ack);
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
-    free(ack.suspects);
+    free(ack.quarantine.suspects);
 }
 
 void lists_answer_piece(reporter_t *r, peer_call_t call, const msg_fetch_piece_t *asked)
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -187,6 +187,14 @@
     return true;
 }
 
+static bool has_decode(forward_t *f)
+{
+    instance_t *const decode = choose_engine(f, STAGE_DECODE);
+    if (decode)
+        instance_unref(decode);
+    return decode != NULL;
+}
+
 /** Read the prompt on a prefill engine, then decode. Without a prefill engine the decode engine reads the prompt
  *  itself, slowly. */
 static void send_to_engines(forward_t *f)
@@ -199,6 +207,11 @@
         retry_then(f, forward_go_on);
         return;
     }
+    if (prefill && !has_decode(f)) {
+        instance_unref(prefill);
+        forward_fail(f, "no back end is left"); /* the prompt would be read for nothing */
+        return;
+    }
     if (prefill) {
         f->placement.prefill_began = tc_time_now();
         send_to(f, DIALECT_PREFILL, prefill);
--- a/lib/forward/forward_look.c
+++ b/lib/forward/forward_look.c
@@ -12,8 +12,12 @@
 
 /* ===== Constants ===== */
 
-/** Before the look: a process that ends closes its sockets one after the other, the one it listens at among them. */
-enum { LOOK_AFTER_MS = 5 };
+enum {
+    LOOK_AFTER_MS = 5,  /* before a look: a process that ends closes its sockets one after the other, the one it listens
+                           at among them */
+    LOOK_AGAIN_MS = 20, /* between looks while calls of this box are on their way there */
+    LOOK_MOST_MS = 300  /* in all: calls that find nobody fail by then, see CONNECT_MS */
+};
 
 /* ===== Types ===== */
 
@@ -78,11 +82,25 @@
     }
 }
 
+static void on_start(void *arg);
+
+/** Whether to look once more: a call that was on its way there when the back end ended counts as running until it has
+ *  found nobody. */
+static bool is_undecided(const look_t *look, web_probe_end_t found, tc_time_t now)
+{
+    return found == WEB_PROBE_REFUSED && look->instance->running > 0 && now - look->lost_at < LOOK_MOST_MS;
+}
+
 /** Nobody listens there, and nothing of this box runs there any more: it has ended. A busy back end may refuse a
  *  connection as well, but goes on with what it runs. */
 static void on_looked(void *arg, web_probe_end_t found)
 {
     look_t *const look = arg;
+    const tc_time_t now = tc_time_now();
+    if (is_undecided(look, found, now)) {
+        loop_arm(look->owner->loop, &look->start, now + LOOK_AGAIN_MS, on_start, look);
+        return;
+    }
     const bool ended = found == WEB_PROBE_REFUSED && look->instance->running == 0;
     log_look(look, found, ended);
     if (ended)
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -238,6 +238,13 @@
 };
 const codec_desc_t quarantine_news_desc = {.name = "quarantine_news", .size = sizeof(quarantine_news_t), .fields = quarantine_news_fields, .n_fields = sizeof(quarantine_news_fields) / sizeof(quarantine_news_fields[0])};
 
+static const codec_field_t quarantine_ack_fields[] = {
+    {.name = "term", .offset = offsetof(quarantine_ack_t, term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "suspects", .offset = offsetof(quarantine_ack_t, suspects), .kind = CODEC_LIST, .sub = &suspect_request_desc, .count_offset = offsetof(quarantine_ack_t, suspects_n), .min = 0, .max = 0, .def = 0},
+    {.name = "hash", .offset = offsetof(quarantine_ack_t, hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t quarantine_ack_desc = {.name = "quarantine_ack", .size = sizeof(quarantine_ack_t), .fields = quarantine_ack_fields, .n_fields = sizeof(quarantine_ack_fields) / sizeof(quarantine_ack_fields[0])};
+
 static const codec_field_t kept_request_fields[] = {
     {.name = "request", .offset = offsetof(kept_request_t, request), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "wall_ms", .offset = offsetof(kept_request_t, wall_ms), .kind = CODEC_I64, .min = -9007199254740991, .max = 9007199254740991, .def = 0},
@@ -604,10 +611,7 @@
     {.name = "backends_gone", .offset = offsetof(msg_report_ack_t, backends_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, backends_gone_n), .min = 0, .max = 0, .def = 0},
     {.name = "entries_base", .offset = offsetof(msg_report_ack_t, entries_base), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "entries_gone", .offset = offsetof(msg_report_ack_t, entries_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, entries_gone_n), .min = 0, .max = 0, .def = 0},
-    {.name = "term", .offset = offsetof(msg_report_ack_t, term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
-    {.name = "has_suspects", .offset = offsetof(msg_report_ack_t, has_suspects), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
-    {.name = "suspects", .offset = offsetof(msg_report_ack_t, suspects), .kind = CODEC_LIST, .sub = &suspect_request_desc, .count_offset = offsetof(msg_report_ack_t, suspects_n), .min = 0, .max = 0, .def = 0},
-    {.name = "suspects_hash", .offset = offsetof(msg_report_ack_t, suspects_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "quarantine", .offset = offsetof(msg_report_ack_t, quarantine), .kind = CODEC_STRUCT, .sub = &quarantine_ack_desc, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -340,6 +340,15 @@
 } quarantine_news_t;
 extern const codec_desc_t quarantine_news_desc;
 
+/** What a box is told of such requests. */
+typedef struct {
+    uint64_t term; /**< of the lead of the answering box, 0 when it does not lead */
+    suspect_request_t *suspects; /**< all of them */
+    uint32_t suspects_n;
+    uint64_t hash; /**< of that list; 0 when none is told */
+} quarantine_ack_t;
+extern const codec_desc_t quarantine_ack_desc;
+
 /** A request that is sent to no back end, as a data folder keeps it. */
 typedef struct {
     uint64_t request;
@@ -772,11 +781,7 @@
     uint64_t entries_base; /**< the same of entries */
     leaving_cfg_t *entries_gone;
     uint32_t entries_gone_n;
-    uint64_t term; /**< of its lead, 0 when it does not lead */
-    bool has_suspects;
-    suspect_request_t *suspects; /**< all of them */
-    uint32_t suspects_n;
-    uint64_t suspects_hash;
+    quarantine_ack_t quarantine;
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -61,8 +61,8 @@
 void lab_backend_answer_early(lab_backend_t *backend);
 /** From now on nothing is sent and nothing is read, as of a process that stands still; and on again. */
 void lab_backend_freeze(lab_backend_t *backend, bool frozen);
-/** The process ends, once what calls this has returned: its connections are reset, new ones are refused. Harmless when it
- *  has ended. */
+/** The process ends, once what calls this has returned: its connections are reset, new ones are refused. Harmless when
+ * it has ended. */
 void lab_backend_crash(lab_backend_t *backend);
 /** It is there again, at the same address, with nothing of before. */
 void lab_backend_restart(lab_backend_t *backend);
--- a/tests/platform/test_quarantine.c
+++ b/tests/platform/test_quarantine.c
@@ -209,6 +209,15 @@
     }
 }
 
+/** Without a decode engine a prompt is not read: it would be for nothing. */
+static void test_prompt_for_nothing(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"lm", "prefill", "p", false, false}}, 1);
+    expect(f, "/lm/x", 503, NULL);
+    g_assert_cmpuint(requests(f, 0), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -217,5 +226,6 @@
     TEST("others-are-served", test_others_are_served);
     TEST("broken-connections", test_broken_connections);
     TEST("run-that-ends-well", test_run_that_ends_well);
+    TEST("prompt-for-nothing", test_prompt_for_nothing);
     return g_test_run();
 }
