--- a/tests/platform/soak/fatal.c
+++ b/tests/platform/soak/fatal.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "harness/windows.h"
 #include "platform/soak/routes.h"
 
 /* ===== Constants ===== */
@@ -16,7 +17,8 @@
     WINDOW_MS = 10000,
     ALLOWANCE = 60
 };
-static const double RATIO = 0.2;
+/** As the settings of the world have it. */
+#define RETRY_RATIO 0.2
 
 /* ===== Fatal requests ===== */
 
@@ -161,25 +163,11 @@
         add_now(w->arrivals[lm].extras);
 }
 
-static unsigned count_from(const GArray *times, tc_time_t from)
-{
-    unsigned n = 0;
-    for (guint i = 0; i < times->len; i++) {
-        const tc_time_t at = g_array_index(times, tc_time_t, i);
-        n += at >= from && at < from + WINDOW_MS;
-    }
-    return n;
-}
-
 static void check_service(world_t *w, const arrivals_t *a, const char *name)
 {
-    for (guint i = 0; i < a->extras->len && !w->failed; i++) {
-        const tc_time_t from = g_array_index(a->extras, tc_time_t, i);
-        const unsigned now = count_from(a->requests, from), half = count_from(a->requests, from - WINDOW_MS / 2),
-                       before = count_from(a->requests, from - WINDOW_MS);
-        if (count_from(a->extras, from) > RATIO * MAX(now, MAX(half, before)) + ALLOWANCE)
-            world_broken(w, "arrivals beyond the first of their request keep to the budget", name);
-    }
+    static const retry_rules_t rules = {.ratio = RETRY_RATIO, .allowance = ALLOWANCE, .window = WINDOW_MS};
+    if (windows_worst_excess(a->requests, a->extras, &rules) > 0)
+        world_broken(w, "arrivals beyond the first of their request keep to the budget", name);
 }
 
 void arrivals_check(world_t *w)
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -10,39 +10,12 @@
 
 #include <glib.h>
 
-#include "common/retry_budget.h"
+#include "harness/windows.h"
 
 enum { WINDOW = 10000, END = 6 * WINDOW };
 
 static const retry_rules_t rules = {.ratio = 0.2, .allowance = 58, .window = WINDOW};
 
-/** How many of the sorted times lie in the window that begins at @p from. */
-static unsigned count_from(const GArray *times, tc_time_t from)
-{
-    unsigned n = 0;
-    for (guint i = 0; i < times->len; i++) {
-        const tc_time_t at = g_array_index(times, tc_time_t, i);
-        n += at >= from && at < from + WINDOW;
-    }
-    return n;
-}
-
-/** Windows that begin with a further arrival hold the most: none may hold more than its requests, or those of the
- * window before it or of the one half a window earlier, allow. @return by how much the worst goes beyond that, at most
- * 0 */
-static double worst_excess(const GArray *requests, const GArray *extras)
-{
-    double worst = -G_MAXDOUBLE;
-    for (guint i = 0; i < extras->len; i++) {
-        const tc_time_t from = g_array_index(extras, tc_time_t, i);
-        const unsigned now = count_from(requests, from), half = count_from(requests, from - WINDOW / 2),
-                       before = count_from(requests, from - WINDOW);
-        const double limit = rules.ratio * MAX(now, MAX(half, before)) + rules.allowance;
-        worst = MAX(worst, count_from(extras, from) - limit);
-    }
-    return worst;
-}
-
 /** Spend all that is allowed at one moment. */
 static void spend_all(retry_budget_t *budget, GArray *extras, tc_time_t now)
 {
@@ -66,7 +39,7 @@
             spend_all(&budget, extras, now);
     }
     g_assert_cmpuint(extras->len, >, 0);
-    g_assert_cmpfloat(worst_excess(requests, extras), <=, 0);
+    g_assert_cmpfloat(windows_worst_excess(requests, extras, &rules), <=, 0);
     g_array_free(requests, TRUE);
     g_array_free(extras, TRUE);
 }
@@ -89,9 +62,9 @@
             if (g_rand_int_range(random, 0, 1500) == 0)
                 spend_all(&budget, extras, now);
         }
-        if (worst_excess(requests, extras) > 0)
+        if (windows_worst_excess(requests, extras, &rules) > 0)
             g_test_message("seed %u", seed);
-        g_assert_cmpfloat(worst_excess(requests, extras), <=, 0);
+        g_assert_cmpfloat(windows_worst_excess(requests, extras, &rules), <=, 0);
         g_array_free(requests, TRUE);
         g_array_free(extras, TRUE);
         g_rand_free(random);
