quarantine: what is known and what is told stand in files of their own

No change of behaviour: quarantine.c had 530 lines and two jobs. lint is clean (the analyzer had taken one function of the first for freeing what the second reads); test_quarantine, _table, _spread and _random pass.

--- /dev/null
+++ b/lib/cluster/quarantine_news.c
@@ -0,0 +1,155 @@
+/* What boxes tell their leader of what they found out, and what it tells them. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "cluster/quarantine_internal.h"
+
+/* ===== Constants ===== */
+
+enum {
+    NEWS_MAX = 64,      /* requests in one report */
+    LIST_EVERY_MS = 100 /* between two looks at what settled or lapsed, for the list of suspects */
+};
+
+/* ===== From box to leader ===== */
+
+static void *new_list(size_t n, size_t size)
+{
+    void *const list = calloc(n, size);
+    if (!list)
+        abort();
+    return list;
+}
+
+static void fill_one(const suspect_t *e, quarantine_news_t *news, tc_time_t now)
+{
+    if (e->held_since > 0) {
+        news->held[news->held_n++] = (request_age_t){.request = e->request, .age_ms = (uint64_t)(now - e->held_since)};
+        return;
+    }
+    if (e->cleared_at > 0)
+        news->cleared[news->cleared_n++] =
+            (request_age_t){.request = e->request, .age_ms = (uint64_t)(now - e->cleared_at)};
+    for (guint i = 0; i < e->charges->len; i++) {
+        const charge_t *const charge = quarantine_charge(e, i);
+        backend_end_t *const end = &news->ends[news->ends_n++];
+        end->request = e->request;
+        end->age_ms = (uint64_t)(now - charge->end.at);
+        codec_copy_string(end->backend, sizeof(end->backend), charge->name);
+    }
+}
+
+void quarantine_fill_news(quarantine_t *q, quarantine_news_t *news, tc_time_t now)
+{
+    *news = (quarantine_news_t){0};
+    q->sent_seq = q->heard_seq;
+    if (q->heard_seq == q->seq)
+        return;
+    news->ends = new_list((size_t)NEWS_MAX * QUARANTINE_ENDS_KEPT, sizeof(*news->ends));
+    news->cleared = new_list(NEWS_MAX, sizeof(*news->cleared));
+    news->held = new_list(NEWS_MAX, sizeof(*news->held));
+    unsigned n = 0;
+    const suspect_t *e;
+    cds_list_for_each_entry(e, &q->entries, node) {
+        if (e->seq <= q->heard_seq)
+            continue;
+        if (n++ == NEWS_MAX)
+            return;
+        fill_one(e, news, now);
+        q->sent_seq = e->seq;
+    }
+    q->sent_seq = q->seq;
+}
+
+bool quarantine_news_heard(quarantine_t *q, uint64_t term)
+{
+    const bool same = term == q->heard_term;
+    q->heard_seq = same ? q->sent_seq : 0;
+    q->heard_term = term;
+    return q->heard_seq < q->seq;
+}
+
+void quarantine_take_news(quarantine_t *q, const quarantine_news_t *news, tc_time_t now,
+                          void (*on_end)(void *arg, const char *backend, tc_time_t at), void *arg)
+{
+    for (uint32_t i = 0; i < news->cleared_n; i++)
+        quarantine_clear(q, news->cleared[i].request, now - (tc_time_t)news->cleared[i].age_ms);
+    for (uint32_t i = 0; i < news->held_n; i++)
+        quarantine_hold(q, news->held[i].request, now - (tc_time_t)news->held[i].age_ms, now);
+    for (uint32_t i = 0; i < news->ends_n; i++) {
+        const tc_time_t at = now - (tc_time_t)news->ends[i].age_ms;
+        if (quarantine_add_end(q, news->ends[i].request, news->ends[i].backend, at, now) && on_end)
+            on_end(arg, news->ends[i].backend, at);
+    }
+}
+
+/* ===== From leader to box ===== */
+
+/** Those with most ends first, then the newest. */
+static gint compare_suspects(gconstpointer a, gconstpointer b)
+{
+    const suspect_request_t *const one = a, *const two = b;
+    if (one->ends != two->ends)
+        return one->ends > two->ends ? -1 : 1;
+    return one->age_ms < two->age_ms ? -1 : one->age_ms > two->age_ms;
+}
+
+/** By what boxes act on: ages change all the time. */
+static uint64_t hash_suspects(const GArray *list)
+{
+    uint64_t hash = 1;
+    for (guint i = 0; i < list->len; i++) {
+        const suspect_request_t *const s = &g_array_index(list, suspect_request_t, i);
+        hash += XXH3_64bits_withSeed(&s->request, sizeof(s->request), s->ends);
+    }
+    return hash ? hash : 1;
+}
+
+static void list_suspects(quarantine_t *q, tc_time_t now)
+{
+    g_array_set_size(q->suspects, 0);
+    suspect_t *e;
+    cds_list_for_each_entry(e, &q->entries, node) {
+        const unsigned ends = e->held_since > 0 ? QUARANTINE_ENDS : quarantine_count(q, e, false, now);
+        const suspect_request_t s = {
+            .request = e->request, .ends = MIN(ends, QUARANTINE_ENDS), .age_ms = (uint64_t)(now - e->heard_at)};
+        if (ends > 0)
+            g_array_append_val(q->suspects, s);
+    }
+    g_array_sort(q->suspects, compare_suspects);
+    if (q->suspects->len > QUARANTINE_SUSPECTS_MAX)
+        g_array_set_size(q->suspects, QUARANTINE_SUSPECTS_MAX);
+    q->suspects_hash = hash_suspects(q->suspects);
+}
+
+const suspect_request_t *quarantine_suspects(quarantine_t *q, uint32_t *n, uint64_t *hash, tc_time_t now)
+{
+    if (!q->is_listed || now - q->listed_at >= LIST_EVERY_MS) {
+        quarantine_tick(q, now);
+        list_suspects(q, now);
+        q->is_listed = true;
+        q->listed_at = now;
+    }
+    *n = q->suspects->len;
+    *hash = q->suspects_hash;
+    return (const suspect_request_t *)(const void *)q->suspects->data;
+}
+
+void quarantine_take_suspects(quarantine_t *q, const suspect_request_t *list, uint32_t n, uint64_t hash, tc_time_t now)
+{
+    g_array_set_size(q->suspects, 0);
+    g_array_append_vals(q->suspects, list, n);
+    q->suspects_hash = hash;
+    for (uint32_t i = 0; i < n; i++)
+        if (list[i].ends >= QUARANTINE_ENDS)
+            quarantine_hold(q, list[i].request, now - (tc_time_t)list[i].age_ms, now);
+}
+
+uint64_t quarantine_suspects_hash(const quarantine_t *q)
+{
+    return q->suspects_hash;
+}
