Quarantine: ends under requests outlive the leader that heard of them

Cause: what boxes found out went to the leader alone; it told the other control boxes which requests are held, not which ends count towards that.

Ruled out: having boxes tell every leader everything anew, which they do; the box that knew was gone.

The leader tells the other control boxes what has changed, at once and in turn every 2 s for those that were away. The test /quarantine-spread/finder-and-leader-go did not end within 60 s on the code before (it waits for two ends; one was known) and passes now.

--- a/lib/cluster/quarantine.h
+++ b/lib/cluster/quarantine.h
@@ -93,6 +93,14 @@
 void quarantine_take_news(quarantine_t *q, const quarantine_news_t *news, tc_time_t now,
                           void (*on_end)(void *arg, const char *backend, tc_time_t at), void *arg);
 
+/* ===== From leader to the other control boxes ===== */
+
+/** Number of the newest change, which grows with each. */
+uint64_t quarantine_seq(const quarantine_t *q);
+/** Fill in what has changed after that number, 0 for all, as far as one message goes. To be freed with codec_free.
+ *  @return number of the last change in it: what comes behind it is for the next message */
+uint64_t quarantine_fill_since(const quarantine_t *q, uint64_t after, quarantine_news_t *news, tc_time_t now);
+
 /* ===== From leader to box ===== */
 
 /** The list of suspects as boxes are told it, borrowed until the next call. @param hash names its state, never 0 */
--- a/lib/cluster/quarantine_news.c
+++ b/lib/cluster/quarantine_news.c
@@ -43,26 +43,35 @@
     }
 }
 
-void quarantine_fill_news(quarantine_t *q, quarantine_news_t *news, tc_time_t now)
+uint64_t quarantine_seq(const quarantine_t *q)
+{
+    return q->seq;
+}
+
+uint64_t quarantine_fill_since(const quarantine_t *q, uint64_t after, quarantine_news_t *news, tc_time_t now)
 {
     *news = (quarantine_news_t){0};
-    q->sent_seq = q->heard_seq;
-    if (q->heard_seq == q->seq)
-        return;
+    if (after >= q->seq)
+        return q->seq;
     news->ends = new_list((size_t)NEWS_MAX * QUARANTINE_ENDS_KEPT, sizeof(*news->ends));
     news->cleared = new_list(NEWS_MAX, sizeof(*news->cleared));
     news->held = new_list(NEWS_MAX, sizeof(*news->held));
     unsigned n = 0;
     const suspect_t *e;
     cds_list_for_each_entry(e, &q->entries, node) {
-        if (e->seq <= q->heard_seq)
+        if (e->seq <= after)
             continue;
         if (n++ == NEWS_MAX)
-            return;
+            return after;
         fill_one(e, news, now);
-        q->sent_seq = e->seq;
+        after = e->seq;
     }
-    q->sent_seq = q->seq;
+    return q->seq;
+}
+
+void quarantine_fill_news(quarantine_t *q, quarantine_news_t *news, tc_time_t now)
+{
+    q->sent_seq = quarantine_fill_since(q, q->heard_seq, news, now);
 }
 
 bool quarantine_news_heard(quarantine_t *q, uint64_t term)
--- a/lib/cluster/replica_quarantine.c
+++ b/lib/cluster/replica_quarantine.c
@@ -1,6 +1,7 @@
 /* Requests that are sent to no back end, as the control boxes keep them: on disk, so that a restart of everything does
- * not cost three back ends anew, and told by the leader to the others, so that a lost disk loses nothing. Nobody has to
- * agree on them: what one box holds the others hold too, as soon as they hear of it. */
+ * not cost three back ends anew, and told by the leader to the others, so that a lost disk loses nothing. Ends under
+ * requests that are not held yet are told as well: the next leader counts on from them, also when the box that found
+ * them out is gone. Nobody has to agree on either: what one box knows the others know too, as soon as they hear. */
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +12,7 @@
 /* ===== Constants ===== */
 
 enum {
-    TELL_MS = 2000,      /* between two times that the leader tells all: for members that were away */
+    TELL_MS = 2000,      /* between two times that the leader tells, when nothing is new: for members that were away */
     RETRY_KEEP_MS = 1000 /* between tries while the disk fails */
 };
 
@@ -72,21 +73,34 @@
 
 /* ===== Telling ===== */
 
+/** What this message brings of single requests: what has changed, else some of them in turn, so that a member that was
+ *  away hears of all. */
+static void fill_turn(replica_t *r, quarantine_news_t *news, tc_time_t now)
+{
+    const uint64_t seq = quarantine_seq(r->quarantine);
+    if (r->news_told < seq) {
+        r->news_told = quarantine_fill_since(r->quarantine, r->news_told, news, now);
+        return;
+    }
+    const uint64_t turn = quarantine_fill_since(r->quarantine, r->news_turn, news, now);
+    r->news_turn = turn < seq ? turn : 0;
+}
+
 static void tell(replica_t *r, tc_time_t now)
 {
-    const uint64_t version = quarantine_version(r->quarantine);
-    if (version == 0 || !replica_keeps_lead(r) || (version == r->held_told && now - r->held_at < TELL_MS))
+    const uint64_t seq = quarantine_seq(r->quarantine);
+    if (seq == 0 || !replica_keeps_lead(r) || (r->news_told == seq && now - r->held_at < TELL_MS))
         return;
-    r->held_told = version;
     r->held_at = now;
     quarantine_tick(r->quarantine, now);
     msg_held_requests_t message = {0};
     message.list = quarantine_held(r->quarantine, &message.list_n, now);
+    fill_turn(r, &message.news, now);
     const raft_members_t *const members = raft_members(r->raft);
     for (uint32_t i = 0; i < members->list_n; i++)
         if (members->list[i].id != r->self.id)
             peer_send(r->net, members->list[i].peer, MSG_HELD_REQUESTS, &message);
-    free(message.list);
+    codec_free(&msg_held_requests_desc, &message);
 }
 
 void held_tick(replica_t *r, tc_time_t now)
@@ -99,4 +113,5 @@
 {
     for (uint32_t i = 0; i < message->list_n; i++)
         quarantine_hold(r->quarantine, message->list[i].request, now - (tc_time_t)message->list[i].age_ms, now);
+    quarantine_take_news(r->quarantine, &message->news, now, NULL, NULL);
 }
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -216,6 +216,7 @@
         add_boxes(r, report, &ack, raft_view(r->raft).leader_since, now);
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
     free(ack.loads);
+    held_tick(r, now); /* what the box found out outlives it and this leader from now on */
     offers_look(r, now);
 }
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -724,6 +724,7 @@
 
 static const codec_field_t msg_held_requests_fields[] = {
     {.name = "list", .offset = offsetof(msg_held_requests_t, list), .kind = CODEC_LIST, .sub = &request_age_desc, .count_offset = offsetof(msg_held_requests_t, list_n), .min = 0, .max = 0, .def = 0},
+    {.name = "news", .offset = offsetof(msg_held_requests_t, news), .kind = CODEC_STRUCT, .sub = &quarantine_news_desc, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_held_requests_desc = {.name = "held_requests", .size = sizeof(msg_held_requests_t), .fields = msg_held_requests_fields, .n_fields = sizeof(msg_held_requests_fields) / sizeof(msg_held_requests_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -907,10 +907,11 @@
 } msg_piece_t;
 extern const codec_desc_t msg_piece_desc;
 
-/** Leader to the control boxes: requests that are sent to no back end; no answer. */
+/** Leader to the control boxes: requests that are sent to no back end, and what is known of others; no answer. */
 typedef struct {
     request_age_t *list;
     uint32_t list_n;
+    quarantine_news_t news; /**< of requests that have changed, or of some in turn */
 } msg_held_requests_t;
 extern const codec_desc_t msg_held_requests_desc;
 
--- a/tests/unit/test_quarantine_spread.c
+++ b/tests/unit/test_quarantine_spread.c
@@ -127,6 +127,20 @@
     await_ends(w, QUARANTINE_ENDS);
 }
 
+/** The box that found the first end is gone, and so is the leader that it told: the next one counts on from it. */
+static void test_finder_and_leader_go(world_t *w, gconstpointer data)
+{
+    (void)data;
+    find_end(w, 0, "a");
+    await_ends(w, 1);
+    lab_run_for(w->f.loop, 200); /* one tick of the leader, and the way to the others */
+    stop_entry(&w->entries[0]);
+    stop_box(&w->f, leader(&w->f));
+    start_entry(w, 0);
+    find_end(w, 1, "b");
+    await_ends(w, 2);
+}
+
 /** Everything is killed, but for the disks. */
 static void test_everything_restarts(world_t *w, gconstpointer data)
 {
@@ -203,6 +217,7 @@
 #define TEST(name, fn) g_test_add("/quarantine-spread/" name, world_t, NULL, set_up_world, fn, tear_down_world)
     TEST("adds-up", test_adds_up);
     TEST("leaders-go", test_leaders_go);
+    TEST("finder-and-leader-go", test_finder_and_leader_go);
     TEST("everything-restarts", test_everything_restarts);
     TEST("ended-back-end", test_ended_back_end);
     return g_test_run();
