--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -14,6 +14,8 @@
 COUNTER_DEFINE(c_granted, "counter", "trackcove_placing_granted_total", "Placements granted by the scheduler")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_placing_refused_total", "Placements refused by the scheduler")
 
+COUNTER_DEFINE(c_over, "counter", "trackcove_placing_over_cap_total",
+               "Requests refused since their workspace is over its usage cap")
 COUNTER_DEFINE(c_pieces, "gauge", "trackcove_placing_decode_pieces", "Memory of the decode engines that can be used")
 COUNTER_DEFINE(c_taken, "gauge", "trackcove_placing_decode_taken", "Of it, what the scheduler takes for taken")
 
@@ -25,6 +27,7 @@
     /* A decode engine reads prompts at under half the pace and slows the streams it carries: only what has waited. */
     SOLO_AFTER_MS = 120,
     LOST_MAX = 256,
+    LET_IN_MS = 5000, /* a request waits here for less than its aim; what is remembered for longer was lost */
     PICTURE_MS = 1000 /* between lines that tell what the scheduler takes engines for */
 };
 /** Moves of memory into another data centre take twice as long there and are priced double: they are counted dearer
@@ -52,8 +55,18 @@
     retry_rules_t retries; /* for what is handed out here */
     GHashTable *budgets;   /* as retry_budgets_create; emptied when this box leads no more, since an older leader may
                               have handed out all of what a new one has */
+    cap_ledger_t *caps;
+    GHashTable *let_in;  /* request id -> let_in_t: let in, and not placed or refused yet */
+    tc_time_t let_in_at; /* when old ones were dropped last */
 };
 
+/** A request that a usage cap let in. */
+typedef struct {
+    char workspace[CODEC_STR_SIZE];
+    double units;
+    tc_time_t at;
+} let_in_t;
+
 /* ===== Configuration ===== */
 
 static const placing_service_t *service_of(const placing_t *p, const char *name)
@@ -168,6 +181,85 @@
     return p->services[0].service;
 }
 
+/* ===== Usage caps ===== */
+
+void placing_set_caps(placing_t *p, const cap_cfg_t *list, uint32_t n)
+{
+    cap_ledger_configure(p->caps, list, n, tc_time_now());
+}
+
+void placing_take_use(placing_t *p, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
+{
+    if (!p->sched)
+        return; /* what it let in is told again to whoever leads */
+    cap_ledger_hear(p->caps, report->self.box, report->self.incarnation, report->used, report->used_n, now);
+    ack->caps = (cap_state_t *)(uintptr_t)cap_ledger_tell(p->caps, &ack->caps_n, now);
+}
+
+static void log_over_cap(const placing_t *p, const msg_place_t *place, tc_time_t after, tc_time_t now)
+{
+    const cap_view_t view = cap_ledger_view(p->caps, place->cap, now);
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "cap_refused");
+    log_str(&line, "request", place->id);
+    log_str(&line, "workspace", place->cap);
+    log_int(&line, "units", (int64_t)place->cap_units);
+    log_num(&line, "level", view.level);
+    log_num(&line, "depth", view.depth);
+    log_num(&line, "fills_units_s", view.rate);
+    log_int(&line, "after_ms", after);
+    log_end(&line);
+}
+
+/** Whether the request's workspace is within its cap; if not, it is answered. */
+static bool let_in(placing_t *p, peer_call_t call, const msg_place_t *place, tc_time_t now)
+{
+    if (place->cap_units == 0 || place->again)
+        return true;
+    tc_time_t after;
+    if (cap_ledger_take(p->caps, place->cap, (double)place->cap_units, now, &after)) {
+        let_in_t *const entry = g_new0(let_in_t, 1);
+        *entry = (let_in_t){.units = (double)place->cap_units, .at = now};
+        codec_copy_string(entry->workspace, sizeof(entry->workspace), place->cap);
+        g_hash_table_insert(p->let_in, g_strdup(place->id), entry);
+        return true;
+    }
+    counter_add(&c_over, 1);
+    log_over_cap(p, place, after, now);
+    msg_placed_t placed = {.over_cap = true, .retry_after_ms = (uint32_t)after};
+    codec_copy_string(placed.reason, sizeof(placed.reason), "its workspace is over its usage cap");
+    peer_reply(p->net, call, MSG_PLACED, &placed);
+    return false;
+}
+
+/** The scheduler has answered: one that it refused has not run, so its workspace has its units back. */
+static void settle(placing_t *p, const sched_answer_t *answer, tc_time_t now)
+{
+    const let_in_t *const entry = answer->repeated ? NULL : g_hash_table_lookup(p->let_in, answer->id);
+    if (!entry)
+        return;
+    if (!answer->placed.granted)
+        cap_ledger_return(p->caps, entry->workspace, entry->units, now);
+    g_hash_table_remove(p->let_in, answer->id);
+}
+
+static gboolean is_lost(gpointer id, gpointer value, gpointer arg)
+{
+    const tc_time_t *const now = arg;
+    (void)id;
+    return *now - ((const let_in_t *)value)->at > LET_IN_MS;
+}
+
+static void tick_caps(placing_t *p, uint32_t boxes, tc_time_t now)
+{
+    cap_ledger_set_boxes(p->caps, boxes, now);
+    cap_ledger_tick(p->caps, now);
+    if (now - p->let_in_at < LET_IN_MS)
+        return;
+    p->let_in_at = now;
+    g_hash_table_foreach_remove(p->let_in, is_lost, &now);
+}
+
 /* ===== Actions ===== */
 
 /** What the scheduler takes engines for: the inputs of its refusals. */
@@ -234,6 +326,7 @@
     while (p->sched && sched_next_action(p->sched, &action)) {
         switch (action.kind) {
         case SCHED_ACT_ANSWER:
+            settle(p, &action.u.answer, now);
             if (!action.u.answer.repeated)
                 note_decision(p, &action.u.answer, now);
             peer_reply(p->net, (peer_call_t){.connection = action.u.answer.token.a, .call = action.u.answer.token.b},
@@ -309,6 +402,8 @@
         refuse_held(p, call, place->id);
         return;
     }
+    if (!let_in(p, call, place, now))
+        return;
     sched_place(p->sched, &known, (sched_token_t){.a = call.connection, .b = call.call}, now);
 }
 
@@ -360,6 +455,8 @@
         g_hash_table_remove_all(p->budgets);
     }
     if (!p->sched && term != 0) {
+        cap_ledger_begin(p->caps, now);
+        g_hash_table_remove_all(p->let_in);
         const sched_options_t options = {.cell = CELL,
                                          .epoch = term,
                                          .piece_tokens = SCHED_SMALL_PIECE_TOKENS,
@@ -376,15 +473,18 @@
     sched_expect_reports(p->sched, boxes);
     sched_tick(p->sched, now);
     pump(p, now);
+    tick_caps(p, boxes, now);
     log_engines(p, now);
 }
 
-placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries)
+placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries, const cap_rules_t *caps)
 {
     placing_t *const p = g_new0(placing_t, 1);
     p->net = net;
     p->retries = retry_rules_part(retries, mechanism_is_on(MECHANISM_RETRY_LENDING) ? 1 - RETRY_BOXES_PART : 0);
     p->budgets = retry_budgets_create();
+    p->caps = cap_ledger_create(caps);
+    p->let_in = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return p;
 }
 
@@ -393,6 +493,8 @@
     if (p->sched)
         sched_destroy(p->sched);
     g_hash_table_destroy(p->budgets);
+    g_hash_table_destroy(p->let_in);
+    cap_ledger_destroy(p->caps);
     free(p->services);
     free(p->backends);
     g_free(p);
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -6,7 +6,8 @@
  * drops it. Entry boxes that get no answer place by themselves meanwhile.
  *
  * Beside placements it hands out the leader's part of the retry budgets
- * (common/retry_budget.h): a new leader begins with all of it spent.
+ * (common/retry_budget.h): a new leader begins with all of it spent. And it lets requests in by
+ * their workspaces' usage caps (workspace/cap_ledger.h) before they are placed.
  *
  * Everything runs in the loop's thread.
  */
@@ -21,6 +22,7 @@
 #include "peer/peer.h"
 #include "roles/balance.h"
 #include "sched/sched.h"
+#include "workspace/cap_ledger.h"
 
 /* ===== Types ===== */
 
@@ -44,8 +46,9 @@
 /* ===== Public functions ===== */
 
 /** @param net borrowed; answers go out through it
- *  @param retries what settings allow all boxes together, copied: the leader's part of it is handed out here */
-placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries);
+ *  @param retries what settings allow all boxes together, copied: the leader's part of it is handed out here
+ *  @param caps what they allow beyond usage caps, copied */
+placing_t *placing_create(peer_net_t *net, const retry_rules_t *retries, const cap_rules_t *caps);
 /** Whoever waits for an answer gets none. */
 void placing_destroy(placing_t *placing);
 
@@ -54,6 +57,11 @@
 void placing_set_quarantine(placing_t *placing, quarantine_t *quarantine);
 /** The services with engines, from the configuration; copied. */
 void placing_set_services(placing_t *placing, const placing_service_t *list, uint32_t n);
+/** The workspaces with usage caps, from the configuration; copied. */
+void placing_set_caps(placing_t *placing, const cap_cfg_t *list, uint32_t n);
+/** A box reports: take what it let in by itself, and fill in what it is to know of caps, borrowed until the next call
+ * of any function. */
+void placing_take_use(placing_t *placing, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now);
 /** The back ends, as boxes are told them: engines that change their role are leaving. Copied. */
 void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
 
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -374,6 +374,11 @@
     placing_set_services(r->placing, list, n);
 }
 
+void replica_set_caps(replica_t *r, const cap_cfg_t *list, uint32_t n)
+{
+    placing_set_caps(r->placing, list, n);
+}
+
 static void fill_self(replica_t *r, uint64_t id)
 {
     r->self.id = id;
@@ -432,7 +437,7 @@
         replica_destroy(r);
         return NULL;
     }
-    r->placing = placing_create(r->net, &options->retries);
+    r->placing = placing_create(r->net, &options->retries, &options->caps);
     placing_set_quarantine(r->placing, r->quarantine);
     log_cluster(r, "started");
     if (r->document.version > 0)
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -32,6 +32,7 @@
     bool found;               /**< first start of the whole system */
     const char *const *seeds; /**< peer addresses, NULL at the end */
     retry_rules_t retries;    /**< what settings allow all boxes together */
+    cap_rules_t caps;         /**< what they allow beyond usage caps */
     /** A newer document was accepted, or one was there at the start; may be NULL. */
     void (*on_document)(void *arg, replica_t *replica, const document_t *document);
     void *arg;
@@ -91,5 +92,7 @@
 
 /** The services with engines that the document names: for the scheduler beside the leader. */
 void replica_set_services(replica_t *replica, const placing_service_t *list, uint32_t n);
+/** The workspaces with usage caps that the document names. */
+void replica_set_caps(replica_t *replica, const cap_cfg_t *list, uint32_t n);
 
 #endif
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -73,12 +73,12 @@
     tc_time_t backends_fetched; /* 0: never */
     GArray *ended;              /* ended_t: back ends that boxes found to have ended, and that may still be listed */
     quarantine_t *quarantine;
-    store_t *store;      /* the writer's */
-    uint64_t held_kept;  /* quarantine_version that is on disk, */
-    tc_time_t keep_at;   /* no write of it before */
-    tc_time_t held_at;   /* when the other members were told last, */
-    uint64_t news_told;  /* up to this change of it, */
-    uint64_t news_turn;  /* and again up to this one, for those that were away */
+    store_t *store;     /* the writer's */
+    uint64_t held_kept; /* quarantine_version that is on disk, */
+    tc_time_t keep_at;  /* no write of it before */
+    tc_time_t held_at;  /* when the other members were told last, */
+    uint64_t news_told; /* up to this change of it, */
+    uint64_t news_turn; /* and again up to this one, for those that were away */
 };
 
 /* ===== replica.c ===== */
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -198,6 +198,7 @@
         add_entries(r, report, ack, now);
     ack->quarantine.term = raft_view(r->raft).term;
     add_suspects(r, report, ack, now);
+    placing_take_use(r->placing, report, ack, now);
 }
 
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now)
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -156,6 +156,8 @@
     lists_take_ack(r, ack, question.asked);
     if (ack->leads && r->quarantine && quarantine_news_heard(r->quarantine, ack->quarantine.term))
         r->hurry = true;
+    if (ack->leads && r->caps && cap_parts_hear(r->caps, ack->quarantine.term, ack->caps, ack->caps_n, now))
+        r->hurry = true;
     if (ack->leads && r->events.on_loads)
         r->events.on_loads(r->events.arg, ack->loads, ack->loads_n, ack->loads_partial);
     codec_copy_string(r->leader, sizeof(r->leader), ack->leads ? r->target : ack->leader);
@@ -177,11 +179,14 @@
         report.loads = r->events.loads(r->events.arg, &report.loads_n);
     if (r->quarantine)
         quarantine_fill_news(r->quarantine, &report.quarantine, tc_time_now());
+    if (r->caps)
+        report.used = cap_parts_report(r->caps, &report.used_n, tc_time_now());
     r->waiting = true;
     r->hurry = false;
     ask(r, r->target, &report, on_answer);
     codec_free(&quarantine_news_desc, &report.quarantine);
     free(report.loads);
+    free(report.used);
 }
 
 /* ===== Learning ===== */
@@ -353,6 +358,7 @@
     r->self = self;
     r->events = *events;
     r->quarantine = options->quarantine;
+    r->caps = options->caps;
     r->turn = g_random_int();
     r->missing = missing_create();
     r->heard = tc_time_now();
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -18,6 +18,7 @@
 #include "cluster/quarantine.h"
 #include "gen/schema.h"
 #include "peer/peer.h"
+#include "workspace/cap_parts.h"
 
 /* ===== Types ===== */
 
@@ -43,6 +44,7 @@
     const char *const *controls;   /**< peer addresses of control boxes to begin with, NULL at the end */
     const char *const *neighbours; /**< peer addresses of other boxes that may be asked, NULL at the end */
     quarantine_t *quarantine;      /**< borrowed: what it knows is told to leaders, and theirs to it; NULL for none */
+    cap_parts_t *caps;             /**< the same */
 } reporter_options_t;
 
 /* ===== Public functions ===== */
@@ -64,6 +66,9 @@
 
 /** Version of the document that is in force here, 0 before the first. */
 uint64_t reporter_version(const reporter_t *reporter);
+/** Whether this box acts on the newest document that it can have heard of: a leader answered within the last @p age ms,
+ *  and no box is known to have a newer one. */
+bool reporter_is_current(const reporter_t *reporter, tc_time_t age);
 /** The document that on_document told last is in force from now on. */
 void reporter_in_force(reporter_t *reporter);
 /** The entry boxes that are held; borrowed until the loop's next turn. */
--- a/lib/cluster/reporter_internal.h
+++ b/lib/cluster/reporter_internal.h
@@ -20,6 +20,7 @@
     const entry_box_t *self;
     reporter_events_t events;
     quarantine_t *quarantine; /* or NULL */
+    cap_parts_t *caps;        /* or NULL */
     char **controls;          /* seeds */
     char **neighbours;
     char leader[CODEC_STR_SIZE];
@@ -42,6 +43,7 @@
     /* What is held (reporter_lists.c). */
     document_t document; /* newest that was told to the program */
     uint64_t in_force;   /* its version, or an older one until the program acts on it */
+    uint64_t newest;     /* version that any box was heard to have */
     document_t later;    /* a newer one that waits for that; version 0 for none */
     fetch_t *fetch;      /* of a newer one */
     backend_t *backends;
--- a/lib/cluster/reporter_lists.c
+++ b/lib/cluster/reporter_lists.c
@@ -64,6 +64,7 @@
 
 void lists_hear_head(reporter_t *r, const document_head_t *head, const char *from)
 {
+    r->newest = MAX(r->newest, head->version);
     fetch_hear(r->fetch, head, from, MAX(r->document.version, r->later.version));
 }
 
@@ -269,6 +270,12 @@
     return r->in_force;
 }
 
+bool reporter_is_current(const reporter_t *r, tc_time_t age)
+{
+    const bool in_touch = r->leader_heard > 0 && tc_time_now() - r->leader_heard <= age;
+    return in_touch && r->in_force > 0 && r->in_force >= r->newest;
+}
+
 const entry_box_t *reporter_entries(const reporter_t *r, uint32_t *n)
 {
     *n = r->entries_n;
--- a/lib/common/mechanism.c
+++ b/lib/common/mechanism.c
@@ -19,7 +19,10 @@
                                               [MECHANISM_RETRY_LENDING] = "retry_lending",
                                               [MECHANISM_SECOND_TRY] = "second_try",
                                               [MECHANISM_AVOIDANCE] = "avoidance",
-                                              [MECHANISM_EARLY_WAIT] = "early_wait"};
+                                              [MECHANISM_EARLY_WAIT] = "early_wait",
+                                              [MECHANISM_CAP_LEADER] = "cap_leader",
+                                              [MECHANISM_CAP_DEMAND] = "cap_demand",
+                                              [MECHANISM_WORKSPACE_SHARE] = "workspace_share"};
 
 static bool is_off[MECHANISMS];
 
--- a/lib/common/mechanism.h
+++ b/lib/common/mechanism.h
@@ -31,6 +31,9 @@
     MECHANISM_SECOND_TRY,    /**< a failure that a back end stands for is tried once more elsewhere */
     MECHANISM_AVOIDANCE,     /**< back ends that failed are left alone for a while */
     MECHANISM_EARLY_WAIT,    /**< requests wait for a box that has just started */
+    MECHANISM_CAP_LEADER, /**< the leader lets requests in by one count of all boxes; off: each box by its own part */
+    MECHANISM_CAP_DEMAND, /**< the part of a box follows what it let in last; off: parts are equal */
+    MECHANISM_WORKSPACE_SHARE, /**< who waits gives way by how much of its workspace waits; off: by due time alone */
     MECHANISMS
 } mechanism_t;
 
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -36,6 +36,13 @@
     unsigned tokens;            /**< of this part alone */
 } dialect_part_t;
 
+/** What a request says of who asks. */
+typedef enum {
+    DIALECT_KEY_NONE,  /**< nothing */
+    DIALECT_KEY_WRONG, /**< something else than one key */
+    DIALECT_KEY_GIVEN
+} dialect_key_t;
+
 /** What placement and timing need to know of a request. */
 typedef struct {
     char id[DIALECT_ID_SIZE]; /**< of this one try of the caller; "" when it sent none */
@@ -46,6 +53,10 @@
     const char *resume_after; /**< last event that the caller has of a stream it takes up again, or ""; borrowed from
                                  the request */
     const char *credentials;  /**< by which the caller proves who it is, or ""; borrowed from the request */
+    dialect_key_t has_key;    /**< whether these are a key */
+    const char *key;          /**< DIALECT_KEY_GIVEN: the key, a secret; borrowed from the request, */
+    size_t key_size;          /**< so many bytes of it */
+    bool counts_tokens;       /**< the caller said how many tokens the request is */
     dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, from its start, in order */
     unsigned parts_n;                        /**< 0 when the caller names none */
 } dialect_request_t;
@@ -67,6 +78,8 @@
     const char *handle;       /**< DECODE: names the result */
     const char *resume_after; /**< last event that the caller has, or "" */
     const char *hold;         /**< memory that was set aside for it there, or NULL */
+    bool hides_caller;        /**< credentials go no further: the back end is told the workspace instead, */
+    const char *workspace;    /**< that of the caller, or NULL for none */
 } dialect_step_t;
 
 /** What the head of an answer says. */
--- a/lib/forward/fingerprint.c
+++ b/lib/forward/fingerprint.c
@@ -16,12 +16,12 @@
     return add(hash, text ? text : "", text ? strlen(text) : 0);
 }
 
-uint64_t fingerprint_of(const web_request_t *request, const dialect_request_t *facts)
+uint64_t fingerprint_of(const web_request_t *request, const dialect_request_t *facts, const char *caller)
 {
     uint64_t hash = add_text(0, request->method);
     hash = add_text(hash, web_headers_get(request->headers, "Host"));
     hash = add_text(hash, request->target);
-    hash = add_text(hash, facts->credentials);
+    hash = add_text(hash, caller);
     hash = add_text(hash, facts->parts_n > 0 ? facts->parts[facts->parts_n - 1].id : "");
     hash = add(hash, request->body->len > 0 ? (const void *)request->body->data : "", request->body->len);
     return hash ? hash : 1;
--- a/lib/forward/fingerprint.h
+++ b/lib/forward/fingerprint.h
@@ -13,6 +13,6 @@
 /* ===== Public functions ===== */
 
 /** Never 0, so that 0 can stand for none. Two requests that differ have the same one in 1 of 2^64 cases. */
-uint64_t fingerprint_of(const web_request_t *request, const dialect_request_t *facts);
+uint64_t fingerprint_of(const web_request_t *request, const dialect_request_t *facts, const char *caller);
 
 #endif
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -16,8 +16,17 @@
 HISTOGRAM_DEFINE(h_answer, "trackcove_forward_answer_ms", "From a request to the end of its answer")
 COUNTER_DEFINE(c_held, "counter", "trackcove_forward_held_total",
                "Requests refused or broken off since back ends ended under them")
+COUNTER_DEFINE(c_no_key, "counter", "trackcove_forward_key_refused_total",
+               "Requests refused since they carry no key that is known")
+COUNTER_DEFINE(c_unsure, "counter", "trackcove_forward_unsure_total",
+               "Of requests without a route or a known key, those refused as not run: this box may not know the newest "
+               "configuration")
 COUNTER_DEFINE(c_no_route, "counter", "trackcove_forward_no_route_total", "Requests without a route")
 
+/* ===== Constants ===== */
+
+enum { STATUS_WRONG = 400, STATUS_NO_KEY = 401, STATUS_NO_ROUTE = 404, STATUS_NOT_RUN = 503 };
+
 /* ===== Ending ===== */
 
 static void forward_free(forward_t *f)
@@ -61,7 +70,7 @@
         return;
     }
     const bool late = tc_time_now() >= f->deadline;
-    const int status = f->runs == 0 ? 503 : (late ? 504 : 502);
+    const int status = f->runs == 0 ? STATUS_NOT_RUN : (late ? 504 : 502);
     counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
     forward_log_end(f, "failed", why, status);
     /* Promise: 503 says that the request did not run, so it is given only while no back end can have begun it. */
@@ -71,6 +80,17 @@
     forward_free(f);
 }
 
+void forward_refuse(forward_t *f, int status, const char *why, tc_time_t after)
+{
+    assert(f->runs == 0 && !f->begun && !f->step); /* promise: what is refused as not run has not run */
+    counter_add(&c_not_run, 1);
+    forward_log_end(f, "failed", why, status);
+    char *const head = after > 0 ? dialect_retry_after(after) : g_strdup("");
+    web_answer(f->exchange, status, head, "", 0);
+    g_free(head);
+    forward_free(f);
+}
+
 void forward_fail(forward_t *f, const char *why)
 {
     fail(f, why, RETRY_AFTER_MS);
@@ -137,6 +157,18 @@
     return chosen ? chosen : forward_choose(f, stage);
 }
 
+/** Promise: a key that was taken away begins nothing any more, also where its request has waited since before. Runs
+ * that it began are not cut. @return false, with the request freed, when it was refused */
+static bool is_still_allowed(forward_t *f)
+{
+    if (f->runs > 0 || f->begun || caller_is_allowed(f))
+        return true;
+    counter_add(&c_no_key, 1);
+    const int status = caller_status(f->owner, STATUS_NO_KEY);
+    forward_refuse(f, status, "its key was taken away", status == STATUS_NO_KEY ? 0 : ELSEWHERE_AFTER_MS);
+    return false;
+}
+
 static void send_to(forward_t *f, dialect_ask_t ask, instance_t *instance)
 {
     if (!instance) {
@@ -149,6 +181,10 @@
         forward_fail_held(f);
         return;
     }
+    if (!is_still_allowed(f) || !cap_lets_in(f)) {
+        instance_unref(instance);
+        return;
+    }
     if (ask != DIALECT_PREFILL)
         f->arrivals++;
     if (ask != DIALECT_PREFILL && f->split)
@@ -268,7 +304,7 @@
     log_str(&line, "why", why);
     log_int(&line, "status", status);
     log_end(&line);
-    char *const head = status == 503 ? dialect_retry_after(come_back) : g_strdup("");
+    char *const head = status == STATUS_NOT_RUN ? dialect_retry_after(come_back) : g_strdup("");
     web_answer(exchange, status, head, "", 0);
     g_free(head);
 }
@@ -278,16 +314,29 @@
     instance_unref(instance);
 }
 
+/** Refuse a request for what the configuration does not know. A caller takes the final status for the last word, so a
+ *  box that may not know the newest configuration says that the request has not run instead. */
+static void refuse_unknown(forwarder_t *fw, web_exchange_t *exchange, const dialect_request_t *facts, int final,
+                           const char *why)
+{
+    const int status = caller_status(fw, final);
+    if (status != final)
+        counter_add(&c_unsure, 1);
+    refuse(exchange, facts, status, why, ELSEWHERE_AFTER_MS);
+}
+
 static forward_t *forward_create(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request,
-                                 const dialect_request_t *facts, const route_t *route)
+                                 const dialect_request_t *facts, const route_t *route, const workspace_t *workspace)
 {
     forward_t *const f = g_new0(forward_t, 1);
     f->owner = fw;
     f->exchange = exchange;
     f->request = *request;
     f->facts = *facts;
-    f->fingerprint = fingerprint_of(request, facts);
     f->table = route_table_ref(fw->table);
+    f->workspace = workspace;
+    f->priority = workspace && workspace->has_priority ? workspace->priority : route->priority;
+    f->fingerprint = fingerprint_of(request, facts, workspace ? workspace->name : facts->credentials);
     f->route = route;
     f->service = route_pick_service(route, g_rand_int(fw->random));
     f->settings = route_table_service(f->table, f->service);
@@ -309,21 +358,31 @@
     dialect_request_t facts;
     dialect_read_request(request, &facts);
     if (fw->stop_last && tc_time_now() >= fw->stop_last) {
-        refuse(exchange, &facts, 503, "this box stops", ELSEWHERE_AFTER_MS);
+        refuse(exchange, &facts, STATUS_NOT_RUN, "this box stops", ELSEWHERE_AFTER_MS);
         return;
     }
     if (!fw->table) {
-        refuse(exchange, &facts, 503, "no configuration is known yet", RETRY_AFTER_MS);
+        refuse(exchange, &facts, STATUS_NOT_RUN, "no configuration is known yet", RETRY_AFTER_MS);
         return;
     }
     const char *const host = web_headers_get(request->headers, "Host");
-    const route_t *const route = host ? route_table_find(fw->table, host, request->target) : NULL;
+    if (!host) {
+        refuse(exchange, &facts, STATUS_WRONG, "no host", 0);
+        return;
+    }
+    const route_t *const route = route_table_find(fw->table, host, request->target);
     if (!route) {
         counter_add(&c_no_route, 1);
-        refuse(exchange, &facts, host ? 404 : 400, host ? "no route" : "no host", 0);
+        refuse_unknown(fw, exchange, &facts, STATUS_NO_ROUTE, "no route");
+        return;
+    }
+    const caller_t caller = caller_identify(fw->table, route, &facts);
+    if (caller.why) {
+        counter_add(&c_no_key, 1);
+        refuse_unknown(fw, exchange, &facts, STATUS_NO_KEY, caller.why);
         return;
     }
-    forward_t *const f = forward_create(fw, exchange, request, &facts, route);
+    forward_t *const f = forward_create(fw, exchange, request, &facts, route, caller.workspace);
     forward_log_routed(f);
     if (!stop_allows(f)) {
         fail(f, "this box stops before it would end", ELSEWHERE_AFTER_MS);
@@ -358,6 +417,7 @@
     fw->boxes = 1;
     fw->budgets = retry_budgets_create();
     fw->quarantine = quarantine_create();
+    fw->caps = cap_parts_create(&options->caps);
     fw->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fw->random = g_rand_new();
     fw->created = tc_time_now();
@@ -375,6 +435,7 @@
     route_table_unref(fw->table);
     g_hash_table_destroy(fw->budgets);
     quarantine_destroy(fw->quarantine);
+    cap_parts_destroy(fw->caps);
     g_hash_table_destroy(fw->paces);
     g_rand_free(fw->random);
     g_free(fw);
@@ -402,6 +463,11 @@
     return fw->quarantine;
 }
 
+cap_parts_t *forwarder_caps(forwarder_t *fw)
+{
+    return fw->caps;
+}
+
 unsigned forwarder_busy(const forwarder_t *fw)
 {
     return fw->busy;
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -20,6 +20,7 @@
 #include "forward/route.h"
 #include "web/web_client.h"
 #include "web/web_server.h"
+#include "workspace/cap_parts.h"
 
 /* ===== Types ===== */
 
@@ -33,6 +34,9 @@
     retry_rules_t retries;
     tc_time_t pause_limit; /**< a stream that may be taken up elsewhere is, after a silence of this long, where its
                               route names no pause; ms */
+    tc_time_t sure_for; /**< a box that no leader answered for so long may not know of the newest configuration, so it
+                           says of no request that there is no such route or key; ms */
+    cap_rules_t caps;
 } forwarder_options_t;
 
 /* ===== Public functions ===== */
@@ -57,6 +61,8 @@
 void forwarder_set_boxes(forwarder_t *forwarder, unsigned boxes);
 /** What the box knows of requests under which back ends end: for its reports. Lives as long as the forwarder. */
 quarantine_t *forwarder_quarantine(forwarder_t *forwarder);
+/** What the box lets in of workspaces with usage caps: for its reports. Lives as long as the forwarder. */
+cap_parts_t *forwarder_caps(forwarder_t *forwarder);
 /** Requests under way. */
 unsigned forwarder_busy(const forwarder_t *forwarder);
 
--- /dev/null
+++ b/lib/forward/forward_caller.c
@@ -0,0 +1,43 @@
+/* Whose request it is, and whether this box may say that it is nobody's. */
+
+#include <string.h>
+
+#include "forward/forward_internal.h"
+
+enum { STATUS_UNSURE = 503 /* it has not run, and another box may know better */ };
+
+caller_t caller_identify(const route_table_t *table, const route_t *route, const dialect_request_t *facts)
+{
+    if (!table->workspaces)
+        return (caller_t){0};
+    const workspace_t *const holder =
+        facts->has_key == DIALECT_KEY_GIVEN ? workspaces_by_key(table->workspaces, facts->key, facts->key_size) : NULL;
+    if (holder || route->open)
+        return (caller_t){.workspace = holder};
+    switch (facts->has_key) {
+    case DIALECT_KEY_NONE: return (caller_t){.why = "no key"};
+    case DIALECT_KEY_WRONG: return (caller_t){.why = "what it carries is not one key"};
+    case DIALECT_KEY_GIVEN: return (caller_t){.why = "nobody holds its key"};
+    }
+    return (caller_t){.why = "no key"};
+}
+
+bool caller_is_allowed(const forward_t *f)
+{
+    const route_table_t *const table = f->owner->table;
+    if (table == f->table || !table || f->route->open)
+        return true;
+    const caller_t caller = caller_identify(table, f->route, &f->facts);
+    const char *const before = f->workspace ? f->workspace->name : "";
+    return !caller.why && strcmp(caller.workspace ? caller.workspace->name : "", before) == 0;
+}
+
+bool caller_is_sure(const forwarder_t *fw)
+{
+    return !fw->scheduler || reporter_is_current(fw->scheduler, fw->options.sure_for);
+}
+
+int caller_status(const forwarder_t *fw, int final)
+{
+    return caller_is_sure(fw) ? final : STATUS_UNSURE;
+}
--- /dev/null
+++ b/lib/forward/forward_cap.c
@@ -0,0 +1,90 @@
+/* How much a workspace may ask: by the leader, with the placement that a stream asks for anyway, else by this box. */
+
+#include "common/counter.h"
+#include "common/log.h"
+#include "forward/forward_internal.h"
+
+COUNTER_DEFINE(c_refused, "counter", "trackcove_forward_cap_refused_total",
+               "Requests refused since their workspace is over its usage cap")
+COUNTER_DEFINE(c_own, "counter", "trackcove_forward_cap_own_total",
+               "Requests of workspaces with usage caps that this box let in by itself")
+
+enum { STATUS_OVER_CAP = 429 };
+
+static bool has_cap(const forward_t *f)
+{
+    return f->workspace && f->workspace->cap.rate > 0;
+}
+
+double cap_units(const forward_t *f)
+{
+    if (!has_cap(f))
+        return 0;
+    const uint64_t tokens = (uint64_t)f->facts.prompt_tokens + f->facts.output_tokens;
+    return cap_cost(&f->workspace->cap, f->facts.counts_tokens ? tokens : 0);
+}
+
+static cap_ask_t ask_of(const forward_t *f)
+{
+    return (cap_ask_t){.workspace = f->workspace->name,
+                       .cap = &f->workspace->cap,
+                       .units = cap_units(f),
+                       .is_leaders = f->placement.asked};
+}
+
+static void log_refused(const forward_t *f, const cap_verdict_t *verdict)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "cap_refused");
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "workspace", f->workspace->name);
+    log_str(&line, "why", verdict->why);
+    log_num(&line, "units", cap_units(f));
+    log_num(&line, "cap_units_s", f->workspace->cap.rate);
+    if (verdict->told_age != TC_TIME_NEVER)
+        log_int(&line, "told_age_ms", verdict->told_age);
+    if (verdict->part > 0) {
+        log_num(&line, "part_units_s", verdict->part);
+        log_num(&line, "part_level", verdict->level);
+    }
+    log_int(&line, "after_ms", verdict->after);
+    log_end(&line);
+}
+
+static void refuse(forward_t *f, const cap_verdict_t *verdict)
+{
+    counter_add(&c_refused, 1);
+    log_refused(f, verdict);
+    forward_refuse(f, STATUS_OVER_CAP, "its workspace is over its usage cap", verdict->after);
+}
+
+bool cap_lets_in(forward_t *f)
+{
+    if (f->let_in || !has_cap(f))
+        return true;
+    forwarder_t *const fw = f->owner;
+    const cap_ask_t ask = ask_of(f);
+    cap_verdict_t verdict;
+    if (!cap_parts_take(fw->caps, &ask, fw->boxes, g_rand_double(fw->random), tc_time_now(), &verdict)) {
+        refuse(f, &verdict);
+        return false;
+    }
+    counter_add(&c_own, 1);
+    f->let_in = true;
+    return true;
+}
+
+void cap_was_let_in(forward_t *f)
+{
+    if (f->let_in || !has_cap(f))
+        return;
+    f->let_in = true;
+    const cap_ask_t ask = ask_of(f);
+    cap_parts_note(f->owner->caps, &ask, tc_time_now());
+}
+
+void cap_refuse(forward_t *f, tc_time_t after)
+{
+    const cap_verdict_t verdict = {.why = "the leader's count of all boxes", .told_age = 0, .after = after};
+    refuse(f, &verdict);
+}
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -2,6 +2,8 @@
  * Shared by the files of this module; nobody else includes it:
  *
  *   forward.c         a request's life and decisions
+ *   forward_caller.c  whose request it is
+ *   forward_cap.c     how much its workspace may ask
  *   forward_early.c   requests that come before the box knows where to send them
  *   forward_place.c   the scheduler's part in the decisions
  *   forward_hold.c    memory set aside at engines
@@ -194,13 +196,16 @@
     uint64_t fingerprint;
 
     /* What the configuration says of it. */
-    route_table_t *table; /* a reference, which the next three stand in */
+    route_table_t *table;         /* a reference, which the next four stand in */
+    const workspace_t *workspace; /* whose it is, or NULL: of none */
     const route_t *route;
     const char *service;
     const route_service_t *settings;
     bool split;         /* prefill and decode on different engines */
+    uint32_t priority;  /* 0 is the most urgent */
     tc_time_t deadline; /* the final answer has left by then */
     loop_timer_t limit; /* of the request */
+    bool let_in;        /* its workspace's usage cap has been asked, and allowed it */
 
     /* What is under way for it, and what is kept for it. */
     step_t *step;          /* the call under way, or NULL */
@@ -258,6 +263,7 @@
     struct cds_list_head early; /* requests that wait until the box knows where to send them */
     struct cds_list_head looks; /* of forward_look.c */
     quarantine_t *quarantine;
+    cap_parts_t *caps;
     tc_time_t created;
 };
 
@@ -284,6 +290,39 @@
 /** One of the back ends that fit, as a reference, or NULL. */
 instance_t *forward_choose(forward_t *f, stage_t stage);
 
+/** Refuse the request, which no back end has begun: the answer says so. @param after when its caller may come back, 0:
+ *  never */
+void forward_refuse(forward_t *f, int status, const char *why, tc_time_t after);
+
+/* ===== forward_caller.c ===== */
+
+/** What is known of who asks. */
+typedef struct {
+    const workspace_t *workspace; /* or NULL: of none */
+    const char *why;              /* it is refused, a constant; NULL: it is not */
+} caller_t;
+
+/** Whose request it is, by a table. */
+caller_t caller_identify(const route_table_t *table, const route_t *route, const dialect_request_t *facts);
+/** Whether the configuration in force still allows the request, which may have waited while that changed. */
+bool caller_is_allowed(const forward_t *f);
+/** Whether this box can be sure that what its configuration does not know is not there. */
+bool caller_is_sure(const forwarder_t *fw);
+/** Status of a refusal for something that the configuration does not know. @param final what it is when that is sure */
+int caller_status(const forwarder_t *fw, int final);
+
+/* ===== forward_cap.c ===== */
+
+/** Units of the request by its workspace's usage cap; 0: it has none. */
+double cap_units(const forward_t *f);
+/** Whether the request is within its workspace's usage cap; asked once, before its first call. If not, it has been
+ *  refused, and freed. */
+bool cap_lets_in(forward_t *f);
+/** The leader let the request in. */
+void cap_was_let_in(forward_t *f);
+/** The leader did not: refuse the request, which is freed. @param after when it would */
+void cap_refuse(forward_t *f, tc_time_t after);
+
 /* ===== forward_log.c ===== */
 
 /** The line that begins a request: what is known of it, and what its route allows. */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -83,6 +83,10 @@
         forward_fail_held(f);
         return;
     }
+    if (placed->over_cap) {
+        cap_refuse(f, placed->retry_after_ms);
+        return;
+    }
     if (!placed->granted && try_on_soon(f))
         return;
     if (!placed->granted) {
@@ -90,6 +94,7 @@
         forward_fail_full(f, REASON_REFUSED);
         return;
     }
+    cap_was_let_in(f);
     counter_add(&c_granted, 1);
     histogram_add(&h_place, tc_time_now() - f->request.arrived);
     f->placement.attempt = placed->attempt;
@@ -140,6 +145,17 @@
     return leader_ask(f, &f->placement.asking, type, message, PLACE_LIMIT_MS, on_placed);
 }
 
+/** Whose the request is, and what it is by the workspace's usage cap: the leader lets it in with its placement. */
+static void place_fill_workspace(const forward_t *f, msg_place_t *place)
+{
+    if (!f->workspace)
+        return;
+    if (mechanism_is_on(MECHANISM_WORKSPACE_SHARE))
+        codec_copy_string(place->workspace, sizeof(place->workspace), f->workspace->name);
+    codec_copy_string(place->cap, sizeof(place->cap), f->workspace->name);
+    place->cap_units = f->let_in || !mechanism_is_on(MECHANISM_CAP_LEADER) ? 0 : cap_units(f);
+}
+
 /** Asking again with the same id keeps the request's place: the queue is in order of due times. */
 static bool ask_placement(forward_t *f)
 {
@@ -148,7 +164,7 @@
     const tc_time_t wait = f->request.arrived + f->route->aim - now;
     msg_place_t place = {.prompt_tokens = f->facts.prompt_tokens,
                          .max_tokens = place_output(&f->facts),
-                         .priority = f->route->priority,
+                         .priority = f->priority,
                          .wait_ms = wait > 1 ? (uint32_t)wait : 1,
                          .waited_ms = (uint32_t)(now - f->request.arrived),
                          .repeatable = route_is_repeatable(f->route),
@@ -159,6 +175,7 @@
     codec_copy_string(place.id, sizeof(place.id), f->facts.id);
     codec_copy_string(place.box, sizeof(place.box), fw->options.box);
     codec_copy_string(place.model, sizeof(place.model), f->service);
+    place_fill_workspace(f, &place);
     return ask(f, MSG_PLACE, &place);
 }
 
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -471,11 +471,13 @@
     const dialect_step_t step = {.ask = ask,
                                  .instance = instance->listed.id,
                                  .time_left = f->deadline - now,
-                                 .priority = f->route->priority,
+                                 .priority = f->priority,
                                  .handle_at = f->handle.instance ? f->handle.instance->listed.addr : NULL,
                                  .handle = f->handle.name,
                                  .hold = f->hold.instance == instance ? f->hold.name : NULL,
-                                 .resume_after = f->last_event};
+                                 .resume_after = f->last_event,
+                                 .hides_caller = f->table->workspaces != NULL,
+                                 .workspace = f->workspace ? f->workspace->name : NULL};
     const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = s};
     GByteArray *const request = dialect_write_request(&f->request, instance->listed.addr, &step);
     f->step = s;
--- a/lib/forward/route.c
+++ b/lib/forward/route.c
@@ -55,6 +55,7 @@
     g_hash_table_destroy(t->places);
     g_hash_table_destroy(t->services);
     g_ptr_array_free(t->routes, TRUE);
+    workspaces_free(t->workspaces);
     g_free(t);
 }
 
--- a/lib/forward/route.h
+++ b/lib/forward/route.h
@@ -13,6 +13,7 @@
 
 #include "common/time.h"
 #include "web/web_server.h"
+#include "workspace/workspace.h"
 
 /* ===== Types ===== */
 
@@ -35,6 +36,7 @@
     char *prefix; /**< begins and ends with a slash */
     route_kind_t kind;
     bool resumable;
+    bool open;             /**< whoever asks is served, without a key */
     uint32_t priority;     /**< 0 is the most urgent */
     uint32_t max_attempts; /**< most back ends that one request may run on */
     tc_time_t timeout;     /**< longest time a request is held */
@@ -60,9 +62,10 @@
 typedef struct {
     uint64_t version;
     web_limits_t limits;
-    GPtrArray *routes;    /**< route_t */
-    GHashTable *services; /**< name to route_service_t */
-    GHashTable *places;   /**< host and prefix to route_t */
+    GPtrArray *routes;        /**< route_t */
+    GHashTable *services;     /**< name to route_service_t */
+    GHashTable *places;       /**< host and prefix to route_t */
+    workspaces_t *workspaces; /**< NULL: the configuration knows none, and requests need no key */
     unsigned refs;
 } route_table_t;
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -256,6 +256,21 @@
 };
 const codec_desc_t quarantine_image_desc = {.name = "quarantine_image", .size = sizeof(quarantine_image_t), .fields = quarantine_image_fields, .n_fields = sizeof(quarantine_image_fields) / sizeof(quarantine_image_fields[0])};
 
+static const codec_field_t cap_use_fields[] = {
+    {.name = "workspace", .offset = offsetof(cap_use_t, workspace), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "total", .offset = offsetof(cap_use_t, total), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "fresh", .offset = offsetof(cap_use_t, fresh), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "window", .offset = offsetof(cap_use_t, window), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t cap_use_desc = {.name = "cap_use", .size = sizeof(cap_use_t), .fields = cap_use_fields, .n_fields = sizeof(cap_use_fields) / sizeof(cap_use_fields[0])};
+
+static const codec_field_t cap_state_fields[] = {
+    {.name = "workspace", .offset = offsetof(cap_state_t, workspace), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "over", .offset = offsetof(cap_state_t, over), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "after_ms", .offset = offsetof(cap_state_t, after_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+};
+const codec_desc_t cap_state_desc = {.name = "cap_state", .size = sizeof(cap_state_t), .fields = cap_state_fields, .n_fields = sizeof(cap_state_fields) / sizeof(cap_state_fields[0])};
+
 static const codec_field_t entry_box_fields[] = {
     {.name = "box", .offset = offsetof(entry_box_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "dc", .offset = offsetof(entry_box_t, dc), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
@@ -505,6 +520,8 @@
     {.name = "waited_ms", .offset = offsetof(msg_place_t, waited_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "fingerprint", .offset = offsetof(msg_place_t, fingerprint), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "ends", .offset = offsetof(msg_place_t, ends), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "cap", .offset = offsetof(msg_place_t, cap), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "cap_units", .offset = offsetof(msg_place_t, cap_units), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t msg_place_desc = {.name = "place", .size = sizeof(msg_place_t), .fields = msg_place_fields, .n_fields = sizeof(msg_place_fields) / sizeof(msg_place_fields[0])};
 
@@ -520,6 +537,7 @@
     {.name = "est_ttft_ms", .offset = offsetof(msg_placed_t, est_ttft_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "candidates", .offset = offsetof(msg_placed_t, candidates), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "held", .offset = offsetof(msg_placed_t, held), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "over_cap", .offset = offsetof(msg_placed_t, over_cap), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_placed_desc = {.name = "placed", .size = sizeof(msg_placed_t), .fields = msg_placed_fields, .n_fields = sizeof(msg_placed_fields) / sizeof(msg_placed_fields[0])};
 
@@ -589,10 +607,12 @@
     {.name = "without_backends", .offset = offsetof(msg_report_t, without_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "quarantine", .offset = offsetof(msg_report_t, quarantine), .kind = CODEC_STRUCT, .sub = &quarantine_news_desc, .min = 0, .max = 0, .def = 0},
     {.name = "suspects_hash", .offset = offsetof(msg_report_t, suspects_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "used", .offset = offsetof(msg_report_t, used), .kind = CODEC_LIST, .sub = &cap_use_desc, .count_offset = offsetof(msg_report_t, used_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_desc = {.name = "report", .size = sizeof(msg_report_t), .fields = msg_report_fields, .n_fields = sizeof(msg_report_fields) / sizeof(msg_report_fields[0])};
 
 static const codec_field_t msg_report_ack_fields[] = {
+    {.name = "caps", .offset = offsetof(msg_report_ack_t, caps), .kind = CODEC_LIST, .sub = &cap_state_desc, .count_offset = offsetof(msg_report_ack_t, caps_n), .min = 0, .max = 0, .def = 0},
     {.name = "leads", .offset = offsetof(msg_report_ack_t, leads), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "has_backends", .offset = offsetof(msg_report_ack_t, has_backends), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "has_entries", .offset = offsetof(msg_report_ack_t, has_entries), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -363,6 +363,23 @@
 } quarantine_image_t;
 extern const codec_desc_t quarantine_image_desc;
 
+/** What a box let in of a workspace by itself. */
+typedef struct {
+    char workspace[CODEC_STR_SIZE];
+    uint64_t total; /**< units since the box started */
+    uint64_t fresh; /**< of these, since a leader heard of it last */
+    uint64_t window; /**< units of the last window, whoever let them in; told once to each leader, else 0 */
+} cap_use_t;
+extern const codec_desc_t cap_use_desc;
+
+/** A workspace that is near its usage cap, or over it. */
+typedef struct {
+    char workspace[CODEC_STR_SIZE];
+    bool over;
+    uint32_t after_ms; /**< until it is below again when nothing more is asked */
+} cap_state_t;
+extern const codec_desc_t cap_state_desc;
+
 /** One entry box as it reports itself. */
 typedef struct {
     char box[CODEC_STR_SIZE];
@@ -656,6 +673,8 @@
     uint32_t waited_ms; /**< since the request came to the entry box */
     uint64_t fingerprint; /**< the same for every try at the same; 0 when it is not known */
     uint32_t ends; /**< back ends that ended under it, as the box knows */
+    char cap[CODEC_STR_SIZE]; /**< workspace whose usage cap it counts for */
+    uint64_t cap_units; /**< that it is by that cap; 0: it was let in, or there is none */
 } msg_place_t;
 extern const codec_desc_t msg_place_desc;
 
@@ -672,6 +691,7 @@
     uint32_t est_ttft_ms;
     uint32_t candidates;
     bool held; /**< refused since back ends ended under it: it is to be sent to none */
+    bool over_cap; /**< refused since its workspace is over its usage cap */
 } msg_placed_t;
 extern const codec_desc_t msg_placed_desc;
 
@@ -752,11 +772,15 @@
     bool without_backends; /**< answer without the list of back ends: another box was asked for it */
     quarantine_news_t quarantine; /**< that this leader has not heard of */
     uint64_t suspects_hash; /**< of the list of suspects it has */
+    cap_use_t *used; /**< let in by this box and not heard of by a leader */
+    uint32_t used_n;
 } msg_report_t;
 extern const codec_desc_t msg_report_desc;
 
 /** Answer to a report: what is newer than what the reporter knows. */
 typedef struct {
+    cap_state_t *caps; /**< of a leader: all workspaces near their usage caps */
+    uint32_t caps_n;
     bool leads; /**< the answering box leads the control boxes */
     bool has_backends;
     bool has_entries;
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -143,14 +143,20 @@
 static int on_name(http_parser *parser, const char *data, size_t size)
 {
     web_exchange_t *const c = parser->data;
-    web_headers_on_name(&c->headers, data, size);
+    if (c->in_body) /* a trailer: nobody decided by it, so nobody gets it */
+        c->headers.bytes += size;
+    else
+        web_headers_on_name(&c->headers, data, size);
     return 0;
 }
 
 static int on_value(http_parser *parser, const char *data, size_t size)
 {
     web_exchange_t *const c = parser->data;
-    web_headers_on_value(&c->headers, data, size);
+    if (c->in_body)
+        c->headers.bytes += size;
+    else
+        web_headers_on_value(&c->headers, data, size);
     if (c->headers.bytes > c->server->limits->header_bytes)
         c->refuse = 431;
     return c->refuse ? -1 : 0;
--- /dev/null
+++ b/lib/workspace/cap.h
@@ -0,0 +1,44 @@
+/** @file cap.h
+ * Usage caps: how much a workspace may ask of all boxes together, and by how much the sum may miss that. Pure.
+ */
+#ifndef TRACKCOVE_WORKSPACE_CAP_H
+#define TRACKCOVE_WORKSPACE_CAP_H
+
+/* ===== Dependencies ===== */
+
+#include <stdint.h>
+
+#include "common/time.h"
+
+/* ===== Types ===== */
+
+/** What a usage cap is counted in. */
+typedef enum {
+    CAP_REQUESTS, /**< each request is one */
+    CAP_TOKENS    /**< a request is the tokens of its prompt and the most it may generate */
+} cap_unit_t;
+
+/** How much a workspace may ask of all boxes together. */
+typedef struct {
+    cap_unit_t unit;
+    double rate;  /**< units a second; 0: there is no limit */
+    double burst; /**< units beside that */
+    double flat;  /**< CAP_TOKENS: units of a request that says nothing of tokens */
+} cap_t;
+
+/** What settings allow: within each window no more than (rate x window + burst) x (1 + overrun) + slack is let in. */
+typedef struct {
+    tc_time_t window; /**< ms; at least CAP_WINDOW_MIN is counted over */
+    double overrun;   /**< a part, 0 or more */
+    double slack;     /**< units, 0 or more */
+} cap_rules_t;
+
+/* ===== Public functions ===== */
+
+/** Units of a request. @param tokens of its prompt and its output; 0: it says nothing of them */
+double cap_cost(const cap_t *cap, uint64_t tokens);
+
+/** Units in a window beyond rate and burst. */
+double cap_tolerance(const cap_rules_t *rules, double rate, double burst);
+
+#endif
--- /dev/null
+++ b/lib/workspace/cap_parts.h
@@ -0,0 +1,61 @@
+/** @file cap_parts.h
+ * Usage caps at one box: what it lets in by itself, of requests that no leader places and while no leader answers.
+ *
+ * While a leader answers, a box lets such requests in until the leader says that their workspace is over its cap, and
+ * tells what it let in. Without a leader it goes on so for a moment for workspaces that were far below their caps; for
+ * the others, and after that moment, it has a part of each cap: what it let in last, mostly, and for the rest an equal
+ * part, so that all boxes' parts together are the cap.
+ *
+ * Nothing here fails, blocks or reads the clock. Everything runs in the loop's thread.
+ */
+#ifndef TRACKCOVE_WORKSPACE_CAP_PARTS_H
+#define TRACKCOVE_WORKSPACE_CAP_PARTS_H
+
+/* ===== Dependencies ===== */
+
+#include <stdbool.h>
+
+#include "gen/schema.h"
+#include "workspace/cap.h"
+
+/* ===== Types ===== */
+
+typedef struct cap_parts cap_parts_t;
+
+/** A request as the caps see it. */
+typedef struct {
+    const char *workspace;
+    const cap_t *cap; /**< with a rate above 0 */
+    double units;
+    bool is_leaders; /**< a leader decides on such ones, and does not answer: it was told of none of them */
+} cap_ask_t;
+
+/** What a decision rests on, for logs. */
+typedef struct {
+    const char *why;    /**< a constant */
+    tc_time_t told_age; /**< since a leader told the state of the caps, TC_TIME_NEVER for never */
+    double part;        /**< units a second that this box may let in by itself; 0 while it goes by what it was told */
+    double level;       /**< of these, what is left now */
+    tc_time_t after;    /**< when a request that is refused would be let in, ms; 0 when it is not refused */
+} cap_verdict_t;
+
+/* ===== Public functions ===== */
+
+cap_parts_t *cap_parts_create(const cap_rules_t *rules);
+void cap_parts_destroy(cap_parts_t *parts);
+
+/** Whether this box lets a request in by itself; then it counts. @param boxes that share the cap, at least 1
+ *  @param draw a random number from 0 to 1 */
+bool cap_parts_take(cap_parts_t *parts, const cap_ask_t *ask, unsigned boxes, double draw, tc_time_t now,
+                    cap_verdict_t *verdict);
+/** The leader let a request in. */
+void cap_parts_note(cap_parts_t *parts, const cap_ask_t *ask, tc_time_t now);
+
+/** What this box let in by itself and no leader has heard of; to a leader that is new all that it let in over the last
+ *  window, whoever decided it. @return heap array for free(), its length in @p n */
+cap_use_t *cap_parts_report(cap_parts_t *parts, uint32_t *n, tc_time_t now);
+/** The leader of that term has answered the report that was made last, and told the state of the caps.
+ *  @return whether it is a new one: it is to be told more at once */
+bool cap_parts_hear(cap_parts_t *parts, uint64_t term, const cap_state_t *list, uint32_t n, tc_time_t now);
+
+#endif
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -248,8 +248,11 @@
     f->fleet = fleet_create();
     f->client = web_client_create(f->loop);
     f->callers = web_client_create(f->loop);
-    const forwarder_options_t options = {
-        .box = "box", .dc = "a", .retries = {.ratio = ratio, .allowance = 0, .window = 60000}, .pause_limit = 60000};
+    const forwarder_options_t options = {.box = "box",
+                                         .dc = "a",
+                                         .retries = {.ratio = ratio, .allowance = 0, .window = 60000},
+                                         .pause_limit = 60000,
+                                         .caps = {.window = 8000}};
     f->forwarder = forwarder_create(f->loop, f->fleet, f->client, &options);
     route_table_t *const table = read_config();
     forwarder_set_routes(f->forwarder, table);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -104,6 +104,54 @@
     route_table_unref(empty);
 }
 
+/* ===== Workspaces ===== */
+
+#define WORKSPACES(list) "{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":" list "}"
+
+static void test_workspaces(void)
+{
+    route_table_t *const t =
+        read_config(WORKSPACES("[{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,\"unit\":\"token_stream\","
+                               "\"plain_tokens\":200,\"rate_per_s\":310.5,\"burst_size\":31},{\"name\":\"b\"}]"));
+    g_assert_nonnull(t);
+    const workspace_t *const a = workspaces_by_key(t->workspaces, "k2", 2);
+    g_assert_cmpstr(a->name, ==, "a");
+    g_assert_true(a->has_priority);
+    g_assert_cmpuint(a->priority, ==, 1);
+    g_assert_cmpfloat(a->cap.rate, ==, 310.5);
+    g_assert_cmpfloat(a->cap.burst, ==, 31);
+    g_assert_cmpfloat(a->cap.flat, ==, 200);
+    g_assert_cmpint(a->cap.unit, ==, CAP_TOKENS);
+    const workspace_t *const b = workspaces_at(t->workspaces, 1);
+    g_assert_false(b->has_priority);
+    g_assert_cmpfloat(b->cap.rate, ==, 0);
+    g_assert_cmpint(b->cap.unit, ==, CAP_REQUESTS);
+    route_table_unref(t);
+}
+
+/** The place is told, the key is not. */
+static void test_workspaces_refused(void)
+{
+    static const struct {
+        const char *text, *place;
+    } bad[] = {
+        {WORKSPACES("[{\"name\":\"a\",\"api_keys\":[\"secret\"]},{\"name\":\"b\",\"api_keys\":[\"secret\"]}]"), "b"},
+        {WORKSPACES("[{\"name\":\"a\",\"api_keys\":[\"secret\",\"x\",\"secret\"]}]"), "a"},
+        {WORKSPACES("[{\"name\":\"a\",\"api_keys\":[\"\"]}]"), "a"},
+        {WORKSPACES("[{\"name\":\"a\",\"api_keys\":[7]}]"), "a"},
+        {WORKSPACES("[{\"name\":\"a\"},{\"name\":\"a\"}]"), "a"},
+        {WORKSPACES("[{\"api_keys\":[\"secret\"]}]"), "tenants"},
+        {WORKSPACES("{\"secret\":1}"), "tenants"},
+        {WORKSPACES("null"), "tenants"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        tc_err_t err = {0};
+        g_assert_null(config_read(bad[i].text, strlen(bad[i].text), &err));
+        g_assert_cmpstr(err.peer, ==, bad[i].place);
+        g_assert_null(strstr(err.detail, "secret"));
+    }
+}
+
 /* ===== Dialect ===== */
 
 static void add(web_headers_t *to, const char *name, const char *value)
@@ -389,6 +437,8 @@
     g_test_add_func("/platform/settings", test_settings);
     g_test_add_func("/platform/config", test_config);
     g_test_add_func("/platform/config-refused", test_config_refused);
+    g_test_add_func("/platform/workspaces", test_workspaces);
+    g_test_add_func("/platform/workspaces-refused", test_workspaces_refused);
     g_test_add_func("/platform/forged-headers-stop-here", test_forged_headers_stop_here);
     g_test_add_func("/platform/values-cannot-break-lines", test_values_cannot_break_lines);
     g_test_add_func("/platform/replies", test_replies);
--- /dev/null
+++ b/tests/platform/test_workspaces.c
@@ -0,0 +1,466 @@
+/* Whose request it is, end to end over loopback: keys are checked, back ends get the workspace and never the key, a box
+ * that may not know the newest configuration does not say that a key is nobody's, and caps are asked. The leader is a
+ * fake one. */
+
+#include "cluster/reporter.h"
+#include "common/log.h"
+#include "peer/peer.h"
+#include "platform/forward_lab.h"
+
+/** Marked, so that one can be found in whatever was written. */
+#define KEY_A1 "secret-one-of-a"
+#define KEY_A2 "secret-two-of-a"
+#define KEY_B "secret-one-of-b"
+#define LINE(key) "Authorization: Token " key "\r\n"
+
+typedef struct {
+    fixture_t f;
+    char addr[32];
+    peer_net_t *net;
+    entry_box_t self;
+    reporter_t *reporter;
+    document_head_t head; /* that the leader tells of */
+    bool silent;          /* the leader answers no report */
+    cap_state_t state;    /* that it tells, when it names a workspace */
+    peer_call_t asked;    /* for a placement, not answered yet */
+    unsigned asked_n, awaited;
+    msg_place_t place; /* the question, without its lists */
+} world_t;
+
+/* ===== Configuration ===== */
+
+static const char *const open_route =
+    "{\"host\":\"h\",\"path_prefix\":\"/open/\",\"kind\":\"safe\",\"timeout_ms\":3000,"
+    "\"max_attempts\":2,\"service\":\"app\",\"auth_exempt\":true}";
+
+/** Have the box act on a version with these workspaces. */
+static void act_on(fixture_t *f, int version, const char *workspaces)
+{
+    char *const routes_text = g_strjoinv(",", (char **)(uintptr_t)routes);
+    char *const services_text = g_strjoinv(",", (char **)(uintptr_t)services);
+    char *const text = g_strdup_printf("{\"version\":%d,\"routes\":[%s,%s],\"services\":[%s],\"tenants\":[%s]}",
+                                       version, routes_text, open_route, services_text, workspaces);
+    tc_err_t err = {0};
+    route_table_t *const table = config_read(text, strlen(text), &err);
+    if (!table)
+        g_error("%s: %s", err.peer, err.detail);
+    forwarder_set_routes(f->forwarder, table);
+    route_table_unref(table);
+    g_free(text);
+    g_free(services_text);
+    g_free(routes_text);
+}
+
+#define A "{\"name\":\"a\",\"api_keys\":[\"" KEY_A1 "\",\"" KEY_A2 "\"],\"priority\":0}"
+#define B "{\"name\":\"b\",\"api_keys\":[\"" KEY_B "\"]}"
+#define A_WITH_CAP                                                                                                     \
+    "{\"name\":\"a\",\"api_keys\":[\"" KEY_A1 "\"],\"unit\":\"token_stream\",\"plain_tokens\":20,"                     \
+    "\"rate_per_s\":1000,\"burst_size\":500}"
+
+/* ===== The leader ===== */
+
+static void reply_report(const world_t *w, peer_call_t call)
+{
+    msg_report_ack_t ack = {.leads = true, .head = w->head};
+    codec_copy_string(ack.leader, sizeof(ack.leader), w->addr);
+    codec_copy_string(ack.peer, sizeof(ack.peer), w->addr);
+    ack.caps = (cap_state_t *)(uintptr_t)&w->state;
+    ack.caps_n = w->state.workspace[0] ? 1 : 0;
+    peer_reply(w->net, call, MSG_REPORT_ACK, &ack);
+}
+
+static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    world_t *const w = arg;
+    (void)from;
+    switch (type) {
+    case MSG_REPORT:
+        if (!w->silent)
+            reply_report(w, call);
+        break;
+    case MSG_PLACE:
+        w->asked = call;
+        w->place = *(const msg_place_t *)message;
+        w->asked_n++;
+        break;
+    default: break; /* nobody waits for long */
+    }
+}
+
+static bool was_asked(void *arg)
+{
+    const world_t *const w = arg;
+    return w->asked_n >= w->awaited;
+}
+
+/* ===== Life ===== */
+
+static bool on_document(void *arg, const document_t *document)
+{
+    (void)arg, (void)document;
+    return true; /* the tests set the routes themselves */
+}
+
+static bool is_heard(void *arg)
+{
+    return reporter_leader_heard(((const world_t *)arg)->reporter) > 0;
+}
+
+static bool is_current(void *arg)
+{
+    return reporter_is_current(((const world_t *)arg)->reporter, 1200);
+}
+
+static bool is_not_current(void *arg)
+{
+    return !is_current(arg);
+}
+
+/** A box with a leader that tells of the document that the box has: one that other boxes have fetched it from. */
+static void join_leader(world_t *w)
+{
+    tc_err_t err = {0};
+    lab_free_addr(w->addr);
+    const peer_options_t options = {
+        .box = "leader", .incarnation = 1, .listen = w->addr, .key_file = "", .handler = on_message, .arg = w};
+    w->net = peer_create(w->f.loop, &options, &err);
+    g_assert_nonnull(w->net);
+    codec_copy_string(w->self.box, sizeof(w->self.box), "entry");
+    lab_free_addr(w->self.peer_addr);
+    w->self.incarnation = 1;
+    const char *const controls[] = {w->addr, NULL};
+    const char *const nobody[] = {NULL};
+    const reporter_options_t reports = {.peer_listen = w->self.peer_addr,
+                                        .controls = controls,
+                                        .neighbours = nobody,
+                                        .caps = forwarder_caps(w->f.forwarder)};
+    const reporter_events_t events = {.on_document = on_document, .arg = w};
+    w->reporter = reporter_create(w->f.loop, &w->self, &reports, &events, &err);
+    g_assert_nonnull(w->reporter);
+    lab_run_until(w->f.loop, is_heard, w);
+    forwarder_set_scheduler(w->f.forwarder, w->reporter);
+}
+
+static void set_up_world(world_t *w, gconstpointer data)
+{
+    set_up(&w->f, data);
+    act_on(&w->f, 4, A "," B);
+}
+
+static bool is_idle(void *arg)
+{
+    return forwarder_busy(((world_t *)arg)->f.forwarder) == 0;
+}
+
+static void tear_down_world(world_t *w, gconstpointer data)
+{
+    lab_run_until(w->f.loop, is_idle, w);
+    if (w->reporter)
+        reporter_destroy(w->reporter);
+    if (w->net)
+        peer_destroy(w->net);
+    tear_down(&w->f, data);
+}
+
+/* ===== Checks ===== */
+
+/** A call with these header lines gets that status. */
+static void expect_with(fixture_t *f, const char *path, const char *more, int status)
+{
+    lab_call_t *const c = begin_with(f, path, more);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, status);
+    g_assert_null(strstr(c->headers, "secret"));
+    g_assert_null(strstr(c->body->str, "secret"));
+    g_assert_true((status == 503 || status == 429) == (c->retry_after != NULL));
+    lab_call_free(c);
+}
+
+/** Promise: no back end got a key, in whatever line. */
+static void expect_no_key(const fixture_t *f)
+{
+    for (int i = 0; i < BACKENDS; i++) {
+        g_assert_null(strstr(f->plan[i].seen->str, "secret"));
+        char *const lower = g_ascii_strdown(f->plan[i].seen->str, -1);
+        g_assert_null(strstr(lower, "authorization"));
+        g_free(lower);
+    }
+}
+
+/* ===== Keys ===== */
+
+static void test_workspace_replaces_key(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    expect_with(f, "/safe/x", LINE(KEY_A1), 200);
+    expect_with(f, "/safe/x", "aUTHORIZATION: token  " KEY_A2 " \r\nTenant: b\r\nTENANT: c\r\n", 200);
+    expect_with(f, "/once/x", "Connection: Authorization, Tenant\r\nTenant: a\r\n" LINE(KEY_B), 200);
+    gchar **const requests_seen = g_strsplit(f->plan[0].seen->str, "body", -1);
+    g_assert_nonnull(strstr(requests_seen[0], "\r\nTenant: a\r\n"));
+    g_assert_nonnull(strstr(requests_seen[1], "\r\nTenant: a\r\n"));
+    g_assert_null(strstr(requests_seen[1], "Tenant: b"));
+    g_assert_null(strstr(requests_seen[1], "TENANT"));
+    g_assert_nonnull(strstr(requests_seen[2], "\r\nTenant: b\r\n"));
+    g_strfreev(requests_seen);
+    expect_no_key(f);
+}
+
+static void test_no_key_nothing_runs(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    char *const long_key = g_strnfill(WORKSPACE_KEY_MAX + 1, 'k');
+    char *const overlong = g_strdup_printf("Authorization: Token %s\r\n", long_key);
+    const char *const wrong[] = {"",
+                                 "Authorization: \r\n",
+                                 "Authorization: Token\r\n",
+                                 "Authorization: Token \r\n",
+                                 "Authorization: " KEY_A1 "\r\n",
+                                 "Authorization: Bearer " KEY_A1 "\r\n",
+                                 "Authorization: Token " KEY_A1 " " KEY_B "\r\n",
+                                 "Authorization: Token " KEY_A1 "x\r\n",
+                                 "Authorization: Token secret-one-of-\r\n",
+                                 LINE(KEY_A1) LINE(KEY_A1),
+                                 LINE(KEY_A1) "authorization: Basic x\r\n",
+                                 "Tenant: a\r\n",
+                                 overlong};
+    for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++)
+        expect_with(f, "/safe/x", wrong[i], 401);
+    g_assert_cmpuint(requests(f, 0), ==, 0);
+    g_free(overlong);
+    g_free(long_key);
+}
+
+/** An open route serves whoever asks; who shows a key is known by it, and the key goes no further there either. */
+static void test_open_route(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    expect_with(f, "/open/x", "Tenant: a\r\n", 200);
+    g_assert_null(strstr(f->plan[0].seen->str, "Tenant"));
+    expect_with(f, "/open/x", "Authorization: Token secret-of-nobody\r\n", 200);
+    g_assert_null(strstr(f->plan[0].seen->str, "Tenant"));
+    expect_with(f, "/open/x", LINE(KEY_B), 200);
+    g_assert_nonnull(strstr(f->plan[0].seen->str, "\r\nTenant: b\r\n"));
+    expect_no_key(f);
+}
+
+/** A key in a trailer is none, and goes no further. */
+static void test_trailer(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+#define CHUNKED(path, more)                                                                                            \
+    "POST " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\nTransfer-Encoding: chunked\r\n" more                      \
+    "\r\n4\r\nbody\r\n0\r\nAuthorization: Token " KEY_A1 "\r\nTenant: c\r\n\r\n"
+    lab_call_t *c = lab_call(f->callers, f->addr, CHUNKED("/safe/x", ""));
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, 401);
+    lab_call_free(c);
+    c = lab_call(f->callers, f->addr, CHUNKED("/safe/x", LINE(KEY_B)));
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, 200);
+    lab_call_free(c);
+    g_assert_nonnull(strstr(f->plan[0].seen->str, "\r\nTenant: b\r\n"));
+    g_assert_null(strstr(f->plan[0].seen->str, "Tenant: c"));
+    expect_no_key(f);
+}
+
+/** Every call that a stream takes to the back ends: the prompt, the decode engine that breaks off, the one that goes
+ * on, and memory set aside. */
+static void test_every_call_of_a_stream(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_engines(f, "held", "p", "HT", "HU");
+    lab_call_t *c = begin_with(f, "/held-again/x", LINE(KEY_A1));
+    expect_whole(f, c, FIRST SECOND);
+    c = begin_with(f, "/held-again/x", "Last-Event-Id: 1\r\nPrompt-Prefix: a1:10,b2:90\r\n" LINE(KEY_A2));
+    lab_run_until_true(f->loop, &c->done);
+    lab_call_free(c);
+    expect_no_key(f);
+    g_assert_nonnull(strstr(f->plan[0].seen->str, "\r\nTenant: a\r\n")); /* the prompt's call too */
+}
+
+/** Without workspaces a configuration asks for no key, and headers go on as they came. */
+static void test_no_workspaces(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    route_table_t *const table = read_config();
+    forwarder_set_routes(f->forwarder, table);
+    route_table_unref(table);
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    expect_with(f, "/safe/x", "Authorization: Basic abc\r\nTenant: q\r\n", 200);
+    g_assert_nonnull(strstr(f->plan[0].seen->str, "Authorization: Basic abc\r\nTenant: q\r\n"));
+}
+
+static void test_nobody_holds_a_key(world_t *w, gconstpointer data)
+{
+    (void)data;
+    act_on(&w->f, 5, "");
+    start_all(&w->f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    expect_with(&w->f, "/safe/x", LINE(KEY_A1), 401);
+    expect_with(&w->f, "/open/x", "", 200);
+}
+
+/* ===== Sure or not ===== */
+
+/** The leader tells of a document that this box has fetched. */
+static void hold_document(world_t *w)
+{
+    w->head.version = 0;
+    join_leader(w);
+}
+
+/** A box says that a key is nobody's only while it hears that it acts on the newest configuration; else that the
+ * request has not run. */
+static void test_unsure(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    hold_document(w);
+    g_assert_true(is_not_current(w)); /* it acts on no document that the leader knows */
+    expect_with(f, "/safe/x", "Authorization: Token secret-of-nobody\r\n", 503);
+    expect_with(f, "/safe/x", "", 503);
+    expect_with(f, "/nowhere/x", LINE(KEY_A1), 503);
+    expect_with(f, "/safe/x", LINE(KEY_A1), 200); /* what it knows it serves */
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+}
+
+/* ===== Keys that are taken away ===== */
+
+static void test_taken_away(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    expect_with(f, "/safe/x", LINE(KEY_B), 200);
+    act_on(f, 5, A);
+    expect_with(f, "/safe/x", LINE(KEY_B), 401);
+    expect_with(f, "/safe/x", LINE(KEY_A1), 200);
+    act_on(f, 6, "{\"name\":\"b\",\"api_keys\":[\"" KEY_A1 "\"]}"); /* it is somebody else's now */
+    expect_with(f, "/safe/x", LINE(KEY_A1), 200);
+    g_assert_true(g_str_has_suffix(f->plan[0].seen->str, "body"));
+    g_assert_nonnull(g_strrstr(f->plan[0].seen->str, "\r\nTenant: b\r\n"));
+    g_assert_cmpuint(requests(f, 0), ==, 3);
+}
+
+/** A request that waits for its placement when its key is taken away begins nothing. */
+static void test_taken_away_while_it_waits(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    start_engines(f, "lm", "p", "S", NULL);
+    hold_document(w);
+    lab_call_t *const c = begin_with(f, "/placed/x", LINE(KEY_B));
+    w->awaited = 1;
+    lab_run_until(f->loop, was_asked, w);
+    act_on(f, 5, A);
+    msg_placed_t placed = {.granted = true, .attempt = 1};
+    codec_copy_string(placed.prefill, sizeof(placed.prefill), "i-0");
+    codec_copy_string(placed.decode, sizeof(placed.decode), "i-1");
+    peer_reply(w->net, w->asked, MSG_PLACED, &placed);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_true(c->status == 401 || c->status == 503);
+    lab_call_free(c);
+    g_assert_cmpuint(requests(f, 0) + requests(f, 1), ==, 0);
+}
+
+/* ===== Caps ===== */
+
+/** A stream is let in by the leader, which is told whose it is and how much; when it is over the cap it says when. */
+static void test_leader_lets_in(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    act_on(f, 5, A_WITH_CAP);
+    start_engines(f, "lm", "p", "S", NULL);
+    hold_document(w);
+    lab_call_t *const c = begin_with(f, "/placed/x", LINE(KEY_A1));
+    w->awaited = 1;
+    lab_run_until(f->loop, was_asked, w);
+    g_assert_cmpstr(w->place.cap, ==, "a");
+    g_assert_cmpuint(w->place.cap_units, ==, 150); /* both numbers of its count */
+    const msg_placed_t placed = {.over_cap = true, .retry_after_ms = 2500};
+    peer_reply(w->net, w->asked, MSG_PLACED, &placed);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, 429);
+    g_assert_cmpstr(c->retry_after, ==, "2.500");
+    lab_call_free(c);
+    g_assert_cmpuint(requests(f, 0) + requests(f, 1), ==, 0);
+}
+
+static bool knows_state(void *arg)
+{
+    world_t *const w = arg;
+    uint32_t n;
+    free(cap_parts_report(forwarder_caps(w->f.forwarder), &n, tc_time_now()));
+    return n == 0 && w->asked_n == 0; /* all that was let in has been told */
+}
+
+/** Requests that nobody places are let in until the leader says that their workspace is over its cap. */
+static void test_box_lets_in(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    act_on(f, 5, A_WITH_CAP);
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    hold_document(w);
+    for (int i = 0; i < 5; i++)
+        expect_with(f, "/safe/x", LINE(KEY_A1), 200);
+    lab_run_until(f->loop, knows_state, w);
+    w->state = (cap_state_t){.over = true, .after_ms = 700};
+    codec_copy_string(w->state.workspace, sizeof(w->state.workspace), "a");
+    lab_run_for(f->loop, 700); /* two reports */
+    expect_with(f, "/safe/x", LINE(KEY_A1), 429);
+    expect_with(f, "/open/x", LINE(KEY_A1), 429); /* its holder's cap counts there too */
+    expect_with(f, "/open/x", "", 200);
+    g_assert_cmpuint(requests(f, 0), ==, 6);
+}
+
+/** A box alone keeps to its part of the cap: with a rate of 1,000, a burst of 500 and requests of 150 it lets in as
+ * many in a moment as lie below a second's worth, and no more. */
+static void test_box_alone(world_t *w, gconstpointer data)
+{
+    (void)data;
+    fixture_t *const f = &w->f;
+    act_on(f, 5, A_WITH_CAP);
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    unsigned refused = 0;
+    for (int i = 0; i < 40; i++) {
+        lab_call_t *const c = begin_with(f, "/safe/x", LINE(KEY_A1));
+        lab_run_until_true(f->loop, &c->done);
+        refused += c->status == 429;
+        g_assert_true(c->status == 200 || c->status == 429);
+        lab_call_free(c);
+    }
+    g_assert_cmpuint(refused, >=, 30);
+    g_assert_cmpuint(requests(f, 0), ==, 40 - refused);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/workspaces/" name, world_t, NULL, set_up_world, fn, tear_down_world)
+    TEST("workspace-replaces-key", test_workspace_replaces_key);
+    TEST("no-key-nothing-runs", test_no_key_nothing_runs);
+    TEST("open-route", test_open_route);
+    TEST("trailer", test_trailer);
+    TEST("every-call-of-a-stream", test_every_call_of_a_stream);
+    TEST("no-workspaces", test_no_workspaces);
+    TEST("nobody-holds-a-key", test_nobody_holds_a_key);
+    TEST("unsure", test_unsure);
+    TEST("taken-away", test_taken_away);
+    TEST("taken-away-while-it-waits", test_taken_away_while_it_waits);
+    TEST("leader-lets-in", test_leader_lets_in);
+    TEST("box-lets-in", test_box_lets_in);
+    TEST("box-alone", test_box_alone);
+    return g_test_run();
+}
