Scheduler: how fast prompts are read is learnt from engines that are busy

Cause: an engine's pace was learnt from prompts that nothing stood before, and a new engine began at the pace of the settings (50,000 tokens a second; 33,333 here).

Ruled out: slower engines (all 57 read alike while they had no queue).

Now a prompt behind others took the time since the last one was done; an engine begins at the pace of its model's others; and what is expected to be left is set right whenever a prompt is done.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -150,11 +150,12 @@
 static void configure_engine(sched_t *s, const engine_cfg_t *cfg)
 {
     model_t *const model = model_get(s, cfg->model);
+    model_begin_rate(model, cfg->prefill_rate / 1000.0 / s->share_of);
     engine_t *e = engine_find(s, cfg->name);
     if (!e) {
         e = g_new0(engine_t, 1);
         codec_copy_string(e->name, sizeof(e->name), cfg->name);
-        e->rate = cfg->prefill_rate / 1000.0 / s->share_of;
+        e->rate = model->rate;
         g_hash_table_insert(s->engines, e->name, e);
         g_ptr_array_add(s->engine_list, e);
     }
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -35,7 +35,9 @@
 double engine_backlog(const engine_t *e, tc_time_t now)
 {
     const double left = e->backlog_ms - (double)(now - e->backlog_at);
-    return left > 0 ? left : 0;
+    /* What is not reported done is still there, all but the prompt that is being read. */
+    const double behind = e->prefills > 1 ? e->pending_ms * (e->prefills - 1) / e->prefills : 0;
+    return MAX(left, behind);
 }
 
 uint32_t engine_cached_pieces(const engine_t *e, const uint64_t *chain, uint32_t n)
@@ -75,18 +77,58 @@
     return PREFILL_BASE_MS + left / e->rate;
 }
 
-/** Weight of a new measurement in a moving average. */
-static const double LEARN = 0.1;
+/* ===== How fast engines read prompts ===== */
 
-void engine_learn_rate(engine_t *e, double est_ms, const msg_progress_t *progress)
+enum {
+    ENGINE_KEPT_MS = 2000, /* of reading, over which an engine's pace is taken */
+    MODEL_KEPT_MS = 20000, /* the same of all engines of a model together */
+    ENGINE_PRIOR_MS =
+        300,              /* of reading at the model's pace that an engine's own pace begins with: some three prompts */
+    MODEL_PRIOR_MS = 1000 /* the same of a model, at the pace of its settings */
+};
+
+static void pace_add(pace_sum_t *sum, double tokens, double ms, double kept_ms)
+{
+    sum->tokens += tokens;
+    sum->ms += ms;
+    if (sum->ms <= kept_ms)
+        return;
+    sum->tokens *= kept_ms / sum->ms;
+    sum->ms = kept_ms;
+}
+
+/** What the sum says, the more so the longer it is, and before that a first guess. */
+static double pace_of(const pace_sum_t *sum, double guess, double prior_ms)
 {
-    /* Only prompts long enough that the fixed part does not drown the rate, computed without a queue before
-     * them, say something about the rate; est_ms holds the backlog at the time of the grant. */
-    const double work_ms = (double)progress->took_ms - PREFILL_BASE_MS;
-    if (progress->computed_tokens < SCHED_PIECE_TOKENS / 2 || est_ms > 1 || work_ms < 1)
+    return (sum->tokens + guess * prior_ms) / (sum->ms + prior_ms);
+}
+
+void model_begin_rate(model_t *m, double guess)
+{
+    if (m->rate > 0)
+        return;
+    m->rate = guess;
+    m->read = (pace_sum_t){.tokens = guess * MODEL_PRIOR_MS, .ms = MODEL_PRIOR_MS};
+}
+
+/** A prompt that had others before it took the time since the last of them was done: that counts while an engine has
+ *  work all the time. Learnt from idle moments alone, an engine that came in the middle of a burst was taken to be as
+ *  fast as the settings say: of 7 that came at two thirds of that pace each had a second of work before it after 4 s,
+ *  while others were idle. */
+void engine_learn_rate(engine_t *e, const msg_progress_t *progress, tc_time_t now)
+{
+    const double alone_ms = (double)progress->took_ms - PREFILL_BASE_MS;
+    const double since_ms = e->read_at > 0 ? (double)(now - e->read_at) : INFINITY;
+    e->read_at = now;
+    const bool queued = since_ms < alone_ms;
+    /* Of a prompt that was alone, so short a one says nothing: the fixed part drowns it. */
+    if (!queued && (progress->computed_tokens < SCHED_PIECE_TOKENS / 2 || alone_ms < 1))
         return;
-    const double rate = progress->computed_tokens / work_ms;
-    e->rate += LEARN * (rate - e->rate);
+    const double ms = queued ? since_ms : alone_ms;
+    pace_add(&e->read, progress->computed_tokens, ms, ENGINE_KEPT_MS);
+    pace_add(&e->model->read, progress->computed_tokens, ms, MODEL_KEPT_MS);
+    e->model->rate = e->model->read.tokens / e->model->read.ms;
+    e->rate = pace_of(&e->read, e->model->rate, ENGINE_PRIOR_MS);
 }
 
 /* ===== Models ===== */
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -49,9 +49,16 @@
     tc_time_t used;
 } cache_slot_t;
 
+/** How fast prompts are read: a sum over the last few seconds of reading. */
+typedef struct {
+    double tokens, ms; /* that were read, and the time it took */
+} pace_sum_t;
+
 /** A model that engines serve. Engines and requests of one model are matched by this record, not by its name. */
 typedef struct {
     char name[CODEC_STR_SIZE];
+    double rate;     /* tokens per ms that its prefill engines read, */
+    pace_sum_t read; /* as measured */
     /* What dispatch has found out in the pass of this number: nothing frees engines in the middle of a pass. */
     uint64_t pass;
     bool no_prefill;         /* no prefill engine takes more work */
@@ -89,7 +96,10 @@
     double backlog_ms;
     tc_time_t backlog_at;
     uint32_t prefills;
-    double rate; /* tokens per ms, measured */
+    double pending_ms; /* of it, by the tokens of each prompt that is not reported done */
+    double rate;       /* tokens per ms, */
+    pace_sum_t read;   /* as measured; before that, as the model's other engines */
+    tc_time_t read_at; /* the last prompt was reported done, 0: none was */
     uint32_t misses;
     uint32_t failures; /* of requests there, one after the other */
     uint64_t incarnation;
@@ -151,7 +161,7 @@
     engine_t *prefill, *decode;
     double work_ms;            /* prefill work it brings, by the engine that has most of it cached */
     uint32_t predicted_cached; /* prompt tokens taken for cached on the prefill engine */
-    double est_prefill_ms;
+    double pending_ms;         /* its part of prefill->pending_ms */
     link_t *link;
     double link_tokens; /* counted in link->outstanding */
     bool long_transfer; /* counted in link->long_transfers */
@@ -238,7 +248,9 @@
 /** Whole pieces at the start of the prompt that the engine probably has cached. */
 uint32_t engine_cached_pieces(const engine_t *e, const uint64_t *chain, uint32_t n);
 void engine_remember(engine_t *e, const uint64_t *chain, uint32_t n, tc_time_t now);
-void engine_learn_rate(engine_t *e, double est_ms, const msg_progress_t *progress);
+void engine_learn_rate(engine_t *e, const msg_progress_t *progress, tc_time_t now);
+/** Begin with a guess of how fast a model is read, unless it has been measured. */
+void model_begin_rate(model_t *m, double guess);
 link_t *link_between(const sched_t *s, const char *a, const char *b);
 /** The same by places in sched_t.dcs. */
 link_t *link_of(const sched_t *s, uint32_t a, uint32_t b);
@@ -284,7 +296,7 @@
 void count_decode(request_t *r);
 void uncount_decode(request_t *r);
 void reserve(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now);
-void end_prefill_work(request_t *r);
+void end_prefill_work(request_t *r, tc_time_t now);
 void end_transfer(request_t *r);
 void end_solo(request_t *r);
 /** Give the pieces back; the engine has let go of them by itself. */
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -306,15 +306,15 @@
     case PHASE_TRANSFER:
         if (r->prefilling) {
             r->prefill->failures = 0;
-            engine_learn_rate(r->prefill, r->est_prefill_ms, p);
+            engine_learn_rate(r->prefill, p, now);
             s->stats.cache_predicted += r->predicted_cached;
             s->stats.cache_actual += p->cached_tokens;
-            end_prefill_work(r);
+            end_prefill_work(r, now);
         }
         r->phase = PHASE_TRANSFER;
         break;
     case PHASE_DECODE:
-        end_prefill_work(r);
+        end_prefill_work(r, now);
         end_transfer(r);
         end_solo(r);
         r->phase = PHASE_DECODE;
--- a/lib/sched/sched_request.c
+++ b/lib/sched/sched_request.c
@@ -140,7 +140,7 @@
     engine_t *const decode = r->decode;
     if (r->granted_at > 0)
         s->held_ms += (s->held_ms > 0 ? HELD_LEARN : 1) * ((double)(now - r->granted_at) - s->held_ms);
-    end_prefill_work(r);
+    end_prefill_work(r, now);
     release_decode(s, r, now);
     r->state = REQ_FINISHED;
     r->phase = PHASE_FINISHED;
@@ -158,7 +158,7 @@
         cancel_decode(s, r, now);
         cancel_prefill(s, r, now);
     }
-    end_prefill_work(r);
+    end_prefill_work(r, now);
     release_decode(s, r, now);
     r->prefill = NULL;
     CDS_INIT_LIST_HEAD(&r->node);
--- a/lib/sched/sched_reserve.c
+++ b/lib/sched/sched_reserve.c
@@ -52,28 +52,32 @@
     }
     if (r->prefill == p)
         return; /* replan: the prefill is done */
-    const double backlog = engine_backlog(p, now);
-    p->backlog_ms = backlog + choice->prefill_ms;
+    /* A prompt behind others begins as soon as they are done: what each takes beside its tokens passes meanwhile. */
+    const double fixed_ms = p->prefills == 0 ? PREFILL_BASE_MS : 0;
+    r->pending_ms = MAX(choice->prefill_ms - PREFILL_BASE_MS, 0);
+    p->backlog_ms = engine_backlog(p, now) + r->pending_ms + fixed_ms;
     p->backlog_at = now;
+    p->pending_ms += r->pending_ms;
     p->prefills++;
     r->prefill = p;
     r->prefilling = true;
     r->predicted_cached = engine_cached_pieces(p, r->chain, r->n_chain) * s->piece_tokens;
-    r->est_prefill_ms = backlog; /* what stood before it: engine_learn_rate wants to know */
     engine_remember(p, r->chain, r->n_chain, now);
 }
 
 /* ===== Giving back ===== */
 
-void end_prefill_work(request_t *r)
+void end_prefill_work(request_t *r, tc_time_t now)
 {
     if (!r->prefilling)
         return;
     assert(r->prefill && r->prefill->prefills > 0); /* prefilling is set only together with the count */
+    engine_t *const p = r->prefill;
     r->prefilling = false;
-    r->prefill->prefills--;
-    if (r->prefill->prefills == 0)
-        r->prefill->backlog_ms = 0;
+    p->prefills--;
+    p->pending_ms = p->prefills > 0 ? MAX(p->pending_ms - r->pending_ms, 0) : 0;
+    p->backlog_ms = p->pending_ms; /* what is left begins now, whatever was expected */
+    p->backlog_at = now;
 }
 
 void end_solo(request_t *r)
@@ -148,7 +152,7 @@
         return;
     char engine_id[CODEC_STR_SIZE + 16];
     sched_engine_id(engine_id, sizeof(engine_id), r->id, r->attempt);
-    end_prefill_work(r);
+    end_prefill_work(r, now);
     add_cancelling(s, r->prefill, engine_id, 0, now);
     r->prefill = NULL;
 }
