--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -247,13 +247,22 @@
             "back ends without engines, and those of engines each 1.5 s, so bytes grow with boxes, and 20 times slower with engines.",
             "A stream that its caller takes up again is a question to every decode engine of its cell, 2 KB each: 110 with",
             "140 engines in one cell, 20 in a cell of 30. Orders to change a role are some tens a day and cell.", "",
-            "Played at 30, 100 and 300 boxes before ten times as many back ends (the sweep of the users' bench, busiest box or",
-            "longest time), with the power of its growth and what that comes to at 416 boxes. Not understood: the last line. A day",
-            "of 100 boxes before 1,000 back ends with a kill of all, played by itself, serves again after 1.9 s.", ""]
+            "## Sweeps", "",
+            "Played at 30, 100 and 300 boxes before ten times as many back ends (the sweep of the users' bench, read by",
+            "`scripts/sweep.py`): the busiest box, or the longest time, with the power of its growth and what that comes to at 416",
+            "boxes, the target of the first deployment; others name none. The day at 300 boxes breaks no rule on any of them.",
+            "Not understood: the last line of each table, which moves between 0.5 and 30 s from sweep to sweep. A day of 100 boxes",
+            "before 1,000 back ends with a kill of all, played by itself, serves again after 1.9 s.", ""]
     with open(SWEEP, encoding="utf-8") as handle:
         sweep = [json.loads(line) for line in handle]
-    out += table(["what", "30", "100", "300", "power", "at 416"],
-                 [[r["what"], *(num(x) for x in r["points"]), r["power"], num(r["at"])] for r in sweep])
+    for head in [r for r in sweep if "days" in r]:
+        played = "; ".join(f"{d['boxes']} boxes: worth {d['worth']}, served {d['served']}" + (", RULE BROKEN" if d["broken"] else "")
+                           for d in head["days"])
+        out += [f"**{head['deployment']}**: {played}.", ""]
+        out += table(["what", "30", "100", "300", "power", "at 416"],
+                     [[r["what"], *(num(x) for x in r["points"]), r["power"], "-" if r["at"] is None else num(r["at"])]
+                      for r in sweep if r["deployment"] == head["deployment"] and "what" in r])
+        out += [""]
     return "\n".join(out) + "\n"
 
 
--- /dev/null
+++ b/tests/unit/reading_lab.h
@@ -0,0 +1,136 @@
+/** @file reading_lab.h
+ * The world of test_sched_pace.c and test_sched_workspaces.c, which alone include it: prefill engines that read prompts
+ * one after the other, and a scheduler that is asked and told of it; time passes in ms.
+ */
+#ifndef TRACKCOVE_TESTS_READING_LAB_H
+#define TRACKCOVE_TESTS_READING_LAB_H
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "unit/sched_lab.h"
+
+enum {
+    READING_RATE = 33333, /* tokens a second that an engine reads */
+    READING_FIXED_MS = 20,
+    READING_REPORT_MS = 5, /* a report's way */
+    READING_ENGINES = 32,
+    READING_PROMPTS = 4096
+};
+
+typedef struct {
+    bool placed, done;
+    unsigned tokens, workspace;
+    uint32_t attempt;
+    tc_time_t sent, done_at;
+} prompt_t;
+
+typedef struct {
+    sched_t *sched;
+    GRand *random;
+    prompt_t prompts[READING_PROMPTS];
+    unsigned n;
+    tc_time_t now, free_at[READING_ENGINES]; /* when an engine has read all that it was sent */
+    tc_time_t longest;                       /* that a prompt took at its engine */
+    unsigned finished;
+} reading_t;
+
+/** A world with a scheduler and no engines. @return for reading_free */
+static inline reading_t *reading_create(guint32 seed)
+{
+    const sched_options_t options = {.cell = "c", .epoch = 1, .piece_tokens = 256};
+    reading_t *const w = g_new0(reading_t, 1);
+    w->now = 1000;
+    w->sched = sched_create(&options, w->now);
+    w->random = g_rand_new_with_seed(seed);
+    return w;
+}
+
+static inline void reading_free(reading_t *w)
+{
+    sched_destroy(w->sched);
+    g_rand_free(w->random);
+    g_free(w);
+}
+
+/** From now on there are these engines. */
+static inline void reading_configure(reading_t *w, engine_cfg_t *engines, uint32_t n)
+{
+    const config_t config = {.targets = {.max_queue = 512}, .engines = engines, .engines_n = n};
+    sched_configure(w->sched, &config, w->now);
+    for (uint32_t i = 0; i < n; i++)
+        sched_engine_seen(w->sched, engines[i].name, 1, false, NULL, 0, w->now, w->now);
+}
+
+static inline void reading_ask(reading_t *w, unsigned tokens, unsigned workspace)
+{
+    g_assert_cmpuint(w->n, <, READING_PROMPTS);
+    w->prompts[w->n] = (prompt_t){.tokens = tokens, .workspace = workspace};
+    msg_place_t place = {.prompt_tokens = tokens, .max_tokens = 30, .wait_ms = 900};
+    g_snprintf(place.id, sizeof(place.id), "r%u", w->n);
+    g_snprintf(place.workspace, sizeof(place.workspace), "workspace-%u", workspace);
+    codec_copy_string(place.box, sizeof(place.box), "box");
+    codec_copy_string(place.model, sizeof(place.model), "m");
+    sched_place(w->sched, &place, (sched_token_t){.a = w->n++}, w->now);
+}
+
+static inline void reading_begin(reading_t *w, prompt_t *p, const msg_placed_t *placed)
+{
+    tc_time_t *const free_at = &w->free_at[strtol(placed->prefill + 1, NULL, 10)];
+    const tc_time_t idle_from = w->now + READING_FIXED_MS;
+    p->placed = true;
+    p->attempt = placed->attempt;
+    p->sent = w->now;
+    *free_at = MAX(*free_at, idle_from) + (tc_time_t)((gint64)p->tokens * 1000 / READING_RATE);
+    p->done_at = *free_at;
+    w->longest = MAX(w->longest, p->done_at - w->now);
+}
+
+static inline void reading_take_answers(reading_t *w)
+{
+    sched_action_t action;
+    while (sched_next_action(w->sched, &action)) {
+        const sched_answer_t *const answer = &action.u.answer;
+        if (action.kind == SCHED_ACT_ANSWER && answer->placed.granted)
+            reading_begin(w, &w->prompts[answer->token.a], &answer->placed);
+    }
+}
+
+static inline void reading_report_done(reading_t *w)
+{
+    for (unsigned i = 0; i < w->n; i++) {
+        prompt_t *const p = &w->prompts[i];
+        if (!p->placed || p->done || w->now < p->done_at + READING_REPORT_MS)
+            continue;
+        p->done = true;
+        w->finished++;
+        msg_progress_t progress = {.attempt = p->attempt,
+                                   .phase = PHASE_TRANSFER,
+                                   .took_ms = (uint32_t)(p->done_at - p->sent),
+                                   .computed_tokens = p->tokens};
+        g_snprintf(progress.id, sizeof(progress.id), "r%u", i);
+        codec_copy_string(progress.box, sizeof(progress.box), "box");
+        sched_progress(w->sched, &progress, w->now);
+        progress.phase = PHASE_FINISHED; /* its stream is short */
+        sched_progress(w->sched, &progress, w->now);
+    }
+}
+
+/** A ms passes, in which a prompt is asked with that chance. @return whether one is */
+static inline bool reading_step(reading_t *w, double chance)
+{
+    w->now++;
+    reading_report_done(w);
+    return g_rand_double(w->random) < chance;
+}
+
+/** The end of that ms. */
+static inline void reading_settle(reading_t *w)
+{
+    if (w->now % 5 == 0)
+        sched_tick(w->sched, w->now);
+    reading_take_answers(w);
+}
+
+#endif
