--- a/lib/workspace/cap_ledger.c
+++ b/lib/workspace/cap_ledger.c
@@ -13,7 +13,7 @@
 
 enum {
     MS_PER_S = 1000,
-    TELL_EVERY_MS = 50,    /* between two looks at all workspaces for what boxes are told: 10,000 take 0.1 ms */
+    TELL_EVERY_MS = 50,    /* between two looks at all workspaces for what boxes are told */
     SWEEP_EVERY_MS = 1000, /* between two looks at what boxes told */
     AFTER_MAX_MS = 10000   /* callers come back for no longer: they wait for a third of the time they have left */
 };
@@ -24,7 +24,8 @@
 /** Of the same, no window holds more than this part, whatever the bucket would allow. With 0.65 here, and 0.5 in the
  *  bucket, 6 of 10,000 days of test_caps_random went beyond the rules by up to 2 in 100. */
 static const double WINDOW_PART = 0.35;
-/** Of the same, a new leader begins with this part: two of them within one window, and the depth, are within it. */
+/** Of the same, a new leader begins with this part: two of them within one window, and what a window may hold, are
+ * within it. */
 static const double BEGIN_PART = 0.15;
 /** Of the cap, what the boxes that are missing may let in by themselves, at their part of all boxes. */
 static const double MISSING_PART = 0.5;
--- a/lib/workspace/cap_parts.c
+++ b/lib/workspace/cap_parts.c
@@ -24,15 +24,15 @@
 
 /** Of the cap, this part is divided equally, */
 static const double FLOOR_PART = 0.3;
-/** and this part of what a box let in over the last window. All boxes together let in 1.4 times the cap at most then,
- * so that both together are the cap. With all of it divided equally a box whose callers ask twice as much as others'
- * would refuse half of what is owed. */
+/** and this part of what a box let in over the last window, which of all boxes together is 1.34 times the cap at most
+ * where the slack is four seconds of it: both together are below the cap. With all of it divided equally a box whose
+ * callers ask twice as much as others' would refuse half of what is owed. */
 static const double FOLLOW_PART = 0.4;
-/** In that time a box lets in no more than so many times what it did before, or a single request: a workspace that
+/** Within FREE_MS a box lets in no more than so many times what it did before, or a single request: a workspace that
  * begins to ask seven times its usual in the moment in which the leader goes stays within the rules (test_caps_random).
  */
 static const double FREE_GROWTH = 1.2;
-/** One at which the workspace was not active lets a first request in with this chance: were all to do so, a workspace
+/** A box at which the workspace was not active lets a first request in with this chance: were all to do so, a workspace
  * that begins to ask seven times its usual would have a burst of its own (1 of 12,000 days beyond the rules, by 1 in
  * 100). */
 static const double FIRST_CHANCE = 0.6;
