--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -72,6 +72,15 @@
     instance->twice -= ends >= 2;
 }
 
+bool instance_hear_limit(instance_t *instance, const instance_limit_t *limit)
+{
+    const instance_limit_t before = instance->limit;
+    if (limit->seen_at < before.seen_at)
+        return false;
+    instance->limit = *limit;
+    return limit->is_set != before.is_set || limit->rate != before.rate;
+}
+
 void instance_succeeded(instance_t *instance)
 {
     instance->failures = 0;
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -23,6 +23,13 @@
 /** What an engine computes; back ends of plain services have none. */
 typedef enum { STAGE_NONE, STAGE_PREFILL, STAGE_DECODE } stage_t;
 
+/** How many requests a back end takes of all boxes together. */
+typedef struct {
+    bool is_set;       /**< else it names no limit */
+    double rate;       /**< requests a second, 0 or more */
+    tc_time_t seen_at; /**< when the back end answered so; 0: never heard */
+} instance_limit_t;
+
 /** One start of one back end. Counted references: a request keeps the ones it uses. */
 typedef struct {
     backend_t listed;  /**< as discovery told */
@@ -34,10 +41,11 @@
     unsigned twice;    /**< and those under which two have */
     unsigned others;   /**< requests of the other boxes, as last told */
     uint64_t other_tokens;
-    unsigned failures;     /**< in a row */
-    tc_time_t avoid_until; /**< not chosen before, unless there is no other */
-    GByteArray *kept;      /**< what it last said of the prompts it keeps, or NULL; the adapter's to read */
-    tc_time_t kept_at;     /**< when it said that */
+    unsigned failures;      /**< in a row */
+    tc_time_t avoid_until;  /**< not chosen before, unless there is no other */
+    GByteArray *kept;       /**< what it last said of the prompts it keeps, or NULL; the adapter's to read */
+    tc_time_t kept_at;      /**< when it said that */
+    instance_limit_t limit; /**< as the newest answer that this box has heard of says */
     unsigned refs;
 } instance_t;
 
@@ -102,6 +110,9 @@
 /** It is done. @param tokens, ends as when it was handed over */
 void instance_end(instance_t *instance, uint64_t tokens, unsigned ends);
 
+/** An answer told of its limit. Older news than what is known changes nothing. @return whether the limit has changed */
+bool instance_hear_limit(instance_t *instance, const instance_limit_t *limit);
+
 /** It answered well. */
 void instance_succeeded(instance_t *instance);
 /** It failed or is silent: avoid it for a while, longer each time in a row. */
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -15,6 +15,7 @@
  *   forward_stream.c  events on their way to the caller
  *   forward_ask.c     questions to the leader and to engines, for the others
  *   forward_look.c    whether a back end whose answer was lost has ended
+ *   forward_limit.c   limits that back ends name for all boxes together
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
 #define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -372,6 +373,11 @@
 /** End all looks: before the forwarder is destroyed. */
 void looks_end(forwarder_t *fw);
 
+/* ===== forward_limit.c ===== */
+
+/** Take the limit that the head of an answer names, or that it names none any more. */
+void limit_hear(const step_t *s);
+
 /* ===== forward_early.c ===== */
 
 /** Have a request wait until the box knows where to send it; then, or when it has waited for long enough, it is begun
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -48,6 +48,8 @@
         log_int(&line, "others", instance->others);
         log_age(&line, "loads_age_ms", fleet_loads_age(f->owner->fleet, now));
         log_age(&line, "list_age_ms", fleet_list_age(f->owner->fleet, now));
+        if (instance->limit.is_set)
+            log_num(&line, "limit_s", instance->limit.rate);
     }
     log_int(&line, "config", (int64_t)f->table->version);
     log_int(&line, "arrivals", f->arrivals);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -398,6 +398,7 @@
     s->reply = reply;
     s->head_seen = true;
     s->status = head->status;
+    limit_hear(s);
     if (s->ask == DIALECT_PREFILL || s->reply.not_run)
         return WEB_TAKE;
     s->head = dialect_pass_head(head);
