--- /dev/null
+++ b/tests/platform/test_limits.c
@@ -0,0 +1,346 @@
+/* Limits that back ends name for all boxes together.
+ *
+ * Seen: two of three back ends of a plain service named a limit of some 4 requests a second; nine boxes sent them 53
+ * and 64 within 4 s, where 28 and 31 were allowed. How it came about: no box read the limit, and each by itself sent
+ * less than that.
+ *
+ * Real control boxes, entry boxes and back ends over loopback; who got what is counted at the back ends.
+ */
+
+#include "forward/forward.h"
+#include "platform/config.h"
+#include "unit/cluster_lab.h"
+#include "web/web_server.h"
+
+enum {
+    ENTRIES = 6,
+    BACKENDS = 3,
+    ASK_EVERY_MS = 10,
+    WINDOW_MS = 4000,
+    KNOWN_MS = 1000 /* after a back end named its limit all boxes hold it */
+};
+
+/** What all boxes together may send in a window: half more than the limit says, and five. */
+static double allowed(double limit)
+{
+    return 1.5 * limit * WINDOW_MS / 1000 + 5;
+}
+
+/* ===== World ===== */
+
+struct world;
+
+typedef struct {
+    struct world *world;
+    double limit;     /* that its answers name; below 0: none */
+    tc_time_t named;  /* it names one since then */
+    GArray *arrivals; /* tc_time_t */
+    char addr[32];
+    lab_backend_t *server;
+} backend_server_t;
+
+typedef struct {
+    entry_box_t self;
+    char addr[32];
+    fleet_t *fleet;
+    web_client_t *client;
+    forwarder_t *forwarder;
+    web_server_t *server;
+    reporter_t *reporter; /* NULL: the box does not run */
+} entry_t;
+
+typedef struct world {
+    fixture_t f;
+    route_table_t *table;
+    web_limits_t limits;
+    backend_t list[BACKENDS];
+    backend_server_t backends[BACKENDS];
+    entry_t entries[ENTRIES];
+    web_client_t *callers;
+    GPtrArray *calls; /* lab_call_t */
+    bool asks;
+    GRand *random;
+} world_t;
+
+/* ===== Back ends ===== */
+
+static lab_reply_t serve(void *arg, const char *request)
+{
+    backend_server_t *const b = arg;
+    const tc_time_t now = tc_time_now();
+    (void)request;
+    g_array_append_val(b->arrivals, now);
+    if (b->limit >= 0 && b->named == 0)
+        b->named = now;
+    char *const limit = b->limit >= 0 ? g_strdup_printf("Server-Limit: %.1f\r\n", b->limit) : g_strdup("");
+    char *const bytes = g_strdup_printf(
+        "HTTP/1.1 200 OK\r\nServer-Seal: s1\r\nAttempt-Id: id1\r\n%sContent-Length: 2\r\n\r\nok", limit);
+    g_free(limit);
+    return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
+}
+
+static void start_backend(world_t *w, int i, double limit)
+{
+    backend_server_t *const b = &w->backends[i];
+    *b = (backend_server_t){.world = w, .limit = limit, .arrivals = g_array_new(FALSE, FALSE, sizeof(tc_time_t))};
+    lab_free_addr(b->addr);
+    b->server = lab_backend_start(w->f.loop, b->addr, serve, b);
+    backend_t *const listed = &w->list[i];
+    g_snprintf(listed->id, sizeof(listed->id), "i-%d", i);
+    codec_copy_string(listed->service, sizeof(listed->service), "app");
+    codec_copy_string(listed->addr, sizeof(listed->addr), b->addr);
+    listed->slots = 8;
+}
+
+static unsigned arrivals_between(const backend_server_t *b, tc_time_t from, tc_time_t to)
+{
+    unsigned n = 0;
+    for (guint i = 0; i < b->arrivals->len; i++) {
+        const tc_time_t at = g_array_index(b->arrivals, tc_time_t, i);
+        n += at >= from && at < to;
+    }
+    return n;
+}
+
+/** Promise: in no window that begins at an arrival, from when all know of the limit on, more arrives than is allowed.
+ */
+static void expect_within(const backend_server_t *b)
+{
+    g_assert_cmpint(b->named, >, 0);
+    for (guint i = 0; i < b->arrivals->len; i++) {
+        const tc_time_t from = g_array_index(b->arrivals, tc_time_t, i);
+        if (from >= b->named + KNOWN_MS)
+            g_assert_cmpfloat(arrivals_between(b, from, from + WINDOW_MS), <=, allowed(b->limit));
+    }
+}
+
+/* ===== Entry boxes ===== */
+
+static bool on_document(void *arg, const document_t *document)
+{
+    (void)arg, (void)document;
+    return true; /* the tests set the routes themselves */
+}
+
+static void start_entry(world_t *w, int i)
+{
+    entry_t *const e = &w->entries[i];
+    const char *const nobody[] = {NULL};
+    *e = (entry_t){.self = {.incarnation = (uint64_t)tc_time_now(), .ready = true}};
+    g_snprintf(e->self.box, sizeof(e->self.box), "entry-%d", i);
+    lab_free_addr(e->addr);
+    codec_copy_string(e->self.http_addr, sizeof(e->self.http_addr), e->addr);
+    lab_free_addr(e->self.peer_addr);
+    e->fleet = fleet_create();
+    e->client = web_client_create(w->f.loop);
+    const forwarder_options_t options = {.box = e->self.box,
+                                         .incarnation = e->self.incarnation,
+                                         .dc = "a",
+                                         .retries = {.ratio = 1, .allowance = 0, .window = 60000},
+                                         .pause_limit = 60000,
+                                         .caps = {.window = 8000}};
+    e->forwarder = forwarder_create(w->f.loop, e->fleet, e->client, &options);
+    forwarder_set_routes(e->forwarder, w->table);
+    fleet_list(e->fleet, w->list, BACKENDS, tc_time_now());
+    tc_err_t err = {0};
+    const reporter_options_t reports = {.peer_listen = e->self.peer_addr,
+                                        .controls = w->f.seeds,
+                                        .neighbours = nobody,
+                                        .quarantine = forwarder_quarantine(e->forwarder),
+                                        .caps = forwarder_caps(e->forwarder)};
+    const reporter_events_t events = {.on_document = on_document, .arg = e};
+    e->reporter = reporter_create(w->f.loop, &e->self, &reports, &events, &err);
+    g_assert_nonnull(e->reporter);
+    forwarder_set_scheduler(e->forwarder, e->reporter);
+    e->server = web_server_start(w->f.loop, e->addr, &w->limits, forwarder_handle, e->forwarder, &err);
+    g_assert_nonnull(e->server);
+}
+
+static bool is_idle(void *arg)
+{
+    return forwarder_busy(((entry_t *)arg)->forwarder) == 0;
+}
+
+static void stop_entry(world_t *w, int i)
+{
+    entry_t *const e = &w->entries[i];
+    lab_run_until(w->f.loop, is_idle, e);
+    reporter_destroy(e->reporter);
+    e->reporter = NULL;
+    web_client_destroy(e->client);
+    web_server_stop(e->server);
+    forwarder_destroy(e->forwarder);
+    fleet_destroy(e->fleet);
+}
+
+static bool hears_leader(void *arg)
+{
+    const world_t *const w = arg;
+    for (int i = 0; i < ENTRIES; i++)
+        if (reporter_leader_heard(w->entries[i].reporter) == 0)
+            return false;
+    return true;
+}
+
+/** All entry boxes know of each other, as boxes that share what is counted over all do. */
+static void share(world_t *w)
+{
+    for (int i = 0; i < ENTRIES; i++)
+        forwarder_set_boxes(w->entries[i].forwarder, ENTRIES);
+}
+
+/* ===== Callers ===== */
+
+static void ask_somebody(void *arg)
+{
+    world_t *const w = arg;
+    const entry_t *const e = &w->entries[g_rand_int_range(w->random, 0, ENTRIES)];
+    if (!w->asks || !e->reporter)
+        return;
+    g_ptr_array_add(w->calls, lab_call(w->callers, e->addr,
+                                       "POST /safe/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\nDeadline-Ms: 3000\r\n"
+                                       "Content-Length: 4\r\n\r\nbody"));
+}
+
+static bool all_answered(void *arg)
+{
+    const world_t *const w = arg;
+    for (guint i = 0; i < w->calls->len; i++)
+        if (!((const lab_call_t *)g_ptr_array_index(w->calls, i))->done)
+            return false;
+    return true;
+}
+
+static unsigned count_status(const world_t *w, int status)
+{
+    unsigned n = 0;
+    for (guint i = 0; i < w->calls->len; i++)
+        n += ((const lab_call_t *)g_ptr_array_index(w->calls, i))->status == status;
+    return n;
+}
+
+static void free_call(void *call)
+{
+    lab_call_free(call);
+}
+
+/** Callers ask for a while, each any box. */
+static void ask_for(world_t *w, tc_time_t span)
+{
+    w->asks = true;
+    lab_run_for(w->f.loop, span);
+    w->asks = false;
+}
+
+static void await_answers(world_t *w)
+{
+    lab_run_until(w->f.loop, all_answered, w);
+}
+
+/* ===== Life ===== */
+
+static const char config[] = "{\"version\":3,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\","
+                             "\"timeout_ms\":3000,\"max_attempts\":2,\"service\":\"app\"}],"
+                             "\"services\":[{\"name\":\"app\"}]}";
+
+static void set_up_world(world_t *w, gconstpointer data)
+{
+    set_up(&w->f, data);
+    tc_err_t err = {0};
+    w->table = config_read(config, strlen(config), &err);
+    g_assert_nonnull(w->table);
+    w->limits = w->table->limits;
+    w->random = g_rand_new_with_seed(1);
+    w->calls = g_ptr_array_new_with_free_func(free_call);
+    w->callers = web_client_create(w->f.loop);
+    for (int i = 0; i < SEEDS; i++)
+        start_box(&w->f, i, true);
+    lab_run_until(w->f.loop, has_leader, &w->f);
+    loop_add_tick(w->f.loop, ASK_EVERY_MS, ask_somebody, w);
+}
+
+/** @param limits of the back ends, as they name them; below 0: none */
+static void start_all(world_t *w, const double limits[BACKENDS])
+{
+    for (int i = 0; i < BACKENDS; i++)
+        start_backend(w, i, limits[i]);
+    for (int i = 0; i < ENTRIES; i++)
+        start_entry(w, i);
+    lab_run_until(w->f.loop, hears_leader, w);
+    share(w);
+}
+
+static void tear_down_world(world_t *w, gconstpointer data)
+{
+    loop_remove_ticks(w->f.loop, w);
+    await_answers(w);
+    g_ptr_array_free(w->calls, TRUE);
+    for (int i = 0; i < ENTRIES; i++)
+        stop_entry(w, i);
+    for (int i = 0; i < BACKENDS; i++) {
+        lab_backend_stop(w->backends[i].server);
+        g_array_free(w->backends[i].arrivals, TRUE);
+    }
+    web_client_destroy(w->callers);
+    route_table_unref(w->table);
+    g_rand_free(w->random);
+    tear_down(&w->f, data);
+}
+
+/* ===== Tests ===== */
+
+/** Nobody is refused while another back end has room, and a limited one gets some of what it takes. */
+static void test_in_touch(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_all(w, (const double[]){4, 4, -1});
+    ask_for(w, KNOWN_MS + WINDOW_MS + 500);
+    await_answers(w);
+    g_assert_cmpuint(count_status(w, 200), ==, w->calls->len);
+    for (int i = 0; i < 2; i++) {
+        const backend_server_t *const b = &w->backends[i];
+        expect_within(b);
+        const tc_time_t from = b->named + KNOWN_MS;
+        g_assert_cmpfloat(arrivals_between(b, from, from + WINDOW_MS), >=, 0.5 * b->limit * WINDOW_MS / 1000);
+    }
+}
+
+/** The leader goes, and a box starts anew that has heard of no limit. */
+static void test_new_leader_new_box(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_all(w, (const double[]){4, 4, -1});
+    ask_for(w, KNOWN_MS + 500);
+    stop_box(&w->f, leader(&w->f));
+    ask_for(w, 500);
+    stop_entry(w, 0);
+    start_entry(w, 0);
+    ask_for(w, WINDOW_MS + 500);
+    await_answers(w);
+    expect_within(&w->backends[0]);
+    expect_within(&w->backends[1]);
+}
+
+/** No control box is there any more: each box has its part. */
+static void test_without_control(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_all(w, (const double[]){4, 4, -1});
+    ask_for(w, KNOWN_MS);
+    for (int i = 0; i < SEEDS; i++)
+        stop_box(&w->f, i);
+    ask_for(w, WINDOW_MS + 500);
+    await_answers(w);
+    expect_within(&w->backends[0]);
+    expect_within(&w->backends[1]);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define ADD(name, fn) g_test_add("/limits/" name, world_t, NULL, set_up_world, fn, tear_down_world)
+    ADD("in-touch", test_in_touch);
+    ADD("new-leader-new-box", test_new_leader_new_box);
+    ADD("without-control", test_without_control);
+    return g_test_run();
+}
