Caps: in a folder of their own, on any subject

What boxes let in by themselves, the leader's count and the parts without a leader know nothing of workspaces but their names, so they are named for what they do: a cap is on a subject. Fields of messages change their names, not their place on the wire.

With it, what was left to clean up: units of a window are computed in one place, and so is an answer without a body. Behaviour is the same: the tests of caps and of workspaces pass unchanged but for the names.

--- a/lib/workspace/cap.c
+++ b/lib/cap/cap.c
@@ -1,4 +1,4 @@
-#include "workspace/cap.h"
+#include "cap/cap.h"
 
 double cap_cost(const cap_t *cap, uint64_t tokens)
 {
@@ -9,8 +9,13 @@
     return 1;
 }
 
-double cap_tolerance(const cap_rules_t *rules, double rate, double burst)
+double cap_window_units(const cap_rules_t *rules, double rate, double burst)
 {
     enum { MS_PER_S = 1000 };
-    return rules->overrun * (rate * (double)rules->window / MS_PER_S + burst) + rules->slack;
+    return rate * (double)rules->window / MS_PER_S + burst;
+}
+
+double cap_tolerance(const cap_rules_t *rules, double rate, double burst)
+{
+    return rules->overrun * cap_window_units(rules, rate, burst) + rules->slack;
 }
--- a/lib/workspace/cap.h
+++ b/lib/cap/cap.h
@@ -1,8 +1,9 @@
 /** @file cap.h
- * Usage caps: how much a workspace may ask of all boxes together, and by how much the sum may miss that. Pure.
+ * Caps over all boxes: how much of one subject, a workspace or a back end, all boxes together may let in, and by how
+ * much the sum may miss that. Pure.
  */
-#ifndef TRACKCOVE_WORKSPACE_CAP_H
-#define TRACKCOVE_WORKSPACE_CAP_H
+#ifndef TRACKCOVE_CAP_H
+#define TRACKCOVE_CAP_H
 
 /* ===== Dependencies ===== */
 
@@ -18,7 +19,7 @@
     CAP_TOKENS    /**< a request is the tokens of its prompt and the most it may generate */
 } cap_unit_t;
 
-/** How much a workspace may ask of all boxes together. */
+/** How much of a subject all boxes together may let in. */
 typedef struct {
     cap_unit_t unit;
     double rate;  /**< units a second; 0: there is no limit */
@@ -38,7 +39,10 @@
 /** Units of a request. @param tokens of its prompt and its output; 0: it says nothing of them */
 double cap_cost(const cap_t *cap, uint64_t tokens);
 
-/** Units in a window beyond rate and burst. */
+/** Units of a window by rate and burst. */
+double cap_window_units(const cap_rules_t *rules, double rate, double burst);
+
+/** Units in a window beyond those. */
 double cap_tolerance(const cap_rules_t *rules, double rate, double burst);
 
 #endif
--- a/lib/workspace/cap_ledger.c
+++ b/lib/cap/cap_ledger.c
@@ -1,7 +1,6 @@
-#include "workspace/cap_ledger.h"
+#include "cap/cap_ledger.h"
 
 #include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define XXH_INLINE_ALL
@@ -13,7 +12,7 @@
 
 enum {
     MS_PER_S = 1000,
-    TELL_EVERY_MS = 50,    /* between two looks at all workspaces for what boxes are told */
+    TELL_EVERY_MS = 50,    /* between two looks at all subjects for what boxes are told */
     SWEEP_EVERY_MS = 1000, /* between two looks at what boxes told */
     AFTER_MAX_MS = 10000   /* callers come back for no longer: they wait for a third of the time they have left */
 };
@@ -29,7 +28,7 @@
 static const double BEGIN_PART = 0.15;
 /** Of the cap, what the boxes that are missing may let in by themselves, at their part of all boxes. */
 static const double MISSING_PART = 0.5;
-/** A workspace is near its cap when its bucket holds less than this part. */
+/** A subject is near its cap when its bucket holds less than this part. */
 static const double NEAR_PART = 0.5;
 
 /* ===== Types ===== */
@@ -43,7 +42,7 @@
     bool configured;      /* in the list that is being taken */
 } bucket_t;
 
-/** What a box has told of one workspace. */
+/** What a box has told of one subject. */
 typedef struct {
     uint64_t total; /* since the box started */
     tc_time_t heard;
@@ -51,8 +50,8 @@
 
 struct cap_ledger {
     cap_rules_t rules;
-    GHashTable *buckets; /* bucket_t.cfg.workspace -> bucket_t */
-    GHashTable *told;    /* hash of box, start of it and workspace -> told_t */
+    GHashTable *buckets; /* bucket_t.cfg.name -> bucket_t */
+    GHashTable *told;    /* hash of box, start of it and subject -> told_t */
     GArray *states;      /* cap_state_t, as told to boxes */
     tc_time_t states_at, sweep_at;
     retry_sharers_t sharers;
@@ -72,10 +71,10 @@
     return BEGIN_PART * cap_tolerance(&l->rules, cfg->rate, cfg->burst);
 }
 
-/** Units that a workspace may ask in each window. */
+/** Units that a subject may ask in each window. */
 static double window_units(const cap_ledger_t *l, const cap_cfg_t *cfg)
 {
-    return cfg->rate * (double)l->rules.window / MS_PER_S + cfg->burst;
+    return cap_window_units(&l->rules, cfg->rate, cfg->burst);
 }
 
 /** Units a second that a bucket fills by: the burst is there in each window anew. While a window of a predecessor may
@@ -100,7 +99,7 @@
     return window_units(l, cfg) + WINDOW_PART * cap_tolerance(&l->rules, cfg->rate, cfg->burst);
 }
 
-/** Boxes may tell of more than a window's worth at once: a workspace is locked out for no longer than it takes to fill
+/** Boxes may tell of more than a window's worth at once: a subject is locked out for no longer than it takes to fill
  *  what its bucket holds. */
 static void spend(const cap_ledger_t *l, bucket_t *b, double units, tc_time_t now)
 {
@@ -108,14 +107,14 @@
     b->level = MAX(b->level - units, -depth_of(l, &b->cfg));
 }
 
-static bucket_t *find(const cap_ledger_t *l, const char *workspace)
+static bucket_t *find(const cap_ledger_t *l, const char *name)
 {
-    return g_hash_table_lookup(l->buckets, workspace);
+    return g_hash_table_lookup(l->buckets, name);
 }
 
-bool cap_ledger_take(cap_ledger_t *l, const char *workspace, double units, tc_time_t now, tc_time_t *after)
+bool cap_ledger_take(cap_ledger_t *l, const char *name, double units, tc_time_t now, tc_time_t *after)
 {
-    bucket_t *const b = find(l, workspace);
+    bucket_t *const b = find(l, name);
     *after = 0;
     if (!b)
         return true;
@@ -133,18 +132,18 @@
     return false;
 }
 
-void cap_ledger_return(cap_ledger_t *l, const char *workspace, double units, tc_time_t now)
+void cap_ledger_return(cap_ledger_t *l, const char *name, double units, tc_time_t now)
 {
-    bucket_t *const b = find(l, workspace);
+    bucket_t *const b = find(l, name);
     if (!b)
         return;
     b->level = MIN(b->level + units, depth_of(l, &b->cfg));
     cap_window_add(&b->used, l->rules.window, -units, now);
 }
 
-cap_view_t cap_ledger_view(cap_ledger_t *l, const char *workspace, tc_time_t now)
+cap_view_t cap_ledger_view(cap_ledger_t *l, const char *name, tc_time_t now)
 {
-    bucket_t *const b = find(l, workspace);
+    bucket_t *const b = find(l, name);
     if (!b)
         return (cap_view_t){0};
     fill(l, b, now);
@@ -158,7 +157,7 @@
     bucket_t *const b = g_new0(bucket_t, 1);
     /* It may have been here a moment ago, and have asked all it may: no more than its burst, and as a new leader. */
     *b = (bucket_t){.cfg = *cfg, .level = MIN(begin_of(l, cfg), cfg->burst), .at = now, .configured = true};
-    g_hash_table_replace(l->buckets, b->cfg.workspace, b);
+    g_hash_table_replace(l->buckets, b->cfg.name, b);
 }
 
 /** A lower cap holds from the next request on. */
@@ -182,7 +181,7 @@
 void cap_ledger_configure(cap_ledger_t *l, const cap_cfg_t *list, uint32_t n, tc_time_t now)
 {
     for (uint32_t i = 0; i < n; i++) {
-        bucket_t *const b = find(l, list[i].workspace);
+        bucket_t *const b = find(l, list[i].name);
         if (b)
             change_bucket(l, b, &list[i], now);
         else
@@ -232,21 +231,16 @@
 
 /* ===== What boxes let in ===== */
 
-static uint64_t told_key(const char *box, uint64_t incarnation, const char *workspace)
+static uint64_t told_key(const char *box, uint64_t incarnation, const char *name)
 {
     const uint64_t seed = XXH3_64bits_withSeed(box, strlen(box), incarnation);
-    return XXH3_64bits_withSeed(workspace, strlen(workspace), seed);
-}
-
-static told_t *told_of(cap_ledger_t *l, uint64_t key)
-{
-    return g_hash_table_lookup(l->told, &key);
+    return XXH3_64bits_withSeed(name, strlen(name), seed);
 }
 
 static void hear_one(cap_ledger_t *l, uint64_t key, const cap_use_t *use, tc_time_t now)
 {
-    bucket_t *const b = find(l, use->workspace);
-    told_t *told = told_of(l, key);
+    bucket_t *const b = find(l, use->name);
+    told_t *told = g_hash_table_lookup(l->told, &key);
     /* What a box let in before this leader knew of it was within its part, while nothing filled the bucket: it may take
      * what is there, but leaves no debt behind. */
     const uint64_t news = told ? use->total - MIN(told->total, use->total) : 0;
@@ -274,7 +268,7 @@
                      tc_time_t now)
 {
     for (uint32_t i = 0; i < n; i++)
-        hear_one(l, told_key(box, incarnation, list[i].workspace), &list[i], now);
+        hear_one(l, told_key(box, incarnation, list[i].name), &list[i], now);
 }
 
 static gboolean is_old(gpointer key, gpointer value, gpointer arg)
@@ -309,7 +303,7 @@
             if (b->level >= NEAR_PART * depth_of(l, &b->cfg))
                 continue;
             cap_state_t state = {.over = b->level < 0};
-            codec_copy_string(state.workspace, sizeof(state.workspace), b->cfg.workspace);
+            codec_copy_string(state.name, sizeof(state.name), b->cfg.name);
             state.after_ms = state.over ? (uint32_t)MIN(-b->level / b->cfg.rate * MS_PER_S + 1, AFTER_MAX_MS) : 0;
             g_array_append_val(l->states, state);
         }
--- a/lib/workspace/cap_ledger.h
+++ b/lib/cap/cap_ledger.h
@@ -1,9 +1,9 @@
 /** @file cap_ledger.h
- * Usage caps at the leader: one count for each workspace that all boxes share.
+ * Caps at the leader: one count for each subject that all boxes share.
  *
  * A request that is placed is let in here before it is placed, so that its units are known exactly and at once. What
  * boxes let in by themselves (requests that nobody places, and all while no leader answers) they tell with their
- * reports, and it is taken off afterwards. Each workspace has a bucket that fills at its rate; it holds the burst and a
+ * reports, and it is taken off afterwards. Each subject has a bucket that fills at its rate; it holds the burst and a
  * part of what the rules allow beyond, and may be below 0.
  *
  * A leader that has just begun knows nothing of what was let in before, so its buckets begin with a small part of what
@@ -12,24 +12,24 @@
  *
  * Nothing here fails, blocks or reads the clock. Everything runs in the loop's thread.
  */
-#ifndef TRACKCOVE_WORKSPACE_CAP_LEDGER_H
-#define TRACKCOVE_WORKSPACE_CAP_LEDGER_H
+#ifndef TRACKCOVE_CAP_LEDGER_H
+#define TRACKCOVE_CAP_LEDGER_H
 
 /* ===== Dependencies ===== */
 
 #include <stdbool.h>
 
+#include "cap/cap.h"
+#include "cap/cap_window.h"
 #include "gen/schema.h"
-#include "workspace/cap.h"
-#include "workspace/cap_window.h"
 
 /* ===== Types ===== */
 
 typedef struct cap_ledger cap_ledger_t;
 
-/** One workspace's cap. */
+/** One subject's cap. */
 typedef struct {
-    char workspace[CODEC_STR_SIZE];
+    char name[CODEC_STR_SIZE];
     double rate;  /**< units a second, more than 0 */
     double burst; /**< units */
 } cap_cfg_t;
@@ -37,7 +37,7 @@
 /** What a decision rests on, for logs. */
 typedef struct {
     double level; /**< units that could be let in, */
-    double depth; /**< and how many there are at most; 0: the workspace has no cap that is known here */
+    double depth; /**< and how many there are at most; 0: the subject has no cap that is known here */
     double rate;  /**< units a second that it fills by now */
 } cap_view_t;
 
@@ -46,7 +46,7 @@
 cap_ledger_t *cap_ledger_create(const cap_rules_t *rules);
 void cap_ledger_destroy(cap_ledger_t *ledger);
 
-/** The caps from now on, copied; those of workspaces that are there already keep their count. */
+/** The caps from now on, copied; those of subjects that are there already keep their count. */
 void cap_ledger_configure(cap_ledger_t *ledger, const cap_cfg_t *list, uint32_t n, tc_time_t now);
 /** This box begins to lead. */
 void cap_ledger_begin(cap_ledger_t *ledger, tc_time_t now);
@@ -54,19 +54,19 @@
  *  out here. */
 void cap_ledger_set_boxes(cap_ledger_t *ledger, unsigned n, tc_time_t now);
 
-/** Whether a request of @p units may be let in; then they are taken. A workspace without a cap may ask anything.
+/** Whether a request of @p units may be let in; then they are taken. A subject without a cap may ask anything.
  *  @param after when it would be let in, ms from now: callers that are refused one after the other are told times one
  *  behind the other, at the pace of the cap */
-bool cap_ledger_take(cap_ledger_t *ledger, const char *workspace, double units, tc_time_t now, tc_time_t *after);
+bool cap_ledger_take(cap_ledger_t *ledger, const char *name, double units, tc_time_t now, tc_time_t *after);
 /** A request that was let in has not run, and will not. */
-void cap_ledger_return(cap_ledger_t *ledger, const char *workspace, double units, tc_time_t now);
+void cap_ledger_return(cap_ledger_t *ledger, const char *name, double units, tc_time_t now);
 /** What the next decision rests on. */
-cap_view_t cap_ledger_view(cap_ledger_t *ledger, const char *workspace, tc_time_t now);
+cap_view_t cap_ledger_view(cap_ledger_t *ledger, const char *name, tc_time_t now);
 
 /** A box tells what it let in by itself. */
 void cap_ledger_hear(cap_ledger_t *ledger, const char *box, uint64_t incarnation, const cap_use_t *list, uint32_t n,
                      tc_time_t now);
-/** What boxes are to know: workspaces near their caps, or over them. Borrowed until the next call of any function. */
+/** What boxes are to know: subjects near their caps, or over them. Borrowed until the next call of any function. */
 const cap_state_t *cap_ledger_tell(cap_ledger_t *ledger, uint32_t *n, tc_time_t now);
 /** Forget what boxes told that have been silent, at most once a second. */
 void cap_ledger_tick(cap_ledger_t *ledger, tc_time_t now);
--- a/lib/workspace/cap_parts.c
+++ b/lib/cap/cap_parts.c
@@ -1,18 +1,18 @@
-#include "workspace/cap_parts.h"
+#include "cap/cap_parts.h"
 
 #include <glib.h>
 #include <math.h>
 #include <stdlib.h>
 
+#include "cap/cap_window.h"
 #include "common/mechanism.h"
-#include "workspace/cap_window.h"
 
 /* ===== Constants ===== */
 
 enum {
     MS_PER_S = 1000,
     TOLD_MS = 500,  /* a leader answers a report each 300 ms: so old, what it told holds without more */
-    FREE_MS = 1500, /* without a leader, a workspace that was far from its cap is let in for so long: an election takes
+    FREE_MS = 1500, /* without a leader, a subject that was far from its cap is let in for so long: an election takes
                        one second */
     BOXES_UNKNOWN = 90, /* that a box reckons with until it has heard how many there are: after a restart of everything
                             each would take the whole cap for its own */
@@ -28,11 +28,11 @@
  * where the slack is four seconds of it: both together are below the cap. With all of it divided equally a box whose
  * callers ask twice as much as others' would refuse half of what is owed. */
 static const double FOLLOW_PART = 0.4;
-/** Within FREE_MS a box lets in no more than so many times what it did before, or a single request: a workspace that
+/** Within FREE_MS a box lets in no more than so many times what it did before, or a single request: a subject that
  * begins to ask seven times its usual in the moment in which the leader goes stays within the rules (test_caps_random).
  */
 static const double FREE_GROWTH = 1.2;
-/** A box at which the workspace was not active lets a first request in with this chance: were all to do so, a workspace
+/** A box at which the subject was not active lets a first request in with this chance: were all to do so, a subject
  * that begins to ask seven times its usual would have a burst of its own (1 of 12,000 days beyond the rules, by 1 in
  * 100). */
 static const double FIRST_CHANCE = 0.6;
@@ -45,7 +45,7 @@
 /* ===== Types ===== */
 
 typedef struct {
-    char *workspace;
+    char *name;
     double level; /* of this box's part */
     tc_time_t level_at;
     bool is_begun;        /* the part has been used since it last rested */
@@ -59,8 +59,8 @@
 
 struct cap_parts {
     cap_rules_t rules;
-    GHashTable *by_name; /* part_t.workspace -> part_t */
-    GHashTable *states;  /* workspace -> cap_state_t: those near their caps, as a leader told last */
+    GHashTable *by_name; /* part_t.name -> part_t */
+    GHashTable *states;  /* subject -> cap_state_t: those near their caps, as a leader told last */
     tc_time_t told_at;   /* 0: never */
     uint64_t term;       /* of the leader that told, */
     bool tells_all;      /* and has not been told of the last window */
@@ -72,18 +72,18 @@
 static void part_free(void *arg)
 {
     part_t *const p = arg;
-    g_free(p->workspace);
+    g_free(p->name);
     g_free(p);
 }
 
-static part_t *part_get(cap_parts_t *c, const char *workspace)
+static part_t *part_get(cap_parts_t *c, const char *name)
 {
-    part_t *p = g_hash_table_lookup(c->by_name, workspace);
+    part_t *p = g_hash_table_lookup(c->by_name, name);
     if (p)
         return p;
     p = g_new0(part_t, 1);
-    p->workspace = g_strdup(workspace);
-    g_hash_table_insert(c->by_name, p->workspace, p);
+    p->name = g_strdup(name);
+    g_hash_table_insert(c->by_name, p->name, p);
     return p;
 }
 
@@ -112,7 +112,7 @@
     p->total += (uint64_t)ceil(units);
 }
 
-/** Units a second that this box may let in by itself. @param is_far whether the workspace was far from its cap when the
+/** Units a second that this box may let in by itself. @param is_far whether the subject was far from its cap when the
  *  leader told last: then it may go on as before */
 static double part_rate(const cap_parts_t *c, part_t *p, const cap_t *cap, unsigned boxes, bool is_far, tc_time_t now)
 {
@@ -126,7 +126,7 @@
 
 /** A request is often larger than what comes in while a box is alone, so that rounding down would refuse all and
  *  rounding up let in one at each box. Where a box begins is by lot: all boxes together let in what they may, and a
- * part of the slack. One at which the workspace was active lately, far from its cap, begins with a request. */
+ * part of the slack. One at which the subject was active lately, far from its cap, begins with a request. */
 static void begin_part(const cap_parts_t *c, part_t *p, const cap_ask_t *ask, unsigned boxes, bool is_far, double draw,
                        tc_time_t now)
 {
@@ -148,7 +148,7 @@
 static bool take_part(cap_parts_t *c, part_t *p, const cap_ask_t *ask, unsigned boxes, double draw, tc_time_t now,
                       cap_verdict_t *verdict)
 {
-    const bool is_far = c->told_at > 0 && !g_hash_table_contains(c->states, ask->workspace);
+    const bool is_far = c->told_at > 0 && !g_hash_table_contains(c->states, ask->name);
     const double rate = part_rate(c, p, ask->cap, boxes, is_far, now);
     if (p->is_begun && now - p->level_at > c->rules.window)
         p->is_begun = false; /* it has rested: nothing is known of the others any more */
@@ -172,7 +172,7 @@
 
 /* ===== Deciding ===== */
 
-/** Whether a workspace far from its cap may be let in though no leader has been heard for a moment. */
+/** Whether a subject far from its cap may be let in though no leader has been heard for a moment. */
 static bool is_free(const cap_parts_t *c, part_t *p, double units, double draw, tc_time_t now)
 {
     if (p->free_since != c->told_at)
@@ -189,8 +189,8 @@
 bool cap_parts_take(cap_parts_t *c, const cap_ask_t *ask, unsigned boxes, double draw, tc_time_t now,
                     cap_verdict_t *verdict)
 {
-    part_t *const p = part_get(c, ask->workspace);
-    const cap_state_t *const state = g_hash_table_lookup(c->states, ask->workspace);
+    part_t *const p = part_get(c, ask->name);
+    const cap_state_t *const state = g_hash_table_lookup(c->states, ask->name);
     *verdict = (cap_verdict_t){.told_age = c->told_at > 0 ? now - c->told_at : TC_TIME_NEVER};
     const bool led = mechanism_is_on(MECHANISM_CAP_LEADER);
     const bool in_touch = led && !ask->is_leaders && verdict->told_age <= TOLD_MS;
@@ -207,7 +207,7 @@
 
 void cap_parts_note(cap_parts_t *c, const cap_ask_t *ask, tc_time_t now)
 {
-    note(c, part_get(c, ask->workspace), ask->units, now);
+    note(c, part_get(c, ask->name), ask->units, now);
 }
 
 /* ===== To and from the leader ===== */
@@ -236,7 +236,7 @@
             continue;
         cap_use_t *const use = &list[(*n)++];
         *use = (cap_use_t){.total = p->total, .fresh = p->total - p->heard, .window = (uint64_t)window};
-        codec_copy_string(use->workspace, sizeof(use->workspace), p->workspace);
+        codec_copy_string(use->name, sizeof(use->name), p->name);
     }
     return list;
 }
@@ -250,7 +250,7 @@
     g_hash_table_remove_all(c->states);
     for (uint32_t i = 0; i < n; i++) {
         cap_state_t *const state = g_memdup2(&list[i], sizeof(list[i]));
-        g_hash_table_insert(c->states, state->workspace, state);
+        g_hash_table_insert(c->states, state->name, state);
     }
     GHashTableIter iter;
     gpointer value;
--- a/lib/workspace/cap_parts.h
+++ b/lib/cap/cap_parts.h
@@ -1,22 +1,22 @@
 /** @file cap_parts.h
  * Usage caps at one box: what it lets in by itself, of requests that no leader places and while no leader answers.
  *
- * While a leader answers, a box lets such requests in until the leader says that their workspace is over its cap, and
- * tells what it let in. Without a leader it goes on so for a moment for workspaces that were far below their caps; for
+ * While a leader answers, a box lets such requests in until the leader says that their subject is over its cap, and
+ * tells what it let in. Without a leader it goes on so for a moment for subjects that were far below their caps; for
  * the others, and after that moment, it has a part of each cap: what it let in last, mostly, and for the rest an equal
  * part, so that all boxes' parts together are the cap.
  *
  * Nothing here fails, blocks or reads the clock. Everything runs in the loop's thread.
  */
-#ifndef TRACKCOVE_WORKSPACE_CAP_PARTS_H
-#define TRACKCOVE_WORKSPACE_CAP_PARTS_H
+#ifndef TRACKCOVE_CAP_PARTS_H
+#define TRACKCOVE_CAP_PARTS_H
 
 /* ===== Dependencies ===== */
 
 #include <stdbool.h>
 
+#include "cap/cap.h"
 #include "gen/schema.h"
-#include "workspace/cap.h"
 
 /* ===== Types ===== */
 
@@ -24,7 +24,7 @@
 
 /** A request as the caps see it. */
 typedef struct {
-    const char *workspace;
+    const char *name;
     const cap_t *cap; /**< with a rate above 0 */
     double units;
     bool is_leaders; /**< a leader decides on such ones, and does not answer: it was told of none of them */
--- a/lib/workspace/cap_window.c
+++ b/lib/cap/cap_window.c
@@ -1,4 +1,4 @@
-#include "workspace/cap_window.h"
+#include "cap/cap_window.h"
 
 #include <assert.h>
 #include <glib.h>
--- a/lib/workspace/cap_window.h
+++ b/lib/cap/cap_window.h
@@ -1,8 +1,8 @@
 /** @file cap_window.h
  * Units that were let in over a sliding window, in slices. No clock.
  */
-#ifndef TRACKCOVE_WORKSPACE_CAP_WINDOW_H
-#define TRACKCOVE_WORKSPACE_CAP_WINDOW_H
+#ifndef TRACKCOVE_CAP_WINDOW_H
+#define TRACKCOVE_CAP_WINDOW_H
 
 /* ===== Dependencies ===== */
 
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -7,7 +7,7 @@
  *
  * Beside placements it hands out the leader's part of the retry budgets
  * (common/retry_budget.h): a new leader begins with all of it spent. And it lets requests in by
- * their workspaces' usage caps (workspace/cap_ledger.h) before they are placed.
+ * their workspaces' usage caps (cap/cap_ledger.h) before they are placed.
  *
  * Everything runs in the loop's thread.
  */
@@ -22,7 +22,7 @@
 #include "peer/peer.h"
 #include "roles/balance.h"
 #include "sched/sched.h"
-#include "workspace/cap_ledger.h"
+#include "cap/cap_ledger.h"
 
 /* ===== Types ===== */
 
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -18,7 +18,7 @@
 #include "cluster/quarantine.h"
 #include "gen/schema.h"
 #include "peer/peer.h"
-#include "workspace/cap_parts.h"
+#include "cap/cap_parts.h"
 
 /* ===== Types ===== */
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -59,6 +59,16 @@
     forward_free(f);
 }
 
+enum { NEVER = -1 };
+
+/** Answer without a body. @param after when the caller may come back, ms; NEVER: nothing is said of it */
+static void answer_empty(web_exchange_t *exchange, int status, tc_time_t after)
+{
+    char *const head = after == NEVER ? g_strdup("") : dialect_retry_after(after);
+    web_answer(exchange, status, head, "", 0);
+    g_free(head);
+}
+
 static void fail(forward_t *f, const char *why, tc_time_t come_back)
 {
     step_cancel(f, why);
@@ -74,9 +84,7 @@
     counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
     forward_log_end(f, "failed", why, status);
     /* Promise: 503 says that the request did not run, so it is given only while no back end can have begun it. */
-    char *const head = f->runs == 0 ? dialect_retry_after(come_back) : g_strdup("");
-    web_answer(f->exchange, status, head, "", 0);
-    g_free(head);
+    answer_empty(f->exchange, status, f->runs == 0 ? come_back : NEVER);
     forward_free(f);
 }
 
@@ -85,9 +93,7 @@
     assert(f->runs == 0 && !f->begun && !f->step); /* promise: what is refused as not run has not run */
     counter_add(&c_not_run, 1);
     forward_log_end(f, "failed", why, status);
-    char *const head = after > 0 ? dialect_retry_after(after) : g_strdup("");
-    web_answer(f->exchange, status, head, "", 0);
-    g_free(head);
+    answer_empty(f->exchange, status, after > 0 ? after : NEVER);
     forward_free(f);
 }
 
@@ -304,9 +310,7 @@
     log_str(&line, "why", why);
     log_int(&line, "status", status);
     log_end(&line);
-    char *const head = status == STATUS_NOT_RUN ? dialect_retry_after(come_back) : g_strdup("");
-    web_answer(exchange, status, head, "", 0);
-    g_free(head);
+    answer_empty(exchange, status, status == STATUS_NOT_RUN ? come_back : NEVER);
 }
 
 static void drop_instance(void *instance)
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -20,7 +20,7 @@
 #include "forward/route.h"
 #include "web/web_client.h"
 #include "web/web_server.h"
-#include "workspace/cap_parts.h"
+#include "cap/cap_parts.h"
 
 /* ===== Types ===== */
 
--- a/lib/forward/forward_caller.c
+++ b/lib/forward/forward_caller.c
@@ -32,12 +32,13 @@
     return !caller.why && strcmp(caller.workspace ? caller.workspace->name : "", before) == 0;
 }
 
-bool caller_is_sure(const forwarder_t *fw)
+/** Whether this box can be sure that what its configuration does not know is not there. */
+static bool is_sure(const forwarder_t *fw)
 {
     return !fw->scheduler || reporter_is_current(fw->scheduler, fw->options.sure_for);
 }
 
 int caller_status(const forwarder_t *fw, int final)
 {
-    return caller_is_sure(fw) ? final : STATUS_UNSURE;
+    return is_sure(fw) ? final : STATUS_UNSURE;
 }
--- a/lib/forward/forward_cap.c
+++ b/lib/forward/forward_cap.c
@@ -26,10 +26,8 @@
 
 static cap_ask_t ask_of(const forward_t *f)
 {
-    return (cap_ask_t){.workspace = f->workspace->name,
-                       .cap = &f->workspace->cap,
-                       .units = cap_units(f),
-                       .is_leaders = f->placement.asked};
+    return (cap_ask_t){
+        .name = f->workspace->name, .cap = &f->workspace->cap, .units = cap_units(f), .is_leaders = f->placement.asked};
 }
 
 static void log_refused(const forward_t *f, const cap_verdict_t *verdict)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -307,8 +307,6 @@
 caller_t caller_identify(const route_table_t *table, const route_t *route, const dialect_request_t *facts);
 /** Whether the configuration in force still allows the request, which may have waited while that changed. */
 bool caller_is_allowed(const forward_t *f);
-/** Whether this box can be sure that what its configuration does not know is not there. */
-bool caller_is_sure(const forwarder_t *fw);
 /** Status of a refusal for something that the configuration does not know. @param final what it is when that is sure */
 int caller_status(const forwarder_t *fw, int final);
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -257,7 +257,7 @@
 const codec_desc_t quarantine_image_desc = {.name = "quarantine_image", .size = sizeof(quarantine_image_t), .fields = quarantine_image_fields, .n_fields = sizeof(quarantine_image_fields) / sizeof(quarantine_image_fields[0])};
 
 static const codec_field_t cap_use_fields[] = {
-    {.name = "workspace", .offset = offsetof(cap_use_t, workspace), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "name", .offset = offsetof(cap_use_t, name), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "total", .offset = offsetof(cap_use_t, total), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "fresh", .offset = offsetof(cap_use_t, fresh), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "window", .offset = offsetof(cap_use_t, window), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
@@ -265,7 +265,7 @@
 const codec_desc_t cap_use_desc = {.name = "cap_use", .size = sizeof(cap_use_t), .fields = cap_use_fields, .n_fields = sizeof(cap_use_fields) / sizeof(cap_use_fields[0])};
 
 static const codec_field_t cap_state_fields[] = {
-    {.name = "workspace", .offset = offsetof(cap_state_t, workspace), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "name", .offset = offsetof(cap_state_t, name), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "over", .offset = offsetof(cap_state_t, over), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "after_ms", .offset = offsetof(cap_state_t, after_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
 };
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -363,18 +363,18 @@
 } quarantine_image_t;
 extern const codec_desc_t quarantine_image_desc;
 
-/** What a box let in of a workspace by itself. */
+/** What a box let in of one subject of a cap by itself. */
 typedef struct {
-    char workspace[CODEC_STR_SIZE];
+    char name[CODEC_STR_SIZE];
     uint64_t total; /**< units since the box started */
     uint64_t fresh; /**< of these, since a leader heard of it last */
     uint64_t window; /**< units of the last window, whoever let them in; told once to each leader, else 0 */
 } cap_use_t;
 extern const codec_desc_t cap_use_desc;
 
-/** A workspace that is near its usage cap, or over it. */
+/** A subject that is near its cap, or over it. */
 typedef struct {
-    char workspace[CODEC_STR_SIZE];
+    char name[CODEC_STR_SIZE];
     bool over;
     uint32_t after_ms; /**< until it is below again when nothing more is asked */
 } cap_state_t;
--- a/lib/workspace/workspace.h
+++ b/lib/workspace/workspace.h
@@ -14,7 +14,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "workspace/cap.h"
+#include "cap/cap.h"
 
 /* ===== Constants ===== */
 
--- a/tests/platform/test_workspaces.c
+++ b/tests/platform/test_workspaces.c
@@ -65,7 +65,7 @@
     codec_copy_string(ack.leader, sizeof(ack.leader), w->addr);
     codec_copy_string(ack.peer, sizeof(ack.peer), w->addr);
     ack.caps = (cap_state_t *)(uintptr_t)&w->state;
-    ack.caps_n = w->state.workspace[0] ? 1 : 0;
+    ack.caps_n = w->state.name[0] ? 1 : 0;
     peer_reply(w->net, call, MSG_REPORT_ACK, &ack);
 }
 
@@ -417,7 +417,7 @@
         expect_with(f, "/safe/x", LINE(KEY_A1), 200);
     lab_run_until(f->loop, knows_state, w);
     w->state = (cap_state_t){.over = true, .after_ms = 700};
-    codec_copy_string(w->state.workspace, sizeof(w->state.workspace), "a");
+    codec_copy_string(w->state.name, sizeof(w->state.name), "a");
     lab_run_for(f->loop, 700); /* two reports */
     expect_with(f, "/safe/x", LINE(KEY_A1), 429);
     expect_with(f, "/open/x", LINE(KEY_A1), 429); /* its holder's cap counts there too */
--- a/tests/random/test_caps_random.c
+++ b/tests/random/test_caps_random.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "workspace/cap_ledger.h"
-#include "workspace/cap_parts.h"
+#include "cap/cap_ledger.h"
+#include "cap/cap_parts.h"
 
 /* ===== World ===== */
 
@@ -67,7 +67,7 @@
     cap_cfg_t list[WORKSPACES];
     memset(list, 0, sizeof(list));
     for (unsigned i = 0; i < WORKSPACES; i++) {
-        codec_copy_string(list[i].workspace, sizeof(list[i].workspace), w->spaces[i].name);
+        codec_copy_string(list[i].name, sizeof(list[i].name), w->spaces[i].name);
         list[i].rate = w->spaces[i].cap.rate;
         list[i].burst = w->spaces[i].cap.burst;
     }
@@ -183,7 +183,7 @@
 static bool is_let_in(world_t *w, box_t *b, unsigned i, bool placed, double units)
 {
     space_t *const s = &w->spaces[i];
-    const cap_ask_t ask = {.workspace = s->name, .cap = &s->cap, .units = units, .is_leaders = placed};
+    const cap_ask_t ask = {.name = s->name, .cap = &s->cap, .units = units, .is_leaders = placed};
     if (placed && w->ledger && !b->silent) {
         tc_time_t after;
         if (!cap_ledger_take(w->ledger, s->name, units, w->now, &after)) {
