Caps: strict ones, for subjects that each box can pass on its own

Where a cap's slack is smaller than one request of each box, a box without a leader's answer lets in no more than its part: no first request by lot, and no going on as before for a moment.

test_caps_random plays back ends of 0.5 to 50 requests a second before 9 to 90 boxes that want two to ten times as much, with leaders lost, boxes cut off and everything restarted.

--- a/lib/cap/cap.h
+++ b/lib/cap/cap.h
@@ -7,6 +7,7 @@
 
 /* ===== Dependencies ===== */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "common/time.h"
@@ -32,6 +33,8 @@
     tc_time_t window; /**< ms; at least CAP_WINDOW_MIN is counted over */
     double overrun;   /**< a part, 0 or more */
     double slack;     /**< units, 0 or more */
+    bool strict; /**< a box without a leader's answer lets in no more than its part: the slack is too small for each
+                    box to let in one request more */
 } cap_rules_t;
 
 /* ===== Public functions ===== */
--- a/lib/cap/cap_parts.c
+++ b/lib/cap/cap_parts.c
@@ -148,7 +148,7 @@
 static bool take_part(cap_parts_t *c, part_t *p, const cap_ask_t *ask, unsigned boxes, double draw, tc_time_t now,
                       cap_verdict_t *verdict)
 {
-    const bool is_far = c->told_at > 0 && !g_hash_table_contains(c->states, ask->name);
+    const bool is_far = !c->rules.strict && c->told_at > 0 && !g_hash_table_contains(c->states, ask->name);
     const double rate = part_rate(c, p, ask->cap, boxes, is_far, now);
     if (p->is_begun && now - p->level_at > c->rules.window)
         p->is_begun = false; /* it has rested: nothing is known of the others any more */
@@ -178,7 +178,7 @@
     if (p->free_since != c->told_at)
         p->free_units = 0;
     p->free_since = c->told_at;
-    if (c->told_at == 0 || now - c->told_at > FREE_MS)
+    if (c->rules.strict || c->told_at == 0 || now - c->told_at > FREE_MS)
         return false;
     const double before = recent_rate(c, p, now) * FREE_MS / MS_PER_S;
     if (p->free_units == 0)
--- a/tests/random/test_caps_random.c
+++ b/tests/random/test_caps_random.c
@@ -1,5 +1,6 @@
-/* Usage caps over many boxes: what all boxes and all leaders together let in stays within the rules in every window,
- * and a workspace that asks less than its cap is refused next to nothing while control is in touch. The ledger and the
+/* Caps over many boxes, of workspaces and of back ends: what all boxes and all leaders together let in stays within the
+ * rules in every window, a workspace that asks less than its cap is refused next to nothing while control is in touch,
+ * and a back end that names a limit gets most of what it takes. The ledger and the
  * parts are the real ones; boxes, leaders and callers are made up, and time passes in steps. What was let in is counted
  * from a list of every single request, not as the code counts.
  */
@@ -38,8 +39,9 @@
     cap_parts_t *parts;
     uint64_t incarnation;
     tc_time_t report_at, cut_until, down_until;
-    bool silent; /* it is cut off, and goes on serving */
-    bool told;   /* by a leader, since it started: it knows how many boxes there are */
+    tc_time_t closed_until[WORKSPACES]; /* of back ends: it was refused, and asks no more until then */
+    bool silent;                        /* it is cut off, and goes on serving */
+    bool told;                          /* by a leader, since it started: it knows how many boxes there are */
 } box_t;
 
 /** One request that was let in. */
@@ -48,8 +50,15 @@
     double units;
 } event_t;
 
+/** What the caps are on. */
+typedef enum {
+    ON_WORKSPACES, /* some requests are placed by the leader, each of thousands of units */
+    ON_BACKENDS    /* the leader is asked for each request, which is one unit; many more are wanted than are allowed */
+} subject_t;
+
 typedef struct {
     GRand *random;
+    subject_t subject;
     cap_rules_t rules;
     space_t spaces[WORKSPACES];
     box_t boxes[BOXES_MAX];
@@ -60,6 +69,8 @@
     tc_time_t now, unsettled_until;
     GArray *let_in[WORKSPACES];
     unsigned owed, refused; /* requests of workspaces that ask less than their cap while control is in touch */
+    double settled_s;       /* time in which it is, */
+    unsigned taken;         /* and what back ends got in it */
 } world_t;
 
 static void configure(const world_t *w)
@@ -100,6 +111,20 @@
     b->report_at = w->now + g_rand_int_range(w->random, 0, REPORT_MS);
 }
 
+static void make_backends(world_t *w)
+{
+    for (unsigned i = 0; i < WORKSPACES; i++) {
+        space_t *const s = &w->spaces[i];
+        g_snprintf(s->name, sizeof(s->name), "backend-%u", i);
+        const double rate = 0.5 * pow(100, g_rand_double(w->random)); /* 0.5 to 50 a second */
+        s->cap = (cap_t){.unit = CAP_REQUESTS, .rate = rate};
+        s->usual = 2 + 8 * g_rand_double(w->random);
+        s->stream = 1;
+        s->hot_at = TC_TIME_NEVER;
+        w->let_in[i] = g_array_new(FALSE, FALSE, sizeof(event_t));
+    }
+}
+
 static void make_spaces(world_t *w)
 {
     for (unsigned i = 0; i < WORKSPACES; i++) {
@@ -180,6 +205,11 @@
     }
 }
 
+static bool is_settled(const world_t *w)
+{
+    return w->now > w->unsettled_until && w->now > 2 * w->rules.window;
+}
+
 static bool is_let_in(world_t *w, box_t *b, unsigned i, bool placed, double units)
 {
     space_t *const s = &w->spaces[i];
@@ -188,6 +218,7 @@
         tc_time_t after;
         if (!cap_ledger_take(w->ledger, s->name, units, w->now, &after)) {
             g_assert_cmpint(after, >, 0);
+            b->closed_until[i] = w->now + after;
             return false;
         }
         cap_parts_note(b->parts, &ask, w->now);
@@ -197,6 +228,7 @@
     if (cap_parts_take(b->parts, &ask, b->told ? w->boxes_n : 0, g_rand_double(w->random), w->now, &verdict))
         return true;
     g_assert_cmpint(verdict.after, >, 0);
+    b->closed_until[i] = w->now + verdict.after;
     return false;
 }
 
@@ -205,18 +237,19 @@
     space_t *const s = &w->spaces[i];
     box_t *const b = &w->boxes[g_rand_int_range(w->random, 0, (gint32)w->boxes_n)];
     const bool placed = g_rand_double(w->random) < s->stream;
-    const double units = placed ? floor(1000 + 5000 * g_rand_double(w->random)) : s->cap.flat;
-    if (!b->parts)
+    const double large = placed ? floor(1000 + 5000 * g_rand_double(w->random)) : s->cap.flat;
+    const double units = w->subject == ON_BACKENDS ? 1 : large;
+    if (!b->parts || (w->subject == ON_BACKENDS && w->now < b->closed_until[i]))
         return;
     const bool passed = is_let_in(w, b, i, placed, units);
     if (passed) {
         const event_t event = {.at = w->now, .units = units};
         g_array_append_val(w->let_in[i], event);
     }
-    const bool settled = w->now > w->unsettled_until && w->now > 2 * w->rules.window;
-    if (!is_hot && s->hot_at == TC_TIME_NEVER && settled) {
+    if (!is_hot && s->hot_at == TC_TIME_NEVER && is_settled(w)) {
         w->owed++;
         w->refused += !passed;
+        w->taken += passed;
     }
 }
 
@@ -226,7 +259,7 @@
     for (unsigned i = 0; i < WORKSPACES; i++) {
         const space_t *const s = &w->spaces[i];
         const bool is_hot = w->now >= s->hot_at && w->now < s->hot_at + 10000;
-        const double mean = s->stream * 3500 + (1 - s->stream) * s->cap.flat;
+        const double mean = w->subject == ON_BACKENDS ? 1 : s->stream * 3500 + (1 - s->stream) * s->cap.flat;
         double due = s->usual * (is_hot ? s->hot : 1) * s->cap.rate / mean * STEP_MS / 1000;
         while (due > 0) {
             if (g_rand_double(w->random) < due)
@@ -255,6 +288,7 @@
             hear_reports(w, b);
     }
     ask_all(w);
+    w->settled_s += is_settled(w) ? STEP_MS / 1000.0 : 0;
 }
 
 /* ===== Judging ===== */
@@ -287,13 +321,24 @@
     }
 }
 
-static void play(uint32_t seed, unsigned *owed, unsigned *refused)
+/** What came of days. */
+typedef struct {
+    unsigned owed, refused;
+    double taken, takeable; /* of back ends, while control is in touch */
+} outcome_t;
+
+static void play(subject_t subject, uint32_t seed, outcome_t *outcome)
 {
-    world_t w = {.random = g_rand_new_with_seed(seed), .rules = {.window = 8000, .overrun = 0.1, .slack = 190000}};
+    static const cap_rules_t rules[] = {[ON_WORKSPACES] = {.window = 8000, .overrun = 0.1, .slack = 190000},
+                                        [ON_BACKENDS] = {.window = 4000, .overrun = 0.5, .slack = 5, .strict = true}};
+    world_t w = {.random = g_rand_new_with_seed(seed), .subject = subject, .rules = rules[subject]};
     w.boxes_n = (unsigned)g_rand_int_range(w.random, 9, BOXES_MAX);
     w.now = 1000000;
     w.unsettled_until = w.now + 2 * w.rules.window; /* nothing is known yet */
-    make_spaces(&w);
+    if (subject == ON_BACKENDS)
+        make_backends(&w);
+    else
+        make_spaces(&w);
     for (unsigned i = 0; i < WORKSPACES; i++)
         w.spaces[i].hot_at += w.spaces[i].hot_at == TC_TIME_NEVER ? 0 : w.now;
     for (unsigned i = 0; i < w.boxes_n; i++) {
@@ -305,8 +350,11 @@
     while (w.now < end)
         step(&w);
     check(&w, seed);
-    *owed += w.owed;
-    *refused += w.refused;
+    outcome->owed += w.owed;
+    outcome->refused += w.refused;
+    outcome->taken += w.taken;
+    for (unsigned i = 0; i < WORKSPACES; i++)
+        outcome->takeable += w.settled_s * w.spaces[i].cap.rate;
     for (unsigned i = 0; i < w.boxes_n; i++)
         if (w.boxes[i].parts)
             cap_parts_destroy(w.boxes[i].parts);
@@ -323,21 +371,37 @@
     return text ? (unsigned)atoi(text) : 40;
 }
 
+static outcome_t play_all(subject_t subject)
+{
+    outcome_t outcome = {0};
+    for (uint32_t seed = 1; seed <= seeds(); seed++)
+        play(subject, seed, &outcome);
+    return outcome;
+}
+
 /** Within the rules whatever happens, and of what is owed while control is in touch less than 1 in 200 is refused. */
-static void test_caps(void)
+static void test_workspaces(void)
+{
+    const outcome_t outcome = play_all(ON_WORKSPACES);
+    g_test_message("%u seeds: %u owed, %u of them refused", seeds(), outcome.owed, outcome.refused);
+    g_assert_cmpuint(outcome.owed, >, 0);
+    g_assert_cmpuint(outcome.refused * 200, <, outcome.owed);
+}
+
+/** Within the rules whatever happens, and a back end gets at least two thirds of what it takes while control is in
+ * touch. */
+static void test_backends(void)
 {
-    unsigned owed = 0, refused = 0;
-    const unsigned n = seeds();
-    for (uint32_t seed = 1; seed <= n; seed++)
-        play(seed, &owed, &refused);
-    g_test_message("%u seeds: %u owed, %u of them refused", n, owed, refused);
-    g_assert_cmpuint(owed, >, 0);
-    g_assert_cmpuint(refused * 200, <, owed);
+    const outcome_t outcome = play_all(ON_BACKENDS);
+    g_test_message("%u seeds: %.0f could be taken, %.0f were", seeds(), outcome.takeable, outcome.taken);
+    g_assert_cmpfloat(outcome.takeable, >, 0);
+    g_assert_cmpfloat(outcome.taken, >, outcome.takeable * 2 / 3);
 }
 
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/caps-random/windows", test_caps);
+    g_test_add_func("/caps-random/windows", test_workspaces);
+    g_test_add_func("/caps-random/limits", test_backends);
     return g_test_run();
 }
