Requests under which two back ends ended run beside no other suspect

A caller who had sent nothing wrong was held for ten minutes: with four of six decode engines down a request with two ends shared one of the two that were left with the cause of both, of which one end was known, and the next end counted against both. Requests with two ends were kept from each other only.

Now one with two ends runs beside no other suspect, and no suspect beside it, by the scheduler and by boxes that choose alone: its third end has it alone.

--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -232,11 +232,20 @@
 
 /* ===== Choosing ===== */
 
+/** As the scheduler does: a request under which two back ends have ended runs beside no other one under which one has.
+ */
+static bool keeps_apart(const instance_t *instance, unsigned ends)
+{
+    if (ends >= 2)
+        return instance->suspects == 0;
+    return ends == 0 || instance->twice == 0;
+}
+
 /** Whether it could be chosen but for its limit. */
 static bool fits_but_for_limit(const instance_t *instance, const fleet_wish_t *wish)
 {
     if (strcmp(instance->listed.service, wish->service) != 0 || instance->stage != wish->stage ||
-        instance->listed.draining || (wish->ends >= 2 && instance->twice > 0))
+        instance->listed.draining || !keeps_apart(instance, wish->ends))
         return false;
     for (guint i = 0; wish->tried && i < wish->tried->len; i++)
         if (g_ptr_array_index(wish->tried, i) == instance)
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -30,11 +30,13 @@
     return BATCH_COST_MS * e->batch + apart;
 }
 
-/** Requests under which two back ends have ended never run together: the third one that ends then has one of them
- *  alone, and nobody is taken for the cause who was only beside it. */
+/** A request under which two back ends have ended runs beside no other one under which one has: the third one that ends
+ *  then has it alone, and nobody is taken for the cause who was only beside it. */
 static bool keeps_apart(const engine_t *e, const request_t *r)
 {
-    return r->ends < 2 || e->twice == 0;
+    if (r->ends >= 2)
+        return e->suspects == 0;
+    return r->ends == 0 || e->twice == 0;
 }
 
 static bool decode_candidate(const sched_t *s, const engine_t *e, const request_t *r, tc_time_t now)
