--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -77,9 +77,34 @@
     check_random_bursts();
 }
 
+/** Boxes that have all just started, and hear neither of a leader nor of each other, spend no more than the allowance
+ * together. Found by looking where else a sum over boxes is promised: each took itself for the only box, and the whole
+ * allowance for its own. */
+static void test_new_boxes(void)
+{
+    enum { BOXES = 20, STEP = 50 };
+    GArray *const requests = g_array_new(FALSE, FALSE, sizeof(tc_time_t));
+    GArray *const extras = g_array_new(FALSE, FALSE, sizeof(tc_time_t));
+    retry_budget_t budgets[BOXES];
+    retry_sharers_t sharers[BOXES] = {0};
+    for (int i = 0; i < BOXES; i++)
+        retry_budget_init(&budgets[i], 0);
+    for (tc_time_t now = 0; now < 2 * WINDOW; now += STEP) {
+        for (int i = 0; i < BOXES; i++) {
+            const unsigned boxes = retry_sharers_hear(&sharers[i], 0, WINDOW, now);
+            while (retry_budget_spend(&budgets[i], &rules, boxes, now))
+                g_array_append_val(extras, now);
+        }
+    }
+    g_assert_cmpfloat(windows_worst_excess(requests, extras, &rules), <=, 0);
+    g_array_free(requests, TRUE);
+    g_array_free(extras, TRUE);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/retry-budget/sliding-window", test_sliding_window);
+    g_test_add_func("/retry-budget/new-boxes", test_new_boxes);
     return g_test_run();
 }
