How many boxes share is counted in one place, and unknown is many

common/sharers.h keeps how many there are for retry budget, usage caps, limits and the leader's ledger, and answers 90 until a box has heard. A box without any scheduler to hear of is alone as before.

--- a/lib/cap/cap_ledger.c
+++ b/lib/cap/cap_ledger.c
@@ -7,7 +7,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#include "common/retry_budget.h"
+#include "common/sharers.h"
 
 /* ===== Constants ===== */
 
@@ -55,7 +55,7 @@
     GHashTable *told;    /* hash of box, start of it and subject -> told_t */
     GArray *states;      /* cap_state_t, as told to boxes */
     tc_time_t states_at, sweep_at;
-    retry_sharers_t sharers;
+    sharers_t sharers;
     double present;   /* part of what fills buckets that is handed out here */
     tc_time_t led_at; /* since this box leads */
 };
@@ -224,7 +224,7 @@
     }
     l->led_at = now;
     g_hash_table_remove_all(l->told);
-    l->sharers = (retry_sharers_t){0};
+    l->sharers = (sharers_t){0};
     l->present = 1;
     l->states_at = 0;
 }
@@ -240,7 +240,8 @@
 
 void cap_ledger_set_boxes(cap_ledger_t *l, unsigned n, tc_time_t now)
 {
-    const unsigned known = retry_sharers_hear(&l->sharers, n, l->rules.window, now);
+    sharers_hear(&l->sharers, n, l->rules.window, now);
+    const unsigned known = sharers_count(&l->sharers);
     const double present = 1 - MISSING_PART * (double)(known - MIN(n, known)) / known;
     if (present == l->present)
         return;
--- a/lib/cap/cap_parts.c
+++ b/lib/cap/cap_parts.c
@@ -11,12 +11,10 @@
 
 enum {
     MS_PER_S = 1000,
-    TOLD_MS = 500,  /* a leader answers a report each 300 ms: so old, what it told holds without more */
-    FREE_MS = 1500, /* without a leader, a subject that was far from its cap is let in for so long: an election takes
-                       one second */
-    BOXES_UNKNOWN = 90, /* that a box reckons with until it has heard how many there are: after a restart of everything
-                            each would take the whole cap for its own */
-    REST_WINDOWS = 3,   /* what was let in is remembered for so many windows: the leader forgets after two */
+    TOLD_MS = 500,    /* a leader answers a report each 300 ms: so old, what it told holds without more */
+    FREE_MS = 1500,   /* without a leader, a subject that was far from its cap is let in for so long: an election takes
+                         one second */
+    REST_WINDOWS = 3, /* what was let in is remembered for so many windows: the leader forgets after two */
     START_RESTED_MS = 1300, /* a box that starts begins with so much of an equal part: while everything was down nothing
                                was let in */
     DEPTH_MS = 300          /* no more than so long a box's part adds up */
@@ -195,7 +193,7 @@
     const bool led = mechanism_is_on(MECHANISM_CAP_LEADER);
     const bool in_touch = led && !ask->is_leaders && verdict->told_age <= TOLD_MS;
     if (!in_touch && (!led || state || !is_free(c, p, ask->units, draw, now)))
-        return take_part(c, p, ask, boxes > 0 ? boxes : BOXES_UNKNOWN, draw, now, verdict);
+        return take_part(c, p, ask, boxes, draw, now, verdict);
     verdict->why = state && state->over ? "over the cap, as the leader told" : "below the cap, as the leader told";
     if (state && state->over) {
         verdict->after = state->after_ms;
--- a/lib/cap/cap_parts.h
+++ b/lib/cap/cap_parts.h
@@ -44,7 +44,7 @@
 cap_parts_t *cap_parts_create(const cap_rules_t *rules);
 void cap_parts_destroy(cap_parts_t *parts);
 
-/** Whether this box lets a request in by itself; then it counts. @param boxes that share the cap, 0: not known yet
+/** Whether this box lets a request in by itself; then it counts. @param boxes that share the cap, at least 1
  *  @param draw a random number from 0 to 1 */
 bool cap_parts_take(cap_parts_t *parts, const cap_ask_t *ask, unsigned boxes, double draw, tc_time_t now,
                     cap_verdict_t *verdict);
--- a/lib/common/retry_budget.c
+++ b/lib/common/retry_budget.c
@@ -73,15 +73,6 @@
     return true;
 }
 
-unsigned retry_sharers_hear(retry_sharers_t *s, unsigned n, tc_time_t window, tc_time_t now)
-{
-    if (n >= s->n || now - s->seen > window) {
-        s->n = n;
-        s->seen = now;
-    }
-    return s->n > 0 ? s->n : 1;
-}
-
 /* ===== Budgets by service ===== */
 
 GHashTable *retry_budgets_create(void)
--- a/lib/common/retry_budget.h
+++ b/lib/common/retry_budget.h
@@ -58,12 +58,6 @@
     double limit;      /**< and how many may be */
 } retry_budget_view_t;
 
-/** How many boxes share an allowance. Zeroed before the first is heard of. */
-typedef struct {
-    unsigned n;
-    tc_time_t seen; /**< when that many were there last */
-} retry_sharers_t;
-
 /* ===== Rules ===== */
 
 /** The same rules for a part of the budget. @param part from 0 to 1 */
@@ -82,10 +76,6 @@
 retry_budget_view_t retry_budget_view(retry_budget_t *budget, const retry_rules_t *rules, unsigned boxes,
                                       tc_time_t now);
 
-/** So many boxes are there now. @return how many share the allowance: a box that is missing, since it or the leader was
- *  cut off, may still spend its part, so it counts for one window more */
-unsigned retry_sharers_hear(retry_sharers_t *sharers, unsigned n, tc_time_t window, tc_time_t now);
-
 /* ===== Budgets by service ===== */
 
 /** An empty table of them, for g_hash_table_destroy. */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -469,7 +469,6 @@
     fw->fleet = fleet;
     fw->client = client;
     fw->options = *options;
-    fw->boxes = 1;
     fw->budgets = retry_budgets_create();
     fw->quarantine = quarantine_create();
     fw->caps = cap_parts_create(&options->caps);
@@ -514,7 +513,12 @@
 
 void forwarder_set_boxes(forwarder_t *fw, unsigned boxes)
 {
-    fw->boxes = retry_sharers_hear(&fw->sharers, boxes, fw->options.retries.window, tc_time_now());
+    sharers_hear(&fw->sharers, boxes, fw->options.retries.window, tc_time_now());
+}
+
+unsigned forward_boxes(const forwarder_t *fw)
+{
+    return fw->scheduler ? sharers_count(&fw->sharers) : 1; /* without a leader to hear of, there are no others */
 }
 
 quarantine_t *forwarder_quarantine(forwarder_t *fw)
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -58,7 +58,7 @@
 /** The box is to end at @p end. From now on a request is begun only before @p last, and when it is expected to be over
  * by the end; others are refused as not run, and their callers sent to another box at once. Those under way go on. */
 void forwarder_stop(forwarder_t *forwarder, tc_time_t last, tc_time_t end);
-/** How many boxes share the retry allowance. */
+/** So many boxes are there now, by the newest list; 0: none has come yet. */
 void forwarder_set_boxes(forwarder_t *forwarder, unsigned boxes);
 /** What the box knows of requests under which back ends end: for its reports. Lives as long as the forwarder. */
 quarantine_t *forwarder_quarantine(forwarder_t *forwarder);
--- a/lib/forward/forward_cap.c
+++ b/lib/forward/forward_cap.c
@@ -62,9 +62,8 @@
         return true;
     forwarder_t *const fw = f->owner;
     const cap_ask_t ask = ask_of(f);
-    const unsigned boxes = fw->sharers.n > 0 ? fw->boxes : 0;
     cap_verdict_t verdict;
-    if (!cap_parts_take(fw->caps, &ask, boxes, g_rand_double(fw->random), tc_time_now(), &verdict)) {
+    if (!cap_parts_take(fw->caps, &ask, forward_boxes(fw), g_rand_double(fw->random), tc_time_now(), &verdict)) {
         refuse(f, &verdict);
         return false;
     }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -25,6 +25,7 @@
 #include <urcu/list.h>
 
 #include "cluster/limit_table.h"
+#include "common/sharers.h"
 #include "forward/dialect.h"
 #include "forward/forward.h"
 #include "forward/pace.h"
@@ -264,8 +265,7 @@
     bool renews_soon;    /* the renewal that is due lists what this box placed by itself */
     bool renewed_any;    /* the scheduler counts something as ours */
     GHashTable *budgets; /* as retry_budgets_create */
-    retry_sharers_t sharers;
-    unsigned boxes;      /* that share the allowance */
+    sharers_t sharers;   /* how many boxes there are */
     tc_time_t stop_last; /* the box stops: nothing is begun from then on; 0: it does not stop */
     tc_time_t stop_end;  /* and all is over by then */
     GHashTable *paces;   /* service -> pace_t */
@@ -307,6 +307,9 @@
 /** One of the back ends that fit, as a reference, or NULL. */
 instance_t *forward_choose(forward_t *f, stage_t stage);
 
+/** How many boxes share what all of them together may do. */
+unsigned forward_boxes(const forwarder_t *fw);
+
 /** Whether one of them names no limit. */
 bool forward_has_unlimited(forward_t *f, stage_t stage);
 
--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -152,9 +152,9 @@
 {
     cap_t cap;
     const cap_ask_t ask = ask_of(instance, &cap);
-    const unsigned boxes = fw->sharers.n > 0 ? fw->boxes : 0;
     cap_verdict_t verdict;
-    const bool taken = cap_parts_take(fw->limits, &ask, boxes, g_rand_double(fw->random), tc_time_now(), &verdict);
+    const bool taken =
+        cap_parts_take(fw->limits, &ask, forward_boxes(fw), g_rand_double(fw->random), tc_time_now(), &verdict);
     *after = verdict.after;
     if (taken)
         counter_add(&c_own, 1);
--- a/lib/forward/forward_retry.c
+++ b/lib/forward/forward_retry.c
@@ -37,7 +37,8 @@
 {
     const retry_rules_t rules = rules_of(f);
     const tc_time_t now = tc_time_now();
-    if (!retry_budget_spend(retry_budgets_get(f->owner->budgets, f->service, now), &rules, f->owner->boxes, now))
+    if (!retry_budget_spend(retry_budgets_get(f->owner->budgets, f->service, now), &rules, forward_boxes(f->owner),
+                            now))
         return false;
     f->retry.paid++;
     return true;
--- a/tests/random/test_caps_random.c
+++ b/tests/random/test_caps_random.c
@@ -12,6 +12,7 @@
 
 #include "cap/cap_ledger.h"
 #include "cap/cap_parts.h"
+#include "common/sharers.h"
 
 /* ===== World ===== */
 
@@ -225,7 +226,8 @@
         return true;
     }
     cap_verdict_t verdict;
-    if (cap_parts_take(b->parts, &ask, b->told ? w->boxes_n : 0, g_rand_double(w->random), w->now, &verdict))
+    if (cap_parts_take(b->parts, &ask, b->told ? w->boxes_n : SHARERS_UNKNOWN, g_rand_double(w->random), w->now,
+                       &verdict))
         return true;
     g_assert_cmpint(verdict.after, >, 0);
     b->closed_until[i] = w->now + verdict.after;
