Connections of a back end are shared out among boxes

What a plain service's back end takes of all boxes together stood in the configuration and was read by nothing: each box opened as many connections as it had requests, and a back end resets those beyond.

Now a box has its part, whatever it knows of the others, and leaves the back end alone when all that it knows of together use it up. Engines take fewer requests than connections, so they are left out. Two tests: nine boxes before a back end that takes 20 have no more than 20 requests there, where each had as many as it liked; and a back end that others fill gets none.

--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -241,11 +241,21 @@
     return ends == 0 || instance->twice == 0;
 }
 
+/** Whether it takes one more connection, each request being one: of all boxes, as far as they are known, and of this
+ *  box's part of them, whatever is known of the others. Engines take fewer requests than connections. */
+static bool has_connection(const instance_t *instance, const fleet_wish_t *wish)
+{
+    if (wish->connections == 0 || instance->stage != STAGE_NONE)
+        return true;
+    const unsigned part = MAX(wish->connections / wish->boxes, 1);
+    return instance->running < part && instance->running + instance->others < wish->connections;
+}
+
 /** Whether it could be chosen but for its limit. */
 static bool fits_but_for_limit(const instance_t *instance, const fleet_wish_t *wish)
 {
     if (strcmp(instance->listed.service, wish->service) != 0 || instance->stage != wish->stage ||
-        instance->listed.draining || !keeps_apart(instance, wish->ends))
+        instance->listed.draining || !keeps_apart(instance, wish->ends) || !has_connection(instance, wish))
         return false;
     for (guint i = 0; wish->tried && i < wish->tried->len; i++)
         if (g_ptr_array_index(wish->tried, i) == instance)
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -60,6 +60,8 @@
     const GPtrArray *tried; /**< instance_t that are left out */
     unsigned ends;          /**< back ends that ended under the request */
     bool unlimited;         /**< leave out those that name a limit */
+    unsigned connections;   /**< that one back end of a plain service takes of all boxes together; 0: any number */
+    unsigned boxes;         /**< that share them, at least 1 where connections is set */
     tc_time_t now;
     uint32_t draw; /**< a random number, to break ties */
 } fleet_wish_t;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -115,6 +115,8 @@
                           .dc = f->owner->options.dc,
                           .tried = stage == STAGE_PREFILL ? f->tried_prefill : f->tried,
                           .ends = forward_ends(f),
+                          .connections = f->settings->max_connections,
+                          .boxes = forward_boxes(f->owner),
                           .now = tc_time_now(),
                           .draw = g_rand_int(f->owner->random)};
 }
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -169,6 +169,44 @@
     fleet_destroy(f);
 }
 
+/** Promise: all boxes together have no more connections at a back end than it takes, also those that know nothing of
+ * each other: with 9 boxes before 20 connections each had as many as it liked. */
+static void test_connections_are_shared(void)
+{
+    enum { BOXES = 9, TAKES = 20, PLENTY = 50 };
+    const backend_t list[] = {backend("one", "a", "", false)};
+    unsigned open = 0;
+    for (int i = 0; i < BOXES; i++) {
+        fleet_t *const f = fleet_create();
+        fleet_list(f, list, 1, 50);
+        const fleet_wish_t wish = {.service = "s", .dc = "a", .connections = TAKES, .boxes = BOXES, .now = 100};
+        for (int k = 0; k < PLENTY; k++) {
+            instance_t *const chosen = fleet_choose(f, &wish);
+            if (!chosen)
+                continue;
+            instance_begin(chosen, 0, 0);
+            instance_unref(chosen);
+            open++;
+        }
+        fleet_destroy(f);
+    }
+    g_assert_cmpuint(open, >, 0);
+    g_assert_cmpuint(open, <=, TAKES);
+}
+
+/** A box that is known to have them all leaves none to the others. */
+static void test_connections_of_others(void)
+{
+    const backend_t list[] = {backend("one", "a", "", false)};
+    fleet_t *const f = fleet_create();
+    fleet_list(f, list, 1, 50);
+    const backend_load_t load = {.id = "one", .running = 20};
+    fleet_hear_loads(f, &load, 1, false, 60);
+    const fleet_wish_t wish = {.service = "s", .dc = "a", .connections = 20, .boxes = 2, .now = 100};
+    g_assert_null(fleet_choose(f, &wish));
+    fleet_destroy(f);
+}
+
 static void test_failed_is_avoided(void)
 {
     const backend_t list[] = {backend("one", "a", "", false), backend("two", "a", "", false)};
@@ -284,6 +322,8 @@
     g_test_add_func("/retry-budget/while-boxes-are-missing", test_budget_while_boxes_are_missing);
     g_test_add_func("/fleet/choice", test_choice);
     g_test_add_func("/fleet/partial-loads", test_partial_loads);
+    g_test_add_func("/fleet/connections-are-shared", test_connections_are_shared);
+    g_test_add_func("/fleet/connections-of-others", test_connections_of_others);
     g_test_add_func("/fleet/failed-is-avoided", test_failed_is_avoided);
     g_test_add_func("/fleet/choices-spread", test_choices_spread);
     g_test_add_func("/roster/boxes-and-loads", test_roster);
