Soak: workers that name limits, and a deliberate fault that does not hold them

Two plain workers name a limit of 2 to 6 requests a second from the start, others by lot, and a worker that starts again is given three seconds anew; callers of plain answers ask for more than that. Each arrival is judged by the window that ends with it.

--- a/lib/common/sabotage.h
+++ b/lib/common/sabotage.h
@@ -13,6 +13,7 @@
 #define SABOTAGE_FORGET_ENDS 5    /* nothing is held against a request under which back ends end */
 #define SABOTAGE_SLEEPING_CLOCK 6 /* the time for which a machine is suspended does not count */
 #define SABOTAGE_NO_BUDGET 7      /* further arrivals at back ends are always allowed */
+#define SABOTAGE_NO_LIMIT 8       /* limits that back ends name are heard and not held */
 
 #ifdef TRACKCOVE_SABOTAGE
 #define SABOTAGE_IS(which) (TRACKCOVE_SABOTAGE == (which))
--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -7,6 +7,7 @@
 
 #include "common/counter.h"
 #include "common/log.h"
+#include "common/sabotage.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_changes, "counter", "trackcove_forward_limit_changes_total",
@@ -218,7 +219,7 @@
 
 void limit_send(forward_t *f, dialect_ask_t ask, instance_t *instance)
 {
-    if (!instance->limit.is_set) {
+    if (!instance->limit.is_set || SABOTAGE_IS(SABOTAGE_NO_LIMIT)) {
         forward_send(f, ask, instance);
         return;
     }
--- a/tests/platform/soak/engines.c
+++ b/tests/platform/soak/engines.c
@@ -1,5 +1,6 @@
 #include "platform/soak/engines.h"
 #include "platform/soak/fatal.h"
+#include "platform/soak/limits.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -233,11 +234,27 @@
     me->back_at = tc_time_now() + BACK_MIN_MS + world_pick(me->world, BACK_MAX_MS - BACK_MIN_MS);
 }
 
+/** Name the worker's limit, if it has one, in the head of its answer. */
+static void add_limit(const struct worker *me, lab_reply_t *answer)
+{
+    char *const line = limits_header(me);
+    char *const rest = answer->bytes ? strstr(answer->bytes, "\r\n") : NULL;
+    if (rest && line[0]) {
+        char *const bytes = g_strdup_printf("%.*s%s%s", (int)(rest + 2 - answer->bytes), answer->bytes, line, rest + 2);
+        g_free(answer->bytes);
+        answer->bytes = bytes;
+        if (answer->pieces && answer->pieces->len > 0) /* the first one is the head */
+            g_array_index(answer->pieces, lab_piece_t, 0).size += strlen(line);
+    }
+    g_free(line);
+}
+
 static lab_reply_t on_request(void *arg, const char *request)
 {
     struct worker *const me = arg;
     if (g_str_has_prefix(request, "DELETE "))
         return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    limits_arrived(me);
     char *const id = header_of(request, "Attempt-Id");
     char *const expected = header_of(request, "Expect-Instance");
     char *const stage = header_of(request, "Stage");
@@ -257,6 +274,7 @@
         answer = reply(LAB_HANG, "%s", "");
     } else
         answer = serve(me, id, request);
+    add_limit(me, &answer);
     arrivals_note(me->world, me->kind > 0, id, me->kind == 1 && answer.bytes && strstr(answer.bytes, "prefill_handle"));
     g_free(id);
     g_free(expected);
@@ -297,6 +315,7 @@
     g_snprintf(k->id, sizeof(k->id), "i-%d", i);
     char own[32];
     lab_free_addr(own);
+    k->limited = g_array_new(FALSE, FALSE, sizeof(tc_time_t));
     k->backend = lab_backend_start(w->loop, own, on_request, k);
     lab_free_addr(k->addr);
     k->way = proxy_start(w->loop, k->addr, own);
@@ -317,6 +336,7 @@
 void engine_restart(struct worker *k)
 {
     k->back_at = 0;
+    limits_restart(k);
     if (world_pick(k->world, 2)) /* under its id, or another one */
         g_snprintf(k->id, sizeof(k->id), "i-%d.%u", (int)(k - k->world->worker), ++k->lives);
     lab_backend_restart(k->backend);
@@ -327,4 +347,5 @@
 {
     proxy_stop(k->way);
     lab_backend_stop(k->backend);
+    g_array_free(k->limited, TRUE);
 }
--- /dev/null
+++ b/tests/platform/soak/limits.c
@@ -0,0 +1,57 @@
+#include "platform/soak/limits.h"
+
+enum {
+    CONTACT_MS = 3000, /* after a worker first named its limit all boxes hold it */
+    WINDOW_MS = 4000,
+    RATE_MIN = 2, /* of a limit, a second */
+    RATE_MAX = 7
+};
+
+/** Requests in a window: half more than the limit allows, and five. */
+static double allowed(double rate)
+{
+    return 1.5 * rate * WINDOW_MS / 1000 + 5;
+}
+
+void limits_lift(struct worker *k)
+{
+    if (k->limit > 0)
+        world_note(k->world, "worker %s names no limit", k->id);
+    k->limit = 0;
+    g_array_set_size(k->limited, 0);
+}
+
+void limits_restart(struct worker *k)
+{
+    k->named_at = tc_time_now();
+    g_array_set_size(k->limited, 0);
+}
+
+void limits_change(struct worker *k)
+{
+    if (k->limit > 0) {
+        limits_lift(k);
+        return;
+    }
+    k->limit = RATE_MIN + world_pick(k->world, RATE_MAX - RATE_MIN);
+    limits_restart(k);
+    world_note(k->world, "worker %s names a limit of %.0f", k->id, k->limit);
+}
+
+char *limits_header(const struct worker *k)
+{
+    return k->limit > 0 ? g_strdup_printf("Server-Limit: %.1f\r\n", k->limit) : g_strdup("");
+}
+
+void limits_arrived(struct worker *k)
+{
+    const tc_time_t now = tc_time_now();
+    if (k->limit <= 0 || now < k->named_at + CONTACT_MS)
+        return;
+    g_array_append_val(k->limited, now);
+    guint n = 0;
+    for (guint i = k->limited->len; i-- > 0 && now - g_array_index(k->limited, tc_time_t, i) < WINDOW_MS;)
+        n++;
+    if (n > allowed(k->limit))
+        world_broken(k->world, "a worker gets no more than its limit from all boxes together", k->id);
+}
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -16,6 +16,7 @@
 
 #include "platform/soak/engines.h"
 #include "platform/soak/fatal.h"
+#include "platform/soak/limits.h"
 #include "platform/soak/routes.h"
 #include "platform/soak/world.h"
 
@@ -23,7 +24,8 @@
 
 enum {
     TICK_MS = 5,
-    CALLERS_MAX = 48,
+    CALLERS_MAX = 60,
+    PLAIN_CALLERS = 12, /* of these, that ask for nothing but plain answers: more than workers with limits take */
     FAULT_MIN_MS = 250,
     FAULT_MAX_MS = 900,
     PUT_EVERY_MS = 400,
@@ -88,7 +90,7 @@
 static void choose_request(soak_t *s, caller_t *c)
 {
     world_t *const w = s->world;
-    c->kind = (kind_t)world_pick(w, KINDS);
+    c->kind = c - s->callers < PLAIN_CALLERS ? KIND_SAFE : (kind_t)world_pick(w, KINDS);
     c->box = world_pick(w, WORLD_BOXES);
     c->requests = 0;
     g_snprintf(c->name, sizeof(c->name), "t%u", s->started++);
@@ -302,6 +304,13 @@
     return &w->worker[any ? world_pick(w, WORLD_WORKERS) : WORLD_DECODE + world_pick(w, WORLD_WORKERS - WORLD_DECODE)];
 }
 
+/** One that names a limit: any of a plain service, or one of the decode engines, so that streams go on. */
+static struct worker *pick_limited(world_t *w)
+{
+    const int i = world_pick(w, WORLD_PREFILL + 1);
+    return &w->worker[i < WORLD_PREFILL ? i : WORLD_DECODE];
+}
+
 static void trouble_worker(soak_t *s)
 {
     struct worker *const k = pick_worker(s->world);
@@ -385,7 +394,7 @@
     process_t *const p = b->control.program && world_draw(w) < 0.4 ? &b->control : &b->entry;
     const tc_time_t pause = 50 + world_pick(w, 1500);
     s->faults++;
-    switch (world_pick(w, 18)) {
+    switch (world_pick(w, 20)) {
     case 0:
     case 1: process_restart(w, b, p, SIGKILL, pause); break;
     case 2: process_restart(w, b, p, SIGTERM, pause); break;
@@ -402,7 +411,9 @@
     case 13:
     case 14: silence_worker(s); break;
     case 15:
-    case 16: box_suspend(w, b, SUSPEND_MIN_MS + world_pick(w, SUSPEND_MAX_MS - SUSPEND_MIN_MS)); break;
+    case 16: limits_change(pick_limited(w)); break;
+    case 17:
+    case 18: box_suspend(w, b, SUSPEND_MIN_MS + world_pick(w, SUSPEND_MAX_MS - SUSPEND_MIN_MS)); break;
     default: wipe(s, now); break;
     }
 }
@@ -422,6 +433,8 @@
     s->fatals = fatal_create(s->world, s->client);
     for (int i = WORLD_DECODE; i < WORLD_WORKERS; i++)
         s->world->worker[i].trouble = TROUBLE_SHARE;
+    for (int i = 0; i < 2; i++)
+        limits_change(&s->world->worker[i]); /* for long enough to be judged */
 }
 
 static void end_faults(soak_t *s)
@@ -435,6 +448,7 @@
     mend_ways(w);
     for (int i = 0; i < WORLD_WORKERS; i++) {
         w->worker[i].trouble = 0;
+        limits_lift(&w->worker[i]);
         engine_wake(&w->worker[i]);
     }
     for (int i = 0; i < WORLD_BOXES; i++) {
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -79,6 +79,9 @@
         tc_time_t wake_at; /**< it stands still until then; 0: it does not */
         tc_time_t back_at; /**< it has ended and is there again then; 0: it runs */
         unsigned lives;
+        double limit;       /**< requests a second that it takes of all boxes together, as its answers say; 0: any */
+        tc_time_t named_at; /**< it names one since then */
+        GArray *limited;    /**< tc_time_t: requests that reached it once all boxes were to hold that */
     } worker[WORLD_WORKERS];
     GHashTable *tries;            /**< id to try_t */
     GHashTable *streams;          /**< name to record_t */
