Limits in reports: told in a struct of their own, and hurried on only with news

A box that is told limits reports again at once only when it knows something that the leader does not: a limit that changes with each answer had all boxes report twice. What a report is answered with keeps its size, and the smallest rate that is counted stands in one place.

--- a/lib/cluster/limit_table.h
+++ b/lib/cluster/limit_table.h
@@ -13,6 +13,12 @@
 #include "common/time.h"
 #include "gen/schema.h"
 
+/* ===== Constants ===== */
+
+/** A back end that takes less, or nothing, gets so many requests a second all the same: only its answers tell that it
+ *  takes more again. */
+#define LIMIT_RATE_MIN 0.1
+
 /* ===== Types ===== */
 
 typedef struct limit_table limit_table_t;
--- a/lib/cluster/limits.c
+++ b/lib/cluster/limits.c
@@ -11,9 +11,6 @@
     /* How long it is told that a back end names a limit no more: boxes that are cut off hold the limit until then. */
     LIFTED_KEPT_MS = 10000
 };
-/** A back end that takes nothing gets so many requests a second all the same: only its answers tell that it takes more
- *  again. */
-static const double RATE_MIN = 0.1;
 
 struct limits {
     cap_ledger_t *ledger;
@@ -25,7 +22,7 @@
 
 static void add_cap(const limit_entry_t *e, GArray *caps)
 {
-    cap_cfg_t cap = {.rate = MAX(e->rate, RATE_MIN)};
+    cap_cfg_t cap = {.rate = MAX(e->rate, LIMIT_RATE_MIN)};
     codec_copy_string(cap.name, sizeof(cap.name), e->backend);
     g_array_append_val(caps, cap);
 }
@@ -85,15 +82,14 @@
 /** @param hash of what the box was told before */
 static void tell(limits_t *l, uint64_t hash, msg_report_ack_t *ack, tc_time_t now)
 {
-    ack->limit_caps = (cap_state_t *)(uintptr_t)cap_ledger_tell(l->ledger, &ack->limit_caps_n, now);
-    ack->limits_hash = limit_table_hash(l->known);
-    if (hash == ack->limits_hash)
+    ack->limits.caps = (cap_state_t *)(uintptr_t)cap_ledger_tell(l->ledger, &ack->limits.caps_n, now);
+    ack->limits.hash = limit_table_hash(l->known);
+    if (hash == ack->limits.hash)
         return;
     g_array_free(l->told, TRUE);
     l->told = limit_table_news(l->known, now);
-    ack->has_limits = true;
-    ack->limits = (limit_news_t *)(void *)l->told->data;
-    ack->limits_n = l->told->len;
+    ack->limits.list = (limit_news_t *)(void *)l->told->data;
+    ack->limits.list_n = l->told->len;
 }
 
 void limits_take_report(limits_t *l, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -20,8 +20,6 @@
 /* ===== Constants ===== */
 
 enum { ANSWER_MS = 100 /* the leader answers within a round trip; without it the box's own part counts */ };
-/** A back end that takes nothing gets so many requests a second all the same, as the leader counts it. */
-static const double RATE_MIN = 0.1;
 
 /* ===== What is known ===== */
 
@@ -117,18 +115,27 @@
     report->limits_used = cap_parts_report(fw->limits, &report->limits_used_n, tc_time_now());
 }
 
+/** Whether the leader lacks something that this box knows. */
+static bool has_news(const forwarder_t *fw)
+{
+    for (unsigned i = 0; i < fleet_size(fw->fleet); i++)
+        if (is_news(fw, fleet_at(fw->fleet, i)))
+            return true;
+    return false;
+}
+
 bool forwarder_take_limits(forwarder_t *fw, const msg_report_ack_t *ack)
 {
     const tc_time_t now = tc_time_now();
-    if (ack->has_limits) {
+    if (ack->limits.hash != fw->limits_hash) {
         limit_table_clear(fw->limits_told);
-        for (uint32_t i = 0; i < ack->limits_n; i++)
-            (void)limit_table_hear(fw->limits_told, &ack->limits[i], now);
+        for (uint32_t i = 0; i < ack->limits.list_n; i++)
+            (void)limit_table_hear(fw->limits_told, &ack->limits.list[i], now);
         limit_learn_told(fw);
     }
-    fw->limits_hash = ack->limits_hash;
-    const bool is_new = cap_parts_hear(fw->limits, ack->quarantine.term, ack->limit_caps, ack->limit_caps_n, now);
-    return is_new || ack->has_limits; /* the leader may lack what this box knows */
+    fw->limits_hash = ack->limits.hash;
+    const bool is_new = cap_parts_hear(fw->limits, ack->quarantine.term, ack->limits.caps, ack->limits.caps_n, now);
+    return is_new || has_news(fw);
 }
 
 /* ===== This box's part ===== */
@@ -136,7 +143,7 @@
 /** A request to a back end, as caps see it. @param cap filled in, and referred to */
 static cap_ask_t ask_of(const instance_t *instance, cap_t *cap)
 {
-    *cap = (cap_t){.unit = CAP_REQUESTS, .rate = MAX(instance->limit.rate, RATE_MIN)};
+    *cap = (cap_t){.unit = CAP_REQUESTS, .rate = MAX(instance->limit.rate, LIMIT_RATE_MIN)};
     return (cap_ask_t){.name = instance->listed.id, .cap = cap, .units = 1, .is_leaders = true};
 }
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -279,6 +279,13 @@
 };
 const codec_desc_t limit_news_desc = {.name = "limit_news", .size = sizeof(limit_news_t), .fields = limit_news_fields, .n_fields = sizeof(limit_news_fields) / sizeof(limit_news_fields[0])};
 
+static const codec_field_t limits_ack_fields[] = {
+    {.name = "list", .offset = offsetof(limits_ack_t, list), .kind = CODEC_LIST, .sub = &limit_news_desc, .count_offset = offsetof(limits_ack_t, list_n), .min = 0, .max = 0, .def = 0},
+    {.name = "hash", .offset = offsetof(limits_ack_t, hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "caps", .offset = offsetof(limits_ack_t, caps), .kind = CODEC_LIST, .sub = &cap_state_desc, .count_offset = offsetof(limits_ack_t, caps_n), .min = 0, .max = 0, .def = 0},
+};
+const codec_desc_t limits_ack_desc = {.name = "limits_ack", .size = sizeof(limits_ack_t), .fields = limits_ack_fields, .n_fields = sizeof(limits_ack_fields) / sizeof(limits_ack_fields[0])};
+
 static const codec_field_t entry_box_fields[] = {
     {.name = "box", .offset = offsetof(entry_box_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "dc", .offset = offsetof(entry_box_t, dc), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
@@ -643,10 +650,7 @@
     {.name = "entries_base", .offset = offsetof(msg_report_ack_t, entries_base), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "entries_gone", .offset = offsetof(msg_report_ack_t, entries_gone), .kind = CODEC_LIST, .sub = &leaving_cfg_desc, .count_offset = offsetof(msg_report_ack_t, entries_gone_n), .min = 0, .max = 0, .def = 0},
     {.name = "quarantine", .offset = offsetof(msg_report_ack_t, quarantine), .kind = CODEC_STRUCT, .sub = &quarantine_ack_desc, .min = 0, .max = 0, .def = 0},
-    {.name = "has_limits", .offset = offsetof(msg_report_ack_t, has_limits), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
-    {.name = "limits", .offset = offsetof(msg_report_ack_t, limits), .kind = CODEC_LIST, .sub = &limit_news_desc, .count_offset = offsetof(msg_report_ack_t, limits_n), .min = 0, .max = 0, .def = 0},
-    {.name = "limits_hash", .offset = offsetof(msg_report_ack_t, limits_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
-    {.name = "limit_caps", .offset = offsetof(msg_report_ack_t, limit_caps), .kind = CODEC_LIST, .sub = &cap_state_desc, .count_offset = offsetof(msg_report_ack_t, limit_caps_n), .min = 0, .max = 0, .def = 0},
+    {.name = "limits", .offset = offsetof(msg_report_ack_t, limits), .kind = CODEC_STRUCT, .sub = &limits_ack_desc, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -389,6 +389,16 @@
 } limit_news_t;
 extern const codec_desc_t limit_news_desc;
 
+/** What a box is told of back ends that name limits. */
+typedef struct {
+    limit_news_t *list; /**< all that are known, when they differ from what the box was told */
+    uint32_t list_n;
+    uint64_t hash; /**< of that list */
+    cap_state_t *caps; /**< those that are near their limits, or over them */
+    uint32_t caps_n;
+} limits_ack_t;
+extern const codec_desc_t limits_ack_desc;
+
 /** One entry box as it reports itself. */
 typedef struct {
     char box[CODEC_STR_SIZE];
@@ -820,12 +830,7 @@
     leaving_cfg_t *entries_gone;
     uint32_t entries_gone_n;
     quarantine_ack_t quarantine;
-    bool has_limits;
-    limit_news_t *limits; /**< of a leader: all that are known */
-    uint32_t limits_n;
-    uint64_t limits_hash; /**< of that list */
-    cap_state_t *limit_caps; /**< as caps, of back ends with limits */
-    uint32_t limit_caps_n;
+    limits_ack_t limits; /**< of a leader */
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
--- a/tests/unit/test_limits_leader.c
+++ b/tests/unit/test_limits_leader.c
@@ -37,7 +37,7 @@
     msg_report_t message = {.limits = news, .limits_n = news ? 1 : 0, .limits_hash = *hash};
     msg_report_ack_t ack = {0};
     limits_take_report(f->limits, &message, &ack, f->now);
-    *hash = ack.limits_hash;
+    *hash = ack.limits.hash;
     return ack;
 }
 
@@ -65,14 +65,16 @@
     uint64_t hash = 0;
     limit_news_t newer = news_of("a", true, 4, 100), older = news_of("a", true, 9, 500);
     msg_report_ack_t ack = report(f, &newer, &hash);
-    g_assert_true(ack.has_limits);
+    g_assert_cmpuint(ack.limits.list_n, ==, 1);
+    const uint64_t told = hash;
     ack = report(f, &older, &hash);
-    g_assert_false(ack.has_limits); /* nothing has changed */
+    g_assert_cmpuint(hash, ==, told); /* nothing has changed */
+    g_assert_cmpuint(ack.limits.list_n, ==, 0);
     uint64_t none = 0;
     ack = report(f, NULL, &none);
-    g_assert_cmpuint(ack.limits_n, ==, 1);
-    g_assert_cmpfloat(ack.limits[0].rate, ==, 4);
-    g_assert_cmpuint(ack.limits[0].age_ms, ==, 100);
+    g_assert_cmpuint(ack.limits.list_n, ==, 1);
+    g_assert_cmpfloat(ack.limits.list[0].rate, ==, 4);
+    g_assert_cmpuint(ack.limits.list[0].age_ms, ==, 100);
 }
 
 /** A limit that is no longer named is told, so that boxes that hold it let go, and is forgotten after a while. */
@@ -86,8 +88,8 @@
     f->now += 100;
     limit_news_t lifted = news_of("a", false, 0, 0);
     const msg_report_ack_t ack = report(f, &lifted, &hash);
-    g_assert_cmpuint(ack.limits_n, ==, 1);
-    g_assert_false(ack.limits[0].is_set);
+    g_assert_cmpuint(ack.limits.list_n, ==, 1);
+    g_assert_false(ack.limits.list[0].is_set);
     g_assert_true(takes(f, "a"));
     g_assert_cmpuint(count_allowed(f, "a"), >=, 1000);
     f->now += 20000;
@@ -104,8 +106,8 @@
     (void)report(f, &set, &hash);
     limits_begin(f->limits, f->now);
     const msg_report_ack_t ack = report(f, NULL, &hash);
-    g_assert_true(ack.has_limits); /* that there are none: the box tells what it knows */
-    g_assert_cmpuint(ack.limits_n, ==, 0);
+    g_assert_cmpuint(hash, ==, 0); /* there are none: the box tells what it knows */
+    g_assert_cmpuint(ack.limits.list_n, ==, 0);
     (void)report(f, &set, &hash);
     g_assert_cmpuint(count_allowed(f, "a"), <=, 1);
 }
@@ -120,8 +122,8 @@
     const backend_t listed[] = {{.id = "b"}};
     limits_list(f->limits, listed, 1, f->now);
     const msg_report_ack_t ack = report(f, NULL, &hash);
-    g_assert_cmpuint(ack.limits_n, ==, 1);
-    g_assert_cmpstr(ack.limits[0].backend, ==, "b");
+    g_assert_cmpuint(ack.limits.list_n, ==, 1);
+    g_assert_cmpstr(ack.limits.list[0].backend, ==, "b");
 }
 
 /** A back end that takes nothing is asked now and then: only its answers tell that it takes more again. */
