Test of calls that must run once: the one before it leaves control at work

/services/entry-and-leader-die failed once beside load: its first call, which has to run, was refused as not run, and the leading control process had stood still for 1.0 s before. That stand-still is the test before it, which stops two control boxes while a call of its own is refused (1,010 and 1,019 ms in two runs), and wakes them: a leader that was stopped takes itself for one for a moment, and claims wait for the next one. With eight calls put right behind it, the first two of one run of two were refused, the second after 1,228 ms where a claim waits 1,200, and in 18 runs before two waited 671 and 1,097 ms; all others were served. So the refusal is true and allowed, and the test asked too early.

Now test no-control ends when a call is claimed and answered again, at the box that the next one uses; no assertion changes. Forty-five runs before, beside writers to the disk and beside processor load, did not show it, so it was not the disk.

--- a/tests/fault/test_services.c
+++ b/tests/fault/test_services.c
@@ -99,7 +99,7 @@
 {
     char id[] = "entry-and-leader";
     caller_t first = {.entry = "entry-2", .id = id};
-    char type[32];
+    char type[32] = "";
     fault_all("slow", 2000);
     GThread *const thread = g_thread_new("caller", run_caller, &first);
     g_assert_true(cluster_until(has_run, id, 10000));
@@ -122,6 +122,15 @@
     g_assert_true(cluster_wait_ready(cluster, "entry-2", 20000));
 }
 
+/** A call that may not be repeated is claimed and answered, at any entry. */
+static bool is_claimed_again(void *arg)
+{
+    int *const tries = arg;
+    char id[32], type[32];
+    snprintf(id, sizeof(id), "after-no-control-%d", (*tries)++);
+    return call("entry-2", id, type) == 200;
+}
+
 /** Without a control majority a call that may not be repeated is refused, and it truly did not run. */
 static void test_no_control(void)
 {
@@ -135,6 +144,10 @@
     g_assert_nonnull(cluster_leader(cluster, 10000));
     g_assert_cmpint(client_count(cluster, "no-control", "runs"), ==, 0);
     g_assert_true(cluster_wait_ready(cluster, "entry-1", 20000));
+    /* A leader that was stopped takes itself for one for a moment, and claims are refused until the next one is there:
+     * the next test's call was, once, while it has to run. */
+    int tries = 0;
+    g_assert_true(cluster_until(is_claimed_again, &tries, 20000));
 }
 
 /** One slow worker is not taken for dead, a dying one is passed over for a while. */
