Limits: a box hears from the leader that a back end names none any more

A box that had heard of a limit held it until an answer of its own told otherwise, up to its turn at the back end: it took the leader's list anew each time, and what is not set was kept only where it was known. Found by reading; the test of lifted limits now has one box alone ask, and the others hear of it: it hung before and passes since. That rule is the leader's, which has to forget.

A box reports at once only for a limit that the leader does not know: a back end may name another one with each answer, and every box would have reported twenty times a second.

--- a/lib/cluster/limit_table.c
+++ b/lib/cluster/limit_table.c
@@ -28,7 +28,7 @@
 {
     const tc_time_t seen_at = now - (tc_time_t)news->age_ms;
     limit_entry_t *const known = find(t, news->backend);
-    if (known ? seen_at < known->seen_at : !news->is_set)
+    if (known && seen_at < known->seen_at)
         return false;
     const bool same = known && known->is_set == news->is_set && known->rate == news->rate;
     limit_entry_t *const e = known ? known : add(t, news->backend);
--- a/lib/cluster/limit_table.h
+++ b/lib/cluster/limit_table.h
@@ -41,8 +41,7 @@
 /** Know nothing. */
 void limit_table_clear(limit_table_t *table);
 
-/** Take news. That a back end names no limit is kept only where it is known to have named one.
- *  @return whether a limit has changed */
+/** Take news. @return whether what is known has changed */
 bool limit_table_hear(limit_table_t *table, const limit_news_t *news, tc_time_t now);
 /** Drop the entries for which @p fn says so. @return how many */
 unsigned limit_table_drop(limit_table_t *table, limit_entry_fn_t fn, void *arg);
--- a/lib/cluster/limits.c
+++ b/lib/cluster/limits.c
@@ -43,8 +43,11 @@
 static void hear(limits_t *l, const limit_news_t *list, uint32_t n, tc_time_t now)
 {
     bool changed = false;
-    for (uint32_t i = 0; i < n; i++)
+    for (uint32_t i = 0; i < n; i++) {
+        if (!list[i].is_set && !limit_table_find(l->known, list[i].backend))
+            continue; /* as of all that are not known */
         changed = limit_table_hear(l->known, &list[i], now) || changed;
+    }
     if (changed)
         apply(l, now);
 }
--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -115,12 +115,16 @@
     report->limits_used = cap_parts_report(fw->limits, &report->limits_used_n, tc_time_now());
 }
 
-/** Whether the leader lacks something that this box knows. */
-static bool has_news(const forwarder_t *fw)
+/** Whether this box knows of a limit where the leader knows none. Other news can wait for the next report: a back end
+ *  may name another limit with each answer. */
+static bool has_urgent_news(const forwarder_t *fw)
 {
-    for (unsigned i = 0; i < fleet_size(fw->fleet); i++)
-        if (is_news(fw, fleet_at(fw->fleet, i)))
+    for (unsigned i = 0; i < fleet_size(fw->fleet); i++) {
+        const instance_t *const instance = fleet_at(fw->fleet, i);
+        const limit_entry_t *const told = limit_table_find(fw->limits_told, instance->listed.id);
+        if (instance->limit.is_set && !(told && told->is_set) && is_news(fw, instance))
             return true;
+    }
     return false;
 }
 
@@ -135,7 +139,7 @@
     }
     fw->limits_hash = ack->limits.hash;
     const bool is_new = cap_parts_hear(fw->limits, ack->quarantine.term, ack->limits.caps, ack->limits.caps_n, now);
-    return is_new || has_news(fw);
+    return is_new || has_urgent_news(fw);
 }
 
 /* ===== This box's part ===== */
--- a/tests/platform/test_limits.c
+++ b/tests/platform/test_limits.c
@@ -63,6 +63,7 @@
     web_client_t *callers;
     GPtrArray *calls; /* lab_call_t */
     bool asks;
+    bool asks_first;  /* only the first box */
     const char *path; /* that callers ask for */
     unsigned asked;
     uint32_t backends_n;
@@ -237,7 +238,7 @@
 static void ask_somebody(void *arg)
 {
     world_t *const w = arg;
-    const entry_t *const e = &w->entries[g_rand_int_range(w->random, 0, ENTRIES)];
+    const entry_t *const e = &w->entries[w->asks_first ? 0 : g_rand_int_range(w->random, 0, ENTRIES)];
     if (!w->asks || !e->reporter)
         return;
     char *const text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %08x\r\nDeadline-Ms: 3000\r\n"
@@ -425,6 +426,15 @@
     }
 }
 
+static bool knows_no_limit(void *arg)
+{
+    const world_t *const w = arg;
+    for (int i = 0; i < ENTRIES; i++)
+        if (fleet_find(w->entries[i].fleet, "i-0")->limit.is_set)
+            return false;
+    return true;
+}
+
 /** A limit holds for as long as the back end names it: then it has its share again, and all boxes know at once. */
 static void test_lifted(world_t *w, gconstpointer data)
 {
@@ -432,7 +442,10 @@
     start_plain(w, (const double[]){2, -1}, 2);
     ask_for(w, KNOWN_MS + 500);
     w->backends[0].limit = -1;
-    ask_for(w, 2000); /* until some box is allowed a request there, and has told the others */
+    w->asks_first = true; /* the others hear of it from the leader alone */
+    w->asks = true;
+    lab_run_until(w->f.loop, knows_no_limit, w);
+    w->asks_first = false;
     const tc_time_t from = tc_time_now();
     ask_for(w, 1000);
     await_answers(w);
