--- a/Makefile
+++ b/Makefile
@@ -235,6 +235,7 @@
 	@python3 scripts/plots.py
 
 check-docs: ## pages made from data or sources are current
+	@python3 tests/scripts/test_sweep.py -q
 	@python3 scripts/capacity.py --check
 	@python3 scripts/results.py --check
 	@python3 scripts/docs.py --check
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -8,6 +8,8 @@
 import os
 import sys
 
+import sweep
+
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 DATA = os.path.join(ROOT, "bench/results/scale.jsonl")
 PAGE = os.path.join(ROOT, "docs/CAPACITY.md")
@@ -222,7 +224,42 @@
 
 
 PLATFORM = os.path.join(ROOT, "bench/results/platform-sizes.jsonl")
-SWEEP = os.path.join(ROOT, "bench/results/sweep.jsonl")
+
+
+def spread(values):
+    """Least to most of what several sweeps gave; one figure where they agree."""
+    shown = [num(v) for v in sorted(values)]
+    return shown[0] if shown[0] == shown[-1] else f"{shown[0]} to {shown[-1]}"
+
+
+def sweep_section():
+    """What sweeps showed, by deployment; raises SweepError for a figure that no finished sweep gave."""
+    all_rows = sweep.read()
+    heads = [r for r in all_rows if "days" in r]
+    for head in heads:
+        sweep.check(head)
+    out = []
+    for name in dict.fromkeys(h["deployment"] for h in heads):
+        mine = [h for h in heads if h["deployment"] == name]
+        boxes = [d["boxes"] for d in mine[0]["days"]]
+        played = "; ".join(
+            f"{n} boxes: worth {spread([h['days'][i]['worth'] for h in mine])}, "
+            f"served {spread([h['days'][i]['served'] for h in mine])}"
+            + (", RULE BROKEN" if any(h["days"][i]["broken"] for h in mine) else "") for i, n in enumerate(boxes))
+        times = "one sweep" if len(mine) == 1 else f"{len(mine)} sweeps"
+        out += [f"**{name}** ({times}): {played}.", ""]
+        lines = {}
+        for r in all_rows:
+            if r["deployment"] == name and "what" in r:
+                lines.setdefault(r["what"], []).append(r)
+        out += table(["what", *(str(n) for n in boxes), "power", "at 416"],
+                     [[what, *(spread([r["points"][i] for r in rows]) for i in range(len(boxes))),
+                       spread([r["power"] for r in rows]),
+                       "-" if rows[0]["at"] is None else spread([r["at"] for r in rows])]
+                      for what, rows in lines.items()])
+        out += [""]
+    return out
+
 
 
 def platform_section():
@@ -253,16 +290,7 @@
             "boxes, the target of the first deployment; others name none. The day at 300 boxes breaks no rule on any of them.",
             "Not understood: the last line of each table, which moves between 0.5 and 30 s from sweep to sweep. A day of 100 boxes",
             "before 1,000 back ends with a kill of all, played by itself, serves again after 1.9 s.", ""]
-    with open(SWEEP, encoding="utf-8") as handle:
-        sweep = [json.loads(line) for line in handle]
-    for head in [r for r in sweep if "days" in r]:
-        played = "; ".join(f"{d['boxes']} boxes: worth {d['worth']}, served {d['served']}" + (", RULE BROKEN" if d["broken"] else "")
-                           for d in head["days"])
-        out += [f"**{head['deployment']}**: {played}.", ""]
-        out += table(["what", "30", "100", "300", "power", "at 416"],
-                     [[r["what"], *(num(x) for x in r["points"]), r["power"], "-" if r["at"] is None else num(r["at"])]
-                      for r in sweep if r["deployment"] == head["deployment"] and "what" in r])
-        out += [""]
+    out += sweep_section()
     return "\n".join(out) + "\n"
 
 
@@ -299,7 +327,11 @@
     fits = Fits(DATA)
     with open(os.path.join(ROOT, "bench/results/scale.date"), encoding="utf-8") as handle:
         date = handle.read().strip()
-    text = page(fits, date).rstrip("\n") + "\n" + platform_section() + sizes_section()
+    try:
+        text = page(fits, date).rstrip("\n") + "\n" + platform_section() + sizes_section()
+    except sweep.SweepError as error:
+        print(f"docs/CAPACITY.md: {error}")
+        return 1
     if "--check" in sys.argv:
         with open(PAGE, encoding="utf-8") as handle:
             if handle.read() != text:
