Tests: the fake leader stands in one place

Two tests each started a control leader of their own and an entry that reports to it, in the same forty lines; both use leader_lab.h now.

--- a/tests/platform/test_forward_leader.c
+++ b/tests/platform/test_forward_leader.c
@@ -1,18 +1,13 @@
 /* Questions to the leader of the control boxes: what it answers holds for the question that it answers, and for the
  * placement that it names. The leader is a fake one, which answers when it is told to. */
 
-#include "cluster/reporter.h"
-#include "peer/peer.h"
-#include "platform/forward_lab.h"
+#include "platform/leader_lab.h"
 
 enum { CALLS = 4 };
 
 typedef struct {
     fixture_t f;
-    char addr[32];
-    peer_net_t *net;
-    entry_box_t self;
-    reporter_t *reporter;
+    leader_t leader;
     peer_call_t asked[CALLS]; /* for placements, not answered yet */
     unsigned asked_n, awaited;
     unsigned replans;
@@ -24,17 +19,15 @@
 
 static void reply_report(const world_t *w, peer_call_t call)
 {
-    msg_report_ack_t ack = {.leads = true};
-    codec_copy_string(ack.leader, sizeof(ack.leader), w->addr);
-    codec_copy_string(ack.peer, sizeof(ack.peer), w->addr);
-    peer_reply(w->net, call, MSG_REPORT_ACK, &ack);
+    const msg_report_ack_t ack = leader_ack(&w->leader);
+    peer_reply(w->leader.net, call, MSG_REPORT_ACK, &ack);
 }
 
 static void refuse(const world_t *w, peer_call_t call)
 {
     tc_err_t err = {0};
     tc_err_set(&err, TC_E_REFUSED, "test", "", "not played");
-    peer_reply_error(w->net, call, &err);
+    peer_reply_error(w->leader.net, call, &err);
 }
 
 /** What a run given up takes is two arrivals: the prompt's and that of the run behind it. With the second of them the
@@ -42,7 +35,7 @@
 static void lend(world_t *w, peer_call_t call)
 {
     const msg_retry_ack_t ack = {.granted = true};
-    peer_reply(w->net, call, MSG_RETRY_ACK, &ack);
+    peer_reply(w->leader.net, call, MSG_RETRY_ACK, &ack);
     if (++w->lent == 2)
         outer_send(w->engine, "f\r\n" SECOND "\r\n0\r\n\r\n");
 }
@@ -75,7 +68,7 @@
     msg_placed_t placed = {.granted = true, .attempt = question + 1};
     codec_copy_string(placed.prefill, sizeof(placed.prefill), prefill);
     codec_copy_string(placed.decode, sizeof(placed.decode), decode);
-    peer_reply(w->net, w->asked[question], MSG_PLACED, &placed);
+    peer_reply(w->leader.net, w->asked[question], MSG_PLACED, &placed);
 }
 
 static bool was_asked(void *arg)
@@ -92,31 +85,10 @@
 
 /* ===== Life ===== */
 
-static bool is_heard(void *arg)
-{
-    return reporter_leader_heard(((const world_t *)arg)->reporter) > 0;
-}
-
 static void set_up_world(world_t *w, gconstpointer data)
 {
     set_up(&w->f, data);
-    tc_err_t err = {0};
-    lab_free_addr(w->addr);
-    const peer_options_t options = {
-        .box = "leader", .incarnation = 1, .listen = w->addr, .key_file = "", .handler = on_message, .arg = w};
-    w->net = peer_create(w->f.loop, &options, &err);
-    g_assert_nonnull(w->net);
-    codec_copy_string(w->self.box, sizeof(w->self.box), "entry");
-    lab_free_addr(w->self.peer_addr);
-    w->self.incarnation = 1;
-    const char *const controls[] = {w->addr, NULL};
-    const char *const nobody[] = {NULL};
-    const reporter_options_t reports = {.peer_listen = w->self.peer_addr, .controls = controls, .neighbours = nobody};
-    const reporter_events_t events = {.arg = w};
-    w->reporter = reporter_create(w->f.loop, &w->self, &reports, &events, &err);
-    g_assert_nonnull(w->reporter);
-    lab_run_until(w->f.loop, is_heard, w);
-    forwarder_set_scheduler(w->f.forwarder, w->reporter);
+    leader_join(&w->leader, &w->f, on_message, (reporter_events_t){0}, w);
 }
 
 static bool is_idle(void *arg)
@@ -127,8 +99,7 @@
 static void tear_down_world(world_t *w, gconstpointer data)
 {
     lab_run_until(w->f.loop, is_idle, w);
-    reporter_destroy(w->reporter);
-    peer_destroy(w->net);
+    leader_leave(&w->leader);
     tear_down(&w->f, data);
 }
 
--- a/tests/platform/test_workspaces.c
+++ b/tests/platform/test_workspaces.c
@@ -2,10 +2,8 @@
  * that may not know the newest configuration does not say that a key is nobody's, and caps are asked. The leader is a
  * fake one. */
 
-#include "cluster/reporter.h"
 #include "common/log.h"
-#include "peer/peer.h"
-#include "platform/forward_lab.h"
+#include "platform/leader_lab.h"
 
 /** Marked, so that one can be found in whatever was written. */
 #define KEY_A1 "secret-one-of-a"
@@ -15,10 +13,7 @@
 
 typedef struct {
     fixture_t f;
-    char addr[32];
-    peer_net_t *net;
-    entry_box_t self;
-    reporter_t *reporter;
+    leader_t leader;
     document_head_t head; /* that the leader tells of */
     bool silent;          /* the leader answers no report */
     cap_state_t state;    /* that it tells, when it names a workspace */
@@ -61,12 +56,11 @@
 
 static void reply_report(const world_t *w, peer_call_t call)
 {
-    msg_report_ack_t ack = {.leads = true, .head = w->head};
-    codec_copy_string(ack.leader, sizeof(ack.leader), w->addr);
-    codec_copy_string(ack.peer, sizeof(ack.peer), w->addr);
+    msg_report_ack_t ack = leader_ack(&w->leader);
+    ack.head = w->head;
     ack.caps = (cap_state_t *)(uintptr_t)&w->state;
     ack.caps_n = w->state.name[0] ? 1 : 0;
-    peer_reply(w->net, call, MSG_REPORT_ACK, &ack);
+    peer_reply(w->leader.net, call, MSG_REPORT_ACK, &ack);
 }
 
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
@@ -101,14 +95,9 @@
     return true; /* the tests set the routes themselves */
 }
 
-static bool is_heard(void *arg)
-{
-    return reporter_leader_heard(((const world_t *)arg)->reporter) > 0;
-}
-
 static bool is_current(void *arg)
 {
-    return reporter_is_current(((const world_t *)arg)->reporter, 1200);
+    return reporter_is_current(((const world_t *)arg)->leader.reporter, 1200);
 }
 
 static bool is_not_current(void *arg)
@@ -119,26 +108,7 @@
 /** A box with a leader that tells of the document that the box has: one that other boxes have fetched it from. */
 static void join_leader(world_t *w)
 {
-    tc_err_t err = {0};
-    lab_free_addr(w->addr);
-    const peer_options_t options = {
-        .box = "leader", .incarnation = 1, .listen = w->addr, .key_file = "", .handler = on_message, .arg = w};
-    w->net = peer_create(w->f.loop, &options, &err);
-    g_assert_nonnull(w->net);
-    codec_copy_string(w->self.box, sizeof(w->self.box), "entry");
-    lab_free_addr(w->self.peer_addr);
-    w->self.incarnation = 1;
-    const char *const controls[] = {w->addr, NULL};
-    const char *const nobody[] = {NULL};
-    const reporter_options_t reports = {.peer_listen = w->self.peer_addr,
-                                        .controls = controls,
-                                        .neighbours = nobody,
-                                        .caps = forwarder_caps(w->f.forwarder)};
-    const reporter_events_t events = {.on_document = on_document, .arg = w};
-    w->reporter = reporter_create(w->f.loop, &w->self, &reports, &events, &err);
-    g_assert_nonnull(w->reporter);
-    lab_run_until(w->f.loop, is_heard, w);
-    forwarder_set_scheduler(w->f.forwarder, w->reporter);
+    leader_join(&w->leader, &w->f, on_message, (reporter_events_t){.on_document = on_document}, w);
 }
 
 static void set_up_world(world_t *w, gconstpointer data)
@@ -155,10 +125,7 @@
 static void tear_down_world(world_t *w, gconstpointer data)
 {
     lab_run_until(w->f.loop, is_idle, w);
-    if (w->reporter)
-        reporter_destroy(w->reporter);
-    if (w->net)
-        peer_destroy(w->net);
+    leader_leave(&w->leader);
     tear_down(&w->f, data);
 }
 
@@ -366,7 +333,7 @@
     msg_placed_t placed = {.granted = true, .attempt = 1};
     codec_copy_string(placed.prefill, sizeof(placed.prefill), "i-0");
     codec_copy_string(placed.decode, sizeof(placed.decode), "i-1");
-    peer_reply(w->net, w->asked, MSG_PLACED, &placed);
+    peer_reply(w->leader.net, w->asked, MSG_PLACED, &placed);
     lab_run_until_true(f->loop, &c->done);
     g_assert_true(c->status == 401 || c->status == 503);
     lab_call_free(c);
@@ -389,7 +356,7 @@
     g_assert_cmpstr(w->place.cap, ==, "a");
     g_assert_cmpuint(w->place.cap_units, ==, 150); /* both numbers of its count */
     const msg_placed_t placed = {.over_cap = true, .retry_after_ms = 2500};
-    peer_reply(w->net, w->asked, MSG_PLACED, &placed);
+    peer_reply(w->leader.net, w->asked, MSG_PLACED, &placed);
     lab_run_until_true(f->loop, &c->done);
     g_assert_cmpint(c->status, ==, 429);
     g_assert_cmpstr(c->retry_after, ==, "2.500");
