Back ends' answers: what they say of leaving and of calls they want none of is read and told

Two boxes sent 9 and 8 requests to a back end that had asked each of them for 3 s without any. Nothing in the logs told whether a box had heard of that, so that "nobody reads it", "it is kept and a way of sending passes by it" and "they were on their way" looked alike.

No decision rests on it yet.

--- /dev/null
+++ b/lib/backend/availability.c
@@ -0,0 +1,18 @@
+#include "backend/availability.h"
+
+#include <glib.h>
+
+bool availability_hear(availability_t *a, const availability_notice_t *notice, tc_time_t now)
+{
+    const availability_t before = *a;
+    if (notice->leaving && a->leaving_since == 0)
+        a->leaving_since = now;
+    if (notice->retry_after > 0)
+        a->closed_until = MAX(a->closed_until, now + notice->retry_after);
+    return a->leaving_since != before.leaving_since || a->closed_until != before.closed_until;
+}
+
+tc_time_t availability_closed_for(const availability_t *a, tc_time_t now)
+{
+    return now < a->closed_until ? a->closed_until - now : 0;
+}
--- /dev/null
+++ b/lib/backend/availability.h
@@ -0,0 +1,37 @@
+/** @file availability.h
+ * What a back end says of itself in its answers to one box: that it leaves, and until when it wants no calls. Pure: the
+ * time goes in.
+ */
+#ifndef TRACKCOVE_BACKEND_AVAILABILITY_H
+#define TRACKCOVE_BACKEND_AVAILABILITY_H
+
+/* ===== Dependencies ===== */
+
+#include <stdbool.h>
+
+#include "common/time.h"
+
+/* ===== Types ===== */
+
+/** What one answer says. */
+typedef struct {
+    bool leaving;          /**< the back end leaves: it wants no new work */
+    tc_time_t retry_after; /**< it wants no call of this box for so long, ms; 0: it says nothing of that */
+} availability_notice_t;
+
+/** What all answers so far say. Zeroed: nothing. */
+typedef struct {
+    tc_time_t leaving_since; /**< when it first said that it leaves; 0: it did not */
+    tc_time_t closed_until;  /**< it wants no call of this box before; 0: it never said so */
+} availability_t;
+
+/* ===== Public functions ===== */
+
+/** Take what an answer says that came at @p now. Of several times that it asked for the latest end counts.
+ *  @return whether anything has changed */
+bool availability_hear(availability_t *availability, const availability_notice_t *notice, tc_time_t now);
+
+/** Time left for which it wants no call of this box, ms; 0: it takes calls. */
+tc_time_t availability_closed_for(const availability_t *availability, tc_time_t now);
+
+#endif
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backend/availability.h"
 #include "common/err.h"
 #include "common/time.h"
 #include "gen/schema.h"
@@ -127,6 +128,9 @@
 /** Read what the head of an answer says. @param id of the request, "" when it has none */
 void dialect_read_reply(const web_head_t *head, const char *id, dialect_reply_t *reply);
 
+/** Read what the head of any answer, also one to a question of ours, says of the back end itself. */
+availability_notice_t dialect_read_notice(const web_head_t *head);
+
 /** Whether an answer may be one to a question of ours, which has no request's id: one that carries an id is a request's
  *  late answer. */
 bool dialect_answers_question(const web_head_t *head);
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -15,6 +15,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backend/availability.h"
 #include "common/time.h"
 #include "gen/schema.h"
 
@@ -41,12 +42,13 @@
     unsigned twice;    /**< and those under which two have */
     unsigned others;   /**< requests of the other boxes, as last told */
     uint64_t other_tokens;
-    unsigned failures;       /**< in a row */
-    tc_time_t avoid_until;   /**< not chosen before, unless there is no other */
-    GByteArray *kept;        /**< what it last said of the prompts it keeps, or NULL; the adapter's to read */
-    tc_time_t kept_at;       /**< when it said that */
-    instance_limit_t limit;  /**< as the newest answer that this box has heard of says */
-    tc_time_t limited_until; /**< never chosen before: its limit is reached */
+    unsigned failures;           /**< in a row */
+    tc_time_t avoid_until;       /**< not chosen before, unless there is no other */
+    GByteArray *kept;            /**< what it last said of the prompts it keeps, or NULL; the adapter's to read */
+    tc_time_t kept_at;           /**< when it said that */
+    availability_t availability; /**< as its answers to this box say */
+    instance_limit_t limit;      /**< as the newest answer that this box has heard of says */
+    tc_time_t limited_until;     /**< never chosen before: its limit is reached */
     unsigned refs;
 } instance_t;
 
--- a/lib/forward/forward_ask.c
+++ b/lib/forward/forward_ask.c
@@ -51,6 +51,11 @@
 
 /* ===== To an engine ===== */
 
+static void on_engine_head(void *arg, const web_head_t *head)
+{
+    notice_hear(((engine_ask_t *)arg)->instance, head);
+}
+
 engine_ask_t *engine_ask(forward_t *f, instance_t *instance, GByteArray *request, const engine_ask_limits_t *limits,
                          web_ask_fn_t fn)
 {
@@ -62,6 +67,7 @@
                                    .client = f->owner->client,
                                    .addr = instance->listed.addr,
                                    .is_ours = dialect_answers_question,
+                                   .on_head = on_engine_head,
                                    .connect_ms = limits->connect_ms,
                                    .limit_ms = limits->answer_ms};
     web_ask(&e->ask, &where, request, fn, e);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -16,6 +16,7 @@
  *   forward_ask.c     questions to the leader and to engines, for the others
  *   forward_look.c    whether a back end whose answer was lost has ended
  *   forward_limit.c   limits that back ends name for all boxes together
+ *   forward_notice.c  what back ends say of themselves in their answers
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
 #define TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -393,6 +394,11 @@
 /** End all looks: before the forwarder is destroyed. */
 void looks_end(forwarder_t *fw);
 
+/* ===== forward_notice.c ===== */
+
+/** Take what the head of an answer says of its back end. */
+void notice_hear(instance_t *instance, const web_head_t *head);
+
 /* ===== forward_limit.c ===== */
 
 /** Take the limit that the head of an answer names, or that it names none any more. */
--- a/lib/web/web_ask.c
+++ b/lib/web/web_ask.c
@@ -5,6 +5,8 @@
 static web_verdict_t on_head(void *arg, const web_head_t *head)
 {
     web_ask_t *const ask = arg;
+    if (ask->on_head)
+        ask->on_head(ask->arg, head);
     if (ask->is_ours && !ask->is_ours(head))
         return WEB_SKIP;
     ask->status = head->status;
@@ -37,6 +39,7 @@
     ask->status = 0;
     g_byte_array_set_size(ask->body, 0);
     ask->is_ours = where->is_ours;
+    ask->on_head = where->on_head;
     ask->fn = fn;
     ask->arg = arg;
     const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = ask};
--- a/lib/web/web_ask.h
+++ b/lib/web/web_ask.h
@@ -20,6 +20,9 @@
 /** The call has ended; it may be begun again, or freed, from within. */
 typedef void (*web_ask_fn_t)(void *arg, web_ask_end_t how);
 
+/** The head of an answer came over the call's connection, to this call or not; the call goes on. */
+typedef void (*web_ask_head_fn_t)(void *arg, const web_head_t *head);
+
 /** One such call at a time. Zeroed, with a body, before its first use. */
 typedef struct {
     web_call_t *call; /**< NULL when none is under way */
@@ -27,6 +30,7 @@
     GByteArray *body;
     loop_timer_t limit;
     bool (*is_ours)(const web_head_t *head);
+    web_ask_head_fn_t on_head;
     web_ask_fn_t fn;
     void *arg;
 } web_ask_t;
@@ -38,6 +42,7 @@
     const char *addr;                        /**< "IP:port" */
     bool (*is_ours)(const web_head_t *head); /**< whether an answer may be the one to this call: others, which come late
                                                   on a kept connection, are read past; NULL: any may */
+    web_ask_head_fn_t on_head;               /**< or NULL; with the same argument as the end */
     tc_time_t connect_ms;                    /**< for the connection */
     tc_time_t limit_ms;                      /**< for all of it */
 } web_ask_where_t;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -245,6 +245,32 @@
     g_assert_true(reply_of(200, "Attempt-Id", "id1", NULL, NULL).ours);
 }
 
+static availability_notice_t notice_of(int status, const char *name, const char *value)
+{
+    web_headers_t h;
+    web_headers_init(&h);
+    add(&h, name, value);
+    const web_head_t head = {.status = status, .headers = &h};
+    const availability_notice_t notice = dialect_read_notice(&head);
+    web_headers_free(&h);
+    return notice;
+}
+
+static void test_notices(void)
+{
+    g_assert_cmpint(notice_of(503, "Retry-After", "3").retry_after, ==, 3000);
+    g_assert_cmpint(notice_of(429, "retry-after", "0.25").retry_after, ==, 250);
+    g_assert_cmpint(notice_of(200, "Retry-After", "3").retry_after, ==, 0); /* of refusals alone */
+    g_assert_cmpint(notice_of(503, "Retry-After", "1e300").retry_after, ==, 24 * 3600 * 1000);
+    static const char *const wrong[] = {"", "-1", "0", "nan", "soon", "3x", "Fri, 04 Dec 2026 10:00:00 GMT"};
+    for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++)
+        g_assert_cmpint(notice_of(503, "Retry-After", wrong[i]).retry_after, ==, 0);
+    g_assert_true(notice_of(200, "Server-Leaving", "1").leaving);
+    g_assert_true(notice_of(503, "server-leaving", "1").leaving);
+    g_assert_false(notice_of(200, "Server-Leaving", "0").leaving);
+    g_assert_false(notice_of(200, "Server-Load", "1,0,8").leaving);
+}
+
 static void test_facts(void)
 {
     web_headers_t h;
@@ -442,6 +468,7 @@
     g_test_add_func("/platform/forged-headers-stop-here", test_forged_headers_stop_here);
     g_test_add_func("/platform/values-cannot-break-lines", test_values_cannot_break_lines);
     g_test_add_func("/platform/replies", test_replies);
+    g_test_add_func("/platform/notices", test_notices);
     g_test_add_func("/platform/facts", test_facts);
     g_test_add_func("/platform/list-of-back-ends", test_list);
     g_test_add_func("/platform/prefill-handle", test_handle);
