Test, failing: back ends that ask for no calls, or say that they leave, in their answers

Fourteen tests of what a box sends after such an answer, for each kind of call: plain requests, requests that must run once, prompts, streams, questions for memory and for kept prompts, releases of what was read for somebody, and engines that the scheduler names.

--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,7 +1,7 @@
 /** @file forward_lab.h
  * The world of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c,
- * test_stream_random.c and test_stream_silence.c, which alone include it: an entry over loopback, fake back ends that
- * answer by a plan, and callers.
+ * test_stream_random.c, test_stream_silence.c and test_availability.c, which alone include it: an entry over loopback,
+ * fake back ends that answer by a plan, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -109,6 +109,18 @@
     case 'E': /* to HEAD */ return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\n", LAB_KEEP);
     case 'n': return say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
     case 'm': return say("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
+    case 'w': /* wants no calls for a second */
+        return say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", LAB_KEEP);
+    case 'L': /* 'o' of a back end that leaves */
+        return say("HTTP/1.1 200 OK\r\n" SEAL "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok", LAB_KEEP);
+    case 'V': /* 'p' of one */
+        return say("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 28\r\n\r\n"
+                   "{\"prefill_handle\":\"handle1\"}",
+                   LAB_KEEP);
+    case 'Z': /* 'S' of one */
+        return say("HTTP/1.1 200 OK\r\n" SEAL "Server-Leaving: 1\r\nContent-Length: 30\r\n\r\n" FIRST SECOND, LAB_KEEP);
+    case 'I': /* 'H' of one */
+        return say("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 16\r\n\r\n{\"hold\":\"hold1\"}", LAB_KEEP);
     case 'e': return say("HTTP/1.1 500 No\r\n" SEAL "Content-Length: 2\r\n\r\nno", LAB_KEEP);
     case 'r': return say(NULL, LAB_RESET);
     case 'c': return say("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 9\r\n\r\nok", LAB_CLOSE);
--- /dev/null
+++ b/tests/platform/test_availability.c
@@ -0,0 +1,317 @@
+/* Back ends that ask a box for no calls for a while, or say that they leave, in their answers.
+ *
+ * Seen: one of three back ends of a plain service turned a box away and asked it for 3 s without requests; it got 9
+ * more from that box meanwhile, each of which it turned away again. How it came about: a refusal closed a back end for
+ * a fixed 60 ms, whatever its answer said, and what it said was read nowhere; the same held for back ends that say that
+ * they leave. Cause: what a back end tells of itself reached no gate that all calls pass. What proved it: the lines of
+ * these calls name the time that was left, and here, over each kind of call, the calls arrive all the same.
+ */
+
+#include "platform/leader_lab.h"
+
+/** What 'w' asks for. */
+enum { CLOSED_MS = 1000 };
+
+/* ===== Waiting ===== */
+
+static bool has_decode(void *arg)
+{
+    return requests(arg, 1) > 0;
+}
+
+static bool is_idle(void *arg)
+{
+    return forwarder_busy(((fixture_t *)arg)->forwarder) == 0;
+}
+
+static bool is_closed(const fixture_t *f, const char *id)
+{
+    return availability_closed_for(&fleet_find(f->fleet, id)->availability, tc_time_now()) > 0;
+}
+
+static bool has_closed(void *arg)
+{
+    return is_closed(arg, "i-0");
+}
+
+/** Serve calls until the back end's time is over, and then until it gets one. @return how many it got before */
+static unsigned serve_while_closed(fixture_t *f, const char *path, int i, const char *id)
+{
+    unsigned before = requests(f, i);
+    while (is_closed(f, id)) {
+        before = requests(f, i);
+        lab_call_free(call(f, path));
+    }
+    lab_run_for(f->loop, 5);
+    for (unsigned asked = 0; asked < 100 && requests(f, i) <= before; asked++)
+        lab_call_free(call(f, path));
+    return before;
+}
+
+static unsigned count_calls(const fixture_t *f, int i, const char *part)
+{
+    unsigned n = 0;
+    for (const char *at = f->plan[i].seen->str; (at = strstr(at, part)); at++)
+        n++;
+    return n;
+}
+
+/* ===== Calls that are wanted none ===== */
+
+/** One that asks for no calls gets none until its time is over, and its share again behind that. */
+static void test_plain_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "wo", false, false}, {"app", "", "o", true, false}}, 2);
+    expect(f, "/safe/x", 200, "ok");
+    g_assert_true(is_closed(f, "i-0"));
+    g_assert_cmpuint(serve_while_closed(f, "/safe/x", 0, "i-0"), ==, 1);
+    g_assert_cmpuint(requests(f, 0), ==, 2);
+}
+
+/** Of a request that must run once, too: the back end said that it did not run it. */
+static void test_once_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "wo", false, false}, {"app", "", "o", true, false}}, 2);
+    expect(f, "/once/x", 200, "ok");
+    g_assert_cmpuint(serve_while_closed(f, "/once/x", 0, "i-0"), ==, 1);
+}
+
+/** All ask for no calls: callers are refused at once and told when the first one takes calls again. */
+static void test_all_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "w", false, false}, {"app", "", "w", false, false}}, 2);
+    expect(f, "/safe/x", 503, "");
+    for (int i = 0; i < 5; i++) {
+        lab_call_t *const c = call(f, "/safe/x");
+        const tc_time_t left = availability_closed_for(&fleet_find(f->fleet, "i-0")->availability, tc_time_now());
+        g_assert_cmpint(c->status, ==, 503);
+        g_assert_nonnull(c->retry_after);
+        g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL) * 1000 + CLOSED_MS / 10, >=, (double)left);
+        lab_call_free(c);
+    }
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+}
+
+/** A prefill engine and a decode engine ask for no calls: others read and run what comes meanwhile. */
+static void test_engines_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "wp", false, false},
+                                 {"lm", "decode", "wS", false, false},
+                                 {"lm", "prefill", "p", true, false},
+                                 {"lm", "decode", "S", true, false}},
+              4);
+    expect(f, "/lm/x", 200, FIRST SECOND);
+    g_assert_true(is_closed(f, "i-0") && is_closed(f, "i-1"));
+    g_assert_cmpuint(serve_while_closed(f, "/lm/x", 0, "i-0"), ==, 1);
+    g_assert_cmpuint(count_calls(f, 1, "Kv-From: "), >=, 1);
+    g_assert_cmpuint(serve_while_closed(f, "/lm/x", 1, "i-1"), <=, requests(f, 1));
+}
+
+/** All decode engines ask for no calls: no prompt is read for nothing. */
+static void test_decodes_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f, "lm", "p", "w", "w");
+    expect(f, "/lm/x", 503, NULL);
+    const unsigned read = requests(f, 0);
+    for (int i = 0; i < 5; i++)
+        expect(f, "/lm/x", 503, NULL);
+    g_assert_cmpuint(requests(f, 0), ==, read);
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, 1);
+}
+
+/** A question for memory is a call, and its answer is one, too. */
+static void test_hold_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f, "held", "p", "w", "HSHS");
+    expect(f, "/held/x", 200, FIRST SECOND);
+    expect(f, "/held/x", 200, FIRST SECOND);
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, 4);
+}
+
+/** So is the question which prompts an engine keeps. */
+static void test_kept_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f, "lm", "p", "wS", "SlU");
+    expect(f, "/lm/x", 200, FIRST SECOND);
+    lab_call_t *const c = begin_with(f, "/again/x", "Last-Event-Id: 1\r\nPrompt-Prefix: a1:10,b2:90\r\n");
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->status, ==, 200);
+    lab_call_free(c);
+    g_assert_cmpuint(count_calls(f, 1, "GET /kv-list "), ==, 0);
+    g_assert_cmpuint(count_calls(f, 2, "GET /kv-list "), ==, 1);
+}
+
+/** And that an engine may drop what it read for somebody: it does so by itself soon after. */
+static void test_release_closed(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f, "lm", "pw", "h", NULL);
+    lab_call_t *const c = begin(f, "/lm/x");
+    lab_run_until(f->loop, has_decode, f);
+    lab_call_t *const other = begin(f, "/lm/x");
+    lab_run_until(f->loop, has_closed, f);
+    web_call_cancel(c->call);
+    web_call_cancel(other->call);
+    lab_run_until(f->loop, is_idle, f);
+    lab_run_for(f->loop, 30);
+    g_assert_cmpuint(count_calls(f, 0, "DELETE "), ==, 0);
+    lab_call_free(other);
+    lab_call_free(c);
+}
+
+/* ===== Leaving ===== */
+
+/** One that says that it leaves gets no request from then on, whatever the list says, and what it runs is delivered. */
+static void test_plain_leaving(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "L", false, false}, {"app", "", "o", true, false}}, 2);
+    for (int i = 0; i < 10; i++)
+        expect(f, "/safe/x", 200, "ok");
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+}
+
+/** A second request that was to go there over the same refusal, and one that waits for a retry. */
+static void test_engines_leaving(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "V", false, false},
+                                 {"lm", "decode", "Z", false, false},
+                                 {"lm", "prefill", "p", true, false},
+                                 {"lm", "decode", "S", true, false}},
+              4);
+    for (int i = 0; i < 5; i++)
+        expect(f, "/lm/x", 200, FIRST SECOND);
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+}
+
+/** An engine that sets memory aside and says in that answer that it leaves gets no request for it. */
+static void test_hold_leaving(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f, "held", "p", "I", "HS");
+    expect(f, "/held/x", 200, FIRST SECOND);
+    g_assert_cmpuint(count_calls(f, 1, "\r\nHold: "), ==, 0);
+    g_assert_cmpuint(count_calls(f, 1, "POST /hold-take "), ==, 1);
+}
+
+/** All say that they leave: the list will show others. */
+static void test_all_leaving(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "L", false, false}}, 1);
+    expect(f, "/safe/x", 200, "ok");
+    expect(f, "/safe/x", 503, "");
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+}
+
+/* ===== The leader ===== */
+
+/** A box with a leader that names the same engines for each placement. */
+typedef struct {
+    fixture_t f;
+    leader_t leader;
+    unsigned placed;
+    bool hears_leaving; /* a report named i-1 as leaving, */
+    bool hears_closed;  /* and as one that this box makes no calls to */
+} world_t;
+
+static void grant(world_t *w, peer_call_t call)
+{
+    msg_placed_t placed = {.granted = true, .attempt = ++w->placed};
+    codec_copy_string(placed.prefill, sizeof(placed.prefill), "i-0");
+    codec_copy_string(placed.decode, sizeof(placed.decode), "i-1");
+    peer_reply(w->leader.net, call, MSG_PLACED, &placed);
+}
+
+static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
+{
+    world_t *const w = arg;
+    tc_err_t err = {0};
+    (void)from, (void)message;
+    switch (type) {
+    case MSG_REPORT: {
+        const msg_report_ack_t ack = leader_ack(&w->leader);
+        peer_reply(w->leader.net, call, MSG_REPORT_ACK, &ack);
+        break;
+    }
+    case MSG_PLACE: grant(w, call); break;
+    default:
+        if (call.call == 0)
+            break;
+        tc_err_set(&err, TC_E_REFUSED, "test", "", "not played");
+        peer_reply_error(w->leader.net, call, &err);
+        break;
+    }
+}
+
+static void set_up_world(world_t *w, gconstpointer data)
+{
+    set_up(&w->f, data);
+    leader_join(&w->leader, &w->f, on_message, (reporter_events_t){0}, w);
+}
+
+static void tear_down_world(world_t *w, gconstpointer data)
+{
+    lab_run_until(w->f.loop, is_idle, &w->f);
+    leader_leave(&w->leader);
+    tear_down(&w->f, data);
+}
+
+/** The scheduler counts for all boxes: that it names an engine doesn't open it to a box that is to make no calls. */
+static void test_placed_closed(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_engines(&w->f, "lm", "p", "w", "S");
+    for (int i = 0; i < 5; i++)
+        expect(&w->f, "/lm/x", 200, FIRST SECOND);
+    g_assert_cmpuint(w->placed, ==, 5);
+    g_assert_cmpuint(requests(&w->f, 1), ==, 1);
+    g_assert_cmpuint(requests(&w->f, 2), ==, 5);
+}
+
+/** The same of one that leaves. */
+static void test_placed_leaving(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_engines(&w->f, "lm", "p", "Z", "S");
+    for (int i = 0; i < 5; i++)
+        expect(&w->f, "/lm/x", 200, FIRST SECOND);
+    g_assert_cmpuint(requests(&w->f, 1), ==, 1);
+    g_assert_cmpuint(requests(&w->f, 2), ==, 4);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define TEST(name, fn) g_test_add("/availability/" name, fixture_t, NULL, set_up, fn, tear_down)
+    TEST("plain-closed", test_plain_closed);
+    TEST("once-closed", test_once_closed);
+    TEST("all-closed", test_all_closed);
+    TEST("engines-closed", test_engines_closed);
+    TEST("decodes-closed", test_decodes_closed);
+    TEST("hold-closed", test_hold_closed);
+    TEST("kept-closed", test_kept_closed);
+    TEST("release-closed", test_release_closed);
+    TEST("plain-leaving", test_plain_leaving);
+    TEST("engines-leaving", test_engines_leaving);
+    TEST("hold-leaving", test_hold_leaving);
+    TEST("all-leaving", test_all_leaving);
+#define PLACED(name, fn) g_test_add("/availability/" name, world_t, NULL, set_up_world, fn, tear_down_world)
+    PLACED("placed-closed", test_placed_closed);
+    PLACED("placed-leaving", test_placed_leaving);
+    return g_test_run();
+}
