Calls to back ends pass one gate: none to those that leave or asked for no calls

What callers saw: requests that a back end turned away, since it had asked for a time without any; each cost them a way, and one arrival of the retry budget, without which others failed.

Cause: a refusal closed a back end for a fixed 60 ms, whatever its answer said. No gate stood before all calls: each kind of call asked the list by itself, if at all.

Ruled out: requests on their way (the first came 0.6 s after the answer), and a choice of last resort (two other back ends were there).

Now instance_takes_work is asked by the choice, the scheduler's choice, memory set aside, the engine that keeps a prompt, and questions; step_begin and engine_ask assert it in every build. Releases of what nobody will use pass instance_takes_upkeep: one that leaves takes them, one that wants no calls is left alone, and drops such things by itself. Where all back ends asked for no calls the caller is refused at once and told when the first one takes calls again; a stream so only when that is later than it may wait.

Questions which prompts are kept were not put to an engine that had ever reached its limit, since the choice was made as of time 0: mended with it.

--- a/lib/backend/availability.c
+++ b/lib/backend/availability.c
@@ -12,6 +12,12 @@
     return a->leaving_since != before.leaving_since || a->closed_until != before.closed_until;
 }
 
+bool availability_takes(const availability_t *a, call_purpose_t purpose, tc_time_t now)
+{
+    const bool leaves = a->leaving_since > 0 && purpose == CALL_NEW_WORK;
+    return !leaves && now >= a->closed_until;
+}
+
 tc_time_t availability_closed_for(const availability_t *a, tc_time_t now)
 {
     return now < a->closed_until ? a->closed_until - now : 0;
--- a/lib/backend/availability.h
+++ b/lib/backend/availability.h
@@ -13,6 +13,12 @@
 
 /* ===== Types ===== */
 
+/** What a call to a back end is about. */
+typedef enum {
+    CALL_NEW_WORK, /**< a request, or a question that prepares one */
+    CALL_UPKEEP    /**< what it has already, e.g. memory that nobody will use */
+} call_purpose_t;
+
 /** What one answer says. */
 typedef struct {
     bool leaving;          /**< the back end leaves: it wants no new work */
@@ -31,6 +37,10 @@
  *  @return whether anything has changed */
 bool availability_hear(availability_t *availability, const availability_notice_t *notice, tc_time_t now);
 
+/** Whether it wants such a call now: while it wants none at all, and new work from when it said that it leaves, it is
+ *  sent nothing. */
+bool availability_takes(const availability_t *availability, call_purpose_t purpose, tc_time_t now);
+
 /** Time left for which it wants no call of this box, ms; 0: it takes calls. */
 tc_time_t availability_closed_for(const availability_t *availability, tc_time_t now);
 
--- a/lib/common/sabotage.h
+++ b/lib/common/sabotage.h
@@ -14,6 +14,7 @@
 #define SABOTAGE_SLEEPING_CLOCK 6 /* the time for which a machine is suspended does not count */
 #define SABOTAGE_NO_BUDGET 7      /* further arrivals at back ends are always allowed */
 #define SABOTAGE_NO_LIMIT 8       /* limits that back ends name are heard and not held */
+#define SABOTAGE_NO_NOTICE 9      /* what back ends say of themselves in their answers is not heard */
 
 #ifdef TRACKCOVE_SABOTAGE
 #define SABOTAGE_IS(which) (TRACKCOVE_SABOTAGE == (which))
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/mechanism.h"
+
 /* ===== Constants ===== */
 
 enum {
@@ -45,9 +46,15 @@
     g_free(instance);
 }
 
-bool instance_takes_work(const instance_t *instance)
+bool instance_takes_work(const instance_t *instance, tc_time_t now)
+{
+    return instance->present && !instance->listed.draining &&
+           availability_takes(&instance->availability, CALL_NEW_WORK, now);
+}
+
+bool instance_takes_upkeep(const instance_t *instance, tc_time_t now)
 {
-    return instance->present && !instance->listed.draining;
+    return availability_takes(&instance->availability, CALL_UPKEEP, now);
 }
 
 static void drop(void *instance)
@@ -251,40 +258,56 @@
     return instance->running < part && instance->running + instance->others < wish->connections;
 }
 
-/** Whether it could be chosen but for its limit. */
-static bool fits_but_for_limit(const instance_t *instance, const fleet_wish_t *wish)
+/** Whether it is what is asked for, whatever it takes now. */
+static bool suits(const instance_t *instance, const fleet_wish_t *wish)
 {
-    if (strcmp(instance->listed.service, wish->service) != 0 || instance->stage != wish->stage ||
-        instance->listed.draining || !keeps_apart(instance, wish->ends) || !has_connection(instance, wish))
-        return false;
-    for (guint i = 0; wish->tried && i < wish->tried->len; i++)
-        if (g_ptr_array_index(wish->tried, i) == instance)
-            return false;
-    return true;
+    return strcmp(instance->listed.service, wish->service) == 0 && instance->stage == wish->stage &&
+           !instance->listed.draining && instance->availability.leaving_since == 0 &&
+           keeps_apart(instance, wish->ends) && has_connection(instance, wish);
+}
+
+static bool was_tried(const instance_t *instance, const fleet_wish_t *wish)
+{
+    return wish->tried && g_ptr_array_find((GPtrArray *)(uintptr_t)wish->tried, instance, NULL);
 }
 
 static bool fits(const instance_t *instance, const fleet_wish_t *wish)
 {
     if (wish->now < instance->limited_until || (wish->unlimited && instance->limit.is_set))
         return false;
-    return fits_but_for_limit(instance, wish);
+    return suits(instance, wish) && instance_takes_work(instance, wish->now) && !was_tried(instance, wish);
 }
 
-tc_time_t fleet_limited_until(const fleet_t *f, const fleet_wish_t *wish)
+tc_time_t fleet_opens_at(const fleet_t *f, const fleet_wish_t *wish)
 {
     tc_time_t soonest = TC_TIME_NEVER;
     for (guint i = 0; i < f->instances->len; i++) {
         const instance_t *const instance = g_ptr_array_index(f->instances, i);
-        if (wish->now < instance->limited_until && fits_but_for_limit(instance, wish))
-            soonest = MIN(soonest, instance->limited_until);
+        const tc_time_t opens = MAX(instance->limited_until, instance->availability.closed_until);
+        if (wish->now < opens && suits(instance, wish))
+            soonest = MIN(soonest, opens);
+    }
+    return soonest;
+}
+
+tc_time_t fleet_closed_until(const fleet_t *f, const fleet_wish_t *wish)
+{
+    tc_time_t soonest = 0;
+    for (guint i = 0; i < f->instances->len; i++) {
+        const instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (!suits(instance, wish))
+            continue;
+        if (wish->now >= instance->availability.closed_until)
+            return 0;
+        soonest = soonest ? MIN(soonest, instance->availability.closed_until) : instance->availability.closed_until;
     }
     return soonest;
 }
 
-void fleet_each(const fleet_t *f, const char *service, stage_t stage, void (*fn)(void *arg, instance_t *instance),
-                void *arg)
+void fleet_each(const fleet_t *f, const char *service, stage_t stage, tc_time_t now,
+                void (*fn)(void *arg, instance_t *instance), void *arg)
 {
-    const fleet_wish_t wish = {.service = service, .stage = stage};
+    const fleet_wish_t wish = {.service = service, .stage = stage, .now = now};
     for (guint i = 0; i < f->instances->len; i++) {
         instance_t *const instance = g_ptr_array_index(f->instances, i);
         if (fits(instance, &wish))
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -96,18 +96,23 @@
 instance_t *fleet_find(const fleet_t *fleet, const char *id);
 /** The listed instance at a place below fleet_size, borrowed. */
 instance_t *fleet_at(const fleet_t *fleet, unsigned place);
-/** When the first of those that were left out of a choice for their limits may be chosen; TC_TIME_NEVER: none was. */
-tc_time_t fleet_limited_until(const fleet_t *fleet, const fleet_wish_t *wish);
-/** Run @p fn, which may not change the list, for every instance of the service and stage that is not leaving. The
- *  instance is borrowed. */
-void fleet_each(const fleet_t *fleet, const char *service, stage_t stage, void (*fn)(void *arg, instance_t *instance),
-                void *arg);
+/** When the first of those that take no work now for their limits, or since they asked for no calls, does again;
+ *  TC_TIME_NEVER: there are none. Those that were tried count: who comes back tries anew. */
+tc_time_t fleet_opens_at(const fleet_t *fleet, const fleet_wish_t *wish);
+/** When the first one takes calls again, where all asked for none; 0: one takes calls now, or there is none. */
+tc_time_t fleet_closed_until(const fleet_t *fleet, const fleet_wish_t *wish);
+/** Run @p fn, which may not change the list, for every instance of the service and stage that takes work. The instance
+ *  is borrowed. */
+void fleet_each(const fleet_t *fleet, const char *service, stage_t stage, tc_time_t now,
+                void (*fn)(void *arg, instance_t *instance), void *arg);
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
 
-/** Whether it may get requests: it is listed, and not as one that leaves. What an attempt remembers of an instance is
- *  checked by this before it is used again. */
-bool instance_takes_work(const instance_t *instance);
+/** Whether it may get requests, and questions that prepare them: it is listed, leaves neither by the list nor by its
+ *  answers, and did not ask for no calls. Whatever is remembered of an instance is checked by this before use. */
+bool instance_takes_work(const instance_t *instance, tc_time_t now);
+/** Whether it may get calls about what it has already. */
+bool instance_takes_upkeep(const instance_t *instance, tc_time_t now);
 
 /** One more reference. @return @p instance */
 instance_t *instance_ref(instance_t *instance);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -121,20 +121,21 @@
                           .draw = g_rand_int(f->owner->random)};
 }
 
-/** Other callers that were refused for the same limit come back beside this one: up to so much later. */
-enum { LIMITED_SPREAD_MS = 400 };
+/** Other callers that were refused for the same reason come back beside this one: up to so much later. */
+enum { OPENS_SPREAD_MS = 400 };
 
-/** No back end is left, or those that are have reached their limits: then its caller is told when one takes more. */
+/** No back end is left, or those that are take no work for a while: then its caller is told when one does. */
 static void fail_without_backend(forward_t *f, stage_t stage)
 {
     const fleet_wish_t wish = wish_of(f, stage);
-    const tc_time_t until = fleet_limited_until(f->owner->fleet, &wish);
+    const tc_time_t until = fleet_opens_at(f->owner->fleet, &wish);
     if (until == TC_TIME_NEVER) {
         forward_fail(f, "no back end is left");
         return;
     }
-    const tc_time_t spread = g_rand_int_range(f->owner->random, 0, LIMITED_SPREAD_MS);
-    fail(f, REASON_LIMITED, until - wish.now + spread);
+    const tc_time_t spread = g_rand_int_range(f->owner->random, 0, OPENS_SPREAD_MS);
+    const char *const why = fleet_closed_until(f->owner->fleet, &wish) ? REASON_CLOSED : REASON_LIMITED;
+    fail(f, why, until - wish.now + spread);
 }
 
 void forward_fail_held(forward_t *f)
@@ -238,7 +239,7 @@
 
 void forward_send(forward_t *f, dialect_ask_t ask, instance_t *instance)
 {
-    if (!instance_takes_work(instance)) { /* since it was chosen */
+    if (!instance_takes_work(instance, tc_time_now())) { /* since it was chosen */
         f->asked_again = false;
         instance_unref(instance);
         forward_go_on(f);
@@ -258,7 +259,7 @@
     if (!keeper)
         return false;
     f->locate.instance = NULL; /* once: when it can't, the stream is placed like any other */
-    if (!instance_takes_work(keeper)) {
+    if (!instance_takes_work(keeper, tc_time_now())) {
         instance_unref(keeper);
         return false;
     }
@@ -315,6 +316,13 @@
     send_to(f, f->handle.instance ? DIALECT_DECODE : DIALECT_SERVE, choose_engine(f, STAGE_DECODE));
 }
 
+/** Whether all engines that could answer it asked for no calls for longer than it may wait: it can't be served. */
+static bool is_shut_out(const forward_t *f)
+{
+    const fleet_wish_t wish = wish_of(f, STAGE_DECODE);
+    return fleet_closed_until(f->owner->fleet, &wish) >= place_until(f);
+}
+
 void forward_go_on(forward_t *f)
 {
     if (tc_time_now() >= f->deadline) {
@@ -326,6 +334,10 @@
         return;
     }
     hold_check(f);
+    if (is_shut_out(f)) {
+        fail_without_backend(f, STAGE_DECODE);
+        return;
+    }
     if (locate_ask(f))
         return; /* goes on when the engines have answered */
     if (send_to_keeper(f))
--- a/lib/forward/forward_ask.c
+++ b/lib/forward/forward_ask.c
@@ -59,6 +59,7 @@
 engine_ask_t *engine_ask(forward_t *f, instance_t *instance, GByteArray *request, const engine_ask_limits_t *limits,
                          web_ask_fn_t fn)
 {
+    assert(instance_takes_work(instance, tc_time_now())); /* promise: as of requests */
     engine_ask_t *const e = g_new0(engine_ask_t, 1);
     e->request = f;
     e->instance = instance;
@@ -100,8 +101,12 @@
     (void)arg, (void)how; /* what an engine keeps for us it drops by itself soon after */
 }
 
-void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request)
+void upkeep_call(forwarder_t *fw, const instance_t *instance, GByteArray *request)
 {
+    if (!instance_takes_upkeep(instance, tc_time_now())) {
+        g_byte_array_unref(request); /* an engine drops by itself what nobody takes */
+        return;
+    }
     const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
-    (void)web_call(fw->client, addr, request, true, CONNECT_MS, &sink);
+    (void)web_call(fw->client, instance->listed.addr, request, true, CONNECT_MS, &sink);
 }
--- a/lib/forward/forward_hold.c
+++ b/lib/forward/forward_hold.c
@@ -32,16 +32,14 @@
 void hold_release(forward_t *f)
 {
     drop_question(f);
-    if (f->hold.instance && f->hold.instance->present && tc_time_now() < f->hold.until) {
-        const char *const addr = f->hold.instance->listed.addr;
-        call_and_forget(f->owner, addr, dialect_write_hold_drop(addr, f->hold.name));
-    }
+    if (f->hold.instance && f->hold.instance->present && tc_time_now() < f->hold.until)
+        upkeep_call(f->owner, f->hold.instance, dialect_write_hold_drop(f->hold.instance->listed.addr, f->hold.name));
     hold_forget(f);
 }
 
 void hold_check(forward_t *f)
 {
-    if (f->hold.instance && (tc_time_now() >= f->hold.until || !instance_takes_work(f->hold.instance)))
+    if (f->hold.instance && (tc_time_now() >= f->hold.until || !instance_takes_work(f->hold.instance, tc_time_now())))
         hold_release(f);
 }
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -379,8 +379,9 @@
 /** Drop the question, under way or answered. */
 void engine_ask_free(engine_ask_t *ask);
 
-/** Make a call whose answer changes nothing. @param request taken over */
-void call_and_forget(forwarder_t *fw, const char *addr, GByteArray *request);
+/** Make a call about what a back end has already, whose answer changes nothing, unless it wants no calls at all.
+ *  @param request taken over */
+void upkeep_call(forwarder_t *fw, const instance_t *instance, GByteArray *request);
 
 /* ===== forward_look.c ===== */
 
--- a/lib/forward/forward_locate.c
+++ b/lib/forward/forward_locate.c
@@ -112,7 +112,7 @@
     if (forward_ends(f) > 0)
         return false; /* the engine that kept it has ended, and another is chosen with regard to who runs there */
     f->locate.asked = true;
-    fleet_each(f->owner->fleet, f->service, STAGE_DECODE, ask, f);
+    fleet_each(f->owner->fleet, f->service, STAGE_DECODE, tc_time_now(), ask, f);
     if (f->locate.waiting > 0)
         return true;
     settle(f);
--- a/lib/forward/forward_notice.c
+++ b/lib/forward/forward_notice.c
@@ -2,6 +2,7 @@
 
 #include "common/counter.h"
 #include "common/log.h"
+#include "common/sabotage.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_closed, "counter", "trackcove_forward_backend_closed_total",
@@ -22,6 +23,8 @@
 
 void notice_hear(instance_t *instance, const web_head_t *head)
 {
+    if (SABOTAGE_IS(SABOTAGE_NO_NOTICE))
+        return;
     const availability_notice_t notice = dialect_read_notice(head);
     const bool was_leaving = instance->availability.leaving_since > 0;
     if (!availability_hear(&instance->availability, &notice, tc_time_now()))
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -58,9 +58,9 @@
     if (!f->handle.instance)
         return;
     counter_add(&c_wasted, f->facts.prompt_tokens);
-    const char *const addr = f->handle.instance->listed.addr;
+    const instance_t *const holder = f->handle.instance;
     if (tc_time_now() < f->handle.until)
-        call_and_forget(f->owner, addr, dialect_write_release(addr, f->handle.name));
+        upkeep_call(f->owner, holder, dialect_write_release(holder->listed.addr, f->handle.name));
     handle_forget(f);
 }
 
@@ -463,6 +463,7 @@
 {
     assert(!f->step); /* one call at a time: a request never runs on two back ends by our will */
     const tc_time_t now = tc_time_now();
+    assert(instance_takes_work(instance, now)); /* promise: none to a back end that leaves or asked for no calls */
     counter_add(&c_calls, 1);
     step_t *const s = g_new0(step_t, 1);
     s->request = f;
--- a/lib/forward/reasons.h
+++ b/lib/forward/reasons.h
@@ -11,6 +11,9 @@
 /** Back ends that are left have reached the limits that they name. */
 #define REASON_LIMITED "back ends have reached their limits"
 
+/** All back ends asked this box for no calls. */
+#define REASON_CLOSED "back ends asked for no calls"
+
 /* Back ends ended under it: see cluster/quarantine.h. */
 #define REASON_HELD "back ends ended whenever they ran it" /* it is sent to none */
 #define REASON_ENDS "another back end ended under it"      /* this box repeats it no more */
--- a/tests/platform/test_availability.c
+++ b/tests/platform/test_availability.c
@@ -108,9 +108,11 @@
               4);
     expect(f, "/lm/x", 200, FIRST SECOND);
     g_assert_true(is_closed(f, "i-0") && is_closed(f, "i-1"));
-    g_assert_cmpuint(serve_while_closed(f, "/lm/x", 0, "i-0"), ==, 1);
-    g_assert_cmpuint(count_calls(f, 1, "Kv-From: "), >=, 1);
-    g_assert_cmpuint(serve_while_closed(f, "/lm/x", 1, "i-1"), <=, requests(f, 1));
+    while (is_closed(f, "i-0") && is_closed(f, "i-1")) {
+        g_assert_cmpuint(requests(f, 0), ==, 1);
+        g_assert_cmpuint(requests(f, 1), ==, 1);
+        expect(f, "/lm/x", 200, FIRST SECOND);
+    }
 }
 
 /** All decode engines ask for no calls: no prompt is read for nothing. */
@@ -182,7 +184,7 @@
     g_assert_cmpuint(requests(f, 0), ==, 1);
 }
 
-/** A second request that was to go there over the same refusal, and one that waits for a retry. */
+/** Engines that say so with a prompt that they have read, or with a stream, get no further one. */
 static void test_engines_leaving(fixture_t *f, gconstpointer data)
 {
     (void)data;
