A back end that leaves by its answers gets no new work from any box

What callers saw: after one box had heard that a back end leaves, others sent to it until the platform's list showed it, up to two seconds later.

Cause: what an answer says stayed with the box that got it. Now a box tells it with its reports, at once, until its own list shows it; the leader tells the back end to all boxes and to its scheduler as leaving, as it does with those that were found to have ended. A new leader is told again. A box that heard it itself holds to it whatever it is told.

A back end that a list shows as ready, read 10 s or more after it said so, has been started again under its name, and gets work again: by then a list shows who leaves (its delay is about a second). While no list can be read nothing changes.

Tests: the leader is told and tells all, also the next leader and a box that has just started; a list read too early changes nothing.

--- a/lib/backend/availability.c
+++ b/lib/backend/availability.c
@@ -12,6 +12,12 @@
     return a->leaving_since != before.leaving_since || a->closed_until != before.closed_until;
 }
 
+void availability_listed_ready(availability_t *a, tc_time_t fetched)
+{
+    if (a->leaving_since > 0 && fetched - a->leaving_since >= AVAILABILITY_LISTED_MS)
+        a->leaving_since = 0;
+}
+
 bool availability_takes(const availability_t *a, call_purpose_t purpose, tc_time_t now)
 {
     const bool leaves = a->leaving_since > 0 && purpose == CALL_NEW_WORK;
--- a/lib/backend/availability.h
+++ b/lib/backend/availability.h
@@ -11,6 +11,12 @@
 
 #include "common/time.h"
 
+/* ===== Constants ===== */
+
+/** A back end that says in its answers that it leaves is listed so within this time. One that a list read later shows
+ *  as ready has been started again under its name, or goes on. */
+#define AVAILABILITY_LISTED_MS 10000
+
 /* ===== Types ===== */
 
 /** What a call to a back end is about. */
@@ -37,6 +43,9 @@
  *  @return whether anything has changed */
 bool availability_hear(availability_t *availability, const availability_notice_t *notice, tc_time_t now);
 
+/** The list of back ends, as read at @p fetched, shows it as one that does not leave. */
+void availability_listed_ready(availability_t *availability, tc_time_t fetched);
+
 /** Whether it wants such a call now: while it wants none at all, and new work from when it said that it leaves, it is
  *  sent nothing. */
 bool availability_takes(const availability_t *availability, call_purpose_t purpose, tc_time_t now);
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -287,7 +287,7 @@
     }
     replica_pump(r);
     roster_expire(r->roster, now);
-    reports_expire_ended(r, now);
+    reports_expire_withdrawn(r, now);
     held_tick(r, now);
     note_lead(r, now);
     offers_look(r, now);
@@ -422,7 +422,7 @@
     r->writer = log_writer_create(store);
     r->roster = roster_create();
     r->told = list_history_create(sizeof(backend_t));
-    r->ended = g_array_new(FALSE, TRUE, sizeof(ended_t));
+    r->withdrawn = g_array_new(FALSE, TRUE, sizeof(withdrawn_t));
     r->quarantine = quarantine_create();
     held_load(r);
     CDS_INIT_LIST_HEAD(&r->offers);
@@ -464,7 +464,7 @@
     g_strfreev(r->seeds);
     free(r->backends);
     list_history_destroy(r->told);
-    g_array_free(r->ended, TRUE);
+    g_array_free(r->withdrawn, TRUE);
     quarantine_destroy(r->quarantine);
     free(r->moving);
     g_free(r);
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -17,11 +17,12 @@
 
 /* ===== Types ===== */
 
-/** A back end that has ended. */
+/** A back end that has ended, or that says itself that it leaves. */
 typedef struct {
     char id[CODEC_STR_SIZE];
-    tc_time_t until; /* it is told as leaving */
-} ended_t;
+    tc_time_t until; /* it is told as leaving, */
+    bool by_list;    /* and until a list that was read then shows otherwise */
+} withdrawn_t;
 
 /** What an offer waits for. */
 typedef enum {
@@ -71,7 +72,7 @@
     leaving_cfg_t *moving; /* engines that change their role */
     uint32_t moving_n;
     tc_time_t backends_fetched; /* 0: never */
-    GArray *ended;              /* ended_t: back ends that boxes found to have ended, and that may still be listed */
+    GArray *withdrawn;          /* withdrawn_t: back ends that boxes found to be so, and that may be listed as ready */
     quarantine_t *quarantine;
     store_t *store;     /* the writer's */
     uint64_t held_kept; /* quarantine_version that is on disk, */
@@ -119,8 +120,8 @@
 
 /* ===== replica_reports.c ===== */
 
-/** Back ends that have ended are listed as usual when they still are after so long. */
-void reports_expire_ended(replica_t *r, tc_time_t now);
+/** Back ends that were withdrawn are told as they are listed after a while. */
+void reports_expire_withdrawn(replica_t *r, tc_time_t now);
 
 /** Answer a box's report with what it lacks. */
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now);
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "backend/availability.h"
 #include "cluster/list.h"
 #include "cluster/replica_internal.h"
 #include "common/counter.h"
@@ -36,22 +37,24 @@
 
 /* ===== Back ends ===== */
 
-static bool has_ended(const replica_t *r, const char *id)
+static withdrawn_t *find_withdrawn(const replica_t *r, const char *id)
 {
-    for (guint i = 0; i < r->ended->len; i++)
-        if (strcmp(g_array_index(r->ended, ended_t, i).id, id) == 0)
-            return true;
-    return false;
+    for (guint i = 0; i < r->withdrawn->len; i++) {
+        withdrawn_t *const w = &g_array_index(r->withdrawn, withdrawn_t, i);
+        if (strcmp(w->id, id) == 0)
+            return w;
+    }
+    return NULL;
 }
 
-/** Make the list as boxes and the scheduler get it: engines that change their role, and back ends that have ended, are
- *  told as leaving. */
+/** Make the list as boxes and the scheduler get it: engines that change their role, and back ends that were withdrawn,
+ *  are told as leaving. */
 static void tell_backends(replica_t *r)
 {
     backend_t *const list = list_copy(r->backends, r->backends_n * sizeof(*list));
     for (uint32_t i = 0; i < r->backends_n; i++)
         list[i].draining =
-            list[i].draining || list_has_name(r->moving, r->moving_n, list[i].id) || has_ended(r, list[i].id);
+            list[i].draining || list_has_name(r->moving, r->moving_n, list[i].id) || find_withdrawn(r, list[i].id);
     (void)list_history_set(r->told, list, r->backends_n);
     free(list);
     uint32_t n;
@@ -84,25 +87,51 @@
     tell_backends(r);
 }
 
+static void withdraw(replica_t *r, const char *backend, tc_time_t until, bool by_list)
+{
+    withdrawn_t *const known = find_withdrawn(r, backend);
+    if (known) {
+        known->by_list = known->by_list || by_list;
+        known->until = MAX(known->until, until);
+        return;
+    }
+    withdrawn_t fresh = {.until = until, .by_list = by_list};
+    codec_copy_string(fresh.id, sizeof(fresh.id), backend);
+    g_array_append_val(r->withdrawn, fresh);
+    tell_backends(r);
+}
+
 /** A box found that a back end ended. */
 static void on_end(void *arg, const char *backend, tc_time_t at)
 {
     replica_t *const r = arg;
-    ended_t ended = {.until = at + ENDED_MS};
-    if (r->backends_fetched == 0 || tc_time_now() >= ended.until || has_ended(r, backend))
-        return;
-    codec_copy_string(ended.id, sizeof(ended.id), backend);
-    g_array_append_val(r->ended, ended);
-    tell_backends(r);
+    if (r->backends_fetched > 0 && tc_time_now() < at + ENDED_MS)
+        withdraw(r, backend, at + ENDED_MS, false);
 }
 
-void reports_expire_ended(replica_t *r, tc_time_t now)
+/** Take what answers told a box of back ends that leave. */
+static void take_notices(replica_t *r, const msg_report_t *report, tc_time_t now)
 {
-    const guint before = r->ended->len;
-    for (guint i = r->ended->len; i-- > 0;)
-        if (now >= g_array_index(r->ended, ended_t, i).until)
-            g_array_remove_index_fast(r->ended, i);
-    if (r->ended->len != before)
+    for (uint32_t i = 0; i < report->notices_n; i++) {
+        const backend_notice_t *const notice = &report->notices[i];
+        const tc_time_t until = now - (tc_time_t)notice->leaving_age_ms + AVAILABILITY_LISTED_MS;
+        if (notice->leaving && r->backends_fetched > 0 && r->backends_fetched < until)
+            withdraw(r, notice->backend, until, true);
+    }
+}
+
+static bool is_over(const replica_t *r, const withdrawn_t *w, tc_time_t now)
+{
+    return now >= w->until && (!w->by_list || r->backends_fetched >= w->until);
+}
+
+void reports_expire_withdrawn(replica_t *r, tc_time_t now)
+{
+    const guint before = r->withdrawn->len;
+    for (guint i = r->withdrawn->len; i-- > 0;)
+        if (is_over(r, &g_array_index(r->withdrawn, withdrawn_t, i), now))
+            g_array_remove_index_fast(r->withdrawn, i);
+    if (r->withdrawn->len != before)
         tell_backends(r);
 }
 
@@ -211,7 +240,9 @@
     ack.head = document_head(&r->document);
     codec_copy_string(ack.peer, sizeof(ack.peer), r->self.peer);
     if (ack.leads)
-        quarantine_take_news(r->quarantine, &report->quarantine, now, on_end, r); /* may change the list told below */
+        quarantine_take_news(r->quarantine, &report->quarantine, now, on_end, r); /* may change the list told below, */
+    if (ack.leads)
+        take_notices(r, report, now); /* as well */
     add_backends(r, report, &ack, now);
     if (ack.leads)
         add_boxes(r, report, &ack, raft_view(r->raft).leader_since, now);
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -183,8 +183,8 @@
         quarantine_fill_news(r->quarantine, &report.quarantine, tc_time_now());
     if (r->caps)
         report.used = cap_parts_report(r->caps, &report.used_n, tc_time_now());
-    if (r->events.fill_limits)
-        r->events.fill_limits(r->events.arg, &report);
+    if (r->events.fill_report)
+        r->events.fill_report(r->events.arg, &report);
     r->waiting = true;
     r->hurry = false;
     ask(r, r->target, &report, on_answer);
@@ -193,6 +193,7 @@
     free(report.used);
     free(report.limits);
     free(report.limits_used);
+    free(report.notices);
 }
 
 /* ===== Learning ===== */
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -32,8 +32,8 @@
     void (*on_backends)(void *arg, const backend_t *list, uint32_t n);
     /** What all other boxes together have in flight, after each answer of a leader. */
     void (*on_loads)(void *arg, const backend_load_t *loads, uint32_t n, bool partial);
-    /** Fill in what leaders are to know of back ends' limits: limits, limits_hash and limits_used. */
-    void (*fill_limits)(void *arg, msg_report_t *report);
+    /** Fill in what leaders are to know of back ends by their answers: limits, limits_hash, limits_used, notices. */
+    void (*fill_report)(void *arg, msg_report_t *report);
     /** A leader answered that report: take what it tells of them. @return whether it is to be told more at once */
     bool (*take_limits)(void *arg, const msg_report_ack_t *ack);
     /** @return what this box has in flight, for free() */
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -168,6 +168,8 @@
             instance->avoid_until = 0; /* what it refused, it refused in its other role */
         instance->listed = list[i];
         instance->stage = stage_of(list[i].stage);
+        if (!list[i].draining)
+            availability_listed_ready(&instance->availability, fetched);
         g_ptr_array_add(fresh, instance);
     }
     for (guint i = 0; i < f->instances->len; i++)
@@ -181,6 +183,11 @@
 void fleet_list_same(fleet_t *f, tc_time_t fetched)
 {
     f->listed_at = fetched;
+    for (guint i = 0; i < f->instances->len; i++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, i);
+        if (!instance->listed.draining)
+            availability_listed_ready(&instance->availability, fetched);
+    }
 }
 
 tc_time_t fleet_list_age(const fleet_t *f, tc_time_t now)
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -64,9 +64,9 @@
 quarantine_t *forwarder_quarantine(forwarder_t *forwarder);
 /** What the box lets in of workspaces with usage caps: for its reports. Lives as long as the forwarder. */
 cap_parts_t *forwarder_caps(forwarder_t *forwarder);
-/** What leaders are to know of back ends' limits, for a report: fills in its limits, limits_hash and limits_used, for
- *  free(). */
-void forwarder_fill_limits(forwarder_t *forwarder, msg_report_t *report);
+/** What leaders are to know of back ends by their answers, for a report: fills in its limits, limits_hash, limits_used
+ *  and notices, for free(). */
+void forwarder_fill_report(forwarder_t *forwarder, msg_report_t *report);
 /** A leader answered that report. @return whether it is to be told more at once */
 bool forwarder_take_limits(forwarder_t *forwarder, const msg_report_ack_t *ack);
 /** Requests under way. */
--- a/lib/forward/forward_ask.c
+++ b/lib/forward/forward_ask.c
@@ -53,7 +53,8 @@
 
 static void on_engine_head(void *arg, const web_head_t *head)
 {
-    notice_hear(((engine_ask_t *)arg)->instance, head);
+    const engine_ask_t *const e = arg;
+    notice_hear(e->request->owner, e->instance, head);
 }
 
 engine_ask_t *engine_ask(forward_t *f, instance_t *instance, GByteArray *request, const engine_ask_limits_t *limits,
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -398,12 +398,14 @@
 /* ===== forward_notice.c ===== */
 
 /** Take what the head of an answer says of its back end. */
-void notice_hear(instance_t *instance, const web_head_t *head);
+void notice_hear(forwarder_t *fw, instance_t *instance, const web_head_t *head);
 
 /* ===== forward_limit.c ===== */
 
 /** Take the limit that the head of an answer names, or that it names none any more. */
 void limit_hear(const step_t *s);
+/** What leaders are to know of limits. */
+void limit_fill_report(forwarder_t *fw, msg_report_t *report);
 /** Take what the leader told: back ends may have been listed since. */
 void limit_learn_told(forwarder_t *fw);
 /** Send the request, now or when it is allowed, unless the back end's limit is reached: then forward_go_on follows.
--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -108,7 +108,7 @@
     return list;
 }
 
-void forwarder_fill_limits(forwarder_t *fw, msg_report_t *report)
+void limit_fill_report(forwarder_t *fw, msg_report_t *report)
 {
     report->limits = list_news(fw, &report->limits_n);
     report->limits_hash = fw->limits_hash;
--- a/lib/forward/forward_notice.c
+++ b/lib/forward/forward_notice.c
@@ -21,7 +21,7 @@
     log_end(&line);
 }
 
-void notice_hear(instance_t *instance, const web_head_t *head)
+void notice_hear(forwarder_t *fw, instance_t *instance, const web_head_t *head)
 {
     if (SABOTAGE_IS(SABOTAGE_NO_NOTICE))
         return;
@@ -30,6 +30,44 @@
     if (!availability_hear(&instance->availability, &notice, tc_time_now()))
         return;
     counter_add(&c_closed, notice.retry_after > 0);
-    counter_add(&c_leaving, notice.leaving && !was_leaving);
     log_notice(instance, &notice);
+    if (!notice.leaving || was_leaving)
+        return;
+    counter_add(&c_leaving, 1);
+    if (fw->scheduler)
+        reporter_hurry(fw->scheduler);
+}
+
+/* ===== Reports ===== */
+
+/** @return false, with nothing filled in, when it has nothing to say */
+static bool fill_notice(const instance_t *instance, backend_notice_t *notice, tc_time_t now)
+{
+    const availability_t *const a = &instance->availability;
+    *notice = (backend_notice_t){.leaving = a->leaving_since > 0 && !instance->listed.draining};
+    if (!notice->leaving)
+        return false;
+    notice->leaving_age_ms = (uint64_t)(now - a->leaving_since);
+    codec_copy_string(notice->backend, sizeof(notice->backend), instance->listed.id);
+    return true;
+}
+
+/** @return backend_notice_t, for free() */
+static backend_notice_t *list_notices(const forwarder_t *fw, uint32_t *n)
+{
+    const tc_time_t now = tc_time_now();
+    GArray *const list = g_array_new(FALSE, FALSE, sizeof(backend_notice_t));
+    for (unsigned i = 0; i < fleet_size(fw->fleet); i++) {
+        backend_notice_t notice;
+        if (fill_notice(fleet_at(fw->fleet, i), &notice, now))
+            g_array_append_val(list, notice);
+    }
+    *n = list->len;
+    return (backend_notice_t *)(void *)g_array_free(list, FALSE);
+}
+
+void forwarder_fill_report(forwarder_t *fw, msg_report_t *report)
+{
+    limit_fill_report(fw, report);
+    report->notices = list_notices(fw, &report->notices_n);
 }
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -271,6 +271,13 @@
 };
 const codec_desc_t cap_state_desc = {.name = "cap_state", .size = sizeof(cap_state_t), .fields = cap_state_fields, .n_fields = sizeof(cap_state_fields) / sizeof(cap_state_fields[0])};
 
+static const codec_field_t backend_notice_fields[] = {
+    {.name = "backend", .offset = offsetof(backend_notice_t, backend), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "leaving", .offset = offsetof(backend_notice_t, leaving), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "leaving_age_ms", .offset = offsetof(backend_notice_t, leaving_age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t backend_notice_desc = {.name = "backend_notice", .size = sizeof(backend_notice_t), .fields = backend_notice_fields, .n_fields = sizeof(backend_notice_fields) / sizeof(backend_notice_fields[0])};
+
 static const codec_field_t limit_news_fields[] = {
     {.name = "backend", .offset = offsetof(limit_news_t, backend), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "is_set", .offset = offsetof(limit_news_t, is_set), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
@@ -626,6 +633,7 @@
     {.name = "limits", .offset = offsetof(msg_report_t, limits), .kind = CODEC_LIST, .sub = &limit_news_desc, .count_offset = offsetof(msg_report_t, limits_n), .min = 0, .max = 0, .def = 0},
     {.name = "limits_hash", .offset = offsetof(msg_report_t, limits_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "limits_used", .offset = offsetof(msg_report_t, limits_used), .kind = CODEC_LIST, .sub = &cap_use_desc, .count_offset = offsetof(msg_report_t, limits_used_n), .min = 0, .max = 0, .def = 0},
+    {.name = "notices", .offset = offsetof(msg_report_t, notices), .kind = CODEC_LIST, .sub = &backend_notice_desc, .count_offset = offsetof(msg_report_t, notices_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_desc = {.name = "report", .size = sizeof(msg_report_t), .fields = msg_report_fields, .n_fields = sizeof(msg_report_fields) / sizeof(msg_report_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -380,6 +380,14 @@
 } cap_state_t;
 extern const codec_desc_t cap_state_desc;
 
+/** What a back end says of itself in its answers to a box. */
+typedef struct {
+    char backend[CODEC_STR_SIZE];
+    bool leaving; /**< it leaves, which the list doesn't show yet */
+    uint64_t leaving_age_ms; /**< since it first said so */
+} backend_notice_t;
+extern const codec_desc_t backend_notice_desc;
+
 /** The limit that a back end names for all boxes together, as its newest answer says. */
 typedef struct {
     char backend[CODEC_STR_SIZE];
@@ -798,6 +806,8 @@
     uint64_t limits_hash; /**< of the list of limits it has been told */
     cap_use_t *limits_used; /**< as used, of back ends with limits */
     uint32_t limits_used_n;
+    backend_notice_t *notices; /**< of back ends that have something to say */
+    uint32_t notices_n;
 } msg_report_t;
 extern const codec_desc_t msg_report_desc;
 
--- a/tests/platform/test_availability.c
+++ b/tests/platform/test_availability.c
@@ -210,6 +210,26 @@
     g_assert_cmpuint(count_calls(f, 1, "POST /hold-take "), ==, 1);
 }
 
+/** The list shows it as ready, as read a while after the answer. */
+static void list_again(fixture_t *f, tc_time_t after)
+{
+    backend_t listed = fleet_at(f->fleet, 0)->listed;
+    fleet_list(f->fleet, &listed, 1, tc_time_now() + after);
+}
+
+/** It is listed as leaving soon after it says so. A list that was read long after and shows it as ready is one of a new
+ *  start under its name. */
+static void test_started_again(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "Lo", false, false}}, 1);
+    expect(f, "/safe/x", 200, "ok");
+    list_again(f, AVAILABILITY_LISTED_MS / 2);
+    expect(f, "/safe/x", 503, "");
+    list_again(f, AVAILABILITY_LISTED_MS);
+    expect(f, "/safe/x", 200, "ok");
+}
+
 /** All say that they leave: the list will show others. */
 static void test_all_leaving(fixture_t *f, gconstpointer data)
 {
@@ -227,8 +247,7 @@
     fixture_t f;
     leader_t leader;
     unsigned placed;
-    bool hears_leaving; /* a report named i-1 as leaving, */
-    bool hears_closed;  /* and as one that this box makes no calls to */
+    bool hears_leaving; /* a report named i-1 as leaving */
 } world_t;
 
 static void grant(world_t *w, peer_call_t call)
@@ -239,14 +258,21 @@
     peer_reply(w->leader.net, call, MSG_PLACED, &placed);
 }
 
+static void hear_notices(world_t *w, const msg_report_t *report)
+{
+    for (uint32_t i = 0; i < report->notices_n; i++)
+        w->hears_leaving |= report->notices[i].leaving && strcmp(report->notices[i].backend, "i-1") == 0;
+}
+
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
 {
     world_t *const w = arg;
     tc_err_t err = {0};
-    (void)from, (void)message;
+    (void)from;
     switch (type) {
     case MSG_REPORT: {
         const msg_report_ack_t ack = leader_ack(&w->leader);
+        hear_notices(w, message);
         peer_reply(w->leader.net, call, MSG_REPORT_ACK, &ack);
         break;
     }
@@ -260,10 +286,15 @@
     }
 }
 
+static void fill_report(void *arg, msg_report_t *report)
+{
+    forwarder_fill_report(((world_t *)arg)->f.forwarder, report);
+}
+
 static void set_up_world(world_t *w, gconstpointer data)
 {
     set_up(&w->f, data);
-    leader_join(&w->leader, &w->f, on_message, (reporter_events_t){0}, w);
+    leader_join(&w->leader, &w->f, on_message, (reporter_events_t){.fill_report = fill_report}, w);
 }
 
 static void tear_down_world(world_t *w, gconstpointer data)
@@ -294,6 +325,7 @@
         expect(&w->f, "/lm/x", 200, FIRST SECOND);
     g_assert_cmpuint(requests(&w->f, 1), ==, 1);
     g_assert_cmpuint(requests(&w->f, 2), ==, 4);
+    lab_run_until_true(w->f.loop, &w->hears_leaving);
 }
 
 int main(int argc, char **argv)
@@ -312,6 +344,7 @@
     TEST("engines-leaving", test_engines_leaving);
     TEST("hold-leaving", test_hold_leaving);
     TEST("all-leaving", test_all_leaving);
+    TEST("started-again", test_started_again);
 #define PLACED(name, fn) g_test_add("/availability/" name, world_t, NULL, set_up_world, fn, tear_down_world)
     PLACED("placed-closed", test_placed_closed);
     PLACED("placed-leaving", test_placed_leaving);
--- a/tests/platform/test_limits.c
+++ b/tests/platform/test_limits.c
@@ -154,9 +154,9 @@
     return true; /* the tests set the routes themselves */
 }
 
-static void fill_limits(void *arg, msg_report_t *report)
+static void fill_report(void *arg, msg_report_t *report)
 {
-    forwarder_fill_limits(((entry_t *)arg)->forwarder, report);
+    forwarder_fill_report(((entry_t *)arg)->forwarder, report);
 }
 
 static bool take_limits(void *arg, const msg_report_ack_t *ack)
@@ -192,7 +192,7 @@
                                         .quarantine = forwarder_quarantine(e->forwarder),
                                         .caps = forwarder_caps(e->forwarder)};
     const reporter_events_t events = {
-        .on_document = on_document, .fill_limits = fill_limits, .take_limits = take_limits, .arg = e};
+        .on_document = on_document, .fill_report = fill_report, .take_limits = take_limits, .arg = e};
     e->reporter = reporter_create(w->f.loop, &e->self, &reports, &events, &err);
     g_assert_nonnull(e->reporter);
     forwarder_set_scheduler(e->forwarder, e->reporter);
--- a/tests/unit/test_quarantine_spread.c
+++ b/tests/unit/test_quarantine_spread.c
@@ -1,6 +1,8 @@
-/* Requests under which back ends ended, told between real control boxes and the entry boxes that report to them: what
- * each box found out adds up, over changes of the leader and restarts of everything. */
+/* Requests under which back ends ended, and back ends that one box found to have ended or to leave, told between real
+ * control boxes and the entry boxes that report to them: what each box found out adds up, over changes of the leader
+ * and restarts of everything. */
 
+#include "backend/availability.h"
 #include "unit/cluster_lab.h"
 
 enum { ENTRIES = 3, CULPRIT = 17 };
@@ -14,6 +16,7 @@
         reporter_t *reporter;
         bool leaving; /* the back end that it was told of last is */
         bool told;
+        tc_time_t leaving_since; /* the back end said so in an answer to this box; 0: it did not */
     } entries[ENTRIES];
     unsigned wanted; /* ends that all entry boxes should know of */
 } world_t;
@@ -28,6 +31,18 @@
     e->leaving = list[0].draining;
 }
 
+static void fill_report(void *arg, msg_report_t *report)
+{
+    const struct entry *const e = arg;
+    if (e->leaving_since == 0)
+        return;
+    report->notices = calloc(1, sizeof(*report->notices));
+    g_assert_nonnull(report->notices);
+    report->notices_n = 1;
+    report->notices[0] = (backend_notice_t){
+        .backend = "a", .leaving = true, .leaving_age_ms = (uint64_t)(tc_time_now() - e->leaving_since)};
+}
+
 static void start_entry(world_t *w, int i)
 {
     struct entry *const e = &w->entries[i];
@@ -40,7 +55,7 @@
     codec_copy_string(e->self.peer_addr, sizeof(e->self.peer_addr), own);
     const reporter_options_t options = {
         .peer_listen = own, .controls = w->f.seeds, .neighbours = nobody, .quarantine = e->quarantine};
-    const reporter_events_t events = {.on_backends = on_list, .arg = e};
+    const reporter_events_t events = {.on_backends = on_list, .fill_report = fill_report, .arg = e};
     tc_err_t err = {0};
     e->reporter = reporter_create(w->f.loop, &e->self, &options, &events, &err);
     g_assert_nonnull(e->reporter);
@@ -211,6 +226,38 @@
     lab_run_until(w->f.loop, all_use_it, w);
 }
 
+static void hear_leaving(world_t *w, int i, tc_time_t since)
+{
+    w->entries[i].leaving_since = since;
+    reporter_hurry(w->entries[i].reporter);
+}
+
+/** One that told one box in an answer that it leaves gets no work from the others; and does again when a list that was
+ *  read long after that shows it as ready. */
+static void test_leaving_back_end(world_t *w, gconstpointer data)
+{
+    (void)data;
+    lab_run_until(w->f.loop, all_are_told, w);
+    hear_leaving(w, 1, tc_time_now() - AVAILABILITY_LISTED_MS + 1000);
+    lab_run_until(w->f.loop, all_leave_it, w);
+    lab_run_until(w->f.loop, all_use_it, w);
+}
+
+/** The leader that was told goes: the next one is told again, and tells a box that has just started. */
+static void test_leaving_and_leader_goes(world_t *w, gconstpointer data)
+{
+    (void)data;
+    lab_run_until(w->f.loop, all_are_told, w);
+    hear_leaving(w, 1, tc_time_now());
+    lab_run_until(w->f.loop, all_leave_it, w);
+    stop_box(&w->f, leader(&w->f));
+    lab_run_until(w->f.loop, has_leader, &w->f);
+    stop_entry(&w->entries[0]);
+    start_entry(w, 0);
+    lab_run_until(w->f.loop, all_are_told, w);
+    lab_run_until(w->f.loop, all_leave_it, w);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -220,5 +267,7 @@
     TEST("finder-and-leader-go", test_finder_and_leader_go);
     TEST("everything-restarts", test_everything_restarts);
     TEST("ended-back-end", test_ended_back_end);
+    TEST("leaving-back-end", test_leaving_back_end);
+    TEST("leaving-and-leader-goes", test_leaving_and_leader_goes);
     return g_test_run();
 }
