The scheduler places no request of a box on engines that want no calls of that box

What callers saw: the leader counts for all boxes and did not know that an engine had asked one of them for no calls. It named the engine all the same, the box declined and chose by itself, on lagged loads, where the scheduler's exact count says who has room.

Now a box's report names such engines and the time that is left; the scheduler leaves them out of what it grants to that box alone, for prompts, streams, new choices after a refusal, and decode engines that read a prompt themselves. grant() asserts it. What one request does not get says nothing of others while engines are closed to its box.

Tests: the choice is compared with an exhaustive search over fleets by lot, now with closed engines; left out of one of the two searches, or of what speaks for others, it fails.

--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -219,6 +219,7 @@
         return; /* what it let in is told again to whoever leads */
     cap_ledger_hear(p->caps, report->self.box, report->self.incarnation, report->used, report->used_n, now);
     ack->caps = (cap_state_t *)(uintptr_t)cap_ledger_tell(p->caps, &ack->caps_n, now);
+    sched_set_notices(p->sched, report->self.box, report->notices, report->notices_n, now);
     limits_take_report(p->limits, report, ack, now);
     limits_bind_engines(p->limits, p->sched, now);
 }
--- a/lib/forward/forward_notice.c
+++ b/lib/forward/forward_notice.c
@@ -44,10 +44,11 @@
 static bool fill_notice(const instance_t *instance, backend_notice_t *notice, tc_time_t now)
 {
     const availability_t *const a = &instance->availability;
-    *notice = (backend_notice_t){.leaving = a->leaving_since > 0 && !instance->listed.draining};
-    if (!notice->leaving)
+    *notice = (backend_notice_t){.leaving = a->leaving_since > 0 && !instance->listed.draining,
+                                 .closed_ms = (uint64_t)availability_closed_for(a, now)};
+    if (!notice->leaving && notice->closed_ms == 0)
         return false;
-    notice->leaving_age_ms = (uint64_t)(now - a->leaving_since);
+    notice->leaving_age_ms = notice->leaving ? (uint64_t)(now - a->leaving_since) : 0;
     codec_copy_string(notice->backend, sizeof(notice->backend), instance->listed.id);
     return true;
 }
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -275,6 +275,7 @@
     {.name = "backend", .offset = offsetof(backend_notice_t, backend), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "leaving", .offset = offsetof(backend_notice_t, leaving), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "leaving_age_ms", .offset = offsetof(backend_notice_t, leaving_age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "closed_ms", .offset = offsetof(backend_notice_t, closed_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t backend_notice_desc = {.name = "backend_notice", .size = sizeof(backend_notice_t), .fields = backend_notice_fields, .n_fields = sizeof(backend_notice_fields) / sizeof(backend_notice_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -385,6 +385,7 @@
     char backend[CODEC_STR_SIZE];
     bool leaving; /**< it leaves, which the list doesn't show yet */
     uint64_t leaving_age_ms; /**< since it first said so */
+    uint64_t closed_ms; /**< it wants no calls of this box for so long */
 } backend_notice_t;
 extern const codec_desc_t backend_notice_desc;
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -243,7 +243,7 @@
     s->dcs = g_ptr_array_new_with_free_func(g_free);
     s->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     links_index(s);
-    s->owners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    s->owners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_free);
     s->weights = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     CDS_INIT_LIST_HEAD(&s->queue);
     CDS_INIT_LIST_HEAD(&s->placed);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -182,6 +182,12 @@
 /** The platform's list says that the engine is leaving, or is not. */
 void sched_engine_leaving(sched_t *sched, const char *engine, bool leaving, tc_time_t now);
 
+/** What back ends say of themselves to an entry box: nothing of that box's requests is granted on those that want no
+ *  calls of it, for so long. Replaces what the box said before. */
+void sched_set_notices(sched_t *sched, const char *box, const backend_notice_t *list, uint32_t n, tc_time_t now);
+/** Whether the engine wants calls of the entry box, as far as that has said. */
+bool sched_takes_calls(const sched_t *sched, const char *box, const char *engine, tc_time_t now);
+
 /** From now on no more than @p grants are made on the engine, until this is called again. SCHED_NO_LIMIT: any number.
  *  @return how many were made within the last such number */
 uint32_t sched_limit_engine(sched_t *sched, const char *engine, uint32_t grants);
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -83,7 +83,7 @@
     s->stats.looks += s->engine_list->len;
     for (guint i = 0; i < s->engine_list->len; i++) {
         engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (e->model != r->model || e == avoid)
+        if (e->model != r->model || e == avoid || owner_is_closed(r->owner, e, now))
             continue;
         if (e->role == ROLE_DECODE)
             offer_decode(s, e, r, choice, now);
@@ -157,7 +157,7 @@
             continue;
         prefills += e->role == ROLE_PREFILL;
         decodes += e->role == ROLE_DECODE;
-        if (e == avoid || e->solos > 0 || !decode_candidate(s, e, r, now))
+        if (e == avoid || e->solos > 0 || owner_is_closed(r->owner, e, now) || !decode_candidate(s, e, r, now))
             continue;
         best.decodes++;
         if (!best.decode || decode_cost(e, r) < decode_cost(best.decode, r))
@@ -188,11 +188,11 @@
     model->no_solo_from = UINT32_MAX;
 }
 
-/** Whether what one request does not get, no later one of its model and size gets either: it shuns no engine, no link
- *  keeps it from one, and it need not be kept apart from others. */
+/** Whether what one request does not get, no later one of its model and size gets either: it shuns no engine, none is
+ *  closed to its box, no link keeps it from one, and it need not be kept apart from others. */
 static bool speaks_for_others(const request_t *r)
 {
-    return !r->avoid[0] && r->ends == 0 && r->prompt_tokens < LONG_TRANSFER_TOKENS;
+    return !r->avoid[0] && r->owner->closed_n == 0 && r->ends == 0 && r->prompt_tokens < LONG_TRANSFER_TOKENS;
 }
 
 static choice_t choose_pair_in_pass(sched_t *s, const request_t *r, model_t *model, tc_time_t now)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -129,6 +129,12 @@
 
 typedef enum { REQ_QUEUED, REQ_PLACED, REQ_REPLANNING, REQ_FINISHED } req_state_t;
 
+/** An engine that wants no calls of an entry box. */
+typedef struct {
+    const engine_t *engine;
+    tc_time_t until;
+} closed_t;
+
 /** An entry box, as the owner of placed requests. */
 typedef struct {
     char name[CODEC_STR_SIZE];
@@ -137,8 +143,10 @@
     tc_time_t lease_until; /* all of them are renewed until then */
     tc_time_t heard;       /* last renewal of any kind */
     bool reported;         /* it renewed since this scheduler began, or was resumed */
-    uint32_t counted;      /* sched_check's own count, */
-    uint64_t digested;     /* and digest */
+    closed_t *closed;      /* engines that want no calls of it; NULL for none */
+    uint32_t closed_n;
+    uint32_t counted;  /* sched_check's own count, */
+    uint64_t digested; /* and digest */
 } owner_t;
 
 typedef struct {
@@ -327,6 +335,9 @@
 void to_placed(sched_t *s, request_t *r);
 /** The record of an entry box, made when first needed. */
 owner_t *owner_get(sched_t *s, const char *box);
+void owner_free(void *owner);
+/** Whether an engine wants no calls of the box. */
+bool owner_is_closed(const owner_t *owner, const engine_t *e, tc_time_t now);
 /** Hand the request to another entry box, or to the same under another attempt. */
 void set_owner(sched_t *s, request_t *r, const char *box, uint32_t attempt);
 void refuse_queued(sched_t *s, request_t *r, const char *reason, double retry_ms);
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -13,6 +13,9 @@
 static void grant(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now)
 {
     const bool replan = r->state == REQ_REPLANNING;
+    /* Promise: a box is sent to no engine that wants no calls of it. */
+    assert(!owner_is_closed(r->owner, choice->decode, now));
+    assert(replan || !choice->prefill || !owner_is_closed(r->owner, choice->prefill, now));
     s->granted_ms += choice->prefill ? choice->prefill_ms : 0;
     reserve(s, r, choice, now);
     if (replan)
--- a/lib/sched/sched_request.c
+++ b/lib/sched/sched_request.c
@@ -74,6 +74,42 @@
 
 /* ===== Owners ===== */
 
+bool owner_is_closed(const owner_t *owner, const engine_t *e, tc_time_t now)
+{
+    for (uint32_t i = 0; i < owner->closed_n; i++)
+        if (owner->closed[i].engine == e && now < owner->closed[i].until)
+            return true;
+    return false;
+}
+
+bool sched_takes_calls(const sched_t *s, const char *box, const char *engine, tc_time_t now)
+{
+    const owner_t *const owner = g_hash_table_lookup(s->owners, box);
+    const engine_t *const e = engine_find(s, engine);
+    return !owner || !e || !owner_is_closed(owner, e, now);
+}
+
+void sched_set_notices(sched_t *s, const char *box, const backend_notice_t *list, uint32_t n, tc_time_t now)
+{
+    owner_t *const owner = n > 0 ? owner_get(s, box) : g_hash_table_lookup(s->owners, box);
+    if (!owner)
+        return;
+    g_free(owner->closed);
+    owner->closed = n > 0 ? g_new0(closed_t, n) : NULL;
+    owner->closed_n = 0;
+    for (uint32_t i = 0; i < n; i++) {
+        const engine_t *const e = list[i].closed_ms > 0 ? engine_find(s, list[i].backend) : NULL;
+        if (e)
+            owner->closed[owner->closed_n++] = (closed_t){e, now + (tc_time_t)list[i].closed_ms};
+    }
+}
+
+void owner_free(void *owner)
+{
+    g_free(((owner_t *)owner)->closed);
+    g_free(owner);
+}
+
 owner_t *owner_get(sched_t *s, const char *box)
 {
     owner_t *owner = g_hash_table_lookup(s->owners, box);
--- a/tests/platform/test_availability.c
+++ b/tests/platform/test_availability.c
@@ -247,7 +247,8 @@
     fixture_t f;
     leader_t leader;
     unsigned placed;
-    bool hears_leaving; /* a report named i-1 as leaving */
+    bool hears_leaving; /* a report named i-1 as leaving, */
+    bool hears_closed;  /* and as one that wants no calls */
 } world_t;
 
 static void grant(world_t *w, peer_call_t call)
@@ -260,8 +261,13 @@
 
 static void hear_notices(world_t *w, const msg_report_t *report)
 {
-    for (uint32_t i = 0; i < report->notices_n; i++)
-        w->hears_leaving |= report->notices[i].leaving && strcmp(report->notices[i].backend, "i-1") == 0;
+    for (uint32_t i = 0; i < report->notices_n; i++) {
+        const backend_notice_t *const notice = &report->notices[i];
+        if (strcmp(notice->backend, "i-1") != 0)
+            continue;
+        w->hears_leaving |= notice->leaving;
+        w->hears_closed |= notice->closed_ms > 0 && notice->closed_ms <= CLOSED_MS;
+    }
 }
 
 static void on_message(void *arg, peer_call_t call, const char *from, uint32_t type, const void *message)
@@ -314,6 +320,7 @@
     g_assert_cmpuint(w->placed, ==, 5);
     g_assert_cmpuint(requests(&w->f, 1), ==, 1);
     g_assert_cmpuint(requests(&w->f, 2), ==, 5);
+    lab_run_until_true(w->f.loop, &w->hears_closed);
 }
 
 /** The same of one that leaves. */
--- a/tests/unit/test_sched_choose.c
+++ b/tests/unit/test_sched_choose.c
@@ -82,11 +82,28 @@
     return s;
 }
 
-static request_t make_request(const sched_t *s, GRand *random)
+/** Engines that want no calls of a box, by lot. */
+static owner_t *make_box(sched_t *s, GRand *random, unsigned number)
+{
+    backend_notice_t list[4];
+    char box[16];
+    const uint32_t n = (uint32_t)g_rand_int_range(random, 0, G_N_ELEMENTS(list) + 1);
+    memset(list, 0, sizeof(list));
+    g_snprintf(box, sizeof(box), "box%u", number);
+    for (uint32_t i = 0; i < n; i++) {
+        g_snprintf(list[i].backend, sizeof(list[i].backend), "e%d", g_rand_int_range(random, 0, 20));
+        list[i].closed_ms = g_rand_int_range(random, 0, 3) ? 100 : 0;
+    }
+    sched_set_notices(s, box, list, n, NOW - g_rand_int_range(random, 0, 2) * 100); /* some lapsed just now */
+    return owner_get(s, box);
+}
+
+static request_t make_request(sched_t *s, GRand *random)
 {
     request_t r = {.prompt_tokens = (uint32_t)g_rand_int_range(random, 1, 12000)};
     r.pieces = 1 + r.prompt_tokens / 100;
     r.model = model_find(s, "m");
+    r.owner = make_box(s, random, (unsigned)g_rand_int_range(random, 0, 3));
     if (g_rand_int_range(random, 0, 3) == 0)
         g_snprintf(r.avoid, sizeof(r.avoid), "e%d", g_rand_int_range(random, 0, 20));
     return r;
@@ -94,9 +111,17 @@
 
 /* ===== The oracle ===== */
 
+static bool is_closed(const request_t *r, const engine_t *e)
+{
+    for (uint32_t i = 0; i < r->owner->closed_n; i++)
+        if (strcmp(r->owner->closed[i].engine->name, e->name) == 0 && r->owner->closed[i].until > NOW)
+            return true;
+    return false;
+}
+
 static bool may_serve(const sched_t *s, const engine_t *e, const request_t *r, role_t role)
 {
-    return e->role == role && strcmp(e->model->name, "m") == 0 && engine_grantable(e, NOW) &&
+    return !is_closed(r, e) && e->role == role && strcmp(e->model->name, "m") == 0 && engine_grantable(e, NOW) &&
            strcmp(e->name, r->avoid) != 0 && s->share_of == 1;
 }
 
--- a/tests/unit/test_sched_solo.c
+++ b/tests/unit/test_sched_solo.c
@@ -98,6 +98,31 @@
     sched_destroy(f.sched);
 }
 
+/** Decode engines that want no calls of the box read no prompts for it, until their time is over. */
+static void test_closed_to_the_box(void)
+{
+    fixture_t f;
+    set_up(&f, 0);
+    backend_notice_t closed[ENGINES];
+    memset(closed, 0, sizeof(closed));
+    for (int i = 0; i < ENGINES; i++) {
+        codec_copy_string(closed[i].backend, sizeof(closed[i].backend), f.engines[i].name);
+        closed[i].closed_ms = i == 2 ? SOLO_AFTER : 10 * SOLO_AFTER;
+    }
+    sched_set_notices(f.sched, "box", closed, ENGINES, 0);
+    place(&f, 0, 0);
+    tick(&f, SOLO_AFTER - 1);
+    g_assert_false(f.answered[0]);
+    tick(&f, SOLO_AFTER + 1);
+    g_assert_true(f.answered[0] && f.placed[0].granted);
+    g_assert_cmpstr(f.placed[0].decode, ==, "e2");
+    g_assert_false(sched_takes_calls(f.sched, "box", "e1", SOLO_AFTER + 1));
+    g_assert_true(sched_takes_calls(f.sched, "another box", "e1", SOLO_AFTER + 1));
+    sched_set_notices(f.sched, "box", NULL, 0, SOLO_AFTER + 1);
+    g_assert_true(sched_takes_calls(f.sched, "box", "e1", SOLO_AFTER + 1));
+    sched_destroy(f.sched);
+}
+
 static void test_no_prefill_engine(void)
 {
     fixture_t f;
@@ -166,6 +191,7 @@
     g_test_add_func("/sched-solo/short-of-prefill", test_short_of_prefill);
     g_test_add_func("/sched-solo/pools-in-proportion", test_pools_in_proportion);
     g_test_add_func("/sched-solo/no-prefill-engine", test_no_prefill_engine);
+    g_test_add_func("/sched-solo/closed-to-the-box", test_closed_to_the_box);
     g_test_add_func("/sched-solo/given-up-while-granted", test_given_up_while_granted);
     g_test_add_func("/sched-solo/failures-in-a-row", test_failures_in_a_row);
     return g_test_run();
