Randomised scheduler: engines that want no calls of an entry box, by lot

The scheduler's random runs close engines to entry boxes, tell it with renewals, and compare each grant with what was told.

--- a/tests/harness/sched_world.c
+++ b/tests/harness/sched_world.c
@@ -48,7 +48,9 @@
     fake_engine_t engines[ENGINES];
     bool entry_dead[ENTRIES];
     tc_time_t frozen_until[ENTRIES];
-    tc_time_t suspended_until; /* the scheduler's lease ran out: it hears and does nothing */
+    tc_time_t closed_until[ENTRIES][ENGINES]; /* the engine wants no calls of the entry box, */
+    tc_time_t told_until[ENTRIES][ENGINES];   /* as that has told this scheduler */
+    tc_time_t suspended_until;                /* the scheduler's lease ran out: it hears and does nothing */
     GPtrArray *callers;
     sched_world_result_t result;
 } world_t;
@@ -242,6 +244,14 @@
 
 /* ===== The scheduler's actions ===== */
 
+static bool is_closed(const world_t *w, const caller_t *c, const char *engine)
+{
+    for (unsigned i = 0; i < ENGINES; i++)
+        if (strcmp(w->engines[i].name, engine) == 0)
+            return w->now < w->told_until[c->entry][i];
+    return false;
+}
+
 static void take_answer(world_t *w, const sched_action_t *action)
 {
     caller_t *const c = g_ptr_array_index(w->callers, action->u.answer.token.a);
@@ -262,6 +272,9 @@
         return;
     }
     w->result.granted++;
+    if (!placed->resume &&
+        (is_closed(w, c, placed->decode) || (c->state == CALLER_WAITING && is_closed(w, c, placed->prefill))))
+        broken(w, "an engine that wants no calls of a box is granted to it");
     if (c->state == CALLER_GONE) { /* died, or left, while it waited: the lease lapses */
         c->placed = *placed;
         return;
@@ -306,6 +319,23 @@
 
 /* ===== Renewals, faults ===== */
 
+/** The entry box tells which engines want no calls of it. */
+static void tell_closed(world_t *w, unsigned entry)
+{
+    backend_notice_t list[ENGINES];
+    char box[16];
+    memset(list, 0, sizeof(list));
+    snprintf(box, sizeof(box), "entry-%u", entry);
+    drain(w); /* what was granted before rests on what was told before */
+    for (unsigned i = 0; i < ENGINES; i++) {
+        const tc_time_t left = w->closed_until[entry][i] - w->now;
+        codec_copy_string(list[i].backend, sizeof(list[i].backend), w->engines[i].name);
+        list[i].closed_ms = left > 0 ? (uint64_t)left : 0;
+        w->told_until[entry][i] = w->closed_until[entry][i];
+    }
+    sched_set_notices(w->sched, box, list, ENGINES, w->now);
+}
+
 static void renew(world_t *w, unsigned entry)
 {
     held_t held[256], lost[256];
@@ -358,6 +388,7 @@
 {
     sched_destroy(w->sched);
     w->sched = make_sched(w);
+    memset(w->told_until, 0, sizeof(w->told_until));
     w->result.restarts++;
     for (unsigned i = 0; i < ENGINES; i++)
         engine_poll(w, &w->engines[i]);
@@ -410,11 +441,18 @@
     }
 }
 
+static void close_engine(world_t *w)
+{
+    const unsigned entry = choose(w->chooser, ENTRIES);
+    w->closed_until[entry][choose(w->chooser, ENGINES)] = w->now + (tc_time_t)choose(w->chooser, 3000);
+}
+
 static void disturb(world_t *w)
 {
     w->result.operations++;
-    switch (choose(w->chooser, 8)) {
+    switch (choose(w->chooser, 10)) {
     case 7: suspend(w); break;
+    case 8: close_engine(w); break;
     case 0: kill_entry(w, choose(w->chooser, ENTRIES)); break;
     case 1: memset(w->entry_dead, 0, sizeof(w->entry_dead)); break;
     case 2: restart_scheduler(w); break;
@@ -438,8 +476,10 @@
     if (suspended)
         resume(w);
     for (unsigned i = 0; i < ENTRIES; i++)
-        if (number % RENEW_STEPS == i && entry_acts(w, i) && !w->options.no_renewals)
+        if (number % RENEW_STEPS == i && entry_acts(w, i) && !w->options.no_renewals) {
             renew(w, i);
+            tell_closed(w, i);
+        }
     for (unsigned i = 0; i < ENGINES; i++)
         if (number % POLL_STEPS == i * 7)
             engine_poll(w, &w->engines[i]);
