Calls of the control boxes to engines pass the same gate

The leader asks engines what they run, and orders them to change their role. Neither looked at what engines had answered: one that asked for no calls was asked on, and one that leaves, but isn't listed so yet, could be ordered into the other pool, which keeps work from it and from the engine that should have gone.

Cause: as with requests, an answer's word about its back end was read nowhere. Now call_gate holds what answers to these calls said, and asks the leader's scheduler what its own box's entry heard: the back end wants no calls of the box, not of a process. Questions what an engine runs pass as upkeep, orders as new work, before the look and again behind it.

--- a/lib/backend/availability.c
+++ b/lib/backend/availability.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "common/log.h"
+
 bool availability_hear(availability_t *a, const availability_notice_t *notice, tc_time_t now)
 {
     const availability_t before = *a;
@@ -24,6 +26,16 @@
     return !leaves && now >= a->closed_until;
 }
 
+void availability_log(const char *backend, const availability_notice_t *notice)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "backend_notice");
+    log_str(&line, "backend", backend);
+    log_int(&line, "leaving", notice->leaving);
+    log_int(&line, "retry_after_ms", notice->retry_after);
+    log_end(&line);
+}
+
 tc_time_t availability_closed_for(const availability_t *a, tc_time_t now)
 {
     return now < a->closed_until ? a->closed_until - now : 0;
--- a/lib/backend/availability.h
+++ b/lib/backend/availability.h
@@ -50,6 +50,9 @@
  *  sent nothing. */
 bool availability_takes(const availability_t *availability, call_purpose_t purpose, tc_time_t now);
 
+/** The line of the log for news. @param backend its id */
+void availability_log(const char *backend, const availability_notice_t *notice);
+
 /** Time left for which it wants no call of this box, ms; 0: it takes calls. */
 tc_time_t availability_closed_for(const availability_t *availability, tc_time_t now);
 
--- a/lib/cluster/engine_reader.c
+++ b/lib/cluster/engine_reader.c
@@ -33,6 +33,7 @@
 struct engine_reader {
     loop_t *loop;
     web_client_t *client;
+    call_gate_t *gate;
     engine_reader_fn_t fn;
     void *arg;
     question_t questions[AT_ONCE];
@@ -55,6 +56,13 @@
     g_free(held);
 }
 
+static void on_head(void *arg, const web_head_t *head)
+{
+    const question_t *const q = arg;
+    const availability_notice_t notice = dialect_read_notice(head);
+    call_gate_hear(q->reader->gate, q->engine, &notice, tc_time_now());
+}
+
 static void on_answer(void *arg, web_ask_end_t how)
 {
     question_t *const q = arg;
@@ -82,12 +90,12 @@
     return strcmp(b->stage, "decode") == 0;
 }
 
-/** The next decode engine in turn, or NULL. */
-static const backend_t *next_engine(engine_reader_t *r, const backend_t *backends, uint32_t n)
+/** The next decode engine in turn that takes the question, or NULL. */
+static const backend_t *next_engine(engine_reader_t *r, const backend_t *backends, uint32_t n, tc_time_t now)
 {
     for (uint32_t tries = 0; tries < n; tries++) {
         const backend_t *const b = &backends[r->turn++ % n];
-        if (runs_streams(b))
+        if (runs_streams(b) && call_gate_takes(r->gate, b->id, CALL_UPKEEP, now))
             return b;
     }
     return NULL;
@@ -110,7 +118,7 @@
     if (n == 0 || now - r->asked_at < pause)
         return;
     question_t *const q = free_question(r);
-    const backend_t *const engine = q ? next_engine(r, backends, n) : NULL;
+    const backend_t *const engine = q ? next_engine(r, backends, n, now) : NULL;
     if (!engine)
         return;
     r->asked_at = now;
@@ -118,6 +126,7 @@
                                    .client = r->client,
                                    .addr = engine->addr,
                                    .is_ours = dialect_answers_question,
+                                   .on_head = on_head,
                                    .connect_ms = CONNECT_MS,
                                    .limit_ms = ANSWER_MS};
     codec_copy_string(q->engine, sizeof(q->engine), engine->id);
@@ -126,11 +135,13 @@
 
 /* ===== Life ===== */
 
-engine_reader_t *engine_reader_create(loop_t *loop, web_client_t *client, engine_reader_fn_t fn, void *arg)
+engine_reader_t *engine_reader_create(loop_t *loop, web_client_t *client, call_gate_t *gate, engine_reader_fn_t fn,
+                                      void *arg)
 {
     engine_reader_t *const r = g_new0(engine_reader_t, 1);
     r->loop = loop;
     r->client = client;
+    r->gate = gate;
     r->fn = fn;
     r->arg = arg;
     for (int i = 0; i < AT_ONCE; i++) {
--- a/lib/cluster/engine_reader.h
+++ b/lib/cluster/engine_reader.h
@@ -11,6 +11,7 @@
 
 #include <stdbool.h>
 
+#include "backend/call_gate.h"
 #include "gen/schema.h"
 #include "sched/sched.h"
 #include "web/web_client.h"
@@ -24,8 +25,10 @@
 
 /* ===== Public functions ===== */
 
-/** @param client borrowed, as the loop @param fn runs for every answer */
-engine_reader_t *engine_reader_create(loop_t *loop, web_client_t *client, engine_reader_fn_t fn, void *arg);
+/** @param client borrowed, as the loop @param gate borrowed: which engines take questions, and what their answers say
+ * of that @param fn runs for every answer */
+engine_reader_t *engine_reader_create(loop_t *loop, web_client_t *client, call_gate_t *gate, engine_reader_fn_t fn,
+                                      void *arg);
 /** Questions under way get no answer. */
 void engine_reader_destroy(engine_reader_t *reader);
 
--- a/lib/cluster/placing.c
+++ b/lib/cluster/placing.c
@@ -206,6 +206,11 @@
     return p->services[0].service;
 }
 
+bool placing_takes_calls(const placing_t *p, const char *box, const char *engine, tc_time_t now)
+{
+    return !p->sched || sched_takes_calls(p->sched, box, engine, now);
+}
+
 /* ===== Usage caps ===== */
 
 void placing_set_caps(placing_t *p, const cap_cfg_t *list, uint32_t n)
--- a/lib/cluster/placing.h
+++ b/lib/cluster/placing.h
@@ -66,6 +66,9 @@
 /** A box reports: take what it let in by itself, and fill in what it is to know of caps and limits, borrowed until the
  * next call of any function. */
 void placing_take_use(placing_t *placing, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now);
+/** Whether the engine wants calls of the box, as far as that has reported; true where this box does not schedule. */
+bool placing_takes_calls(const placing_t *placing, const char *box, const char *engine, tc_time_t now);
+
 /** The back ends, as boxes are told them: engines that change their role are leaving. Copied. */
 void placing_set_backends(placing_t *placing, const backend_t *list, uint32_t n);
 
--- a/lib/cluster/replica.h
+++ b/lib/cluster/replica.h
@@ -13,6 +13,7 @@
 
 /* ===== Dependencies ===== */
 
+#include "backend/availability.h"
 #include "cluster/document.h"
 #include "cluster/placing.h"
 #include "control/raft.h"
@@ -78,6 +79,8 @@
 /** Engines that are changing their role, by id: the scheduler gives them nothing new, and boxes are told that they
  * leave. Copied. */
 void replica_set_moving(replica_t *replica, const leaving_cfg_t *list, uint32_t n);
+/** Whether a back end takes such calls of a box, by what boxes reported to this leader of its answers. */
+bool replica_takes_calls(const replica_t *replica, const char *box, const char *backend, call_purpose_t purpose);
 
 /** Term of this box's leadership, 0 while it has no lease. */
 uint64_t replica_term(const replica_t *replica);
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -120,6 +120,12 @@
     }
 }
 
+bool replica_takes_calls(const replica_t *r, const char *box, const char *backend, call_purpose_t purpose)
+{
+    const bool leaves = purpose == CALL_NEW_WORK && find_withdrawn(r, backend);
+    return !leaves && placing_takes_calls(r->placing, box, backend, tc_time_now());
+}
+
 static bool is_over(const replica_t *r, const withdrawn_t *w, tc_time_t now)
 {
     return now >= w->until && (!w->by_list || r->backends_fetched >= w->until);
--- a/lib/forward/forward_notice.c
+++ b/lib/forward/forward_notice.c
@@ -1,7 +1,6 @@
 /* What back ends say of themselves in their answers, to requests and to questions. */
 
 #include "common/counter.h"
-#include "common/log.h"
 #include "common/sabotage.h"
 #include "forward/forward_internal.h"
 
@@ -10,17 +9,6 @@
 COUNTER_DEFINE(c_leaving, "counter", "trackcove_forward_backend_leaving_total",
                "Back ends that said in their answers that they leave")
 
-static void log_notice(const instance_t *instance, const availability_notice_t *notice)
-{
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "backend_notice");
-    log_str(&line, "backend", instance->listed.id);
-    log_str(&line, "addr", instance->listed.addr);
-    log_int(&line, "leaving", notice->leaving);
-    log_int(&line, "retry_after_ms", notice->retry_after);
-    log_end(&line);
-}
-
 void notice_hear(forwarder_t *fw, instance_t *instance, const web_head_t *head)
 {
     if (SABOTAGE_IS(SABOTAGE_NO_NOTICE))
@@ -30,7 +18,7 @@
     if (!availability_hear(&instance->availability, &notice, tc_time_now()))
         return;
     counter_add(&c_closed, notice.retry_after > 0);
-    log_notice(instance, &notice);
+    availability_log(instance->listed.id, &notice);
     if (!notice.leaving || was_leaving)
         return;
     counter_add(&c_leaving, 1);
--- a/lib/roles/mover.c
+++ b/lib/roles/mover.c
@@ -54,6 +54,7 @@
 struct mover {
     loop_t *loop;
     web_client_t *client;
+    call_gate_t *gate;
     char box[CODEC_STR_SIZE];
     tc_time_t turn; /* as mover_create says */
     uint64_t term;  /* of the leadership, 0 for none */
@@ -189,12 +190,20 @@
 
 /* ===== Calls to an engine ===== */
 
+static void on_head(void *arg, const web_head_t *head)
+{
+    const mover_t *const m = arg;
+    const availability_notice_t notice = dialect_read_notice(head);
+    call_gate_hear(m->gate, m->asked->engine.id, &notice, tc_time_now());
+}
+
 static void call_engine(mover_t *m, move_t *move, GByteArray *request, web_ask_fn_t fn)
 {
     const web_ask_where_t where = {.loop = m->loop,
                                    .client = m->client,
                                    .addr = move->engine.addr,
                                    .is_ours = dialect_answers_question,
+                                   .on_head = on_head,
                                    .connect_ms = CONNECT_MS,
                                    .limit_ms = ORDER_MS};
     m->asked = move;
@@ -234,6 +243,12 @@
     call_engine(m, move, dialect_write_order(move->engine.addr, &order), on_ordered);
 }
 
+/** Whether the engine takes new work of this box: an order is some. */
+static bool takes_orders(const mover_t *m, const char *engine)
+{
+    return call_gate_takes(m->gate, engine, CALL_NEW_WORK, tc_time_now());
+}
+
 /** What the engine says it is: the order rests on it. */
 static void on_looked(void *arg, web_ask_end_t how)
 {
@@ -253,6 +268,11 @@
         pause_move(m, move);
         return;
     }
+    if (!takes_orders(m, move->engine.id)) {
+        log_move(m, move, "leaves, or asked for no calls", 0);
+        pause_move(m, move);
+        return;
+    }
     send_order(m, move, engine.orders);
 }
 
@@ -302,7 +322,7 @@
     uint32_t most = 0;
     for (uint32_t i = 0; i < view->backends_n; i++) {
         const backend_t *const b = &view->backends[i];
-        if (!takes_part(b, view) || strcmp(b->stage, from) != 0 || find_move(m, b->id))
+        if (!takes_part(b, view) || strcmp(b->stage, from) != 0 || find_move(m, b->id) || !takes_orders(m, b->id))
             continue;
         const uint32_t n = count_in_dc(m, view, b->dc, from);
         if (n <= most)
@@ -381,11 +401,12 @@
         decide(m, view, now);
 }
 
-mover_t *mover_create(loop_t *loop, web_client_t *client, const char *box, tc_time_t turn)
+mover_t *mover_create(loop_t *loop, web_client_t *client, call_gate_t *gate, const char *box, tc_time_t turn)
 {
     mover_t *const m = g_new0(mover_t, 1);
     m->loop = loop;
     m->client = client;
+    m->gate = gate;
     m->turn = turn;
     codec_copy_string(m->box, sizeof(m->box), box);
     CDS_INIT_LIST_HEAD(&m->moves);
--- a/lib/roles/mover.h
+++ b/lib/roles/mover.h
@@ -17,6 +17,7 @@
 
 #include <stdbool.h>
 
+#include "backend/call_gate.h"
 #include "gen/schema.h"
 #include "peer/loop.h"
 #include "roles/balance.h"
@@ -38,10 +39,11 @@
 /* ===== Public functions ===== */
 
 /** @param loop borrowed @param client borrowed, for calls to engines
+ *  @param gate borrowed: which engines take orders, and what their answers say of that
  *  @param box names this box as the one that orders; copied
  *  @param turn ms after which orders of another leader can't arrive any more, beside the time of an order itself
  *  @return never NULL */
-mover_t *mover_create(loop_t *loop, web_client_t *client, const char *box, tc_time_t turn);
+mover_t *mover_create(loop_t *loop, web_client_t *client, call_gate_t *gate, const char *box, tc_time_t turn);
 /** After loop_run returned; orders under way are dropped. */
 void mover_destroy(mover_t *mover);
 
--- a/tests/platform/test_mover.c
+++ b/tests/platform/test_mover.c
@@ -13,6 +13,7 @@
 typedef struct {
     loop_t *loop;
     web_client_t *client;
+    call_gate_t *gate;
     mover_t *mover;
     char addr[ENGINES][32];
     lab_backend_t *engine[ENGINES];
@@ -22,6 +23,7 @@
     GString *orders; /* all that came, one after the other */
     unsigned looks, ordered;
     unsigned orders_taken; /* that engines say they have taken */
+    const char *notice;    /* header lines of what engines say they are */
     int status;            /* of an order's answer */
     bool silent;           /* orders get no answer */
 } fixture_t;
@@ -32,8 +34,8 @@
     if (g_str_has_prefix(request, "GET /report ")) {
         f->looks++;
         char *const body = g_strdup_printf("{\"stage\":\"prefill\",\"busy\":false,\"call_seq\":%u}", f->orders_taken);
-        const lab_reply_t reply = {
-            .bytes = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body), body)};
+        const lab_reply_t reply = {.bytes = g_strdup_printf("HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s",
+                                                            f->notice, strlen(body), body)};
         g_free(body);
         return reply;
     }
@@ -49,9 +51,11 @@
     (void)data;
     f->loop = loop_create();
     f->client = web_client_create(f->loop);
-    f->mover = mover_create(f->loop, f->client, "box-1", TURN_MS);
+    f->gate = call_gate_create(NULL, NULL);
+    f->mover = mover_create(f->loop, f->client, f->gate, "box-1", TURN_MS);
     f->orders = g_string_new(NULL);
     f->status = 202;
+    f->notice = "";
     f->orders_taken = 5;
     f->now = tc_time_now();
     for (int i = 0; i < ENGINES; i++) {
@@ -76,6 +80,7 @@
 {
     (void)data;
     mover_destroy(f->mover);
+    call_gate_destroy(f->gate);
     for (int i = 0; i < ENGINES; i++)
         lab_backend_stop(f->engine[i]);
     web_client_destroy(f->client);
@@ -176,6 +181,35 @@
     g_assert_null(strstr(strstr(f->orders->str, "Expect-Instance: e0\r\n") + 1, "Expect-Instance: e0\r\n"));
 }
 
+/** An engine that says in its answer that it leaves is not ordered to become something else, nor asked again. */
+static void test_leaving_engine_gets_no_order(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    f->notice = "Server-Leaving: 1\r\n";
+    pass(f, 20000);
+    g_assert_cmpuint(f->ordered, ==, 0);
+    g_assert_cmpuint(f->looks, <=, PREFILLS); /* each prefill engine once */
+}
+
+/** What others heard counts as well. */
+static bool takes_calls(void *arg, const char *backend, call_purpose_t purpose)
+{
+    (void)arg, (void)purpose;
+    return strcmp(backend, "e0") != 0;
+}
+
+static void test_engine_that_is_closed_by_others(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    mover_destroy(f->mover);
+    call_gate_destroy(f->gate);
+    f->gate = call_gate_create(takes_calls, NULL);
+    f->mover = mover_create(f->loop, f->client, f->gate, "box-1", TURN_MS);
+    pass(f, 6000);
+    g_assert_cmpuint(f->ordered, ==, 1);
+    g_assert_null(strstr(f->orders->str, "Expect-Instance: e0\r\n"));
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -183,6 +217,8 @@
     TEST("order", test_order);
     TEST("waits-its-turn", test_waits_its_turn);
     TEST("no-order-without-leading", test_no_order_without_leading);
+    TEST("leaving-engine-gets-no-order", test_leaving_engine_gets_no_order);
+    TEST("engine-that-is-closed-by-others", test_engine_that_is_closed_by_others);
     TEST("fenced", test_fenced);
     TEST("unknown-order-is-not-repeated", test_unknown_order_is_not_repeated);
     TEST("refused-engine-is-left-alone", test_refused_engine_is_left_alone);
