Soak: workers that ask boxes for no calls, or say that they leave

Now a worker turns all requests away for a while and asks each box for 1 to 2.5 s without calls, or says for 6 s that it leaves, while the list shows that at a moment by lot. Checked as the platform's rule has it: no more than two requests of that box behind half a second after the answer, and none to one that leaves behind 3 s; a box that stood still, was suspended or started again meanwhile is excused. While a worker does either its way is left whole, so that the boxes have heard what it answered.

--- a/tests/platform/soak/engines.c
+++ b/tests/platform/soak/engines.c
@@ -1,6 +1,7 @@
 #include "platform/soak/engines.h"
 #include "platform/soak/fatal.h"
 #include "platform/soak/limits.h"
+#include "platform/soak/notices.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -234,10 +235,9 @@
     me->back_at = tc_time_now() + BACK_MIN_MS + world_pick(me->world, BACK_MAX_MS - BACK_MIN_MS);
 }
 
-/** Name the worker's limit, if it has one, in the head of its answer. */
-static void add_limit(const struct worker *me, lab_reply_t *answer)
+/** Add header lines to the head of an answer. @param line for g_free, or "" */
+static void add_header(lab_reply_t *answer, char *line)
 {
-    char *const line = limits_header(me);
     char *const rest = answer->bytes ? strstr(answer->bytes, "\r\n") : NULL;
     if (rest && line[0]) {
         char *const bytes = g_strdup_printf("%.*s%s%s", (int)(rest + 2 - answer->bytes), answer->bytes, line, rest + 2);
@@ -254,15 +254,18 @@
     struct worker *const me = arg;
     if (g_str_has_prefix(request, "DELETE "))
         return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    limits_arrived(me);
     char *const id = header_of(request, "Attempt-Id");
     char *const expected = header_of(request, "Expect-Instance");
     char *const stage = header_of(request, "Stage");
     struct fatal *const fatal = fatal_find(me->world, strstr(request, "\r\n\r\n") + 4);
-    lab_reply_t answer;
+    limits_arrived(me);
+    notices_arrived(me, id);
+    lab_reply_t answer = notices_refuse(me, id);
     if (fatal)
         fatal_arrived(fatal);
-    if (strcmp(expected, me->id) != 0)
+    if (answer.bytes)
+        ; /* it takes none */
+    else if (strcmp(expected, me->id) != 0)
         answer = reply(LAB_KEEP, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
     else if (me->kind == 1 && strcmp(stage, "prefill") == 0 && world_draw(me->world) >= me->trouble)
         answer = reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"prefill_handle\":\"h1\"}");
@@ -274,7 +277,9 @@
         answer = reply(LAB_HANG, "%s", "");
     } else
         answer = serve(me, id, request);
-    add_limit(me, &answer);
+    add_header(&answer, limits_header(me));
+    add_header(&answer, g_strdup(notices_header(me)));
+    notices_answered(me, id, &answer);
     arrivals_note(me->world, me->kind > 0, id, me->kind == 1 && answer.bytes && strstr(answer.bytes, "prefill_handle"));
     g_free(id);
     g_free(expected);
@@ -316,6 +321,7 @@
     char own[32];
     lab_free_addr(own);
     k->limited = g_array_new(FALSE, FALSE, sizeof(tc_time_t));
+    k->rests = notices_array();
     k->backend = lab_backend_start(w->loop, own, on_request, k);
     lab_free_addr(k->addr);
     k->way = proxy_start(w->loop, k->addr, own);
@@ -337,15 +343,24 @@
 {
     k->back_at = 0;
     limits_restart(k);
-    if (world_pick(k->world, 2)) /* under its id, or another one */
+    const bool left = k->leave_at > 0;
+    notices_end(k);
+    if (left || world_pick(k->world, 2)) /* else under its id */
         g_snprintf(k->id, sizeof(k->id), "i-%d.%u", (int)(k - k->world->worker), ++k->lives);
     lab_backend_restart(k->backend);
     proxy_set_down(k->way, false);
 }
 
+void engine_leave(struct worker *k)
+{
+    if (!k->back_at)
+        engine_crash(k);
+}
+
 void engine_destroy(struct worker *k)
 {
     proxy_stop(k->way);
     lab_backend_stop(k->backend);
     g_array_free(k->limited, TRUE);
+    g_array_free(k->rests, TRUE);
 }
--- a/tests/platform/soak/engines.h
+++ b/tests/platform/soak/engines.h
@@ -15,6 +15,8 @@
 void engine_wake(struct worker *worker);
 /** It has ended, and is there again with nothing of before. */
 void engine_restart(struct worker *worker);
+/** One that leaves ends; another one is there soon after. */
+void engine_leave(struct worker *worker);
 /** End it, and the way to it. */
 void engine_destroy(struct worker *worker);
 
--- a/tests/platform/soak/fatal.c
+++ b/tests/platform/soak/fatal.c
@@ -71,12 +71,15 @@
 static void send_one(struct fatal *one)
 {
     world_t *const w = one->owner->world;
-    char addr[32];
-    world_addr(w, world_pick(w, WORLD_BOXES), PORT_FRONT, addr);
+    char addr[32], id[32];
+    const int box = world_pick(w, WORLD_BOXES);
+    world_addr(w, box, PORT_FRONT, addr);
+    g_snprintf(id, sizeof(id), "%s.%u", one->name, one->tries++);
+    world_try(w, id)->box = 1 + (unsigned)box;
     arrivals_request(w, kind_is_stream(one->kind));
-    char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s.%u\r\nDeadline-Ms: 2000\r\n"
+    char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n"
                                        "Token-Count: 500,100\r\nContent-Length: %zu\r\n\r\n%s",
-                                       kind_paths[one->kind], one->name, one->tries++, strlen(one->name), one->name);
+                                       kind_paths[one->kind], id, strlen(one->name), one->name);
     one->call = lab_call(one->owner->client, addr, text);
     g_free(text);
 }
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -17,6 +17,7 @@
 #include "platform/soak/engines.h"
 #include "platform/soak/fatal.h"
 #include "platform/soak/limits.h"
+#include "platform/soak/notices.h"
 #include "platform/soak/routes.h"
 #include "platform/soak/world.h"
 
@@ -114,6 +115,7 @@
     else
         choose_request(s, c);
     g_snprintf(c->id, sizeof(c->id), "%s.%u", c->name, c->requests++);
+    world_try(w, c->id)->box = 1 + (unsigned)c->box;
     world_try(w, c->id)->once = c->kind == KIND_ONCE || c->kind == KIND_STREAM;
     c->leave_at =
         kind_is_resumable(c->kind) && world_draw(w) < LEAVE_SHARE ? 1 + (size_t)world_pick(w, LEAVE_BYTES) : 0;
@@ -295,6 +297,8 @@
     world_note(s->world, "%s %s on %s", p->paused ? "wake" : "pause", p->program, b->ip);
     process_signal(p, p->paused ? SIGCONT : SIGSTOP);
     p->paused = !p->paused;
+    if (p == &b->entry)
+        b->harmed_at = tc_time_now();
 }
 
 /** Decode engines are two of six: half of what goes wrong with workers is theirs. */
@@ -322,6 +326,8 @@
 {
     struct worker *const k = pick_worker(s->world);
     const int span = FREEZE_MIN_MS + world_pick(s->world, FREEZE_MAX_MS - FREEZE_MIN_MS);
+    if (notices_is_on(k))
+        return;
     world_note(s->world, "worker %s stands still for %d ms", k->id, span);
     engine_freeze(k, now + span);
 }
@@ -345,6 +351,8 @@
         world_note(w, "way to control of %s: %s, others pass", b->ip, proxy_mode_names[mode]);
         break;
     default:
+        if (notices_is_on(k))
+            break;
         world_note(w, "way to worker %s: %s", k->id, proxy_mode_names[mode]);
         proxy_set(k->way, mode);
         break;
@@ -362,7 +370,9 @@
     lose(b->way_to_entry);
     if (b->way_to_control)
         lose(b->way_to_control);
-    lose(w->worker[world_pick(w, WORLD_WORKERS)].way);
+    const struct worker *const k = &w->worker[world_pick(w, WORLD_WORKERS)];
+    if (!notices_is_on(k))
+        lose(k->way);
 }
 
 /** The connections to a worker that stand fall silent one way, after some bytes, and stay open. */
@@ -372,6 +382,8 @@
     const struct worker *const k = pick_worker(w);
     const bool answers = world_draw(w) < 0.8;
     const size_t bytes = (size_t)world_pick(w, SILENT_BYTES);
+    if (notices_is_on(k))
+        return;
     world_note(w, "connections to worker %s lose %s after %zu bytes", k->id, answers ? "answers" : "calls", bytes);
     proxy_mute_after(k->way, answers, bytes);
 }
@@ -394,7 +406,7 @@
     process_t *const p = b->control.program && world_draw(w) < 0.4 ? &b->control : &b->entry;
     const tc_time_t pause = 50 + world_pick(w, 1500);
     s->faults++;
-    switch (world_pick(w, 20)) {
+    switch (world_pick(w, 22)) {
     case 0:
     case 1: process_restart(w, b, p, SIGKILL, pause); break;
     case 2: process_restart(w, b, p, SIGTERM, pause); break;
@@ -412,6 +424,8 @@
     case 14: silence_worker(s); break;
     case 15:
     case 16: limits_change(pick_limited(w)); break;
+    case 19:
+    case 20: notices_begin(pick_worker(w)); break;
     case 17:
     case 18: box_suspend(w, b, SUSPEND_MIN_MS + world_pick(w, SUSPEND_MAX_MS - SUSPEND_MIN_MS)); break;
     default: wipe(s, now); break;
@@ -435,6 +449,7 @@
         s->world->worker[i].trouble = TROUBLE_SHARE;
     for (int i = 0; i < 2; i++)
         limits_change(&s->world->worker[i]); /* for long enough to be judged */
+    notices_begin(&s->world->worker[WORLD_PREFILL - 1]);
 }
 
 static void end_faults(soak_t *s)
@@ -449,6 +464,7 @@
     for (int i = 0; i < WORLD_WORKERS; i++) {
         w->worker[i].trouble = 0;
         limits_lift(&w->worker[i]);
+        notices_calm(&w->worker[i]);
         engine_wake(&w->worker[i]);
     }
     for (int i = 0; i < WORLD_BOXES; i++) {
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -11,6 +11,7 @@
 #include "common/err.h"
 #include "peer/peer.h"
 #include "platform/soak/engines.h"
+#include "platform/soak/notices.h"
 
 /* ===== Notes ===== */
 
@@ -84,6 +85,13 @@
     g_free(text);
 }
 
+/** What its entry heard before may be lost, or heard late. */
+static void note_harm(box_t *b, const process_t *p)
+{
+    if (p == &b->entry)
+        b->harmed_at = tc_time_now();
+}
+
 static void process_start(const world_t *w, box_t *b, process_t *p, bool first)
 {
     write_settings(w, b, p, first);
@@ -91,6 +99,7 @@
     p->pid = process_spawn_with(path, p->settings, w->shim);
     p->ending = p->paused = false;
     p->resume_at = 0;
+    note_harm(b, p);
     g_free(path);
 }
 
@@ -106,6 +115,7 @@
         return;
     world_note(w, "signal %d to %s on %s, back after %lld ms", number, p->program, b->ip, (long long)pause);
     p->ending = true;
+    note_harm(b, p);
     p->start_at = tc_time_now() + pause;
     if (p->paused)
         process_signal(p, SIGCONT);
@@ -121,15 +131,17 @@
             continue;
         process_signal(both[i], SIGUSR2); /* see tests/shim/suspend.c */
         both[i]->paused = true;
+        note_harm(b, both[i]);
         both[i]->resume_at = tc_time_now() + span;
     }
 }
 
-static void resume(process_t *p)
+static void resume(box_t *b, process_t *p)
 {
     if (!p->resume_at || tc_time_now() < p->resume_at)
         return;
     p->resume_at = 0;
+    note_harm(b, p);
     if (!p->paused)
         return; /* woken before */
     process_signal(p, SIGCONT);
@@ -155,8 +167,8 @@
 void world_tick(world_t *w)
 {
     for (int i = 0; i < WORLD_BOXES; i++) {
-        resume(&w->boxes[i].entry);
-        resume(&w->boxes[i].control);
+        resume(&w->boxes[i], &w->boxes[i].entry);
+        resume(&w->boxes[i], &w->boxes[i].control);
         look_after(w, &w->boxes[i], &w->boxes[i].entry);
         look_after(w, &w->boxes[i], &w->boxes[i].control);
     }
@@ -166,6 +178,9 @@
     for (int i = 0; i < WORLD_WORKERS; i++)
         if (w->worker[i].back_at && tc_time_now() >= w->worker[i].back_at)
             engine_restart(&w->worker[i]);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (notices_tick(&w->worker[i]))
+            engine_leave(&w->worker[i]);
 }
 
 /* ===== Life ===== */
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -37,6 +37,7 @@
     char ip[20];
     char dir[64]; /**< "" without a disk */
     process_t entry, control;
+    tc_time_t harmed_at;                    /**< its entry stood still, was suspended or started last; 0: never */
     proxy_t *way_to_entry, *way_to_control; /**< what other boxes' connections pass through; NULL for none */
 } box_t;
 
@@ -47,6 +48,7 @@
     bool once;         /**< it must run at most once */
     bool read;         /**< a worker read its prompt */
     unsigned arrivals; /**< at workers, without that one */
+    unsigned box;      /**< that it was sent to, from 1 on; 0: unknown */
 } try_t;
 
 struct fatal_callers;
@@ -79,9 +81,14 @@
         tc_time_t wake_at; /**< it stands still until then; 0: it does not */
         tc_time_t back_at; /**< it has ended and is there again then; 0: it runs */
         unsigned lives;
-        double limit;       /**< requests a second that it takes of all boxes together, as its answers say; 0: any */
-        tc_time_t named_at; /**< it names one since then */
-        GArray *limited;    /**< tc_time_t: requests that reached it once all boxes were to hold that */
+        double limit;         /**< requests a second that it takes of all boxes together, as its answers say; 0: any */
+        tc_time_t named_at;   /**< it names one since then */
+        tc_time_t shed_until; /**< it turns requests away and asks for none; 0: it does not */
+        GArray *rests;        /**< what it asked boxes for, see notices.c */
+        tc_time_t leave_at;   /**< it says that it leaves, and ends then; 0: it does not */
+        tc_time_t listed_leaving_at;         /**< the list shows that; 0: it does not */
+        tc_time_t told_leaving[WORLD_BOXES]; /**< when it first answered a box so; 0: it did not */
+        GArray *limited; /**< tc_time_t: requests that reached it once all boxes were to hold that */
     } worker[WORLD_WORKERS];
     GHashTable *tries;            /**< id to try_t */
     GHashTable *streams;          /**< name to record_t */
