Test, failing: engines that end under a prompt, beside engines that end under a run

The randomised test of suspects ended decode engines alone. Engines that read prompts end as well, and count the same.

--- a/tests/random/test_quarantine_random.c
+++ b/tests/random/test_quarantine_random.c
@@ -31,17 +31,18 @@
 typedef enum { AWAY, WAITING, READING, RUNNING, GONE } state_t;
 
 typedef struct {
-    bool fatal;
+    bool fatal;        /* it ends engines, */
+    bool fatal_prompt; /* when they read its prompt */
     uint64_t fingerprint;
     state_t state;
     tc_time_t until; /* of the state */
     tc_time_t renew_at;
     unsigned tries, numbers; /* of the caller; placements, each with an id of its own */
     uint32_t attempt;
-    int engine;
-    unsigned ended;     /* engines that it ended */
-    tc_time_t third_at; /* the third of them, 0: none */
-    unsigned sent_late; /* to engines, after all could know */
+    int engine, prefill; /* the decode engine, and the one that reads its prompt */
+    unsigned ended;      /* engines that it ended */
+    tc_time_t third_at;  /* the third of them, 0: none */
+    unsigned sent_late;  /* to engines, after all could know */
     bool refused, served;
 } caller_t;
 
@@ -149,6 +150,17 @@
     return -1;
 }
 
+static void read_prompt(world_t *w, caller_t *c)
+{
+    if (quarantine_ends(w->q, c->fingerprint, w->now) >= QUARANTINE_ENDS) {
+        tell(w, c, PHASE_FAILED);
+        end_try(w, c);
+        return;
+    }
+    c->sent_late += c->third_at > 0 && w->now > c->third_at + SETTLED_MS;
+    go(c, READING, w->now + (c->fatal_prompt ? g_rand_int_range(w->random, 1, FATAL_MS) : PREFILL_MS));
+}
+
 static void take_answers(world_t *w)
 {
     sched_action_t action;
@@ -160,11 +172,12 @@
         caller_t *const c = &w->callers[action.u.answer.token.a];
         const msg_placed_t *const placed = &action.u.answer.placed;
         c->engine = find_engine(w, placed->decode);
+        c->prefill = find_engine(w, placed->prefill);
         c->attempt = placed->attempt;
-        if (!placed->granted || c->engine < 0)
+        if (!placed->granted || c->engine < 0 || c->prefill < 0)
             end_try(w, c);
         else
-            go(c, READING, w->now + PREFILL_MS);
+            read_prompt(w, c);
     }
     sched_check(w->sched);
 }
@@ -194,7 +207,9 @@
         culprit->third_at = w->now;
     for (unsigned i = 0; i < w->callers_n; i++) {
         caller_t *const c = &w->callers[i];
-        if (c->state != RUNNING || c->engine != engine)
+        const bool runs = c->state == RUNNING && c->engine == engine;
+        const bool reads = c->state == READING && c->prefill == engine;
+        if (!runs && !reads)
             continue;
         (void)quarantine_add_end(w->q, c->fingerprint, e->name, w->now, w->now);
         tell(w, c, PHASE_FAILED);
@@ -219,7 +234,9 @@
     switch (c->state) {
     case AWAY: ask(w, c); break;
     case READING:
-        if (w->engines[c->engine].back_at) {
+        if (c->fatal_prompt) {
+            end_engine(w, c->prefill, c);
+        } else if (w->engines[c->engine].back_at) {
             tell(w, c, PHASE_FAILED);
             end_try(w, c);
         } else {
@@ -241,19 +258,25 @@
     }
 }
 
-static void add_caller(world_t *w, bool fatal)
+static void add_caller(world_t *w, bool fatal, bool fatal_prompt)
 {
     if (w->callers_n == CALLERS_MAX)
         return;
     caller_t *const c = &w->callers[w->callers_n++];
-    *c = (caller_t){.fatal = fatal, .fingerprint = 1000 + w->callers_n, .state = AWAY, .until = w->now};
+    *c = (caller_t){.fatal = fatal,
+                    .fatal_prompt = fatal_prompt,
+                    .fingerprint = 1000 + w->callers_n,
+                    .state = AWAY,
+                    .until = w->now};
 }
 
 /* ===== Runs ===== */
 
 typedef struct {
     unsigned culprits;
-    int crash_every; /* ms between waves in which a fifth of the engines ends by itself; 0: none */
+    unsigned by_prompt; /* each so-manieth of them ends engines that read its prompt, the others those that run them;
+                           0: none */
+    int crash_every;    /* ms between waves in which a fifth of the engines ends by itself; 0: none */
 } plan_t;
 
 typedef struct {
@@ -283,9 +306,9 @@
     configure(w);
     for (tc_time_t end = w->now + SPAN_MS; w->now < end; w->now += STEP_MS) {
         if (g_rand_double(w->random) < w->pace)
-            add_caller(w, false);
+            add_caller(w, false, false);
         if (w->callers_n > 20 && r.by_culprits < plan->culprits && g_rand_int_range(w->random, 0, 40) == 0) {
-            add_caller(w, true);
+            add_caller(w, true, plan->by_prompt && r.by_culprits % plan->by_prompt == plan->by_prompt - 1);
             r.by_culprits++;
         }
         if (plan->crash_every && w->now % plan->crash_every == 0)
@@ -353,6 +376,26 @@
     g_assert_cmpuint(r.ends, >, 0);
 }
 
+/** The same at prefill engines, of which there are few and which read several prompts at a time. */
+static void test_one_fatal_prompt(void)
+{
+    const totals_t r = run_seeds(&(plan_t){.culprits = 1, .by_prompt = 1});
+    g_assert_cmpuint(r.ends, >, 0);
+}
+
+static void test_two_fatal_prompts(void)
+{
+    const totals_t r = run_seeds(&(plan_t){.culprits = 2, .by_prompt = 1});
+    g_assert_cmpuint(r.ends, >, 0);
+}
+
+/** One of each kind: an innocent may be beside either, as its prompt is read and as it runs. */
+static void test_fatal_prompt_and_culprit(void)
+{
+    const totals_t r = run_seeds(&(plan_t){.culprits = 2, .by_prompt = 2});
+    g_assert_cmpuint(r.ends, >, 0);
+}
+
 /** Engines end by themselves, in waves of a few at once. Of the innocents, who are in the way of up to eight waves, two
  * in a thousand at most are taken for culprits. */
 static void test_crashes_of_their_own(void)
@@ -372,6 +415,9 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/quarantine-random/one-culprit", test_one_culprit);
     g_test_add_func("/quarantine-random/two-culprits", test_two_culprits);
+    g_test_add_func("/quarantine-random/one-fatal-prompt", test_one_fatal_prompt);
+    g_test_add_func("/quarantine-random/two-fatal-prompts", test_two_fatal_prompts);
+    g_test_add_func("/quarantine-random/fatal-prompt-and-culprit", test_fatal_prompt_and_culprit);
     g_test_add_func("/quarantine-random/crashes-of-their-own", test_crashes_of_their_own);
     g_test_add_func("/quarantine-random/culprit-and-crashes", test_culprit_and_crashes);
     return g_test_run();
