Suspects are kept apart where their prompts are read, too

A caller who had sent nothing wrong was held for ten minutes: with two ends its prompt was read beside that of a request that ends the engines which read it, and the third end of that one was its third.

Cause: the scheduler counted suspects at decode engines alone, and chose prefill engines by their work alone; a rule about what stands side by side was held at one of two places.

Now prefill engines count the suspects whose prompts they read, and are offered as decode engines are. The search that the choice is compared with knows suspects now; without the check it fails.

Late tries of a culprit count where its prompt is read as well as where it runs, each try once.

--- a/lib/sched/sched_check.c
+++ b/lib/sched/sched_check.c
@@ -41,8 +41,11 @@
             r->decode->counted.suspects += r->ends >= 1;
             r->decode->counted.twice += r->ends >= 2;
         }
-        if (r->prefilling)
+        if (r->prefilling) {
             r->prefill->counted.prefills++;
+            r->prefill->counted.suspects += r->read_ends >= 1;
+            r->prefill->counted.twice += r->read_ends >= 2;
+        }
     }
     assert(n == s->n_placed); /* the count shown is the count kept */
 }
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -53,7 +53,7 @@
 static void offer_prefill(sched_t *s, engine_t *e, const request_t *r, choice_t *choice, tc_time_t now)
 {
     const double backlog = engine_backlog(e, now);
-    if (!engine_grantable(e, now) || backlog > DISPATCH_WINDOW_MS)
+    if (!engine_grantable(e, now) || backlog > DISPATCH_WINDOW_MS || !keeps_apart(e, r))
         return;
     choice->prefills++;
     const double alone = engine_prefill_ms(e, r);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -87,8 +87,8 @@
     tc_time_t unseen_at;  /* then */
     uint32_t batch;       /* requests placed for decode */
     uint32_t solos;       /* of these, whose prompt this decode engine reads itself and has not finished */
-    uint32_t suspects;    /* of these, under which a back end has ended, */
-    uint32_t twice;       /* and under which two have */
+    uint32_t suspects;    /* requests that it runs or reads the prompt of, under which a back end has ended, */
+    uint32_t twice;       /* and of these, under which two have */
     uint32_t grants_left; /* SCHED_NO_LIMIT: any number */
     uint32_t grants_made; /* of a number that was set */
     tc_time_t suspect_until;
@@ -177,7 +177,8 @@
     bool long_transfer; /* counted in link->long_transfers */
     bool waiting;       /* token has not been answered */
     bool solo;          /* counted in decode->solos */
-    bool prefilling;    /* counted in prefill->prefills */
+    bool prefilling;    /* counted in prefill->prefills, */
+    uint32_t read_ends; /* and with so many ends in its suspects and twice */
 } request_t;
 
 /** An attempt that must go from an engine: its pieces stay reserved until the engine says so. */
--- a/lib/sched/sched_reserve.c
+++ b/lib/sched/sched_reserve.c
@@ -19,19 +19,30 @@
         link->long_transfers++;
 }
 
+static void count_suspect(engine_t *e, uint32_t ends)
+{
+    e->suspects += ends >= 1;
+    e->twice += ends >= 2;
+}
+
+static void uncount_suspect(engine_t *e, uint32_t ends)
+{
+    assert(e->suspects >= (ends >= 1) && e->twice >= (ends >= 2)); /* as counted */
+    e->suspects -= ends >= 1;
+    e->twice -= ends >= 2;
+}
+
 void count_decode(request_t *r)
 {
     r->decode->batch++;
-    r->decode->suspects += r->ends >= 1;
-    r->decode->twice += r->ends >= 2;
+    count_suspect(r->decode, r->ends);
 }
 
 void uncount_decode(request_t *r)
 {
     assert(r->decode->batch > 0); /* one for every request placed on it */
     r->decode->batch--;
-    r->decode->suspects -= r->ends >= 1;
-    r->decode->twice -= r->ends >= 2;
+    uncount_suspect(r->decode, r->ends);
 }
 
 void reserve(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now)
@@ -63,6 +74,8 @@
     p->prefills++;
     r->prefill = p;
     r->prefilling = true;
+    r->read_ends = r->ends;
+    count_suspect(p, r->read_ends);
     r->predicted_cached = engine_cached_pieces(p, r->chain, r->n_chain) * s->piece_tokens;
     engine_remember(p, r->chain, r->n_chain, now);
 }
@@ -77,6 +90,7 @@
     engine_t *const p = r->prefill;
     r->prefilling = false;
     p->prefills--;
+    uncount_suspect(p, r->read_ends);
     p->pending_ms = p->prefills > 0 ? MAX(p->pending_ms - r->pending_ms, 0) : 0;
     p->backlog_ms = p->pending_ms; /* what is left begins now, whatever was expected */
     p->backlog_at = now;
--- a/tests/random/test_quarantine_random.c
+++ b/tests/random/test_quarantine_random.c
@@ -42,7 +42,8 @@
     int engine, prefill; /* the decode engine, and the one that reads its prompt */
     unsigned ended;      /* engines that it ended */
     tc_time_t third_at;  /* the third of them, 0: none */
-    unsigned sent_late;  /* to engines, after all could know */
+    unsigned sent_late;  /* tries, to engines, after all could know; */
+    bool late;           /* this one was */
     bool refused, served;
 } caller_t;
 
@@ -150,6 +151,14 @@
     return -1;
 }
 
+/** It is sent to an engine; each try counts once. */
+static void note_late(const world_t *w, caller_t *c)
+{
+    const bool late = c->third_at > 0 && w->now > c->third_at + SETTLED_MS;
+    c->sent_late += late && !c->late;
+    c->late = c->late || late;
+}
+
 static void read_prompt(world_t *w, caller_t *c)
 {
     if (quarantine_ends(w->q, c->fingerprint, w->now) >= QUARANTINE_ENDS) {
@@ -157,7 +166,8 @@
         end_try(w, c);
         return;
     }
-    c->sent_late += c->third_at > 0 && w->now > c->third_at + SETTLED_MS;
+    c->late = false;
+    note_late(w, c);
     go(c, READING, w->now + (c->fatal_prompt ? g_rand_int_range(w->random, 1, FATAL_MS) : PREFILL_MS));
 }
 
@@ -190,7 +200,7 @@
         end_try(w, c);
         return;
     }
-    c->sent_late += c->third_at > 0 && w->now > c->third_at + SETTLED_MS;
+    note_late(w, c);
     tell(w, c, PHASE_DECODE);
     const int span =
         c->fatal ? g_rand_int_range(w->random, 1, FATAL_MS) : g_rand_int_range(w->random, 200, 2 * STREAM_MS);
--- a/tests/unit/test_sched_choose.c
+++ b/tests/unit/test_sched_choose.c
@@ -12,7 +12,7 @@
 enum { ENGINES_MOST = 600, DCS_MOST = 6, FLEETS = 300, NOW = 10000 };
 
 /** As choose_pair weighs them. */
-static const double BATCH_COST_MS = 3.0;
+static const double BATCH_COST_MS = 3.0, SUSPECT_COST_MS = 1000.0;
 
 /* ===== A fleet by lot ===== */
 
@@ -57,6 +57,8 @@
         e->down = true;
     if (g_rand_int_range(random, 0, 12) == 0)
         e->grants_left = 0;
+    e->suspects = g_rand_int_range(random, 0, 4) == 0 ? (uint32_t)g_rand_int_range(random, 1, 4) : 0;
+    e->twice = e->suspects > 0 && g_rand_int_range(random, 0, 2) ? 1 : 0;
 }
 
 static sched_t *make_fleet(GRand *random)
@@ -103,6 +105,7 @@
     request_t r = {.prompt_tokens = (uint32_t)g_rand_int_range(random, 1, 12000)};
     r.pieces = 1 + r.prompt_tokens / 100;
     r.model = model_find(s, "m");
+    r.ends = (uint32_t)g_rand_int_range(random, 0, 3);
     r.owner = make_box(s, random, (unsigned)g_rand_int_range(random, 0, 3));
     if (g_rand_int_range(random, 0, 3) == 0)
         g_snprintf(r.avoid, sizeof(r.avoid), "e%d", g_rand_int_range(random, 0, 20));
@@ -119,10 +122,16 @@
     return false;
 }
 
+/** One under which two back ends have ended is beside no other under which one has, at either kind of engine. */
+static bool is_apart(const request_t *r, const engine_t *e)
+{
+    return r->ends == 0 || (r->ends == 1 ? e->twice == 0 : e->suspects == 0);
+}
+
 static bool may_serve(const sched_t *s, const engine_t *e, const request_t *r, role_t role)
 {
-    return !is_closed(r, e) && e->role == role && strcmp(e->model->name, "m") == 0 && engine_grantable(e, NOW) &&
-           strcmp(e->name, r->avoid) != 0 && s->share_of == 1;
+    return !is_closed(r, e) && is_apart(r, e) && e->role == role && strcmp(e->model->name, "m") == 0 &&
+           engine_grantable(e, NOW) && strcmp(e->name, r->avoid) != 0 && s->share_of == 1;
 }
 
 static bool has_room(const sched_t *s, const engine_t *e, const request_t *r)
@@ -145,7 +154,8 @@
         const link_t *const link =
             link_between(s, g_ptr_array_index(s->dcs, prefill->dc), g_ptr_array_index(s->dcs, d->dc));
         if (link_is_open(link, r))
-            least = fmin(least, before + link_ms(s, link, r->prompt_tokens) + TPOT_MS + BATCH_COST_MS * d->batch);
+            least = fmin(least, before + link_ms(s, link, r->prompt_tokens) + TPOT_MS + BATCH_COST_MS * d->batch +
+                                    (r->ends > 0 ? SUSPECT_COST_MS * d->suspects : 0));
     }
     return least;
 }
