Streams that are taken up again: a box asks at most 256 engines at a time what they keep

With 3,000 back ends the busiest entry box held 3,188 connections, and carried on to the target more than a box may open. Cause, by reading: a stream that is taken up again asks every decode engine at once which prompts it keeps, each over a connection of its own; no other part of a box opens any to back ends it sends nothing to (a box keeps no idle ones).

Now at most 256 such questions are under way in a box, to engines from a place by lot on; pools up to that size are asked as before. In a larger one the engine is found by luck; asking all of them holds up the work of each for one stream.

Test: of 700 engines 256 are asked (700 before). The effect at 300 boxes is not measured yet.

--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -311,13 +311,12 @@
     return soonest;
 }
 
-void fleet_each(const fleet_t *f, const char *service, stage_t stage, tc_time_t now,
-                void (*fn)(void *arg, instance_t *instance), void *arg)
+void fleet_each(const fleet_t *f, const fleet_wish_t *wish, void (*fn)(void *arg, instance_t *instance), void *arg)
 {
-    const fleet_wish_t wish = {.service = service, .stage = stage, .now = now};
-    for (guint i = 0; i < f->instances->len; i++) {
-        instance_t *const instance = g_ptr_array_index(f->instances, i);
-        if (fits(instance, &wish))
+    const guint n = f->instances->len;
+    for (guint i = 0; i < n; i++) {
+        instance_t *const instance = g_ptr_array_index(f->instances, (wish->draw % n + i) % n);
+        if (fits(instance, wish))
             fn(arg, instance);
     }
 }
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -101,10 +101,9 @@
 tc_time_t fleet_opens_at(const fleet_t *fleet, const fleet_wish_t *wish);
 /** When the first one takes calls again, where all asked for none; 0: one takes calls now, or there is none. */
 tc_time_t fleet_closed_until(const fleet_t *fleet, const fleet_wish_t *wish);
-/** Run @p fn, which may not change the list, for every instance of the service and stage that takes work. The instance
- *  is borrowed. */
-void fleet_each(const fleet_t *fleet, const char *service, stage_t stage, tc_time_t now,
-                void (*fn)(void *arg, instance_t *instance), void *arg);
+/** Run @p fn, which may not change the list, for every instance that fits, from the one at a place by the wish's draw
+ * on and around. The instance is borrowed. */
+void fleet_each(const fleet_t *fleet, const fleet_wish_t *wish, void (*fn)(void *arg, instance_t *instance), void *arg);
 /** Choose. @return a counted reference, or NULL when no back end is left */
 instance_t *fleet_choose(fleet_t *fleet, const fleet_wish_t *wish);
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -48,6 +48,8 @@
     AGAIN_MS = 90,          /* between tries while no decode engine has room */
     LOCATE_FRESH_MS = 1500, /* callers of a box that died come at once: what an engine told one of them holds for the
                                others. Prompts give way to newer ones only after some seconds */
+    LOCATE_MOST = 256,      /* questions of a box under way, each over a connection: a box has a few thousand, and most
+                               are its callers'. In a larger pool the engine that keeps a prompt is found by luck */
     LOCATE_MS = 150,        /* an engine in reach answers in a few ms, busy or not */
     EARLY_LIFE_MS = 1000,   /* a box that has run for longer without learning where to send requests refuses them */
     EARLY_WAIT_MS = 450,  /* they wait so long: hundreds of boxes that are all started at once, control among them, know
@@ -271,6 +273,7 @@
     tc_time_t stop_end;  /* and all is over by then */
     GHashTable *paces;   /* service -> pace_t */
     unsigned busy;
+    unsigned locating; /* questions of forward_locate.c under way */
     GRand *random;
     struct cds_list_head requests;
     struct cds_list_head early; /* requests that wait until the box knows where to send them */
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -338,6 +338,15 @@
     return f->backend[i] ? lab_backend_requests(f->backend[i]) : 0;
 }
 
+/** How often a text has a part. */
+static __attribute__((unused)) unsigned count_part(const char *text, const char *part)
+{
+    unsigned n = 0;
+    for (const char *at = text; (at = strstr(at, part)); at++)
+        n++;
+    return n;
+}
+
 /* ===== Calls ===== */
 
 /** Choices are by lot: leave the spare ones out until the others have been tried. */
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "common/counter.h"
 #include "platform/forward_lab.h"
 
 /* ===== Plain services ===== */
@@ -328,6 +329,27 @@
     g_assert_nonnull(strstr(f->plan[2].seen->str, "Last-Event-Id: 1\r\n"));
 }
 
+/** In a large pool a box asks some engines, not all at once: each question takes a connection. */
+static void test_resumed_stream_in_a_large_pool(fixture_t *f, gconstpointer data)
+{
+    enum { ENGINES = 700, MOST = 256 };
+    (void)data;
+    static backend_t list[ENGINES + 1];
+    start_engines(f, "lm", "p", "l", NULL);
+    memset(list, 0, sizeof(list));
+    list[0] = fleet_find(f->fleet, "i-0")->listed;
+    for (int i = 1; i <= ENGINES; i++) {
+        list[i] = fleet_find(f->fleet, "i-1")->listed;
+        g_snprintf(list[i].id, sizeof(list[i].id), "e-%d", i);
+    }
+    fleet_list(f->fleet, list, ENGINES + 1, tc_time_now());
+    const int64_t before = counter_read("trackcove_locate_asked_total");
+    lab_call_t *const c = begin_with(f, "/again/x", "Last-Event-Id: 1\r\nPrompt-Prefix: a1:10,b2:90\r\n");
+    lab_run_until_true(f->loop, &c->done);
+    lab_call_free(c);
+    g_assert_cmpint(counter_read("trackcove_locate_asked_total") - before, ==, MOST);
+}
+
 static void test_resumed_stream_whose_prompt_is_gone(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -421,6 +443,7 @@
     TEST("resumable-stream-goes-on-where-it-was", test_resumable_stream_goes_on_where_it_was);
     TEST("lost-prefill-is-asked-for-again", test_lost_prefill_is_asked_for_again);
     TEST("resumed-stream-goes-where-its-prompt-is-kept", test_resumed_stream_goes_where_its_prompt_is_kept);
+    TEST("resumed-stream-in-a-large-pool", test_resumed_stream_in_a_large_pool);
     TEST("resumed-stream-whose-prompt-is-gone", test_resumed_stream_whose_prompt_is_gone);
     TEST("resumed-stream-whose-keeper-is-full", test_resumed_stream_whose_keeper_is_full);
     TEST("no-prefill-engine", test_no_prefill_engine);
