Limits: a box tells the leader at once of a limit that nobody has told it of

A box that had heard of a limit sent that back end nine requests more within 250 ms, on grants of a scheduler that did not know it yet: news of limits went with the next report, up to 300 ms later. That is allowed for half a second, and unwanted.

Now the first answer that names a limit makes the next report due at once, as one that says that its back end leaves does. It costs a report a back end and box when a limit begins; other rates of a known limit still wait for their turn. Refusing to use such a grant instead would leave prompts without the decode engine that they were read for.

--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -35,13 +35,33 @@
     log_end(&line);
 }
 
-/** @param from who says so, for the log */
-static void take(instance_t *instance, const instance_limit_t *limit, const char *from)
+/** Whether this box knows something newer than the leader told, and other. */
+static bool is_news(const forwarder_t *fw, const instance_t *instance)
+{
+    const instance_limit_t *const own = &instance->limit;
+    const limit_entry_t *const told = limit_table_find(fw->limits_told, instance->listed.id);
+    if (!told)
+        return own->is_set;
+    const bool same = own->is_set == told->is_set && own->rate == told->rate;
+    return !same && own->seen_at > told->seen_at;
+}
+
+/** Whether this box knows of a limit where the leader knows none. Other news can wait for the next report: a back end
+ *  may name another limit with each answer. */
+static bool is_urgent(const forwarder_t *fw, const instance_t *instance)
+{
+    const limit_entry_t *const told = limit_table_find(fw->limits_told, instance->listed.id);
+    return instance->limit.is_set && !(told && told->is_set) && is_news(fw, instance);
+}
+
+/** @param from who says so, for the log @return whether the limit has changed */
+static bool take(instance_t *instance, const instance_limit_t *limit, const char *from)
 {
     if (!instance_hear_limit(instance, limit))
-        return;
+        return false;
     counter_add(&c_changes, 1);
     log_limit(instance, from);
+    return true;
 }
 
 /** Whether the absence of a limit means something: the back end itself answered, and did not fail. */
@@ -55,7 +75,9 @@
     if (!speaks_for_backend(s))
         return;
     const instance_limit_t limit = {.is_set = s->reply.limited, .rate = s->reply.limit, .seen_at = tc_time_now()};
-    take(s->instance, &limit, "its answer");
+    forwarder_t *const fw = s->request->owner;
+    if (take(s->instance, &limit, "its answer") && fw->scheduler && is_urgent(fw, s->instance))
+        reporter_hurry(fw->scheduler); /* the scheduler grants more there until it knows */
 }
 
 void limit_learn_told(forwarder_t *fw)
@@ -66,24 +88,13 @@
         instance_t *const instance = fleet_find(fw->fleet, e->backend);
         const instance_limit_t limit = {.is_set = e->is_set, .rate = e->rate, .seen_at = e->seen_at};
         if (instance)
-            take(instance, &limit, "the leader");
+            (void)take(instance, &limit, "the leader");
     }
     g_list_free(entries);
 }
 
 /* ===== Reports ===== */
 
-/** Whether this box knows something newer than the leader told, and other. */
-static bool is_news(const forwarder_t *fw, const instance_t *instance)
-{
-    const instance_limit_t *const own = &instance->limit;
-    const limit_entry_t *const told = limit_table_find(fw->limits_told, instance->listed.id);
-    if (!told)
-        return own->is_set;
-    const bool same = own->is_set == told->is_set && own->rate == told->rate;
-    return !same && own->seen_at > told->seen_at;
-}
-
 static limit_news_t news_of(const instance_t *instance)
 {
     limit_news_t news = {.is_set = instance->limit.is_set,
@@ -115,16 +126,11 @@
     report->limits_used = cap_parts_report(fw->limits, &report->limits_used_n, tc_time_now());
 }
 
-/** Whether this box knows of a limit where the leader knows none. Other news can wait for the next report: a back end
- *  may name another limit with each answer. */
 static bool has_urgent_news(const forwarder_t *fw)
 {
-    for (unsigned i = 0; i < fleet_size(fw->fleet); i++) {
-        const instance_t *const instance = fleet_at(fw->fleet, i);
-        const limit_entry_t *const told = limit_table_find(fw->limits_told, instance->listed.id);
-        if (instance->limit.is_set && !(told && told->is_set) && is_news(fw, instance))
+    for (unsigned i = 0; i < fleet_size(fw->fleet); i++)
+        if (is_urgent(fw, fleet_at(fw->fleet, i)))
             return true;
-    }
     return false;
 }
 
