--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -179,16 +179,26 @@
     return fleet_choose(f->owner->fleet, &wish);
 }
 
-bool forward_has_unlimited(forward_t *f, stage_t stage)
+/** Drop a reference that was only asked for. @return whether there was one */
+static bool drop_choice(instance_t *instance)
 {
-    fleet_wish_t wish = wish_of(f, stage);
-    wish.unlimited = true;
-    instance_t *const instance = fleet_choose(f->owner->fleet, &wish);
     if (instance)
         instance_unref(instance);
     return instance != NULL;
 }
 
+bool forward_has_any(forward_t *f, stage_t stage)
+{
+    return drop_choice(forward_choose(f, stage));
+}
+
+bool forward_has_unlimited(forward_t *f, stage_t stage)
+{
+    fleet_wish_t wish = wish_of(f, stage);
+    wish.unlimited = true;
+    return drop_choice(fleet_choose(f->owner->fleet, &wish));
+}
+
 /** The scheduler's choice, else our own. */
 static instance_t *choose_engine(forward_t *f, stage_t stage)
 {
@@ -283,14 +293,6 @@
     return true;
 }
 
-static bool has_decode(forward_t *f)
-{
-    instance_t *const decode = choose_engine(f, STAGE_DECODE);
-    if (decode)
-        instance_unref(decode);
-    return decode != NULL;
-}
-
 /** Read the prompt on a prefill engine, then decode. Without a prefill engine the decode engine reads the prompt
  *  itself, slowly. */
 static void send_to_engines(forward_t *f)
@@ -303,7 +305,7 @@
         retry_then(f, forward_go_on);
         return;
     }
-    if (prefill && !has_decode(f)) {
+    if (prefill && !drop_choice(choose_engine(f, STAGE_DECODE))) {
         instance_unref(prefill);
         fail_without_backend(f, STAGE_DECODE); /* the prompt would be read for nothing */
         return;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -310,13 +310,14 @@
 void forward_send(forward_t *f, dialect_ask_t ask, instance_t *instance);
 /** One of the back ends that fit, as a reference, or NULL. */
 instance_t *forward_choose(forward_t *f, stage_t stage);
+/** Whether there is one. */
+bool forward_has_any(forward_t *f, stage_t stage);
+/** Whether there is one that names no limit. */
+bool forward_has_unlimited(forward_t *f, stage_t stage);
 
 /** How many boxes share what all of them together may do. */
 unsigned forward_boxes(const forwarder_t *fw);
 
-/** Whether one of them names no limit. */
-bool forward_has_unlimited(forward_t *f, stage_t stage);
-
 /** Refuse the request, which no back end has begun: the answer says so. @param after when its caller may come back, 0:
  *  never */
 void forward_refuse(forward_t *f, int status, const char *why, tc_time_t after);
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -337,14 +337,6 @@
     give_up(s, "prefill engine is silent");
 }
 
-static bool is_any_left(forward_t *f, stage_t stage)
-{
-    instance_t *const instance = forward_choose(f, stage);
-    if (instance)
-        instance_unref(instance);
-    return instance != NULL;
-}
-
 static void watch_silence(forward_t *f);
 
 /** The run is silent and another can follow: once all that this takes is paid for, it is given up. The silence is none
@@ -357,7 +349,7 @@
     }
     /* This run counts, and so does the prompt that is read anew; without a prefill engine the run behind it reads it.
      */
-    const bool prefills = f->split && f->retry.read && is_any_left(f, STAGE_PREFILL);
+    const bool prefills = f->split && f->retry.read && forward_has_any(f, STAGE_PREFILL);
     const unsigned before = f->retry.counted + 1 + prefills;
     if (before > f->retry.paid)
         retry_ask(f, pay_and_give_up, watch_silence);
@@ -370,7 +362,7 @@
 {
     forward_t *const f = arg;
     assert(f->step); /* disarmed with the step */
-    if (has_other(f->step, is_any_left))
+    if (has_other(f->step, forward_has_any))
         pay_and_give_up(f);
     else
         watch_silence(f);
