Own interface: workers of plain services that ask for no calls get none

The same cause as on the users' platform, in the interface of our own: a worker that turned a call away with a time to come back was called on. Since refusals come fast and a worker is chosen by its latency, it even drew calls: all 12 of a test were turned away while two others were idle.

Now a refusal's Retry-After is kept with what the box has seen of a worker, in the same type as on the platform; the choice leaves the worker out until then. Where all ask for none the caller is refused at once as not run. Of 12 calls one is turned away, and of six to three such workers each asks once.

Engines of this interface don't say such a thing; that they leave is on their state page, which the scheduler reads.

--- a/lib/backend/http_client.c
+++ b/lib/backend/http_client.c
@@ -175,6 +175,16 @@
     return TC_OK;
 }
 
+static tc_time_t retry_after(CURL *easy, long status)
+{
+    enum { TOO_MANY = 429, UNAVAILABLE = 503 };
+    curl_off_t seconds = 0;
+    if (status != TOO_MANY && status != UNAVAILABLE)
+        return 0;
+    curl_easy_getinfo(easy, CURLINFO_RETRY_AFTER, &seconds);
+    return seconds > 0 ? (tc_time_t)seconds * 1000 : 0;
+}
+
 int http_call(const http_call_t *call, http_result_t *result, tc_err_t *err)
 {
     memset(result, 0, sizeof(*result));
@@ -187,6 +197,7 @@
     curl_easy_getinfo(handle->easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(handle->easy, CURLINFO_REQUEST_SIZE, &request_size);
     result->status = (int)status;
+    result->retry_after = retry_after(handle->easy, status);
     result->sent = request_size > 0;
     const int rc = judge(&running, code, err);
     curl_multi_remove_handle(handle->multi, handle->easy);
--- a/lib/backend/http_client.h
+++ b/lib/backend/http_client.h
@@ -46,7 +46,8 @@
     int status; /**< HTTP status, 0 when there was none */
     char *body; /**< collected body (errors: always collected), NULL or heap; free it */
     size_t body_size;
-    bool sent; /**< a connection was made, so the server may have seen the call */
+    tc_time_t retry_after; /**< of a refusal with 429 or 503 that asks for no calls for so long, ms; 0: it does not */
+    bool sent;             /**< a connection was made, so the server may have seen the call */
 } http_result_t;
 
 /* ===== Public functions ===== */
--- a/lib/request/service.c
+++ b/lib/request/service.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "backend/availability.h"
 #include "backend/http_client.h"
 #include "common/counter.h"
 #include "common/log.h"
@@ -40,6 +41,7 @@
     double latency_ms;
     uint32_t failures; /* in a row */
     tc_time_t ejected_until;
+    availability_t availability;
 } seen_t;
 
 static pthread_mutex_t seen_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -71,6 +73,7 @@
             const worker_cfg_t *const w = &service->workers[i];
             const seen_t *const seen = seen_get(w->name);
             if (view_is_leaving(view, w->name) || strcmp(w->name, avoid) == 0 ||
+                !availability_takes(&seen->availability, CALL_NEW_WORK, now) ||
                 (pass == 0 && now < seen->ejected_until))
                 continue;
             const double cost = (seen->outstanding + 1) * seen->latency_ms;
@@ -88,11 +91,14 @@
     return best != NULL;
 }
 
-static void worker_done(const char *worker, bool ok, tc_time_t took)
+static void worker_done(const char *worker, bool ok, tc_time_t retry_after, tc_time_t took)
 {
     pthread_mutex_lock(&seen_lock);
     seen_t *const seen = seen_get(worker);
+    const availability_notice_t notice = {.retry_after = retry_after};
     seen->outstanding--;
+    if (availability_hear(&seen->availability, &notice, tc_time_now()))
+        availability_log(worker, &notice);
     if (ok) {
         seen->failures = 0;
         seen->latency_ms += LEARN * ((double)took - seen->latency_ms);
@@ -153,7 +159,7 @@
     const tc_time_t begin = tc_time_now();
     const int rc = http_call(&http, &call->result, &call->err);
     const bool answered = rc == TC_OK || rc == TC_E_REFUSED;
-    worker_done(worker->name, answered, tc_time_now() - begin);
+    worker_done(worker->name, answered, call->result.retry_after, tc_time_now() - begin);
     call->touched = call->touched || rc != TC_E_UNREACHABLE;
     return answered ? TC_OK : rc;
 }
--- a/programs/stub/admin.c
+++ b/programs/stub/admin.c
@@ -60,6 +60,8 @@
         w->dead = false;
     else if (strcmp(kind, "slow") == 0)
         w->slow_ms = ms;
+    else if (strcmp(kind, "shed") == 0)
+        w->shed_until = now + ms;
     else if (strcmp(kind, "die_before") == 0)
         w->die_before = now + ms;
     else if (strcmp(kind, "die_after") == 0)
--- a/programs/stub/stub.c
+++ b/programs/stub/stub.c
@@ -479,6 +479,8 @@
     if (w->dead || now < w->die_before) {
         return hang_up(conn);
     }
+    if (now < w->shed_until)
+        return http_send_json(conn, 503, json_pack("{s:s}", "worker", w->name), (unsigned)(w->shed_until - now));
     const char *const id = http_header(conn, "Idempotency-Key");
     char counted[160];
     snprintf(counted, sizeof(counted), "%s.0", id);
--- a/programs/stub/stub.h
+++ b/programs/stub/stub.h
@@ -16,6 +16,7 @@
     char name[CODEC_STR_SIZE];
     bool dead, leaving, leaving_listed;
     double slow_ms, list_at;
+    double shed_until;            /* it turns calls away and asks for none */
     double die_before, die_after; /* until when calls die before, or after, the work is done */
 } worker_t;
 
--- a/tests/fault/test_services.c
+++ b/tests/fault/test_services.c
@@ -165,6 +165,45 @@
     cluster_fault(cluster, "air-notify-0", "die_before", 0);
 }
 
+static bool is_served_again(void *arg)
+{
+    int *const tries = arg;
+    char id[32], type[32];
+    snprintf(id, sizeof(id), "shed-over-%d", (*tries)++);
+    return call("entry-3", id, type) == 200;
+}
+
+enum { SHED_MS = 5000 };
+
+/** A worker that turns a call away and asks for a while without any gets none meanwhile: the caller who was turned away
+ *  has its answer, the others are served elsewhere. Seen before: all 12 calls were turned away, since refusals come
+ * fast and a worker is chosen by its latency. */
+static void test_worker_asks_for_no_calls(void)
+{
+    char type[32];
+    cluster_fault(cluster, "air-notify-0", "shed", SHED_MS);
+    int refused = 0;
+    for (int i = 0; i < 12; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "shed-%d", i);
+        refused += call("entry-3", id, type) != 200;
+    }
+    g_assert_cmpint(refused, <=, 1); /* none where it was passed over for a failure */
+    fault_all("shed", SHED_MS);
+    int turned_away = 0;
+    for (int i = 0; i < 6; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "shed-all-%d", i);
+        g_assert_cmpint(call("entry-3", id, type), ==, 503);
+        turned_away += strcmp(type, "not_run") != 0; /* by a worker, not by the box */
+    }
+    g_assert_cmpint(turned_away, >=, 1);
+    g_assert_cmpint(turned_away, <=, 3); /* each worker is asked once */
+    fault_all("shed", 0);
+    int tries = 0;
+    g_assert_true(cluster_until(is_served_again, &tries, 20000));
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -176,6 +215,7 @@
     g_test_add_func("/services/worker-dies-before", test_worker_dies_before);
     g_test_add_func("/services/racing-callers", test_racing_callers);
     g_test_add_func("/services/ejection", test_ejection);
+    g_test_add_func("/services/worker-asks-for-no-calls", test_worker_asks_for_no_calls);
     g_test_add_func("/services/no-control", test_no_control);
     g_test_add_func("/services/entry-and-leader-die", test_entry_and_leader_die);
     const int rc = g_test_run();
