--- a/tests/platform/test_availability.c
+++ b/tests/platform/test_availability.c
@@ -86,7 +86,7 @@
         const tc_time_t left = availability_closed_for(&fleet_find(f->fleet, "i-0")->availability, tc_time_now());
         g_assert_cmpint(c->status, ==, 503);
         g_assert_nonnull(c->retry_after);
-        g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL) * 1000 + CLOSED_MS / 10, >=, (double)left);
+        g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL) * 1000 + 0.1 * CLOSED_MS, >=, (double)left);
         lab_call_free(c);
     }
     g_assert_cmpuint(requests(f, 0), ==, 1);
