A caller is told to wait for back ends only where none takes work now

Of two back ends one asked for no calls and the other turned a request away: its caller was told to come back when the first one's time is over, up to seconds later, though the second takes work at once. The time is given now only where none takes any; else it is the usual second. Found by reading the change again; the test failed before.

--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -291,8 +291,11 @@
     for (guint i = 0; i < f->instances->len; i++) {
         const instance_t *const instance = g_ptr_array_index(f->instances, i);
         const tc_time_t opens = MAX(instance->limited_until, instance->availability.closed_until);
-        if (wish->now < opens && suits(instance, wish))
-            soonest = MIN(soonest, opens);
+        if (!suits(instance, wish))
+            continue;
+        if (wish->now >= opens)
+            return TC_TIME_NEVER;
+        soonest = MIN(soonest, opens);
     }
     return soonest;
 }
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -96,8 +96,8 @@
 instance_t *fleet_find(const fleet_t *fleet, const char *id);
 /** The listed instance at a place below fleet_size, borrowed. */
 instance_t *fleet_at(const fleet_t *fleet, unsigned place);
-/** When the first of those that take no work now for their limits, or since they asked for no calls, does again;
- *  TC_TIME_NEVER: there are none. Those that were tried count: who comes back tries anew. */
+/** When the first one takes work again, where none does now for its limit, or since it asked for no calls;
+ *  TC_TIME_NEVER: one does, or there is none. Those that were tried count: who comes back tries anew. */
 tc_time_t fleet_opens_at(const fleet_t *fleet, const fleet_wish_t *wish);
 /** When the first one takes calls again, where all asked for none; 0: one takes calls now, or there is none. */
 tc_time_t fleet_closed_until(const fleet_t *fleet, const fleet_wish_t *wish);
--- a/tests/platform/test_availability.c
+++ b/tests/platform/test_availability.c
@@ -75,6 +75,22 @@
     g_assert_cmpuint(serve_while_closed(f, "/once/x", 0, "i-0"), ==, 1);
 }
 
+/** One asks for no calls and the other fails: the caller isn't told to wait for the first, since the second takes
+ * calls.
+ */
+static void test_closed_and_failing(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f, (backend_plan_t[]){{"app", "", "w", false, false}, {"app", "", "n", false, false}}, 2);
+    expect(f, "/safe/x", 503, "");
+    lab_call_t *const c = call(f, "/safe/x");
+    g_assert_cmpint(c->status, ==, 503);
+    g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL), <=, 1.0);
+    lab_call_free(c);
+    g_assert_cmpuint(requests(f, 0), ==, 1);
+    g_assert_cmpuint(requests(f, 1), ==, 2);
+}
+
 /** All ask for no calls: callers are refused at once and told when the first one takes calls again. */
 static void test_all_closed(fixture_t *f, gconstpointer data)
 {
@@ -338,6 +354,7 @@
 #define TEST(name, fn) g_test_add("/availability/" name, fixture_t, NULL, set_up, fn, tear_down)
     TEST("plain-closed", test_plain_closed);
     TEST("once-closed", test_once_closed);
+    TEST("closed-and-failing", test_closed_and_failing);
     TEST("all-closed", test_all_closed);
     TEST("engines-closed", test_engines_closed);
     TEST("decodes-closed", test_decodes_closed);
