What back ends say in answers to releases is heard as well

An engine that said that it leaves, or asked for no calls, in its answer to a release was not heard: these calls dropped their answers unread. Now their heads are read like any other. Such a call outlives its request, so it holds the back end by itself until it ends.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -496,6 +496,7 @@
     CDS_INIT_LIST_HEAD(&fw->requests);
     CDS_INIT_LIST_HEAD(&fw->early);
     CDS_INIT_LIST_HEAD(&fw->looks);
+    CDS_INIT_LIST_HEAD(&fw->upkeeps);
     return fw;
 }
 
@@ -504,6 +505,7 @@
     assert(fw->busy == 0); /* requests hold the forwarder */
     loop_disarm(&fw->renewal);
     looks_end(fw);
+    upkeeps_end(fw);
     route_table_unref(fw->table);
     g_hash_table_destroy(fw->budgets);
     quarantine_destroy(fw->quarantine);
--- a/lib/forward/forward_ask.c
+++ b/lib/forward/forward_ask.c
@@ -84,11 +84,26 @@
     g_free(e);
 }
 
-/* ===== Without an answer ===== */
+/* ===== Whose answer changes nothing ===== */
 
-static web_verdict_t ignore_head(void *arg, const web_head_t *head)
+/** One such call. It outlives the request that it is about. */
+typedef struct {
+    struct cds_list_head node;
+    forwarder_t *owner;
+    instance_t *instance; /* a reference */
+} upkeep_t;
+
+static void upkeep_free(upkeep_t *u)
+{
+    cds_list_del(&u->node);
+    instance_unref(u->instance);
+    g_free(u);
+}
+
+static web_verdict_t on_upkeep_head(void *arg, const web_head_t *head)
 {
-    (void)arg, (void)head;
+    const upkeep_t *const u = arg;
+    notice_hear(u->owner, u->instance, head);
     return WEB_TAKE;
 }
 
@@ -97,17 +112,29 @@
     (void)arg, (void)data, (void)size;
 }
 
-static void ignore_end(void *arg, web_end_t how)
+static void on_upkeep_end(void *arg, web_end_t how)
 {
-    (void)arg, (void)how; /* what an engine keeps for us it drops by itself soon after */
+    (void)how; /* what an engine keeps for us it drops by itself soon after */
+    upkeep_free(arg);
 }
 
-void upkeep_call(forwarder_t *fw, const instance_t *instance, GByteArray *request)
+void upkeep_call(forwarder_t *fw, instance_t *instance, GByteArray *request)
 {
     if (!instance_takes_upkeep(instance, tc_time_now())) {
         g_byte_array_unref(request); /* an engine drops by itself what nobody takes */
         return;
     }
-    const web_sink_t sink = {.on_head = ignore_head, .on_data = ignore_data, .on_end = ignore_end};
+    upkeep_t *const u = g_new0(upkeep_t, 1);
+    u->owner = fw;
+    u->instance = instance_ref(instance);
+    cds_list_add(&u->node, &fw->upkeeps);
+    const web_sink_t sink = {.on_head = on_upkeep_head, .on_data = ignore_data, .on_end = on_upkeep_end, .arg = u};
     (void)web_call(fw->client, instance->listed.addr, request, true, CONNECT_MS, &sink);
 }
+
+void upkeeps_end(forwarder_t *fw)
+{
+    upkeep_t *u, *next;
+    cds_list_for_each_entry_safe(u, next, &fw->upkeeps, node)
+        upkeep_free(u);
+}
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -276,8 +276,9 @@
     unsigned locating; /* questions of forward_locate.c under way */
     GRand *random;
     struct cds_list_head requests;
-    struct cds_list_head early; /* requests that wait until the box knows where to send them */
-    struct cds_list_head looks; /* of forward_look.c */
+    struct cds_list_head early;   /* requests that wait until the box knows where to send them */
+    struct cds_list_head looks;   /* of forward_look.c */
+    struct cds_list_head upkeeps; /* of forward_ask.c */
     quarantine_t *quarantine;
     cap_parts_t *caps;
     cap_parts_t *limits;        /* of back ends */
@@ -385,7 +386,9 @@
 
 /** Make a call about what a back end has already, whose answer changes nothing, unless it wants no calls at all.
  *  @param request taken over */
-void upkeep_call(forwarder_t *fw, const instance_t *instance, GByteArray *request);
+void upkeep_call(forwarder_t *fw, instance_t *instance, GByteArray *request);
+/** Forget those under way: when the client is destroyed, before the forwarder is. */
+void upkeeps_end(forwarder_t *fw);
 
 /* ===== forward_look.c ===== */
 
--- a/lib/forward/forward_step.c
+++ b/lib/forward/forward_step.c
@@ -58,7 +58,7 @@
     if (!f->handle.instance)
         return;
     counter_add(&c_wasted, f->facts.prompt_tokens);
-    const instance_t *const holder = f->handle.instance;
+    instance_t *const holder = f->handle.instance;
     if (tc_time_now() < f->handle.until)
         upkeep_call(f->owner, holder, dialect_write_release(holder->listed.addr, f->handle.name));
     handle_forget(f);
--- a/tests/platform/test_availability.c
+++ b/tests/platform/test_availability.c
@@ -213,6 +213,31 @@
     g_assert_cmpuint(requests(f, 1), ==, 1);
 }
 
+static bool has_release(void *arg)
+{
+    return count_calls(arg, 0, "DELETE ") > 0;
+}
+
+/** One that says so where the answer changes nothing else, to a release. */
+static void test_release_leaving(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_all(f,
+              (backend_plan_t[]){{"lm", "prefill", "pLp", false, false},
+                                 {"lm", "decode", "hS", false, false},
+                                 {"lm", "prefill", "p", true, false}},
+              3);
+    lab_call_t *const c = begin(f, "/lm/x");
+    lab_run_until(f->loop, has_decode, f);
+    web_call_cancel(c->call);
+    lab_run_until(f->loop, has_release, f);
+    lab_run_for(f->loop, 30); /* its answer is read */
+    expect(f, "/lm/x", 200, FIRST SECOND);
+    g_assert_cmpuint(count_calls(f, 0, "Stage: prefill"), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, 1);
+    lab_call_free(c);
+}
+
 /** An engine that sets memory aside and says in that answer that it leaves gets no request for it. */
 static void test_hold_leaving(fixture_t *f, gconstpointer data)
 {
@@ -363,6 +388,7 @@
     TEST("release-closed", test_release_closed);
     TEST("plain-leaving", test_plain_leaving);
     TEST("engines-leaving", test_engines_leaving);
+    TEST("release-leaving", test_release_leaving);
     TEST("hold-leaving", test_hold_leaving);
     TEST("all-leaving", test_all_leaving);
     TEST("started-again", test_started_again);
