Soak: the limit of a worker is judged from the answers by which boxes could know it

The check counted from the worker's own event.

Now, by the letter of the rule: it counts from three seconds after the first answer that named the limit, requests of boxes that had passed on such an answer half a second before or earlier; a start or stand-still of a box excuses it until it hears of the limit again. Cuts excuse nobody, as before.

--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -52,6 +52,22 @@
     return t;
 }
 
+int world_box_of(world_t *w, const char *id)
+{
+    return id[0] ? (int)world_try(w, id)->box - 1 : -1;
+}
+
+bool box_was_harmed(const world_t *w, int box, tc_time_t since)
+{
+    const box_t *const b = &w->boxes[box];
+    return b->harmed_at >= since || b->entry.paused || b->entry.ending || !b->entry.pid;
+}
+
+bool answer_is_heard(const lab_reply_t *answer)
+{
+    return answer->bytes && answer->bytes[0] && answer->end == LAB_KEEP;
+}
+
 record_t *world_stream(world_t *w, const char *name, unsigned tokens)
 {
     record_t *r = g_hash_table_lookup(w->streams, name);
