Scheduler: decode engines read a box's prompts where all prefill engines want no calls of it

Such requests waited for two thirds of their time and were refused, since prefill engines that are closed to their box counted as there. Now they don't count for it. The test failed before.

--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -153,11 +153,11 @@
     s->stats.looks += s->engine_list->len;
     for (guint i = 0; i < s->engine_list->len; i++) {
         engine_t *const e = g_ptr_array_index(s->engine_list, i);
-        if (e->model != r->model || !engine_usable(e, now))
+        if (e->model != r->model || !engine_usable(e, now) || owner_is_closed(r->owner, e, now))
             continue;
         prefills += e->role == ROLE_PREFILL;
         decodes += e->role == ROLE_DECODE;
-        if (e == avoid || e->solos > 0 || owner_is_closed(r->owner, e, now) || !decode_candidate(s, e, r, now))
+        if (e == avoid || e->solos > 0 || !decode_candidate(s, e, r, now))
             continue;
         best.decodes++;
         if (!best.decode || decode_cost(e, r) < decode_cost(best.decode, r))
--- a/tests/unit/test_sched_solo.c
+++ b/tests/unit/test_sched_solo.c
@@ -123,6 +123,26 @@
     sched_destroy(f.sched);
 }
 
+/** Where all prefill engines want no calls of the box, decode engines read its prompts. */
+static void test_prefills_closed_to_the_box(void)
+{
+    fixture_t f;
+    set_up(&f, 2);
+    backend_notice_t closed[2];
+    memset(closed, 0, sizeof(closed));
+    for (int i = 0; i < 2; i++) {
+        codec_copy_string(closed[i].backend, sizeof(closed[i].backend), f.engines[i].name);
+        closed[i].closed_ms = 10 * SOLO_AFTER;
+    }
+    sched_set_notices(f.sched, "box", closed, 2, 0);
+    place(&f, 0, 0);
+    g_assert_false(f.answered[0]);
+    tick(&f, SOLO_AFTER + 1);
+    g_assert_true(f.answered[0] && f.placed[0].granted);
+    g_assert_cmpstr(f.placed[0].prefill, ==, "");
+    sched_destroy(f.sched);
+}
+
 static void test_no_prefill_engine(void)
 {
     fixture_t f;
@@ -192,6 +212,7 @@
     g_test_add_func("/sched-solo/pools-in-proportion", test_pools_in_proportion);
     g_test_add_func("/sched-solo/no-prefill-engine", test_no_prefill_engine);
     g_test_add_func("/sched-solo/closed-to-the-box", test_closed_to_the_box);
+    g_test_add_func("/sched-solo/prefills-closed-to-the-box", test_prefills_closed_to_the_box);
     g_test_add_func("/sched-solo/given-up-while-granted", test_given_up_while_granted);
     g_test_add_func("/sched-solo/failures-in-a-row", test_failures_in_a_row);
     return g_test_run();
