--- a/tests/unit/cluster_lab.h
+++ b/tests/unit/cluster_lab.h
@@ -1,6 +1,6 @@
 /** @file cluster_lab.h
- * The world of test_cluster.c and test_quarantine_spread.c, which alone include it: replicas with real data folders in
- * one loop over loopback, and an operator who offers documents.
+ * The world of test_cluster.c, test_cluster_reports.c, test_quarantine_spread.c and test_limits.c, which alone include
+ * it: replicas with real data folders in one loop over loopback, and an operator who offers documents.
  */
 #ifndef TRACKCOVE_TESTS_CLUSTER_LAB_H
 #define TRACKCOVE_TESTS_CLUSTER_LAB_H
