Soak: since when a box has heard of something is kept in one place

Found by reading the change again: limits and leaving kept the moment at which a box had heard of them each by itself, and leaving kept the first one for good. A box that stood still or started again after that was excused for the worker's whole time, also once it had heard anew. Both now begin anew with the answer behind the harm, so that the check of leaving is stricter than before; that of limits is the same.

--- a/tests/platform/soak/limits.c
+++ b/tests/platform/soak/limits.c
@@ -49,13 +49,11 @@
 void limits_answered(struct worker *k, const char *id, const lab_reply_t *answer)
 {
     const int box = world_box_of(k->world, id);
-    const tc_time_t now = tc_time_now();
     if (k->limit <= 0 || box < 0 || !answer_is_heard(answer))
         return;
     if (k->named_at == 0)
-        k->named_at = now;
-    if (k->told_limit[box] == 0 || box_was_harmed(k->world, box, k->told_limit[box]))
-        k->told_limit[box] = now;
+        k->named_at = tc_time_now();
+    box_hears(k->world, box, &k->told_limit[box]);
 }
 
 /** Whether the box that sent the request is to hold the limit: a start or a stand-still since it heard of it excuses it
--- a/tests/platform/soak/notices.c
+++ b/tests/platform/soak/notices.c
@@ -117,6 +117,6 @@
 void notices_answered(struct worker *k, const char *id, const lab_reply_t *answer)
 {
     const int box = world_box_of(k->world, id);
-    if (k->leave_at && box >= 0 && answer_is_heard(answer) && !k->told_leaving[box])
-        k->told_leaving[box] = tc_time_now();
+    if (k->leave_at && box >= 0 && answer_is_heard(answer))
+        box_hears(k->world, box, &k->told_leaving[box]);
 }
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -63,6 +63,12 @@
     return b->harmed_at >= since || b->entry.paused || b->entry.ending || !b->entry.pid;
 }
 
+void box_hears(const world_t *w, int box, tc_time_t *told)
+{
+    if (*told == 0 || box_was_harmed(w, box, *told))
+        *told = tc_time_now();
+}
+
 bool answer_is_heard(const lab_reply_t *answer)
 {
     return answer->bytes && answer->bytes[0] && answer->end == LAB_KEEP;
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -129,6 +129,9 @@
 /** Whether what the box's entry heard since then may be lost, or heard late: it stood still, was suspended or started
  *  again. */
 bool box_was_harmed(const world_t *world, int box, tc_time_t since);
+/** The box hears something that it is to hold from now on. @param told when it first heard of it since it was harmed
+ *  last; 0: never */
+void box_hears(const world_t *world, int box, tc_time_t *told);
 /** Whether a worker's answer reaches the box: a reset may take it along. */
 bool answer_is_heard(const lab_reply_t *answer);
 /** The record of a stream, made when first asked for with the number of its tokens; NULL when there is none. */
