Log why a connection to a back end could not be established

What callers saw: boxes without a path to any back end answered 503, and their logs said 'connection to the back end failed' whether the connection was refused, reset or timed out. A back end that is down, a cut path and a full queue of new connections could not be told apart. The line connect_failed names the address, the kind of failure, errno and the time taken. No decision is changed.

--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -14,6 +14,7 @@
 #include <urcu/list.h>
 
 #include "common/counter.h"
+#include "common/log.h"
 #include "peer/peer.h"
 
 COUNTER_DEFINE(c_opened, "counter", "trackcove_backend_connections_opened_total", "Connections opened to back ends")
@@ -49,6 +50,7 @@
     web_headers_t headers;
     web_sink_t sink;
     loop_timer_t connect_timer;
+    tc_time_t connect_began;
     tc_time_t idle_until;
     tc_time_t idle_ms;
 };
@@ -287,11 +289,47 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+/** Logs why no connection was established: a back end that is down, a cut and a full queue differ in it. */
+static void log_connect_failed(const web_call_t *call, const char *how, int error)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "connect_failed");
+    log_str(&line, "addr", call->addr);
+    log_str(&line, "how", how);
+    log_int(&line, "errno", error);
+    log_int(&line, "took_ms", tc_time_now() - call->connect_began);
+    log_end(&line);
+}
+
+/** The pending error of the connection, cleared by this. */
+static int take_socket_error(const web_call_t *call)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (getsockopt(call->watch.fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+        error = errno;
+    return error;
+}
+
+static const char *name_connect_error(int error)
+{
+    switch (error) {
+    case ECONNREFUSED: return "refused";
+    case ECONNRESET: return "reset";
+    case ETIMEDOUT: return "timeout";
+    default: return "unreachable";
+    }
+}
+
 static void call_on_io(void *arg, uint32_t events)
 {
     web_call_t *const call = arg;
     const bool ends_unsent = (events & EPOLLOUT) && (events & EPOLLIN) && has_ended_unsent(call);
-    if (ends_unsent || (call->connecting && (events & (EPOLLERR | EPOLLHUP)))) {
+    const bool connect_failed = call->connecting && (events & (EPOLLERR | EPOLLHUP));
+    if (ends_unsent || connect_failed) {
+        const int error = connect_failed ? take_socket_error(call) : 0;
+        if (connect_failed)
+            log_connect_failed(call, name_connect_error(error), error);
         call_fail(call);
         return;
     }
@@ -310,6 +348,7 @@
 
 static void on_connect_timeout(void *arg)
 {
+    log_connect_failed(arg, "timeout", 0);
     call_fail(arg);
 }
 
@@ -354,6 +393,7 @@
     web_headers_init(&call->headers);
     call->connecting = true;
     call->writing = true;
+    call->connect_began = tc_time_now();
     counter_add(&c_opened, 1);
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
