Test of boxes that are cut off from all back ends; it fails

What callers saw: boxes that had lost the path to all back ends served almost none of their callers' first tries. The test has control boxes, six entry boxes, a plain service and engines, each entry box with proxies of its own, which cut the path silently, by refusing or by resetting. The others are affected as well: the leader avoids an engine for all boxes that one box could not reach.

--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -19,6 +19,7 @@
     DELAY_MS = 150,
     TICK_MS = 5,
     CHUNK = 65536,
+    FILLERS = 2,  /* connections that fill the queue of a listener that accepts none */
     AHEAD_MS = 20 /* with a rate limit: most data read ahead of sending; the sender waits with the rest */
 };
 
@@ -62,6 +63,8 @@
     char at[32], to[32];
     proxy_mode_t mode;
     size_t rate; /* bytes/s in each direction of a connection; 0: no limit */
+    proxy_cut_t cut;
+    int fillers[FILLERS]; /* while the cut is silent */
     struct cds_list_head pairs;
 };
 
@@ -224,6 +227,12 @@
     const int fd = accept4(proxy->watch.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0)
         return;
+    if (proxy->cut == PROXY_CUT_RESET) {
+        const struct linger now = {.l_onoff = 1};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        close(fd);
+        return;
+    }
     tc_err_t err = {0};
     struct sockaddr_storage to;
     unsigned size = 0;
@@ -298,6 +307,48 @@
     proxy_reset(proxy);
 }
 
+/** Makes the kernel drop the opening packets of new connections: it does while the listener's queue is full. */
+static void fill_queue(proxy_t *proxy)
+{
+    struct sockaddr_storage at;
+    unsigned size = 0;
+    tc_err_t err = {0};
+    g_assert_cmpint(peer_parse_addr(proxy->at, &at, &size, &err), ==, TC_OK);
+    loop_unwatch(proxy->loop, &proxy->watch);
+    g_assert_cmpint(listen(proxy->watch.fd, 0), ==, 0);
+    for (int i = 0; i < FILLERS; i++) {
+        proxy->fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        (void)connect(proxy->fillers[i], (const struct sockaddr *)&at, size);
+    }
+}
+
+static void drain_queue(proxy_t *proxy)
+{
+    for (int i = 0; i < FILLERS; i++)
+        close(proxy->fillers[i]);
+    proxy_stop_listening(proxy);
+    proxy_listen(proxy);
+}
+
+void proxy_set_cut(proxy_t *proxy, proxy_cut_t cut)
+{
+    if (cut == proxy->cut)
+        return;
+    if (proxy->cut == PROXY_CUT_SILENT) {
+        drain_queue(proxy);
+        proxy_reset(proxy);
+    }
+    proxy->cut = cut;
+    if (cut == PROXY_CUT_SILENT) {
+        proxy_blackhole(proxy);
+        fill_queue(proxy);
+        return;
+    }
+    proxy_set_down(proxy, cut == PROXY_CUT_REFUSE);
+    if (cut == PROXY_CUT_RESET)
+        proxy_reset(proxy);
+}
+
 void proxy_blackhole(proxy_t *proxy)
 {
     pair_t *p;
@@ -328,6 +379,7 @@
 
 void proxy_stop(proxy_t *proxy)
 {
+    proxy_set_cut(proxy, PROXY_CUT_NONE);
     proxy_reset(proxy);
     loop_remove_ticks(proxy->loop, proxy);
     proxy_stop_listening(proxy);
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -19,6 +19,15 @@
     PROXY_MODES
 } proxy_mode_t;
 
+/** How the path through the proxy is cut. */
+typedef enum {
+    PROXY_CUT_NONE,   /**< it is not */
+    PROXY_CUT_SILENT, /**< nothing passes: present connections hang, new ones are not established */
+    PROXY_CUT_REFUSE, /**< present connections are reset, new ones refused */
+    PROXY_CUT_RESET,  /**< present connections are reset, new ones right after they are established */
+    PROXY_CUTS
+} proxy_cut_t;
+
 /** Names of the modes, for the schedule that a failed soak prints. */
 extern const char *const proxy_mode_names[PROXY_MODES];
 
@@ -41,6 +50,8 @@
 void proxy_reset(proxy_t *proxy);
 /** Simulates that the server behind the proxy is down (connections are refused, present ones reset) or up again. */
 void proxy_set_down(proxy_t *proxy, bool down);
+/** Cuts the path, or heals it. Not combined with proxy_set_down. */
+void proxy_set_cut(proxy_t *proxy, proxy_cut_t cut);
 /** Resets all connections, stops listening and frees the proxy. */
 void proxy_stop(proxy_t *proxy);
 
--- a/tests/platform/entries_lab.h
+++ b/tests/platform/entries_lab.h
@@ -184,7 +184,7 @@
     lab_run_until(lab->f.loop, all_answered, lab);
 }
 
-static unsigned count_status(const entries_lab_t *lab, int status)
+static __attribute__((unused)) unsigned count_status(const entries_lab_t *lab, int status)
 {
     unsigned n = 0;
     for (guint i = 0; i < lab->calls->len; i++)
