Egress: a box that is cut off from back ends connects through another box

What callers saw: at boxes that had lost the path to all back ends, nearly all first tries failed: plain requests with 503 after three refused connections, streams with 503 after several time-outs, while the other boxes had room.

Cause: a box had no way to a back end but the direct one, blamed each back end by itself for 0.3 to 3 s, and began anew with each request. It never concluded that its own path was cut.

Change: lib/egress opens the connections to back ends. When a direct one fails, or is not established within 150 ms, another box is asked to connect. If it reaches the back end, the path is cut and further connections go through relays at once; two such paths without a direct answer since mean that the box is cut off. One probe at a time finds out when the path has healed. The relay passes bytes only: requests, retry budget, caps, slots, reservations and 'not run' stay with the box that has the caller, and a relay connects directly, so there is one hop. Bytes from the back end are framed, since a relay that dies must not make an answer without a length look complete. The liveness probe of a back end whose answer was lost asks a relay too: behind a path that refuses connections, back ends were taken for ended and the requests they had run were held.

Evidence: the test that failed before. Served at cut boxes and at the others, before: 0 of 93 and 128 of 185 (silent), 0 of 94 and 148 of 188 (refused), 0 of 90 and 144 of 182 (reset); after: 95 of 95 and 190 of 190, 96 of 96 and 193 of 193, 97 of 97 and 195 of 195. Five of six boxes cut: 0 of 228 before, 230 of 230 after.

Two cases stay listed as known red: one cut box still makes the leader avoid an engine for all.

--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -43,6 +43,7 @@
     GHashTable *pools;    /* the same by service and stage: text of pool_key_t -> GPtrArray, owned */
     uint64_t examined;    /* instances that queries have examined */
     GHashTable *by_id;    /* the same, instance_t.listed.id -> instance_t */
+    GHashTable *by_addr;  /* the same, instance_t.listed.addr -> instance_t */
     evacuations_t evacuations;
     cold_t *cold;
     GHashTable *shared;            /* services whose back ends state a pace */
@@ -194,6 +195,7 @@
     fleet_t *const f = g_new0(fleet_t, 1);
     f->instances = g_ptr_array_new_with_free_func(unref_instance);
     f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    f->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
     f->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pool_free);
     f->cold = cold_create();
     f->shared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -203,6 +205,7 @@
 void fleet_destroy(fleet_t *f)
 {
     g_hash_table_destroy(f->by_id);
+    g_hash_table_destroy(f->by_addr);
     g_hash_table_destroy(f->pools);
     g_ptr_array_free(f->instances, TRUE);
     codec_free(&evacuations_desc, &f->evacuations);
@@ -223,6 +226,11 @@
     return g_hash_table_lookup(f->by_id, id);
 }
 
+instance_t *fleet_find_at(const fleet_t *f, const char *addr)
+{
+    return g_hash_table_lookup(f->by_addr, addr);
+}
+
 instance_t *fleet_at(const fleet_t *f, unsigned index)
 {
     g_assert(index < f->instances->len); /* contract of fleet_at */
@@ -255,11 +263,13 @@
     for (guint i = 0; i < f->instances->len; i++)
         ((instance_t *)g_ptr_array_index(f->instances, i))->present = false;
     g_hash_table_remove_all(f->by_id);
+    g_hash_table_remove_all(f->by_addr);
     g_hash_table_remove_all(f->pools);
     for (guint i = 0; i < listed->len; i++) {
         instance_t *const instance = g_ptr_array_index(listed, i);
         instance->present = true;
         g_hash_table_insert(f->by_id, instance->listed.id, instance);
+        g_hash_table_insert(f->by_addr, instance->listed.addr, instance);
         g_ptr_array_add(pool_get(f, instance), instance);
     }
     g_ptr_array_free(f->instances, TRUE);
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -109,6 +109,8 @@
 
 /** The listed instance with that id, borrowed, or NULL. */
 instance_t *fleet_find(const fleet_t *fleet, const char *id);
+/** The listed instance at that address, borrowed, or NULL. */
+instance_t *fleet_find_at(const fleet_t *fleet, const char *addr);
 /** The listed instance at an index below fleet_size, borrowed. */
 instance_t *fleet_at(const fleet_t *fleet, unsigned index);
 /** When the first instance accepts work again, if all have reached their limits or asked for no calls; TC_TIME_NEVER if
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -147,6 +147,10 @@
 {
     const fleet_query_t query = forward_fleet_query(f, stage);
     const tc_time_t until = fleet_next_available_at(f->owner->fleet, &query);
+    if (until == TC_TIME_NEVER && f->owner->options.egress && egress_is_cut_off(f->owner->options.egress)) {
+        fail(f, REASON_CUT_OFF, RETRY_ELSEWHERE_MS);
+        return;
+    }
     if (until == TC_TIME_NEVER) {
         forward_fail(f, fleet_is_evacuated(f->owner->fleet, &query) ? REASON_EVACUATED : "no back end is left");
         return;
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -37,6 +37,7 @@
                                      configuration, and no longer reports a route or key as unknown; ms */
     cap_rules_t caps;
     limit_rules_t limits;
+    egress_t *egress; /**< of the client's connections; borrowed; NULL: all are direct */
 } forwarder_options_t;
 
 /* ===== Public functions ===== */
--- a/lib/forward/forward_backend_probe.c
+++ b/lib/forward/forward_backend_probe.c
@@ -2,9 +2,11 @@
  * requests that lost their answers there; those that can continue wait for its result. */
 
 #include <string.h>
+#include <unistd.h>
 
 #include "common/counter.h"
 #include "common/log.h"
+#include "egress/dial.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_ended, "counter", "trackcove_forward_backends_ended_total",
@@ -26,7 +28,7 @@
     forwarder_t *owner;
     instance_t *instance; /* a reference */
     loop_timer_t timer;
-    web_probe_t web;
+    dial_t dial;
     tc_time_t lost_at;            /* time of the first lost answer */
     GArray *lost;                 /* uint64_t: fingerprints of the requests with lost answers */
     struct cds_list_head waiters; /* look_wait_t */
@@ -37,14 +39,14 @@
 static void probe_free(probe_t *probe)
 {
     loop_disarm(&probe->timer);
-    web_probe_cancel(&probe->web);
+    dial_cancel(&probe->dial);
     cds_list_del(&probe->node);
     instance_unref(probe->instance);
     g_array_free(probe->lost, TRUE);
     g_free(probe);
 }
 
-static void log_probe(const probe_t *probe, web_probe_result_t found, bool ended)
+static void log_probe(const probe_t *probe, dial_outcome_t found, bool ended)
 {
     static const char *const names[] = {"open", "refused", "silent"};
     log_line_t line;
@@ -85,22 +87,27 @@
 static void on_probe_due(void *arg);
 
 /** Whether to probe again: a call in transit when the back end ended counts as running until its connection fails. */
-static bool is_undecided(const probe_t *probe, web_probe_result_t found, tc_time_t now)
+static bool is_undecided(const probe_t *probe, dial_outcome_t found, tc_time_t now)
 {
-    return found == WEB_PROBE_REFUSED && probe->instance->running > 0 && now - probe->lost_at < PROBE_LIMIT_MS;
+    return found == DIAL_REFUSED && probe->instance->running > 0 && now - probe->lost_at < PROBE_LIMIT_MS;
 }
 
 /** A back end has ended when it refuses connections and runs no request of this box any more. A busy back end may
  * refuse a connection too, but its requests keep running. */
-static void on_probed(void *arg, web_probe_result_t found)
+static void on_probed(void *arg, const dial_result_t *result)
 {
     probe_t *const probe = arg;
     const tc_time_t now = tc_time_now();
+    const dial_outcome_t found = result->outcome;
+    if (result->fd >= 0)
+        close(result->fd);
+    if (result->relay)
+        egress_record_closed(probe->owner->options.egress, result->relay);
     if (is_undecided(probe, found, now)) {
         loop_arm(probe->owner->loop, &probe->timer, now + PROBE_INTERVAL_MS, on_probe_due, probe);
         return;
     }
-    const bool ended = found == WEB_PROBE_REFUSED && probe->instance->running == 0;
+    const bool ended = found == DIAL_REFUSED && probe->instance->running == 0;
     log_probe(probe, found, ended);
     if (ended)
         record_end(probe);
@@ -111,7 +118,9 @@
 static void on_probe_due(void *arg)
 {
     probe_t *const probe = arg;
-    web_probe(&probe->web, probe->owner->loop, probe->instance->listed.addr, CONNECT_TIMEOUT_MS, on_probed, probe);
+    const forwarder_t *const fw = probe->owner;
+    dial_start(&probe->dial, fw->loop, fw->options.egress, probe->instance->listed.addr, CONNECT_TIMEOUT_MS, on_probed,
+               probe);
 }
 
 /* ===== Starting ===== */
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -48,6 +48,7 @@
         f->call->outcome = f->call->reply.not_run ? SLOT_OUTCOME_REFUSED : SLOT_OUTCOME_FAILED;
     if (http)
         web_call_cancel(http);
+    f->call->http = NULL;
     call_free(f->call, why);
 }
 
@@ -382,6 +383,7 @@
 static void give_up(backend_call_t *call, const char *why)
 {
     web_call_cancel(call->http);
+    call->http = NULL;
     call->given_up = true;
     handle_lost_answer(call, why);
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -33,7 +33,6 @@
 #include "forward/reasons.h"
 #include "forward/service_time.h"
 #include "web/web_fetch.h"
-#include "web/web_probe.h"
 
 /* ===== Constants ===== */
 
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -81,6 +81,9 @@
         if (instance->availability.leaving_since > 0)
             log_int(&line, "leaving_ms", now - instance->availability.leaving_since);
     }
+    const char *const relay = f->call && f->call->http ? web_call_relay(f->call->http) : "";
+    if (relay[0])
+        log_str(&line, "relay", relay);
     log_int(&line, "config", (int64_t)f->table->version);
     log_int(&line, "arrivals", f->arrivals);
     log_int(&line, "left_ms", f->deadline - now);
@@ -97,6 +100,8 @@
     log_int(&line, "run", f->stream_runs);
     log_str(&line, "backend", call->instance->listed.id);
     log_str(&line, "addr", call->instance->listed.addr);
+    if (call->http && web_call_relay(call->http)[0])
+        log_str(&line, "relay", web_call_relay(call->http));
     log_str(&line, "after", call->run.after);
     log_str(&line, "first", call->run.first ? call->run.first : "");
     log_str(&line, "last", call->run.last ? call->run.last : "");
--- a/lib/forward/reasons.h
+++ b/lib/forward/reasons.h
@@ -11,6 +11,9 @@
 /** The leader has no slot of a plain back end for the request. */
 #define REASON_NO_SLOT "no slot of a back end in time"
 
+/** This box reaches no back end, and no other box helps. Callers may return at once, to another box. */
+#define REASON_CUT_OFF "this box reaches no back end"
+
 /** The remaining back ends have reached their rate limits. */
 #define REASON_LIMITED "back ends have reached their limits"
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -11,6 +11,7 @@
 const char *const claim_state_names[] = {"running", "done", "not_run", NULL};
 const char *const list_name_names[] = {"backends", "entries", NULL};
 const char *const trouble_names[] = {"stalled", "full", "outdated", NULL};
+const char *const relay_result_names[] = {"opened", "refused", "unreachable", "unknown", "cut_off", "busy", NULL};
 const char *const slot_outcome_names[] = {"answered", "failed", "refused", "lost", "unused", "cancelled", "unreachable", NULL};
 const char *const retry_purpose_names[] = {"refused", "rerun", NULL};
 
@@ -915,6 +916,18 @@
 };
 const codec_desc_t msg_slot_done_desc = {.name = "slot_done", .size = sizeof(msg_slot_done_t), .fields = msg_slot_done_fields, .n_fields = sizeof(msg_slot_done_fields) / sizeof(msg_slot_done_fields[0])};
 
+static const codec_field_t msg_relay_open_fields[] = {
+    {.name = "box", .offset = offsetof(msg_relay_open_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "backend", .offset = offsetof(msg_relay_open_t, backend), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "limit_ms", .offset = offsetof(msg_relay_open_t, limit_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+};
+const codec_desc_t msg_relay_open_desc = {.name = "relay_open", .size = sizeof(msg_relay_open_t), .fields = msg_relay_open_fields, .n_fields = sizeof(msg_relay_open_fields) / sizeof(msg_relay_open_fields[0])};
+
+static const codec_field_t msg_relay_opened_fields[] = {
+    {.name = "result", .offset = offsetof(msg_relay_opened_t, result), .kind = CODEC_ENUM, .enum_names = relay_result_names, .min = 0, .max = RELAY_RESULT_COUNT - 1, .def = 0},
+};
+const codec_desc_t msg_relay_opened_desc = {.name = "relay_opened", .size = sizeof(msg_relay_opened_t), .fields = msg_relay_opened_fields, .n_fields = sizeof(msg_relay_opened_fields) / sizeof(msg_relay_opened_fields[0])};
+
 const codec_desc_t *msg_desc(uint32_t type)
 {
     static const codec_desc_t *const table[MSG_COUNT] = {
@@ -958,6 +971,8 @@
         [MSG_SLOT_TAKE] = &msg_slot_take_desc,
         [MSG_SLOT_TAKEN] = &msg_slot_taken_desc,
         [MSG_SLOT_DONE] = &msg_slot_done_desc,
+        [MSG_RELAY_OPEN] = &msg_relay_open_desc,
+        [MSG_RELAY_OPENED] = &msg_relay_opened_desc,
     };
     return type < MSG_COUNT ? table[type] : NULL;
 }
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -75,6 +75,18 @@
 } trouble_t;
 extern const char *const trouble_names[];
 
+/** What came of a connection that a box opened for another one: the back end accepted it, refused it, did not answer in time, is not known there; or the box does not relay now, since it is cut off itself or has too many. */
+typedef enum {
+    RELAY_RESULT_OPENED,
+    RELAY_RESULT_REFUSED,
+    RELAY_RESULT_UNREACHABLE,
+    RELAY_RESULT_UNKNOWN,
+    RELAY_RESULT_CUT_OFF,
+    RELAY_RESULT_BUSY,
+    RELAY_RESULT_COUNT
+} relay_result_t;
+extern const char *const relay_result_names[];
+
 /** How a call that used a slot of a plain back end ended: answered with success, answered with a failure, refused as not run, without a whole answer, never sent, cancelled by this side, or not sent since the back end could not be reached. */
 typedef enum {
     SLOT_OUTCOME_ANSWERED,
@@ -1163,6 +1175,20 @@
 } msg_slot_done_t;
 extern const codec_desc_t msg_slot_done_desc;
 
+/** First frame on a connection to a box's relay: asks it to connect to a back end. The bytes after relay_opened are those of the connection. */
+typedef struct {
+    char box[CODEC_STR_SIZE]; /**< box that asks */
+    char backend[CODEC_STR_SIZE]; /**< id in the list of back ends */
+    uint32_t limit_ms; /**< time in which the back end must accept */
+} msg_relay_open_t;
+extern const codec_desc_t msg_relay_open_desc;
+
+/** Answer to relay_open; without a connection, the relay closes its own. */
+typedef struct {
+    relay_result_t result;
+} msg_relay_opened_t;
+extern const codec_desc_t msg_relay_opened_desc;
+
 /** Message types, as the first element of a frame. */
 typedef enum {
     MSG_NONE = 0,
@@ -1206,6 +1232,8 @@
     MSG_SLOT_TAKE,
     MSG_SLOT_TAKEN,
     MSG_SLOT_DONE,
+    MSG_RELAY_OPEN,
+    MSG_RELAY_OPENED,
     MSG_COUNT
 } msg_type_t;
 /** Descriptor of a message type, NULL for an unknown one. */
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -3,8 +3,6 @@
 #include <assert.h>
 #include <errno.h>
 #include <http_parser.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,8 +12,8 @@
 #include <urcu/list.h>
 
 #include "common/counter.h"
-#include "common/log.h"
-#include "peer/peer.h"
+#include "egress/dial.h"
+#include "egress/tunnel.h"
 
 COUNTER_DEFINE(c_opened, "counter", "trackcove_backend_connections_opened_total", "Connections opened to back ends")
 COUNTER_DEFINE(c_reused, "counter", "trackcove_backend_connections_reused_total", "Calls over a kept connection")
@@ -35,8 +33,14 @@
     struct cds_list_head node; /* in client->calls, or in client->idle */
     web_client_t *client;
     char addr[CODEC_STR_SIZE];
-    loop_watch_t watch;
-    bool writing, connecting, idle;
+    dial_t dial;                /* until connected */
+    loop_watch_t watch;         /* fd is -1 until connected */
+    char relay[CODEC_STR_SIZE]; /* address of the relay that the connection goes through; "": it is direct */
+    tunnel_reader_t tunnel;
+    tc_time_t opened_at; /* when the connection was begun */
+    bool writing, idle;
+    bool reused;      /* the connection has served another call before */
+    bool answered;    /* bytes came for this call */
     bool sent;        /* a byte of the request may have left this box */
     bool head_seen;   /* a response head was accepted */
     bool skipping;    /* the response being read belongs to another request */
@@ -49,14 +53,14 @@
     http_parser parser;
     web_headers_t headers;
     web_sink_t sink;
-    loop_timer_t connect_timer;
-    tc_time_t connect_began;
+    loop_timer_t strand_timer; /* ends a call that a cut leaves hanging */
     tc_time_t idle_until;
     tc_time_t idle_ms;
 };
 
 struct web_client {
     loop_t *loop;
+    egress_t *egress; /* NULL: all connections are direct */
     struct cds_list_head calls;
     struct cds_list_head idle;
     loop_timer_t sweep;
@@ -67,11 +71,22 @@
 
 /* ===== Connections ===== */
 
-static void call_free(web_call_t *call)
+static void call_close(web_call_t *call)
 {
-    loop_disarm(&call->connect_timer);
+    dial_cancel(&call->dial);
+    loop_disarm(&call->strand_timer);
+    if (call->watch.fd < 0)
+        return;
     loop_unwatch(call->client->loop, &call->watch);
     close(call->watch.fd);
+    call->watch.fd = -1;
+    if (call->relay[0])
+        egress_record_closed(call->client->egress, call->relay);
+}
+
+static void call_free(web_call_t *call)
+{
+    call_close(call);
     cds_list_del(&call->node);
     if (call->request)
         g_byte_array_free(call->request, TRUE);
@@ -98,6 +113,7 @@
     }
     g_byte_array_free(call->request, TRUE);
     call->request = NULL;
+    loop_disarm(&call->strand_timer);
     call->idle = true;
     call->idle_until = tc_time_now() + call->idle_ms;
     cds_list_del(&call->node);
@@ -111,6 +127,11 @@
     sink.on_end(sink.arg, how);
 }
 
+static bool is_direct(const web_call_t *call)
+{
+    return call->watch.fd >= 0 && !call->relay[0];
+}
+
 /** The connection failed or was closed early. */
 static void call_fail(web_call_t *call)
 {
@@ -118,6 +139,9 @@
         call_free(call);
         return;
     }
+    /* A kept connection may be closed at any moment, which says nothing about the path. */
+    if (call->client->egress && is_direct(call) && !call->reused && !call->answered)
+        egress_record_broken(call->client->egress, call->addr);
     call_finish(call,
                 call->head_seen ? WEB_RESULT_TRUNCATED : (call->sent ? WEB_RESULT_NO_RESPONSE : WEB_RESULT_NOT_SENT),
                 false);
@@ -215,25 +239,54 @@
                                                      .on_body = on_body,
                                                      .on_message_complete = on_message_complete};
 
-/** Feed bytes to the parser; size 0 is an orderly end of the connection. May free the call. */
-static void call_parse(web_call_t *call, const char *data, size_t size)
+/** Feed bytes to the parser; size 0 is an orderly end of the connection. May free the call.
+ *  @return whether the call goes on */
+static bool call_parse(web_call_t *call, const char *data, size_t size)
 {
     const size_t used = http_parser_execute(&call->parser, &parser_settings, data, size);
     if (call->cancelled) {
         call_free(call);
-        return;
+        return false;
     }
     if (call->complete) {
         http_parser_pause(&call->parser, 0);
         /* If the response came before the whole request was sent, the rest is still due on this connection,
          * which then cannot be reused. */
         const bool sent = call->written == call->request->len;
-        const bool keep = sent && size > 0 && used == size && http_should_keep_alive(&call->parser);
+        const bool keep =
+            sent && size > 0 && used == size && !call->tunnel.ended && http_should_keep_alive(&call->parser);
         call_finish(call, WEB_RESULT_COMPLETE, keep);
-        return;
+        return false;
     }
-    if (size == 0 || HTTP_PARSER_ERRNO(&call->parser) != HPE_OK)
+    const bool broken = size == 0 || HTTP_PARSER_ERRNO(&call->parser) != HPE_OK;
+    if (broken)
         call_fail(call);
+    return !broken;
+}
+
+/** Bytes of a relayed connection: only its end mark, not the end of the connection to the relay, is the back end's. */
+static void call_parse_tunnel(web_call_t *call, char *data, size_t size)
+{
+    const size_t payload = tunnel_decode(&call->tunnel, (uint8_t *)data, size);
+    if (call->tunnel.damaged) {
+        call_fail(call);
+        return;
+    }
+    const bool ended = call->tunnel.ended;
+    if (payload > 0 && !call_parse(call, data, payload))
+        return;
+    if (ended)
+        (void)call_parse(call, data, 0);
+}
+
+/** Records that bytes came for this call. */
+static void note_answer(web_call_t *call)
+{
+    if (call->answered)
+        return;
+    call->answered = true;
+    if (call->client->egress && is_direct(call))
+        egress_record_answer(call->client->egress, call->addr, call->opened_at);
 }
 
 static void call_read(web_call_t *call)
@@ -243,10 +296,16 @@
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
         return;
     /* The kernel reports a reset once. If send got it, recv sees what looks like an orderly end. */
-    if (n < 0 || (n == 0 && call->send_failed) || call->idle)
+    if (n < 0 || (n == 0 && (call->send_failed || call->relay[0])) || call->idle) {
         call_fail(call); /* unexpected input makes an idle connection unusable */
+        return;
+    }
+    if (n > 0)
+        note_answer(call);
+    if (call->relay[0])
+        call_parse_tunnel(call, data, (size_t)n);
     else
-        call_parse(call, data, (size_t)n);
+        (void)call_parse(call, data, (size_t)n);
 }
 
 /* ===== Requests ===== */
@@ -289,53 +348,15 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
-/** Logs why no connection was established: a back end that is down, a cut and a full queue differ in it. */
-static void log_connect_failed(const web_call_t *call, const char *how, int error)
-{
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "connect_failed");
-    log_str(&line, "addr", call->addr);
-    log_str(&line, "how", how);
-    log_int(&line, "errno", error);
-    log_int(&line, "took_ms", tc_time_now() - call->connect_began);
-    log_end(&line);
-}
-
-/** The pending error of the connection, cleared by this. */
-static int take_socket_error(const web_call_t *call)
-{
-    int error = 0;
-    socklen_t size = sizeof(error);
-    if (getsockopt(call->watch.fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
-        error = errno;
-    return error;
-}
-
-static const char *name_connect_error(int error)
-{
-    switch (error) {
-    case ECONNREFUSED: return "refused";
-    case ECONNRESET: return "reset";
-    case ETIMEDOUT: return "timeout";
-    default: return "unreachable";
-    }
-}
-
 static void call_on_io(void *arg, uint32_t events)
 {
     web_call_t *const call = arg;
     const bool ends_unsent = (events & EPOLLOUT) && (events & EPOLLIN) && has_ended_unsent(call);
-    const bool connect_failed = call->connecting && (events & (EPOLLERR | EPOLLHUP));
-    if (ends_unsent || connect_failed) {
-        const int error = connect_failed ? take_socket_error(call) : 0;
-        if (connect_failed)
-            log_connect_failed(call, name_connect_error(error), error);
+    if (ends_unsent) {
         call_fail(call);
         return;
     }
     if (events & EPOLLOUT) {
-        call->connecting = false;
-        loop_disarm(&call->connect_timer);
         call->send_failed = !call_write(call);
         if (call->send_failed && !(events & EPOLLIN)) {
             call_fail(call);
@@ -346,12 +367,6 @@
         call_read(call); /* an early response is read even when the rest of the request can't be sent */
 }
 
-static void on_connect_timeout(void *arg)
-{
-    log_connect_failed(arg, "timeout", 0);
-    call_fail(arg);
-}
-
 bool web_call_has_input(const web_call_t *call)
 {
     struct pollfd readable = {.fd = call->watch.fd, .events = POLLIN};
@@ -363,9 +378,10 @@
 static web_call_t *find_idle(web_client_t *client, const char *addr)
 {
     const tc_time_t now = tc_time_now();
+    const bool relayed_only = client->egress && egress_prefers_relay(client->egress, addr);
     web_call_t *call, *next;
     cds_list_for_each_entry_safe(call, next, &client->idle, node) {
-        if (strcmp(call->addr, addr) != 0)
+        if (strcmp(call->addr, addr) != 0 || (relayed_only && !call->relay[0]))
             continue;
         if (!web_call_has_input(call) && now < call->idle_until)
             return call;
@@ -374,36 +390,29 @@
     return NULL;
 }
 
-/** Report from the loop that the connection could not be started. */
-static void on_connect_failed(void *arg)
+static void on_dialed(void *arg, const dial_result_t *result)
 {
-    call_fail(arg);
+    web_call_t *const call = arg;
+    if (result->outcome != DIAL_OPENED) {
+        call_fail(call);
+        return;
+    }
+    call->watch.fd = result->fd;
+    codec_copy_string(call->relay, sizeof(call->relay), result->relay ? result->relay : "");
+    call->writing = true;
+    loop_watch(call->client->loop, &call->watch, EPOLLIN | EPOLLOUT);
 }
 
 static web_call_t *connect_to(web_client_t *client, const char *addr, tc_time_t connect_ms)
 {
-    struct sockaddr_storage to = {0};
-    unsigned size = 0;
-    const int parsed = peer_parse_addr(addr, &to, &size, NULL);
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     web_call_t *const call = g_new0(web_call_t, 1);
     call->client = client;
     codec_copy_string(call->addr, sizeof(call->addr), addr);
-    call->watch = (loop_watch_t){.fd = fd, .on_io = call_on_io, .arg = call};
+    call->watch = (loop_watch_t){.fd = -1, .on_io = call_on_io, .arg = call};
+    call->opened_at = tc_time_now();
     web_headers_init(&call->headers);
-    call->connecting = true;
-    call->writing = true;
-    call->connect_began = tc_time_now();
     counter_add(&c_opened, 1);
-    const int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    const int rc = parsed == TC_OK && fd >= 0 ? connect(fd, (const struct sockaddr *)&to, size) : -1;
-    if (rc != 0 && (parsed != TC_OK || fd < 0 || errno != EINPROGRESS)) {
-        loop_arm(client->loop, &call->connect_timer, tc_time_now(), on_connect_failed, call);
-        return call;
-    }
-    loop_watch(client->loop, &call->watch, EPOLLIN | EPOLLOUT);
-    loop_arm(client->loop, &call->connect_timer, tc_time_now() + connect_ms, on_connect_timeout, call);
+    dial_start(&call->dial, client->loop, client->egress, addr, connect_ms, on_dialed, call);
     return call;
 }
 
@@ -415,6 +424,8 @@
         counter_add(&c_reused, 1);
         cds_list_del(&call->node);
         call->idle = false;
+        call->reused = true;
+        call->answered = false;
         call->head_seen = call->skipping = call->complete = call->sent = false;
         call->written = 0;
         loop_watch_modify(client->loop, &call->watch, EPOLLIN | EPOLLOUT);
@@ -443,6 +454,40 @@
     return call->sent;
 }
 
+const char *web_call_relay(const web_call_t *call)
+{
+    return call->relay;
+}
+
+/* ===== Cut paths ===== */
+
+static void on_stranded(void *arg)
+{
+    web_call_t *const call = arg;
+    if (!call->answered)
+        call_fail(call);
+}
+
+/** The path to @p addr is cut: connections that were opened before hang. Only kept ones carry requests that may be sent
+ *  again, so the others keep waiting: the path may heal. */
+static void on_cut(void *arg, const char *addr)
+{
+    web_client_t *const client = arg;
+    web_call_t *call, *next;
+    cds_list_for_each_entry_safe(call, next, &client->idle, node)
+        if (is_direct(call) && strcmp(call->addr, addr) == 0)
+            call_free(call);
+    cds_list_for_each_entry(call, &client->calls, node)
+        if (is_direct(call) && call->reused && strcmp(call->addr, addr) == 0)
+            loop_arm(client->loop, &call->strand_timer, tc_time_now(), on_stranded, call);
+}
+
+void web_client_set_egress(web_client_t *client, egress_t *egress)
+{
+    client->egress = egress;
+    egress_on_cut(egress, on_cut, client);
+}
+
 /* ===== Lifecycle ===== */
 
 static void sweep(void *arg)
@@ -474,6 +519,8 @@
 void web_client_destroy(web_client_t *client)
 {
     loop_disarm(&client->sweep);
+    if (client->egress)
+        egress_on_cut(client->egress, NULL, NULL);
     web_call_t *call, *next;
     cds_list_for_each_entry_safe(call, next, &client->calls, node)
         call_free(call);
--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 
 #include "common/time.h"
+#include "egress/egress.h"
 #include "peer/loop.h"
 #include "web/web.h"
 
@@ -63,6 +64,8 @@
 /** Destroy the client. Calls in progress are dropped without a callback. */
 void web_client_destroy(web_client_t *client);
 
+/** Open connections to back ends by @p egress, which must outlive the client. Without it, all are direct. */
+void web_client_set_egress(web_client_t *client, egress_t *egress);
 /** Set how many idle connections are kept per address. */
 void web_client_set_idle_max(web_client_t *client, unsigned idle_max);
 
@@ -81,6 +84,9 @@
 /** Whether unread input is pending: bytes of a response, or the end of the connection. */
 bool web_call_has_input(const web_call_t *call);
 
+/** Address of the relay that the call's connection goes through; "": it is direct, or not open yet. */
+const char *web_call_relay(const web_call_t *call);
+
 /** Whether any byte of the request may have left this box. */
 bool web_call_sent(const web_call_t *call);
 
--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -322,10 +322,15 @@
     }
 }
 
-static void drain_queue(proxy_t *proxy)
+static void close_fillers(const proxy_t *proxy)
 {
     for (int i = 0; i < FILLERS; i++)
         close(proxy->fillers[i]);
+}
+
+static void drain_queue(proxy_t *proxy)
+{
+    close_fillers(proxy);
     proxy_stop_listening(proxy);
     proxy_listen(proxy);
 }
@@ -379,7 +384,8 @@
 
 void proxy_stop(proxy_t *proxy)
 {
-    proxy_set_cut(proxy, PROXY_CUT_NONE);
+    if (proxy->cut == PROXY_CUT_SILENT)
+        close_fillers(proxy);
     proxy_reset(proxy);
     loop_remove_ticks(proxy->loop, proxy);
     proxy_stop_listening(proxy);
--- a/tests/platform/cut_lab.h
+++ b/tests/platform/cut_lab.h
@@ -119,8 +119,12 @@
         const lab_call_t *const call = g_ptr_array_index(w->lab.calls, i);
         if (w->is_cut[g_array_index(w->boxes, int, i)] != cut)
             continue;
+        const bool served = call->how == WEB_RESULT_COMPLETE && call->status == 200;
         tries.sent++;
-        tries.served += call->how == WEB_RESULT_COMPLETE && call->status == 200;
+        tries.served += served;
+        if (!served)
+            g_test_message("request %08x at box %d: result %d, status %d", i + 1, g_array_index(w->boxes, int, i),
+                           (int)call->how, call->status);
     }
     return tries;
 }
--- a/tests/platform/entries_lab.h
+++ b/tests/platform/entries_lab.h
@@ -5,6 +5,7 @@
 #ifndef TRACKCOVE_TESTS_ENTRIES_LAB_H
 #define TRACKCOVE_TESTS_ENTRIES_LAB_H
 
+#include "egress/relay_pool.h"
 #include "forward/forward.h"
 #include "platform/config.h"
 #include "unit/cluster_lab.h"
@@ -16,6 +17,7 @@
     entry_box_t self;
     char addr[32];
     fleet_t *fleet;
+    egress_t *egress;
     web_client_t *client;
     forwarder_t *forwarder;
     web_server_t *server;
@@ -53,6 +55,54 @@
     return forwarder_apply_limits(((entry_t *)arg)->forwarder, ack);
 }
 
+static const char *find_id(void *arg, const char *addr)
+{
+    const instance_t *const instance = fleet_find_at(arg, addr);
+    return instance ? instance->listed.id : NULL;
+}
+
+static const char *find_addr(void *arg, const char *id)
+{
+    const instance_t *const instance = fleet_find(arg, id);
+    return instance ? instance->listed.addr : NULL;
+}
+
+/** Finds an address whose next port is unused too. */
+static void unused_peer_addr(char to[CODEC_STR_SIZE])
+{
+    char next[32], relay[CODEC_STR_SIZE];
+    lab_unused_addr(next);
+    do {
+        codec_copy_string(to, CODEC_STR_SIZE, next);
+        g_assert_true(relay_addr_of(to, relay));
+        lab_unused_addr(next);
+    } while (strcmp(next, relay) != 0);
+}
+
+static void start_egress(entries_lab_t *lab, entry_t *e)
+{
+    tc_err_t err = {0};
+    const egress_options_t options = {.box = e->self.box,
+                                      .dc = "a",
+                                      .peer_bind = e->self.peer_addr,
+                                      .find_id = find_id,
+                                      .find_addr = find_addr,
+                                      .arg = e->fleet};
+    e->egress = egress_create(lab->f.loop, &options, &err);
+    g_assert_nonnull(e->egress);
+    web_client_set_egress(e->client, e->egress);
+}
+
+/** Tells each box of the others, as the leader does. */
+static void share_boxes(const entries_lab_t *lab)
+{
+    entry_box_t boxes[LAB_ENTRIES];
+    for (int i = 0; i < lab->entries_n; i++)
+        boxes[i] = lab->entries[i].self;
+    for (int i = 0; i < lab->entries_n; i++)
+        egress_set_boxes(lab->entries[i].egress, boxes, (uint32_t)lab->entries_n);
+}
+
 /** @param events in addition to the document, the limits and what the forwarder reports; called with the entry_t */
 static void start_entry(entries_lab_t *lab, int i, reporter_events_t events)
 {
@@ -62,15 +112,17 @@
     g_snprintf(e->self.box, sizeof(e->self.box), "entry-%d", i);
     lab_unused_addr(e->addr);
     codec_copy_string(e->self.http_addr, sizeof(e->self.http_addr), e->addr);
-    lab_unused_addr(e->self.peer_addr);
+    unused_peer_addr(e->self.peer_addr);
     e->fleet = fleet_create();
     e->client = web_client_create(lab->f.loop);
+    start_egress(lab, e);
     const forwarder_options_t options = {
         .box = e->self.box,
         .incarnation = e->self.incarnation,
         .dc = "a",
         .retries = {.ratio = 1, .allowance = 0, .window = 60000},
         .silence_timeout_ms = 60000,
+        .egress = e->egress,
         .caps = {.window = 8000},
         .limits = {.advertised = {.window = 4000, .overrun = 0.5, .slack = 5, .strict = true},
                    .cold = {.window = 1000, .overrun = 0.5, .slack = 5, .strict = true}}};
@@ -99,6 +151,7 @@
     lab->entries_n = n;
     for (int i = 0; i < n; i++)
         start_entry(lab, i, events);
+    share_boxes(lab);
 }
 
 /** Sets the number of boxes in all entry boxes; each computes its shares from it. */
@@ -122,6 +175,7 @@
     reporter_destroy(e->reporter);
     e->reporter = NULL;
     web_client_destroy(e->client);
+    egress_destroy(e->egress);
     web_server_stop(e->server);
     forwarder_destroy(e->forwarder);
     fleet_destroy(e->fleet);
