Scheduler: lost calls count against an engine by which boxes report them

Cause: each call that a box could not send took the engine from all boxes, for 1 to 8 s as a failed prefill, for 2.5 s as a stalled handover, whatever other boxes got from it at that moment.

Change: as for slots, a box that loses its calls at several engines while others are answered is in doubt: its losses count against no engine, and what only it has said before is withdrawn. A single loss does not count while the engine has answered another box within 300 ms. An engine that all boxes lose calls at is avoided as before.

Evidence: a test in which one box fails at one engine after the other and another box is to be served each time; before, the second request of the other box got no engine.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -287,6 +287,7 @@
     s->rebuild_from = now;
     s->admit_from = options->rebuild ? now + SCHED_REBUILD_MS : now;
     s->reconcile_until = now + RECONCILE_MS;
+    s->losses = loss_evidence_create();
     s->requests = g_hash_table_new(g_str_hash, g_str_equal);
     s->engines = g_hash_table_new(g_str_hash, g_str_equal);
     s->engine_list = g_ptr_array_new_with_free_func(g_free);
@@ -326,6 +327,7 @@
     sched_action_t action;
     while (sched_next_action(s, &action)) {
     }
+    loss_evidence_destroy(s->losses);
     free_requests(&s->queue);
     free_requests(&s->placed);
     free_requests(&s->finished);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -12,6 +12,7 @@
 
 #include "admission/fair_share.h"
 #include "admission/returns.h"
+#include "backend/loss_evidence.h"
 #include "sched/prefill_time.h"
 #include "sched/sched.h"
 #include "sched/sched_ranked.h"
@@ -36,7 +37,9 @@
     RECONCILE_MS = 3000,      /* as long as most requests run: requests that were not counted have ended by then */
     BOX_SILENT_MS = 3 * SCHED_RENEW_MS, /* an entry box silent for this long may place requests by itself */
     BOX_GONE_MS = 15000,                /* an entry box silent for this long counts as gone */
-    SUSPECT_DOUBLINGS_MAX = 3,          /* SUSPECT_MS doubles with each failure in a row, at most this often */
+    CONTRADICTED_MS = 300,     /* an engine that has answered another box within this time has probably not ended when
+                                  one box loses a call there */
+    SUSPECT_DOUBLINGS_MAX = 3, /* SUSPECT_MS doubles with each failure in a row, at most this often */
     SUSPECT_MS = 1000,     /* an engine that failed a request gets none for this long, or until it answers a query */
     DOWN_AFTER_MISSES = 3, /* an engine counts as down after this many unanswered queries in a row */
     CANCEL_RETRY_MS = 300, /* delay before an unconfirmed cancel is sent again */
@@ -113,8 +116,11 @@
     tc_time_t suspect_until;
     tc_time_t stalled_until;  /* a handover to it stalled: it gets no more before this time, whatever its state says */
     tc_time_t outdated_until; /* it does not match the configuration, or no longer exists */
-    double slowness;          /* share by which its work takes longer than usual, as it stated; 0: not known */
-    tc_time_t slow_until;     /* slowness counts before then */
+    const struct owner *answered; /* box that it answered last, or NULL */
+    tc_time_t answered_at;        /* when it did */
+    tc_time_t answered_before;    /* when it last answered another one */
+    double slowness;              /* share by which its work takes longer than usual, as it stated; 0: not known */
+    tc_time_t slow_until;         /* slowness counts before then */
     /* Prefill work that was assigned and is not reported done. */
     double backlog_ms;
     tc_time_t backlog_at;
@@ -164,7 +170,7 @@
 } closed_engine_t;
 
 /** An entry box as the owner of placed requests. */
-typedef struct {
+typedef struct owner {
     char name[CODEC_STR_SIZE];
     uint32_t count;          /* placed requests */
     uint64_t digest;         /* XOR of sched_digest over them */
@@ -273,6 +279,7 @@
     uint64_t pass;           /* number of the last dispatch pass */
     uint32_t kept;           /* engines kept in it */
     GHashTable *owners;      /* box -> owner_t, owned */
+    loss_evidence_t *losses; /* of calls to engines, by box */
     GHashTable *weights;     /* workspace -> weight */
     fair_share_t *share; /* use of workspaces in pieces: all queued requests, and placed ones with a decode engine */
     struct cds_list_head queue, placed, finished, cancelling, orphans, actions;
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -205,8 +205,47 @@
     send_cancels(s, now);
 }
 
+/** Whether only boxes in doubt have lost calls at the engine. */
+static bool is_cleared(const sched_t *s, const engine_t *e)
+{
+    return loss_evidence_count(s->losses, e->name) == 0;
+}
+
+/** When the engine last answered another box. */
+static tc_time_t answered_others_at(const engine_t *e, const char *box)
+{
+    const bool is_last = e->answered && strcmp(e->answered->name, box) == 0;
+    return is_last ? e->answered_before : e->answered_at;
+}
+
+/** Records a call that a box lost at an engine. @return whether it counts against the engine: a box that reaches no
+ *  engine says nothing about them, and what it has said before is withdrawn */
+static bool record_loss(sched_t *s, const char *box, const engine_t *bad, tc_time_t now)
+{
+    const bool doubted = loss_evidence_is_in_doubt(s->losses, box);
+    loss_evidence_add_loss(s->losses, box, bad->name);
+    if (!loss_evidence_is_in_doubt(s->losses, box))
+        return now - answered_others_at(bad, box) >= CONTRADICTED_MS;
+    for (guint i = 0; i < s->engine_list->len && !doubted; i++) {
+        engine_t *const e = g_ptr_array_index(s->engine_list, i);
+        e->suspect_until = is_cleared(s, e) ? 0 : e->suspect_until;
+        e->stalled_until = is_cleared(s, e) ? 0 : e->stalled_until;
+    }
+    return false;
+}
+
+/** An engine has answered a call of the request's box. */
+static void record_answer(sched_t *s, const request_t *r, engine_t *e, tc_time_t now)
+{
+    loss_evidence_add_answer(s->losses, r->owner->name, e->name);
+    if (e->answered != r->owner)
+        e->answered_before = e->answered_at;
+    e->answered = r->owner;
+    e->answered_at = now;
+}
+
 /** Records what a refusal says about the engine. Call while the request is still counted there. */
-static void record_refusal(sched_t *s, const msg_replan_t *replan, tc_time_t now)
+static void record_refusal(sched_t *s, const request_t *r, const msg_replan_t *replan, tc_time_t now)
 {
     engine_t *const bad = engine_find(s, replan->bad);
     if (!bad)
@@ -218,10 +257,17 @@
         else
             bad->stalled_until = now + STALL_AVOID_MS;
         s->reconcile_until = now + RECONCILE_MS;
+        record_answer(s, r, bad, now);
+        break;
+    case TROUBLE_OUTDATED:
+        bad->outdated_until = now + OUTDATED_AVOID_MS;
+        record_answer(s, r, bad, now);
         break;
-    case TROUBLE_OUTDATED: bad->outdated_until = now + OUTDATED_AVOID_MS; break;
     case TROUBLE_STALLED:
-    default: bad->stalled_until = now + STALL_AVOID_MS; break;
+    default:
+        if (record_loss(s, r->owner->name, bad, now))
+            bad->stalled_until = now + STALL_AVOID_MS;
+        break;
     }
 }
 
@@ -233,7 +279,7 @@
         refuse_call(s, replan->id, token, "no such attempt", 0);
         return;
     }
-    record_refusal(s, replan, now);
+    record_refusal(s, r, replan, now);
     cancel_decode(s, r, now);
     r->ends = MAX(r->ends, replan->ends); /* not counted on any engine at this point */
     codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
@@ -261,10 +307,10 @@
 
 /* ===== Progress ===== */
 
-static void engine_failed(sched_t *s, const char *name, tc_time_t now)
+static void engine_failed(sched_t *s, const msg_progress_t *p, tc_time_t now)
 {
-    engine_t *const e = engine_find(s, name);
-    if (!e)
+    engine_t *const e = engine_find(s, p->bad);
+    if (!e || (p->box[0] && !record_loss(s, p->box, e, now)))
         return;
     e->suspect_until = now + ((tc_time_t)SUSPECT_MS << e->failures);
     if (e->failures < SUSPECT_DOUBLINGS_MAX)
@@ -281,7 +327,7 @@
 void sched_progress(sched_t *s, const msg_progress_t *p, tc_time_t now)
 {
     if (p->bad[0])
-        engine_failed(s, p->bad, now);
+        engine_failed(s, p, now);
     request_t *const r = g_hash_table_lookup(s->requests, p->id);
     if (r && r->state == REQ_QUEUED && p->phase == PHASE_FAILED && p->attempt == 0) {
         refuse_queued(s, r, "the caller is gone", 0);
@@ -296,6 +342,7 @@
     case PHASE_TRANSFER:
         if (r->prefilling) {
             r->prefill->failures = 0;
+            record_answer(s, r, r->prefill, now);
             engine_update_rate(r->prefill, p, r->prefill->alone == r, now);
             s->stats.cache_predicted += r->predicted_cached;
             s->stats.cache_actual += p->cached_tokens;
@@ -308,8 +355,10 @@
         end_transfer(r);
         end_local_prefill(r);
         r->phase = PHASE_DECODE;
-        if (r->decode)
+        if (r->decode) {
             r->decode->failures = 0;
+            record_answer(s, r, r->decode, now);
+        }
         break;
     case PHASE_FINISHED: finish_request(s, r, now); break;
     case PHASE_FAILED:
