Egress: single connections that a back end resets are no sign of a cut path

Cause: a connection that broke before the first byte of an answer counted like one that was not established, and the other box then reached the back end. Now two in a row at one back end count. A path that resets what it establishes is still found after two connections.

--- a/lib/egress/egress.c
+++ b/lib/egress/egress.c
@@ -141,7 +141,7 @@
 {
     const char *const backend = e->options.find_id(e->options.arg, addr);
     if (backend)
-        egress_record_failure(e, backend);
+        path_table_record_broken(e->paths, backend, tc_time_now());
 }
 
 void egress_record_closed(egress_t *e, const char *relay_addr)
--- a/lib/egress/path_table.c
+++ b/lib/egress/path_table.c
@@ -7,6 +7,7 @@
 typedef struct {
     tc_time_t failed_at;         /* last direct failure without an answer since; 0: none */
     tc_time_t unreachable_until; /* other boxes are not asked before then */
+    unsigned broken;             /* connections in a row that broke before an answer */
     bool cut;                    /* another box reached the back end while this one could not */
     tc_time_t probed_at;
 } entry_t;
@@ -79,11 +80,18 @@
     entry->failed_at = now;
 }
 
+void path_table_record_broken(path_table_t *t, const char *backend, tc_time_t now)
+{
+    if (++find_or_add(t, backend)->broken >= PATH_BROKEN_MAX)
+        path_table_record_failure(t, backend, now);
+}
+
 static void clear_cut(path_table_t *t, entry_t *entry)
 {
     t->cut_count -= entry->cut;
     entry->cut = false;
     entry->failed_at = 0;
+    entry->broken = 0;
 }
 
 static void clear_all_cuts(path_table_t *t)
--- a/lib/egress/path_table.h
+++ b/lib/egress/path_table.h
@@ -22,6 +22,9 @@
     /** Cut paths, without an answer over a direct connection since the first of them failed, after which a box counts
      *  as cut off. */
     PATH_CUT_OFF_BACKENDS = 2,
+    /** Direct connections to a back end that were established and broke before the first byte of an answer, in a row,
+     *  after which they count as a failure: back ends reset single ones. */
+    PATH_BROKEN_MAX = 2,
     /** How long a direct failure is evidence: the next connection goes through another box, to find out which of the
      *  two it is, the back end or the path. */
     PATH_SUSPECT_MS = 2000,
@@ -50,8 +53,10 @@
 
 path_t path_table_choose(const path_table_t *table, const char *backend, tc_time_t now);
 
-/** No direct connection could be established, or it broke before the first byte of an answer. */
+/** No direct connection could be established. */
 void path_table_record_failure(path_table_t *table, const char *backend, tc_time_t now);
+/** A direct connection was established, and broke before the first byte of an answer. */
+void path_table_record_broken(path_table_t *table, const char *backend, tc_time_t now);
 /** Bytes came over a direct connection, which was opened at @p opened_at: one that is older than a failure says nothing
  *  about new connections. */
 void path_table_record_answer(path_table_t *table, const char *backend, tc_time_t opened_at);
--- a/lib/egress/relay_server.c
+++ b/lib/egress/relay_server.c
@@ -159,7 +159,7 @@
 static void on_backend_end(conn_t *c, bool in_order)
 {
     if (!c->answered && !in_order)
-        egress_record_failure(c->server->egress, c->target);
+        egress_record_broken(c->server->egress, c->addr);
     if (!in_order) {
         conn_close(c, true); /* without the end mark the box takes nothing for complete */
         return;
--- a/tests/unit/test_egress.c
+++ b/tests/unit/test_egress.c
@@ -24,6 +24,22 @@
     path_table_destroy(t);
 }
 
+/** Back ends that reset single connections are no cut paths: boxes connected through others for it. */
+static void test_single_resets(void)
+{
+    path_table_t *const t = path_table_create();
+    for (int i = 0; i < 20; i++) {
+        const tc_time_t now = 1000 + 10 * i;
+        path_table_record_broken(t, i % 2 ? "b1" : "b2", now);
+        g_assert_cmpint(path_table_choose(t, i % 2 ? "b1" : "b2", now), ==, PATH_DIRECT);
+        path_table_record_answer(t, i % 2 ? "b1" : "b2", now + 5);
+    }
+    path_table_record_broken(t, "b1", 2000);
+    path_table_record_broken(t, "b1", 2001);
+    g_assert_cmpint(path_table_choose(t, "b1", 2002), ==, PATH_RELAY);
+    path_table_destroy(t);
+}
+
 /** Two paths found cut without a direct answer: all back ends go through relays, and one probe ends it. */
 static void test_cut_off(void)
 {
@@ -166,6 +182,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/egress/back-end-down", test_back_end_down);
+    g_test_add_func("/egress/single-resets", test_single_resets);
     g_test_add_func("/egress/cut-off", test_cut_off);
     g_test_add_func("/egress/some-paths-cut", test_some_paths_cut);
     g_test_add_func("/egress/unlisted", test_unlisted);
