Soak: boxes lose their paths to all workers, and a fault that only relays can have

The soak cuts the paths of one box at a time to all workers, by resets, for 0.5 to 3 s; connections between boxes and relays go through proxies that delay, drop, reset and silence them. The preloaded library gives each box a source address of its own, so that the proxies before the workers can tell boxes apart. What a cut box is told by workers goes through other boxes, which may be paused: checks of how soon it acts on that leave it out until 3 s after the cut.

--- a/lib/common/mutant.h
+++ b/lib/common/mutant.h
@@ -16,6 +16,7 @@
 #define MUTANT_NO_NOTICE 9          /* notices in the answers of back ends are ignored */
 #define MUTANT_KEEP_TICKETS 10      /* tickets of a box that is gone are not freed before their time is over */
 #define MUTANT_IGNORE_UNTICKETED 11 /* requests that boxes sent without a ticket are not counted */
+#define MUTANT_RELAYED_UNSENT 12    /* a call whose relayed connection broke counts as never sent */
 
 #ifdef TRACKCOVE_MUTANT
 #define MUTANT_IS(which) (TRACKCOVE_MUTANT == (which))
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -12,6 +12,7 @@
 #include <urcu/list.h>
 
 #include "common/counter.h"
+#include "common/mutant.h"
 #include "egress/dial.h"
 #include "egress/tunnel.h"
 
@@ -142,8 +143,8 @@
     /* A kept connection may be closed at any moment, which says nothing about the path. */
     if (call->client->egress && is_direct(call) && !call->reused && !call->answered)
         egress_record_broken(call->client->egress, call->addr);
-    call_finish(call,
-                call->head_seen ? WEB_RESULT_TRUNCATED : (call->sent ? WEB_RESULT_NO_RESPONSE : WEB_RESULT_NOT_SENT),
+    const bool sent = call->sent && !(MUTANT_IS(MUTANT_RELAYED_UNSENT) && call->relay[0]);
+    call_finish(call, call->head_seen ? WEB_RESULT_TRUNCATED : (sent ? WEB_RESULT_NO_RESPONSE : WEB_RESULT_NOT_SENT),
                 false);
 }
 
--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -11,15 +11,16 @@
 
 pid_t process_spawn(const char *path, const char *settings)
 {
-    return process_spawn_with(path, settings, NULL);
+    return process_spawn_with(path, settings, NULL, NULL);
 }
 
-pid_t process_spawn_with(const char *path, const char *settings, const char *shim)
+pid_t process_spawn_with(const char *path, const char *settings, const char *shim, const char *ip)
 {
     char *const log = g_strconcat(settings, ".log", NULL);
     char *const env = g_strconcat("TRACKCOVE_CONFIG=", settings, NULL);
     char *const preload = shim ? g_strconcat("LD_PRELOAD=", shim, NULL) : NULL;
-    char *const argv[] = {(char *)(uintptr_t)path, NULL}, *const envp[] = {env, preload, NULL};
+    char *const source = shim && ip ? g_strconcat("SHIM_SOURCE_IP=", ip, NULL) : NULL;
+    char *const argv[] = {(char *)(uintptr_t)path, NULL}, *const envp[] = {env, preload, source, NULL};
     posix_spawn_file_actions_t files;
     pid_t pid;
     posix_spawn_file_actions_init(&files);
@@ -30,6 +31,7 @@
     g_free(log);
     g_free(env);
     g_free(preload);
+    g_free(source);
     return pid;
 }
 
--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -1,5 +1,6 @@
 #include "harness/proxy.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
 #include <netinet/tcp.h>
@@ -53,8 +54,9 @@
     struct cds_list_head node;
     proxy_t *proxy;
     side_t caller, listener;
-    bool lossy;      /* bytes were dropped */
-    bool blackholed; /* set to a black hole by proxy_blackhole*(): not reset when the mode changes */
+    char from[INET_ADDRSTRLEN]; /* IP of the dialling side */
+    bool lossy;                 /* bytes were dropped */
+    bool blackholed;            /* set to a black hole by proxy_blackhole*(): not reset when the mode changes */
 } pair_t;
 
 struct proxy {
@@ -64,7 +66,8 @@
     proxy_mode_t mode;
     size_t rate; /* bytes/s in each direction of a connection; 0: no limit */
     proxy_cut_t cut;
-    int fillers[FILLERS]; /* while the cut is silent */
+    char cut_from[INET_ADDRSTRLEN]; /* connections from there are reset; "": none */
+    int fillers[FILLERS];           /* while the cut is silent */
     struct cds_list_head pairs;
 };
 
@@ -224,10 +227,15 @@
 {
     proxy_t *const proxy = arg;
     (void)events;
-    const int fd = accept4(proxy->watch.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    struct sockaddr_in peer = {0};
+    socklen_t peer_size = sizeof(peer);
+    char from[INET_ADDRSTRLEN] = "";
+    const int fd = accept4(proxy->watch.fd, (struct sockaddr *)&peer, &peer_size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0)
         return;
-    if (proxy->cut == PROXY_CUT_RESET) {
+    (void)inet_ntop(AF_INET, &peer.sin_addr, from, sizeof(from));
+    const bool is_cut = proxy->cut_from[0] && strcmp(proxy->cut_from, from) == 0;
+    if (proxy->cut == PROXY_CUT_RESET || is_cut) {
         const struct linger now = {.l_onoff = 1};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
         close(fd);
@@ -246,6 +254,7 @@
     }
     pair_t *const p = g_new0(pair_t, 1);
     p->proxy = proxy;
+    g_strlcpy(p->from, from, sizeof(p->from));
     cds_list_add_tail(&p->node, &proxy->pairs);
     side_init(&p->caller, p, fd);
     side_init(&p->listener, p, out);
@@ -355,6 +364,15 @@
         proxy_reset(proxy);
 }
 
+void proxy_cut_source(proxy_t *proxy, const char *from)
+{
+    pair_t *p, *next;
+    g_strlcpy(proxy->cut_from, from ? from : "", sizeof(proxy->cut_from));
+    cds_list_for_each_entry_safe(p, next, &proxy->pairs, node)
+        if (from && strcmp(p->from, from) == 0)
+            pair_close(p, true);
+}
+
 void proxy_blackhole(proxy_t *proxy)
 {
     pair_t *p;
--- a/tests/harness/proxy.h
+++ b/tests/harness/proxy.h
@@ -52,6 +52,9 @@
 void proxy_set_down(proxy_t *proxy, bool down);
 /** Cuts the path, or heals it. Not combined with proxy_set_down. */
 void proxy_set_cut(proxy_t *proxy, proxy_cut_t cut);
+/** Cuts the path for connections from one address: present ones are reset, new ones too. @param from IP; one at a time,
+ *  NULL: heals it */
+void proxy_cut_source(proxy_t *proxy, const char *from);
 /** Resets all connections, stops listening and frees the proxy. */
 void proxy_stop(proxy_t *proxy);
 
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -35,6 +35,8 @@
     FREEZE_MAX_MS = 1500,
     SUSPEND_MIN_MS = 300,
     SUSPEND_MAX_MS = 3000,
+    CUT_MIN_MS = 500,
+    CUT_MAX_MS = 3000,
     BLACKHOLE_BYTES_MAX = 600, /* before a connection becomes a black hole: less than a stream has */
     WIPE_EVERY_MS = 12000,     /* a box with a new disk must be a member again before the next disk is lost */
     TOKENS_MIN = 5,            /* of a stream */
@@ -346,7 +348,11 @@
     const proxy_mode_t mode = world_random(w) < 0.4 ? PROXY_PASS : (proxy_mode_t)world_pick(w, PROXY_MODES);
     box_t *const b = &w->boxes[i];
     struct worker *const k = &w->worker[world_pick(w, WORLD_WORKERS)];
-    switch (world_pick(w, 3)) {
+    switch (world_pick(w, 4)) {
+    case 3:
+        world_log(w, "proxy to relay of %s: %s", b->ip, proxy_mode_names[mode]);
+        proxy_set(b->relay_proxy, mode);
+        break;
     case 0:
         world_log(w, "proxy to entry of %s: %s", b->ip, proxy_mode_names[mode]);
         proxy_set(b->entry_proxy, mode);
@@ -374,6 +380,7 @@
     void (*const disrupt)(proxy_t *) = blackhole ? proxy_blackhole : proxy_reset;
     world_log(w, "connections to %s %s", b->ip, blackhole ? "become black holes" : "are reset");
     disrupt(b->entry_proxy);
+    disrupt(b->relay_proxy);
     if (b->control_proxy)
         disrupt(b->control_proxy);
     const struct worker *const k = &w->worker[world_pick(w, WORLD_WORKERS)];
@@ -394,12 +401,24 @@
     proxy_blackhole_after(k->proxy, answers, bytes);
 }
 
+/** Cuts a box off from all workers, while none waits for word of its notice to reach the boxes. */
+static void cut_paths(soak_t *s, box_t *b)
+{
+    world_t *const w = s->world;
+    const int span = CUT_MIN_MS + world_pick(w, CUT_MAX_MS - CUT_MIN_MS);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (notices_are_active(&w->worker[i]))
+            return;
+    box_cut(w, b, span);
+}
+
 static void restore_proxies(const world_t *w)
 {
     for (int i = 0; i < WORLD_WORKERS; i++)
         proxy_set(w->worker[i].proxy, PROXY_PASS);
     for (int i = 0; i < WORLD_BOXES; i++) {
         proxy_set(w->boxes[i].entry_proxy, PROXY_PASS);
+        proxy_set(w->boxes[i].relay_proxy, PROXY_PASS);
         if (w->boxes[i].control_proxy)
             proxy_set(w->boxes[i].control_proxy, PROXY_PASS);
     }
@@ -412,7 +431,7 @@
     process_t *const p = b->control.program && world_random(w) < 0.4 ? &b->control : &b->entry;
     const tc_time_t pause = 50 + world_pick(w, 1500);
     s->faults++;
-    switch (world_pick(w, 22)) {
+    switch (world_pick(w, 24)) {
     case 0:
     case 1: process_restart(w, b, p, SIGKILL, pause); break;
     case 2: process_restart(w, b, p, SIGTERM, pause); break;
@@ -430,6 +449,8 @@
     case 14: blackhole_worker(s); break;
     case 15:
     case 16: limits_change(pick_limited(w)); break;
+    case 21:
+    case 22: cut_paths(s, b); break;
     case 19:
     case 20: notices_begin(pick_worker(w)); break;
     case 17:
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -118,7 +118,7 @@
 {
     write_settings(w, b, p, first);
     char *const path = g_build_filename(w->bin, p->program, NULL);
-    p->pid = process_spawn_with(path, p->settings, w->shim);
+    p->pid = process_spawn_with(path, p->settings, w->shim, b->ip);
     p->ending = p->paused = false;
     p->resume_at = 0;
     note_disruption(b, p);
@@ -158,6 +158,37 @@
     }
 }
 
+static void set_paths(world_t *w, const char *cut_from)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        proxy_cut_source(w->worker[i].proxy, cut_from);
+}
+
+void box_cut(world_t *w, box_t *b, tc_time_t span)
+{
+    for (int i = 0; i < WORLD_BOXES; i++)
+        if (w->boxes[i].cut_until)
+            return;
+    world_log(w, "box %s reaches no worker for %lld ms", b->ip, (long long)span);
+    b->cut_until = tc_time_now() + span;
+    set_paths(w, b->ip);
+}
+
+/** Heals the paths when it is time. What workers tell the box goes through other boxes until its connections through
+ *  them are closed, and these may be paused. */
+static void check_paths(world_t *w, box_t *b)
+{
+    enum { RELAYED_MS = 3000 };
+    const tc_time_t now = tc_time_now();
+    if (!b->cut_until)
+        return;
+    b->disrupted_at = now;
+    if (now >= b->cut_until)
+        set_paths(w, NULL);
+    if (now >= b->cut_until + RELAYED_MS)
+        b->cut_until = 0;
+}
+
 static void resume(box_t *b, process_t *p)
 {
     if (!p->resume_at || tc_time_now() < p->resume_at)
@@ -191,6 +222,7 @@
     for (int i = 0; i < WORLD_BOXES; i++) {
         resume(&w->boxes[i], &w->boxes[i].entry);
         resume(&w->boxes[i], &w->boxes[i].control);
+        check_paths(w, &w->boxes[i]);
         check_process(w, &w->boxes[i], &w->boxes[i].entry);
         check_process(w, &w->boxes[i], &w->boxes[i].control);
     }
@@ -218,10 +250,11 @@
 
 static void create_box(world_t *w, int i)
 {
-    enum { CONTROL, ENTRY }; /* offsets of the programs' internal ports */
+    enum { CONTROL, ENTRY, RELAY }; /* offsets of the programs' internal ports */
     box_t *const b = &w->boxes[i];
     g_snprintf(b->ip, sizeof(b->ip), "127.0.1.%d", 10 + i);
     b->entry_proxy = create_proxy(w, i, ENTRY);
+    b->relay_proxy = create_proxy(w, i, RELAY);
     if (i < WORLD_DISKS)
         b->control_proxy = create_proxy(w, i, CONTROL);
     b->entry.program = "trackcove-forwardd";
@@ -294,6 +327,7 @@
         engine_destroy(&w->worker[i]);
     for (int i = 0; i < WORLD_BOXES; i++) {
         proxy_stop(w->boxes[i].entry_proxy);
+        proxy_stop(w->boxes[i].relay_proxy);
         if (w->boxes[i].control_proxy)
             proxy_stop(w->boxes[i].control_proxy);
     }
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -38,8 +38,9 @@
     char ip[20];
     char dir[64]; /**< "" without a disk */
     process_t entry, control;
-    tc_time_t disrupted_at;               /**< last time its entry program was paused, resumed or started; 0: never */
-    proxy_t *entry_proxy, *control_proxy; /**< proxies for connections of other boxes; NULL: none */
+    tc_time_t disrupted_at; /**< last time its entry program was paused, resumed or started; 0: never */
+    proxy_t *entry_proxy, *control_proxy, *relay_proxy; /**< proxies for connections of other boxes; NULL: none */
+    tc_time_t cut_until;                                /**< until then it has no path to any worker; 0: it has */
 } box_t;
 
 /** What the back ends saw of one attempt of a client. */
@@ -126,6 +127,9 @@
 void process_signal(const process_t *process, int number);
 /** Suspends the machine of a box for @p span ms. */
 void box_suspend(world_t *world, box_t *box, tc_time_t span);
+/** Cuts the paths from a box to all workers for @p span ms: connections are reset. One box at a time; no effect while
+ *  another one is cut. */
+void box_cut(world_t *world, box_t *box, tc_time_t span);
 /** Ends the process with the signal @p number and restarts it after @p pause ms. No effect when it is not running. */
 void process_restart(world_t *world, box_t *box, process_t *process, int number, tc_time_t pause);
 
--- a/tests/shim/suspend.c
+++ b/tests/shim/suspend.c
@@ -1,14 +1,23 @@
 /** @file suspend.c
- * LD_PRELOAD library that simulates suspending the machine. SIGUSR2 stops the process until SIGCONT. The
+ * LD_PRELOAD library that simulates properties of the machine: that it can be suspended, and that it has an address of
+ * its own. Connections to 127.0.0.1 come from the address in SHIM_SOURCE_IP, if it is set, so that a proxy can tell the
+ * machines apart.
+ *
+ * Suspension: SIGUSR2 stops the process until SIGCONT. The
  * CLOCK_MONOTONIC clocks leave out the time that the process was stopped; CLOCK_BOOTTIME and CLOCK_REALTIME include it.
  * epoll_wait() continues with its remaining timeout, as after a real suspension: it does not return the EINTR that
  * SIGUSR2 causes.
  */
+#include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
@@ -54,6 +63,27 @@
     }
 }
 
+static int is_loopback_target(const struct sockaddr *to, socklen_t size)
+{
+    struct sockaddr_in in;
+    if (size < sizeof(in) || to->sa_family != AF_INET)
+        return 0;
+    memcpy(&in, to, sizeof(in));
+    return in.sin_addr.s_addr == htonl(INADDR_LOOPBACK);
+}
+
+int connect(int fd, const struct sockaddr *to, socklen_t size)
+{
+    const char *const source = getenv("SHIM_SOURCE_IP");
+    struct sockaddr_in from = {.sin_family = AF_INET};
+    const int on = 1; /* the port is chosen when connecting, so that ports do not run out */
+    if (source && is_loopback_target(to, size) && inet_pton(AF_INET, source, &from.sin_addr) == 1 &&
+        setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on)) == 0 &&
+        bind(fd, (const struct sockaddr *)&from, sizeof(from)) != 0)
+        return -1;
+    return (int)syscall(SYS_connect, fd, to, size);
+}
+
 static void suspend_until_sigcont(int signal_number)
 {
     const int64_t before = real_monotonic_ns();
