--- a/lib/egress/dial.c
+++ b/lib/egress/dial.c
@@ -20,7 +20,8 @@
 
 enum {
     ANSWER_BYTES_MAX = 256, /* of a relay_opened frame */
-    WITNESSES_MAX = 2       /* relays that do not reach a back end either, after which it counts as down */
+    WITNESSES_MAX = 2,      /* relays that are refused by a back end too, after which it counts as down */
+    SILENT_WITNESS = 2      /* weight of one that got no answer: each of these takes its whole time-out */
 };
 
 static const dial_result_t no_connection = {.fd = -1};
@@ -107,7 +108,7 @@
     if (is_witness)
         d->outcome = result == RELAY_RESULT_REFUSED ? DIAL_REFUSED : DIAL_UNREACHABLE;
     d->witnessed[d->relays_n - 1] = is_witness;
-    d->witnesses += is_witness;
+    d->witnesses += is_witness ? (result == RELAY_RESULT_REFUSED ? 1 : SILENT_WITNESS) : 0;
     if (relay && !is_witness && result != RELAY_RESULT_UNKNOWN)
         relay_record_failure(relay, tc_time_now());
     if (!may_ask_relay(d) || !try_relay(d))
--- a/lib/egress/egress.c
+++ b/lib/egress/egress.c
@@ -11,6 +11,7 @@
 #include "common/counter.h"
 #include "common/log.h"
 #include "egress/egress_internal.h"
+#include "lists/list.h"
 #include "peer/peer.h"
 
 COUNTER_DEFINE(c_cut_off, "gauge", "trackcove_egress_cut_off", "Whether this box counts as cut off from all back ends")
@@ -194,9 +195,17 @@
     loop_arm(e->loop, &e->settle_timer, tc_time_now() + PROBE_SETTLE_MS, on_settled, e);
 }
 
+static bool is_listed(void *arg, const char *backend)
+{
+    const egress_t *const e = arg;
+    return e->options.find_addr(e->options.arg, backend) != NULL;
+}
+
 static void on_tick(void *arg)
 {
     egress_t *const e = arg;
+    path_table_retain(e->paths, is_listed, e);
+    update_state(e);
     if (e->probed[0])
         return; /* one at a time */
     const char *const backend = path_table_next_probe(e->paths, tc_time_now());
@@ -250,17 +259,13 @@
     g_free(e);
 }
 
-static bool is_listed(void *arg, const char *backend)
-{
-    const egress_t *const e = arg;
-    return e->options.find_addr(e->options.arg, backend) != NULL;
-}
-
 void egress_set_boxes(egress_t *e, const entry_box_t *boxes, uint32_t n)
 {
+    const uint64_t hash = list_hash(boxes, n * sizeof(*boxes));
+    if (hash == e->boxes_hash)
+        return; /* called often, and changes are rare */
+    e->boxes_hash = hash;
     relay_pool_set(e->relays, boxes, n, e->box);
-    path_table_retain(e->paths, is_listed, e);
-    update_state(e);
 }
 
 void egress_on_cut(egress_t *e, void (*fn)(void *arg, const char *addr), void *arg)
--- a/lib/egress/egress_internal.h
+++ b/lib/egress/egress_internal.h
@@ -19,9 +19,9 @@
     /** After this long without a connection, another box is asked. A reachable back end accepts within a few ms. */
     EGRESS_DIRECT_MS = 150,
     /** Time in which a relay connects to a back end. */
-    EGRESS_RELAY_CONNECT_MS = 150,
+    EGRESS_RELAY_CONNECT_MS = 100,
     /** Time in which a relay answers, its own connection included. */
-    EGRESS_RELAY_ANSWER_MS = 250,
+    EGRESS_RELAY_ANSWER_MS = 200,
     /** A relayed connection whose other end does not acknowledge bytes, or keep-alive probes, for this long is closed.
      */
     EGRESS_UNACKED_MS = 3000
@@ -39,6 +39,7 @@
     GRand *random;
     void (*on_cut)(void *arg, const char *addr);
     void *on_cut_arg;
+    uint64_t boxes_hash; /* of the list that the relays are from */
     bool was_cut_off;
     tc_time_t cut_off_at;
     dial_t probe;
--- a/lib/egress/relay_pool.c
+++ b/lib/egress/relay_pool.c
@@ -7,7 +7,8 @@
 #include "common/codec.h"
 
 struct relay_pool {
-    GPtrArray *relays; /* relay_t, owned */
+    GPtrArray *relays;   /* relay_t, owned */
+    GHashTable *by_addr; /* the same, addr -> relay_t */
 };
 
 /** Cost of a box in another data centre, in open tunnels: every byte crosses the border between them. */
@@ -17,11 +18,13 @@
 {
     relay_pool_t *const pool = g_new0(relay_pool_t, 1);
     pool->relays = g_ptr_array_new_with_free_func(g_free);
+    pool->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
     return pool;
 }
 
 void relay_pool_destroy(relay_pool_t *pool)
 {
+    g_hash_table_destroy(pool->by_addr);
     g_ptr_array_free(pool->relays, TRUE);
     g_free(pool);
 }
@@ -38,12 +41,7 @@
 
 relay_t *relay_pool_find(const relay_pool_t *pool, const char *addr)
 {
-    for (guint i = 0; i < pool->relays->len; i++) {
-        relay_t *const relay = g_ptr_array_index(pool->relays, i);
-        if (strcmp(relay->addr, addr) == 0)
-            return relay;
-    }
-    return NULL;
+    return g_hash_table_lookup(pool->by_addr, addr);
 }
 
 static relay_t *make_relay(const relay_pool_t *pool, const entry_box_t *box, const char *addr)
@@ -66,8 +64,13 @@
             continue;
         g_ptr_array_add(relays, make_relay(pool, &boxes[i], addr));
     }
+    g_hash_table_remove_all(pool->by_addr);
     g_ptr_array_free(pool->relays, TRUE);
     pool->relays = relays;
+    for (guint i = 0; i < relays->len; i++) {
+        relay_t *const relay = g_ptr_array_index(relays, i);
+        g_hash_table_insert(pool->by_addr, relay->addr, relay);
+    }
 }
 
 static bool was_tried(const relay_t *relay, const relay_query_t *query)
