--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -9,13 +9,6 @@
 #include "forward/fingerprint.h"
 #include "forward/forward_internal.h"
 
-COUNTER_DEFINE(c_answered, "counter", "trackcove_forward_answered_total", "Requests answered by a back end")
-COUNTER_DEFINE(c_not_run, "counter", "trackcove_forward_not_run_total", "Requests refused as not run")
-COUNTER_DEFINE(c_unknown, "counter", "trackcove_forward_unknown_total", "Requests that failed after they may have run")
-COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Requests whose caller left")
-HISTOGRAM_DEFINE(h_answer, "trackcove_forward_answer_ms", "From a request to the end of its answer")
-COUNTER_DEFINE(c_held, "counter", "trackcove_forward_held_total",
-               "Requests refused or broken off since back ends ended under them")
 COUNTER_DEFINE(c_no_key, "counter", "trackcove_forward_key_refused_total",
                "Requests refused since they carry no key that is known")
 COUNTER_DEFINE(c_unsure, "counter", "trackcove_forward_unsure_total",
@@ -25,104 +18,13 @@
 
 /* ===== Constants ===== */
 
-enum { STATUS_BAD_REQUEST = 400, STATUS_NO_KEY = 401, STATUS_NO_ROUTE = 404, STATUS_NOT_RUN = 503 };
+enum { STATUS_BAD_REQUEST = 400, STATUS_NO_KEY = 401, STATUS_NO_ROUTE = 404 };
 
 /* ===== Ending ===== */
 
-static void forward_free(forward_t *f)
-{
-    assert(!f->call); /* a call in flight would report to freed memory */
-    loop_disarm(&f->limit);
-    loop_disarm(&f->call_timer);
-    retry_cancel(f);
-    probe_leave(f);
-    limit_cancel(f);
-    slot_cancel(f);
-    place_finish(f);
-    hold_release(f);
-    locate_cancel(f);
-    handle_release(f);
-    f->owner->in_flight--;
-    cds_list_del(&f->node);
-    g_ptr_array_free(f->tried, TRUE);
-    g_ptr_array_free(f->tried_prefill, TRUE);
-    g_free(f->last_event);
-    route_table_unref(f->table);
-    g_free(f);
-}
-
-void forward_finish(forward_t *f, int status, const char *why)
-{
-    counter_add(&c_answered, 1);
-    histogram_add(&h_answer, tc_time_now() - f->request.arrived);
-    if (status < 300)
-        stop_record(f);
-    forward_log_end(f, "done", why, status);
-    forward_free(f);
-}
-
-/** Callers follow Retry-After up to this part of the time that they have left. Documented by the users' platform. */
-enum { FOLLOWED_PART = 3 };
-/** No Retry-After is sent. */
-enum { NO_RETRY_AFTER = -1 };
-
-/** Sends an answer without a body. @param after Retry-After in ms, or NO_RETRY_AFTER */
-static void answer_empty(web_exchange_t *exchange, int status, tc_time_t after)
-{
-    char *const head = after == NO_RETRY_AFTER ? g_strdup("") : dialect_retry_after(after);
-    web_respond(exchange, status, head, "", 0);
-    g_free(head);
-}
-
-static void fail(forward_t *f, const char *why, tc_time_t retry_after)
-{
-    call_cancel(f, why);
-    if (f->begun) {
-        counter_add(&c_unknown, 1);
-        forward_log_end(f, "aborted", why, 0);
-        web_abort_response(f->exchange);
-        forward_free(f);
-        return;
-    }
-    const bool late = tc_time_now() >= f->deadline;
-    const int status = f->runs == 0 ? STATUS_NOT_RUN : (late ? 504 : 502);
-    counter_add(f->runs == 0 ? &c_not_run : &c_unknown, 1);
-    f->told_ms = f->runs == 0 ? retry_after : 0;
-    forward_log_end(f, "failed", why, status);
-    /* Guarantee: 503 states that the request did not run, so it is sent only while no back end can have begun it. */
-    answer_empty(f->exchange, status, f->runs == 0 ? retry_after : NO_RETRY_AFTER);
-    forward_free(f);
-}
-
-void forward_refuse(forward_t *f, int status, const char *why, tc_time_t after)
-{
-    assert(f->runs == 0 && !f->begun && !f->call); /* guarantee: a request refused as not run has not run */
-    counter_add(&c_not_run, 1);
-    f->told_ms = after;
-    forward_log_end(f, "failed", why, status);
-    answer_empty(f->exchange, status, after > 0 ? after : NO_RETRY_AFTER);
-    forward_free(f);
-}
-
-void forward_fail(forward_t *f, const char *why)
-{
-    fail(f, why, RETRY_AFTER_MS);
-}
-
-void forward_fail_full(forward_t *f, const char *why)
-{
-    fail(f, why, RETRY_FULL_MS + g_rand_int_range(f->owner->random, 0, RETRY_FULL_JITTER_MS));
-}
-
-tc_time_t forward_caller_patience(const forward_t *f)
-{
-    const tc_time_t end = f->facts.caller_timeout > 0 ? f->request.arrived + f->facts.caller_timeout : f->deadline;
-    return MAX(end - tc_time_now(), 0);
-}
-
-void forward_fail_until(forward_t *f, const char *why, tc_time_t after)
+static bool is_quarantined(const forward_t *f)
 {
-    fail(f, why, MIN(after, forward_caller_patience(f) / FOLLOWED_PART));
+    return forward_crash_count(f) >= QUARANTINE_CRASH_LIMIT;
 }
 
 fleet_query_t forward_fleet_query(const forward_t *f, stage_t stage)
@@ -148,7 +50,7 @@
     const fleet_query_t query = forward_fleet_query(f, stage);
     const tc_time_t until = fleet_next_available_at(f->owner->fleet, &query);
     if (until == TC_TIME_NEVER && f->owner->options.egress && egress_is_cut_off(f->owner->options.egress)) {
-        fail(f, REASON_CUT_OFF, RETRY_ELSEWHERE_MS);
+        forward_fail_after(f, REASON_CUT_OFF, RETRY_ELSEWHERE_MS);
         return;
     }
     if (until == TC_TIME_NEVER) {
@@ -157,23 +59,7 @@
     }
     const tc_time_t spread = g_rand_int_range(f->owner->random, 0, REOPEN_JITTER_MS);
     const char *const why = fleet_closed_until(f->owner->fleet, &query) ? REASON_BACKING_OFF : REASON_LIMITED;
-    fail(f, why, until - query.now + spread);
-}
-
-void forward_fail_quarantined(forward_t *f)
-{
-    counter_add(&c_held, 1);
-    fail(f, REASON_QUARANTINED, quarantine_remaining_ms(f->owner->quarantine, f->fingerprint, tc_time_now()));
-}
-
-unsigned forward_crash_count(const forward_t *f)
-{
-    return quarantine_crash_count(f->owner->quarantine, f->fingerprint, tc_time_now());
-}
-
-static bool is_quarantined(const forward_t *f)
-{
-    return forward_crash_count(f) >= QUARANTINE_CRASH_LIMIT;
+    forward_fail_after(f, why, until - query.now + spread);
 }
 
 static void on_limit(void *arg)
@@ -188,11 +74,7 @@
 
 static void on_caller_gone(void *arg)
 {
-    forward_t *const f = arg;
-    counter_add(&c_left, 1);
-    call_abandon(f);
-    forward_log_end(f, "caller_gone", "connection closed", 0);
-    forward_free(f);
+    forward_abandon(arg);
 }
 
 /* ===== Deciding ===== */
@@ -428,7 +310,7 @@
     log_str(&line, "why", why);
     log_int(&line, "status", status);
     log_end(&line);
-    answer_empty(exchange, status, status == STATUS_NOT_RUN ? retry_after : NO_RETRY_AFTER);
+    forward_answer_empty(exchange, status, status == STATUS_NOT_RUN ? retry_after : NO_RETRY_AFTER);
 }
 
 static void drop_instance(void *instance)
@@ -508,7 +390,7 @@
     forward_t *const f = forward_create(fw, exchange, request, &facts, route, caller.workspace);
     forward_log_routed(f);
     if (!stop_allows(f)) {
-        fail(f, "this box stops before the request would end", RETRY_ELSEWHERE_MS);
+        forward_fail_after(f, "this box stops before the request would end", RETRY_ELSEWHERE_MS);
         return;
     }
     if (is_quarantined(f)) {
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -2,6 +2,7 @@
  * Declarations shared by the files of the forwarding module. No other module includes it.
  *
  *   forward.c         life cycle of a request and the choice of its next step
+ *   forward_end.c     ends of requests
  *   forward_caller.c  identity of the caller
  *   forward_cap.c     usage caps of workspaces
  *   forward_early.c   requests that arrive before the box has a configuration and back ends
@@ -348,22 +349,6 @@
 /** Schedules another try of all engines after PLACE_RETRY_MS, unless that is at or after @p until.
  *  @return whether it is scheduled */
 bool forward_retry_soon(forward_t *f, tc_time_t until);
-/** Answers the request with a failure and frees it. @param why for the log */
-void forward_fail(forward_t *f, const char *why);
-/** As forward_fail, when the engines have no room. Retry-After is set to when a burst is likely over. */
-void forward_fail_full(forward_t *f, const char *why);
-/** As forward_fail_full, when the leader told when the caller may return. @param after Retry-After, ms; the caller
- *  follows it up to a third of the time that it has left, so it is limited to that */
-void forward_fail_until(forward_t *f, const char *why, tc_time_t after);
-/** Time that the caller has left, over all its attempts, ms. */
-tc_time_t forward_caller_patience(const forward_t *f);
-/** As forward_fail, when back ends ended while running the request. Retry-After is set to the end of its quarantine. */
-void forward_fail_quarantined(forward_t *f);
-/** Number of back ends that ended while running the request, as quarantine_crash_count. */
-unsigned forward_crash_count(const forward_t *f);
-/** Ends a completely answered request and frees it. */
-void forward_finish(forward_t *f, int status, const char *why);
-
 /** Begins a request with the current configuration and back ends. */
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request);
 
@@ -381,6 +366,35 @@
 /** Number of boxes that share the limits and budgets. */
 unsigned forward_boxes(const forwarder_t *fw);
 
+/* ===== forward_end.c ===== */
+
+/** Status of a request that no back end has begun and none will. */
+enum { STATUS_NOT_RUN = 503 };
+/** No Retry-After is sent. */
+enum { NO_RETRY_AFTER = -1 };
+
+/** The caller has left: drops the call in flight and frees the request. */
+void forward_abandon(forward_t *f);
+/** Sends an answer without a body. @param after Retry-After in ms, or NO_RETRY_AFTER */
+void forward_answer_empty(web_exchange_t *exchange, int status, tc_time_t after);
+/** Answers the request with a failure, or breaks off an answer that has begun, and frees it. @param why for the log
+ *  @param retry_after ms, sent if no back end can have begun the request */
+void forward_fail_after(forward_t *f, const char *why, tc_time_t retry_after);
+/** As forward_fail_after, with the usual Retry-After. */
+void forward_fail(forward_t *f, const char *why);
+/** As forward_fail, when the engines have no room. Retry-After is set to when a burst is likely over. */
+void forward_fail_full(forward_t *f, const char *why);
+/** As forward_fail_full, when the leader told when the caller may return. @param after Retry-After, ms; the caller
+ *  follows it up to a third of the time that it has left, so it is limited to that */
+void forward_fail_until(forward_t *f, const char *why, tc_time_t after);
+/** Time that the caller has left, over all its attempts, ms. */
+tc_time_t forward_caller_patience(const forward_t *f);
+/** As forward_fail, when back ends ended while running the request. Retry-After is set to the end of its quarantine. */
+void forward_fail_quarantined(forward_t *f);
+/** Number of back ends that ended while running the request, as quarantine_crash_count. */
+unsigned forward_crash_count(const forward_t *f);
+/** Ends a completely answered request and frees it. */
+void forward_finish(forward_t *f, int status, const char *why);
 /** Refuses a request that no back end has begun, and frees it. @param after Retry-After in ms, 0 for none */
 void forward_refuse(forward_t *f, int status, const char *why, tc_time_t after);
 
--- a/tests/harness/lab.c
+++ b/tests/harness/lab.c
@@ -240,6 +240,21 @@
     g_snprintf(to, 32, "127.0.0.1:%d", next++);
 }
 
+static int port_of(const char *addr)
+{
+    return atoi(strchr(addr, ':') + 1);
+}
+
+void lab_unused_addr_pair(char to[32])
+{
+    char next[32];
+    lab_unused_addr(next);
+    do {
+        g_strlcpy(to, next, sizeof(next));
+        lab_unused_addr(next);
+    } while (port_of(next) != port_of(to) + 1);
+}
+
 int lab_unused_ports(const char *ip)
 {
     const ports_range_t range = {.ip = ip, .first = 20000, .span = 20, .blocks = 600};
--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -53,6 +53,9 @@
  * another test that runs. */
 void lab_unused_addr(char to[32]);
 
+/** As lab_unused_addr(); the port after it is unused too. */
+void lab_unused_addr_pair(char to[32]);
+
 /** Returns the first of 20 consecutive ports for a test's boxes. Tests that run at the same time get different ports if
  * they give the same @p ip, that of one of the boxes. */
 int lab_unused_ports(const char *ip);
--- a/tests/platform/entries_lab.h
+++ b/tests/platform/entries_lab.h
@@ -67,18 +67,6 @@
     return instance ? instance->listed.addr : NULL;
 }
 
-/** Finds an address whose next port is unused too. */
-static void unused_peer_addr(char to[CODEC_STR_SIZE])
-{
-    char next[32], relay[CODEC_STR_SIZE];
-    lab_unused_addr(next);
-    do {
-        codec_copy_string(to, CODEC_STR_SIZE, next);
-        g_assert_true(relay_addr_of(to, relay));
-        lab_unused_addr(next);
-    } while (strcmp(next, relay) != 0);
-}
-
 static void start_egress(entries_lab_t *lab, entry_t *e)
 {
     tc_err_t err = {0};
@@ -112,7 +100,7 @@
     g_snprintf(e->self.box, sizeof(e->self.box), "entry-%d", i);
     lab_unused_addr(e->addr);
     codec_copy_string(e->self.http_addr, sizeof(e->self.http_addr), e->addr);
-    unused_peer_addr(e->self.peer_addr);
+    lab_unused_addr_pair(e->self.peer_addr);
     e->fleet = fleet_create();
     e->client = web_client_create(lab->f.loop);
     start_egress(lab, e);
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -54,18 +54,6 @@
     return strcmp(id, "b1") == 0 ? ((fixture_t *)arg)->backend_addr : NULL;
 }
 
-/** Finds an address whose next port is unused too. */
-static void unused_peer_addr(char to[CODEC_STR_SIZE])
-{
-    char next[32], relay[CODEC_STR_SIZE];
-    lab_unused_addr(next);
-    do {
-        codec_copy_string(to, CODEC_STR_SIZE, next);
-        g_assert_true(relay_addr_of(to, relay));
-        lab_unused_addr(next);
-    } while (strcmp(next, relay) != 0);
-}
-
 static egress_t *start_egress(fixture_t *f, const entry_box_t *box, const char *(*find_addr)(void *, const char *))
 {
     tc_err_t err = {0};
@@ -94,7 +82,7 @@
     for (int i = 0; i < 2; i++) {
         f->boxes[i] = (entry_box_t){.ready = true};
         g_snprintf(f->boxes[i].box, sizeof(f->boxes[i].box), "box-%d", i);
-        unused_peer_addr(f->boxes[i].peer_addr);
+        lab_unused_addr_pair(f->boxes[i].peer_addr);
     }
     f->first = start_egress(f, &f->boxes[0], find_addr_first);
     egress_set_boxes(f->first, f->boxes, 2);
