Egress: a back end that refuses this box does not count as silent since a relay says so

Cause: after an answer is lost, a probe tells a back end that has ended, which refuses connections, from one that only lost the connection. A relay that had just failed to reach the back end answered 'unreachable' without looking, and that replaced the refusal that this box had seen itself: the back end counted as silent, and its end against no request. The trace: 'backend_looked found=silent' at two of five boxes where the others found it refused.

Change: a relay's word replaces what this box has seen only by an open connection; relays always look themselves; and where relays are asked first and are refused, a direct connection that a cut path may still establish is not tried.

Evidence: a test with three boxes that failed before (silent instead of refused).

--- a/lib/egress/dial.c
+++ b/lib/egress/dial.c
@@ -92,7 +92,8 @@
 {
     if (d->witnesses > 0)
         egress_record_unreachable(d->egress, d->backend);
-    if (d->has_tried_direct)
+    /* A cut path may still establish connections and then reset them, so that witnesses know better. */
+    if (d->has_tried_direct || d->witnesses > 0)
         finish_failed(d);
     else
         try_direct(d);
@@ -105,7 +106,7 @@
     relay_t *const relay = relay_pool_find(d->egress->relays, d->relays[d->relays_n - 1]);
     counter_add(&c_unhelped, 1);
     close_socket(d);
-    if (is_witness)
+    if (is_witness && !d->has_tried_direct) /* what this box has seen itself is more certain */
         d->outcome = result == RELAY_RESULT_REFUSED ? DIAL_REFUSED : DIAL_UNREACHABLE;
     d->witnessed[d->relays_n - 1] = is_witness;
     d->witnesses += is_witness ? (result == RELAY_RESULT_REFUSED ? 1 : SILENT_WITNESS) : 0;
--- a/lib/egress/relay_server.c
+++ b/lib/egress/relay_server.c
@@ -277,8 +277,6 @@
     codec_copy_string(c->addr, sizeof(c->addr), addr);
     if (path_table_is_cut_off(e->paths) || path_table_has_cut(e->paths, c->target))
         answer(c, RELAY_RESULT_CUT_OFF);
-    else if (path_table_choose(e->paths, c->target, tc_time_now()) == PATH_DIRECT_ONLY)
-        answer(c, RELAY_RESULT_UNREACHABLE); /* this box has just found out by itself */
     else if (c->server->count > RELAY_CONNECTIONS_MAX || c->server->listener.fd < 0)
         answer(c, RELAY_RESULT_BUSY);
     else
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "egress/egress.h"
+#include "egress/dial.h"
 #include "egress/relay_pool.h"
 #include "egress/tunnel.h"
 #include "harness/lab.h"
@@ -24,7 +24,7 @@
     loop_t *loop;
     char backend_addr[32],
         cut_addr[32]; /* the second: where the first box looks for the back end, and nobody listens */
-    entry_box_t boxes[2];
+    entry_box_t boxes[3];
     egress_t *first, *second; /* the second has a path to the back end; NULL when the test has a relay of its own */
     web_client_t *client;
     lab_backend_t *backend;
@@ -79,7 +79,7 @@
     f->loop = loop_create();
     lab_unused_addr(f->backend_addr);
     lab_unused_addr(f->cut_addr);
-    for (int i = 0; i < 2; i++) {
+    for (int i = 0; i < 3; i++) {
         f->boxes[i] = (entry_box_t){.ready = true};
         g_snprintf(f->boxes[i].box, sizeof(f->boxes[i].box), "box-%d", i);
         lab_unused_addr_pair(f->boxes[i].peer_addr);
@@ -230,6 +230,40 @@
     lab_call_free(c);
 }
 
+static void on_dialed(void *arg, const dial_result_t *result)
+{
+    g_assert_cmpint(result->outcome, ==, DIAL_REFUSED);
+    *(bool *)arg = true;
+}
+
+static void expect_refused(const fixture_t *f, egress_t *egress, const char *addr)
+{
+    bool done = false;
+    dial_t dial = {0};
+    dial_start(&dial, f->loop, egress, addr, 250, on_dialed, &done);
+    lab_run_until_true(f->loop, &done);
+}
+
+static bool is_down(void *arg)
+{
+    return !lab_backend_is_up(arg);
+}
+
+/** A back end that has ended refuses both boxes: it must not count as silent, or the requests that ended it are not
+ *  held. Both look at it, as boxes do that have lost answers there. */
+static void test_ended_back_end(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    lab_backend_crash(f->backend);
+    lab_run_until(f->loop, is_down, f->backend);
+    f->second = start_egress(f, &f->boxes[1], find_addr_second);
+    egress_t *const third = start_egress(f, &f->boxes[2], find_addr_first);
+    egress_set_boxes(f->second, &f->boxes[2], 1);
+    expect_refused(f, f->second, f->backend_addr);
+    expect_refused(f, f->first, f->cut_addr);
+    egress_destroy(third);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -239,5 +273,6 @@
     TEST("whole", test_whole, 0);
     TEST("caller-leaves", test_caller_leaves, 0);
     TEST("nobody-reaches", test_nobody_reaches, 0);
+    TEST("ended-back-end", test_ended_back_end, 0);
     return g_test_run();
 }
