Log the software version of back ends, and which attempt a resumed stream continues

The list of back ends names the version of each one's software, which was dropped when the list was read, so no line told which version wrote which part of a stream. Lists, and the lines of a request's calls and runs, have it now; routed has the attempt that the caller names. No decision changes.

--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -53,7 +53,9 @@
     unsigned output_hint;     /**< output length expected by the caller, often far off; 0 when unknown */
     const char *resume_after; /**< id of the last event that the caller of a resumed stream has, or ""; borrowed from
                                  the request */
-    const char *credentials;  /**< of the caller, or ""; borrowed from the request */
+    char resumes[DIALECT_ID_SIZE]; /**< attempt of the caller that delivered the first event of a resumed stream, as it
+                                      says; "" when it does not */
+    const char *credentials;       /**< of the caller, or ""; borrowed from the request */
     dialect_key_state_t key_state; /**< what the credentials are */
     const char *key;      /**< with DIALECT_KEY_GIVEN: the key, a secret; borrowed from the request, not terminated */
     size_t key_size;      /**< of the key, in bytes */
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -27,6 +27,8 @@
         log_str(&line, "prompt", f->facts.parts[f->facts.parts_n - 1].id);
     if (f->facts.resume_after[0])
         log_str(&line, "resume_after", f->facts.resume_after);
+    if (f->facts.resumes[0])
+        log_str(&line, "resumes", f->facts.resumes);
     log_end(&line);
 }
 
@@ -65,6 +67,7 @@
     if (instance) {
         log_str(&line, "backend", instance->listed.id);
         log_str(&line, "addr", instance->listed.addr);
+        log_str(&line, "version", instance->listed.version);
         log_int(&line, "running", instance->running);
         log_int(&line, "others", instance->remote_running);
         log_age(&line, "loads_age_ms", fleet_loads_age(f->owner->fleet, now));
@@ -100,6 +103,7 @@
     log_int(&line, "run", f->stream_runs);
     log_str(&line, "backend", call->instance->listed.id);
     log_str(&line, "addr", call->instance->listed.addr);
+    log_str(&line, "version", call->instance->listed.version);
     if (call->http && web_call_relay(call->http)[0])
         log_str(&line, "relay", web_call_relay(call->http));
     log_str(&line, "after", call->run.after);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -206,6 +206,7 @@
     {.name = "slots", .offset = offsetof(backend_t, slots), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "draining", .offset = offsetof(backend_t, draining), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "cold", .offset = offsetof(backend_t, cold), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "version", .offset = offsetof(backend_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t backend_desc = {.name = "backend", .size = sizeof(backend_t), .fields = backend_fields, .n_fields = sizeof(backend_fields) / sizeof(backend_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -337,6 +337,7 @@
     uint32_t slots; /**< requests that it processes concurrently */
     bool draining; /**< leaving: receives no new requests */
     bool cold; /**< it has just started and can handle fewer requests than later */
+    char version[CODEC_STR_SIZE]; /**< version of its software, as listed; empty when unknown */
 } backend_t;
 extern const codec_desc_t backend_desc;
 
