--- a/tests/platform/entries_lab.h
+++ b/tests/platform/entries_lab.h
@@ -11,7 +11,7 @@
 #include "unit/cluster_lab.h"
 #include "web/web_server.h"
 
-enum { LAB_ENTRIES = 6, LAB_BACKENDS = 4 }; /* at most */
+enum { LAB_ENTRIES = 6, LAB_BACKENDS = 9 }; /* at most */
 
 typedef struct {
     entry_box_t self;
