Streams go on only at the software version that began them

While back ends of two versions served side by side, a stream that broke went on at either, within one answer or when its caller took it up at another box, and so callers got answers that two versions had written. No step that chose a back end knew the versions: the choice over all engines, the one of the engine that caches the prompt, replans, local placement, reservations.

A stream is bound to the version of the back end that wrote its first event, by the list's entry of that instance. Boxes remember the versions of their streams for a minute, report them to the leader while a service has several versions, and the leader copies them to the other control boxes. A box that does not know a stream that is taken up asks the leader; when nobody knows, and several versions serve or served within a minute, the stream is refused as not run. Each choice keeps to the version, on the box (fleet, cache, reservations) and on the leader (placement, replan, kept engines, estimates of room), and both assert it before they send or grant. While all back ends of the version are away, the stream waits as long as its caller bears; when they left by a release it ends at once, with a reason of its own.

With one version there is nothing to remember elsewhere and nothing to ask. Leaders of an earlier build are not asked, and an engine of another version that such a leader names is not used.

--- a/lib/cluster/leader_engines.c
+++ b/lib/cluster/leader_engines.c
@@ -40,6 +40,7 @@
     codec_copy_string(e->dc, sizeof(e->dc), b->dc);
     codec_copy_string(e->cell, sizeof(e->cell), LEADER_ENGINES_CELL);
     codec_copy_string(e->model, sizeof(e->model), b->service);
+    codec_copy_string(e->version, sizeof(e->version), b->version);
     e->role = strcmp(b->stage, "prefill") == 0 ? ROLE_PREFILL : ROLE_DECODE;
     e->pieces = (uint32_t)(MEMORY_SHARE * s->memory_tokens / SCHED_SMALL_PIECE_TOKENS);
     e->max_batch = b->slots ? b->slots : s->slots;
--- a/lib/cluster/leader_sched.c
+++ b/lib/cluster/leader_sched.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "admission/returns.h"
+#include "backend/version_history.h"
 #include "cluster/cold.h"
 #include "cluster/leader_engines.h"
 #include "cluster/leader_log.h"
@@ -46,10 +47,12 @@
 
 struct leader_sched {
     peer_net_t *net;
-    sched_t *sched;           /* NULL while this box does not lead */
-    returns_t *returns;       /* NULL while this box does not lead, or by settings */
-    returns_stats_t counted;  /* part of its stats that the counters hold */
-    quarantine_t *quarantine; /* borrowed, or NULL */
+    sched_t *sched;             /* NULL while this box does not lead */
+    returns_t *returns;         /* NULL while this box does not lead, or by settings */
+    returns_stats_t counted;    /* part of its stats that the counters hold */
+    quarantine_t *quarantine;   /* borrowed, or NULL */
+    stream_versions_t *streams; /* borrowed, or NULL */
+    version_history_t *versions;
     uint64_t term;
     bool lease_held;
     tc_time_t picture_at; /* time of the next log line with the scheduler's view */
@@ -117,6 +120,11 @@
     l->quarantine = quarantine;
 }
 
+void leader_sched_set_streams(leader_sched_t *l, stream_versions_t *streams)
+{
+    l->streams = streams;
+}
+
 void leader_sched_set_services(leader_sched_t *l, const leader_sched_service_t *list, uint32_t n)
 {
     free(l->services);
@@ -176,6 +184,7 @@
     free(l->backends);
     l->backends = list_copy(list, n * sizeof(*list));
     l->backends_n = n;
+    version_history_set_list(l->versions, list, n, tc_time_now());
     limits_set_backends(l->limits, list, n, tc_time_now());
     (void)cold_update_list(l->cold, fetched);
     configure_cold(l);
@@ -470,10 +479,32 @@
     sched_place(l->sched, &request, (sched_token_t){.a = call.connection, .b = call.call}, now);
 }
 
+static void on_progress(leader_sched_t *l, const msg_progress_t *progress, tc_time_t now)
+{
+    if (l->streams)
+        stream_versions_add(l->streams, progress->stream, progress->version, now, now);
+    sched_progress(l->sched, progress, now);
+}
+
+static void on_stream_find(const leader_sched_t *l, peer_call_t call, const msg_stream_find_t *find, tc_time_t now)
+{
+    const char *const version = l->streams ? stream_versions_find(l->streams, find->stream, now) : NULL;
+    msg_stream_found_t found = {.several = version_history_count(l->versions, find->service, now) > 1};
+    codec_copy_string(found.version, sizeof(found.version), version ? version : "");
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "stream_found");
+    log_str(&line, "request", find->id);
+    log_hash(&line, "stream", find->stream);
+    log_str(&line, "version", found.version);
+    log_int(&line, "several", found.several);
+    log_end(&line);
+    peer_reply(l->net, call, MSG_STREAM_FOUND, &found);
+}
+
 bool leader_sched_handles_type(uint32_t type)
 {
     return type == MSG_PLACE || type == MSG_REPLAN || type == MSG_PROGRESS || type == MSG_RENEW || type == MSG_RETRY ||
-           type == MSG_TAKE_LIMIT || leader_slots_handles_type(type);
+           type == MSG_TAKE_LIMIT || type == MSG_STREAM_FIND || leader_slots_handles_type(type);
 }
 
 void leader_sched_handle_message(leader_sched_t *l, peer_call_t call, uint32_t type, const void *message, tc_time_t now)
@@ -493,8 +524,9 @@
     case MSG_PLACE: on_place(l, call, message, now); break;
     case MSG_RETRY: on_retry(l, call, message, now); break;
     case MSG_TAKE_LIMIT: on_take_limit(l, call, message, now); break;
+    case MSG_STREAM_FIND: on_stream_find(l, call, message, now); break;
     case MSG_REPLAN: sched_replan(l->sched, message, token, now); break;
-    case MSG_PROGRESS: sched_progress(l->sched, message, now); break;
+    case MSG_PROGRESS: on_progress(l, message, now); break;
     default: on_renew(l, call, message, now); break;
     }
     run_actions(l, now);
@@ -564,6 +596,7 @@
     l->limits = limits_create(limits);
     l->slots = leader_slots_create(net);
     l->cold = cold_create();
+    l->versions = version_history_create();
     l->admitted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return l;
 }
@@ -577,6 +610,7 @@
     limits_destroy(l->limits);
     leader_slots_destroy(l->slots);
     cold_destroy(l->cold);
+    version_history_destroy(l->versions);
     codec_free(&evacuations_desc, &l->evacuations);
     free(l->cold_rates);
     free(l->services);
--- a/lib/cluster/leader_sched.h
+++ b/lib/cluster/leader_sched.h
@@ -25,6 +25,7 @@
 #include "cluster/evacuations.h"
 #include "cluster/limits.h"
 #include "cluster/quarantine.h"
+#include "cluster/stream_versions.h"
 #include "common/retry_budget.h"
 #include "gen/schema.h"
 #include "peer/peer.h"
@@ -70,6 +71,8 @@
 /** Sets the quarantine table, borrowed: requests that crashed back ends are placed apart from each other, or refused.
  *  Without a table, only the crash counts in the boxes' requests are used. */
 void leader_sched_set_quarantine(leader_sched_t *leader_sched, quarantine_t *quarantine);
+/** Sets the table of streams, borrowed, in which boxes look up the versions that began them. */
+void leader_sched_set_streams(leader_sched_t *leader_sched, stream_versions_t *streams);
 /** Sets the configured services that have engines; copied. */
 void leader_sched_set_services(leader_sched_t *leader_sched, const leader_sched_service_t *list, uint32_t n);
 /** Sets the configured rate limits of cold back ends; copied. */
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -336,6 +336,7 @@
     reports_expire_withdrawn(r, now);
     reports_tick(r, now);
     replica_quarantine_tick(r, now);
+    replica_streams_tick(r, now);
     saved_list_tick(r, now);
     update_leadership(r, now);
     follow_tick(r, now);
@@ -443,6 +444,7 @@
     r->budget = (list_budget_t){.rate = options->list_bytes_s};
     r->withdrawn = g_array_new(FALSE, TRUE, sizeof(withdrawn_t));
     r->quarantine = quarantine_create();
+    r->streams = stream_versions_create();
     replica_quarantine_load(r);
     CDS_INIT_LIST_HEAD(&r->proposals);
     replica_set_seeds(r, options->seeds);
@@ -459,6 +461,7 @@
     }
     r->leader_sched = leader_sched_create(r->net, &options->retries, &options->caps, &options->limits);
     leader_sched_set_quarantine(r->leader_sched, r->quarantine);
+    leader_sched_set_streams(r->leader_sched, r->streams);
     saved_list_load(r);
     log_cluster(r, "started");
     if (r->document.version > 0)
@@ -491,6 +494,7 @@
     list_publisher_destroy(r->published);
     g_array_free(r->withdrawn, TRUE);
     quarantine_destroy(r->quarantine);
+    stream_versions_destroy(r->streams);
     free(r->role_changes);
     g_free(r);
 }
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -1,8 +1,9 @@
 /** @file replica_internal.h
  * Shared by replica.c (the log and its state machine), replica_view.c (queries of the log's state), replica_proposals.c
  * (documents and evacuations until they are in force), replica_members.c (membership), replica_reports.c (answers to
- * reports), replica_follow.c (lists received from the leader), replica_saved_list.c (the list in the data folder) and
- * replica_quarantine.c (quarantined requests); no other file includes it.
+ * reports), replica_follow.c (lists received from the leader), replica_saved_list.c (the list in the data folder),
+ * replica_quarantine.c (quarantined requests) and replica_streams.c (versions that began streams); no other file
+ * includes it.
  */
 #ifndef TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
 #define TRACKCOVE_CLUSTER_REPLICA_INTERNAL_H
@@ -15,6 +16,7 @@
 #include "cluster/quarantine.h"
 #include "cluster/replica.h"
 #include "cluster/roster.h"
+#include "cluster/stream_versions.h"
 #include "control/log_writer.h"
 #include "lists/list_budget.h"
 #include "lists/list_replica.h"
@@ -95,6 +97,8 @@
     tc_time_t saved_as_of;      /* backends_fetched of that list */
     GArray *withdrawn;          /* withdrawn_t: may still be listed as ready */
     quarantine_t *quarantine;
+    stream_versions_t *streams;
+    uint64_t streams_sent;     /* stream_versions_seq up to which changes were sent to the other members */
     store_t *store;            /* owned by the writer */
     uint64_t quarantine_saved; /* quarantine_version that is on disk */
     tc_time_t save_at;         /* earliest time of the next write of it */
@@ -144,6 +148,11 @@
 /** Merge the quarantine of another control box. */
 void replica_quarantine_receive(replica_t *r, const msg_held_requests_t *message, tc_time_t now);
 
+/* ===== replica_streams.c ===== */
+
+/** Send the streams that are new here to the other members, and forget old ones. */
+void replica_streams_tick(replica_t *r, tc_time_t now);
+
 /* ===== replica_follow.c ===== */
 
 /** Start following. Call once the self address is set. */
--- a/lib/cluster/replica_quarantine.c
+++ b/lib/cluster/replica_quarantine.c
@@ -116,4 +116,5 @@
     for (uint32_t i = 0; i < message->list_n; i++)
         quarantine_hold(r->quarantine, message->list[i].request, now - (tc_time_t)message->list[i].age_ms, now);
     quarantine_apply_changes(r->quarantine, &message->news, now, NULL, NULL);
+    stream_versions_apply(r->streams, message->streams, message->streams_n, now);
 }
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -51,9 +51,12 @@
 static void publish_backends(replica_t *r)
 {
     backend_t *const list = list_copy(r->backends, r->backends_n * sizeof(*list));
-    for (uint32_t i = 0; i < r->backends_n; i++)
-        list[i].draining = list[i].draining || list_has_name(r->role_changes, r->role_changes_n, list[i].id) ||
-                           find_withdrawn(r, list[i].id);
+    for (uint32_t i = 0; i < r->backends_n; i++) {
+        const withdrawn_t *const withdrawn = find_withdrawn(r, list[i].id);
+        list[i].ended = !list[i].draining && withdrawn && !withdrawn->by_list;
+        list[i].draining =
+            list[i].draining || list_has_name(r->role_changes, r->role_changes_n, list[i].id) || withdrawn;
+    }
     (void)list_publisher_set(r->published, list, r->backends_n);
     free(list);
     uint32_t n;
@@ -289,6 +292,9 @@
                                  r); /* may change the list of back ends */
     if (ack.leads)
         take_notices(r, report, now); /* the same */
+    if (ack.leads)
+        stream_versions_apply(r->streams, report->streams, report->streams_n, now);
+    ack.finds_streams = ack.leads;
     add_backends(r, report, &ack, now);
     if (ack.leads)
         add_leader_data(r, report, &ack, raft_view(r->raft).leader_since, now);
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -166,6 +166,7 @@
     if (ack->leads || ack->members_hash != 0)
         r->control_contact = now;
     r->grants_slots = ack->leads && ack->grants_slots;
+    r->finds_streams = ack->leads && ack->finds_streams;
     set_connected(r, ack->leads);
     if (ack->leads)
         r->leader_contact = now;
@@ -196,6 +197,7 @@
     free(report.limits_used);
     free(report.cold_used);
     free(report.notices);
+    free(report.streams);
 }
 
 /** Send a report that is due. Otherwise it is sent after the answer to the current one, or once there is a target. */
@@ -346,6 +348,11 @@
     return r->connected && r->grants_slots;
 }
 
+bool reporter_leader_finds_streams(const reporter_t *r)
+{
+    return r->connected && r->finds_streams;
+}
+
 void reporter_notify_leader(reporter_t *r, uint32_t type, const void *message)
 {
     if (r->connected)
--- a/lib/cluster/reporter_internal.h
+++ b/lib/cluster/reporter_internal.h
@@ -42,6 +42,7 @@
     tc_time_t leader_contact;  /* last answer of a leader */
     bool connected;            /* the last report was answered by a leader */
     bool grants_slots;         /* which understands slot_take */
+    bool finds_streams;        /* which understands stream_find */
 
     /* Data of this box (reporter_lists.c). */
     document_t document; /* newest that was passed to the program */
--- a/lib/common/mutant.h
+++ b/lib/common/mutant.h
@@ -17,6 +17,7 @@
 #define MUTANT_KEEP_TICKETS 10      /* tickets of a box that is gone are not freed before their time is over */
 #define MUTANT_IGNORE_UNTICKETED 11 /* requests that boxes sent without a ticket are not counted */
 #define MUTANT_RELAYED_UNSENT 12    /* a call whose relayed connection broke counts as never sent */
+#define MUTANT_ANY_VERSION 13       /* streams go on at any software version */
 
 #ifdef TRACKCOVE_MUTANT
 #define MUTANT_IS(which) (TRACKCOVE_MUTANT == (which))
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -46,6 +46,7 @@
     GHashTable *by_addr;  /* the same, instance_t.listed.addr -> instance_t */
     evacuations_t evacuations;
     cold_t *cold;
+    version_history_t *versions;
     GHashTable *shared;            /* services whose back ends state a pace */
     tc_time_t listed_at, loads_at; /* 0: never */
 };
@@ -198,6 +199,7 @@
     f->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
     f->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pool_free);
     f->cold = cold_create();
+    f->versions = version_history_create();
     f->shared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return f;
 }
@@ -210,6 +212,7 @@
     g_ptr_array_free(f->instances, TRUE);
     codec_free(&evacuations_desc, &f->evacuations);
     cold_destroy(f->cold);
+    version_history_destroy(f->versions);
     g_hash_table_destroy(f->shared);
     g_free(f);
 }
@@ -241,6 +244,7 @@
 {
     f->listed_at = fetched;
     (void)cold_update_list(f->cold, fetched);
+    version_history_set_list(f->versions, list, n, fetched);
     GPtrArray *const listed = g_ptr_array_new_with_free_func(unref_instance);
     for (uint32_t i = 0; i < n; i++) {
         instance_t *const known = fleet_find(f, list[i].id);
@@ -333,6 +337,11 @@
     return g_hash_table_contains(f->shared, service);
 }
 
+const version_history_t *fleet_versions(const fleet_t *f)
+{
+    return f->versions;
+}
+
 /* ===== Loads ===== */
 
 void fleet_add_reading(fleet_t *f, instance_t *instance, const load_reading_t *reading, tc_time_t now)
@@ -402,11 +411,17 @@
     return instance->running < part && instance->running + instance->remote_running < query->connections;
 }
 
+bool instance_has_version(const instance_t *instance, const char *version)
+{
+    return !version || !instance->listed.version[0] || strcmp(instance->listed.version, version) == 0;
+}
+
 /** Whether it meets the query's requirements, whether or not it accepts work now. */
 static bool is_suitable(const instance_t *instance, const fleet_query_t *query)
 {
-    return !instance->listed.draining && !instance->evacuated && instance->availability.leaving_since == 0 &&
-           allows_suspects(instance, query->ends) && has_connection(instance, query);
+    return instance_has_version(instance, query->version) && !instance->listed.draining && !instance->evacuated &&
+           instance->availability.leaving_since == 0 && allows_suspects(instance, query->ends) &&
+           has_connection(instance, query);
 }
 
 static bool was_tried(const instance_t *instance, const fleet_query_t *query)
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -16,6 +16,7 @@
 
 #include "backend/availability.h"
 #include "backend/load_reading.h"
+#include "backend/version_history.h"
 #include "cluster/evacuations.h"
 #include "common/time.h"
 #include "gen/schema.h"
@@ -66,6 +67,8 @@
     stage_t stage;
     const char *dc;         /**< preferred data centre */
     const GPtrArray *tried; /**< instance_t to exclude */
+    const char *version;    /**< software version that it must have; NULL: any. A back end whose list entry names none
+                               may have any */
     unsigned ends;          /**< back ends that ended under the request */
     bool exclude_limited;   /**< exclude those that advertise a limit */
     unsigned connections; /**< most that one back end of a plain service accepts from all boxes together; 0: no limit */
@@ -93,6 +96,9 @@
 /** Number of instances that queries have examined so far. */
 uint64_t fleet_instances_examined(const fleet_t *fleet);
 
+/** Versions of the services that serve or served lately, by the lists; borrowed. */
+const version_history_t *fleet_versions(const fleet_t *fleet);
+
 /** Sets the evacuated data centres; copied. Back ends there get no new work, all others do. */
 void fleet_set_evacuations(fleet_t *fleet, const evacuations_t *evacuations, tc_time_t now);
 
@@ -142,6 +148,8 @@
  *  answers, its data centre is not evacuated, and it did not ask for no calls. Check this before using an instance that
  *  was chosen earlier. */
 bool instance_accepts_work(const instance_t *instance, tc_time_t now);
+/** Whether it has the software version, NULL for any, or its list entry names none. */
+bool instance_has_version(const instance_t *instance, const char *version);
 /** Whether it may get calls about work that it already has. */
 bool instance_accepts_maintenance(const instance_t *instance, tc_time_t now);
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -33,6 +33,7 @@
                            .stage = stage,
                            .dc = f->owner->options.dc,
                            .tried = stage == STAGE_PREFILL ? f->tried_prefill : f->tried,
+                           .version = stage == STAGE_PREFILL ? NULL : version_required(f),
                            .ends = forward_crash_count(f),
                            .connections = f->settings->max_connections,
                            .boxes = forward_boxes(f->owner),
@@ -164,7 +165,8 @@
 
 void forward_send(forward_t *f, dialect_op_t op, instance_t *instance)
 {
-    if (!instance_accepts_work(instance, tc_time_now())) { /* changed since it was chosen */
+    const bool fits = op == DIALECT_PREFILL || instance_has_version(instance, version_required(f));
+    if (!fits || !instance_accepts_work(instance, tc_time_now())) { /* changed since it was chosen */
         f->repeats_engine = false;
         instance_unref(instance);
         forward_continue(f);
@@ -245,7 +247,7 @@
 /** Sends the request to a back end of a plain service, with a slot where the leader grants them. */
 static void continue_plain(forward_t *f)
 {
-    if (!slot_is_active(f)) {
+    if (!slot_is_active(f) || version_restricts(f)) { /* the leader's slots may be those of any version */
         send_to(f, DIALECT_SERVE, forward_choose(f, STAGE_NONE));
         return;
     }
@@ -264,6 +266,8 @@
         on_limit(f);
         return;
     }
+    if (version_resolve(f) || version_wait(f))
+        return; /* continues when the leader has answered, or a back end of its version is back */
     if (!f->split) {
         continue_plain(f);
         return;
@@ -421,6 +425,7 @@
     fw->options = *options;
     fw->budgets = retry_budgets_create();
     fw->quarantine = quarantine_create();
+    fw->streams = stream_versions_create();
     fw->caps = cap_shares_create(&options->caps);
     fw->limits = cap_shares_create(&options->limits.advertised);
     fw->cold = cap_shares_create(&options->limits.cold);
@@ -444,6 +449,7 @@
     route_table_unref(fw->table);
     g_hash_table_destroy(fw->budgets);
     quarantine_destroy(fw->quarantine);
+    stream_versions_destroy(fw->streams);
     cap_shares_destroy(fw->caps);
     cap_shares_destroy(fw->limits);
     cap_shares_destroy(fw->cold);
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -524,6 +524,8 @@
     const tc_time_t now = tc_time_now();
     assert(instance_accepts_work(instance,
                                  now)); /* guarantee: no call to a back end that is leaving or asked for no calls */
+    /* Guarantee: a stream with events goes on at the software version that wrote the first of them. */
+    assert(op == DIALECT_PREFILL || instance_has_version(instance, version_required(f)));
     counter_add(&c_calls, 1);
     backend_call_t *const call = g_new0(backend_call_t, 1);
     call->request = f;
--- a/lib/forward/forward_end.c
+++ b/lib/forward/forward_end.c
@@ -21,6 +21,7 @@
     loop_disarm(&f->call_timer);
     retry_cancel(f);
     probe_leave(f);
+    version_cancel(f);
     limit_cancel(f);
     slot_cancel(f);
     place_finish(f);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -18,6 +18,7 @@
  *   forward_backend_probe.c  liveness probes of back ends whose answer was lost
  *   forward_slot.c    slots of plain back ends, granted by the leader
  *   forward_limit.c   rate limits of back ends, shared by all boxes
+ *   forward_version.c  software version that a stream is bound to
  *   forward_notice.c  availability notices and stated loads in answers of back ends
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -28,11 +29,13 @@
 #include <urcu/list.h>
 
 #include "cluster/limit_table.h"
+#include "cluster/stream_versions.h"
 #include "common/box_count.h"
 #include "forward/dialect.h"
 #include "forward/forward.h"
 #include "forward/reasons.h"
 #include "forward/service_time.h"
+#include "forward/version_step.h"
 #include "web/web_fetch.h"
 
 /* ===== Constants ===== */
@@ -245,6 +248,15 @@
     unsigned tokens;      /* cached there */
 } locate_t;
 
+/** The software version that a stream is bound to, which wrote its first event. */
+typedef struct {
+    char name[CODEC_STR_SIZE]; /* "": none, so that any may run it */
+    bool is_resolved;          /* it is known whether an earlier attempt bound it, and to which version */
+    leader_query_t *query;     /* in flight, or NULL */
+    leader_word_t leader;      /* its last answer */
+    tc_time_t unknown_since;   /* when it first did not know the stream; 0: never */
+} stream_binding_t;
+
 /** A prefill result that waits for a decode engine. */
 typedef struct {
     instance_t *instance; /* engine that stores it; NULL: no result */
@@ -286,6 +298,7 @@
     slot_t slot;
     limit_wait_t limit_wait;
     probe_wait_t probe_waiter;
+    stream_binding_t binding;
 
     /* History. */
     GPtrArray *tried;                   /* instance_t that failed this request */
@@ -334,6 +347,7 @@
     struct cds_list_head probes;   /* of forward_backend_probe.c */
     struct cds_list_head cleanups; /* of forward_query.c */
     quarantine_t *quarantine;
+    stream_versions_t *streams; /* streams of this box */
     cap_shares_t *caps;
     cap_shares_t *limits;         /* rate limits that back ends announced */
     cap_shares_t *cold;           /* rate limits of cold back ends */
@@ -482,6 +496,28 @@
 /** Ends all probes, before the forwarder is destroyed. */
 void probes_destroy(forwarder_t *fw);
 
+/* ===== forward_version.c ===== */
+
+/** Finds out which version a stream that its caller takes up again is bound to, and ends it when that is unknown among
+ *  several, or no back end of it is left. @return false when the request goes on at once; otherwise forward_continue or
+ *  forward_fail follows */
+bool version_resolve(forward_t *f);
+/** The version that back ends of the request must have; NULL: any. */
+const char *version_required(const forward_t *f);
+/** Binds the stream to the version of the back end that wrote its first event. */
+void version_bind(forward_t *f, const instance_t *instance);
+/** Whether the request is bound to one of several versions that serve. */
+bool version_restricts(const forward_t *f);
+/** Waits for a back end of the stream's version while all of them are away and some are expected to return.
+ *  @return whether forward_continue or forward_fail follows */
+bool version_wait(forward_t *f);
+/** Drops the query to the leader. */
+void version_cancel(forward_t *f);
+/** Fills in the streams of a report; list for free(). */
+void version_fill_report(forwarder_t *fw, msg_report_t *report);
+/** The leader has answered that report. @return whether another one should follow at once */
+bool version_confirm_report(forwarder_t *fw, const msg_report_ack_t *ack);
+
 /* ===== forward_notice.c ===== */
 
 /** Applies the availability notice and the stated load in the head of an answer to its back end. */
--- a/lib/forward/forward_locate.c
+++ b/lib/forward/forward_locate.c
@@ -128,7 +128,8 @@
     if (forward_crash_count(f) > 0)
         return false; /* the engine that cached it has ended; the next is chosen with regard to its other requests */
     f->locate.asked = true;
-    const fleet_query_t query = {.service = f->service, .stage = STAGE_DECODE, .now = tc_time_now()};
+    const fleet_query_t query = {
+        .service = f->service, .stage = STAGE_DECODE, .version = version_required(f), .now = tc_time_now()};
     fleet_each_successor(f->owner->fleet, &query, f->fingerprint, query_limit(f, &query), query_engine, f);
     if (f->locate.pending > 0)
         return true;
--- a/lib/forward/forward_notice.c
+++ b/lib/forward/forward_notice.c
@@ -74,4 +74,5 @@
 {
     limit_fill_report(fw, report);
     report->notices = list_notices(fw, &report->notices_n);
+    version_fill_report(fw, report);
 }
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -204,6 +204,8 @@
     codec_copy_string(place.model, sizeof(place.model), f->service);
     if (feature_is_enabled(FEATURE_DC_AFFINITY))
         codec_copy_string(place.dc, sizeof(place.dc), fw->options.dc);
+    if (version_restricts(f))
+        codec_copy_string(place.version, sizeof(place.version), f->binding.name);
     place_fill_workspace(f, &place);
     return query(f, MSG_PLACE, &place);
 }
@@ -239,6 +241,8 @@
     codec_copy_string(replan.cell, sizeof(replan.cell), CELL);
     codec_copy_string(replan.id, sizeof(replan.id), f->facts.id);
     codec_copy_string(replan.bad, sizeof(replan.bad), bad);
+    if (version_restricts(f))
+        codec_copy_string(replan.version, sizeof(replan.version), f->binding.name);
     f->placement.decode[0] = '\0';
     if (query(f, MSG_REPLAN, &replan))
         return true;
@@ -276,6 +280,8 @@
     const bool granted = stage == STAGE_PREFILL ? f->placement.prefill_granted : f->placement.decode_granted;
     if (instance && !granted && tc_time_now() < instance->limited_until)
         return NULL;
+    if (instance && stage == STAGE_DECODE && !instance_has_version(instance, version_required(f)))
+        return NULL; /* a leader of an earlier build does not know versions */
     if (!instance || !instance_accepts_work(instance, tc_time_now()) ||
         g_ptr_array_find((GPtrArray *)(uintptr_t)tried, instance, NULL))
         return NULL;
@@ -314,6 +320,10 @@
     codec_copy_string(progress.id, sizeof(progress.id), f->facts.id);
     codec_copy_string(progress.box, sizeof(progress.box), fw->options.box);
     codec_copy_string(progress.bad, sizeof(progress.bad), bad ? bad->listed.id : "");
+    if (phase == PHASE_DECODE && f->events > 0 && version_restricts(f)) {
+        progress.stream = stream_versions_key(f->facts.id, f->fingerprint);
+        codec_copy_string(progress.version, sizeof(progress.version), f->binding.name);
+    }
     if (phase == PHASE_TRANSFER) {
         progress.took_ms = (uint32_t)(tc_time_now() - f->placement.prefill_began);
         progress.computed_tokens = f->facts.prompt_tokens;
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -177,6 +177,8 @@
     }
     if (id)
         record_id(call, id);
+    if (f->events == 0)
+        version_bind(f, call->instance);
     f->has_unnamed_event = !id && (f->has_unnamed_event || has_data(event, size));
     run->events++;
     run->bytes += size;
--- a/lib/forward/reasons.h
+++ b/lib/forward/reasons.h
@@ -23,6 +23,12 @@
 /** All data centres with back ends for the service are evacuated. */
 #define REASON_EVACUATED "its data centres are evacuated"
 
+/** Several software versions serve, and it is not known which one began the stream. */
+#define REASON_VERSION_UNKNOWN "the version that began the stream is not known"
+
+/** No back end of the software version that began the stream is left, nor expected to return. */
+#define REASON_VERSION_GONE "none of the stream's version left"
+
 /* Back ends ended while running the request, see cluster/quarantine.h. */
 #define REASON_QUARANTINED "back ends ended whenever they ran it" /* the request is quarantined */
 #define REASON_BACKEND_ENDED "another back end ended under it"    /* this box does not retry it again */
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -207,9 +207,17 @@
     {.name = "draining", .offset = offsetof(backend_t, draining), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "cold", .offset = offsetof(backend_t, cold), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "version", .offset = offsetof(backend_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "ended", .offset = offsetof(backend_t, ended), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t backend_desc = {.name = "backend", .size = sizeof(backend_t), .fields = backend_fields, .n_fields = sizeof(backend_fields) / sizeof(backend_fields[0])};
 
+static const codec_field_t stream_version_fields[] = {
+    {.name = "stream", .offset = offsetof(stream_version_t, stream), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "version", .offset = offsetof(stream_version_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "age_ms", .offset = offsetof(stream_version_t, age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t stream_version_desc = {.name = "stream_version", .size = sizeof(stream_version_t), .fields = stream_version_fields, .n_fields = sizeof(stream_version_fields) / sizeof(stream_version_fields[0])};
+
 static const codec_field_t backend_load_fields[] = {
     {.name = "id", .offset = offsetof(backend_load_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "running", .offset = offsetof(backend_load_t, running), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
@@ -611,6 +619,7 @@
     {.name = "rank", .offset = offsetof(msg_place_t, rank), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "ranked", .offset = offsetof(msg_place_t, ranked), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "caller_ms", .offset = offsetof(msg_place_t, caller_ms), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "version", .offset = offsetof(msg_place_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_place_desc = {.name = "place", .size = sizeof(msg_place_t), .fields = msg_place_fields, .n_fields = sizeof(msg_place_fields) / sizeof(msg_place_fields[0])};
 
@@ -639,6 +648,7 @@
     {.name = "bad", .offset = offsetof(msg_replan_t, bad), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "trouble", .offset = offsetof(msg_replan_t, trouble), .kind = CODEC_ENUM, .enum_names = trouble_names, .min = 0, .max = TROUBLE_COUNT - 1, .def = 0},
     {.name = "ends", .offset = offsetof(msg_replan_t, ends), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "version", .offset = offsetof(msg_replan_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_replan_desc = {.name = "replan", .size = sizeof(msg_replan_t), .fields = msg_replan_fields, .n_fields = sizeof(msg_replan_fields) / sizeof(msg_replan_fields[0])};
 
@@ -655,6 +665,8 @@
     {.name = "box", .offset = offsetof(msg_progress_t, box), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "held", .offset = offsetof(msg_progress_t, held), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "pace", .offset = offsetof(msg_progress_t, pace), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "stream", .offset = offsetof(msg_progress_t, stream), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "version", .offset = offsetof(msg_progress_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_progress_desc = {.name = "progress", .size = sizeof(msg_progress_t), .fields = msg_progress_fields, .n_fields = sizeof(msg_progress_fields) / sizeof(msg_progress_fields[0])};
 
@@ -706,6 +718,7 @@
     {.name = "evacuations_version", .offset = offsetof(msg_report_t, evacuations_version), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "cold_used", .offset = offsetof(msg_report_t, cold_used), .kind = CODEC_LIST, .sub = &cap_use_desc, .count_offset = offsetof(msg_report_t, cold_used_n), .min = 0, .max = 0, .def = 0},
     {.name = "members_hash", .offset = offsetof(msg_report_t, members_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "streams", .offset = offsetof(msg_report_t, streams), .kind = CODEC_LIST, .sub = &stream_version_desc, .count_offset = offsetof(msg_report_t, streams_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_desc = {.name = "report", .size = sizeof(msg_report_t), .fields = msg_report_fields, .n_fields = sizeof(msg_report_fields) / sizeof(msg_report_fields[0])};
 
@@ -726,6 +739,7 @@
     {.name = "evacuations", .offset = offsetof(msg_report_ack_t, evacuations), .kind = CODEC_STRUCT, .sub = &evacuations_desc, .min = 0, .max = 0, .def = 0},
     {.name = "members_hash", .offset = offsetof(msg_report_ack_t, members_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "grants_slots", .offset = offsetof(msg_report_ack_t, grants_slots), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "finds_streams", .offset = offsetof(msg_report_ack_t, finds_streams), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
@@ -856,6 +870,7 @@
 static const codec_field_t msg_held_requests_fields[] = {
     {.name = "list", .offset = offsetof(msg_held_requests_t, list), .kind = CODEC_LIST, .sub = &request_age_desc, .count_offset = offsetof(msg_held_requests_t, list_n), .min = 0, .max = 0, .def = 0},
     {.name = "news", .offset = offsetof(msg_held_requests_t, news), .kind = CODEC_STRUCT, .sub = &quarantine_news_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "streams", .offset = offsetof(msg_held_requests_t, streams), .kind = CODEC_LIST, .sub = &stream_version_desc, .count_offset = offsetof(msg_held_requests_t, streams_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_held_requests_desc = {.name = "held_requests", .size = sizeof(msg_held_requests_t), .fields = msg_held_requests_fields, .n_fields = sizeof(msg_held_requests_fields) / sizeof(msg_held_requests_fields[0])};
 
@@ -929,6 +944,19 @@
 };
 const codec_desc_t msg_relay_opened_desc = {.name = "relay_opened", .size = sizeof(msg_relay_opened_t), .fields = msg_relay_opened_fields, .n_fields = sizeof(msg_relay_opened_fields) / sizeof(msg_relay_opened_fields[0])};
 
+static const codec_field_t msg_stream_find_fields[] = {
+    {.name = "id", .offset = offsetof(msg_stream_find_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "service", .offset = offsetof(msg_stream_find_t, service), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "stream", .offset = offsetof(msg_stream_find_t, stream), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t msg_stream_find_desc = {.name = "stream_find", .size = sizeof(msg_stream_find_t), .fields = msg_stream_find_fields, .n_fields = sizeof(msg_stream_find_fields) / sizeof(msg_stream_find_fields[0])};
+
+static const codec_field_t msg_stream_found_fields[] = {
+    {.name = "version", .offset = offsetof(msg_stream_found_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "several", .offset = offsetof(msg_stream_found_t, several), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+};
+const codec_desc_t msg_stream_found_desc = {.name = "stream_found", .size = sizeof(msg_stream_found_t), .fields = msg_stream_found_fields, .n_fields = sizeof(msg_stream_found_fields) / sizeof(msg_stream_found_fields[0])};
+
 const codec_desc_t *msg_desc(uint32_t type)
 {
     static const codec_desc_t *const table[MSG_COUNT] = {
@@ -974,6 +1002,8 @@
         [MSG_SLOT_DONE] = &msg_slot_done_desc,
         [MSG_RELAY_OPEN] = &msg_relay_open_desc,
         [MSG_RELAY_OPENED] = &msg_relay_opened_desc,
+        [MSG_STREAM_FIND] = &msg_stream_find_desc,
+        [MSG_STREAM_FOUND] = &msg_stream_found_desc,
     };
     return type < MSG_COUNT ? table[type] : NULL;
 }
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -338,9 +338,18 @@
     bool draining; /**< leaving: receives no new requests */
     bool cold; /**< it has just started and can handle fewer requests than later */
     char version[CODEC_STR_SIZE]; /**< version of its software, as listed; empty when unknown */
+    bool ended; /**< with draining: boxes found that it has ended, and it may return under another id */
 } backend_t;
 extern const codec_desc_t backend_desc;
 
+/** The software version that wrote the first event of a stream. */
+typedef struct {
+    uint64_t stream; /**< key of the stream, over the attempt that brought its first event and its fingerprint */
+    char version[CODEC_STR_SIZE];
+    uint64_t age_ms; /**< since that event, or since the stream was taken up last */
+} stream_version_t;
+extern const codec_desc_t stream_version_desc;
+
 /** Requests that one or more boxes have in flight at one back end. */
 typedef struct {
     char id[CODEC_STR_SIZE];
@@ -823,6 +832,7 @@
     uint32_t rank; /**< priority of the route among requests of the same priority; 0 first */
     bool ranked; /**< the configuration gives routes of this service different priorities */
     uint32_t caller_ms; /**< time that the caller has left for further attempts, of which it follows Retry-After up to a third; 0: patience_ms */
+    char version[CODEC_STR_SIZE]; /**< software version that the decode engine must have; empty: any */
 } msg_place_t;
 extern const codec_desc_t msg_place_desc;
 
@@ -853,6 +863,7 @@
     char bad[CODEC_STR_SIZE];
     trouble_t trouble;
     uint32_t ends; /**< as in place */
+    char version[CODEC_STR_SIZE]; /**< as in place */
 } msg_replan_t;
 extern const codec_desc_t msg_replan_desc;
 
@@ -870,6 +881,8 @@
     char box[CODEC_STR_SIZE]; /**< the reporting entry box; may be empty */
     bool held; /**< the failed engine may still hold memory for it */
     uint32_t pace; /**< time that work takes at the engine now, in percent of the usual, as its last answer stated; 0: not stated */
+    uint64_t stream; /**< as in stream_version, when its first event has arrived; 0: none */
+    char version[CODEC_STR_SIZE]; /**< software version that wrote that event */
 } msg_progress_t;
 extern const codec_desc_t msg_progress_desc;
 
@@ -935,6 +948,8 @@
     cap_use_t *cold_used; /**< as used, for cold back ends */
     uint32_t cold_used_n;
     uint64_t members_hash; /**< hash of the list of control boxes that it knows, 0 for none */
+    stream_version_t *streams; /**< not yet reported to this leader; none while each service has one version */
+    uint32_t streams_n;
 } msg_report_t;
 extern const codec_desc_t msg_report_desc;
 
@@ -959,6 +974,7 @@
     evacuations_t evacuations; /**< set when newer than the reporter's, else with version 0 */
     uint64_t members_hash; /**< hash of the list of control boxes that the answering box knows, 0 for none */
     bool grants_slots; /**< the answering box is a leader that understands slot_take; an older one would close the connection */
+    bool finds_streams; /**< likewise for stream_find */
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
@@ -1109,6 +1125,8 @@
     request_age_t *list;
     uint32_t list_n;
     quarantine_news_t news; /**< observations about requests that have changed, or about others in rotation */
+    stream_version_t *streams; /**< those that are new to the leader */
+    uint32_t streams_n;
 } msg_held_requests_t;
 extern const codec_desc_t msg_held_requests_desc;
 
@@ -1190,6 +1208,21 @@
 } msg_relay_opened_t;
 extern const codec_desc_t msg_relay_opened_desc;
 
+/** Entry box to leader: asks which software version began a stream that its caller takes up again. */
+typedef struct {
+    char id[CODEC_STR_SIZE]; /**< request id */
+    char service[CODEC_STR_SIZE];
+    uint64_t stream; /**< as in stream_version */
+} msg_stream_find_t;
+extern const codec_desc_t msg_stream_find_desc;
+
+/** The version. */
+typedef struct {
+    char version[CODEC_STR_SIZE]; /**< empty: the leader does not know the stream */
+    bool several; /**< several versions of the service serve or served lately */
+} msg_stream_found_t;
+extern const codec_desc_t msg_stream_found_desc;
+
 /** Message types, as the first element of a frame. */
 typedef enum {
     MSG_NONE = 0,
@@ -1235,6 +1268,8 @@
     MSG_SLOT_DONE,
     MSG_RELAY_OPEN,
     MSG_RELAY_OPENED,
+    MSG_STREAM_FIND,
+    MSG_STREAM_FOUND,
     MSG_COUNT
 } msg_type_t;
 /** Descriptor of a message type, NULL for an unknown one. */
--- a/lib/sched/sched_choose.c
+++ b/lib/sched/sched_choose.c
@@ -48,10 +48,15 @@
     return r->ends == 0 || e->suspects_twice == 0;
 }
 
+bool engine_has_version(const engine_t *e, const request_t *r)
+{
+    return !r->version[0] || !e->version[0] || strcmp(e->version, r->version) == 0;
+}
+
 static bool decode_candidate(const sched_t *s, const engine_t *e, const request_t *r, tc_time_t now)
 {
     return e->role == ROLE_DECODE && engine_grantable(e, now) && now >= e->stalled_until && may_share_engine(e, r) &&
-           !is_kept_from(s, e, r) && decode_fits(s, e, r, now);
+           engine_has_version(e, r) && !is_kept_from(s, e, r) && decode_fits(s, e, r, now);
 }
 
 static bool link_has_room(const link_t *link, const request_t *r)
@@ -248,10 +253,12 @@
 }
 
 /** Whether a request that gets nothing shows that later requests of its model and size get nothing either: it avoids
- *  no engine, no engine is closed to its box, no link limit applies to it, and it may share engines with all others. */
+ *  no engine, no engine is closed to its box, no link limit applies to it, it may share engines with all others, and
+ *  engines of any version may decode it. */
 static bool is_representative(const request_t *r)
 {
-    return !r->avoid[0] && r->owner->closed_n == 0 && r->ends == 0 && r->prompt_tokens < LONG_TRANSFER_TOKENS;
+    return !r->avoid[0] && !r->version[0] && r->owner->closed_n == 0 && r->ends == 0 &&
+           r->prompt_tokens < LONG_TRANSFER_TOKENS;
 }
 
 static choice_t choose_pair_in_pass(sched_t *s, const request_t *r, model_t *model, tc_time_t now)
@@ -312,6 +319,8 @@
         const engine_t *const e = g_ptr_array_index(s->engine_list, i);
         if (e->model != r->model || !engine_grantable(e, now))
             continue;
+        if (e->role == ROLE_DECODE && !engine_has_version(e, r))
+            continue;
         if (e->role == ROLE_DECODE) {
             const uint32_t taken = engine_taken(s, e, now);
             supply.free_pieces += taken < e->pieces ? e->pieces - taken : 0;
--- a/lib/sched/sched_choose.h
+++ b/lib/sched/sched_choose.h
@@ -24,6 +24,8 @@
 choice_t choose_pair(sched_t *s, const request_t *r, bool keep_prefill, tc_time_t now);
 /** Whether the request may share the engine with those that run there, by the back ends that ended under them. */
 bool may_share_engine(const engine_t *e, const request_t *r);
+/** Whether the engine may decode the request by its version. */
+bool engine_has_version(const engine_t *e, const request_t *r);
 /** Chooses the best decode engine that would read the prompt itself. */
 choice_t choose_local_prefill(sched_t *s, const request_t *r, tc_time_t now);
 /** Tries choose_pair, then choose_local_prefill, for a queued request. Skips the scan where an earlier request of
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -212,6 +212,7 @@
     uint32_t ends;         /* number of back ends that ended under it; while placed, as counted at its engine */
     uint32_t prefill_ends; /* value of ends counted in the prefill engine's suspects */
     char avoid[CODEC_STR_SIZE];
+    char version[CODEC_STR_SIZE]; /* that its decode engine must have; "": any */
     engine_t *prefill, *decode;
     double work_ms;    /* prefill work it adds, on the engine that has most of its prompt cached */
     double pending_ms; /* its part of prefill->pending_ms */
--- a/lib/sched/sched_keep.c
+++ b/lib/sched/sched_keep.c
@@ -78,8 +78,8 @@
             continue;
         }
         remove_first(heap);
-        if (e != avoid && e->pieces >= r->pieces && may_share_engine(e, r) && !owner_is_closed(r->owner, e, now) &&
-            e->batch < engine_batch_limit(s, e))
+        if (e != avoid && e->pieces >= r->pieces && may_share_engine(e, r) && engine_has_version(e, r) &&
+            !owner_is_closed(r->owner, e, now) && e->batch < engine_batch_limit(s, e))
             return e;
     }
     return NULL;
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -23,6 +23,8 @@
 static void grant(sched_t *s, request_t *r, const choice_t *choice, tc_time_t now)
 {
     const bool replan = r->state == REQ_REPLANNING;
+    /* Promise: a stream that has begun is never given an engine of another version. */
+    assert(engine_has_version(choice->decode, r));
     /* Promise: a box is never given an engine that accepts no calls of it. */
     assert(!owner_is_closed(r->owner, choice->decode, now));
     assert(replan || !choice->prefill || !owner_is_closed(r->owner, choice->prefill, now));
@@ -173,6 +175,7 @@
     codec_copy_string(r->model_name, sizeof(r->model_name), place->model);
     r->model = model_find(s, place->model);
     codec_copy_string(r->avoid, sizeof(r->avoid), place->avoid);
+    codec_copy_string(r->version, sizeof(r->version), place->version);
     r->prompt_tokens = place->prompt_tokens;
     r->max_tokens = place->max_tokens;
     r->pieces = sched_pieces_of(s->piece_tokens, place->prompt_tokens, place->max_tokens);
@@ -281,6 +284,7 @@
     }
     record_refusal(s, r, replan, now);
     cancel_decode(s, r, now);
+    codec_copy_string(r->version, sizeof(r->version), replan->version);
     r->ends = MAX(r->ends, replan->ends); /* not counted on any engine at this point */
     codec_copy_string(r->avoid, sizeof(r->avoid), replan->bad);
     r->token = token;
