Soak: workers of two software versions, and a fault that only they show

Four decode engines instead of two, half of each version; one in three that returns under another id has the other version, and callers name the attempt that brought their first event. Each event's version is checked against that of the stream's first one.

--- a/tests/platform/soak/engines.c
+++ b/tests/platform/soak/engines.c
@@ -79,10 +79,11 @@
 
 /** Produces the events of a run after token @p after, with formats and sizes of its own. @return array of
  * record_event_t */
-static GArray *make_events(world_t *w, const record_t *r, const char *name, unsigned after)
+static GArray *make_events(const struct worker *me, const record_t *r, const char *name, unsigned after)
 {
+    world_t *const w = me->world;
     GArray *const events = g_array_new(FALSE, FALSE, sizeof(record_event_t));
-    const record_run_t run = {.number = ++w->runs, .after = after};
+    const record_run_t run = {.number = ++w->runs, .after = after, .version = me->version};
     const char *const nl = world_pick(w, 2) ? "\n" : "\r\n";
     const unsigned most = 1 + (unsigned)world_pick(w, EVENT_TOKENS_MAX);
     for (unsigned first = after + 1, last; first <= r->tokens; first = last + 1) {
@@ -182,7 +183,7 @@
         return refuse();
     }
     g_free(asked);
-    GArray *const events = make_events(w, r, name, after);
+    GArray *const events = make_events(me, r, name, after);
     const bool truncate = stream_end != STREAM_COMPLETE && events->len > 0;
     const size_t cut = truncate ? choose_cut(w, events, stream_end) : size_of(events);
     w->truncated += is_within(events, cut);
@@ -227,6 +228,8 @@
                  strlen(id), id);
 }
 
+/** One in this many workers that return under another id has the other software version. */
+enum { RELEASE_EACH = 3 };
 enum { RESTART_MIN_MS = 1000, RESTART_MAX_MS = 3000 /* from a worker's crash to its restart */ };
 
 /** Crashes the worker, and with it all its requests. */
@@ -322,9 +325,10 @@
         static const char *const stages[] = {"", ",\"stage\":\"prefill\"", ",\"stage\":\"decode\""};
         g_string_append_printf(list,
                                "%s{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\",\"slots\":%d,"
-                               "\"state\":\"%s\"%s}",
+                               "\"version\":\"v%u\",\"state\":\"%s\"%s}",
                                i ? "," : "", k->id, k->kind ? "lm" : "app", k->addr, i % 2,
-                               k->kind ? 24 : WORLD_PLAIN_SLOTS, k->draining ? "draining" : "ready", stages[k->kind]);
+                               k->kind ? 24 : WORLD_PLAIN_SLOTS, k->version, k->draining ? "draining" : "ready",
+                               stages[k->kind]);
     }
     g_string_append(list, "],\"next_token\":null}");
     const lab_reply_t answer =
@@ -340,6 +344,7 @@
     struct worker *const k = &w->worker[i];
     k->world = w;
     k->kind = i < WORLD_PREFILL ? 0 : (i < WORLD_DECODE ? 1 : 2);
+    k->version = 1 + (unsigned)i % 2;
     g_snprintf(k->id, sizeof(k->id), "i-%d", i);
     char own[32];
     lab_unused_addr(own);
@@ -370,8 +375,11 @@
     plain_restart(k);
     const bool has_left = k->leave_at > 0;
     notices_clear(k);
-    if (has_left || world_pick(k->world, 2)) /* else it keeps its id */
+    if (has_left || world_pick(k->world, 2)) { /* else it keeps its id, and its version */
         g_snprintf(k->id, sizeof(k->id), "i-%d.%u", (int)(k - k->world->worker), ++k->restarts);
+        k->version = world_pick(k->world, RELEASE_EACH) ? k->version : 3 - k->version;
+        world_log(k->world, "worker %s starts at version %u", k->id, k->version);
+    }
     lab_backend_restart(k->backend);
     proxy_set_down(k->proxy, false);
 }
--- a/tests/platform/soak/record.c
+++ b/tests/platform/soak/record.c
@@ -90,6 +90,9 @@
         return "no event of a stream is lost";
     if (!may_follow(r, e))
         return "a run of a stream resumes after the event before it";
+    if (r->version > 0 && e->run.version != r->version)
+        return "the events of a stream are of one software version";
+    r->version = e->run.version;
     r->last = e->last;
     r->run = e->run.number;
     return NULL;
--- a/tests/platform/soak/record.h
+++ b/tests/platform/soak/record.h
@@ -12,8 +12,9 @@
 
 /** One run of a stream at an engine. */
 typedef struct {
-    unsigned number; /**< of all runs, in the order of their start */
-    unsigned after;  /**< token after which it was asked to resume; 0: from the start */
+    unsigned number;  /**< of all runs, in the order of their start */
+    unsigned after;   /**< token after which it was asked to resume; 0: from the start */
+    unsigned version; /**< software version of its engine */
 } record_run_t;
 
 /** An event that a run produced. */
@@ -30,6 +31,7 @@
     GPtrArray *events; /**< record_event_t of all runs */
     unsigned last;     /**< last token that the client has; 0: none */
     unsigned run;      /**< number of the run that produced the client's last event */
+    unsigned version;  /**< software version that produced the client's first event; 0: none yet */
 } record_t;
 
 record_t *record_create(unsigned tokens);
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -65,6 +65,7 @@
     kind_t kind;
     int box;
     record_t *stream;      /* requested until it is complete, or NULL */
+    char first_id[24];     /* attempt that brought the stream's first event; "": none yet */
     unsigned requests;     /* attempts for name so far */
     size_t abort_at_bytes; /* the client closes after this many bytes; 0: never */
 } caller_t;
@@ -100,6 +101,7 @@
     c->kind = plain ? KIND_SAFE : (kind_t)world_pick(w, KINDS);
     c->box = world_pick(w, WORLD_BOXES);
     c->requests = 0;
+    c->first_id[0] = '\0';
     g_snprintf(c->name, sizeof(c->name), "t%u", s->started++);
     if (kind_is_stream(c->kind))
         c->stream = world_stream(w, c->name, TOKENS_MIN + (unsigned)world_pick(w, TOKENS_MAX - TOKENS_MIN + 1));
@@ -115,7 +117,7 @@
 static void start_caller(soak_t *s, caller_t *c)
 {
     world_t *const w = s->world;
-    char addr[32], last[40] = "";
+    char addr[32], last[96] = "";
     if (c->stream)
         choose_resumption(s, c);
     else
@@ -126,7 +128,7 @@
     c->abort_at_bytes =
         kind_is_resumable(c->kind) && world_random(w) < ABORT_SHARE ? 1 + (size_t)world_pick(w, ABORT_BYTES_MAX) : 0;
     if (c->stream && c->stream->last > 0)
-        g_snprintf(last, sizeof(last), "Last-Event-Id: %u\r\n", c->stream->last);
+        g_snprintf(last, sizeof(last), "Last-Event-Id: %u\r\nResumes: %s\r\n", c->stream->last, c->first_id);
     world_addr(w, c->box, PORT_FRONT, addr);
     char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n"
                                        "Token-Count: 500,100\r\n%sContent-Length: %zu\r\n\r\n%s",
@@ -137,7 +139,7 @@
 }
 
 /** Checks the answer, or the part of it that was received. @param complete it ended without error */
-static void check_body(const soak_t *s, const caller_t *c, bool complete)
+static void check_body(const soak_t *s, caller_t *c, bool complete)
 {
     const GString *const body = c->call->body;
     const char *error = NULL;
@@ -147,6 +149,8 @@
         error = "a client gets the complete answer to its own request";
     if (error)
         world_fail(s->world, error, c->id);
+    if (c->stream && c->stream->last > 0 && !c->first_id[0])
+        g_strlcpy(c->first_id, c->id, sizeof(c->first_id));
 }
 
 /** Frees the call. The next request resumes a stream that is incomplete and resumable, up to REQUESTS_MAX requests. */
@@ -308,7 +312,7 @@
         b->disrupted_at = tc_time_now();
 }
 
-/** Chooses a worker for a fault. Only two of six are decode engines: at least half of the faults are theirs. */
+/** Chooses a worker for a fault. At least half of the faults are those of decode engines. */
 static struct worker *pick_worker(world_t *w)
 {
     const bool any = world_random(w) < 0.5;
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -16,7 +16,7 @@
 enum {
     WORLD_BOXES = 5,
     WORLD_DISKS = 3,
-    WORLD_WORKERS = 6,
+    WORLD_WORKERS = 8,
     WORLD_PLAIN_SLOTS = 6, /**< of each plain worker */
     WORLD_PREFILL = 3,     /**< index of the prefill engine among the workers */
     WORLD_DECODE = 4       /**< index of the first decode engine; all workers after it are decode engines too */
@@ -78,6 +78,7 @@
         proxy_t *proxy;
         char id[16];
         int kind;            /**< 0: plain, 1: prefill, 2: decode */
+        unsigned version;    /**< of its software, 1 or 2 */
         double failure_rate; /**< share of its answers that fail, from 0 to 1 */
         bool draining;
         tc_time_t resume_at;  /**< end of its suspension; 0: not suspended */
