Streams of a version that left before a box started are not taken for those of the present one

A box that had just started, or whose list was up to three seconds old while it was cut off, saw one version only and let a stream go on there that another version had begun.

The leader tells boxes which versions left the list within a minute. Boxes in touch need no question while one version serves.

--- a/lib/backend/version_history.c
+++ b/lib/backend/version_history.c
@@ -1,6 +1,7 @@
 #include "backend/version_history.h"
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 #include <urcu/list.h>
 
@@ -85,6 +86,32 @@
     forget_old(h, now);
 }
 
+/* ===== Versions that left ===== */
+
+left_version_t *version_history_list_left(const version_history_t *h, uint32_t *n, tc_time_t now)
+{
+    GArray *const left = g_array_new(FALSE, TRUE, sizeof(left_version_t));
+    const served_version_t *v;
+    cds_list_for_each_entry(v, &h->versions, node) {
+        left_version_t one = {.age_ms = (uint64_t)(now - v->listed_at)};
+        if (v->listed || !counts(v, now))
+            continue;
+        codec_copy_string(one.service, sizeof(one.service), v->service);
+        codec_copy_string(one.version, sizeof(one.version), v->version);
+        g_array_append_val(left, one);
+    }
+    *n = left->len;
+    return (left_version_t *)(void *)g_array_free(left, FALSE);
+}
+
+void version_history_add_left(version_history_t *h, const left_version_t *left, tc_time_t now)
+{
+    if (left->age_ms >= VERSION_HISTORY_KEEP_MS || !left->version[0])
+        return;
+    served_version_t *const v = find_or_add(h, left->service, left->version);
+    v->listed_at = MAX(v->listed_at, now - (tc_time_t)left->age_ms);
+}
+
 /* ===== Queries ===== */
 
 unsigned version_history_count(const version_history_t *h, const char *service, tc_time_t now)
--- a/lib/backend/version_history.h
+++ b/lib/backend/version_history.h
@@ -36,6 +36,10 @@
 
 /** Replaces the list; a version in both lists keeps its state. */
 void version_history_set_list(version_history_t *history, const backend_t *list, uint32_t n, tc_time_t now);
+/** Lists the versions that served lately and are not listed any more. @return for free(), their number in @p n */
+left_version_t *version_history_list_left(const version_history_t *history, uint32_t *n, tc_time_t now);
+/** Records a version from another process's list of them. */
+void version_history_add_left(version_history_t *history, const left_version_t *left, tc_time_t now);
 /** @return number of versions of the service that serve or served lately; unnamed ones do not count */
 unsigned version_history_count(const version_history_t *history, const char *service, tc_time_t now);
 /** Whether any service has several versions. */
--- a/lib/cluster/leader_sched.c
+++ b/lib/cluster/leader_sched.c
@@ -245,6 +245,7 @@
     sched_set_notices(l->sched, report->self.box, report->notices, report->notices_n, now);
     limits_handle_report(l->limits, l->sched, report, ack, now);
     leader_slots_handle_report(l->slots, report, ack, now);
+    ack->left_versions = version_history_list_left(l->versions, &ack->left_versions_n, now);
 }
 
 static void log_over_cap(const leader_sched_t *l, const msg_place_t *place, tc_time_t after, tc_time_t now)
@@ -489,14 +490,13 @@
 static void on_stream_find(const leader_sched_t *l, peer_call_t call, const msg_stream_find_t *find, tc_time_t now)
 {
     const char *const version = l->streams ? stream_versions_find(l->streams, find->stream, now) : NULL;
-    msg_stream_found_t found = {.several = version_history_count(l->versions, find->service, now) > 1};
+    msg_stream_found_t found = {0};
     codec_copy_string(found.version, sizeof(found.version), version ? version : "");
     log_line_t line;
     log_begin(&line, LOG_INFO, "stream_found");
     log_str(&line, "request", find->id);
     log_hash(&line, "stream", find->stream);
     log_str(&line, "version", found.version);
-    log_int(&line, "several", found.several);
     log_end(&line);
     peer_reply(l->net, call, MSG_STREAM_FOUND, &found);
 }
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -300,6 +300,7 @@
         add_leader_data(r, report, &ack, raft_view(r->raft).leader_since, now);
     peer_reply(r->net, call, MSG_REPORT_ACK, &ack);
     free(ack.loads);
+    free(ack.left_versions);
     replica_quarantine_tick(
         r, now); /* from now on what the box has reported survives the loss of the box and of this leader */
     proposals_check(r, now);
--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -337,6 +337,11 @@
     return g_hash_table_contains(f->shared, service);
 }
 
+void fleet_add_left_version(fleet_t *f, const left_version_t *left, tc_time_t now)
+{
+    version_history_add_left(f->versions, left, now);
+}
+
 const version_history_t *fleet_versions(const fleet_t *f)
 {
     return f->versions;
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -99,6 +99,9 @@
 /** Versions of the services that serve or served lately, by the lists; borrowed. */
 const version_history_t *fleet_versions(const fleet_t *fleet);
 
+/** Records a version that left the list lately, as a leader tells. */
+void fleet_add_left_version(fleet_t *fleet, const left_version_t *left, tc_time_t now);
+
 /** Sets the evacuated data centres; copied. Back ends there get no new work, all others do. */
 void fleet_set_evacuations(fleet_t *fleet, const evacuations_t *evacuations, tc_time_t now);
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -35,7 +35,6 @@
 #include "forward/forward.h"
 #include "forward/reasons.h"
 #include "forward/service_time.h"
-#include "forward/version_step.h"
 #include "web/web_fetch.h"
 
 /* ===== Constants ===== */
@@ -253,7 +252,7 @@
     char name[CODEC_STR_SIZE]; /* "": none, so that any may run it */
     bool is_resolved;          /* it is known whether an earlier attempt bound it, and to which version */
     leader_query_t *query;     /* in flight, or NULL */
-    leader_word_t leader;      /* its last answer */
+    bool was_asked;            /* it did not know the stream, or did not answer */
     tc_time_t unknown_since;   /* when it first did not know the stream; 0: never */
 } stream_binding_t;
 
@@ -348,6 +347,7 @@
     struct cds_list_head cleanups; /* of forward_query.c */
     quarantine_t *quarantine;
     stream_versions_t *streams; /* streams of this box */
+    bool knows_left_versions;   /* a leader has told which versions left lately */
     cap_shares_t *caps;
     cap_shares_t *limits;         /* rate limits that back ends announced */
     cap_shares_t *cold;           /* rate limits of cold back ends */
--- a/lib/forward/forward_version.c
+++ b/lib/forward/forward_version.c
@@ -25,7 +25,10 @@
     /* Boxes report new streams within this time; a stream that is unknown after it stays unknown. */
     REPORTED_MS = 400,
     /* Without a newer list, or word of the leader, for this long, another version may serve elsewhere. */
-    LIST_CURRENT_MS = 3000,
+    LIST_CURRENT_MS = 2000,
+    /* How long a stream waits for the first answer of a leader to a box that has just started: an election takes about
+       a second. After it the box goes by its own list. */
+    FIRST_CONTACT_MS = 1000,
     /* Retry-After of a stream whose version is not known: boxes may have reported it by then. */
     RETRY_UNKNOWN_MS = 300,
     /* Retry-After of a stream of which no version is left: another attempt is of no use soon. */
@@ -70,6 +73,14 @@
     return f->event_at > 0 ? place_wait_until(f) : place_patience_end(f) - RUN_START_MS;
 }
 
+/** Whether versions may have left before this box started, of which a leader will tell. */
+static bool awaits_leader(const forward_t *f, tc_time_t now)
+{
+    const forwarder_t *const fw = f->owner;
+    return fw->scheduler && !fw->knows_left_versions && now - fw->created < VERSION_HISTORY_KEEP_MS &&
+           now - f->request.arrived < FIRST_CONTACT_MS;
+}
+
 static version_view_t view_of(const forward_t *f, tc_time_t now)
 {
     const forwarder_t *const fw = f->owner;
@@ -78,10 +89,10 @@
                             .is_known = stream_versions_find(fw->streams, taken_up_key(f), now),
                             .names_attempt = f->facts.resumes[0],
                             .can_ask = fw->scheduler && reporter_leader_finds_streams(fw->scheduler),
-                            .leader = f->binding.leader,
+                            .was_asked = f->binding.was_asked,
                             .versions = count_versions(f),
                             .is_current = is_list_current(fw, now),
-                            .is_young = now - fw->created < VERSION_HISTORY_KEEP_MS,
+                            .awaits_leader = awaits_leader(f, now),
                             .may_wait = now < MIN(reported, wait_until(f))};
 }
 
@@ -115,14 +126,12 @@
 {
     const msg_stream_found_t *const found = rc == TC_OK && type == MSG_STREAM_FOUND ? message : NULL;
     const tc_time_t now = tc_time_now();
-    if (found && found->version[0]) {
+    if (found && found->version[0])
         stream_versions_add(f->owner->streams, taken_up_key(f), found->version, now, now);
-    } else if (found) {
-        f->binding.leader = found->several ? LEADER_UNKNOWN : LEADER_ONE_VERSION;
-        f->binding.unknown_since = f->binding.unknown_since ? f->binding.unknown_since : now;
-    } else {
-        f->binding.leader = count_versions(f) > 1 ? LEADER_UNKNOWN : LEADER_ONE_VERSION; /* no answer */
-    }
+    else
+        f->binding.was_asked = true; /* also when there was no answer: it is asked again after a wait */
+    if (found && f->binding.unknown_since == 0)
+        f->binding.unknown_since = now;
     forward_continue(f);
 }
 
@@ -130,7 +139,6 @@
 {
     msg_stream_find_t find = {.stream = taken_up_key(f)};
     codec_copy_string(find.id, sizeof(find.id), f->facts.id);
-    codec_copy_string(find.service, sizeof(find.service), f->service);
     return leader_query(f, &f->binding.query, MSG_STREAM_FIND, &find, FIND_TIMEOUT_MS, on_found);
 }
 
@@ -138,7 +146,7 @@
 static void wait_or_refuse(forward_t *f, bool may_wait)
 {
     if (may_wait && forward_retry_soon(f, wait_until(f))) {
-        f->binding.leader = LEADER_NOT_ASKED;
+        f->binding.was_asked = false;
         return;
     }
     counter_add(&c_unknown, 1);
@@ -211,5 +219,11 @@
 
 bool version_confirm_report(forwarder_t *fw, const msg_report_ack_t *ack)
 {
+    const tc_time_t now = tc_time_now();
+    for (uint32_t i = 0; i < ack->left_versions_n; i++) {
+        const left_version_t *const left = &ack->left_versions[i];
+        fleet_add_left_version(fw->fleet, left, now);
+    }
+    fw->knows_left_versions = fw->knows_left_versions || ack->finds_streams;
     return stream_versions_confirm_report(fw->streams, ack->quarantine.term);
 }
--- a/lib/forward/version_step.h
+++ b/lib/forward/version_step.h
@@ -11,23 +11,17 @@
 
 /* ===== Types ===== */
 
-/** What the leader said of the stream. */
-typedef enum {
-    LEADER_NOT_ASKED,
-    LEADER_ONE_VERSION, /**< it does not know the stream, and knows of one version of the service */
-    LEADER_UNKNOWN      /**< it does not know the stream, and several versions serve or served lately */
-} leader_word_t;
-
 /** What the box knows. A stream whose version the leader named is known here from then on. */
 typedef struct {
     bool is_taken_up;   /**< its caller has part of the stream */
     bool is_known;      /**< the version that began it is known here */
     bool names_attempt; /**< its caller names the attempt that brought its first event */
     bool can_ask;       /**< a leader that understands the question has answered the last report */
-    leader_word_t leader;
-    unsigned versions; /**< of the service, by the lists that this box has had */
-    bool is_current;   /**< its list cannot lack a version that others know */
-    bool is_young;     /**< versions may have left before this box started */
+    bool was_asked;     /**< the leader does not know the stream */
+    unsigned versions;  /**< of the service that serve or served lately, as far as this box knows */
+    bool is_current;    /**< its list cannot lack a version that others know */
+    bool
+        awaits_leader; /**< a leader has still to say which versions left before this box started, and may do so soon */
     bool may_wait;     /**< the caller still bears a wait */
 } version_view_t;
 
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -211,6 +211,13 @@
 };
 const codec_desc_t backend_desc = {.name = "backend", .size = sizeof(backend_t), .fields = backend_fields, .n_fields = sizeof(backend_fields) / sizeof(backend_fields[0])};
 
+static const codec_field_t left_version_fields[] = {
+    {.name = "service", .offset = offsetof(left_version_t, service), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "version", .offset = offsetof(left_version_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "age_ms", .offset = offsetof(left_version_t, age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t left_version_desc = {.name = "left_version", .size = sizeof(left_version_t), .fields = left_version_fields, .n_fields = sizeof(left_version_fields) / sizeof(left_version_fields[0])};
+
 static const codec_field_t stream_version_fields[] = {
     {.name = "stream", .offset = offsetof(stream_version_t, stream), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "version", .offset = offsetof(stream_version_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
@@ -740,6 +747,7 @@
     {.name = "members_hash", .offset = offsetof(msg_report_ack_t, members_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "grants_slots", .offset = offsetof(msg_report_ack_t, grants_slots), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "finds_streams", .offset = offsetof(msg_report_ack_t, finds_streams), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
+    {.name = "left_versions", .offset = offsetof(msg_report_ack_t, left_versions), .kind = CODEC_LIST, .sub = &left_version_desc, .count_offset = offsetof(msg_report_ack_t, left_versions_n), .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
@@ -946,14 +954,12 @@
 
 static const codec_field_t msg_stream_find_fields[] = {
     {.name = "id", .offset = offsetof(msg_stream_find_t, id), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
-    {.name = "service", .offset = offsetof(msg_stream_find_t, service), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "stream", .offset = offsetof(msg_stream_find_t, stream), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t msg_stream_find_desc = {.name = "stream_find", .size = sizeof(msg_stream_find_t), .fields = msg_stream_find_fields, .n_fields = sizeof(msg_stream_find_fields) / sizeof(msg_stream_find_fields[0])};
 
 static const codec_field_t msg_stream_found_fields[] = {
     {.name = "version", .offset = offsetof(msg_stream_found_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
-    {.name = "several", .offset = offsetof(msg_stream_found_t, several), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_stream_found_desc = {.name = "stream_found", .size = sizeof(msg_stream_found_t), .fields = msg_stream_found_fields, .n_fields = sizeof(msg_stream_found_fields) / sizeof(msg_stream_found_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -342,6 +342,14 @@
 } backend_t;
 extern const codec_desc_t backend_desc;
 
+/** A software version of a service that served lately and is not listed any more. */
+typedef struct {
+    char service[CODEC_STR_SIZE];
+    char version[CODEC_STR_SIZE];
+    uint64_t age_ms; /**< since it was listed last */
+} left_version_t;
+extern const codec_desc_t left_version_desc;
+
 /** The software version that wrote the first event of a stream. */
 typedef struct {
     uint64_t stream; /**< key of the stream, over the attempt that brought its first event and its fingerprint */
@@ -975,6 +983,8 @@
     uint64_t members_hash; /**< hash of the list of control boxes that the answering box knows, 0 for none */
     bool grants_slots; /**< the answering box is a leader that understands slot_take; an older one would close the connection */
     bool finds_streams; /**< likewise for stream_find */
+    left_version_t *left_versions; /**< all, when finds_streams is true */
+    uint32_t left_versions_n;
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
@@ -1211,7 +1221,6 @@
 /** Entry box to leader: asks which software version began a stream that its caller takes up again. */
 typedef struct {
     char id[CODEC_STR_SIZE]; /**< request id */
-    char service[CODEC_STR_SIZE];
     uint64_t stream; /**< as in stream_version */
 } msg_stream_find_t;
 extern const codec_desc_t msg_stream_find_desc;
@@ -1219,7 +1228,6 @@
 /** The version. */
 typedef struct {
     char version[CODEC_STR_SIZE]; /**< empty: the leader does not know the stream */
-    bool several; /**< several versions of the service serve or served lately */
 } msg_stream_found_t;
 extern const codec_desc_t msg_stream_found_desc;
 
