Streams bound to a version rank before others, and wait as long as their callers bear

When an engine of the smaller of two versions crashed under full load, its streams found the other engines of that version full of new streams, which could have gone to either version, and were refused with them at the first token's target.

It works because memory that comes free in the version goes to those who have no other.

--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -511,6 +511,8 @@
 /** Waits for a back end of the stream's version while all of them are away and some are expected to return.
  *  @return whether forward_continue or forward_fail follows */
 bool version_wait(forward_t *f);
+/** Until when a stream that is bound may wait for an answer, or for a back end. */
+tc_time_t version_wait_until(const forward_t *f);
 /** Drops the query to the leader. */
 void version_cancel(forward_t *f);
 /** Fills in the streams of a report; list for free(). */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -78,6 +78,8 @@
     if (!forward_retry_soon(f, f->handle.instance ? f->handle.until : place_wait_until(f)))
         return false;
     place_locally(f);
+    if (version_restricts(f))
+        f->placement.asked = false; /* the scheduler keeps a place for it among few engines */
     return true;
 }
 
@@ -184,7 +186,9 @@
 {
     forwarder_t *const fw = f->owner;
     const tc_time_t now = tc_time_now();
-    const tc_time_t wait = f->request.arrived + f->route->latency_target - now;
+    /* A stream that may go to few engines waits as long as its caller bears: nobody else can serve it. */
+    const tc_time_t due = version_restricts(f) ? version_wait_until(f) : f->request.arrived + f->route->latency_target;
+    const tc_time_t wait = due - now;
     msg_place_t place = {.prompt_tokens = f->facts.prompt_tokens,
                          .max_tokens = place_output_tokens(&f->facts),
                          .priority = f->priority,
--- a/lib/forward/forward_returns.c
+++ b/lib/forward/forward_returns.c
@@ -20,5 +20,7 @@
 
 tc_time_t returns_wait_until(const forward_t *f)
 {
+    if (version_restricts(f))
+        return version_wait_until(f);
     return has_scheduled_returns(f) && f->event_at == 0 ? place_patience_end(f) : place_wait_until(f);
 }
--- a/lib/forward/forward_version.c
+++ b/lib/forward/forward_version.c
@@ -67,8 +67,7 @@
            now - reporter_leader_contact_time(fw->scheduler) <= LIST_CURRENT_MS;
 }
 
-/** Until when a stream may wait for an answer, or for a back end. */
-static tc_time_t wait_until(const forward_t *f)
+tc_time_t version_wait_until(const forward_t *f)
 {
     return f->event_at > 0 ? place_wait_until(f) : place_patience_end(f) - RUN_START_MS;
 }
@@ -93,7 +92,7 @@
                             .versions = count_versions(f),
                             .is_current = is_list_current(fw, now),
                             .awaits_leader = awaits_leader(f, now),
-                            .may_wait = now < MIN(reported, wait_until(f))};
+                            .may_wait = now < MIN(reported, version_wait_until(f))};
 }
 
 /* ===== Finding out ===== */
@@ -145,7 +144,7 @@
 /** Looks again a little later. */
 static void wait_or_refuse(forward_t *f, bool may_wait)
 {
-    if (may_wait && forward_retry_soon(f, wait_until(f))) {
+    if (may_wait && forward_retry_soon(f, version_wait_until(f))) {
         f->binding.was_asked = false;
         return;
     }
@@ -200,7 +199,7 @@
     if (!version_restricts(f) || forward_has_any(f, f->split ? STAGE_DECODE : STAGE_NONE))
         return false;
     if (!version_history_is_gone(fleet_versions(f->owner->fleet), f->service, f->binding.name, tc_time_now()))
-        return forward_retry_soon(f, wait_until(f));
+        return forward_retry_soon(f, version_wait_until(f));
     counter_add(&c_gone, 1);
     log_binding(f, REASON_VERSION_GONE);
     forward_fail_after(f, REASON_VERSION_GONE, RETRY_GONE_MS);
--- a/lib/sched/sched_request.c
+++ b/lib/sched/sched_request.c
@@ -73,6 +73,9 @@
     const int urgency = request_compare_urgency(a, b);
     if (urgency != 0)
         return urgency;
+    const bool a_bound = a->version[0] != '\0', b_bound = b->version[0] != '\0';
+    if (a_bound != b_bound) /* others may use engines of any version */
+        return a_bound ? -1 : 1;
     if (a->late != b->late)
         return a->late ? 1 : -1;
     if (a->returned != b->returned)
