--- a/tests/platform/test_stream_versions.c
+++ b/tests/platform/test_stream_versions.c
@@ -3,7 +3,7 @@
  * Guards against streams that go on at an engine of another version than the one that wrote their first event: no step
  * that chose an engine knew the versions, and about half of all streams that were taken up held events of both. */
 
-#include "platform/versions_lab.h"
+#include "platform/streams_lab.h"
 
 enum { LOAD_MS = 3000 };
 
@@ -11,7 +11,7 @@
     unsigned all, begun, mixed, taken_up, went_on;
 } tally_t;
 
-static tally_t count_streams(const versions_world_t *w, guint from)
+static tally_t count_streams(const streams_world_t *w, guint from)
 {
     tally_t t = {0};
     for (guint i = from; i < w->streams->len; i++) {
@@ -37,7 +37,7 @@
 }
 
 /** Engines crash, connections of callers break, and callers go to another box. */
-static void test_crashes(versions_world_t *w, gconstpointer data)
+static void test_crashes(streams_world_t *w, gconstpointer data)
 {
     (void)data;
     w->crashes = true;
@@ -48,7 +48,7 @@
 }
 
 /** The same while the leader of the control boxes dies, and boxes place alone until there is another. */
-static void test_leader_dies(versions_world_t *w, gconstpointer data)
+static void test_leader_dies(streams_world_t *w, gconstpointer data)
 {
     (void)data;
     w->crashes = true;
@@ -61,7 +61,7 @@
 }
 
 /** A second version appears after streams have begun. */
-static void test_release(versions_world_t *w, gconstpointer data)
+static void test_release(streams_world_t *w, gconstpointer data)
 {
     (void)data;
     for (int i = 0; i < ENGINES; i++) {
@@ -84,7 +84,7 @@
 }
 
 /** All engines of one version leave: its streams that break end there, since none can go on. */
-static void test_none_left(versions_world_t *w, gconstpointer data)
+static void test_none_left(streams_world_t *w, gconstpointer data)
 {
     (void)data;
     run_streams(w, LOAD_MS / 3);
@@ -99,7 +99,7 @@
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-#define ADD(name, fn) g_test_add("/versions/" name, versions_world_t, NULL, set_up_versions, fn, tear_down_versions)
+#define ADD(name, fn) g_test_add("/versions/" name, streams_world_t, NULL, set_up_streams, fn, tear_down_streams)
     ADD("crashes", test_crashes);
     ADD("leader-dies", test_leader_dies);
     ADD("release", test_release);
