--- a/lib/cluster/quarantine.c
+++ b/lib/cluster/quarantine.c
@@ -15,6 +15,13 @@
 COUNTER_DEFINE(c_cleared, "counter", "trackcove_quarantine_cleared_total", "Suspects that ran well")
 COUNTER_DEFINE(c_entries, "gauge", "trackcove_quarantine_requests", "Requests of which an end is remembered")
 COUNTER_DEFINE(c_held, "counter", "trackcove_quarantine_held_total", "Requests that came to be held")
+COUNTER_DEFINE(c_part_ends, "counter", "trackcove_quarantine_part_ends_total",
+               "Ends of back ends held against parts of prompts")
+COUNTER_DEFINE(c_part_cleared, "counter", "trackcove_quarantine_part_cleared_total", "Suspect parts that ran well")
+COUNTER_DEFINE(c_parts, "gauge", "trackcove_quarantine_parts", "Parts of prompts of which an end is remembered")
+COUNTER_DEFINE(c_part_held, "counter", "trackcove_quarantine_part_held_total", "Parts of prompts that came to be held")
+COUNTER_DEFINE(c_explained, "counter", "trackcove_quarantine_explained_total",
+               "Ends of back ends that a held part explains, and that count against nothing else")
 
 /* ===== Constants ===== */
 
@@ -49,9 +56,10 @@
 static void drop(quarantine_t *q, suspect_t *e)
 {
     cds_list_del(&e->node);
+    g_ptr_array_remove_fast(q->held, e);
     g_hash_table_remove(q->by_request, &e->request);
     entry_free(e);
-    counter_set(&c_entries, g_hash_table_size(q->by_request));
+    counter_set(q->of_parts ? &c_parts : &c_entries, g_hash_table_size(q->by_request));
 }
 
 /** Marks the entry as changed: it becomes the newest, for reports and for eviction. */
@@ -87,7 +95,7 @@
     g_array_set_clear_func(e->crashes, suspect_crash_clear);
     cds_list_add_tail(&e->node, &q->entries);
     g_hash_table_insert(q->by_request, &e->request, e);
-    counter_set(&c_entries, g_hash_table_size(q->by_request));
+    counter_set(q->of_parts ? &c_parts : &c_entries, g_hash_table_size(q->by_request));
     return e;
 }
 
@@ -134,25 +142,106 @@
     return c->counts;
 }
 
+/** Whether no earlier crash came under the same request. Always true of requests, whose crashes name none. */
+static bool is_first_of_request(const suspect_t *e, guint at)
+{
+    const uint64_t by = quarantine_suspect_crash(e, at)->by;
+    for (guint i = 0; i < at && by != 0; i++)
+        if (quarantine_suspect_crash(e, i)->by == by)
+            return false;
+    return true;
+}
+
 unsigned quarantine_count_crashes(const quarantine_t *q, const suspect_t *e, bool settled, tc_time_t now)
 {
     unsigned n = 0;
     for (guint i = 0; i < e->crashes->len; i++)
         n += crash_counts(q, e, quarantine_suspect_crash(e, i), now) &&
-             (!settled || quarantine_suspect_crash(e, i)->settled);
+             (!settled || quarantine_suspect_crash(e, i)->settled) && is_first_of_request(e, i);
     return n;
 }
 
-static void log_request(const char *event, const suspect_t *e, unsigned crashes)
+static void log_entry(const quarantine_t *q, const char *event, const suspect_t *e, unsigned crashes)
 {
     log_line_t line;
     log_begin(&line, LOG_WARN, event);
-    log_hash(&line, "fingerprint", e->request);
+    log_hash(&line, q->of_parts ? "key" : "fingerprint", e->request);
     log_int(&line, "ends", crashes);
     log_str(&line, "backend", e->crashes->len > 0 ? quarantine_suspect_crash(e, e->crashes->len - 1)->name : "");
     log_end(&line);
 }
 
+/* ===== Explained crashes ===== */
+
+static bool is_known_crash(const suspect_t *e, const crash_t *crash)
+{
+    for (guint i = 0; i < e->crashes->len; i++) {
+        const crash_t *const other = &quarantine_suspect_crash(e, i)->crash;
+        if (other->backend == crash->backend && ABS(other->at - crash->at) < SAME_CRASH_MS)
+            return true;
+    }
+    return false;
+}
+
+static bool is_held_with(const quarantine_t *q, const suspect_t *e, const crash_t *crash)
+{
+    for (guint i = 0; q && i < q->held->len; i++) {
+        const suspect_t *const cause = g_ptr_array_index(q->held, i);
+        if (cause != e && is_known_crash(cause, crash))
+            return true;
+    }
+    return false;
+}
+
+/** Whether a held part was among the requests of that crash. */
+static bool is_explained(const quarantine_t *q, const suspect_t *e, const crash_t *crash)
+{
+    return (q->of_parts && is_held_with(q, e, crash)) || is_held_with(q->explained, e, crash);
+}
+
+static void remove_explained(quarantine_t *q, const suspect_t *cause)
+{
+    suspect_t *e, *next;
+    cds_list_for_each_entry_safe(e, next, &q->entries, node) {
+        const guint before = e->crashes->len;
+        if (e == cause || e->held_since > 0)
+            continue;
+        for (guint i = e->crashes->len; i-- > 0;)
+            if (is_known_crash(cause, &quarantine_suspect_crash(e, i)->crash))
+                g_array_remove_index(e->crashes, i);
+        counter_add(&c_explained, before - e->crashes->len);
+        q->is_listed = q->is_listed && e->crashes->len == before;
+    }
+}
+
+/** The crashes of a held part count against nothing else. */
+static void explain_crashes(quarantine_t *q, const suspect_t *cause)
+{
+    if (!q->of_parts)
+        return;
+    remove_explained(q, cause);
+    if (q->explains)
+        remove_explained(q->explains, cause);
+}
+
+/** Whether another part was among the requests of all these crashes and of more: the likelier cause. */
+static bool is_outweighed(const quarantine_t *q, const suspect_t *e)
+{
+    const suspect_t *other;
+    if (!q->of_parts)
+        return false;
+    cds_list_for_each_entry(other, &q->entries, node) {
+        bool all = other != e && other->held_since == 0 && other->crashes->len > e->crashes->len;
+        for (guint i = 0; all && i < e->crashes->len; i++)
+            all = is_known_crash(other, &quarantine_suspect_crash(e, i)->crash);
+        if (all)
+            return true;
+    }
+    return false;
+}
+
+/* ===== Holding ===== */
+
 static void hold(quarantine_t *q, suspect_t *e, tc_time_t since)
 {
     const bool is_new = e->held_since == 0;
@@ -160,14 +249,17 @@
     if (!is_new)
         return;
     q->version++;
-    counter_add(&c_held, 1);
-    log_request("request_held", e, QUARANTINE_CRASH_LIMIT);
+    counter_add(q->of_parts ? &c_part_held : &c_held, 1);
+    g_ptr_array_add(q->held, e);
+    log_entry(q, q->of_parts ? "part_held" : "request_held", e, QUARANTINE_CRASH_LIMIT);
+    explain_crashes(q, e);
 }
 
 /** Ends the hold of a request, and keeps so many crashes that one more would have it held again. */
 static void release(quarantine_t *q, suspect_t *e, tc_time_t now)
 {
     e->held_since = 0;
+    g_ptr_array_remove_fast(q->held, e);
     while (quarantine_count_crashes(q, e, false, now) >= QUARANTINE_CRASH_LIMIT)
         g_array_remove_index(e->crashes, 0);
     mark_changed(q, e, 0);
@@ -181,7 +273,7 @@
             release(q, e, now);
         return;
     }
-    if (quarantine_count_crashes(q, e, true, now) < QUARANTINE_CRASH_LIMIT)
+    if (quarantine_count_crashes(q, e, true, now) < QUARANTINE_CRASH_LIMIT || is_outweighed(q, e))
         return;
     hold(q, e, quarantine_suspect_crash(e, e->crashes->len - 1)->crash.at);
     mark_changed(q, e, 0);
@@ -197,6 +289,11 @@
     return NULL;
 }
 
+bool quarantine_is_empty(const quarantine_t *q)
+{
+    return q->suspects->len == 0 && g_hash_table_size(q->by_request) == 0;
+}
+
 unsigned quarantine_crash_count(quarantine_t *q, uint64_t request, tc_time_t now)
 {
     suspect_t *const e = find(q, request);
@@ -239,19 +336,9 @@
     q->recent[q->recent_at++ % QUARANTINE_RECENT_MAX] = *crash;
 }
 
-static bool is_known_crash(const suspect_t *e, const crash_t *crash)
+static void insert_crash(suspect_t *e, const crash_t *crash, uint64_t by, const char *name)
 {
-    for (guint i = 0; i < e->crashes->len; i++) {
-        const crash_t *const other = &quarantine_suspect_crash(e, i)->crash;
-        if (other->backend == crash->backend && ABS(other->at - crash->at) < SAME_CRASH_MS)
-            return true;
-    }
-    return false;
-}
-
-static void insert_crash(suspect_t *e, const crash_t *crash, const char *name)
-{
-    const suspect_crash_t entry = {.crash = *crash, .name = g_strdup(name)};
+    const suspect_crash_t entry = {.crash = *crash, .name = g_strdup(name), .by = by};
     guint at = e->crashes->len;
     while (at > 0 && quarantine_suspect_crash(e, at - 1)->crash.at > crash->at)
         at--;
@@ -261,19 +348,27 @@
 }
 
 bool quarantine_add_crash(quarantine_t *q, uint64_t request, const char *backend, tc_time_t at, tc_time_t now)
+{
+    return quarantine_add_part_crash(q, request, 0, backend, at, now);
+}
+
+bool quarantine_add_part_crash(quarantine_t *q, uint64_t request, uint64_t by, const char *backend, tc_time_t at,
+                               tc_time_t now)
 {
     const crash_t crash = {.backend = XXH3_64bits(backend, strlen(backend)), .at = at};
     if (request == 0 || now - at >= QUARANTINE_RETENTION_MS)
         return false;
     add_recent(q, &crash);
     suspect_t *const e = find_or_add(q, request);
-    if (at <= e->cleared_at || is_known_crash(e, &crash))
+    if (at <= e->cleared_at || is_known_crash(e, &crash) || is_explained(q, e, &crash))
         return false;
-    insert_crash(e, &crash, backend);
+    insert_crash(e, &crash, by, backend);
     mark_changed(q, e, at);
-    counter_add(&c_ends, 1);
-    log_request("request_suspected", e, quarantine_count_crashes(q, e, false, now));
+    counter_add(q->of_parts ? &c_part_ends : &c_ends, 1);
+    log_entry(q, q->of_parts ? "part_suspected" : "request_suspected", e, quarantine_count_crashes(q, e, false, now));
     judge(q, e, now);
+    if (e->held_since > 0)
+        explain_crashes(q, e);
     return true;
 }
 
@@ -290,7 +385,7 @@
     if (e->held_since > 0 || at <= e->cleared_at)
         return;
     if (e->crashes->len > 0 && quarantine_suspect_crash(e, 0)->crash.at <= at)
-        counter_add(&c_cleared, 1);
+        counter_add(q->of_parts ? &c_part_cleared : &c_cleared, 1);
     while (e->crashes->len > 0 && quarantine_suspect_crash(e, 0)->crash.at <= at)
         g_array_remove_index(e->crashes, 0);
     e->cleared_at = at;
@@ -342,10 +437,21 @@
     quarantine_t *const q = g_new0(quarantine_t, 1);
     q->by_request = g_hash_table_new(g_int64_hash, g_int64_equal);
     q->suspects = g_array_new(FALSE, FALSE, sizeof(suspect_request_t));
+    q->held = g_ptr_array_new();
     CDS_INIT_LIST_HEAD(&q->entries);
     return q;
 }
 
+quarantine_t *quarantine_create_parts(quarantine_t *requests)
+{
+    quarantine_t *const q = quarantine_create();
+    q->of_parts = true;
+    q->explains = requests;
+    if (requests)
+        requests->explained = q;
+    return q;
+}
+
 void quarantine_destroy(quarantine_t *q)
 {
     suspect_t *e, *next;
@@ -353,5 +459,10 @@
         entry_free(e);
     g_hash_table_destroy(q->by_request);
     g_array_free(q->suspects, TRUE);
+    g_ptr_array_free(q->held, TRUE);
+    if (q->explains)
+        q->explains->explained = NULL;
+    if (q->explained)
+        q->explained->explains = NULL;
     g_free(q);
 }
--- a/lib/cluster/quarantine.h
+++ b/lib/cluster/quarantine.h
@@ -8,6 +8,11 @@
  * the crashes count against no request. A request with QUARANTINE_CRASH_LIMIT crashes is held (quarantined) for
  * QUARANTINE_HOLD_MS; after that one more run may clear it.
  *
+ * A table of the second kind does the same for parts of prompts, by a key in place of the request's: one part may crash
+ * every back end that begins to write on it, in requests of which no two are alike. A request that comes again counts
+ * once against its parts, since it may be the cause itself. Of a crash only one part is the
+ * cause, so a held part explains its crashes: they count against no other part, and against no request.
+ *
  * Entry boxes detect crashes and report them to the leader, which adds them up, decides, and informs all boxes. A box
  * without a leader decides by its own data. Both use one of these tables. Which requests are held is passed on by every
  * process that knows it.
@@ -58,7 +63,11 @@
 
 /* ===== Life ===== */
 
+/** A table of requests. */
 quarantine_t *quarantine_create(void);
+/** A table of parts of prompts. @param requests table of requests, borrowed, whose crashes a held part explains; NULL
+ *  for none */
+quarantine_t *quarantine_create_parts(quarantine_t *requests);
 void quarantine_destroy(quarantine_t *quarantine);
 
 /* ===== Updates ===== */
@@ -66,6 +75,9 @@
 /** A back end crashed at @p at, not later than @p now, while it ran the request.
  *  @return whether the crash was not known and may count */
 bool quarantine_add_crash(quarantine_t *q, uint64_t request, const char *backend, tc_time_t at, tc_time_t now);
+/** The same for a part of a prompt. @param by fingerprint of the request that had it */
+bool quarantine_add_part_crash(quarantine_t *q, uint64_t part, uint64_t by, const char *backend, tc_time_t at,
+                               tc_time_t now);
 /** A run of the request completed at @p at: earlier crashes no longer count. No effect on a held request. */
 void quarantine_clear(quarantine_t *q, uint64_t request, tc_time_t at);
 /** Another process has held the request since @p since: holds it here as well. */
@@ -73,6 +85,8 @@
 
 /* ===== Queries ===== */
 
+/** Whether nothing is suspected or held, by this table or by the leader's list. */
+bool quarantine_is_empty(const quarantine_t *q);
 /** @return number of crashes that count against the request, at most QUARANTINE_CRASH_LIMIT, which means held */
 unsigned quarantine_crash_count(quarantine_t *q, uint64_t request, tc_time_t now);
 /** @return time for which the request is still held, at least 1 ms; 0 when it is not held */
--- a/lib/cluster/quarantine_internal.h
+++ b/lib/cluster/quarantine_internal.h
@@ -30,6 +30,7 @@
 typedef struct {
     crash_t crash;
     char *name;   /* id of the back end, owned */
+    uint64_t by;  /* of a part: fingerprint of the request that had it; else 0 */
     bool settled; /* counts is final */
     bool counts;  /* whether the crash counts against the request */
 } suspect_crash_t;
@@ -45,7 +46,11 @@
 } suspect_t;
 
 struct quarantine {
-    GHashTable *by_request; /* &suspect_t.request -> suspect_t, owned by the list */
+    bool of_parts;
+    quarantine_t *explains;  /* table whose crashes held entries explain beside their own, or NULL */
+    quarantine_t *explained; /* the reverse: table whose held entries explain crashes of this one, or NULL */
+    GPtrArray *held;         /* suspect_t, borrowed */
+    GHashTable *by_request;  /* &suspect_t.request -> suspect_t, owned by the list */
     struct cds_list_head entries;
     crash_t recent[QUARANTINE_RECENT_MAX]; /* ring buffer */
     unsigned recent_at;                    /* number of crashes written so far */
--- a/lib/cluster/quarantine_sync.c
+++ b/lib/cluster/quarantine_sync.c
@@ -40,6 +40,7 @@
         const suspect_crash_t *const known = quarantine_suspect_crash(e, i);
         backend_end_t *const crash = &news->ends[news->ends_n++];
         crash->request = e->request;
+        crash->by = known->by;
         crash->age_ms = (uint64_t)(now - known->crash.at);
         codec_copy_string(crash->backend, sizeof(crash->backend), known->name);
     }
@@ -93,7 +94,8 @@
         quarantine_hold(q, news->held[i].request, now - (tc_time_t)news->held[i].age_ms, now);
     for (uint32_t i = 0; i < news->ends_n; i++) {
         const tc_time_t at = now - (tc_time_t)news->ends[i].age_ms;
-        if (quarantine_add_crash(q, news->ends[i].request, news->ends[i].backend, at, now) && on_crash)
+        if (quarantine_add_part_crash(q, news->ends[i].request, news->ends[i].by, news->ends[i].backend, at, now) &&
+            on_crash)
             on_crash(arg, news->ends[i].backend, at);
     }
 }
--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -443,7 +443,6 @@
     r->published = list_publisher_create(&list_of_backends);
     r->budget = (list_budget_t){.rate = options->list_bytes_s};
     r->withdrawn = g_array_new(FALSE, TRUE, sizeof(withdrawn_t));
-    r->quarantine = quarantine_create();
     r->streams = stream_versions_create();
     replica_quarantine_load(r);
     CDS_INIT_LIST_HEAD(&r->proposals);
@@ -460,7 +459,7 @@
         return NULL;
     }
     r->leader_sched = leader_sched_create(r->net, &options->retries, &options->caps, &options->limits);
-    leader_sched_set_quarantine(r->leader_sched, r->quarantine);
+    leader_sched_set_quarantine(r->leader_sched, r->requests.table);
     leader_sched_set_streams(r->leader_sched, r->streams);
     saved_list_load(r);
     log_cluster(r, "started");
@@ -493,7 +492,7 @@
     follow_free(r);
     list_publisher_destroy(r->published);
     g_array_free(r->withdrawn, TRUE);
-    quarantine_destroy(r->quarantine);
+    replica_quarantine_free(r);
     stream_versions_destroy(r->streams);
     free(r->role_changes);
     g_free(r);
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -59,6 +59,17 @@
     bool waiting, is_stopped;
 } follow_t;
 
+/** A quarantine that is kept on disk and sent to the other members. */
+typedef struct {
+    quarantine_t *table;
+    const char *file_name;   /**< in the data folder */
+    uint64_t saved;          /**< quarantine_version that is on disk */
+    tc_time_t save_at;       /**< earliest time of the next write of it */
+    tc_time_t replicated_at; /**< when it was last sent to the other members */
+    uint64_t sent;           /**< quarantine_seq up to which changes were sent */
+    uint64_t resent;         /**< up to which they were sent again, for members that were away */
+} kept_quarantine_t;
+
 struct replica {
     loop_t *loop;
     peer_net_t *net;
@@ -96,15 +107,11 @@
     tc_time_t saved_at;         /* when the list was last written to the data folder */
     tc_time_t saved_as_of;      /* backends_fetched of that list */
     GArray *withdrawn;          /* withdrawn_t: may still be listed as ready */
-    quarantine_t *quarantine;
+    kept_quarantine_t requests; /* that crash back ends */
+    kept_quarantine_t parts;    /* of prompts, which do */
     stream_versions_t *streams;
-    uint64_t streams_sent;     /* stream_versions_seq up to which changes were sent to the other members */
-    store_t *store;            /* owned by the writer */
-    uint64_t quarantine_saved; /* quarantine_version that is on disk */
-    tc_time_t save_at;         /* earliest time of the next write of it */
-    tc_time_t replicated_at;   /* when the quarantine was last sent to the other members */
-    uint64_t ends_sent;        /* quarantine_seq up to which changes were sent */
-    uint64_t ends_resent;      /* up to which they were sent again, for members that were away */
+    uint64_t streams_sent; /* stream_versions_seq up to which changes were sent to the other members */
+    store_t *store;        /* owned by the writer */
 };
 
 /* Each part calls only those above it here. replica.c calls all, and none calls it. */
@@ -141,11 +148,12 @@
 
 /* ===== replica_quarantine.c ===== */
 
-/** Load the quarantine from the data folder. */
+/** Create the quarantines from the data folder. */
 void replica_quarantine_load(replica_t *r);
-/** Write the quarantine to disk and send it to the other members, when due. */
+void replica_quarantine_free(replica_t *r);
+/** Write the quarantines to disk and send them to the other members, when due. */
 void replica_quarantine_tick(replica_t *r, tc_time_t now);
-/** Merge the quarantine of another control box. */
+/** Merge the quarantines of another control box. */
 void replica_quarantine_receive(replica_t *r, const msg_held_requests_t *message, tc_time_t now);
 
 /* ===== replica_streams.c ===== */
--- a/lib/cluster/replica_quarantine.c
+++ b/lib/cluster/replica_quarantine.c
@@ -17,21 +17,18 @@
     SAVE_RETRY_MS = 1000     /* between tries while the disk fails, and between any two writes */
 };
 
-/** In the data folder. */
-static const char FILE_NAME[] = "quarantine";
-
 /* ===== The data folder ===== */
 
-void replica_quarantine_load(replica_t *r)
+static void load(const replica_t *r, kept_quarantine_t *kept)
 {
     tc_err_t err = {0};
     uint32_t size;
-    char *const data = store_load_blob(r->store, FILE_NAME, &size, &err);
+    char *const data = store_load_blob(r->store, kept->file_name, &size, &err);
     quarantine_image_t image = {0};
     const tc_time_t now = tc_time_now();
     const int64_t wall = tc_time_wall();
     if (!data && err.code == TC_E_NOT_FOUND)
-        return; /* no request was ever quarantined */
+        return; /* nothing was ever quarantined */
     if (!data || codec_unpack_bytes(&quarantine_image_desc, &image, data, size, NULL) < 0) {
         log_failure(LOG_ERROR, "quarantine_lost", &err); /* it is detected again, or received from other members */
         free(data);
@@ -39,20 +36,35 @@
     }
     for (uint32_t i = 0; i < image.list_n; i++) {
         const int64_t age = wall - image.list[i].wall_ms; /* below 0 when the wall clock was set back */
-        quarantine_hold(r->quarantine, image.list[i].request, now - (age > 0 ? age : 0), now);
+        quarantine_hold(kept->table, image.list[i].request, now - (age > 0 ? age : 0), now);
     }
-    r->quarantine_saved = quarantine_version(r->quarantine);
+    kept->saved = quarantine_version(kept->table);
     codec_free(&quarantine_image_desc, &image);
     free(data);
 }
 
-static void save(replica_t *r, tc_time_t now)
+void replica_quarantine_load(replica_t *r)
+{
+    r->requests = (kept_quarantine_t){.table = quarantine_create(), .file_name = "quarantine"};
+    r->parts =
+        (kept_quarantine_t){.table = quarantine_create_parts(r->requests.table), .file_name = "quarantine-parts"};
+    load(r, &r->requests);
+    load(r, &r->parts);
+}
+
+void replica_quarantine_free(replica_t *r)
 {
-    const uint64_t version = quarantine_version(r->quarantine);
-    if (version == r->quarantine_saved || now < r->save_at)
+    quarantine_destroy(r->parts.table);
+    quarantine_destroy(r->requests.table);
+}
+
+static void save(const replica_t *r, kept_quarantine_t *kept, tc_time_t now)
+{
+    const uint64_t version = quarantine_version(kept->table);
+    if (version == kept->saved || now < kept->save_at)
         return;
     uint32_t n;
-    request_age_t *const held = quarantine_list_held(r->quarantine, &n, now);
+    request_age_t *const held = quarantine_list_held(kept->table, &n, now);
     quarantine_image_t image = {.list = calloc(n + 1, sizeof(*image.list)), .list_n = n};
     if (!image.list)
         abort();
@@ -62,11 +74,11 @@
     size_t size;
     char *const data = codec_pack_bytes(&quarantine_image_desc, &image, &size);
     tc_err_t err = {0};
-    if (store_save_blob(r->store, FILE_NAME, data, (uint32_t)size, &err) == TC_OK)
-        r->quarantine_saved = version;
+    if (store_save_blob(r->store, kept->file_name, data, (uint32_t)size, &err) == TC_OK)
+        kept->saved = version;
     else
         log_failure(LOG_ERROR, "quarantine_not_kept", &err); /* the other members keep it as well */
-    r->save_at = now + SAVE_RETRY_MS;
+    kept->save_at = now + SAVE_RETRY_MS;
     free(data);
     free(image.list);
     free(held);
@@ -76,28 +88,41 @@
 
 /** Fill in the changes since the last message, or, when there are none, some entries in turn, so that a member that was
  *  away receives all of them. */
-static void fill_ends(replica_t *r, quarantine_news_t *changes, tc_time_t now)
+static void fill_changes(kept_quarantine_t *kept, quarantine_news_t *changes, tc_time_t now)
 {
-    const uint64_t seq = quarantine_seq(r->quarantine);
-    if (r->ends_sent < seq) {
-        r->ends_sent = quarantine_fill_changes(r->quarantine, r->ends_sent, changes, now);
+    const uint64_t seq = quarantine_seq(kept->table);
+    if (kept->sent < seq) {
+        kept->sent = quarantine_fill_changes(kept->table, kept->sent, changes, now);
         return;
     }
-    const uint64_t turn = quarantine_fill_changes(r->quarantine, r->ends_resent, changes, now);
-    r->ends_resent = turn < seq ? turn : 0;
+    const uint64_t turn = quarantine_fill_changes(kept->table, kept->resent, changes, now);
+    kept->resent = turn < seq ? turn : 0;
+}
+
+static bool is_due(const kept_quarantine_t *kept, tc_time_t now)
+{
+    const uint64_t seq = quarantine_seq(kept->table);
+    return seq > 0 && (kept->sent < seq || now - kept->replicated_at >= RESEND_PERIOD_MS);
+}
+
+/** Fill in a table's part of a message. */
+static void fill(kept_quarantine_t *kept, request_age_t **list, uint32_t *n, quarantine_news_t *news, tc_time_t now)
+{
+    if (!is_due(kept, now))
+        return;
+    kept->replicated_at = now;
+    quarantine_tick(kept->table, now);
+    *list = quarantine_list_held(kept->table, n, now);
+    fill_changes(kept, news, now);
 }
 
 static void replicate(replica_t *r, tc_time_t now)
 {
-    const uint64_t seq = quarantine_seq(r->quarantine);
-    if (seq == 0 || !replica_retains_leadership(r) ||
-        (r->ends_sent == seq && now - r->replicated_at < RESEND_PERIOD_MS))
+    if (!replica_retains_leadership(r) || (!is_due(&r->requests, now) && !is_due(&r->parts, now)))
         return;
-    r->replicated_at = now;
-    quarantine_tick(r->quarantine, now);
     msg_held_requests_t message = {0};
-    message.list = quarantine_list_held(r->quarantine, &message.list_n, now);
-    fill_ends(r, &message.news, now);
+    fill(&r->requests, &message.list, &message.list_n, &message.news, now);
+    fill(&r->parts, &message.parts, &message.parts_n, &message.parts_news, now);
     const raft_members_t *const members = raft_members(r->raft);
     for (uint32_t i = 0; i < members->list_n; i++)
         if (members->list[i].id != r->self.id)
@@ -107,14 +132,22 @@
 
 void replica_quarantine_tick(replica_t *r, tc_time_t now)
 {
-    save(r, now);
+    save(r, &r->requests, now);
+    save(r, &r->parts, now);
     replicate(r, now);
 }
 
+static void receive(quarantine_t *q, const request_age_t *list, uint32_t n, const quarantine_news_t *news,
+                    tc_time_t now)
+{
+    for (uint32_t i = 0; i < n; i++)
+        quarantine_hold(q, list[i].request, now - (tc_time_t)list[i].age_ms, now);
+    quarantine_apply_changes(q, news, now, NULL, NULL);
+}
+
 void replica_quarantine_receive(replica_t *r, const msg_held_requests_t *message, tc_time_t now)
 {
-    for (uint32_t i = 0; i < message->list_n; i++)
-        quarantine_hold(r->quarantine, message->list[i].request, now - (tc_time_t)message->list[i].age_ms, now);
-    quarantine_apply_changes(r->quarantine, &message->news, now, NULL, NULL);
+    receive(r->requests.table, message->list, message->list_n, &message->news, now);
+    receive(r->parts.table, message->parts, message->parts_n, &message->parts_news, now);
     stream_versions_apply(r->streams, message->streams, message->streams_n, now);
 }
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -237,17 +237,17 @@
         roster_engine_loads_sent(r->roster, box, now);
 }
 
-/** Add the suspects when they differ from those that the box has. Each end of a back end adds about ten. */
-static void add_suspects(replica_t *r, const msg_report_t *report, msg_report_ack_t *ack, tc_time_t now)
+/** Add the suspects of a table when they differ from those that the box has. Each end of a back end adds about ten. */
+static void add_suspects(quarantine_t *q, uint64_t known, quarantine_ack_t *ack, tc_time_t now)
 {
     uint32_t n;
     uint64_t hash;
-    const suspect_request_t *const list = quarantine_suspects(r->quarantine, &n, &hash, now);
-    if (hash == report->suspects_hash)
+    const suspect_request_t *const list = quarantine_suspects(q, &n, &hash, now);
+    if (hash == known)
         return;
-    ack->quarantine.hash = hash;
-    ack->quarantine.suspects = (suspect_request_t *)(uintptr_t)list;
-    ack->quarantine.suspects_n = n;
+    ack->hash = hash;
+    ack->suspects = (suspect_request_t *)(uintptr_t)list;
+    ack->suspects_n = n;
 }
 
 /** Add what only the leader knows, for boxes that take callers. The list of loads in @p ack is to be freed with free.
@@ -256,7 +256,8 @@
 {
     roster_update(r->roster, report, now);
     add_loads(r, report->self.box, ack, now);
-    add_suspects(r, report, ack, now);
+    add_suspects(r->requests.table, report->suspects_hash, &ack->quarantine, now);
+    add_suspects(r->parts.table, report->parts_hash, &ack->parts, now);
     leader_sched_handle_report(r->leader_sched, report, ack, now);
 }
 
@@ -268,7 +269,14 @@
         add_usage(r, report, ack, now);
     if (now - leader_since > ROSTER_SETTLE_MS)
         add_entries(r, report, ack, now);
-    ack->quarantine.term = raft_view(r->raft).term;
+    ack->quarantine.term = ack->parts.term = raft_view(r->raft).term;
+}
+
+/** Take what a box has found out about streams and parts of prompts. */
+static void take_news(replica_t *r, const msg_report_t *report, tc_time_t now)
+{
+    stream_versions_apply(r->streams, report->streams, report->streams_n, now);
+    quarantine_apply_changes(r->parts.table, &report->parts, now, NULL, NULL);
 }
 
 void reports_answer(replica_t *r, peer_call_t call, const msg_report_t *report, tc_time_t now)
@@ -288,12 +296,12 @@
         ack.evacuations = r->evacuations; /* borrowed */
     codec_copy_string(ack.peer, sizeof(ack.peer), r->self.peer);
     if (ack.leads)
-        quarantine_apply_changes(r->quarantine, &report->quarantine, now, on_backend_end,
+        quarantine_apply_changes(r->requests.table, &report->quarantine, now, on_backend_end,
                                  r); /* may change the list of back ends */
     if (ack.leads)
         take_notices(r, report, now); /* the same */
     if (ack.leads)
-        stream_versions_apply(r->streams, report->streams, report->streams_n, now);
+        take_news(r, report, now);
     ack.finds_streams = ack.leads;
     add_backends(r, report, &ack, now);
     if (ack.leads)
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -198,6 +198,7 @@
     free(report.cold_used);
     free(report.notices);
     free(report.streams);
+    codec_free(&quarantine_news_desc, &report.parts);
 }
 
 /** Send a report that is due. Otherwise it is sent after the answer to the current one, or once there is a target. */
--- a/lib/cluster/stream_versions.c
+++ b/lib/cluster/stream_versions.c
@@ -95,8 +95,12 @@
 
 void stream_versions_tick(stream_versions_t *t, tc_time_t now)
 {
-    while (!cds_list_empty(&t->entries) && now - oldest(t)->at >= STREAM_VERSIONS_KEEP_MS)
-        drop(t, oldest(t));
+    entry_t *e, *next;
+    cds_list_for_each_entry_safe(e, next, &t->entries, node) {
+        if (now - e->at < STREAM_VERSIONS_KEEP_MS)
+            break;
+        drop(t, e);
+    }
     counter_set(&c_streams, g_hash_table_size(t->by_key));
 }
 
@@ -172,8 +176,9 @@
 
 void stream_versions_destroy(stream_versions_t *t)
 {
-    while (!cds_list_empty(&t->entries))
-        drop(t, oldest(t));
+    entry_t *e, *next;
+    cds_list_for_each_entry_safe(e, next, &t->entries, node)
+        drop(t, e);
     g_hash_table_destroy(t->by_key);
     g_free(t);
 }
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -26,7 +26,7 @@
 enum {
     DIALECT_ID_SIZE = 96,
     DIALECT_PART_SIZE = 24, /* no known deployment has longer part ids; a longer one is ignored */
-    DIALECT_PARTS_MAX = 8   /* further parts are ignored */
+    DIALECT_PARTS_MAX = 32  /* further parts are ignored */
 };
 
 /* ===== Types ===== */
@@ -62,6 +62,7 @@
     bool has_token_count; /**< the caller sent a token count */
     dialect_part_t parts[DIALECT_PARTS_MAX]; /**< of the prompt, in order from its start */
     unsigned parts_n;                        /**< 0 when the caller lists none */
+    bool has_more_parts;                     /**< parts were ignored: the last one here is not the prompt's last */
 } dialect_request_t;
 
 /** Operation that a back end performs for a request. */
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -66,8 +66,9 @@
 quarantine_t *forwarder_quarantine(forwarder_t *forwarder);
 /** Usage of capped workspaces at this box, for the reports. Owned by the forwarder. */
 cap_shares_t *forwarder_caps(forwarder_t *forwarder);
-/** Fills in what the box learnt from answers of back ends: limits, limits_hash, limits_used, cold_used, notices and,
- *  while services have several versions, streams of the report. The arrays are for free(). */
+/** Fills in what the box learnt from answers of back ends: limits, limits_hash, limits_used, cold_used, notices,
+ * suspect parts of prompts and, while services have several versions, streams of the report. The arrays are for free().
+ */
 void forwarder_fill_report(forwarder_t *forwarder, msg_report_t *report);
 /** Applies the limits in a leader's answer to a report. @return whether another report should follow at once */
 bool forwarder_apply_limits(forwarder_t *forwarder, const msg_report_ack_t *ack);
--- a/lib/forward/forward_backend_probe.c
+++ b/lib/forward/forward_backend_probe.c
@@ -31,6 +31,7 @@
     dial_t dial;
     tc_time_t lost_at;            /* time of the first lost answer */
     GArray *lost;                 /* uint64_t: fingerprints of the requests with lost answers */
+    GArray *parts;                /* part_suspect_t of their prompts */
     struct cds_list_head waiters; /* look_wait_t */
 };
 
@@ -43,6 +44,7 @@
     cds_list_del(&probe->node);
     instance_unref(probe->instance);
     g_array_free(probe->lost, TRUE);
+    g_array_free(probe->parts, TRUE);
     g_free(probe);
 }
 
@@ -66,6 +68,8 @@
     forwarder_t *const fw = probe->owner;
     const tc_time_t now = tc_time_now();
     counter_add(&c_ended, 1);
+    for (guint i = 0; i < probe->parts->len; i++)
+        parts_blame(fw, &g_array_index(probe->parts, part_suspect_t, i), probe->instance->listed.id, probe->lost_at);
     for (guint i = 0; i < probe->lost->len; i++)
         (void)quarantine_add_crash(fw->quarantine, g_array_index(probe->lost, uint64_t, i), probe->instance->listed.id,
                                    probe->lost_at, now);
@@ -141,18 +145,22 @@
     probe->instance = instance_ref(instance);
     probe->lost_at = tc_time_now();
     probe->lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    probe->parts = g_array_new(FALSE, FALSE, sizeof(part_suspect_t));
     CDS_INIT_LIST_HEAD(&probe->waiters);
     cds_list_add(&probe->node, &fw->probes);
     loop_arm(fw->loop, &probe->timer, probe->lost_at + PROBE_DELAY_MS, on_probe_due, probe);
     return probe;
 }
 
-probe_t *probe_begin(forward_t *f, instance_t *instance)
+probe_t *probe_begin(const backend_call_t *call)
 {
-    probe_t *probe = probe_find(f->owner, instance);
+    const forward_t *const f = call->request;
+    part_suspect_t suspects[PART_SUSPECTS_MAX];
+    probe_t *probe = probe_find(f->owner, call->instance);
     if (!probe)
-        probe = probe_create(f->owner, instance);
+        probe = probe_create(f->owner, call->instance);
     g_array_append_val(probe->lost, f->fingerprint);
+    g_array_append_vals(probe->parts, suspects, parts_list_suspects(call, suspects));
     return probe;
 }
 
--- a/lib/forward/forward_end.c
+++ b/lib/forward/forward_end.c
@@ -13,6 +13,8 @@
 COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Requests whose caller left")
 COUNTER_DEFINE(c_held, "counter", "trackcove_forward_held_total",
                "Requests refused or broken off since back ends ended under them")
+COUNTER_DEFINE(c_part_held, "counter", "trackcove_forward_part_held_total",
+               "Requests refused or broken off since back ends ended under a part of their prompts")
 
 static void forward_free(forward_t *f)
 {
@@ -118,12 +120,14 @@
 
 void forward_fail_quarantined(forward_t *f)
 {
-    counter_add(&c_held, 1);
-    forward_fail_after(f, REASON_QUARANTINED,
-                       quarantine_remaining_ms(f->owner->quarantine, f->fingerprint, tc_time_now()));
+    const tc_time_t own = quarantine_remaining_ms(f->owner->quarantine, f->fingerprint, tc_time_now());
+    const tc_time_t parts = parts_remaining_ms(f);
+    counter_add(parts > own ? &c_part_held : &c_held, 1);
+    forward_fail_after(f, parts > own ? REASON_PART_QUARANTINED : REASON_QUARANTINED, MAX(parts, own));
 }
 
 unsigned forward_crash_count(const forward_t *f)
 {
-    return quarantine_crash_count(f->owner->quarantine, f->fingerprint, tc_time_now());
+    const unsigned own = quarantine_crash_count(f->owner->quarantine, f->fingerprint, tc_time_now());
+    return MAX(own, parts_crash_count(f));
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -19,6 +19,7 @@
  *   forward_slot.c    slots of plain back ends, granted by the leader
  *   forward_limit.c   rate limits of back ends, shared by all boxes
  *   forward_version.c  software version that a stream is bound to
+ *   forward_parts.c   parts of prompts that crash back ends
  *   forward_notice.c  availability notices and stated loads in answers of back ends
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -141,6 +142,23 @@
     tc_time_t began;
 } backend_call_t;
 
+/** A part of a prompt that may be the cause of a crash. */
+typedef struct {
+    uint64_t key;
+    uint64_t by; /* fingerprint of the request that had it */
+} part_suspect_t;
+
+/** Of one request at most. */
+enum { PART_SUSPECTS_MAX = DIALECT_PARTS_MAX };
+
+/** When a part was last written on well. */
+typedef struct {
+    uint64_t key;
+    tc_time_t at;
+} part_begin_t;
+
+enum { PART_BEGINS = 4096 };
+
 /** A query to the leader of the control boxes. */
 typedef struct leader_query leader_query_t;
 
@@ -346,6 +364,8 @@
     struct cds_list_head probes;   /* of forward_backend_probe.c */
     struct cds_list_head cleanups; /* of forward_query.c */
     quarantine_t *quarantine;
+    quarantine_t *parts;        /* the same for parts of prompts */
+    part_begin_t *part_begins;  /* PART_BEGINS of them, by key; a later part replaces an earlier one in its place */
     stream_versions_t *streams; /* streams of this box */
     bool knows_left_versions;   /* a leader has told which versions left lately */
     cap_shares_t *caps;
@@ -487,7 +507,7 @@
 /* ===== forward_backend_probe.c ===== */
 
 /** Probes a back end whose connection broke while it may have run the request, to find out whether it has ended. */
-probe_t *probe_begin(forward_t *f, instance_t *instance);
+probe_t *probe_begin(const backend_call_t *call);
 /** Makes the request wait for the result of a probe; call_resume_probed follows. @param op of the lost call
  *  @param why it was lost, a constant */
 void probe_wait(forward_t *f, probe_t *probe, dialect_op_t op, const char *why);
@@ -520,6 +540,24 @@
 /** The leader has answered that report. @return whether another one should follow at once */
 bool version_confirm_report(forwarder_t *fw, const msg_report_ack_t *ack);
 
+/* ===== forward_parts.c ===== */
+
+/** Number of parts of the prompt that other requests may share: all but the last. */
+unsigned parts_shared(const forward_t *f);
+/** Number of back ends that ended when a part of the prompt was to be written on, at most QUARANTINE_CRASH_LIMIT. */
+unsigned parts_crash_count(const forward_t *f);
+/** Time for which a part of the prompt is still held, ms; 0 when none is. */
+tc_time_t parts_remaining_ms(const forward_t *f);
+/** The run of the request has begun to write: its parts crash nothing. */
+void parts_begun(const forward_t *f);
+/** Lists the parts that may be the cause if the back end of the call has ended: none if the request has had events.
+ *  @param suspects room for PART_SUSPECTS_MAX @return their number */
+unsigned parts_list_suspects(const backend_call_t *call, part_suspect_t *suspects);
+/** Counts the end of a back end against a part, unless that was written on well just before or since. */
+void parts_blame(forwarder_t *fw, const part_suspect_t *suspect, const char *backend, tc_time_t at);
+/** Applies the suspect parts in a leader's answer to a report. @return whether another report should follow at once */
+bool parts_take_ack(forwarder_t *fw, const msg_report_ack_t *ack);
+
 /* ===== forward_notice.c ===== */
 
 /** Applies the availability notice and the stated load in the head of an answer to its back end. */
--- a/lib/forward/forward_limit.c
+++ b/lib/forward/forward_limit.c
@@ -151,7 +151,8 @@
         cap_shares_apply_reply(fw->limits, ack->quarantine.term, ack->limits.caps, ack->limits.caps_n, now);
     (void)cap_shares_apply_reply(fw->cold, ack->quarantine.term, ack->limits.cold, ack->limits.cold_n, now);
     const bool has_streams = version_confirm_report(fw, ack);
-    return is_new || has_streams || has_urgent_update(fw);
+    const bool has_parts = parts_take_ack(fw, ack);
+    return is_new || has_streams || has_parts || has_urgent_update(fw);
 }
 
 /* ===== This box's share ===== */
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -25,9 +25,9 @@
     log_int(&line, "pause_aim_ms", f->route->gap_target);
     if (f->facts.parts_n > 0) /* chosen by the caller, and the same in all its attempts */
         log_str(&line, "prompt", f->facts.parts[f->facts.parts_n - 1].id);
-    if (f->facts.parts_n > 1) {
+    if (parts_shared(f) > 0) {
         char shared[DIALECT_PARTS_MAX * (DIALECT_PART_SIZE + 1)] = "";
-        for (unsigned i = 0; i + 1 < f->facts.parts_n; i++) {
+        for (unsigned i = 0; i < parts_shared(f); i++) {
             g_strlcat(shared, i > 0 ? "," : "", sizeof(shared));
             g_strlcat(shared, f->facts.parts[i].id, sizeof(shared));
         }
--- a/lib/forward/forward_notice.c
+++ b/lib/forward/forward_notice.c
@@ -75,4 +75,6 @@
     limit_fill_report(fw, report);
     report->notices = list_notices(fw, &report->notices_n);
     version_fill_report(fw, report);
+    quarantine_fill_report(fw->parts, &report->parts, tc_time_now());
+    report->parts_hash = quarantine_suspects_hash(fw->parts);
 }
--- /dev/null
+++ b/lib/forward/forward_parts.c
@@ -0,0 +1,145 @@
+/* Parts of prompts that crash each back end that begins to write on them, in requests of which no two are alike. The
+ * crash comes before the first event, so the parts of streams that had events from that back end are not the cause,
+ * and neither is a part under which another run begins well. */
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "common/mutant.h"
+#include "forward/forward_internal.h"
+
+/** A part that was written on well this long before a crash is not its cause. Short: it may crash back ends from some
+ *  time on, after a release. */
+enum { BEGUN_BEFORE_MS = 1500 };
+
+/* ===== Keys ===== */
+
+unsigned parts_shared(const forward_t *f)
+{
+    return f->facts.parts_n - (f->facts.parts_n > 0 && !f->facts.has_more_parts);
+}
+
+/** Parts of another service or workspace are others: nobody can have another workspace's part held. */
+static uint64_t part_key(const forward_t *f, unsigned i)
+{
+    const char *const workspace = f->workspace ? f->workspace->name : "";
+    const char *const id = f->facts.parts[i].id;
+    const uint64_t scope =
+        XXH3_64bits_withSeed(workspace, strlen(workspace), XXH3_64bits(f->service, strlen(f->service)));
+    const uint64_t key = XXH3_64bits_withSeed(id, strlen(id), scope);
+    return key ? key : 1;
+}
+
+unsigned parts_crash_count(const forward_t *f)
+{
+    unsigned most = 0;
+    if (quarantine_is_empty(f->owner->parts) || MUTANT_IS(MUTANT_FORGET_PARTS))
+        return 0;
+    for (unsigned i = 0; i < parts_shared(f); i++) {
+        const unsigned crashes = quarantine_crash_count(f->owner->parts, part_key(f, i), tc_time_now());
+        most = MAX(most, crashes);
+    }
+    return most;
+}
+
+tc_time_t parts_remaining_ms(const forward_t *f)
+{
+    tc_time_t most = 0;
+    for (unsigned i = 0; i < parts_shared(f) && !MUTANT_IS(MUTANT_FORGET_PARTS); i++) {
+        const tc_time_t left = quarantine_remaining_ms(f->owner->parts, part_key(f, i), tc_time_now());
+        most = MAX(most, left);
+    }
+    return most;
+}
+
+/* ===== Evidence ===== */
+
+static part_begin_t *begin_of(const forwarder_t *fw, uint64_t key)
+{
+    return &fw->part_begins[key % PART_BEGINS];
+}
+
+/** When the part was last written on well; 0: not lately, as far as is remembered. */
+static tc_time_t begun_at(const forwarder_t *fw, uint64_t key)
+{
+    const part_begin_t *const begin = begin_of(fw, key);
+    return begin->key == key ? begin->at : 0;
+}
+
+static void log_part(const forward_t *f, const char *event, unsigned i, const char *backend)
+{
+    log_line_t line;
+    log_begin(&line, LOG_INFO, event);
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "part", f->facts.parts[i].id);
+    log_hash(&line, "key", part_key(f, i));
+    log_str(&line, "backend", backend);
+    log_end(&line);
+}
+
+void parts_begun(const forward_t *f)
+{
+    forwarder_t *const fw = f->owner;
+    const tc_time_t now = tc_time_now();
+    bool cleared = false;
+    for (unsigned i = 0; i < parts_shared(f); i++) {
+        const uint64_t key = part_key(f, i);
+        *begin_of(fw, key) = (part_begin_t){.key = key, .at = now};
+        if (quarantine_is_empty(fw->parts) || quarantine_crash_count(fw->parts, key, now) == 0)
+            continue;
+        log_part(f, "part_begun", i, f->call ? f->call->instance->listed.id : "");
+        quarantine_clear(fw->parts, key, now);
+        cleared = true;
+    }
+    if (cleared && fw->scheduler)
+        reporter_report_now(fw->scheduler);
+}
+
+unsigned parts_list_suspects(const backend_call_t *call, part_suspect_t *suspects)
+{
+    const forward_t *const f = call->request;
+    const bool has_begun = f->events > 0 || f->facts.resume_after[0];
+    unsigned n = 0;
+    for (unsigned i = 0; i < parts_shared(f) && call->op != DIALECT_PREFILL && !has_begun; i++) {
+        log_part(f, "part_lost", i, call->instance->listed.id);
+        suspects[n++] = (part_suspect_t){.key = part_key(f, i), .by = f->fingerprint};
+    }
+    return n;
+}
+
+void parts_blame(forwarder_t *fw, const part_suspect_t *suspect, const char *backend, tc_time_t at)
+{
+    const tc_time_t begun = begun_at(fw, suspect->key);
+    if (begun == 0 || begun + BEGUN_BEFORE_MS < at)
+        (void)quarantine_add_part_crash(fw->parts, suspect->key, suspect->by, backend, at, tc_time_now());
+}
+
+/** Clears suspects of other boxes that this box has seen to be written on well. */
+static bool clear_known(forwarder_t *fw, const quarantine_ack_t *ack, tc_time_t now)
+{
+    bool cleared = false;
+    for (uint32_t i = 0; i < ack->suspects_n; i++) {
+        const suspect_request_t *const s = &ack->suspects[i];
+        const tc_time_t begun = begun_at(fw, s->request), crashed = now - (tc_time_t)s->age_ms;
+        if (s->ends >= QUARANTINE_CRASH_LIMIT || begun == 0 || begun + BEGUN_BEFORE_MS < crashed)
+            continue;
+        quarantine_clear(fw->parts, s->request, MAX(begun, crashed));
+        cleared = true;
+    }
+    return cleared;
+}
+
+bool parts_take_ack(forwarder_t *fw, const msg_report_ack_t *ack)
+{
+    const tc_time_t now = tc_time_now();
+    if (ack->parts.term == 0)
+        return false; /* a leader of an earlier build */
+    const bool more = quarantine_confirm_report(fw->parts, ack->parts.term);
+    if (ack->parts.hash == 0)
+        return more;
+    quarantine_apply_suspects(fw->parts, ack->parts.suspects, ack->parts.suspects_n, ack->parts.hash, now);
+    return clear_known(fw, &ack->parts, now) || more;
+}
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -179,6 +179,8 @@
         record_id(call, id);
     if (f->events == 0)
         version_bind(f, call->instance);
+    if (run->events == 0)
+        parts_begun(f);
     f->has_unnamed_event = !id && (f->has_unnamed_event || has_data(event, size));
     run->events++;
     run->bytes += size;
--- a/lib/forward/reasons.h
+++ b/lib/forward/reasons.h
@@ -30,7 +30,8 @@
 #define REASON_VERSION_GONE "none of the stream's version left"
 
 /* Back ends ended while running the request, see cluster/quarantine.h. */
-#define REASON_QUARANTINED "back ends ended whenever they ran it" /* the request is quarantined */
-#define REASON_BACKEND_ENDED "another back end ended under it"    /* this box does not retry it again */
+#define REASON_QUARANTINED "back ends ended whenever they ran it"          /* the request is quarantined */
+#define REASON_PART_QUARANTINED "back ends end under a part of its prompt" /* that part is quarantined */
+#define REASON_BACKEND_ENDED "another back end ended under it"             /* this box does not retry it again */
 
 #endif
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -236,6 +236,7 @@
     {.name = "request", .offset = offsetof(backend_end_t, request), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "backend", .offset = offsetof(backend_end_t, backend), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
     {.name = "age_ms", .offset = offsetof(backend_end_t, age_ms), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "by", .offset = offsetof(backend_end_t, by), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t backend_end_desc = {.name = "backend_end", .size = sizeof(backend_end_t), .fields = backend_end_fields, .n_fields = sizeof(backend_end_fields) / sizeof(backend_end_fields[0])};
 
@@ -726,6 +727,8 @@
     {.name = "cold_used", .offset = offsetof(msg_report_t, cold_used), .kind = CODEC_LIST, .sub = &cap_use_desc, .count_offset = offsetof(msg_report_t, cold_used_n), .min = 0, .max = 0, .def = 0},
     {.name = "members_hash", .offset = offsetof(msg_report_t, members_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "streams", .offset = offsetof(msg_report_t, streams), .kind = CODEC_LIST, .sub = &stream_version_desc, .count_offset = offsetof(msg_report_t, streams_n), .min = 0, .max = 0, .def = 0},
+    {.name = "parts", .offset = offsetof(msg_report_t, parts), .kind = CODEC_STRUCT, .sub = &quarantine_news_desc, .min = 0, .max = 0, .def = 0},
+    {.name = "parts_hash", .offset = offsetof(msg_report_t, parts_hash), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
 };
 const codec_desc_t msg_report_desc = {.name = "report", .size = sizeof(msg_report_t), .fields = msg_report_fields, .n_fields = sizeof(msg_report_fields) / sizeof(msg_report_fields[0])};
 
@@ -748,6 +751,7 @@
     {.name = "grants_slots", .offset = offsetof(msg_report_ack_t, grants_slots), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "finds_streams", .offset = offsetof(msg_report_ack_t, finds_streams), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
     {.name = "left_versions", .offset = offsetof(msg_report_ack_t, left_versions), .kind = CODEC_LIST, .sub = &left_version_desc, .count_offset = offsetof(msg_report_ack_t, left_versions_n), .min = 0, .max = 0, .def = 0},
+    {.name = "parts", .offset = offsetof(msg_report_ack_t, parts), .kind = CODEC_STRUCT, .sub = &quarantine_ack_desc, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_report_ack_desc = {.name = "report_ack", .size = sizeof(msg_report_ack_t), .fields = msg_report_ack_fields, .n_fields = sizeof(msg_report_ack_fields) / sizeof(msg_report_ack_fields[0])};
 
@@ -879,6 +883,8 @@
     {.name = "list", .offset = offsetof(msg_held_requests_t, list), .kind = CODEC_LIST, .sub = &request_age_desc, .count_offset = offsetof(msg_held_requests_t, list_n), .min = 0, .max = 0, .def = 0},
     {.name = "news", .offset = offsetof(msg_held_requests_t, news), .kind = CODEC_STRUCT, .sub = &quarantine_news_desc, .min = 0, .max = 0, .def = 0},
     {.name = "streams", .offset = offsetof(msg_held_requests_t, streams), .kind = CODEC_LIST, .sub = &stream_version_desc, .count_offset = offsetof(msg_held_requests_t, streams_n), .min = 0, .max = 0, .def = 0},
+    {.name = "parts", .offset = offsetof(msg_held_requests_t, parts), .kind = CODEC_LIST, .sub = &request_age_desc, .count_offset = offsetof(msg_held_requests_t, parts_n), .min = 0, .max = 0, .def = 0},
+    {.name = "parts_news", .offset = offsetof(msg_held_requests_t, parts_news), .kind = CODEC_STRUCT, .sub = &quarantine_news_desc, .min = 0, .max = 0, .def = 0},
 };
 const codec_desc_t msg_held_requests_desc = {.name = "held_requests", .size = sizeof(msg_held_requests_t), .fields = msg_held_requests_fields, .n_fields = sizeof(msg_held_requests_fields) / sizeof(msg_held_requests_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -371,6 +371,7 @@
     uint64_t request; /**< fingerprint, equal for all attempts of a request */
     char backend[CODEC_STR_SIZE];
     uint64_t age_ms; /**< since it ended */
+    uint64_t by; /**< of a part of a prompt: fingerprint of the request that had it; else 0 */
 } backend_end_t;
 extern const codec_desc_t backend_end_desc;
 
@@ -958,6 +959,8 @@
     uint64_t members_hash; /**< hash of the list of control boxes that it knows, 0 for none */
     stream_version_t *streams; /**< not yet reported to this leader; none while each service has one version */
     uint32_t streams_n;
+    quarantine_news_t parts; /**< as quarantine, for parts of prompts */
+    uint64_t parts_hash; /**< as suspects_hash, for parts of prompts */
 } msg_report_t;
 extern const codec_desc_t msg_report_desc;
 
@@ -985,6 +988,7 @@
     bool finds_streams; /**< likewise for stream_find */
     left_version_t *left_versions; /**< all, when finds_streams is true */
     uint32_t left_versions_n;
+    quarantine_ack_t parts; /**< as quarantine, for parts of prompts */
 } msg_report_ack_t;
 extern const codec_desc_t msg_report_ack_desc;
 
@@ -1137,6 +1141,9 @@
     quarantine_news_t news; /**< observations about requests that have changed, or about others in rotation */
     stream_version_t *streams; /**< those that are new to the leader */
     uint32_t streams_n;
+    request_age_t *parts; /**< as list, for parts of prompts */
+    uint32_t parts_n;
+    quarantine_news_t parts_news; /**< as news, for parts of prompts */
 } msg_held_requests_t;
 extern const codec_desc_t msg_held_requests_desc;
 
--- a/tests/unit/test_sched_versions.c
+++ b/tests/unit/test_sched_versions.c
@@ -156,7 +156,9 @@
             w->back_at[i] = 0;
             configure(w, now);
         }
-        for (due += each_step; due >= 1; due--) {
+        due += each_step;
+        while (due >= 1) {
+            due -= 1;
             stream_t *const s = g_new0(stream_t, 1);
             s->engine = -1;
             g_ptr_array_add(w->streams, s);
