Sound parts of prompts are not held for crashes that come in late or in a row

The soak, with a part that crashes workers, found two ways in which a part that nearly all requests had was held, so that they were refused for ten minutes: back ends of plain services, whose answers are no streams, never cleared a part; and a leader that had stood still took three ends, seconds old, from one report and held the part at once, before any box could clear it.

Only parts of services with engines are blamed, a whole answer clears them as a first event does, and a part settles 0.4 s after the table learnt of its ends, by when all boxes have been told and have cleared what they know to be sound. A held part under which a run that was on its way begins well is released, at all boxes. The culprit never begins, so it is never released.

--- a/lib/cluster/quarantine.c
+++ b/lib/cluster/quarantine.c
@@ -138,7 +138,9 @@
     if (c->settled)
         return c->counts;
     c->counts = !is_correlated_crash(q, e, &c->crash);
-    c->settled = now - c->crash.at >= QUARANTINE_SETTLE_MS;
+    /* Boxes can clear a part only once they are told of it, which may be long after the crash. */
+    c->settled =
+        q->of_parts ? now - c->known_at >= QUARANTINE_PART_SETTLE_MS : now - c->crash.at >= QUARANTINE_SETTLE_MS;
     return c->counts;
 }
 
@@ -161,10 +163,12 @@
     return n;
 }
 
-static void log_entry(const quarantine_t *q, const char *event, const suspect_t *e, unsigned crashes)
+/** @param event of a request @param part_event of a part */
+static void log_entry(const quarantine_t *q, const char *event, const char *part_event, const suspect_t *e,
+                      unsigned crashes)
 {
     log_line_t line;
-    log_begin(&line, LOG_WARN, event);
+    log_begin(&line, LOG_WARN, q->of_parts ? part_event : event);
     log_hash(&line, q->of_parts ? "key" : "fingerprint", e->request);
     log_int(&line, "ends", crashes);
     log_str(&line, "backend", e->crashes->len > 0 ? quarantine_suspect_crash(e, e->crashes->len - 1)->name : "");
@@ -246,12 +250,13 @@
 {
     const bool is_new = e->held_since == 0;
     e->held_since = MAX(e->held_since, since);
+    e->released = false;
     if (!is_new)
         return;
     q->version++;
     counter_add(q->of_parts ? &c_part_held : &c_held, 1);
     g_ptr_array_add(q->held, e);
-    log_entry(q, q->of_parts ? "part_held" : "request_held", e, QUARANTINE_CRASH_LIMIT);
+    log_entry(q, "request_held", "part_held", e, QUARANTINE_CRASH_LIMIT);
     explain_crashes(q, e);
 }
 
@@ -336,9 +341,11 @@
     q->recent[q->recent_at++ % QUARANTINE_RECENT_MAX] = *crash;
 }
 
-static void insert_crash(suspect_t *e, const crash_t *crash, uint64_t by, const char *name)
+/** @param entry without its name */
+static void insert_crash(suspect_t *e, suspect_crash_t entry, const char *name)
 {
-    const suspect_crash_t entry = {.crash = *crash, .name = g_strdup(name), .by = by};
+    const crash_t *const crash = &entry.crash;
+    entry.name = g_strdup(name);
     guint at = e->crashes->len;
     while (at > 0 && quarantine_suspect_crash(e, at - 1)->crash.at > crash->at)
         at--;
@@ -362,10 +369,10 @@
     suspect_t *const e = find_or_add(q, request);
     if (at <= e->cleared_at || is_known_crash(e, &crash) || is_explained(q, e, &crash))
         return false;
-    insert_crash(e, &crash, by, backend);
+    insert_crash(e, (suspect_crash_t){.crash = crash, .by = by, .known_at = now}, backend);
     mark_changed(q, e, at);
     counter_add(q->of_parts ? &c_part_ends : &c_ends, 1);
-    log_entry(q, q->of_parts ? "part_suspected" : "request_suspected", e, quarantine_count_crashes(q, e, false, now));
+    log_entry(q, "request_suspected", "part_suspected", e, quarantine_count_crashes(q, e, false, now));
     judge(q, e, now);
     if (e->held_since > 0)
         explain_crashes(q, e);
@@ -375,15 +382,31 @@
 static void remove_suspect(quarantine_t *q, uint64_t request)
 {
     const suspect_request_t *const listed = find_suspect(q, request);
-    if (listed && listed->ends < QUARANTINE_CRASH_LIMIT)
+    if (listed && (listed->ends < QUARANTINE_CRASH_LIMIT || q->of_parts))
         g_array_remove_index(q->suspects, (guint)(listed - (const suspect_request_t *)(const void *)q->suspects->data));
 }
 
+/** A part that is held began well after its newest crash, in a run that was on its way: it is not the cause. */
+static void release_sound(quarantine_t *q, suspect_t *e)
+{
+    e->held_since = 0;
+    e->released = true;
+    g_ptr_array_remove_fast(q->held, e);
+    q->version++;
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "part_released");
+    log_hash(&line, "key", e->request);
+    log_end(&line);
+}
+
 void quarantine_clear(quarantine_t *q, uint64_t request, tc_time_t at)
 {
     suspect_t *const e = find_or_add(q, request);
-    if (e->held_since > 0 || at <= e->cleared_at)
+    const bool held = e->held_since > 0;
+    if ((held && (!q->of_parts || at <= e->held_since)) || at <= e->cleared_at)
         return;
+    if (held)
+        release_sound(q, e);
     if (e->crashes->len > 0 && quarantine_suspect_crash(e, 0)->crash.at <= at)
         counter_add(q->of_parts ? &c_part_cleared : &c_cleared, 1);
     while (e->crashes->len > 0 && quarantine_suspect_crash(e, 0)->crash.at <= at)
@@ -399,6 +422,8 @@
         return;
     suspect_t *const e = find_or_add(q, request);
     const tc_time_t before = e->held_since;
+    if (q->of_parts && since <= e->cleared_at)
+        return; /* it was released since */
     /* 0 means not held; the hold may be older than the clock of a machine that has just started. */
     hold(q, e, MAX(since, 1));
     if (before == 0)
--- a/lib/cluster/quarantine.h
+++ b/lib/cluster/quarantine.h
@@ -46,6 +46,9 @@
     QUARANTINE_CORRELATED_MIN = 6,
     /** Delay after which a crash is judged finally: by then all boxes have reported the crashes that came with it. */
     QUARANTINE_SETTLE_MS = 150,
+    /** The same for a part of a prompt: by then all boxes have been told of it, and those that know it to be sound have
+     *  cleared it. */
+    QUARANTINE_PART_SETTLE_MS = 400,
     /** Time for which a request is held, from its newest crash. A request that keeps crashing back ends costs one back
      *  end in this time; one that is held by mistake gets its next run after it. */
     QUARANTINE_HOLD_MS = 10 * 60 * 1000,
@@ -78,7 +81,8 @@
 /** The same for a part of a prompt. @param by fingerprint of the request that had it */
 bool quarantine_add_part_crash(quarantine_t *q, uint64_t part, uint64_t by, const char *backend, tc_time_t at,
                                tc_time_t now);
-/** A run of the request completed at @p at: earlier crashes no longer count. No effect on a held request. */
+/** A run of the request completed at @p at, or began to write on the part: earlier crashes no longer count. No effect
+ * on a held request; a part that is held is released when @p at is later than its newest crash. */
 void quarantine_clear(quarantine_t *q, uint64_t request, tc_time_t at);
 /** Another process has held the request since @p since: holds it here as well. */
 void quarantine_hold(quarantine_t *q, uint64_t request, tc_time_t since, tc_time_t now);
--- a/lib/cluster/quarantine_internal.h
+++ b/lib/cluster/quarantine_internal.h
@@ -29,10 +29,11 @@
 /** A crash of a back end that was running a suspect request. */
 typedef struct {
     crash_t crash;
-    char *name;   /* id of the back end, owned */
-    uint64_t by;  /* of a part: fingerprint of the request that had it; else 0 */
-    bool settled; /* counts is final */
-    bool counts;  /* whether the crash counts against the request */
+    char *name;         /* id of the back end, owned */
+    uint64_t by;        /* of a part: fingerprint of the request that had it; else 0 */
+    tc_time_t known_at; /* when this table learnt of it */
+    bool settled;       /* counts is final */
+    bool counts;        /* whether the crash counts against the request */
 } suspect_crash_t;
 
 typedef struct {
@@ -41,6 +42,7 @@
     GArray *crashes;      /* suspect_crash_t, oldest first */
     tc_time_t cleared_at; /* 0: never */
     tc_time_t held_since; /* time of the newest crash; 0: not held */
+    bool released;        /* a part that was held, and began well after its newest crash */
     tc_time_t updated_at; /* time of the newest event that is known */
     uint64_t seq;         /* of the newest change */
 } suspect_t;
--- a/lib/cluster/quarantine_sync.c
+++ b/lib/cluster/quarantine_sync.c
@@ -132,7 +132,7 @@
         const suspect_request_t s = {.request = e->request,
                                      .ends = MIN(crashes, QUARANTINE_CRASH_LIMIT),
                                      .age_ms = (uint64_t)(now - e->updated_at)};
-        if (crashes > 0)
+        if (crashes > 0 || e->released)
             g_array_append_val(q->suspects, s);
     }
     g_array_sort(q->suspects, compare_suspects);
@@ -159,9 +159,13 @@
     g_array_set_size(q->suspects, 0);
     g_array_append_vals(q->suspects, list, n);
     q->suspects_hash = hash;
-    for (uint32_t i = 0; i < n; i++)
+    for (uint32_t i = 0; i < n; i++) {
+        const tc_time_t at = now - (tc_time_t)list[i].age_ms;
         if (list[i].ends >= QUARANTINE_CRASH_LIMIT)
-            quarantine_hold(q, list[i].request, now - (tc_time_t)list[i].age_ms, now);
+            quarantine_hold(q, list[i].request, at, now);
+        else if (list[i].ends == 0)
+            quarantine_clear(q, list[i].request, at);
+    }
 }
 
 uint64_t quarantine_suspects_hash(const quarantine_t *q)
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -368,6 +368,8 @@
     instance_succeeded(call->instance);
     clear_quarantine(f);
     call->outcome = call->reply.success ? SLOT_OUTCOME_ANSWERED : SLOT_OUTCOME_FAILED;
+    if (call->reply.success)
+        parts_begun(f);
     if (try_elsewhere(call))
         return;
     if (f->begun) {
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -34,6 +34,7 @@
 #include "common/box_count.h"
 #include "forward/dialect.h"
 #include "forward/forward.h"
+#include "forward/part_begins.h"
 #include "forward/reasons.h"
 #include "forward/service_time.h"
 #include "web/web_fetch.h"
@@ -151,14 +152,6 @@
 /** Of one request at most. */
 enum { PART_SUSPECTS_MAX = DIALECT_PARTS_MAX };
 
-/** When a part was last written on well. */
-typedef struct {
-    uint64_t key;
-    tc_time_t at;
-} part_begin_t;
-
-enum { PART_BEGINS = 4096 };
-
 /** A query to the leader of the control boxes. */
 typedef struct leader_query leader_query_t;
 
@@ -364,8 +357,8 @@
     struct cds_list_head probes;   /* of forward_backend_probe.c */
     struct cds_list_head cleanups; /* of forward_query.c */
     quarantine_t *quarantine;
-    quarantine_t *parts;        /* the same for parts of prompts */
-    part_begin_t *part_begins;  /* PART_BEGINS of them, by key; a later part replaces an earlier one in its place */
+    quarantine_t *parts; /* the same for parts of prompts */
+    part_begins_t *part_begins;
     stream_versions_t *streams; /* streams of this box */
     bool knows_left_versions;   /* a leader has told which versions left lately */
     cap_shares_t *caps;
--- a/lib/forward/forward_parts.c
+++ b/lib/forward/forward_parts.c
@@ -11,14 +11,12 @@
 #include "common/mutant.h"
 #include "forward/forward_internal.h"
 
-/** A part that was written on well this long before a crash is not its cause. Short: it may crash back ends from some
- *  time on, after a release. */
-enum { BEGUN_BEFORE_MS = 1500 };
-
 /* ===== Keys ===== */
 
 unsigned parts_shared(const forward_t *f)
 {
+    if (!f->split)
+        return 0; /* back ends of plain services read no prompts */
     return f->facts.parts_n - (f->facts.parts_n > 0 && !f->facts.has_more_parts);
 }
 
@@ -57,18 +55,6 @@
 
 /* ===== Evidence ===== */
 
-static part_begin_t *begin_of(const forwarder_t *fw, uint64_t key)
-{
-    return &fw->part_begins[key % PART_BEGINS];
-}
-
-/** When the part was last written on well; 0: not lately, as far as is remembered. */
-static tc_time_t begun_at(const forwarder_t *fw, uint64_t key)
-{
-    const part_begin_t *const begin = begin_of(fw, key);
-    return begin->key == key ? begin->at : 0;
-}
-
 static void log_part(const forward_t *f, const char *event, unsigned i, const char *backend)
 {
     log_line_t line;
@@ -87,7 +73,7 @@
     bool cleared = false;
     for (unsigned i = 0; i < parts_shared(f); i++) {
         const uint64_t key = part_key(f, i);
-        *begin_of(fw, key) = (part_begin_t){.key = key, .at = now};
+        part_begins_add(fw->part_begins, key, now);
         if (quarantine_is_empty(fw->parts) || quarantine_crash_count(fw->parts, key, now) == 0)
             continue;
         log_part(f, "part_begun", i, f->call ? f->call->instance->listed.id : "");
@@ -112,8 +98,8 @@
 
 void parts_blame(forwarder_t *fw, const part_suspect_t *suspect, const char *backend, tc_time_t at)
 {
-    const tc_time_t begun = begun_at(fw, suspect->key);
-    if (begun == 0 || begun + BEGUN_BEFORE_MS < at)
+    tc_time_t begun;
+    if (!part_begins_clear(fw->part_begins, suspect->key, at, &begun))
         (void)quarantine_add_part_crash(fw->parts, suspect->key, suspect->by, backend, at, tc_time_now());
 }
 
@@ -123,8 +109,11 @@
     bool cleared = false;
     for (uint32_t i = 0; i < ack->suspects_n; i++) {
         const suspect_request_t *const s = &ack->suspects[i];
-        const tc_time_t begun = begun_at(fw, s->request), crashed = now - (tc_time_t)s->age_ms;
-        if (s->ends >= QUARANTINE_CRASH_LIMIT || begun == 0 || begun + BEGUN_BEFORE_MS < crashed)
+        const tc_time_t crashed = now - (tc_time_t)s->age_ms;
+        tc_time_t begun;
+        if (s->ends == 0 || !part_begins_clear(fw->part_begins, s->request, crashed, &begun))
+            continue;
+        if (s->ends >= QUARANTINE_CRASH_LIMIT && begun <= crashed)
             continue;
         quarantine_clear(fw->parts, s->request, MAX(begun, crashed));
         cleared = true;
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -385,7 +385,7 @@
 /** A request under which back ends have ended. */
 typedef struct {
     uint64_t request;
-    uint32_t ends; /**< number of such back ends, at most 3, from where on it is sent to none */
+    uint32_t ends; /**< number of such back ends, at most 3, from where on it is sent to none; 0: a part of prompts that was held and is released */
     uint64_t age_ms; /**< since the most recent one */
 } suspect_request_t;
 extern const codec_desc_t suspect_request_desc;
--- a/scripts/docs.py
+++ b/scripts/docs.py
@@ -43,7 +43,9 @@
         found |= set(re.findall(r'log_failure\([^,]+, "(\w+)"', text))
         found |= set(re.findall(r'log_hosting\(\w+, "(\w+)"', text))
         found |= set(re.findall(r'log_attempt_error\(\w+, "(\w+)"', text))
-        found |= set(re.findall(r'log_request\("(\w+)"', text))
+        found |= set(re.findall(r'log_part\(\w+, "(\w+)"', text))
+        for either in re.findall(r'log_entry\(\w+, "(\w+)", "(\w+)"', text):
+            found |= set(either)
         found |= set(re.findall(r'(?:forward_log|forward_log_end)\(\w+, "(\w+)"', text))
         for either in re.findall(r'log_begin\(&line, \w+ \? LOG_INFO : LOG_WARN, \w+ \? "(\w+)" : "(\w+)"\)', text):
             found |= set(either)
--- a/tests/platform/soak/engines.c
+++ b/tests/platform/soak/engines.c
@@ -275,6 +275,8 @@
     struct worker *const me = arg;
     if (g_str_has_prefix(request, "DELETE "))
         return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    if (g_str_has_prefix(request, "GET /kv-list"))
+        return reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"held\":[]}");
     char *const id = header_of(request, "Attempt-Id");
     char *const expected = header_of(request, "Expect-Instance");
     char *const stage = header_of(request, "Stage");
--- a/tests/platform/soak/fatal.c
+++ b/tests/platform/soak/fatal.c
@@ -8,7 +8,9 @@
 /* ===== Constants ===== */
 
 enum {
-    FATAL_REQUESTS = 3,
+    FATAL_REQUESTS = 4, /* the last is another one each time, with the same part in its prompt */
+    REQUEST_ENDS = 3,   /* workers that may crash under a request before it must be sent to none */
+    PART_ENDS = 5,      /* the same for a part of prompts */
     RETRY_MIN_MS = 100,
     RETRY_MAX_MS = 900,
     AGREEMENT_MS = 3000, /* boxes that were not disrupted for this long share what they know */
@@ -29,9 +31,10 @@
     lab_call_t *call;
     tc_time_t next_at;
     unsigned attempts;
-    unsigned ended;         /* workers that crashed */
-    tc_time_t third_end_at; /* when the third one crashed; 0: fewer did */
-    unsigned late;          /* sent to workers when all boxes had to know of the three crashes */
+    bool is_part;          /* a part of prompts crashes workers, not the request */
+    unsigned ended;        /* workers that crashed */
+    tc_time_t last_end_at; /* when the last one that is allowed crashed; 0: fewer did */
+    unsigned late;         /* sent to workers when all boxes had to know of these crashes */
 };
 
 struct fatal_callers {
@@ -43,7 +46,7 @@
 
 fatal_callers_t *fatal_create(world_t *w, web_client_t *client)
 {
-    static const kind_t kinds[FATAL_REQUESTS] = {KIND_RESUMABLE, KIND_SAFE, KIND_STREAM};
+    static const kind_t kinds[FATAL_REQUESTS] = {KIND_RESUMABLE, KIND_SAFE, KIND_STREAM, KIND_RESUMABLE};
     fatal_callers_t *const f = g_new0(fatal_callers_t, 1);
     f->world = w;
     f->client = client;
@@ -51,6 +54,7 @@
         f->list[i] = (struct fatal){.owner = f, .kind = kinds[i], .next_at = tc_time_now() + RETRY_MAX_MS};
         g_snprintf(f->list[i].name, sizeof(f->list[i].name), "fatal-%d", i);
     }
+    f->list[FATAL_REQUESTS - 1].is_part = true;
     w->fatal_callers = f;
     return f;
 }
@@ -71,15 +75,18 @@
 static void send_request(struct fatal *fatal)
 {
     world_t *const w = fatal->owner->world;
-    char addr[32], id[32];
+    char addr[32], id[32], body[40], prompt[64] = "";
     const int box = world_pick(w, WORLD_BOXES);
     world_addr(w, box, PORT_FRONT, addr);
     g_snprintf(id, sizeof(id), "%s.%u", fatal->name, fatal->attempts++);
     world_attempt(w, id)->box = 1 + (unsigned)box;
     arrivals_request(w, kind_is_stream(fatal->kind));
+    g_strlcpy(body, fatal->is_part ? id : fatal->name, sizeof(body));
+    if (fatal->is_part)
+        g_snprintf(prompt, sizeof(prompt), "Prompt-Prefix: a1:200,fa7a1:200,%x:100\r\n", fatal->attempts);
     char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n"
-                                       "Token-Count: 500,100\r\nContent-Length: %zu\r\n\r\n%s",
-                                       kind_paths[fatal->kind], id, strlen(fatal->name), fatal->name);
+                                       "Token-Count: 500,100\r\n%sContent-Length: %zu\r\n\r\n%s",
+                                       kind_paths[fatal->kind], id, prompt, strlen(body), body);
     fatal->call = lab_call(fatal->owner->client, addr, text);
     g_free(text);
 }
@@ -109,37 +116,48 @@
     return f->faults_ended_at > 0 && tc_time_now() - f->faults_ended_at >= CHECK_MS;
 }
 
+static unsigned ends_allowed(const struct fatal *fatal)
+{
+    return fatal->is_part ? PART_ENDS : REQUEST_ENDS;
+}
+
 void fatal_count(const fatal_callers_t *f, unsigned *ended, unsigned *late)
 {
     *ended = *late = 0;
     for (int i = 0; i < FATAL_REQUESTS; i++) {
         *ended += f->list[i].ended;
-        *late += f->list[i].ended > 3 ? f->list[i].ended - 3 : 0;
+        *late += f->list[i].ended > ends_allowed(&f->list[i]) ? f->list[i].ended - ends_allowed(&f->list[i]) : 0;
     }
 }
 
 struct fatal *fatal_find(world_t *w, const char *body)
 {
-    for (int i = 0; w->fatal_callers && i < FATAL_REQUESTS; i++)
-        if (strcmp(w->fatal_callers->list[i].name, body) == 0)
-            return &w->fatal_callers->list[i];
+    for (int i = 0; w->fatal_callers && i < FATAL_REQUESTS; i++) {
+        struct fatal *const fatal = &w->fatal_callers->list[i];
+        const size_t size = strlen(fatal->name);
+        if (strncmp(fatal->name, body, size) == 0 && body[size] == (fatal->is_part ? '.' : '\0'))
+            return fatal;
+    }
     return NULL;
 }
 
 void fatal_arrived(struct fatal *fatal)
 {
     const fatal_callers_t *const f = fatal->owner;
-    if (fatal->third_end_at == 0 || f->faults_ended_at == 0)
+    if (fatal->last_end_at == 0 || f->faults_ended_at == 0)
         return;
-    const tc_time_t known_at = MAX(fatal->third_end_at, f->faults_ended_at) + AGREEMENT_MS;
+    const tc_time_t known_at = MAX(fatal->last_end_at, f->faults_ended_at) + AGREEMENT_MS;
     if (tc_time_now() >= known_at && ++fatal->late > LATE_MAX)
-        world_fail(f->world, "a request that crashed three workers is sent to no other", fatal->name);
+        world_fail(f->world,
+                   fatal->is_part ? "a part of prompts that crashed five workers is sent to no other"
+                                  : "a request that crashed three workers is sent to no other",
+                   fatal->name);
 }
 
 void fatal_started(struct fatal *fatal)
 {
-    if (++fatal->ended == 3)
-        fatal->third_end_at = tc_time_now();
+    if (++fatal->ended == ends_allowed(fatal))
+        fatal->last_end_at = tc_time_now();
 }
 
 /* ===== Arrivals ===== */
--- a/tests/platform/soak/fatal.h
+++ b/tests/platform/soak/fatal.h
@@ -1,6 +1,7 @@
 /** @file fatal.h
- * The soak's fatal requests, which crash every worker that runs them, and the count of arrivals at workers beyond the
- * first of a request. Both are checked against the limits that the boxes guarantee.
+ * The soak's fatal requests, which crash every worker that runs them, or that begins to write on a part of their
+ * prompts, and the count of arrivals at workers beyond the first of a request. Both are checked against the limits that
+ * the boxes guarantee.
  */
 #ifndef TRACKCOVE_TESTS_SOAK_FATAL_H
 #define TRACKCOVE_TESTS_SOAK_FATAL_H
@@ -18,10 +19,10 @@
 void fatal_end_faults(fatal_callers_t *callers);
 /** Whether enough time has passed since the last fault for the check to have taken effect. */
 bool fatal_is_checked(const fatal_callers_t *callers);
-/** Number of workers that crashed in all (@p ended), and beyond the third of each request (@p late). */
+/** Number of workers that crashed in all (@p ended), and beyond those that are allowed (@p late). */
 void fatal_count(const fatal_callers_t *callers, unsigned *ended, unsigned *late);
 
-/** The fatal request with that body, or NULL. */
+/** The fatal request with that body, or the one with the fatal part that has it, or NULL. */
 struct fatal *fatal_find(world_t *world, const char *body);
 /** Notes that the request reached a worker. */
 void fatal_arrived(struct fatal *fatal);
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -131,8 +131,9 @@
         g_snprintf(last, sizeof(last), "Last-Event-Id: %u\r\nResumes: %s\r\n", c->stream->last, c->first_id);
     world_addr(w, c->box, PORT_FRONT, addr);
     char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n"
-                                       "Token-Count: 500,100\r\n%sContent-Length: %zu\r\n\r\n%s",
-                                       kind_paths[c->kind], c->id, last, strlen(c->name), c->name);
+                                       "Token-Count: 500,100\r\nPrompt-Prefix: a1:200,b%d:200,%s:100\r\n%s"
+                                       "Content-Length: %zu\r\n\r\n%s",
+                                       kind_paths[c->kind], c->id, c->kind, c->name, last, strlen(c->name), c->name);
     arrivals_request(w, kind_is_stream(c->kind));
     c->call = lab_call(s->client, addr, text);
     g_free(text);
@@ -575,7 +576,7 @@
     if (s->fatal_callers)
         fatal_count(s->fatal_callers, &ended, &late);
     printf("seed %u: %u requests, %u served, %u rejected as not executed, %u failed; %u runs of streams, %u truncated "
-           "within an event, %u aborted by clients, %u resumed; %u workers crashed, %u of them after the third; %u "
+           "within an event, %u aborted by clients, %u resumed; %u workers crashed, %u of them more than allowed; %u "
            "faults; at most %u requests at a plain worker; "
            "%u puts, %u reads, newest version %" G_GUINT64_FORMAT ": %s\n",
            seed, s->answered, s->served, s->refused, s->unknown - s->refused, w->runs, w->truncated, s->aborted,
