Tests of answers with neither a length nor chunks

Streams and plain answers that end with their connection: whole, cut at every byte of an event, reset, on a new and on a kept connection.

--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,7 +1,8 @@
 /** @file forward_lab.h
- * Fixture of test_forward.c, test_forward_attempts.c, test_forward_leader.c, test_stream_events.c,
- * test_stream_random.c, test_stream_silence.c, test_availability.c, test_evacuation.c, test_quarantine.c and
- * test_workspaces.c: an entry box over loopback, fake back ends with scripted answers, and callers.
+ * Fixture of test_unframed_answers.c, test_forward.c, test_forward_attempts.c, test_forward_leader.c,
+ * test_stream_events.c, test_stream_random.c, test_stream_silence.c, test_availability.c, test_evacuation.c,
+ * test_quarantine.c and test_workspaces.c: an entry box over loopback, fake back ends with scripted answers, and
+ * callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -29,8 +30,8 @@
     const char *replies; /* one letter per request, see answer() */
     unsigned at;         /* index of the next reply */
     GString *seen;       /* all requests, concatenated */
-    const char *stream;  /* events sent by the replies 'q', 'R' and 'Q' */
-    size_t stream_size;  /* bytes of them that 'q' and 'R' send before they stall or reset */
+    const char *stream;  /* events sent by the replies 'q', 'R', 'Q', 'K' and 'J' */
+    size_t stream_size;  /* bytes of them that 'q', 'R', 'K' and 'J' send before they stall or end */
     const char *load;    /* stated in each answer, e.g. "1,0,8" or "1,0,8,250"; NULL: none */
     struct fixture *fixture;
 } plan_t;
@@ -89,6 +90,14 @@
     return (lab_reply_t){.bytes = bytes, .end = LAB_KEEP};
 }
 
+/** An answer with neither a length nor chunks. */
+static lab_reply_t reply_unframed(const char *body, size_t size, lab_end_t end)
+{
+    char *const bytes =
+        g_strdup_printf("HTTP/1.1 200 OK\r\n" SEAL "Content-Type: text/event-stream\r\n\r\n%.*s", (int)size, body);
+    return (lab_reply_t){.bytes = bytes, .end = end};
+}
+
 /** The first bytes of an answer at once, the rest after @p wait ms. */
 static lab_reply_t reply_slowly(lab_reply_t reply, size_t first, tc_time_t wait)
 {
@@ -179,6 +188,11 @@
     case 'q': return reply_stream_part(plan->stream, plan->stream_size, LAB_HANG);
     case 'R': return reply_stream_part(plan->stream, plan->stream_size, LAB_RESET);
     case 'Q': return reply_stream(plan->stream);
+    case 'K': /* stream_size bytes of the stream, which ends with its connection */
+        return reply_unframed(plan->stream, plan->stream_size, LAB_CLOSE);
+    case 'J': /* the same, reset */ return reply_unframed(plan->stream, plan->stream_size, LAB_RESET);
+    case 'y': return reply_unframed("ok", 2, LAB_CLOSE);
+    case 'Y': return reply_unframed("ok", 2, LAB_RESET);
     case 'U': /* continues after the first event */
         return reply_bytes(STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", LAB_KEEP);
     default: g_assert_not_reached();
