Tests judge a leader's promises by its own word on its lease

On a loaded machine a leader that stands still loses its lease; a call of the operators then got 503 where 200 was expected, and the soak's check of slots took boxes that chose by themselves for boxes in touch. The leader counts lapses now (trackcove_cluster_lease_lapses_total, beside the lease_lapsed line). The calls are repeated when the counter grew during a 503, and the soak repeats its load for slots when the log tells of a lapse, six times at most; what is required of answers and slots is the same.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -8,6 +8,8 @@
 #include "common/counter.h"
 #include "common/log.h"
 
+COUNTER_DEFINE(c_lapses, "counter", "trackcove_cluster_lease_lapses_total",
+               "Times that this box led and had no majority's answer that is young enough")
 COUNTER_DEFINE(c_accepted, "counter", "trackcove_cluster_documents_accepted_total", "Documents accepted by the log")
 COUNTER_DEFINE(c_snapshots, "counter", "trackcove_cluster_snapshots_total", "Snapshots of the document written")
 COUNTER_DEFINE(c_version, "gauge", "trackcove_cluster_document_version", "Newest accepted version this box knows")
@@ -41,6 +43,7 @@
 /** Log the local causes of a lapsed lease: the longest turn of the event loop, and what waits to be sent. */
 static void log_lease_lapse(const replica_t *r, const char *event, tc_time_t now)
 {
+    counter_add(&c_lapses, 1);
     const loop_callback_time_t turn = loop_longest_callback(r->loop);
     const peer_backlog_t waiting = peer_backlog(r->net, now);
     const tc_time_t age = raft_quorum_age(r->raft, now);
--- a/tests/platform/soak/plain.h
+++ b/tests/platform/soak/plain.h
@@ -16,6 +16,8 @@
  *  allowed when it granted slots there, by its log, and two that boxes sent by their own choice.
  *  @param since wall clock, ms: start of the leader's lines that count */
 void plain_check(world_t *world, int64_t since);
+/** Whether the log of a control program tells of a lease that lapsed. @param since wall clock, ms */
+bool plain_has_lapsed(const world_t *world, int64_t since);
 /** Drops the requests of a worker that has crashed. */
 void plain_restart(struct worker *worker);
 
