Streams of callers who name no attempt are not refused by boxes that have just started

It can wait for that word as with a name, since the word is which versions left lately. It waits half a second now instead of a second, and then goes by its list.

--- a/lib/forward/forward_version.c
+++ b/lib/forward/forward_version.c
@@ -26,9 +26,9 @@
     REPORTED_MS = 400,
     /* Without a newer list, or word of the leader, for this long, another version may serve elsewhere. */
     LIST_CURRENT_MS = 2000,
-    /* How long a stream waits for the first answer of a leader to a box that has just started: an election takes about
-       a second. After it the box goes by its own list. */
-    FIRST_CONTACT_MS = 1000,
+    /* How long a stream waits for the first answer of a leader to a box that has just started. After it the box goes by
+       its own list. */
+    FIRST_CONTACT_MS = 500,
     /* Retry-After of a stream whose version is not known: boxes may have reported it by then. */
     RETRY_UNKNOWN_MS = 300,
     /* Retry-After of a stream of which no version is left: another attempt is of no use soon. */
--- a/lib/forward/version_step.c
+++ b/lib/forward/version_step.c
@@ -10,5 +10,6 @@
         return VERSION_ANY;
     if (v->names_attempt && v->can_ask && !v->was_asked)
         return VERSION_ASK;
-    return v->names_attempt && v->may_wait ? VERSION_WAIT : VERSION_REFUSE;
+    const bool may_help = v->names_attempt || v->versions <= 1; /* word of the stream, or that there is one version */
+    return may_help && v->may_wait ? VERSION_WAIT : VERSION_REFUSE;
 }
--- a/tests/random/test_stream_versions_random.c
+++ b/tests/random/test_stream_versions_random.c
@@ -23,7 +23,7 @@
     SYNC_MS = 50,
     LIST_LAG_MS = 300,
     CURRENT_MS = 2000,
-    FIRST_CONTACT_MS = 1000,
+    FIRST_CONTACT_MS = 500,
     REPORTED_MS = 400,
     ELECTION_MS = 1200,
     TAKE_UP_MS = 8000, /* streams are taken up until then */
