Parts of prompts count against a request only once they are held

A part that was only suspected made all requests with it suspect: they were kept from each other, and those whose back end ended were not tried again.

--- a/lib/forward/forward_end.c
+++ b/lib/forward/forward_end.c
@@ -128,6 +128,8 @@
 
 unsigned forward_crash_count(const forward_t *f)
 {
-    const unsigned own = quarantine_crash_count(f->owner->quarantine, f->fingerprint, tc_time_now());
-    return MAX(own, parts_crash_count(f));
+    /* Parts that are only suspected do not count: many sound requests share them, and would avoid each other. */
+    if (parts_are_held(f))
+        return QUARANTINE_CRASH_LIMIT;
+    return quarantine_crash_count(f->owner->quarantine, f->fingerprint, tc_time_now());
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -537,8 +537,8 @@
 
 /** Number of parts of the prompt that other requests may share: all but the last. */
 unsigned parts_shared(const forward_t *f);
-/** Number of back ends that ended when a part of the prompt was to be written on, at most QUARANTINE_CRASH_LIMIT. */
-unsigned parts_crash_count(const forward_t *f);
+/** Whether a part of the prompt is held. */
+bool parts_are_held(const forward_t *f);
 /** Time for which a part of the prompt is still held, ms; 0 when none is. */
 tc_time_t parts_remaining_ms(const forward_t *f);
 /** The run of the request has begun to write: its parts crash nothing. */
--- a/lib/forward/forward_parts.c
+++ b/lib/forward/forward_parts.c
@@ -31,16 +31,14 @@
     return key ? key : 1;
 }
 
-unsigned parts_crash_count(const forward_t *f)
+bool parts_are_held(const forward_t *f)
 {
-    unsigned most = 0;
     if (quarantine_is_empty(f->owner->parts) || MUTANT_IS(MUTANT_FORGET_PARTS))
-        return 0;
-    for (unsigned i = 0; i < parts_shared(f); i++) {
-        const unsigned crashes = quarantine_crash_count(f->owner->parts, part_key(f, i), tc_time_now());
-        most = MAX(most, crashes);
-    }
-    return most;
+        return false;
+    for (unsigned i = 0; i < parts_shared(f); i++)
+        if (quarantine_crash_count(f->owner->parts, part_key(f, i), tc_time_now()) >= QUARANTINE_CRASH_LIMIT)
+            return true;
+    return false;
 }
 
 tc_time_t parts_remaining_ms(const forward_t *f)
