Forward: what concerns versions and parts of prompts is declared beside the internal header

The internal header and the leader's scheduler host had grown by both; forward_version.h, forward_parts.h and leader_streams.c hold it now. No change of behaviour.

--- a/lib/cluster/leader_sched.c
+++ b/lib/cluster/leader_sched.c
@@ -10,6 +10,7 @@
 #include "cluster/leader_engines.h"
 #include "cluster/leader_log.h"
 #include "cluster/leader_slots.h"
+#include "cluster/leader_streams.h"
 #include "common/counter.h"
 #include "common/feature.h"
 #include "common/log.h"
@@ -487,20 +488,6 @@
     sched_progress(l->sched, progress, now);
 }
 
-static void on_stream_find(const leader_sched_t *l, peer_call_t call, const msg_stream_find_t *find, tc_time_t now)
-{
-    const char *const version = l->streams ? stream_versions_find(l->streams, find->stream, now) : NULL;
-    msg_stream_found_t found = {0};
-    codec_copy_string(found.version, sizeof(found.version), version ? version : "");
-    log_line_t line;
-    log_begin(&line, LOG_INFO, "stream_found");
-    log_str(&line, "request", find->id);
-    log_hash(&line, "stream", find->stream);
-    log_str(&line, "version", found.version);
-    log_end(&line);
-    peer_reply(l->net, call, MSG_STREAM_FOUND, &found);
-}
-
 bool leader_sched_handles_type(uint32_t type)
 {
     return type == MSG_PLACE || type == MSG_REPLAN || type == MSG_PROGRESS || type == MSG_RENEW || type == MSG_RETRY ||
@@ -524,7 +511,7 @@
     case MSG_PLACE: on_place(l, call, message, now); break;
     case MSG_RETRY: on_retry(l, call, message, now); break;
     case MSG_TAKE_LIMIT: on_take_limit(l, call, message, now); break;
-    case MSG_STREAM_FIND: on_stream_find(l, call, message, now); break;
+    case MSG_STREAM_FIND: leader_streams_answer(l->streams, l->net, call, message, now); break;
     case MSG_REPLAN: sched_replan(l->sched, message, token, now); break;
     case MSG_PROGRESS: on_progress(l, message, now); break;
     default: on_renew(l, call, message, now); break;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -18,8 +18,8 @@
  *   forward_backend_probe.c  liveness probes of back ends whose answer was lost
  *   forward_slot.c    slots of plain back ends, granted by the leader
  *   forward_limit.c   rate limits of back ends, shared by all boxes
- *   forward_version.c  software version that a stream is bound to
- *   forward_parts.c   parts of prompts that crash back ends
+ *   forward_version.c  software version that a stream is bound to; declared in forward_version.h
+ *   forward_parts.c   parts of prompts that crash back ends; declared in forward_parts.h
  *   forward_notice.c  availability notices and stated loads in answers of back ends
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -34,6 +34,8 @@
 #include "common/box_count.h"
 #include "forward/dialect.h"
 #include "forward/forward.h"
+#include "forward/forward_parts.h"
+#include "forward/forward_version.h"
 #include "forward/part_begins.h"
 #include "forward/reasons.h"
 #include "forward/service_time.h"
@@ -125,7 +127,7 @@
 } stream_run_t;
 
 /** One call to one back end. */
-typedef struct {
+typedef struct backend_call {
     forward_t *request;
     dialect_op_t op;
     instance_t *instance;
@@ -143,15 +145,6 @@
     tc_time_t began;
 } backend_call_t;
 
-/** A part of a prompt that may be the cause of a crash. */
-typedef struct {
-    uint64_t key;
-    uint64_t by; /* fingerprint of the request that had it */
-} part_suspect_t;
-
-/** Of one request at most. */
-enum { PART_SUSPECTS_MAX = DIALECT_PARTS_MAX };
-
 /** A query to the leader of the control boxes. */
 typedef struct leader_query leader_query_t;
 
@@ -258,15 +251,6 @@
     unsigned tokens;      /* cached there */
 } locate_t;
 
-/** The software version that a stream is bound to, which wrote its first event. */
-typedef struct {
-    char name[CODEC_STR_SIZE]; /* "": none, so that any may run it */
-    bool is_resolved;          /* it is known whether an earlier attempt bound it, and to which version */
-    leader_query_t *query;     /* in flight, or NULL */
-    bool was_asked;            /* it did not know the stream, or did not answer */
-    tc_time_t unknown_since;   /* when it first did not know the stream; 0: never */
-} stream_binding_t;
-
 /** A prefill result that waits for a decode engine. */
 typedef struct {
     instance_t *instance; /* engine that stores it; NULL: no result */
@@ -509,48 +493,6 @@
 /** Ends all probes, before the forwarder is destroyed. */
 void probes_destroy(forwarder_t *fw);
 
-/* ===== forward_version.c ===== */
-
-/** Finds out which version a stream that its caller takes up again is bound to, and ends it when that is unknown among
- *  several, or no back end of it is left. @return false when the request goes on at once; otherwise forward_continue or
- *  forward_fail follows */
-bool version_resolve(forward_t *f);
-/** The version that back ends of the request must have; NULL: any. */
-const char *version_required(const forward_t *f);
-/** Binds the stream to the version of the back end that wrote its first event. */
-void version_bind(forward_t *f, const instance_t *instance);
-/** Whether the request is bound to one of several versions that serve. */
-bool version_restricts(const forward_t *f);
-/** Waits for a back end of the stream's version while all of them are away and some are expected to return.
- *  @return whether forward_continue or forward_fail follows */
-bool version_wait(forward_t *f);
-/** Until when a stream that is bound may wait for an answer, or for a back end. */
-tc_time_t version_wait_until(const forward_t *f);
-/** Drops the query to the leader. */
-void version_cancel(forward_t *f);
-/** Fills in the streams of a report; list for free(). */
-void version_fill_report(forwarder_t *fw, msg_report_t *report);
-/** The leader has answered that report. @return whether another one should follow at once */
-bool version_confirm_report(forwarder_t *fw, const msg_report_ack_t *ack);
-
-/* ===== forward_parts.c ===== */
-
-/** Number of parts of the prompt that other requests may share: all but the last. */
-unsigned parts_shared(const forward_t *f);
-/** Whether a part of the prompt is held. */
-bool parts_are_held(const forward_t *f);
-/** Time for which a part of the prompt is still held, ms; 0 when none is. */
-tc_time_t parts_remaining_ms(const forward_t *f);
-/** The run of the request has begun to write: its parts crash nothing. */
-void parts_begun(const forward_t *f);
-/** Lists the parts that may be the cause if the back end of the call has ended: none if the request has had events.
- *  @param suspects room for PART_SUSPECTS_MAX @return their number */
-unsigned parts_list_suspects(const backend_call_t *call, part_suspect_t *suspects);
-/** Counts the end of a back end against a part, unless that was written on well just before or since. */
-void parts_blame(forwarder_t *fw, const part_suspect_t *suspect, const char *backend, tc_time_t at);
-/** Applies the suspect parts in a leader's answer to a report. @return whether another report should follow at once */
-bool parts_take_ack(forwarder_t *fw, const msg_report_ack_t *ack);
-
 /* ===== forward_notice.c ===== */
 
 /** Applies the availability notice and the stated load in the head of an answer to its back end. */
