A box learns which versions left before it goes on with requests that waited for its list

Its requests waited for the list, and went on from within the message that brought it, before the same message's word on versions that had left was applied, so that one version seemed to serve. That word is applied first now.

--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -153,6 +153,8 @@
     }
     const msg_report_ack_t *const ack = message;
     r->failed = 0;
+    if (ack->leads && r->events.take_versions)
+        r->events.take_versions(r->events.arg, ack);
     lists_take_ack(r, ack, query.asked);
     if (ack->leads && r->quarantine && quarantine_confirm_report(r->quarantine, ack->quarantine.term))
         r->report_due = true;
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -34,6 +34,8 @@
     void (*on_loads)(void *arg, const backend_load_t *loads, uint32_t n, bool partial);
     /** Fill in what back ends' answers have shown: limits, limits_hash, limits_used, notices. */
     void (*fill_report)(void *arg, msg_report_t *report);
+    /** A leader has answered, before its lists are taken over: versions of back ends that have left them. */
+    void (*take_versions)(void *arg, const msg_report_ack_t *ack);
     /** A leader has answered that report: take over its limits. @return whether to report again at once */
     bool (*take_limits)(void *arg, const msg_report_ack_t *ack);
     /** @return what this box has in flight, to be freed with free */
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -70,6 +70,9 @@
  * suspect parts of prompts and, while services have several versions, streams of the report. The arrays are for free().
  */
 void forwarder_fill_report(forwarder_t *forwarder, msg_report_t *report);
+/** Applies the versions of back ends that have left, in a leader's answer to a report. Call before its lists are
+ * applied: requests that waited for a list continue then. */
+void forwarder_take_versions(forwarder_t *forwarder, const msg_report_ack_t *ack);
 /** Applies the limits in a leader's answer to a report. @return whether another report should follow at once */
 bool forwarder_apply_limits(forwarder_t *forwarder, const msg_report_ack_t *ack);
 /** Number of requests in flight. */
--- a/lib/forward/forward_version.c
+++ b/lib/forward/forward_version.c
@@ -216,13 +216,15 @@
     stream_versions_fill_report(fw->streams, shares, &report->streams, &report->streams_n, now);
 }
 
-bool version_confirm_report(forwarder_t *fw, const msg_report_ack_t *ack)
+void forwarder_take_versions(forwarder_t *fw, const msg_report_ack_t *ack)
 {
     const tc_time_t now = tc_time_now();
-    for (uint32_t i = 0; i < ack->left_versions_n; i++) {
-        const left_version_t *const left = &ack->left_versions[i];
-        fleet_add_left_version(fw->fleet, left, now);
-    }
+    for (uint32_t i = 0; i < ack->left_versions_n; i++)
+        fleet_add_left_version(fw->fleet, &ack->left_versions[i], now);
     fw->knows_left_versions = fw->knows_left_versions || ack->finds_streams;
+}
+
+bool version_confirm_report(forwarder_t *fw, const msg_report_ack_t *ack)
+{
     return stream_versions_confirm_report(fw->streams, ack->quarantine.term);
 }
--- a/tests/platform/entries_lab.h
+++ b/tests/platform/entries_lab.h
@@ -50,6 +50,11 @@
     forwarder_fill_report(((entry_t *)arg)->forwarder, report);
 }
 
+static void take_versions(void *arg, const msg_report_ack_t *ack)
+{
+    forwarder_take_versions(((entry_t *)arg)->forwarder, ack);
+}
+
 static bool take_limits(void *arg, const msg_report_ack_t *ack)
 {
     return forwarder_apply_limits(((entry_t *)arg)->forwarder, ack);
@@ -125,6 +130,7 @@
                                         .caps = forwarder_caps(e->forwarder)};
     events.on_document = on_document;
     events.fill_report = fill_report;
+    events.take_versions = take_versions;
     events.take_limits = take_limits;
     events.arg = e;
     e->reporter = reporter_create(lab->f.loop, &e->self, &reports, &events, &err);
