A part of prompts is held only by the judgement that has heard all boxes

The leader's list gave a part with three ends as held before it had settled, boxes held it by that, and reported it back as held; and a box judged by itself the ends that the leader had confirmed, of which others had cleared some. A part shows two ends at most until it is held, and what a leader has confirmed only the leader judges; a box without a leader goes on by itself.

--- a/lib/cluster/quarantine.c
+++ b/lib/cluster/quarantine.c
@@ -270,6 +270,11 @@
     mark_changed(q, e, 0);
 }
 
+unsigned quarantine_unheld_limit(const quarantine_t *q)
+{
+    return q->of_parts ? QUARANTINE_CRASH_LIMIT - 1 : QUARANTINE_CRASH_LIMIT;
+}
+
 /** Holds the request by its settled crashes, or releases it when its time is over. */
 static void judge(quarantine_t *q, suspect_t *e, tc_time_t now)
 {
@@ -278,6 +283,8 @@
             release(q, e, now);
         return;
     }
+    if (q->of_parts && e->seq <= q->confirmed_seq)
+        return; /* the leader judges it, which knows what other boxes have cleared */
     if (quarantine_count_crashes(q, e, true, now) < QUARANTINE_CRASH_LIMIT || is_outweighed(q, e))
         return;
     hold(q, e, quarantine_suspect_crash(e, e->crashes->len - 1)->crash.at);
@@ -313,7 +320,7 @@
     const unsigned own = e && e->seq > q->confirmed_seq ? quarantine_count_crashes(q, e, false, now) : 0;
     const suspect_request_t *const listed = find_suspect(q, request);
     const unsigned crashes = listed && listed->ends > own ? listed->ends : own;
-    return MIN(crashes, QUARANTINE_CRASH_LIMIT);
+    return MIN(crashes, quarantine_unheld_limit(q));
 }
 
 tc_time_t quarantine_remaining_ms(quarantine_t *q, uint64_t request, tc_time_t now)
--- a/lib/cluster/quarantine_internal.h
+++ b/lib/cluster/quarantine_internal.h
@@ -73,6 +73,9 @@
 
 /** @return the @p i th crash of the suspect, oldest first */
 suspect_crash_t *quarantine_suspect_crash(const suspect_t *suspect, guint i);
+/** @return number of crashes that an entry may show while it is not held. A part counts as held only once it is judged;
+ *  of a request, the third crash is enough */
+unsigned quarantine_unheld_limit(const quarantine_t *q);
 /** @return number of crashes that count against the suspect. @param settled count only those that have settled */
 unsigned quarantine_count_crashes(const quarantine_t *q, const suspect_t *suspect, bool settled, tc_time_t now);
 
--- a/lib/cluster/quarantine_sync.c
+++ b/lib/cluster/quarantine_sync.c
@@ -130,7 +130,8 @@
         const unsigned crashes =
             e->held_since > 0 ? QUARANTINE_CRASH_LIMIT : quarantine_count_crashes(q, e, false, now);
         const suspect_request_t s = {.request = e->request,
-                                     .ends = MIN(crashes, QUARANTINE_CRASH_LIMIT),
+                                     .ends = e->held_since > 0 ? QUARANTINE_CRASH_LIMIT
+                                                               : MIN(crashes, quarantine_unheld_limit(q)),
                                      .age_ms = (uint64_t)(now - e->updated_at)};
         if (crashes > 0 || e->released)
             g_array_append_val(q->suspects, s);
