--- a/review/lab.py
+++ b/review/lab.py
@@ -146,7 +146,7 @@
                 body = await read_body(reader, head[1])
                 if not await handler(head[0], head[1], body, reader, writer):
                     break
-        except (OSError, ValueError, asyncio.IncompleteReadError, ConnectionError):
+        except (OSError, ValueError, asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -409,6 +409,87 @@
         return True
 
 
+class Engine(Worker):
+    """A model worker: reads prompts (`stage` prefill) or streams answers (decode)."""
+
+    def __init__(self, lab, service, worker_id, ip_index, stage, **more):
+        super().__init__(lab, service, worker_id, ip_index, slots=128, **more)
+        self.stage = self.entry["stage"] = stage
+        self.entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
+        self.read_ms, self.first_ms, self.gap_ms, self.pieces = 60, 30, 30, 20
+        self.made = 0
+        self.orders, self.call_seq = [], 0
+        self.writers = set()
+
+    async def handle(self, line, headers, body, reader, writer):
+        method, target, _ = line.split(" ")
+        if target == "/report":
+            respond_json(writer, 200, {"stage": self.stage, "models": self.entry["models"], "busy": False,
+                                       "call_seq": self.call_seq, "waiting": 0, "running": self.running, "kv_used": 0,
+                                       "kv_total": 53213, "handles": 0, "pinned": 0, "held": 0, "next_token": 0,
+                                       "runs": []})
+            return True
+        if target == "/hold-take":
+            self.made += 1
+            self.lab.note("hold taken at %s" % self.id)
+            respond_json(writer, 200, {"hold": "%012x" % self.made})
+            return True
+        if target == "/kv-list":
+            respond_json(writer, 200, {"epoch": 1, "next_token": 0, "held": []})
+            return True
+        if target == "/order":
+            self.orders.append((self.lab.now(), json.loads(body)))
+            self.lab.note("order at %s: %s" % (self.id, body.decode()))
+            respond_json(writer, 200, {})
+            return True
+        if method == "DELETE":
+            respond(writer, 200)
+            return True
+        return await super().handle(line, headers, body, reader, writer)
+
+    async def run(self, attempt, target, headers, body, writer):
+        if header(headers, "Stage") == "prefill":
+            if self.stage != "prefill":
+                respond(writer, 421, [("Attempt-Id", attempt), ("Not-Executed", "1")])
+                return True
+            self.made += 1
+            handle = "%012x" % (self.made + 1000)
+            self.lab.note("prompt of %s read at %s" % (attempt, self.id))
+            await asyncio.sleep(self.read_ms / 1000)
+            text = json.dumps({"prefill_handle": handle, "tokens": 100, "version": 1}).encode()
+            respond(writer, 200, [("Attempt-Id", attempt), ("Content-Type", "application/json")], text)
+            return True
+        if self.stage != "decode":
+            respond(writer, 421, [("Attempt-Id", attempt), ("Not-Executed", "1")])
+            return True
+        self.running += 1
+        self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        last = int(header(headers, "Last-Event-Id") or 0)
+        self.lab.note("run %s at %s after event %d" % (attempt, self.id, last))
+        self.writers.add(writer)
+        try:
+            await asyncio.sleep(self.first_ms / 1000)
+            writer.write(("HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: 3e1b.07.5a2.0.0.c9f2a4d1\r\nVersions: 1\r\n"
+                          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" % attempt).encode())
+            for piece in range(last + 1, self.pieces + 1):
+                event = ("id: %d\ndata: piece %d by %s\n\n" % (piece, piece, self.id)).encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(self.gap_ms / 1000)
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+            self.writers.discard(writer)
+        return True
+
+    async def crash(self):
+        """Ends: the port refuses, and all channels are reset."""
+        self.lab.note("worker %s crashes" % self.id)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
 def main(folder, scenario, limit=110.0, **options):
     """Runs `scenario(lab, trouble)`, which returns a list of violations, and exits as the review asks."""
     trouble = os.environ.get("TROUBLE") != "0"
