--- a/review/lab.py
+++ b/review/lab.py
@@ -14,7 +14,8 @@
 import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-BIN = os.path.join(ROOT, "target", "bin")  # where the build command of deploy/system.toml puts the programs
+# Where the build command of deploy/system.toml puts the programs, else where `make platform` does
+BIN = next((d for d in ("target/bin", "build/bin") if os.path.exists(os.path.join(ROOT, d, "trackcove-forwardd"))), "")
 ZONES = ["z-a", "z-b", "z-c"]
 OFFSETS = {"front": 0, "ready": 1, "directory": 2, "control": 3}
 INTERNAL, PLATFORM, WORKER = 10, 30, 31  # offsets of other ports
@@ -181,7 +182,7 @@
         env["TRACKCOVE_CONFIG"] = self.settings
         self.stopping = False
         with open(self.log, "ab") as out:
-            self.proc = subprocess.Popen(["target/bin/" + self.program], cwd=ROOT, env=env, stdout=out, stderr=out,
+            self.proc = subprocess.Popen([os.path.join(BIN, self.program)], cwd=ROOT, env=env, stdout=out, stderr=out,
                                          stdin=subprocess.DEVNULL)
         self.lab.note("start %s pid %d" % (os.path.basename(self.settings), self.proc.pid))
 
@@ -194,8 +195,8 @@
 
 
 class Lab:
-    def __init__(self, folder, boxes=3, disks=3, rate=44.0, extra_settings=None):
-        if not os.path.exists(os.path.join(BIN, "trackcove-forwardd")):
+    def __init__(self, folder, boxes=3, disks=3, extra_settings=None):
+        if not BIN:
             raise CannotRun("the programs are not built: run the build command of deploy/system.toml")
         self.folder = folder
         self.record = open(os.path.join(folder, "record.txt"), "w")
@@ -497,6 +498,7 @@
     trouble = os.environ.get("TROUBLE") != "0"
     code = 2
     lab = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended all the same
     try:
         lab = Lab(folder, **options)
         violations = asyncio.run(asyncio.wait_for(scenario(lab, trouble), limit))
