A loss of power amid unsynced records no longer keeps a control box out

Callers saw: after a control box lost power while it wrote a change, its process ended at each start ("checksum or record is wrong"). A second loss of this kind on the next leader left no majority: operators got 503 and the acknowledged configuration could not be read.

Cause: several records are written before one sync, so a loss of power leaves any mix of them. The reader took a missing record before one that is there for corruption. It could not do better, since nothing told which records a sync had covered.

Change: each record states the index from which on nothing was synced when it was written, and a small file, the sync mark, up to where the log is synced. The log ends before the first unsynced record that is not whole, with a line `log_tail_dropped`; damage of a synced record stays an error that names file and offset. Found on the way and part of the same promise: removals of records are synced before anything is appended (removed records could stand behind new ones), and a log is synced when it is opened (records that a killed process never synced were relied on).

Two tests cut a synced record and asked for the log to open without it, which loses an acknowledged entry. They tear a record that was not synced now, and a new test asks for an error where a synced one is cut at any of 40 places.

Why it works: a record can only be taken for a lost write when neither the mark nor any later record says that a sync covered it, and both are written after the sync that they speak of. The cost is 1 to 9 bytes a record and one write of 20 bytes a sync, none of them synced.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,14 @@
 	@echo "  so  $@"
 	@$(CC) -std=gnu11 -O2 -D_GNU_SOURCE $(WARN) -shared -fPIC $< -o $@
 
+# Linked into the test, and preloaded into programs of the soak.
+POWER_SHIM = $(BUILD)/tests/shim/power.so
+$(POWER_SHIM): tests/shim/power.c tests/shim/power.h
+	@mkdir -p $(@D)
+	@echo "  so  $@"
+	@$(CC) -std=gnu11 -O2 -D_GNU_SOURCE $(WARN) -Itests -shared -fPIC $< -o $@
+$(BUILD)/tests/random/test_store_random: $(BUILD)/tests/shim/power.o
+
 $(BUILD)/tests/platform/test_suspended: | $(SHIM)
 # Runs the command.
 $(BUILD)/tests/platform/test_admission_command: | $(BUILD)/bin/trackcove
--- a/lib/control/store.c
+++ b/lib/control/store.c
@@ -38,14 +38,19 @@
 {
     assert(entry->index == s->first + s->offsets->len - 1); /* the log on disk has no gaps */
     TC_CHECK(rewrite_unsynced(s, err));
+    const log_record_t record = {.term = entry->term,
+                                 .index = entry->index,
+                                 .kind = entry->kind,
+                                 .data = entry->data,
+                                 .data_n = entry->data_n,
+                                 .unsynced_from = s->synced_index + 1};
     size_t size;
-    char *const payload = codec_pack_bytes(&log_entry_desc, entry, &size);
+    char *const payload = codec_pack_bytes(&log_record_desc, &record, &size);
     const record_header_t header = store_make_header(payload, (uint32_t)size);
     const guint before = s->unsynced->len;
     g_byte_array_append(s->unsynced, (const guint8 *)&header, sizeof(header));
     g_byte_array_append(s->unsynced, (const guint8 *)payload, (guint)size);
     free(payload);
-    /* Header and payload in one write, so that a crash tears at most this record. */
     const ssize_t whole = (ssize_t)(sizeof(header) + size);
     const ssize_t n = write(s->log_fd, s->unsynced->data + before, (size_t)whole);
     if (n != whole) {
@@ -64,21 +69,25 @@
 int store_truncate(store_t *s, uint64_t from, tc_err_t *err)
 {
     assert(from >= s->first && from < s->first + s->offsets->len); /* only existing records can be removed */
+    TC_CHECK(store_lower_mark(s, from - 1, err));
     g_array_set_size(s->offsets, (guint)(from - s->first + 1));
     const off_t end = *store_end_offset(s);
     s->synced = s->synced < end ? s->synced : end;
+    s->synced_index = s->synced_index < from ? s->synced_index : from - 1;
     g_byte_array_set_size(s->unsynced, (guint)(end - s->synced));
     s->dirty = true;
-    if (ftruncate(s->log_fd, end) == 0)
-        return TC_OK;
-    s->needs_rewrite = true;
-    return store_io_err(err, "truncate", s->log_path);
+    if (!s->needs_rewrite && ftruncate(s->log_fd, end) != 0) {
+        s->needs_rewrite = true;
+        return store_io_err(err, "truncate", s->log_path);
+    }
+    /* Synced before anything is appended: else a loss of power could leave removed records behind new ones. */
+    return store_sync(s, err);
 }
 
 int store_sync(store_t *s, tc_err_t *err)
 {
     if (!s->dirty)
-        return TC_OK;
+        return store_raise_mark(s, err);
     TC_CHECK(rewrite_unsynced(s, err));
     if (fdatasync(s->log_fd) != 0) {
         s->needs_rewrite = true;
@@ -86,8 +95,9 @@
     }
     s->dirty = false;
     s->synced = *store_end_offset(s);
+    s->synced_index = store_last_index(s);
     g_byte_array_set_size(s->unsynced, 0);
-    return TC_OK;
+    return store_raise_mark(s, err);
 }
 
 /** Write a new segment under a temporary name and rename it once it is synced.
@@ -112,7 +122,7 @@
 {
     if (first == s->first)
         return TC_OK; /* no older records to drop */
-    const uint64_t next = s->first + s->offsets->len - 1;
+    const uint64_t next = store_last_index(s) + 1;
     const off_t to = *store_end_offset(s);
     const off_t from = first < next ? g_array_index(s->offsets, off_t, first - s->first) : to;
     const size_t size = (size_t)(to - from);
@@ -136,6 +146,7 @@
     s->log_fd = fd;
     s->first = first;
     s->synced = end;
+    s->synced_index = store_last_index(s);
     codec_copy_string(s->log_path, sizeof(s->log_path), path);
     return TC_OK;
 }
--- a/lib/control/store.h
+++ b/lib/control/store.h
@@ -3,14 +3,19 @@
  *
  *   identity            64-bit number, never 0, that identifies this data directory, with a checksum
  *   meta                term and vote, with a checksum
- *   log-INDEX           records from INDEX on: length, checksum, log_entry
+ *   log-INDEX           records from INDEX on: length, checksums, log_record
+ *   synced              index up to which the log is synced, with a checksum
  *   snapshot-INDEX      members and state up to INDEX, with a checksum
  *   quarantine, backends   blobs written by store_save_blob, with a checksum
  *
  * A file other than a log segment is replaced by writing a new one, syncing it,
- * renaming it and syncing the directory. A torn last record is truncated at start;
- * with any other record whose checksum is wrong the store does not open, and the
- * error names file and offset.
+ * renaming it and syncing the directory. After a loss of power each record that was
+ * not synced may be present, missing or torn: the log then ends before the first one
+ * that is not whole. When a record is damaged that a sync covered, the store does not
+ * open, and the error names file and offset. What a sync covered is known from the
+ * file `synced` and from the records written after the sync. Logs of builds that
+ * state neither are read by stricter rules: only damage that looks like one torn
+ * write at the end of the file is taken for one.
  */
 #ifndef TRACKCOVE_CONTROL_STORE_H
 #define TRACKCOVE_CONTROL_STORE_H
@@ -45,8 +50,9 @@
 /* A call below that failed with TC_E_FULL or TC_E_IO has lost nothing. It may be retried, with the same arguments and
  * before any other call, and continues where it stopped. */
 
-/** The effect of these two may be lost in a crash until store_sync has returned 0. */
+/** The entry may be lost in a crash until store_sync has returned 0. */
 int store_append(store_t *store, const log_entry_t *entry, tc_err_t *err);
+/** Remove the entries from index @p from on. Durable on return, with all entries before it. */
 int store_truncate(store_t *store, uint64_t from, tc_err_t *err);
 
 /** Durable on return. */
--- a/lib/control/store_file.c
+++ b/lib/control/store_file.c
@@ -1,4 +1,4 @@
-/* Files of the data directory: headers with checksums, whole files, the records of a segment. */
+/* Files of the data directory: headers with checksums, whole files. */
 
 #include <dirent.h>
 #include <errno.h>
@@ -23,21 +23,21 @@
     return tc_err_set(err, code, step, path, "%s", strerror(errno));
 }
 
-static uint32_t checksum(const void *data, uint32_t length)
+uint32_t store_checksum(const void *data, uint32_t length)
 {
     return XXH32(data, length, length);
 }
 
 record_header_t store_make_header(const void *data, uint32_t length)
 {
-    record_header_t header = {.length = length, .payload_checksum = checksum(data, length)};
-    header.header_checksum = checksum(&header, 2 * sizeof(uint32_t));
+    record_header_t header = {.length = length, .payload_checksum = store_checksum(data, length)};
+    header.header_checksum = store_checksum(&header, 2 * sizeof(uint32_t));
     return header;
 }
 
-static bool header_is_valid(const record_header_t *header)
+bool store_header_is_valid(const record_header_t *header)
 {
-    return header->header_checksum == checksum(header, 2 * sizeof(uint32_t)) && header->length > 0 &&
+    return header->header_checksum == store_checksum(header, 2 * sizeof(uint32_t)) && header->length > 0 &&
            header->length <= RECORD_MAX;
 }
 
@@ -91,7 +91,7 @@
     record_header_t header = {0};
     const bool has_header = fstat(fd, &info) == 0 && read(fd, &header, sizeof(header)) == sizeof(header);
     char *data = NULL;
-    if (!has_header || !header_is_valid(&header) || header.length != (uint64_t)info.st_size - sizeof(header)) {
+    if (!has_header || !store_header_is_valid(&header) || header.length != (uint64_t)info.st_size - sizeof(header)) {
         tc_err_set(err, TC_E_CORRUPT, "read", path, "offset 0: length does not match the file");
     } else {
         data = malloc(header.length + 1);
@@ -102,7 +102,7 @@
         }
     }
     close(fd);
-    if (data && checksum(data, header.length) != header.payload_checksum) {
+    if (data && store_checksum(data, header.length) != header.payload_checksum) {
         tc_err_set(err, TC_E_CORRUPT, "read", path, "offset %zu: checksum is wrong", sizeof(header));
         free(data);
         return NULL;
@@ -123,46 +123,6 @@
     return store_read_file(path, size, err);
 }
 
-/* ===== Records ===== */
-
-/** Whether all bytes from @p at on are zero, as in space that was allocated to the file but never written. */
-static bool all_zeros(const char *data, size_t at, size_t size)
-{
-    while (at < size && data[at] == 0)
-        at++;
-    return at == size;
-}
-
-int store_walk_records(const char *path, const char *data, size_t size, store_record_fn_t fn, void *arg, size_t *end,
-                       tc_err_t *err)
-{
-    size_t at = 0;
-    *end = 0;
-    while (at < size) {
-        record_header_t header = {0};
-        const bool short_header = size - at < sizeof(header);
-        if (!short_header)
-            memcpy(&header, data + at, sizeof(header));
-        if (short_header || all_zeros(data, at, size) ||
-            (header_is_valid(&header) && header.length > size - at - sizeof(header)))
-            return TC_OK; /* torn tail: the record was never synced, so it was not acknowledged */
-        const char *const payload = data + at + sizeof(header);
-        const bool good = header_is_valid(&header) && checksum(payload, header.length) == header.payload_checksum;
-        if (!good && header_is_valid(&header) && all_zeros(data, at + sizeof(header) + header.length / 2, size))
-            return TC_OK; /* torn: the second half of the record was never written */
-        log_entry_t entry;
-        if (!good || codec_unpack_bytes(&log_entry_desc, &entry, payload, header.length, NULL) < 0)
-            return tc_err_set(err, TC_E_CORRUPT, "read log", path, "offset %zu: checksum or record is wrong", at);
-        const int rc = fn(arg, &entry, at);
-        codec_free(&log_entry_desc, &entry);
-        if (rc < 0)
-            return tc_err_set(err, rc, "read log", path, "offset %zu: index out of order", at);
-        at += sizeof(header) + header.length;
-        *end = at;
-    }
-    return TC_OK;
-}
-
 char *store_read_raw_file(const char *path, size_t *size, tc_err_t *err)
 {
     FILE *const in = fopen(path, "rb");
--- a/lib/control/store_open.c
+++ b/lib/control/store_open.c
@@ -9,6 +9,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include "common/log.h"
 #include "control/raft_internal.h"
 #include "control/store_internal.h"
 
@@ -95,15 +96,29 @@
     return TC_OK;
 }
 
+static void log_dropped_tail(const store_t *s, size_t end, size_t size)
+{
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "log_tail_dropped");
+    log_str(&line, "file", s->log_path);
+    log_int(&line, "offset", (int64_t)end);
+    log_int(&line, "bytes", (int64_t)(size - end));
+    log_int(&line, "last_index", (int64_t)store_last_index(s));
+    log_end(&line);
+}
+
 static int load_segment(store_t *s, raft_start_t *start, uint64_t first, tc_err_t *err)
 {
     TC_CHECK(open_segment(s, first, err));
-    size_t size, end;
-    char *const data = store_read_raw_file(s->log_path, &size, err);
+    segment_t segment = {.path = s->log_path, .first = first};
+    segment.has_mark = store_load_mark(s->dir, &segment.synced);
+    char *const data = store_read_raw_file(s->log_path, &segment.size, err);
     if (!data)
         return err->code;
+    segment.data = data;
+    size_t end;
     loader_t loader = {.store = s, .start = start, .entries = g_array_new(FALSE, TRUE, sizeof(log_entry_t))};
-    const int rc = store_walk_records(s->log_path, data, size, load_record, &loader, &end, err);
+    const int rc = store_walk_records(&segment, load_record, &loader, &end, err);
     free(data);
     start->n_entries = loader.entries->len;
     start->entries = (log_entry_t *)(void *)g_array_free(loader.entries, FALSE);
@@ -112,9 +127,14 @@
     const off_t tail = (off_t)end;
     g_array_append_val(s->offsets, tail);
     s->synced = tail;
-    if (end < size && (ftruncate(s->log_fd, tail) != 0 || fsync(s->log_fd) != 0))
-        return store_io_err(err, "truncate torn tail", s->log_path);
-    return TC_OK;
+    s->synced_index = store_last_index(s);
+    if (end < segment.size) {
+        log_dropped_tail(s, end, segment.size);
+        if (ftruncate(s->log_fd, tail) != 0)
+            return store_io_err(err, "truncate torn tail", s->log_path);
+    }
+    /* A process that was killed may have left records that it never synced, and this one relies on them. */
+    return fsync(s->log_fd) == 0 ? TC_OK : store_io_err(err, "sync", s->log_path);
 }
 
 /** Start a new segment after the snapshot when the records of the segment end before it. This happens when the process
@@ -122,8 +142,7 @@
  * segment would leave a gap in its indexes. */
 static int start_segment_after_snapshot(store_t *s, uint64_t snapshot_end, tc_err_t *err)
 {
-    const uint64_t next = s->first + s->offsets->len - 1;
-    if (next > snapshot_end)
+    if (store_last_index(s) >= snapshot_end)
         return TC_OK;
     close(s->log_fd);
     TC_CHECK(open_segment(s, snapshot_end + 1, err));
@@ -131,6 +150,7 @@
     g_array_set_size(s->offsets, 0);
     g_array_append_val(s->offsets, start);
     s->synced = start;
+    s->synced_index = snapshot_end;
     store_remove_older(s, "log-", s->first);
     return TC_OK;
 }
@@ -152,7 +172,8 @@
     if (store_newest_file(s->dir, "log-", &index))
         first = index;
     TC_CHECK(load_segment(s, start, first, err));
-    return start_segment_after_snapshot(s, start->snapshot.last_index, err);
+    TC_CHECK(start_segment_after_snapshot(s, start->snapshot.last_index, err));
+    return store_open_mark(s, err);
 }
 
 int store_bootstrap(const char *dir, uint64_t id, const raft_image_t *image, tc_err_t *err)
@@ -190,7 +211,7 @@
     codec_copy_string(s->dir, sizeof(s->dir), dir);
     s->offsets = g_array_new(FALSE, TRUE, sizeof(off_t));
     s->unsynced = g_byte_array_new();
-    s->lock_fd = s->log_fd = -1;
+    s->lock_fd = s->log_fd = s->mark_fd = -1;
     s->dir_fd = open(dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     char path[STORE_PATH_SIZE];
     snprintf(path, sizeof(path), "%s/lock", dir);
@@ -221,6 +242,8 @@
 {
     if (s->log_fd >= 0)
         close(s->log_fd);
+    if (s->mark_fd >= 0)
+        close(s->mark_fd);
     if (s->lock_fd >= 0)
         close(s->lock_fd);
     if (s->dir_fd >= 0)
@@ -236,3 +259,8 @@
 {
     return &g_array_index(s->offsets, off_t, s->offsets->len - 1);
 }
+
+uint64_t store_last_index(const store_t *s)
+{
+    return s->first + s->offsets->len - 2;
+}
--- a/lib/control/store_verify.c
+++ b/lib/control/store_verify.c
@@ -29,16 +29,22 @@
     snprintf(path, sizeof(path), "%s/%s", dir, name);
     const size_t used = strlen(report);
     if (strncmp(name, "log-", 4) == 0) {
-        size_t length, end;
+        size_t end;
         verify_t verify = {0};
-        char *const data = store_read_raw_file(path, &length, err);
+        segment_t segment = {.path = path, .first = strtoull(name + 4, NULL, 10)};
+        uint64_t newest = 0;
+        (void)store_newest_file(dir, "log-", &newest);
+        if (segment.first == newest) /* the mark is about this one; others are not read at a start */
+            segment.has_mark = store_load_mark(dir, &segment.synced);
+        char *const data = store_read_raw_file(path, &segment.size, err);
         if (!data)
             return err->code;
-        const int rc = store_walk_records(path, data, length, verify_record, &verify, &end, err);
+        segment.data = data;
+        const int rc = store_walk_records(&segment, verify_record, &verify, &end, err);
         free(data);
         TC_CHECK(rc);
         snprintf(report + used, size - used, "%s: %llu records, %zu bytes%s\n", name, (unsigned long long)verify.count,
-                 end, end < length ? ", torn tail, truncated at the next start" : "");
+                 end, end < segment.size ? ", torn tail, truncated at the next start" : "");
         return TC_OK;
     }
     uint32_t length;
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -390,6 +390,15 @@
 };
 const codec_desc_t log_entry_desc = {.name = "log_entry", .size = sizeof(log_entry_t), .fields = log_entry_fields, .n_fields = sizeof(log_entry_fields) / sizeof(log_entry_fields[0])};
 
+static const codec_field_t log_record_fields[] = {
+    {.name = "term", .offset = offsetof(log_record_t, term), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "index", .offset = offsetof(log_record_t, index), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+    {.name = "kind", .offset = offsetof(log_record_t, kind), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "data", .offset = offsetof(log_record_t, data), .kind = CODEC_TEXT, .size = 0, .count_offset = offsetof(log_record_t, data_n), .min = 0, .max = 0, .def = 0},
+    {.name = "unsynced_from", .offset = offsetof(log_record_t, unsynced_from), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
+};
+const codec_desc_t log_record_desc = {.name = "log_record", .size = sizeof(log_record_t), .fields = log_record_fields, .n_fields = sizeof(log_record_fields) / sizeof(log_record_fields[0])};
+
 static const codec_field_t voter_cfg_fields[] = {
     {.name = "name", .offset = offsetof(voter_cfg_t, name), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0, .required = true},
     {.name = "peer", .offset = offsetof(voter_cfg_t, peer), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0, .required = true},
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -563,6 +563,17 @@
 } log_entry_t;
 extern const codec_desc_t log_entry_desc;
 
+/** An entry of the replicated log on disk. Begins with the fields of log_entry, so that each can be read as the other. */
+typedef struct {
+    uint64_t term;
+    uint64_t index;
+    uint32_t kind;
+    char *data;
+    uint32_t data_n;
+    uint64_t unsynced_from; /**< index of the first record that was not known to be synced when this one was written; 0: not stated */
+} log_record_t;
+extern const codec_desc_t log_record_desc;
+
 /** One control box. */
 typedef struct {
     char name[CODEC_STR_SIZE]; /**< box name */
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -7,7 +7,10 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <unistd.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
+#include "common/codec.h"
 #include "control/store.h"
 #include "harness/process.h"
 
@@ -125,13 +128,35 @@
     remove_dir();
 }
 
+/** Append a record with this text, without syncing it. */
+static int append_text(store_t *store, uint64_t index, const char *text)
+{
+    const log_entry_t entry = {.term = 2,
+                               .index = index,
+                               .kind = RAFT_COMMAND,
+                               .data = (char *)(uintptr_t)text,
+                               .data_n = (uint32_t)strlen(text)};
+    return store_append(store, &entry, NULL);
+}
+
+/** A directory whose last record, number ENTRIES + 1, was never synced. */
+static void unsynced_dir(void)
+{
+    fresh_dir();
+    raft_start_t start;
+    store_t *const store = store_open(dir, &start, NULL);
+    store_start_free(&start);
+    g_assert_cmpint(append_text(store, ENTRIES + 1, "a record that was not synced, longer than any cut"), ==, TC_OK);
+    store_close(store);
+}
+
 static void test_torn_tail(void)
 {
     for (long cut = 1; cut < 40; cut += 3) {
-        fresh_dir();
+        unsynced_dir();
         change_log(0, NULL, 0, log_size() - cut);
-        g_assert_cmpuint(count_after_open(), ==, ENTRIES - 1);
-        g_assert_cmpuint(count_after_open(), ==, ENTRIES - 1); /* the truncation is durable */
+        g_assert_cmpuint(count_after_open(), ==, ENTRIES);
+        g_assert_cmpuint(count_after_open(), ==, ENTRIES); /* the truncation is durable */
         remove_dir();
     }
     fresh_dir();
@@ -140,6 +165,17 @@
     remove_dir();
 }
 
+/** A synced record that was cut off was taken for a torn one, and its entry lost without an error. */
+static void test_synced_cut(void)
+{
+    for (long cut = 1; cut < 120; cut += 3) {
+        fresh_dir();
+        change_log(0, NULL, 0, log_size() - cut);
+        assert_corrupt("offset");
+        remove_dir();
+    }
+}
+
 static void test_flipped_bytes(void)
 {
     fresh_dir();
@@ -281,17 +317,6 @@
         check_kill_after_snapshot(kept);
 }
 
-/** Append a record with this text, without syncing it. */
-static int append_text(store_t *store, uint64_t index, const char *text)
-{
-    const log_entry_t entry = {.term = 2,
-                               .index = index,
-                               .kind = RAFT_COMMAND,
-                               .data = (char *)(uintptr_t)text,
-                               .data_n = (uint32_t)strlen(text)};
-    return store_append(store, &entry, NULL);
-}
-
 static void assert_last_text(uint32_t entries, const char *text)
 {
     raft_start_t start;
@@ -308,34 +333,91 @@
 static void test_torn_at_each_byte(void)
 {
     static const char *const texts[] = {"x", "a record that is longer than the one that was torn, and by many bytes"};
-    fresh_dir();
+    unsynced_dir();
     const long whole = log_size();
     change_log(0, NULL, 0, whole - 1);
-    g_assert_cmpuint(count_after_open(), ==, ENTRIES - 1);
+    g_assert_cmpuint(count_after_open(), ==, ENTRIES);
     const long before = log_size();
     remove_dir();
     g_assert_cmpint(before, <, whole);
     signal(SIGXFSZ, SIG_IGN);
     for (long cut = before; cut < whole; cut++) {
         raft_start_t start;
-        fresh_dir();
+        unsynced_dir();
         change_log(0, NULL, 0, cut);
         store_t *store = store_open(dir, &start, NULL);
         store_start_free(&start);
-        g_assert_cmpint(append_text(store, ENTRIES, texts[cut % 2]), ==, TC_OK);
+        g_assert_cmpint(append_text(store, ENTRIES + 1, texts[cut % 2]), ==, TC_OK);
         store_close(store); /* not synced: the process is killed, the machine keeps running */
-        assert_last_text(ENTRIES, texts[cut % 2]);
+        assert_last_text(ENTRIES + 1, texts[cut % 2]);
         store = store_open(dir, &start, NULL);
         store_start_free(&start);
         struct rlimit old;
         g_assert_cmpint(getrlimit(RLIMIT_FSIZE, &old), ==, 0);
         const struct rlimit small = {.rlim_cur = (rlim_t)(log_size() + cut - before), .rlim_max = old.rlim_max};
         g_assert_cmpint(setrlimit(RLIMIT_FSIZE, &small), ==, 0);
-        g_assert_cmpint(append_text(store, ENTRIES + 1, texts[1]), ==, TC_E_FULL);
+        g_assert_cmpint(append_text(store, ENTRIES + 2, texts[1]), ==, TC_E_FULL);
         g_assert_cmpint(setrlimit(RLIMIT_FSIZE, &old), ==, 0);
-        g_assert_cmpint(append_text(store, ENTRIES + 1, texts[0]), ==, TC_OK);
+        g_assert_cmpint(append_text(store, ENTRIES + 2, texts[0]), ==, TC_OK);
+        store_close(store);
+        assert_last_text(ENTRIES + 2, texts[0]);
+        remove_dir();
+    }
+}
+
+/* ===== Logs of earlier builds ===== */
+
+/** A log whose records do not state what was synced, in a directory without a sync mark. */
+static void old_dir(void)
+{
+    dir = g_dir_make_tmp("trackcove-store-XXXXXX", NULL);
+    GString *const log = g_string_new(NULL);
+    for (uint64_t i = 1; i <= ENTRIES; i++) {
+        static char text[] = "an entry of an earlier build";
+        const log_entry_t entry = {.term = 1, .index = i, .kind = RAFT_COMMAND, .data = text, .data_n = sizeof(text)};
+        size_t size;
+        char *const payload = codec_pack_bytes(&log_entry_desc, &entry, &size);
+        g_assert_nonnull(payload);
+        uint32_t header[3] = {(uint32_t)size, XXH32(payload, size, (uint32_t)size)};
+        header[2] = XXH32(header, 2 * sizeof(uint32_t), 2 * sizeof(uint32_t));
+        g_string_append_len(log, (const char *)header, sizeof(header));
+        g_string_append_len(log, payload, (gssize)size);
+        free(payload);
+    }
+    char *const path = log_path();
+    g_assert_true(g_file_set_contents(path, log->str, (gssize)log->len, NULL));
+    g_free(path);
+    g_string_free(log, TRUE);
+}
+
+/** A log of an earlier build is opened after an upgrade, with a torn last record as well, and is continued. */
+static void test_earlier_build(void)
+{
+    for (long cut = 0; cut < 30; cut += 3) {
+        const uint32_t left = cut == 0 ? ENTRIES : ENTRIES - 1;
+        old_dir();
+        change_log(0, NULL, 0, log_size() - cut);
+        g_assert_cmpuint(count_after_open(), ==, left);
+        raft_start_t start;
+        store_t *const store = store_open(dir, &start, NULL);
+        store_start_free(&start);
+        g_assert_cmpint(append_text(store, left + 1, "of this build"), ==, TC_OK);
+        g_assert_cmpint(append_text(store, left + 2, "of this build"), ==, TC_OK);
         store_close(store);
-        assert_last_text(ENTRIES + 1, texts[0]);
+        assert_last_text(left + 2, "of this build");
+        remove_dir();
+    }
+}
+
+static void test_earlier_build_flipped_bytes(void)
+{
+    old_dir();
+    const long size = log_size();
+    remove_dir();
+    for (long at = 0; at < size; at += 5) {
+        old_dir();
+        change_log(at, "\x5a", 1, -1);
+        assert_corrupt("offset");
         remove_dir();
     }
 }
@@ -345,11 +427,14 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store/reopen", test_reopen);
     g_test_add_func("/store/torn-tail", test_torn_tail);
+    g_test_add_func("/store/synced-cut", test_synced_cut);
     g_test_add_func("/store/flipped-bytes", test_flipped_bytes);
     g_test_add_func("/store/full", test_full);
     g_test_add_func("/store/full-snapshot", test_full_snapshot);
     g_test_add_func("/store/snapshot", test_snapshot);
     g_test_add_func("/store/torn-at-each-byte", test_torn_at_each_byte);
     g_test_add_func("/store/killed-during-snapshot", test_killed_during_snapshot);
+    g_test_add_func("/store/earlier-build", test_earlier_build);
+    g_test_add_func("/store/earlier-build-flipped-bytes", test_earlier_build_flipped_bytes);
     return g_test_run();
 }
