The records of a change are synced once, before the first of them is sent

Callers saw: nothing by itself. A leader that lost power amid a change kept its first record and not the others, and each change cost one sync more than it needs.

Cause: each record was sent as soon as it was appended, and what is sent must be synced. So the first record of a change was written and synced alone; a trace of a leader's system calls shows write, fdatasync, write, write.

Change: raft_append appends, raft_replicate sends. All records of a configuration are appended, then replicated.

Evidence: the new test counts the syncs of the leader's log for a change of several records: 2 before (it fails), 1 now.

Why it works: the actions of a change are then all its appends before any send, and the writer syncs at the first send.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 	@mkdir -p $(@D)
 	@echo "  so  $@"
 	@$(CC) -std=gnu11 -O2 -D_GNU_SOURCE $(WARN) -Itests -shared -fPIC $< -o $@
-$(BUILD)/tests/random/test_store_random: $(BUILD)/tests/shim/power.o
+$(BUILD)/tests/random/test_store_random $(BUILD)/tests/unit/test_cluster: $(BUILD)/tests/shim/power.o
 
 $(BUILD)/tests/platform/test_suspended: | $(SHIM)
 # Runs the command.
--- a/lib/cluster/replica_proposals.c
+++ b/lib/cluster/replica_proposals.c
@@ -57,7 +57,7 @@
     return o;
 }
 
-/** Append all pieces of a document to the log. */
+/** Append all pieces of a document to the log, then replicate them. */
 static void propose(replica_t *r, const document_t *document, tc_time_t now)
 {
     document_piece_t piece = {.head = document_head(document)};
@@ -67,12 +67,13 @@
         piece.data_n = (uint32_t)(left < PIECE_BYTES ? left : PIECE_BYTES);
         size_t size;
         char *const data = codec_pack_bytes(&document_piece_desc, &piece, &size);
-        const int64_t index = raft_propose(r->raft, data, size, now);
+        const int64_t index = raft_append(r->raft, data, size);
         assert(index > 0); /* this box is the leader: no action has run since that was checked */
         (void)index;
         free(data);
         piece.offset += piece.data_n;
     }
+    raft_replicate(r->raft, now);
 }
 
 static uint64_t count_pieces(const document_t *document)
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -113,7 +113,13 @@
  *  @return false when this member does not lead */
 bool raft_resign(raft_t *raft, tc_time_t now);
 
-/** Propose a command. @return its index, or TC_E_NOT_LEADER */
+/** Append a command that raft_replicate sends. Commands that belong together are appended first and replicated once, so
+ *  that they are synced together. @return its index, or TC_E_NOT_LEADER */
+int64_t raft_append(raft_t *raft, const char *data, size_t size);
+/** Send what was appended. Call after raft_append, before the next action is taken. */
+void raft_replicate(raft_t *raft, tc_time_t now);
+
+/** Append and replicate one command. @return its index, or TC_E_NOT_LEADER */
 int64_t raft_propose(raft_t *raft, const char *data, size_t size, tc_time_t now);
 
 /** Process a join request. The leader adds the box as a non-voter, sends it the log, removes the member that it
--- a/tests/shim/power.c
+++ b/tests/shim/power.c
@@ -41,7 +41,7 @@
 static file_t files[FILES_MAX];
 static operation_t operations[OPERATIONS_MAX];
 static name_t names[FILES_MAX];
-static unsigned n_files, n_operations, n_names;
+static unsigned n_files, n_operations, n_names, n_syncs;
 static int left = NEVER; /* operations until the power fails */
 static bool off;
 static bool is_preloaded;
@@ -246,6 +246,12 @@
 {
     snprintf(folder, sizeof(folder), "%s/", dir);
     state = seed;
+    n_syncs = 0;
+}
+
+unsigned power_syncs(void)
+{
+    return n_syncs;
 }
 
 void power_fail_after(unsigned count)
@@ -337,6 +343,7 @@
         forget_names();
     else if (rc == 0 && is_observed)
         note_sync(path, info.st_ino);
+    n_syncs += rc == 0 && is_observed && !strstr(path, ".new");
     return rc;
 }
 
--- a/tests/shim/power.h
+++ b/tests/shim/power.h
@@ -18,6 +18,8 @@
 /** Makes the power fail after @p operations more operations. Later ones report success and do nothing. */
 void power_fail_after(unsigned operations);
 bool power_is_off(void);
+/** Syncs of observed files since power_watch(), without those of the folder and of files under a temporary name. */
+unsigned power_syncs(void);
 /** Leaves the files as they are after the loss of power, and ends the observation. */
 void power_lose(void);
 
--- a/tests/unit/test_cluster.c
+++ b/tests/unit/test_cluster.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/resource.h>
 
+#include "shim/power.h"
 #include "unit/cluster_lab.h"
 
 /* ===== Bootstrapping, losing and replacing boxes ===== */
@@ -234,6 +235,24 @@
     expect_read(f, 6);
 }
 
+/** The first record of a change was synced by itself, before the others were written: one sync more at the leader, and
+ * a change of which a loss of power leaves the beginning. */
+static void test_change_is_synced_once(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    char *const text = large_text(1);
+    uint64_t version = 1;
+    do {
+        const int at = await_leader(f);
+        power_watch(f->dir[at], 1);
+        propose_text(f, at, ++version, text);
+    } while (f->proposal_rc != TC_OK); /* another leader was elected */
+    g_assert_cmpuint(power_syncs(), ==, 1);
+    g_free(text);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -249,5 +268,6 @@
     TEST("wiped-box-and-large-documents", test_wiped_box_and_large_documents);
     TEST("replaced-box-and-a-lost-disk", test_replaced_box_and_a_lost_disk);
     TEST("odd-number-of-voters", test_odd_number_of_voters);
+    TEST("change-is-synced-once", test_change_is_synced_once);
     return g_test_run();
 }
