--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -318,7 +318,10 @@
     if (keeps_log)
         g_ptr_array_remove_range(r->log, 0, (guint)(image->last_index - r->snapshot.last_index));
     else if (r->log->len > 0) {
-        raft_add_action(r, RAFT_ACT_TRUNCATE)->index = r->snapshot.last_index + 1;
+        /* Only what the snapshot contradicts: entries before its end may be acknowledged, and writing it replaces them.
+         */
+        if (log_last_index(r) >= image->last_index)
+            raft_add_action(r, RAFT_ACT_TRUNCATE)->index = image->last_index;
         g_ptr_array_set_size(r->log, 0);
     }
     image_copy(&r->snapshot, image);
--- a/tests/unit/test_snapshot_pieces.c
+++ b/tests/unit/test_snapshot_pieces.c
@@ -147,9 +147,56 @@
         run_round(seed);
 }
 
+/** A member with entries 1 to @p entries receives a snapshot up to @p last. @return index from which on it removes
+ * entries before it writes the snapshot, 0: it removes none */
+static uint64_t removed_before_snapshot(uint64_t entries, uint64_t last)
+{
+    log_entry_t log[16];
+    memset(log, 0, sizeof(log));
+    for (uint64_t i = 0; i < entries; i++)
+        log[i] = (log_entry_t){.term = 1, .index = i + 1, .kind = RAFT_COMMAND};
+    const raft_start_t start = {.id = SELF, .term = 1, .entries = log, .n_entries = (uint32_t)entries};
+    raft_t *const raft = raft_create(&start, 0);
+    const raft_image_t image = {.last_index = last, .last_term = 2, .state = (char *)(uintptr_t) "s", .state_n = 1};
+    size_t size;
+    char *const packed = codec_pack_bytes(&raft_image_desc, &image, &size);
+    const msg_snapshot_t piece = {.term = 2,
+                                  .last_index = last,
+                                  .last_term = 2,
+                                  .total = size,
+                                  .to = SELF,
+                                  .from = 2,
+                                  .data = packed,
+                                  .data_n = (uint32_t)size};
+    raft_receive(raft, MSG_SNAPSHOT, &piece, 0);
+    uint64_t removed = 0;
+    bool written = false;
+    raft_action_t action;
+    while (raft_next_action(raft, &action)) {
+        if (action.kind == RAFT_ACT_TRUNCATE && !written)
+            removed = action.index;
+        written = written || action.kind == RAFT_ACT_SNAPSHOT;
+        raft_action_free(&action);
+    }
+    g_assert_true(written);
+    free(packed);
+    raft_destroy(raft);
+    return removed;
+}
+
+/** A crash before the snapshot was written took entries that the member had acknowledged. */
+static void test_acknowledged_entries_are_kept(void)
+{
+    g_assert_cmpuint(removed_before_snapshot(5, 10), ==, 0);
+    g_assert_cmpuint(removed_before_snapshot(9, 10), ==, 0);
+    g_assert_cmpuint(removed_before_snapshot(10, 10), ==, 10); /* of another term than in the snapshot */
+    g_assert_cmpuint(removed_before_snapshot(14, 10), ==, 10);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/snapshot-pieces/in-any-order", test_in_any_order);
+    g_test_add_func("/snapshot-pieces/acknowledged-entries-are-kept", test_acknowledged_entries_are_kept);
     return g_test_run();
 }
