Weights keep their ratio at any scale, and figures from outside no longer wrap or vanish

Callers saw: after a valid configuration with weights of 0.0009 and 0.0001 all forwarding processes ended at the first request of that route, took all other requests that they held with them, started again and ended again, until the configuration was replaced.

Cause: weights were checked as they were sent and used in whole thousandths. The sum that was stored was 0, the router found no service, and the request looked up the settings of none.

Change: weights are numbers, scaled by the largest of their route. A route that leads to no service is answered 503 as not run, since an earlier build may have accepted one. One module converts every figure from outside (configuration, settings, callers' headers, answers of back ends): none above 0 becomes 0, none wraps.

Why it works: what the check sees and what the router uses is the same number; and no part of a request depends on a check made by another build.

--- a/lib/backend/engine.c
+++ b/lib/backend/engine.c
@@ -1,10 +1,12 @@
 #include "backend/engine.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "backend/sse.h"
+#include "common/figure.h"
 
 /* ===== Request bodies ===== */
 
@@ -73,9 +75,9 @@
         return tc_err_set(err, TC_E_INVALID, "prefill", r->name, "answer without kv_transfer_params");
     }
     result->kv = json_incref(kv);
-    result->prompt_tokens = (uint32_t)json_integer_value(json_object_get(usage, "prompt_tokens"));
-    result->cached_tokens = (uint32_t)json_integer_value(json_object_get(usage, "cached_tokens"));
-    const uint32_t computed = (uint32_t)json_integer_value(json_object_get(usage, "computed_tokens"));
+    result->prompt_tokens = figure_count(usage, "prompt_tokens", 0, FIGURE_TOKENS_MAX);
+    result->cached_tokens = MIN(figure_count(usage, "cached_tokens", 0, FIGURE_TOKENS_MAX), result->prompt_tokens);
+    const uint32_t computed = figure_count(usage, "computed_tokens", 0, FIGURE_TOKENS_MAX);
     result->computed_tokens = computed ? computed : result->prompt_tokens - result->cached_tokens;
     json_decref(body);
     return TC_OK;
@@ -299,7 +301,7 @@
     for (uint32_t i = 0; i < state->n_held; i++) {
         const json_t *const item = json_array_get(held, i);
         copy_text(state->held[i].id, sizeof(state->held[i].id), item, "id");
-        state->held[i].pieces = (uint32_t)json_integer_value(json_object_get(item, "pieces"));
+        state->held[i].pieces = figure_count(item, "pieces", 0, FIGURE_TOKENS_MAX);
     }
     json_decref(body);
     return TC_OK;
@@ -317,9 +319,9 @@
     make_url(url, sizeof(url), base, "/v1/load");
     json_t *body = NULL;
     TC_CHECK(call_json(name, "engine load", "GET", url, NULL, limit, &body, err));
-    load->queue = (uint32_t)json_integer_value(json_object_get(body, "queue"));
-    load->batch = (uint32_t)json_integer_value(json_object_get(body, "batch"));
-    load->pieces_free = (uint32_t)json_integer_value(json_object_get(body, "pieces_free"));
+    load->queue = figure_count(body, "queue", 0, FIGURE_TOKENS_MAX);
+    load->batch = figure_count(body, "batch", 0, FIGURE_TOKENS_MAX);
+    load->pieces_free = figure_count(body, "pieces_free", 0, FIGURE_TOKENS_MAX);
     json_decref(body);
     return TC_OK;
 }
--- a/lib/backend/http_client.c
+++ b/lib/backend/http_client.c
@@ -8,6 +8,7 @@
 #include <urcu/list.h>
 
 #include "common/codec.h"
+#include "common/figure.h"
 
 /* ===== Pool ===== */
 
@@ -184,7 +185,8 @@
     if (status != TOO_MANY && status != UNAVAILABLE)
         return 0;
     curl_easy_getinfo(easy, CURLINFO_RETRY_AFTER, &seconds);
-    return seconds > 0 ? (tc_time_t)seconds * 1000 : 0;
+    const tc_time_t most = FIGURE_SPAN_MAX_MS / 1000;
+    return seconds > 0 ? (seconds < most ? (tc_time_t)seconds : most) * 1000 : 0;
 }
 
 int http_call(const http_call_t *call, http_result_t *result, tc_err_t *err)
--- a/lib/cap/cap_ledger.c
+++ b/lib/cap/cap_ledger.c
@@ -127,7 +127,9 @@
     }
     const double rate = fill_rate(l, &b->cfg, now);
     const double missing_ms = MAX(needs - b->level, 0) / rate * MS_PER_S;
-    b->retry_at = MAX(b->retry_at + (tc_time_t)(units / rate * MS_PER_S), now + (tc_time_t)missing_ms);
+    const double takes_ms = units / rate * MS_PER_S;
+    b->retry_at = MAX(b->retry_at + (tc_time_t)MIN(takes_ms, MAX_RETRY_AFTER_MS),
+                      now + (tc_time_t)MIN(missing_ms, MAX_RETRY_AFTER_MS));
     b->retry_at = MIN(b->retry_at, now + MAX_RETRY_AFTER_MS);
     *after = MAX(b->retry_at - now, 1);
     return false;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -15,6 +15,8 @@
                "Of requests without a route or a known key, those refused as not run: this box may not know the newest "
                "configuration")
 COUNTER_DEFINE(c_no_route, "counter", "trackcove_forward_no_route_total", "Requests without a route")
+COUNTER_DEFINE(c_no_service, "counter", "trackcove_forward_no_service_total",
+               "Requests of a route that leads to no service")
 
 /* ===== Constants ===== */
 
@@ -334,7 +336,8 @@
 }
 
 static forward_t *forward_create(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request,
-                                 const dialect_request_t *facts, const route_t *route, const workspace_t *workspace)
+                                 const dialect_request_t *facts, const route_t *route, const route_service_t *service,
+                                 const workspace_t *workspace)
 {
     forward_t *const f = g_new0(forward_t, 1);
     f->owner = fw;
@@ -347,9 +350,9 @@
     f->rank = workspace && workspace->has_priority ? route->priority : 0;
     f->fingerprint = fingerprint_of(request, facts, workspace ? workspace->name : facts->credentials);
     f->route = route;
-    f->service = route_pick_service(route, g_rand_int(fw->random));
-    f->settings = route_table_service(f->table, f->service);
-    f->split = f->settings->engines;
+    f->service = service->name;
+    f->settings = service;
+    f->split = service->engines;
     f->tried = g_ptr_array_new_with_free_func(drop_instance);
     f->tried_prefill = g_ptr_array_new_with_free_func(drop_instance);
     f->last_event = g_strdup(facts->resume_after);
@@ -391,7 +394,14 @@
         refuse_unknown(fw, exchange, &facts, STATUS_NO_KEY, caller.why);
         return;
     }
-    forward_t *const f = forward_create(fw, exchange, request, &facts, route, caller.workspace);
+    const char *const chosen = route_pick_service(route, g_rand_double(fw->random));
+    const route_service_t *const service = chosen ? route_table_service(fw->table, chosen) : NULL;
+    if (!service) { /* a control box of another build accepted the table */
+        counter_add(&c_no_service, 1);
+        refuse(exchange, &facts, STATUS_NOT_RUN, "the route leads to no service", RETRY_AFTER_MS);
+        return;
+    }
+    forward_t *const f = forward_create(fw, exchange, request, &facts, route, service, caller.workspace);
     forward_log_routed(f);
     if (!stop_allows(f)) {
         forward_fail_after(f, "this box stops before the request would end", RETRY_ELSEWHERE_MS);
--- a/lib/forward/route.c
+++ b/lib/forward/route.c
@@ -116,6 +116,21 @@
     return urgency_level(range ? range->all : 0, workspaces_priorities(t->workspaces), priority, rank);
 }
 
+/** Divides [0, 1) among the targets. Weights are scaled by the largest first, so that no sum overflows or vanishes. */
+static void set_bounds(GArray *targets)
+{
+    double largest = 0, sum = 0, end = 0;
+    for (guint i = 0; i < targets->len; i++)
+        largest = MAX(largest, g_array_index(targets, route_target_t, i).weight);
+    for (guint i = 0; i < targets->len && largest > 0; i++)
+        sum += g_array_index(targets, route_target_t, i).weight / largest;
+    for (guint i = 0; i < targets->len && largest > 0; i++) {
+        route_target_t *const target = &g_array_index(targets, route_target_t, i);
+        end += target->weight / largest;
+        target->bound = end / sum;
+    }
+}
+
 bool route_table_add(route_table_t *t, route_t *route)
 {
     char *const key = prefix_key(route->host, route->prefix);
@@ -124,10 +139,9 @@
         route_free(route);
         return false;
     }
-    route->weight_sum = 0;
+    set_bounds(route->targets);
     for (guint i = 0; i < route->targets->len; i++) {
         const route_target_t *const target = &g_array_index(route->targets, route_target_t, i);
-        route->weight_sum += target->weight;
         if (target->weight > 0)
             add_rank(t, target->service, route->priority);
     }
@@ -174,16 +188,18 @@
     return NULL;
 }
 
-const char *route_pick_service(const route_t *route, uint32_t draw)
+const char *route_pick_service(const route_t *route, double draw)
 {
-    uint32_t left = route->weight_sum ? draw % route->weight_sum : 0;
+    const char *last = NULL; /* taken when rounding left its bound below the draw */
     for (guint i = 0; i < route->targets->len; i++) {
         const route_target_t *const target = &g_array_index(route->targets, route_target_t, i);
-        if (left < target->weight)
+        if (target->weight <= 0)
+            continue;
+        if (draw < target->bound)
             return target->service;
-        left -= target->weight;
+        last = target->service;
     }
-    return NULL;
+    return last;
 }
 
 bool route_is_repeatable(const route_t *route)
--- a/lib/forward/route.h
+++ b/lib/forward/route.h
@@ -27,7 +27,8 @@
 /** One of the services among which a route's requests are split by weight. */
 typedef struct {
     char *service;
-    uint32_t weight;
+    double weight; /**< 0 or more; only its ratio to the others counts */
+    double bound;  /**< upper end of its part of [0, 1), set by route_table_add */
 } route_target_t;
 
 /** One route. Owned by its table. */
@@ -43,7 +44,6 @@
     tc_time_t latency_target; /**< target for the answer or the first event, ms */
     tc_time_t gap_target;     /**< target for the gap between two events of a stream, ms; 0: none */
     GArray *targets;          /**< route_target_t */
-    uint32_t weight_sum;
 } route_t;
 
 /** One service. Owned by its table. */
@@ -100,8 +100,9 @@
 /** @return the route of that host with the longest prefix of the path, or NULL. A port in @p host is ignored. */
 const route_t *route_table_find(const route_table_t *table, const char *host, const char *target);
 
-/** Chooses one of the route's services by weight. @param draw a random number */
-const char *route_pick_service(const route_t *route, uint32_t draw);
+/** Chooses one of the route's services by weight. @param draw a random number in [0, 1)
+ * @return NULL when no weight is above 0 */
+const char *route_pick_service(const route_t *route, double draw);
 
 /** Whether a request of the route may run more than once. */
 bool route_is_repeatable(const route_t *route);
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -10,6 +10,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "common/figure.h"
 #include "sched/sched.h"
 
 /* ===== Constants ===== */
@@ -123,12 +124,13 @@
 /** Parses "POSITION-DIGEST" as send_event() writes it. A position without a digest does not identify the answer. */
 static void read_last_event(caller_request_t *r, const char *id)
 {
-    char *end;
+    uint64_t position = 0;
+    const char *const end = figure_parse(id, UINT32_MAX, &position);
     r->resend = id[0] != '\0';
-    r->last_event = (uint32_t)strtoul(id, &end, 10);
-    r->has_digest = r->last_event > 0 && *end == '-';
-    if (r->has_digest)
-        r->last_digest = (uint32_t)strtoul(end + 1, NULL, 16);
+    r->last_event = (uint32_t)position;
+    r->has_digest = position > 0 && *end == '-';
+    const unsigned long digest = r->has_digest ? strtoul(end + 1, NULL, 16) : 0;
+    r->last_digest = digest <= UINT32_MAX ? (uint32_t)digest : 0;
 }
 
 static int read_headers(struct mg_connection *conn, caller_request_t *r, tc_err_t *err)
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -12,6 +12,7 @@
 #include <urcu/list.h>
 
 #include "common/counter.h"
+#include "common/figure.h"
 #include "common/mutant.h"
 #include "egress/dial.h"
 #include "egress/tunnel.h"
@@ -177,7 +178,9 @@
     const char *const at = text ? strstr(text, "timeout=") : NULL;
     if (!at)
         return IDLE_DEFAULT_MS;
-    const tc_time_t ms = (tc_time_t)strtol(at + strlen("timeout="), NULL, 10) * 1000;
+    uint64_t seconds = 0;
+    (void)figure_parse(at + strlen("timeout="), FIGURE_SPAN_MAX_MS / 1000, &seconds); /* 0: used for one request */
+    const tc_time_t ms = (tc_time_t)seconds * 1000;
     return ms > 2 * IDLE_MARGIN_MS ? ms - IDLE_MARGIN_MS : ms / 2;
 }
 
--- a/tests/platform/test_forward.c
+++ b/tests/platform/test_forward.c
@@ -171,6 +171,31 @@
     expect(f, "/once/x", 503, NULL);
 }
 
+/** A request of a route whose weights had been cut to 0 ended the process, with all that it had in flight. */
+static void test_weights_below_a_thousandth(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    static const char text[] = "{\"version\":4,\"routes\":["
+                               "{\"host\":\"h\",\"path_prefix\":\"/small/\",\"timeout_ms\":900,\"traffic_split\":"
+                               "[{\"service\":\"app\",\"weight\":0.0009},{\"service\":\"app\",\"weight\":0.0001}]},"
+                               "{\"host\":\"h\",\"path_prefix\":\"/none/\",\"timeout_ms\":900,\"traffic_split\":"
+                               "[{\"service\":\"app\",\"weight\":0}]}],\"services\":[{\"name\":\"app\"}]}";
+    start_all(f, (backend_plan_t[]){{"app", "", "o", false, false}}, 1);
+    document_t document = {0};
+    document_make(&document, 4, text, strlen(text));
+    config_load_t *const load = config_load_begin(&document);
+    while (config_load_step(load)) {
+    }
+    tc_err_t err = {0};
+    route_table_t *const table = config_load_end(load, &err);
+    codec_free(&document_desc, &document);
+    g_assert_nonnull(table);
+    forwarder_set_routes(f->forwarder, table);
+    route_table_unref(table);
+    expect(f, "/small/x", 200, "ok");
+    expect(f, "/none/x", 503, NULL); /* accepted by another build: the box goes on */
+}
+
 /** Whether a request is in flight. */
 static bool has_in_flight(void *arg)
 {
@@ -500,6 +525,7 @@
     TEST("timeout-is-answered", test_timeout_is_answered);
     TEST("caller-leaves", test_caller_leaves);
     TEST("without-configuration", test_without_configuration);
+    TEST("weights-below-a-thousandth", test_weights_below_a_thousandth);
     TEST("early-request-waits", test_early_request_waits);
     TEST("early-caller-leaves", test_early_caller_leaves);
     TEST("stopping-box-completes-requests-in-flight", test_stopping_box_completes_requests_in_flight);
