Bytes from outside become text in one place, and JSON is never used unseen

Callers saw: an invalid configuration with a long path outside ASCII ended each control process that it was sent to, instead of a 400; so did the order to evacuate a data centre whose name is no UTF-8. A workspace name that is no UTF-8 ended the entry box.

Cause: texts were cut at byte counts, the JSON library makes nothing of what is no UTF-8, and the missing result was used as a text.

Change: one module cuts at a character, makes any bytes presentable, and writes JSON without ever giving NULL. Errors, answers, calls to engines and log lines go through it. Log lines stay JSON whatever they quote: bytes that are no UTF-8 are replaced, numbers that are none become null, and a member that does not fit is dropped as a whole. A number of 300 digits was read beyond its buffer before. A workspace name that is no valid UTF-8 is refused, since engines are told it as JSON, in which two such names could become the same.

Now each call is answered with a JSON object, each log line parses, and the workspace name gets a 400.

Why it works: whatever the bytes are, the writer gets valid UTF-8, and where it still could not write it gives an empty object and a line in the log.

--- a/lib/admission/admission_view.c
+++ b/lib/admission/admission_view.c
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/text.h"
+
 /* ===== Life ===== */
 
 static void free_service(gpointer data)
@@ -90,12 +92,9 @@
     json_object_set_new(to, key, json_real(value));
 }
 
-/** Names come from callers and other boxes, and long ones are cut: they need not be valid UTF-8. */
 static void set_name(json_t *to, const char *key, const char *name)
 {
-    char *const valid = g_utf8_make_valid(name, -1);
-    json_object_set_new(to, key, json_string(valid));
-    g_free(valid);
+    json_object_set_new(to, key, text_to_json(name));
 }
 
 static json_t *backend_to_json(const slot_backend_view_t *b)
@@ -192,6 +191,8 @@
     json_object_set_new(root, "services", services);
     /* Ten digits: with the default of 17 a time like 0.1 is hard to read. */
     char *const text = json_dumps(root, JSON_COMPACT | JSON_REAL_PRECISION(10));
+    if (!text)
+        abort(); /* out of memory: all parts are valid */
     json_decref(root);
     return text;
 }
--- a/lib/backend/engine.c
+++ b/lib/backend/engine.c
@@ -7,6 +7,7 @@
 
 #include "backend/sse.h"
 #include "common/figure.h"
+#include "common/text.h"
 
 /* ===== Request bodies ===== */
 
@@ -24,8 +25,7 @@
     json_t *const head = json_pack("{s:s,s:s,s:i,s:b,s:i,s:s,s:O}", "model", r->model, "request_id", r->engine_id,
                                    "max_tokens", (int)max_tokens, "stream", stream, "priority", (int)r->priority,
                                    "cache_salt", r->salt, "kv_transfer_params", kv);
-    char *const text = json_dumps(head, JSON_COMPACT);
-    json_decref(head);
+    char *const text = text_from_json(head);
     const size_t head_size = strlen(text) - 1; /* without the closing brace */
     const char key[] = ",\"prompt\":";
     char *const body = malloc(head_size + sizeof(key) + r->prompt_size + 2);
@@ -246,8 +246,7 @@
 static int call_json(const char *name, const char *step, const char *method, const char *url, json_t *body,
                      tc_time_t limit, json_t **answer, tc_err_t *err)
 {
-    char *const text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-    json_decref(body);
+    char *const text = body ? text_from_json(body) : NULL;
     const http_call_t call = {.url = url,
                               .method = method,
                               .body = text,
--- a/lib/backend/http_client.c
+++ b/lib/backend/http_client.c
@@ -9,6 +9,7 @@
 
 #include "common/codec.h"
 #include "common/figure.h"
+#include "common/text.h"
 
 /* ===== Pool ===== */
 
@@ -159,10 +160,14 @@
     return message ? message->data.result : CURLE_FAILED_INIT;
 }
 
+/** Part of the body of a refusal that goes into the error. */
+enum { DETAIL_MAX_BYTES = 150 };
+
 static int classify_result(const running_t *running, CURLcode code, tc_err_t *err)
 {
     const http_call_t *const call = running->call;
     http_result_t *const result = running->result;
+    const char *const body = result->body ? result->body : "";
     if (running->cancelled)
         return tc_err_set(err, TC_E_CANCELLED, call->step, call->peer, "given up");
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || (code != CURLE_OK && !result->sent))
@@ -173,8 +178,8 @@
     if (code != CURLE_OK)
         return tc_err_set(err, TC_E_BROKEN, call->step, call->peer, "%s", curl_easy_strerror(code));
     if (result->status >= 400)
-        return tc_err_set(err, TC_E_REFUSED, call->step, call->peer, "status %d: %.150s", result->status,
-                          result->body ? result->body : "");
+        return tc_err_set(err, TC_E_REFUSED, call->step, call->peer, "status %d: %.*s", result->status,
+                          (int)text_cut(body, strnlen(body, DETAIL_MAX_BYTES)), body);
     return TC_OK;
 }
 
--- a/lib/common/codec.c
+++ b/lib/common/codec.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/text.h"
+
 /* ===== Access to fields ===== */
 
 static void *field_at(const void *object, const codec_field_t *field)
@@ -474,8 +476,8 @@
     case CODEC_F64: return json_real(*(const double *)at);
     case CODEC_BOOL: return json_boolean(*(const bool *)at);
     case CODEC_ENUM: return json_string(field->enum_names[*(const unsigned *)at]);
-    case CODEC_STR: return json_string(at);
-    case CODEC_TEXT: return json_stringn(pointer_at(object, field), *count_at(object, field));
+    case CODEC_STR: return text_to_json(at);
+    case CODEC_TEXT: return text_to_json_n(pointer_at(object, field), *count_at(object, field));
     case CODEC_U64LIST: return json_integer(*count_at(object, field));
     case CODEC_STRUCT: return codec_to_json(field->sub, at);
     case CODEC_LIST:
--- a/lib/common/err.c
+++ b/lib/common/err.c
@@ -3,6 +3,8 @@
 #include <stdarg.h>
 #include <stdio.h>
 
+#include "common/text.h"
+
 int tc_err_set(tc_err_t *err, int code, const char *step, const char *peer, const char *format, ...)
 {
     if (!err)
@@ -10,10 +12,12 @@
     err->code = code;
     err->step = step;
     snprintf(err->peer, sizeof(err->peer), "%s", peer ? peer : "");
+    text_trim(err->peer);
     va_list args;
     va_start(args, format);
     vsnprintf(err->detail, sizeof(err->detail), format, args);
     va_end(args);
+    text_trim(err->detail);
     return code;
 }
 
--- a/lib/common/err.h
+++ b/lib/common/err.h
@@ -35,8 +35,8 @@
 typedef struct {
     int code;         /**< TC_E_*, or 0 */
     const char *step; /**< static string: the operation that failed */
-    char peer[96];    /**< box, engine or file involved; may be empty */
-    char detail[224]; /**< for people */
+    char peer[96];    /**< box, engine, file or field involved, cut at a character; may be empty */
+    char detail[224]; /**< for people, cut at a character; may hold any bytes that were received */
 } tc_err_t;
 
 /* ===== Public functions ===== */
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -3,12 +3,14 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <log4c.h>
+#include <math.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "common/counter.h"
+#include "common/text.h"
 #include "common/time.h"
 
 /* ===== log4c layout and appender ===== */
@@ -115,17 +117,24 @@
     line->used += size;
 }
 
+/** Bytes that are no UTF-8 are replaced, so that each line stays valid JSON whatever it quotes. */
 static void put_escaped(log_line_t *line, const char *text)
 {
     put(line, "\"", 1);
-    for (const unsigned char *c = (const unsigned char *)text; *c; c++) {
+    size_t left = strlen(text);
+    while (left > 0) {
         char buffer[8];
-        if (*c == '"' || *c == '\\')
-            put(line, (const char[]){'\\', (char)*c}, 2);
-        else if (*c < 0x20)
-            put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "\\u%04x", *c));
+        const size_t size = text_character(text, left);
+        if (*text == '"' || *text == '\\')
+            put(line, (const char[]){'\\', *text}, 2);
+        else if ((unsigned char)*text < 0x20)
+            put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "\\u%04x", (unsigned)*text));
+        else if (size > 0)
+            put(line, text, size);
         else
-            put(line, (const char *)c, 1);
+            put(line, TEXT_REPLACEMENT, strlen(TEXT_REPLACEMENT));
+        text += size > 0 ? size : 1;
+        left -= size > 0 ? size : 1;
     }
     put(line, "\"", 1);
 }
@@ -137,13 +146,24 @@
     put(line, ":", 1);
 }
 
+/** Add a member whose value is JSON already. One that does not fit is dropped as a whole. */
+static void put_member(log_line_t *line, const char *key, const char *value)
+{
+    const size_t start = line->used;
+    put_key(line, key);
+    put(line, value, strlen(value));
+    if (line->truncated)
+        line->used = start;
+}
+
 void log_begin(log_line_t *line, log_level_t level, const char *event)
 {
     static const char *const names[] = {"error", "warn", "info", "debug"};
     line->level = level;
     line->truncated = 0;
-    line->used = (size_t)snprintf(line->text, sizeof(line->text), "{\"time\":%lld,\"level\":\"%s\",\"box\":\"%s\"",
-                                  (long long)tc_time_wall(), names[level], log_box);
+    line->used = (size_t)snprintf(line->text, sizeof(line->text), "{\"time\":%lld,\"level\":\"%s\"",
+                                  (long long)tc_time_wall(), names[level]);
+    log_str(line, "box", log_box);
     log_str(line, "event", event);
 }
 
@@ -159,15 +179,21 @@
 void log_int(log_line_t *line, const char *key, int64_t value)
 {
     char buffer[24];
-    put_key(line, key);
-    put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "%lld", (long long)value));
+    (void)snprintf(buffer, sizeof(buffer), "%lld", (long long)value);
+    put_member(line, key, buffer);
 }
 
 void log_num(log_line_t *line, const char *key, double value)
 {
-    char buffer[32];
-    put_key(line, key);
-    put(line, buffer, (size_t)snprintf(buffer, sizeof(buffer), "%.3f", value));
+    static const double FIXED_MAX = 1e15; /* larger ones have too many digits */
+    char buffer[40];
+    if (!isfinite(value))
+        (void)snprintf(buffer, sizeof(buffer), "null");
+    else if (fabs(value) < FIXED_MAX)
+        (void)snprintf(buffer, sizeof(buffer), "%.3f", value);
+    else
+        (void)snprintf(buffer, sizeof(buffer), "%.17g", value);
+    put_member(line, key, buffer);
 }
 
 void log_hash(log_line_t *line, const char *key, uint64_t value)
--- a/lib/control/operators.c
+++ b/lib/control/operators.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "common/text.h"
 #include "control/merge.h"
 #include "http/pages.h"
 
@@ -62,9 +63,9 @@
 static int send_error(struct mg_connection *conn, int status, const char *type, const tc_err_t *err, const char *leader)
 {
     return http_send_json(conn, status,
-                          json_pack("{s:{s:s,s:i,s:s,s:s,s:s,s:s}}", "error", "type", type, "code", err->code, "step",
-                                    err->step ? err->step : "", "peer", err->peer, "message", err->detail, "leader",
-                                    leader),
+                          json_pack("{s:{s:s,s:i,s:s,s:o,s:o,s:s}}", "error", "type", type, "code", err->code, "step",
+                                    err->step ? err->step : "", "peer", text_to_json(err->peer), "message",
+                                    text_to_json(err->detail), "leader", leader),
                           0);
 }
 
@@ -155,10 +156,11 @@
     const uint32_t n = state_history(view->state, changes, HISTORY_MAX);
     page->out = json_array();
     for (uint32_t i = 0; i < n; i++)
-        json_array_append_new(page->out, json_pack("{s:I,s:s,s:s,s:I,s:o}", "version", (json_int_t)changes[i]->version,
-                                                   "operator", changes[i]->operator, "request_id",
-                                                   changes[i]->request_id, "wall_ms", (json_int_t)changes[i]->wall_ms,
-                                                   "patch", json_loads(changes[i]->patch, 0, NULL)));
+        json_array_append_new(page->out, json_pack("{s:I,s:o,s:o,s:I,s:o}", "version", (json_int_t)changes[i]->version,
+                                                   "operator", text_to_json(changes[i]->operator), "request_id",
+                                                   text_to_json(changes[i]->request_id), "wall_ms",
+                                                   (json_int_t)changes[i]->wall_ms, "patch",
+                                                   json_loads(changes[i]->patch, 0, NULL)));
 }
 
 static void read_plans(void *arg, const control_view_t *view)
@@ -168,9 +170,10 @@
     const uint32_t n = state_plans(view->state, plans, 256);
     page->out = json_array();
     for (uint32_t i = 0; i < n; i++)
-        json_array_append_new(page->out, json_pack("{s:s,s:s,s:I,s:o}", "plan", plans[i]->plan, "operator",
-                                                   plans[i]->operator, "base", (json_int_t)plans[i]->base, "patch",
-                                                   json_loads(plans[i]->patch, 0, NULL)));
+        json_array_append_new(page->out,
+                              json_pack("{s:o,s:o,s:I,s:o}", "plan", text_to_json(plans[i]->plan), "operator",
+                                        text_to_json(plans[i]->operator), "base", (json_int_t)plans[i]->base, "patch",
+                                        json_loads(plans[i]->patch, 0, NULL)));
 }
 
 static void read_members(void *arg, const control_view_t *view)
@@ -393,9 +396,9 @@
     json_object_set_new(body, "code", json_integer(result.code));
     json_object_set_new(body, "error", json_string(result.code < 0 ? tc_err_name((int)result.code) : ""));
     json_object_set_new(body, "version", json_integer((json_int_t)result.version));
-    json_object_set_new(body, "detail", json_string(result.detail ? result.detail : ""));
+    json_object_set_new(body, "detail", text_to_json(result.detail ? result.detail : ""));
     if (command->plan[0])
-        json_object_set_new(body, "plan", json_string(command->plan));
+        json_object_set_new(body, "plan", text_to_json(command->plan));
     const int status = status_for((int)result.code);
     codec_free(&result_desc, &result);
     return http_send_json(conn, status, body, 0);
@@ -444,6 +447,7 @@
     codec_copy_string(command.operator, sizeof(command.operator), op->name);
     /* Derived from the request id, so that a resend names the same plan. */
     snprintf(command.plan, sizeof(command.plan), "plan-%.80s", command.request_id);
+    text_trim(command.plan);
     json_t *const extra = json_pack("{s:I,s:o,s:o}", "base", (json_int_t)command.base, "effect", page.out, "patch",
                                     json_loads(patch, 0, NULL));
     const int status = propose_and_reply(conn, o, &command, extra);
--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/text.h"
+
 /* ===== Constants ===== */
 
 /** Time that a caller may be silent within a request before its connection is closed. */
@@ -149,10 +151,9 @@
 
 int http_send_json(struct mg_connection *conn, int status, json_t *body, unsigned retry_after_ms)
 {
-    char *const text = json_dumps(body, JSON_COMPACT);
-    send_response(conn, status, "application/json", text ? text : "{}", retry_after_ms);
+    char *const text = text_from_json(body);
+    send_response(conn, status, "application/json", text, retry_after_ms);
     free(text);
-    json_decref(body);
     return status;
 }
 
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "common/figure.h"
+#include "common/text.h"
 #include "sched/sched.h"
 
 /* ===== Constants ===== */
@@ -89,10 +90,8 @@
     hash_chain(r, text, size, version);
     const uint64_t seed = XXH3_64bits(r->workspace, strlen(r->workspace)) ^ XXH3_64bits(r->model, strlen(r->model));
     r->content_hash = XXH3_64bits_withSeed(text, size, seed + r->max_tokens);
-    json_t *const string = json_stringn(text, size);
-    r->prompt_json = json_dumps(string, JSON_ENCODE_ANY);
+    r->prompt_json = text_from_json(text_to_json_n(text, size));
     r->prompt_json_size = strlen(r->prompt_json);
-    json_decref(string);
     g_free(chat);
     return TC_OK;
 }
@@ -148,6 +147,8 @@
     const char *const workspace = http_header(conn, "X-Trackcove-Workspace");
     if (strlen(workspace) >= sizeof(r->workspace))
         return set_field_error(err, "X-Trackcove-Workspace", "is too long");
+    if (!g_utf8_validate(workspace, -1, NULL)) /* engines get it as JSON, in which two such names could be the same */
+        return set_field_error(err, "X-Trackcove-Workspace", "is no valid UTF-8");
     codec_copy_string(r->workspace, sizeof(r->workspace), workspace[0] ? workspace : "default");
     r->repeatable = strcmp(http_header(conn, "X-Trackcove-Repeatable"), "no") != 0;
     read_last_event(r, http_header(conn, "Last-Event-ID"));
@@ -353,10 +354,11 @@
     }
     json_t *choice;
     if (c->request->chat)
-        choice = json_pack("{s:i,s:{s:s,s:s},s:s}", "index", 0, "message", "role", "assistant", "content", c->text->str,
-                           "finish_reason", "stop");
+        choice = json_pack("{s:i,s:{s:s,s:o},s:s}", "index", 0, "message", "role", "assistant", "content",
+                           text_to_json_n(c->text->str, c->text->len), "finish_reason", "stop");
     else
-        choice = json_pack("{s:i,s:s,s:s}", "index", 0, "text", c->text->str, "finish_reason", "stop");
+        choice = json_pack("{s:i,s:o,s:s}", "index", 0, "text", text_to_json_n(c->text->str, c->text->len),
+                           "finish_reason", "stop");
     json_t *const body = json_pack("{s:s,s:s,s:[o],s:{s:i,s:i}}", "id", c->request->id, "object",
                                    c->request->chat ? "chat.completion" : "text_completion", "choices", choice, "usage",
                                    "prompt_tokens", (int)prompt_tokens, "completion_tokens", (int)c->n_tokens);
@@ -364,8 +366,7 @@
         http_send_json(c->http.conn, 200, body, 0);
         return;
     }
-    char *const text = json_dumps(body, JSON_COMPACT);
-    json_decref(body);
+    char *const text = text_from_json(body);
     http_stream_send(&c->http, text, strlen(text));
     http_stream_close(&c->http);
     free(text);
@@ -373,9 +374,9 @@
 
 static json_t *error_body(request_outcome_t outcome, const tc_err_t *err, uint32_t retry_after_ms)
 {
-    return json_pack("{s:{s:s,s:i,s:s,s:s,s:s,s:i}}", "error", "type", caller_outcome_name(outcome), "code", err->code,
-                     "step", err->step ? err->step : "", "peer", err->peer, "message", err->detail, "retry_after_ms",
-                     (int)retry_after_ms);
+    return json_pack("{s:{s:s,s:i,s:s,s:o,s:o,s:i}}", "error", "type", caller_outcome_name(outcome), "code", err->code,
+                     "step", err->step ? err->step : "", "peer", text_to_json(err->peer), "message",
+                     text_to_json(err->detail), "retry_after_ms", (int)retry_after_ms);
 }
 
 int caller_refuse(struct mg_connection *conn, request_outcome_t outcome, const tc_err_t *err, uint32_t retry_after_ms)
@@ -393,9 +394,7 @@
         caller_refuse(c->http.conn, outcome, err, retry_after_ms);
         return;
     }
-    json_t *const body = error_body(outcome, err, retry_after_ms);
-    char *const text = json_dumps(body, JSON_COMPACT);
-    json_decref(body);
+    char *const text = text_from_json(error_body(outcome, err, retry_after_ms));
     if (c->request->stream) {
         http_stream_send(&c->http, "event: error\ndata: ", 19);
         http_stream_send(&c->http, text, strlen(text));
--- a/programs/trackcove/local.c
+++ b/programs/trackcove/local.c
@@ -6,6 +6,7 @@
 
 #include "common/codec.h"
 #include "common/log.h"
+#include "common/text.h"
 #include "control/operators.h"
 #include "control/store.h"
 #include "gen/schema.h"
@@ -99,7 +100,7 @@
 static void print_line(const cli_options_t *options, json_t *line)
 {
     if (options->json) {
-        char *const text = json_dumps(line, JSON_COMPACT);
+        char *const text = text_from_json(json_incref(line));
         printf("%s\n", text);
         free(text);
         return;
@@ -107,7 +108,7 @@
     const char *key;
     json_t *value;
     json_object_foreach(line, key, value) {
-        char *const shown = json_dumps(value, JSON_ENCODE_ANY);
+        char *const shown = text_from_json(json_incref(value));
         if (strcmp(key, "request") != 0 && strcmp(key, "level") != 0)
             printf("%s=%s ", key, shown);
         free(shown);
--- a/programs/trackcove/remote.c
+++ b/programs/trackcove/remote.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "backend/http_client.h"
+#include "common/text.h"
 #include "trackcove/cli.h"
 
 /* ===== Calls ===== */
@@ -64,8 +65,7 @@
         *code = CLI_USAGE;
         return NULL;
     }
-    char *const text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-    json_decref(body);
+    char *const text = body ? text_from_json(body) : NULL;
     gchar **const boxes = g_strsplit(o->control, ",", 0);
     const guint n = g_strv_length(boxes);
     json_t *answer = NULL, *follower_answer = NULL;
@@ -125,12 +125,15 @@
 {
     if (!o->json)
         return false;
-    char *const text = json_dumps(answer, JSON_COMPACT);
+    char *const text = text_from_json(json_incref((json_t *)(uintptr_t)answer));
     printf("%s\n", text);
     free(text);
     return true;
 }
 
+/** Part of a patch that the history shows. */
+enum { PATCH_SHOWN_BYTES = 100 };
+
 static const char *get_string(const json_t *object, const char *key)
 {
     const char *const text = json_string_value(json_object_get(object, key));
@@ -145,7 +148,7 @@
 static void print_value(const json_t *value)
 {
     char *const text = json_dumps(value, JSON_INDENT(2) | JSON_ENCODE_ANY);
-    printf("%s\n", text);
+    printf("%s\n", text ? text : "");
     free(text);
 }
 
@@ -274,10 +277,11 @@
     size_t i;
     json_t *c;
     json_array_foreach(list, i, c) {
-        char *const patch = json_dumps(json_object_get(c, "patch"), JSON_COMPACT);
+        char *const patch = text_from_json(json_incref(json_object_get(c, "patch")));
         GDateTime *const when = g_date_time_new_from_unix_utc(get_integer(c, "wall_ms") / 1000);
         char *const stamp = g_date_time_format(when, "%F %T");
-        printf("%6lld  %s  %-12s %.100s\n", get_integer(c, "version"), stamp, get_string(c, "operator"), patch);
+        printf("%6lld  %s  %-12s %.*s\n", get_integer(c, "version"), stamp, get_string(c, "operator"),
+               (int)text_cut(patch, strnlen(patch, PATCH_SHOWN_BYTES)), patch);
         g_free(stamp);
         g_date_time_unref(when);
         free(patch);
@@ -313,7 +317,7 @@
 
 static int submit_change(const cli_options_t *o, const char *path, json_t *body)
 {
-    json_object_set_new(body, "request_id", json_string(o->request_id));
+    json_object_set_new(body, "request_id", text_to_json(o->request_id));
     int code;
     json_t *const answer = cli_control(o, path, body, &code);
     if (!answer || cli_print_json(o, answer) || code != CLI_OK)
@@ -389,23 +393,23 @@
 int cmd_confirm(const cli_options_t *o, int argc, char **argv)
 {
     (void)argc;
-    return submit_change(o, "/v1/confirm", json_pack("{s:s}", "plan", argv[0]));
+    return submit_change(o, "/v1/confirm", json_pack("{s:o}", "plan", text_to_json(argv[0])));
 }
 
 int cmd_reject(const cli_options_t *o, int argc, char **argv)
 {
     (void)argc;
-    return submit_change(o, "/v1/reject", json_pack("{s:s}", "plan", argv[0]));
+    return submit_change(o, "/v1/reject", json_pack("{s:o}", "plan", text_to_json(argv[0])));
 }
 
 int cmd_drain(const cli_options_t *o, int argc, char **argv)
 {
     (void)argc;
-    return submit_change(o, "/v1/drain", json_pack("{s:s,s:b}", "box", argv[0], "on", 1));
+    return submit_change(o, "/v1/drain", json_pack("{s:o,s:b}", "box", text_to_json(argv[0]), "on", 1));
 }
 
 int cmd_undrain(const cli_options_t *o, int argc, char **argv)
 {
     (void)argc;
-    return submit_change(o, "/v1/drain", json_pack("{s:s,s:b}", "box", argv[0], "on", 0));
+    return submit_change(o, "/v1/drain", json_pack("{s:o,s:b}", "box", text_to_json(argv[0]), "on", 0));
 }
--- a/tests/fault/test_callers.c
+++ b/tests/fault/test_callers.c
@@ -144,6 +144,19 @@
     return in_flight() == 0;
 }
 
+/** A workspace that is no UTF-8 ended the entry box, as the call to the engine could not be written. */
+static void test_workspace_that_is_no_text(void)
+{
+    static const char *const names[] = {"X-Trackcove-Workspace: a\xff", "X-Trackcove-Workspace: \xc3"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        int status = 0;
+        json_t *const answer = post("/v1/completions", "{\"model\":\"sahel-lm\",\"prompt\":\"x\"}", names[i], &status);
+        g_assert_cmpint(status, ==, 400);
+        g_assert_nonnull(json_object_get(json_object_get(answer, "error"), "message"));
+        json_decref(answer);
+    }
+}
+
 /** Callers that disconnect in the middle of a request or do not send HTTP: nothing stays in flight or held. */
 static void test_half_sent(void)
 {
@@ -226,6 +239,7 @@
     g_test_add_func("/callers/half-sent", test_half_sent);
     g_test_add_func("/callers/id-of-somebody-else", test_id_of_another_workspace);
     g_test_add_func("/callers/entries", test_entries);
+    g_test_add_func("/callers/workspace-that-is-no-text", test_workspace_that_is_no_text);
     const int rc = g_test_run();
     cluster_stop(cluster, rc != 0);
     return rc;
--- a/tests/platform/test_operators.c
+++ b/tests/platform/test_operators.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "harness/log_check.h"
 #include "platform/operators.h"
 #include "unit/cluster_lab.h"
 
@@ -218,11 +219,98 @@
     stop_servers(&s);
 }
 
+/* ===== Any bytes ===== */
+
+enum { ANY_CALLS = 400, ANY_BYTES_MAX = 200 };
+
+/** Text of random characters, which are valid UTF-8 or, in one case of four, any bytes. JSON can quote it. */
+static char *any_text(GRand *random)
+{
+    const bool any = g_rand_int_range(random, 0, 4) == 0;
+    GString *const text = g_string_new(NULL);
+    for (int left = g_rand_int_range(random, 0, ANY_BYTES_MAX); left > 0; left--) {
+        const int c = g_rand_int_range(random, 0x80, any ? 0x100 : 0x800);
+        if (any)
+            g_string_append_c(text, (char)c);
+        else
+            g_string_append_unichar(text, g_rand_boolean(random) ? (gunichar)c : 'a');
+    }
+    return g_string_free(text, FALSE);
+}
+
+/** An invalid configuration: a route names a service that is not there, or a name is there twice, or no JSON at all. */
+static char *any_config(GRand *random)
+{
+    static const char *const forms[] = {
+        "{\"version\":9,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/%s/\",\"timeout_ms\":9,\"service\":\"%s\"}],"
+        "\"services\":[]}",
+        "{\"version\":9,\"routes\":[],\"services\":[{\"name\":\"%s\"},{\"name\":\"%s\",\"max_connections\":-1}]}",
+        "{\"version\":9,\"tenants\":[{\"name\":\"a%s\",\"api_keys\":[\"%s\",\"\"]}]}",
+        "{\"version\":9,\"%s\":1,\"%s\":{",
+    };
+    char *const one = any_text(random), *const two = any_text(random);
+    char *const text = g_strdup_printf(forms[g_rand_int_range(random, 0, G_N_ELEMENTS(forms))], one, two);
+    g_free(one);
+    g_free(two);
+    return text;
+}
+
+/** A call with a random body, or with a random name in its path, as bytes that are quoted for a URL. */
+static char *any_call(GRand *random)
+{
+    if (g_rand_boolean(random)) {
+        char *const body = any_config(random);
+        char *const call = g_strdup_printf("POST /config/put HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n%s",
+                                           strlen(body), body);
+        g_free(body);
+        return call;
+    }
+    char *const name = any_text(random);
+    GString *const quoted = g_string_new(NULL);
+    for (const char *c = name; *c; c++)
+        g_string_append_printf(quoted, "%%%02x", (unsigned)(unsigned char)*c);
+    char *const call =
+        g_strdup_printf("POST /evacuations/%s/start HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", quoted->str);
+    g_string_free(quoted, TRUE);
+    g_free(name);
+    return call;
+}
+
+/** An error text that quoted a name cut within a character, or bytes that are no UTF-8, ended each control process that
+ *  answered with it. */
+static void test_any_bytes(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    servers_t s;
+    start_servers(&s, f);
+    log_check_begin();
+    GRand *const random = g_rand_new_with_seed(1);
+    unsigned refused = 0;
+    for (int i = 0; i < ANY_CALLS; i++) {
+        char *const request = any_call(random);
+        lab_call_t *const call = lab_call(s.client, f->http[i % SEEDS], request);
+        lab_run_until_true(f->loop, &call->done);
+        g_assert_cmpint(call->how, ==, WEB_RESULT_COMPLETE);
+        json_t *const answer = json_loadb(call->body->str, call->body->len, 0, NULL);
+        if (!json_is_object(answer) || call->status < 300)
+            g_error("status %d, answer %s to %s", call->status, call->body->str, request);
+        refused += call->status == 400;
+        json_decref(answer);
+        lab_call_free(call);
+        g_free(request);
+    }
+    g_assert_cmpuint(refused, >, ANY_CALLS / 2);
+    g_assert_cmpuint(log_check_end(), >=, refused);
+    g_rand_free(random);
+    stop_servers(&s);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add("/operators/calls", fixture_t, NULL, set_up, test_calls, tear_down);
     g_test_add("/operators/delayed-order", fixture_t, NULL, set_up, test_delayed_order, tear_down);
     g_test_add("/operators/admission", fixture_t, NULL, set_up, test_admission, tear_down);
+    g_test_add("/operators/any-bytes", fixture_t, NULL, set_up, test_any_bytes, tear_down);
     return g_test_run();
 }
