--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -284,8 +284,12 @@
         log_lease_lapse(r, keeps ? "lease lapsed" : "lease lapsed and leadership lost", now);
     if (keeps != r->was_leader)
         log_cluster(r, keeps ? "became leader" : "lost leadership");
+    const bool votes = raft_is_voter(r->raft, r->self.id);
+    if (votes != r->was_voter)
+        log_cluster(r, votes ? "became voter" : "no longer a voter");
     r->had_lease = lease.held;
     r->was_leader = keeps;
+    r->was_voter = votes;
     counter_set(&c_leads, lease.held);
     leader_sched_tick(r->leader_sched, &lease, roster_count(r->roster), now);
 }
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -90,7 +90,7 @@
     tc_time_t applied_at;        /* when the last of them was applied */
     struct cds_list_head proposals;
     tc_time_t join_at, announce_at;
-    bool was_leader, had_lease; /* at the last check */
+    bool was_leader, had_lease, was_voter; /* at the last check */
     bool is_running_actions;
     roster_t *roster;
     leader_sched_t *leader_sched;
--- a/tests/platform/soak/world.c
+++ b/tests/platform/soak/world.c
@@ -1,6 +1,7 @@
 #include "platform/soak/world.h"
 
 #include <glib/gstdio.h>
+#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -171,6 +172,33 @@
     }
 }
 
+static bool is_line(const char *text, const char *event, const char *what, int64_t since)
+{
+    json_t *const line = json_loads(text, 0, NULL);
+    const char *const of_line = json_string_value(json_object_get(line, "event"));
+    const char *const what_of_line = json_string_value(json_object_get(line, "what"));
+    const bool is = g_strcmp0(of_line, event) == 0 && (!what || g_strcmp0(what_of_line, what) == 0) &&
+                    json_integer_value(json_object_get(line, "time")) >= since;
+    json_decref(line);
+    return is;
+}
+
+bool box_has_logged(const box_t *box, const char *event, const char *what, int64_t since)
+{
+    char *const path = g_strconcat(box->control.settings, ".log", NULL);
+    char *text = NULL;
+    bool found = false;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        char **const lines = g_strsplit(text, "\n", -1);
+        for (char **at = lines; *at && !found; at++)
+            found = strstr(*at, event) && is_line(*at, event, what, since);
+        g_strfreev(lines);
+    }
+    g_free(text);
+    g_free(path);
+    return found;
+}
+
 static void set_paths(world_t *w, const char *cut_from)
 {
     for (int i = 0; i < WORLD_WORKERS; i++)
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -138,6 +138,10 @@
 /** Ends the process with the signal @p number and restarts it after @p pause ms. No effect when it is not running. */
 void process_restart(world_t *world, box_t *box, process_t *process, int number, tc_time_t pause);
 
+/** Whether the box's control program has logged an event. @param what value of its member "what"; NULL: any. @param
+ * since wall clock, ms */
+bool box_has_logged(const box_t *box, const char *event, const char *what, int64_t since);
+
 /** Writes the address "IP:port" of a box. @param port offset, one of PORT_* */
 void world_addr(const world_t *world, int box, int port, char to[32]);
 /** Returns the record of an attempt; creates it on the first call. */
