Requests whose header names are no tokens are refused, and blanks leave the names in answers

Callers saw: nothing. A caller could send a field that only this system may set, or a second statement of where the request ends, with a blank before the colon; it reached back ends beside the system's own fields.

Cause: the parser takes a blank within a name, and filters compare whole names.

Change: a request with a name that is no token gets 400 before anything reads it. Blanks before the colons of an answer are removed, and an answer in which that uncovers Content-Length or Transfer-Encoding, which it was parsed without, counts as broken off.

--- a/lib/web/web.c
+++ b/lib/web/web.c
@@ -75,6 +75,35 @@
     return NULL;
 }
 
+bool web_headers_are_valid(const web_headers_t *headers)
+{
+    for (guint i = 0; i < headers->lines->len; i++) {
+        const char *const name = g_array_index(headers->lines, web_header_t, i).name;
+        if (!name || !name[0])
+            return false;
+        for (const char *c = name; *c; c++)
+            if (!g_ascii_isalnum(*c) && !strchr("!#$%&'*+-.^_`|~", *c))
+                return false;
+    }
+    return true;
+}
+
+bool web_headers_strip_names(const web_headers_t *headers)
+{
+    static const char *const framing[] = {"Transfer-Encoding", "Content-Length"};
+    for (guint i = 0; i < headers->lines->len; i++) {
+        char *const name = g_array_index(headers->lines, web_header_t, i).name;
+        const size_t size = name ? strlen(name) : 0;
+        if (size == 0 || !strchr(" \t", name[size - 1]))
+            continue;
+        g_strchomp(name);
+        for (size_t k = 0; k < G_N_ELEMENTS(framing); k++)
+            if (g_ascii_strcasecmp(name, framing[k]) == 0)
+                return false;
+    }
+    return true;
+}
+
 /* ===== Hop-by-hop headers ===== */
 
 static bool list_has_token(const char *list, const char *name)
--- a/lib/web/web.h
+++ b/lib/web/web.h
@@ -41,6 +41,14 @@
 void web_headers_on_name(web_headers_t *headers, const char *data, size_t size);
 void web_headers_on_value(web_headers_t *headers, const char *data, size_t size);
 
+/** Whether each name is a token (RFC 9110, 5.6.2). A blank before the colon makes two names of one for readers that
+ *  differ in whether they drop it, so a server must refuse it (RFC 9112, 5.1). */
+bool web_headers_are_valid(const web_headers_t *headers);
+/** Remove blanks before the colons, as a proxy must do in responses (RFC 9112, 5.1).
+ * @return false when that changes the name of a field that tells where the body ends: the response was parsed without
+ * it */
+bool web_headers_strip_names(const web_headers_t *headers);
+
 /** Value of the first line with that name (case-insensitive), or NULL. Borrowed. */
 const char *web_headers_get(const web_headers_t *headers, const char *name);
 
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -201,6 +201,8 @@
         return STOP_PARSING; /* no upgrade was requested: what follows is not an HTTP response */
     if (parser->status_code < 200)
         return HAS_BODY; /* an interim response: the final one follows */
+    if (!web_headers_strip_names(&call->headers) || !web_headers_are_valid(&call->headers))
+        return STOP_PARSING;
     const web_head_t head = {.status = (int)parser->status_code, .headers = &call->headers};
     call->in_callback = true;
     call->skipping = call->sink.on_head(call->sink.arg, &head) == WEB_HEAD_SKIP;
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -166,6 +166,10 @@
 static int on_headers(http_parser *parser)
 {
     web_exchange_t *const c = parser->data;
+    if (!web_headers_are_valid(&c->headers)) {
+        c->refuse_status = 400;
+        return -1;
+    }
     if (parser->content_length != ULLONG_MAX && parser->content_length > c->server->limits->body_bytes) {
         c->refuse_status = 413;
         return -1;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -329,6 +329,10 @@
     g_assert_cmpuint(facts.prompt_tokens, ==, 1460);
     g_assert_cmpuint(facts.output_tokens, ==, 80);
     g_assert_cmpuint(facts.output_hint, ==, 33);
+    web_headers_clear(&h);
+    add(&h, "Deadline-Ms", "9223372036854775807");
+    dialect_read_request(&request, &facts);
+    g_assert_cmpint(facts.caller_timeout, ==, FIGURE_SPAN_MAX_MS); /* sums with it do not overflow */
     web_headers_free(&h);
 }
 
