What a box knew before it stood still does not say which versions serve

Callers saw: streams that were taken up at a box which had been suspended for 1.6 s went on at a back end of another software version than the one that had begun them.

Cause: a box with one version in its list lets a stream that it does not know go on anywhere if its list is at most 2 s old or a leader answered within 2 s. A list from before the pause was young enough, and so was the answer to a report sent before it, since its arrival was counted and not the question. Another version had begun to serve meanwhile.

Change: news counts from when the list was read or the answered report was sent, and only if that was after the box stood still last. Else the leader is asked, which knows the streams of every version while several serve. A stream that is bound to a version which the box's list does not have yet is held to it too.

--- a/lib/backend/version_history.c
+++ b/lib/backend/version_history.c
@@ -114,6 +114,15 @@
 
 /* ===== Queries ===== */
 
+bool version_history_has(const version_history_t *h, const char *service, const char *version, tc_time_t now)
+{
+    const served_version_t *v;
+    cds_list_for_each_entry(v, &h->versions, node)
+        if (counts(v, now) && strcmp(v->service, service) == 0 && strcmp(v->version, version) == 0)
+            return true;
+    return false;
+}
+
 unsigned version_history_count(const version_history_t *h, const char *service, tc_time_t now)
 {
     unsigned n = 0;
--- a/lib/backend/version_history.h
+++ b/lib/backend/version_history.h
@@ -42,6 +42,8 @@
 void version_history_add_left(version_history_t *history, const left_version_t *left, tc_time_t now);
 /** @return number of versions of the service that serve or served lately; unnamed ones do not count */
 unsigned version_history_count(const version_history_t *history, const char *service, tc_time_t now);
+/** Whether that version of the service serves or served lately. */
+bool version_history_has(const version_history_t *history, const char *service, const char *version, tc_time_t now);
 /** Whether any service has several versions. */
 bool version_history_is_mixed(const version_history_t *history, tc_time_t now);
 /** Whether all back ends of the version leave or have left. Those that crashed are expected to return. */
--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -170,8 +170,10 @@
     r->grants_slots = ack->leads && ack->grants_slots;
     r->finds_streams = ack->leads && ack->finds_streams;
     set_connected(r, ack->leads);
-    if (ack->leads)
+    if (ack->leads) {
         r->leader_contact = now;
+        r->leader_asked = query.asked;
+    }
     choose_next_report(r, ack, now);
     if (r->report_due)
         r->next_at = now;
@@ -337,6 +339,11 @@
     return r->leader_contact;
 }
 
+tc_time_t reporter_leader_asked_time(const reporter_t *r)
+{
+    return r->leader_asked;
+}
+
 bool reporter_call_leader(reporter_t *r, uint32_t type, const void *message, tc_time_t limit, peer_reply_t callback,
                           void *arg)
 {
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -89,6 +89,8 @@
 void reporter_set_backends(reporter_t *reporter, const backend_t *list, uint32_t n, tc_time_t fetched);
 /** When a leader last answered, 0 for never. */
 tc_time_t reporter_leader_contact_time(const reporter_t *reporter);
+/** When the report was sent that a leader answered last, 0 for never: what the leader said is at least as new. */
+tc_time_t reporter_leader_asked_time(const reporter_t *reporter);
 /** Call the leader of the control boxes. @param limit time limit for the answer, ms
  *  @return false, with nothing done, when no leader answered the last report; else @p callback runs once, later, as
  *  with peer_call */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -21,6 +21,8 @@
 /* ===== Constants ===== */
 
 enum { STATUS_BAD_REQUEST = 400, STATUS_NO_KEY = 401, STATUS_NO_ROUTE = 404 };
+/** Interval at which turns of the loop are noted. */
+enum { TURN_NOTED_MS = 100 };
 
 /* ===== Ending ===== */
 
@@ -426,6 +428,11 @@
 
 /* ===== Life cycle ===== */
 
+static void on_turn(void *arg)
+{
+    version_note_turn(arg);
+}
+
 forwarder_t *forwarder_create(loop_t *loop, fleet_t *fleet, web_client_t *client, const forwarder_options_t *options)
 {
     forwarder_t *const fw = g_new0(forwarder_t, 1);
@@ -444,7 +451,8 @@
     fw->leader_limits = limit_table_create();
     fw->service_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fw->random = g_rand_new();
-    fw->created = tc_time_now();
+    fw->created = fw->seen_at = tc_time_now();
+    loop_add_tick(loop, TURN_NOTED_MS, on_turn, fw);
     CDS_INIT_LIST_HEAD(&fw->requests);
     CDS_INIT_LIST_HEAD(&fw->early);
     CDS_INIT_LIST_HEAD(&fw->probes);
@@ -455,6 +463,7 @@
 void forwarder_destroy(forwarder_t *fw)
 {
     assert(fw->in_flight == 0); /* requests point to the forwarder */
+    loop_remove_ticks(fw->loop, fw);
     loop_disarm(&fw->renewal);
     probes_destroy(fw);
     cleanups_destroy(fw);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -351,6 +351,8 @@
     limit_table_t *leader_limits; /* list of limits from the leader */
     uint64_t limits_hash;         /* of leader_limits */
     tc_time_t created;
+    tc_time_t seen_at;  /* last turn of the loop, as far as it was noted */
+    tc_time_t woken_at; /* end of the last time for which the loop stood still; 0: never */
 };
 
 /* ===== forward.c ===== */
--- a/lib/forward/forward_version.c
+++ b/lib/forward/forward_version.c
@@ -24,8 +24,8 @@
     FIND_TIMEOUT_MS = 220,
     /* Boxes report new streams within this time; a stream that is unknown after it stays unknown. */
     REPORTED_MS = 400,
-    /* Without a newer list, or word of the leader, for this long, another version may serve elsewhere. */
-    LIST_CURRENT_MS = 2000,
+    /* The loop turns more often than this, but for a machine that was suspended or starved. */
+    STOOD_STILL_MS = 300,
     /* How long a stream waits for the first answer of a leader to a box that has just started. After it the box goes by
        its own list. */
     FIRST_CONTACT_MS = 500,
@@ -49,9 +49,12 @@
     return f->binding.name[0] && !MUTANT_IS(MUTANT_ANY_VERSION) ? f->binding.name : NULL;
 }
 
+/** Also where the one version that this box knows is another one. */
 bool version_restricts(const forward_t *f)
 {
-    return version_required(f) && count_versions(f) > 1;
+    const char *const required = version_required(f);
+    return required && (count_versions(f) > 1 ||
+                        !version_history_has(fleet_versions(f->owner->fleet), f->service, required, tc_time_now()));
 }
 
 static uint64_t taken_up_key(const forward_t *f)
@@ -59,12 +62,23 @@
     return stream_versions_key(f->facts.resumes, f->fingerprint);
 }
 
+void version_note_turn(forwarder_t *fw)
+{
+    const tc_time_t now = tc_time_now();
+    if (now - fw->seen_at >= STOOD_STILL_MS)
+        fw->woken_at = now;
+    fw->seen_at = now;
+}
+
 static bool is_list_current(const forwarder_t *fw, tc_time_t now)
 {
     if (!fw->scheduler)
         return true; /* there are no other boxes */
-    return fleet_list_age(fw->fleet, now) <= LIST_CURRENT_MS ||
-           now - reporter_leader_contact_time(fw->scheduler) <= LIST_CURRENT_MS;
+    const tc_time_t age = fleet_list_age(fw->fleet, now);
+    const version_news_t news = {.listed = age == TC_TIME_NEVER ? 0 : now - age,
+                                 .asked = reporter_leader_asked_time(fw->scheduler),
+                                 .woken_at = fw->woken_at};
+    return version_news_are_current(&news, now);
 }
 
 tc_time_t version_wait_until(const forward_t *f)
@@ -159,6 +173,7 @@
         return false;
     if (f->binding.query)
         return true;
+    version_note_turn(f->owner);
     const tc_time_t now = tc_time_now();
     const version_view_t view = view_of(f, now);
     switch (version_next_step(&view)) {
--- a/lib/forward/forward_version.h
+++ b/lib/forward/forward_version.h
@@ -41,6 +41,8 @@
 bool version_wait(forward_t *f);
 /** Until when a stream that is bound may wait for an answer, or for a back end. */
 tc_time_t version_wait_until(const forward_t *f);
+/** Notes that the loop turns. What the box knew before the loop stood still counts as outdated. Call often. */
+void version_note_turn(forwarder_t *fw);
 /** Drops the query to the leader. */
 void version_cancel(forward_t *f);
 /** Fills in the streams of a report; list for free(). */
--- a/lib/forward/version_step.c
+++ b/lib/forward/version_step.c
@@ -1,5 +1,11 @@
 #include "forward/version_step.h"
 
+bool version_news_are_current(const version_news_t *n, tc_time_t now)
+{
+    const tc_time_t newest = n->listed > n->asked ? n->listed : n->asked;
+    return newest >= n->woken_at && now - newest <= VERSION_NEWS_MAX_AGE_MS;
+}
+
 version_step_t version_next_step(const version_view_t *v)
 {
     if (!v->is_taken_up)
--- a/lib/forward/version_step.h
+++ b/lib/forward/version_step.h
@@ -9,6 +9,8 @@
 
 #include <stdbool.h>
 
+#include "common/time.h"
+
 /* ===== Types ===== */
 
 /** What the box knows. A stream whose version the leader named is known here from then on. */
@@ -33,8 +35,24 @@
     VERSION_REFUSE /**< several are possible, and nobody knows */
 } version_step_t;
 
+/** When this box heard last which versions serve. */
+typedef struct {
+    tc_time_t listed;   /**< its list of back ends was read from the platform; 0: never */
+    tc_time_t asked;    /**< the report was sent that a leader answered last; 0: never */
+    tc_time_t woken_at; /**< its loop turned again after it had stood still; 0: it never stood still */
+} version_news_t;
+
+/* ===== Constants ===== */
+
+/** Without news for this long, another version may serve elsewhere. */
+#define VERSION_NEWS_MAX_AGE_MS 2000
+
 /* ===== Public functions ===== */
 
+/** Whether the box's list lacks no version that others know. News from before it stood still does not count: meanwhile
+ *  another version may have begun to serve, and its streams may be taken up here at once. */
+bool version_news_are_current(const version_news_t *news, tc_time_t now);
+
 version_step_t version_next_step(const version_view_t *view);
 
 #endif
