--- a/lib/control/raft_leader.c
+++ b/lib/control/raft_leader.c
@@ -394,3 +394,29 @@
     leader_send_all(r, true, now);
     leader_advance_commit(r, now);
 }
+
+/* ===== Proposals ===== */
+
+int64_t raft_append(raft_t *r, const char *data, size_t size)
+{
+    if (r->role != RAFT_LEADER)
+        return TC_E_NOT_LEADER;
+    const uint64_t index = log_last_index(r) + 1;
+    log_append(r, r->term, index, RAFT_COMMAND, data, size);
+    return (int64_t)index;
+}
+
+void raft_replicate(raft_t *r, tc_time_t now)
+{
+    assert(r->role == RAFT_LEADER); /* raft_append succeeded, and nothing was received since */
+    leader_send_all(r, false, now);
+    leader_advance_commit(r, now);
+}
+
+int64_t raft_propose(raft_t *r, const char *data, size_t size, tc_time_t now)
+{
+    const int64_t index = raft_append(r, data, size);
+    if (index > 0)
+        raft_replicate(r, now);
+    return index;
+}
