--- a/tests/harness/lab.c
+++ b/tests/harness/lab.c
@@ -42,8 +42,11 @@
     struct cds_list_head conns;
 };
 
-static void free_reply(lab_conn_t *c)
+/** Frees the reply, if there is one. */
+static void free_reply(lab_conn_t *c, lab_state_t state)
 {
+    if (c->reply.progress)
+        *c->reply.progress = (lab_progress_t){.state = state, .sent = c->sent};
     g_free(c->reply.bytes);
     if (c->reply.pieces)
         g_array_free(c->reply.pieces, TRUE);
@@ -60,7 +63,7 @@
     close(c->watch.fd);
     cds_list_del(&c->node);
     g_string_free(c->in, TRUE);
-    free_reply(c);
+    free_reply(c, reset ? LAB_SHUT_DOWN : LAB_LEFT);
     g_free(c);
 }
 
@@ -90,7 +93,7 @@
 static bool conn_finish(lab_conn_t *c)
 {
     const lab_end_t end = c->reply.end;
-    free_reply(c);
+    free_reply(c, LAB_SENT);
     c->hanging = end == LAB_HANG;
     if (end == LAB_KEEP || end == LAB_HANG) {
         conn_watch(c);
@@ -127,6 +130,8 @@
             return false;
         }
         c->sent += (size_t)n;
+        if (c->reply.progress)
+            c->reply.progress->sent = c->sent;
         if (c->sent == c->due && c->due < c->size)
             conn_next_piece(c);
     }
--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -25,12 +25,27 @@
     tc_time_t wait; /**< ms between the part before it and this one */
 } lab_piece_t;
 
+/** What has become of an answer. */
+typedef enum {
+    LAB_OPEN,     /**< it is being sent, or waits to be */
+    LAB_SENT,     /**< all bytes are sent */
+    LAB_LEFT,     /**< the client closed the connection before that */
+    LAB_SHUT_DOWN /**< the back end crashed or stopped before that */
+} lab_state_t;
+
+/** How far an answer has come. */
+typedef struct {
+    lab_state_t state;
+    size_t sent; /**< bytes */
+} lab_progress_t;
+
 /** The answer of a fake back end. */
 typedef struct {
     char *bytes; /**< sent as they are, then freed with g_free(); NULL: no answer */
     lab_end_t end;
     GArray *pieces; /**< lab_piece_t, freed by the fake back end; bytes behind the last one follow at once; NULL: sent
                        in one part */
+    lab_progress_t *progress; /**< kept up to date, borrowed; NULL: none */
 } lab_reply_t;
 
 /** Called for every complete request. @param request head and body, as a string */
--- a/tests/platform/entries_lab.h
+++ b/tests/platform/entries_lab.h
@@ -11,7 +11,7 @@
 #include "unit/cluster_lab.h"
 #include "web/web_server.h"
 
-enum { LAB_ENTRIES = 6, LAB_BACKENDS = 9 }; /* at most */
+enum { LAB_ENTRIES = 6, LAB_BACKENDS = 15 }; /* at most */
 
 typedef struct {
     entry_box_t self;
@@ -35,6 +35,8 @@
     GPtrArray *calls; /* lab_call_t */
     GRand *random;
     unsigned requested;
+    retry_rules_t budget; /* of the entry boxes started from now on; that of the control boxes: f.budget */
+    web_limits_t limits;  /* of callers' requests; may change at any time */
 } entries_lab_t;
 
 /* ===== Entry boxes ===== */
@@ -113,7 +115,7 @@
         .box = e->self.box,
         .incarnation = e->self.incarnation,
         .dc = "a",
-        .retries = {.ratio = 1, .allowance = 0, .window = 60000},
+        .retries = lab->budget,
         .silence_timeout_ms = 60000,
         .egress = e->egress,
         .caps = {.window = 8000},
@@ -136,7 +138,7 @@
     e->reporter = reporter_create(lab->f.loop, &e->self, &reports, &events, &err);
     g_assert_nonnull(e->reporter);
     forwarder_set_scheduler(e->forwarder, e->reporter);
-    e->server = web_server_start(lab->f.loop, e->addr, &lab->table->limits, forwarder_handle, e->forwarder, &err);
+    e->server = web_server_start(lab->f.loop, e->addr, &lab->limits, forwarder_handle, e->forwarder, &err);
     g_assert_nonnull(e->server);
 }
 
@@ -254,6 +256,8 @@
     tc_err_t err = {0};
     lab->table = config_read(config, strlen(config), &err);
     g_assert_nonnull(lab->table);
+    lab->limits = lab->table->limits;
+    lab->budget = (retry_rules_t){.ratio = 1, .allowance = 0, .window = 60000};
     lab->random = g_rand_new_with_seed(1);
     lab->calls = g_ptr_array_new_with_free_func(free_call);
     lab->callers = web_client_create(lab->f.loop);
--- a/tests/unit/cluster_lab.h
+++ b/tests/unit/cluster_lab.h
@@ -38,6 +38,7 @@
     bool leaving;               /* state of the back end in the last list */
     bool signalled;             /* a list of back ends has arrived; in a probe, the scheduler has answered */
     unsigned retries, answered; /* granted retries and answered requests for one */
+    retry_rules_t budget;       /* for the boxes started from now on */
 } fixture_t;
 
 /* ===== Boxes ===== */
@@ -54,7 +55,7 @@
         .bootstrap = bootstrap,
         .seeds = f->seeds,
         .list_bytes_s = 6e6,
-        .retries = {.ratio = 1, .allowance = 0, .window = 600000},
+        .retries = f->budget,
         .limits = {.advertised = {.window = 4000, .overrun = 0.5, .slack = 5, .strict = true},
                    .cold = {.window = 1000, .overrun = 0.5, .slack = 5, .strict = true}}};
     tc_err_t err = {0};
@@ -78,6 +79,7 @@
 {
     (void)data;
     f->loop = loop_create();
+    f->budget = (retry_rules_t){.ratio = 1, .allowance = 0, .window = 600000};
     for (int i = 0; i < BOXES; i++) {
         lab_unused_addr(f->addr[i]);
         lab_unused_addr(f->http[i]);
