Soak: workers fall silent beside planned work; its clients in a file of their own

After the faults have ended, workers fall silent for 1.2 to 2.6 s and go on, singly and in staggered groups, while the configuration changes (routes, time limits, weights, idle times), boxes get SIGHUP and are restarted by SIGTERM, and engines refuse a part of the requests, which uses up the retry budget. Nothing else disturbs the boxes, so a whole request needs an answer or a refusal, and a begun answer of a sound worker must not be broken off.

--- a/Makefile
+++ b/Makefile
@@ -247,15 +247,15 @@
 	@failed=0; for seed in $$(seq $(or $(FIRST),1) $$(($(or $(FIRST),1) + $(or $(SEEDS),50) - 1))); do \
 	    $(SOAK) --shim $(SHIM) --bin $(BUILD)/bin --seed $$seed --seconds $(or $(SECONDS),15) || failed=1; done; exit $$failed
 
-# Each deliberate fault of lib/common/mutant.h must be detected, which shows that the checks can fail. Nine are detected
+# Each deliberate fault of lib/common/mutant.h must be detected, which shows that the checks can fail. Ten are detected
 # by the soak test. The fault of the lease is detected only by the randomised log test, since a leader that was paused
 # receives word of its successor before it reads the next request. The faults of the clock and of the budget are detected
 # by their own tests: the soak test checks both guarantees too, but rarely reaches a state in which they matter. Those of
 # the slot pool are detected by its randomised test, which knows what runs at each back end.
 SABOTAGE = $(MAKE) --no-print-directory -s BUILD=build-sabotage-$$which CFLAGS="-O2 -g -DTRACKCOVE_MUTANT=$$which"
 .PHONY: sabotage
-sabotage: setup $(SOAK) ## inject fourteen deliberate faults; each must be detected within SEEDS=N soak tests, or by a test
-	@missed=0; for which in 1 3 4 5 8 9 12 13 14; do found=0; $(SABOTAGE) platform >/dev/null || exit 1; \
+sabotage: setup $(SOAK) ## inject fifteen deliberate faults; each must be detected within SEEDS=N soak tests, or by a test
+	@missed=0; for which in 1 3 4 5 8 9 12 13 14 15; do found=0; $(SABOTAGE) platform >/dev/null || exit 1; \
 	    for seed in $$(seq 1 $(or $(SEEDS),10)); do \
 	        if ! $(SOAK) --shim $(SHIM) --bin build-sabotage-$$which/bin --seed $$seed --seconds $(or $(SECONDS),15) >/dev/null 2>build-sabotage-$$which/broken; then \
 	            echo "fault $$which: found by the soak with seed $$seed: $$(head -1 build-sabotage-$$which/broken)"; found=1; break; fi; done; \
--- a/tests/platform/soak/engines.c
+++ b/tests/platform/soak/engines.c
@@ -236,6 +236,7 @@
 static void engine_crash(struct worker *me)
 {
     world_log(me->world, "worker %s crashes", me->id);
+    me->world->crashed_at = tc_time_now();
     proxy_set_down(me->proxy, true);
     lab_backend_crash(me->backend);
     me->restart_at = tc_time_now() + RESTART_MIN_MS + world_pick(me->world, RESTART_MAX_MS - RESTART_MIN_MS);
@@ -290,6 +291,8 @@
         ; /* the worker rejects all requests */
     else if (strcmp(expected, me->id) != 0)
         answer = reply(LAB_KEEP, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+    else if (world_random(me->world) < me->refusal_rate)
+        answer = refuse();
     else if (me->kind == 1 && strcmp(stage, "prefill") == 0 && world_random(me->world) >= me->failure_rate)
         answer = reply(LAB_KEEP, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"prefill_handle\":\"h1\"}");
     else if (me->kind == 1)
--- a/tests/platform/soak/routes.h
+++ b/tests/platform/soak/routes.h
@@ -12,6 +12,9 @@
  * of KIND_RESUMABLE sets gap_aim_ms, so that a stall is soon detected; that of KIND_PATIENT does not. */
 typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_RESUMABLE, KIND_PATIENT, KINDS } kind_t;
 
+/** Time limit of the requests of all kinds, at least. */
+enum { ROUTES_TIMEOUT_MS = 3000 };
+
 /** First part of the path of each kind's requests. */
 extern const char *const kind_paths[KINDS];
 
--- a/tests/platform/soak/soak.c
+++ b/tests/platform/soak/soak.c
@@ -14,20 +14,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "platform/soak/callers.h"
 #include "platform/soak/engines.h"
 #include "platform/soak/fatal.h"
 #include "platform/soak/limits.h"
 #include "platform/soak/notices.h"
 #include "platform/soak/plain.h"
 #include "platform/soak/routes.h"
+#include "platform/soak/silences.h"
 #include "platform/soak/world.h"
 
 /* ===== Constants ===== */
 
 enum {
     TICK_MS = 5,
-    CALLERS_MAX = 60,
-    PLAIN_CALLERS = 12, /* of these, the ones that send plain requests only: more than workers with limits accept */
     FAULT_MIN_MS = 250,
     FAULT_MAX_MS = 900,
     PUT_EVERY_MS = 400,
@@ -39,45 +39,25 @@
     CUT_MAX_MS = 3000,
     BLACKHOLE_BYTES_MAX = 600, /* before a connection becomes a black hole: less than a stream has */
     WIPE_EVERY_MS = 12000,     /* at least; a box with a new disk must also vote again before the next disk is lost */
-    TOKENS_MIN = 5,            /* of a stream */
-    TOKENS_MAX = 30,
-    ABORT_BYTES_MAX = 800,     /* before a client aborts; an event has 40 to 150, an answer up to 30 events */
-    REQUESTS_MAX = 4,          /* of one client for one stream */
     MEMORY_KB_MAX = 44 * 1024, /* per process, see check_memory() */
-    SETTLE_MS = 20000,         /* from the last fault to full recovery */
-    START_MS = 15000,          /* from the start to the first 20 requests served in a row */
-    GRANTED_MS = 500, /* before that: what a plain worker then has was granted within this, queue and pace included */
+    SILENCES_MS = 7000,
+    SETTLE_MS = 20000, /* from the last fault to full recovery */
+    START_MS = 15000,  /* from the start to the first 20 requests served in a row */
+    GRANTED_MS = 500,  /* before that: what a plain worker then has was granted within this, queue and pace included */
     SLOTS_LOADS_MAX = 6,
     SLOTS_MS = 3000 /* after recovery: plain requests only, more than the plain workers have slots */
 };
 
-/** Share of the requests for resumable streams that clients abort. */
-static const double ABORT_SHARE = 0.15;
 /** Share of the answers of decode engines that fail, until a fault changes it. */
 static const double DECODE_FAILURE_RATE = 0.1;
 
 /* ===== State ===== */
 
-/** A client that sends one request after the other. */
-typedef struct {
-    lab_call_t *call; /* NULL between requests */
-    char id[24];      /* of the attempt */
-    char name[16];    /* of the plain request or stream, the same for all its attempts */
-    kind_t kind;
-    int box;
-    record_t *stream;      /* requested until it is complete, or NULL */
-    char first_id[24];     /* attempt that brought the stream's first event; "": none yet */
-    unsigned requests;     /* attempts for name so far */
-    size_t abort_at_bytes; /* the client closes after this many bytes; 0: never */
-} caller_t;
-
 typedef struct {
     world_t *world;
     loop_t *loop;
     web_client_t *client;
-    caller_t callers[CALLERS_MAX];
-    unsigned started, answered, served, refused, unknown;
-    unsigned aborted, resumed; /* streams that clients aborted; streams that they resumed */
+    callers_t callers;
     unsigned faults, puts, reads;
     lab_call_t *put, *read;
     uint64_t version; /* newest version that was put */
@@ -89,132 +69,10 @@
     const box_t *wiped; /* box whose disk was lost last; NULL: none */
     int64_t wiped_at;   /* wall clock */
     fatal_callers_t *fatal_callers;
-    bool faults_ended;      /* no faults are injected */
-    unsigned served_in_row; /* requests served since the last failure */
+    bool faults_ended; /* no faults are injected */
     bool config_is_newest;
 } soak_t;
 
-/* ===== Clients ===== */
-
-/** Chooses a new request. */
-static void choose_request(soak_t *s, caller_t *c)
-{
-    world_t *const w = s->world;
-    const bool plain = c - s->callers < PLAIN_CALLERS || w->is_in_touch;
-    c->kind = plain ? KIND_SAFE : (kind_t)world_pick(w, KINDS);
-    c->box = world_pick(w, WORLD_BOXES);
-    c->requests = 0;
-    c->first_id[0] = '\0';
-    g_snprintf(c->name, sizeof(c->name), "t%u", s->started++);
-    if (kind_is_stream(c->kind))
-        c->stream = world_stream(w, c->name, TOKENS_MIN + (unsigned)world_pick(w, TOKENS_MAX - TOKENS_MIN + 1));
-}
-
-/** Resumes a stream at another box. */
-static void choose_resumption(soak_t *s, caller_t *c)
-{
-    c->box = (c->box + 1 + world_pick(s->world, WORLD_BOXES - 1)) % WORLD_BOXES;
-    s->resumed++;
-}
-
-static void start_caller(soak_t *s, caller_t *c)
-{
-    world_t *const w = s->world;
-    char addr[32], last[96] = "";
-    if (c->stream)
-        choose_resumption(s, c);
-    else
-        choose_request(s, c);
-    g_snprintf(c->id, sizeof(c->id), "%s.%u", c->name, c->requests++);
-    world_attempt(w, c->id)->box = 1 + (unsigned)c->box;
-    world_attempt(w, c->id)->once = c->kind == KIND_ONCE || c->kind == KIND_STREAM;
-    c->abort_at_bytes =
-        kind_is_resumable(c->kind) && world_random(w) < ABORT_SHARE ? 1 + (size_t)world_pick(w, ABORT_BYTES_MAX) : 0;
-    if (c->stream && c->stream->last > 0)
-        g_snprintf(last, sizeof(last), "Last-Event-Id: %u\r\nResumes: %s\r\n", c->stream->last, c->first_id);
-    world_addr(w, c->box, PORT_FRONT, addr);
-    char *const text = g_strdup_printf("POST /%s/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n"
-                                       "Token-Count: 500,100\r\nPrompt-Prefix: a1:200,b%d:200,%s:100\r\n%s"
-                                       "Content-Length: %zu\r\n\r\n%s",
-                                       kind_paths[c->kind], c->id, c->kind, c->name, last, strlen(c->name), c->name);
-    arrivals_request(w, kind_is_stream(c->kind));
-    c->call = lab_call(s->client, addr, text);
-    g_free(text);
-}
-
-/** Checks the answer, or the part of it that was received. @param complete it ended without error */
-static void check_body(const soak_t *s, caller_t *c, bool complete)
-{
-    const GString *const body = c->call->body;
-    const char *error = NULL;
-    if (c->stream)
-        error = record_check_answer(c->stream, body->str, body->len, complete);
-    else if (complete && strcmp(body->str, c->id) != 0)
-        error = "a client gets the complete answer to its own request";
-    if (error)
-        world_fail(s->world, error, c->id);
-    if (c->stream && c->stream->last > 0 && !c->first_id[0])
-        g_strlcpy(c->first_id, c->id, sizeof(c->first_id));
-}
-
-/** Frees the call. The next request resumes a stream that is incomplete and resumable, up to REQUESTS_MAX requests. */
-static void free_call(caller_t *c)
-{
-    lab_call_free(c->call);
-    c->call = NULL;
-    if (c->stream && (!kind_is_resumable(c->kind) || c->requests == REQUESTS_MAX))
-        c->stream = NULL;
-}
-
-static void end_caller(soak_t *s, caller_t *c)
-{
-    world_t *const w = s->world;
-    const lab_call_t *const call = c->call;
-    const bool complete = call->how == WEB_RESULT_COMPLETE;
-    s->answered++;
-    if (call->status == 200)
-        check_body(s, c, complete);
-    if (complete && call->status == 200) {
-        s->served++;
-        s->served_in_row++;
-        c->stream = NULL;
-    } else {
-        s->served_in_row = 0;
-        s->unknown++;
-    }
-    if (complete && (call->status == 503 || call->status == 429)) {
-        attempt_t *const t = world_attempt(w, c->id);
-        s->refused++;
-        t->refused = t->once; /* a repeatable request may have been started before */
-        if (t->once && t->runs > 0)
-            world_fail(w, "a request reported as not executed was not run", c->id);
-    }
-    free_call(c);
-}
-
-/** Closes the client's connection in the middle of the answer. */
-static void abort_call(soak_t *s, caller_t *c)
-{
-    web_call_cancel(c->call->call);
-    g_string_truncate(c->call->body, c->abort_at_bytes);
-    s->aborted++;
-    check_body(s, c, false);
-    free_call(c);
-}
-
-static void drive_callers(soak_t *s)
-{
-    for (int i = 0; i < CALLERS_MAX; i++) {
-        caller_t *const c = &s->callers[i];
-        if (c->call && c->call->done)
-            end_caller(s, c);
-        else if (c->call && c->abort_at_bytes && c->call->status == 200 && c->call->body->len >= c->abort_at_bytes)
-            abort_call(s, c);
-        if (!c->call && world_random(s->world) < 0.05)
-            start_caller(s, c);
-    }
-}
-
 /* ===== The operator ===== */
 
 static lab_call_t *call_control(const soak_t *s, int box, const char *text)
@@ -500,7 +358,7 @@
     world_t *const w = s->world;
     s->faults_ended = true;
     fatal_end_faults(s->fatal_callers);
-    s->served_in_row = 0;
+    s->callers.served_in_row = 0;
     s->config_is_newest = false;
     world_log(w, "faults end");
     restore_proxies(w);
@@ -537,10 +395,11 @@
     world_tick(s->world);
     drive_puts(s, now);
     drive_reads(s);
-    drive_callers(s);
+    callers_drive(&s->callers);
     if (s->fatal_callers)
         fatal_drive(s->fatal_callers);
     drive_faults(s, now);
+    silences_drive(s->world, now);
 }
 
 static bool drive_until(soak_t *s, tc_time_t until, bool (*condition)(const soak_t *))
@@ -556,12 +415,12 @@
 
 static bool is_up(const soak_t *s)
 {
-    return s->acked > 0 && s->served_in_row >= 20;
+    return s->acked > 0 && s->callers.served_in_row >= 20;
 }
 
 static bool is_recovered(const soak_t *s)
 {
-    return s->served_in_row >= 100 && s->config_is_newest && s->acked == s->version &&
+    return s->callers.served_in_row >= 100 && s->config_is_newest && s->acked == s->version &&
            fatal_is_checked(s->fatal_callers);
 }
 
@@ -593,6 +452,18 @@
         world_fail(s->world, "a leader keeps its lease once faults have ended", "in no load for slots");
 }
 
+/** Has workers fall silent beside planned work only, and waits until all are well again. */
+static void load_silences(soak_t *s)
+{
+    silences_begin(s->world);
+    (void)drive_until(s, tc_time_now() + SILENCES_MS, NULL);
+    silences_end(s->world);
+    s->callers.served_in_row = 0;
+    s->config_is_newest = false;
+    if (!s->world->failed && !drive_until(s, tc_time_now() + SETTLE_MS, is_recovered) && !s->world->failed)
+        world_fail(s->world, "service recovers after silences", "not recovered in time");
+}
+
 static int report(const soak_t *s, guint32 seed)
 {
     world_t *const w = s->world;
@@ -605,8 +476,9 @@
            "within an event, %u aborted by clients, %u resumed; %u workers crashed, %u of them more than allowed; %u "
            "faults; at most %u requests at a plain worker; "
            "%u puts, %u reads, newest version %" G_GUINT64_FORMAT ": %s\n",
-           seed, s->answered, s->served, s->refused, s->unknown - s->refused, w->runs, w->truncated, s->aborted,
-           s->resumed, ended, late, s->faults, most, s->puts, s->reads, s->acked, w->failed ? "FAILED" : "passed");
+           seed, s->callers.answered, s->callers.served, s->callers.refused, s->callers.unknown - s->callers.refused,
+           w->runs, w->truncated, s->callers.aborted, s->callers.resumed, ended, late, s->faults, most, s->puts,
+           s->reads, s->acked, w->failed ? "FAILED" : "passed");
     if (!w->failed)
         return 0;
     printf("schedule:\n%slogs: %s\n", w->schedule->str, w->root);
@@ -644,6 +516,8 @@
     s.loop = loop_create();
     s.client = web_client_create(s.loop);
     s.world = world_create(s.loop, (guint32)seed, bin, shim);
+    s.callers.world = s.world;
+    s.callers.client = s.client;
     s.faults_ended = true;
     s.version = 1;
     if (!drive_until(&s, tc_time_now() + START_MS, is_up) && !s.world->failed)
@@ -654,6 +528,7 @@
     end_faults(&s);
     if (!drive_until(&s, tc_time_now() + SETTLE_MS, is_recovered) && !s.world->failed)
         world_fail(s.world, "service recovers after the last fault", "not recovered in time");
+    load_silences(&s);
     check_slots(&s);
     check_memory(&s);
     arrivals_check(s.world);
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -56,6 +56,13 @@
 
 struct fatal_callers;
 
+/** State of silences.c. */
+typedef struct {
+    tc_time_t since;      /**< 0: there are none */
+    tc_time_t next_at;    /**< of the next change */
+    tc_time_t prefill_at; /**< when the prefill engine follows a group of decode engines; 0: it does not */
+} silences_t;
+
 /** Arrivals at the workers of one service. */
 typedef struct {
     GArray *requests; /**< tc_time_t: when clients sent them */
@@ -81,6 +88,7 @@
         int kind;            /**< 0: plain, 1: prefill, 2: decode */
         unsigned version;    /**< of its software, 1 or 2 */
         double failure_rate; /**< share of its answers that fail, from 0 to 1 */
+        double refusal_rate; /**< share of the requests that it refuses, from 0 to 1 */
         bool draining;
         tc_time_t resume_at;  /**< end of its suspension; 0: not suspended */
         tc_time_t restart_at; /**< when it restarts after a crash; 0: it runs */
@@ -106,7 +114,9 @@
     unsigned runs, truncated;            /**< runs of streams; those that were truncated or stalled within an event */
     struct fatal_callers *fatal_callers; /**< NULL before and after the run */
     arrivals_t arrivals[2];              /**< for plain requests and for streams */
-    bool is_in_touch;                    /**< no fault keeps boxes and control apart, and none did for a while */
+    silences_t silences;
+    tc_time_t crashed_at; /**< when a worker crashed last */
+    bool is_in_touch;     /**< no fault keeps boxes and control apart, and none did for a while */
     bool failed;
     GString *schedule; /**< log of all faults and changes, one line each */
     tc_time_t started_at;
