Log and count runs that are suspected, and begun answers that a box breaks off

Operators could not tell how many begun answers a box had broken off, which of these had a run that was given up on suspicion, and what was there to replace it. Now: run_suspected says who is suspected, for how long it was silent, and what another run would have (a prefill engine, the retry budget); the end of a request says how many of its runs were suspected; counters for suspected runs, for answers broken off, and for those of them after a suspected run. No decision has changed.

--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -15,6 +15,8 @@
 COUNTER_DEFINE(c_refused, "counter", "trackcove_forward_refused_total", "Calls that back ends did not run")
 COUNTER_DEFINE(c_broken, "counter", "trackcove_forward_broken_total", "Calls without a whole answer")
 COUNTER_DEFINE(c_spoiled, "counter", "trackcove_forward_spoiled_total", "Answers without proof of their origin")
+COUNTER_DEFINE(c_suspected, "counter", "trackcove_silent_runs_total",
+               "Runs of streams suspected since they were silent")
 COUNTER_DEFINE(c_wasted, "counter", "trackcove_forward_prefill_wasted_tokens_total",
                "Prompt tokens computed and not used by a decode engine")
 
@@ -399,6 +401,14 @@
 
 static void arm_silence_timer(forward_t *f);
 
+static void give_up_silent(forward_t *f)
+{
+    counter_add(&c_suspected, 1);
+    f->silences++;
+    forward_log_silence(f);
+    give_up(f->call, "stream is silent");
+}
+
 /** Gives up a silent run, once the retry budget covers the next run. The run is not silent while bytes wait to be read:
  *  this box was suspended, or they arrived while the leader was queried. */
 static void give_up_when_granted(forward_t *f)
@@ -413,7 +423,7 @@
     if (before > f->retry.paid)
         retry_request(f, RETRY_PURPOSE_RERUN, give_up_when_granted, arm_silence_timer);
     else
-        give_up(f->call, "stream is silent");
+        give_up_silent(f);
 }
 
 /** Gives up a silent run only when another can follow; otherwise waits on. */
--- a/lib/forward/forward_end.c
+++ b/lib/forward/forward_end.c
@@ -9,6 +9,9 @@
 COUNTER_DEFINE(c_answered, "counter", "trackcove_forward_answered_total", "Requests answered by a back end")
 COUNTER_DEFINE(c_not_run, "counter", "trackcove_forward_not_run_total", "Requests refused as not run")
 COUNTER_DEFINE(c_unknown, "counter", "trackcove_forward_unknown_total", "Requests that failed after they may have run")
+COUNTER_DEFINE(c_aborted, "counter", "trackcove_forward_aborted_total", "Begun answers that this box broke off")
+COUNTER_DEFINE(c_aborted_silent, "counter", "trackcove_forward_aborted_silent_total",
+               "Begun answers that this box broke off after it had given up a silent run of theirs")
 HISTOGRAM_DEFINE(h_answer, "trackcove_forward_answer_ms", "From a request to the end of its answer")
 COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Requests whose caller left")
 COUNTER_DEFINE(c_held, "counter", "trackcove_forward_held_total",
@@ -72,6 +75,8 @@
     call_cancel(f, why);
     if (f->begun) {
         counter_add(&c_unknown, 1);
+        counter_add(&c_aborted, 1);
+        counter_add(&c_aborted_silent, f->silences > 0);
         forward_log_end(f, "aborted", why, 0);
         web_abort_response(f->exchange);
         forward_free(f);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -310,6 +310,7 @@
     char *last_event;       /* id of the newest event forwarded, or already at the caller; "" for none */
     bool has_unnamed_event; /* an event without an id followed last_event, so no run can continue the stream */
     unsigned stream_runs;   /* runs of the stream */
+    unsigned silences;      /* of these, runs that were suspected since they were silent */
     unsigned events;        /* forwarded */
     uint64_t bytes;         /* of the forwarded events */
     uint64_t digest;        /* of the forwarded events, in order */
@@ -448,6 +449,8 @@
 void forward_log_routed(const forward_t *f);
 /** Logs a decision and the age of its inputs. @param instance concerned, or NULL */
 void forward_log(const forward_t *f, const char *event, const char *why, int status, const instance_t *instance);
+/** Logs that the run in progress is suspected since it is silent, and what is there to replace it. */
+void forward_log_silence(forward_t *f);
 /** Logs the end of a stream run: where it had to continue, what it delivered, and the bytes that were dropped. */
 void forward_log_run(const backend_call_t *call, const char *why);
 /** Logs the end of a request and how its caller was served. */
--- a/lib/forward/forward_log.c
+++ b/lib/forward/forward_log.c
@@ -125,6 +125,26 @@
     log_end(&line);
 }
 
+void forward_log_silence(forward_t *f)
+{
+    const instance_t *const instance = f->call->instance;
+    log_line_t line;
+    log_begin(&line, LOG_INFO, "run_suspected");
+    log_str(&line, "request", f->facts.id);
+    log_str(&line, "backend", instance->listed.id);
+    log_str(&line, "addr", instance->listed.addr);
+    log_int(&line, "run", f->stream_runs);
+    log_int(&line, "events", f->call->run.events);
+    log_int(&line, "silent_ms", tc_time_now() - MAX(f->event_at, f->call->began));
+    log_int(&line, "running", instance->running);
+    log_int(&line, "has_prefill", f->split && forward_has_any(f, STAGE_PREFILL));
+    log_int(&line, "paid", f->retry.paid);
+    log_int(&line, "counted", f->retry.counted);
+    log_int(&line, "config", (int64_t)f->table->version);
+    log_int(&line, "left_ms", f->deadline - tc_time_now());
+    log_end(&line);
+}
+
 void forward_log_end(const forward_t *f, const char *event, const char *why, int status)
 {
     const tc_time_t now = tc_time_now();
@@ -141,6 +161,7 @@
         log_int(&line, "pause_ms", f->pause);
         log_int(&line, "events", f->events);
         log_int(&line, "runs", f->stream_runs);
+        log_int(&line, "silences", f->silences);
         log_str(&line, "last", f->last_event);
         log_int(&line, "bytes", (int64_t)f->bytes);
         log_hash(&line, "digest", f->digest);
