Tests: replacements of silent runs that fail in eight ways; all eight lose the answer

A sound engine is silent for 120 ms within a stream; the run that is to replace it fails: its prefill is silent, refused or broken, or the decode engine refuses, is of another stage, asks for a pause, is unreachable or silent. The caller is owed the whole answer, which the first engine goes on with.

--- a/tests/platform/test_stream_silence.c
+++ b/tests/platform/test_stream_silence.c
@@ -1,5 +1,5 @@
 /* Runs of a stream that are silent for longer than the silence timeout but still alive. Giving up a run ends it for
- * good, so that happens only when another run can follow, and only when the back end itself is silent. */
+ * good, so that happens only once another run has begun, and only when the back end itself is silent. */
 
 #include "platform/forward_lab.h"
 
@@ -77,6 +77,56 @@
     external_backend_close(&engine);
 }
 
+/* ===== Failing replacements ===== */
+
+/** An attempt to replace a silent run, and why it fails. Replies are letters of forward_lab.h. */
+typedef struct {
+    const char *name;
+    double budget;        /* as for set_up(): two further arrivals */
+    const char *prefills; /* replies of the prefill engine */
+    const char *spare;    /* replies of the engine that is to replace the silent one */
+    bool spare_is_down;   /* it refuses connections */
+    unsigned spare_calls; /* that it gets */
+} replacement_t;
+
+static const replacement_t replacements[] = {
+    {"prefill-is-silent", 2.5, "ph", "U", false, 0},       {"prefill-is-refused", 2.5, "pn", "U", false, 0},
+    {"prefill-breaks", 2.5, "pr", "U", false, 0},          {"decode-is-refused", 2.5, "pp", "n", false, 1},
+    {"decode-of-another-stage", 2.5, "pp", "m", false, 1}, {"decode-asks-for-a-pause", 2.5, "pp", "w", false, 1},
+    {"decode-is-unreachable", 2.5, "pp", "U", true, 0},    {"decode-is-silent", 2.5, "pp", "h", false, 1},
+};
+
+/** The silent engine sends the second event after SILENCE_MS; all others follow their plans. */
+static lab_reply_t answer_silent_engine(void *arg, const char *request)
+{
+    plan_t *const plan = arg;
+    if (plan->replies[0] != 's')
+        return answer(arg, request);
+    g_string_append(plan->seen, request);
+    return reply_slowly(reply_bytes(STREAM_HEAD FIRST_CHUNK SECOND_CHUNK, LAB_KEEP), strlen(STREAM_HEAD FIRST_CHUNK),
+                        SILENCE_MS);
+}
+
+/** A sound engine falls silent, and what is to replace its run fails: its run goes on, and the caller gets all of it.
+ */
+static void test_replacement_fails(fixture_t *f, gconstpointer data)
+{
+    const replacement_t *const r = data;
+    start_scripted(f,
+                   (backend_plan_t[]){{"lm", "prefill", r->prefills, false, false},
+                                      {"lm", "decode", "s", false, false},
+                                      {"lm", "decode", r->spare, true, r->spare_is_down}},
+                   3, answer_silent_engine, NULL);
+    expect_whole(f, begin(f, "/soon/x"), FIRST SECOND);
+    g_assert_cmpuint(requests(f, 1), ==, 1);
+    g_assert_cmpuint(requests(f, 2), ==, r->spare_calls);
+}
+
+static void set_up_with_budget(fixture_t *f, gconstpointer data)
+{
+    set_up(f, &((const replacement_t *)data)->budget);
+}
+
 /* ===== Without a budget ===== */
 
 static void set_up_without_budget(fixture_t *f, gconstpointer data)
@@ -101,5 +151,10 @@
     g_test_add("/stream-silence/only-engine", fixture_t, NULL, set_up, test_only_engine, tear_down);
     g_test_add("/stream-silence/no-budget", fixture_t, NULL, set_up_without_budget, test_no_budget, tear_down);
     g_test_add("/stream-silence/box-is-suspended", fixture_t, NULL, set_up, test_box_is_suspended, tear_down);
+    for (size_t i = 0; i < G_N_ELEMENTS(replacements); i++) {
+        char *const path = g_strdup_printf("/stream-silence/replacement-fails/%s", replacements[i].name);
+        g_test_add(path, fixture_t, &replacements[i], set_up_with_budget, test_replacement_fails, tear_down);
+        g_free(path);
+    }
     return g_test_run();
 }
