A silent run of a stream stays open until another run has begun

Callers lost answers that had begun: a sound engine stood still for a second or so, the box ended its run after four gap targets, and what was to replace it failed (retry budget used up, prefill silent or refused, decode engine refuses, is unreachable or silent itself). The first engine would have gone on within a second.

Cause: a run that is only suspected was ended before anything stood in its place, so each later refusal took the answer with it. Now the silent run is kept beside the call that is to replace it. It is taken back when it goes on before another decode engine has the request, and in place of every failure of the request; it is ended with the first event of the other run, or 300 ms after another engine has begun. Its arrival counts once, a replacement that was sent counts even when it is dropped. Runs that bring only comments are silent.

--- a/lib/common/mutant.h
+++ b/lib/common/mutant.h
@@ -19,6 +19,7 @@
 #define MUTANT_RELAYED_UNSENT 12    /* a call whose relayed connection broke counts as never sent */
 #define MUTANT_ANY_VERSION 13       /* streams go on at any software version */
 #define MUTANT_FORGET_PARTS 14      /* a part of prompts under which back ends end is not quarantined */
+#define MUTANT_END_SILENT_RUN 15    /* a silent run is ended before what replaces it has answered */
 
 #ifdef TRACKCOVE_MUTANT
 #define MUTANT_IS(which) (TRACKCOVE_MUTANT == (which))
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -72,6 +72,7 @@
     forward_t *const f = arg;
     if (call_deliver_held(f))
         return;
+    silence_end(f, "deadline exceeded");
     if (f->call && f->call->op != DIALECT_PREFILL && !f->call->reply.not_run && web_call_sent(f->call->http))
         f->runs++; /* a back end has the request and has not answered */
     forward_fail(f, "deadline exceeded");
@@ -303,6 +304,7 @@
     if (at >= until)
         return false;
     g_ptr_array_set_size(f->tried, 0);
+    silence_exclude(f);
     loop_arm(f->owner->loop, &f->call_timer, at, on_retry, f);
     return true;
 }
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -20,6 +20,7 @@
  *   forward_limit.c   rate limits of back ends, shared by all boxes
  *   forward_version.c  software version that a stream is bound to; declared in forward_version.h
  *   forward_parts.c   parts of prompts that crash back ends; declared in forward_parts.h
+ *   forward_silence.c  silent runs of streams; declared in forward_silence.h
  *   forward_notice.c  availability notices and stated loads in answers of back ends
  */
 #ifndef TRACKCOVE_FORWARD_FORWARD_INTERNAL_H
@@ -35,6 +36,7 @@
 #include "forward/dialect.h"
 #include "forward/forward.h"
 #include "forward/forward_parts.h"
+#include "forward/forward_silence.h"
 #include "forward/forward_version.h"
 #include "forward/part_begins.h"
 #include "forward/reasons.h"
@@ -123,11 +125,12 @@
     char *first;         /* id of the first complete event, or NULL */
     char *last;          /* id of the last complete event, or NULL */
     unsigned events;     /* complete events */
+    unsigned answers;    /* of these, events with data, which are not only comments */
     uint64_t bytes;      /* of the complete events */
 } stream_run_t;
 
 /** One call to one back end. */
-typedef struct backend_call {
+struct backend_call {
     forward_t *request;
     dialect_op_t op;
     instance_t *instance;
@@ -136,6 +139,7 @@
     bool head_seen;
     slot_outcome_t outcome; /* so far, for the slot that the call uses */
     bool given_up;          /* by this box; a repeated call to the same back end would end the same way */
+    bool is_counted;        /* its arrival is recorded in the retry budget */
     unsigned ends;          /* crash count of the request before this call, as passed to instance_begin */
     int status;
     dialect_reply_t reply;
@@ -143,7 +147,7 @@
     GByteArray *body;
     stream_run_t run; /* of a streamed answer */
     tc_time_t began;
-} backend_call_t;
+};
 
 /** A query to the leader of the control boxes. */
 typedef struct leader_query leader_query_t;
@@ -282,6 +286,7 @@
 
     /* Operations in progress and resources held. */
     backend_call_t *call;    /* in flight, or NULL */
+    silent_run_t silent;     /* a run that stays open until another one has begun */
     loop_timer_t call_timer; /* timeout of the call; between calls, the delay until the next try */
     bool repeats_engine;     /* the call goes to an engine that may have run the request before */
     handle_t handle;
@@ -620,6 +625,9 @@
 void place_report(forward_t *f, phase_t phase, const instance_t *bad);
 /** Frees what the scheduler reserved for a request that ends. */
 void place_finish(forward_t *f);
+/** The request goes on at an engine that it was about to leave: drops the query in flight, and has the scheduler count
+ *  it there. */
+void place_return(forward_t *f, const instance_t *decode);
 /** Starts the periodic renewal of placements. */
 void place_start_renewal(forwarder_t *fw);
 
@@ -662,6 +670,19 @@
 bool stream_has_begun(const backend_call_t *call);
 /** Appends bytes of a run and forwards the complete events. */
 stream_result_t stream_feed(backend_call_t *call, const char *data, size_t size);
+/** Result of bytes of a run whose events are held back. */
+typedef enum {
+    STREAM_HELD_NOTHING,  /* no complete event with data */
+    STREAM_HELD_EVENT,    /* a complete event with data is held */
+    STREAM_HELD_TOO_LARGE /* more is held than the buffer limit */
+} stream_held_t;
+
+/** Appends bytes of a run without forwarding its events, which the next stream_feed does. Comments are dropped. */
+stream_held_t stream_hold(backend_call_t *call, const char *data, size_t size);
+/** Whether what is held ends with a complete event, or is nothing. */
+bool stream_holds_whole(const backend_call_t *call);
+/** Whether an incomplete event is buffered that does not begin as a comment. */
+bool stream_is_receiving(const backend_call_t *call);
 /** Whether no incomplete event is buffered. */
 bool stream_at_boundary(const backend_call_t *call);
 /** Ends a run, complete or not, and drops the incomplete event. @param why for the log */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -69,6 +69,13 @@
     renew_soon(f->owner);
 }
 
+void place_return(forward_t *f, const instance_t *decode)
+{
+    leader_query_drop(&f->placement.query);
+    f->placement.prefill_granted = f->placement.decode_granted = false;
+    place_record_decode(f, decode);
+}
+
 /** Retries a request whose prompt is already read, or whose engine failed, after no engine had room. Room may become
  * free before the prefill result expires or the caller gives up. @return whether a retry is scheduled */
 static bool retry_placement_soon(forward_t *f)
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -181,8 +181,10 @@
         version_bind(f, call->instance);
     if (run->events == 0)
         parts_begun(f);
-    f->has_unnamed_event = !id && (f->has_unnamed_event || has_data(event, size));
+    const bool answers = has_data(event, size);
+    f->has_unnamed_event = !id && (f->has_unnamed_event || answers);
     run->events++;
+    run->answers += answers;
     run->bytes += size;
     f->events++;
     f->bytes += size;
@@ -208,6 +210,36 @@
     g_byte_array_remove_range(call->run.partial, 0, (guint)used);
 }
 
+stream_held_t stream_hold(backend_call_t *call, const char *data, size_t size)
+{
+    stream_run_t *const run = &call->run;
+    g_byte_array_append(run->partial, (const guint8 *)data, (guint)size);
+    size_t length;
+    while ((length = event_length((const char *)run->partial->data, run->searched, run->partial->len)) > 0) {
+        run->searched = 0;
+        if (has_data((const char *)run->partial->data, length))
+            return run->partial->len > EVENT_MAX ? STREAM_HELD_TOO_LARGE : STREAM_HELD_EVENT;
+        g_byte_array_remove_range(run->partial, 0, (guint)length);
+    }
+    run->searched = run->partial->len;
+    return run->partial->len > EVENT_MAX ? STREAM_HELD_TOO_LARGE : STREAM_HELD_NOTHING;
+}
+
+bool stream_holds_whole(const backend_call_t *call)
+{
+    const char *const bytes = (const char *)call->run.partial->data;
+    const size_t size = call->run.partial->len;
+    size_t whole = 0, length;
+    while ((length = event_length(bytes + whole, 0, size - whole)) > 0)
+        whole += length;
+    return whole == size;
+}
+
+bool stream_is_receiving(const backend_call_t *call)
+{
+    return call->run.partial->len > 0 && call->run.partial->data[0] != ':';
+}
+
 stream_result_t stream_feed(backend_call_t *call, const char *data, size_t size)
 {
     stream_run_t *const run = &call->run;
