--- a/lib/forward/forward_end.c
+++ b/lib/forward/forward_end.c
@@ -9,6 +9,9 @@
 COUNTER_DEFINE(c_answered, "counter", "trackcove_forward_answered_total", "Requests answered by a back end")
 COUNTER_DEFINE(c_not_run, "counter", "trackcove_forward_not_run_total", "Requests refused as not run")
 COUNTER_DEFINE(c_unknown, "counter", "trackcove_forward_unknown_total", "Requests that failed after they may have run")
+COUNTER_DEFINE(c_aborted, "counter", "trackcove_forward_aborted_total", "Begun answers that this box broke off")
+COUNTER_DEFINE(c_aborted_silent, "counter", "trackcove_forward_aborted_silent_total",
+               "Begun answers that this box broke off after it had given up a silent run of theirs")
 HISTOGRAM_DEFINE(h_answer, "trackcove_forward_answer_ms", "From a request to the end of its answer")
 COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Requests whose caller left")
 COUNTER_DEFINE(c_held, "counter", "trackcove_forward_held_total",
@@ -18,7 +21,7 @@
 
 static void forward_free(forward_t *f)
 {
-    assert(!f->call); /* a call in flight would report to freed memory */
+    assert(!f->call && !f->silent.call); /* a call in flight would report to freed memory */
     loop_disarm(&f->limit);
     loop_disarm(&f->call_timer);
     retry_cancel(f);
@@ -41,6 +44,7 @@
 
 void forward_finish(forward_t *f, int status, const char *why)
 {
+    silence_end(f, why);
     counter_add(&c_answered, 1);
     histogram_add(&h_answer, tc_time_now() - f->request.arrived);
     if (status < 300)
@@ -52,6 +56,7 @@
 void forward_abandon(forward_t *f)
 {
     counter_add(&c_left, 1);
+    silence_end(f, "connection closed");
     call_abandon(f);
     forward_log_end(f, "caller_gone", "connection closed", 0);
     forward_free(f);
@@ -69,9 +74,13 @@
 
 void forward_fail_after(forward_t *f, const char *why, tc_time_t retry_after)
 {
+    if (silence_resume(f, why))
+        return;
     call_cancel(f, why);
     if (f->begun) {
         counter_add(&c_unknown, 1);
+        counter_add(&c_aborted, 1);
+        counter_add(&c_aborted_silent, f->silences > 0);
         forward_log_end(f, "aborted", why, 0);
         web_abort_response(f->exchange);
         forward_free(f);
