--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -46,6 +46,7 @@
     GArray *pieces; /**< lab_piece_t, freed by the fake back end; bytes behind the last one follow at once; NULL: sent
                        in one part */
     lab_progress_t *progress; /**< kept up to date, borrowed; NULL: none */
+    size_t repeat; /**< the last so many bytes are sent again and again until the client closes; 0: they are not */
 } lab_reply_t;
 
 /** Called for every complete request. @param request head and body, as a string */
--- a/tests/platform/soak/engines.c
+++ b/tests/platform/soak/engines.c
@@ -1,4 +1,5 @@
 #include "platform/soak/engines.h"
+#include "platform/soak/endless.h"
 #include "platform/soak/fatal.h"
 #include "platform/soak/limits.h"
 #include "platform/soak/notices.h"
@@ -213,6 +214,9 @@
     if (wrong && how == 0)
         return refuse();
     record_run(w, id);
+    lab_reply_t endless = endless_answer(me, id);
+    if (endless.bytes)
+        return endless;
     if (me->kind == 2)
         return stream(me, id, request, wrong ? (stream_end_t)(1 + world_pick(w, STREAM_ENDS - 1)) : STREAM_COMPLETE);
     if (wrong && how == 1)
--- a/tests/platform/soak/world.h
+++ b/tests/platform/soak/world.h
@@ -89,6 +89,7 @@
         unsigned version;    /**< of its software, 1 or 2 */
         double failure_rate; /**< share of its answers that fail, from 0 to 1 */
         double refusal_rate; /**< share of the requests that it refuses, from 0 to 1 */
+        unsigned endless;    /**< what it writes without end, see endless.c; 0: nothing */
         bool draining;
         tc_time_t resume_at;  /**< end of its suspension; 0: not suspended */
         tc_time_t restart_at; /**< when it restarts after a crash; 0: it runs */
