A change is logged as in force everywhere only if no box was left behind

Operators got a 200 for a configuration, and the log said that it was in force everywhere, although a box that was there when it was proposed did not act on it: the counter of such acknowledgements stayed at 0, and nobody could tell these from complete ones.

Two ways led there. The leader forgets a box that has not reported for 1.5 s, and asks only the boxes it still knows whether they are behind. The limit of a rollout grows by 2 ms a KB, so with large configurations a box was forgotten before the limit. And a leader that stopped or lost its office acknowledged what was committed without looking at the boxes or writing a line.

The roster now tells proposals when a box falls silent that had not said that it leaves; a proposal that this box did not act on ends as not_everywhere. A leader that ceases to lead ends its committed proposals like any other. Neither answer nor time of the acknowledgement changes: a box that is gone can't be waited for.

All tests of test_cluster_reports pass, those of test_cluster_evacuations and test_route as well.

--- a/lib/cluster/replica.c
+++ b/lib/cluster/replica.c
@@ -339,7 +339,7 @@
         raft_remove_silent_voter(r->raft, r->options.voters_wanted, now);
     }
     run_actions(r);
-    roster_expire(r->roster, now);
+    roster_expire(r->roster, proposals_box_silent, r, now);
     reports_expire_withdrawn(r, now);
     reports_tick(r, now);
     replica_quarantine_tick(r, now);
--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -47,6 +47,7 @@
     uint64_t version;     /**< of the document, or of the evacuations once the order is committed */
     uint64_t index, term; /**< of its last entry, while that is not committed */
     tc_time_t begun, deadline;
+    bool left_behind; /**< a box that was there fell silent before it acted on it */
     replica_done_t done;
     void *arg;
 } replica_proposal_t;
@@ -132,6 +133,8 @@
 /** Complete proposals that every box acts on or whose deadline has passed. Call when boxes may have acted on a newer
  *  version, or are gone. */
 void proposals_check(replica_t *r, tc_time_t now);
+/** A box has fallen silent, see roster_expire. @param arg the replica */
+void proposals_box_silent(void *arg, const uint64_t *acted_on);
 /** End all proposals: committed ones with TC_OK, the others with @p rc. */
 void proposals_fail(replica_t *r, int rc);
 
--- a/lib/cluster/replica_proposals.c
+++ b/lib/cluster/replica_proposals.c
@@ -35,13 +35,6 @@
     g_free(o);
 }
 
-void proposals_fail(replica_t *r, int rc)
-{
-    replica_proposal_t *o, *next;
-    cds_list_for_each_entry_safe(o, next, &r->proposals, node)
-        proposal_end(o, o->state == PROPOSAL_COMMITTED ? TC_OK : rc);
-}
-
 /* ===== Commit ===== */
 
 static replica_proposal_t *proposal_add(replica_t *r, proposal_kind_t kind, uint64_t version, replica_done_t done,
@@ -110,14 +103,15 @@
     o->deadline = now + ROLLOUT_LIMIT_MS + ROLLOUT_MS_PER_KB * (tc_time_t)(size / 1024);
 }
 
+static roster_subject_t subject_of(const replica_proposal_t *o)
+{
+    return o->kind == PROPOSAL_EVACUATION ? ROSTER_EVACUATIONS : ROSTER_DOCUMENT;
+}
+
 /** Whether a live box does not act on the proposal yet. */
 static bool is_behind(const replica_t *r, const replica_proposal_t *o)
 {
-    switch (o->kind) {
-    case PROPOSAL_EVACUATION: return roster_is_behind(r->roster, ROSTER_EVACUATIONS, o->version);
-    case PROPOSAL_DOCUMENT:
-    default: return roster_is_behind(r->roster, ROSTER_DOCUMENT, o->version);
-    }
+    return roster_is_behind(r->roster, subject_of(o), o->version);
 }
 
 void proposals_applied(replica_t *r, const log_entry_t *entry, uint64_t version, bool accepted, tc_time_t now)
@@ -137,9 +131,19 @@
     proposals_check(r, now);
 }
 
-/** Acknowledge a committed proposal. @param everywhere false: its deadline has passed first */
-static void end_rollout(replica_proposal_t *o, bool everywhere, tc_time_t now)
+void proposals_box_silent(void *arg, const uint64_t *acted_on)
 {
+    const replica_t *const r = arg;
+    replica_proposal_t *o;
+    cds_list_for_each_entry(o, &r->proposals, node)
+        if (o->state == PROPOSAL_LOGGED || acted_on[subject_of(o)] < o->version)
+            o->left_behind = true;
+}
+
+/** Acknowledge a committed proposal. @param all_act whether all live boxes act on it */
+static void end_rollout(replica_proposal_t *o, bool all_act, tc_time_t now)
+{
+    const bool everywhere = all_act && !o->left_behind;
     counter_add(&c_unspread, everywhere ? 0 : 1);
     log_line_t line;
     log_begin(&line, everywhere ? LOG_INFO : LOG_WARN, everywhere ? "in_force" : "not_everywhere");
@@ -170,6 +174,18 @@
     }
 }
 
+void proposals_fail(replica_t *r, int rc)
+{
+    const tc_time_t now = tc_time_now();
+    replica_proposal_t *o, *next;
+    cds_list_for_each_entry_safe(o, next, &r->proposals, node) {
+        if (o->state == PROPOSAL_COMMITTED)
+            end_rollout(o, !is_behind(r, o), now);
+        else
+            proposal_end(o, rc);
+    }
+}
+
 /* ===== New proposals ===== */
 
 void proposals_add_document(replica_t *r, const document_t *document, replica_done_t done, void *arg)
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -232,12 +232,16 @@
     set_loads(r, m, report->loads, report->loads_n);
 }
 
-void roster_expire(roster_t *r, tc_time_t now)
+void roster_expire(roster_t *r, roster_silent_fn_t fn, void *arg, tc_time_t now)
 {
     reported_t *m, *next;
-    cds_list_for_each_entry_safe(m, next, &r->members, node)
-        if (now - m->reported_at > ROSTER_TIMEOUT_MS)
-            member_drop(r, m);
+    cds_list_for_each_entry_safe(m, next, &r->members, node) {
+        if (now - m->reported_at <= ROSTER_TIMEOUT_MS)
+            continue;
+        if (fn && !m->box.leaving)
+            fn(arg, m->version);
+        member_drop(r, m);
+    }
 }
 
 /* ===== Queries ===== */
--- a/lib/cluster/roster.h
+++ b/lib/cluster/roster.h
@@ -40,8 +40,11 @@
 
 /** Take a report: the box is live, and this is all it has in flight. */
 void roster_update(roster_t *roster, const msg_report_t *report, tc_time_t now);
-/** Remove boxes whose last report is older than ROSTER_TIMEOUT_MS. */
-void roster_expire(roster_t *roster, tc_time_t now);
+/** A box that did not say that it leaves was removed. @param acted_on by roster_subject_t: versions that it acted on */
+typedef void (*roster_silent_fn_t)(void *arg, const uint64_t *acted_on);
+/** Remove boxes whose last report is older than ROSTER_TIMEOUT_MS. @param fn called for each that fell silent; or NULL
+ */
+void roster_expire(roster_t *roster, roster_silent_fn_t fn, void *arg, tc_time_t now);
 
 /** Whether a live box acts on an older version. */
 bool roster_is_behind(const roster_t *roster, roster_subject_t subject, uint64_t version);
--- a/tests/unit/test_cluster_reports.c
+++ b/tests/unit/test_cluster_reports.c
@@ -131,6 +131,73 @@
     lab_run_until(f->loop, has_received_awaited, f);
 }
 
+/** A document that does not compress, and whose rollout may therefore take longer than ROSTER_TIMEOUT_MS. */
+static void make_long_document(document_t *document, uint64_t version)
+{
+    enum { BYTES = 1000 * 1024 };
+    GRand *const random = g_rand_new_with_seed(5);
+    char *const text = g_malloc(BYTES);
+    for (int i = 0; i < BYTES; i++)
+        text[i] = (char)g_rand_int_range(random, ' ', '~');
+    document_make(document, version, text, BYTES);
+    g_free(text);
+    g_rand_free(random);
+}
+
+/** Guards against an acknowledgement that counts as in force everywhere since the box that was behind fell silent, and
+ *  was forgotten before the limit of the rollout. */
+static void test_box_falls_silent_during_rollout(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    start_reporter(f, f->addr[await_leader(f)]);
+    f->awaited = 4;
+    lab_run_until(f->loop, has_received_awaited, f);
+    lab_run_until(f->loop, reports_to_leader, f);
+    const int64_t unspread = counter_read("trackcove_cluster_unspread_total");
+    const int at = await_leader(f);
+    reporter_destroy(f->reporter);
+    f->reporter = NULL;
+    document_t document = {0};
+    make_long_document(&document, 5);
+    f->proposal_done = false;
+    replica_propose(f->replica[at], &document, on_proposal_done, f);
+    codec_free(&document_desc, &document);
+    lab_run_until(f->loop, one_proposal_ended, f);
+    g_assert_cmpint(f->proposal_rc, ==, TC_OK);
+    g_assert_cmpint(counter_read("trackcove_cluster_unspread_total"), ==, unspread + 1);
+}
+
+/** Guards against an acknowledgement that counts as in force everywhere since its leader stopped before a box that was
+ *  behind acted on it. */
+static void test_leader_stops_during_rollout(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    start_reporter(f, f->addr[await_leader(f)]);
+    f->awaited = 4;
+    lab_run_until(f->loop, has_received_awaited, f);
+    lab_run_until(f->loop, reports_to_leader, f);
+    f->slow = true;
+    const int64_t unspread = counter_read("trackcove_cluster_unspread_total");
+    const int at = await_leader(f);
+    document_t document = {0};
+    document_make(&document, 5, "content 5", 9);
+    f->proposal_done = false;
+    replica_propose(f->replica[at], &document, on_proposal_done, f);
+    codec_free(&document_desc, &document);
+    f->awaited = 5;
+    lab_run_until(f->loop, has_received_awaited, f); /* only what is committed is announced */
+    stop_box(f, at);
+    g_assert_true(f->proposal_done);
+    g_assert_cmpint(f->proposal_rc, ==, TC_OK);
+    g_assert_cmpint(counter_read("trackcove_cluster_unspread_total"), ==, unspread + 1);
+}
+
 static void test_document_without_a_leader(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -482,6 +549,8 @@
 #define TEST(name, fn) g_test_add("/cluster/" name, fixture_t, NULL, set_up, fn, tear_down)
     TEST("reporter-follows-the-leader", test_reporter_follows);
     TEST("acknowledged-when-in-force", test_acknowledged_when_in_force);
+    TEST("box-falls-silent-during-rollout", test_box_falls_silent_during_rollout);
+    TEST("leader-stops-during-rollout", test_leader_stops_during_rollout);
     TEST("document-without-a-leader", test_document_without_a_leader);
     TEST("seeds-that-are-no-members-get-them", test_seeds_that_are_no_members_get_them);
     TEST("role-change-is-published-as-leaving", test_role_change_is_published_as_leaving);
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -529,7 +529,7 @@
     b.self.leaving = false;
     roster_update(r, &b, 2200);
     g_assert_cmpuint(running_elsewhere(r, "a", "x"), ==, 5); /* replaces the earlier report */
-    roster_expire(r, 1000 + ROSTER_TIMEOUT_MS + 1);
+    roster_expire(r, NULL, NULL, 1000 + ROSTER_TIMEOUT_MS + 1);
     g_assert_cmpuint(roster_count(r), ==, 1);
     g_assert_cmpuint(before, !=, list_publisher_hash(list_of(r)));
     g_assert_cmpuint(running_elsewhere(r, "b", "x"), ==, 0);
