Answers that back ends spoil are told apart from connections that break

A back end that writes junk was logged and counted as one whose connection broke, so that nobody could tell the one from the other in the logs: "connection to the back end broke", trackcove_forward_broken_total. A success of a prefill engine without a result and an event beyond the limit had no counter at all, an event not even a line that names its engine.

The web client has a result of its own for bytes that are no valid HTTP on a connection that had not ended. Each spoiled answer has a line answer_spoiled, with its kind and back end, and a counter by kind: not valid HTTP, no proof of origin, prefill without a result, event beyond its limit.

--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -483,6 +483,19 @@
 /** Frees the cleanup calls in flight: after the client is destroyed, before the forwarder is. */
 void cleanups_destroy(forwarder_t *fw);
 
+/* ===== forward_spoiled.c ===== */
+
+/** In what way an answer was spoiled: its bytes came, but are no answer. */
+typedef enum {
+    SPOILED_HTTP,     /* no valid HTTP */
+    SPOILED_UNPROVEN, /* without proof of its origin */
+    SPOILED_PREFILL,  /* a success of a prefill engine without a result */
+    SPOILED_EVENT     /* an event of a stream beyond its limit */
+} spoiled_kind_t;
+
+/** The back end has spoiled the answer to the call: logs and counts it. Call before the call is ended. */
+void spoiled_record(backend_call_t *call, spoiled_kind_t kind);
+
 /* ===== forward_backend_probe.c ===== */
 
 /** Probes a back end whose connection broke while it may have run the request, to find out whether it has ended. */
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -265,7 +265,9 @@
         return false;
     }
     const bool broken = size == 0 || HTTP_PARSER_ERRNO(&call->parser) != HPE_OK;
-    if (broken)
+    if (broken && size > 0 && call->sent)
+        call_finish(call, WEB_RESULT_INVALID, false); /* the path carries bytes, so it is not broken */
+    else if (broken)
         call_fail(call);
     return !broken;
 }
--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -31,9 +31,10 @@
     WEB_RESULT_COMPLETE, /**< complete response received */
     WEB_RESULT_NOT_SENT, /**< no connection, or one that had ended before the first byte was written: the back end has
                             seen nothing of the request */
-    WEB_RESULT_NO_RESPONSE, /**< connection closed or invalid HTTP before a response head: the request may have been
-                               executed */
-    WEB_RESULT_TRUNCATED    /**< the response ended early, after its head */
+    WEB_RESULT_NO_RESPONSE, /**< connection closed before a response head: the request may have been executed */
+    WEB_RESULT_TRUNCATED,   /**< the response ended early, after its head */
+    WEB_RESULT_INVALID      /**< bytes that are no valid HTTP came before the head or after it, on a connection that had
+                               not ended: the request may have been executed */
 } web_result_t;
 
 /** What to do with a response after its head. */
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,8 +1,8 @@
 /** @file forward_lab.h
  * Fixture of test_unframed_answers.c, test_callers_bytes.c, test_forward.c, test_forward_attempts.c,
  * test_forward_leader.c, test_stream_events.c, test_stream_random.c, test_stream_silence.c, test_availability.c,
- * test_evacuation.c, test_quarantine.c and test_workspaces.c: an entry box over loopback, fake back ends with scripted
- * answers, and callers.
+ * test_evacuation.c, test_quarantine.c, test_spoiled_kinds.c and test_workspaces.c: an entry box over loopback, fake
+ * back ends with scripted answers, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -159,6 +159,8 @@
     case 'c': return reply_bytes("HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 9\r\n\r\nok", LAB_CLOSE);
     case 'g': return reply_bytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LAB_KEEP); /* no proof of origin */
     case 'h': return reply_bytes(NULL, LAB_HANG);
+    case 'z': return reply_bytes("\x16\x03 this is no answer\r\n\r\n", LAB_CLOSE);
+    case 'i': /* no result of a prefill */ return reply_json("{\"a\":1}");
     case 'x': /* the answer to another request first */
         return reply_bytes("HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\nContent-Length: 5\r\n\r\nother"
                            "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok",
