A box leaves a back end that spoils its answers, until trials in a row are good

A back end that spoiled part of its answers was chosen on and on: one good answer, also one to a call that had begun before, reset the box's back-off to nothing. And a spoiled answer was taken for a lost connection: the port was found open, and the same engine was called once more.

A record for each back end (backend/spoil_record) weighs spoiled answers against good ones. It is left once spoiled answers to two different requests outweigh the good ones, so that one request that makes sound back ends answer badly takes none away, however often it comes. Calls that began before the last decision count neither way. One that is left is chosen when there is no other. A call whose answer was spoiled is not made again at the same back end; the look whether it has ended stays, for the quarantine of requests.

--- a/lib/forward/fleet.c
+++ b/lib/forward/fleet.c
@@ -112,6 +112,17 @@
     return limit->is_set != before.is_set || limit->rate != before.rate;
 }
 
+/** When the instance is chosen again though there are others. */
+static tc_time_t avoided_until(const instance_t *instance)
+{
+    return MAX(instance->avoid_until, spoil_record_next(&instance->spoiled));
+}
+
+bool instance_is_avoided(const instance_t *instance, tc_time_t now)
+{
+    return now < avoided_until(instance);
+}
+
 void instance_succeeded(instance_t *instance)
 {
     instance->failures = 0;
@@ -609,11 +620,11 @@
         instance_t *const instance = pool_at(f, &pool, from, i);
         if (!fleet_matches(instance, query))
             continue;
-        if (instance->avoid_until <= query->now) {
+        if (!instance_is_avoided(instance, query->now)) {
             g_ptr_array_add(good, instance);
             if (strcmp(instance->listed.dc, query->dc) == 0)
                 g_ptr_array_add(near, instance);
-        } else if (!last_resort || instance->avoid_until < last_resort->avoid_until) {
+        } else if (!last_resort || avoided_until(instance) < avoided_until(last_resort)) {
             last_resort = instance;
         }
     }
--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -16,6 +16,7 @@
 
 #include "backend/availability.h"
 #include "backend/load_reading.h"
+#include "backend/spoil_record.h"
 #include "backend/version_history.h"
 #include "cluster/evacuations.h"
 #include "common/time.h"
@@ -49,6 +50,7 @@
     uint64_t remote_tokens;      /**< prompt tokens of those */
     unsigned failures;           /**< in a row */
     tc_time_t avoid_until;       /**< not chosen before then, unless there is no other */
+    spoil_record_t spoiled;      /**< by its answers to this box; while it is left, likewise */
     GByteArray *prefix_report;   /**< its last report of the prompts that it caches, or NULL; parsed by the caller */
     tc_time_t prefix_report_at;  /**< when that report came */
     availability_t availability; /**< by its answers to this box */
@@ -173,6 +175,8 @@
 /** Sets the limit that an answer advertises, unless a newer one is known. @return whether the limit has changed */
 bool instance_update_limit(instance_t *instance, const instance_limit_t *limit);
 
+/** Whether it is chosen only if there is no other, since it failed lately, or spoils its answers. */
+bool instance_is_avoided(const instance_t *instance, tc_time_t now);
 /** The back end answered: resets the failure backoff. */
 void instance_succeeded(instance_t *instance);
 /** The back end failed or did not answer: avoids it with exponential backoff. */
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -264,7 +264,7 @@
         handle_lost_answer(call, "prefill without a result");
         return;
     }
-    instance_succeeded(call->instance);
+    spoiled_record_good(call);
     histogram_add(&h_prefill, tc_time_now() - call->began);
     forward_log(f, "prefilled", "prompt computed", call->status, call->instance);
     retry_record_arrival(f, DIALECT_PREFILL, ARRIVAL_TAKEN);
@@ -279,7 +279,7 @@
 {
     forward_t *const f = call->request;
     if (how == WEB_RESULT_COMPLETE && stream_at_boundary(call)) {
-        instance_succeeded(call->instance);
+        spoiled_record_good(call);
         clear_quarantine(f);
         call->outcome = SLOT_OUTCOME_ANSWERED;
         call_free(call, "streamed");
@@ -366,7 +366,7 @@
         handle_lost_answer(call, "answer without proof of origin");
         return;
     }
-    instance_succeeded(call->instance);
+    spoiled_record_good(call);
     clear_quarantine(f);
     call->outcome = call->reply.success ? SLOT_OUTCOME_ANSWERED : SLOT_OUTCOME_FAILED;
     if (call->reply.success)
@@ -562,6 +562,7 @@
         hold_clear(f); /* a reservation serves one call */
     call->ends = forward_crash_count(f);
     instance_begin(instance, call->tokens, call->ends);
+    spoil_record_begin(&instance->spoiled, now);
     forward_log(f, "send", op == DIALECT_PREFILL ? "prefill" : (op == DIALECT_DECODE ? "decode" : "serve"), 0,
                 instance);
     call->http = web_call(f->owner->client, instance->listed.addr, request, may_reuse_connection(f, op),
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -493,8 +493,11 @@
     SPOILED_EVENT     /* an event of a stream beyond its limit */
 } spoiled_kind_t;
 
-/** The back end has spoiled the answer to the call: logs and counts it. Call before the call is ended. */
+/** The back end has spoiled the answer to the call: logs and counts it, and records it against the back end. The call
+ *  counts as given up from then on: a repeated one would end the same way. Call before the call is ended. */
 void spoiled_record(backend_call_t *call, spoiled_kind_t kind);
+/** The back end has answered the call well. */
+void spoiled_record_good(const backend_call_t *call);
 
 /* ===== forward_backend_probe.c ===== */
 
--- a/lib/forward/forward_slot.c
+++ b/lib/forward/forward_slot.c
@@ -131,7 +131,7 @@
     candidates_t *const c = arg;
     if (!fleet_matches(instance, c->query))
         add_name(c->excluded, instance);
-    else if (c->query->now < instance->avoid_until)
+    else if (instance_is_avoided(instance, c->query->now))
         add_name(c->avoided, instance);
     else
         c->preferred++;
--- a/lib/forward/forward_spoiled.c
+++ b/lib/forward/forward_spoiled.c
@@ -1,7 +1,11 @@
 /* Answers that back ends have spoiled: bytes came, but they are no answer. Unlike a broken connection, this says
  * nothing about the path to the back end, nor that it has ended. */
 
+#include <glib.h>
+
 #include "common/counter.h"
+#include "common/feature.h"
+#include "common/log.h"
 #include "forward/forward_internal.h"
 
 COUNTER_DEFINE(c_http, "counter", "trackcove_forward_spoiled_http_total", "Answers that are not valid HTTP")
@@ -9,6 +13,7 @@
 COUNTER_DEFINE(c_prefill, "counter", "trackcove_forward_spoiled_prefills_total",
                "Successes of prefill engines without a result")
 COUNTER_DEFINE(c_event, "counter", "trackcove_forward_spoiled_events_total", "Streams with an event beyond its limit")
+COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Times that this box left a back end for its answers")
 
 /** Counts the answer. @return its kind, for the log */
 static const char *count_kind(spoiled_kind_t kind)
@@ -22,7 +27,42 @@
     }
 }
 
+/** The same for all attempts at a request, as far as they can be told from other requests. */
+static uint64_t request_key(const forward_t *f)
+{
+    const bool recognisable = f->request.body->len > 0 || f->facts.parts_n > 0;
+    return recognisable ? f->fingerprint : f->fingerprint ^ g_str_hash(f->facts.id);
+}
+
+static void log_left(const instance_t *instance, const char *event)
+{
+    log_line_t line;
+    log_begin(&line, LOG_WARN, event);
+    log_str(&line, "backend", instance->listed.id);
+    log_str(&line, "addr", instance->listed.addr);
+    log_int(&line, "periods", instance->spoiled.periods);
+    log_end(&line);
+}
+
 void spoiled_record(backend_call_t *call, spoiled_kind_t kind)
 {
-    forward_log(call->request, "answer_spoiled", count_kind(kind), call->status, call->instance);
+    const forward_t *const f = call->request;
+    instance_t *const instance = call->instance;
+    forward_log(f, "answer_spoiled", count_kind(kind), call->status, instance);
+    (void)probe_begin(call); /* it may have ended with that answer; the request need not wait to know */
+    call->given_up = true;
+    if (!feature_is_enabled(FEATURE_EJECTION))
+        return;
+    if (spoil_record_add_spoiled(&instance->spoiled, request_key(f), call->began, tc_time_now())) {
+        counter_add(&c_left, 1);
+        log_left(instance, "backend_left");
+    }
+}
+
+void spoiled_record_good(const backend_call_t *call)
+{
+    instance_t *const instance = call->instance;
+    instance_succeeded(instance);
+    if (spoil_record_add_good(&instance->spoiled, call->began, tc_time_now()))
+        log_left(instance, "backend_taken_back");
 }
