All boxes leave an engine that spoils its answers: the scheduler is told, and grants it one trial per period

The scheduler granted an engine that spoils all its answers as often as a sound one. A decode engine's spoiled answers were told to nobody, and a prefill engine's only when the box had given the call up; what was told did not last, since the prefill that another engine read in its place was credited to the granted engine, and an engine that had answered another box within 300 ms was not taken for failed.

progress has one more field, spoiled, and boxes send it for prefill and decode engines. The scheduler keeps a spoil record for each engine: it is left after spoiled answers to two requests that good ones do not outweigh, gets one trial per period, and is taken back after two good ones. A prefill result or a whole stream is a good answer; a result that came in place of a spoiled one is not. A box in doubt, which loses calls at several engines while others are answered, is not heard. An engine that is left is granted when there is no other of its role. A leader of an earlier version avoids the engine for a second, as one that failed.

--- a/lib/cluster/leader_log.c
+++ b/lib/cluster/leader_log.c
@@ -77,6 +77,7 @@
     log_int(&line, "prefill_latency_ms", (int64_t)stats.prefill_latency_ms);
     log_int(&line, "kept", stats.kept);
     log_int(&line, "granted_kept", (int64_t)stats.granted_kept);
+    log_int(&line, "left_for_answers", (int64_t)stats.left);
     log_int(&line, "yielded_late", (int64_t)stats.yielded_late);
     log_int(&line, "yielded_share", (int64_t)stats.yielded_share);
     log_int(&line, "yielded_urgency", (int64_t)stats.yielded_urgency);
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -217,7 +217,7 @@
     retry_record_arrival(f, op, ARRIVAL_TAKEN);
     instance_failed(call->instance, tc_time_now());
     probe_t *const probe = call->given_up ? NULL : probe_begin(call);
-    if (op == DIALECT_PREFILL && call->given_up)
+    if (op == DIALECT_PREFILL && call->given_up && !call->spoiled)
         place_report(f, PHASE_PREFILL, call->instance); /* so that other boxes need not find out */
     if (op == DIALECT_DECODE && f->handle.instance)
         handle_clear(f); /* taken, or about to expire */
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -136,6 +136,7 @@
     bool head_seen;
     slot_outcome_t outcome; /* so far, for the slot that the call uses */
     bool given_up;          /* by this box; a repeated call to the same back end would end the same way */
+    bool spoiled;           /* its answer was */
     unsigned ends;          /* crash count of the request before this call, as passed to instance_begin */
     int status;
     dialect_reply_t reply;
@@ -631,6 +632,8 @@
 void place_record_decode(forward_t *f, const instance_t *decode);
 /** Reports the progress of the request to the scheduler. @param bad instance that failed, or NULL */
 void place_report(forward_t *f, phase_t phase, const instance_t *bad);
+/** Reports to the scheduler that an engine has spoiled an answer. */
+void place_report_spoiled(forward_t *f, const instance_t *bad);
 /** Frees what the scheduler reserved for a request that ends. */
 void place_finish(forward_t *f);
 /** Starts the periodic renewal of placements. */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -314,12 +314,13 @@
     return decode->reading.pace;
 }
 
-void place_report(forward_t *f, phase_t phase, const instance_t *bad)
+static void report(forward_t *f, phase_t phase, const instance_t *bad, bool spoiled)
 {
-    forwarder_t *const fw = f->owner;
+    const forwarder_t *const fw = f->owner;
     if (!fw->scheduler || (!f->placement.asked && f->placement.attempt == 0))
         return;
-    msg_progress_t progress = {.attempt = f->placement.attempt, .phase = phase, .pace = decode_pace(f)};
+    msg_progress_t progress = {
+        .attempt = f->placement.attempt, .phase = phase, .pace = decode_pace(f), .spoiled = spoiled};
     codec_copy_string(progress.cell, sizeof(progress.cell), CELL);
     codec_copy_string(progress.id, sizeof(progress.id), f->facts.id);
     codec_copy_string(progress.box, sizeof(progress.box), fw->options.box);
@@ -335,6 +336,16 @@
     reporter_notify_leader(fw->scheduler, MSG_PROGRESS, &progress);
 }
 
+void place_report(forward_t *f, phase_t phase, const instance_t *bad)
+{
+    report(f, phase, bad, false);
+}
+
+void place_report_spoiled(forward_t *f, const instance_t *bad)
+{
+    report(f, PHASE_PREFILL, bad, true); /* the first phase changes none that the scheduler knows */
+}
+
 void place_finish(forward_t *f)
 {
     leader_query_drop(&f->placement.query);
--- a/lib/forward/forward_spoiled.c
+++ b/lib/forward/forward_spoiled.c
@@ -34,10 +34,10 @@
     return recognisable ? f->fingerprint : f->fingerprint ^ g_str_hash(f->facts.id);
 }
 
-static void log_left(const instance_t *instance, const char *event)
+static void log_left(const instance_t *instance, bool left)
 {
     log_line_t line;
-    log_begin(&line, LOG_WARN, event);
+    log_begin(&line, LOG_INFO, left ? "backend_left" : "backend_taken_back");
     log_str(&line, "backend", instance->listed.id);
     log_str(&line, "addr", instance->listed.addr);
     log_int(&line, "periods", instance->spoiled.periods);
@@ -46,16 +46,18 @@
 
 void spoiled_record(backend_call_t *call, spoiled_kind_t kind)
 {
-    const forward_t *const f = call->request;
+    forward_t *const f = call->request;
     instance_t *const instance = call->instance;
     forward_log(f, "answer_spoiled", count_kind(kind), call->status, instance);
     (void)probe_begin(call); /* it may have ended with that answer; the request need not wait to know */
-    call->given_up = true;
+    call->given_up = call->spoiled = true;
+    if (f->split)
+        place_report_spoiled(f, instance); /* so that other boxes need not find out */
     if (!feature_is_enabled(FEATURE_EJECTION))
         return;
     if (spoil_record_add_spoiled(&instance->spoiled, request_key(f), call->began, tc_time_now())) {
         counter_add(&c_left, 1);
-        log_left(instance, "backend_left");
+        log_left(instance, true);
     }
 }
 
@@ -64,5 +66,5 @@
     instance_t *const instance = call->instance;
     instance_succeeded(instance);
     if (spoil_record_add_good(&instance->spoiled, call->began, tc_time_now()))
-        log_left(instance, "backend_taken_back");
+        log_left(instance, false);
 }
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -684,6 +684,7 @@
     {.name = "pace", .offset = offsetof(msg_progress_t, pace), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "stream", .offset = offsetof(msg_progress_t, stream), .kind = CODEC_U64, .min = 0, .max = 9007199254740991, .def = 0},
     {.name = "version", .offset = offsetof(msg_progress_t, version), .kind = CODEC_STR, .size = CODEC_STR_SIZE, .min = 0, .max = 0, .def = 0},
+    {.name = "spoiled", .offset = offsetof(msg_progress_t, spoiled), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_progress_desc = {.name = "progress", .size = sizeof(msg_progress_t), .fields = msg_progress_fields, .n_fields = sizeof(msg_progress_fields) / sizeof(msg_progress_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -903,6 +903,7 @@
     uint32_t pace; /**< time that work takes at the engine now, in percent of the usual, as its last answer stated; 0: not stated */
     uint64_t stream; /**< as in stream_version, when its first event has arrived; 0: none */
     char version[CODEC_STR_SIZE]; /**< software version that wrote that event */
+    bool spoiled; /**< bytes came from the failed engine, but they are no answer */
 } msg_progress_t;
 extern const codec_desc_t msg_progress_desc;
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -120,6 +120,7 @@
     uint64_t expired;      /**< of those refused, queued ones for which no engines became free in time */
     uint32_t kept;         /**< decode engines that waiting requests keep for themselves, in the last pass */
     uint64_t granted_kept; /**< grants to requests that had kept an engine */
+    uint64_t left;         /**< times that an engine was left for spoiled answers */
     uint64_t yielded_late, yielded_share,
         yielded_urgency; /**< refused in favour of others: late ones, those of the workspace with most use, and those
                             displaced by more urgent ones */
--- a/lib/sched/sched_engine.c
+++ b/lib/sched/sched_engine.c
@@ -20,9 +20,27 @@
     return e->configured && !leaving && !e->down && now >= e->suspect_until && now >= e->outdated_until;
 }
 
+/** Whether there is an engine of the same role and model that is not left for its answers. */
+static bool has_sound_engine(const engine_t *like, tc_time_t now)
+{
+    const GPtrArray *const engines = like->model ? like->model->pools[like->role].engines : NULL;
+    for (guint i = 0; engines && i < engines->len; i++) {
+        const engine_t *const e = g_ptr_array_index(engines, i);
+        if (engine_usable(e, now) && spoil_record_allows(&e->spoiled, now))
+            return true;
+    }
+    return false;
+}
+
+/** One that spoils its answers is used when there is no other. */
+static bool is_left(const engine_t *e, tc_time_t now)
+{
+    return !spoil_record_allows(&e->spoiled, now) && has_sound_engine(e, now);
+}
+
 bool engine_grantable(const engine_t *e, tc_time_t now)
 {
-    return engine_usable(e, now) && e->grants_left > 0;
+    return engine_usable(e, now) && e->grants_left > 0 && !is_left(e, now);
 }
 
 void engine_count_grant(engine_t *e)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -13,6 +13,7 @@
 #include "admission/fair_share.h"
 #include "admission/returns.h"
 #include "backend/loss_evidence.h"
+#include "backend/spoil_record.h"
 #include "sched/prefill_time.h"
 #include "sched/sched.h"
 #include "sched/sched_ranked.h"
@@ -133,6 +134,7 @@
     tc_time_t last_prefill_at; /* when the last prompt was reported done; 0: none yet */
     uint32_t misses;
     uint32_t failures; /* failed requests in a row */
+    spoil_record_t spoiled;
     uint64_t incarnation;
     tc_time_t seen;         /* when it last answered a query */
     uint64_t ring_position; /* of its name */
@@ -214,8 +216,9 @@
     char avoid[CODEC_STR_SIZE];
     char version[CODEC_STR_SIZE]; /* that its decode engine must have; "": any */
     engine_t *prefill, *decode;
-    double work_ms;    /* prefill work it adds, on the engine that has most of its prompt cached */
-    double pending_ms; /* its part of prefill->pending_ms */
+    const engine_t *spoiled_by; /* the one of these that spoiled its answer last, or NULL */
+    double work_ms;             /* prefill work it adds, on the engine that has most of its prompt cached */
+    double pending_ms;          /* its part of prefill->pending_ms */
     link_t *link;
     double link_tokens; /* counted in link->outstanding */
     bool waiting;       /* token has not been answered */
@@ -302,7 +305,7 @@
 
 engine_t *engine_find(const sched_t *s, const char *name);
 bool engine_usable(const engine_t *e, tc_time_t now);
-/** Whether the engine is usable and its grant limit leaves room. */
+/** Whether the engine is usable, its grant limit leaves room, and it is not left for its answers. */
 bool engine_grantable(const engine_t *e, tc_time_t now);
 /** Counts a grant against the engine's limit. */
 void engine_count_grant(engine_t *e);
--- a/lib/sched/sched_place.c
+++ b/lib/sched/sched_place.c
@@ -30,6 +30,10 @@
     assert(replan || !choice->prefill || !owner_is_closed(r->owner, choice->prefill, now));
     s->granted_prefill_ms += choice->prefill ? model_occupied_ms(choice->prefill->model, choice->prefill_ms) : 0;
     reserve(s, r, choice, now);
+    spoil_record_begin(&r->decode->spoiled, now);
+    if (choice->prefill)
+        spoil_record_begin(&choice->prefill->spoiled, now);
+    r->spoiled_by = NULL;
     if (replan)
         r->state = REQ_PLACED;
     else
@@ -311,6 +315,31 @@
 
 /* ===== Progress ===== */
 
+/** An engine has spoiled an answer to a request of a box. A box whose path spoils whatever passes it says nothing about
+ *  engines. */
+static void engine_spoiled(sched_t *s, const msg_progress_t *p, tc_time_t now)
+{
+    engine_t *const e = engine_find(s, p->bad);
+    request_t *const r = g_hash_table_lookup(s->requests, p->id);
+    if (!e || !feature_is_enabled(FEATURE_EJECTION))
+        return;
+    loss_evidence_add_loss(s->losses, p->box, e->name);
+    if (loss_evidence_is_in_doubt(s->losses, p->box))
+        return;
+    const bool granted = r && r->state == REQ_PLACED && (r->prefill == e || r->decode == e);
+    const uint64_t key = r && r->fingerprint ? r->fingerprint : g_str_hash(p->id);
+    s->stats.left += spoil_record_add_spoiled(&e->spoiled, key, granted ? r->phase_at : now, now);
+    if (granted)
+        r->spoiled_by = e;
+}
+
+/** An engine has answered a call of the request well. */
+static void engine_answered(const request_t *r, engine_t *e, tc_time_t now)
+{
+    if (r->spoiled_by != e) /* otherwise another engine answered in its place */
+        (void)spoil_record_add_good(&e->spoiled, r->phase_at, now);
+}
+
 static void engine_failed(sched_t *s, const msg_progress_t *p, tc_time_t now)
 {
     engine_t *const e = engine_find(s, p->bad);
@@ -330,7 +359,9 @@
 
 void sched_progress(sched_t *s, const msg_progress_t *p, tc_time_t now)
 {
-    if (p->bad[0])
+    if (p->bad[0] && p->spoiled)
+        engine_spoiled(s, p, now);
+    else if (p->bad[0])
         engine_failed(s, p, now);
     request_t *const r = g_hash_table_lookup(s->requests, p->id);
     if (r && r->state == REQ_QUEUED && p->phase == PHASE_FAILED && p->attempt == 0) {
@@ -344,14 +375,15 @@
         engine_set_pace(r->decode, p->pace, now);
     switch (p->phase) {
     case PHASE_TRANSFER:
-        if (r->prefilling) {
+        if (r->prefilling && r->spoiled_by != r->prefill) { /* otherwise another engine read it */
             r->prefill->failures = 0;
             record_answer(s, r, r->prefill, now);
+            engine_answered(r, r->prefill, now);
             engine_update_rate(r->prefill, p, r->prefill->alone == r, now);
             s->stats.cache_predicted += r->predicted_cached;
             s->stats.cache_actual += p->cached_tokens;
-            end_prefill_work(r, now);
         }
+        end_prefill_work(r, now);
         r->phase = PHASE_TRANSFER;
         break;
     case PHASE_DECODE:
@@ -359,12 +391,16 @@
         end_transfer(r);
         end_local_prefill(r);
         r->phase = PHASE_DECODE;
-        if (r->decode) {
+        if (r->decode && r->spoiled_by != r->decode) {
             r->decode->failures = 0;
             record_answer(s, r, r->decode, now);
         }
         break;
-    case PHASE_FINISHED: finish_request(s, r, now); break;
+    case PHASE_FINISHED:
+        if (r->decode)
+            engine_answered(r, r->decode, now);
+        finish_request(s, r, now);
+        break;
     case PHASE_FAILED:
         withdraw(s, r, p->held, now);
         request_free(s, r);
--- a/tests/platform/test_spoiled_answers.c
+++ b/tests/platform/test_spoiled_answers.c
@@ -10,7 +10,8 @@
     BOXES_N = 3,
     STAGE_SERVERS = 3, /* of each stage */
     SERVERS = 3 * STAGE_SERVERS,
-    REQUEST_INTERVAL_MS = 5,
+    BURST_INTERVAL_MS = 60,
+    BURST = 12,              /* requests at once, so that each back end of a stage is needed */
     LIST_INTERVAL_MS = 1000, /* control boxes read the platform's list once a second */
     SOUND_MS = 15,           /* that a sound answer takes */
     PLAIN_SLOTS = 1,         /* so few that each plain server is needed */
@@ -24,13 +25,15 @@
  * that are in flight by then, and then gets one trial per back-off period, wherever that is kept. */
 enum {
     JUDGED_BY = 2,
-    IN_FLIGHT = 2, /* at one box; each begins a request per 15 ms and has its answer at once */
+    IN_FLIGHT = 2, /* at one box: its part of a burst, if all of one kind went to one back end */
     PERIODS = 4,   /* of 300, 600, 1,200 and 2,400 ms begin within SPOIL_MS */
     BOUND = BOXES_N * (JUDGED_BY + IN_FLIGHT + PERIODS),
+    BOUND_LEADER = JUDGED_BY + BOXES_N * IN_FLIGHT + PERIODS, /* where the leader keeps the period for all boxes */
     /* One that spoils each second answer may be taken back by chance, and is then judged anew; its periods go on
      * doubling: six of them begin within HALF_MS. */
     HALF_PERIODS = 6,
-    BOUND_HALF = BOXES_N * HALF_PERIODS * JUDGED_BY
+    BOUND_HALF = BOXES_N * HALF_PERIODS * JUDGED_BY,
+    BOUND_LEADER_HALF = HALF_PERIODS * (JUDGED_BY + IN_FLIGHT)
 };
 
 typedef enum { SPOIL_NOT, SPOIL_JUNK, SPOIL_UNPROVEN, SPOIL_UNUSABLE, SPOIL_CHUNKS } spoil_t;
@@ -133,17 +136,21 @@
 /* ===== Callers ===== */
 
 /** Sends a request to a box, in turn a stream and a plain one. No two are alike. */
-static void send_request(void *arg)
+static void send_request(world_t *w)
 {
-    world_t *const w = arg;
-    if (!w->is_loaded)
-        return;
     const int box = g_rand_int_range(w->lab.random, 0, BOXES_N);
     char body[16];
     g_array_append_val(w->boxes, box);
     g_snprintf(body, sizeof(body), "%08x", w->lab.requested);
     (void)send_to_entry(&w->lab, &w->lab.entries[box], w->next++ % 2 ? "/lm/x" : "/safe/x",
-                        "Deadline-Ms: 3000\r\nToken-Count: 100,50\r\n", body);
+                        "Deadline-Ms: 3000\r\nToken-Count: 400,50\r\n", body);
+}
+
+static void send_burst(void *arg)
+{
+    world_t *const w = arg;
+    for (int i = 0; w->is_loaded && i < BURST; i++)
+        send_request(w);
 }
 
 static void run_load(world_t *w, tc_time_t span)
@@ -200,7 +207,7 @@
         fleet_set_shared(w->lab.entries[i].fleet, "app");
     lab_run_until(w->lab.f.loop, has_leader_contact, w);
     set_box_count(&w->lab);
-    loop_add_tick(w->lab.f.loop, REQUEST_INTERVAL_MS, send_request, w);
+    loop_add_tick(w->lab.f.loop, BURST_INTERVAL_MS, send_burst, w);
     loop_add_tick(w->lab.f.loop, LIST_INTERVAL_MS, read_list, w);
 }
 
@@ -226,6 +233,14 @@
     g_assert_cmpuint(s->spoiled, <=, bound);
 }
 
+static unsigned bound_of(const server_t *s, int server)
+{
+    const bool leader = server < 2 * STAGE_SERVERS;
+    if (s->one_in == 1)
+        return leader ? BOUND_LEADER : BOUND;
+    return leader ? BOUND_LEADER_HALF : BOUND_HALF;
+}
+
 /** One back end spoils its answers for a while; it is left, and taken back when it answers well. */
 static void run_spoiling(world_t *w, int server, spoil_t how)
 {
@@ -234,7 +249,7 @@
     s->spoils = how;
     run_load(w, s->one_in == 1 ? SPOIL_MS : HALF_MS);
     s->spoils = SPOIL_NOT;
-    expect_left(s, s->one_in == 1 ? BOUND : BOUND_HALF);
+    expect_left(s, bound_of(s, server));
     s->good = 0;
     w->is_loaded = true;
     lab_run_until(w->lab.f.loop, has_returned, s);
@@ -248,12 +263,48 @@
     run_spoiling(w, server, how);
 }
 
+static void test_prefill_half(world_t *w, gconstpointer data)
+{
+    (void)data;
+    run_half_spoiling(w, 0, SPOIL_JUNK);
+}
+
+static void test_decode_half(world_t *w, gconstpointer data)
+{
+    (void)data;
+    run_half_spoiling(w, STAGE_SERVERS, SPOIL_CHUNKS);
+}
+
 static void test_plain_half(world_t *w, gconstpointer data)
 {
     (void)data;
     run_half_spoiling(w, 2 * STAGE_SERVERS, SPOIL_JUNK);
 }
 
+static void test_prefill_junk(world_t *w, gconstpointer data)
+{
+    (void)data;
+    run_spoiling(w, 0, SPOIL_JUNK);
+}
+
+static void test_prefill_unusable(world_t *w, gconstpointer data)
+{
+    (void)data;
+    run_spoiling(w, 0, SPOIL_UNUSABLE);
+}
+
+static void test_decode_junk(world_t *w, gconstpointer data)
+{
+    (void)data;
+    run_spoiling(w, STAGE_SERVERS, SPOIL_JUNK);
+}
+
+static void test_decode_chunks(world_t *w, gconstpointer data)
+{
+    (void)data;
+    run_spoiling(w, STAGE_SERVERS, SPOIL_CHUNKS);
+}
+
 static void test_plain_junk(world_t *w, gconstpointer data)
 {
     (void)data;
@@ -271,6 +322,12 @@
     g_test_init(&argc, &argv, NULL);
 #define ADD(name, fn, slots)                                                                                           \
     g_test_add("/spoiled-answers/" name, world_t, GINT_TO_POINTER(slots), set_up_spoiled, fn, tear_down_spoiled)
+    ADD("prefill-junk", test_prefill_junk, 0);
+    ADD("prefill-unusable", test_prefill_unusable, 0);
+    ADD("decode-junk", test_decode_junk, 0);
+    ADD("decode-chunks", test_decode_chunks, 0);
+    ADD("prefill-half", test_prefill_half, 0);
+    ADD("decode-half", test_decode_half, 0);
     ADD("plain-half", test_plain_half, 0);
     ADD("slots-half", test_plain_half, 1);
     ADD("plain-junk", test_plain_junk, 0);
