Counter of back ends left for their answers has a name of its own

The name was that of the requests whose callers had left, so that the metrics page showed two series of one name with different meanings.

--- a/lib/forward/forward_silence.c
+++ b/lib/forward/forward_silence.c
@@ -181,8 +181,9 @@
     counter_add(&c_broken, 1);
     if (how == WEB_RESULT_INVALID)
         spoiled_record(call, SPOILED_HTTP);
+    else
+        (void)probe_begin(call);
     forward_log(f, "answer_lost", "silent run broke off", call->status, call->instance);
-    (void)probe_begin(call);
     end_kept(f, "stream broke off");
 }
 
--- a/lib/forward/forward_spoiled.c
+++ b/lib/forward/forward_spoiled.c
@@ -13,7 +13,8 @@
 COUNTER_DEFINE(c_prefill, "counter", "trackcove_forward_spoiled_prefills_total",
                "Successes of prefill engines without a result")
 COUNTER_DEFINE(c_event, "counter", "trackcove_forward_spoiled_events_total", "Streams with an event beyond its limit")
-COUNTER_DEFINE(c_left, "counter", "trackcove_forward_left_total", "Times that this box left a back end for its answers")
+COUNTER_DEFINE(c_left, "counter", "trackcove_forward_backends_left_total",
+               "Times that this box left a back end for its answers")
 
 /** Counts the answer. @return its kind, for the log */
 static const char *count_kind(spoiled_kind_t kind)
