--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -14,7 +14,6 @@
 COUNTER_DEFINE(c_calls, "counter", "trackcove_forward_calls_total", "Calls to back ends, prefills included")
 COUNTER_DEFINE(c_refused, "counter", "trackcove_forward_refused_total", "Calls that back ends did not run")
 COUNTER_DEFINE(c_broken, "counter", "trackcove_forward_broken_total", "Calls without a whole answer")
-COUNTER_DEFINE(c_spoiled, "counter", "trackcove_forward_spoiled_total", "Answers without proof of their origin")
 COUNTER_DEFINE(c_wasted, "counter", "trackcove_forward_prefill_wasted_tokens_total",
                "Prompt tokens computed and not used by a decode engine")
 
@@ -238,7 +237,7 @@
     call_record_arrival(call, ARRIVAL_TAKEN);
     instance_failed(call->instance, tc_time_now());
     probe_t *const probe = call->given_up ? NULL : probe_begin(call);
-    if (op == DIALECT_PREFILL && call->given_up)
+    if (op == DIALECT_PREFILL && call->given_up && !call->spoiled)
         place_report(f, PHASE_PREFILL, call->instance); /* so that other boxes need not find out */
     if (op == DIALECT_DECODE && f->handle.instance)
         handle_clear(f); /* taken, or about to expire */
@@ -282,10 +281,12 @@
     char *const name =
         call->reply.success ? dialect_read_handle((const char *)call->body->data, call->body->len) : NULL;
     if (!name) {
+        if (call->reply.success)
+            spoiled_record(call, SPOILED_PREFILL);
         handle_lost_answer(call, "prefill without a result");
         return;
     }
-    instance_succeeded(call->instance);
+    spoiled_record_good(call);
     histogram_add(&h_prefill, tc_time_now() - call->began);
     forward_log(f, "prefilled", "prompt computed", call->status, call->instance);
     call_record_arrival(call, ARRIVAL_TAKEN);
@@ -300,7 +301,7 @@
 {
     forward_t *const f = call->request;
     if (how == WEB_RESULT_COMPLETE && stream_at_boundary(call)) {
-        instance_succeeded(call->instance);
+        spoiled_record_good(call);
         clear_quarantine(f);
         call->outcome = SLOT_OUTCOME_ANSWERED;
         call_free(call, "streamed");
@@ -382,11 +383,11 @@
         return;
     }
     if (!call->reply.authentic) {
-        counter_add(&c_spoiled, 1);
+        spoiled_record(call, SPOILED_UNPROVEN);
         handle_lost_answer(call, "answer without proof of origin");
         return;
     }
-    instance_succeeded(call->instance);
+    spoiled_record_good(call);
     clear_quarantine(f);
     call->outcome = call->reply.success ? SLOT_OUTCOME_ANSWERED : SLOT_OUTCOME_FAILED;
     if (call->reply.success)
@@ -466,7 +467,10 @@
             silence_watch(f);
         return true;
     case STREAM_REPEATED: give_up(call, "run does not continue after the last event"); break;
-    case STREAM_TOO_LARGE: forward_fail(f, "event exceeds 4 MiB"); break; /* it would be on every engine */
+    case STREAM_TOO_LARGE: /* it would be on every engine */
+        spoiled_record(call, SPOILED_EVENT);
+        forward_fail(f, "event exceeds 4 MiB");
+        break;
     }
     return false;
 }
@@ -490,14 +494,18 @@
         return;
     }
     call->http = NULL;
+    if (how == WEB_RESULT_INVALID)
+        spoiled_record(call, SPOILED_HTTP);
     if (how == WEB_RESULT_NOT_SENT)
         handle_not_run(call, "connection to the back end failed", false);
     else if (stream_has_begun(call)) /* a refusal is never streamed */
         call_end_stream(call, how);
     else if (how == WEB_RESULT_COMPLETE)
         handle_answer(call);
-    else if (how == WEB_RESULT_TRUNCATED && call->reply.not_run)
+    else if (how != WEB_RESULT_NO_RESPONSE && call->reply.not_run)
         handle_not_run(call, "refused by the back end", true);
+    else if (how == WEB_RESULT_INVALID)
+        handle_lost_answer(call, "answer is not valid HTTP");
     else
         handle_lost_answer(call, how == WEB_RESULT_TRUNCATED ? "answer broke off" : "connection to the back end broke");
 }
@@ -554,6 +562,7 @@
         hold_clear(f); /* a reservation serves one call */
     call->ends = forward_crash_count(f);
     instance_begin(instance, call->tokens, call->ends);
+    spoil_record_begin(&instance->spoiled, now);
     forward_log(f, "send", op == DIALECT_PREFILL ? "prefill" : (op == DIALECT_DECODE ? "decode" : "serve"), 0,
                 instance);
     call->http = web_call(f->owner->client, instance->listed.addr, request, may_reuse_connection(f, op),
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -140,6 +140,7 @@
     slot_outcome_t outcome; /* so far, for the slot that the call uses */
     bool given_up;          /* by this box; a repeated call to the same back end would end the same way */
     bool is_counted;        /* its arrival is recorded in the retry budget */
+    bool spoiled;           /* its answer was */
     unsigned ends;          /* crash count of the request before this call, as passed to instance_begin */
     int status;
     dialect_reply_t reply;
@@ -491,6 +492,22 @@
 /** Frees the cleanup calls in flight: after the client is destroyed, before the forwarder is. */
 void cleanups_destroy(forwarder_t *fw);
 
+/* ===== forward_spoiled.c ===== */
+
+/** In what way an answer was spoiled: its bytes came, but are no answer. */
+typedef enum {
+    SPOILED_HTTP,     /* no valid HTTP */
+    SPOILED_UNPROVEN, /* without proof of its origin */
+    SPOILED_PREFILL,  /* a success of a prefill engine without a result */
+    SPOILED_EVENT     /* an event of a stream beyond its limit */
+} spoiled_kind_t;
+
+/** The back end has spoiled the answer to the call: logs and counts it, and records it against the back end. The call
+ *  counts as given up from then on: a repeated one would end the same way. Call before the call is ended. */
+void spoiled_record(backend_call_t *call, spoiled_kind_t kind);
+/** The back end has answered the call well. */
+void spoiled_record_good(const backend_call_t *call);
+
 /* ===== forward_backend_probe.c ===== */
 
 /** Probes a back end whose connection broke while it may have run the request, to find out whether it has ended. */
@@ -623,6 +640,8 @@
 void place_record_decode(forward_t *f, const instance_t *decode);
 /** Reports the progress of the request to the scheduler. @param bad instance that failed, or NULL */
 void place_report(forward_t *f, phase_t phase, const instance_t *bad);
+/** Reports to the scheduler that an engine has spoiled an answer. */
+void place_report_spoiled(forward_t *f, const instance_t *bad);
 /** Frees what the scheduler reserved for a request that ends. */
 void place_finish(forward_t *f);
 /** The request goes on at an engine that it was about to leave: drops the query in flight, and has the scheduler count
--- a/lib/forward/forward_silence.c
+++ b/lib/forward/forward_silence.c
@@ -154,6 +154,7 @@
     case STREAM_HELD_NOTHING: return;
     case STREAM_HELD_TOO_LARGE:
         counter_add(&c_broken, 1);
+        spoiled_record(call, SPOILED_EVENT);
         end_kept(f, "event exceeds 4 MiB");
         return;
     case STREAM_HELD_EVENT:
@@ -178,8 +179,11 @@
         return;
     }
     counter_add(&c_broken, 1);
+    if (how == WEB_RESULT_INVALID)
+        spoiled_record(call, SPOILED_HTTP);
+    else
+        (void)probe_begin(call);
     forward_log(f, "answer_lost", "silent run broke off", call->status, call->instance);
-    (void)probe_begin(call);
     end_kept(f, "stream broke off");
 }
 
