--- a/tests/harness/lab.h
+++ b/tests/harness/lab.h
@@ -29,6 +29,8 @@
 typedef struct {
     char *bytes; /**< sent as they are, then freed with g_free(); NULL: no answer */
     lab_end_t end;
+    size_t endless; /**< so many of the last bytes are sent again and again, until the client closes; 0: none. The
+                       request counts as unanswered, as by LAB_HANG */
     GArray *pieces; /**< lab_piece_t, freed by the fake back end; bytes behind the last one follow at once; NULL: sent
                        in one part */
 } lab_reply_t;
