What is read of one answer is limited in bytes

Seen: a back end that answers with bytes without end is read for as long as the caller waits. Whole answers are buffered meanwhile: a forwarding process before two such servers among nineteen, with 70 requests a second, grew from 5 MB to 2.0 GB within 6 s. Interim answers held a caller to its deadline and cost it a 504.

Cause: the limits on what is read were times. Only the parser bounded the lines of one head and of the trailers.

Change: a call counts what it reads. Beyond a limit the call ends as one with an invalid answer, is not repeated at the same back end, and a line answer_over_limit tells the request, the back end, which limit and how many bytes.

Evidence: test_endless_answers, 15 kinds of answers without end at 6 stages.

Why it works: each byte that is read is either body, which has a limit, or counted against the other one.

--- a/lib/cluster/engine_poller.c
+++ b/lib/cluster/engine_poller.c
@@ -131,7 +131,8 @@
                                        .accepts_head = dialect_is_query_answer,
                                        .on_head = on_head,
                                        .connect_ms = CONNECT_TIMEOUT_MS,
-                                       .limit_ms = QUERY_TIMEOUT_MS};
+                                       .limit_ms = QUERY_TIMEOUT_MS,
+                                       .body_bytes = DIALECT_REPORT_MAX_BYTES};
     codec_copy_string(q->engine, sizeof(q->engine), engine->id);
     web_fetch(&q->ask, &where, dialect_write_engine_query(engine->addr), on_answer, q);
 }
--- a/lib/forward/dialect.h
+++ b/lib/forward/dialect.h
@@ -29,6 +29,11 @@
     DIALECT_PARTS_MAX = 32  /* further parts are ignored */
 };
 
+/* ===== Constants ===== */
+
+/** Maximum body of an engine's answer to a query or an order: a list of some thousand entries. */
+enum { DIALECT_REPORT_MAX_BYTES = 256 * 1024 };
+
 /* ===== Types ===== */
 
 /** One part of a prompt. An engine whose cache holds this and all earlier parts need not compute them again. */
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -381,8 +381,7 @@
 
 /* ===== Reports of the call ===== */
 
-/** Cancels the call from this side. */
-static void give_up(backend_call_t *call, const char *why)
+void call_give_up(backend_call_t *call, const char *why)
 {
     web_call_cancel(call->http);
     call->http = NULL;
@@ -394,7 +393,7 @@
 {
     backend_call_t *const call = ((forward_t *)arg)->call;
     assert(call); /* disarmed with the call */
-    give_up(call, "prefill engine did not answer in time");
+    call_give_up(call, "prefill engine did not answer in time");
 }
 
 static void arm_silence_timer(forward_t *f);
@@ -413,7 +412,7 @@
     if (before > f->retry.paid)
         retry_request(f, RETRY_PURPOSE_RERUN, give_up_when_granted, arm_silence_timer);
     else
-        give_up(f->call, "stream is silent");
+        call_give_up(f->call, "stream is silent");
 }
 
 /** Gives up a silent run only when another can follow; otherwise waits on. */
@@ -452,6 +451,7 @@
     call->head_seen = true;
     call->status = head->status;
     limit_update(call);
+    buffer_limit_answer(call);
     if (call->op == DIALECT_PREFILL || call->reply.not_run)
         return WEB_HEAD_ACCEPT;
     call->head = dialect_forward_headers(head);
@@ -466,6 +466,7 @@
         web_begin_response(f->exchange, head->status, call->head->str);
     }
     if (streams) {
+        web_call_limit_body(call->http, 0); /* each event has its limit */
         stream_begin(call);
         arm_silence_timer(f);
     }
@@ -481,8 +482,11 @@
     }
     switch (stream_feed(call, data, size)) {
     case STREAM_OK: arm_silence_timer(call->request); break;
-    case STREAM_REPEATED: give_up(call, "run does not continue after the last event"); break;
-    case STREAM_TOO_LARGE: give_up(call, "event exceeds 4 MiB"); break;
+    case STREAM_REPEATED: call_give_up(call, "run does not continue after the last event"); break;
+    case STREAM_TOO_LARGE:
+        buffer_exceeded(call, "event exceeds 4 MiB", call->run.partial->len);
+        call_give_up(call, call->excess);
+        break;
     }
 }
 
@@ -492,6 +496,8 @@
     call->http = NULL;
     if (how == WEB_RESULT_NOT_SENT)
         handle_not_run(call, "connection to the back end failed", false);
+    else if (call->excess && !call->reply.not_run)
+        handle_lost_answer(call, call->excess);
     else if (stream_has_begun(call)) /* a refusal is never streamed */
         handle_stream_end(call, how);
     else if (how == WEB_RESULT_COMPLETE)
@@ -547,7 +553,8 @@
                              .strips_credentials = f->table->workspaces != NULL,
                              .workspace = f->workspace ? f->workspace->name : NULL};
     set_urgency(f, &params);
-    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = call};
+    const web_sink_t sink = {
+        .on_head = on_head, .on_data = on_data, .on_excess = buffer_exceeded, .on_end = on_end, .arg = call};
     GByteArray *const request = dialect_write_request(&f->request, instance->listed.addr, &params);
     f->call = call;
     if (f->hold.instance == instance)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -11,6 +11,7 @@
  *   forward_locate.c  search for the engine that caches the prompt of a resumed stream
  *   forward_retry.c   retry budget
  *   forward_call.c    calls to back ends
+ *   forward_buffer.c  limits on what calls read
  *   forward_stop.c    requests that a stopping box still accepts
  *   forward_log.c     log lines
  *   forward_stream.c  stream events on their way to the caller
@@ -94,6 +95,11 @@
     /* A reachable engine answers in a few ms. */
     HOLD_TIMEOUT_MS = 300,
 
+    /* Body of an answer that is not streamed: as much as may wait for a caller that reads slowly. */
+    ANSWER_MAX_BYTES = 8 * 1024 * 1024,
+    /* The same of answers that are not forwarded: prefill results and refusals. */
+    RESULT_MAX_BYTES = 256 * 1024,
+
     /* Same as SCHED_RENEW_MS. */
     RENEW_MS = 300,
     /* Delay of the renewal after a local placement, so that one renewal covers the rest of the burst. */
@@ -141,7 +147,8 @@
     dialect_reply_t reply;
     GString *head;
     GByteArray *body;
-    stream_run_t run; /* of a streamed answer */
+    const char *excess; /* limit that the answer exceeded, or NULL */
+    stream_run_t run;   /* of a streamed answer */
     tc_time_t began;
 } backend_call_t;
 
@@ -379,6 +386,18 @@
 /** Number of boxes that share the limits and budgets. */
 unsigned forward_boxes(const forwarder_t *fw);
 
+/* ===== forward_buffer.c ===== */
+
+/** Limits the body of an answer that is not streamed; to be called with its head. */
+void buffer_limit_answer(backend_call_t *call);
+/** Records that the answer exceeded a limit, before the call ends: it is not repeated at the same back end. */
+void buffer_exceeded(void *arg, const char *kind, uint64_t bytes);
+
+/* ===== forward_call.c: ends ===== */
+
+/** Cancels the call from this side: its answer is lost. @param why for the log */
+void call_give_up(backend_call_t *call, const char *why);
+
 /* ===== forward_end.c ===== */
 
 /** Status of a request that no back end has begun and none will. */
--- a/lib/forward/forward_query.c
+++ b/lib/forward/forward_query.c
@@ -71,7 +71,8 @@
                                        .accepts_head = dialect_is_query_answer,
                                        .on_head = on_engine_head,
                                        .connect_ms = limits->connect_ms,
-                                       .limit_ms = limits->answer_ms};
+                                       .limit_ms = limits->answer_ms,
+                                       .body_bytes = DIALECT_REPORT_MAX_BYTES};
     web_fetch(&e->ask, &where, request, fn, e);
     return e;
 }
--- a/lib/roles/rebalancer.c
+++ b/lib/roles/rebalancer.c
@@ -205,7 +205,8 @@
                                        .accepts_head = dialect_is_query_answer,
                                        .on_head = on_head,
                                        .connect_ms = CONNECT_TIMEOUT_MS,
-                                       .limit_ms = ORDER_TIMEOUT_MS};
+                                       .limit_ms = ORDER_TIMEOUT_MS,
+                                       .body_bytes = DIALECT_REPORT_MAX_BYTES};
     r->calling = move;
     web_fetch(&r->ask, &where, request, fn, r);
 }
--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -5,6 +5,9 @@
  * its user knows whether the request may be executed twice. The result of a call
  * tells whether the back end may have seen the request.
  *
+ * What a call reads is limited in bytes (web/answer_meter.h): a response that
+ * exceeds a limit ends the call as an invalid one.
+ *
  * Everything runs in the loop's thread.
  */
 #ifndef TRACKCOVE_WEB_WEB_CLIENT_H
@@ -31,9 +34,9 @@
     WEB_RESULT_COMPLETE, /**< complete response received */
     WEB_RESULT_NOT_SENT, /**< no connection, or one that had ended before the first byte was written: the back end has
                             seen nothing of the request */
-    WEB_RESULT_NO_RESPONSE, /**< connection closed or invalid HTTP before a response head: the request may have been
-                               executed */
-    WEB_RESULT_TRUNCATED    /**< the response ended early, after its head */
+    WEB_RESULT_NO_RESPONSE, /**< connection closed, invalid HTTP or a limit exceeded before a response head: the request
+                               may have been executed */
+    WEB_RESULT_TRUNCATED    /**< the response ended early or exceeded a limit, after its head */
 } web_result_t;
 
 /** What to do with a response after its head. */
@@ -53,6 +56,9 @@
 typedef struct {
     web_head_action_t (*on_head)(void *arg, const web_head_t *head);
     void (*on_data)(void *arg, const char *data, size_t size);
+    /** Runs before on_end when the response exceeded a limit; may be NULL. @p kind: which one, a constant for the log;
+     *  @p bytes: how many exceeded it */
+    void (*on_excess)(void *arg, const char *kind, uint64_t bytes);
     void (*on_end)(void *arg, web_result_t how);
     void *arg;
 } web_sink_t;
@@ -78,6 +84,10 @@
 web_call_t *web_call(web_client_t *client, const char *addr, GByteArray *request, bool reuse, tc_time_t connect_ms,
                      const web_sink_t *sink);
 
+/** Limit the body of the response, in bytes; 0: no limit, as at first. When set in on_head at the latest, a response
+ * that names a longer body is ended at its head. */
+void web_call_limit_body(web_call_t *call, size_t bytes);
+
 /** Cancel the call and close its connection. No callback runs afterwards. */
 void web_call_cancel(web_call_t *call);
 
--- a/lib/web/web_fetch.c
+++ b/lib/web/web_fetch.c
@@ -1,6 +1,9 @@
 #include "web/web_fetch.h"
 
 #include <assert.h>
+#include <string.h>
+
+#include "common/log.h"
 
 static web_head_action_t on_head(void *arg, const web_head_t *head)
 {
@@ -13,15 +16,25 @@
     return WEB_HEAD_ACCEPT;
 }
 
+static void log_excess(const web_fetch_t *fetch, const char *kind, uint64_t bytes)
+{
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "fetch_over_limit");
+    log_str(&line, "why", kind);
+    log_str(&line, "addr", fetch->addr);
+    log_int(&line, "bytes", (int64_t)bytes);
+    log_end(&line);
+}
+
+static void on_excess(void *arg, const char *kind, uint64_t bytes)
+{
+    log_excess(arg, kind, bytes);
+}
+
 static void on_data(void *arg, const char *data, size_t size)
 {
     web_fetch_t *const fetch = arg;
-    if (fetch->body_bytes == 0 || size <= fetch->body_bytes - fetch->body->len) {
-        g_byte_array_append(fetch->body, (const guint8 *)data, (guint)size);
-        return;
-    }
-    web_fetch_cancel(fetch);
-    fetch->fn(fetch->arg, WEB_FETCH_FAILED);
+    g_byte_array_append(fetch->body, (const guint8 *)data, (guint)size);
 }
 
 static void on_end(void *arg, web_result_t how)
@@ -42,16 +55,19 @@
 void web_fetch(web_fetch_t *fetch, const web_fetch_options_t *options, GByteArray *request, web_fetch_fn_t fn,
                void *arg)
 {
-    assert(!fetch->call); /* status and body belong to one call at a time */
+    assert(!fetch->call);            /* status and body belong to one call at a time */
+    assert(options->body_bytes > 0); /* any back end may send without end */
     fetch->status = 0;
     g_byte_array_set_size(fetch->body, 0);
     fetch->accepts_head = options->accepts_head;
     fetch->on_head = options->on_head;
-    fetch->body_bytes = options->body_bytes;
     fetch->fn = fn;
     fetch->arg = arg;
-    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = fetch};
+    const web_sink_t sink = {
+        .on_head = on_head, .on_data = on_data, .on_excess = on_excess, .on_end = on_end, .arg = fetch};
     fetch->call = web_call(options->client, options->addr, request, true, options->connect_ms, &sink);
+    web_call_limit_body(fetch->call, options->body_bytes);
+    codec_copy_string(fetch->addr, sizeof(fetch->addr), options->addr);
     loop_arm(options->loop, &fetch->timeout_timer, tc_time_now() + options->limit_ms, on_timeout, fetch);
 }
 
--- a/lib/web/web_fetch.h
+++ b/lib/web/web_fetch.h
@@ -13,7 +13,7 @@
 /** Outcome of a fetch. */
 typedef enum {
     WEB_FETCH_OK,     /**< complete response: status and body are set */
-    WEB_FETCH_FAILED, /**< no connection, no complete response, or a body above body_bytes */
+    WEB_FETCH_FAILED, /**< no connection, no complete response, or one that exceeds a limit */
     WEB_FETCH_TIMEOUT /**< no complete response within limit_ms */
 } web_fetch_result_t;
 
@@ -27,8 +27,8 @@
 typedef struct {
     web_call_t *call; /**< NULL when idle */
     int status;       /**< HTTP status; 0 until a head is accepted */
+    char addr[CODEC_STR_SIZE];
     GByteArray *body;
-    size_t body_bytes;
     loop_timer_t timeout_timer;
     bool (*accepts_head)(const web_head_t *head);
     web_fetch_head_fn_t on_head;
@@ -46,7 +46,7 @@
     web_fetch_head_fn_t on_head;                  /**< or NULL; gets the same arg as fn */
     tc_time_t connect_ms;                         /**< connect timeout */
     tc_time_t limit_ms;                           /**< timeout of the whole fetch */
-    size_t body_bytes; /**< maximum response body; a longer one gives WEB_FETCH_FAILED. 0: no limit */
+    size_t body_bytes; /**< maximum response body, not 0; a longer one gives WEB_FETCH_FAILED */
 } web_fetch_options_t;
 
 /* ===== Public functions ===== */
--- /dev/null
+++ b/tests/platform/test_endless_answers.c
@@ -0,0 +1,191 @@
+/* Back ends that write without end, by what they write and by the stage of the request that reads it.
+ *
+ * Guards against memory that grows for as long as a back end writes: each answer is ended by its bytes. */
+
+#include "backend/call_gate.h"
+#include "cluster/engine_poller.h"
+#include "common/counter.h"
+#include "platform/forward_lab.h"
+
+/* ===== Kinds and stages ===== */
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n" SEAL
+#define OTHER_HEAD "HTTP/1.1 200 OK\r\nServer-Seal: s0\r\nAttempt-Id: id0\r\n"
+#define X16 "xxxxxxxxxxxxxxxx"
+#define X64 X16 X16 X16 X16
+
+/** What a back end writes: @p head once, @p tail again and again. */
+typedef struct {
+    const char *name, *head, *tail;
+    bool is_broken; /* no HTTP: ended whatever its size */
+} kind_t;
+
+static const kind_t kinds[] = {
+    {"body", OK_HEAD "\r\n", X64, false},
+    {"chunks", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n", "40\r\n" X64 "\r\n", false},
+    {"event", OK_HEAD "Content-Type: text/event-stream\r\n\r\ndata: ", X64, false},
+    {"comments", OK_HEAD "Content-Type: text/event-stream\r\n\r\n", ": " X64 "\n", false},
+    {"length", OK_HEAD "Content-Length: 99999999999\r\n\r\n", X64, false},
+    {"interim", "", "HTTP/1.1 100 Continue\r\n\r\n", false},
+    {"early-hints", "", "HTTP/1.1 103 Early Hints\r\nLink: " X64 "\r\n\r\n", false},
+    {"head-lines", OK_HEAD, "X: y\r\n", false},
+    {"head-value", OK_HEAD "X: ", X64, false},
+    {"junk", "", X64, true},
+    {"empty-lines", "", "\r\n", false},
+    {"trailers", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", false},
+    {"chunk-extension", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2;", X64, false},
+    {"other-answer", OTHER_HEAD "\r\n", X64, false},
+    {"other-answers", "", OTHER_HEAD "Content-Length: 2\r\n\r\nno", false},
+};
+
+/** Which answer has no end. */
+typedef enum { PLAIN, UNSAFE, PREFILL, DECODE, RESERVATION, REPORT, STAGES } endless_stage_t;
+
+static const char *const stages[] = {[PLAIN] = "plain",   [UNSAFE] = "unsafe",    [PREFILL] = "prefill",
+                                     [DECODE] = "decode", [RESERVATION] = "hold", [REPORT] = "report"};
+enum { TAIL_BYTES = 16 * 1024 };
+
+typedef struct {
+    const kind_t *kind;
+    endless_stage_t stage;
+} case_t;
+
+/** Number of answers that exceeded a limit. */
+static int64_t ended_by_bytes(void)
+{
+    return counter_read("trackcove_answer_over_limit_total") + counter_read("trackcove_forward_over_limit_total");
+}
+
+/** Has the back end write without end wherever its plan has the reply 'W'. */
+static void set_endless(fixture_t *f, int i, const kind_t *kind)
+{
+    GString *const bytes = g_string_new(kind->head);
+    while (bytes->len < strlen(kind->head) + TAIL_BYTES)
+        g_string_append(bytes, kind->tail);
+    f->plan[i].stream_size = bytes->len - strlen(kind->head);
+    f->plan[i].stream = g_string_free(bytes, FALSE);
+}
+
+static bool is_closed(void *arg)
+{
+    return lab_backend_abandoned(arg) > 0;
+}
+
+static void set_up_case(fixture_t *f, gconstpointer data)
+{
+    (void)data; /* a kind or a case: the retry budget is the usual one */
+    set_up(f, NULL);
+}
+
+/* ===== One answer ===== */
+
+/** A request that may run twice gets its answer from the next back end. */
+static void expect_other(fixture_t *f, const char *path, const char *body)
+{
+    expect(f, path, 200, body);
+}
+
+static void expect_failure(fixture_t *f, const char *path, int status)
+{
+    lab_call_t *const c = call(f, path);
+    g_assert_cmpint(c->status, ==, status);
+    g_assert_true(status != 200 || c->how == WEB_RESULT_TRUNCATED);
+    lab_call_free(c);
+}
+
+static void ignore_runs(void *arg, const char *engine, const sched_engine_request_t *held, uint32_t n)
+{
+    (void)arg, (void)engine, (void)held, (void)n;
+}
+
+static bool has_failed_read(void *arg)
+{
+    return counter_read("trackcove_engines_read_failed_total") > *(const int64_t *)arg;
+}
+
+/** The leader reads what an engine runs. */
+static void expect_no_report(fixture_t *f)
+{
+    int64_t before = counter_read("trackcove_engines_read_failed_total");
+    backend_t engine = {.id = "i-0", .service = "lm", .stage = "decode", .slots = 8};
+    codec_copy_string(engine.addr, sizeof(engine.addr), f->backend_addr[0]);
+    call_gate_t *const gate = call_gate_create(NULL, NULL);
+    engine_poller_t *const poller = engine_poller_create(f->loop, f->client, gate, ignore_runs, NULL);
+    engine_poller_tick(poller, &engine, 1, true, tc_time_now());
+    lab_run_until(f->loop, has_failed_read, &before);
+    engine_poller_destroy(poller);
+    call_gate_destroy(gate);
+}
+
+static void run_stage(fixture_t *f, const case_t *c)
+{
+    switch (c->stage) {
+    case PLAIN:
+    case UNSAFE:
+        start_all(f, (backend_plan_t[]){{"app", "", "W", false, false}, {"app", "", "o", true, false}}, 2);
+        set_endless(f, 0, c->kind);
+        if (c->stage == PLAIN)
+            expect_other(f, "/safe/x", "ok");
+        else
+            expect_failure(f, "/once/x", 502);
+        return;
+    case PREFILL:
+        start_all(f,
+                  (backend_plan_t[]){{"lm", "prefill", "W", false, false},
+                                     {"lm", "decode", "S", false, false},
+                                     {"lm", "prefill", "p", true, false}},
+                  3);
+        set_endless(f, 0, c->kind);
+        expect_other(f, "/again/x", FIRST SECOND);
+        return;
+    case DECODE:
+        start_engines(f, "lm", "p", "W", "S");
+        set_endless(f, 1, c->kind);
+        expect_other(f, "/again/x", FIRST SECOND);
+        return;
+    case RESERVATION:
+        start_engines(f, "held", "p", "W", "HS");
+        set_endless(f, 1, c->kind);
+        expect_other(f, "/held/x", FIRST SECOND);
+        return;
+    case REPORT:
+        start_all(f, (backend_plan_t[]){{"lm", "decode", "W", false, false}}, 1);
+        set_endless(f, 0, c->kind);
+        expect_no_report(f);
+        return;
+    case STAGES: break;
+    }
+    g_assert_not_reached();
+}
+
+/** The answer is ended by its bytes, not by a time limit of seconds; the back end sees its connection close; no more is
+ * buffered than one answer of the stage may have, and nothing stays. */
+static void test_case(fixture_t *f, gconstpointer data)
+{
+    const case_t *const c = data;
+    const int64_t before = ended_by_bytes();
+    run_stage(f, c);
+    const int i = c->stage == DECODE || c->stage == RESERVATION ? 1 : 0;
+    lab_run_until(f->loop, is_closed, f->backend[i]);
+    if (!c->kind->is_broken && c->stage < RESERVATION) /* queries have time limits so short that these may come first */
+        g_assert_cmpint(ended_by_bytes(), >, before);
+    g_free((char *)(uintptr_t)f->plan[i].stream);
+}
+
+/* ===== Main ===== */
+
+int main(int argc, char **argv)
+{
+    static case_t cases[STAGES * G_N_ELEMENTS(kinds)];
+    size_t n = 0;
+    g_test_init(&argc, &argv, NULL);
+    for (endless_stage_t stage = 0; stage < STAGES; stage++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+            char *const name = g_strdup_printf("/endless/%s/%s", stages[stage], kinds[i].name);
+            cases[n] = (case_t){.kind = &kinds[i], .stage = stage};
+            g_test_add(name, fixture_t, &cases[n++], set_up_case, test_case, tear_down);
+            g_free(name);
+        }
+    }
+    return g_test_run();
+}
