Cleanup calls have a limit in time and bytes

Seen: a prefill engine that does not answer the release of a result, or answers without end, kept its connection and was read until the forwarding process ended.

Cause: nobody waits for the answer of such a call, so nothing ended it.

Change: 2 s and 64 KB; then the call is dropped with a line cleanup_ended. An engine drops by itself what it keeps.

Evidence: test_endless_answers, cleanup/body and cleanup/unanswered: on the code before both wait for the close for as long as they are let (14 s here); now they pass.

--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -95,6 +95,10 @@
     /* A reachable engine answers in a few ms. */
     HOLD_TIMEOUT_MS = 300,
 
+    /* Answers to cleanup calls are not read; an engine soon drops by itself what it keeps. */
+    CLEANUP_TIMEOUT_MS = 2000,
+    CLEANUP_MAX_BYTES = 64 * 1024,
+
     /* Body of an answer that is not streamed: as much as may wait for a caller that reads slowly. */
     ANSWER_MAX_BYTES = 8 * 1024 * 1024,
     /* The same of answers that are not forwarded: prefill results and refusals. */
--- a/lib/forward/forward_query.c
+++ b/lib/forward/forward_query.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 
+#include "common/log.h"
 #include "forward/forward_internal.h"
 
 /* ===== To the leader ===== */
@@ -92,15 +93,29 @@
     struct cds_list_head node;
     forwarder_t *owner;
     instance_t *instance; /* a reference */
+    web_call_t *http;
+    loop_timer_t timer; /* its timeout */
 } cleanup_t;
 
 static void cleanup_free(cleanup_t *u)
 {
+    loop_disarm(&u->timer);
     cds_list_del(&u->node);
     instance_unref(u->instance);
     g_free(u);
 }
 
+static void log_cleanup(const cleanup_t *u, const char *why, uint64_t bytes)
+{
+    log_line_t line;
+    log_begin(&line, LOG_WARN, "cleanup_ended");
+    log_str(&line, "why", why);
+    log_str(&line, "backend", u->instance->listed.id);
+    log_str(&line, "addr", u->instance->listed.addr);
+    log_int(&line, "bytes", (int64_t)bytes);
+    log_end(&line);
+}
+
 static web_head_action_t on_cleanup_head(void *arg, const web_head_t *head)
 {
     const cleanup_t *const u = arg;
@@ -113,6 +128,19 @@
     (void)arg, (void)data, (void)size;
 }
 
+static void on_cleanup_timeout(void *arg)
+{
+    cleanup_t *const u = arg;
+    log_cleanup(u, "no complete answer in time", 0);
+    web_call_cancel(u->http);
+    cleanup_free(u);
+}
+
+static void on_cleanup_excess(void *arg, const char *kind, uint64_t bytes)
+{
+    log_cleanup(arg, kind, bytes);
+}
+
 static void on_cleanup_end(void *arg, web_result_t how)
 {
     (void)how; /* an engine soon drops by itself what it keeps for us */
@@ -129,8 +157,14 @@
     u->owner = fw;
     u->instance = instance_ref(instance);
     cds_list_add(&u->node, &fw->cleanups);
-    const web_sink_t sink = {.on_head = on_cleanup_head, .on_data = ignore_data, .on_end = on_cleanup_end, .arg = u};
-    (void)web_call(fw->client, instance->listed.addr, request, true, CONNECT_TIMEOUT_MS, &sink);
+    const web_sink_t sink = {.on_head = on_cleanup_head,
+                             .on_data = ignore_data,
+                             .on_excess = on_cleanup_excess,
+                             .on_end = on_cleanup_end,
+                             .arg = u};
+    u->http = web_call(fw->client, instance->listed.addr, request, true, CONNECT_TIMEOUT_MS, &sink);
+    web_call_limit_body(u->http, CLEANUP_MAX_BYTES);
+    loop_arm(fw->loop, &u->timer, tc_time_now() + CLEANUP_TIMEOUT_MS, on_cleanup_timeout, u);
 }
 
 void cleanups_destroy(forwarder_t *fw)
--- a/tests/platform/test_endless_answers.c
+++ b/tests/platform/test_endless_answers.c
@@ -172,6 +172,35 @@
     g_free((char *)(uintptr_t)f->plan[i].stream);
 }
 
+/* ===== Cleanup calls ===== */
+
+/** A caller leaves between prefill and decode; the prefill engine answers to the release as @p reply. */
+static void release_with(fixture_t *f, const char *replies)
+{
+    start_engines(f, "lm", replies, "h", NULL);
+    lab_call_t *const c = begin(f, "/lm/x");
+    while (requests(f, 1) == 0)
+        lab_run_for(f->loop, 5);
+    web_call_cancel(c->call);
+    lab_call_free(c);
+    lab_run_until(f->loop, is_closed, f->backend[0]);
+}
+
+static void test_endless_release(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    set_endless(f, 0, &kinds[0]);
+    release_with(f, "pW");
+    g_free((char *)(uintptr_t)f->plan[0].stream);
+}
+
+/** Without a time limit each such call would keep a connection for good. */
+static void test_unanswered_release(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    release_with(f, "ph");
+}
+
 /* ===== Main ===== */
 
 int main(int argc, char **argv)
@@ -187,5 +216,7 @@
             g_free(name);
         }
     }
+    g_test_add("/endless/cleanup/body", fixture_t, NULL, set_up, test_endless_release, tear_down);
+    g_test_add("/endless/cleanup/unanswered", fixture_t, NULL, set_up, test_unanswered_release, tear_down);
     return g_test_run();
 }
