Answers that a box buffers have a limit in sum

Seen: a thousand answers of a few hundred KB to 8 MB each take a box beyond its memory though each keeps to its limit; the process ends and every whole request that it holds is lost.

Cause: nothing counted what a box buffers of all answers together: bodies, unfinished events, answers to queries, heads being read, and what callers have not read yet.

Where a buffer is about to grow beyond the sum, answers are ended until it fits: of the back end whose answers hold most, the largest. Their requests go on by the usual rules, as after an invalid answer; a caller that has most to read is disconnected. Whole answers pass to the caller's buffer without a copy, and a stream's buffer is freed after a large event. Gauges tell the sum, its maximum and its limit.

Evidence: test_endless_answers/many, 1,000 answers without end at once from two back ends, 15 kinds, beside streams with an event of 1.2 MB at another engine: at most 23,068,672 bytes are buffered, which is the limit, and the streams are served whole.

Why it works: shares are set before buffers grow, in the same turn of the loop, and a share is closed before its owner is told, so that each step makes room.

--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -25,6 +25,7 @@
 {
     forward_t *const f = call->request;
     stream_end(call, why);
+    buffer_share_close(&call->buffer);
     retry_cancel(f); /* the query asked for what could follow this call */
     slot_end_call(call);
     loop_disarm(&f->call_timer);
@@ -32,7 +33,8 @@
     instance_unref(call->instance);
     if (call->head)
         g_string_free(call->head, TRUE);
-    g_byte_array_free(call->body, TRUE);
+    if (call->body)
+        g_byte_array_free(call->body, TRUE);
     f->call = NULL;
     g_free(call);
 }
@@ -249,7 +251,8 @@
 {
     forward_t *const f = call->request;
     const int status = call->status;
-    web_respond(f->exchange, status, call->head->str, call->body->data, call->body->len);
+    buffer_share_close(&call->buffer); /* the exchange counts what its caller does not read */
+    web_respond_owned(f->exchange, status, call->head->str, g_steal_pointer(&call->body));
     call_free(call, "answered");
     forward_finish(f, status, "answered");
 }
@@ -476,6 +479,10 @@
 static void on_data(void *arg, const char *data, size_t size)
 {
     backend_call_t *const call = arg;
+    if (!buffer_reserve(call, size)) {
+        call_give_up(call, call->excess);
+        return;
+    }
     if (!stream_has_begun(call)) {
         g_byte_array_append(call->body, (const guint8 *)data, (guint)size);
         return;
@@ -543,6 +550,7 @@
     call->body = g_byte_array_new();
     call->began = now;
     call->outcome = SLOT_OUTCOME_LOST;
+    buffer_begin(call);
     dialect_call_t params = {.op = op,
                              .instance = instance->listed.id,
                              .time_left = f->deadline - now,
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -11,7 +11,7 @@
  *   forward_locate.c  search for the engine that caches the prompt of a resumed stream
  *   forward_retry.c   retry budget
  *   forward_call.c    calls to back ends
- *   forward_buffer.c  limits on what calls read
+ *   forward_buffer.c  limits on what calls read and buffer
  *   forward_stop.c    requests that a stopping box still accepts
  *   forward_log.c     log lines
  *   forward_stream.c  stream events on their way to the caller
@@ -151,8 +151,9 @@
     dialect_reply_t reply;
     GString *head;
     GByteArray *body;
-    const char *excess; /* limit that the answer exceeded, or NULL */
-    stream_run_t run;   /* of a streamed answer */
+    buffer_share_t buffer; /* counts body, or the incomplete event of a streamed answer */
+    const char *excess;    /* limit that the answer exceeded, or NULL */
+    stream_run_t run;      /* of a streamed answer */
     tc_time_t began;
 } backend_call_t;
 
@@ -392,8 +393,16 @@
 
 /* ===== forward_buffer.c ===== */
 
+/** Begins to count what the call buffers. */
+void buffer_begin(backend_call_t *call);
 /** Limits the body of an answer that is not streamed; to be called with its head. */
 void buffer_limit_answer(backend_call_t *call);
+/** Counts @p size bytes that are about to be appended. @return false: the limit of all answers is reached, and this
+ * call is the one to be ended */
+bool buffer_reserve(backend_call_t *call, size_t size);
+/** Counts the incomplete event that is left once complete ones were forwarded, and frees what it does not need.
+ *  @param forwarded bytes that were */
+void buffer_settle(backend_call_t *call, size_t forwarded);
 /** Records that the answer exceeded a limit, before the call ends: it is not repeated at the same back end. */
 void buffer_exceeded(void *arg, const char *kind, uint64_t bytes);
 
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -221,6 +221,7 @@
         from = 0;
     }
     forward_events(call, used);
+    buffer_settle(call, used);
     run->searched = run->partial->len;
     if (!continues) {
         counter_add(&c_repeated, 1);
--- a/lib/roles/rebalancer.c
+++ b/lib/roles/rebalancer.c
@@ -421,6 +421,7 @@
 void rebalancer_destroy(rebalancer_t *r)
 {
     end_moves(r);
+    web_fetch_cancel(&r->ask);
     g_byte_array_free(r->ask.body, TRUE);
     g_free(r);
 }
--- a/lib/web/web_client.c
+++ b/lib/web/web_client.c
@@ -40,6 +40,7 @@
     cds_list_del(&call->node);
     if (call->request)
         g_byte_array_free(call->request, TRUE);
+    buffer_share_close(&call->head_buffer);
     web_headers_free(&call->headers);
     g_free(call);
 }
@@ -63,6 +64,7 @@
     }
     g_byte_array_free(call->request, TRUE);
     call->request = NULL;
+    buffer_share_close(&call->head_buffer);
     web_headers_clear(&call->headers);
     loop_disarm(&call->strand_timer);
     call->idle = true;
@@ -353,6 +355,16 @@
     return client;
 }
 
+void web_client_set_budget(web_client_t *client, buffer_budget_t *budget)
+{
+    client->budget = budget;
+}
+
+buffer_budget_t *web_client_budget(const web_client_t *client)
+{
+    return client->budget;
+}
+
 void web_client_set_idle_max(web_client_t *client, unsigned idle_max)
 {
     client->idle_max = idle_max;
--- a/lib/web/web_client.h
+++ b/lib/web/web_client.h
@@ -21,6 +21,7 @@
 #include "common/time.h"
 #include "egress/egress.h"
 #include "peer/loop.h"
+#include "web/buffer_budget.h"
 #include "web/web.h"
 
 /* ===== Types ===== */
@@ -72,6 +73,11 @@
 
 /** Open connections to back ends by @p egress, which must outlive the client. Without it, all are direct. */
 void web_client_set_egress(web_client_t *client, egress_t *egress);
+/** Count what calls buffer in @p budget, which must outlive the client: the heads here, the bodies by those who keep
+ * them. To be set before the first call. */
+void web_client_set_budget(web_client_t *client, buffer_budget_t *budget);
+/** NULL: there is none. */
+buffer_budget_t *web_client_budget(const web_client_t *client);
 /** Set how many idle connections are kept per address. */
 void web_client_set_idle_max(web_client_t *client, unsigned idle_max);
 
--- a/lib/web/web_client_internal.h
+++ b/lib/web/web_client_internal.h
@@ -38,8 +38,9 @@
     GByteArray *request;
     size_t written;
     http_parser parser;
-    web_headers_t headers; /* of the head being read; empty while a body is */
-    bool in_body;          /* after a head: header lines are trailers, and dropped */
+    web_headers_t headers;      /* of the head being read; empty while a body is */
+    buffer_share_t head_buffer; /* counts headers */
+    bool in_body;               /* after a head: header lines are trailers, and dropped */
     answer_meter_t meter;
     web_sink_t sink;
     loop_timer_t strand_timer; /* ends a call that a cut leaves hanging */
@@ -49,7 +50,8 @@
 
 struct web_client {
     loop_t *loop;
-    egress_t *egress; /* NULL: all connections are direct */
+    egress_t *egress;        /* NULL: all connections are direct */
+    buffer_budget_t *budget; /* NULL: no limit */
     struct cds_list_head calls;
     struct cds_list_head idle;
     loop_timer_t sweep;
@@ -67,7 +69,7 @@
 
 /* ===== web_client_response.c ===== */
 
-/** Begin to count what is read for a call. */
+/** Begin to count what is read and buffered for a call. */
 void web_call_begin_response(web_call_t *call);
 /** Feed bytes to the parser; size 0 is an orderly end of the connection. May free the call.
  *  @return whether the call goes on */
--- a/lib/web/web_client_response.c
+++ b/lib/web/web_client_response.c
@@ -143,6 +143,22 @@
                                                                              : "head exceeds its limit";
 }
 
+/** What a call's head takes in memory: each line has a record and two allocations. */
+static size_t head_size(const web_call_t *call)
+{
+    enum { LINE_BYTES = sizeof(web_header_t) + 64 };
+    return call->headers.bytes + (size_t)call->headers.lines->len * LINE_BYTES;
+}
+
+static const char memory_excess[] = "answers of all back ends exceed the memory for them";
+
+static void on_head_ended(void *arg)
+{
+    web_call_t *const call = arg;
+    (void)answer_meter_exceed(&call->meter, memory_excess, head_size(call));
+    web_call_fail(call);
+}
+
 /** Whether the bytes read so far keep to the limits. */
 static bool is_within_limits(web_call_t *call, size_t size)
 {
@@ -150,6 +166,8 @@
         return answer_meter_exceed(&call->meter,
                                    call->in_body ? "trailers exceed their limit" : "head exceeds its limit",
                                    call->meter.read + size);
+    if (!buffer_share_set(&call->head_buffer, head_size(call)))
+        return answer_meter_exceed(&call->meter, memory_excess, head_size(call));
     return !call->meter.excess && answer_meter_add_read(&call->meter, size, kind_of_rest(call));
 }
 
@@ -189,4 +207,5 @@
     http_parser_init(&call->parser, HTTP_RESPONSE);
     call->parser.data = call;
     call->meter = (answer_meter_t){0};
+    buffer_share_open(&call->head_buffer, call->client->budget, call->addr, on_head_ended, call);
 }
--- a/lib/web/web_fetch.c
+++ b/lib/web/web_fetch.c
@@ -31,10 +31,30 @@
     log_excess(arg, kind, bytes);
 }
 
+static void fail(web_fetch_t *fetch)
+{
+    web_fetch_cancel(fetch);
+    fetch->fn(fetch->arg, WEB_FETCH_FAILED);
+}
+
+/** The sum of all answers has reached its limit. A body that is complete is dropped by those who have read it. */
+static void on_buffer_ended(void *arg)
+{
+    web_fetch_t *const fetch = arg;
+    log_excess(fetch, "answers of all back ends exceed the memory for them", fetch->body->len);
+    g_byte_array_unref(fetch->body);
+    fetch->body = g_byte_array_new();
+    if (fetch->call)
+        fail(fetch);
+}
+
 static void on_data(void *arg, const char *data, size_t size)
 {
     web_fetch_t *const fetch = arg;
-    g_byte_array_append(fetch->body, (const guint8 *)data, (guint)size);
+    if (buffer_share_set(&fetch->buffer, fetch->body->len + size))
+        g_byte_array_append(fetch->body, (const guint8 *)data, (guint)size);
+    else
+        on_buffer_ended(fetch);
 }
 
 static void on_end(void *arg, web_result_t how)
@@ -57,6 +77,8 @@
 {
     assert(!fetch->call);            /* status and body belong to one call at a time */
     assert(options->body_bytes > 0); /* any back end may send without end */
+    buffer_share_close(&fetch->buffer);
+    buffer_share_open(&fetch->buffer, web_client_budget(options->client), options->addr, on_buffer_ended, fetch);
     fetch->status = 0;
     g_byte_array_set_size(fetch->body, 0);
     fetch->accepts_head = options->accepts_head;
@@ -76,5 +98,6 @@
     if (fetch->call)
         web_call_cancel(fetch->call);
     fetch->call = NULL;
+    buffer_share_close(&fetch->buffer);
     loop_disarm(&fetch->timeout_timer);
 }
--- a/lib/web/web_fetch.h
+++ b/lib/web/web_fetch.h
@@ -23,12 +23,13 @@
 /** A response head arrived on the connection, whether or not it belongs to this fetch, which continues. */
 typedef void (*web_fetch_head_fn_t)(void *arg, const web_head_t *head);
 
-/** One fetch at a time. Zero it and allocate body before first use. */
+/** One fetch at a time. Zero it and allocate body before first use, and call web_fetch_cancel before it is freed. */
 typedef struct {
     web_call_t *call; /**< NULL when idle */
     int status;       /**< HTTP status; 0 until a head is accepted */
     char addr[CODEC_STR_SIZE];
     GByteArray *body;
+    buffer_share_t buffer; /**< counts body, until the next fetch or web_fetch_cancel */
     loop_timer_t timeout_timer;
     bool (*accepts_head)(const web_head_t *head);
     web_fetch_head_fn_t on_head;
@@ -56,7 +57,7 @@
 void web_fetch(web_fetch_t *fetch, const web_fetch_options_t *options, GByteArray *request, web_fetch_fn_t fn,
                void *arg);
 
-/** Cancel the fetch in progress, if any. No callback runs. */
+/** Cancel the fetch in progress, if any. No callback runs. The body counts no longer as buffered. */
 void web_fetch_cancel(web_fetch_t *fetch);
 
 #endif
--- a/lib/web/web_response.c
+++ b/lib/web/web_response.c
@@ -39,6 +39,8 @@
 
 bool exchange_flush(web_exchange_t *c)
 {
+    if (c->broken)
+        return false;
     assert(is_out_consistent(c)); /* otherwise callers would get data that no back end sent */
     while (c->out_sent < c->out->len) {
         const ssize_t n = send(c->watch.fd, c->out->data + c->out_sent, c->out->len - c->out_sent, MSG_NOSIGNAL);
@@ -48,7 +50,7 @@
             exchange_want_write(c, true);
             compact_out(c);
             assert(is_out_consistent(c)); /* only sent bytes were removed */
-            return c->out->len <= OUT_MAX_BYTES;
+            return c->out->len <= OUT_MAX_BYTES && buffer_share_set(&c->unsent, web_unsent(c));
         }
         if (n < 0)
             return false;
@@ -58,6 +60,7 @@
     }
     exchange_reset_buffer(&c->out);
     exchange_uncount_response(c);
+    (void)buffer_share_set(&c->unsent, 0);
     c->out_sent = 0;
     exchange_want_write(c, false);
     assert(is_out_consistent(c));
@@ -77,6 +80,8 @@
 
 void exchange_queue(web_exchange_t *c, const void *data, size_t size)
 {
+    if (c->broken)
+        return;
     g_byte_array_append(c->out, data, (guint)size);
     c->bytes_queued += size;
 }
@@ -151,7 +156,8 @@
     exchange_schedule_next(c);
 }
 
-void web_respond(web_exchange_t *c, int status, const char *head, const void *body, size_t size)
+/** Put the head of a complete response into the output buffer. @param size of the body that follows */
+static void queue_whole_head(web_exchange_t *c, int status, const char *head, size_t size)
 {
     GString *const all = g_string_new(head);
     c->bodiless = is_bodiless(c, status);
@@ -163,7 +169,27 @@
     if (!c->bodiless) {
         c->response_counted += size;
         c->server->buffered_bytes += size;
+    }
+}
+
+void web_respond(web_exchange_t *c, int status, const char *head, const void *body, size_t size)
+{
+    queue_whole_head(c, status, head, size);
+    if (!c->bodiless)
         exchange_queue(c, body, size);
+    finish_response(c);
+}
+
+void web_respond_owned(web_exchange_t *c, int status, const char *head, GByteArray *body)
+{
+    queue_whole_head(c, status, head, body->len);
+    if (c->bodiless) {
+        g_byte_array_unref(body);
+    } else { /* a copy would double what a large body takes */
+        c->bytes_queued += body->len;
+        g_byte_array_prepend(body, c->out->data, c->out->len);
+        g_byte_array_unref(c->out);
+        c->out = body;
     }
     finish_response(c);
 }
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -82,7 +82,7 @@
 static void reset_unfinished(const web_exchange_t *c)
 {
     const struct linger hard = {.l_onoff = 1, .l_linger = 0};
-    if (c->unframed && (c->state == EXCHANGE_HANDLING || web_unsent(c) > 0))
+    if (c->unframed && (c->state == EXCHANGE_HANDLING || c->broken || web_unsent(c) > 0))
         setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
 }
 
@@ -97,6 +97,7 @@
     cds_list_del(&c->node);
     exchange_free_body(c);
     exchange_uncount_response(c);
+    buffer_share_close(&c->unsent);
     g_string_free(c->target, TRUE);
     web_headers_free(&c->headers);
     g_byte_array_free(c->body, TRUE);
@@ -308,6 +309,18 @@
         exchange_read(c);
 }
 
+/** Callers together read too slowly, and this one has most to read. Its bytes are freed at once; the loop then reports
+ *  the disconnect, since the request may be in use here. */
+static void on_unsent_ended(void *arg)
+{
+    web_exchange_t *const c = arg;
+    c->broken = true;
+    c->bytes_queued = c->bytes_sent;
+    c->out_sent = 0;
+    exchange_reset_buffer(&c->out);
+    shutdown(c->watch.fd, SHUT_RD);
+}
+
 /* ===== Listening ===== */
 
 static tc_time_t send_timeout(const web_server_t *s)
@@ -340,6 +353,7 @@
         c->pipelined = g_byte_array_new();
         c->out = g_byte_array_new();
         c->progress_at = tc_time_now();
+        buffer_share_open(&c->unsent, s->budget, NULL, on_unsent_ended, c);
         cds_list_add(&c->node, &s->conns);
         counter_add(&c_open, 1);
         loop_watch(s->loop, &c->watch, EPOLLIN | EPOLLRDHUP);
@@ -390,6 +404,11 @@
     return s;
 }
 
+void web_server_set_budget(web_server_t *s, buffer_budget_t *budget)
+{
+    s->budget = budget;
+}
+
 void web_server_drain(web_server_t *s)
 {
     s->draining = true;
--- a/lib/web/web_server.h
+++ b/lib/web/web_server.h
@@ -18,6 +18,7 @@
 #include "common/err.h"
 #include "common/time.h"
 #include "peer/loop.h"
+#include "web/buffer_budget.h"
 #include "web/web.h"
 
 /* ===== Types ===== */
@@ -64,6 +65,9 @@
 web_server_t *web_server_start(loop_t *loop, const char *listen, const web_limits_t *limits, web_handler_t handler,
                                void *arg, tc_err_t *err);
 
+/** Count bytes that callers have not read yet in @p budget, which must outlive the server. A caller whose bytes are the
+ *  most when its limit is reached is disconnected. To be set before the first connection. */
+void web_server_set_budget(web_server_t *server, buffer_budget_t *budget);
 /** Start draining: from now on every response carries Connection: close, and its connection is closed after it. */
 void web_server_drain(web_server_t *server);
 /** Number of requests being handled. */
@@ -83,6 +87,9 @@
  * @param head header lines, each ending in CRLF, or ""; Content-Length and Connection are added here */
 void web_respond(web_exchange_t *exchange, int status, const char *head, const void *body, size_t size);
 
+/** As web_respond, without a copy of the body. @param body ownership passes */
+void web_respond_owned(web_exchange_t *exchange, int status, const char *head, GByteArray *body);
+
 /** Start a response of unknown length. @param head as for web_respond */
 void web_begin_response(web_exchange_t *exchange, int status, const char *head);
 /** Append to the body of a response that was started. */
--- a/lib/web/web_server_internal.h
+++ b/lib/web/web_server_internal.h
@@ -20,6 +20,7 @@
     web_server_t *server;
     loop_watch_t watch;
     bool writing;
+    bool broken; /* bytes of a response were dropped: no more are sent */
     exchange_state_t state;
     http_parser parser;
     bool request_started; /* a byte of the request has been read */
@@ -40,6 +41,7 @@
     loop_timer_t next_timer;               /* parses them from the loop, so that handlers never nest */
     GByteArray *out;
     size_t out_sent;
+    buffer_share_t unsent; /* of out, while the caller does not read */
     uint64_t bytes_queued,
         bytes_sent;        /* totals of the connection: bytes added to out, and bytes written to the socket */
     tc_time_t progress_at; /* time of the last change of state or of the last progress */
@@ -56,7 +58,8 @@
     void *arg;
     struct cds_list_head conns;
     loop_timer_t sweep;
-    size_t buffered_bytes; /* request bodies and responses of all connections */
+    buffer_budget_t *budget; /* NULL: no limit */
+    size_t buffered_bytes;   /* request bodies and responses of all connections */
     unsigned in_flight;
     bool draining;
 };
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -21,8 +21,9 @@
 
 enum {
     BACKENDS = 6,
-    BRIEF_MS = 400,     /* longer than a reservation of the service "brief" lasts */
-    FLEETING_MS = 1100, /* longer than prefill results of the service "fleeting" are kept */
+    BRIEF_MS = 400,                      /* longer than a reservation of the service "brief" lasts */
+    FLEETING_MS = 1100,                  /* longer than prefill results of the service "fleeting" are kept */
+    ANSWERS_MAX_BYTES = 22 * 1024 * 1024 /* as on a box with 88 MB */
 };
 
 /** How one fake back end answers its next requests. The last reply repeats. */
@@ -40,6 +41,7 @@
     loop_t *loop;
     fleet_t *fleet;
     web_client_t *client, *callers;
+    buffer_budget_t *answers; /* of client */
     forwarder_t *forwarder;
     web_server_t *server;
     web_limits_t limits;
@@ -313,6 +315,8 @@
     f->fleet = fleet_create();
     f->client = web_client_create(f->loop);
     f->callers = web_client_create(f->loop);
+    f->answers = buffer_budget_create(ANSWERS_MAX_BYTES);
+    web_client_set_budget(f->client, f->answers);
     const forwarder_options_t options = {.box = "box",
                                          .dc = "a",
                                          .retries = {.ratio = ratio, .allowance = 0, .window = 60000},
@@ -327,6 +331,7 @@
     tc_err_t err = {0};
     f->server = web_server_start(f->loop, f->addr, &f->limits, forwarder_handle, f->forwarder, &err);
     g_assert_nonnull(f->server);
+    web_server_set_budget(f->server, f->answers);
     for (int i = 0; i < BACKENDS; i++)
         f->plan[i].seen = g_string_new(NULL);
 }
@@ -344,6 +349,7 @@
         g_string_free(f->plan[i].seen, TRUE);
     }
     forwarder_destroy(f->forwarder);
+    buffer_budget_destroy(f->answers);
     fleet_destroy(f->fleet);
     loop_destroy(f->loop);
 }
--- a/tests/platform/test_endless_answers.c
+++ b/tests/platform/test_endless_answers.c
@@ -1,6 +1,9 @@
 /* Back ends that write without end, by what they write and by the stage of the request that reads it.
  *
- * Guards against memory that grows for as long as a back end writes: each answer is ended by its bytes. */
+ * Guards against memory that grows for as long as a back end writes: each answer is ended by its bytes, what a box
+ * buffers of all answers together has a limit, and requests at other back ends are served meanwhile. */
+
+#include <sys/resource.h>
 
 #include "backend/call_gate.h"
 #include "cluster/engine_poller.h"
@@ -41,15 +44,21 @@
 /** Which answer has no end. */
 typedef enum { PLAIN, UNSAFE, PREFILL, DECODE, RESERVATION, REPORT, STAGES } endless_stage_t;
 
-static const char *const stages[] = {[PLAIN] = "plain",   [UNSAFE] = "unsafe",    [PREFILL] = "prefill",
-                                     [DECODE] = "decode", [RESERVATION] = "hold", [REPORT] = "report"};
-enum { TAIL_BYTES = 16 * 1024 };
+/** What may be buffered of one answer, in bytes, besides its head and what one read brings. */
+static const struct {
+    const char *name;
+    size_t most;
+} stages[] = {[PLAIN] = {"plain", 8 << 20},   [UNSAFE] = {"unsafe", 8 << 20},      [PREFILL] = {"prefill", 256 << 10},
+              [DECODE] = {"decode", 4 << 20}, [RESERVATION] = {"hold", 256 << 10}, [REPORT] = {"report", 256 << 10}};
+enum { HEAD_AND_READ_BYTES = 128 * 1024, TAIL_BYTES = 16 * 1024 };
 
 typedef struct {
     const kind_t *kind;
     endless_stage_t stage;
 } case_t;
 
+static const char *gauge_peak = "trackcove_answer_buffered_peak_bytes";
+
 /** Number of answers that exceeded a limit. */
 static int64_t ended_by_bytes(void)
 {
@@ -169,6 +178,8 @@
     lab_run_until(f->loop, is_closed, f->backend[i]);
     if (!c->kind->is_broken && c->stage < RESERVATION) /* queries have time limits so short that these may come first */
         g_assert_cmpint(ended_by_bytes(), >, before);
+    g_assert_cmpint(counter_read(gauge_peak), <=, (int64_t)(stages[c->stage].most + HEAD_AND_READ_BYTES));
+    g_assert_cmpuint(buffer_budget_bytes(f->answers), ==, 0);
     g_free((char *)(uintptr_t)f->plan[i].stream);
 }
 
@@ -201,16 +212,137 @@
     release_with(f, "ph");
 }
 
+/* ===== Many at once ===== */
+
+enum { MANY = 1000, BESIDE = 4, LARGE = 1200014 };
+
+static bool all_called(void *arg)
+{
+    return counter_read("trackcove_forward_calls_total") >= *(const int64_t *)arg;
+}
+
+static bool all_done(void *arg)
+{
+    lab_call_t **const calls = arg;
+    for (int i = 0; i < MANY; i++)
+        if (!calls[i]->done)
+            return false;
+    return true;
+}
+
+/** MANY answers without end begin together. Streams at other engines, with events far larger than the share that each
+ *  endless answer reaches, are served meanwhile. */
+static void test_many(fixture_t *f, gconstpointer data)
+{
+    const kind_t *const kind = data;
+    lab_call_t *endless[MANY], *beside[BESIDE];
+    char *const event = g_strnfill(LARGE, 'x');
+    char *const stream = g_strconcat(FIRST "data: ", event, "\n\n", NULL);
+    start_all(f,
+              (backend_plan_t[]){{"app", "", "W", false, false},
+                                 {"app", "", "W", false, false}, /* one alone takes 630 calls */
+                                 {"lm", "prefill", "p", false, false},
+                                 {"lm", "decode", "Q", false, false}},
+              4);
+    f->plan[3].stream = stream;
+    for (int i = 0; i < 2; i++) {
+        set_endless(f, i, kind);
+        lab_backend_freeze(f->backend[i], true);
+    }
+    int64_t calls = counter_read("trackcove_forward_calls_total") + MANY;
+    for (int i = 0; i < MANY; i++)
+        endless[i] = begin(f, "/once/x");
+    lab_run_until(f->loop, all_called, &calls);
+    for (int i = 0; i < 2; i++)
+        lab_backend_freeze(f->backend[i], false);
+    for (int i = 0; i < BESIDE; i++)
+        beside[i] = begin(f, "/lm/x");
+    for (int i = 0; i < BESIDE; i++)
+        expect_whole(f, beside[i], stream);
+    lab_run_until(f->loop, all_done, endless);
+    for (int i = 0; i < MANY; i++) {
+        g_assert_true(endless[i]->status == 502 || endless[i]->status == 504); /* it may have run */
+        lab_call_free(endless[i]);
+    }
+    g_assert_cmpint(counter_read(gauge_peak), <=, ANSWERS_MAX_BYTES);
+    g_assert_cmpuint(buffer_budget_bytes(f->answers), ==, 0);
+    g_test_message("%s: at most %" G_GINT64_FORMAT " bytes buffered, %" G_GINT64_FORMAT " answers ended for the sum",
+                   kind->name, counter_read(gauge_peak), counter_read("trackcove_answer_buffer_ended_total"));
+    for (int i = 0; i < 2; i++)
+        g_free((char *)(uintptr_t)f->plan[i].stream);
+    g_free(stream);
+    g_free(event);
+}
+
+/* ===== Callers that do not read ===== */
+
+enum { SLEEPERS = 8, SLEEPER_BUFFER_BYTES = 4096 };
+
+/** A caller that sends a request and reads nothing. */
+static int open_sleeper(const fixture_t *f)
+{
+    static const char request[] = "POST /lm/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: id1\r\nDeadline-Ms: 8000\r\n"
+                                  "Token-Count: 100,50\r\nContent-Length: 4\r\n\r\nbody";
+    struct sockaddr_storage to;
+    unsigned size = 0;
+    const int buffer = SLEEPER_BUFFER_BYTES;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(peer_parse_addr(f->addr, &to, &size, NULL), ==, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+    g_assert_cmpint(connect(fd, (const struct sockaddr *)&to, size), ==, 0);
+    g_assert_cmpint(send(fd, request, strlen(request), MSG_NOSIGNAL), ==, (ssize_t)strlen(request));
+    return fd;
+}
+
+static bool has_none_in_flight(void *arg)
+{
+    return forwarder_in_flight(((fixture_t *)arg)->forwarder) == 0;
+}
+
+/** An engine sends whole events without end to callers that do not read: the sum holds, and each caller that has most
+ * to read is disconnected when it is reached. Each alone may have 8 MB. */
+static void test_sleeping_callers(fixture_t *f, gconstpointer data)
+{
+    static const kind_t kind = {"events", OK_HEAD "Content-Type: text/event-stream\r\n\r\n", "data: " X64 "\n\n",
+                                false};
+    int fds[SLEEPERS];
+    const int64_t ended = counter_read("trackcove_answer_buffer_ended_total");
+    (void)data;
+    start_engines(f, "lm", "p", "W", NULL);
+    set_endless(f, 1, &kind);
+    for (int i = 0; i < SLEEPERS; i++)
+        fds[i] = open_sleeper(f);
+    while (requests(f, 1) == 0)
+        lab_run_for(f->loop, 5);
+    lab_run_until(f->loop, has_none_in_flight, f);
+    g_assert_cmpint(counter_read("trackcove_answer_buffer_ended_total"), >, ended);
+    g_assert_cmpint(counter_read(gauge_peak), <=, ANSWERS_MAX_BYTES);
+    g_assert_cmpuint(buffer_budget_bytes(f->answers), ==, 0);
+    for (int i = 0; i < SLEEPERS; i++)
+        close(fds[i]);
+    g_free((char *)(uintptr_t)f->plan[1].stream);
+}
+
 /* ===== Main ===== */
 
+/** Connections of MANY requests, with both ends of each in this process. */
+static void allow_connections(void)
+{
+    struct rlimit limit;
+    g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+    limit.rlim_cur = limit.rlim_max;
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
     static case_t cases[STAGES * G_N_ELEMENTS(kinds)];
     size_t n = 0;
     g_test_init(&argc, &argv, NULL);
+    allow_connections();
     for (endless_stage_t stage = 0; stage < STAGES; stage++) {
         for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
-            char *const name = g_strdup_printf("/endless/%s/%s", stages[stage], kinds[i].name);
+            char *const name = g_strdup_printf("/endless/%s/%s", stages[stage].name, kinds[i].name);
             cases[n] = (case_t){.kind = &kinds[i], .stage = stage};
             g_test_add(name, fixture_t, &cases[n++], set_up_case, test_case, tear_down);
             g_free(name);
@@ -218,5 +350,11 @@
     }
     g_test_add("/endless/cleanup/body", fixture_t, NULL, set_up, test_endless_release, tear_down);
     g_test_add("/endless/cleanup/unanswered", fixture_t, NULL, set_up, test_unanswered_release, tear_down);
+    g_test_add("/endless/callers-that-do-not-read", fixture_t, NULL, set_up, test_sleeping_callers, tear_down);
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        char *const name = g_strdup_printf("/endless/many/%s", kinds[i].name);
+        g_test_add(name, fixture_t, &kinds[i], set_up_case, test_many, tear_down);
+        g_free(name);
+    }
     return g_test_run();
 }
