--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -22,11 +22,13 @@
 void call_destroy(backend_call_t *call, const char *why)
 {
     stream_end(call, why);
+    buffer_share_close(&call->buffer);
     instance_end(call->instance, call->tokens, call->ends);
     instance_unref(call->instance);
     if (call->head)
         g_string_free(call->head, TRUE);
-    g_byte_array_free(call->body, TRUE);
+    if (call->body)
+        g_byte_array_free(call->body, TRUE);
     g_free(call);
 }
 
@@ -270,7 +272,8 @@
 {
     forward_t *const f = call->request;
     const int status = call->status;
-    web_respond(f->exchange, status, call->head->str, call->body->data, call->body->len);
+    buffer_share_close(&call->buffer); /* the exchange counts what its caller does not read */
+    web_respond_owned(f->exchange, status, call->head->str, g_steal_pointer(&call->body));
     call_free(call, "answered");
     forward_finish(f, status, "answered");
 }
@@ -403,8 +406,7 @@
 
 /* ===== Reports of the call ===== */
 
-/** Cancels the call from this side. */
-static void give_up(backend_call_t *call, const char *why)
+void call_give_up(backend_call_t *call, const char *why)
 {
     if (call->http)
         web_call_cancel(call->http);
@@ -417,7 +419,7 @@
 {
     backend_call_t *const call = ((forward_t *)arg)->call;
     assert(call); /* disarmed with the call */
-    give_up(call, "prefill engine did not answer in time");
+    call_give_up(call, "prefill engine did not answer in time");
 }
 
 static web_head_action_t on_head(void *arg, const web_head_t *head)
@@ -433,6 +435,7 @@
     call->head_seen = true;
     call->status = head->status;
     limit_update(call);
+    buffer_limit_answer(call);
     if (call->op == DIALECT_PREFILL || call->reply.not_run)
         return WEB_HEAD_ACCEPT;
     call->head = dialect_forward_headers(head);
@@ -447,6 +450,7 @@
         web_begin_response(f->exchange, head->status, call->head->str);
     }
     if (streams) {
+        web_call_limit_body(call->http, 0); /* each event has its limit */
         stream_begin(call);
         silence_watch(f);
     }
@@ -466,10 +470,11 @@
         if (answers || stream_is_receiving(call)) /* comments alone are no progress */
             silence_watch(f);
         return true;
-    case STREAM_REPEATED: give_up(call, "run does not continue after the last event"); break;
-    case STREAM_TOO_LARGE: /* it would be on every engine */
+    case STREAM_REPEATED: call_give_up(call, "run does not continue after the last event"); break;
+    case STREAM_TOO_LARGE:
         spoiled_record(call, SPOILED_EVENT);
-        forward_fail(f, "event exceeds 4 MiB");
+        buffer_exceeded(call, "event exceeds 4 MiB", call->run.partial->len);
+        call_give_up(call, call->excess);
         break;
     }
     return false;
@@ -478,8 +483,12 @@
 static void on_data(void *arg, const char *data, size_t size)
 {
     backend_call_t *const call = arg;
-    if (silence_keeps(call))
+    if (silence_keeps(call)) {
         silence_on_data(call, data, size);
+        return;
+    }
+    if (!buffer_reserve(call, size))
+        call_give_up(call, call->excess);
     else if (stream_has_begun(call))
         (void)call_read_stream(call, data, size);
     else
@@ -495,9 +504,11 @@
     }
     call->http = NULL;
     if (how == WEB_RESULT_INVALID)
-        spoiled_record(call, SPOILED_HTTP);
+        spoiled_record(call, call->excess ? SPOILED_LIMIT : SPOILED_HTTP);
     if (how == WEB_RESULT_NOT_SENT)
         handle_not_run(call, "connection to the back end failed", false);
+    else if (call->excess && !call->reply.not_run)
+        handle_lost_answer(call, call->excess);
     else if (stream_has_begun(call)) /* a refusal is never streamed */
         call_end_stream(call, how);
     else if (how == WEB_RESULT_COMPLETE)
@@ -545,6 +556,7 @@
     call->body = g_byte_array_new();
     call->began = now;
     call->outcome = SLOT_OUTCOME_LOST;
+    buffer_begin(call);
     dialect_call_t params = {.op = op,
                              .instance = instance->listed.id,
                              .time_left = f->deadline - now,
@@ -555,7 +567,8 @@
                              .strips_credentials = f->table->workspaces != NULL,
                              .workspace = f->workspace ? f->workspace->name : NULL};
     set_urgency(f, &params);
-    const web_sink_t sink = {.on_head = on_head, .on_data = on_data, .on_end = on_end, .arg = call};
+    const web_sink_t sink = {
+        .on_head = on_head, .on_data = on_data, .on_excess = buffer_exceeded, .on_end = on_end, .arg = call};
     GByteArray *const request = dialect_write_request(&f->request, instance->listed.addr, &params);
     f->call = call;
     if (f->hold.instance == instance)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -11,6 +11,7 @@
  *   forward_locate.c  search for the engine that caches the prompt of a resumed stream
  *   forward_retry.c   retry budget
  *   forward_call.c    calls to back ends
+ *   forward_buffer.c  limits on what calls read and buffer
  *   forward_stop.c    requests that a stopping box still accepts
  *   forward_log.c     log lines
  *   forward_stream.c  stream events on their way to the caller
@@ -96,6 +97,15 @@
     /* A reachable engine answers in a few ms. */
     HOLD_TIMEOUT_MS = 300,
 
+    /* Answers to cleanup calls are not read; an engine soon drops by itself what it keeps. */
+    CLEANUP_TIMEOUT_MS = 2000,
+    CLEANUP_MAX_BYTES = 64 * 1024,
+
+    /* Body of an answer that is not streamed: as much as may wait for a caller that reads slowly. */
+    ANSWER_MAX_BYTES = 8 * 1024 * 1024,
+    /* The same of answers that are not forwarded: prefill results and refusals. */
+    RESULT_MAX_BYTES = 256 * 1024,
+
     /* Same as SCHED_RENEW_MS. */
     RENEW_MS = 300,
     /* Delay of the renewal after a local placement, so that one renewal covers the rest of the burst. */
@@ -146,7 +156,9 @@
     dialect_reply_t reply;
     GString *head;
     GByteArray *body;
-    stream_run_t run; /* of a streamed answer */
+    buffer_share_t buffer; /* counts body, or the incomplete event of a streamed answer */
+    const char *excess;    /* limit that the answer exceeded, or NULL */
+    stream_run_t run;      /* of a streamed answer */
     tc_time_t began;
 };
 
@@ -386,6 +398,26 @@
 /** Number of boxes that share the limits and budgets. */
 unsigned forward_boxes(const forwarder_t *fw);
 
+/* ===== forward_buffer.c ===== */
+
+/** Begins to count what the call buffers. */
+void buffer_begin(backend_call_t *call);
+/** Limits the body of an answer that is not streamed; to be called with its head. */
+void buffer_limit_answer(backend_call_t *call);
+/** Counts @p size bytes that are about to be appended. @return false: the limit of all answers is reached, and this
+ * call is the one to be ended */
+bool buffer_reserve(backend_call_t *call, size_t size);
+/** Counts the incomplete event that is left once complete ones were forwarded, and frees what it does not need.
+ *  @param forwarded bytes that were */
+void buffer_settle(backend_call_t *call, size_t forwarded);
+/** Records that the answer exceeded a limit, before the call ends: it is not repeated at the same back end. */
+void buffer_exceeded(void *arg, const char *kind, uint64_t bytes);
+
+/* ===== forward_call.c: ends ===== */
+
+/** Cancels the call from this side: its answer is lost. @param why for the log */
+void call_give_up(backend_call_t *call, const char *why);
+
 /* ===== forward_end.c ===== */
 
 /** Status of a request that no back end has begun and none will. */
@@ -499,7 +531,8 @@
     SPOILED_HTTP,     /* no valid HTTP */
     SPOILED_UNPROVEN, /* without proof of its origin */
     SPOILED_PREFILL,  /* a success of a prefill engine without a result */
-    SPOILED_EVENT     /* an event of a stream beyond its limit */
+    SPOILED_EVENT,    /* an event of a stream beyond its limit */
+    SPOILED_LIMIT     /* beyond another limit in bytes */
 } spoiled_kind_t;
 
 /** The back end has spoiled the answer to the call: logs and counts it, and records it against the back end. The call
--- a/lib/forward/forward_spoiled.c
+++ b/lib/forward/forward_spoiled.c
@@ -12,6 +12,7 @@
 COUNTER_DEFINE(c_unproven, "counter", "trackcove_forward_spoiled_total", "Answers without proof of their origin")
 COUNTER_DEFINE(c_prefill, "counter", "trackcove_forward_spoiled_prefills_total",
                "Successes of prefill engines without a result")
+COUNTER_DEFINE(c_limit, "counter", "trackcove_forward_spoiled_limit_total", "Answers beyond a limit in bytes")
 COUNTER_DEFINE(c_event, "counter", "trackcove_forward_spoiled_events_total", "Streams with an event beyond its limit")
 COUNTER_DEFINE(c_left, "counter", "trackcove_forward_backends_left_total",
                "Times that this box left a back end for its answers")
@@ -23,6 +24,7 @@
     case SPOILED_HTTP: counter_add(&c_http, 1); return "not valid HTTP";
     case SPOILED_UNPROVEN: counter_add(&c_unproven, 1); return "no proof of origin";
     case SPOILED_PREFILL: counter_add(&c_prefill, 1); return "prefill without a result";
+    case SPOILED_LIMIT: counter_add(&c_limit, 1); return "beyond its limit in bytes";
     case SPOILED_EVENT:
     default: counter_add(&c_event, 1); return "event beyond its limit";
     }
