--- a/lib/forward/forward_silence.c
+++ b/lib/forward/forward_silence.c
@@ -147,15 +147,27 @@
     return f->silent.has_event && silence_resume(f, why);
 }
 
+void silence_give_up(backend_call_t *call)
+{
+    counter_add(&c_broken, 1);
+    end_kept(call->request, call->excess);
+}
+
 void silence_on_data(backend_call_t *call, const char *data, size_t size)
 {
     forward_t *const f = call->request;
-    switch (stream_hold(call, data, size)) {
+    if (!buffer_reserve(call, size)) {
+        silence_give_up(call);
+        return;
+    }
+    const stream_held_t held = stream_hold(call, data, size);
+    buffer_settle(call, 0);
+    switch (held) {
     case STREAM_HELD_NOTHING: return;
     case STREAM_HELD_TOO_LARGE:
-        counter_add(&c_broken, 1);
         spoiled_record(call, SPOILED_EVENT);
-        end_kept(f, "event exceeds 4 MiB");
+        buffer_exceeded(call, "event exceeds 4 MiB", call->run.partial->len);
+        silence_give_up(call);
         return;
     case STREAM_HELD_EVENT:
     default: break;
@@ -180,7 +192,7 @@
     }
     counter_add(&c_broken, 1);
     if (how == WEB_RESULT_INVALID)
-        spoiled_record(call, SPOILED_HTTP);
+        spoiled_record(call, call->excess ? SPOILED_LIMIT : SPOILED_HTTP);
     else
         (void)probe_begin(call);
     forward_log(f, "answer_lost", "silent run broke off", call->status, call->instance);
--- a/lib/forward/forward_silence.h
+++ b/lib/forward/forward_silence.h
@@ -40,6 +40,9 @@
 /** The kept run has ended. May free the request. */
 void silence_on_end(backend_call_t *call, web_result_t how);
 
+/** The kept run has exceeded a limit, which its call names: ends it. */
+void silence_give_up(backend_call_t *call);
+
 /** The request is sent to another engine, which is to begin a run. */
 void silence_on_sent(forward_t *f);
 /** The call in progress has ended. */
--- a/lib/roles/rebalancer.c
+++ b/lib/roles/rebalancer.c
@@ -205,7 +205,8 @@
                                        .accepts_head = dialect_is_query_answer,
                                        .on_head = on_head,
                                        .connect_ms = CONNECT_TIMEOUT_MS,
-                                       .limit_ms = ORDER_TIMEOUT_MS};
+                                       .limit_ms = ORDER_TIMEOUT_MS,
+                                       .body_bytes = DIALECT_REPORT_MAX_BYTES};
     r->calling = move;
     web_fetch(&r->ask, &where, request, fn, r);
 }
@@ -420,6 +421,7 @@
 void rebalancer_destroy(rebalancer_t *r)
 {
     end_moves(r);
+    web_fetch_cancel(&r->ask);
     g_byte_array_free(r->ask.body, TRUE);
     g_free(r);
 }
--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,8 +1,8 @@
 /** @file forward_lab.h
- * Fixture of test_unframed_answers.c, test_callers_bytes.c, test_forward.c, test_forward_attempts.c,
- * test_forward_leader.c, test_stream_events.c, test_stream_random.c, test_stream_silence.c, test_availability.c,
- * test_evacuation.c, test_quarantine.c, test_spoiled_kinds.c and test_workspaces.c: an entry box over loopback, fake
- * back ends with scripted answers, and callers.
+ * Fixture of test_endless_answers.c, test_unframed_answers.c, test_callers_bytes.c, test_forward.c,
+ * test_forward_attempts.c, test_forward_leader.c, test_stream_events.c, test_stream_random.c, test_stream_silence.c,
+ * test_availability.c, test_evacuation.c, test_quarantine.c, test_spoiled_kinds.c and test_workspaces.c: an entry box
+ * over loopback, fake back ends with scripted answers, and callers.
  */
 #ifndef TRACKCOVE_TESTS_FORWARD_LAB_H
 #define TRACKCOVE_TESTS_FORWARD_LAB_H
@@ -21,8 +21,9 @@
 
 enum {
     BACKENDS = 6,
-    BRIEF_MS = 400,     /* longer than a reservation of the service "brief" lasts */
-    FLEETING_MS = 1100, /* longer than prefill results of the service "fleeting" are kept */
+    BRIEF_MS = 400,                      /* longer than a reservation of the service "brief" lasts */
+    FLEETING_MS = 1100,                  /* longer than prefill results of the service "fleeting" are kept */
+    ANSWERS_MAX_BYTES = 22 * 1024 * 1024 /* as on a box with 88 MB */
 };
 
 /** How one fake back end answers its next requests. The last reply repeats. */
@@ -30,7 +31,7 @@
     const char *replies; /* one letter per request, see answer() */
     unsigned at;         /* index of the next reply */
     GString *seen;       /* all requests, concatenated */
-    const char *stream;  /* events sent by the replies 'q', 'R', 'Q', 'K' and 'J' */
+    const char *stream;  /* events sent by the replies 'q', 'R', 'Q', 'K', 'J' and 'W' */
     size_t stream_size;  /* bytes of them that 'q', 'R', 'K' and 'J' send before they stall or end */
     const char *load;    /* stated in each answer, e.g. "1,0,8" or "1,0,8,250"; NULL: none */
     struct fixture *fixture;
@@ -40,6 +41,7 @@
     loop_t *loop;
     fleet_t *fleet;
     web_client_t *client, *callers;
+    buffer_budget_t *answers; /* of client */
     forwarder_t *forwarder;
     web_server_t *server;
     web_limits_t limits;
@@ -193,6 +195,8 @@
     case 'K': /* stream_size bytes of the stream, which ends with its connection */
         return reply_unframed(plan->stream, plan->stream_size, LAB_CLOSE);
     case 'J': /* the same, reset */ return reply_unframed(plan->stream, plan->stream_size, LAB_RESET);
+    case 'W': /* the stream as it is, its last stream_size bytes again and again */
+        return (lab_reply_t){.bytes = g_strdup(plan->stream), .endless = plan->stream_size};
     case 'y': return reply_unframed("ok", 2, LAB_CLOSE);
     case 'Y': return reply_unframed("ok", 2, LAB_RESET);
     case 'U': /* continues after the first event */
@@ -313,6 +317,8 @@
     f->fleet = fleet_create();
     f->client = web_client_create(f->loop);
     f->callers = web_client_create(f->loop);
+    f->answers = buffer_budget_create(ANSWERS_MAX_BYTES);
+    web_client_set_budget(f->client, f->answers);
     const forwarder_options_t options = {.box = "box",
                                          .dc = "a",
                                          .retries = {.ratio = ratio, .allowance = 0, .window = 60000},
@@ -327,6 +333,7 @@
     tc_err_t err = {0};
     f->server = web_server_start(f->loop, f->addr, &f->limits, forwarder_handle, f->forwarder, &err);
     g_assert_nonnull(f->server);
+    web_server_set_budget(f->server, f->answers);
     for (int i = 0; i < BACKENDS; i++)
         f->plan[i].seen = g_string_new(NULL);
 }
@@ -344,6 +351,7 @@
         g_string_free(f->plan[i].seen, TRUE);
     }
     forwarder_destroy(f->forwarder);
+    buffer_budget_destroy(f->answers);
     fleet_destroy(f->fleet);
     loop_destroy(f->loop);
 }
--- a/tests/platform/soak/endless.c
+++ b/tests/platform/soak/endless.c
@@ -50,5 +50,5 @@
     }
     g_free(filler);
     const size_t repeat = out->len - before;
-    return (lab_reply_t){.bytes = g_string_free(out, FALSE), .end = LAB_CLOSE, .repeat = repeat};
+    return (lab_reply_t){.bytes = g_string_free(out, FALSE), .end = LAB_CLOSE, .endless = repeat};
 }
