--- a/tests/platform/forward_lab.h
+++ b/tests/platform/forward_lab.h
@@ -1,6 +1,7 @@
 /** @file forward_lab.h
  * Fixture of test_unframed_answers.c, test_callers_bytes.c, test_forward.c, test_forward_attempts.c,
- * test_forward_leader.c, test_stream_events.c, test_stream_random.c, test_stream_silence.c, test_availability.c,
+ * test_forward_leader.c, test_stream_events.c, test_stream_random.c, test_stream_silence.c,
+ * test_stream_silence_review.c, test_availability.c,
  * test_evacuation.c, test_quarantine.c and test_workspaces.c: an entry box over loopback, fake back ends with scripted
  * answers, and callers.
  */
--- a/tests/platform/test_forward_slots.c
+++ b/tests/platform/test_forward_slots.c
@@ -171,6 +171,58 @@
     g_assert_cmpuint(w->dones_n, ==, 0);
 }
 
+/* ===== Silent runs (review) ===== */
+
+enum { SPEAKS_AFTER_MS = 150, ENDS_AFTER_MS = 400 };
+
+/** Silent after its first event, then goes on, and ends later. */
+static lab_reply_t answer_with_silence(void *arg, const char *request)
+{
+    plan_t *const plan = arg;
+    g_string_append(plan->seen, request);
+    const char *const parts[] = {STREAM_HEAD "f\r\n" FIRST "\r\n", "f\r\n" SECOND "\r\n", "0\r\n\r\n"};
+    const tc_time_t waits[] = {0, SPEAKS_AFTER_MS, ENDS_AFTER_MS};
+    lab_reply_t reply = {.bytes = g_strconcat(parts[0], parts[1], parts[2], NULL),
+                         .end = LAB_KEEP,
+                         .pieces = g_array_new(FALSE, FALSE, sizeof(lab_piece_t))};
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        const lab_piece_t piece = {.size = strlen(parts[i]), .wait = waits[i]};
+        g_array_append_val(reply.pieces, piece);
+    }
+    return reply;
+}
+
+static void set_plain_stream_route(fixture_t *f)
+{
+    static const char text[] = "{\"version\":4,\"routes\":[" ROUTE("plain", "stream", "9000", RESUMABLE_SOON, "app") "],"
+                               "\"services\":[{\"name\":\"app\",\"max_connections\":630}]}";
+    tc_err_t err = {0};
+    route_table_t *const table = config_read(text, strlen(text), &err);
+    g_assert_nonnull(table);
+    forwarder_set_routes(f->forwarder, table);
+    route_table_unref(table);
+}
+
+/** The back end is still at work on the request, so its slot is taken until the run has ended. */
+static void test_kept_run_holds_its_slot(world_t *w, gconstpointer data)
+{
+    (void)data;
+    set_plain_stream_route(&w->f);
+    start_scripted(&w->f, (backend_plan_t[]){{"app", "", "s", false, false}, {"app", "", "s", false, false}}, 2,
+                   answer_with_silence, NULL);
+    lab_call_t *const c = begin(&w->f, "/plain/x");
+    await_takes(w, 1);
+    grant(w, 0, "i-0", 1);
+    await_takes(w, 2); /* for what is to replace the silent run */
+    lab_run_for(w->f.loop, 30);
+    const unsigned while_kept = w->dones_n;
+    expect_whole(&w->f, c, FIRST SECOND);
+    g_test_message("%u slots were given back while their run was kept; outcome of the first %d", while_kept,
+                   w->dones_n > 0 ? (int)w->dones[0].outcome : -1);
+    g_assert_cmpuint(requests(&w->f, 1), ==, 0);
+    g_assert_cmpuint(while_kept, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -185,5 +237,6 @@
     TEST("caller-leaves-call", test_caller_leaves_call);
     TEST("deadline", test_deadline);
     TEST("refused", test_refused);
+    TEST("kept-run-holds-its-slot", test_kept_run_holds_its_slot);
     return g_test_run();
 }
--- a/tests/unit/test_web.c
+++ b/tests/unit/test_web.c
@@ -433,6 +433,65 @@
     raw_close(&raw);
 }
 
+/** A complete answer on a connection that the server is to close, as those of a stopping box are: a caller that stands
+ *  still for less than the send timeout gets the rest. */
+static void test_last_response_to_slow_caller(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    enum { STANDS_STILL_MS = 1600 };
+    f->limits.send_timeout_ms = 60000;
+    f->limits.idle_ms = 60000;
+    raw_t raw = raw_open(f);
+    raw_send(&raw, GET("/hold"));
+    lab_run_until_true(f->loop, &f->request_waiting);
+    web_server_drain(f->server);
+    char *const body = g_strnfill(ABOVE_SOCKET_BUFFERS_BYTES, 'x');
+    web_respond(f->exchange, 200, "", body, ABOVE_SOCKET_BUFFERS_BYTES);
+    g_free(body);
+    lab_run_for(f->loop, STANDS_STILL_MS);
+    (void)raw_read(&raw, SIZE_MAX);
+    g_assert_true(raw.closed);
+    g_assert_cmpuint(raw.in->len, >, ABOVE_SOCKET_BUFFERS_BYTES);
+    raw_close(&raw);
+}
+
+/** A complete answer of more than 8 MiB, to a caller that reads all the while. */
+static void test_very_large_response(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    raw_t raw = raw_open(f);
+    raw_send(&raw, GET("/hold"));
+    lab_run_until_true(f->loop, &f->request_waiting);
+    char *const body = g_strnfill((gsize)3 * ABOVE_SOCKET_BUFFERS_BYTES, 'x');
+    web_respond(f->exchange, 200, "", body, (size_t)3 * ABOVE_SOCKET_BUFFERS_BYTES);
+    g_free(body);
+    (void)raw_read(&raw, (size_t)3 * ABOVE_SOCKET_BUFFERS_BYTES);
+    g_assert_cmpuint(raw.in->len, >, (size_t)3 * ABOVE_SOCKET_BUFFERS_BYTES);
+    raw_close(&raw);
+}
+
+/** A caller that sends its next request early loses the first one's answer when the next one has a large body. */
+static void test_large_pipelined_request(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    enum { NEXT_BYTES = 200 * 1024 };
+    f->limits.body_bytes = 2 * NEXT_BYTES;
+    f->limits.idle_ms = f->limits.header_ms = 60000;
+    raw_t raw = raw_open(f);
+    raw_send(&raw, GET("/hold"));
+    lab_run_until_true(f->loop, &f->request_waiting);
+    char *const body = g_strnfill(NEXT_BYTES, 'x');
+    char *const next = g_strdup_printf("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", NEXT_BYTES, body);
+    raw_send(&raw, next);
+    lab_run_for(f->loop, 100);
+    g_free(next);
+    g_free(body);
+    g_assert_false(f->disconnected);
+    web_respond(f->exchange, 200, "", "/2", 2);
+    expect_bytes(&raw, OK_2 OK_1);
+    raw_close(&raw);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -458,5 +517,8 @@
     TEST("http10-caller-too-much-unsent", test_http10_too_much_unsent);
     TEST("http10-caller-half-closes", test_http10_caller_half_closes);
     TEST("http10-caller-server-stops", test_http10_server_stops);
+    TEST("last-response-to-slow-caller", test_last_response_to_slow_caller);
+    TEST("very-large-response", test_very_large_response);
+    TEST("large-pipelined-request", test_large_pipelined_request);
     return g_test_run();
 }
