An engine whose answer exceeded a limit is reported to the scheduler

Seen: with its answers ended by their bytes, a decode engine that writes without end is free again within milliseconds.

Cause: after an answer that is lost without an end of its back end the scheduler is told nothing.

Change: a request that continues after such an answer tells the scheduler that the engine has stalled, as after an engine that ended or refused a connection.

--- a/lib/forward/forward_buffer.c
+++ b/lib/forward/forward_buffer.c
@@ -77,3 +77,13 @@
     log_int(&line, "bytes", (int64_t)bytes);
     log_end(&line);
 }
+
+void buffer_blame(const backend_call_t *call)
+{
+    forward_t *const f = call->request;
+    if (!call->excess || call->op != DIALECT_DECODE)
+        return;
+    /* Calls to an engine that writes without end are short, so it would look free to the scheduler. */
+    codec_copy_string(f->failed_decode, sizeof(f->failed_decode), call->instance->listed.id);
+    f->trouble = TROUBLE_STALLED;
+}
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -227,6 +227,7 @@
     if (call->given_up)
         mark_tried(f, call->instance, op);
     f->failed_decode[0] = '\0';
+    buffer_blame(call);
     call_free(call, why);
     const bool again = op == DIALECT_PREFILL || may_rerun(f);
     if (op != DIALECT_PREFILL)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -405,6 +405,8 @@
 void buffer_settle(backend_call_t *call, size_t forwarded);
 /** Records that the answer exceeded a limit, before the call ends: it is not repeated at the same back end. */
 void buffer_exceeded(void *arg, const char *kind, uint64_t bytes);
+/** If the answer of a decode engine exceeded a limit, has the scheduler told when the request continues. */
+void buffer_blame(const backend_call_t *call);
 
 /* ===== forward_call.c: ends ===== */
 
--- a/tests/platform/test_forward_leader.c
+++ b/tests/platform/test_forward_leader.c
@@ -121,6 +121,22 @@
     g_assert_cmpuint(requests(&w->f, 2), ==, 0);
 }
 
+/** An engine that writes without end is reported to the leader, which was left to choose it again and again: its calls
+ *  end so early that it looked free. */
+static void test_endless_answer_is_reported(world_t *w, gconstpointer data)
+{
+    (void)data;
+    start_engines(&w->f, "lm", "p", "W", "S");
+    w->f.plan[1].stream = "HTTP/1.1 100 Continue\r\n\r\n";
+    w->f.plan[1].stream_size = strlen(w->f.plan[1].stream);
+    lab_call_t *const c = begin(&w->f, "/again/x");
+    await_queries(w, 1);
+    grant(w, 0, "i-0", "i-1");
+    expect_whole(&w->f, c, FIRST SECOND);
+    g_assert_cmpuint(w->replans, ==, 1);
+    g_assert_cmpuint(requests(&w->f, 1), ==, 1);
+}
+
 /** An answer for a caller that has left starts no call. */
 static void test_answer_after_the_caller_left(world_t *w, gconstpointer data)
 {
@@ -239,6 +255,7 @@
 #define TEST(name, fn) g_test_add("/forward-leader/" name, world_t, NULL, set_up_world, fn, tear_down_world)
     TEST("answer-to-an-older-query", test_answer_to_an_older_query);
     TEST("answer-after-the-caller-left", test_answer_after_the_caller_left);
+    TEST("endless-answer-is-reported", test_endless_answer_is_reported);
     TEST("prompt-read-by-its-decode-engine", test_prompt_read_by_its_decode_engine);
     TEST("told-time", test_told_time);
     TEST("told-time-unranked", test_told_time_unranked);
