The leader's slot pool leaves a plain server that spoils its answers

The pool knew calls without an answer only, three in a row of them. A server that spoils each second answer was granted as any other: each good answer ended what was held against it. One that spoils all of them got a request each 200 ms, as far as boxes that had not found out yet asked.

slot_done has one more field, spoiled. The pool keeps a spoil record for each back end, for all boxes: it is left after spoiled answers to two requests that good ones do not outweigh, gets one trial per period, and is taken back after two good ones. Boxes in doubt are not heard, and it is granted when there is no other. While it is left, it counts for the capacity as one that fails.

--- a/lib/admission/slot_pool_admit.c
+++ b/lib/admission/slot_pool_admit.c
@@ -31,7 +31,8 @@
         const double slots = slot_backend_slots(b), used = (double)b->tickets + b->unticketed;
         if (!slot_backend_is_usable(b))
             continue;
-        if (slot_backend_is_failing(b)) { /* it may answer the next probe: requests wait for that */
+        /* It may answer the next probe: requests wait for that. */
+        if (slot_backend_is_failing(b) || slot_backend_is_left(pool, b, now)) {
             pool->expected_per_ms += 1.0 / SLOT_PROBE_MS;
             pool->usable_slots += 1;
             continue;
--- a/lib/admission/slot_pool_backends.c
+++ b/lib/admission/slot_pool_backends.c
@@ -48,6 +48,21 @@
                             now);
 }
 
+/** Whether there is a back end that is neither failing nor left for its answers. */
+static bool has_sound(const slot_pool_t *pool, tc_time_t now)
+{
+    const slot_backend_t *b;
+    cds_list_for_each_entry(b, &pool->backends, node)
+        if (slot_backend_is_usable(b) && !slot_backend_is_failing(b) && spoil_record_allows(&b->spoiled, now))
+            return true;
+    return false;
+}
+
+bool slot_backend_is_left(const slot_pool_t *pool, const slot_backend_t *b, tc_time_t now)
+{
+    return !spoil_record_allows(&b->spoiled, now) && has_sound(pool, now);
+}
+
 bool slot_backend_has_room(const slot_pool_t *pool, const slot_backend_t *b, tc_time_t now)
 {
     const uint64_t slots = slot_backend_slots(b), used = (uint64_t)b->tickets + b->unticketed;
@@ -55,6 +70,8 @@
         return false;
     if (used >= slots + SLOT_EXTRA && used >= slots + slot_backend_extra(pool, b, now))
         return false;
+    if (slot_backend_is_left(pool, b, now))
+        return false;
     return !slot_backend_is_failing(b) || (b->tickets == 0 && now >= b->probe_at);
 }
 
@@ -227,6 +244,7 @@
     answer->extra = slot_backend_extra(pool, b, now);
     b->allowed = limit_to_connections(b, (uint64_t)slot_backend_slots(b) + answer->extra);
     b->tickets++;
+    spoil_record_begin(&b->spoiled, now);
     start_requests(b, now);
     fair_share_add_running(pool->share, r->workspace, 1);
     if (pool->returns && r->fingerprint)
@@ -272,6 +290,14 @@
         b->lost = loss_evidence_count(pool->losses, b->id);
 }
 
+/** A back end has spoiled an answer. A box whose path spoils whatever passes it says nothing about back ends. */
+static void note_spoiled(const slot_pool_t *pool, slot_backend_t *b, const slot_request_t *r, tc_time_t now)
+{
+    const uint64_t key = r->fingerprint ? r->fingerprint : g_str_hash(r->id);
+    if (feature_is_enabled(FEATURE_EJECTION) && !loss_evidence_is_in_doubt(pool->losses, r->box->name))
+        (void)spoil_record_add_spoiled(&b->spoiled, key, r->granted, now);
+}
+
 /** Counts calls in a row without an answer. One that was not sent by choice, or that this side cancelled, shows
  * nothing.
  */
@@ -314,6 +340,10 @@
         load_estimate_add_reading(&b->estimate, &reading, b->tickets + b->unticketed, now);
     if (r)
         note_outcome(pool, b, r, done->outcome, now);
+    if (r && done->outcome == SLOT_OUTCOME_LOST && done->spoiled)
+        note_spoiled(pool, b, r, now);
+    else if (r && (done->outcome == SLOT_OUTCOME_ANSWERED || done->outcome == SLOT_OUTCOME_FAILED))
+        (void)spoil_record_add_good(&b->spoiled, r->granted, now);
     if (!r || done->outcome != SLOT_OUTCOME_ANSWERED || r->started == TC_TIME_NEVER)
         return;
     /* A request that had to wait for a slot there was started by the end of another one. */
--- a/lib/admission/slot_pool_internal.h
+++ b/lib/admission/slot_pool_internal.h
@@ -17,6 +17,7 @@
 #include "admission/slot_pool.h"
 #include "backend/load_reading.h"
 #include "backend/loss_evidence.h"
+#include "backend/spoil_record.h"
 
 #ifdef NDEBUG
 #error "the invariants are asserted in every build: do not define NDEBUG"
@@ -138,6 +139,7 @@
     uint32_t tickets, unticketed;
     uint32_t lost;                 /* calls in a row without an answer, see pool->losses */
     tc_time_t probe_at;            /* when it may get the next request, with SLOT_LOST_MAX of them */
+    spoil_record_t spoiled;        /* while it is left, it gets a request only if there is no other back end */
     uint64_t allowed;              /* slots and extra tickets at the latest grant: only grants add tickets */
     tc_time_t refused_at;          /* for slot_depth_extra */
     struct cds_list_head requests; /* holding a ticket, in order of their grants */
@@ -304,6 +306,8 @@
 bool slot_backend_is_usable(const slot_backend_t *b);
 /** Whether its calls end without answers. */
 bool slot_backend_is_failing(const slot_backend_t *b);
+/** Whether it gets nothing now since it spoils its answers, and there is another one. */
+bool slot_backend_is_left(const slot_pool_t *pool, const slot_backend_t *b, tc_time_t now);
 /** Tickets that it may get beyond its slots, by the delay as of the latest dispatch. */
 uint32_t slot_backend_extra(const slot_pool_t *pool, const slot_backend_t *b, tc_time_t now);
 /** Whether one more ticket may be given out. */
--- a/lib/forward/forward_slot.c
+++ b/lib/forward/forward_slot.c
@@ -83,8 +83,10 @@
     f->slot.returned[0] = '\0';
     if (f->slot.instance != call->instance)
         return; /* sent without a slot */
-    msg_slot_done_t done = {
-        .ticket = f->slot.ticket, .outcome = call->outcome, .took_ms = (uint32_t)(tc_time_now() - call->began)};
+    msg_slot_done_t done = {.ticket = f->slot.ticket,
+                            .outcome = call->outcome,
+                            .took_ms = (uint32_t)(tc_time_now() - call->began),
+                            .spoiled = call->spoiled};
     fill_load(&done, call);
     send_done(f->owner, f->facts.id, f->service, call->instance->listed.id, &done);
     clear_slot(f);
--- a/lib/gen/schema.c
+++ b/lib/gen/schema.c
@@ -953,6 +953,7 @@
     {.name = "waiting", .offset = offsetof(msg_slot_done_t, waiting), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "slots", .offset = offsetof(msg_slot_done_t, slots), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
     {.name = "pace", .offset = offsetof(msg_slot_done_t, pace), .kind = CODEC_U32, .min = 0, .max = 4294967295, .def = 0},
+    {.name = "spoiled", .offset = offsetof(msg_slot_done_t, spoiled), .kind = CODEC_BOOL, .min = 0, .max = 1, .def = 0},
 };
 const codec_desc_t msg_slot_done_desc = {.name = "slot_done", .size = sizeof(msg_slot_done_t), .fields = msg_slot_done_fields, .n_fields = sizeof(msg_slot_done_fields) / sizeof(msg_slot_done_fields[0])};
 
--- a/lib/gen/schema.h
+++ b/lib/gen/schema.h
@@ -1220,6 +1220,7 @@
     uint32_t waiting;
     uint32_t slots;
     uint32_t pace; /**< time that work takes now, in percent of the usual; 0: not stated */
+    bool spoiled; /**< the outcome is lost: bytes came, but they are no answer */
 } msg_slot_done_t;
 extern const codec_desc_t msg_slot_done_desc;
 
--- a/tests/platform/test_spoiled_answers.c
+++ b/tests/platform/test_spoiled_answers.c
@@ -52,6 +52,7 @@
 typedef struct world {
     entries_lab_t lab;
     server_t servers[SERVERS];
+    bool slots; /* the leader gives out those of plain servers */
     bool is_loaded;
     unsigned next;
     GArray *boxes; /* int: the box of each request */
@@ -195,6 +196,7 @@
 static void set_up_spoiled(world_t *w, gconstpointer data)
 {
     w->boxes = g_array_new(FALSE, FALSE, sizeof(int));
+    w->slots = data != NULL;
     set_up_entries(&w->lab, config);
     start_servers(w);
     start_controls(&w->lab);
@@ -203,7 +205,7 @@
         replica_set_services(w->lab.f.replica[i], &service, 1);
     read_list(w);
     start_entries(&w->lab, BOXES_N, (reporter_events_t){0});
-    for (int i = 0; data && i < BOXES_N; i++)
+    for (int i = 0; w->slots && i < BOXES_N; i++)
         fleet_set_shared(w->lab.entries[i].fleet, "app");
     lab_run_until(w->lab.f.loop, has_leader_contact, w);
     set_box_count(&w->lab);
@@ -233,9 +235,10 @@
     g_assert_cmpuint(s->spoiled, <=, bound);
 }
 
-static unsigned bound_of(const server_t *s, int server)
+/** @param slots whether the leader gives out the slots of plain servers */
+static unsigned bound_of(const server_t *s, int server, bool slots)
 {
-    const bool leader = server < 2 * STAGE_SERVERS;
+    const bool leader = slots || server < 2 * STAGE_SERVERS;
     if (s->one_in == 1)
         return leader ? BOUND_LEADER : BOUND;
     return leader ? BOUND_LEADER_HALF : BOUND_HALF;
@@ -249,7 +252,7 @@
     s->spoils = how;
     run_load(w, s->one_in == 1 ? SPOIL_MS : HALF_MS);
     s->spoils = SPOIL_NOT;
-    expect_left(s, bound_of(s, server));
+    expect_left(s, bound_of(s, server, w->slots));
     s->good = 0;
     w->is_loaded = true;
     lab_run_until(w->lab.f.loop, has_returned, s);
