--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -367,6 +367,11 @@
 
 /* ===== Routing ===== */
 
+bool forward_is_recognisable(const forward_t *f)
+{
+    return f->request.body->len > 0 || f->facts.parts_n > 0;
+}
+
 void forward_route(forwarder_t *fw, web_exchange_t *exchange, const web_request_t *request)
 {
     dialect_request_t facts;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -377,6 +377,9 @@
 /** Whether there is a suitable back end without a rate limit. */
 bool forward_has_unlimited(forward_t *f, stage_t stage);
 
+/** Whether another attempt of the request can be told from another request: all GETs of one target look alike. */
+bool forward_is_recognisable(const forward_t *f);
+
 /** Number of boxes that share the limits and budgets. */
 unsigned forward_boxes(const forwarder_t *fw);
 
--- a/lib/forward/forward_slot.c
+++ b/lib/forward/forward_slot.c
@@ -191,18 +191,12 @@
     return at > now ? (uint32_t)(at - now) : 0;
 }
 
-/** Whether another attempt of the request can be told from another request: all GETs of one target look alike. */
-static bool is_recognisable(const forward_t *f)
-{
-    return f->request.body->len > 0 || f->facts.parts_n > 0;
-}
-
 static void fill_take(const forward_t *f, msg_slot_take_t *take)
 {
     const tc_time_t now = tc_time_now();
     take->priority = f->priority;
     take->rank = f->rank;
-    take->fingerprint = is_recognisable(f) ? f->fingerprint : 0;
+    take->fingerprint = forward_is_recognisable(f) ? f->fingerprint : 0;
     take->wait_ms = ms_until(f->request.arrived + f->route->latency_target, now);
     take->patience_ms = MAX(ms_until(f->deadline, now), 1);
     take->caller_ms = (uint32_t)MAX(forward_caller_patience(f), 1);
--- a/lib/forward/forward_spoiled.c
+++ b/lib/forward/forward_spoiled.c
@@ -30,8 +30,7 @@
 /** The same for all attempts at a request, as far as they can be told from other requests. */
 static uint64_t request_key(const forward_t *f)
 {
-    const bool recognisable = f->request.body->len > 0 || f->facts.parts_n > 0;
-    return recognisable ? f->fingerprint : f->fingerprint ^ g_str_hash(f->facts.id);
+    return forward_is_recognisable(f) ? f->fingerprint : f->fingerprint ^ g_str_hash(f->facts.id);
 }
 
 static void log_left(const instance_t *instance, bool left)
