A box that did not run itself does not take the leader for silent

Callers got 503 although the leader was up and slots came free: back ends were full of requests that no slot had been granted for. A box whose process does not run for 0.4 s (suspended, or on a machine with too many runnable processes) finds its queries for slots timed out and the leader's last answer more than 0.7 s old when it goes on, counting its own pause and the time since its last report. It concluded that the leader does not answer, and sent everything that waited there without slots; further ones are then denied, as the retry budget is used up. Traced in the test of full back ends, with its process stopped for 0.44 s: 63 requests sent without slots, 57 refused by back ends, 14 answered with 503, while the lease had lapsed but the leader led on.

The reporter measures by how much its timer is overdue, and states the leader's silence without that time. It starts anew with each answer; a leader that is silent while the box runs counts as before, after 0.7 s. Queries of placements use the same judgement.

The traces show what a stall does: its pause counts as delay of messages and as duration of calls, so back ends get more tickets and the leader refuses some; from 0.57 s on leadership is lost and boxes choose alone, which is their task then.

--- a/lib/cluster/reporter.c
+++ b/lib/cluster/reporter.c
@@ -39,6 +39,14 @@
     bool wants_list; /* the answer may contain the list of back ends */
 } query_t;
 
+/* ===== Stalls of this box ===== */
+
+/** By how much the timer is overdue: this box was suspended, or did not get a processor. */
+static tc_time_t overdue(const reporter_t *r, tc_time_t now)
+{
+    return r->ticked > 0 ? MAX(now - r->ticked - TICK_MS, 0) : 0;
+}
+
 /* ===== Choice of the target ===== */
 
 static uint32_t count_strings(char **list)
@@ -172,6 +180,7 @@
     set_connected(r, ack->leads);
     if (ack->leads) {
         r->leader_contact = now;
+        r->stalled = -overdue(r, now); /* which the next turn of the timer adds: it was before this answer */
         r->leader_asked = query.asked;
     }
     choose_next_report(r, ack, now);
@@ -291,6 +300,8 @@
 {
     reporter_t *const r = arg;
     const tc_time_t now = tc_time_now();
+    r->stalled += overdue(r, now);
+    r->ticked = now;
     if (lacks_data(r) && now >= r->discover_at)
         query_all_controls(r, now);
     fetch_tick(r->fetch, now);
@@ -339,6 +350,12 @@
     return r->leader_contact;
 }
 
+tc_time_t reporter_leader_silence(const reporter_t *r)
+{
+    const tc_time_t now = tc_time_now();
+    return now - r->leader_contact - r->stalled - overdue(r, now);
+}
+
 tc_time_t reporter_leader_asked_time(const reporter_t *r)
 {
     return r->leader_asked;
--- a/lib/cluster/reporter.h
+++ b/lib/cluster/reporter.h
@@ -89,6 +89,9 @@
 void reporter_set_backends(reporter_t *reporter, const backend_t *list, uint32_t n, tc_time_t fetched);
 /** When a leader last answered, 0 for never. */
 tc_time_t reporter_leader_contact_time(const reporter_t *reporter);
+/** How long no leader has answered, ms, without the time for which this box itself did not run: an answer that could
+ *  not be read is no silence of the leader. Very long before the first answer. */
+tc_time_t reporter_leader_silence(const reporter_t *reporter);
 /** When the report was sent that a leader answered last, 0 for never: what the leader said is at least as new. */
 tc_time_t reporter_leader_asked_time(const reporter_t *reporter);
 /** Call the leader of the control boxes. @param limit time limit for the answer, ms
--- a/lib/cluster/reporter_internal.h
+++ b/lib/cluster/reporter_internal.h
@@ -40,6 +40,8 @@
     tc_time_t poll_at;         /* earliest time of the next query to another box */
     tc_time_t control_contact; /* last answer of a control box */
     tc_time_t leader_contact;  /* last answer of a leader */
+    tc_time_t stalled;         /* ms since that answer for which this box did not run */
+    tc_time_t ticked;          /* last turn of the timer */
     tc_time_t leader_asked;    /* when the report was sent that it answered */
     bool connected;            /* the last report was answered by a leader */
     bool grants_slots;         /* which understands slot_take */
--- a/lib/forward/forward_place.c
+++ b/lib/forward/forward_place.c
@@ -117,7 +117,7 @@
 
 bool place_is_leader_alive(const forwarder_t *fw)
 {
-    return tc_time_now() - reporter_leader_contact_time(fw->scheduler) < LEADER_ALIVE_MS;
+    return reporter_leader_silence(fw->scheduler) < LEADER_ALIVE_MS;
 }
 
 static bool query_placement(forward_t *f);
