Tests: a silent run whose replacement is silent as well and refuses later

Callers of resumable streams lose a begun answer when the engine that is to replace a silent one is silent too: 300 ms after the request was sent there the first run is ended, as if the second engine had begun; that one refuses the request when it goes on, the retry budget denies another, and the answer is aborted, although the first engine was sound.

--- a/tests/platform/test_silences.c
+++ b/tests/platform/test_silences.c
@@ -39,9 +39,38 @@
     g_assert_cmpuint(t.stayed, ==, 0);
 }
 
+/** Guards against a silent run that is ended since another engine has had the request for a while: that one was silent
+ *  as well, had not begun, and refuses the request later. Without prefill engines, as the next run needs none then. */
+static void test_silent_replacements(silence_world_t *w, gconstpointer data)
+{
+    enum { HALF = DECODES / 2, REPLACEMENT_SILENCE_MS = 800, REFUSAL_MS = 700 };
+    (void)data;
+    start_silence_world(w, (guint32)g_test_rand_int(), scarce, 24);
+    w->only_streams = true;
+    for (int i = 0; i < PREFILLS; i++)
+        w->lab.list[i].draining = true;
+    run_load(w, LOAD_MS, ROUND_MS);
+    for (int i = 0; i < ROUNDS; i++) {
+        silence_share(w, DECODE_0, HALF, 1, DECODE_SILENCE_MS);
+        run_load(w, LOAD_MS, STAGGER_MS);
+        silence_share(w, DECODE_0 + HALF, HALF, 1, REPLACEMENT_SILENCE_MS);
+        w->refused_share = 1;
+        run_load(w, LOAD_MS, STAGGER_MS + REFUSAL_MS);
+        w->refused_share = 0;
+        run_load(w, LOAD_MS, ROUND_MS);
+    }
+    await_requests(w);
+    const silence_tally_t t = check_requests(w);
+    g_assert_cmpuint(t.complete, >, 0);
+    g_assert_cmpuint(t.broken, ==, 0);
+    g_assert_cmpuint(t.stayed, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add("/silences/staggered", silence_world_t, NULL, NULL, test_staggered, tear_down_silence_world);
+    g_test_add("/silences/silent-replacements", silence_world_t, NULL, NULL, test_silent_replacements,
+               tear_down_silence_world);
     return g_test_run();
 }
