A new leader waits for the first reports before a change counts as in force

Operators who repeated a change at a box that had just become the leader got a 200 at once, logged as in force everywhere, while boxes still acted on an older version. A new leader knows no box until it reports, and a rollout asked only the boxes it knew: none.

A control box already has the list of boxes from the leader before it. For the first second, the time within which boxes find a new leader, a box of that list that has not reported, and had not said that it leaves, counts as behind.

Evidence: new-leader-waits-for-reports in test_cluster_reports: 3 of 3 runs counted the acknowledgement as complete before, 3 of 3 hold. All of test_cluster_reports (with sanitizers too), test_cluster, test_cluster_evacuations, test_route, test_operators and test_large pass.

--- a/lib/cluster/replica_internal.h
+++ b/lib/cluster/replica_internal.h
@@ -21,6 +21,11 @@
 #include "lists/list_budget.h"
 #include "lists/list_replica.h"
 
+/* ===== Constants ===== */
+
+/** Within this time all boxes report to a new leader: until then it sends no list of boxes, ms. */
+enum { ROSTER_SETTLE_MS = 1000 };
+
 /* ===== Types ===== */
 
 /** A back end that has ended, or has announced itself that it is leaving. */
--- a/lib/cluster/replica_proposals.c
+++ b/lib/cluster/replica_proposals.c
@@ -108,10 +108,23 @@
     return o->kind == PROPOSAL_EVACUATION ? ROSTER_EVACUATIONS : ROSTER_DOCUMENT;
 }
 
-/** Whether a live box does not act on the proposal yet. */
-static bool is_behind(const replica_t *r, const replica_proposal_t *o)
+/** Whether this box leads for so short a time that a box that reported to the leader before may not have found it. */
+static bool awaits_first_reports(const replica_t *r, tc_time_t now)
 {
-    return roster_is_behind(r->roster, subject_of(o), o->version);
+    if (now - raft_view(r->raft).leader_since > ROSTER_SETTLE_MS)
+        return false;
+    uint32_t n;
+    const entry_box_t *const boxes = list_publisher_list(r->follow.entries, &n);
+    for (uint32_t i = 0; i < n; i++)
+        if (!boxes[i].leaving && !roster_has(r->roster, boxes[i].box))
+            return true;
+    return false;
+}
+
+/** Whether a box that is there does not act on the proposal yet, or is not known to. */
+static bool is_behind(const replica_t *r, const replica_proposal_t *o, tc_time_t now)
+{
+    return awaits_first_reports(r, now) || roster_is_behind(r->roster, subject_of(o), o->version);
 }
 
 void proposals_applied(replica_t *r, const log_entry_t *entry, uint64_t version, bool accepted, tc_time_t now)
@@ -165,7 +178,7 @@
                 proposal_end(o, TC_E_TIMEOUT);
             break;
         case PROPOSAL_COMMITTED:
-            if (!is_behind(r, o))
+            if (!is_behind(r, o, now))
                 end_rollout(o, true, now);
             else if (late)
                 end_rollout(o, false, now);
@@ -180,7 +193,7 @@
     replica_proposal_t *o, *next;
     cds_list_for_each_entry_safe(o, next, &r->proposals, node) {
         if (o->state == PROPOSAL_COMMITTED)
-            end_rollout(o, !is_behind(r, o), now);
+            end_rollout(o, !is_behind(r, o, now), now);
         else
             proposal_end(o, rc);
     }
--- a/lib/cluster/replica_reports.c
+++ b/lib/cluster/replica_reports.c
@@ -14,9 +14,6 @@
 
 /* ===== Constants ===== */
 
-/** A new leader sends no list of boxes until all have had the time to report to it. */
-enum { ROSTER_SETTLE_MS = 1000 };
-
 enum {
     SMALL_UPDATE_BYTES = 512, /* updates up to this size are sent without regard to the budget */
     LOAD_BYTES = 30,          /* approximate size of one load in a message */
--- a/lib/cluster/roster.c
+++ b/lib/cluster/roster.c
@@ -255,6 +255,11 @@
     return false;
 }
 
+bool roster_has(const roster_t *r, const char *box)
+{
+    return g_hash_table_contains(r->by_name, box);
+}
+
 uint32_t roster_count(const roster_t *r)
 {
     return r->n;
--- a/lib/cluster/roster.h
+++ b/lib/cluster/roster.h
@@ -48,6 +48,8 @@
 
 /** Whether a live box acts on an older version. */
 bool roster_is_behind(const roster_t *roster, roster_subject_t subject, uint64_t version);
+/** Whether the box is live. */
+bool roster_has(const roster_t *roster, const char *box);
 /** Number of live boxes. */
 uint32_t roster_count(const roster_t *roster);
 /** Live boxes, as they are published. With many boxes, changes within a short time are published together.
--- a/tests/unit/test_cluster_reports.c
+++ b/tests/unit/test_cluster_reports.c
@@ -32,6 +32,12 @@
     return f->received == f->awaited;
 }
 
+static void await_version(fixture_t *f, uint64_t version)
+{
+    f->awaited = version;
+    lab_run_until(f->loop, has_received_awaited, f);
+}
+
 static void start_reporter_with(fixture_t *f, const char *const *controls)
 {
     const char *const no_neighbours[] = {NULL};
@@ -80,15 +86,33 @@
         start_box(f, i, true);
     put(f, 4);
     start_reporter(f, f->addr[0]);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
+    await_version(f, 4);
     stop_box(f, await_leader(f));
     put(f, 8);
-    f->awaited = 8;
-    lab_run_until(f->loop, has_received_awaited, f); /* from the next leader, or from another control box */
+    await_version(f, 8); /* from the next leader, or from another control box */
     lab_run_until(f->loop, names_leader, f);
 }
 
+/** Start three control boxes and a box that acts on version 4 and reports so. */
+static void start_with_reporter(fixture_t *f)
+{
+    for (int i = 0; i < SEEDS; i++)
+        start_box(f, i, true);
+    put(f, 4);
+    start_reporter(f, f->addr[await_leader(f)]);
+    await_version(f, 4);
+    lab_run_until(f->loop, reports_to_leader, f);
+}
+
+static void propose_5(fixture_t *f, int at, replica_done_t done)
+{
+    document_t document = {0};
+    document_make(&document, 5, "content 5", 9);
+    f->proposal_done = false;
+    replica_propose(f->replica[at], &document, done, f);
+    codec_free(&document_desc, &document);
+}
+
 static bool one_proposal_ended(void *arg)
 {
     return ((fixture_t *)arg)->proposal_done;
@@ -99,22 +123,12 @@
 static void test_acknowledged_when_in_force(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    for (int i = 0; i < SEEDS; i++)
-        start_box(f, i, true);
-    put(f, 4);
-    start_reporter(f, f->addr[await_leader(f)]);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
-    lab_run_until(f->loop, reports_to_leader, f);
+    start_with_reporter(f);
     f->slow = true;
     const int64_t unspread = counter_read("trackcove_cluster_unspread_total");
     document_t document = {0};
-    document_make(&document, 5, "content 5", 9);
-    f->proposal_done = false;
-    replica_propose(f->replica[await_leader(f)], &document, on_proposal_done, f);
-    codec_free(&document_desc, &document);
-    f->awaited = 5;
-    lab_run_until(f->loop, has_received_awaited, f);
+    propose_5(f, await_leader(f), on_proposal_done);
+    await_version(f, 5);
     /* Not acknowledged, unless the limit for boxes that do not get there has passed. */
     g_assert_true(!f->proposal_done || counter_read("trackcove_cluster_unspread_total") > unspread);
     g_assert_cmpuint(reporter_version(f->reporter), ==, 4);
@@ -127,8 +141,7 @@
     reporter_document_applied(f->reporter);
     lab_run_until(f->loop, one_proposal_ended, f);
     g_assert_cmpint(f->proposal_rc, ==, TC_OK);
-    f->awaited = 6;
-    lab_run_until(f->loop, has_received_awaited, f);
+    await_version(f, 6);
 }
 
 /** A document that does not compress, and whose rollout may therefore take longer than ROSTER_TIMEOUT_MS. */
@@ -149,13 +162,7 @@
 static void test_box_falls_silent_during_rollout(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    for (int i = 0; i < SEEDS; i++)
-        start_box(f, i, true);
-    put(f, 4);
-    start_reporter(f, f->addr[await_leader(f)]);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
-    lab_run_until(f->loop, reports_to_leader, f);
+    start_with_reporter(f);
     const int64_t unspread = counter_read("trackcove_cluster_unspread_total");
     const int at = await_leader(f);
     reporter_destroy(f->reporter);
@@ -175,29 +182,39 @@
 static void test_leader_stops_during_rollout(fixture_t *f, gconstpointer data)
 {
     (void)data;
-    for (int i = 0; i < SEEDS; i++)
-        start_box(f, i, true);
-    put(f, 4);
-    start_reporter(f, f->addr[await_leader(f)]);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
-    lab_run_until(f->loop, reports_to_leader, f);
+    start_with_reporter(f);
     f->slow = true;
     const int64_t unspread = counter_read("trackcove_cluster_unspread_total");
     const int at = await_leader(f);
-    document_t document = {0};
-    document_make(&document, 5, "content 5", 9);
-    f->proposal_done = false;
-    replica_propose(f->replica[at], &document, on_proposal_done, f);
-    codec_free(&document_desc, &document);
-    f->awaited = 5;
-    lab_run_until(f->loop, has_received_awaited, f); /* only what is committed is announced */
+    propose_5(f, at, on_proposal_done);
+    await_version(f, 5); /* only what is committed is announced */
     stop_box(f, at);
     g_assert_true(f->proposal_done);
     g_assert_cmpint(f->proposal_rc, ==, TC_OK);
     g_assert_cmpint(counter_read("trackcove_cluster_unspread_total"), ==, unspread + 1);
 }
 
+/** Guards against a new leader that acknowledges a version as in force everywhere before the boxes have reported to it.
+ */
+static void test_new_leader_waits_for_reports(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_with_reporter(f);
+    lab_run_for(f->loop, 1500); /* a young leader tells the other control boxes of no box */
+    f->slow = true;
+    const int at = await_leader(f);
+    propose_5(f, at, ignore_proposed);
+    await_version(f, 5);
+    stop_box(f, at);
+    const int next = await_leader(f);
+    const int64_t unspread = counter_read("trackcove_cluster_unspread_total");
+    propose_5(f, next, on_proposal_done);
+    lab_run_until(f->loop, one_proposal_ended, f);
+    g_assert_cmpint(f->proposal_rc, ==, TC_OK);
+    g_assert_cmpuint(reporter_version(f->reporter), ==, 4);
+    g_assert_cmpint(counter_read("trackcove_cluster_unspread_total"), ==, unspread + 1);
+}
+
 static void test_document_without_a_leader(fixture_t *f, gconstpointer data)
 {
     (void)data;
@@ -211,8 +228,7 @@
         stop_box(f, i);
     start_box(f, f->awaited_box, false); /* alone it cannot become the leader */
     start_reporter(f, f->addr[f->awaited_box]);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
+    await_version(f, 4);
     g_assert_false(awaited_leads(f));
 }
 
@@ -228,8 +244,7 @@
     const char *const seeds[] = {f->self.peer_addr, NULL};
     for (int i = 0; i < SEEDS; i++)
         replica_set_seeds(f->replica[i], seeds);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
+    await_version(f, 4);
 }
 
 /** An engine that changes its role is published as leaving, so that no box gives it work. */
@@ -324,8 +339,7 @@
         start_box(f, i, true);
     put(f, 4);
     start_reporter(f, f->addr[await_leader(f)]);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
+    await_version(f, 4);
     const msg_retry_t retry = {.service = "lm"};
     wait_for_scheduler(f, &retry);
     f->answered = 0;
@@ -438,8 +452,7 @@
     }
     controls[SILENT] = f->addr[await_leader(f)];
     start_reporter_with(f, controls);
-    f->awaited = 4;
-    lab_run_until(f->loop, has_received_awaited, f);
+    await_version(f, 4);
     for (int i = 0; i < SILENT; i++) {
         g_assert_true(was_connected(fds[i]));
         close(fds[i]);
@@ -551,6 +564,7 @@
     TEST("acknowledged-when-in-force", test_acknowledged_when_in_force);
     TEST("box-falls-silent-during-rollout", test_box_falls_silent_during_rollout);
     TEST("leader-stops-during-rollout", test_leader_stops_during_rollout);
+    TEST("new-leader-waits-for-reports", test_new_leader_waits_for_reports);
     TEST("document-without-a-leader", test_document_without_a_leader);
     TEST("seeds-that-are-no-members-get-them", test_seeds_that_are_no_members_get_them);
     TEST("role-change-is-published-as-leaving", test_role_change_is_published_as_leaving);
