Silent runs are kept until the other engine is at work, and hold their slots

An independent review of kept silent runs found, each with a test that failed: - a use after free when the other run ended without an event while the caller's connection broke (the kept run's log line read the freed exchange): the kept run ends before the response does; - the head of a refusal, and a request sent to an engine that is silent itself, counted as begun, so the silent run was ended after 300 ms and a later refusal took the answer. Now the other engine counts as at work once it has sent the head of an answer, or, reading the prompt itself, has sent anything to this box since the request was sent; - the time for two engines was counted for each call: now in sum over all that are called in place of the silent one; - the other run was not watched for silence when the kept one broke; - two allowed events that exceed 4 MiB together ended the kept run; - the leader got the slot of a kept run back while it still ran.

--- a/lib/forward/fleet.h
+++ b/lib/forward/fleet.h
@@ -48,6 +48,7 @@
     unsigned repeat_suspects;    /**< of these requests, those that at least two back ends ended under */
     unsigned remote_running;     /**< requests of the other boxes, as last reported */
     uint64_t remote_tokens;      /**< prompt tokens of those */
+    tc_time_t heard_at;          /**< when it last sent something to this box in an answer; 0: never */
     unsigned failures;           /**< in a row */
     tc_time_t avoid_until;       /**< not chosen before then, unless there is no other */
     spoil_record_t spoiled;      /**< by its answers to this box; while it is left, likewise */
--- a/lib/forward/forward_call.c
+++ b/lib/forward/forward_call.c
@@ -39,7 +39,7 @@
     retry_cancel(f); /* the query asked for what could follow this call */
     slot_end_call(call);
     loop_disarm(&f->call_timer);
-    silence_on_call_end(f);
+    silence_on_call_end(call);
     f->call = NULL;
     call_destroy(call, why);
 }
@@ -309,6 +309,7 @@
         clear_quarantine(f);
         call->outcome = SLOT_OUTCOME_ANSWERED;
         call_free(call, "streamed");
+        silence_end(f, "another run is complete"); /* its log line needs the exchange */
         web_end_response(f->exchange);
         forward_finish(f, 200, "streamed");
         return;
@@ -429,6 +430,7 @@
     forward_t *const f = call->request;
     dialect_reply_t reply;
     dialect_read_reply(head, f->facts.id, &reply);
+    call->instance->heard_at = tc_time_now();
     notice_apply(f->owner, call->instance, head); /* even the late answer of another request comes from this back end */
     if (!reply.matches_request)
         return WEB_HEAD_SKIP;
@@ -453,6 +455,7 @@
     if (streams) {
         web_call_limit_body(call->http, 0); /* each event has its limit */
         stream_begin(call);
+        silence_on_begun(f);
         silence_watch(f);
     }
     return WEB_HEAD_ACCEPT;
@@ -484,6 +487,7 @@
 static void on_data(void *arg, const char *data, size_t size)
 {
     backend_call_t *const call = arg;
+    call->instance->heard_at = tc_time_now();
     if (silence_keeps(call)) {
         silence_on_data(call, data, size);
         return;
--- a/lib/forward/forward_end.c
+++ b/lib/forward/forward_end.c
@@ -44,7 +44,6 @@
 
 void forward_finish(forward_t *f, int status, const char *why)
 {
-    silence_end(f, why);
     counter_add(&c_answered, 1);
     histogram_add(&h_answer, tc_time_now() - f->request.arrived);
     if (status < 300)
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -275,6 +275,17 @@
     tc_time_t until;
 } handle_t;
 
+/** A silent run that is kept, see forward_silence.h. */
+typedef struct {
+    backend_call_t *call;  /* NULL: none */
+    slot_t slot;           /* of that call */
+    bool counted_backend;  /* its back end is counted in forward.backends */
+    bool has_event;        /* it brought an event after the request was sent to another engine */
+    loop_timer_t limit;    /* for the time in which two engines work on the request */
+    tc_time_t both_since;  /* since when they do; 0: they do not */
+    tc_time_t both_before; /* for how long they did with engines called before, ms */
+} silent_run_t;
+
 /** One request of a caller. */
 struct forward {
     struct cds_list_head node;
@@ -731,7 +742,7 @@
 typedef enum {
     STREAM_HELD_NOTHING,  /* no complete event with data */
     STREAM_HELD_EVENT,    /* a complete event with data is held */
-    STREAM_HELD_TOO_LARGE /* more is held than the buffer limit */
+    STREAM_HELD_TOO_LARGE /* an incomplete event exceeds the buffer limit */
 } stream_held_t;
 
 /** Appends bytes of a run without forwarding its events, which the next stream_feed does. Comments are dropped. */
--- a/lib/forward/forward_silence.c
+++ b/lib/forward/forward_silence.c
@@ -20,7 +20,7 @@
 /* ===== Constants ===== */
 
 enum {
-    /* Time for which two engines may work on a request; the users' platform allows 400 ms. */
+    /* Time for which two engines may work on a request, in sum; the users' platform allows 400 ms. */
     OVERLAP_MS = 300
 };
 
@@ -33,23 +33,41 @@
     return call->request->silent.call == call;
 }
 
-/** @return the kept call, which is kept no longer */
-static backend_call_t *take_kept(forward_t *f)
+/** @return the kept run, which is kept no longer */
+static silent_run_t take_kept(forward_t *f)
 {
-    backend_call_t *const call = f->silent.call;
     loop_disarm(&f->silent.limit);
+    const silent_run_t kept = f->silent;
     f->silent = (silent_run_t){0};
-    return call;
+    return kept;
+}
+
+/** Gives the slot of a kept run back. */
+static void end_slot(forward_t *f, const silent_run_t *kept)
+{
+    const slot_t own = f->slot;
+    f->slot = kept->slot;
+    slot_end_call(kept->call);
+    f->slot = own;
 }
 
 static void end_kept(forward_t *f, const char *why)
 {
-    backend_call_t *const call = take_kept(f);
-    if (call->http)
-        web_call_cancel(call->http);
-    call->http = NULL;
-    call->given_up = true;
-    call_destroy(call, why);
+    const silent_run_t kept = take_kept(f);
+    if (kept.call->http)
+        web_call_cancel(kept.call->http);
+    kept.call->http = NULL;
+    kept.call->given_up = true;
+    end_slot(f, &kept);
+    call_destroy(kept.call, why);
+}
+
+/** Ends the kept run, and goes on with what replaces it. */
+static void leave_kept(forward_t *f, const char *why)
+{
+    end_kept(f, why);
+    if (f->call && stream_has_begun(f->call))
+        silence_watch(f);
 }
 
 void silence_end(forward_t *f, const char *why)
@@ -64,8 +82,7 @@
         return;
     counter_add(&c_replaced, 1);
     forward_log(f, "run_replaced", "another run has begun", f->silent.call->status, f->silent.call->instance);
-    end_kept(f, REASON_SILENT);
-    silence_watch(f);
+    leave_kept(f, REASON_SILENT);
 }
 
 void silence_exclude(forward_t *f)
@@ -111,17 +128,18 @@
 /** Makes the kept run that of the request again. @return it; the events that it brought meanwhile are held */
 static backend_call_t *take_back(forward_t *f, const char *why)
 {
-    const bool is_heard = f->silent.has_event, counted = f->silent.counted_backend;
     count_replacement(f);
     drop_replacement(f, why);
-    backend_call_t *const call = take_kept(f);
-    call_uncount_run(f, counted);
+    const silent_run_t kept = take_kept(f);
+    backend_call_t *const call = kept.call;
+    call_uncount_run(f, kept.counted_backend);
+    f->slot = kept.slot;
     (void)g_ptr_array_remove(f->tried, call->instance);
     f->failed_decode[0] = '\0';
     f->call = call;
     if (f->split)
         place_return(f, call->instance);
-    if (is_heard)
+    if (kept.has_event)
         instance_succeeded(call->instance);
     forward_log(f, "run_kept", why, call->status, call->instance);
     return call;
@@ -150,7 +168,7 @@
 void silence_give_up(backend_call_t *call)
 {
     counter_add(&c_broken, 1);
-    end_kept(call->request, call->excess);
+    leave_kept(call->request, call->excess);
 }
 
 void silence_on_data(backend_call_t *call, const char *data, size_t size)
@@ -173,7 +191,7 @@
     default: break;
     }
     f->silent.has_event = true;
-    if (is_sent_elsewhere(f))
+    if (is_sent_elsewhere(f) && !f->call->reply.not_run)
         return; /* the other engine may have begun; decided by its answer, or when that is due */
     counter_add(&c_heard, 1);
     go_on(take_back(f, "silent run goes on"));
@@ -196,33 +214,74 @@
     else
         (void)probe_begin(call);
     forward_log(f, "answer_lost", "silent run broke off", call->status, call->instance);
-    end_kept(f, "stream broke off");
+    leave_kept(f, "stream broke off");
 }
 
 /* ===== Replacing a silent run ===== */
 
-/** Whether the other engine is certain to work on the request. One that has to fetch the memory of the prompt begins
- *  only then, and answers at once, or refuses the request when the memory has expired. */
-static bool has_begun_elsewhere(const forward_t *f)
+static void on_limit_due(void *arg);
+
+static void arm_limit(forward_t *f, tc_time_t span)
+{
+    loop_arm(f->owner->loop, &f->silent.limit, tc_time_now() + MAX(span, 0), on_limit_due, f);
+}
+
+/** The other engine works on the request from now on. */
+static void begin_both(forward_t *f)
+{
+    if (f->silent.both_since > 0)
+        return;
+    f->silent.both_since = tc_time_now();
+    arm_limit(f, OVERLAP_MS - f->silent.both_before);
+}
+
+void silence_on_sent(forward_t *f)
+{
+    if (!f->silent.call)
+        return;
+    if (f->call->op == DIALECT_DECODE)
+        arm_limit(f, OVERLAP_MS); /* it begins once it has fetched the memory of the prompt */
+    else
+        begin_both(f); /* it reads the prompt */
+}
+
+void silence_on_begun(forward_t *f)
 {
-    return f->call->head_seen || f->call->op != DIALECT_DECODE;
+    if (f->silent.call)
+        begin_both(f);
+}
+
+void silence_on_call_end(const backend_call_t *call)
+{
+    silent_run_t *const silent = &call->request->silent;
+    loop_disarm(&silent->limit);
+    if (silent->both_since > 0 && !call->reply.not_run)
+        silent->both_before += tc_time_now() - silent->both_since;
+    silent->both_since = 0;
+}
+
+/** Whether the other engine works on the request: it has sent the head of an answer, or it was to read the prompt and
+ *  has sent something to this box since. One that has sent nothing may be silent itself. */
+static bool is_at_work(const backend_call_t *call)
+{
+    if (!call->http || !web_call_sent(call->http) || call->reply.not_run)
+        return false;
+    return stream_has_begun(call) || (call->op != DIALECT_DECODE && call->instance->heard_at > call->began);
 }
 
-/** The other engine has had the request for OVERLAP_MS and has sent no event. */
-static void on_overlap_due(void *arg)
+/** The other engine has had the request for a while and has sent no event. */
+static void on_limit_due(void *arg)
 {
     forward_t *const f = arg;
     assert(f->call); /* disarmed with the call */
-    if (is_sent_elsewhere(f) && has_begun_elsewhere(f)) {
+    if (is_at_work(f->call)) {
         counter_add(&c_replaced, 1);
         forward_log(f, "run_replaced", "another engine has begun", f->silent.call->status, f->silent.call->instance);
-        end_kept(f, REASON_SILENT);
-        if (stream_has_begun(f->call))
-            silence_watch(f);
+        leave_kept(f, REASON_SILENT);
         return;
     }
     if (!f->silent.has_event) {
-        silence_on_sent(f);
+        arm_limit(f, OVERLAP_MS);
         return;
     }
     instance_failed(f->call->instance, tc_time_now());
@@ -230,17 +289,6 @@
     (void)silence_resume(f, "other engine did not answer in time");
 }
 
-void silence_on_sent(forward_t *f)
-{
-    if (f->silent.call)
-        loop_arm(f->owner->loop, &f->silent.limit, tc_time_now() + OVERLAP_MS, on_overlap_due, f);
-}
-
-void silence_on_call_end(forward_t *f)
-{
-    loop_disarm(&f->silent.limit);
-}
-
 /** Keeps the silent run and looks for another engine. */
 static void replace_silent(forward_t *f)
 {
@@ -253,9 +301,9 @@
     call_record_arrival(call, ARRIVAL_TAKEN);
     instance_failed(call->instance, tc_time_now());
     call_exclude(f, call->instance, call->op);
-    slot_end_call(call);
     loop_disarm(&f->call_timer);
-    f->silent = (silent_run_t){.call = call, .counted_backend = !f->repeats_engine};
+    f->silent = (silent_run_t){.call = call, .slot = f->slot, .counted_backend = !f->repeats_engine};
+    f->slot = (slot_t){.asked = f->slot.asked};
     call_count_run(f);
     f->call = NULL;
     f->failed_decode[0] = '\0';
--- a/lib/forward/forward_silence.h
+++ b/lib/forward/forward_silence.h
@@ -11,7 +11,6 @@
 
 /* ===== Dependencies ===== */
 
-#include "peer/loop.h"
 #include "web/web_client.h"
 
 /* ===== Types ===== */
@@ -19,14 +18,6 @@
 typedef struct forward forward_t;
 typedef struct backend_call backend_call_t;
 
-/** A silent run that is kept. */
-typedef struct {
-    backend_call_t *call; /* NULL: none */
-    loop_timer_t limit;   /* for the first event of the run that is to replace it */
-    bool counted_backend; /* its back end is counted in forward.backends */
-    bool has_event;       /* it brought an event after the request was sent to another engine */
-} silent_run_t;
-
 /* ===== Functions ===== */
 
 /** Arms the silence timeout of the run in progress, if another one may follow it. Call when it begins and with each of
@@ -45,8 +36,10 @@
 
 /** The request is sent to another engine, which is to begin a run. */
 void silence_on_sent(forward_t *f);
-/** The call in progress has ended. */
-void silence_on_call_end(forward_t *f);
+/** The other engine has begun: it sent the head of its answer. */
+void silence_on_begun(forward_t *f);
+/** The call in progress ends. */
+void silence_on_call_end(const backend_call_t *call);
 /** The run in progress has brought an event: the kept one is no longer needed. */
 void silence_on_replaced(forward_t *f);
 
--- a/lib/forward/forward_stream.c
+++ b/lib/forward/forward_stream.c
@@ -218,7 +218,7 @@
     while ((length = event_length((const char *)run->partial->data, run->searched, run->partial->len)) > 0) {
         run->searched = 0;
         if (has_data((const char *)run->partial->data, length))
-            return run->partial->len > EVENT_MAX ? STREAM_HELD_TOO_LARGE : STREAM_HELD_EVENT;
+            return STREAM_HELD_EVENT;
         g_byte_array_remove_range(run->partial, 0, (guint)length);
     }
     run->searched = run->partial->len;
