Whole answers reach slow callers, and a long next request does not end the one before it

Callers lost whole answers in three ways that no back end caused: the last answer of a connection (every answer, once a box is stopping) was cut after one second without progress; a whole answer with over 8 MiB unsent was cut at once, also for a caller that reads; and a caller that sent more than 64 KiB behind a request lost that request.

Cause: limits meant for connections without an answer, for streams in progress, and for memory, were applied to whole answers. Now a closing connection lingers only once its answer is sent, and has the send timeout until then; the limit on unsent bytes is for answers in progress (whole ones count in the memory for answers); and a caller that sends too much is not read for a while.

--- a/lib/web/web_response.c
+++ b/lib/web/web_response.c
@@ -7,19 +7,34 @@
 
 #include "web/web_server_internal.h"
 
-/** Maximum of unsent bytes. A caller that does not read and exceeds it is disconnected. */
+/** Maximum of unsent bytes of a response in progress; a whole one has the size that its back end was allowed. A caller
+ * that does not read and exceeds it is disconnected. */
 enum { OUT_MAX_BYTES = 8 * 1024 * 1024 };
 /** Sent bytes are removed from the front of the buffer only from this size on, since the rest must be moved. */
 enum { COMPACT_MIN_BYTES = 64 * 1024 };
 
 /* ===== Writing ===== */
 
+static void watch(web_exchange_t *c)
+{
+    loop_watch_modify(c->server->loop, &c->watch,
+                      EPOLLRDHUP | (c->paused ? 0u : EPOLLIN) | (c->writing ? EPOLLOUT : 0u));
+}
+
 static void exchange_want_write(web_exchange_t *c, bool want)
 {
     if (c->writing == want)
         return;
     c->writing = want;
-    loop_watch_modify(c->server->loop, &c->watch, EPOLLIN | EPOLLRDHUP | (want ? EPOLLOUT : 0u));
+    watch(c);
+}
+
+void exchange_pause(web_exchange_t *c, bool paused)
+{
+    if (c->paused == paused)
+        return;
+    c->paused = paused;
+    watch(c);
 }
 
 /** Whether the byte counts match the buffer: no byte was lost or duplicated. */
@@ -50,7 +65,8 @@
             exchange_want_write(c, true);
             compact_out(c);
             assert(is_out_consistent(c)); /* only sent bytes were removed */
-            return c->out->len <= OUT_MAX_BYTES && buffer_share_set(&c->unsent, web_unsent(c));
+            const bool fits = c->state != EXCHANGE_HANDLING || web_unsent(c) <= OUT_MAX_BYTES;
+            return fits && buffer_share_set(&c->unsent, web_unsent(c));
         }
         if (n < 0)
             return false;
@@ -117,6 +133,7 @@
     web_exchange_t *const c = arg;
     GByteArray *const data = c->pipelined;
     c->pipelined = g_byte_array_new();
+    exchange_pause(c, false);
     exchange_parse(c, (const char *)data->data, data->len);
     g_byte_array_free(data, TRUE);
 }
@@ -149,6 +166,7 @@
         return;
     }
     if (c->state == EXCHANGE_CLOSING) {
+        exchange_pause(c, false); /* input is dropped from now on */
         if (c->out->len == 0)
             shutdown(c->watch.fd, SHUT_WR);
         return;
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -287,7 +287,7 @@
     }
     g_byte_array_append(c->pipelined, (const guint8 *)data, (guint)n);
     if (c->pipelined->len > PIPELINED_MAX_BYTES)
-        exchange_disconnect(c);
+        exchange_pause(c, true);
 }
 
 static void exchange_on_io(void *arg, uint32_t events)
@@ -378,9 +378,9 @@
             refuse(c, 408);
         else if (c->state == EXCHANGE_READING && !c->request_started && now - c->progress_at > s->limits->idle_ms)
             exchange_close(c);
-        else if (c->state == EXCHANGE_HANDLING && c->writing && now - c->progress_at > send_timeout_ms)
+        else if (c->state != EXCHANGE_READING && c->writing && now - c->progress_at > send_timeout_ms)
             exchange_disconnect(c);
-        else if (c->state == EXCHANGE_CLOSING && now - c->progress_at > LINGER_MS)
+        else if (c->state == EXCHANGE_CLOSING && !c->writing && now - c->progress_at > LINGER_MS)
             exchange_close(c);
     }
     loop_arm(s->loop, &s->sweep, now + SWEEP_MS, sweep, s);
--- a/lib/web/web_server_internal.h
+++ b/lib/web/web_server_internal.h
@@ -20,6 +20,7 @@
     web_server_t *server;
     loop_watch_t watch;
     bool writing;
+    bool paused; /* nothing is read: enough of the next request is buffered */
     bool broken; /* bytes of a response were dropped: no more are sent */
     exchange_state_t state;
     http_parser parser;
@@ -81,6 +82,9 @@
 /** Remove the response from the server's buffered_bytes. */
 void exchange_uncount_response(web_exchange_t *c);
 
+/** Stop or resume reading from the caller. */
+void exchange_pause(web_exchange_t *c, bool paused);
+
 /** Append bytes to the output buffer. */
 void exchange_queue(web_exchange_t *c, const void *data, size_t size);
 /** Write the output buffer to the socket as far as possible. @return false when the connection is broken or the buffer
