--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -59,6 +59,8 @@
  *  be over by @p end. Others are refused as not run, with a Retry-After that sends the caller to another box at once.
  *  Requests in flight continue. */
 void forwarder_stop(forwarder_t *forwarder, tc_time_t last, tc_time_t end);
+/** Refuses all requests that no back end can have begun: the box ends now. */
+void forwarder_refuse_waiting(forwarder_t *forwarder);
 /** Sets the number of boxes by the newest list; 0: no list has been received. */
 void forwarder_set_boxes(forwarder_t *forwarder, unsigned boxes);
 /** Requests that are quarantined because back ends ended while running them, for the reports. Owned by the forwarder.
--- a/lib/forward/forward_stop.c
+++ b/lib/forward/forward_stop.c
@@ -37,3 +37,17 @@
     fw->stop_begin_until = last;
     fw->stop_deadline = end;
 }
+
+/** Whether no back end can have begun the request. */
+static bool is_unsent(const forward_t *f)
+{
+    return f->runs == 0 && !f->begun && (!f->call || f->call->op == DIALECT_PREFILL);
+}
+
+void forwarder_refuse_waiting(forwarder_t *fw)
+{
+    forward_t *f, *next;
+    cds_list_for_each_entry_safe(f, next, &fw->requests, node)
+        if (is_unsent(f))
+            forward_fail_after(f, REASON_STOPPING, RETRY_ELSEWHERE_MS);
+}
--- a/lib/forward/reasons.h
+++ b/lib/forward/reasons.h
@@ -14,6 +14,9 @@
 /** This box reaches no back end, and no other box helps. Callers may return at once, to another box. */
 #define REASON_CUT_OFF "this box reaches no back end"
 
+/** This box ends, and no back end has begun the request. Another box may take it at once. */
+#define REASON_STOPPING "this box is stopping"
+
 /** The remaining back ends have reached their rate limits. */
 #define REASON_LIMITED "back ends have reached their limits"
 
--- a/lib/web/web_server.c
+++ b/lib/web/web_server.c
@@ -419,6 +419,15 @@
     return s->in_flight;
 }
 
+unsigned web_server_unsent(const web_server_t *s)
+{
+    unsigned n = 0;
+    const web_exchange_t *c;
+    cds_list_for_each_entry(c, &s->conns, node)
+        n += web_unsent(c) > 0;
+    return n;
+}
+
 void web_server_stop(web_server_t *s)
 {
     loop_disarm(&s->sweep);
--- a/lib/web/web_server.h
+++ b/lib/web/web_server.h
@@ -72,6 +72,8 @@
 void web_server_drain(web_server_t *server);
 /** Number of requests being handled. */
 unsigned web_server_in_flight(const web_server_t *server);
+/** Number of connections with response bytes that are not sent yet. */
+unsigned web_server_unsent(const web_server_t *server);
 /** Close the listener and all connections, and free the server. */
 void web_server_stop(web_server_t *server);
 
--- a/tests/platform/test_forward_attempts.c
+++ b/tests/platform/test_forward_attempts.c
@@ -177,6 +177,26 @@
     g_assert_cmpuint(requests(f, 2), ==, 1);
 }
 
+static bool has_been_refused_memory(void *arg)
+{
+    return requests(arg, 1) > 0;
+}
+
+/** A box that ends left requests that waited for room without an answer. */
+static void test_stop_refuses_waiting(fixture_t *f, gconstpointer data)
+{
+    (void)data;
+    start_engines(f, "held", "p", "n", NULL);
+    lab_call_t *const c = begin(f, "/held/x");
+    lab_run_until(f->loop, has_been_refused_memory, f);
+    forwarder_refuse_waiting(f->forwarder);
+    lab_run_until_true(f->loop, &c->done);
+    g_assert_cmpint(c->how, ==, WEB_RESULT_COMPLETE);
+    g_assert_cmpint(c->status, ==, 503);
+    g_assert_nonnull(c->retry_after);
+    lab_call_free(c);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -190,5 +210,6 @@
     TEST("stream-across-a-configuration-change", test_stream_across_a_configuration_change);
     TEST("head-on-kept-alive-connections", test_head_on_kept_alive_connections);
     TEST("prefill-result-of-a-lost-answer", test_prefill_result_of_a_lost_answer);
+    g_test_add("/forward-attempts/stop-refuses-waiting", fixture_t, NULL, set_up, test_stop_refuses_waiting, tear_down);
     return g_test_run();
 }
