--- a/Makefile
+++ b/Makefile
@@ -148,7 +148,8 @@
 SPLIT_BY_SEEDS = build-asan/tests/random/test_slot_pool_random build-asan/tests/random/test_lists_random \
     $(BUILD)/tests/random/test_slot_pool_random
 SPLIT_BY_PATHS = build-asan/tests/random/test_quarantine_random $(BUILD)/tests/platform/test_limits \
-    build-asan/tests/platform/test_limits $(BUILD)/tests/fault/test_requests
+    build-asan/tests/platform/test_limits $(BUILD)/tests/fault/test_requests \
+    $(BUILD)/tests/platform/test_spoiled_answers build-asan/tests/platform/test_spoiled_answers
 SEED_RANGES := $(shell awk -v first=$(CHECK_FIRST) -v seeds=$(CHECK_SEEDS) -v most=$(PARTS) -v least=$(SEEDS_LEAST) \
                    'BEGIN { parts = int(seeds / least); if (parts > most) parts = most; if (parts < 1) parts = 1; \
                    for (i = 1; i <= parts; i++) { n = int((seeds + parts - i) / parts); \
@@ -165,7 +166,9 @@
     build-asan/tests/random/test_slot_pool_random build-asan/tests/random/test_lists_random \
     build-asan/tests/random/test_quarantine_random build-asan/tests/random/test_raft_random \
     $(BUILD)/tests/random/test_slot_pool_random \
+    $(BUILD)/tests/platform/test_spoiled_answers build-asan/tests/platform/test_spoiled_answers \
     $(BUILD)/tests/platform/test_limits build-asan/tests/platform/test_limits \
+    $(BUILD)/tests/platform/test_silences build-asan/tests/platform/test_silences \
     $(BUILD)/tests/platform/test_stream_random build-asan/tests/platform/test_stream_random \
     $(BUILD)/tests/unit/test_cluster build-asan/tests/unit/test_cluster \
     $(BUILD)/tests/unit/test_quarantine_spread build-asan/tests/unit/test_quarantine_spread \
--- a/tests/platform/test_spoiled_answers.c
+++ b/tests/platform/test_spoiled_answers.c
@@ -4,6 +4,7 @@
  * engine and one plain server doing so, 313 such answers were taken in 12 s, each of which cost its caller the answer
  * or a further arrival. */
 
+#include "harness/parts.h"
 #include "platform/entries_lab.h"
 
 enum {
@@ -324,6 +325,7 @@
 {
     g_test_init(&argc, &argv, NULL);
 #define ADD(name, fn, slots)                                                                                           \
+    if (part_has_next_path())                                                                                          \
     g_test_add("/spoiled-answers/" name, world_t, GINT_TO_POINTER(slots), set_up_spoiled, fn, tear_down_spoiled)
     ADD("prefill-junk", test_prefill_junk, 0);
     ADD("prefill-unusable", test_prefill_unusable, 0);
