--- a/lib/forward/forward_silence.c
+++ b/lib/forward/forward_silence.c
@@ -96,7 +96,7 @@
 /** Whether another engine may have begun to run the request. */
 static bool is_sent_elsewhere(const forward_t *f)
 {
-    return f->call && f->call->op != DIALECT_PREFILL && web_call_sent(f->call->http);
+    return f->call && f->call->http && f->call->op != DIALECT_PREFILL && web_call_sent(f->call->http);
 }
 
 /** Counts the call that was to replace the kept run, as far as it went. */
