--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -193,6 +193,7 @@
         self.running, self.runs = 0, []
         self.server = None
         self.connections = set()
+        self.hangs = False  # takes requests and answers none
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -200,6 +201,7 @@
 
     def crash(self):
         """Ends at once: nothing listens any more, and open connections are reset."""
+        self.hangs = False
         self.server.close()
         for writer in list(self.connections):
             writer.transport.abort()
@@ -259,6 +261,8 @@
         self.lab.record("worker", self.id, "runs", attempt, line.rsplit(" ", 1)[0], "state", self.state)
         try:
             await asyncio.sleep(0.03 + 0.06 * random.random())
+            while self.hangs:
+                await asyncio.sleep(0.02)
         finally:
             self.running -= 1
         if writer.transport.is_closing():
